--- /dev/null
+++ b/laburnumsill/api/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface for callers, operators and members."""
--- /dev/null
+++ b/laburnumsill/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool."""
--- /dev/null
+++ b/laburnumsill/config/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration models, overlay merge and versions; no I/O."""
--- /dev/null
+++ b/laburnumsill/core/clock.py
@@ -0,0 +1,71 @@
+"""Clocks and deadlines.
+
+A deadline is a point in time in seconds. Inside one process it is a point on
+the monotonic clock; between processes and in replicated state it is a point
+on the wall clock (Unix seconds, UTC), whose drift between VMs is bounded by
+`MAX_CLOCK_DRIFT_S`.
+"""
+
+import abc
+import time
+
+MAX_CLOCK_DRIFT_S = 0.25
+"""How far apart, in seconds, the wall clocks of any two VMs may be."""
+
+
+class Clock(abc.ABC):
+    """A source of time."""
+
+    @abc.abstractmethod
+    def monotonic(self) -> float:
+        """Returns seconds that never go backwards."""
+
+    @abc.abstractmethod
+    def wall(self) -> float:
+        """Returns Unix seconds, UTC."""
+
+    def wall_deadline(self, monotonic_deadline: float) -> float:
+        """Returns the wall-clock point of a monotonic deadline."""
+        return self.wall() + (monotonic_deadline - self.monotonic())
+
+    def monotonic_deadline(self, wall_deadline: float) -> float:
+        """Returns the monotonic point of a wall-clock deadline."""
+        return self.monotonic() + (wall_deadline - self.wall())
+
+
+class SystemClock(Clock):
+    """The clock of the operating system."""
+
+    def monotonic(self) -> float:
+        """Returns `time.monotonic`; trio's own clock differs from it."""
+        return time.monotonic()
+
+    def wall(self) -> float:
+        """Returns `time.time`."""
+        return time.time()
+
+
+class ManualClock(Clock):
+    """A clock that moves only when told to, for tests and virtual time.
+
+    Examples:
+        >>> clock = ManualClock()
+        >>> clock.advance(2.5)
+        >>> clock.monotonic()
+        2.5
+    """
+
+    def __init__(self, start: float = 0.0) -> None:
+        self._now = start
+
+    def advance(self, seconds: float) -> None:
+        """Moves the clock on by `seconds`."""
+        self._now += seconds
+
+    def monotonic(self) -> float:
+        """Returns the present point."""
+        return self._now
+
+    def wall(self) -> float:
+        """Returns the present point."""
+        return self._now
--- /dev/null
+++ b/laburnumsill/core/logs.py
@@ -0,0 +1,48 @@
+"""Structured logs: one line of key=value pairs for each event."""
+
+import sys
+
+import loguru
+
+_FORMAT = "time={time:YYYY-MM-DDTHH:mm:ss.SSS!UTC}Z level={level} {message}"
+
+
+def set_up(level: str, vm: str) -> None:
+    """Sends events of `level` and above to standard error.
+
+    Args:
+        level: A loguru level name, such as ``INFO``.
+        vm: The id of this VM or the name of this program, on every line.
+    """
+    loguru.logger.remove()
+    loguru.logger.add(
+        sys.stderr, level=level, format=f"{_FORMAT} vm={vm}", catch=True
+    )
+
+
+def event(name: str, /, level: str = "INFO", **fields: object) -> None:
+    """Writes one event.
+
+    Args:
+        name: What happened, in lower case with dashes.
+        level: A loguru level name.
+        **fields: Further pairs; values with blanks are quoted.
+    """
+    pairs = " ".join(f"{key}={_text(value)}" for key, value in fields.items())
+    loguru.logger.log(level, "{}", f"event={name} {pairs}".rstrip())
+
+
+def decision(name: str, /, **fields: object) -> None:
+    """Writes one routing or placement decision: what was chosen and why."""
+    event(name, level="INFO", kind="decision", **fields)
+
+
+def _text(value: object) -> str:
+    """Returns `value` as one word, quoted where it would not be one."""
+    if isinstance(value, float):
+        return f"{value:.6g}"
+    text = str(value)
+    if text and not any(c in ' "=\n\r\t' for c in text):
+        return text
+    escaped = text.replace("\\", "\\\\").replace('"', '\\"')
+    return '"' + escaped.replace("\n", "\\n").replace("\r", "\\r") + '"'
--- /dev/null
+++ b/laburnumsill/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Settings, logging and the assembly of one daemon."""
--- /dev/null
+++ b/laburnumsill/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Admission, planning, reclaim and the life cycle of gangs."""
--- /dev/null
+++ b/laburnumsill/members/__init__.py
@@ -0,0 +1,1 @@
+"""Announcements of backend servers and workers, and their expiry."""
--- /dev/null
+++ b/laburnumsill/platform/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP clients for workers and backend servers."""
--- /dev/null
+++ b/laburnumsill/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The request pipeline and the policies behind it."""
--- /dev/null
+++ b/laburnumsill/state/__init__.py
@@ -0,0 +1,1 @@
+"""The two replicated state machines, root and domain; no I/O."""
--- /dev/null
+++ b/laburnumsill/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes that run as processes and the fault-injecting TCP proxy."""
--- /dev/null
+++ b/laburnumsill/wire/__init__.py
@@ -0,0 +1,1 @@
+"""The peer protocol: thrift messages and connections between VMs."""
