--- /dev/null
+++ b/laburnumsill/daemon/settings.py
@@ -0,0 +1,225 @@
+"""The settings of one daemon, read from its own TOML file.
+
+Settings say who this VM is and where the others are; they are never pushed.
+Paths in a settings file are relative to the file itself.
+
+Examples:
+    The file of one VM, which shares the list of VMs with the others::
+
+        vm_id = "vm1"
+        vms_file = "vms.toml"
+        data_folder = "data/vm1"
+"""
+
+import dataclasses
+import ipaddress
+import pathlib
+import typing
+
+import pydantic
+
+from laburnumsill.config import models
+from laburnumsill.config import toml_files
+from laburnumsill.core import topology
+
+MAX_VMS = 64
+"""Most VMs that one system may have."""
+
+_MAX_PORT = 65_535
+
+LogLevel = typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"]
+
+
+class InvalidSettingsError(toml_files.InvalidFileError):
+    """A settings file with a wrong, missing or unknown value."""
+
+    slug = "invalid-settings"
+    title = "Invalid settings"
+
+
+def _is_address(text: str) -> str:
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+        number = int(port)
+    except ValueError:
+        number = -1
+    if not 0 < number <= _MAX_PORT:
+        raise ValueError("an IP number and a port, such as 127.0.0.1:8101")
+    return text
+
+
+Address = typing.Annotated[str, pydantic.AfterValidator(_is_address)]
+
+
+class VmEntry(models.Model):
+    """One VM in the list that all VMs share.
+
+    Attributes:
+        vm_id: Its name, unique in the list.
+        domain: Its failure domain.
+        client_address: Where clients and the balancer reach it.
+        peer_address: Where the other VMs reach it.
+        disk: Whether it has a data folder.
+    """
+
+    vm_id: models.Name
+    domain: models.Name
+    client_address: Address
+    peer_address: Address
+    disk: bool = False
+
+
+class VmsFile(models.Model):
+    """The list of VMs, in a file of its own."""
+
+    vms: list[VmEntry] = pydantic.Field(min_length=1, max_length=MAX_VMS)
+
+
+class SettingsFile(models.Model):
+    """The settings file of one VM, as it is written.
+
+    Attributes:
+        vm_id: Which entry of the list this VM is.
+        vms_file: The file with the list of VMs; or else `vms` gives it.
+        vms: The list of VMs.
+        data_folder: Where state is kept; left out on a VM without a disk.
+        client_listen: Where to listen for clients if it is not at the
+            client address in the list.
+        peer_listen: Where to listen for peers if it is not at the peer
+            address in the list.
+        log_level: The lowest level of events that are logged.
+        dial: Addresses to reach peers at, by VM, where they are not the
+            peer addresses in the list; tests lead them through a proxy.
+    """
+
+    vm_id: models.Name
+    vms_file: str | None = None
+    vms: list[VmEntry] = pydantic.Field(default=[], max_length=MAX_VMS)
+    data_folder: pathlib.Path | None = None
+    client_listen: Address | None = None
+    peer_listen: Address | None = None
+    log_level: LogLevel = "INFO"
+    dial: dict[models.Name, Address] = {}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """The settings of one VM, complete and checked.
+
+    Attributes:
+        me: This VM.
+        vms: All VMs, this one too.
+        dial: The address to reach each other VM at, by VM.
+        client_listen: The address to listen for clients at.
+        peer_listen: The address to listen for peers at.
+        data_folder: Where state is kept, None without a disk.
+        log_level: The lowest level of events that are logged.
+    """
+
+    me: topology.Vm
+    vms: list[topology.Vm]
+    dial: dict[str, str]
+    client_listen: str
+    peer_listen: str
+    data_folder: pathlib.Path | None
+    log_level: str
+
+
+def load(path: str | pathlib.Path) -> Settings:
+    """Returns the settings in the file at `path`.
+
+    Raises:
+        toml_files.MissingFileError: The file, or the list of VMs that it
+            names, cannot be read.
+        InvalidSettingsError: A value is wrong, missing or unknown.
+    """
+    path = pathlib.Path(path)
+    tree = toml_files.read(path, InvalidSettingsError)
+    written = toml_files.validated(
+        SettingsFile, tree, path, InvalidSettingsError
+    )
+    vms = [_vm(entry) for entry in _entries(written, path)]
+    me = _me(written, vms, path)
+    _check_dial(written, vms, path)
+    _check_disk(written, me, path)
+    folder = written.data_folder
+    return Settings(
+        me=me,
+        vms=vms,
+        dial={
+            vm.vm_id: written.dial.get(vm.vm_id, vm.peer_address)
+            for vm in vms
+            if vm is not me
+        },
+        client_listen=written.client_listen or me.client_address,
+        peer_listen=written.peer_listen or me.peer_address,
+        data_folder=(path.parent / folder) if folder else None,
+        log_level=written.log_level,
+    )
+
+
+def _entries(written: SettingsFile, path: pathlib.Path) -> list[VmEntry]:
+    """Returns the list of VMs from either place; ids and ports differ."""
+    if (written.vms_file is None) == (not written.vms):
+        both = "either vms_file or a list of VMs"
+        raise InvalidSettingsError.at(path, "vms_file", written.vms_file, both)
+    entries = written.vms
+    if written.vms_file is not None:
+        path = path.parent / written.vms_file
+        tree = toml_files.read(path, InvalidSettingsError)
+        entries = toml_files.validated(
+            VmsFile, tree, path, InvalidSettingsError
+        ).vms
+    seen: set[str] = set()
+    for position, entry in enumerate(entries):
+        for field in ("vm_id", "client_address", "peer_address"):
+            value = getattr(entry, field)
+            if value in seen:
+                key = f"vms.{position}.{field}"
+                unique = "a value that no VM before it has"
+                raise InvalidSettingsError.at(path, key, value, unique)
+            seen.add(value)
+    return entries
+
+
+def _vm(entry: VmEntry) -> topology.Vm:
+    return topology.Vm(
+        entry.vm_id,
+        entry.domain,
+        entry.client_address,
+        entry.peer_address,
+        entry.disk,
+    )
+
+
+def _me(
+    written: SettingsFile, vms: list[topology.Vm], path: pathlib.Path
+) -> topology.Vm:
+    for vm in vms:
+        if vm.vm_id == written.vm_id:
+            return vm
+    known = "one of " + ", ".join(vm.vm_id for vm in vms)
+    raise InvalidSettingsError.at(path, "vm_id", written.vm_id, known)
+
+
+def _check_dial(
+    written: SettingsFile, vms: list[topology.Vm], path: pathlib.Path
+) -> None:
+    known = {vm.vm_id for vm in vms} - {written.vm_id}
+    for vm_id in written.dial:
+        if vm_id not in known:
+            one_of = "one of " + ", ".join(sorted(known))
+            raise InvalidSettingsError.at(path, "dial", vm_id, one_of)
+
+
+def _check_disk(
+    written: SettingsFile, me: topology.Vm, path: pathlib.Path
+) -> None:
+    folder = written.data_folder
+    if me.has_disk and folder is None:
+        needed = f"a folder, since {me.vm_id} has a disk in the list"
+        raise InvalidSettingsError.at(path, "data_folder", None, needed)
+    if not me.has_disk and folder is not None:
+        none = f"none, since {me.vm_id} has no disk in the list"
+        raise InvalidSettingsError.at(path, "data_folder", str(folder), none)
