--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each program prints a table and writes JSON."""
--- /dev/null
+++ b/laburnumsill/api/application.py
@@ -0,0 +1,76 @@
+"""The ASGI application of one daemon.
+
+Requests to services take a short way past the router, because they are by
+far the most; everything else is routed by starlette.
+"""
+
+import typing
+from collections import abc
+
+from starlette import applications
+from starlette import exceptions
+from starlette import requests
+from starlette import responses
+from starlette import routing
+from starlette import types
+
+from laburnumsill.api import problems
+from laburnumsill.core import errors
+
+SERVICES_PREFIX = "/v1/services/"
+
+
+class MethodNotAllowedError(errors.InvalidInputError):
+    """A known path with a method that it does not take."""
+
+    slug = "method-not-allowed"
+    status = 405
+    title = "Method not allowed"
+
+
+class Application:
+    """Dispatches HTTP exchanges to the service path or to the routes."""
+
+    def __init__(
+        self, services: types.ASGIApp, routes: abc.Sequence[routing.BaseRoute]
+    ) -> None:
+        self._services = services
+        self._others = applications.Starlette(
+            routes=routes,
+            exception_handlers={exceptions.HTTPException: _http_problem},
+        )
+
+    async def __call__(
+        self, scope: types.Scope, receive: types.Receive, send: types.Send
+    ) -> None:
+        """Handles one ASGI scope."""
+        if scope["type"] == "lifespan":
+            await _lifespan(receive, send)
+        elif scope["type"] != "http":
+            await send({"type": "websocket.close", "code": 1000})
+        elif scope["path"].startswith(SERVICES_PREFIX):
+            await self._services(scope, receive, send)
+        else:
+            await self._others(scope, receive, send)
+
+
+async def _lifespan(receive: types.Receive, send: types.Send) -> None:
+    while True:
+        message = await receive()
+        if message["type"] == "lifespan.startup":
+            await send({"type": "lifespan.startup.complete"})
+        else:
+            await send({"type": "lifespan.shutdown.complete"})
+            return
+
+
+async def _http_problem(
+    request: requests.Request, error: typing.Any
+) -> responses.Response:
+    if error.status_code == MethodNotAllowedError.status:
+        return problems.problem(
+            MethodNotAllowedError(f"{request.method} {request.url.path}")
+        )
+    return problems.problem(
+        errors.NotFoundError(f"no resource at {request.url.path}")
+    )
--- /dev/null
+++ b/laburnumsill/daemon/server.py
@@ -0,0 +1,71 @@
+"""The HTTP server of one daemon: hypercorn with our limits and logs."""
+
+import logging
+import typing
+from collections import abc
+
+import hypercorn.config
+import hypercorn.trio
+import trio
+
+from laburnumsill.core import logs
+
+MAX_HEADER_BYTES = 32 * 1024
+KEEP_ALIVE_S = 60
+LISTEN_BACKLOG = 512
+
+
+class _EventHandler(logging.Handler):
+    """Passes hypercorn's own messages on as events."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Writes one event."""
+        logs.event(
+            "http-server",
+            level=record.levelname,
+            message=record.getMessage(),
+            error=repr(record.exc_info[1]) if record.exc_info else "",
+        )
+
+
+def _logger() -> logging.Logger:
+    logger = logging.getLogger("laburnumsill.http")
+    logger.handlers = [_EventHandler()]
+    logger.setLevel(logging.WARNING)
+    logger.propagate = False
+    return logger
+
+
+async def serve(
+    application: typing.Any,
+    address: str,
+    stop: abc.Callable[[], abc.Awaitable[None]],
+    stop_grace_s: float,
+    *,
+    task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serves an ASGI application until `stop` returns.
+
+    Args:
+        application: The ASGI application.
+        address: ``host:port`` to listen on.
+        stop: Returns when no new connection is to be taken.
+        stop_grace_s: Seconds that exchanges in flight have after that.
+        task_status: Started once the socket listens.
+    """
+    config = hypercorn.config.Config()
+    config.bind = [address]
+    config.accesslog = None
+    config.errorlog = _logger()
+    config.h11_max_incomplete_size = MAX_HEADER_BYTES
+    config.keep_alive_timeout = KEEP_ALIVE_S
+    config.graceful_timeout = stop_grace_s
+    config.backlog = LISTEN_BACKLOG
+    config.include_server_header = False
+    await hypercorn.trio.serve(
+        application,
+        config,
+        shutdown_trigger=stop,
+        mode="asgi",
+        task_status=task_status,
+    )
