--- /dev/null
+++ b/laburnumsill/consensus/log.py
@@ -0,0 +1,153 @@
+"""The replicated log as one replica holds it in memory."""
+
+import bisect
+
+from laburnumsill.consensus import engine_errors
+from laburnumsill.consensus import types
+from laburnumsill.core import codec
+
+NO_MEMBERSHIP = types.Membership(())
+"""What a replica goes by that has not received any membership yet."""
+
+
+class Log:
+    """Entries after a base position, and the last snapshot.
+
+    The base is the snapshot's position or an earlier one, because some
+    entries are kept behind a snapshot for followers that are slightly late.
+    Memberships take effect as soon as they are in the log, and cease to when
+    they are replaced.
+
+    Examples:
+        >>> log = Log(None, ())
+        >>> log.append(types.Entry(1, 1, types.EntryKind.EMPTY, b""))
+        >>> log.last_index, log.term_at(1), log.term_at(2)
+        (1, 1, None)
+    """
+
+    def __init__(
+        self,
+        snapshot: types.Snapshot | None,
+        entries: tuple[types.Entry, ...],
+    ) -> None:
+        self.snapshot = snapshot
+        self.base_index = snapshot.index if snapshot else 0
+        self.base_term = snapshot.term if snapshot else 0
+        self._entries: list[types.Entry] = []
+        self._changes: list[tuple[int, types.Membership]] = []
+        if snapshot:
+            self._changes.append((snapshot.index, snapshot.membership))
+        for entry in entries:
+            if entry.index > self.base_index:
+                self.append(entry)
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry, or of the base."""
+        return self.base_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry, or of the base."""
+        return self._entries[-1].term if self._entries else self.base_term
+
+    @property
+    def membership(self) -> types.Membership:
+        """The newest membership, committed or not."""
+        return self._changes[-1][1] if self._changes else NO_MEMBERSHIP
+
+    @property
+    def membership_index(self) -> int:
+        """Index of the newest membership's entry; 0 if there is none."""
+        return self._changes[-1][0] if self._changes else 0
+
+    def membership_at(self, index: int) -> types.Membership:
+        """Returns the membership in effect once `index` is the last entry."""
+        position = bisect.bisect_right(
+            self._changes, index, key=lambda change: change[0]
+        )
+        return self._changes[position - 1][1] if position else NO_MEMBERSHIP
+
+    def term_at(self, index: int) -> int | None:
+        """Returns the term of the entry at `index`, or None if unknown."""
+        if index == self.base_index:
+            return self.base_term
+        if self.base_index < index <= self.last_index:
+            return self._entries[index - self.base_index - 1].term
+        return None
+
+    def last_at_term(self, index: int, term: int) -> int:
+        """Returns the last index, at most `index`, of at most `term`."""
+        index = min(index, self.last_index)
+        while index > self.base_index and (self.term_at(index) or 0) > term:
+            index -= 1
+        return index
+
+    def between(self, first: int, last: int) -> tuple[types.Entry, ...]:
+        """Returns the entries from `first` to `last`, both included."""
+        start = first - self.base_index - 1
+        return tuple(self._entries[start : last - self.base_index])
+
+    def batch(self, first: int, max_bytes: int) -> tuple[types.Entry, ...]:
+        """Returns entries from `first` on that fit in `max_bytes`.
+
+        At least one entry is returned if there is one.
+        """
+        size = 0
+        end = first - self.base_index - 1
+        while end < len(self._entries):
+            size += len(self._entries[end].data)
+            if size > max_bytes and end >= first - self.base_index:
+                break
+            end += 1
+        return tuple(self._entries[first - self.base_index - 1 : end])
+
+    def append(self, entry: types.Entry) -> None:
+        """Adds an entry at the end.
+
+        Raises:
+            engine_errors.LogBrokenError: `entry` leaves a gap.
+        """
+        if entry.index != self.last_index + 1:
+            raise engine_errors.LogBrokenError(
+                f"entry {entry.index} cannot follow {self.last_index}"
+            )
+        self._entries.append(entry)
+        if entry.kind is types.EntryKind.MEMBERSHIP:
+            self._changes.append((entry.index, codec.decode(entry.data)))
+
+    def truncate_from(self, index: int) -> None:
+        """Removes the entry at `index` and all after it."""
+        del self._entries[index - self.base_index - 1 :]
+        while self._changes and self._changes[-1][0] >= index:
+            self._changes.pop()
+
+    def compact(self, snapshot: types.Snapshot, kept_bytes: int) -> None:
+        """Takes a snapshot of applied entries and drops what it covers.
+
+        Args:
+            snapshot: At an index that the log still holds.
+            kept_bytes: Entry bytes to keep behind the snapshot.
+        """
+        self.snapshot = snapshot
+        base = snapshot.index
+        size = 0
+        while base > self.base_index:
+            size += len(self._entries[base - self.base_index - 1].data) + 1
+            if size > kept_bytes:
+                break
+            base -= 1
+        term = self.term_at(base)
+        del self._entries[: base - self.base_index]
+        self.base_index = base
+        self.base_term = term or 0
+        while len(self._changes) > 1 and self._changes[1][0] <= base:
+            del self._changes[0]
+
+    def reset(self, snapshot: types.Snapshot) -> None:
+        """Replaces everything by a snapshot."""
+        self.snapshot = snapshot
+        self.base_index = snapshot.index
+        self.base_term = snapshot.term
+        self._entries.clear()
+        self._changes = [(snapshot.index, snapshot.membership)]
