Add the peer network: one connection a pair of VMs

Cause: every other part talks to other VMs through replication.Peers. Ruled out: one unknown outcome for every call on a broken connection. A call that never got into a frame was certainly not sent, so it says so, which keeps it safe to repeat. Not measured yet.

--- /dev/null
+++ b/laburnumsill/wire/network.py
@@ -0,0 +1,396 @@
+"""Connections to all other VMs: one for each pair, carrying everything."""
+
+import contextlib
+import dataclasses
+import errno
+import typing
+from collections import abc
+
+import trio
+
+from laburnumsill.core import clock as clocks
+from laburnumsill.core import errors
+from laburnumsill.core import logs
+from laburnumsill.core import metrics as metrics_module
+from laburnumsill.core import replication
+from laburnumsill.core import topology
+from laburnumsill.wire import addresses as addressing
+from laburnumsill.wire import backoff
+from laburnumsill.wire import connection as connections
+from laburnumsill.wire import failures
+from laburnumsill.wire import frames
+from laburnumsill.wire import handlers
+from laburnumsill.wire import hello
+from laburnumsill.wire.generated.peer import ttypes
+
+TICK_S = 0.2
+"""How often all connections are looked at, together to save wake-ups."""
+
+CONNECT_TIMEOUT_S = 1.0
+"""Longest wait for a TCP connection."""
+
+CONNECTION_WAIT_S = 0.3
+"""Longest wait of a call for a connection."""
+
+FIRST_PAUSE_S = 0.05
+"""First pause before a VM is dialed again."""
+
+LONGEST_PAUSE_S = 1.0
+"""Longest pause before a VM is dialed again."""
+
+STABLE_S = 1.0
+"""A connection that lasted so long makes the pauses short again."""
+
+
+class _Peer:
+    """What is known of one other VM.
+
+    Attributes:
+        connection: The connection to it, or None.
+        connected: Set while there is a connection.
+    """
+
+    def __init__(self) -> None:
+        self.connection: connections.Connection | None = None
+        self.connected = trio.Event()
+
+    def attach(self, connection: connections.Connection) -> None:
+        """Uses a new connection; an older one is certainly dead."""
+        if self.connection is not None:
+            self.connection.lose(failures.ConnectionLostError("replaced"))
+        self.connection = connection
+        self.connected.set()
+
+    def detach(self, connection: connections.Connection) -> None:
+        """Forgets a connection that was lost, unless it was replaced."""
+        if self.connection is connection:
+            self.connection = None
+            self.connected = trio.Event()
+
+
+class PeerNetwork(replication.Peers):
+    """Calls, notices and Raft messages between this VM and all others.
+
+    Of each pair the VM with the lower id dials. A connection that is silent
+    for longer than `connections.SILENCE_LIMIT_S` is closed and dialed anew;
+    when nothing else is sent, keep-alive frames of 5 bytes prevent that.
+
+    Deadlines are monotonic points of the clock that was passed in.
+    """
+
+    def __init__(
+        self,
+        me: topology.Vm,
+        addresses: abc.Mapping[str, str],
+        clock: clocks.Clock,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        """Makes the network; `run` starts it.
+
+        Args:
+            me: This VM; its peer address is listened on.
+            addresses: ``host:port`` by VM id, as this VM has to dial it; an
+                entry for this VM is not used. Read at each attempt.
+            clock: The clock of this process.
+            metrics: Takes the counters.
+
+        Raises:
+            errors.InvalidConfigurationError: An address is malformed.
+        """
+        self._me = me
+        self._addresses = addresses
+        self._clock = clock
+        self._metrics = metrics
+        self._handlers = handlers.Handlers(clock)
+        self._peers = {vm: _Peer() for vm in addresses if vm != me.vm_id}
+        self._counted = connections.Traffic()
+        self._finished = connections.Traffic()
+        self._listening_address = me.peer_address
+        for address in (me.peer_address, *addresses.values()):
+            addressing.split(address)
+
+    @property
+    def listening_address(self) -> str:
+        """The address that is listened on, with the port that was bound."""
+        return self._listening_address
+
+    @property
+    def traffic(self) -> connections.Traffic:
+        """What went over all connections since the start."""
+        total = self._finished
+        for peer in self._peers.values():
+            if peer.connection is not None:
+                total = _sum(total, peer.connection.traffic)
+        return total
+
+    async def run(
+        self,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Listens, keeps the connections and runs handlers until cancelled.
+
+        Raises:
+            failures.AddressInUseError: Another process has the address.
+            failures.PeerListenError: It cannot be listened on.
+        """
+        listeners = await self._listen()
+        async with trio.open_nursery() as nursery:
+            self._workers = nursery
+            nursery.start_soon(self._serve, listeners)
+            for vm in self._peers:
+                if self._me.vm_id < vm:
+                    nursery.start_soon(self._keep_dialing, vm)
+            nursery.start_soon(self._keep_ticking)
+            task_status.started()
+
+    async def call(
+        self, vm: str, request: object, deadline: float
+    ) -> typing.Any:
+        """Sends a call, see the base class.
+
+        A call to this VM runs the handler directly. Without a connection a
+        call waits for one, for `CONNECTION_WAIT_S` at most.
+        """
+        if vm == self._me.vm_id:
+            return await self._handlers.run(request, deadline)
+        connection = await self._connection(vm, deadline)
+        return await connection.call(request, deadline)
+
+    def notify(self, vm: str, notice: object) -> None:
+        """Sends a notice, see the base class."""
+        if vm == self._me.vm_id:
+            self._handlers.take_notice(notice)
+            return
+        peer = self._peers.get(vm)
+        if peer is not None and peer.connection is not None:
+            _sent_or_reported(vm, peer.connection.notify, notice)
+
+    def send_raft(
+        self, vm: str, messages: abc.Sequence[ttypes.RaftMessage]
+    ) -> None:
+        """Sends Raft messages, which may be lost; never blocks.
+
+        Without a connection they are dropped; beyond a bound on the bytes
+        that wait, the oldest are.
+        """
+        if vm == self._me.vm_id:
+            self._handlers.take_raft(messages)
+            return
+        peer = self._peers.get(vm)
+        if peer is not None and peer.connection is not None:
+            _sent_or_reported(vm, peer.connection.send_raft, messages)
+
+    def on_call(
+        self, request_type: type, handler: replication.AsyncHandler
+    ) -> None:
+        """Answers calls of `request_type`, see the base class."""
+        self._handlers.add_call(request_type, handler)
+
+    def on_notice(
+        self, notice_type: type, handler: replication.Handler
+    ) -> None:
+        """Passes notices of `notice_type` on, see the base class."""
+        self._handlers.add_notice(notice_type, handler)
+
+    def on_raft(self, handler: handlers.RaftHandler) -> None:
+        """Passes the Raft messages of each frame to `handler`."""
+        self._handlers.raft = handler
+
+    def reachable(self) -> frozenset[str]:
+        """Returns this VM and those heard from within a second."""
+        heard = {
+            vm
+            for vm, peer in self._peers.items()
+            if peer.connection is not None and peer.connection.reachable
+        }
+        return frozenset(heard | {self._me.vm_id})
+
+    async def _connection(
+        self, vm: str, deadline: float
+    ) -> connections.Connection:
+        """Returns the connection to `vm`, waiting for it a little.
+
+        Raises:
+            errors.PeerUnreachableError: There is none.
+        """
+        peer = self._peers.get(vm)
+        if peer is None:
+            raise errors.PeerUnreachableError(f"no address for {vm!r}", vm=vm)
+        remaining = deadline - self._clock.monotonic()
+        if peer.connection is None:
+            wait = min(remaining, CONNECTION_WAIT_S)
+            with trio.move_on_after(max(0.0, wait)):
+                await peer.connected.wait()
+        if peer.connection is None:
+            raise errors.PeerUnreachableError(f"no connection to {vm}", vm=vm)
+        if not peer.connection.reachable:
+            raise errors.PeerUnreachableError(f"{vm} is silent", vm=vm)
+        if remaining <= 0:
+            raise errors.PeerUnreachableError(f"no time left for {vm}", vm=vm)
+        return peer.connection
+
+    async def _listen(self) -> list[trio.SocketListener]:
+        host, port = addressing.split(self._me.peer_address)
+        try:
+            listeners = await trio.open_tcp_listeners(port, host=host)
+        except OSError as error:
+            text = f"{self._me.peer_address}: {error}"
+            if error.errno == errno.EADDRINUSE:
+                raise failures.AddressInUseError(text) from error
+            raise failures.PeerListenError(text) from error
+        bound = listeners[0].socket.getsockname()
+        self._listening_address = addressing.join(bound[0], bound[1])
+        return listeners
+
+    async def _serve(self, listeners: list[trio.SocketListener]) -> None:
+        await trio.serve_listeners(self._accept, listeners)
+
+    async def _keep_ticking(self) -> None:
+        while True:
+            await trio.sleep(TICK_S)
+            for peer in self._peers.values():
+                if peer.connection is not None:
+                    peer.connection.tick()
+            self._publish()
+
+    async def _keep_dialing(self, vm: str) -> None:
+        """Keeps a connection to `vm`, which has a greater id."""
+        pauses = backoff.Backoff(FIRST_PAUSE_S, LONGEST_PAUSE_S)
+        reported = ""
+        while True:
+            started = self._clock.monotonic()
+            try:
+                await self._dial(vm)
+                reported = ""
+            except failures.WireError as error:
+                if type(error).__name__ != reported:
+                    _report("peer-dial-failed", vm, error)
+                reported = type(error).__name__
+            if self._clock.monotonic() - started > STABLE_S and not reported:
+                pauses.reset()
+            await trio.sleep(pauses.next())
+
+    async def _dial(self, vm: str) -> None:
+        """Dials `vm` once and runs the connection until it is lost.
+
+        Raises:
+            failures.WireError: No connection came about.
+        """
+        stream = await _open(self._addresses[vm])
+        try:
+            reader = frames.FrameReader(stream, self._clock)
+            with _hello_limit():
+                await hello.send(stream, self._me.vm_id)
+                name = await hello.receive(reader)
+            if name != vm:
+                raise failures.HelloRefusedError(
+                    f"{self._addresses[vm]} is {name!r}, not {vm!r}"
+                )
+            await self._run_connection(vm, stream, reader)
+        finally:
+            await trio.aclose_forcefully(stream)
+
+    async def _accept(self, stream: trio.SocketStream) -> None:
+        """Runs a connection that another VM dialed."""
+        try:
+            reader = frames.FrameReader(stream, self._clock)
+            with _hello_limit():
+                name = await hello.receive(reader)
+                self._check_dialer(name)
+                await hello.send(stream, self._me.vm_id)
+            await self._run_connection(name, stream, reader)
+        except failures.WireError as error:
+            _report("peer-refused", _remote(stream), error)
+        finally:
+            await trio.aclose_forcefully(stream)
+
+    def _check_dialer(self, name: str) -> None:
+        if name not in self._peers or name >= self._me.vm_id:
+            raise failures.HelloRefusedError(
+                f"{name!r} must not dial {self._me.vm_id!r}"
+            )
+
+    async def _run_connection(
+        self, vm: str, stream: trio.SocketStream, reader: frames.FrameReader
+    ) -> None:
+        peer = self._peers[vm]
+        connection = connections.Connection(
+            vm, stream, reader, self._handlers, self._clock, self._workers
+        )
+        peer.attach(connection)
+        logs.event("peer-connected", peer=vm)
+        self._metrics.count("peer_connections_total")
+        try:
+            reason = await connection.run()
+        finally:
+            peer.detach(connection)
+            self._finished = _sum(self._finished, connection.traffic)
+        _report("peer-lost", vm, reason)
+
+    def _publish(self) -> None:
+        """Adds what went over the connections since the last time."""
+        total = self.traffic
+        for field in dataclasses.fields(connections.Traffic):
+            grown = getattr(total, field.name) - getattr(
+                self._counted, field.name
+            )
+            if grown:
+                self._metrics.count(f"peer_{field.name}_total", grown)
+        self._counted = total
+        self._metrics.gauge("peers_reachable", len(self.reachable()))
+
+
+def _sum(
+    one: connections.Traffic, other: connections.Traffic
+) -> connections.Traffic:
+    fields = dataclasses.fields(connections.Traffic)
+    return connections.Traffic(
+        *(getattr(one, f.name) + getattr(other, f.name) for f in fields)
+    )
+
+
+@contextlib.contextmanager
+def _hello_limit() -> abc.Iterator[None]:
+    """Limits the exchange of hellos to its time.
+
+    Raises:
+        failures.ConnectionLostError: It took too long.
+    """
+    try:
+        with trio.fail_after(hello.HELLO_TIMEOUT_S):
+            yield
+    except trio.TooSlowError as error:
+        raise failures.ConnectionLostError("no hello in time") from error
+
+
+async def _open(address: str) -> trio.SocketStream:
+    host, port = addressing.split(address)
+    try:
+        with trio.fail_after(CONNECT_TIMEOUT_S):
+            return await trio.open_tcp_stream(host, port)
+    except (OSError, trio.TooSlowError) as error:
+        raise failures.ConnectionLostError(
+            f"{address}: {error.__cause__ or error!r}"
+        ) from error
+
+
+def _remote(stream: trio.SocketStream) -> str:
+    try:
+        name = stream.socket.getpeername()
+    except OSError:
+        return "unknown"
+    return addressing.join(name[0], name[1])
+
+
+def _sent_or_reported(
+    vm: str, send: abc.Callable[[typing.Any], None], message: typing.Any
+) -> None:
+    try:
+        send(message)
+    except failures.FrameTooLargeError as error:
+        _report("peer-message-dropped", vm, error)
+
+
+def _report(name: str, vm: str, error: errors.LaburnumsillError) -> None:
+    logs.event(name, "WARNING", peer=vm, reason=error.slug, detail=error.detail)
--- /dev/null
+++ b/laburnumsill/wire/tests/test_network.py
@@ -0,0 +1,238 @@
+import pytest
+import trio
+
+from laburnumsill.core import errors
+from laburnumsill.core import metrics
+from laburnumsill.wire import failures
+from laburnumsill.wire import frames
+from laburnumsill.wire import network
+from laburnumsill.wire.generated.peer import ttypes
+from laburnumsill.wire.tests import cluster
+
+
+async def test_calls_go_both_ways_and_answers_may_cross():
+    async with cluster.running("a", "b") as (a, b):
+        answers = {}
+
+        async def ask(source, target, number):
+            request = cluster.Echo(number, 0.002 * (20 - number))
+            key = (target, number)
+            answers[key] = await source.call(target, request, cluster.soon())
+
+        async with trio.open_nursery() as nursery:
+            for number in range(20):
+                nursery.start_soon(ask, a, "b", number)
+                nursery.start_soon(ask, b, "a", number)
+        assert len(answers) == 40
+        assert all(key[1] == echo.number for key, echo in answers.items())
+
+
+async def test_call_to_itself_runs_the_handler():
+    async with cluster.running("a") as (a,):
+        request = cluster.Echo(1)
+        assert await a.call("a", request, cluster.soon()) is request
+        with pytest.raises(errors.OutcomeUnknownError):
+            await a.call("a", cluster.Echo(1, 5), cluster.soon(0.05))
+
+
+async def test_late_reply_to_a_forgotten_call_is_dropped():
+    async with cluster.running("a", "b") as (a, _):
+        with pytest.raises(errors.OutcomeUnknownError):
+            await a.call("b", cluster.Echo(1, 0.15), cluster.soon(0.05))
+        answer = await a.call("b", cluster.Echo(2, 0.2), cluster.soon())
+        assert answer.number == 2
+        assert a.traffic.late_replies == 1
+
+
+async def test_errors_of_handlers_come_back_with_their_type():
+    async with cluster.running("a", "b") as (a, b):
+
+        async def refuse(request):
+            if request.number == 1:
+                raise errors.KeyReusedError("key k", key="k")
+            if request.number == 2:
+                raise errors.ConflictError("odd", odd=object())
+            raise RuntimeError("broken")
+
+        b.on_call(cluster.Echo, refuse)
+        with pytest.raises(errors.KeyReusedError) as caught:
+            await a.call("b", cluster.Echo(1), cluster.soon())
+        assert caught.value.context == {"key": "k"}
+        with pytest.raises(errors.ConflictError):
+            await a.call("b", cluster.Echo(2), cluster.soon())
+        with pytest.raises(errors.LaburnumsillError) as caught:
+            await a.call("b", cluster.Echo(3), cluster.soon())
+        assert type(caught.value) is errors.LaburnumsillError
+        b.on_call(cluster.Echo, cluster.echo)
+        assert await a.call("b", cluster.Echo(4), cluster.soon())
+
+
+async def test_call_without_a_connection_was_certainly_not_sent():
+    addresses = {"a": "127.0.0.1:1", "b": "127.0.0.1:1"}
+    a = cluster.make("a", addresses)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(a.run)
+        started = cluster.CLOCK.monotonic()
+        with pytest.raises(errors.PeerUnreachableError):
+            await a.call("b", cluster.Echo(1), cluster.soon())
+        assert 0.25 < cluster.CLOCK.monotonic() - started < 2
+        with pytest.raises(errors.PeerUnreachableError):
+            await a.call("unknown", cluster.Echo(1), cluster.soon())
+        a.notify("b", cluster.Echo(1))
+        a.send_raft("b", [ttypes.RaftMessage()])
+        assert a.reachable() == {"a"}
+        nursery.cancel_scope.cancel()
+
+
+async def test_notices_and_raft_messages_arrive_in_order():
+    async with cluster.running("a", "b") as (a, b):
+        notices, raft = [], []
+
+        def take(notice):
+            notices.append(notice.number)
+            raise RuntimeError("harmless")
+
+        b.on_notice(cluster.Echo, take)
+        b.on_raft(lambda messages: raft.extend(m.index for m in messages))
+        for number in range(100):
+            a.notify("b", cluster.Echo(number))
+            message = ttypes.RaftMessage(
+                1, "root", "a", "i", "b", "j", 1, index=number
+            )
+            a.send_raft("b", [message])
+        await cluster.until(lambda: len(notices) == len(raft) == 100, 5)
+        assert notices == raft == list(range(100))
+        assert a.traffic.sent_frames < 20
+
+
+async def test_peer_that_goes_and_comes_back_is_connected_again():
+    addresses = {"a": "127.0.0.1:1", "b": "127.0.0.1:1"}
+    a, b = cluster.make("a", addresses), cluster.make("b", addresses)
+    async with trio.open_nursery() as nursery:
+        with trio.CancelScope() as life:
+            async with trio.open_nursery() as first:
+                await first.start(b.run)
+                addresses["b"] = b.listening_address
+                await nursery.start(a.run)
+                await cluster.until(lambda: "b" in a.reachable(), 5)
+
+                async def cut():
+                    await trio.sleep(0.1)
+                    life.cancel()
+
+                first.start_soon(cut)
+                with pytest.raises(errors.OutcomeUnknownError):
+                    await a.call("b", cluster.Echo(1, 3), cluster.soon())
+        await cluster.until(lambda: "b" not in a.reachable(), 5)
+        again = cluster.make("b", addresses, addresses["b"])
+        await nursery.start(again.run)
+        await cluster.until(lambda: "b" in a.reachable(), 5)
+        assert await a.call("b", cluster.Echo(2), cluster.soon())
+        nursery.cancel_scope.cancel()
+
+
+async def test_address_in_use_has_its_own_error():
+    async with cluster.running("a") as (a,):
+        other = cluster.make("a", {}, a.listening_address)
+        with pytest.raises(failures.AddressInUseError):
+            await other.run()
+    with pytest.raises(errors.InvalidConfigurationError):
+        cluster.make("a", {}, "127.0.0.1")
+
+
+async def raw_connection(target, vm_id):
+    host, _, port = target.listening_address.rpartition(":")
+    stream = await trio.open_tcp_stream(host, int(port))
+    hello = ttypes.Frame(hello=ttypes.Hello(vm_id, 1))
+    await stream.send_all(frames.encode(hello))
+    return stream
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"\xff\xff\xff\xff",
+        b"\x00\x00\x00\x05garbage that is no frame",
+        b"\x00\x00\x00\x03\x00\x00\x00",
+        b"GET / HTTP/1.1\r\n\r\n",
+        frames.encode(ttypes.Frame(calls=[ttypes.Call(1)])),
+    ],
+)
+async def test_malformed_frame_closes_only_its_connection(raw):
+    async with cluster.running("b", "c") as (b, c):
+        addresses = {"a": "127.0.0.1:1", "d": c.listening_address}
+        d = cluster.make("d", addresses)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(d.run)
+            stream = await raw_connection(d, "a")
+            await cluster.until(lambda: "a" in d.reachable(), 5)
+            await stream.send_all(raw)
+            await cluster.until(lambda: "a" not in d.reachable(), 1)
+            again = await raw_connection(d, "a")
+            await cluster.until(lambda: "a" in d.reachable(), 5)
+            await again.aclose()
+            nursery.cancel_scope.cancel()
+        assert await b.call("c", cluster.Echo(1), cluster.soon())
+
+
+@pytest.mark.parametrize("vm_id", ["z", "x", "stranger"])
+async def test_wrong_dialer_is_refused(vm_id):
+    d = cluster.make("d", {"x": "127.0.0.1:1", "a": "127.0.0.1:1"})
+    async with trio.open_nursery() as nursery:
+        await nursery.start(d.run)
+        stream = await raw_connection(d, vm_id)
+        with trio.fail_after(5):
+            assert await stream.receive_some(100) == b""
+        assert d.reachable() == {"d"}
+        nursery.cancel_scope.cancel()
+
+
+async def test_silent_peer_is_left_within_one_and_a_half_seconds():
+    d = cluster.make("d", {"a": "127.0.0.1:1"})
+    async with trio.open_nursery() as nursery:
+        await nursery.start(d.run)
+        stream = await raw_connection(d, "a")
+        await cluster.until(lambda: "a" in d.reachable(), 5)
+        took = await cluster.until(lambda: "a" not in d.reachable(), 5)
+        assert took < 1.5
+        with pytest.raises(errors.PeerUnreachableError):
+            await d.call("a", cluster.Echo(1), cluster.soon(0.1))
+        with trio.fail_after(5):
+            while await stream.receive_some(1000):
+                pass
+        await stream.aclose()
+        nursery.cancel_scope.cancel()
+
+
+async def test_idle_connection_stays_and_costs_few_bytes():
+    async with cluster.running("a", "b") as (a, b):
+        before = a.traffic
+        await trio.sleep(2.2)
+        after = a.traffic
+        assert a.reachable() == b.reachable() == {"a", "b"}
+        assert after.sent_frames - before.sent_frames <= 9
+        assert after.sent_bytes - before.sent_bytes <= 45
+
+
+async def test_large_call_passes_and_an_oversized_one_is_refused():
+    async with cluster.running("a", "b") as (a, b):
+        large = cluster.Echo(1, 0, "x" * 8_000_000)
+        assert await a.call("b", large, cluster.soon(30)) == large
+        oversized = cluster.Echo(1, 0, "x" * frames.MAX_FRAME_BYTES)
+        with pytest.raises(failures.FrameTooLargeError):
+            await a.call("b", oversized, cluster.soon())
+
+        async def grow(request):
+            return oversized
+
+        b.on_call(cluster.Echo, grow)
+        with pytest.raises(failures.FrameTooLargeError):
+            await a.call("b", cluster.Echo(2), cluster.soon())
+        assert "b" in a.reachable()
+
+
+def test_addresses_are_checked_early():
+    with pytest.raises(errors.InvalidConfigurationError):
+        network.PeerNetwork(
+            cluster.vm("a"), {"b": "nowhere"}, cluster.CLOCK, metrics.Metrics()
+        )
