--- /dev/null
+++ b/laburnumsill/consensus/store_disk.py
@@ -0,0 +1,244 @@
+"""A replica's store in a folder: numbered segments and one snapshot."""
+
+import dataclasses
+import os
+import pathlib
+import secrets
+from collections import abc
+
+from laburnumsill.consensus import segments
+from laburnumsill.consensus import snapshots
+from laburnumsill.consensus import store
+from laburnumsill.consensus import store_replay
+from laburnumsill.consensus import types
+from laburnumsill.core import errors
+from laburnumsill.core import ids
+from laburnumsill.core import logs
+
+SEGMENT_BYTES = 4 * 1024 * 1024
+"""Size after which the next batch starts a new segment."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Segment:
+    """A segment file and the highest index that was ever written to it."""
+
+    number: int
+    path: pathlib.Path
+    last_index: int
+    size: int
+
+
+class DiskStore(store.ReplicaStore):
+    """Keeps one replica in `folder`, which is made if it is missing.
+
+    Args:
+        folder: The folder of this replica alone.
+        group: The group's name, which the files carry.
+        segment_bytes: Size after which a new segment starts.
+        sync: Whether to sync; False only to measure what it costs.
+
+    Raises:
+        store.DamagedLogError: What is stored can not be trusted.
+        store.UnknownFormatError: Another version wrote it.
+        errors.StorageError: The disk failed.
+    """
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        group: str,
+        segment_bytes: int = SEGMENT_BYTES,
+        sync: bool = True,
+    ) -> None:
+        self._folder = folder
+        self._group = group
+        self._segment_bytes = segment_bytes
+        self._sync = sync
+        self._descriptor = -1
+        self._failed = False
+        self._batch = 0
+        self._nonce = b""
+        self._segments: list[_Segment] = []
+        self._covered = 0
+        self._log_bytes = 0
+        try:
+            self._open()
+        except OSError as error:
+            raise store.storage_error(error, folder) from error
+
+    @property
+    def stored(self) -> types.Stored:
+        """What was found when the store was opened."""
+        return self._stored
+
+    @property
+    def with_disk(self) -> bool:
+        """True."""
+        return True
+
+    @property
+    def log_bytes(self) -> int:
+        """The bytes written to the log since the last snapshot."""
+        return self._log_bytes
+
+    def commit(self, changes: abc.Sequence[store.Change]) -> None:
+        """Writes and syncs `changes`, see the base class."""
+        if self._failed or self._descriptor < 0:
+            raise store.StoreClosedError(f"{self._folder} is not open")
+        try:
+            self._commit(changes)
+        except errors.StorageError:
+            self._failed = True
+            raise
+        except OSError as error:
+            self._failed = True
+            raise store.storage_error(error, self._folder) from error
+
+    def close(self) -> None:
+        """Closes the active segment."""
+        if self._descriptor >= 0:
+            os.close(self._descriptor)
+            self._descriptor = -1
+
+    def _open(self) -> None:
+        self._folder.mkdir(parents=True, exist_ok=True)
+        segments.sync_folder(self._folder.parent)
+        found = store_replay.replay(self._folder, self._group)
+        self._incarnation = found.incarnation or ids.fresh("r")
+        self._hard_state = found.hard_state
+        self._covered = found.snapshot.index if found.snapshot else 0
+        self._stored = types.Stored(
+            self._incarnation,
+            found.hard_state,
+            found.snapshot,
+            found.entries,
+        )
+        for part in found.segments:
+            self._segments.append(
+                _Segment(part.number, part.path, part.last_index, part.size)
+            )
+            self._log_bytes += part.size
+        self._start_segment(found.next_number)
+
+    def _commit(self, changes: abc.Sequence[store.Change]) -> None:
+        if self._segments[-1].size >= self._segment_bytes:
+            self._start_segment(self._segments[-1].number + 1)
+        pending: list[bytes] = []
+        for change in changes:
+            if change.hard_state is not None:
+                self._hard_state = change.hard_state
+                pending.append(segments.hard_state_record(change.hard_state))
+            if change.snapshot is not None:
+                self._flush(pending)
+                pending = []
+                self._keep_snapshot(change.snapshot, change.keep_tail)
+            for entry in change.entries:
+                pending.append(segments.entry_record(entry))
+            self._note_entries(change.entries)
+        self._flush(pending)
+
+    def _note_entries(self, entries: tuple[types.Entry, ...]) -> None:
+        if entries:
+            active = self._segments[-1]
+            active.last_index = max(active.last_index, entries[-1].index)
+
+    def _flush(self, pending: list[bytes]) -> None:
+        """Writes one batch and syncs it."""
+        if not pending:
+            return
+        self._batch += 1
+        head = segments.batch_record(self._nonce, self._batch)
+        raw = b"".join([head, *pending])
+        active = self._segments[-1]
+        segments.write_all(self._descriptor, raw, active.path)
+        active.size += len(raw)
+        self._log_bytes += len(raw)
+        if self._sync:
+            segments.sync(self._descriptor, active.path)
+
+    def _start_segment(self, number: int) -> None:
+        """Makes a segment durable, header and term included, then uses it."""
+        path = store_replay.segment_path(self._folder, number)
+        nonce = secrets.token_bytes(segments.NONCE_BYTES)
+        header = segments.SegmentHeader(
+            self._group, self._incarnation, number, nonce
+        )
+        raw = (
+            segments.prefix(segments.SEGMENT_MAGIC)
+            + segments.header_record(header)
+            + segments.hard_state_record(self._hard_state)
+        )
+        segments.write_file(path, (raw,))
+        descriptor = os.open(path, os.O_WRONLY | os.O_APPEND)
+        self.close()
+        self._descriptor = descriptor
+        self._nonce = nonce
+        self._batch = 0
+        self._segments.append(_Segment(number, path, 0, len(raw)))
+
+    def _keep_snapshot(self, snapshot: types.Snapshot, keep_tail: bool) -> None:
+        self._start_segment(self._segments[-1].number + 1)
+        kept = self._segments[-1:]
+        if keep_tail:
+            kept = self._after(snapshot.index)
+        header = snapshots.SnapshotHeader(
+            self._group,
+            self._incarnation,
+            snapshot.index,
+            snapshot.term,
+            snapshot.membership,
+            kept[0].number,
+        )
+        snapshots.write(self._folder, header, snapshot.data)
+        for part in self._segments:
+            if part.number < kept[0].number:
+                part.path.unlink(missing_ok=True)
+        self._segments = kept
+        self._log_bytes = sum(part.size for part in kept)
+        self._covered = snapshot.index
+
+    def _after(self, index: int) -> list[_Segment]:
+        """Returns the segments from the first that holds more than `index`."""
+        for position, part in enumerate(self._segments):
+            if part.last_index > index:
+                return self._segments[position:]
+        return self._segments[-1:]
+
+
+def set_aside(folder: pathlib.Path) -> pathlib.Path:
+    """Renames a store that can not be trusted; nothing is ever deleted.
+
+    Returns:
+        Where it is now.
+
+    Raises:
+        errors.StorageError: The disk failed.
+    """
+    place = folder.with_name(ids.fresh(f"{folder.name}.set-aside"))
+    try:
+        os.rename(folder, place)
+    except OSError as error:
+        raise store.storage_error(error, folder) from error
+    segments.sync_folder(folder.parent)
+    logs.event("store-set-aside", level="ERROR", folder=folder, place=place)
+    return place
+
+
+def open_or_set_aside(folder: pathlib.Path, group: str) -> DiskStore:
+    """Opens a store; a damaged one is set aside for an empty new one.
+
+    The new one has a fresh incarnation, so the replica rejoins its group as a
+    learner and is repaired from its peers.
+
+    Raises:
+        errors.StorageError: The disk failed.
+    """
+    try:
+        return DiskStore(folder, group)
+    except store.DamagedLogError as error:
+        logs.event(
+            "store-damaged", level="ERROR", group=group, detail=error.detail
+        )
+        set_aside(folder)
+        return DiskStore(folder, group)
--- /dev/null
+++ b/laburnumsill/consensus/store_replay.py
@@ -0,0 +1,206 @@
+"""Reading a replica's folder back after a start."""
+
+import dataclasses
+import pathlib
+import re
+
+import msgspec
+
+from laburnumsill.consensus import segments
+from laburnumsill.consensus import snapshots
+from laburnumsill.consensus import store
+from laburnumsill.consensus import types
+from laburnumsill.core import logs
+
+_SEGMENT_NAME = re.compile(r"log-(\d{12})")
+
+
+def segment_path(folder: pathlib.Path, number: int) -> pathlib.Path:
+    """Returns the file of a segment."""
+    return folder / f"log-{number:012d}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FoundSegment:
+    """A readable segment."""
+
+    number: int
+    path: pathlib.Path
+    last_index: int
+    size: int
+
+
+@dataclasses.dataclass(slots=True)
+class Found:
+    """What a folder holds.
+
+    Attributes:
+        incarnation: Who wrote it, or empty in a new folder.
+        hard_state: The last term and vote.
+        snapshot: The snapshot, or None.
+        entries: The entries after the snapshot.
+        segments: The segments that still count.
+        next_number: A segment number that was never used.
+    """
+
+    incarnation: str = ""
+    hard_state: types.HardState = types.HardState()
+    snapshot: types.Snapshot | None = None
+    entries: tuple[types.Entry, ...] = ()
+    segments: list[FoundSegment] = dataclasses.field(default_factory=list)
+    next_number: int = 1
+
+
+def replay(folder: pathlib.Path, group: str) -> Found:
+    """Returns what `folder` holds, with a torn tail cut off.
+
+    Raises:
+        store.DamagedLogError: Something before the tail can not be trusted.
+        store.UnknownFormatError: Another version wrote it.
+    """
+    return _Replay(folder, group).run()
+
+
+class _Replay:
+    """One reading of a folder."""
+
+    def __init__(self, folder: pathlib.Path, group: str) -> None:
+        self._folder = folder
+        self._group = group
+        self._found = Found()
+        self._log: list[types.Entry] = []
+
+    def run(self) -> Found:
+        """Reads the snapshot, then the segments in order."""
+        for path in self._folder.glob(f"*{segments.ASIDE_SUFFIX}"):
+            path.unlink()
+        log_from = self._read_snapshot()
+        numbers = self._numbers()
+        if numbers:
+            self._found.next_number = numbers[-1] + 1
+        counting = [number for number in numbers if number >= log_from]
+        for number in numbers:
+            if number < log_from:
+                segment_path(self._folder, number).unlink()
+        self._check_numbers(counting, log_from)
+        for number in counting:
+            self._read_segment(number, number == counting[-1])
+        self._found.entries = self._after_snapshot()
+        return self._found
+
+    def _read_snapshot(self) -> int:
+        read = snapshots.read(self._folder)
+        if read is None:
+            return 1
+        header, snapshot = read
+        self._check_owner(header.group, header.incarnation, self._folder)
+        self._found.snapshot = snapshot
+        return header.log_from
+
+    def _numbers(self) -> list[int]:
+        matches = map(
+            _SEGMENT_NAME.fullmatch,
+            (path.name for path in self._folder.iterdir()),
+        )
+        return sorted(int(match[1]) for match in matches if match)
+
+    def _check_numbers(self, numbers: list[int], log_from: int) -> None:
+        if not numbers and self._found.snapshot is None:
+            return
+        wanted = list(range(log_from, log_from + max(1, len(numbers))))
+        if numbers != wanted:
+            raise store.DamagedLogError(
+                f"{self._folder}: segments {numbers}, wanted {wanted}"
+            )
+
+    def _check_owner(
+        self, group: str, incarnation: str, path: pathlib.Path
+    ) -> None:
+        known = self._found.incarnation or incarnation
+        if group != self._group or incarnation != known:
+            raise store.DamagedLogError(
+                f"{path}: of {group!r} {incarnation!r},"
+                f" wanted {self._group!r} {known!r}"
+            )
+        self._found.incarnation = incarnation
+
+    def _read_segment(self, number: int, is_last: bool) -> None:
+        path = segment_path(self._folder, number)
+        raw = path.read_bytes()
+        end = 0
+        count = 0
+        nonce = b""
+        last_index = 0
+        for part in segments.records(raw, segments.SEGMENT_MAGIC, path):
+            if not nonce:
+                nonce = self._read_header(part, number, path)
+            elif part.type is segments.RecordType.HARD_STATE:
+                state = segments.hard_state_of(part.payload)
+                self._found.hard_state = state
+            elif part.type is segments.RecordType.ENTRY:
+                entry = segments.entry_of(part.payload)
+                last_index = max(last_index, entry.index)
+                self._take(entry, path)
+            end = segments.end_of(part)
+            count += 1
+        if count < segments.HEAD_RECORDS:
+            raise store.DamagedLogError(f"{path}: {count} head records")
+        if end < len(raw):
+            self._cut_tail(path, raw, end, nonce, is_last)
+        self._found.segments.append(FoundSegment(number, path, last_index, end))
+
+    def _read_header(
+        self, part: segments.Record, number: int, path: pathlib.Path
+    ) -> bytes:
+        if part.type is not segments.RecordType.HEADER:
+            raise store.DamagedLogError(f"{path}: no header")
+        header = msgspec.msgpack.decode(
+            part.payload, type=segments.SegmentHeader
+        )
+        self._check_owner(header.group, header.incarnation, path)
+        if header.number != number:
+            raise store.DamagedLogError(f"{path}: is segment {header.number}")
+        return header.nonce
+
+    def _take(self, entry: types.Entry, path: pathlib.Path) -> None:
+        """Appends an entry, which voids those at and after its index."""
+        if not self._log or entry.index <= self._log[0].index:
+            self._log = [entry]
+            return
+        kept = entry.index - self._log[0].index
+        if kept > len(self._log):
+            raise store.DamagedLogError(
+                f"{path}: entry {entry.index} after {self._log[-1].index}"
+            )
+        del self._log[kept:]
+        self._log.append(entry)
+
+    def _cut_tail(
+        self,
+        path: pathlib.Path,
+        raw: bytes,
+        end: int,
+        nonce: bytes,
+        is_last: bool,
+    ) -> None:
+        if not is_last or segments.has_batch_after(raw, end, nonce):
+            raise store.DamagedLogError(f"{path}: bad record at {end}")
+        logs.event(
+            "torn-tail-cut",
+            level="WARNING",
+            group=self._group,
+            path=path,
+            offset=end,
+            dropped_bytes=len(raw) - end,
+        )
+        segments.truncate(path, end)
+
+    def _after_snapshot(self) -> tuple[types.Entry, ...]:
+        covered = self._found.snapshot.index if self._found.snapshot else 0
+        entries = tuple(e for e in self._log if e.index > covered)
+        if entries and entries[0].index != covered + 1:
+            raise store.DamagedLogError(
+                f"{self._folder}: log starts at {entries[0].index},"
+                f" the snapshot ends at {covered}"
+            )
+        return entries
