--- a/laburnumsill/config/models.py
+++ b/laburnumsill/config/models.py
@@ -8,6 +8,7 @@
 import typing
 
 import pydantic
+import pydantic_core
 
 Milliseconds = typing.Annotated[int, pydantic.Field(gt=0, le=86_400_000)]
 Seconds = typing.Annotated[float, pydantic.Field(gt=0, le=31_536_000)]
@@ -156,6 +157,15 @@
     worker_ttl_ms: Milliseconds = 5_000
 
 
+def _unknown(key: str, kind: str, name: str) -> ValueError:
+    """Returns an error that carries its key and value for `toml_files`."""
+    return pydantic_core.PydanticCustomError(
+        "unknown_name",
+        "{key}: no {kind} '{value}'",
+        {"key": key, "kind": kind, "value": name},
+    )
+
+
 class Configuration(Model):
     """The whole configuration of one site.
 
@@ -184,13 +194,11 @@
         for name, service in self.services.items():
             for cls in service.classes:
                 if cls not in self.classes:
-                    raise ValueError(
-                        f"services.{name}.classes: no class {cls!r}"
-                    )
+                    raise _unknown(f"services.{name}.classes", "class", cls)
         for name, account in self.accounts.items():
             for domain in account.guarantee:
                 if domain not in self.domains:
-                    raise ValueError(
-                        f"accounts.{name}.guarantee: no domain {domain!r}"
+                    raise _unknown(
+                        f"accounts.{name}.guarantee", "domain", domain
                     )
         return self
--- a/laburnumsill/config/toml_files.py
+++ b/laburnumsill/config/toml_files.py
@@ -1,5 +1,6 @@
 """Reading TOML files into validated models, with errors that name the spot."""
 
+import dataclasses
 import pathlib
 import tomllib
 import typing
@@ -115,15 +116,32 @@
         InvalidFileError: A value does not validate; of the type `error`.
     """
     try:
-        return model.model_validate(tree)
+        return model.model_validate(tree, strict=True)
     except pydantic.ValidationError as failure:
-        first = failure.errors()[0]
-        key = ".".join(str(part) for part in first["loc"])
-        expected = _expected(first["type"], first["msg"])
-        value = first["input"]
-        if first["type"] == "missing":
-            value = None
-        raise error.at(file, key, value, expected) from failure
+        spot = first_spot(failure)
+        raise error.at(file, spot.key, spot.value, spot.expected) from failure
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Spot:
+    """Where a model failed to validate, and why."""
+
+    key: str
+    value: object
+    expected: str
+
+
+def first_spot(failure: pydantic.ValidationError) -> Spot:
+    """Returns the first thing that `failure` complains of."""
+    first = failure.errors()[0]
+    context = first.get("ctx", {})
+    kind = first["type"]
+    if kind == "unknown_name":
+        known = f"a known {context['kind']}"
+        return Spot(context["key"], context["value"], known)
+    value = None if kind == "missing" else first["input"]
+    key = ".".join(str(part) for part in first["loc"])
+    return Spot(key, value, _expected(kind, first["msg"]))
 
 
 def _expected(kind: str, message: str) -> str:
--- a/laburnumsill/daemon/settings.py
+++ b/laburnumsill/daemon/settings.py
@@ -25,6 +25,9 @@
 MAX_VMS = 64
 """Most VMs that one system may have."""
 
+DEFAULT_REPLACE_AFTER_S = 600.0
+"""Silence after which a VM counts as lost for good, in seconds."""
+
 _MAX_PORT = 65_535
 
 LogLevel = typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"]
@@ -84,11 +87,11 @@
         vms_file: The file with the list of VMs; or else `vms` gives it.
         vms: The list of VMs.
         data_folder: Where state is kept; left out on a VM without a disk.
-        client_listen: Where to listen for clients if it is not at the
+        listen_address: Where to listen for clients if that is not the
             client address in the list.
-        peer_listen: Where to listen for peers if it is not at the peer
-            address in the list.
         log_level: The lowest level of events that are logged.
+        replace_after_s: Silence after which a VM counts as lost for good
+            and its replicas are replaced, in seconds.
         dial: Addresses to reach peers at, by VM, where they are not the
             peer addresses in the list; tests lead them through a proxy.
     """
@@ -96,10 +99,10 @@
     vm_id: models.Name
     vms_file: str | None = None
     vms: list[VmEntry] = pydantic.Field(default=[], max_length=MAX_VMS)
-    data_folder: pathlib.Path | None = None
-    client_listen: Address | None = None
-    peer_listen: Address | None = None
+    data_folder: str | None = pydantic.Field(default=None, min_length=1)
+    listen_address: Address | None = None
     log_level: LogLevel = "INFO"
+    replace_after_s: models.Seconds = DEFAULT_REPLACE_AFTER_S
     dial: dict[models.Name, Address] = {}
 
 
@@ -111,19 +114,20 @@
         me: This VM.
         vms: All VMs, this one too.
         dial: The address to reach each other VM at, by VM.
-        client_listen: The address to listen for clients at.
-        peer_listen: The address to listen for peers at.
+        listen_address: The address to listen for clients at.
         data_folder: Where state is kept, None without a disk.
         log_level: The lowest level of events that are logged.
+        replace_after_s: Silence after which a VM counts as lost for good, in
+            seconds.
     """
 
     me: topology.Vm
     vms: list[topology.Vm]
     dial: dict[str, str]
-    client_listen: str
-    peer_listen: str
+    listen_address: str
     data_folder: pathlib.Path | None
     log_level: str
+    replace_after_s: float
 
 
 def load(path: str | pathlib.Path) -> Settings:
@@ -152,10 +156,10 @@
             for vm in vms
             if vm is not me
         },
-        client_listen=written.client_listen or me.client_address,
-        peer_listen=written.peer_listen or me.peer_address,
+        listen_address=written.listen_address or me.client_address,
         data_folder=(path.parent / folder) if folder else None,
         log_level=written.log_level,
+        replace_after_s=written.replace_after_s,
     )
 
 
@@ -219,7 +223,7 @@
     folder = written.data_folder
     if me.has_disk and folder is None:
         needed = f"a folder, since {me.vm_id} has a disk in the list"
-        raise InvalidSettingsError.at(path, "data_folder", None, needed)
+        raise InvalidSettingsError.at(path, "data_folder", folder, needed)
     if not me.has_disk and folder is not None:
         none = f"none, since {me.vm_id} has no disk in the list"
-        raise InvalidSettingsError.at(path, "data_folder", str(folder), none)
+        raise InvalidSettingsError.at(path, "data_folder", folder, none)
--- a/laburnumsill/daemon/tests/test_settings.py
+++ b/laburnumsill/daemon/tests/test_settings.py
@@ -38,7 +38,7 @@
     assert len(loaded.vms) == 2
     assert loaded.dial == {"vm2": "127.0.0.1:9"}
     assert loaded.data_folder == tmp_path / "data"
-    assert loaded.client_listen == "127.0.0.1:7001"
+    assert loaded.listen_address == "127.0.0.1:7001"
     assert loaded.log_level == "DEBUG"
 
 
@@ -63,6 +63,7 @@
         (VMS, "vm_id"),
         (OWN + "colour = 1\n" + VMS, "colour"),
         (OWN + 'log_level = "LOUD"\n' + VMS, "log_level"),
+        (OWN + "replace_after_s = 0\n" + VMS, "replace_after_s"),
         (OWN + 'dial = {vm9 = "127.0.0.1:9"}\n' + VMS, "dial"),
         (OWN + 'dial = {vm2 = "127.0.0.1"}\n' + VMS, "dial.vm2"),
         (OWN + VMS.replace("7003", "70030"), "vms.1.client_address"),
