--- /dev/null
+++ b/laburnumsill/daemon/assembly.py
@@ -0,0 +1,254 @@
+"""Puts the parts of one daemon together and runs them until it is stopped."""
+
+import signal
+import typing
+from collections import abc
+
+import trio
+from starlette import routing
+
+from laburnumsill.api import accounts as accounts_api
+from laburnumsill.api import application
+from laburnumsill.api import configuration as configuration_api
+from laburnumsill.api import groups as groups_api
+from laburnumsill.api import jobs as jobs_api
+from laburnumsill.api import members as members_api
+from laburnumsill.api import operations as operations_api
+from laburnumsill.api import services as services_api
+from laburnumsill.config import current as current_configuration
+from laburnumsill.consensus import host as group_host
+from laburnumsill.core import clock as clocks
+from laburnumsill.core import logs
+from laburnumsill.core import metrics
+from laburnumsill.core import topology
+from laburnumsill.daemon import configuration_sync
+from laburnumsill.daemon import make_up_sync
+from laburnumsill.daemon import replacement
+from laburnumsill.daemon import server
+from laburnumsill.daemon import settings
+from laburnumsill.jobs import scheduler
+from laburnumsill.jobs import service as job_service
+from laburnumsill.members import table
+from laburnumsill.platform import backend
+from laburnumsill.platform import worker
+from laburnumsill.requests import durable
+from laburnumsill.requests import router
+from laburnumsill.state import machines
+from laburnumsill.wire import network
+
+READINESS_NOTICE_S = 0.5
+"""Time between the loss of readiness and the refusal of new work, so that
+the balancer can stop sending it here."""
+
+DRAIN_TIMEOUT_S = 30.0
+"""Time that requests in flight have to end at a graceful shutdown."""
+
+SERVER_GRACE_S = 5.0
+TRANSFER_TIMEOUT_S = 5.0
+
+
+class Daemon:
+    """One daemon: all parts of one VM in one trio loop."""
+
+    def __init__(self, loaded: settings.Settings) -> None:
+        self._settings = loaded
+        self._me = loaded.me
+        self._clock = clocks.SystemClock()
+        self._metrics = metrics.Metrics()
+        self._current = current_configuration.Current()
+        self._stopping = trio.Event()
+        self._stop_server = trio.Event()
+        self._server_stopped = trio.Event()
+        self._network = network.PeerNetwork(
+            self._me, loaded.dial, self._clock, self._metrics
+        )
+        self._host = group_host.GroupHost(
+            self._me,
+            loaded.vms,
+            self._network,
+            machines.machine_of,
+            loaded.data_folder,
+            self._clock,
+            self._metrics,
+        )
+        self._make_up = make_up_sync.MakeUpSync(
+            loaded.vms,
+            self._me,
+            self._host,
+            self._network,
+            self._host.set_make_up,
+        )
+        self._replacement = replacement.Replacement(
+            loaded.vms,
+            self._host,
+            self._network,
+            self._make_up,
+            loaded.replace_after_s,
+            self._clock,
+        )
+        self._sync = configuration_sync.ConfigurationSync(
+            self._me,
+            loaded.vms,
+            self._host,
+            self._network,
+            self._current,
+            loaded.data_folder,
+            self._clock,
+        )
+        self._members = table.MemberTable(
+            self._me,
+            loaded.vms,
+            self._network,
+            self._current,
+            self._clock,
+            self._metrics,
+        )
+        self._backend = backend.HttpBackendClient(self._clock)
+        self._router = router.RequestRouter(
+            self._me,
+            self._host,
+            self._members,
+            self._current,
+            self._backend,
+            self._clock,
+            self._metrics,
+        )
+        self._durable = durable.DurableDispatcher(
+            self._me,
+            self._host,
+            self._members,
+            self._current,
+            self._backend,
+            self._clock,
+            self._metrics,
+        )
+        self._jobs = job_service.JobService(
+            self._me,
+            self._host,
+            self._members,
+            self._current,
+            self._clock,
+            self._metrics,
+        )
+        workers = worker.HttpWorkerClient(self._clock)
+        self._schedulers = {
+            domain: scheduler.DomainScheduler(
+                domain,
+                self._host,
+                self._members,
+                self._current,
+                workers,
+                self._clock,
+                self._metrics,
+            )
+            for domain in topology.domains(loaded.vms)
+        }
+
+    async def run(self) -> None:
+        """Runs until SIGTERM or SIGINT, then shuts down gracefully."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_signals)
+            for part in self._started_parts():
+                await nursery.start(part)
+            for part in self._background_parts():
+                nursery.start_soon(part)
+            await nursery.start(self._serve)
+            logs.event(
+                "daemon-started",
+                domain=self._me.domain,
+                client_address=self._me.client_address,
+                peer_address=self._me.peer_address,
+            )
+            await self._stopping.wait()
+            await self._shut_down()
+            nursery.cancel_scope.cancel()
+        logs.event("daemon-stopped")
+
+    def _started_parts(self) -> list[typing.Any]:
+        """Returns the parts that tell when they have started, in order."""
+        return [
+            self._network.run,
+            self._host.run,
+            self._members.run,
+            self._router.run,
+        ]
+
+    def _background_parts(
+        self,
+    ) -> list[abc.Callable[[], abc.Awaitable[None]]]:
+        """Returns the parts that just run."""
+        return [
+            self._make_up.run,
+            self._replacement.run,
+            self._sync.run,
+            self._durable.run,
+            *(part.run for part in self._schedulers.values()),
+        ]
+
+    async def _serve(self, *, task_status: trio.TaskStatus[list[str]]) -> None:
+        await server.serve(
+            application.Application(
+                services_api.ServicesApp(self._router), self._routes()
+            ),
+            self._settings.listen_address,
+            self._stop_server.wait,
+            SERVER_GRACE_S,
+            task_status=task_status,
+        )
+        self._server_stopped.set()
+
+    def _routes(self) -> list[routing.Route]:
+        return [
+            *operations_api.routes(
+                self._me.vm_id, self._metrics, self._not_ready_because
+            ),
+            *services_api.routes(self._router),
+            *jobs_api.routes(self._jobs),
+            *accounts_api.routes(self._host, self._current, self._clock),
+            *members_api.routes(self._members),
+            *configuration_api.routes(
+                self._host, self._current, self._sync, self._clock
+            ),
+            *groups_api.routes(self),
+        ]
+
+    def _not_ready_because(self) -> str | None:
+        if self._stopping.is_set():
+            return "shutting down"
+        if self._current.get() is None:
+            return "no configuration is in force yet"
+        return None
+
+    def status(self) -> abc.Sequence[typing.Any]:
+        """Returns the replicas on this VM, see `api.groups`."""
+        return self._host.status()
+
+    async def transfer(self, group: str, vm: str | None) -> None:
+        """Hands a group's lead over, see `api.groups`."""
+        deadline = self._clock.monotonic() + TRANSFER_TIMEOUT_S
+        await self._host.transfer(group, vm, deadline)
+
+    async def replace(self, group: str, old: str, new: str) -> None:
+        """Replaces a voter of a group, see `api.groups`."""
+        await self._replacement.replace_now(group, old, new)
+
+    async def _watch_signals(self) -> None:
+        with trio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT
+        ) as signals:
+            async for number in signals:
+                logs.event("signal", number=number)
+                self._stopping.set()
+
+    async def _shut_down(self) -> None:
+        """Ends all work in flight: nothing new, leads handed over, then out.
+
+        Readiness is lost already when this starts.
+        """
+        logs.event("shutdown-started")
+        await trio.sleep(READINESS_NOTICE_S)
+        await self._host.hand_over()
+        await self._router.drain(self._clock.monotonic() + DRAIN_TIMEOUT_S)
+        self._stop_server.set()
+        with trio.move_on_after(SERVER_GRACE_S):
+            await self._server_stopped.wait()
--- /dev/null
+++ b/laburnumsill/state/machines.py
@@ -0,0 +1,38 @@
+"""The two replicated state machines, composed of their parts."""
+
+from laburnumsill.core import ids
+from laburnumsill.core import replication
+from laburnumsill.state import claims
+from laburnumsill.state import configuration
+from laburnumsill.state import durable
+from laburnumsill.state import jobs
+from laburnumsill.state import make_up
+
+_DOMAIN_PREFIX = ids.domain_group("")
+
+
+def root_machine() -> replication.StateMachine:
+    """Returns a fresh root machine: configuration and groups' make-up."""
+    return replication.StateMachine(
+        configuration.ConfigurationLog(), make_up.GroupMakeUp()
+    )
+
+
+def domain_machine(domain: str) -> replication.StateMachine:
+    """Returns a fresh machine of one failure domain."""
+    return replication.StateMachine(
+        claims.Claims(), durable.DurableRequests(), jobs.JobLedger(domain)
+    )
+
+
+def machine_of(group: str) -> replication.StateMachine:
+    """Returns a fresh state machine for a group.
+
+    Raises:
+        ValueError: `group` is neither the root group nor a domain's.
+    """
+    if group == ids.ROOT_GROUP:
+        return root_machine()
+    if not group.startswith(_DOMAIN_PREFIX):
+        raise ValueError(f"no state machine for group {group!r}")
+    return domain_machine(group.removeprefix(_DOMAIN_PREFIX))
--- /dev/null
+++ b/laburnumsill/testing/tests/test_state_failures.py
@@ -0,0 +1,277 @@
+"""Replicated state under failure, with real processes behind the proxy."""
+
+import pathlib
+
+import httpcore
+import pytest
+import trio
+
+from laburnumsill.testing import cluster
+from laburnumsill.testing import proxy
+from laburnumsill.testing import scenario
+
+SMALL = cluster.Layout()
+BLACK_HOLE = proxy.Fault(proxy.Mode.BLACK_HOLE)
+LOST = (
+    httpcore.NetworkError,
+    httpcore.TimeoutException,
+    httpcore.ProtocolError,
+)
+
+
+def changed(domains, number):
+    configuration = scenario.configuration(domains)
+    configuration["accounts"][f"extra-{number}"] = {}
+    return configuration
+
+
+async def push_numbered(site, vm_id, expected, number):
+    domains = {site.domain_of(vm) for vm in site.vm_ids}
+    return await site.push(
+        changed(domains, number), vm_id, expected, key=f"push-{number}"
+    )
+
+
+async def push_until_accepted(site, vm_ids, expected, number):
+    """Resends one push through VM after VM until its answer arrives."""
+    with trio.fail_after(30):
+        while True:
+            for vm_id in vm_ids:
+                try:
+                    answer = await push_numbered(site, vm_id, expected, number)
+                except LOST:
+                    continue
+                if answer.status == 200:
+                    return answer.json()["version"]
+                assert answer.status == 503, answer.body
+            await trio.sleep(0.05)
+
+
+async def version_in_force(site, vm_id):
+    answer = await site.client(vm_id).send("GET", "/v1/config")
+    return answer.json()["version"]
+
+
+async def until_in_force(site, vm_id, version):
+    async def reached():
+        return await version_in_force(site, vm_id) >= version
+
+    await site.until(reached, f"version {version} is in force on {vm_id}")
+
+
+async def test_kill_of_the_leader_during_writes_loses_and_doubles_nothing(
+    tmp_path: pathlib.Path,
+):
+    async with cluster.running(tmp_path, SMALL) as site:
+        await scenario.start_site(site)
+        version = 1
+        for number in range(12):
+            if number in (3, 7):
+                leader = await site.until_led("root", site.vm_ids)
+                site.process(leader).kill()
+                site.start_vm(leader)
+            got = await push_until_accepted(site, site.vm_ids, version, number)
+            assert got == version + 1
+            version = got
+        for vm_id in site.vm_ids:
+            await until_in_force(site, vm_id, version)
+            assert await version_in_force(site, vm_id) == version
+
+
+async def test_an_isolated_leader_answers_unavailable_and_disturbs_no_one(
+    tmp_path: pathlib.Path,
+):
+    async with cluster.running(tmp_path, SMALL) as site:
+        await scenario.start_site(site)
+        old = await site.until_led("root", site.vm_ids)
+        others = [vm for vm in site.vm_ids if vm != old]
+        site.isolate([old], BLACK_HOLE)
+        new = await site.until_led("root", others)
+        version = await push_until_accepted(site, others, 1, 1)
+        refused = await push_numbered(site, old, 1, 2)
+        assert refused.status == 503, refused.body
+        await trio.sleep(3)
+        site.heal()
+        await until_in_force(site, old, version)
+        assert await site.until_led("root", site.vm_ids) == new
+
+
+async def test_a_paused_leader_does_no_harm_when_it_goes_on(
+    tmp_path: pathlib.Path,
+):
+    async with cluster.running(tmp_path, SMALL) as site:
+        await scenario.start_site(site)
+        old = await site.until_led("root", site.vm_ids)
+        others = [vm for vm in site.vm_ids if vm != old]
+        site.process(old).pause()
+        version = await push_until_accepted(site, others, 1, 1)
+        site.process(old).resume()
+        answer = await push_numbered(site, old, 1, 2)
+        assert answer.status in (409, 503), answer.body
+        await until_in_force(site, old, version)
+        assert await version_in_force(site, old) == version
+
+
+async def test_a_domain_cut_off_goes_on_and_all_agree_afterwards(
+    tmp_path: pathlib.Path,
+):
+    layout = cluster.Layout(
+        domains={"north": 3, "east": 3, "south": 2}, servers=1
+    )
+    async with cluster.running(tmp_path, layout) as site:
+        await scenario.start_site(site)
+        north = site.vms_of("north")
+        rest = [vm for vm in site.vm_ids if vm not in north]
+        site.isolate(north, BLACK_HOLE)
+        await site.until_led("domain.north", north)
+        await site.until_led("root", rest)
+        served = await scenario.request(site, north[0], "offer")
+        assert (served.status, served.outcome) == (200, "answered")
+        version = await push_until_accepted(site, rest, 1, 1)
+        refused = await push_numbered(site, north[0], 1, 2)
+        assert refused.status == 503, refused.body
+        site.heal()
+        for vm_id in site.vm_ids:
+            await until_in_force(site, vm_id, version)
+
+
+async def test_of_five_racing_operators_exactly_one_wins(
+    tmp_path: pathlib.Path,
+):
+    async with cluster.running(tmp_path, SMALL) as site:
+        await scenario.start_site(site)
+        answers = {}
+
+        async def operator(number):
+            vm_id = site.vm_ids[number % len(site.vm_ids)]
+            answers[number] = await push_numbered(site, vm_id, 1, number)
+
+        async with trio.open_nursery() as nursery:
+            for number in range(5):
+                nursery.start_soon(operator, number)
+        won = [n for n, answer in answers.items() if answer.status == 200]
+        lost = [a for a in answers.values() if a.status == 409]
+        assert len(won) == 1
+        assert len(lost) == 4
+        digest = answers[won[0]].json()["digest"]
+        assert {a.json()["digest"] for a in lost} == {digest}
+        for vm_id in site.vm_ids:
+            again = await push_numbered(site, vm_id, 1, won[0])
+            assert again.json() == answers[won[0]].json()
+            await until_in_force(site, vm_id, 2)
+            assert await version_in_force(site, vm_id) == 2
+
+
+async def test_a_restart_after_a_thousand_changes_catches_up(
+    tmp_path: pathlib.Path,
+):
+    async with cluster.running(tmp_path, SMALL) as site:
+        await scenario.start_site(site)
+        leader = await site.until_led("root", site.vm_ids)
+        away = next(vm for vm in site.vm_ids if vm != leader)
+        near = [vm for vm in site.vm_ids if vm != away]
+        site.process(away).kill()
+        version = 1
+        for number in range(1000):
+            version = await push_until_accepted(
+                site, [leader, *near], version, number
+            )
+        site.start_vm(away)
+        await until_in_force(site, away, 1001)
+
+
+async def test_a_voter_that_lost_its_disk_comes_back_without_its_old_vote(
+    tmp_path: pathlib.Path,
+):
+    async with cluster.running(tmp_path, SMALL) as site:
+        await scenario.start_site(site)
+        leader = await site.until_led("root", site.vm_ids)
+        lost = next(vm for vm in site.vm_ids if vm != leader)
+        site.process(lost).kill()
+        site.data_folder(lost).rename(tmp_path / "lost-disk")
+        version = await push_until_accepted(site, [leader], 1, 1)
+        site.start_vm(lost)
+        await until_in_force(site, lost, version)
+
+        async def votes_again():
+            answer = await site.client(leader).send("GET", "/v1/groups")
+            root = next(r for r in answer.json() if r["group"] == "root")
+            return lost in root["voters"] and len(root["voters"]) == 3
+
+        await site.until(votes_again, "the replica votes again")
+        site.process(leader).kill()
+        others = [vm for vm in site.vm_ids if vm != leader]
+        assert await push_until_accepted(site, others, version, 2) == 3
+
+
+@pytest.mark.parametrize("damage", ["torn", "middle"])
+async def test_a_damaged_log_is_repaired_and_nothing_is_lost(
+    tmp_path: pathlib.Path, damage: str
+):
+    async with cluster.running(tmp_path, SMALL) as site:
+        await scenario.start_site(site)
+        version = 1
+        for number in range(20):
+            version = await push_until_accepted(
+                site, site.vm_ids, version, number
+            )
+        leader = await site.until_led("root", site.vm_ids)
+        hurt = next(vm for vm in site.vm_ids if vm != leader)
+        site.process(hurt).kill()
+        damage_log(site.data_folder(hurt), damage)
+        site.start_vm(hurt)
+        await until_in_force(site, hurt, version)
+        site.process(leader).kill()
+        others = [vm for vm in site.vm_ids if vm != leader]
+        got = await push_until_accepted(site, others, version, 99)
+        assert got == version + 1
+
+
+def damage_log(folder, damage):
+    """Tears the tail, or turns bytes in the middle, of the root's log."""
+    segments = sorted(
+        path
+        for path in folder.rglob("*")
+        if path.is_file() and "root" in str(path) and path.suffix == ".log"
+    )
+    assert segments, list(folder.rglob("*"))
+    raw = bytearray(segments[-1].read_bytes())
+    if damage == "torn":
+        raw = raw[:-7]
+    else:
+        middle = len(raw) // 2
+        raw[middle : middle + 8] = b"\xff" * 8
+    segments[-1].write_bytes(raw)
+
+
+async def test_a_lost_vm_is_replaced_and_a_second_loss_stops_no_group(
+    tmp_path: pathlib.Path,
+):
+    layout = cluster.Layout(
+        domains={"north": 3, "east": 3, "south": 2}, replace_after_s=2.0
+    )
+    async with cluster.running(tmp_path, layout) as site:
+        await scenario.start_site(site)
+        first = await site.until_led("domain.north", site.vms_of("north"))
+        site.process(first).kill()
+        left = [vm for vm in site.vm_ids if vm != first]
+
+        async def replaced():
+            leader = await site.leader("domain.north", left)
+            if leader is None:
+                return False
+            answer = await site.client(leader).send("GET", "/v1/groups")
+            voters = next(
+                r["voters"]
+                for r in answer.json()
+                if r["group"] == "domain.north"
+            )
+            return first not in voters and len(voters) == 3
+
+        await site.until(replaced, f"{first} is replaced")
+        second = await site.until_led("domain.north", left)
+        site.process(second).kill()
+        left.remove(second)
+        for group in ("root", "domain.north", "domain.east", "domain.south"):
+            await site.until_led(group, left)
+        assert await push_until_accepted(site, left, 1, 1) == 2
