--- a/laburnumsill/daemon/settings.py
+++ b/laburnumsill/daemon/settings.py
@@ -92,8 +92,6 @@
         log_level: The lowest level of events that are logged.
         replace_after_s: Silence after which a VM counts as lost for good
             and its replicas are replaced, in seconds.
-        replace_after_s: Silence of a VM after which the groups that it votes
-            in give its place to another.
         dial: Addresses to reach peers at, by VM, where they are not the
             peer addresses in the list; tests lead them through a proxy.
     """
@@ -105,7 +103,6 @@
     listen_address: Address | None = None
     log_level: LogLevel = "INFO"
     replace_after_s: models.Seconds = DEFAULT_REPLACE_AFTER_S
-    replace_after_s: models.Seconds = 60.0
     dial: dict[models.Name, Address] = {}
 
 
@@ -163,7 +160,6 @@
         data_folder=(path.parent / folder) if folder else None,
         log_level=written.log_level,
         replace_after_s=written.replace_after_s,
-        replace_after_s=written.replace_after_s,
     )
 
 
--- a/laburnumsill/testing/tests/test_request_failures.py
+++ b/laburnumsill/testing/tests/test_request_failures.py
@@ -11,7 +11,7 @@
 from laburnumsill.testing import scenario
 
 SITE = cluster.Layout(servers=1)
-BLACK_HOLE = proxy.Fault(proxy.Mode.BLACK_HOLE)
+BLACK_HOLE = proxy.Fault(proxy.Mode.DROP)
 LOST = (
     httpcore.NetworkError,
     httpcore.TimeoutException,
--- a/laburnumsill/testing/tests/test_state_failures.py
+++ b/laburnumsill/testing/tests/test_state_failures.py
@@ -11,7 +11,7 @@
 from laburnumsill.testing import scenario
 
 SMALL = cluster.Layout()
-BLACK_HOLE = proxy.Fault(proxy.Mode.BLACK_HOLE)
+BLACK_HOLE = proxy.Fault(proxy.Mode.DROP)
 LOST = (
     httpcore.NetworkError,
     httpcore.TimeoutException,
