Bring accepted configurations into force on every VM

Cause: a version is accepted in the root group, of which few VMs hold a replica; each VM must have it in force within a second and never go back. Ruled out: asking the root group from every VM each second (its load grows with the fleet), and telling everyone every second (traffic grows with the square); so all are told on a change and four VMs in turn each second, and who hears of a newer version fetches it. A version is synced before it is in force; a failed sync ends the daemon.

--- /dev/null
+++ b/laburnumsill/daemon/configuration_file.py
@@ -0,0 +1,95 @@
+"""The version in force, kept on a VM's disk across restarts.
+
+The file is one accepted version in the codec's form behind its digest. It is
+replaced by write, sync, rename and sync of the folder, so that after a crash
+it holds the old version or the new one, whole. A damaged file is set aside:
+the VM then learns the version in force from the others, like one without a
+disk.
+"""
+
+import contextlib
+import os
+import pathlib
+
+from laburnumsill.core import codec
+from laburnumsill.core import errors
+from laburnumsill.core import hashing
+from laburnumsill.core import logs
+from laburnumsill.state import configuration
+
+FILE_NAME = "configuration-in-force"
+_NEW_SUFFIX = ".new"
+_DAMAGED_SUFFIX = ".damaged"
+_SEPARATOR = b"\n"
+
+
+class ConfigurationFile:
+    """The file in one data folder."""
+
+    def __init__(self, data_folder: pathlib.Path) -> None:
+        self._path = data_folder / FILE_NAME
+
+    def read(self) -> configuration.AcceptedConfiguration | None:
+        """Returns the version in the file, None if there is none.
+
+        Raises:
+            errors.StorageError: The file cannot be read or set aside.
+        """
+        try:
+            raw = self._path.read_bytes()
+        except FileNotFoundError:
+            return None
+        except OSError as failure:
+            raise self._failed("read", failure) from failure
+        digest, _, body = raw.partition(_SEPARATOR)
+        if digest.decode(errors="replace") == hashing.digest(body):
+            with contextlib.suppress(codec.UndecodableMessageError):
+                return _checked(codec.decode(body))
+        self._set_aside()
+        return None
+
+    def write(self, accepted: configuration.AcceptedConfiguration) -> None:
+        """Replaces the version in the file and syncs it.
+
+        Raises:
+            errors.StorageError: It could not be synced; the process must
+                not go on, since a restart might bring an older version back.
+        """
+        body = codec.encode(accepted)
+        raw = hashing.digest(body).encode() + _SEPARATOR + body
+        new = self._path.with_name(FILE_NAME + _NEW_SUFFIX)
+        try:
+            self._path.parent.mkdir(parents=True, exist_ok=True)
+            with new.open("wb") as file:
+                file.write(raw)
+                file.flush()
+                os.fsync(file.fileno())
+            new.replace(self._path)
+            _sync_folder(self._path.parent)
+        except OSError as failure:
+            raise self._failed("write", failure) from failure
+
+    def _set_aside(self) -> None:
+        aside = self._path.with_name(FILE_NAME + _DAMAGED_SUFFIX)
+        logs.event("configuration-file-damaged", level="ERROR", set_aside=aside)
+        try:
+            self._path.replace(aside)
+        except OSError as failure:
+            raise self._failed("set aside", failure) from failure
+
+    def _failed(self, what: str, failure: OSError) -> errors.StorageError:
+        return errors.StorageError(f"cannot {what} {self._path}: {failure}")
+
+
+def _checked(message: object) -> configuration.AcceptedConfiguration:
+    if isinstance(message, configuration.AcceptedConfiguration):
+        return message
+    raise codec.UndecodableMessageError(f"a {type(message).__name__}")
+
+
+def _sync_folder(folder: pathlib.Path) -> None:
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
--- /dev/null
+++ b/laburnumsill/daemon/configuration_sync.py
@@ -0,0 +1,361 @@
+"""Brings the accepted configuration into force on this VM.
+
+Explanation:
+    A version that this VM hears of has been accepted: it comes from a local
+    replica's applied log, from a quorum of the root group, or from a peer
+    that has it in force. So any newer one is put in force at once, and an
+    older one never is. On a VM with a disk a version is synced before it is
+    in force, so that a restart does not go back behind it.
+
+    A VM tells all others its version when it changes, and a few of them, in
+    turn, every second, which covers notices that were lost at a cost that
+    does not grow with the number of VMs. A VM that hears of a newer version
+    fetches it from one that has it.
+
+    At the start a VM asks a quorum first. If none can be had in time it
+    takes the newest that its disk or its own failure domain's VMs know.
+"""
+
+import dataclasses
+import pathlib
+import random
+from collections import abc
+
+import trio
+
+from laburnumsill.api import configuration as configuration_api
+from laburnumsill.config import canonical
+from laburnumsill.config import current as current_configuration
+from laburnumsill.core import clock as clocks
+from laburnumsill.core import codec
+from laburnumsill.core import errors
+from laburnumsill.core import ids
+from laburnumsill.core import logs
+from laburnumsill.core import replication
+from laburnumsill.core import topology
+from laburnumsill.daemon import configuration_file
+from laburnumsill.state import configuration
+
+POLL_S = 0.2
+"""Time between two looks at the local replica, whose snapshots are not
+observed."""
+
+TELL_S = 1.0
+"""Time between two rounds of telling some VMs the version in force."""
+
+TELL_VMS = 4
+"""How many VMs are told in one round."""
+
+FETCH_TIMEOUT_S = 1.0
+"""Time that a peer has to answer with a version."""
+
+QUORUM_PREFERRED_S = 3.0
+"""Time at the start in which only a quorum's answer counts."""
+
+
+@codec.register("configuration.in-force")
+@dataclasses.dataclass(frozen=True, slots=True)
+class InForceNotice:
+    """Tells the version in force on a VM."""
+
+    vm: str
+    version: int
+    digest: str
+
+
+@codec.register("configuration.fetch")
+@dataclasses.dataclass(frozen=True, slots=True)
+class FetchInForce:
+    """Asks a VM for the version in force on it."""
+
+    vm: str
+
+
+class ConfigurationSync(configuration_api.InForce):
+    """Keeps the version in force on this VM up to date.
+
+    Args:
+        me: This VM.
+        vms: All VMs.
+        groups: Access to the root group.
+        peers: Access to the other VMs.
+        current: What holds the version in force.
+        data_folder: Where to keep it across restarts, None without a disk.
+        clock: The clock.
+    """
+
+    def __init__(
+        self,
+        me: topology.Vm,
+        vms: abc.Sequence[topology.Vm],
+        groups: replication.Groups,
+        peers: replication.Peers,
+        current: current_configuration.Current,
+        data_folder: pathlib.Path | None,
+        clock: clocks.Clock,
+    ) -> None:
+        self._me = me
+        self._vms = vms
+        self._others = [vm.vm_id for vm in vms if vm.vm_id != me.vm_id]
+        self._groups = groups
+        self._peers = peers
+        self._current = current
+        self._clock = clock
+        self._file = (
+            configuration_file.ConfigurationFile(data_folder)
+            if data_folder
+            else None
+        )
+        self._accepted: configuration.AcceptedConfiguration | None = None
+        self._offered: configuration.AcceptedConfiguration | None = None
+        self._unusable: set[tuple[int, str]] = set()
+        self._said: dict[str, InForceNotice] = {}
+        self._observed: replication.StateMachine | None = None
+        self._tell_at = 0.0
+        self._turn = 0
+        self._wake = trio.Event()
+        self._ready = trio.Event()
+        peers.on_notice(InForceNotice, self._on_notice)
+        peers.on_call(FetchInForce, self._on_fetch)
+
+    @property
+    def ready(self) -> bool:
+        """Whether this VM knows what is in force, maybe that nothing is."""
+        return self._ready.is_set()
+
+    async def wait_ready(self) -> None:
+        """Waits until this VM knows what is in force."""
+        await self._ready.wait()
+
+    def offer(self, accepted: configuration.AcceptedConfiguration) -> None:
+        """Has an accepted version put in force soon, unless a newer one is."""
+        if accepted.version > self._current.version:
+            self._offered = accepted
+            self._wake.set()
+
+    def _adopt(self, accepted: configuration.AcceptedConfiguration) -> None:
+        """Puts an accepted version in force unless a newer one is.
+
+        Only `run` and its tasks call this, so that a failed disk ends them.
+
+        Raises:
+            errors.StorageError: It could not be synced.
+        """
+        if accepted.version <= self._current.version:
+            return
+        versioned = self._decoded(accepted)
+        if versioned is None:
+            return
+        if self._file is not None:
+            self._file.write(accepted)
+        self._accepted = accepted
+        self._current.put(versioned)
+        logs.event(
+            "configuration-in-force",
+            version=accepted.version,
+            digest=accepted.digest,
+            operator=accepted.operator,
+        )
+        self._tell(self._others)
+
+    def status(self) -> list[configuration_api.VmInForce]:
+        """Returns what each VM last said is in force there."""
+        reachable = self._peers.reachable() | {self._me.vm_id}
+        return [self._status_of(vm, reachable) for vm in self._vms]
+
+    async def run(self) -> None:
+        """Runs until cancelled.
+
+        Raises:
+            errors.StorageError: A version could not be synced.
+        """
+        if self._file is not None:
+            kept = self._file.read()
+            if kept is not None:
+                self._adopt(kept)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._start_up)
+            nursery.start_soon(self._follow)
+
+    async def _start_up(self) -> None:
+        """Learns what is in force; a quorum's answer is preferred."""
+        alone_from = self._clock.monotonic() + QUORUM_PREFERRED_S
+        while not await self._ask_quorum():
+            if self._clock.monotonic() >= alone_from:
+                await self._ask_domain()
+                if self._current.version:
+                    break
+            await trio.sleep(POLL_S)
+        self._ready.set()
+        logs.event("configuration-known", version=self._current.version)
+
+    async def _ask_quorum(self) -> bool:
+        """Returns whether a quorum of the root group told what is accepted."""
+        deadline = self._clock.monotonic() + FETCH_TIMEOUT_S
+        try:
+            answer: configuration.CurrentAnswer = await self._groups.query(
+                ids.ROOT_GROUP, configuration.ReadCurrent(), deadline
+            )
+        except errors.LaburnumsillError:
+            return False
+        if answer.accepted is not None:
+            self._adopt(answer.accepted)
+        return True
+
+    async def _ask_domain(self) -> None:
+        """Takes the newest version of all VMs of this VM's own domain."""
+        async with trio.open_nursery() as nursery:
+            for vm in self._vms:
+                if vm.domain == self._me.domain and vm != self._me:
+                    nursery.start_soon(self._fetch_from, vm.vm_id)
+
+    async def _follow(self) -> None:
+        while True:
+            self._wake = trio.Event()
+            self._take_offered()
+            self._look_at_replica()
+            await self._fetch_newer()
+            self._tell_in_turn()
+            with trio.move_on_after(POLL_S):
+                await self._wake.wait()
+
+    def _take_offered(self) -> None:
+        if self._offered is not None:
+            self._adopt(self._offered)
+            self._offered = None
+
+    def _look_at_replica(self) -> None:
+        """Offers the newest version in this VM's root replica, if any."""
+        machine = self._groups.local(ids.ROOT_GROUP)
+        if machine is None:
+            return
+        if machine is not self._observed:
+            self._observed = machine
+            machine.observe(self._on_applied)
+        log: configuration.ConfigurationLog = machine.component(
+            configuration.COMPONENT_NAME
+        )
+        if log.current is not None:
+            self._adopt(log.current)
+
+    def _on_applied(self, command: object) -> None:
+        if isinstance(command, configuration.PushConfiguration):
+            self._wake.set()
+
+    async def _fetch_newer(self) -> None:
+        """Fetches a version that another VM said is in force there."""
+        newer = [
+            said
+            for said in self._said.values()
+            if said.version > self._current.version
+            and (said.version, said.digest) not in self._unusable
+        ]
+        if newer:
+            newest = max(said.version for said in newer)
+            sources = {said.vm for said in newer if said.version == newest}
+            near = sources & self._peers.reachable()
+            await self._fetch_from(random.choice(sorted(near or sources)))
+
+    async def _fetch_from(self, vm: str) -> None:
+        deadline = self._clock.monotonic() + FETCH_TIMEOUT_S
+        try:
+            answer: configuration.CurrentAnswer = await self._peers.call(
+                vm, FetchInForce(self._me.vm_id), deadline
+            )
+        except errors.LaburnumsillError as error:
+            logs.event(
+                "configuration-fetch-failed",
+                level="DEBUG",
+                peer=vm,
+                error=error,
+            )
+            return
+        if answer.accepted is not None:
+            self._adopt(answer.accepted)
+
+    def _tell_in_turn(self) -> None:
+        """Tells the next few VMs once a round is due."""
+        now = self._clock.monotonic()
+        if now < self._tell_at or not self._others:
+            return
+        self._tell_at = now + TELL_S
+        count = min(TELL_VMS, len(self._others))
+        turn = [
+            self._others[(self._turn + offset) % len(self._others)]
+            for offset in range(count)
+        ]
+        self._turn = (self._turn + count) % len(self._others)
+        self._tell(turn)
+
+    def _tell(self, vms: abc.Iterable[str]) -> None:
+        notice = InForceNotice(
+            self._me.vm_id, self._current.version, self._digest()
+        )
+        for vm in vms:
+            self._peers.notify(vm, notice)
+
+    def _on_notice(self, notice: InForceNotice) -> None:
+        self._said[notice.vm] = notice
+        if notice.version > self._current.version:
+            self._wake.set()
+        same = notice.version == self._current.version
+        if same and notice.digest != self._digest():
+            logs.event(
+                "configuration-differs",
+                level="ERROR",
+                peer=notice.vm,
+                version=notice.version,
+                here=self._digest(),
+                there=notice.digest,
+            )
+
+    async def _on_fetch(
+        self, request: FetchInForce
+    ) -> configuration.CurrentAnswer:
+        return configuration.CurrentAnswer(self._accepted)
+
+    def _digest(self) -> str:
+        return self._accepted.digest if self._accepted else ""
+
+    def _decoded(
+        self, accepted: configuration.AcceptedConfiguration
+    ) -> current_configuration.Versioned | None:
+        """Returns a version's models, None if this program has no use for it.
+
+        A newer program may accept what this one cannot read; the version in
+        force stays then, and the status shows this VM behind.
+        """
+        key = (accepted.version, accepted.digest)
+        if key in self._unusable:
+            return None
+        try:
+            models = canonical.decode(accepted.body)
+        except errors.InvalidConfigurationError as error:
+            self._unusable = {key}
+            logs.event(
+                "configuration-unusable",
+                level="ERROR",
+                version=accepted.version,
+                error=error.detail,
+            )
+            return None
+        return current_configuration.Versioned(
+            accepted.version, accepted.digest, models
+        )
+
+    def _status_of(
+        self, vm: topology.Vm, reachable: abc.Set[str]
+    ) -> configuration_api.VmInForce:
+        if vm == self._me:
+            said = InForceNotice(
+                vm.vm_id, self._current.version, self._digest()
+            )
+        else:
+            said = self._said.get(vm.vm_id, InForceNotice(vm.vm_id, 0, ""))
+        return configuration_api.VmInForce(
+            vm.vm_id,
+            vm.domain,
+            vm.vm_id in reachable,
+            said.version,
+            said.digest,
+        )
