Host replica groups: founding, applying, forwarding, make-up

Cause: the router and the scheduler need replicated groups that any VM reaches.

A fresh replica asks before it takes part: one founder, all first voters fresh. A failed attempt is told apart: certainly not committed, or maybe.

--- /dev/null
+++ b/laburnumsill/consensus/group_apply.py
@@ -0,0 +1,81 @@
+"""Applying committed entries to the state machine of a replica."""
+
+from laburnumsill.consensus import group_waiters
+from laburnumsill.consensus import types
+from laburnumsill.core import codec
+from laburnumsill.core import errors
+from laburnumsill.core import logs
+from laburnumsill.core import replication
+
+
+class CommandFailedError(errors.LaburnumsillError):
+    """The state machine failed in a way that its author did not foresee."""
+
+    slug = "command-failed"
+    title = "The command failed"
+
+
+class Applier:
+    """The state machine of a replica and how far it is.
+
+    Attributes:
+        applied: Index of the last entry applied.
+        covered: Index that the last snapshot stands for.
+    """
+
+    def __init__(
+        self,
+        group: str,
+        machine: replication.StateMachine,
+        stored: types.Stored,
+    ) -> None:
+        self.applied = 0
+        self.covered = 0
+        self._group = group
+        self._machine = machine
+        if stored.snapshot is not None:
+            self.install(stored.snapshot)
+
+    def install(self, snapshot: types.Snapshot) -> None:
+        """Replaces the state by a snapshot."""
+        self._machine.load(snapshot.data)
+        self.applied = snapshot.index
+        self.covered = snapshot.index
+
+    def apply(self, entry: types.Entry) -> group_waiters.Outcome:
+        """Applies the next entry; a refusal is a result like another.
+
+        A failure that is no `LaburnumsillError` is a fault of the program.
+        It is the same on every replica, so the group goes on; it is reported.
+        """
+        self.applied = entry.index
+        if entry.kind is not types.EntryKind.COMMAND:
+            return group_waiters.Outcome()
+        try:
+            command = codec.decode(entry.data)
+            return group_waiters.Outcome(self._machine.apply(command))
+        except errors.LaburnumsillError as error:
+            return group_waiters.Outcome(refusal=error)
+        except Exception as error:  # must not stop every replica for good
+            return self._failed(entry.index, error)
+
+    def query(self, query: object) -> group_waiters.Outcome:
+        """Answers a query from the present state."""
+        try:
+            return group_waiters.Outcome(self._machine.query(query))
+        except errors.LaburnumsillError as error:
+            return group_waiters.Outcome(refusal=error)
+        except Exception as error:
+            return self._failed(self.applied, error)
+
+    def _failed(self, index: int, error: Exception) -> group_waiters.Outcome:
+        logs.event(
+            "state-machine-failed",
+            level="ERROR",
+            group=self._group,
+            index=index,
+            error=repr(error),
+        )
+        return group_waiters.Outcome(
+            refusal=CommandFailedError(f"{self._group} at {index}")
+        )
--- /dev/null
+++ b/laburnumsill/consensus/host_forward.py
@@ -0,0 +1,172 @@
+"""Reaching the leader of a group from any VM.
+
+An attempt ends in one of three ways: with the state machine's own answer; in
+a failure after which the command was certainly not committed, so that
+another attempt is harmless; or in one after which it may have been. Commands
+are idempotent, so another attempt is made after that too, but if none brings
+an answer the caller is told that the outcome is unknown.
+"""
+
+import dataclasses
+import itertools
+import typing
+from collections import abc
+
+import trio
+
+from laburnumsill.consensus import engine as engines
+from laburnumsill.consensus import group_waiters
+from laburnumsill.consensus import host_messages
+from laburnumsill.core import clock as clocks
+from laburnumsill.core import codec
+from laburnumsill.core import errors
+from laburnumsill.core import replication
+
+FIRST_PAUSE_S = 0.02
+"""First pause when nobody leads."""
+
+LONGEST_PAUSE_S = 0.2
+"""Longest pause when nobody leads."""
+
+MAX_HOPS = 3
+"""Hints followed without a pause, so that two VMs can not send us round."""
+
+NOT_COMMITTED = (errors.UnavailableError, errors.DeadlinePassedError)
+"""Failures after which a command was certainly not committed."""
+
+Locally = abc.Callable[[float], abc.Awaitable[group_waiters.Outcome]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Errand:
+    """One proposal or query on its way to the leader.
+
+    Attributes:
+        group: The group.
+        request: What to send to another VM.
+        locally: Tries it on this VM's replica.
+        deadline: Monotonic point after which it is given up.
+    """
+
+    group: str
+    request: object
+    locally: Locally
+    deadline: float
+
+
+class Forwarder:
+    """Brings errands to the leader of their group.
+
+    Args:
+        me: This VM.
+        peers: The other VMs.
+        clock: The clock of this process.
+        leader: Returns the VM that leads a group as far as this VM's replica
+            knows, or None.
+        make_up: Returns the VMs that may have replicas of a group.
+    """
+
+    def __init__(
+        self,
+        me: str,
+        peers: replication.Peers,
+        clock: clocks.Clock,
+        leader: abc.Callable[[str], str | None],
+        make_up: abc.Callable[[str], abc.Sequence[str]],
+    ) -> None:
+        self._me = me
+        self._peers = peers
+        self._clock = clock
+        self._leader = leader
+        self._make_up = make_up
+        self._hints: dict[str, str] = {}
+        self._turns = itertools.count()
+
+    async def run(self, errand: Errand) -> typing.Any:
+        """Returns the state machine's answer.
+
+        Raises:
+            errors.ProposalLostError: It may or may not have been carried out.
+            errors.NoQuorumError: It was certainly not carried out.
+            errors.LaburnumsillError: The state machine refused it.
+        """
+        maybe: errors.LaburnumsillError | None = None
+        last: errors.LaburnumsillError | None = None
+        pause = FIRST_PAUSE_S
+        hops = 0
+        while self._clock.monotonic() < errand.deadline:
+            vm = self._next_vm(errand.group)
+            try:
+                outcome = await self._attempt(vm, errand)
+            except NOT_COMMITTED as error:
+                last = error
+            except errors.LaburnumsillError as error:
+                maybe = last = error
+            else:
+                self._hints[errand.group] = vm
+                if outcome.refusal is not None:
+                    raise outcome.refusal
+                return outcome.result
+            hops += 1
+            hinted = self._follow_hint(errand.group, vm, last)
+            if not hinted or hops > MAX_HOPS:
+                left = errand.deadline - self._clock.monotonic()
+                await trio.sleep(max(0.0, min(pause, left)))
+                pause = min(2 * pause, LONGEST_PAUSE_S)
+        raise _given_up(errand.group, maybe, last)
+
+    async def _attempt(self, vm: str, errand: Errand) -> group_waiters.Outcome:
+        if vm == self._me:
+            return await errand.locally(errand.deadline)
+        answer = await self._peers.call(vm, errand.request, errand.deadline)
+        return outcome_of(answer)
+
+    def _next_vm(self, group: str) -> str:
+        """Returns the supposed leader, else the next of the make-up."""
+        leader = self._leader(group) or self._hints.get(group)
+        if leader is not None:
+            return leader
+        vms = self._make_up(group)
+        return vms[next(self._turns) % len(vms)]
+
+    def _follow_hint(
+        self, group: str, tried: str, error: errors.LaburnumsillError | None
+    ) -> bool:
+        """Notes whom to try next; returns whether to do so at once."""
+        self._hints.pop(group, None)
+        if not isinstance(error, engines.NotLeaderError):
+            return False
+        if error.leader is None or error.leader == tried:
+            return False
+        self._hints[group] = error.leader
+        return self._leader(group) is None
+
+
+def answer_of(outcome: group_waiters.Outcome) -> host_messages.Answer:
+    """Returns an outcome in the form that goes to another VM."""
+    if outcome.refusal is not None:
+        return host_messages.Answer(refusal=outcome.refusal.to_record())
+    if outcome.result is None:
+        return host_messages.Answer()
+    return host_messages.Answer(codec.encode(outcome.result))
+
+
+def outcome_of(answer: host_messages.Answer) -> group_waiters.Outcome:
+    """Returns the outcome that another VM answered."""
+    if answer.refusal is not None:
+        refusal = errors.LaburnumsillError.from_record(answer.refusal)
+        return group_waiters.Outcome(refusal=refusal)
+    if answer.result is None:
+        return group_waiters.Outcome()
+    return group_waiters.Outcome(codec.decode(answer.result))
+
+
+def _given_up(
+    group: str,
+    maybe: errors.LaburnumsillError | None,
+    last: errors.LaburnumsillError | None,
+) -> errors.LaburnumsillError:
+    if maybe is not None:
+        return errors.ProposalLostError(f"group {group!r}: {maybe.detail}")
+    detail = last.detail if last is not None else "no time left"
+    return errors.NoQuorumError(f"group {group!r}: {detail}")
--- /dev/null
+++ b/laburnumsill/consensus/host_members.py
@@ -0,0 +1,184 @@
+"""Keeping the make-up of the hosted groups as it is desired.
+
+A replica that is in no membership it knows of asks the other VMs: the one
+founder may found the group, all others are added by its leader. The leader
+compares the present make-up with the desired one and proposes one change at
+a time.
+"""
+
+import contextlib
+from collections import abc
+
+from laburnumsill.consensus import engine as engines
+from laburnumsill.consensus import founding
+from laburnumsill.consensus import group as groups
+from laburnumsill.consensus import group_make_up
+from laburnumsill.consensus import host_messages
+from laburnumsill.consensus import types
+from laburnumsill.core import clock as clocks
+from laburnumsill.core import logs
+from laburnumsill.core import replication
+
+ANSWER_WITHIN_S = 1.0
+"""Longest wait for one round of answers."""
+
+LEADERLESS_S = 3.0
+"""A member that knew no leader for so long asks whether it still is one."""
+
+CAUGHT_UP_ENTRIES = 256
+"""A learner may miss so many entries when it is promoted."""
+
+NO_CHANGE = (engines.MembershipPendingError, engines.NotLeaderError)
+
+
+class Keeper:
+    """Founds, joins and changes groups.
+
+    Args:
+        me: This VM.
+        first: The voters of each group's first make-up.
+        disks: The VMs that have a disk.
+        peers: The other VMs.
+        clock: The clock of this process.
+        options: The engine's settings.
+    """
+
+    def __init__(
+        self,
+        me: str,
+        first: abc.Mapping[str, abc.Sequence[str]],
+        disks: frozenset[str],
+        peers: replication.Peers,
+        clock: clocks.Clock,
+        options: engines.Options,
+    ) -> None:
+        self._me = me
+        self._first = first
+        self._disks = disks
+        self._peers = peers
+        self._clock = clock
+        self._options = options
+        self._make_up = {name: tuple(vms) for name, vms in first.items()}
+        self._candidates: dict[str, dict[str, group_make_up.Candidate]] = {}
+        self._led_at: dict[str, float] = {}
+
+    @property
+    def make_up(self) -> abc.Mapping[str, tuple[str, ...]]:
+        """The desired voters by group."""
+        return self._make_up
+
+    def set_make_up(self, make_up: abc.Mapping[str, abc.Sequence[str]]) -> None:
+        """Replaces the desired voters; leaders bring them about."""
+        self._make_up = {name: tuple(vms) for name, vms in make_up.items()}
+
+    def answer(
+        self,
+        hello: host_messages.Hello,
+        group: groups.HostedGroup | None,
+    ) -> host_messages.HelloAnswer:
+        """Answers a replica's hello, and remembers that it wants to join."""
+        candidate = group_make_up.Candidate(hello.replica, hello.with_disk)
+        known = self._candidates.setdefault(hello.group, {})
+        known[hello.replica.vm] = candidate
+        if group is None:
+            return host_messages.HelloAnswer()
+        membership = group.engine.membership
+        leader = group.engine.leader
+        return host_messages.HelloAnswer(
+            group.me,
+            group.is_fresh,
+            group.with_disk,
+            hello.replica in membership.voters + membership.learners,
+            leader.vm if leader else None,
+        )
+
+    def needs_to_ask(self, group: groups.HostedGroup) -> bool:
+        """Returns whether a replica is no member, or may not be any more."""
+        if not group.is_member:
+            return True
+        now = self._clock.monotonic()
+        if group.engine.leader is not None:
+            self._led_at[group.name] = now
+        return now - self._led_at.setdefault(group.name, now) > LEADERLESS_S
+
+    async def ask(self, group: groups.HostedGroup) -> bool:
+        """Asks the other VMs once; founds the group if that is due.
+
+        Returns:
+            Whether this replica is not wanted any more: the group goes on
+            without it and the desired make-up lacks this VM.
+        """
+        name = group.name
+        first = self._first.get(name, ())
+        wanted = self._make_up.get(name, ())
+        asked = dict.fromkeys([*first, *wanted])
+        asked.pop(self._me, None)
+        hello = host_messages.Hello(name, group.me, group.with_disk)
+        deadline = self._clock.monotonic() + ANSWER_WITHIN_S
+        answers = await founding.ask(self._peers, asked, hello, deadline)
+        if group.is_fresh and self._founds(name):
+            membership = founding.founding_membership(
+                group.me, group.with_disk, first, answers
+            )
+            if membership is not None:
+                await group.found(membership)
+                return False
+        if self._me in wanted:
+            return False
+        return group.is_fresh or any(
+            answer.established and answer.leader and not answer.member
+            for answer in answers.values()
+        )
+
+    def reconcile(self, group: groups.HostedGroup) -> bool:
+        """Proposes the next change of a group led here, if one is due."""
+        view = self._view(group)
+        change = group_make_up.next_change(view)
+        if change is None:
+            return False
+        with contextlib.suppress(*NO_CHANGE):
+            group.propose_membership(change)
+            logs.decision(
+                "make-up-change",
+                group=group.name,
+                desired=",".join(view.desired),
+                voters=_names(change.voters),
+                learners=_names(change.learners),
+            )
+            return True
+        return False
+
+    def _founds(self, name: str) -> bool:
+        first = self._first.get(name, ())
+        if self._me not in first:
+            return False
+        return founding.founder(first, self._disks) == self._me
+
+    def _view(self, group: groups.HostedGroup) -> group_make_up.View:
+        engine = group.engine
+        progress = engine.progress
+        heard_after = self._clock.monotonic() - self._options.election_timeout_s
+        alive = {
+            replica
+            for replica, one in progress.items()
+            if one.heard_at >= heard_after and one.match > 0
+        }
+        caught_up = {
+            replica
+            for replica in alive
+            if progress[replica].match + CAUGHT_UP_ENTRIES >= engine.last_index
+        }
+        return group_make_up.View(
+            engine.membership,
+            self._make_up.get(group.name, ()),
+            self._candidates.get(group.name, {}),
+            frozenset(caught_up),
+            frozenset(alive | {group.me}),
+            self._disks,
+        )
+
+
+def _names(replicas: abc.Iterable[types.ReplicaId]) -> str:
+    return ",".join(
+        f"{replica.vm}/{replica.incarnation}" for replica in replicas
+    )
--- /dev/null
+++ b/laburnumsill/consensus/host_messages.py
@@ -0,0 +1,104 @@
+"""What the hosts of replicas say to each other besides Raft messages."""
+
+import dataclasses
+
+from laburnumsill.consensus import types
+from laburnumsill.core import codec
+from laburnumsill.core import errors
+
+
+@codec.register("host.propose")
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForwardedProposal:
+    """A command for the leader of a group.
+
+    Attributes:
+        group: The group.
+        command: The encoded command.
+        deadline: Wall-clock point after which nobody waits any more.
+    """
+
+    group: str
+    command: bytes
+    deadline: float
+
+
+@codec.register("host.query")
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForwardedQuery:
+    """A query for the leader of a group; fields as above."""
+
+    group: str
+    query: bytes
+    deadline: float
+
+
+@codec.register("host.answer")
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """What the state machine made of a forwarded command or query.
+
+    Attributes:
+        result: The encoded result, or None.
+        refusal: What the state machine raised, or None.
+    """
+
+    result: bytes | None = None
+    refusal: errors.ErrorRecord | None = None
+
+
+@codec.register("host.transfer")
+@dataclasses.dataclass(frozen=True, slots=True)
+class TransferOrder:
+    """Asks the leader of a group to hand its lead over.
+
+    Attributes:
+        group: The group.
+        vm: Who is to lead, or None for the voter that is furthest on.
+        deadline: Wall-clock point.
+    """
+
+    group: str
+    vm: str | None
+    deadline: float
+
+
+@codec.register("host.hello")
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hello:
+    """A replica that is in no membership it knows of presents itself.
+
+    Attributes:
+        group: The group.
+        replica: The replica.
+        with_disk: Whether it has a disk.
+    """
+
+    group: str
+    replica: types.ReplicaId
+    with_disk: bool
+
+
+@codec.register("host.hello-answer")
+@dataclasses.dataclass(frozen=True, slots=True)
+class HelloAnswer:
+    """What another host knows of the group.
+
+    Attributes:
+        replica: Its own replica, or None if it hosts none.
+        fresh: Whether that replica knows nothing of the group.
+        with_disk: Whether that replica has a disk.
+        member: Whether the asker is in the newest membership known there.
+        leader: The VM that leads, as far as is known there.
+    """
+
+    replica: types.ReplicaId | None = None
+    fresh: bool = False
+    with_disk: bool = False
+    member: bool = False
+    leader: str | None = None
+
+    @property
+    def established(self) -> bool:
+        """Whether the group certainly exists."""
+        return self.replica is not None and not self.fresh
