--- /dev/null
+++ b/laburnumsill/cli/failures.py
@@ -0,0 +1,93 @@
+"""Failures of the command-line tool and the exit code of each.
+
+| code | meaning |
+|---|---|
+| 0 | done |
+| 1 | refused or failed; nothing else was done; the problem is printed |
+| 2 | bad usage, or a file that is no good |
+| 3 | no VM answered; nothing was done |
+| 4 | the outcome is unknown: it may have been done |
+"""
+
+from laburnumsill.config import toml_files
+from laburnumsill.core import errors
+
+EXIT_DONE = 0
+EXIT_REFUSED = 1
+EXIT_USAGE = 2
+EXIT_NO_VM = 3
+EXIT_UNKNOWN = 4
+EXIT_INTERRUPTED = 130
+
+UNKNOWN_SLUGS = frozenset(
+    {errors.OutcomeUnknownError.slug, errors.ProposalLostError.slug}
+)
+"""Problems after which it is unknown whether something was done."""
+
+
+class UsageError(errors.InvalidInputError):
+    """An argument of the command line that is missing or wrong."""
+
+    slug = "usage"
+    title = "Bad usage"
+
+
+class NoVmAnsweredError(errors.LaburnumsillError):
+    """None of the VMs could be reached; nothing was sent to any."""
+
+    slug = "no-vm-answered"
+    status = 503
+    title = "No VM answered"
+
+
+class UnansweredError(errors.OutcomeUnknownError):
+    """Something was sent and no VM told what became of it."""
+
+    slug = "unanswered"
+    title = "The outcome is unknown"
+
+
+class RefusedError(errors.LaburnumsillError):
+    """A VM answered with a problem.
+
+    Attributes:
+        problem: The problem's own slug.
+    """
+
+    slug = "refused"
+    title = "Refused"
+
+    def __init__(
+        self,
+        detail: str,
+        *,
+        retry_after_s: float | None = None,
+        **context: errors.Context,
+    ) -> None:
+        super().__init__(detail, retry_after_s=retry_after_s, **context)
+        self.problem = str(context.get("problem", ""))
+
+
+class NotAllGoodError(errors.LaburnumsillError):
+    """A check found something that is not as it should be."""
+
+    slug = "not-all-good"
+    title = "Not all is well"
+
+
+def exit_code(error: errors.LaburnumsillError) -> int:
+    """Returns the exit code for a failure.
+
+    Examples:
+        >>> exit_code(UsageError("--tasks: got 'x', expected a number"))
+        2
+    """
+    if isinstance(error, UsageError | toml_files.InvalidFileError):
+        return EXIT_USAGE
+    if isinstance(error, NoVmAnsweredError):
+        return EXIT_NO_VM
+    if isinstance(error, errors.OutcomeUnknownError):
+        return EXIT_UNKNOWN
+    if isinstance(error, RefusedError) and error.problem in UNKNOWN_SLUGS:
+        return EXIT_UNKNOWN
+    return EXIT_REFUSED
