--- a/laburnumsill/cli/client.py
+++ b/laburnumsill/cli/client.py
@@ -25,6 +25,10 @@
 ROUND_PAUSE_S = 0.2
 """Pause before the VMs are tried again that said to try later."""
 
+OUTCOME_HEADER = "laburnumsill-outcome"
+OUTCOME_ANSWERED = "answered"
+OUTCOME_UNKNOWN = "unknown"
+
 _UNSENT = (
     httpcore.ConnectError,
     httpcore.ConnectTimeout,
@@ -89,10 +93,17 @@
     @property
     def tells_to_retry(self) -> bool:
         """Whether the VM did nothing, or may have, and another can help."""
-        if not self.is_problem:
+        by_server = self.headers.get(OUTCOME_HEADER) == OUTCOME_ANSWERED
+        if by_server or not self.is_problem:
             return False
-        unknown = self.refusal().problem in failures.UNKNOWN_SLUGS
-        return unknown or self.status == _UNAVAILABLE
+        return self.is_unknown or self.status == _UNAVAILABLE
+
+    @property
+    def is_unknown(self) -> bool:
+        """Whether the VM says that it may have been done."""
+        if self.headers.get(OUTCOME_HEADER) == OUTCOME_UNKNOWN:
+            return True
+        return self.refusal().problem in failures.UNKNOWN_SLUGS
 
     def json(self) -> typing.Any:
         """Returns the body's values.
@@ -253,11 +264,9 @@
             failures.RefusedError: The VM may have done it, and the call must
                 not be sent again.
         """
-        refusal = answer.refusal()
-        unknown = refusal.problem in failures.UNKNOWN_SLUGS
-        if unknown and not self._call.resendable:
-            raise refusal
-        if unknown:
+        if answer.is_unknown and not self._call.resendable:
+            raise answer.refusal()
+        if answer.is_unknown:
             self._sent_to = answer.address
         self.told_to_retry = answer
 
--- a/laburnumsill/cli/job_commands.py
+++ b/laburnumsill/cli/job_commands.py
@@ -26,6 +26,7 @@
         guaranteed: str | None = None,
         estimated_run_s: str | None = None,
         run_s: str | None = None,
+        urgent: str | None = None,
         command: str | None = None,
         key: str | None = None,
     ) -> sessions.Action:
@@ -37,10 +38,11 @@
             accelerators: Accelerators of one task.
             cores: Processor cores of one task.
             memory_gb: Memory of one task in GB.
-            adjacency: How near the tasks must be to each other.
+            adjacency: rack for one rack, any for anywhere in a domain.
             guaranteed: Whether it may claim the account's guarantee.
             estimated_run_s: Expected run time in seconds; nothing rests on it.
-            run_s: Run time that a fake worker simulates, in seconds.
+            run_s: Run time in seconds, passed to the workers.
+            urgent: Whether it goes before the account's other jobs.
             command: What the tasks run.
             key: The Idempotency-Key of a submission whose answer was lost.
         """
@@ -64,8 +66,12 @@
                 if time is not None:
                     flag = "--" + name.replace("_", "-")
                     body[name] = values.seconds(flag, time)
-            if guaranteed is not None:
-                body["guaranteed"] = values.truth("--guaranteed", guaranteed)
+            for name, truth in (
+                ("guaranteed", guaranteed),
+                ("urgent", urgent),
+            ):
+                if truth is not None:
+                    body[name] = values.truth(f"--{name}", truth)
             if adjacency is not None:
                 body["adjacency"] = adjacency
             if command is not None:
@@ -91,18 +97,24 @@
 
     @decorators.SetParseFn(str)
     def list(
-        self, account: str | None = None, state: str | None = None
+        self,
+        account: str | None = None,
+        state: str | None = None,
+        limit: str | None = None,
     ) -> sessions.Action:
         """Lists jobs.
 
         Args:
             account: Only this account's.
             state: Only those in this state.
+            limit: At most so many, the newest first.
         """
 
         def run() -> None:
-            found = self._session.get("/v1/jobs", account=account, state=state)
-            self._session.show(sessions.records(found))
+            found = self._session.get(
+                "/v1/jobs", account=account, state=state, limit=limit
+            )
+            self._session.show_list(found)
 
         return sessions.Action(run)
 
--- a/laburnumsill/cli/main.py
+++ b/laburnumsill/cli/main.py
@@ -65,7 +65,8 @@
     except SystemExit as error:
         return error.code if isinstance(error.code, int) else 1
     if not isinstance(result, sessions.Action):
-        return failures.EXIT_USAGE
+        asked = not HELP_FLAGS.isdisjoint(arguments)
+        return failures.EXIT_DONE if asked else failures.EXIT_USAGE
     try:
         sessions.execute(result)
     except errors.LaburnumsillError as error:
@@ -84,6 +85,8 @@
 def _parsed(arguments: abc.Sequence[str]) -> object:
     """Returns what Fire makes of a command line, an action if it is whole."""
     wants_help = not HELP_FLAGS.isdisjoint(arguments)
+    if wants_help and len(arguments) == 1:
+        arguments = ()  # the list of commands, which Fire shows without words
     helped = contextlib.redirect_stderr(sys.stdout)
     with helped if wants_help else contextlib.nullcontext():
         return fire.Fire(
--- a/laburnumsill/cli/request_commands.py
+++ b/laburnumsill/cli/request_commands.py
@@ -8,9 +8,7 @@
 from laburnumsill.cli import values
 from laburnumsill.core import ids
 
-OUTCOME_HEADER = "laburnumsill-outcome"
 REQUEST_ID_HEADER = "laburnumsill-request-id"
-OUTCOME_UNKNOWN = "unknown"
 
 _ERROR_STATUS = 400
 
@@ -92,7 +90,9 @@
 
     def _show(self, answer: clients.Answer, key: str) -> None:
         """Prints an answer, and raises what its outcome stands for."""
-        outcome = answer.headers.get(OUTCOME_HEADER, OUTCOME_UNKNOWN)
+        outcome = answer.headers.get(
+            clients.OUTCOME_HEADER, clients.OUTCOME_UNKNOWN
+        )
         self._session.show(
             {
                 "status": answer.status,
@@ -103,7 +103,7 @@
                 "body": answer.body.decode(errors="replace"),
             }
         )
-        if outcome == OUTCOME_UNKNOWN:
+        if outcome == clients.OUTCOME_UNKNOWN:
             raise failures.UnansweredError(
                 f"the request may have run; ask with: request show {key}"
             )
--- a/laburnumsill/cli/session.py
+++ b/laburnumsill/cli/session.py
@@ -100,6 +100,17 @@
         text = output.as_json if format == "json" else output.as_table
         print(text(value))
 
+    def show_list(self, answer: typing.Any) -> None:
+        """Prints a list, and in a table what else the answer says."""
+        found = records(answer)
+        if self.as_json or found is answer:
+            self.show(answer)
+            return
+        self.show(found)
+        for name, value in answer.items():
+            if value and value is not found:
+                self.show({name: value})
+
     @property
     def as_json(self) -> bool:
         """Whether results are printed as JSON."""
@@ -122,10 +133,20 @@
     return urllib.parse.quote(part, safe="")
 
 
-def records(value: typing.Any) -> typing.Any:
-    """Returns the list in an answer that wraps one, else the answer."""
-    if isinstance(value, dict) and len(value) == 1:
-        (only,) = value.values()
-        if isinstance(only, list):
-            return only
-    return value
+def records(answer: typing.Any) -> typing.Any:
+    """Returns the list of records in an answer, else the answer.
+
+    Examples:
+        >>> records({"jobs": [{"job_id": "north.1"}], "unavailable": []})
+        [{'job_id': 'north.1'}]
+    """
+    if not isinstance(answer, dict):
+        return answer
+    lists = [value for value in answer.values() if _has_records(value)]
+    return lists[0] if len(lists) == 1 else answer
+
+
+def _has_records(value: object) -> bool:
+    return isinstance(value, list) and any(
+        isinstance(item, dict) for item in value
+    )
--- a/laburnumsill/cli/site_commands.py
+++ b/laburnumsill/cli/site_commands.py
@@ -23,7 +23,7 @@
 
         def run() -> None:
             found = self._session.get("/v1/accounts")
-            self._session.show(sessions.records(found))
+            self._session.show_list(found)
 
         return sessions.Action(run)
 
@@ -58,7 +58,7 @@
 
         def run() -> None:
             found = self._session.get("/v1/backend-servers", service=service)
-            self._session.show(sessions.records(found))
+            self._session.show_list(found)
 
         return sessions.Action(run)
 
@@ -72,7 +72,7 @@
 
         def run() -> None:
             found = self._session.get("/v1/workers", domain=domain)
-            self._session.show(sessions.records(found))
+            self._session.show_list(found)
 
         return sessions.Action(run)
 
--- a/laburnumsill/cli/tests/test_main.py
+++ b/laburnumsill/cli/tests/test_main.py
@@ -212,6 +212,7 @@
         shown = capsys.readouterr().out
         assert "EXIT CODES" in shown
         assert "FIRE" not in shown
+        assert command or "config\n" in shown
     assert "--accelerators" in shown
 
 
@@ -262,10 +263,13 @@
         "guaranteed": True,
         "command": "train 7",
     }
-    vms[0].reply({"jobs": [{"job_id": "north.1", "state": "running"}]})
+    listed = [{"job_id": "north.1", "state": "running"}]
+    vms[0].reply({"jobs": listed, "unavailable": ["south"]})
     assert run("job", "list", "--account=a", at=vms) == 0
     assert vms[0].seen[1][1] == "/v1/jobs?account=a"
-    assert "JOB ID" in capsys.readouterr().out
+    shown = capsys.readouterr().out
+    assert "JOB ID" in shown
+    assert "south" in shown
     vms[0].reply({"state": "cancelled"})
     assert run("job", "cancel", "north.1", at=vms) == 0
     assert vms[0].seen[2][:2] == ("DELETE", "/v1/jobs/north.1")
@@ -297,6 +301,14 @@
     assert run("request", "send", "booking", at=vms) == 4
 
 
+def test_a_problem_of_the_backend_server_itself_is_final(vms):
+    extra = {"Content-Type": "application/problem+json"}
+    extra["Laburnumsill-Outcome"] = "answered"
+    vms[0].answers.append((503, {"type": "theirs/unavailable"}, extra))
+    assert run("request", "send", "booking", at=vms) == 1
+    assert not vms[1].seen
+
+
 def test_check_and_group_status_ask_every_vm(vms, dead, capsys):
     vms[0].reply({"vm": "vm1", "ready": True})
     vms[1].problem("not-ready", 503, vm="vm2")
