Refuse pushes that name domains without VMs or change the set of domains

Cause: the home of a key is a hash over the configuration's domains. Another set would silently give keys another home, where a request that must run at most once could run again; a domain without VMs has no group at all. Ruled out: the check in the state machine, which would have to read bodies there and so differ between program versions; the expected version pins what is compared, so the check before the proposal is free of races.

--- a/laburnumsill/api/configuration.py
+++ b/laburnumsill/api/configuration.py
@@ -14,6 +14,7 @@
 from laburnumsill.api import problems
 from laburnumsill.config import canonical
 from laburnumsill.config import current as current_configuration
+from laburnumsill.config import models
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import errors
 from laburnumsill.core import ids
@@ -62,6 +63,24 @@
         """Returns what each VM last said is in force there."""
 
 
+class UnknownDomainsError(errors.InvalidConfigurationError):
+    """A configuration names a failure domain that has no VM."""
+
+    slug = "unknown-domains"
+    title = "No VM is in the failure domain"
+
+
+class DomainsChangedError(errors.InvalidConfigurationError):
+    """A configuration has other failure domains than the one before.
+
+    The home of a key is a hash over them; with another set a request that
+    must run at most once could find another home and run again.
+    """
+
+    slug = "domains-changed"
+    title = "The failure domains cannot be changed"
+
+
 class Push(pydantic.BaseModel):
     """The body of a push."""
 
@@ -114,7 +133,10 @@
     async def push(self, request: requests.Request) -> responses.Response:
         """Pushes a version; a resend with the same key gets one answer."""
         sent = await problems.read_model(request, Push)
-        command = self._command(sent, request.headers.get("Idempotency-Key"))
+        pushed = canonical.from_values(sent.configuration)
+        await self._check_domains(pushed, sent.expected_version)
+        key = request.headers.get("Idempotency-Key")
+        command = self._command(sent, pushed, key)
         accepted = await self._propose(command)
         self._sync.offer(
             configuration.AcceptedConfiguration(
@@ -195,10 +217,9 @@
         )
 
     def _command(
-        self, sent: Push, key: str | None
+        self, sent: Push, pushed: models.Configuration, key: str | None
     ) -> configuration.PushConfiguration:
-        models = canonical.from_values(sent.configuration)
-        body = canonical.encode(models)
+        body = canonical.encode(pushed)
         digest = canonical.digest(body)
         derived = f"{sent.expected_version}/{digest}/{sent.operator}"
         return configuration.PushConfiguration(
@@ -210,6 +231,49 @@
             sent.operator,
         )
 
+    async def _check_domains(
+        self, pushed: models.Configuration, expected_version: int
+    ) -> None:
+        """Checks the failure domains against the VMs and the version before.
+
+        Raises:
+            UnknownDomainsError: One has no VM, so no group either.
+            DomainsChangedError: They are not those of the version before.
+        """
+        known = {vm.domain for vm in self._sync.status()}
+        unknown = sorted(set(pushed.domains) - known)
+        if unknown:
+            raise UnknownDomainsError(
+                f"domains: got {unknown[0]!r}, expected one of"
+                f" {', '.join(sorted(known))}",
+                key="domains",
+                value=unknown[0],
+            )
+        before = await self._domains_of(expected_version)
+        if before and before != set(pushed.domains):
+            raise DomainsChangedError(
+                f"domains: got {', '.join(sorted(pushed.domains))}, expected"
+                f" {', '.join(sorted(before))} as in version"
+                f" {expected_version}",
+                key="domains",
+            )
+
+    async def _domains_of(self, version: int) -> set[str]:
+        """Returns a version's domains, none if it is not kept.
+
+        One that is not kept is not the newest, so the push is refused later
+        or was accepted before.
+        """
+        if not version:
+            return set()
+        try:
+            accepted: configuration.AcceptedConfiguration = await self._query(
+                configuration.ReadVersion(version), CALL_TIMEOUT_S
+            )
+        except errors.NotFoundError:
+            return set()
+        return set(canonical.decode(accepted.body).domains)
+
     async def _propose(
         self, command: configuration.PushConfiguration
     ) -> configuration.PushAccepted:
--- a/laburnumsill/api/tests/test_configuration.py
+++ b/laburnumsill/api/tests/test_configuration.py
@@ -18,7 +18,10 @@
 class InForce(configuration_api.InForce):
     def __init__(self):
         self.offered = []
-        self.vms = []
+        self.vms = [
+            configuration_api.VmInForce("vm1", "north", True, 1, "d"),
+            configuration_api.VmInForce("vm2", "south", False, 0, ""),
+        ]
 
     def offer(self, accepted):
         self.offered.append(accepted)
@@ -82,10 +85,12 @@
         await self.router(scope, receive, send)
         return sent[0]["status"], json.loads(sent[1]["body"])
 
-    async def push(self, expected, site="shore", operator="ann", key=""):
+    async def push(
+        self, expected, site="shore", operator="ann", key="", domains=("north",)
+    ):
         body = {
             "expected_version": expected,
-            "configuration": {**GOOD, "site": site},
+            "configuration": {**GOOD, "site": site, "domains": domains},
             "operator": operator,
         }
         return await self.send("PUT", "/v1/config", body, key)
@@ -175,13 +180,23 @@
     assert api.log.version == 0
 
 
+async def test_domains_are_those_of_the_vms_and_stay():
+    api = Api()
+    status, problem = await api.push(0, domains=["north", "nowhere"])
+    assert (status, problem["value"]) == (422, "nowhere")
+    assert (await api.push(0, key="k1"))[0] == 200
+    status, problem = await api.push(1, domains=["north", "south"])
+    assert problem["type"].endswith("/domains-changed")
+    for version in range(1, 12):
+        assert (await api.push(version, f"s{version}"))[0] == 200
+    assert (await api.push(0, key="k1"))[1]["version"] == 1
+    assert (await api.push(1, domains=["south"]))[0] == 409
+    assert api.log.version == 12
+
+
 async def test_status_names_what_is_behind_and_unreachable():
     api = Api()
     await api.push(0)
-    api.sync.vms = [
-        configuration_api.VmInForce("vm1", "north", True, 1, "d"),
-        configuration_api.VmInForce("vm2", "south", False, 0, ""),
-    ]
     _, answer = await api.send("GET", "/v1/config/status")
     assert answer["accepted_version"] == 1
     assert answer["domains_behind"] == ["south"]
