--- /dev/null
+++ b/laburnumsill/jobs/fit.py
@@ -0,0 +1,127 @@
+"""Finding free slots: best fit that keeps whole workers and racks whole."""
+
+from collections import abc
+
+from laburnumsill.state import jobs_messages
+from laburnumsill.state import workers
+
+Slots = tuple[jobs_messages.Slot, ...]
+
+
+def find_free(
+    pool: workers.Pool,
+    spec: jobs_messages.JobSpec,
+    avoid: abc.Collection[str] = (),
+) -> Slots | None:
+    """Returns free slots for all tasks of a borrowing job, or None.
+
+    The fullest rack that can hold the gang is taken, and within it the
+    fullest workers; a single task goes to a worker already in use before it
+    breaks a whole one. Only racks that have room by the indexes are looked
+    at.
+
+    Args:
+        pool: The workers.
+        spec: The job.
+        avoid: Workers not to use, such as those it failed on.
+    """
+    for rack in _candidates(pool, spec):
+        slots = pack(rack.workers.values(), spec, spec.tasks, avoid)
+        if slots is not None:
+            return slots
+    if spec.adjacency == "any" and spec.tasks > 1:
+        return _scatter(pool, spec, avoid)
+    return None
+
+
+def _candidates(
+    pool: workers.Pool, spec: jobs_messages.JobSpec
+) -> abc.Iterator[workers.Rack]:
+    if not spec.accelerators:
+        cores = max(1, spec.cores) * spec.tasks
+        yield from pool.cpu_only_with(cores)
+        yield from pool.racks_with_cores(cores)
+        return
+    if spec.tasks == 1:
+        yield from pool.broken_racks_with(spec.accelerators)
+    yield from pool.racks_with(spec.tasks, spec.accelerators)
+
+
+def pack(
+    candidates: abc.Iterable[workers.WorkerRecord],
+    spec: jobs_messages.JobSpec,
+    count: int,
+    avoid: abc.Collection[str] = (),
+) -> Slots | None:
+    """Returns `count` free slots on the given workers, or None.
+
+    The rest that fits on one worker goes to the fullest one that holds it;
+    until then the emptiest worker takes as many as it can, which spreads a
+    gang over the fewest workers.
+    """
+    rooms = []
+    for worker in candidates:
+        if not worker.usable or worker.announced.worker_id in avoid:
+            continue
+        room = worker.room(spec)
+        if room:
+            free = worker.free_mask.bit_count()
+            rooms.append((room, free, worker.announced.worker_id, worker))
+    if sum(room for room, *_ in rooms) < count:
+        return None
+    rooms.sort(key=lambda entry: entry[:3])
+    slots: list[jobs_messages.Slot] = []
+    while len(slots) < count:
+        left = count - len(slots)
+        enough = (n for n, entry in enumerate(rooms) if entry[0] >= left)
+        place = next(enough, len(rooms) - 1)
+        room, _, _, worker = rooms.pop(place)
+        slots += slots_on(worker, spec, min(room, left))
+    return tuple(slots)
+
+
+def slots_on(
+    worker: workers.WorkerRecord, spec: jobs_messages.JobSpec, count: int
+) -> list[jobs_messages.Slot]:
+    """Returns `count` free slots of one worker, which must have room."""
+    free = worker.free_mask
+    slots = []
+    for _ in range(count):
+        mask = workers.choose_mask(free, spec.accelerators)
+        free &= ~mask
+        slots.append(jobs_messages.Slot(worker.announced.worker_id, mask))
+    return slots
+
+
+def _scatter(
+    pool: workers.Pool,
+    spec: jobs_messages.JobSpec,
+    avoid: abc.Collection[str],
+) -> Slots | None:
+    """Returns slots in several racks, for a gang that may be apart."""
+    slots: list[jobs_messages.Slot] = []
+    one = spec.accelerators
+    racks = (
+        pool.racks_with(1, one) if one else pool.racks_with_cores(spec.cores)
+    )
+    for rack in racks:
+        for worker in rack.workers.values():
+            if not worker.usable or worker.announced.worker_id in avoid:
+                continue
+            left = spec.tasks - len(slots)
+            slots += slots_on(worker, spec, min(worker.room(spec), left))
+            if len(slots) == spec.tasks:
+                return tuple(slots)
+    return None
+
+
+def ever_fits(
+    candidates: abc.Iterable[workers.WorkerRecord],
+    spec: jobs_messages.JobSpec,
+) -> bool:
+    """Returns whether empty workers of these racks could hold the gang."""
+    by_rack: dict[str, int] = {}
+    for worker in candidates:
+        rack = worker.announced.rack if spec.adjacency == "rack" else ""
+        by_rack[rack] = by_rack.get(rack, 0) + worker.size(spec)
+    return any(room >= spec.tasks for room in by_rack.values())
--- /dev/null
+++ b/laburnumsill/jobs/planner.py
@@ -0,0 +1,336 @@
+"""The planner: what to do next in a domain, from its state, time and policy.
+
+A pass yields commands one by one. The caller applies each before it asks
+for the next, so every step sees the state that the one before has left.
+Nothing here does I/O, and no step looks at all jobs or all workers.
+"""
+
+import dataclasses
+import heapq
+from collections import abc
+
+from laburnumsill.jobs import claims
+from laburnumsill.jobs import drains
+from laburnumsill.jobs import eviction
+from laburnumsill.jobs import fit
+from laburnumsill.jobs import order
+from laburnumsill.jobs import policy as policies
+from laburnumsill.state import jobs_book
+from laburnumsill.state import jobs_messages
+from laburnumsill.state import jobs_queue
+from laburnumsill.state import placements
+
+MAX_DRAINS = 2
+"""Gangs that slots are drained for at a time."""
+
+STOP_FACTOR = 2.0
+"""A gang that has waited this many bounds has borrowers stopped for it."""
+
+URGENT_CHECKPOINT_S = 1.0
+"""Time in seconds that borrowers have to save work for an urgent claim."""
+
+Command = (
+    jobs_messages.PlaceJob
+    | jobs_messages.HoldSlots
+    | jobs_messages.DropHold
+    | jobs_messages.ReturnWorker
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Step:
+    """A command to propose, and why, for the log of decisions."""
+
+    command: Command
+    why: str
+
+
+@dataclasses.dataclass(slots=True)
+class Memory:
+    """What a pass need not try again until something becomes free.
+
+    Attributes:
+        freed: `Pool.freed` when the rest was noted.
+        full: Shapes that no free slots were found for.
+        stuck: Accounts and shapes that no claim was found for.
+    """
+
+    freed: int = -1
+    full: set[jobs_queue.Shape] = dataclasses.field(default_factory=set)
+    stuck: set[tuple[str, jobs_queue.Shape]] = dataclasses.field(
+        default_factory=set
+    )
+
+    def refresh(self, freed: int) -> None:
+        """Forgets everything if something became free since."""
+        if freed != self.freed:
+            self.freed = freed
+            self.full.clear()
+            self.stuck.clear()
+
+
+class Planner:
+    """Plans for one domain."""
+
+    def __init__(self) -> None:
+        self._memory = Memory()
+
+    def steps(
+        self, book: jobs_book.JobBook, policy: policies.Policy, now: float
+    ) -> abc.Iterator[Step]:
+        """Yields what to do now, the most urgent first.
+
+        Args:
+            book: The domain's state; it changes between two steps.
+            policy: Weights and limits.
+            now: Wall time.
+        """
+        self._memory.refresh(book.pool.freed)
+        yield from self._held(book, now)
+        yield from self._guaranteed(book, policy, now)
+        yield from self._drains(book, policy, now)
+        yield from self._borrowers(book, policy, now)
+
+    def _held(self, book: jobs_book.JobBook, now: float) -> abc.Iterator[Step]:
+        """Places the jobs whose held slots have become free."""
+        for job in list(book.held.values()):
+            if job.hold and is_free(book, job):
+                yield Step(
+                    jobs_messages.PlaceJob(
+                        job.job_id, job.epoch + 1, job.hold, now
+                    ),
+                    "held-slots-free",
+                )
+
+    def _guaranteed(
+        self, book: jobs_book.JobBook, policy: policies.Policy, now: float
+    ) -> abc.Iterator[Step]:
+        """Claims cells, account by account, in order of submission.
+
+        A claim that does not fit its account's guarantee now lets smaller
+        ones past until it has waited for the gang bound.
+        """
+        for account in book.queue.accounts(guaranteed=True):
+            line = book.queue.line(True, account)
+            while line is not None:
+                step = self._claim(book, line, account, policy, now)
+                if step is None:
+                    break
+                yield step
+                line = book.queue.line(True, account)
+
+    def _claim(
+        self,
+        book: jobs_book.JobBook,
+        line: jobs_queue.Line,
+        account: str,
+        policy: policies.Policy,
+        now: float,
+    ) -> Step | None:
+        for shape, job_id in line.heads():
+            job = book.jobs[job_id]
+            if job.hold:
+                continue
+            if (account, shape) not in self._memory.stuck:
+                claim = claims.find_claim(book, job, now)
+                if claim is not None:
+                    return claim_step(job, claim, policy, now)
+                self._memory.stuck.add((account, shape))
+            if now - job.submitted_at > policy.gang_wait_bound_s:
+                return None
+        return None
+
+    def _drains(
+        self, book: jobs_book.JobBook, policy: policies.Policy, now: float
+    ) -> abc.Iterator[Step]:
+        """Keeps slots for the borrowing gang that waited longest."""
+        draining = [j for j in book.held.values() if not j.spec.guaranteed]
+        for job in draining:
+            step = self._hasten(book, job, policy, now)
+            if step is not None:
+                yield step
+        if len(draining) >= MAX_DRAINS:
+            return
+        gang = self._longest_waiting(book, policy, now)
+        if gang is None:
+            return
+        free = fit.find_free(book.pool, gang.spec, avoided(book, gang))
+        room = drains.find_drain(book, gang, now) if free is None else None
+        if room is not None:
+            yield Step(
+                jobs_messages.HoldSlots(
+                    gang.job_id,
+                    gang.epoch,
+                    room.slots,
+                    bind=(),
+                    victims=(),
+                    reason=jobs_messages.StopReason.DRAINED,
+                    checkpoint_until=0.0,
+                    now=now,
+                ),
+                "gang-waited-past-bound",
+            )
+
+    def _hasten(
+        self,
+        book: jobs_book.JobBook,
+        job: placements.Job,
+        policy: policies.Policy,
+        now: float,
+    ) -> Step | None:
+        """Stops what still runs on slots that drain for too long."""
+        waited = now - job.submitted_at
+        if waited < STOP_FACTOR * policy.gang_wait_bound_s:
+            return None
+        victims = in_way(book, job)
+        if not victims:
+            return None
+        return Step(
+            jobs_messages.HoldSlots(
+                job.job_id,
+                job.epoch,
+                job.hold,
+                bind=(),
+                victims=victims,
+                reason=jobs_messages.StopReason.DRAINED,
+                checkpoint_until=now + policy.checkpoint_timeout_s,
+                now=now,
+            ),
+            "drain-took-too-long",
+        )
+
+    def _longest_waiting(
+        self, book: jobs_book.JobBook, policy: policies.Policy, now: float
+    ) -> placements.Job | None:
+        """Returns the oldest borrowing gang past the bound, without hold."""
+        oldest: placements.Job | None = None
+        for account in book.queue.accounts(guaranteed=False):
+            line = book.queue.line(False, account)
+            if line is None:
+                continue
+            for number, (_, job_id) in enumerate(line.heads()):
+                if number >= order.LOOKAHEAD:
+                    break
+                job = book.jobs[job_id]
+                if job.hold or job.spec.total_accelerators < 2:
+                    continue
+                if oldest is None or job.submitted_at < oldest.submitted_at:
+                    oldest = job
+        if oldest is None:
+            return None
+        waited = now - oldest.submitted_at
+        return oldest if waited > policy.gang_wait_bound_s else None
+
+    def _borrowers(
+        self, book: jobs_book.JobBook, policy: policies.Policy, now: float
+    ) -> abc.Iterator[Step]:
+        """Places borrowing jobs, the account with the least share first."""
+        heap = order.accounts_by_share(book, policy)
+        while heap:
+            _, account = heapq.heappop(heap)
+            step = self._borrow(book, account, policy, now)
+            if step is None:
+                continue
+            yield step
+            share = order.share_of(book, policy, account)
+            heapq.heappush(heap, (share, account))
+
+    def _borrow(
+        self,
+        book: jobs_book.JobBook,
+        account: str,
+        policy: policies.Policy,
+        now: float,
+    ) -> Step | None:
+        line = book.queue.line(False, account)
+        if line is None:
+            return None
+        for shape, job in order.ordered_heads(book, line, policy, now):
+            if shape in self._memory.full and not job.failed_on:
+                continue
+            slots = fit.find_free(book.pool, job.spec, avoided(book, job))
+            if slots is not None:
+                return Step(
+                    jobs_messages.PlaceJob(
+                        job.job_id, job.epoch + 1, slots, now
+                    ),
+                    "best-fit",
+                )
+            if not job.failed_on:
+                self._memory.full.add(shape)
+        return None
+
+
+def avoided(
+    book: jobs_book.JobBook, job: placements.Job
+) -> abc.Collection[str]:
+    """Returns the workers that a job failed on, unless it needs them."""
+    if not job.failed_on:
+        return ()
+    failed = set(job.failed_on)
+    others = (
+        worker
+        for worker_id, worker in book.pool.workers.items()
+        if worker_id not in failed and worker.usable
+    )
+    return failed if fit.ever_fits(others, job.spec) else ()
+
+
+def claim_step(
+    job: placements.Job,
+    claim: claims.Claim,
+    policy: policies.Policy,
+    now: float,
+) -> Step:
+    """Returns the placement, or the hold that stops those in the way."""
+    room = claim.room
+    if room.ready:
+        place = jobs_messages.PlaceJob(
+            job.job_id, job.epoch + 1, room.slots, now, claim.bind
+        )
+        return Step(place, "guarantee-free")
+    time_to_save = policy.checkpoint_timeout_s
+    if job.spec.urgent:
+        time_to_save = min(time_to_save, URGENT_CHECKPOINT_S)
+    return Step(
+        jobs_messages.HoldSlots(
+            job.job_id,
+            job.epoch,
+            room.slots,
+            claim.bind,
+            room.victims,
+            jobs_messages.StopReason.RECLAIMED,
+            checkpoint_until=now + time_to_save,
+            now=now,
+        ),
+        "guarantee-reclaimed",
+    )
+
+
+def in_way(book: jobs_book.JobBook, job: placements.Job) -> tuple[str, ...]:
+    """Returns the borrowers that still run on a job's held slots."""
+    costs = eviction.Costs(book, 0.0)
+    chunks = [
+        eviction.Chunk(0.0, slot.worker_id, slot.mask) for slot in job.hold
+    ]
+    room = eviction.settle(book, job, chunks, costs)
+    return room.victims if room is not None else ()
+
+
+def is_free(book: jobs_book.JobBook, job: placements.Job) -> bool:
+    """Returns whether all held slots of a job can be taken now."""
+    counts: dict[str, int] = {}
+    for slot in job.hold:
+        worker = book.pool.workers[slot.worker_id]
+        if worker.used_mask & slot.mask or not worker.usable:
+            return False
+        counts[slot.worker_id] = counts.get(slot.worker_id, 0) + 1
+    for worker_id, count in counts.items():
+        worker = book.pool.workers[worker_id]
+        own = worker.announced
+        if own.cores - worker.used_cores < count * job.spec.cores:
+            return False
+        memory_gb = own.memory_gb - worker.used_memory_gb
+        if memory_gb < count * job.spec.memory_gb:
+            return False
+    return True
--- /dev/null
+++ b/laburnumsill/jobs/tests/test_scheduler.py
@@ -0,0 +1,181 @@
+import pytest
+import trio
+
+from laburnumsill.core import errors
+from laburnumsill.jobs.tests import fakes
+from laburnumsill.state import jobs_messages
+
+State = jobs_messages.JobState
+
+
+def pool(count=4, rack="r1", prefix="w"):
+    return [fakes.worker(f"{prefix}{n}", rack) for n in range(count)]
+
+
+async def test_a_gang_runs_whole_and_succeeds():
+    domain = fakes.Domain(pool())
+    async with domain.running():
+        view = await domain.submit(tasks=2, accelerators=8, run_s=0.2)
+        assert view.job_id.startswith("north.")
+        view = await domain.reaches(view.job_id, State.RUNNING)
+        assert len(set(view.workers)) == 2
+        await domain.reaches(view.job_id, State.SUCCEEDED)
+    assert len(domain.started(view.job_id)) == 2
+    assert domain.ledgers["north"].book.pool.free_accelerators == 32
+
+
+async def test_leases_are_renewed_while_it_runs():
+    domain = fakes.Domain(pool(1))
+    async with domain.running():
+        view = await domain.submit(accelerators=8, run_s=1.5)
+        view = await domain.reaches(view.job_id, State.SUCCEEDED)
+    assert view.epoch == 1
+
+
+async def test_the_same_key_is_the_same_job():
+    domain = fakes.Domain(pool(1))
+    first = await domain.submit()
+    assert (await domain.submit()).job_id == first.job_id
+    with pytest.raises(errors.KeyReusedError):
+        await domain.submit(tasks=2)
+    domain.view.present.clear()
+    assert (await domain.submit()).job_id == first.job_id
+
+
+async def test_impossible_jobs_are_refused_with_the_reason():
+    domain = fakes.Domain(pool(2))
+    with pytest.raises(errors.JobImpossibleError, match="never holds 3"):
+        await domain.submit(tasks=3, accelerators=8)
+    with pytest.raises(errors.JobImpossibleError, match="9 accelerators"):
+        await domain.submit(accelerators=9)
+    with pytest.raises(errors.JobImpossibleError, match="no guarantee"):
+        await domain.submit(guaranteed=True)
+    with pytest.raises(errors.UnknownNameError):
+        await domain.submit(account="nobody")
+    domain.view.present.clear()
+    with pytest.raises(errors.UnavailableError):
+        await domain.submit()
+
+
+async def test_a_cancelled_job_never_runs_again():
+    domain = fakes.Domain(pool(1))
+    async with domain.running():
+        running = await domain.submit("a", accelerators=8)
+        await domain.reaches(running.job_id, State.RUNNING)
+        queued = await domain.submit("b", accelerators=8, run_s=0.1)
+        view = await domain.service.cancel(queued.job_id)
+        assert view.state == State.CANCELLED
+        view = await domain.service.cancel(running.job_id)
+        assert view.state == State.CANCELLED
+        assert not domain.live_tasks(running.job_id)
+        await trio.sleep(0.3)
+    assert not domain.started(queued.job_id)
+    assert len(domain.started(running.job_id)) == 1
+
+
+async def test_a_refusing_member_stops_the_whole_gang():
+    domain = fakes.Domain(pool(3))
+    domain.client.refusing["w0"] = {"start"}
+    async with domain.running():
+        view = await domain.submit(tasks=3, accelerators=1, cores=100)
+        view = await domain.reaches(view.job_id, State.FAILED)
+        assert view.failed_tries == 3
+        assert not domain.live_tasks(view.job_id)
+
+
+async def test_a_lost_worker_stops_the_gang_and_it_runs_elsewhere():
+    domain = fakes.Domain(pool(3))
+    async with domain.running():
+        view = await domain.submit(tasks=2, accelerators=8)
+        view = await domain.reaches(view.job_id, State.RUNNING)
+        lost = view.workers[0]
+        domain.client.dead.add(lost)
+        domain.view.present = [
+            w for w in domain.view.present if w.worker_id != lost
+        ]
+        await domain.reaches(
+            view.job_id, State.STOPPING, State.QUEUED, State.PREPARING
+        )
+        view = await domain.reaches(view.job_id, State.RUNNING)
+        assert lost not in view.workers
+        assert view.epoch == 2
+        await domain.has_live(view.job_id, 2)
+        epochs = {task.epoch for task in domain.live_tasks(view.job_id)}
+        assert epochs == {2}
+
+
+async def test_lost_answers_do_not_split_a_gang():
+    domain = fakes.Domain(pool(2))
+    domain.client.deaf["w0"] = {"prepare", "start"}
+
+    async def hear_again():
+        await trio.sleep(0.25)
+        domain.client.deaf["w0"] = set()
+
+    async with domain.running() as nursery:
+        nursery.start_soon(hear_again)
+        view = await domain.submit(tasks=2, accelerators=8, run_s=0.3)
+        await domain.reaches(view.job_id, State.SUCCEEDED)
+
+
+async def test_a_new_leader_goes_on_from_the_committed_state():
+    domain = fakes.Domain(pool(2))
+    async with domain.running():
+        view = await domain.submit(tasks=2, accelerators=8, run_s=2.0)
+        await domain.reaches(view.job_id, State.RUNNING)
+    domain.schedulers = [domain.scheduler()]
+    async with domain.running():
+        view = await domain.reaches(view.job_id, State.SUCCEEDED)
+    assert view.epoch == 1
+    assert len(domain.started(view.job_id)) == 2
+
+
+async def test_a_claim_takes_the_guarantee_back_from_borrowers():
+    config = fakes.configuration(tana={"guarantee": {"north": {"workers": 2}}})
+    domain = fakes.Domain(pool(2), config)
+    async with domain.running():
+        borrowers = [
+            await domain.submit(f"b{n}", account="fingal", accelerators=4)
+            for n in range(4)
+        ]
+        for view in borrowers:
+            await domain.reaches(view.job_id, State.RUNNING)
+        claim = await domain.submit(tasks=2, accelerators=8, guaranteed=True)
+        await domain.reaches(claim.job_id, State.RUNNING, seconds=5)
+        for view in borrowers:
+            assert await domain.state(view.job_id) == State.QUEUED
+        assert not any(domain.live_tasks(v.job_id) for v in borrowers)
+        await domain.service.cancel(claim.job_id)
+        for view in borrowers:
+            await domain.reaches(view.job_id, State.RUNNING)
+    assert not domain.ledgers["north"].book.cells.bound
+
+
+async def test_a_worker_that_fails_everything_is_set_aside():
+    domain = fakes.Domain(pool(3))
+    domain.client.tables["w0"].crash_after_s = 0.01
+    async with domain.running():
+        views = [
+            await domain.submit(f"j{n}", accelerators=2, run_s=0.3)
+            for n in range(12)
+        ]
+        for view in views:
+            await domain.reaches(view.job_id, State.SUCCEEDED, seconds=20)
+    aside = domain.ledgers["north"].book.pool.workers["w0"]
+    assert aside.aside_until > 0
+
+
+async def test_jobs_are_spread_over_domains_with_room():
+    workers = pool(1) + [
+        fakes.worker("s0", "r1", "south"),
+        fakes.worker("s1", "r1", "south"),
+    ]
+    domain = fakes.Domain(workers, fakes.configuration(("north", "south")))
+    homes = [
+        (await domain.submit(f"j{n}", accelerators=8)).domain for n in range(3)
+    ]
+    assert sorted(homes) == ["north", "south", "south"]
+    domain.groups.unavailable.add("domain.north")
+    listing = await domain.service.list_jobs()
+    assert len(listing.jobs) == 2
+    assert listing.unavailable == ("north",)
--- /dev/null
+++ b/laburnumsill/state/jobs.py
@@ -0,0 +1,519 @@
+"""The job ledger: the replicated state of a failure domain's jobs."""
+
+import collections
+import dataclasses
+import typing
+
+from laburnumsill.core import codec
+from laburnumsill.core import errors
+from laburnumsill.core import members
+from laburnumsill.core import replication
+from laburnumsill.state import jobs_book
+from laburnumsill.state import jobs_health
+from laburnumsill.state import jobs_messages
+from laburnumsill.state import placements
+from laburnumsill.state import workers
+
+JobState = jobs_messages.JobState
+StopReason = jobs_messages.StopReason
+
+JOB_RETENTION_S = 86_400.0
+"""How long a job that has ended is remembered, in seconds."""
+
+KEY_RETENTION_S = 3 * 86_400.0
+"""How long the home chosen for a submission key is remembered."""
+
+_HEALTH = ("failed_jobs", "aside_until", "asides", "gone")
+
+
+class StaleLeaderError(errors.ConflictError):
+    """A leader of an older term tried to extend leases."""
+
+    slug = "stale-leader"
+    title = "Another leader has taken over"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyRecord:
+    """The home that was chosen for a submission key."""
+
+    domain: str
+    digest: str
+    recorded_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerState:
+    """What a snapshot holds of a worker; the rest is derived."""
+
+    announced: members.Worker
+    failed_jobs: list[str]
+    aside_until: float
+    asides: int
+    gone: bool
+
+
+@codec.register("jobs.ledger")
+@dataclasses.dataclass(frozen=True, slots=True)
+class LedgerDump:
+    """The whole state of a ledger."""
+
+    jobs: list[placements.Job]
+    workers: list[WorkerState]
+    keys: dict[str, KeyRecord]
+    guarantees: dict[str, tuple[int, int, int, int]]
+    guarantees_version: int
+    bound: dict[str, list[jobs_messages.Cell]]
+    sequence: int
+    lease_term: int
+    lease_until: float
+
+
+class JobLedger(replication.Component):
+    """A failure domain's workers, jobs, placements, leases and keys.
+
+    The scheduler of the domain's leader reads `book` of its own replica to
+    plan; every change goes through a command, and the ledger refuses what
+    does not fit its state: a slot in use, a start after a cancellation, an
+    old epoch, a binding that breaks another account's guarantee.
+
+    Attributes:
+        book: Jobs, workers and cells.
+        keys: The homes chosen for submissions whose directory this is.
+        guarantees_version: The configuration that guarantees are from.
+        lease_until: Wall time up to which leases may have been granted.
+    """
+
+    def __init__(self, domain: str) -> None:
+        self._domain = domain
+        self.book = jobs_book.JobBook()
+        self.keys: dict[str, KeyRecord] = {}
+        self.guarantees_version = 0
+        self.lease_until = 0.0
+        self._lease_term = 0
+        self._sequence = 0
+        self._ended: collections.deque[tuple[float, str]] = collections.deque()
+
+    @property
+    def name(self) -> str:
+        """The key of this part in a snapshot."""
+        return "jobs"
+
+    def commands(self) -> dict[type, replication.Handler]:
+        """Returns the handler of each command."""
+        return {
+            jobs_messages.RecordHome: self._record_home,
+            jobs_messages.SubmitJob: self._submit,
+            jobs_messages.CancelJob: self._cancel,
+            jobs_messages.PutWorkers: self._put_workers,
+            jobs_messages.SetGuarantees: self._set_guarantees,
+            jobs_messages.PlaceJob: self._place,
+            jobs_messages.HoldSlots: self._hold,
+            jobs_messages.DropHold: self._drop_hold,
+            jobs_messages.JobStarted: self._started,
+            jobs_messages.StopPlacement: self._stop,
+            jobs_messages.ReleasePlacement: self._release,
+            jobs_messages.JobSucceeded: self._succeeded,
+            jobs_messages.ExtendLeases: self._extend_leases,
+            jobs_messages.ReturnWorker: self._return_worker,
+        }
+
+    def queries(self) -> dict[type, replication.Handler]:
+        """Returns the handler of each query."""
+        return {
+            jobs_messages.GetJob: self._get,
+            jobs_messages.GetHome: self._get_home,
+            jobs_messages.ListJobs: self._list,
+            jobs_messages.GetUse: self._get_use,
+        }
+
+    def dump(self) -> bytes:
+        """Returns the whole state, encoded."""
+        pool = self.book.pool
+        return codec.encode(
+            LedgerDump(
+                jobs=list(self.book.jobs.values()),
+                workers=[_worker_state(w) for w in pool.workers.values()],
+                keys=self.keys,
+                guarantees=self.book.cells.guarantees,
+                guarantees_version=self.guarantees_version,
+                bound=self.book.cells.bound,
+                sequence=self._sequence,
+                lease_term=self._lease_term,
+                lease_until=self.lease_until,
+            )
+        )
+
+    def load(self, raw: bytes) -> None:
+        """Replaces the state by one that `dump` returned."""
+        dump: LedgerDump = codec.decode(raw)
+        self.book = jobs_book.JobBook()
+        self.keys = dict(dump.keys)
+        self.guarantees_version = dump.guarantees_version
+        self.lease_until = dump.lease_until
+        self._lease_term = dump.lease_term
+        self._sequence = dump.sequence
+        for state in dump.workers:
+            self.book.put_worker(_worker_record(state))
+        self.book.jobs = {job.job_id: job for job in dump.jobs}
+        self.book.cells.set_guarantees(dump.guarantees)
+        self.book.cells.load(dump.bound)
+        self.book.rebuild()
+        self._ended = collections.deque(
+            sorted(
+                (job.ended_at, job.job_id)
+                for job in dump.jobs
+                if job.ended_at is not None
+            )
+        )
+
+    def _record_home(
+        self, command: jobs_messages.RecordHome
+    ) -> jobs_messages.Home:
+        self._forget_keys(command.now)
+        home = self._get_home(
+            jobs_messages.GetHome(command.key, command.digest)
+        )
+        if home.domain:
+            return home
+        self.keys[command.key] = KeyRecord(
+            command.domain, command.digest, command.now
+        )
+        return jobs_messages.Home(command.domain)
+
+    def _submit(
+        self, command: jobs_messages.SubmitJob
+    ) -> jobs_messages.JobView:
+        self._forget_jobs(command.now)
+        known = self.book.jobs.get(command.job_id)
+        if known is not None:
+            if known.digest != command.digest:
+                raise errors.KeyReusedError(
+                    "the Idempotency-Key was used for another job"
+                )
+            return known.view(self._domain)
+        account = command.spec.account
+        queued = self.book.queue.length(account)
+        if queued >= command.max_queued:
+            raise errors.OverloadedError(
+                f"{account!r} has {queued} jobs waiting in"
+                f" {self._domain!r}, its limit is {command.max_queued}"
+            )
+        self._sequence += 1
+        job = placements.Job(
+            command.job_id,
+            command.digest,
+            command.spec,
+            self._sequence,
+            submitted_at=command.now,
+            queued_at=command.now,
+        )
+        self.book.add(job)
+        return job.view(self._domain)
+
+    def _cancel(
+        self, command: jobs_messages.CancelJob
+    ) -> jobs_messages.JobView:
+        job = self.book.get(command.job_id)
+        if job.ended:
+            return job.view(self._domain)
+        if job.placement is None:
+            self._end(job, JobState.CANCELLED, "cancelled", command.now)
+        else:
+            self._begin_stop(job, StopReason.CANCELLED)
+            job.state = JobState.CANCELLING
+        return job.view(self._domain)
+
+    def _put_workers(self, command: jobs_messages.PutWorkers) -> None:
+        for worker_id in command.gone:
+            self._lose(worker_id)
+        for announced in command.present:
+            self._put_worker(announced)
+
+    def _put_worker(self, announced: members.Worker) -> None:
+        """Takes in a worker; one started anew only when it is empty."""
+        known = self.book.pool.workers.get(announced.worker_id)
+        if known is None:
+            self.book.put_worker(workers.WorkerRecord(announced))
+            return
+        if not same_worker(known.announced, announced):
+            health = known
+            self._lose(announced.worker_id)
+            if announced.worker_id in self.book.pool.workers:
+                return
+            known = workers.WorkerRecord(
+                announced,
+                failed_jobs=health.failed_jobs,
+                aside_until=health.aside_until,
+                asides=health.asides,
+            )
+            self.book.put_worker(known)
+            return
+        if known.gone:
+            return
+        known.announced = announced
+        self.book.worker_changed(announced.worker_id)
+
+    def _lose(self, worker_id: str) -> None:
+        worker = self.book.pool.workers.get(worker_id)
+        if worker is None or worker.gone:
+            return
+        for job_id in list(worker.tasks):
+            job = self.book.jobs[job_id]
+            if job.placement is not None and job.placement.stopping is None:
+                self._begin_stop(job, StopReason.WORKER_LOST)
+                job.reason = f"worker {worker_id} was lost"
+        self.book.lose_worker(worker_id)
+
+    def _set_guarantees(self, command: jobs_messages.SetGuarantees) -> None:
+        if command.version <= self.guarantees_version:
+            return
+        self.guarantees_version = command.version
+        self.book.cells.set_guarantees(command.cells)
+
+    def _place(self, command: jobs_messages.PlaceJob) -> None:
+        job = self.book.get(command.job_id)
+        placement = job.placement
+        if (
+            placement is not None
+            and placement.epoch == command.epoch
+            and placement.slots == command.slots
+        ):
+            return
+        if job.state != JobState.QUEUED or command.epoch != job.epoch + 1:
+            raise jobs_book.PlacementRefusedError(
+                f"{job.job_id} is {job.state} at epoch {job.epoch}, it"
+                f" cannot be placed at epoch {command.epoch}"
+            )
+        self.book.place(job, command.slots, command.bind, command.now)
+
+    def _hold(self, command: jobs_messages.HoldSlots) -> None:
+        job = self.book.get(command.job_id)
+        if job.state != JobState.QUEUED or command.epoch != job.epoch:
+            raise jobs_book.PlacementRefusedError(
+                f"{job.job_id} is {job.state} at epoch {job.epoch}"
+            )
+        victims = [self.book.jobs.get(name) for name in command.victims]
+        for victim in victims:
+            if victim is not None and victim.spec.guaranteed:
+                raise jobs_book.PlacementRefusedError(
+                    f"{victim.job_id} is guaranteed and is not stopped"
+                )
+        if job.hold != command.slots:
+            self.book.hold(job, command.slots, command.bind)
+        for victim in victims:
+            if victim is not None and victim.placement is not None:
+                self._begin_stop(
+                    victim, command.reason, command.checkpoint_until
+                )
+
+    def _drop_hold(self, command: jobs_messages.DropHold) -> None:
+        self.book.drop_hold(self.book.get(command.job_id))
+
+    def _started(self, command: jobs_messages.JobStarted) -> None:
+        job = self._at_epoch(command.job_id, command.epoch)
+        if job.state == JobState.RUNNING:
+            return
+        if job.state != JobState.PREPARING:
+            raise jobs_book.PlacementRefusedError(
+                f"{job.job_id} is {job.state}, it is not started"
+            )
+        self.book.run(job, command.now)
+
+    def _stop(self, command: jobs_messages.StopPlacement) -> None:
+        job = self._at_epoch(command.job_id, command.epoch)
+        placement = typing.cast(placements.Placement, job.placement)
+        if placement.stopping is not None:
+            return
+        self._begin_stop(job, command.reason, command.checkpoint_until)
+        job.reason = command.detail or str(command.reason)
+        if command.blamed:
+            self._blame(job, command)
+
+    def _blame(
+        self, job: placements.Job, command: jobs_messages.StopPlacement
+    ) -> None:
+        limits = jobs_health.Limits(command.max_tries, command.bad_worker_jobs)
+        worker = self.book.pool.workers.get(command.blamed)
+        if command.reason in jobs_messages.FAULTS:
+            jobs_health.blame_job(job, command.blamed, self.book.pool)
+        suspect = command.reason != StopReason.OVER_USE
+        if worker is not None and suspect:
+            aside = jobs_health.blame_worker(job, worker, limits, command.now)
+            if aside:
+                self.book.worker_changed(command.blamed)
+        if jobs_health.is_hopeless(job, self.book.pool, limits):
+            job.hopeless = True
+
+    def _begin_stop(
+        self,
+        job: placements.Job,
+        reason: StopReason,
+        checkpoint_until: float = 0.0,
+    ) -> None:
+        self.book.stop(job, reason, self.lease_until, checkpoint_until)
+
+    def _release(self, command: jobs_messages.ReleasePlacement) -> None:
+        job = self.book.get(command.job_id)
+        placement = job.placement
+        if placement is None or placement.epoch != command.epoch:
+            return
+        if placement.stopping is None:
+            raise jobs_book.PlacementRefusedError(
+                f"{job.job_id} is {job.state}, its slots are not freed"
+            )
+        if not command.confirmed and command.now < placement.safe_at:
+            raise jobs_book.PlacementRefusedError(
+                f"leases of {job.job_id} may last to {placement.safe_at}"
+            )
+        self.book.vacate(job)
+        if job.state == JobState.CANCELLING:
+            self._end(job, JobState.CANCELLED, "cancelled", command.now)
+        elif job.hopeless:
+            reason = f"failed {len(job.failed_on)} times: {job.reason}"
+            self._end(job, JobState.FAILED, reason, command.now)
+        else:
+            if placement.stopping not in jobs_messages.FAULTS:
+                job.interruptions += 1
+            self.book.requeue(job, command.now)
+
+    def _succeeded(self, command: jobs_messages.JobSucceeded) -> None:
+        job = self.book.get(command.job_id)
+        if job.state == JobState.SUCCEEDED:
+            return
+        job = self._at_epoch(command.job_id, command.epoch)
+        placement = typing.cast(placements.Placement, job.placement)
+        if not placement.running:
+            raise jobs_book.PlacementRefusedError(
+                f"{job.job_id} is {job.state} and has not run"
+            )
+        for slot in placement.slots:
+            jobs_health.praise(self.book.pool.workers[slot.worker_id])
+        self.book.vacate(job)
+        self._end(job, JobState.SUCCEEDED, "", command.now)
+
+    def _extend_leases(
+        self, command: jobs_messages.ExtendLeases
+    ) -> jobs_messages.Leases:
+        if command.term < self._lease_term:
+            raise StaleLeaderError(
+                f"term {command.term} is older than {self._lease_term}"
+            )
+        self._lease_term = command.term
+        self.lease_until = max(self.lease_until, command.until)
+        stopping = tuple(
+            job.job_id
+            for job in self.book.unsettled.values()
+            if job.placement is not None and job.placement.stopping
+        )
+        return jobs_messages.Leases(self.lease_until, stopping)
+
+    def _return_worker(self, command: jobs_messages.ReturnWorker) -> None:
+        worker = self.book.pool.workers.get(command.worker_id)
+        if worker is None or command.now < worker.aside_until:
+            return
+        worker.aside_until = 0.0
+        self.book.pool.freed += 1
+        self.book.worker_changed(command.worker_id)
+
+    def _at_epoch(self, job_id: str, epoch: int) -> placements.Job:
+        """Returns a job whose placement has that epoch.
+
+        Raises:
+            jobs_book.PlacementRefusedError: It has another one or none.
+        """
+        job = self.book.get(job_id)
+        if job.placement is None or job.placement.epoch != epoch:
+            raise jobs_book.PlacementRefusedError(
+                f"{job_id} is {job.state} and has no placement of epoch {epoch}"
+            )
+        return job
+
+    def _end(
+        self, job: placements.Job, state: JobState, reason: str, now: float
+    ) -> None:
+        self.book.end(job, state, reason, now)
+        self._ended.append((now, job.job_id))
+
+    def _forget_jobs(self, now: float) -> None:
+        while self._ended and self._ended[0][0] < now - JOB_RETENTION_S:
+            self.book.forget(self._ended.popleft()[1])
+
+    def _forget_keys(self, now: float) -> None:
+        for key, record in list(self.keys.items())[:8]:
+            if record.recorded_at >= now - KEY_RETENTION_S:
+                return
+            del self.keys[key]
+
+    def _get_home(self, query: jobs_messages.GetHome) -> jobs_messages.Home:
+        known = self.keys.get(query.key)
+        if known is None:
+            return jobs_messages.Home("")
+        if known.digest != query.digest:
+            raise errors.KeyReusedError(
+                "the Idempotency-Key was used for another job"
+            )
+        return jobs_messages.Home(known.domain)
+
+    def _get(self, query: jobs_messages.GetJob) -> jobs_messages.JobView:
+        return self.book.get(query.job_id).view(self._domain)
+
+    def _list(self, query: jobs_messages.ListJobs) -> jobs_messages.Listing:
+        found: list[jobs_messages.JobView] = []
+        for job in reversed(self.book.jobs.values()):
+            if len(found) >= query.limit:
+                break
+            if query.account not in (None, job.spec.account):
+                continue
+            if query.state in (None, job.state):
+                found.append(job.view(self._domain))
+        return jobs_messages.Listing(tuple(found))
+
+    def _get_use(self, query: jobs_messages.GetUse) -> jobs_messages.DomainUse:
+        book = self.book
+        names = set(book.use) | set(book.cells.guarantees)
+        accounts = {name: self._account_use(name) for name in sorted(names)}
+        return jobs_messages.DomainUse(
+            accelerators=book.pool.accelerators,
+            free_accelerators=book.pool.free_accelerators,
+            free_cores=book.pool.free_cores,
+            queued_accelerators=book.queue.accelerators,
+            queued_cores=book.queue.cores,
+            shortfall=book.cells.shortfall(),
+            accounts=accounts,
+        )
+
+    def _account_use(self, account: str) -> jobs_messages.AccountUse:
+        use = self.book.use.get(account, jobs_book.Use())
+        return jobs_messages.AccountUse(
+            guaranteed=use.guaranteed,
+            borrowed=use.borrowed,
+            borrowed_cores=use.borrowed_cores,
+            queued=self.book.queue.length(account),
+            running=use.running,
+        )
+
+
+def same_worker(one: members.Worker, other: members.Worker) -> bool:
+    """Returns whether two announcements are of one life of one worker."""
+    return (
+        one.incarnation == other.incarnation
+        and one.rack == other.rack
+        and one.accelerators == other.accelerators
+        and one.cores == other.cores
+        and one.memory_gb == other.memory_gb
+    )
+
+
+def _worker_state(record: workers.WorkerRecord) -> WorkerState:
+    return WorkerState(
+        record.announced,
+        **{name: getattr(record, name) for name in _HEALTH},
+    )
+
+
+def _worker_record(state: WorkerState) -> workers.WorkerRecord:
+    return workers.WorkerRecord(
+        state.announced,
+        **{name: getattr(state, name) for name in _HEALTH},
+    )
--- /dev/null
+++ b/laburnumsill/state/jobs_book.py
@@ -0,0 +1,469 @@
+"""The jobs, workers and cells of a domain, and the steps that change them.
+
+Each step checks first and raises without having changed anything. All that
+can be derived (what is free, who waits, who runs) is kept up to date with
+each step and rebuilt after a snapshot.
+"""
+
+import dataclasses
+from collections import abc
+
+from laburnumsill.core import errors
+from laburnumsill.state import cells as cells_module
+from laburnumsill.state import jobs_messages
+from laburnumsill.state import jobs_queue
+from laburnumsill.state import placements
+from laburnumsill.state import workers
+
+JobState = jobs_messages.JobState
+
+
+class PlacementRefusedError(errors.ConflictError):
+    """A placement that does not fit the state as it is now."""
+
+    slug = "placement-refused"
+    title = "The placement does not fit the present state"
+
+
+@dataclasses.dataclass(slots=True)
+class Use:
+    """What an account has in use: accelerators, and cores of borrowers."""
+
+    guaranteed: int = 0
+    borrowed: int = 0
+    borrowed_cores: int = 0
+    running: int = 0
+
+
+class JobBook:
+    """The state of a domain's jobs.
+
+    Attributes:
+        jobs: All jobs by id, in the order of submission.
+        pool: The workers.
+        cells: The guarantees.
+        queue: The jobs that wait.
+        live: The jobs with a placement.
+        unsettled: The jobs whose placement is preparing or stopping.
+        held: The jobs that slots are held for.
+        use: What each account has in use.
+    """
+
+    def __init__(self) -> None:
+        self.jobs: dict[str, placements.Job] = {}
+        self.pool = workers.Pool()
+        self.cells = cells_module.CellBook(self.pool)
+        self.queue = jobs_queue.Queue()
+        self.live: dict[str, placements.Job] = {}
+        self.unsettled: dict[str, placements.Job] = {}
+        self.held: dict[str, placements.Job] = {}
+        self.use: dict[str, Use] = {}
+        self._cell_users: dict[jobs_messages.Cell, set[str]] = {}
+
+    def get(self, job_id: str) -> placements.Job:
+        """Returns a job.
+
+        Raises:
+            errors.NotFoundError: There is none of that id.
+        """
+        job = self.jobs.get(job_id)
+        if job is None:
+            raise errors.NotFoundError(f"no job {job_id!r}", job=job_id)
+        return job
+
+    def add(self, job: placements.Job) -> None:
+        """Adds a new job to the queue."""
+        self.jobs[job.job_id] = job
+        self.queue.add(job)
+
+    def forget(self, job_id: str) -> None:
+        """Removes a job that has ended."""
+        del self.jobs[job_id]
+
+    def place(
+        self,
+        job: placements.Job,
+        slots: tuple[jobs_messages.Slot, ...],
+        bind: abc.Sequence[jobs_messages.Cell],
+        now: float,
+    ) -> None:
+        """Gives a queued job its slots under its next epoch.
+
+        Raises:
+            errors.ConflictError: A slot is not free or not allowed.
+        """
+        held = job.hold
+        if held:
+            self.pool.drop(job.job_id, job.spec, held)
+        try:
+            self._claim(job, slots, bind, in_use_too=False)
+        except errors.ConflictError:
+            if held:
+                self.pool.hold(job.job_id, job.spec, held)
+            raise
+        self.held.pop(job.job_id, None)
+        job.hold = ()
+        self._leave_cells(job, held, keep=slots)
+        self.queue.remove(job)
+        job.epoch += 1
+        job.placement = placements.Placement(job.epoch, slots, now)
+        job.state = JobState.PREPARING
+        self._occupy(job)
+
+    def hold(
+        self,
+        job: placements.Job,
+        slots: tuple[jobs_messages.Slot, ...],
+        bind: abc.Sequence[jobs_messages.Cell],
+    ) -> None:
+        """Keeps slots for a queued job, whether in use by borrowers or not.
+
+        Raises:
+            errors.ConflictError: A slot is not allowed.
+        """
+        if job.hold:
+            raise PlacementRefusedError(f"{job.job_id} has slots held")
+        self._claim(job, slots, bind, in_use_too=True)
+        job.hold = slots
+        self.held[job.job_id] = job
+        self.pool.hold(job.job_id, job.spec, slots)
+
+    def drop_hold(self, job: placements.Job) -> None:
+        """Gives up the slots held for a job, if any."""
+        if not job.hold:
+            return
+        held = job.hold
+        self.pool.drop(job.job_id, job.spec, held)
+        job.hold = ()
+        del self.held[job.job_id]
+        self._leave_cells(job, held, keep=())
+
+    def run(self, job: placements.Job, now: float) -> None:
+        """Marks a job that has been prepared as running."""
+        job.state = JobState.RUNNING
+        job.started_at = now
+        if job.placement is not None:
+            job.placement.running = True
+        del self.unsettled[job.job_id]
+
+    def stop(
+        self,
+        job: placements.Job,
+        reason: jobs_messages.StopReason,
+        lease_until: float,
+        checkpoint_until: float,
+    ) -> None:
+        """Marks a job's placement as given up, if it is not yet.
+
+        Args:
+            job: A job with a placement.
+            reason: Why.
+            lease_until: Wall time up to which its leases may last.
+            checkpoint_until: Wall time up to which it may save its work.
+        """
+        placement = job.placement
+        if placement is None:
+            return
+        if placement.stopping is not None:
+            if reason == jobs_messages.StopReason.CANCELLED:
+                placement.checkpoint_until = 0.0
+            return
+        placement.stopping = reason
+        placement.lease_bound = max(lease_until, checkpoint_until)
+        placement.checkpoint_until = checkpoint_until
+        job.state = JobState.STOPPING
+        job.reason = str(reason)
+        self.unsettled[job.job_id] = job
+
+    def vacate(self, job: placements.Job) -> None:
+        """Frees the slots of a job's placement."""
+        slots = job.slots
+        self.pool.give_back(job.job_id, job.spec, slots)
+        self._count(job, -1)
+        job.placement = None
+        del self.live[job.job_id]
+        self.unsettled.pop(job.job_id, None)
+        self._leave_cells(job, slots, keep=())
+        for worker_id in {slot.worker_id for slot in slots}:
+            self._forget_if_gone(worker_id)
+
+    def requeue(self, job: placements.Job, now: float) -> None:
+        """Lets a job wait again, at its old place."""
+        job.state = JobState.QUEUED
+        job.queued_at = now
+        self.queue.add(job)
+
+    def end(
+        self, job: placements.Job, state: JobState, reason: str, now: float
+    ) -> None:
+        """Ends a job that has no placement any more."""
+        if job.state == JobState.QUEUED:
+            self.queue.remove(job)
+        self.drop_hold(job)
+        job.state = state
+        job.reason = reason
+        job.ended_at = now
+
+    def put_worker(self, record: workers.WorkerRecord) -> None:
+        """Adds or replaces a worker."""
+        worker_id = record.announced.worker_id
+        old = self.pool.workers.get(worker_id)
+        self.pool.put(record)
+        if old is not None and old.announced.rack != record.announced.rack:
+            self.cells.refresh(old.announced.rack)
+        self.cells.refresh(record.announced.rack)
+
+    def worker_changed(self, worker_id: str) -> None:
+        """Brings indexes up to date after a change of a worker's health."""
+        self.pool.changed(worker_id)
+        self.cells.refresh(self.pool.workers[worker_id].announced.rack)
+
+    def lose_worker(self, worker_id: str) -> None:
+        """Marks a worker as gone; it is forgotten once nothing is on it."""
+        worker = self.pool.workers[worker_id]
+        for job_id in list(worker.holds):
+            self.drop_hold(self.jobs[job_id])
+        worker.gone = True
+        self.worker_changed(worker_id)
+        self._forget_if_gone(worker_id)
+
+    def borrowers_held_on(self, worker_id: str, mask: int) -> list[str]:
+        """Returns the borrowing jobs with such accelerators held."""
+        holds = self.pool.workers[worker_id].holds
+        return [
+            job_id
+            for job_id, held in holds.items()
+            if held & mask and not self.jobs[job_id].spec.guaranteed
+        ]
+
+    def rebuild(self) -> None:
+        """Derives everything from jobs, worker records and bound cells."""
+        self.queue = jobs_queue.Queue()
+        self.live = {}
+        self.unsettled = {}
+        self.held = {}
+        self.use = {}
+        self._cell_users = {}
+        for job in self.jobs.values():
+            if job.state == JobState.QUEUED:
+                self.queue.add(job)
+            if job.placement is not None:
+                self._occupy(job)
+            if job.hold:
+                self.held[job.job_id] = job
+                self.pool.hold(job.job_id, job.spec, job.hold)
+                self._enter_cells(job, job.hold)
+
+    def _occupy(self, job: placements.Job) -> None:
+        self.live[job.job_id] = job
+        if job.state != JobState.RUNNING:
+            self.unsettled[job.job_id] = job
+        self.pool.take(job.job_id, job.spec, job.slots)
+        self._enter_cells(job, job.slots)
+        self._count(job, 1)
+
+    def _count(self, job: placements.Job, sign: int) -> None:
+        spec = job.spec
+        use = self.use.setdefault(spec.account, Use())
+        use.running += sign
+        if spec.guaranteed:
+            use.guaranteed += sign * spec.total_accelerators
+        else:
+            use.borrowed += sign * spec.total_accelerators
+            use.borrowed_cores += sign * spec.tasks * spec.cores
+
+    def _claim(
+        self,
+        job: placements.Job,
+        slots: tuple[jobs_messages.Slot, ...],
+        bind: abc.Sequence[jobs_messages.Cell],
+        in_use_too: bool,
+    ) -> None:
+        """Checks slots and binds cells; drops the holds of borrowers."""
+        spec = job.spec
+        if len(slots) != spec.tasks:
+            raise PlacementRefusedError(
+                f"{len(slots)} slots for {spec.tasks} tasks"
+            )
+        masks = self._masks(slots)
+        self._check_rack(spec, masks)
+        if bind and not spec.guaranteed:
+            raise PlacementRefusedError("a borrower binds no cells")
+        self.cells.bind(spec.account, bind)
+        try:
+            self._check_binding(job, slots, bind)
+            for worker_id, (mask, count) in masks.items():
+                self._check(job, worker_id, mask, count, in_use_too)
+        except errors.ConflictError:
+            for cell in bind:
+                self.cells.unbind(spec.account, cell)
+            raise
+        if spec.guaranteed:
+            for worker_id, (mask, _) in masks.items():
+                for other in self.borrowers_held_on(worker_id, mask):
+                    self.drop_hold(self.jobs[other])
+            self._enter_cells(job, slots)
+
+    def _check_binding(
+        self,
+        job: placements.Job,
+        slots: abc.Iterable[jobs_messages.Slot],
+        bind: abc.Iterable[jobs_messages.Cell],
+    ) -> None:
+        unused = set(bind) - set(self._cells_of(job, slots))
+        if unused:
+            raise PlacementRefusedError(f"no slot is in {unused}")
+
+    def _masks(
+        self, slots: abc.Iterable[jobs_messages.Slot]
+    ) -> dict[str, tuple[int, int]]:
+        masks: dict[str, tuple[int, int]] = {}
+        for slot in slots:
+            mask, count = masks.get(slot.worker_id, (0, 0))
+            if mask & slot.mask:
+                raise PlacementRefusedError(f"{slot} overlaps another slot")
+            masks[slot.worker_id] = (mask | slot.mask, count + 1)
+        return masks
+
+    def _check_rack(
+        self, spec: jobs_messages.JobSpec, worker_ids: abc.Iterable[str]
+    ) -> None:
+        racks = set()
+        for worker_id in worker_ids:
+            worker = self.pool.workers.get(worker_id)
+            if worker is None or not worker.usable:
+                raise PlacementRefusedError(f"{worker_id!r} cannot be used")
+            racks.add(worker.announced.rack)
+        if spec.adjacency == "rack" and len(racks) > 1:
+            raise PlacementRefusedError(f"{sorted(racks)} are not one rack")
+
+    def _check(
+        self,
+        job: placements.Job,
+        worker_id: str,
+        mask: int,
+        count: int,
+        in_use_too: bool,
+    ) -> None:
+        """Checks what a job wants of one worker."""
+        spec = job.spec
+        worker = self.pool.workers[worker_id]
+        least = self.footprint(spec, worker) * count
+        wrong_size = mask.bit_count() != least
+        if wrong_size or mask & ~worker.full_mask:
+            raise PlacementRefusedError(
+                f"mask {mask:b} of {worker_id!r} is not {least} accelerators"
+            )
+        taken = self.guaranteed_mask(worker)
+        if not in_use_too:
+            taken |= worker.used_mask
+        if spec.guaranteed:
+            taken |= ~self.cells.owned_mask(spec.account, worker_id)
+        else:
+            taken |= worker.held_mask
+        if mask & taken:
+            raise PlacementRefusedError(
+                f"mask {mask:b} of {worker_id!r} is not free for {job.job_id}"
+            )
+        if not in_use_too:
+            self._check_room(spec, worker, count)
+
+    def _check_room(
+        self,
+        spec: jobs_messages.JobSpec,
+        worker: workers.WorkerRecord,
+        count: int,
+    ) -> None:
+        cores = worker.free_cores
+        memory_gb = worker.free_memory_gb
+        if spec.guaranteed:
+            cores += worker.held_cores
+            memory_gb += worker.held_memory_gb
+        if cores < spec.cores * count or memory_gb < spec.memory_gb * count:
+            raise PlacementRefusedError(
+                f"{worker.announced.worker_id!r} has {cores} cores and"
+                f" {memory_gb} GB left for {count} tasks of {spec.cores}"
+                f" cores and {spec.memory_gb} GB"
+            )
+
+    def guaranteed_mask(self, worker: workers.WorkerRecord) -> int:
+        """Returns the accelerators held for guaranteed jobs, or in use."""
+        mask = 0
+        for job_id, held in worker.holds.items():
+            if self.jobs[job_id].spec.guaranteed:
+                mask |= held
+        for job_id, share in worker.tasks.items():
+            if self.jobs[job_id].spec.guaranteed:
+                mask |= share.mask
+        return mask
+
+    @staticmethod
+    def footprint(
+        spec: jobs_messages.JobSpec, worker: workers.WorkerRecord
+    ) -> int:
+        """Returns the accelerators that a task takes up on a worker.
+
+        A guaranteed task takes at least the accelerators that its cores and
+        memory are proportional to: it must leave to the other cells of the
+        worker what is theirs.
+        """
+        if not spec.guaranteed:
+            return spec.accelerators
+        own = worker.announced
+        by_cores = _ceil(spec.cores * own.accelerators, own.cores)
+        by_memory = _ceil(spec.memory_gb * own.accelerators, own.memory_gb)
+        return max(spec.accelerators, by_cores, by_memory)
+
+    def _enter_cells(
+        self, job: placements.Job, slots: abc.Iterable[jobs_messages.Slot]
+    ) -> None:
+        if not job.spec.guaranteed:
+            return
+        for cell in self._cells_of(job, slots):
+            self._cell_users.setdefault(cell, set()).add(job.job_id)
+
+    def _leave_cells(
+        self,
+        job: placements.Job,
+        slots: abc.Iterable[jobs_messages.Slot],
+        keep: abc.Iterable[jobs_messages.Slot],
+    ) -> None:
+        if not job.spec.guaranteed:
+            return
+        kept = set(self._cells_of(job, keep))
+        for cell in self._cells_of(job, slots):
+            if cell in kept:
+                continue
+            users = self._cell_users.get(cell, set())
+            users.discard(job.job_id)
+            if not users:
+                self._cell_users.pop(cell, None)
+                self.cells.unbind(job.spec.account, cell)
+
+    def _cells_of(
+        self, job: placements.Job, slots: abc.Iterable[jobs_messages.Slot]
+    ) -> list[jobs_messages.Cell]:
+        """Returns the account's bound cells that some of the slots are in."""
+        masks: dict[str, int] = {}
+        for slot in slots:
+            masks[slot.worker_id] = masks.get(slot.worker_id, 0) | slot.mask
+        found = []
+        for cell in self.cells.bound.get(job.spec.account, ()):
+            if any(
+                self.cells.covers(cell, worker_id, mask)
+                for worker_id, mask in masks.items()
+            ):
+                found.append(cell)
+        return found
+
+    def _forget_if_gone(self, worker_id: str) -> None:
+        worker = self.pool.workers.get(worker_id)
+        if worker is None or not worker.gone or worker.tasks:
+            return
+        self.pool.remove(worker_id)
+        self.cells.forget_worker(worker_id)
+        self.cells.refresh(worker.announced.rack)
+
+
+def _ceil(dividend: int, divisor: int) -> int:
+    return -(-dividend // divisor) if divisor else 0
--- /dev/null
+++ b/laburnumsill/state/jobs_queue.py
@@ -0,0 +1,136 @@
+"""The jobs that wait, in lines, grouped by what they need.
+
+Jobs of one shape need the same place: if the first of them finds none, no
+other of that shape does, so a pass over a line looks at each shape once and
+not at each job.
+"""
+
+from collections import abc
+
+import sortedcontainers
+
+from laburnumsill.state import placements
+
+Shape = tuple[int, int, int, int, str]
+"""Tasks, and for each accelerators, cores and memory; and adjacency."""
+
+Order = tuple[bool, int, str]
+"""Not urgent, sequence of submission, job id."""
+
+
+def shape_of(job: placements.Job) -> Shape:
+    """Returns what a job needs, without regard to how long."""
+    spec = job.spec
+    return (
+        spec.tasks,
+        spec.accelerators,
+        spec.cores,
+        spec.memory_gb,
+        spec.adjacency,
+    )
+
+
+def order_of(job: placements.Job) -> Order:
+    """Returns a job's place among those of its shape."""
+    return not job.spec.urgent, job.sequence, job.job_id
+
+
+class Line:
+    """The waiting jobs of one account, guaranteed or borrowing."""
+
+    def __init__(self) -> None:
+        self._shapes: dict[Shape, sortedcontainers.SortedList] = {}
+        self._heads = sortedcontainers.SortedList()
+        self._length = 0
+
+    def __len__(self) -> int:
+        return self._length
+
+    def add(self, job: placements.Job) -> None:
+        """Adds a job."""
+        shape = shape_of(job)
+        group = self._shapes.get(shape)
+        if group is None:
+            group = self._shapes[shape] = sortedcontainers.SortedList()
+        else:
+            self._heads.remove((group[0], shape))
+        group.add(order_of(job))
+        self._heads.add((group[0], shape))
+        self._length += 1
+
+    def remove(self, job: placements.Job) -> None:
+        """Takes a job out.
+
+        Raises:
+            ValueError: The job is not in this line.
+        """
+        shape = shape_of(job)
+        group = self._shapes[shape]
+        self._heads.remove((group[0], shape))
+        group.remove(order_of(job))
+        if group:
+            self._heads.add((group[0], shape))
+        else:
+            del self._shapes[shape]
+        self._length -= 1
+
+    def heads(self) -> abc.Iterator[tuple[Shape, str]]:
+        """Yields each shape with its first job id, the oldest first."""
+        for order, shape in self._heads:
+            yield shape, order[2]
+
+
+class Queue:
+    """All lines of a domain."""
+
+    def __init__(self) -> None:
+        self._lines: dict[tuple[bool, str], Line] = {}
+        self._length = 0
+        self._accelerators = 0
+        self._cores = 0
+
+    def __len__(self) -> int:
+        return self._length
+
+    @property
+    def accelerators(self) -> int:
+        """The accelerators that all waiting jobs ask for."""
+        return self._accelerators
+
+    @property
+    def cores(self) -> int:
+        """The cores that all waiting jobs ask for."""
+        return self._cores
+
+    def add(self, job: placements.Job) -> None:
+        """Adds a job to its line."""
+        key = job.spec.guaranteed, job.spec.account
+        self._lines.setdefault(key, Line()).add(job)
+        self._count(job, 1)
+
+    def remove(self, job: placements.Job) -> None:
+        """Takes a job out of its line."""
+        key = job.spec.guaranteed, job.spec.account
+        line = self._lines[key]
+        line.remove(job)
+        if not line:
+            del self._lines[key]
+        self._count(job, -1)
+
+    def accounts(self, guaranteed: bool) -> list[str]:
+        """Returns the accounts with a line of that kind."""
+        return [name for kind, name in self._lines if kind == guaranteed]
+
+    def line(self, guaranteed: bool, account: str) -> Line | None:
+        """Returns a line, or None where nothing waits."""
+        return self._lines.get((guaranteed, account))
+
+    def length(self, account: str) -> int:
+        """Returns how many jobs of an account wait."""
+        lines = (self._lines.get((kind, account)) for kind in (True, False))
+        return sum(len(line) for line in lines if line is not None)
+
+    def _count(self, job: placements.Job, sign: int) -> None:
+        self._length += sign
+        self._accelerators += sign * job.spec.total_accelerators
+        self._cores += sign * job.spec.tasks * job.spec.cores
--- /dev/null
+++ b/laburnumsill/state/workers.py
@@ -0,0 +1,405 @@
+"""A domain's workers, what is free on them, and indexes over it.
+
+The indexes are kept up with each change, so that finding a place looks at a
+few racks and never at all workers.
+"""
+
+import dataclasses
+import functools
+from collections import abc
+
+import sortedcontainers
+
+from laburnumsill.core import members
+from laburnumsill.state import jobs_messages
+
+TRACKED_SIZES = (1, 2, 4, 8)
+"""Accelerators of a task for which the free slots of a rack are indexed."""
+
+
+@dataclasses.dataclass(slots=True)
+class OnWorker:
+    """What one job has on a worker: accelerators and number of tasks."""
+
+    mask: int = 0
+    count: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class WorkerRecord:
+    """A worker and what is in use on it.
+
+    Attributes:
+        announced: What the worker said of itself.
+        used_mask: Accelerators in use, bit i for accelerator i.
+        used_cores: Cores in use.
+        used_memory_gb: Memory in use.
+        gone: Whether it has left or was lost; it is kept while a placement
+            on it may still run.
+        tasks: What each job has on it.
+        holds: Accelerators held for a job that is about to be placed.
+        held_mask: All accelerators held.
+        held_cores: Cores held.
+        held_memory_gb: Memory held.
+        failed_jobs: Jobs that failed on it since its last success.
+        aside_until: Wall time until which it is set aside, 0 if it is not.
+        asides: How often in a row it was set aside.
+    """
+
+    announced: members.Worker
+    used_mask: int = 0
+    used_cores: int = 0
+    used_memory_gb: int = 0
+    gone: bool = False
+    tasks: dict[str, OnWorker] = dataclasses.field(default_factory=dict)
+    holds: dict[str, int] = dataclasses.field(default_factory=dict)
+    held_mask: int = 0
+    held_cores: int = 0
+    held_memory_gb: int = 0
+    failed_jobs: list[str] = dataclasses.field(default_factory=list)
+    aside_until: float = 0.0
+    asides: int = 0
+
+    @property
+    def usable(self) -> bool:
+        """Whether it may get new tasks."""
+        return not (self.gone or self.announced.leaving or self.aside_until)
+
+    @property
+    def full_mask(self) -> int:
+        """All its accelerators."""
+        return (1 << self.announced.accelerators) - 1
+
+    @property
+    def free_mask(self) -> int:
+        """The accelerators neither in use nor held."""
+        return self.full_mask & ~(self.used_mask | self.held_mask)
+
+    @property
+    def free_cores(self) -> int:
+        """The cores neither in use nor held."""
+        return self.announced.cores - self.used_cores - self.held_cores
+
+    @property
+    def free_memory_gb(self) -> int:
+        """The memory neither in use nor held."""
+        own = self.announced.memory_gb
+        return own - self.used_memory_gb - self.held_memory_gb
+
+    def room(self, spec: jobs_messages.JobSpec) -> int:
+        """Returns how many tasks of `spec` fit now, usable or not."""
+        return _room(
+            spec,
+            self.free_mask.bit_count(),
+            self.free_cores,
+            self.free_memory_gb,
+        )
+
+    def size(self, spec: jobs_messages.JobSpec) -> int:
+        """Returns how many tasks of `spec` fit when it is empty."""
+        own = self.announced
+        return _room(spec, own.accelerators, own.cores, own.memory_gb)
+
+
+def _room(
+    spec: jobs_messages.JobSpec, accelerators: int, cores: int, memory_gb: int
+) -> int:
+    room = jobs_messages.MAX_TASKS
+    if spec.accelerators:
+        room = min(room, accelerators // spec.accelerators)
+    if spec.cores:
+        room = min(room, cores // spec.cores)
+    if spec.memory_gb:
+        room = min(room, memory_gb // spec.memory_gb)
+    return max(0, room)
+
+
+@functools.lru_cache(maxsize=65_536)
+def choose_mask(free: int, count: int) -> int:
+    """Returns `count` of the free accelerators, breaking few whole blocks.
+
+    Blocks are aligned pairs, fours, eights. The accelerators taken are those
+    whose largest free block is the smallest that will do.
+
+    Args:
+        free: Mask of the free accelerators.
+        count: How many to take; at most as many as are free.
+
+    Examples:
+        >>> bin(choose_mask(0b11110111, 1))
+        '0b100'
+        >>> bin(choose_mask(0b11110110, 2))
+        '0b110000'
+    """
+    size = 1 << max(0, count - 1).bit_length()
+    if size == count and count > 1:
+        whole = [b for b in _blocks(free, size) if b]
+        if whole:
+            return min(whole, key=lambda b: (_enclosing(free, b), b))
+    bits = [1 << i for i in range(free.bit_length()) if free >> i & 1]
+    bits.sort(key=lambda bit: (_enclosing(free, bit), bit))
+    return sum(bits[:count])
+
+
+def _blocks(free: int, size: int) -> abc.Iterator[int]:
+    """Yields each aligned block of `size` that is wholly free."""
+    block = (1 << size) - 1
+    while block <= free:
+        if free & block == block:
+            yield block
+        block <<= size
+
+
+def _enclosing(free: int, part: int) -> int:
+    """Returns the size of the largest aligned free block around `part`."""
+    size = 1
+    best = part.bit_count()
+    low = (part & -part).bit_length() - 1
+    while size <= free.bit_length():
+        size *= 2
+        start = low // size * size
+        block = ((1 << size) - 1) << start
+        if free & block != block or part & ~block:
+            continue
+        best = size
+    return best
+
+
+class Rack:
+    """The workers of one rack and the sums that the indexes are made of."""
+
+    __slots__ = ("name", "accelerators", "workers", "keys")
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.accelerators = 0
+        self.workers: dict[str, WorkerRecord] = {}
+        self.keys: tuple[tuple[int, ...], tuple[int, ...], int] | None = None
+
+    def sums(self) -> tuple[tuple[int, ...], tuple[int, ...], int]:
+        """Returns free slots by size, those on broken workers, free cores."""
+        slots = [0] * len(TRACKED_SIZES)
+        partial = [0] * len(TRACKED_SIZES)
+        cores = 0
+        for worker in self.workers.values():
+            if not worker.usable:
+                continue
+            cores += max(0, worker.free_cores)
+            free = worker.free_mask.bit_count()
+            for place, size in enumerate(TRACKED_SIZES):
+                count = free // size
+                slots[place] += count
+                if free < worker.announced.accelerators:
+                    partial[place] += count
+        return tuple(slots), tuple(partial), cores
+
+
+class Pool:
+    """All workers of a domain, with indexes by rack.
+
+    Attributes:
+        workers: By id.
+        racks: By name.
+        accelerators: All accelerators, those of unusable workers too.
+        cores: All cores.
+        free_accelerators: Those free on usable workers.
+        free_cores: Cores free on usable workers.
+        freed: Grows whenever a place may have become free.
+    """
+
+    def __init__(self) -> None:
+        self.workers: dict[str, WorkerRecord] = {}
+        self.racks: dict[str, Rack] = {}
+        self.accelerators = 0
+        self.cores = 0
+        self.free_accelerators = 0
+        self.free_cores = 0
+        self.freed = 0
+        self._slots = [_index() for _ in TRACKED_SIZES]
+        self._partial = [_index() for _ in TRACKED_SIZES]
+        self._cores = _index()
+        self._cpu_only = _index()
+
+    def put(self, record: WorkerRecord) -> None:
+        """Adds a worker or replaces its record."""
+        self.remove(record.announced.worker_id)
+        own = record.announced
+        self.workers[own.worker_id] = record
+        rack = self.racks.get(own.rack)
+        if rack is None:
+            rack = self.racks[own.rack] = Rack(own.rack)
+        rack.workers[own.worker_id] = record
+        rack.accelerators += own.accelerators
+        self.accelerators += own.accelerators
+        self.cores += own.cores
+        self.changed(own.worker_id)
+        self.freed += 1
+
+    def remove(self, worker_id: str) -> None:
+        """Forgets a worker; an unknown one is ignored."""
+        record = self.workers.pop(worker_id, None)
+        if record is None:
+            return
+        rack = self.racks[record.announced.rack]
+        del rack.workers[worker_id]
+        rack.accelerators -= record.announced.accelerators
+        self.accelerators -= record.announced.accelerators
+        self.cores -= record.announced.cores
+        self._reindex(rack)
+        if not rack.workers:
+            del self.racks[rack.name]
+
+    def changed(self, worker_id: str) -> None:
+        """Brings the indexes up to date with one worker's record."""
+        self._reindex(self.racks[self.workers[worker_id].announced.rack])
+
+    def take(
+        self,
+        job_id: str,
+        spec: jobs_messages.JobSpec,
+        slots: abc.Sequence[jobs_messages.Slot],
+    ) -> None:
+        """Marks the slots of a job's tasks as used."""
+        for slot in slots:
+            worker = self.workers[slot.worker_id]
+            worker.used_mask |= slot.mask
+            worker.used_cores += spec.cores
+            worker.used_memory_gb += spec.memory_gb
+            share = worker.tasks.setdefault(job_id, OnWorker())
+            share.mask |= slot.mask
+            share.count += 1
+        self._reindex_all(slots)
+
+    def give_back(
+        self,
+        job_id: str,
+        spec: jobs_messages.JobSpec,
+        slots: abc.Sequence[jobs_messages.Slot],
+    ) -> None:
+        """Marks the slots of a job's tasks as free."""
+        for slot in slots:
+            worker = self.workers[slot.worker_id]
+            worker.used_mask &= ~slot.mask
+            worker.used_cores -= spec.cores
+            worker.used_memory_gb -= spec.memory_gb
+            worker.tasks.pop(job_id, None)
+        self._reindex_all(slots)
+        self.freed += 1
+
+    def hold(
+        self,
+        job_id: str,
+        spec: jobs_messages.JobSpec,
+        slots: abc.Sequence[jobs_messages.Slot],
+    ) -> None:
+        """Keeps slots, in use or not, for a job: no other gets them."""
+        for slot in slots:
+            worker = self.workers[slot.worker_id]
+            worker.holds[job_id] = worker.holds.get(job_id, 0) | slot.mask
+            worker.held_mask |= slot.mask
+            worker.held_cores += spec.cores
+            worker.held_memory_gb += spec.memory_gb
+        self._reindex_all(slots)
+
+    def drop(
+        self,
+        job_id: str,
+        spec: jobs_messages.JobSpec,
+        slots: abc.Sequence[jobs_messages.Slot],
+    ) -> None:
+        """Ends the hold of a job."""
+        for slot in slots:
+            worker = self.workers[slot.worker_id]
+            worker.holds.pop(job_id, None)
+            worker.held_mask &= ~slot.mask
+            worker.held_cores -= spec.cores
+            worker.held_memory_gb -= spec.memory_gb
+        self._reindex_all(slots)
+        self.freed += 1
+
+    def racks_with(self, count: int, size: int) -> abc.Iterator[Rack]:
+        """Yields racks with `count` free slots of `size`, fullest first.
+
+        Args:
+            count: Tasks that have to fit.
+            size: Accelerators of a task, above 0. Between tracked sizes the
+                rack may turn out too small.
+        """
+        yield from self._from(self._slots[_place(size)], count)
+
+    def broken_racks_with(self, size: int) -> abc.Iterator[Rack]:
+        """Yields racks with a free slot on a worker already in use."""
+        yield from self._from(self._partial[_place(size)], 1)
+
+    def racks_with_cores(self, cores: int) -> abc.Iterator[Rack]:
+        """Yields racks with so many free cores, fullest first."""
+        yield from self._from(self._cores, cores)
+
+    def cpu_only_with(self, cores: int) -> abc.Iterator[Rack]:
+        """Yields racks with no free accelerator and so many free cores."""
+        yield from self._from(self._cpu_only, cores)
+
+    def racks_by_size(self, accelerators: int) -> abc.Iterator[Rack]:
+        """Yields racks with so many accelerators, most free ones first."""
+        for _, name in reversed(self._slots[0]):
+            rack = self.racks[name]
+            if rack.accelerators >= accelerators:
+                yield rack
+
+    def _from(
+        self, index: sortedcontainers.SortedList, least: int
+    ) -> abc.Iterator[Rack]:
+        for _, name in index.irange((least, "")):
+            yield self.racks[name]
+
+    def _reindex_all(self, slots: abc.Sequence[jobs_messages.Slot]) -> None:
+        names = {self.workers[slot.worker_id].announced.rack for slot in slots}
+        for name in names:
+            self._reindex(self.racks[name])
+
+    def _reindex(self, rack: Rack) -> None:
+        self._unindex(rack)
+        if not rack.workers:
+            return
+        rack.keys = rack.sums()
+        self._count_free(rack, 1)
+        for index, key in self._entries(rack):
+            index.add((key, rack.name))
+
+    def _unindex(self, rack: Rack) -> None:
+        if rack.keys is not None:
+            for index, key in self._entries(rack):
+                index.discard((key, rack.name))
+            self._count_free(rack, -1)
+            rack.keys = None
+
+    def _count_free(self, rack: Rack, sign: int) -> None:
+        if rack.keys is not None:
+            slots, _, cores = rack.keys
+            self.free_accelerators += sign * slots[0]
+            self.free_cores += sign * cores
+
+    def _entries(
+        self, rack: Rack
+    ) -> abc.Iterator[tuple[sortedcontainers.SortedList, int]]:
+        if rack.keys is None:
+            return
+        slots, partial, cores = rack.keys
+        yield from zip(self._slots, slots, strict=True)
+        yield from zip(self._partial, partial, strict=True)
+        yield self._cores, cores
+        if not slots[0] and not partial[0]:
+            yield self._cpu_only, cores
+
+
+def _index() -> sortedcontainers.SortedList:
+    return sortedcontainers.SortedList()
+
+
+def _place(size: int) -> int:
+    """Returns the position of the largest tracked size up to `size`."""
+    place = 0
+    for position, tracked in enumerate(TRACKED_SIZES):
+        if tracked <= size:
+            place = position
+    return place
