Check the planner and the ledger under random events

Cause: the invariants of guarantees, gangs and leases were only argued.

Restorability is found by exhaustive search and compared with the shortfall that the ledger keeps. A whole cell that is owed can always be claimed.

--- /dev/null
+++ b/laburnumsill/jobs/tests/test_planner_machine.py
@@ -0,0 +1,289 @@
+"""The planner and the ledger under random events, checked after each."""
+
+import dataclasses
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies
+
+from laburnumsill.core import codec
+from laburnumsill.core import errors
+from laburnumsill.jobs import claims
+from laburnumsill.jobs import planner
+from laburnumsill.jobs import policy as policies
+from laburnumsill.state import cells
+from laburnumsill.state import jobs
+from laburnumsill.state import jobs_messages as messages
+from laburnumsill.state import placements
+from laburnumsill.state.tests import ledger_checks
+
+ACCOUNTS = ("tana", "fingal")
+RACKS = ("r1", "r2", "r3")
+NAMES = [f"{rack}w{n}" for rack in RACKS for n in range(2)]
+POLICY = policies.Policy(gang_wait_bound_s=50, checkpoint_timeout_s=5)
+LEASE_S = 10.0
+numbers = strategies.integers(0, 10**6)
+
+
+def owed(number, pairs, whole, racks):
+    return strategies.tuples(
+        strategies.integers(0, number),
+        strategies.integers(0, pairs),
+        strategies.integers(0, whole),
+        strategies.integers(0, racks),
+    )
+
+
+class PlannerMachine(stateful.RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.ledger = jobs.JobLedger("north")
+        self.planner = planner.Planner()
+        self.now = 1000.0
+        self.jobs = {}
+        self.cancelled = set()
+        self.version = 0
+        self.was_restorable = True
+        self.capacity_lost = True
+
+    @property
+    def book(self):
+        return self.ledger.book
+
+    def do(self, command):
+        """Applies a command as a group does, encoded."""
+        command = codec.decode(codec.encode(command))
+        return self.ledger.commands()[type(command)](command)
+
+    def pick(self, items, number):
+        items = sorted(items)
+        return items[number % len(items)] if items else None
+
+    @stateful.initialize(tana=owed(2, 2, 1, 1), fingal=owed(3, 1, 1, 0))
+    def begin(self, tana, fingal):
+        present = [ledger_checks.worker(name, name[:2]) for name in NAMES]
+        self.do(messages.PutWorkers(tuple(present), (), self.now))
+        self.guarantee(tana, fingal)
+
+    @stateful.rule(tana=owed(2, 2, 1, 1), fingal=owed(3, 1, 1, 0))
+    def guarantee(self, tana, fingal):
+        self.version += 1
+        self.do(
+            messages.SetGuarantees(
+                self.version, {"tana": tana, "fingal": fingal}
+            )
+        )
+        self.capacity_lost = True
+
+    @stateful.rule(
+        account=strategies.sampled_from(ACCOUNTS),
+        tasks=strategies.sampled_from((1, 1, 1, 2, 2, 4)),
+        accelerators=strategies.sampled_from((0, 1, 1, 2, 3, 4, 4)),
+        cores=strategies.sampled_from((1, 4, 8, 16)),
+        adjacency=strategies.sampled_from(("rack", "any")),
+        guaranteed=strategies.booleans(),
+        urgent=strategies.booleans(),
+    )
+    def submit(self, **fields):
+        if fields["guaranteed"] and not fields["accelerators"]:
+            return
+        spec = messages.JobSpec(memory_gb=1, **fields)
+        job_id = f"north.{len(self.jobs)}"
+        command = messages.SubmitJob(job_id, "d", spec, 1000, self.now)
+        first = self.do(command)
+        assert self.do(command) == first
+        self.jobs[job_id] = spec
+
+    @stateful.rule(steps=strategies.integers(1, 8))
+    def plan(self, steps):
+        found = self.planner.steps(self.book, POLICY, self.now)
+        for _, step in zip(range(steps), found, strict=False):
+            self.do(step.command)
+            ledger_checks.check(self.ledger)
+
+    @stateful.rule(number=numbers)
+    def start(self, number):
+        job_id = self.pick(self.preparing(), number)
+        if job_id:
+            job = self.book.jobs[job_id]
+            self.do(messages.JobStarted(job_id, job.epoch, self.now))
+
+    def preparing(self):
+        return [
+            name
+            for name, job in self.book.unsettled.items()
+            if job.state == messages.JobState.PREPARING
+        ]
+
+    @stateful.rule(number=numbers)
+    def start_what_was_stopped(self, number):
+        job_id = self.pick(self.stopping(), number)
+        if job_id is None:
+            return
+        job = self.book.jobs[job_id]
+        try:
+            self.do(messages.JobStarted(job_id, job.epoch, self.now))
+        except errors.ConflictError:
+            return
+        raise AssertionError(f"{job} was started while it is stopped")
+
+    @stateful.rule(number=numbers)
+    def succeed(self, number):
+        running = [
+            name
+            for name, job in self.book.live.items()
+            if job.state == messages.JobState.RUNNING
+        ]
+        job_id = self.pick(running, number)
+        if job_id:
+            epoch = self.book.jobs[job_id].epoch
+            self.do(messages.JobSucceeded(job_id, epoch, self.now))
+
+    @stateful.rule(
+        number=numbers, reason=strategies.sampled_from(messages.StopReason)
+    )
+    def stop(self, number, reason):
+        job_id = self.pick(self.book.live, number)
+        if job_id is None or reason == messages.StopReason.CANCELLED:
+            return
+        job = self.book.jobs[job_id]
+        blamed = ""
+        if reason in messages.FAULTS or reason.startswith("worker-unr"):
+            blamed = job.slots[0].worker_id
+            self.capacity_lost = True
+        self.do(
+            messages.StopPlacement(
+                job_id, job.epoch, reason, self.now, blamed=blamed
+            )
+        )
+
+    @stateful.rule(number=numbers, confirmed=strategies.booleans())
+    def release(self, number, confirmed):
+        job_id = self.pick(self.stopping(), number)
+        if job_id is None:
+            return
+        job = self.book.jobs[job_id]
+        safe = self.now >= job.placement.safe_at
+        command = messages.ReleasePlacement(
+            job_id, job.epoch, confirmed, self.now
+        )
+        try:
+            self.do(command)
+        except errors.ConflictError:
+            assert not confirmed and not safe
+        else:
+            assert confirmed or safe
+
+    def stopping(self):
+        return [
+            name
+            for name, job in self.book.live.items()
+            if job.placement.stopping is not None
+        ]
+
+    @stateful.rule(number=numbers)
+    def cancel(self, number):
+        job_id = self.pick(self.jobs, number)
+        if job_id is None:
+            return
+        view = self.do(messages.CancelJob(job_id, self.now))
+        if view.state == messages.JobState.CANCELLED:
+            self.cancelled.add(job_id)
+
+    @stateful.rule(name=strategies.sampled_from(NAMES))
+    def lose_worker(self, name):
+        self.do(messages.PutWorkers((), (name,), self.now))
+        self.capacity_lost = True
+
+    @stateful.rule(
+        name=strategies.sampled_from(NAMES),
+        life=strategies.sampled_from("12"),
+        leaving=strategies.booleans(),
+    )
+    def announce(self, name, life, leaving):
+        worker = ledger_checks.worker(name, name[:2], 4, life, leaving)
+        self.do(messages.PutWorkers((worker,), (), self.now))
+        self.capacity_lost = True
+
+    @stateful.rule(name=strategies.sampled_from(NAMES))
+    def return_worker(self, name):
+        self.do(messages.ReturnWorker(name, self.now))
+
+    @stateful.rule(seconds=strategies.sampled_from((0.1, 1.0, 60.0)))
+    def wait(self, seconds):
+        self.now += seconds
+        command = messages.ExtendLeases(1, self.now + LEASE_S, self.now)
+        assert self.do(command).until >= self.now + LEASE_S
+
+    @stateful.rule()
+    def restart_from_a_snapshot(self):
+        raw = self.ledger.dump()
+        self.ledger = jobs.JobLedger("north")
+        self.ledger.load(raw)
+        assert self.ledger.dump() == raw
+        self.planner = planner.Planner()
+
+    @stateful.rule(
+        account=strategies.sampled_from(ACCOUNTS),
+        level=strategies.sampled_from(cells.Level),
+    )
+    def claim_a_cell(self, account, level):
+        """What is owed and restorable can be claimed, whoever borrows it."""
+        if not self.book.cells.unbound(account)[level]:
+            return
+        if not ledger_checks.restorable(self.book):
+            return
+        sizes = {0: (1, 1), 1: (1, 2), 2: (1, 4), 3: (2, 4)}
+        tasks, accelerators = sizes[int(level)]
+        if level == cells.Level.RACK and not self.whole_rack():
+            return
+        spec = messages.JobSpec(
+            account, tasks, accelerators, 1, 1, guaranteed=True
+        )
+        probe = placements.Job("probe", "", spec, 0, self.now, self.now)
+        self.book.jobs["probe"] = probe
+        claim = claims.find_claim(self.book, probe, self.now)
+        del self.book.jobs["probe"]
+        assert claim is not None
+        for victim in claim.room.victims:
+            assert not self.book.jobs[victim].spec.guaranteed
+
+    def whole_rack(self):
+        """Returns whether every rack has its two workers."""
+        return all(len(r.workers) == 2 for r in self.book.pool.racks.values())
+
+    @stateful.invariant()
+    def holds(self):
+        ledger_checks.check(self.ledger)
+        found = ledger_checks.restorable(self.book)
+        assert found == (self.book.cells.shortfall() == 0)
+        if self.was_restorable and not self.capacity_lost:
+            assert found, "a guarantee cannot be restored any more"
+        self.was_restorable = found
+        self.capacity_lost = False
+
+    @stateful.invariant()
+    def nothing_is_lost(self):
+        assert set(self.book.jobs) == set(self.jobs)
+        for job_id in self.cancelled:
+            assert self.book.jobs[job_id].state == "cancelled"
+
+
+TestPlannerMachine = PlannerMachine.TestCase
+TestPlannerMachine.settings = settings(
+    max_examples=80, stateful_step_count=40, deadline=None
+)
+
+
+def test_a_claim_binds_the_smallest_cells_that_do():
+    machine = PlannerMachine()
+    machine.begin((1, 1, 1, 1), (0, 0, 0, 0))
+    spec = messages.JobSpec("tana", 1, 2, 1, 1, guaranteed=True)
+    machine.do(messages.SubmitJob("north.0", "d", spec, 10, 0.0))
+    machine.plan(1)
+    (cell,) = machine.book.cells.bound["tana"]
+    assert cell.level == cells.Level.PAIR
+    bigger = dataclasses.replace(spec, tasks=2, accelerators=4)
+    machine.do(messages.SubmitJob("north.1", "d", bigger, 10, 0.0))
+    machine.plan(1)
+    assert machine.book.cells.bound["tana"][1].level == cells.Level.RACK
