Recover groups from their disks; repair, replace and retire replicas

Cause: a group with memory-only voters lost its majority for good when all VMs restarted, although its disk held everything acknowledged. A replica that was retired had its store closed while a sync ran in a thread.

Change: a voter without a leader asks the others; if a majority is certainly lost, no disk is, and nobody is silent, the survivor with the newest log goes on with the survivors, and the rest rejoin. The task that syncs a store closes it. The start of the next batch is written right after a sync, so that damage in the last synced batch is told from a torn tail too.

Ruled out: founding anew from the disk (two histories under one index and term); counting a silent voter as lost (it may hold a newer log).

--- a/laburnumsill/consensus/group.py
+++ b/laburnumsill/consensus/group.py
@@ -20,6 +20,7 @@
 from laburnumsill.consensus import store
 from laburnumsill.consensus import types
 from laburnumsill.core import clock as clocks
+from laburnumsill.core import codec
 from laburnumsill.core import logs
 from laburnumsill.core import replication
 
@@ -231,6 +232,35 @@
         self._paused = False
         logs.event("group-founded", group=self.name, voters=membership.voters)
 
+    def recover(self, term: int, membership: types.Membership) -> None:
+        """Takes up a membership that no leader can bring about any more.
+
+        It enters the log as an entry of a new term, as if a leader of that
+        term had sent it; nobody else can have been elected in it.
+
+        Args:
+            term: A term that no surviving voter has entered.
+            membership: The surviving voters.
+        """
+        last = self._engine.last_index
+        entry = types.Entry(
+            last + 1,
+            term,
+            types.EntryKind.MEMBERSHIP,
+            codec.encode(membership),
+        )
+        self.step(
+            types.Message(
+                types.MessageKind.APPEND,
+                self.me,
+                self.me,
+                term,
+                index=last,
+                log_term=self._engine.term_at(last) or 0,
+                entries=(entry,),
+            )
+        )
+
     def pump(self) -> None:
         """Carries out everything that the engine wants done now."""
         if self._paused:
@@ -247,27 +277,30 @@
     async def keep_syncing(self, pumped: abc.Callable[[], None]) -> None:
         """Syncs what is queued, again and again, in a worker thread.
 
+        The store is closed at the end, when no sync runs any more.
+
         Args:
             pumped: Called after each sync, to pump this group.
 
         Raises:
             StorageError: The disk failed.
         """
-        while True:
-            await self._changed.wait()
-            self._changed = trio.Event()
-            changes = self._take_pending()
-            if not changes:
-                continue
-            await trio.to_thread.run_sync(self._store.commit, changes)
-            self._note_kept(changes)
-            pumped()
-
-    def close(self) -> None:
-        """Fails all that waits and closes the store."""
+        try:
+            while True:
+                await self._changed.wait()
+                self._changed = trio.Event()
+                changes = self._take_pending()
+                if changes:
+                    await trio.to_thread.run_sync(self._store.commit, changes)
+                    self._note_kept(changes)
+                    pumped()
+        finally:
+            self._store.close()
+
+    def stop(self) -> None:
+        """Fails all that waits."""
         self._proposals.lose("the replica was stopped")
         self._reads.lose_all()
-        self._store.close()
 
     def _new_engine(self, stored: types.Stored) -> engines.Engine:
         return engines.Engine(
--- a/laburnumsill/consensus/host.py
+++ b/laburnumsill/consensus/host.py
@@ -113,7 +113,7 @@
                 nursery.start_soon(self._keep_house, nursery)
                 task_status.started()
         finally:
-            self._replicas.close()
+            self._replicas.stop()
 
     async def propose(
         self, group: str, command: object, deadline: float
@@ -355,14 +355,16 @@
         return [
             name
             for name, vms in self._keeper.make_up.items()
-            if self._me.vm_id in vms and name not in self._replicas.hosted
+            if self._me.vm_id in vms
+            and name not in self._replicas.hosted
+            and name not in self._asking
         ]
 
     async def _ask(self, hosted: groups.HostedGroup) -> None:
         try:
             unwanted = await self._keeper.ask(hosted)
             if unwanted:
-                self._replicas.retire(hosted.name)
+                await self._replicas.retire(hosted.name)
             else:
                 self._replicas.mark(hosted.name)
         finally:
--- a/laburnumsill/consensus/host_members.py
+++ b/laburnumsill/consensus/host_members.py
@@ -14,6 +14,7 @@
 from laburnumsill.consensus import group as groups
 from laburnumsill.consensus import group_make_up
 from laburnumsill.consensus import host_messages
+from laburnumsill.consensus import host_recovery
 from laburnumsill.consensus import types
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import logs
@@ -82,15 +83,7 @@
         known[hello.replica.vm] = candidate
         if group is None:
             return host_messages.HelloAnswer()
-        membership = group.engine.membership
-        leader = group.engine.leader
-        return host_messages.HelloAnswer(
-            group.me,
-            group.is_fresh,
-            group.with_disk,
-            hello.replica in membership.voters + membership.learners,
-            leader.vm if leader else None,
-        )
+        return _answer(group, hello.replica)
 
     def needs_to_ask(self, group: groups.HostedGroup) -> bool:
         """Returns whether a replica is no member, or may not be any more."""
@@ -102,7 +95,7 @@
         return now - self._led_at.setdefault(group.name, now) > LEADERLESS_S
 
     async def ask(self, group: groups.HostedGroup) -> bool:
-        """Asks the other VMs once; founds the group if that is due.
+        """Asks the other VMs once; founds or recovers the group if due.
 
         Returns:
             Whether this replica is not wanted any more: the group goes on
@@ -111,7 +104,8 @@
         name = group.name
         first = self._first.get(name, ())
         wanted = self._make_up.get(name, ())
-        asked = dict.fromkeys([*first, *wanted])
+        voters = group.engine.membership.voters
+        asked = dict.fromkeys([*first, *wanted, *(v.vm for v in voters)])
         asked.pop(self._me, None)
         hello = host_messages.Hello(name, group.me, group.with_disk)
         deadline = self._clock.monotonic() + ANSWER_WITHIN_S
@@ -123,6 +117,8 @@
             if membership is not None:
                 await group.found(membership)
                 return False
+        if group.is_member and not group.is_fresh:
+            self._recover_if_due(group, answers)
         if self._me in wanted:
             return False
         return group.is_fresh or any(
@@ -148,6 +144,28 @@
             return True
         return False
 
+    def _recover_if_due(
+        self, group: groups.HostedGroup, answers: founding.Answers
+    ) -> None:
+        """Goes on with the voters that are left, where that loses nothing."""
+        found = host_recovery.recovery_entry(
+            group.engine.membership, _answer(group, group.me), answers
+        )
+        if found is None:
+            return
+        term, membership = found
+        logs.event(
+            "group-recovered",
+            level="WARNING",
+            group=group.name,
+            term=term,
+            voters=_names(membership.voters),
+            lost=_names(
+                set(group.engine.membership.voters) - set(membership.voters)
+            ),
+        )
+        group.recover(term, membership)
+
     def _founds(self, name: str) -> bool:
         first = self._first.get(name, ())
         if self._me not in first:
@@ -178,6 +196,23 @@
         )
 
 
+def _answer(
+    group: groups.HostedGroup, asker: types.ReplicaId
+) -> host_messages.HelloAnswer:
+    engine = group.engine
+    membership = engine.membership
+    return host_messages.HelloAnswer(
+        replica=group.me,
+        fresh=group.is_fresh,
+        with_disk=group.with_disk,
+        member=asker in membership.voters + membership.learners,
+        leader=engine.leader.vm if engine.leader else None,
+        term=engine.term,
+        last_term=engine.term_at(engine.last_index) or 0,
+        last_index=engine.last_index,
+    )
+
+
 def _names(replicas: abc.Iterable[types.ReplicaId]) -> str:
     return ",".join(
         f"{replica.vm}/{replica.incarnation}" for replica in replicas
--- a/laburnumsill/consensus/host_messages.py
+++ b/laburnumsill/consensus/host_messages.py
@@ -90,6 +90,9 @@
         with_disk: Whether that replica has a disk.
         member: Whether the asker is in the newest membership known there.
         leader: The VM that leads, as far as is known there.
+        term: The newest term known there.
+        last_term: The term of the last entry of its log.
+        last_index: The index of the last entry of its log.
     """
 
     replica: types.ReplicaId | None = None
@@ -97,6 +100,9 @@
     with_disk: bool = False
     member: bool = False
     leader: str | None = None
+    term: int = 0
+    last_term: int = 0
+    last_index: int = 0
 
     @property
     def established(self) -> bool:
--- a/laburnumsill/consensus/host_replicas.py
+++ b/laburnumsill/consensus/host_replicas.py
@@ -4,6 +4,7 @@
 groups have to say to a VM leaves in one frame.
 """
 
+import dataclasses
 import pathlib
 import random
 from collections import abc
@@ -59,8 +60,8 @@
         self._options = options
         self._limits = limits
         self._random = random.Random()
-        self._groups: dict[str, groups.HostedGroup] = {}
-        self._scopes: dict[str, trio.CancelScope] = {}
+        self._hosted: dict[str, groups.HostedGroup] = {}
+        self._syncs: dict[str, _SyncTask] = {}
         self._marked: set[str] = set()
         self._awake = trio.Event()
         self._failure: Exception | None = None
@@ -69,7 +70,7 @@
     @property
     def hosted(self) -> abc.Mapping[str, groups.HostedGroup]:
         """The replicas by group."""
-        return self._groups
+        return self._hosted
 
     def stored_groups(self) -> list[str]:
         """Returns the names of the groups that the data folder holds."""
@@ -105,13 +106,13 @@
             disk=kept.with_disk,
             last_index=group.engine.last_index,
         )
-        self._groups[name] = group
+        self._hosted[name] = group
         if kept.with_disk:
-            self._scopes[name] = trio.CancelScope()
-            nursery.start_soon(self._keep_syncing, group, self._scopes[name])
+            self._syncs[name] = _SyncTask()
+            nursery.start_soon(self._keep_syncing, group, self._syncs[name])
         self.mark(name)
 
-    def retire(self, name: str) -> None:
+    async def retire(self, name: str) -> None:
         """Stops a replica that its group does not want any more.
 
         Its files are set aside, never deleted.
@@ -120,14 +121,18 @@
             StorageError: The disk failed.
         """
         logs.event("replica-retired", group=name)
-        self._close(name)
-        if self._folder is not None:
-            store_disk.set_aside(self._folder / name)
+        self._hosted.pop(name).stop()
+        task = self._syncs.pop(name, None)
+        if task is None or self._folder is None:
+            return
+        task.scope.cancel()
+        await task.ended.wait()
+        await trio.to_thread.run_sync(store_disk.set_aside, self._folder / name)
 
-    def close(self) -> None:
-        """Closes all replicas."""
-        for name in list(self._groups):
-            self._close(name)
+    def stop(self) -> None:
+        """Stops all replicas; those with a disk are closed by their task."""
+        for name in list(self._hosted):
+            self._hosted.pop(name).stop()
 
     def mark(self, name: str) -> None:
         """Has a group pumped in the driver's next turn."""
@@ -143,7 +148,7 @@
         while True:
             now = self._clock.monotonic()
             due = min(
-                (group.due for group in self._groups.values()),
+                (group.due for group in self._hosted.values()),
                 default=now + LONGEST_SLEEP_S,
             )
             wait = min(max(0.0, due - now), LONGEST_SLEEP_S)
@@ -157,7 +162,7 @@
 
     def _tick(self) -> None:
         now = self._clock.monotonic()
-        for name, group in self._groups.items():
+        for name, group in self._hosted.items():
             if group.due <= now:
                 group.tick(now)
                 self._marked.add(name)
@@ -173,7 +178,7 @@
             self._awake.set()
 
     def _step(self, raft: ttypes.RaftMessage) -> None:
-        group = self._groups.get(raft.group)
+        group = self._hosted.get(raft.group)
         if group is None:
             return
         try:
@@ -189,7 +194,7 @@
         marked, self._marked = self._marked, set()
         frames: dict[str, list[ttypes.RaftMessage]] = {}
         for name in marked:
-            group = self._groups.get(name)
+            group = self._hosted.get(name)
             if group is None:
                 continue
             group.pump()
@@ -208,13 +213,20 @@
         )
 
     async def _keep_syncing(
-        self, group: groups.HostedGroup, scope: trio.CancelScope
+        self, group: groups.HostedGroup, task: "_SyncTask"
     ) -> None:
-        with scope:
-            await group.keep_syncing(lambda: self.mark(group.name))
-
-    def _close(self, name: str) -> None:
-        scope = self._scopes.pop(name, None)
-        if scope is not None:
-            scope.cancel()
-        self._groups.pop(name).close()
+        try:
+            with task.scope:
+                await group.keep_syncing(lambda: self.mark(group.name))
+        finally:
+            task.ended.set()
+
+
+@dataclasses.dataclass(slots=True)
+class _SyncTask:
+    """The task that syncs one store; its end closes the store."""
+
+    scope: trio.CancelScope = dataclasses.field(
+        default_factory=trio.CancelScope
+    )
+    ended: trio.Event = dataclasses.field(default_factory=trio.Event)
--- a/laburnumsill/consensus/segments.py
+++ b/laburnumsill/consensus/segments.py
@@ -6,10 +6,10 @@
 
 A segment's first record names its group, incarnation and number and carries
 a random nonce. All that one sync covers is a batch, which starts with a record
-of the nonce and the batch's number. A batch is only written once the one
-before it is synced, so a bad record with a readable batch start after it is
-damage, while a bad record in the last batch of the last segment is a tail
-that was torn before its sync ended, and nothing rests on it.
+of the nonce and the batch's number. The start of the next batch is written as
+soon as a sync has ended, so a bad record with a readable batch start after it
+was synced and is damaged, while a bad record after the last batch start is a
+tail that was torn before its sync ended, and nothing rests on it.
 """
 
 import dataclasses
@@ -50,8 +50,8 @@
 
 _KNOWN_TYPES = frozenset(RecordType)
 
-HEAD_RECORDS = 2
-"""A segment is in use only once its header and first term are synced."""
+HEAD_RECORDS = 3
+"""Header, term and first batch start are synced before a segment is used."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/laburnumsill/consensus/store_disk.py
+++ b/laburnumsill/consensus/store_disk.py
@@ -144,18 +144,19 @@
             active.last_index = max(active.last_index, entries[-1].index)
 
     def _flush(self, pending: list[bytes]) -> None:
-        """Writes one batch and syncs it."""
+        """Writes the rest of one batch, syncs it and starts the next."""
         if not pending:
             return
-        self._batch += 1
-        head = segments.batch_record(self._nonce, self._batch)
-        raw = b"".join([head, *pending])
         active = self._segments[-1]
+        raw = b"".join(pending)
         segments.write_all(self._descriptor, raw, active.path)
-        active.size += len(raw)
-        self._log_bytes += len(raw)
         if self._sync:
             segments.sync(self._descriptor, active.path)
+        self._batch += 1
+        start = segments.batch_record(self._nonce, self._batch)
+        segments.write_all(self._descriptor, start, active.path)
+        active.size += len(raw) + len(start)
+        self._log_bytes += len(raw) + len(start)
 
     def _start_segment(self, number: int) -> None:
         """Makes a segment durable, header and term included, then uses it."""
@@ -168,6 +169,7 @@
             segments.prefix(segments.SEGMENT_MAGIC)
             + segments.header_record(header)
             + segments.hard_state_record(self._hard_state)
+            + segments.batch_record(nonce, 0)
         )
         segments.write_file(path, (raw,))
         descriptor = os.open(path, os.O_WRONLY | os.O_APPEND)
--- /dev/null
+++ b/laburnumsill/consensus/tests/test_host_repair.py
@@ -0,0 +1,148 @@
+"""Hosts whose stores are lost or damaged, and groups that change."""
+
+import shutil
+
+import pytest
+
+from laburnumsill.consensus import host
+from laburnumsill.consensus import segments
+from laburnumsill.consensus import types
+from laburnumsill.consensus.tests import host_cluster
+
+KEYS = [f"k{n}" for n in range(30)]
+
+
+@pytest.fixture
+def make_cluster(tmp_path, nursery):
+    def make(
+        disks: str = "DDD",
+        limits: host.SnapshotLimits = host.DEFAULT_LIMITS,
+    ) -> host_cluster.Cluster:
+        return host_cluster.Cluster(tmp_path, nursery, disks, limits)
+
+    return make
+
+
+def largest_segment(node):
+    folder = node.folder / "groups" / host_cluster.ROOT
+    return max(folder.glob("log-*"), key=lambda path: path.stat().st_size)
+
+
+async def running(cluster, *keys):
+    """Starts all VMs and adds `keys`."""
+    await cluster.start()
+    await cluster.add(0, *keys)
+    await cluster.until_settled()
+
+
+async def test_a_lost_disk_comes_back_as_another_replica(make_cluster):
+    cluster = make_cluster()
+    await running(cluster, *KEYS)
+    for place in (0, 1):
+        node = cluster.nodes[place]
+        before = node.incarnation()
+        await node.stop()
+        shutil.rmtree(node.folder)
+        await cluster.start(place)
+        await cluster.until_settled()
+        assert node.incarnation() != before
+        assert node.keys() == KEYS
+
+
+async def test_a_torn_tail_is_cut_and_the_replica_goes_on(make_cluster):
+    cluster = make_cluster()
+    await running(cluster, *KEYS)
+    node = cluster.nodes[1]
+    before = node.incarnation()
+    await node.stop()
+    await cluster.add(0, "missed")
+    entry = types.Entry(99, 2, types.EntryKind.COMMAND, b"torn")
+    with largest_segment(node).open("ab") as log:
+        log.write(segments.entry_record(entry)[:-1])
+    await cluster.start(1)
+    await cluster.until_settled()
+    assert node.incarnation() == before
+    assert node.keys() == [*KEYS, "missed"]
+
+
+async def test_a_damaged_log_is_set_aside_and_repaired(make_cluster):
+    cluster = make_cluster()
+    await running(cluster, *KEYS)
+    node = cluster.nodes[1]
+    before = node.incarnation()
+    await node.stop()
+    path = largest_segment(node)
+    raw = bytearray(path.read_bytes())
+    raw[raw.index(b"k10")] ^= 1
+    path.write_bytes(raw)
+    await cluster.start(1)
+    await cluster.until_settled()
+    assert node.incarnation() != before
+    assert node.keys() == KEYS
+    assert list(node.folder.glob("groups/root.set-aside*"))
+
+
+async def test_who_missed_hundreds_of_entries_gets_a_snapshot(make_cluster):
+    limits = host.SnapshotLimits(entries=50)
+    cluster = make_cluster("DDM", limits)
+    await running(cluster, "first")
+    for place in (1, 2):
+        node = cluster.nodes[place]
+        await node.stop()
+        data = [f"{place}-{n}-{'x' * 2000}" for n in range(300)]
+        await cluster.add(0, *data)
+        await cluster.start(place)
+        await cluster.until_settled()
+        assert node.keys()[-300:] == data
+        assert node.component().loads >= 1
+    await cluster.nodes[0].stop()
+    await cluster.start(0)
+    await cluster.until_settled()
+    assert len(cluster.nodes[0].keys()) == 601
+    assert cluster.nodes[0].component().loads == 1
+
+
+async def test_a_vm_is_replaced_and_a_second_loss_is_survived(make_cluster):
+    cluster = make_cluster("DMDMM")
+    cluster.make_up = {host_cluster.ROOT: ["vm0", "vm2", "vm1"]}
+    await cluster.start()
+    await cluster.add(0, *KEYS)
+    voters = cluster.leader().status().voters
+    lost = cluster.nodes[int(voters[2][2:])]
+    spare = next(n for n in cluster.nodes if n.vm.vm_id not in voters)
+    await lost.stop()
+    make_up = {host_cluster.ROOT: [*voters[:2], spare.vm.vm_id]}
+    for node in cluster.nodes:
+        if node is not lost:
+            node.host.set_make_up(make_up)
+    await cluster.until(
+        lambda: (
+            (leader := cluster.leader()) is not None
+            and set(leader.status().voters) == set(make_up[host_cluster.ROOT])
+            and not leader.status().learners
+        )
+    )
+    second = cluster.nodes[int(voters[1][2:])]
+    await second.stop()
+    place = cluster.nodes.index(spare)
+    await cluster.add(place, "after")
+    assert await cluster.seen(place) == [*KEYS, "after"]
+
+
+async def test_a_replica_that_is_replaced_while_it_runs_retires(make_cluster):
+    cluster = make_cluster("DDDDD")
+    await cluster.start()
+    await cluster.add(0, *KEYS)
+    voters = cluster.leader().status().voters
+    gone = cluster.leader()
+    spare = next(n for n in cluster.nodes if n.vm.vm_id not in voters)
+    kept = [vm for vm in voters if vm != gone.vm.vm_id]
+    make_up = {host_cluster.ROOT: [*kept, spare.vm.vm_id]}
+    for node in cluster.nodes:
+        node.host.set_make_up(make_up)
+    await cluster.until(
+        lambda: gone.host.local(host_cluster.ROOT) is None, within=15
+    )
+    assert await cluster.seen(cluster.nodes.index(gone)) == KEYS
+    assert set(cluster.leader().status().voters) == {*kept, spare.vm.vm_id}
+    assert list(gone.folder.glob("groups/root.set-aside*"))
