Add the member table and the members' HTTP calls

Cause: there is no list of backend servers or workers; they announce themselves to any VM, and one that is gone or leaving must get no new work after 3 s from any VM, whichever VM dies at that moment.

Ruled out: one watcher with a fresh TTL for its heir (1 s to notice, then 2 s of TTL, is past 3 s), and heartbeats to every VM (traffic grows with members times VMs).

Change: two watchers for each member, first two by rendezvous hash in its domain, both hear each announcement, ask each other before they declare a member gone, and broadcast changes only. Probes of digests by bucket mend what was missed; a VM that stood still trusts nothing old. The arithmetic is the docstring of members.timing.

--- /dev/null
+++ b/laburnumsill/api/members.py
@@ -0,0 +1,278 @@
+"""Calls of backend servers and workers, and lists of them for operators.
+
+``POST /v1/backend-servers`` announces a backend server, at first and again
+as a heartbeat. Body::
+
+    {"server_id": "s1", "service": "tee-sheet", "domain": "north",
+     "address": "10.0.0.7:8080", "incarnation": "00001780000000000000",
+     "sequence": 17, "slots": 8, "connections": 64,
+     "busy": 3, "leaving": false}
+
+``busy`` and ``leaving`` may be left out. ``POST /v1/workers`` announces a
+worker. Body::
+
+    {"worker_id": "w1", "domain": "north", "rack": "r1",
+     "address": "10.0.1.7:9000", "incarnation": "00001780000000000000",
+     "sequence": 17, "cores": 128, "memory_gb": 512, "accelerators": 8,
+     "leaving": false}
+
+Incarnations of one member are compared as strings and have to grow with each
+start of its process: take the start time in a fixed width. The sequence grows
+with each announcement, also with a repeated attempt. The answer to both is
+200::
+
+    {"accepted": true, "next_announce_at": 1780000000.35}
+
+``next_announce_at`` is wall time in seconds; ``accepted`` is false if a later
+announcement is known already. A member that gets 503 or no answer announces
+through the next VM. Problems: 400 ``malformed-json``, 404
+``unknown-service`` or ``unknown-domain``, 409 ``stale-incarnation`` (with
+``incarnation``, the later one), 503 ``domain-unreachable`` or
+``member-table-full``.
+
+``DELETE /v1/backend-servers/{id}?service=...&incarnation=...`` and ``DELETE
+/v1/workers/{id}?incarnation=...`` say that the member is gone. 200
+``{"left": true}``, also when repeated; 400 ``invalid-input`` without the
+parameters; 404 ``unknown-member``: this VM does not know it, try another;
+409 ``stale-incarnation``; 503 ``domain-unreachable``. A member that wants no
+new work first announces ``"leaving": true``, ends what it runs, then leaves.
+
+``POST /v1/workers/{id}/usage`` reports the use of tasks. Body::
+
+    {"incarnation": "00001780000000000000", "measured_at": 1780000000.0,
+     "tasks": [{"task_id": "t1", "job_id": "north.5f", "epoch": 4,
+                "state": "running", "cores": 90.5, "memory_gb": 410.0,
+                "accelerators": 7.5}]}
+
+202 ``{"accepted": true}``.
+
+``GET /v1/backend-servers`` and ``GET /v1/workers`` list what this VM knows:
+``{"backend_servers": [...]}`` and ``{"workers": [...]}``, each with the fields
+of its announcement and ``usable``, whether it may get work from this VM now.
+"""
+
+import dataclasses
+import typing
+
+import pydantic
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from laburnumsill.api import problems
+from laburnumsill.core import errors
+from laburnumsill.core import members
+from laburnumsill.members import entries
+from laburnumsill.members import table as tables
+from laburnumsill.members import usage as usage_module
+
+Identifier = typing.Annotated[
+    str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")
+]
+Address = typing.Annotated[
+    str, pydantic.Field(pattern=r"^[A-Za-z0-9.:_\[\]-]{1,255}:[0-9]{1,5}$")
+]
+Sequence = typing.Annotated[int, pydantic.Field(ge=0, lt=2**53)]
+Amount = typing.Annotated[int, pydantic.Field(ge=0, le=1_000_000)]
+Load = typing.Annotated[
+    float, pydantic.Field(ge=0, le=1e9, allow_inf_nan=False)
+]
+WallTime = typing.Annotated[
+    float, pydantic.Field(ge=0, le=1e11, allow_inf_nan=False)
+]
+
+MAX_TASKS = 10_000
+"""Tasks in one usage report."""
+
+
+class InvalidParameterError(errors.InvalidInputError):
+    """A query parameter that is missing or damaged."""
+
+    slug = "invalid-input"
+
+
+class Border(pydantic.BaseModel):
+    """Base of the models: unknown fields and lax types are refused."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", strict=True)
+
+
+class ServerAnnouncement(Border):
+    """The body of an announcement of a backend server."""
+
+    server_id: Identifier
+    service: Identifier
+    domain: Identifier
+    address: Address
+    incarnation: Identifier
+    sequence: Sequence
+    slots: typing.Annotated[int, pydantic.Field(ge=1, le=1024)]
+    connections: typing.Annotated[int, pydantic.Field(ge=1, le=65_536)]
+    busy: Amount = 0
+    leaving: bool = False
+
+
+class WorkerAnnouncement(Border):
+    """The body of an announcement of a worker."""
+
+    worker_id: Identifier
+    domain: Identifier
+    rack: Identifier
+    address: Address
+    incarnation: Identifier
+    sequence: Sequence
+    cores: Amount
+    memory_gb: Amount
+    accelerators: typing.Annotated[int, pydantic.Field(ge=0, le=1024)]
+    leaving: bool = False
+
+
+class TaskUsage(Border):
+    """The use of one task in a report."""
+
+    task_id: typing.Annotated[str, pydantic.Field(max_length=255)]
+    job_id: typing.Annotated[str, pydantic.Field(max_length=255)]
+    epoch: Sequence
+    state: typing.Annotated[str, pydantic.Field(max_length=63)]
+    cores: Load
+    memory_gb: Load
+    accelerators: Load
+
+
+class UsageReport(Border):
+    """The body of a usage report."""
+
+    incarnation: Identifier
+    measured_at: WallTime
+    tasks: typing.Annotated[
+        list[TaskUsage], pydantic.Field(max_length=MAX_TASKS)
+    ]
+
+
+def routes(
+    table: tables.MemberTable,
+    usage: usage_module.UsageHandler | None = None,
+) -> list[routing.Route]:
+    """Returns the routes of this module.
+
+    Args:
+        table: The member table of this VM.
+        usage: Takes the workers' usage reports, or None to drop them.
+    """
+    calls = _Calls(table, usage)
+    paths: list[tuple[str, str, problems.Endpoint]] = [
+        ("POST", "/v1/backend-servers", calls.announce_server),
+        ("GET", "/v1/backend-servers", calls.list_servers),
+        ("DELETE", "/v1/backend-servers/{member_id}", calls.leave_server),
+        ("POST", "/v1/workers", calls.announce_worker),
+        ("GET", "/v1/workers", calls.list_workers),
+        ("DELETE", "/v1/workers/{member_id}", calls.leave_worker),
+        ("POST", "/v1/workers/{member_id}/usage", calls.report_usage),
+    ]
+    return [
+        routing.Route(path, problems.guarded(endpoint), methods=[method])
+        for method, path, endpoint in paths
+    ]
+
+
+class _Calls:
+    """The endpoints."""
+
+    def __init__(
+        self,
+        table: tables.MemberTable,
+        usage: usage_module.UsageHandler | None,
+    ) -> None:
+        self._table = table
+        self._usage = usage
+
+    async def announce_server(
+        self, request: requests.Request
+    ) -> responses.Response:
+        body = await problems.read_model(request, ServerAnnouncement)
+        server = members.BackendServer(**body.model_dump())
+        answer = await self._table.announce_server(server)
+        return problems.json_response(answer)
+
+    async def announce_worker(
+        self, request: requests.Request
+    ) -> responses.Response:
+        body = await problems.read_model(request, WorkerAnnouncement)
+        worker = members.Worker(**body.model_dump())
+        answer = await self._table.announce_worker(worker)
+        return problems.json_response(answer)
+
+    async def leave_server(
+        self, request: requests.Request
+    ) -> responses.Response:
+        service = _parameter(request, "service")
+        member_id = entries.server_member_id(
+            service, request.path_params["member_id"]
+        )
+        return await self._leave(request, entries.SERVER, member_id)
+
+    async def leave_worker(
+        self, request: requests.Request
+    ) -> responses.Response:
+        member_id = request.path_params["member_id"]
+        return await self._leave(request, entries.WORKER, member_id)
+
+    async def report_usage(
+        self, request: requests.Request
+    ) -> responses.Response:
+        body = await problems.read_model(request, UsageReport)
+        if self._usage is not None:
+            tasks = tuple(
+                usage_module.TaskUsage(**task.model_dump())
+                for task in body.tasks
+            )
+            await self._usage(
+                usage_module.UsageReport(
+                    request.path_params["member_id"],
+                    body.incarnation,
+                    body.measured_at,
+                    tasks,
+                )
+            )
+        return problems.json_response({"accepted": True}, 202)
+
+    async def list_servers(
+        self, request: requests.Request
+    ) -> responses.Response:
+        return problems.json_response(
+            {"backend_servers": self._known(entries.SERVER)}
+        )
+
+    async def list_workers(
+        self, request: requests.Request
+    ) -> responses.Response:
+        return problems.json_response({"workers": self._known(entries.WORKER)})
+
+    async def _leave(
+        self, request: requests.Request, kind: str, member_id: str
+    ) -> responses.Response:
+        incarnation = _parameter(request, "incarnation")
+        await self._table.leave(kind, member_id, incarnation)
+        return problems.json_response({"left": True})
+
+    def _known(self, kind: str) -> list[dict[str, object]]:
+        found = sorted(
+            self._table.known(kind),
+            key=lambda known: entries.member_id(known.member),
+        )
+        return [
+            {**dataclasses.asdict(known.member), "usable": known.usable}
+            for known in found
+        ]
+
+
+def _parameter(request: requests.Request, name: str) -> str:
+    """Returns a query parameter that has to be an identifier."""
+    value = request.query_params.get(name, "")
+    try:
+        return _IDENTIFIER.validate_python(value)
+    except pydantic.ValidationError as error:
+        raise InvalidParameterError(f"?{name}= is {value[:80]!r}") from error
+
+
+_IDENTIFIER: pydantic.TypeAdapter[str] = pydantic.TypeAdapter(Identifier)
--- /dev/null
+++ b/laburnumsill/members/tests/cluster.py
@@ -0,0 +1,298 @@
+"""Member tables on an in-memory network in virtual time."""
+
+import collections
+import random
+import typing
+from collections import abc
+
+from laburnumsill.config import current as current_module
+from laburnumsill.config import models
+from laburnumsill.core import clock as clocks
+from laburnumsill.core import codec
+from laburnumsill.core import errors
+from laburnumsill.core import members
+from laburnumsill.core import metrics
+from laburnumsill.core import replication
+from laburnumsill.core import topology
+from laburnumsill.members import intake
+from laburnumsill.members import table
+from laburnumsill.members import timing
+
+STEP_S = 0.05
+LATENCY_S = 0.002
+SERVICE = "tee"
+
+
+def run_sync(coroutine: abc.Coroutine[typing.Any, typing.Any, typing.Any]):
+    """Runs a coroutine that never waits."""
+    try:
+        coroutine.send(None)
+    except StopIteration as end:
+        return end.value
+    raise AssertionError("it waits")
+
+
+class MemoryPeers(replication.Peers):
+    def __init__(self, net: "Cluster", me: str) -> None:
+        self.net = net
+        self.me = me
+        self.handlers: dict[type, replication.Handler] = {}
+        self.heard: dict[str, float] = {}
+
+    async def call(
+        self, vm: str, request: object, deadline: float
+    ) -> typing.Any:
+        raise NotImplementedError
+
+    def notify(self, vm: str, notice: object) -> None:
+        self.net.send(self.me, vm, notice)
+
+    def on_call(
+        self, request_type: type, handler: replication.AsyncHandler
+    ) -> None:
+        raise NotImplementedError
+
+    def on_notice(
+        self, notice_type: type, handler: replication.Handler
+    ) -> None:
+        self.handlers[notice_type] = handler
+
+    def reachable(self) -> frozenset[str]:
+        now = self.net.clock.monotonic()
+        limit = now - timing.REACHABLE_S
+        heard = {vm for vm, at in self.heard.items() if at >= limit}
+        return frozenset(heard | {self.me})
+
+
+class Cluster:
+    """`domains` x `per_domain` VMs; each `step` is one tick of all."""
+
+    def __init__(
+        self,
+        domains: int = 3,
+        per_domain: int = 3,
+        configuration: models.Configuration | None = None,
+        seed: int = 1,
+    ) -> None:
+        self.clock = clocks.ManualClock(1000.0)
+        self.random = random.Random(seed)
+        self.vms = [
+            topology.Vm(f"vm{d}{n}", f"d{d}", "", "", False)
+            for d in range(domains)
+            for n in range(per_domain)
+        ]
+        self.current = current_module.Current()
+        if configuration is not None:
+            self.current.put(current_module.Versioned(1, "", configuration))
+        self.cuts: set[frozenset[str]] = set()
+        self.dead: set[str] = set()
+        self.frozen: set[str] = set()
+        self.loss = 0.0
+        self.repeat = 0.0
+        self.delay_s = LATENCY_S
+        self.sent: collections.Counter[str] = collections.Counter()
+        self.sent_bytes: collections.Counter[str] = collections.Counter()
+        self.queue: list[tuple[float, str, str, bytes]] = []
+        self.peers: dict[str, MemoryPeers] = {}
+        self.tables: dict[str, table.MemberTable] = {}
+        self.changes: dict[str, list[tuple[str, str]]] = {}
+        self.members: list[Announcing] = []
+        for vm in self.vms:
+            self.start(vm.vm_id)
+        self.run(0.3)
+
+    def vm(self, vm_id: str) -> topology.Vm:
+        return next(vm for vm in self.vms if vm.vm_id == vm_id)
+
+    def start(self, vm_id: str) -> None:
+        """Starts a VM, or restarts it with nothing."""
+        self.dead.discard(vm_id)
+        self.frozen.discard(vm_id)
+        self.peers[vm_id] = MemoryPeers(self, vm_id)
+        self.tables[vm_id] = table.MemberTable(
+            self.vm(vm_id),
+            self.vms,
+            self.peers[vm_id],
+            self.current,
+            self.clock,
+            metrics.Metrics(),
+        )
+        seen = self.changes[vm_id] = []
+        self.tables[vm_id].observe(
+            lambda change: seen.append(
+                (change.what.value, getattr(change.member, "server_id", "-"))
+            )
+        )
+
+    def kill(self, vm_id: str) -> None:
+        self.dead.add(vm_id)
+
+    def cut(self, one: str, other: str) -> None:
+        self.cuts.add(frozenset((one, other)))
+
+    def isolate(self, domain: str) -> None:
+        for vm in self.vms:
+            for other in self.vms:
+                if (vm.domain == domain) != (other.domain == domain):
+                    self.cut(vm.vm_id, other.vm_id)
+
+    def linked(self, one: str, other: str) -> bool:
+        return frozenset((one, other)) not in self.cuts
+
+    def alive(self) -> list[str]:
+        down = self.dead | self.frozen
+        return [vm.vm_id for vm in self.vms if vm.vm_id not in down]
+
+    def send(self, source: str, target: str, notice: object) -> None:
+        raw = codec.encode(notice)
+        self.sent[type(notice).__name__] += 1
+        self.sent_bytes[source] += len(raw)
+        copies = 1 + (self.random.random() < self.repeat)
+        for _ in range(copies):
+            if self.random.random() >= self.loss:
+                late = self.clock.monotonic() + self.random.uniform(
+                    LATENCY_S, max(LATENCY_S, self.delay_s)
+                )
+                self.queue.append((late, source, target, raw))
+
+    def step(self) -> None:
+        self.clock.advance(STEP_S)
+        now = self.clock.monotonic()
+        for vm in self.alive():
+            for other in self.alive():
+                if self.linked(vm, other):
+                    self.peers[vm].heard[other] = now
+        self._deliver(now)
+        for member in self.members:
+            member.step()
+        for vm in self.alive():
+            self.tables[vm].tick()
+        # What was sent in this tick and has arrived before the next one.
+        self._deliver(now + LATENCY_S)
+
+    def run(self, seconds: float) -> None:
+        for _ in range(round(seconds / STEP_S)):
+            self.step()
+
+    def servers(self, vm: str) -> set[str]:
+        return {s.server_id for s in self.tables[vm].servers(SERVICE)}
+
+    def workers(self, vm: str, domain: str) -> set[str]:
+        return {w.worker_id for w in self.tables[vm].workers(domain)}
+
+    def _deliver(self, now: float) -> None:
+        while True:
+            due = [item for item in self.queue if item[0] <= now]
+            if not due:
+                return
+            self.queue = [item for item in self.queue if item[0] > now]
+            due.sort()
+            for item in due:
+                _, source, target, raw = item
+                if target in self.dead or not self.linked(source, target):
+                    continue
+                if target in self.frozen:
+                    self.queue.append((now + STEP_S, source, target, raw))
+                    continue
+                notice = codec.decode(raw)
+                handler = self.peers[target].handlers[type(notice)]
+                handler(notice)
+
+
+class Announcing:
+    """A member that announces itself as told, through VMs in turn.
+
+    Attributes:
+        alive: Whether it announces itself.
+        vms: The VMs that it uses.
+        leaving: What it says of itself.
+        wait_s: How long one attempt at a VM that is down takes.
+    """
+
+    def __init__(
+        self,
+        cluster: Cluster,
+        kind: str,
+        member_id: str,
+        domain: str,
+        vms: abc.Sequence[str] = (),
+        sticky: bool = True,
+    ) -> None:
+        self.cluster = cluster
+        self.kind = kind
+        self.member_id = member_id
+        self.domain = domain
+        self.vms = list(vms) or [vm.vm_id for vm in cluster.vms]
+        self.alive = True
+        self.leaving = False
+        self.busy = 0
+        self.wait_s = 0.4
+        self.silent_since = 0.0
+        self.incarnation = "1"
+        self.sequence = 0
+        self._sticky = sticky
+        self._turn = cluster.random.randrange(len(self.vms))
+        self._next_at = 0.0
+        cluster.members.append(self)
+
+    def stop(self) -> None:
+        self.alive = False
+
+    def soon(self) -> None:
+        self._next_at = 0.0
+
+    def report(self) -> members.BackendServer | members.Worker:
+        if self.kind == "worker":
+            return members.Worker(
+                self.member_id,
+                self.domain,
+                "r1",
+                "10.0.0.1:80",
+                self.incarnation,
+                self.sequence,
+                128,
+                512,
+                8,
+                self.leaving,
+            )
+        return members.BackendServer(
+            self.member_id,
+            SERVICE,
+            self.domain,
+            "10.0.0.2:80",
+            self.incarnation,
+            self.sequence,
+            8,
+            64,
+            self.busy,
+            self.leaving,
+        )
+
+    def step(self) -> None:
+        now = self.cluster.clock.wall()
+        if not self.alive or now < self._next_at:
+            return
+        vm = self.vms[self._turn % len(self.vms)]
+        answer = self.announce(vm)
+        if answer is None:
+            self._turn += 1
+            down = vm not in self.cluster.alive()
+            self._next_at = now + (self.wait_s if down else STEP_S)
+        else:
+            self._turn += 0 if self._sticky else 1
+            self._next_at = answer.next_announce_at
+
+    def announce(self, vm: str) -> intake.Announced | None:
+        if vm not in self.cluster.alive():
+            return None
+        self.sequence += 1
+        table_of_vm = self.cluster.tables[vm]
+        take = (
+            table_of_vm.announce_worker
+            if self.kind == "worker"
+            else table_of_vm.announce_server
+        )
+        try:
+            return run_sync(take(self.report()))
+        except errors.UnavailableError:
+            return None
--- /dev/null
+++ b/laburnumsill/members/tests/test_table.py
@@ -0,0 +1,301 @@
+import pytest
+
+from laburnumsill.config import models
+from laburnumsill.core import members
+from laburnumsill.members import entries
+from laburnumsill.members import errors
+from laburnumsill.members import rows
+from laburnumsill.members import timing
+from laburnumsill.members import watching
+from laburnumsill.members.tests import cluster as clusters
+
+Announcing = clusters.Announcing
+Cluster = clusters.Cluster
+
+
+def with_servers(
+    cluster: Cluster, count: int = 1, domain: str = "d0", sticky: bool = False
+) -> list[Announcing]:
+    servers = [
+        Announcing(cluster, "server", f"s{n}", domain, sticky=sticky)
+        for n in range(count)
+    ]
+    cluster.run(1.0)
+    return servers
+
+
+def watchers(cluster: Cluster, server: Announcing) -> list[str]:
+    key = entries.member_key(server.report())
+    vms = [v.vm_id for v in cluster.vms if v.domain == server.domain]
+    return watching.watchers_of(key, vms)
+
+
+def seconds_until_unused(cluster: Cluster, limit: float = 6.0) -> float:
+    """Returns how long any VM goes on using any server."""
+    start = cluster.clock.monotonic()
+    last_used = start
+    while cluster.clock.monotonic() - start < limit:
+        cluster.step()
+        if any(cluster.servers(vm) for vm in cluster.alive()):
+            last_used = cluster.clock.monotonic()
+    return last_used - start
+
+
+def test_a_member_is_known_everywhere_and_heartbeats_are_not() -> None:
+    cluster = Cluster()
+    server = Announcing(cluster, "server", "s1", "d1")
+    worker = Announcing(cluster, "worker", "w1", "d2")
+    cluster.run(0.2)
+    for vm in cluster.alive():
+        assert cluster.servers(vm) == {"s1"}
+        assert cluster.workers(vm, "d2") == {"w1"}
+        assert cluster.workers(vm, "d1") == set()
+    cluster.sent.clear()
+    before = server.sequence, worker.sequence
+    cluster.run(10)
+    assert cluster.sent["Rows"] == 0
+    assert cluster.sent["Pull"] == 0
+    announced = server.sequence + worker.sequence - sum(before)
+    assert 0 < cluster.sent["Heartbeats"] <= 2 * announced
+
+
+@pytest.mark.parametrize("dying", [(), (0,), (1,), (0, 1)])
+@pytest.mark.parametrize("after_s", [0.0, 0.6])
+@pytest.mark.parametrize("per_domain", [1, 2, 3, 4])
+def test_work_limit(
+    dying: tuple[int, ...], after_s: float, per_domain: int
+) -> None:
+    cluster = Cluster(per_domain=per_domain)
+    server = with_servers(cluster)[0]
+    cluster.run(after_s)  # another phase of its announcements
+    server.stop()
+    for rank in dying:
+        if rank < per_domain:
+            cluster.kill(watchers(cluster, server)[rank])
+    assert seconds_until_unused(cluster) <= timing.WORK_LIMIT_S
+
+
+@pytest.mark.parametrize("delay_s", [0.3, 0.9, 1.5, 1.95, 2.05, 2.3])
+def test_work_limit_when_the_watcher_dies_later(delay_s: float) -> None:
+    for rank in (0, 1):
+        cluster = Cluster()
+        server = with_servers(cluster)[0]
+        server.stop()
+        start = cluster.clock.monotonic()
+        last_used = start
+        killed = False
+        while cluster.clock.monotonic() - start < 6:
+            cluster.step()
+            now = cluster.clock.monotonic()
+            if not killed and now - start >= delay_s:
+                killed = True
+                cluster.kill(watchers(cluster, server)[rank])
+            if any(cluster.servers(vm) for vm in cluster.alive()):
+                last_used = now
+        assert last_used - start <= timing.WORK_LIMIT_S
+
+
+@pytest.mark.parametrize("dying", [(), (0,), (1,), (0, 1)])
+def test_a_leaving_server_is_unused_in_time(dying: tuple[int, ...]) -> None:
+    cluster = Cluster()
+    server = with_servers(cluster)[0]
+    server.leaving = True
+    server.soon()
+    for rank in dying:
+        cluster.kill(watchers(cluster, server)[rank])
+    used = seconds_until_unused(cluster)
+    assert used <= (timing.WORK_LIMIT_S if dying else 0.2)
+
+
+def test_a_server_that_left_is_unused_at_once_and_stays_so() -> None:
+    cluster = Cluster()
+    server = with_servers(cluster)[0]
+    server.stop()
+    leave = cluster.tables["vm21"].leave
+    clusters.run_sync(leave(entries.SERVER, "tee/s0", "1"))
+    assert seconds_until_unused(cluster) <= 0.2
+    server.announce("vm11")  # a late announcement of the same incarnation
+    cluster.run(0.5)
+    assert all(not cluster.servers(vm) for vm in cluster.alive())
+    server.incarnation = "2"
+    server.announce("vm11")
+    cluster.run(0.5)
+    assert all(cluster.servers(vm) for vm in cluster.alive())
+
+
+def test_the_death_of_vms_makes_no_live_server_seem_gone() -> None:
+    cluster = Cluster()
+    with_servers(cluster, 24)
+    for victim in ("vm00", "vm12", "vm01"):
+        cluster.kill(victim)
+        for _ in range(80):
+            cluster.step()
+            for vm in cluster.alive():
+                assert len(cluster.servers(vm)) == 24, victim
+    assert all(
+        "gone" not in [what for what, _ in cluster.changes[vm]]
+        for vm in cluster.alive()
+    )
+
+
+def test_a_cut_off_domain_serves_itself_and_is_not_used_from_outside() -> None:
+    cluster = Cluster()
+    for domain in ("d0", "d1"):
+        Announcing(cluster, "server", f"s-{domain}", domain, sticky=False)
+    cluster.run(1.0)
+    cluster.isolate("d1")
+    cluster.run(1.2)
+    for _ in range(60):
+        cluster.step()
+        for vm in cluster.vms:
+            expected = {"s-d1"} if vm.domain == "d1" else {"s-d0"}
+            assert cluster.servers(vm.vm_id) == expected
+    cluster.cuts.clear()
+    cluster.run(1.0)
+    for vm in cluster.alive():
+        assert cluster.servers(vm) == {"s-d0", "s-d1"}
+
+
+def test_a_partial_cut_makes_nothing_flap() -> None:
+    cluster = Cluster()
+    server = with_servers(cluster)[0]
+    first, second = watchers(cluster, server)
+    server.vms = ["vm20"]
+    for lost in (first, second):
+        cluster.cuts.clear()
+        cluster.cut("vm20", lost)
+        for _ in range(200):
+            cluster.step()
+            for vm in cluster.alive():
+                assert cluster.servers(vm) == {"s0"}
+    cluster.cut("vm20", first)  # now the third VM of the domain relays
+    for _ in range(200):
+        cluster.step()
+        for vm in cluster.alive():
+            assert cluster.servers(vm) == {"s0"}
+
+
+def test_a_restarted_vm_catches_up_on_hundreds_of_members() -> None:
+    cluster = Cluster()
+    for n in range(500):
+        Announcing(cluster, "worker", f"w{n}", "d0", sticky=False)
+    cluster.run(2.0)
+    for restarted in ("vm00", "vm20"):
+        cluster.kill(restarted)
+        cluster.run(1.5)
+        cluster.start(restarted)
+        cluster.run(1.5)
+        assert len(cluster.workers(restarted, "d0")) == 500
+    for vm in cluster.alive():
+        assert len(cluster.workers(vm, "d0")) == 500
+
+
+@pytest.mark.parametrize("frozen", ["vm00", "vm01", "vm02", "vm10"])
+def test_a_vm_that_stood_still_trusts_nothing_old(frozen: str) -> None:
+    cluster = Cluster()
+    server = with_servers(cluster)[0]
+    cluster.frozen.add(frozen)
+    cluster.run(1.0)
+    server.stop()
+    cluster.run(5.0)
+    cluster.frozen.clear()
+    # Before its first round, before any notice, and ever after.
+    assert not cluster.servers(frozen)
+    cluster.tables[frozen].tick()
+    assert not cluster.servers(frozen)
+    for _ in range(100):
+        cluster.step()
+        assert all(not cluster.servers(vm) for vm in cluster.alive())
+
+
+def test_a_vm_that_stood_still_uses_live_members_again_soon() -> None:
+    cluster = Cluster()
+    with_servers(cluster, 5)
+    cluster.frozen.add("vm10")
+    cluster.run(5.0)
+    cluster.frozen.clear()
+    cluster.run(1.0)
+    assert len(cluster.servers("vm10")) == 5
+
+
+def test_bad_announcements_get_typed_errors(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    classes = {"offer": models.RequestClass(urgency=0)}
+    services = {clusters.SERVICE: models.Service(classes=["offer"])}
+    configuration = models.Configuration(
+        site="fingal", domains=["d0"], classes=classes, services=services
+    )
+    cluster = Cluster(configuration=configuration)
+    server = with_servers(cluster)[0]
+    table = cluster.tables["vm10"]
+
+    def refused(error: type[Exception], **fields: object) -> None:
+        report = server.report()
+        changed = {name: getattr(report, name) for name in report.__slots__}
+        changed.update(fields)
+        with pytest.raises(error):
+            clusters.run_sync(
+                table.announce_server(members.BackendServer(**changed))
+            )
+
+    refused(errors.UnknownServiceError, service="nothing")
+    refused(errors.UnknownDomainError, domain="d9")
+    server.sequence += 1
+    refused(errors.StaleIncarnationError, incarnation="0")
+    for expected in (True, False):
+        answer = clusters.run_sync(table.announce_server(server.report()))
+        assert answer.accepted is expected
+    monkeypatch.setattr(rows, "MAX_ENTRIES", 1)
+    refused(errors.TableFullError, server_id="s9")
+    cluster.isolate("d0")
+    cluster.run(1.2)
+    refused(errors.DomainUnreachableError, sequence=10**6)
+    with pytest.raises(errors.UnknownMemberError):
+        clusters.run_sync(table.leave(entries.WORKER, "w9", "1"))
+
+
+def test_busy_slots_are_passed_on_at_a_bounded_rate() -> None:
+    cluster = Cluster()
+    server = with_servers(cluster)[0]
+    cluster.sent.clear()
+    for n in range(200):
+        server.busy = 8 * (n % 2)
+        cluster.step()
+    others = len(cluster.vms) - 1
+    assert 0 < cluster.sent["Rows"] <= (10 / timing.BUSY_INTERVAL_S) * others
+    server.busy = 5
+    cluster.run(4.0)
+    for vm in cluster.alive():
+        assert cluster.tables[vm].servers(clusters.SERVICE)[0].busy == 5
+
+
+def test_observers_hear_of_each_change_once() -> None:
+    cluster = Cluster()
+    server = with_servers(cluster)[0]
+    server.incarnation = "2"
+    server.sequence = 0
+    cluster.run(1.0)
+    server.leaving = True
+    cluster.run(1.0)
+    server.stop()
+    cluster.run(4.0)
+    for vm in cluster.alive():
+        assert [what for what, _ in cluster.changes[vm]] == [
+            "joined",
+            "gone",
+            "joined",
+            "leaving",
+            "gone",
+        ]
+
+
+def test_the_arithmetic_of_the_module_docstring_holds() -> None:
+    both = 2 * timing.TICK_S + timing.SUSPICION_S + timing.MARGIN_S
+    expiry = timing.FORWARD_S + timing.MAX_SERVER_TTL_S + both
+    assert expiry <= timing.WORK_LIMIT_S
+    inherited = timing.REACHABLE_S + timing.INHERITED_SERVER_TTL_S
+    lost = inherited + 2 * timing.TICK_S + timing.MARGIN_S
+    assert lost <= timing.WORK_LIMIT_S
+    interval = timing.server_interval_s(models.MemberPolicy())
+    assert interval + 0.4 + timing.FORWARD_S < timing.INHERITED_SERVER_TTL_S
