--- a/laburnumsill/config/tests/test_loading.py
+++ b/laburnumsill/config/tests/test_loading.py
@@ -7,6 +7,9 @@
 from laburnumsill.config import overlay
 from laburnumsill.config import toml_files
 
+UNKNOWN = overlay.UnknownOverlayKeyError
+UNCHANGED = overlay.UnchangedOverlayKeyError
+INVALID = toml_files.InvalidFileError
 EXAMPLES = pathlib.Path(__file__).parents[3] / "examples"
 BASE = """
 open_tables = ["accounts", "accounts.*.guarantee"]
@@ -46,46 +49,30 @@
 @pytest.mark.parametrize(
     ("text", "error", "key"),
     [
-        ("jobs.leese_s = 5", overlay.UnknownOverlayKeyError, "jobs.leese_s"),
-        ("colour = 5", overlay.UnknownOverlayKeyError, "colour"),
-        ("jobs = 5", overlay.UnknownOverlayKeyError, "jobs"),
-        ("jobs.lease_s.x = 5", overlay.UnknownOverlayKeyError, "jobs.lease_s"),
-        (
-            "classes.slow.urgency = 5",
-            overlay.UnknownOverlayKeyError,
-            "classes.slow",
-        ),
-        (
-            'open_tables = ["classes"]',
-            overlay.UnknownOverlayKeyError,
-            "open_tables",
-        ),
-        ("jobs.lease_s = 10", overlay.UnchangedOverlayKeyError, "jobs.lease_s"),
-        (
-            "jobs.lease_s = 10.0",
-            overlay.UnchangedOverlayKeyError,
-            "jobs.lease_s",
-        ),
-        ("[jobs]", overlay.UnchangedOverlayKeyError, "jobs"),
-        ("jobs.lease_s = -1", toml_files.InvalidFileError, "jobs.lease_s"),
-        ('jobs.lease_s = "1"', toml_files.InvalidFileError, "jobs.lease_s"),
-        (
-            "accounts.a.colour = 1",
-            toml_files.InvalidFileError,
-            "accounts.a.colour",
-        ),
+        ("jobs.leese_s = 5", UNKNOWN, "jobs.leese_s"),
+        ("colour = 5", UNKNOWN, "colour"),
+        ("jobs = 5", UNKNOWN, "jobs"),
+        ("jobs.lease_s.x = 5", UNKNOWN, "jobs.lease_s"),
+        ("classes.slow.urgency = 5", UNKNOWN, "classes.slow"),
+        ('open_tables = ["classes"]', UNKNOWN, "open_tables"),
+        ("jobs.lease_s = 10", UNCHANGED, "jobs.lease_s"),
+        ("jobs.lease_s = 10.0", UNCHANGED, "jobs.lease_s"),
+        ("[jobs]", UNCHANGED, "jobs"),
+        ("jobs.lease_s = -1", INVALID, "jobs.lease_s"),
+        ('jobs.lease_s = "1"', INVALID, "jobs.lease_s"),
+        ("accounts.a.colour = 1", INVALID, "accounts.a.colour"),
         (
             "accounts.a.guarantee.nowhere.racks = 1",
-            toml_files.InvalidFileError,
+            INVALID,
             "accounts.a.guarantee",
         ),
         (
             'services.booking.classes = ["quick", "slow"]',
-            toml_files.InvalidFileError,
+            INVALID,
             "services.booking.classes",
         ),
-        ("jobs.lease_s = ", toml_files.InvalidFileError, ""),
-        ("jobs.lease_s = 5\njobs.lease_s = 6", toml_files.InvalidFileError, ""),
+        ("jobs.lease_s = ", INVALID, ""),
+        ("jobs.lease_s = 5\njobs.lease_s = 6", INVALID, ""),
     ],
 )
 def test_a_bad_overlay_names_the_spot(tmp_path, text, error, key):
