Assemble the daemon from its parts; fit the demo to the members' lists

The daemon's program caught an exception group with except* and returned from it, which is a syntax error; it splits the group now. Usage reports go to the leader of the worker's domain by notice.

--- a/laburnumsill/daemon/assembly.py
+++ b/laburnumsill/daemon/assembly.py
@@ -26,6 +26,7 @@
 from laburnumsill.daemon import replacement
 from laburnumsill.daemon import server
 from laburnumsill.daemon import settings
+from laburnumsill.daemon import usage_relay
 from laburnumsill.jobs import scheduler
 from laburnumsill.jobs import service as job_service
 from laburnumsill.members import table
@@ -114,11 +115,9 @@
             self._metrics,
         )
         self._durable = durable.DurableDispatcher(
-            self._me,
+            self._router,
             self._host,
-            self._members,
             self._current,
-            self._backend,
             self._clock,
             self._metrics,
         )
@@ -143,6 +142,14 @@
             )
             for domain in topology.domains(loaded.vms)
         }
+        self._usage = usage_relay.UsageRelay(
+            self._me.vm_id,
+            self._host,
+            self._network,
+            self._members,
+            lambda: self._make_up.voters,
+            self._schedulers,
+        )
 
     async def run(self) -> None:
         """Runs until SIGTERM or SIGINT, then shuts down gracefully."""
@@ -171,6 +178,8 @@
             self._host.run,
             self._members.run,
             self._router.run,
+            self._durable.run,
+            *(part.run for part in self._schedulers.values()),
         ]
 
     def _background_parts(
@@ -181,8 +190,6 @@
             self._make_up.run,
             self._replacement.run,
             self._sync.run,
-            self._durable.run,
-            *(part.run for part in self._schedulers.values()),
         ]
 
     async def _serve(self, *, task_status: trio.TaskStatus[list[str]]) -> None:
@@ -205,7 +212,7 @@
             *services_api.routes(self._router),
             *jobs_api.routes(self._jobs),
             *accounts_api.routes(self._host, self._current, self._clock),
-            *members_api.routes(self._members),
+            *members_api.routes(self._members, self._usage.relay),
             *configuration_api.routes(
                 self._host, self._current, self._sync, self._clock
             ),
--- a/laburnumsill/daemon/main.py
+++ b/laburnumsill/daemon/main.py
@@ -44,8 +44,11 @@
     logs.set_up(loaded.log_level, loaded.me.vm_id)
     try:
         trio.run(assembly.Daemon(loaded).run, strict_exception_groups=True)
-    except* errors.LaburnumsillError as group:
-        for error in _leaves(group):
+    except BaseExceptionGroup as group:
+        expected, others = group.split(errors.LaburnumsillError)
+        if others is not None or expected is None:
+            raise
+        for error in _leaves(expected):
             logs.event(
                 "daemon-failed",
                 level="CRITICAL",
--- a/laburnumsill/testing/cluster.py
+++ b/laburnumsill/testing/cluster.py
@@ -257,8 +257,10 @@
             servers = await client.send("GET", "/v1/backend-servers")
             workers = await client.send("GET", "/v1/workers")
             return (
-                len(servers.json()) >= self._layout.servers * domains
-                and len(workers.json()) >= self._layout.workers * domains
+                len(servers.json()["backend_servers"])
+                >= self._layout.servers * domains
+                and len(workers.json()["workers"])
+                >= self._layout.workers * domains
             )
 
         await self.until(known, f"{vm_id} knows the members")
--- a/laburnumsill/testing/demo.py
+++ b/laburnumsill/testing/demo.py
@@ -173,7 +173,7 @@
         for client in self._clients.values():
             servers = await client.send("GET", "/v1/backend-servers")
             workers = await client.send("GET", "/v1/workers")
-            if len(servers.json()) < 6 or len(workers.json()) < 6:
+            if _count(servers, workers) != (6, 6):
                 return False
         return True
 
@@ -219,7 +219,7 @@
             "GET",
             "/v1/requests/demo-photo-1?service=booking&account=lakeside",
         )
-        return answer.status == 200 and answer.json()["outcome"] == "answered"
+        return answer.status == 200 and answer.json()["state"] == "succeeded"
 
     async def _gang(self) -> str:
         answer = await self._submit("vm5", 2, 8, "demo-gang-1", run_s=2)
@@ -310,6 +310,13 @@
         raise DemoFailedError(f"not within {READY_TIMEOUT_S} s: {what}")
 
 
+def _count(servers: http.Answer, workers: http.Answer) -> tuple[int, int]:
+    return (
+        len(servers.json()["backend_servers"]),
+        len(workers.json()["workers"]),
+    )
+
+
 def _expect(
     answer: http.Answer, status: int, outcome: str | None = None
 ) -> None:
--- a/laburnumsill/testing/tests/test_request_failures.py
+++ b/laburnumsill/testing/tests/test_request_failures.py
@@ -251,7 +251,11 @@
         await trio.sleep(3)
         for vm_id in site.vm_ids:
             answer = await site.client(vm_id).send("GET", "/v1/backend-servers")
-            known = {s["server_id"] for s in answer.json() if not s["leaving"]}
+            known = {
+                server["server_id"]
+                for server in answer.json()["backend_servers"]
+                if server["usable"]
+            }
             assert not known & {left, frozen}
             for _ in range(20):
                 served = await scenario.request(site, vm_id, "offer")
