--- /dev/null
+++ b/laburnumsill/api/services.py
@@ -0,0 +1,271 @@
+"""Callers' requests to services, and what became of a key.
+
+`ServicesApp` is plain ASGI, because answers are streamed and one that was
+cut must never look complete: the app then returns without its last message,
+upon which the server closes the caller's connection.
+"""
+
+import typing
+from collections import abc
+
+import trio
+from starlette import requests as starlette_requests
+from starlette import responses
+from starlette import routing
+
+from laburnumsill.api import problems
+from laburnumsill.config import current as current_module
+from laburnumsill.core import clock as clocks
+from laburnumsill.core import errors
+from laburnumsill.core import ids
+from laburnumsill.core import logs
+from laburnumsill.core import replication
+from laburnumsill.requests import answer as answers
+from laburnumsill.requests import headers
+from laburnumsill.requests import home
+from laburnumsill.requests import messages
+from laburnumsill.requests import router as routers
+from laburnumsill.state import claims
+from laburnumsill.state import durable
+
+PREFIX = b"/v1/services/"
+MAX_HEADER_BYTES = 16 * 1024
+"""Names and values of all headers of a request."""
+
+QUERY_S = 1.5
+"""Longest wait for what is known of a key."""
+
+Scope = abc.MutableMapping[str, typing.Any]
+Receive = abc.Callable[[], abc.Awaitable[abc.MutableMapping[str, typing.Any]]]
+Send = abc.Callable[[abc.MutableMapping[str, typing.Any]], abc.Awaitable[None]]
+
+
+class HeadersTooLargeError(errors.InvalidInputError):
+    """The headers of a request are over their limit."""
+
+    slug = "headers-too-large"
+    status = 431
+    title = "Headers too large"
+
+
+class ServicesApp:
+    """ANY ``/v1/services/{service}/{path}``.
+
+    Args:
+        router: Takes requests to backend servers.
+        clock: The process's clock.
+    """
+
+    def __init__(
+        self, router: routers.RequestRouter, clock: clocks.Clock | None = None
+    ) -> None:
+        self._router = router
+        self._clock = clock or clocks.SystemClock()
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Answers one request."""
+        caller = _Caller(receive, send, scope["method"] == "HEAD")
+        request_id = ids.fresh("req")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(caller.watch, nursery.cancel_scope)
+            await self._serve(scope, caller, request_id)
+            nursery.cancel_scope.cancel()
+
+    async def _serve(
+        self, scope: Scope, caller: "_Caller", request_id: str
+    ) -> None:
+        try:
+            head = _head(scope, request_id, self._clock.monotonic())
+            answer = await self._router.route(head, caller.body())
+        except errors.LaburnumsillError as error:
+            await caller.problem(error, request_id)
+            return
+        except Exception as error:  # the border: nothing leaks to a caller
+            logs.event("route-failed", level="ERROR", error=repr(error))
+            failure = errors.LaburnumsillError("unexpected failure")
+            await caller.problem(failure, request_id)
+            return
+        try:
+            await caller.answer(answer, request_id)
+        except errors.LaburnumsillError as error:
+            logs.event(
+                "answer-cut",
+                level="WARNING",
+                request=request_id,
+                error=error.slug,
+            )
+        finally:
+            with trio.CancelScope(shield=True):
+                await answer.aclose()
+
+
+class _Caller:
+    """The two directions of one caller's request."""
+
+    def __init__(self, receive: Receive, send: Send, head_only: bool) -> None:
+        self._receive = receive
+        self._send = send
+        self._head_only = head_only
+        self._body_read = trio.Event()
+
+    async def body(self) -> abc.AsyncIterator[bytes]:
+        """Yields the body as it arrives."""
+        while True:
+            message = await self._receive()
+            if message["type"] == "http.disconnect":
+                raise errors.InvalidInputError("the body was cut off")
+            yield message.get("body", b"")
+            if not message.get("more_body", False):
+                self._body_read.set()
+                return
+
+    async def watch(self, scope: trio.CancelScope) -> None:
+        """Cancels `scope` once the caller is gone."""
+        await self._body_read.wait()
+        while (await self._receive())["type"] != "http.disconnect":
+            pass
+        scope.cancel()
+
+    async def answer(self, answer: messages.Answer, request_id: str) -> None:
+        """Passes an answer on, chunk by chunk."""
+        own = (
+            (headers.OUTCOME, str(answer.outcome).encode()),
+            (headers.REQUEST_ID, request_id.encode()),
+        )
+        passed = list(answer.headers) + list(own)
+        whole = answer.whole_body
+        if whole is not None and not _has_length(answer.headers):
+            passed.append((b"content-length", str(len(whole)).encode()))
+        await self._start(answer.status, passed)
+        async for chunk in answer.chunks():
+            await self._chunk(chunk, more=True)
+        await self._chunk(b"", more=False)
+
+    async def problem(
+        self, error: errors.LaburnumsillError, request_id: str
+    ) -> None:
+        """Tells the caller of an error and of the request's outcome."""
+        response = problems.problem(error)
+        outcome = answers.outcome_of(error)
+        passed = [
+            *response.raw_headers,
+            (headers.OUTCOME, str(outcome).encode()),
+            (headers.REQUEST_ID, request_id.encode()),
+        ]
+        await self._start(response.status_code, passed)
+        await self._chunk(bytes(response.body), more=False)
+
+    async def _start(
+        self, status: int, passed: list[tuple[bytes, bytes]]
+    ) -> None:
+        await self._send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": passed,
+            }
+        )
+
+    async def _chunk(self, chunk: bytes, *, more: bool) -> None:
+        message = {
+            "type": "http.response.body",
+            "body": b"" if self._head_only else chunk,
+            "more_body": more,
+        }
+        # The last message makes the server report a disconnect while it is
+        # still ending the exchange; that must not cancel it half way.
+        with trio.CancelScope(shield=not more):
+            await self._send(message)
+
+
+def routes(
+    groups: replication.Groups,
+    current: current_module.Current,
+    clock: clocks.Clock,
+) -> list[routing.Route]:
+    """Returns the route that tells what became of a key."""
+
+    async def get_request(
+        request: starlette_requests.Request,
+    ) -> responses.Response:
+        service = request.query_params.get("service", "")
+        account = request.query_params.get("account", messages.ANONYMOUS)
+        if not service:
+            raise errors.InvalidInputError("the query lacks service=")
+        key = messages.claim_key(service, account, request.path_params["key"])
+        return problems.json_response(await _known(key, groups, current, clock))
+
+    return [
+        routing.Route(
+            "/v1/requests/{key}",
+            problems.guarded(get_request),
+            methods=["GET"],
+        )
+    ]
+
+
+async def _known(
+    key: str,
+    groups: replication.Groups,
+    current: current_module.Current,
+    clock: clocks.Clock,
+) -> dict[str, object]:
+    configuration = current.get()
+    if configuration is None:
+        raise errors.UnavailableError("no configuration is in force yet")
+    group = home.home_group(key, configuration)
+    until = clock.monotonic() + QUERY_S
+    kept: durable.DurableStatus = await groups.query(
+        group, durable.GetDurable(key), until
+    )
+    if kept.state is not None:
+        return {
+            "key": key,
+            "durable": True,
+            "state": kept.state,
+            "status": kept.status or None,
+            "deadline": kept.deadline,
+        }
+    claim: claims.ClaimStatus = await groups.query(
+        group, claims.GetClaim(key, clock.wall()), until
+    )
+    if claim.state is None:
+        raise errors.NotFoundError(f"nothing is known of key {key!r}")
+    return {
+        "key": key,
+        "durable": False,
+        "state": claim.state,
+        "attempt": claim.attempt,
+        "status": claim.answer.status if claim.answer else None,
+    }
+
+
+def _head(
+    scope: Scope, request_id: str, arrived: float
+) -> messages.RequestHead:
+    passed = tuple((name.lower(), value) for name, value in scope["headers"])
+    if sum(len(name) + len(value) for name, value in passed) > (
+        MAX_HEADER_BYTES
+    ):
+        raise HeadersTooLargeError(
+            f"the headers are over {MAX_HEADER_BYTES} bytes"
+        )
+    raw_path: bytes = scope.get("raw_path") or scope["path"].encode()
+    service, _, rest = raw_path.removeprefix(PREFIX).partition(b"/")
+    target = b"/" + rest
+    if scope["query_string"]:
+        target += b"?" + scope["query_string"]
+    return messages.RequestHead(
+        request_id,
+        service.decode("latin-1"),
+        scope["method"],
+        target,
+        passed,
+        arrived,
+    )
+
+
+def _has_length(passed: abc.Iterable[tuple[bytes, bytes]]) -> bool:
+    return any(name == b"content-length" for name, _ in passed)
--- /dev/null
+++ b/laburnumsill/platform/backend.py
@@ -0,0 +1,355 @@
+"""Exchanges with backend servers over HTTP/1.1.
+
+A connection carries one exchange at a time and is closed whenever an
+exchange did not end whole, so an answer belongs to the request before it.
+An exchange that fails is told apart: `NotSentError` where no byte can have
+reached the server, `errors.OutcomeUnknownError` otherwise.
+"""
+
+import abc
+import dataclasses
+import typing
+from collections import abc as collections_abc
+
+import httpcore
+import trio
+
+from laburnumsill.core import clock as clocks
+from laburnumsill.core import errors
+from laburnumsill.core import members
+
+ENTRY_VMS = 8
+"""Entry VMs that share a server's connections, unless told otherwise."""
+
+CONNECT_TIMEOUT_S = 1.0
+"""Longest wait for a connection to be made; nothing was sent then."""
+
+IDLE_CONNECTION_S = 30.0
+"""Time after which an idle connection is closed."""
+
+REQUEST_ID_HEADER = b"laburnumsill-request-id"
+
+_WRITING = "http11.send_request_headers.started"
+_BODILESS_STATUSES = frozenset({204, 304})
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+class NotSentError(errors.UnavailableError):
+    """No byte of the request can have reached the backend server."""
+
+    slug = "not-sent"
+    title = "The backend server could not be reached"
+
+
+class AnswerLostError(errors.OutcomeUnknownError):
+    """Bytes went out and the answer did not come back whole."""
+
+    slug = "answer-lost"
+    title = "The backend server's answer was lost"
+
+
+class TruncatedAnswerError(AnswerLostError):
+    """The answer ended before its declared length."""
+
+    slug = "truncated-answer"
+    title = "The backend server's answer was cut off"
+
+
+class CrossedAnswerError(AnswerLostError):
+    """The answer names another request than the one it came for."""
+
+    slug = "crossed-answer"
+    title = "The backend server answered another request"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BackendRequest:
+    """One attempt, as it goes out.
+
+    Attributes:
+        attempt: Id of the attempt, sent as `Laburnumsill-Request-Id`.
+        method: The HTTP method.
+        target: Path and query.
+        headers: End-to-end headers without the id's.
+        body: The whole body, or chunks of it.
+    """
+
+    attempt: str
+    method: str
+    target: bytes
+    headers: Headers
+    body: bytes | collections_abc.AsyncIterable[bytes]
+
+
+class BackendAnswer(abc.ABC):
+    """An answer whose head has arrived; close it in every case."""
+
+    @property
+    @abc.abstractmethod
+    def status(self) -> int:
+        """The HTTP status."""
+
+    @property
+    @abc.abstractmethod
+    def headers(self) -> Headers:
+        """All headers, names in lower case."""
+
+    @abc.abstractmethod
+    def chunks(self) -> collections_abc.AsyncIterator[bytes]:
+        """Yields the body; ends only when it has arrived whole.
+
+        Raises:
+            AnswerLostError: The body did not arrive whole by the deadline.
+        """
+
+    @abc.abstractmethod
+    async def aclose(self) -> None:
+        """Ends the exchange, and the connection unless it ended whole."""
+
+
+class BackendClient(abc.ABC):
+    """Sends requests to backend servers."""
+
+    @abc.abstractmethod
+    async def send(
+        self,
+        server: members.BackendServer,
+        request: BackendRequest,
+        deadline: float,
+    ) -> BackendAnswer:
+        """Sends a request and returns the head of its answer.
+
+        Args:
+            server: Where to.
+            request: What.
+            deadline: Monotonic point by which the whole answer must be in.
+
+        Raises:
+            NotSentError: No byte can have reached the server.
+            AnswerLostError: Some byte may have, and no answer came.
+        """
+
+    @abc.abstractmethod
+    async def aclose(self) -> None:
+        """Closes all connections."""
+
+
+class HttpBackendClient(BackendClient):
+    """One pool of connections for each life of each backend server.
+
+    Args:
+        clock: The process's clock.
+        entry_vms: VMs among which a server's connections are split.
+    """
+
+    def __init__(self, clock: clocks.Clock, entry_vms: int = ENTRY_VMS) -> None:
+        self._clock = clock
+        self._entry_vms = entry_vms
+        self._pools: dict[str, tuple[str, httpcore.AsyncConnectionPool]] = {}
+
+    async def send(
+        self,
+        server: members.BackendServer,
+        request: BackendRequest,
+        deadline: float,
+    ) -> BackendAnswer:
+        """Sends a request, see the base class."""
+        pool = await self._pool(server)
+        exchange = _Exchange(self._clock, server, request, deadline)
+        return await exchange.start(pool)
+
+    async def forget(self, server: members.BackendServer) -> None:
+        """Closes the connections to a server that is gone."""
+        entry = self._pools.pop(server.address, None)
+        if entry is not None:
+            await entry[1].aclose()
+
+    async def aclose(self) -> None:
+        """Closes all connections."""
+        pools = list(self._pools.values())
+        self._pools.clear()
+        for _, pool in pools:
+            await pool.aclose()
+
+    async def _pool(
+        self, server: members.BackendServer
+    ) -> httpcore.AsyncConnectionPool:
+        entry = self._pools.get(server.address)
+        if entry is not None and entry[0] == server.incarnation:
+            return entry[1]
+        share = max(1, server.connections // self._entry_vms)
+        pool = httpcore.AsyncConnectionPool(
+            max_connections=share,
+            max_keepalive_connections=share,
+            keepalive_expiry=IDLE_CONNECTION_S,
+            http1=True,
+            http2=False,
+        )
+        self._pools[server.address] = (server.incarnation, pool)
+        return pool
+
+
+class _Exchange:
+    """One request on its way, knowing whether writing has begun."""
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        server: members.BackendServer,
+        request: BackendRequest,
+        deadline: float,
+    ) -> None:
+        self._clock = clock
+        self._server = server
+        self._request = request
+        self._deadline = deadline
+        self._writing = False
+
+    async def start(self, pool: httpcore.AsyncConnectionPool) -> BackendAnswer:
+        """Sends the request and returns the head of the answer."""
+        response = None
+        with trio.move_on_after(_left(self._clock, self._deadline)):
+            response = await self._response(pool)
+        if response is None:
+            raise self._failure("no answer by the deadline")
+        answer = _HttpAnswer(
+            response, self._clock, self._deadline, self._request.method
+        )
+        try:
+            answer.check(self._request.attempt)
+        except AnswerLostError:
+            await answer.aclose()
+            raise
+        return answer
+
+    async def _response(
+        self, pool: httpcore.AsyncConnectionPool
+    ) -> httpcore.Response:
+        request = httpcore.Request(
+            self._request.method,
+            _url(self._server, self._request.target),
+            headers=self._headers(),
+            content=self._request.body,
+            extensions={
+                "trace": self._trace,
+                "timeout": {"connect": CONNECT_TIMEOUT_S},
+            },
+        )
+        try:
+            return await pool.handle_async_request(request)
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+            OSError,
+        ) as error:
+            raise self._failure(repr(error)) from error
+
+    async def _trace(self, name: str, info: dict[str, typing.Any]) -> None:
+        if name == _WRITING:
+            self._writing = True
+
+    def _failure(self, why: str) -> errors.LaburnumsillError:
+        text = f"server {self._server.server_id!r}: {why}"
+        return AnswerLostError(text) if self._writing else NotSentError(text)
+
+    def _headers(self) -> list[tuple[bytes, bytes]]:
+        headers = [
+            (name, value)
+            for name, value in self._request.headers
+            if name != b"content-length"
+        ]
+        headers.append((REQUEST_ID_HEADER, self._request.attempt.encode()))
+        if not any(name == b"host" for name, _ in headers):
+            headers.insert(0, (b"host", self._server.address.encode()))
+        body = self._request.body
+        if not isinstance(body, bytes):
+            headers.append((b"transfer-encoding", b"chunked"))
+        elif body or self._request.method in ("POST", "PUT", "PATCH"):
+            headers.append((b"content-length", str(len(body)).encode()))
+        return headers
+
+
+class _HttpAnswer(BackendAnswer):
+    def __init__(
+        self,
+        response: httpcore.Response,
+        clock: clocks.Clock,
+        deadline: float,
+        method: str,
+    ) -> None:
+        self._response = response
+        self._clock = clock
+        self._deadline = deadline
+        self._method = method
+        self._headers = tuple(
+            (name.lower(), value) for name, value in response.headers
+        )
+
+    @property
+    def status(self) -> int:
+        """The HTTP status."""
+        return self._response.status
+
+    @property
+    def headers(self) -> Headers:
+        """All headers, names in lower case."""
+        return self._headers
+
+    def check(self, attempt: str) -> None:
+        """Refuses an answer of unknowable length or of another request.
+
+        A body that only the end of the connection delimits looks whole when
+        it is cut, so its outcome is unknown. The id is compared where the
+        server sends it back.
+        """
+        named = dict(self._headers)
+        echo = named.get(REQUEST_ID_HEADER)
+        if echo is not None and echo != attempt.encode():
+            raise CrossedAnswerError(f"sent {attempt!r}, got {echo[:80]!r}")
+        bodiless = self._method == "HEAD" or self.status in _BODILESS_STATUSES
+        counted = b"content-length" in named or b"transfer-encoding" in named
+        if not bodiless and not counted:
+            raise TruncatedAnswerError("the answer declares no length")
+
+    async def chunks(self) -> collections_abc.AsyncIterator[bytes]:
+        """Yields the body, see the base class."""
+        stream = self._response.stream
+        assert isinstance(stream, collections_abc.AsyncIterable)
+        iterator = stream.__aiter__()
+        while True:
+            chunk = await self._next(iterator)
+            if chunk is None:
+                return
+            yield chunk
+
+    async def _next(
+        self, iterator: collections_abc.AsyncIterator[bytes]
+    ) -> bytes | None:
+        with trio.move_on_after(_left(self._clock, self._deadline)):
+            try:
+                return await anext(iterator)
+            except StopAsyncIteration:
+                return None
+            except httpcore.ProtocolError as error:
+                raise TruncatedAnswerError(repr(error)) from error
+            except (httpcore.NetworkError, OSError) as error:
+                raise AnswerLostError(repr(error)) from error
+        raise AnswerLostError("the answer was not whole by the deadline")
+
+    async def aclose(self) -> None:
+        """Ends the exchange, see the base class."""
+        with trio.CancelScope(shield=True):
+            await self._response.aclose()
+
+
+def _left(clock: clocks.Clock, deadline: float) -> float:
+    return max(0.0, deadline - clock.monotonic())
+
+
+def _url(server: members.BackendServer, target: bytes) -> httpcore.URL:
+    host, _, port = server.address.rpartition(":")
+    return httpcore.URL(
+        scheme=b"http", host=host.encode(), port=int(port), target=target
+    )
--- /dev/null
+++ b/laburnumsill/requests/budget.py
@@ -0,0 +1,32 @@
+"""The retry budget: retries allowed for each request, on average."""
+
+BURST = 10.0
+"""Retries that may be saved up."""
+
+
+class RetryBudget:
+    """A token bucket filled by requests and emptied by retries.
+
+    Examples:
+        >>> budget = RetryBudget()
+        >>> budget.earn(0.5)
+        >>> budget.spend()
+        False
+        >>> budget.earn(0.5)
+        >>> budget.spend()
+        True
+    """
+
+    def __init__(self) -> None:
+        self._tokens = 0.0
+
+    def earn(self, share: float) -> None:
+        """Adds what one request earns."""
+        self._tokens = min(BURST, self._tokens + share)
+
+    def spend(self) -> bool:
+        """Takes one retry if there is one, and returns whether there was."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
--- /dev/null
+++ b/laburnumsill/requests/choose.py
@@ -0,0 +1,120 @@
+"""Policies that choose a backend server among those with room.
+
+References:
+    M. Mitzenmacher, "The Power of Two Choices in Randomized Load
+    Balancing", IEEE TPDS 12(10), 2001.
+    B. Wydrowski et al., "Load is not what you should balance: Introducing
+    Prequal", NSDI 2024.
+"""
+
+import abc
+import random
+from collections import abc as collections_abc
+
+from laburnumsill.core import errors
+from laburnumsill.requests import servers
+
+Candidates = collections_abc.Sequence[servers.ServerState]
+
+
+class Chooser(abc.ABC):
+    """Chooses one of several servers; it is never given none.
+
+    Args:
+        draw: Source of random numbers.
+    """
+
+    def __init__(self, draw: random.Random) -> None:
+        self._draw = draw
+
+    @abc.abstractmethod
+    def choose(self, candidates: Candidates) -> servers.ServerState:
+        """Returns one of `candidates`."""
+
+    def _two(self, candidates: Candidates) -> Candidates:
+        if len(candidates) <= 2:
+            return candidates
+        return self._draw.sample(candidates, 2)
+
+
+class RandomChooser(Chooser):
+    """Any server with the same chance."""
+
+    def choose(self, candidates: Candidates) -> servers.ServerState:
+        """Returns one of `candidates`."""
+        return self._draw.choice(candidates)
+
+
+class LeastInFlightChooser(Chooser):
+    """The server at which this VM has the fewest requests."""
+
+    def choose(self, candidates: Candidates) -> servers.ServerState:
+        """Returns one of `candidates`."""
+        least = min(state.in_flight for state in candidates)
+        return self._draw.choice(
+            [state for state in candidates if state.in_flight == least]
+        )
+
+
+class TwoChoicesChooser(Chooser):
+    """Of two random servers the one with fewer requests of this VM."""
+
+    def choose(self, candidates: Candidates) -> servers.ServerState:
+        """Returns one of `candidates`."""
+        return min(self._two(candidates), key=lambda state: state.in_flight)
+
+
+class ReportedTwoChoicesChooser(Chooser):
+    """Of two random servers the one with more free slots.
+
+    It counts what the servers report of other VMs' requests too.
+    """
+
+    def choose(self, candidates: Candidates) -> servers.ServerState:
+        """Returns one of `candidates`."""
+        return min(self._two(candidates), key=_reported_load)
+
+
+class HotColdChooser(Chooser):
+    """The fastest cold server, or the least loaded if all are hot.
+
+    A server is hot when its load is in the upper part of a sample's loads.
+    Among cold ones latency decides, among hot ones load: the rule of
+    Prequal, on reports and observed latency in place of probes of its own.
+    """
+
+    SAMPLE = 6
+    HOT_QUANTILE = 0.75
+
+    def choose(self, candidates: Candidates) -> servers.ServerState:
+        """Returns one of `candidates`."""
+        count = min(self.SAMPLE, len(candidates))
+        sample = self._draw.sample(candidates, count)
+        loads = sorted(_reported_load(state) for state in sample)
+        limit = loads[min(count - 1, int(count * self.HOT_QUANTILE))]
+        cold = [state for state in sample if _reported_load(state) < limit]
+        if not cold:
+            return min(sample, key=_reported_load)
+        return min(cold, key=lambda state: state.latency_s)
+
+
+def _reported_load(state: servers.ServerState) -> float:
+    return state.load / state.server.slots
+
+
+CHOOSERS: dict[str, type[Chooser]] = {
+    "random": RandomChooser,
+    "least-in-flight": LeastInFlightChooser,
+    "two-choices": TwoChoicesChooser,
+    "two-choices-reported": ReportedTwoChoicesChooser,
+    "hot-cold": HotColdChooser,
+}
+
+
+def make(name: str, draw: random.Random) -> Chooser:
+    """Returns the chooser that the configuration calls `name`."""
+    if name not in CHOOSERS:
+        raise errors.UnknownNameError(
+            f"no chooser {name!r}; there are {', '.join(CHOOSERS)}"
+        )
+    return CHOOSERS[name](draw)
--- /dev/null
+++ b/laburnumsill/requests/dispatch.py
@@ -0,0 +1,280 @@
+"""The filters choose and dispatch: sends a request to a backend server.
+
+A request is sent again only where it is repeatable or where no byte of it
+can have reached a server, and only within the retry budget.
+"""
+
+import typing
+from collections import abc
+
+from laburnumsill.core import clock as clocks
+from laburnumsill.core import errors
+from laburnumsill.core import ids
+from laburnumsill.core import logs
+from laburnumsill.core import metrics as metrics_module
+from laburnumsill.core import topology
+from laburnumsill.platform import backend
+from laburnumsill.requests import budget
+from laburnumsill.requests import health as health_module
+from laburnumsill.requests import messages
+from laburnumsill.requests import policies as policies_module
+from laburnumsill.requests import servers
+
+SERVER_ERROR = 500
+"""Lowest HTTP status that counts as a failure of the server."""
+
+
+class Exchange:
+    """One attempt whose answer's head has arrived; close it in every case."""
+
+    def __init__(
+        self,
+        dispatcher: "Dispatcher",
+        state: servers.ServerState,
+        answer: backend.BackendAnswer,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._state = state
+        self._answer = answer
+        self._open = True
+
+    @property
+    def status(self) -> int:
+        """The HTTP status of the answer."""
+        return self._answer.status
+
+    @property
+    def headers(self) -> backend.Headers:
+        """All headers of the answer."""
+        return self._answer.headers
+
+    async def chunks(self) -> typing.AsyncIterator[bytes]:
+        """Yields the body, see `backend.BackendAnswer.chunks`."""
+        try:
+            async for chunk in self._answer.chunks():
+                yield chunk
+        except errors.OutcomeUnknownError:
+            self._end(failed=True)
+            raise
+        self._end(failed=self.status >= SERVER_ERROR)
+
+    async def aclose(self) -> None:
+        """Ends the exchange; may be called again."""
+        await self._answer.aclose()
+        self._end(failed=None)
+
+    def _end(self, *, failed: bool | None) -> None:
+        if self._open:
+            self._open = False
+            self._dispatcher.ended(self._state, failed=failed)
+
+
+class Dispatcher:
+    """Chooses servers and sends requests to them.
+
+    Args:
+        me: This VM.
+        table: The present servers.
+        health: Which of them are ejected.
+        policies: The policies in force.
+        client: The way to the servers.
+        clock: The process's clock.
+        metrics: Where attempts are counted.
+    """
+
+    def __init__(
+        self,
+        me: topology.Vm,
+        table: servers.ServerTable,
+        health: health_module.Health,
+        policies: policies_module.Policies,
+        client: backend.BackendClient,
+        clock: clocks.Clock,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._me = me
+        self._table = table
+        self._health = health
+        self._policies = policies
+        self._client = client
+        self._clock = clock
+        self._metrics = metrics
+        self._budget = budget.RetryBudget()
+
+    def capacity(self, service: str, share: float) -> float:
+        """Returns what this VM may have in flight, see `admit.Capacity`."""
+        limiter = self._policies.limiter
+        now = self._clock.monotonic()
+        return sum(
+            limiter.limit(state, share)
+            for state in self._table.present(service)
+            if self._health.usable(state, now, repeatable=True)
+        )
+
+    async def run(
+        self, request: messages.RoutedRequest, attempt: str | None = None
+    ) -> Exchange:
+        """Sends a request until an answer's head is in.
+
+        Args:
+            request: What to send.
+            attempt: Id of the one attempt that may send anything; None
+                where the request is repeatable.
+
+        Raises:
+            errors.UnavailableError: No byte can have reached a server.
+            errors.OutcomeUnknownError: It may have run.
+        """
+        policy = self._policies.request_policy
+        self._budget.earn(policy.retry_budget)
+        tried: set[str] = set()
+        sent = False
+        for number in range(1, policy.max_attempts + 1):
+            last = number == policy.max_attempts
+            try:
+                state = self._choose(request, tried, number)
+            except errors.NoServerError:
+                if sent:
+                    raise errors.OutcomeUnknownError(
+                        "the answer was lost and no other server is left"
+                    ) from None
+                raise
+            tried.add(state.server.server_id)
+            try:
+                exchange = await self._attempt(request, state, attempt)
+            except backend.NotSentError as error:
+                if self._give_up(request, last):
+                    raise self._final(error, sent) from error
+                continue
+            except errors.OutcomeUnknownError:
+                sent = True
+                if attempt is not None or self._give_up(request, last):
+                    raise
+                continue
+            sent = True
+            failed = exchange.status >= SERVER_ERROR
+            if failed and attempt is None and not self._give_up(request, last):
+                await self._drop(exchange)
+                continue
+            return exchange
+        raise AssertionError("the last attempt raises or returns")
+
+    def ended(self, state: servers.ServerState, *, failed: bool | None) -> None:
+        """Notes the end of an exchange; `failed` is None if unknown."""
+        state.in_flight -= 1
+        if failed is None:
+            self._health.cancelled(state)
+        elif failed:
+            self._health.failed(state, self._clock.monotonic())
+        else:
+            self._health.succeeded(state)
+
+    def _final(
+        self, error: backend.NotSentError, sent: bool
+    ) -> errors.LaburnumsillError:
+        """Returns the truth over all attempts, not only the last one."""
+        if sent:
+            return errors.OutcomeUnknownError(error.detail)
+        return errors.NoServerError(error.detail)
+
+    def _give_up(self, request: messages.RoutedRequest, last: bool) -> bool:
+        if last or self._clock.monotonic() >= request.deadline:
+            return True
+        if self._budget.spend():
+            return False
+        self._metrics.count("retry_budget_empty_total")
+        return True
+
+    async def _drop(self, exchange: Exchange) -> None:
+        """Reads a failed answer to its end, so that it is counted."""
+        try:
+            async for _ in exchange.chunks():
+                pass
+        except errors.OutcomeUnknownError:
+            pass
+        finally:
+            await exchange.aclose()
+
+    async def _attempt(
+        self,
+        request: messages.RoutedRequest,
+        state: servers.ServerState,
+        attempt: str | None,
+    ) -> Exchange:
+        state.in_flight += 1
+        self._health.sent(state)
+        started = self._clock.monotonic()
+        outgoing = backend.BackendRequest(
+            attempt or ids.fresh("att"),
+            request.method,
+            request.target,
+            request.headers,
+            request.body,
+        )
+        outcome = "cancelled"
+        failed: bool | None = None
+        answer = None
+        try:
+            answer = await self._client.send(
+                state.server, outgoing, request.deadline
+            )
+            outcome = str(answer.status)
+        except errors.LaburnumsillError as error:
+            outcome = error.slug
+            failed = True
+            raise
+        finally:
+            if answer is None:
+                self.ended(state, failed=failed)
+            self._metrics.count(
+                "attempts_total", service=request.service, outcome=outcome
+            )
+        latency_s = self._clock.monotonic() - started
+        if answer.status < SERVER_ERROR:
+            state.observe_latency(latency_s)
+            self._policies.limiter.observe(state, latency_s)
+        return Exchange(self, state, answer)
+
+    def _choose(
+        self,
+        request: messages.RoutedRequest,
+        tried: abc.Set[str],
+        number: int,
+    ) -> servers.ServerState:
+        usable = self._usable(request, tried)
+        if not usable:
+            raise errors.NoServerError(
+                f"no backend server of {request.service!r} can take requests"
+            )
+        limiter = self._policies.limiter
+        room = [s for s in usable if s.in_flight < max(1.0, limiter.limit(s))]
+        near = [s for s in room if s.server.domain == self._me.domain]
+        candidates = near or room or usable
+        state = self._policies.chooser.choose(candidates)
+        logs.decision(
+            "request-routed",
+            request=request.request_id,
+            service=request.service,
+            request_class=request.class_name,
+            account=request.account,
+            attempt=number,
+            server=state.server.server_id,
+            among=len(candidates),
+            why="near" if near else "far" if room else "all-full",
+            chooser=self._policies.request_policy.chooser,
+            in_flight=state.in_flight,
+            load=state.load,
+        )
+        return state
+
+    def _usable(
+        self, request: messages.RoutedRequest, tried: abc.Set[str]
+    ) -> list[servers.ServerState]:
+        now = self._clock.monotonic()
+        repeatable = request.request_class.repeatable
+        return [
+            state
+            for state in self._table.present(request.service)
+            if state.server.server_id not in tried
+            and self._health.usable(state, now, repeatable=repeatable)
+        ]
--- /dev/null
+++ b/laburnumsill/requests/health.py
@@ -0,0 +1,81 @@
+"""Ejects backend servers that fail, and lets probes win them back.
+
+A server that fails quickly is always idle, so any chooser that looks at load
+would send it everything. It is ejected after `FAILURES_TO_EJECT` failures in
+a row; when its time is over, one repeatable request at a time is sent to it
+as a probe, and `SUCCESSES_TO_RETURN` successes in a row bring it back.
+"""
+
+import random
+
+from laburnumsill.core import logs
+from laburnumsill.requests import servers
+
+FAILURES_TO_EJECT = 3
+SUCCESSES_TO_RETURN = 2
+FIRST_EJECTION_S = 0.5
+LONGEST_EJECTION_S = 8.0
+
+LAST_RESORT_S = 3.0
+"""Time over its due after which any request may be the probe."""
+
+
+class Health:
+    """Keeps the health fields of `servers.ServerState`."""
+
+    def __init__(self, draw: random.Random) -> None:
+        self._draw = draw
+
+    def usable(
+        self, state: servers.ServerState, now: float, *, repeatable: bool
+    ) -> bool:
+        """Returns whether a request may be sent to a server now."""
+        if not state.ejected:
+            return True
+        due = state.ejected_until
+        if not repeatable:
+            due += LAST_RESORT_S
+        return now >= due and not state.probing
+
+    def sent(self, state: servers.ServerState) -> None:
+        """Notes that a request goes out; to an ejected server it probes."""
+        if state.ejected:
+            state.probing = True
+
+    def succeeded(self, state: servers.ServerState) -> None:
+        """Notes a whole answer that is no server error."""
+        state.failures = 0
+        state.probing = False
+        if not state.ejected:
+            return
+        state.successes += 1
+        if state.successes >= SUCCESSES_TO_RETURN:
+            state.ejections = 0
+            state.successes = 0
+            logs.event("server-returned", server=state.server.server_id)
+
+    def failed(self, state: servers.ServerState, now: float) -> None:
+        """Notes a failure: refused, lost, truncated or a server error."""
+        state.failures += 1
+        state.successes = 0
+        state.probing = False
+        if state.ejected or state.failures >= FAILURES_TO_EJECT:
+            self._eject(state, now)
+
+    def cancelled(self, state: servers.ServerState) -> None:
+        """Notes that a request ended without telling of the server."""
+        state.probing = False
+
+    def _eject(self, state: servers.ServerState, now: float) -> None:
+        length_s = min(
+            LONGEST_EJECTION_S, FIRST_EJECTION_S * 2**state.ejections
+        )
+        jittered_s = length_s * self._draw.uniform(0.8, 1.2)
+        state.ejected_until = now + jittered_s
+        state.ejections = min(state.ejections + 1, 10)
+        logs.event(
+            "server-ejected",
+            server=state.server.server_id,
+            failures=state.failures,
+            ejections=state.ejections,
+        )
--- /dev/null
+++ b/laburnumsill/requests/policies.py
@@ -0,0 +1,61 @@
+"""The policies that the configuration in force names."""
+
+import random
+
+from laburnumsill.config import current as current_module
+from laburnumsill.config import models
+from laburnumsill.requests import choose
+from laburnumsill.requests import limit
+
+
+class Policies:
+    """Makes the chooser and the limiter anew when their settings change.
+
+    Args:
+        current: The configuration in force.
+        entry_vms: VMs that share each backend server.
+        draw: Source of random numbers.
+    """
+
+    def __init__(
+        self,
+        current: current_module.Current,
+        entry_vms: int,
+        draw: random.Random,
+    ) -> None:
+        self._current = current
+        self._entry_vms = entry_vms
+        self._draw = draw
+        self._settings: tuple[str, str, int] | None = None
+        self._refresh()
+
+    @property
+    def request_policy(self) -> models.RequestPolicy:
+        """The request policy in force."""
+        configuration = self._current.get()
+        if configuration is None:
+            return models.RequestPolicy()
+        return configuration.requests
+
+    @property
+    def chooser(self) -> choose.Chooser:
+        """The chooser in force."""
+        self._refresh()
+        return self._chooser
+
+    @property
+    def limiter(self) -> limit.Limiter:
+        """The limiter in force."""
+        self._refresh()
+        return self._limiter
+
+    def _refresh(self) -> None:
+        policy = self.request_policy
+        settings = policy.chooser, policy.limiter, policy.target_latency_ms
+        if settings == self._settings:
+            return
+        self._settings = settings
+        self._chooser = choose.make(policy.chooser, self._draw)
+        self._limiter = limit.make(
+            policy.limiter, self._entry_vms, policy.target_latency_ms / 1000
+        )
--- /dev/null
+++ b/laburnumsill/requests/router.py
@@ -0,0 +1,264 @@
+"""The request router: the filters in a row.
+
+read, classify, admit, claim, choose, dispatch, settle, answer.
+"""
+
+import functools
+import random
+from collections import abc
+
+import trio
+
+from laburnumsill.config import current as current_module
+from laburnumsill.config import models
+from laburnumsill.core import clock as clocks
+from laburnumsill.core import errors
+from laburnumsill.core import logs
+from laburnumsill.core import members
+from laburnumsill.core import metrics as metrics_module
+from laburnumsill.core import replication
+from laburnumsill.core import topology
+from laburnumsill.platform import backend
+from laburnumsill.requests import accept
+from laburnumsill.requests import admit
+from laburnumsill.requests import answer as answers
+from laburnumsill.requests import claim
+from laburnumsill.requests import classify
+from laburnumsill.requests import dispatch
+from laburnumsill.requests import health
+from laburnumsill.requests import messages
+from laburnumsill.requests import once
+from laburnumsill.requests import policies
+from laburnumsill.requests import read
+from laburnumsill.requests import servers
+from laburnumsill.requests import settle
+
+TICK_S = 0.1
+"""Period of the limiter's control loop and of looking for new slots."""
+
+_DRAIN_POLL_S = 0.02
+
+
+class RequestRouter:
+    """Takes callers' requests to backend servers.
+
+    Args:
+        me: This VM.
+        groups: The replicated groups.
+        view: The present backend servers.
+        current: The configuration in force.
+        client: The way to backend servers.
+        clock: The process's clock.
+        metrics: The daemon's metrics.
+        entry_vms: VMs that share each backend server.
+    """
+
+    def __init__(
+        self,
+        me: topology.Vm,
+        groups: replication.Groups,
+        view: members.MemberView,
+        current: current_module.Current,
+        client: backend.BackendClient,
+        clock: clocks.Clock,
+        metrics: metrics_module.Metrics,
+        entry_vms: int = backend.ENTRY_VMS,
+    ) -> None:
+        self._current = current
+        self._clock = clock
+        self._metrics = metrics
+        draw = random.Random()
+        self._policies = policies.Policies(current, entry_vms, draw)
+        self._dispatcher = dispatch.Dispatcher(
+            me,
+            servers.ServerTable(view),
+            health.Health(draw),
+            self._policies,
+            client,
+            clock,
+            metrics,
+        )
+        self._admission = admit.Admission(
+            self._dispatcher.capacity, self._classes_of, clock, metrics
+        )
+        self._settler = settle.Settler(groups, clock, metrics)
+        claim_filter = claim.ClaimFilter(me, groups, self._settler, clock)
+        self._once = once.OnceRunner(
+            self._admission,
+            claim_filter,
+            self._dispatcher,
+            self._settler,
+            clock,
+        )
+        self._accept = accept.AcceptFilter(groups, clock)
+        self._draining = False
+        self._in_flight = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that have come in and not ended."""
+        return self._in_flight
+
+    async def run(
+        self,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Runs the background tasks until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._settler.start(nursery)
+            self._once.start(nursery)
+            task_status.started()
+            while True:
+                await trio.sleep(TICK_S)
+                self._policies.limiter.tick()
+                self._admission.pump_all()
+
+    async def drain(self, deadline: float) -> None:
+        """Refuses new requests and waits for those in flight.
+
+        Args:
+            deadline: Monotonic point after which it waits no more.
+        """
+        self._draining = True
+        while self._in_flight or self._settler.pending or self._once.running:
+            if self._clock.monotonic() >= deadline:
+                logs.event("drain-cut", in_flight=self._in_flight)
+                return
+            await trio.sleep(_DRAIN_POLL_S)
+
+    async def route(
+        self,
+        head: messages.RequestHead,
+        body: abc.AsyncIterator[bytes],
+    ) -> messages.Answer:
+        """Returns the answer to a caller's request; close it in every case.
+
+        Args:
+            head: The request without its body.
+            body: The body as it arrives.
+
+        Raises:
+            errors.LaburnumsillError: There is no backend server's answer;
+                `answer.outcome_of` tells what became of the request.
+        """
+        self._in_flight += 1
+        try:
+            result = await self._answer(head, body)
+        except BaseException:
+            self._in_flight -= 1
+            raise
+        result.also_on_close(self._ended)
+        return result
+
+    async def run_durable(
+        self, request: messages.RoutedRequest
+    ) -> messages.Answer:
+        """Returns the answer to one dispatch of a durable request."""
+        if request.request_class.repeatable:
+            return await self._run_repeatable(request)
+        return await self._run_once(request)
+
+    async def _answer(
+        self, head: messages.RequestHead, body: abc.AsyncIterator[bytes]
+    ) -> messages.Answer:
+        request = None
+        outcome = "error"
+        try:
+            classified = classify.classify(head, self._configuration())
+            request = classified.with_body(
+                await read.read_body(
+                    body,
+                    classified.service.max_body_bytes,
+                    self._clock,
+                    classified.deadline,
+                )
+            )
+            result = await self._run(request)
+            outcome = str(result.outcome)
+            return result
+        except errors.LaburnumsillError as error:
+            outcome = str(answers.outcome_of(error))
+            raise
+        finally:
+            self._note(head, request, outcome)
+
+    async def _run(self, request: messages.RoutedRequest) -> messages.Answer:
+        if self._draining:
+            return await self._refuse_draining(request)
+        if request.request_class.durable:
+            return await self._accept.accept(request, self._configuration())
+        if request.request_class.repeatable:
+            return await self._run_repeatable(request)
+        return await self._run_once(request)
+
+    async def _refuse_draining(
+        self, request: messages.RoutedRequest
+    ) -> messages.Answer:
+        error = messages.DrainingError("this VM takes no new requests")
+        if request.request_class.durable:
+            raise messages.HomeUnreachableError(error.detail) from error
+        if request.request_class.repeatable:
+            raise error
+        return await self._once.refuse(request, self._configuration(), error)
+
+    async def _run_repeatable(
+        self, request: messages.RoutedRequest
+    ) -> messages.Answer:
+        permit = await self._admission.enter(request)
+        try:
+            exchange = await self._dispatcher.run(request)
+        except BaseException:
+            permit.release()
+            raise
+        return answers.streamed(
+            exchange, functools.partial(_release, exchange, permit)
+        )
+
+    async def _run_once(
+        self, request: messages.RoutedRequest
+    ) -> messages.Answer:
+        return await self._once.run(request, self._configuration())
+
+    def _configuration(self) -> models.Configuration:
+        configuration = self._current.get()
+        if configuration is None:
+            raise errors.UnavailableError("no configuration is in force yet")
+        return configuration
+
+    def _classes_of(self, service: str) -> dict[str, models.RequestClass]:
+        configuration = self._configuration()
+        entry = configuration.services.get(service)
+        names = entry.classes if entry else []
+        return {name: configuration.classes[name] for name in names}
+
+    def _note(
+        self,
+        head: messages.RequestHead,
+        request: messages.RoutedRequest | None,
+        outcome: str,
+    ) -> None:
+        class_name = request.class_name if request else "none"
+        account = request.account if request else "none"
+        self._metrics.count(
+            "requests_total",
+            request_class=class_name,
+            account=account,
+            outcome=outcome,
+        )
+        self._metrics.observe(
+            "request_seconds",
+            self._clock.monotonic() - head.arrived,
+            request_class=class_name,
+            account=account,
+        )
+
+    async def _ended(self) -> None:
+        self._in_flight -= 1
+
+
+async def _release(exchange: dispatch.Exchange, permit: admit.Permit) -> None:
+    try:
+        await exchange.aclose()
+    finally:
+        permit.release()
--- /dev/null
+++ b/laburnumsill/requests/tests/test_router.py
@@ -0,0 +1,169 @@
+"""The whole path over real TCP, and each failure of an exchange."""
+
+import contextlib
+
+import pytest
+import trio
+
+from laburnumsill.core import errors
+from laburnumsill.requests import messages
+from laburnumsill.requests.tests import support
+
+
+@contextlib.asynccontextmanager
+async def one_server(reply, **requests):
+    bench = support.Bench(**requests)
+    server = support.FakeServer(reply)
+    router = bench.router()
+    async with server.running(), bench.running(router):
+        bench.view.add(server.address)
+        yield bench, server, router
+
+
+async def test_repeatable_passes_through():
+    async with one_server(support.respond(b"free")) as (bench, server, router):
+        result = await support.ask(router, support.head(bench.clock))
+        assert (result.outcome, result.status) == ("answered", 200)
+        assert result.body == b"free"
+        call = server.calls[0]
+        assert (call.method, call.target) == ("POST", "/x?y=1")
+        assert call.body == b"{}"
+        assert call.headers["x-mine"] == "1"
+        assert "connection" not in call.headers
+        assert call.headers["laburnumsill-request-id"].startswith("att-")
+
+
+async def test_once_and_resend_through_another_vm():
+    async with one_server(support.respond(b"booked")) as (bench, server, one):
+        two = bench.router("vm1")
+        async with bench.running(two):
+            ask = support.head(bench.clock, "confirm", "k1")
+            first = await support.ask(one, ask)
+            again = support.head(bench.clock, "confirm", "k1")
+            second = await support.ask(two, again)
+        assert first == second
+        assert len(server.calls) == 1
+        assert server.calls[0].headers["idempotency-key"] == "k1"
+
+
+async def test_racing_resends_run_once():
+    slow = support.respond(b"booked", wait_s=0.1)
+    async with one_server(slow) as (bench, server, one):
+        two = bench.router("vm1")
+        ends = []
+
+        async def send(router):
+            try:
+                head = support.head(bench.clock, "confirm", "k1")
+                ends.append((await support.ask(router, head)).outcome)
+            except errors.InProgressError as error:
+                assert error.retry_after_s
+                ends.append("in-progress")
+
+        async with bench.running(two), trio.open_nursery() as nursery:
+            nursery.start_soon(send, one)
+            nursery.start_soon(send, two)
+        assert sorted(ends) == ["answered", "in-progress"]
+        assert len(server.calls) == 1
+
+
+async def test_key_reused_with_another_body_is_refused():
+    async with one_server(support.respond()) as (bench, server, router):
+        head = support.head(bench.clock, "confirm", "k1")
+        await support.ask(router, head, b"a")
+        with pytest.raises(errors.KeyReusedError):
+            await support.ask(router, head, b"b")
+        assert len(server.calls) == 1
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        b"",
+        b"HTTP/1.1 200 OK\r\ncontent-le",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+        b"HTTP/1.1 200 OK\r\n\r\nlength unknown",
+        b"HTTP/1.1 200 OK\r\nlaburnumsill-request-id: att-other\r\n"
+        b"content-length: 2\r\n\r\nok",
+        b"not http at all\r\n\r\n",
+    ],
+)
+async def test_lost_answer_is_unknown_and_never_runs_again(text):
+    async with one_server(support.raw(text)) as (bench, server, router):
+        head = support.head(bench.clock, "confirm", "k1")
+        for _ in range(2):
+            with pytest.raises(errors.OutcomeUnknownError):
+                await support.ask(router, head)
+        assert len(server.calls) == 1
+
+
+async def test_refused_connection_is_not_run_and_may_be_sent_again():
+    async with one_server(support.respond(b"booked")) as (
+        bench,
+        server,
+        router,
+    ):
+        bench.view.all = ()
+        listener = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listener[0].socket.getsockname()[1]
+        await listener[0].aclose()
+        bench.view.add(f"127.0.0.1:{port}")
+        with pytest.raises(errors.NoServerError) as caught:
+            await support.ask(router, support.head(bench.clock, "confirm", "k"))
+        assert caught.value.retry_after_s
+        bench.view.all = ()
+        bench.view.add(server.address)
+        await trio.sleep(caught.value.retry_after_s)
+        head = support.head(bench.clock, "confirm", "k")
+        assert (await support.ask(router, head)).body == b"booked"
+        assert len(server.calls) == 1
+
+
+async def test_streamed_answer_over_the_limit_is_whole_and_not_kept():
+    big = b"x" * 300_000
+    async with one_server(support.respond(big)) as (bench, server, router):
+        head = support.head(bench.clock, "confirm", "k1")
+        assert (await support.ask(router, head)).body == big
+        await trio.sleep(0.05)
+        with pytest.raises(messages.AnswerNotKeptError):
+            await support.ask(router, head)
+        assert len(server.calls) == 1
+
+
+async def test_home_unreachable_sends_nothing_and_is_not_called_not_run():
+    async with one_server(support.respond()) as (bench, server, router):
+        bench.groups.unavailable.update(bench.machines)
+        with pytest.raises(messages.HomeUnreachableError):
+            await support.ask(router, support.head(bench.clock, "confirm", "k"))
+        assert not server.calls
+
+
+async def test_caller_that_hangs_up_does_not_lose_the_record():
+    slow = support.respond(b"booked", wait_s=0.2)
+    async with one_server(slow) as (bench, server, router):
+        with trio.move_on_after(0.05):
+            await support.ask(router, support.head(bench.clock, "confirm", "k"))
+        await trio.sleep(0.4)
+        head = support.head(bench.clock, "confirm", "k")
+        assert (await support.ask(router, head)).body == b"booked"
+        assert len(server.calls) == 1
+
+
+async def test_drain_waits_for_what_is_in_flight_and_refuses_new():
+    slow = support.respond(b"late", wait_s=0.3)
+    async with one_server(slow) as (bench, server, router):
+        ends = []
+
+        async def send():
+            head = support.head(bench.clock, "check")
+            ends.append((await support.ask(router, head)).body)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send)
+            await trio.sleep(0.1)
+            nursery.start_soon(router.drain, bench.clock.monotonic() + 5)
+            await trio.sleep(0.05)
+            with pytest.raises(messages.DrainingError):
+                await support.ask(router, support.head(bench.clock))
+        assert ends == [b"late"]
--- /dev/null
+++ b/laburnumsill/state/claims.py
@@ -0,0 +1,423 @@
+"""Claims: which attempt may run a request that is not repeatable.
+
+A claim is committed before the first byte goes to a backend server, and at
+most one attempt holds it at any time. Only the VM that made an attempt's id
+sends anything for it, and it sends once at most. So these rules give "runs
+at most once":
+
+- A key without a record, or whose last attempt ended as not run, is granted.
+- An attempt that has ended is never granted, also when its proposal is
+  applied late: `SettleRequest` of an attempt that is not known yet leaves a
+  record of its end behind, which the late proposal then meets.
+- A claim that is in progress, answered or unknown is never granted to
+  another attempt. One whose deadline has passed reads as unknown; its own VM
+  may still settle it with what truly happened.
+- Once a caller was told "not run", a send of the same key that came in
+  earlier through another VM must not run either. So `RefuseRequest` and an
+  end as not run raise a fence: an attempt whose request arrived before it is
+  not granted. The fence lies `FENCE_S` after the command's time, which
+  covers the longest wait for its commit and the drift of clocks; a caller
+  that resends after its Retry-After is past it.
+
+A record is forgotten at its `forget_at`, a point on the wall clock that the
+commands carry; a resend after that is a new request and runs again. One that
+was not run needs to outlive the sends that may still be on their way only,
+see `NOT_RUN_RETENTION_S`.
+
+Memory: at most `MAX_CLAIMS` records of about 0.7 KB, and answers of at most
+`MAX_ANSWERS_BYTES` in all, the oldest of which are dropped first (their
+outcome stays).
+"""
+
+import collections
+import dataclasses
+import enum
+
+import sortedcontainers
+
+from laburnumsill.core import clock
+from laburnumsill.core import codec
+from laburnumsill.core import errors
+from laburnumsill.core import replication
+from laburnumsill.state import answers
+
+MAX_CLAIMS = 100_000
+"""Records in one domain's group; new keys are refused beyond it."""
+
+MAX_ANSWERS_BYTES = 16 * 1024 * 1024
+"""Bytes of answer bodies kept in one domain's group."""
+
+MAX_ENDED_ATTEMPTS = 16
+"""Ended attempts remembered for each key, against late proposals."""
+
+PRUNED_PER_COMMAND = 16
+"""Records forgotten at most by one command, so that none takes long."""
+
+REFUSE_PATIENCE_S = 0.5
+"""Longest wait of a VM for the commit of "not run" before it answers."""
+
+FENCE_S = REFUSE_PATIENCE_S + clock.MAX_CLOCK_DRIFT_S
+"""How far after a command's time its fence lies."""
+
+CLAIM_WINDOW_S = 30.0
+"""A VM proposes no claim for a request that arrived longer ago."""
+
+NOT_RUN_RETENTION_S = 2 * CLAIM_WINDOW_S
+"""How long a key that was not run is remembered."""
+
+
+class ClaimState(enum.StrEnum):
+    """What is known of a claimed request."""
+
+    IN_PROGRESS = "in-progress"
+    ANSWERED = "answered"
+    UNKNOWN = "unknown"
+    NOT_RUN = "not-run"
+
+
+@codec.register("claims.claim-request")
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimRequest:
+    """Asks for the right to run a request; idempotent by `attempt`.
+
+    Attributes:
+        key: The idempotency key with its service and account.
+        digest: Digest of method, path and body.
+        attempt: Id of the one attempt that would run it.
+        vm: The VM that made the attempt.
+        arrived: Wall time at which the request arrived at the VM.
+        now: Wall time of the proposal.
+        deadline: Wall time after which the attempt is over.
+        forget_at: Wall time after which the record is dropped.
+    """
+
+    key: str
+    digest: str
+    attempt: str
+    vm: str
+    arrived: float
+    now: float
+    deadline: float
+    forget_at: float
+
+
+@codec.register("claims.refuse-request")
+@dataclasses.dataclass(frozen=True, slots=True)
+class RefuseRequest:
+    """Fences off a key before its caller is told that it was not run.
+
+    Nothing changes where the key has run, runs or may have run.
+
+    Attributes:
+        key: The idempotency key with its service and account.
+        digest: Digest of method, path and body.
+        now: Wall time of the proposal.
+    """
+
+    key: str
+    digest: str
+    now: float
+
+
+@codec.register("claims.settle-request")
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettleRequest:
+    """Records how an attempt ended; idempotent by `attempt`.
+
+    Attributes:
+        key: The claimed key.
+        digest: The digest that was claimed.
+        attempt: The attempt that ended.
+        outcome: Anything but `ClaimState.IN_PROGRESS`.
+        answer: The whole answer, or None where there is none to keep.
+        now: Wall time of the proposal.
+        forget_at: Wall time after which the record is dropped; one that was
+            not run is dropped earlier.
+    """
+
+    key: str
+    digest: str
+    attempt: str
+    outcome: ClaimState
+    answer: answers.StoredAnswer | None
+    now: float
+    forget_at: float
+
+
+@codec.register("claims.get-claim")
+@dataclasses.dataclass(frozen=True, slots=True)
+class GetClaim:
+    """Asks what is known of a key at wall time `now`."""
+
+    key: str
+    now: float
+
+
+@codec.register("claims.claim-status")
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimStatus:
+    """What is known of a key.
+
+    Attributes:
+        granted: Whether the asking attempt holds the claim.
+        state: What is known of the request; None where there is no record.
+        attempt: The newest attempt.
+        answer: The stored answer, or None.
+    """
+
+    granted: bool
+    state: ClaimState | None
+    attempt: str
+    answer: answers.StoredAnswer | None
+
+
+@codec.register("claims.record")
+@dataclasses.dataclass(slots=True)
+class ClaimRecord:
+    """One key.
+
+    Attributes:
+        key: See `ClaimRequest`.
+        digest: See `ClaimRequest`.
+        attempt: The newest attempt, empty before the first.
+        vm: The VM that made it.
+        state: How it stands.
+        deadline: Wall time after which it is over.
+        forget_at: Wall time after which the record is dropped.
+        fence: Wall time; a request that arrived earlier is not granted.
+        ended: Attempts that must not be granted any more.
+        answer: The stored answer, or None.
+    """
+
+    key: str
+    digest: str
+    attempt: str
+    vm: str
+    state: ClaimState
+    deadline: float
+    forget_at: float
+    fence: float = 0.0
+    ended: tuple[str, ...] = ()
+    answer: answers.StoredAnswer | None = None
+
+    def state_at(self, now: float) -> ClaimState:
+        """Returns the state as it reads at wall time `now`."""
+        late = self.state is ClaimState.IN_PROGRESS and now >= self.deadline
+        return ClaimState.UNKNOWN if late else self.state
+
+
+@codec.register("claims.dump")
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Dump:
+    records: tuple[ClaimRecord, ...]
+    answer_order: tuple[str, ...]
+
+
+class Claims(replication.Component):
+    """The claims whose home is one failure domain."""
+
+    def __init__(
+        self,
+        max_claims: int = MAX_CLAIMS,
+        max_answers_bytes: int = MAX_ANSWERS_BYTES,
+    ) -> None:
+        self._max_claims = max_claims
+        self._max_answers_bytes = max_answers_bytes
+        self._clear()
+
+    def _clear(self) -> None:
+        self._records: dict[str, ClaimRecord] = {}
+        self._by_forget_at = sortedcontainers.SortedSet()
+        self._answer_order: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
+        self._answers_bytes = 0
+
+    @property
+    def name(self) -> str:
+        """Returns ``claims``."""
+        return "claims"
+
+    @property
+    def answers_bytes(self) -> int:
+        """Bytes of all stored answer bodies."""
+        return self._answers_bytes
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def commands(self) -> dict[type, replication.Handler]:
+        """Returns the handlers of the commands."""
+        return {
+            ClaimRequest: self._claim,
+            RefuseRequest: self._refuse,
+            SettleRequest: self._settle,
+        }
+
+    def queries(self) -> dict[type, replication.Handler]:
+        """Returns the handler of the one query."""
+        return {GetClaim: self._get}
+
+    def dump(self) -> bytes:
+        """Returns all records, encoded."""
+        records = tuple(self._records[key] for key in sorted(self._records))
+        return codec.encode(_Dump(records, tuple(self._answer_order)))
+
+    def load(self, raw: bytes) -> None:
+        """Replaces all records."""
+        dump: _Dump = codec.decode(raw)
+        self._clear()
+        for record in dump.records:
+            self._put(record)
+        for key in dump.answer_order:
+            answer = self._records[key].answer
+            self._count_answer(key, len(answer.body) if answer else 0)
+
+    def _claim(self, command: ClaimRequest) -> ClaimStatus:
+        self._prune(command.now)
+        record = self._records.get(command.key)
+        if record is None:
+            return self._claim_new(command)
+        _check_digest(record, command.digest)
+        state = record.state_at(command.now)
+        if command.attempt in record.ended:
+            return _status(record, state)
+        if record.attempt == command.attempt:
+            granted = record.state is ClaimState.IN_PROGRESS
+            return _status(record, state, granted=granted)
+        fenced = command.arrived <= record.fence
+        if record.state is not ClaimState.NOT_RUN or fenced:
+            return _status(record, state)
+        record.attempt = command.attempt
+        record.vm = command.vm
+        record.state = ClaimState.IN_PROGRESS
+        record.deadline = command.deadline
+        self._keep_until(record, command.forget_at)
+        return _status(record, record.state, granted=True)
+
+    def _claim_new(self, command: ClaimRequest) -> ClaimStatus:
+        self._check_room()
+        record = ClaimRecord(
+            command.key,
+            command.digest,
+            command.attempt,
+            command.vm,
+            ClaimState.IN_PROGRESS,
+            command.deadline,
+            command.forget_at,
+        )
+        self._put(record)
+        return _status(record, record.state, granted=True)
+
+    def _refuse(self, command: RefuseRequest) -> ClaimStatus:
+        self._prune(command.now)
+        record = self._records.get(command.key)
+        if record is None:
+            record = self._put_not_run(command.key, command.digest, command.now)
+        _check_digest(record, command.digest)
+        if record.state is ClaimState.NOT_RUN:
+            self._fence(record, command.now)
+        return _status(record, record.state_at(command.now))
+
+    def _settle(self, command: SettleRequest) -> ClaimStatus:
+        self._prune(command.now)
+        record = self._records.get(command.key)
+        if record is None:
+            # The claim was not applied, so nothing ran. It may be applied
+            # late, and must find its attempt ended then.
+            record = self._put_not_run(command.key, command.digest, command.now)
+            _end(record, command.attempt)
+            return _status(record, record.state)
+        _check_digest(record, command.digest)
+        if record.attempt != command.attempt:
+            _end(record, command.attempt)
+        elif record.state in (ClaimState.IN_PROGRESS, ClaimState.UNKNOWN):
+            self._settle_current(record, command)
+        return _status(record, record.state_at(command.now))
+
+    def _settle_current(
+        self, record: ClaimRecord, command: SettleRequest
+    ) -> None:
+        _end(record, command.attempt)
+        record.state = command.outcome
+        if command.outcome is ClaimState.NOT_RUN:
+            self._fence(record, command.now)
+            return
+        self._keep_until(record, command.forget_at)
+        if command.answer is not None:
+            record.answer = command.answer
+            self._count_answer(record.key, len(command.answer.body))
+
+    def _put_not_run(self, key: str, digest: str, now: float) -> ClaimRecord:
+        self._check_room()
+        forget_at = now + NOT_RUN_RETENTION_S
+        record = ClaimRecord(
+            key, digest, "", "", ClaimState.NOT_RUN, now, forget_at
+        )
+        self._put(record)
+        return record
+
+    def _fence(self, record: ClaimRecord, now: float) -> None:
+        record.fence = max(record.fence, now + FENCE_S)
+        self._keep_until(record, now + NOT_RUN_RETENTION_S)
+
+    def _check_room(self) -> None:
+        if len(self._records) >= self._max_claims:
+            raise errors.OverloadedError(
+                f"{len(self._records)} claims are held, the most there may be"
+            )
+
+    def _get(self, query: GetClaim) -> ClaimStatus:
+        record = self._records.get(query.key)
+        if record is None or query.now >= record.forget_at:
+            return ClaimStatus(False, None, "", None)
+        return _status(record, record.state_at(query.now))
+
+    def _put(self, record: ClaimRecord) -> None:
+        self._records[record.key] = record
+        self._by_forget_at.add((record.forget_at, record.key))
+
+    def _keep_until(self, record: ClaimRecord, forget_at: float) -> None:
+        self._by_forget_at.discard((record.forget_at, record.key))
+        record.forget_at = forget_at
+        self._by_forget_at.add((forget_at, record.key))
+
+    def _count_answer(self, key: str, size: int) -> None:
+        self._answer_order[key] = size
+        self._answers_bytes += size
+        while self._answers_bytes > self._max_answers_bytes:
+            oldest = next(iter(self._answer_order))
+            self._drop_answer(oldest)
+
+    def _drop_answer(self, key: str) -> None:
+        size = self._answer_order.pop(key, None)
+        if size is not None:
+            self._answers_bytes -= size
+            self._records[key].answer = None
+
+    def _prune(self, now: float) -> None:
+        for _ in range(PRUNED_PER_COMMAND):
+            if not self._by_forget_at or self._by_forget_at[0][0] > now:
+                return
+            _, key = self._by_forget_at.pop(0)
+            self._drop_answer(key)
+            del self._records[key]
+
+
+def _check_digest(record: ClaimRecord, digest: str) -> None:
+    if record.digest != digest:
+        raise errors.KeyReusedError(
+            f"key {record.key!r} was used with another request"
+        )
+
+
+def _end(record: ClaimRecord, attempt: str) -> None:
+    """Remembers that `attempt` must never be granted (again)."""
+    if attempt not in record.ended:
+        record.ended = (*record.ended, attempt)[-MAX_ENDED_ATTEMPTS:]
+
+
+def _status(
+    record: ClaimRecord, state: ClaimState, *, granted: bool = False
+) -> ClaimStatus:
+    return ClaimStatus(granted, state, record.attempt, record.answer)
--- /dev/null
+++ b/laburnumsill/state/tests/test_claims.py
@@ -0,0 +1,225 @@
+"""Claims: never two grants alive, never one after a run, truthful not-run."""
+
+import hypothesis
+import pytest
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from laburnumsill.core import errors
+from laburnumsill.core import replication
+from laburnumsill.state import answers
+from laburnumsill.state import claims
+
+States = claims.ClaimState
+RETENTION = 1_000.0
+ANSWER = answers.StoredAnswer(200, ((b"a", b"b"),), b"booked")
+
+
+def claim(attempt, now, *, key="k", digest="d", arrived=None, deadline=None):
+    arrived = now if arrived is None else arrived
+    deadline = now + 10 if deadline is None else deadline
+    return claims.ClaimRequest(
+        key, digest, attempt, "vm", arrived, now, deadline, now + RETENTION
+    )
+
+
+def settle(attempt, outcome, now, *, key="k", digest="d", answer=None):
+    return claims.SettleRequest(
+        key, digest, attempt, outcome, answer, now, now + RETENTION
+    )
+
+
+def machine(**limits):
+    return replication.StateMachine(claims.Claims(**limits))
+
+
+def test_grant_is_idempotent_and_exclusive():
+    state = machine()
+    assert state.apply(claim("a", 0.0)).granted
+    assert state.apply(claim("a", 1.0)).granted
+    assert state.apply(claim("b", 1.0)).state is States.IN_PROGRESS
+    late = state.apply(claim("b", 11.0))
+    assert (late.granted, late.state) == (False, States.UNKNOWN)
+
+
+def test_late_settle_replaces_unknown_and_keeps_the_answer():
+    state = machine()
+    state.apply(claim("a", 0.0))
+    state.apply(settle("a", States.ANSWERED, 20.0, answer=ANSWER))
+    again = state.apply(claim("b", 21.0))
+    assert (again.granted, again.answer) == (False, ANSWER)
+
+
+def test_attempt_given_up_is_not_granted_late():
+    state = machine()
+    state.apply(settle("a", States.NOT_RUN, 1.0))
+    assert not state.apply(claim("a", 0.5)).granted
+    assert state.apply(claim("b", 3.0)).granted
+    state.apply(settle("b", States.NOT_RUN, 4.0))
+    assert not state.apply(claim("a", 6.0, arrived=9.0)).granted
+
+
+def test_refused_key_does_not_run_for_an_earlier_arrival():
+    state = machine()
+    refused = claims.RefuseRequest("k", "d", 5.0)
+    assert state.apply(refused).state is States.NOT_RUN
+    assert not state.apply(claim("a", 5.1, arrived=4.9)).granted
+    assert not state.apply(claim("b", 5.2, arrived=5.2)).granted
+    assert state.apply(claim("c", 6.0)).granted
+    assert state.apply(refused).state is States.IN_PROGRESS
+
+
+def test_another_digest_is_refused():
+    state = machine()
+    state.apply(claim("a", 0.0))
+    for command in (
+        claim("b", 1.0, digest="e"),
+        settle("a", States.ANSWERED, 1.0, digest="e"),
+        claims.RefuseRequest("k", "e", 1.0),
+    ):
+        with pytest.raises(errors.KeyReusedError):
+            state.apply(command)
+
+
+def test_memory_is_bounded():
+    state = machine(max_claims=3, max_answers_bytes=10)
+    for n in range(3):
+        key = str(n)
+        state.apply(claim("a", 0.0, key=key))
+        state.apply(settle("a", States.ANSWERED, 0, key=key, answer=ANSWER))
+    part = state.component("claims")
+    assert part.answers_bytes <= 10
+    first = state.query(claims.GetClaim("0", 1.0))
+    assert (first.state, first.answer) == (States.ANSWERED, None)
+    with pytest.raises(errors.OverloadedError):
+        state.apply(claim("a", 1.0, key="new"))
+    assert state.apply(claim("a", RETENTION + 1, key="new")).granted
+    assert len(part) == 1
+
+
+def test_dump_and_load_keep_everything():
+    state = machine()
+    state.apply(claim("a", 0.0))
+    state.apply(settle("a", States.ANSWERED, 1.0, answer=ANSWER))
+    state.apply(claim("b", 0.0, key="other"))
+    copy = machine()
+    copy.load(state.dump())
+    assert copy.dump() == state.dump()
+    assert copy.query(claims.GetClaim("k", 1.0)).answer == ANSWER
+    assert not copy.apply(claim("c", 2.0, key="other")).granted
+
+
+class ClaimsMachine(stateful.RuleBasedStateMachine):
+    """VMs claim one key; proposals are lost, applied late or twice.
+
+    The model knows which attempts a VM sent, gave up, or may still send.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.state = machine()
+        self.now = 0.0
+        self.count = 0
+        self.waiting = {}  # attempt: its claim command, not decided by its VM
+        self.holding = set()  # granted, its VM may send
+        self.sent = set()
+        self.sent_arrivals = {}
+        self.limbo = []  # commands that may yet be applied
+        self.promises = []  # wall times at which a caller was told not-run
+
+    def _apply(self, command):
+        return self.state.apply(command)
+
+    @stateful.rule(seconds=st.floats(0.01, 4.0))
+    def time_passes(self, seconds):
+        self.now += seconds
+
+    @stateful.rule()
+    def request_arrives(self):
+        self.count += 1
+        attempt = f"a{self.count}"
+        self.waiting[attempt] = claim(attempt, self.now)
+
+    @stateful.precondition(lambda self: self.waiting)
+    @stateful.rule(data=st.data(), lost=st.booleans())
+    def vm_proposes(self, data, lost):
+        attempt = data.draw(st.sampled_from(sorted(self.waiting)))
+        command = self.waiting[attempt]
+        if lost:
+            self.limbo.append(command)
+            return
+        if self._apply(command).granted:
+            del self.waiting[attempt]
+            self.holding.add(attempt)
+            assert len(self.holding) == 1
+            assert not self.sent
+            told = [t for t in self.promises if command.arrived <= t]
+            assert not told, "ran for a caller told not-run"
+            self.sent_arrivals[attempt] = command.arrived
+
+    @stateful.precondition(lambda self: self.waiting)
+    @stateful.rule(data=st.data(), lost=st.booleans())
+    def vm_gives_up_before_the_grant(self, data, lost):
+        attempt = data.draw(st.sampled_from(sorted(self.waiting)))
+        del self.waiting[attempt]
+        command = settle(attempt, States.NOT_RUN, self.now)
+        if lost:
+            self.limbo.append(command)
+        else:
+            self._apply(command)
+
+    @stateful.precondition(lambda self: self.holding)
+    @stateful.rule(
+        outcome=st.sampled_from([States.ANSWERED, States.UNKNOWN]),
+        lost=st.booleans(),
+    )
+    def vm_sends(self, outcome, lost):
+        attempt = self.holding.pop()
+        self.sent.add(attempt)
+        command = settle(attempt, outcome, self.now)
+        if lost:
+            self.limbo.append(command)
+        else:
+            self._apply(command)
+
+    @stateful.precondition(lambda self: self.holding)
+    @stateful.rule(lost=st.booleans())
+    def vm_cannot_send(self, lost):
+        attempt = self.holding.pop()
+        command = settle(attempt, States.NOT_RUN, self.now)
+        self.promises.append(self.now)
+        if lost:
+            self.limbo.append(command)
+        else:
+            self._apply(command)
+
+    @stateful.rule()
+    def vm_refuses(self):
+        status = self._apply(claims.RefuseRequest("k", "d", self.now))
+        if status.state is States.NOT_RUN:
+            assert not self.sent
+            assert not self.holding
+            self.promises.append(self.now)
+
+    @stateful.precondition(lambda self: self.limbo)
+    @stateful.rule(data=st.data(), keep=st.booleans())
+    def lost_command_is_applied(self, data, keep):
+        index = data.draw(st.integers(0, len(self.limbo) - 1))
+        command = self.limbo[index] if keep else self.limbo.pop(index)
+        self._apply(command)
+
+    @stateful.rule()
+    def snapshot(self):
+        copy = machine()
+        copy.load(self.state.dump())
+        self.state = copy
+
+    @stateful.invariant()
+    def runs_at_most_once(self):
+        assert len(self.sent) + len(self.holding) <= 1
+
+
+ClaimsMachine.TestCase.settings = hypothesis.settings(
+    max_examples=150, stateful_step_count=40, deadline=None
+)
+test_claims_machine = ClaimsMachine.TestCase
--- /dev/null
+++ b/laburnumsill/state/tests/test_durable.py
@@ -0,0 +1,77 @@
+"""Durable requests: nothing accepted is forgotten before its end."""
+
+import pytest
+
+from laburnumsill.core import errors
+from laburnumsill.core import replication
+from laburnumsill.state import durable
+
+States = durable.DurableState
+
+
+def accept(key, now=0.0, *, digest="d", body=b"x" * 100):
+    work = durable.DurableWork(
+        "huts", "tag", "lakes", key, "POST", b"/", (), body
+    )
+    return durable.AcceptDurable(key, digest, work, now, now + 10, now + 20)
+
+
+def end(key, now=1.0):
+    return durable.EndDurable(key, States.SUCCEEDED, 200, now, now + 20)
+
+
+def machine(**limits):
+    return replication.StateMachine(durable.DurableRequests(**limits))
+
+
+def test_accept_is_idempotent_and_keyed():
+    state = machine()
+    first = state.apply(accept("k"))
+    assert state.apply(accept("k", 5.0)) == first
+    with pytest.raises(errors.KeyReusedError):
+        state.apply(accept("k", digest="e"))
+    assert len(state.component("durable").pending) == 1
+
+
+def test_first_end_stays_and_frees_the_body():
+    state = machine()
+    state.apply(accept("k"))
+    state.apply(end("k"))
+    late = durable.EndDurable("k", States.EXPIRED, 0, 9.0, 99.0)
+    assert state.apply(late).state is States.SUCCEEDED
+    part = state.component("durable")
+    assert (part.pending, part.pending_bytes) == ({}, 0)
+    assert state.apply(accept("k")).state is States.SUCCEEDED
+
+
+def test_pending_bytes_are_bounded():
+    state = machine(max_pending_bytes=1_500)
+    state.apply(accept("a"))
+    state.apply(accept("b"))
+    with pytest.raises(errors.OverloadedError):
+        state.apply(accept("c"))
+    state.apply(end("a"))
+    state.apply(accept("c"))
+
+
+def test_pending_outlives_retention_and_ended_does_not():
+    state = machine()
+    state.apply(accept("a"))
+    state.apply(accept("b"))
+    state.apply(end("b"))
+    state.apply(accept("c", 1_000.0))
+    assert state.query(durable.GetDurable("a")).state is States.PENDING
+    assert state.query(durable.GetDurable("b")).state is None
+    state.apply(end("a", 1_001.0))
+    assert state.query(durable.GetDurable("a")).state is States.SUCCEEDED
+
+
+def test_dump_and_load_keep_order_and_sizes():
+    state = machine()
+    for key in ("b", "a", "c"):
+        state.apply(accept(key))
+    state.apply(end("a"))
+    copy = machine()
+    copy.load(state.dump())
+    assert list(copy.component("durable").pending) == ["b", "c"]
+    assert copy.dump() == state.dump()
