Answer GET /v1/requests/{key} through the router

Cause: the daemon's assembly builds the route from the router alone, and made the durable dispatcher without the router whose slots it must share.

Change: the lookup is a module of the router; assembly passes the router.

--- a/laburnumsill/api/services.py
+++ b/laburnumsill/api/services.py
@@ -14,27 +14,19 @@
 from starlette import routing
 
 from laburnumsill.api import problems
-from laburnumsill.config import current as current_module
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import errors
 from laburnumsill.core import ids
 from laburnumsill.core import logs
-from laburnumsill.core import replication
 from laburnumsill.requests import answer as answers
 from laburnumsill.requests import headers
-from laburnumsill.requests import home
 from laburnumsill.requests import messages
 from laburnumsill.requests import router as routers
-from laburnumsill.state import claims
-from laburnumsill.state import durable
 
 PREFIX = b"/v1/services/"
 MAX_HEADER_BYTES = 16 * 1024
 """Names and values of all headers of a request."""
 
-QUERY_S = 1.5
-"""Longest wait for what is known of a key."""
-
 Scope = abc.MutableMapping[str, typing.Any]
 Receive = abc.Callable[[], abc.Awaitable[abc.MutableMapping[str, typing.Any]]]
 Send = abc.Callable[[abc.MutableMapping[str, typing.Any]], abc.Awaitable[None]]
@@ -180,11 +172,7 @@
             await self._send(message)
 
 
-def routes(
-    groups: replication.Groups,
-    current: current_module.Current,
-    clock: clocks.Clock,
-) -> list[routing.Route]:
+def routes(router: routers.RequestRouter) -> list[routing.Route]:
     """Returns the route that tells what became of a key."""
 
     async def get_request(
@@ -195,7 +183,7 @@
         if not service:
             raise errors.InvalidInputError("the query lacks service=")
         key = messages.claim_key(service, account, request.path_params["key"])
-        return problems.json_response(await _known(key, groups, current, clock))
+        return problems.json_response(await router.known(key))
 
     return [
         routing.Route(
@@ -206,42 +194,6 @@
     ]
 
 
-async def _known(
-    key: str,
-    groups: replication.Groups,
-    current: current_module.Current,
-    clock: clocks.Clock,
-) -> dict[str, object]:
-    configuration = current.get()
-    if configuration is None:
-        raise errors.UnavailableError("no configuration is in force yet")
-    group = home.home_group(key, configuration)
-    until = clock.monotonic() + QUERY_S
-    kept: durable.DurableStatus = await groups.query(
-        group, durable.GetDurable(key), until
-    )
-    if kept.state is not None:
-        return {
-            "key": key,
-            "durable": True,
-            "state": kept.state,
-            "status": kept.status or None,
-            "deadline": kept.deadline,
-        }
-    claim: claims.ClaimStatus = await groups.query(
-        group, claims.GetClaim(key, clock.wall()), until
-    )
-    if claim.state is None:
-        raise errors.NotFoundError(f"nothing is known of key {key!r}")
-    return {
-        "key": key,
-        "durable": False,
-        "state": claim.state,
-        "attempt": claim.attempt,
-        "status": claim.answer.status if claim.answer else None,
-    }
-
-
 def _head(
     scope: Scope, request_id: str, arrived: float
 ) -> messages.RequestHead:
--- a/laburnumsill/api/tests/test_services.py
+++ b/laburnumsill/api/tests/test_services.py
@@ -20,10 +20,9 @@
     bench = support.Bench(**requests)
     server = support.FakeServer(reply)
     router = bench.router()
-    routes = services.routes(bench.groups, bench.current, bench.clock)
     app = applications.Starlette(
         routes=[
-            *routes,
+            *services.routes(router),
             routing.Mount("/v1/services", services.ServicesApp(router)),
         ]
     )
--- a/laburnumsill/daemon/assembly.py
+++ b/laburnumsill/daemon/assembly.py
@@ -114,11 +114,9 @@
             self._metrics,
         )
         self._durable = durable.DurableDispatcher(
-            self._me,
+            self._router,
             self._host,
-            self._members,
             self._current,
-            self._backend,
             self._clock,
             self._metrics,
         )
--- a/laburnumsill/requests/router.py
+++ b/laburnumsill/requests/router.py
@@ -26,6 +26,7 @@
 from laburnumsill.requests import classify
 from laburnumsill.requests import dispatch
 from laburnumsill.requests import health
+from laburnumsill.requests import lookup
 from laburnumsill.requests import messages
 from laburnumsill.requests import once
 from laburnumsill.requests import policies
@@ -64,6 +65,7 @@
         metrics: metrics_module.Metrics,
         entry_vms: int = backend.ENTRY_VMS,
     ) -> None:
+        self._groups = groups
         self._current = current
         self._clock = clock
         self._metrics = metrics
@@ -151,6 +153,12 @@
         result.also_on_close(self._ended)
         return result
 
+    async def known(self, key: str) -> lookup.Known:
+        """Returns what became of a key, see `lookup.known`."""
+        return await lookup.known(
+            key, self._groups, self._configuration(), self._clock
+        )
+
     async def run_durable(
         self, request: messages.RoutedRequest
     ) -> messages.Answer:
