--- a/laburnumsill/wire/connection.py
+++ b/laburnumsill/wire/connection.py
@@ -17,12 +17,17 @@
 from laburnumsill.wire import outbox
 from laburnumsill.wire.generated.peer import ttypes
 
-KEEP_ALIVE_S = 0.39
-"""An empty frame is sent when nothing else was for so long.
+QUIET_S = 0.2
+"""A frame from the peer is answered by an empty one after so long a quiet.
 
-It is just below two ticks of the network's timer.
+The dialing end also sends one at each tick after so long a quiet. The answer
+comes while the acknowledgement is still due, which saves a packet, and all
+peers answer at the same moment, which saves wake-ups.
 """
 
+LONG_QUIET_S = 0.5
+"""The other end sends an empty frame by itself only after so long."""
+
 REACHABLE_S = 1.0
 """A peer that was heard from within this time counts as reachable."""
 
@@ -60,6 +65,7 @@
         answers: handlers.Handlers,
         clock: clocks.Clock,
         workers: trio.Nursery,
+        dialed: bool,
     ) -> None:
         """Makes a connection.
 
@@ -71,6 +77,7 @@
             clock: The clock of this process.
             workers: Runs calls of the peer, also after this connection is
                 lost, since the peer may ask again over another one.
+            dialed: Whether this end dialed.
         """
         self.vm = vm
         self._traffic = Traffic()
@@ -79,6 +86,7 @@
         self._handlers = answers
         self._clock = clock
         self._workers = workers
+        self._longest_quiet_s = QUIET_S if dialed else LONG_QUIET_S
         self._outbox = outbox.Outbox()
         self._pending = calls.PendingCalls()
         self._running_calls = 0
@@ -118,14 +126,19 @@
         self._reason = self._reason or reason
         self._close()
 
-    def tick(self) -> None:
-        """Sends a keep-alive or gives the peer up, where one is due."""
+    def tick(self, late: bool) -> None:
+        """Sends a keep-alive or gives the peer up, where one is due.
+
+        Args:
+            late: Whether this process was held up, so that what the peer
+                sent may not have been read yet.
+        """
         silence = self._silence()
-        if silence > SILENCE_LIMIT_S:
+        if silence > SILENCE_LIMIT_S and not late:
             self.lose(
                 failures.ConnectionLostError(f"silent for {silence:.2f} s")
             )
-        elif self._clock.monotonic() - self._last_sent > KEEP_ALIVE_S:
+        elif self._quiet() > self._longest_quiet_s:
             self._wakeup.set()
 
     async def call(self, request: object, deadline: float) -> typing.Any:
@@ -171,6 +184,8 @@
         while True:
             frame = await self._reader.read()
             self._traffic.received_frames += 1
+            if self._quiet() > QUIET_S:
+                self._wakeup.set()
             self._take(frame)
 
     def _take(self, frame: ttypes.Frame) -> None:
@@ -234,6 +249,9 @@
     def _silence(self) -> float:
         return self._clock.monotonic() - self._reader.last_heard
 
+    def _quiet(self) -> float:
+        return self._clock.monotonic() - self._last_sent
+
     def _check_open(self) -> None:
         if self._closed:
             raise errors.PeerUnreachableError(f"{self.vm}: closed")
--- a/laburnumsill/wire/network.py
+++ b/laburnumsill/wire/network.py
@@ -3,6 +3,7 @@
 import contextlib
 import dataclasses
 import errno
+import itertools
 import typing
 from collections import abc
 
@@ -23,9 +24,15 @@
 from laburnumsill.wire import hello
 from laburnumsill.wire.generated.peer import ttypes
 
-TICK_S = 0.2
+TICK_S = 0.4
 """How often all connections are looked at, together to save wake-ups."""
 
+LATE_S = 0.5
+"""A tick that comes so late says that this process was held up."""
+
+TICKS_A_REPORT = 5
+"""The metrics are brought up to date at every so many ticks."""
+
 CONNECT_TIMEOUT_S = 1.0
 """Longest wait for a TCP connection."""
 
@@ -247,12 +254,15 @@
         await trio.serve_listeners(self._accept, listeners)
 
     async def _keep_ticking(self) -> None:
-        while True:
+        for number in itertools.count():
+            due = self._clock.monotonic() + TICK_S
             await trio.sleep(TICK_S)
+            late = self._clock.monotonic() - due > LATE_S
             for peer in self._peers.values():
                 if peer.connection is not None:
-                    peer.connection.tick()
-            self._publish()
+                    peer.connection.tick(late)
+            if number % TICKS_A_REPORT == 0:
+                self._publish()
 
     async def _keep_dialing(self, vm: str) -> None:
         """Keeps a connection to `vm`, which has a greater id."""
@@ -316,7 +326,13 @@
     ) -> None:
         peer = self._peers[vm]
         connection = connections.Connection(
-            vm, stream, reader, self._handlers, self._clock, self._workers
+            vm,
+            stream,
+            reader,
+            self._handlers,
+            self._clock,
+            self._workers,
+            dialed=self._me.vm_id < vm,
         )
         peer.attach(connection)
         logs.event("peer-connected", peer=vm)
--- a/laburnumsill/wire/tests/cluster.py
+++ b/laburnumsill/wire/tests/cluster.py
@@ -10,6 +10,7 @@
 from laburnumsill.core import codec
 from laburnumsill.core import metrics
 from laburnumsill.core import topology
+from laburnumsill.testing import proxy as proxies
 from laburnumsill.wire import network
 
 
@@ -75,3 +76,20 @@
             await until(lambda one=one: len(one.reachable()) == len(made), 5)
         yield made
         nursery.cancel_scope.cancel()
+
+
+@contextlib.asynccontextmanager
+async def behind_proxy() -> abc.AsyncIterator[
+    tuple[network.PeerNetwork, network.PeerNetwork, proxies.Proxy]
+]:
+    """Runs "a" and "b", connected through the link "b" of a proxy."""
+    addresses = dict.fromkeys("ab", "127.0.0.1:1")
+    a, b = make("a", addresses), make("b", addresses)
+    async with proxies.running() as proxy, trio.open_nursery() as nursery:
+        await nursery.start(b.run)
+        proxy.add_link("b", "127.0.0.1:0", b.listening_address)
+        addresses["b"] = proxy.status("b").listen
+        await nursery.start(a.run)
+        await until(lambda: "b" in a.reachable() and "a" in b.reachable(), 5)
+        yield a, b, proxy
+        nursery.cancel_scope.cancel()
--- a/laburnumsill/wire/tests/test_network.py
+++ b/laburnumsill/wire/tests/test_network.py
@@ -3,6 +3,7 @@
 
 from laburnumsill.core import errors
 from laburnumsill.core import metrics
+from laburnumsill.testing import proxy as proxies
 from laburnumsill.wire import failures
 from laburnumsill.wire import frames
 from laburnumsill.wire import network
@@ -236,3 +237,65 @@
         network.PeerNetwork(
             cluster.vm("a"), {"b": "nowhere"}, cluster.CLOCK, metrics.Metrics()
         )
+
+
+async def test_frozen_peer_is_left_and_comes_back():
+    async with cluster.behind_proxy() as (a, b, proxy):
+        proxy.set_fault("b", proxies.Fault(proxies.Mode.DROP))
+        outcomes = []
+
+        async def ask():
+            with pytest.raises(errors.OutcomeUnknownError):
+                await a.call("b", cluster.Echo(1), cluster.soon(30))
+            outcomes.append("unknown")
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            left = await cluster.until(
+                lambda: a.reachable() == {"a"} and b.reachable() == {"b"}, 5
+            )
+            with pytest.raises(errors.PeerUnreachableError):
+                await a.call("b", cluster.Echo(2), cluster.soon())
+        assert left < 1.5
+        assert outcomes == ["unknown"]
+        proxy.heal("b")
+        await cluster.until(lambda: "b" in a.reachable(), 5)
+        assert await a.call("b", cluster.Echo(3), cluster.soon())
+
+
+@pytest.mark.parametrize("mode", [proxies.Mode.CUT, proxies.Mode.RESET])
+async def test_connection_cut_in_mid_call_leaves_the_outcome_unknown(mode):
+    async with cluster.behind_proxy() as (a, b, proxy):
+        runs = []
+
+        async def run(request):
+            runs.append(request.number)
+            proxy.set_fault("b", proxies.Fault(mode))
+
+        b.on_call(cluster.Echo, run)
+        with pytest.raises(errors.OutcomeUnknownError):
+            await a.call("b", cluster.Echo(1), cluster.soon())
+        with pytest.raises(errors.PeerUnreachableError):
+            await a.call("b", cluster.Echo(2), cluster.soon())
+        proxy.heal("b")
+        b.on_call(cluster.Echo, cluster.echo)
+        await cluster.until(lambda: "b" in a.reachable(), 5)
+        assert await a.call("b", cluster.Echo(3), cluster.soon())
+        assert runs == [1]
+
+
+async def test_reply_cut_short_never_reaches_a_call():
+    async with cluster.behind_proxy() as (a, _, proxy):
+        fault = proxies.Fault(cut_after_bytes=5_000)
+        proxy.set_fault("b", fault, proxies.Direction.FROM_TARGET)
+        with pytest.raises(errors.OutcomeUnknownError):
+            request = cluster.Echo(1, 0, "x" * 10_000)
+            await a.call("b", request, cluster.soon())
+
+
+async def test_slow_bulk_is_not_taken_for_silence():
+    async with cluster.behind_proxy() as (a, _, proxy):
+        proxy.set_fault("b", proxies.Fault(bytes_per_s=200_000))
+        bulk = cluster.Echo(1, 0, "x" * 400_000)
+        assert await a.call("b", bulk, cluster.soon(30)) == bulk
+        assert a.reachable() == {"a", "b"}
--- /dev/null
+++ b/laburnumsill/wire/tests/test_outbox.py
@@ -0,0 +1,78 @@
+import pytest
+
+from laburnumsill.core import errors
+from laburnumsill.wire import failures
+from laburnumsill.wire import outbox
+from laburnumsill.wire.generated.peer import ttypes
+
+CHUNK = b"x" * 100_000
+
+
+def raft(index, data=b""):
+    return ttypes.RaftMessage(
+        5, "root", "a", "i", "b", "j", 1, index=index, data=data
+    )
+
+
+def drained(box):
+    gathered = []
+    while box:
+        gathered.append(box.gather())
+    return gathered
+
+
+def test_all_that_waits_goes_into_one_frame():
+    box = outbox.Outbox()
+    box.add_raft([raft(1), raft(2)])
+    box.add_call(ttypes.Call(1, b"", 0.0))
+    box.add_reply(ttypes.Reply(2, True, b""))
+    box.add_notice(b"n")
+    (frame,) = drained(box)
+    assert [len(part) for part in (frame.raft, frame.calls)] == [2, 1]
+    assert [len(part) for part in (frame.replies, frame.notices)] == [1, 1]
+
+
+def test_bulk_of_one_kind_does_not_hold_up_the_other():
+    box = outbox.Outbox()
+    box.add_raft(raft(n, CHUNK) for n in range(50))
+    for number in range(50):
+        box.add_notice(CHUNK + str(number).encode())
+    gathered = drained(box)
+    assert all(frame.raft or frame.notices for frame in gathered)
+    assert gathered[0].raft and gathered[1].notices
+    sent = [m.index for frame in gathered for m in frame.raft or ()]
+    assert sent == list(range(50))
+    assert sum(len(frame.notices or ()) for frame in gathered) == 50
+
+
+def test_oldest_raft_messages_are_dropped_beyond_the_bound():
+    box = outbox.Outbox()
+    for number in range(200):
+        box.add_raft([raft(number, CHUNK)])
+    sent = [m.index for frame in drained(box) for m in frame.raft]
+    assert sent[-1] == 199
+    assert len(sent) * len(CHUNK) <= outbox.RAFT_QUEUE_BYTES
+    assert box.dropped == 200 - len(sent)
+
+
+def test_full_queue_refuses_calls_and_drops_notices():
+    box = outbox.Outbox()
+    big = b"x" * (outbox.MAX_ITEM_BYTES - 1000)
+    box.add_notice(big)
+    box.add_notice(big)
+    with pytest.raises(errors.OverloadedError):
+        box.add_call(ttypes.Call(1, big, 0.0))
+    box.add_notice(big)
+    assert (len(drained(box)), box.dropped) == (2, 1)
+    with pytest.raises(failures.FrameTooLargeError):
+        box.add_reply(ttypes.Reply(1, True, big + b"x" * 1000))
+
+
+def test_withdrawn_call_is_not_sent():
+    box = outbox.Outbox()
+    first = box.add_call(ttypes.Call(1, b"", 0.0))
+    second = box.add_call(ttypes.Call(2, b"", 0.0))
+    first.withdrawn = True
+    (frame,) = drained(box)
+    assert [call.call_id for call in frame.calls] == [2]
+    assert (first.taken, second.taken) == (False, True)
