Bound what waits for slow peers; split sockets from the network

Change: 4 MiB of Raft messages and 8 MiB of the rest, and one message always; opening and naming sockets is a module of its own, with plain errors.

--- a/laburnumsill/wire/hello.py
+++ b/laburnumsill/wire/hello.py
@@ -4,6 +4,9 @@
 end has said who it is, only a short frame is taken from it.
 """
 
+import contextlib
+from collections import abc
+
 import trio
 
 from laburnumsill.wire import failures
@@ -20,6 +23,20 @@
 """Time from the connection to the end of the exchange."""
 
 
+@contextlib.contextmanager
+def time_limit() -> abc.Iterator[None]:
+    """Limits the whole exchange to its time.
+
+    Raises:
+        failures.ConnectionLostError: It took too long.
+    """
+    try:
+        with trio.fail_after(HELLO_TIMEOUT_S):
+            yield
+    except trio.TooSlowError as error:
+        raise failures.ConnectionLostError("no hello in time") from error
+
+
 async def send(stream: trio.abc.SendStream, vm: str) -> None:
     """Says that this end is `vm`.
 
--- a/laburnumsill/wire/network.py
+++ b/laburnumsill/wire/network.py
@@ -1,8 +1,6 @@
 """Connections to all other VMs: one for each pair, carrying everything."""
 
-import contextlib
 import dataclasses
-import errno
 import itertools
 import typing
 from collections import abc
@@ -22,6 +20,7 @@
 from laburnumsill.wire import frames
 from laburnumsill.wire import handlers
 from laburnumsill.wire import hello
+from laburnumsill.wire import sockets
 from laburnumsill.wire.generated.peer import ttypes
 
 TICK_S = 0.4
@@ -33,9 +32,6 @@
 TICKS_A_REPORT = 5
 """The metrics are brought up to date at every so many ticks."""
 
-CONNECT_TIMEOUT_S = 1.0
-"""Longest wait for a TCP connection."""
-
 CONNECTION_WAIT_S = 0.3
 """Longest wait of a call for a connection."""
 
@@ -141,7 +137,8 @@
             failures.AddressInUseError: Another process has the address.
             failures.PeerListenError: It cannot be listened on.
         """
-        listeners = await self._listen()
+        listeners = await sockets.listen(self._me.peer_address)
+        self._listening_address = sockets.local_address(listeners[0])
         async with trio.open_nursery() as nursery:
             self._workers = nursery
             nursery.start_soon(self._serve, listeners)
@@ -237,19 +234,6 @@
             raise errors.PeerUnreachableError(f"no time left for {vm}", vm=vm)
         return peer.connection
 
-    async def _listen(self) -> list[trio.SocketListener]:
-        host, port = addressing.split(self._me.peer_address)
-        try:
-            listeners = await trio.open_tcp_listeners(port, host=host)
-        except OSError as error:
-            text = f"{self._me.peer_address}: {error}"
-            if error.errno == errno.EADDRINUSE:
-                raise failures.AddressInUseError(text) from error
-            raise failures.PeerListenError(text) from error
-        bound = listeners[0].socket.getsockname()
-        self._listening_address = addressing.join(bound[0], bound[1])
-        return listeners
-
     async def _serve(self, listeners: list[trio.SocketListener]) -> None:
         await trio.serve_listeners(self._accept, listeners)
 
@@ -287,10 +271,10 @@
         Raises:
             failures.WireError: No connection came about.
         """
-        stream = await _open(self._addresses[vm])
+        stream = await sockets.connect(self._addresses[vm])
         try:
             reader = frames.FrameReader(stream, self._clock)
-            with _hello_limit():
+            with hello.time_limit():
                 await hello.send(stream, self._me.vm_id)
                 name = await hello.receive(reader)
             if name != vm:
@@ -305,13 +289,13 @@
         """Runs a connection that another VM dialed."""
         try:
             reader = frames.FrameReader(stream, self._clock)
-            with _hello_limit():
+            with hello.time_limit():
                 name = await hello.receive(reader)
                 self._check_dialer(name)
                 await hello.send(stream, self._me.vm_id)
             await self._run_connection(name, stream, reader)
         except failures.WireError as error:
-            _report("peer-refused", _remote(stream), error)
+            _report("peer-refused", sockets.remote_address(stream), error)
         finally:
             await trio.aclose_forcefully(stream)
 
@@ -366,39 +350,6 @@
     )
 
 
-@contextlib.contextmanager
-def _hello_limit() -> abc.Iterator[None]:
-    """Limits the exchange of hellos to its time.
-
-    Raises:
-        failures.ConnectionLostError: It took too long.
-    """
-    try:
-        with trio.fail_after(hello.HELLO_TIMEOUT_S):
-            yield
-    except trio.TooSlowError as error:
-        raise failures.ConnectionLostError("no hello in time") from error
-
-
-async def _open(address: str) -> trio.SocketStream:
-    host, port = addressing.split(address)
-    try:
-        with trio.fail_after(CONNECT_TIMEOUT_S):
-            return await trio.open_tcp_stream(host, port)
-    except (OSError, trio.TooSlowError) as error:
-        raise failures.ConnectionLostError(
-            f"{address}: {error.__cause__ or error!r}"
-        ) from error
-
-
-def _remote(stream: trio.SocketStream) -> str:
-    try:
-        name = stream.socket.getpeername()
-    except OSError:
-        return "unknown"
-    return addressing.join(name[0], name[1])
-
-
 def _sent_or_reported(
     vm: str, send: abc.Callable[[typing.Any], None], message: typing.Any
 ) -> None:
--- a/laburnumsill/wire/outbox.py
+++ b/laburnumsill/wire/outbox.py
@@ -24,11 +24,15 @@
 MAX_ITEM_BYTES = frames.MAX_FRAME_BYTES - 1024 * 1024
 """Largest message; the rest of the frame is left for its other fields."""
 
-RAFT_QUEUE_BYTES = 8 * 1024 * 1024
+RAFT_QUEUE_BYTES = 4 * 1024 * 1024
 """Beyond this size the oldest Raft messages are dropped."""
 
-QUEUE_BYTES = 32 * 1024 * 1024
-"""Beyond this size no further call or notice is taken."""
+QUEUE_BYTES = 8 * 1024 * 1024
+"""Beyond this size no further call or notice is taken.
+
+One message may always wait, however large. Both bounds together keep what
+waits for seven peers below 128 MB.
+"""
 
 _ITEM_OVERHEAD_BYTES = 96
 _ENTRY_OVERHEAD_BYTES = 40
@@ -95,7 +99,7 @@
             failures.FrameTooLargeError: It can never be sent.
         """
         item = Item("calls", call, len(call.payload) + _ITEM_OVERHEAD_BYTES)
-        if self._rest_bytes + item.size > QUEUE_BYTES:
+        if not self._has_room(item):
             raise errors.OverloadedError(
                 f"{self._rest_bytes} bytes wait for the peer"
             )
@@ -118,7 +122,7 @@
             failures.FrameTooLargeError: It can never be sent.
         """
         item = Item("notices", notice, len(notice) + _ITEM_OVERHEAD_BYTES)
-        if self._rest_bytes + item.size > QUEUE_BYTES:
+        if not self._has_room(item):
             self.dropped += 1
             return
         self._add(item)
@@ -156,6 +160,10 @@
                 size += item.size
         return size
 
+    def _has_room(self, item: Item) -> bool:
+        wanted = self._rest_bytes + item.size
+        return not self._rest or wanted <= QUEUE_BYTES
+
     def _add(self, item: Item) -> None:
         _check_size(item)
         self._rest.append(item)
