Test that replies never cross from one connection to the next

Cause: both connections of a reconnected pair count call ids from 1, so a handler that ends after the reconnection could answer a call of another. Tests: it cannot; the reply goes to its own connection and is dropped. A malformed frame writes exactly one event.

--- a/laburnumsill/wire/tests/test_network.py
+++ b/laburnumsill/wire/tests/test_network.py
@@ -1,3 +1,4 @@
+import loguru
 import pytest
 import trio
 
@@ -167,8 +168,12 @@
             await nursery.start(d.run)
             stream = await raw_connection(d, "a")
             await cluster.until(lambda: "a" in d.reachable(), 5)
+            lines = []
+            sink = loguru.logger.add(lines.append, level="WARNING")
             await stream.send_all(raw)
             await cluster.until(lambda: "a" not in d.reachable(), 1)
+            loguru.logger.remove(sink)
+            assert len(lines) == 1 and "event=peer-lost" in lines[0]
             again = await raw_connection(d, "a")
             await cluster.until(lambda: "a" in d.reachable(), 5)
             await again.aclose()
@@ -284,6 +289,36 @@
         assert runs == [1]
 
 
+async def test_reply_of_an_old_connection_never_answers_a_new_call():
+    async with cluster.behind_proxy() as (a, b, proxy):
+        started, release = trio.Event(), trio.Event()
+
+        async def wait(request):
+            if request.number == 1:
+                started.set()
+                await release.wait()
+            else:
+                release.set()
+                await trio.sleep(0.1)
+            return request
+
+        b.on_call(cluster.Echo, wait)
+
+        async def ask():
+            with pytest.raises(errors.OutcomeUnknownError):
+                await a.call("b", cluster.Echo(1), cluster.soon())
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await started.wait()
+            proxy.set_fault("b", proxies.Fault(proxies.Mode.RESET))
+        proxy.heal("b")
+        await cluster.until(lambda: "b" in a.reachable(), 5)
+        answer = await a.call("b", cluster.Echo(2), cluster.soon())
+        assert answer.number == 2
+        assert a.traffic.late_replies == 0
+
+
 async def test_reply_cut_short_never_reaches_a_call():
     async with cluster.behind_proxy() as (a, _, proxy):
         fault = proxies.Fault(cut_after_bytes=5_000)
