Type the daemon's program and the test client; wait for the event that a test reads

A test of malformed frames read the log line before it was written: the connection leaves the reachable set first. It waits for the line now, and still wants exactly one.

--- a/laburnumsill/daemon/main.py
+++ b/laburnumsill/daemon/main.py
@@ -48,12 +48,12 @@
         expected, others = group.split(errors.LaburnumsillError)
         if others is not None or expected is None:
             raise
-        for error in _leaves(expected):
+        for leaf in _leaves(expected):
             logs.event(
                 "daemon-failed",
                 level="CRITICAL",
-                type=type(error).__name__,
-                error=str(error),
+                type=type(leaf).__name__,
+                error=str(leaf),
             )
         return EXIT_FAILED
     return 0
--- a/laburnumsill/testing/http.py
+++ b/laburnumsill/testing/http.py
@@ -71,7 +71,7 @@
         response = await self._pool.request(
             method,
             self._base + path,
-            headers=sent,
+            headers=list(sent.items()),
             content=content,
             extensions={"timeout": timeouts},
         )
--- a/laburnumsill/wire/tests/test_network.py
+++ b/laburnumsill/wire/tests/test_network.py
@@ -172,6 +172,7 @@
             sink = loguru.logger.add(lines.append, level="WARNING")
             await stream.send_all(raw)
             await cluster.until(lambda: "a" not in d.reachable(), 1)
+            await cluster.until(lambda: bool(lines), 1)
             loguru.logger.remove(sink)
             assert len(lines) == 1 and "event=peer-lost" in lines[0]
             again = await raw_connection(d, "a")
--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -44,6 +44,7 @@
 
 def main() -> int:
     """Prints all offences; returns 1 if there are any."""
+    sys.path.insert(0, ".")
     found = []
     for root in ROOTS:
         for path in sorted(pathlib.Path(root).rglob("*.py")):
