--- a/laburnumsill/daemon/assembly.py
+++ b/laburnumsill/daemon/assembly.py
@@ -103,7 +103,7 @@
             self._clock,
             self._metrics,
         )
-        self._backend = backend.HttpBackendClient(self._clock)
+        self._backend = backend.HttpBackendClient(self._clock, len(loaded.vms))
         self._router = router.RequestRouter(
             self._me,
             self._host,
@@ -112,6 +112,7 @@
             self._backend,
             self._clock,
             self._metrics,
+            len(loaded.vms),
         )
         self._durable = durable.DurableDispatcher(
             self._router,
--- a/laburnumsill/requests/budget.py
+++ b/laburnumsill/requests/budget.py
@@ -1,14 +1,17 @@
 """The retry budget: retries allowed for each request, on average."""
 
 BURST = 10.0
-"""Retries that may be saved up."""
+"""Retries that may be saved up, and those there are at the start."""
 
 
 class RetryBudget:
     """A token bucket filled by requests and emptied by retries.
 
+    Args:
+        tokens: Retries there are at the start.
+
     Examples:
-        >>> budget = RetryBudget()
+        >>> budget = RetryBudget(0.0)
         >>> budget.earn(0.5)
         >>> budget.spend()
         False
@@ -17,8 +20,8 @@
         True
     """
 
-    def __init__(self) -> None:
-        self._tokens = 0.0
+    def __init__(self, tokens: float = BURST) -> None:
+        self._tokens = tokens
 
     def earn(self, share: float) -> None:
         """Adds what one request earns."""
--- a/laburnumsill/requests/limit.py
+++ b/laburnumsill/requests/limit.py
@@ -1,8 +1,16 @@
-"""Policies that limit how many requests of this VM are at one server."""
+"""Policies that limit how many requests of this VM are at one server.
+
+No VM knows what the others send at this moment: a server's report of its
+busy slots is up to seconds old. A limiter that hands out what a report shows
+as free lets every VM hand out the same slots; one that keeps to an equal
+share never does, and wastes slots where VMs are loaded unevenly.
+`docs/design/routing.md` has the figures.
+"""
 
 import abc
 
 from laburnumsill.core import errors
+from laburnumsill.requests import adaptive
 from laburnumsill.requests import servers
 
 UNLIMITED = 1_000.0
@@ -33,10 +41,13 @@
         """Takes in one latency, measured from the moment of the send."""
         return
 
-    def tick(self) -> None:
-        """Adapts the limits; called once a control period."""
+    def tick(self, now: float) -> None:
+        """Adapts the limits; called several times a second."""
         return
 
+    def _equal(self, state: servers.ServerState, share: float) -> float:
+        return state.server.slots * share / self._entry_vms
+
 
 class NoLimiter(Limiter):
     """Lets any number through."""
@@ -47,17 +58,74 @@
 
 
 class FixedLimiter(Limiter):
-    """Slots that others leave free, and never less than an equal share."""
+    """An equal share of the server's slots, at least one."""
+
+    def limit(self, state: servers.ServerState, share: float = 1.0) -> float:
+        """Returns the limit, see the base class."""
+        return max(share, self._equal(state, share))
+
+
+class ReportedLimiter(Limiter):
+    """All slots that others left free, and never less than an equal share."""
+
+    def limit(self, state: servers.ServerState, share: float = 1.0) -> float:
+        """Returns the limit, see the base class."""
+        free = state.server.slots * share - state.others
+        return max(share, self._equal(state, share), free)
+
+
+class BorrowingLimiter(Limiter):
+    """An equal share, and an equal part of what the report shows as free.
+
+    If all VMs take their parts at once, the slots are just used up, so the
+    reports may be old. A VM that is loaded alone comes to nearly all slots
+    within some reports.
+    """
 
     def limit(self, state: servers.ServerState, share: float = 1.0) -> float:
         """Returns the limit, see the base class."""
         slots = state.server.slots * share
-        return max(slots / self._entry_vms, slots - state.others)
+        free = max(0.0, slots - state.server.busy)
+        part = state.in_flight_at_report + free / self._entry_vms
+        return max(share, self._equal(state, share), part)
+
+
+class AdaptiveLimiter(Limiter):
+    """Follows the latency of each server, see `adaptive`."""
+
+    anchor = adaptive.Anchor.TARGET
+
+    def __init__(self, entry_vms: int, target_s: float) -> None:
+        super().__init__(entry_vms, target_s)
+        self._controls = adaptive.Controls(self.anchor, target_s)
+
+    def limit(self, state: servers.ServerState, share: float = 1.0) -> float:
+        """Returns the limit, see the base class."""
+        first = max(1.0, self._equal(state, 1.0))
+        return share * self._controls.limit(state, first)
+
+    def observe(self, state: servers.ServerState, latency_s: float) -> None:
+        """Takes in one latency, see the base class."""
+        self._controls.observe(state, latency_s)
+
+    def tick(self, now: float) -> None:
+        """Adapts the limits, see the base class."""
+        self._controls.tick(now)
+
+
+class BaselineLimiter(AdaptiveLimiter):
+    """The same, relative to each server's own latency when it is idle."""
+
+    anchor = adaptive.Anchor.BASELINE
 
 
 LIMITERS: dict[str, type[Limiter]] = {
     "none": NoLimiter,
     "fixed": FixedLimiter,
+    "reported": ReportedLimiter,
+    "borrowing": BorrowingLimiter,
+    "adaptive": AdaptiveLimiter,
+    "adaptive-baseline": BaselineLimiter,
 }
 
 
--- a/laburnumsill/requests/router.py
+++ b/laburnumsill/requests/router.py
@@ -113,7 +113,7 @@
             task_status.started()
             while True:
                 await trio.sleep(TICK_S)
-                self._policies.limiter.tick()
+                self._policies.limiter.tick(self._clock.monotonic())
                 self._admission.pump_all()
 
     async def drain(self, deadline: float) -> None:
--- a/laburnumsill/requests/servers.py
+++ b/laburnumsill/requests/servers.py
@@ -9,7 +9,7 @@
 """Weight of a new observation in the moving mean of a server's latency."""
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(eq=False, slots=True, weakref_slot=True)
 class ServerState:
     """One backend server as this VM sees it.
 
