Never reuse a backend connection with bytes left over

Cause: a server that answers a request twice has its second answer read as the answer to the next request on that connection (the parser keeps the bytes it had read). Seen by test_second_answer_never_goes_to_the_next_request, which fails without the counted streams (2 of 2 cases).

Ruled out: ids alone, as servers need not send them back; one connection a request, for its cost.

Change: streams count the bytes of an answer against its length and report themselves readable when some are left over, on which httpcore drops them.

--- a/laburnumsill/platform/backend.py
+++ b/laburnumsill/platform/backend.py
@@ -17,6 +17,7 @@
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import errors
 from laburnumsill.core import members
+from laburnumsill.platform import counted_streams
 
 ENTRY_VMS = 8
 """Entry VMs that share a server's connections, unless told otherwise."""
@@ -185,6 +186,7 @@
             keepalive_expiry=IDLE_CONNECTION_S,
             http1=True,
             http2=False,
+            network_backend=counted_streams.CountedBackend(),
         )
         self._pools[server.address] = (server.incarnation, pool)
         return pool
@@ -318,12 +320,22 @@
         stream = self._response.stream
         assert isinstance(stream, collections_abc.AsyncIterable)
         iterator = stream.__aiter__()
+        body_bytes = 0
         while True:
             chunk = await self._next(iterator)
             if chunk is None:
+                self._ended_whole(body_bytes)
                 return
+            body_bytes += len(chunk)
             yield chunk
 
+    def _ended_whole(self, body_bytes: int) -> None:
+        network_stream = self._response.extensions["network_stream"]
+        if isinstance(network_stream, counted_streams.CountedStream):
+            named = dict(self._headers)
+            chunked = b"transfer-encoding" in named
+            network_stream.finish(body_bytes, chunked=chunked)
+
     async def _next(
         self, iterator: collections_abc.AsyncIterator[bytes]
     ) -> bytes | None:
--- /dev/null
+++ b/laburnumsill/platform/tests/test_backend.py
@@ -0,0 +1,156 @@
+"""The client of backend servers against scripted servers over real TCP."""
+
+import contextlib
+import functools
+
+import pytest
+import trio
+
+from laburnumsill.core import clock as clocks
+from laburnumsill.core import errors
+from laburnumsill.core import members
+from laburnumsill.platform import backend
+
+OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+CHUNKED = (
+    b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+)
+
+
+class Scripted:
+    """Writes `answers[n]` after the n-th request; closes after a None."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.connections = 0
+        self.seen = b""
+
+    @contextlib.asynccontextmanager
+    async def running(self, connections=64):
+        async with trio.open_nursery() as nursery:
+            serve = functools.partial(
+                trio.serve_tcp, self._serve, 0, host="127.0.0.1"
+            )
+            listeners = await nursery.start(serve)
+            port = listeners[0].socket.getsockname()[1]
+            yield members.BackendServer(
+                "s", "huts", "d", f"127.0.0.1:{port}", "i", 1, 8, connections
+            )
+            nursery.cancel_scope.cancel()
+
+    async def _serve(self, stream):
+        self.connections += 1
+        async for chunk in stream:
+            self.seen += chunk
+            if not chunk.endswith(b"}"):
+                continue
+            answer = self.answers.pop(0)
+            if answer is None:
+                return
+            await stream.send_all(answer)
+
+
+async def exchange(client, server, attempt="att-1", seconds=2.0):
+    """Returns the body of one whole answer."""
+    request = backend.BackendRequest(attempt, "POST", b"/x", (), b"{}")
+    deadline = clocks.SystemClock().monotonic() + seconds
+    answer = await client.send(server, request, deadline)
+    try:
+        return b"".join([chunk async for chunk in answer.chunks()])
+    finally:
+        await answer.aclose()
+
+
+def make_client(entry_vms=1):
+    return backend.HttpBackendClient(clocks.SystemClock(), entry_vms)
+
+
+@pytest.mark.parametrize("answer", [OK, CHUNKED])
+async def test_whole_answers_share_a_connection(answer):
+    script = Scripted(answer, answer)
+    async with script.running() as server:
+        client = make_client()
+        assert await exchange(client, server) == b"ok"
+        assert await exchange(client, server) == b"ok"
+        await client.aclose()
+    assert script.connections == 1
+    assert b"laburnumsill-request-id: att-1" in script.seen.lower()
+
+
+@pytest.mark.parametrize("answer", [OK, CHUNKED])
+async def test_second_answer_never_goes_to_the_next_request(answer):
+    other = answer.replace(b"ok", b"NO")
+    for stale in (other, answer):
+        script = Scripted(answer + stale, answer)
+        async with script.running() as server:
+            client = make_client()
+            for _ in range(2):
+                assert await exchange(client, server) == b"ok"
+            await client.aclose()
+        assert script.connections == 2
+
+
+async def test_late_answer_never_goes_to_the_next_request():
+    script = Scripted(b"", OK)
+    async with script.running() as server:
+        client = make_client()
+        with pytest.raises(backend.AnswerLostError):
+            await exchange(client, server, seconds=0.1)
+        assert await exchange(client, server) == b"ok"
+        await client.aclose()
+    assert script.connections == 2
+
+
+async def test_refused_connection_was_not_sent():
+    async with Scripted().running() as server:
+        pass
+    client = make_client()
+    with pytest.raises(backend.NotSentError):
+        await exchange(client, server)
+
+
+async def test_full_pool_was_not_sent():
+    script = Scripted(b"", b"")
+    async with script.running(connections=1) as server:
+        client = make_client(entry_vms=8)
+        ends = []
+
+        async def send(seconds):
+            try:
+                await exchange(client, server, seconds=seconds)
+            except errors.LaburnumsillError as error:
+                ends.append(type(error))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send, 0.5)
+            await trio.sleep(0.1)
+            nursery.start_soon(send, 0.1)
+        assert ends == [backend.NotSentError, backend.AnswerLostError]
+
+
+async def test_closed_after_the_request_may_have_run():
+    script = Scripted(None)
+    async with script.running() as server:
+        client = make_client()
+        with pytest.raises(backend.AnswerLostError):
+            await exchange(client, server)
+
+
+@pytest.mark.parametrize(
+    ("answer", "error"),
+    [
+        (OK[:-1], backend.AnswerLostError),
+        (CHUNKED[:-2], backend.AnswerLostError),
+        (b"HTTP/1.1 200 OK\r\n\r\nok", backend.TruncatedAnswerError),
+        (
+            OK.replace(b"\r\n\r\n", b"\r\nlaburnumsill-request-id: x\r\n\r\n"),
+            backend.CrossedAnswerError,
+        ),
+    ],
+)
+async def test_cut_or_crossed_answer_is_lost(answer, error):
+    script = Scripted(answer)
+    async with script.running() as server:
+        client = make_client()
+        with pytest.raises(error):
+            await exchange(client, server, seconds=0.2)
