--- a/laburnumsill/daemon/assembly.py
+++ b/laburnumsill/daemon/assembly.py
@@ -26,6 +26,7 @@
 from laburnumsill.daemon import replacement
 from laburnumsill.daemon import server
 from laburnumsill.daemon import settings
+from laburnumsill.daemon import usage_relay
 from laburnumsill.jobs import scheduler
 from laburnumsill.jobs import service as job_service
 from laburnumsill.members import table
@@ -142,6 +143,14 @@
             )
             for domain in topology.domains(loaded.vms)
         }
+        self._usage = usage_relay.UsageRelay(
+            self._me.vm_id,
+            self._host,
+            self._network,
+            self._members,
+            lambda: self._make_up.voters,
+            self._schedulers,
+        )
 
     async def run(self) -> None:
         """Runs until SIGTERM or SIGINT, then shuts down gracefully."""
@@ -170,6 +179,8 @@
             self._host.run,
             self._members.run,
             self._router.run,
+            self._durable.run,
+            *(part.run for part in self._schedulers.values()),
         ]
 
     def _background_parts(
@@ -180,8 +191,6 @@
             self._make_up.run,
             self._replacement.run,
             self._sync.run,
-            self._durable.run,
-            *(part.run for part in self._schedulers.values()),
         ]
 
     async def _serve(self, *, task_status: trio.TaskStatus[list[str]]) -> None:
@@ -204,7 +213,7 @@
             *services_api.routes(self._router),
             *jobs_api.routes(self._jobs),
             *accounts_api.routes(self._host, self._current, self._clock),
-            *members_api.routes(self._members),
+            *members_api.routes(self._members, self._usage.relay),
             *configuration_api.routes(
                 self._host, self._current, self._sync, self._clock
             ),
