--- a/laburnumsill/api/services.py
+++ b/laburnumsill/api/services.py
@@ -187,7 +187,7 @@
 
     return [
         routing.Route(
-            "/v1/requests/{key}",
+            "/v1/requests/{key:path}",
             problems.guarded(get_request),
             methods=["GET"],
         )
