Bound the records of claims and durable requests more tightly

Cause: a settled claim took 777 bytes (20,000 records, tracemalloc), so the 100,000 that were allowed would have taken most of a daemon's 128 MB.

Change: fields that only matter before the end are dropped then (589 bytes measured the same way); 50,000 claims, 8 MiB of answers and 16 MiB of pending durable requests in one domain's group, of which one account may take half. A record whose time is over is not read any more, also before it is pruned.

--- a/laburnumsill/state/claims.py
+++ b/laburnumsill/state/claims.py
@@ -24,9 +24,9 @@
 was not run needs to outlive the sends that may still be on their way only,
 see `NOT_RUN_RETENTION_S`.
 
-Memory: at most `MAX_CLAIMS` records of about 0.7 KB, and answers of at most
-`MAX_ANSWERS_BYTES` in all, the oldest of which are dropped first (their
-outcome stays).
+Memory: at most `MAX_CLAIMS` records, beyond which new keys are refused, and
+answers of at most `MAX_ANSWERS_BYTES` in all, the oldest of which are dropped
+first (their outcome stays). `docs/design/routing.md` has the figures.
 """
 
 import collections
@@ -41,10 +41,10 @@
 from laburnumsill.core import replication
 from laburnumsill.state import answers
 
-MAX_CLAIMS = 100_000
+MAX_CLAIMS = 50_000
 """Records in one domain's group; new keys are refused beyond it."""
 
-MAX_ANSWERS_BYTES = 16 * 1024 * 1024
+MAX_ANSWERS_BYTES = 8 * 1024 * 1024
 """Bytes of answer bodies kept in one domain's group."""
 
 MAX_ENDED_ATTEMPTS = 16
@@ -180,7 +180,6 @@
         key: See `ClaimRequest`.
         digest: See `ClaimRequest`.
         attempt: The newest attempt, empty before the first.
-        vm: The VM that made it.
         state: How it stands.
         deadline: Wall time after which it is over.
         forget_at: Wall time after which the record is dropped.
@@ -192,7 +191,6 @@
     key: str
     digest: str
     attempt: str
-    vm: str
     state: ClaimState
     deadline: float
     forget_at: float
@@ -267,15 +265,16 @@
         """Replaces all records."""
         dump: _Dump = codec.decode(raw)
         self._clear()
-        for record in dump.records:
-            self._put(record)
+        self._records = {record.key: record for record in dump.records}
+        self._by_forget_at.update(
+            (record.forget_at, record.key) for record in dump.records
+        )
         for key in dump.answer_order:
             answer = self._records[key].answer
             self._count_answer(key, len(answer.body) if answer else 0)
 
     def _claim(self, command: ClaimRequest) -> ClaimStatus:
-        self._prune(command.now)
-        record = self._records.get(command.key)
+        record = self._record(command.key, command.now)
         if record is None:
             return self._claim_new(command)
         _check_digest(record, command.digest)
@@ -289,7 +288,6 @@
         if record.state is not ClaimState.NOT_RUN or fenced:
             return _status(record, state)
         record.attempt = command.attempt
-        record.vm = command.vm
         record.state = ClaimState.IN_PROGRESS
         record.deadline = command.deadline
         self._keep_until(record, command.forget_at)
@@ -301,7 +299,6 @@
             command.key,
             command.digest,
             command.attempt,
-            command.vm,
             ClaimState.IN_PROGRESS,
             command.deadline,
             command.forget_at,
@@ -310,8 +307,7 @@
         return _status(record, record.state, granted=True)
 
     def _refuse(self, command: RefuseRequest) -> ClaimStatus:
-        self._prune(command.now)
-        record = self._records.get(command.key)
+        record = self._record(command.key, command.now)
         if record is None:
             record = self._put_not_run(command.key, command.digest, command.now)
         _check_digest(record, command.digest)
@@ -320,8 +316,7 @@
         return _status(record, record.state_at(command.now))
 
     def _settle(self, command: SettleRequest) -> ClaimStatus:
-        self._prune(command.now)
-        record = self._records.get(command.key)
+        record = self._record(command.key, command.now)
         if record is None:
             # The claim was not applied, so nothing ran. It may be applied
             # late, and must find its attempt ended then.
@@ -330,7 +325,7 @@
             return _status(record, record.state)
         _check_digest(record, command.digest)
         if record.attempt != command.attempt:
-            _end(record, command.attempt)
+            self._end_other(record, command.attempt)
         elif record.state in (ClaimState.IN_PROGRESS, ClaimState.UNKNOWN):
             self._settle_current(record, command)
         return _status(record, record.state_at(command.now))
@@ -338,21 +333,26 @@
     def _settle_current(
         self, record: ClaimRecord, command: SettleRequest
     ) -> None:
-        _end(record, command.attempt)
         record.state = command.outcome
         if command.outcome is ClaimState.NOT_RUN:
+            _end(record, command.attempt)
             self._fence(record, command.now)
             return
+        record.ended = ()  # nothing is granted any more
         self._keep_until(record, command.forget_at)
         if command.answer is not None:
             record.answer = command.answer
             self._count_answer(record.key, len(command.answer.body))
 
+    def _end_other(self, record: ClaimRecord, attempt: str) -> None:
+        if record.state in (ClaimState.IN_PROGRESS, ClaimState.NOT_RUN):
+            _end(record, attempt)
+
     def _put_not_run(self, key: str, digest: str, now: float) -> ClaimRecord:
         self._check_room()
         forget_at = now + NOT_RUN_RETENTION_S
         record = ClaimRecord(
-            key, digest, "", "", ClaimState.NOT_RUN, now, forget_at
+            key, digest, "", ClaimState.NOT_RUN, now, forget_at
         )
         self._put(record)
         return record
@@ -369,10 +369,27 @@
 
     def _get(self, query: GetClaim) -> ClaimStatus:
         record = self._records.get(query.key)
-        if record is None or query.now >= record.forget_at:
+        if record is None or record.forget_at <= query.now:
             return ClaimStatus(False, None, "", None)
         return _status(record, record.state_at(query.now))
 
+    def _record(self, key: str, now: float) -> ClaimRecord | None:
+        """Returns a key's record unless its time is over, and prunes."""
+        record = self._records.get(key)
+        if record is not None and record.forget_at <= now:
+            self._forget(record)
+            record = None
+        for _ in range(PRUNED_PER_COMMAND):
+            if not self._by_forget_at or self._by_forget_at[0][0] > now:
+                break
+            self._forget(self._records[self._by_forget_at[0][1]])
+        return record
+
+    def _forget(self, record: ClaimRecord) -> None:
+        self._by_forget_at.discard((record.forget_at, record.key))
+        self._drop_answer(record.key)
+        del self._records[record.key]
+
     def _put(self, record: ClaimRecord) -> None:
         self._records[record.key] = record
         self._by_forget_at.add((record.forget_at, record.key))
@@ -395,14 +412,6 @@
             self._answers_bytes -= size
             self._records[key].answer = None
 
-    def _prune(self, now: float) -> None:
-        for _ in range(PRUNED_PER_COMMAND):
-            if not self._by_forget_at or self._by_forget_at[0][0] > now:
-                return
-            _, key = self._by_forget_at.pop(0)
-            self._drop_answer(key)
-            del self._records[key]
-
 
 def _check_digest(record: ClaimRecord, digest: str) -> None:
     if record.digest != digest:
--- a/laburnumsill/state/durable.py
+++ b/laburnumsill/state/durable.py
@@ -5,6 +5,7 @@
 request keeps its outcome and its answer's status, not its body.
 """
 
+import collections
 import dataclasses
 import enum
 
@@ -14,12 +15,16 @@
 from laburnumsill.core import errors
 from laburnumsill.core import replication
 
-MAX_DURABLE = 100_000
+MAX_DURABLE = 50_000
 """Records in one domain's group."""
 
-MAX_PENDING_BYTES = 32 * 1024 * 1024
+MAX_PENDING_BYTES = 16 * 1024 * 1024
 """Bytes of all pending requests in one domain's group."""
 
+MAX_ACCOUNT_SHARE = 0.5
+"""Part of these bytes that one account may take, so that its flood does not
+shut out the others."""
+
 PRUNED_PER_COMMAND = 16
 """Records forgotten at most by one command."""
 
@@ -165,7 +170,7 @@
     def _clear(self) -> None:
         self._records: dict[str, DurableRecord] = {}
         self._pending: dict[str, DurableRecord] = {}
-        self._pending_bytes = 0
+        self._pending_bytes: collections.Counter[str] = collections.Counter()
         self._by_forget_at = sortedcontainers.SortedSet()
 
     @property
@@ -181,7 +186,7 @@
     @property
     def pending_bytes(self) -> int:
         """Bytes that the pending requests count."""
-        return self._pending_bytes
+        return self._pending_bytes.total()
 
     def __len__(self) -> int:
         return len(self._records)
@@ -214,13 +219,7 @@
                     f"key {command.key!r} was used with another request"
                 )
             return _status(record)
-        size = _size(command.work)
-        full = len(self._records) >= self._max_records
-        if full or self._pending_bytes + size > self._max_pending_bytes:
-            raise errors.OverloadedError(
-                f"{len(self._pending)} durable requests of"
-                f" {self._pending_bytes} bytes wait, the most there may be"
-            )
+        self._check_room(command.work)
         record = DurableRecord(
             command.key,
             command.digest,
@@ -234,6 +233,19 @@
         self._put(record)
         return _status(record)
 
+    def _check_room(self, work: DurableWork) -> None:
+        size = _size(work)
+        own = self._pending_bytes[work.account] + size
+        if (
+            len(self._records) >= self._max_records
+            or self.pending_bytes + size > self._max_pending_bytes
+            or own > self._max_pending_bytes * MAX_ACCOUNT_SHARE
+        ):
+            raise errors.OverloadedError(
+                f"{len(self._pending)} durable requests wait, of account"
+                f" {work.account!r} {own - size} bytes"
+            )
+
     def _end(self, command: EndDurable) -> DurableStatus:
         self._prune(command.now)
         record = self._records.get(command.key)
@@ -257,11 +269,14 @@
         self._by_forget_at.add((record.forget_at, record.key))
         if record.work is not None:
             self._pending[record.key] = record
-            self._pending_bytes += _size(record.work)
+            self._pending_bytes[record.work.account] += _size(record.work)
 
     def _drop_work(self, record: DurableRecord) -> None:
         if record.work is not None:
-            self._pending_bytes -= _size(record.work)
+            account = record.work.account
+            self._pending_bytes[account] -= _size(record.work)
+            if not self._pending_bytes[account]:
+                del self._pending_bytes[account]
             del self._pending[record.key]
             record.work = None
 
--- a/laburnumsill/state/tests/test_durable.py
+++ b/laburnumsill/state/tests/test_durable.py
@@ -9,9 +9,9 @@
 States = durable.DurableState
 
 
-def accept(key, now=0.0, *, digest="d", body=b"x" * 100):
+def accept(key, now=0.0, *, digest="d", account="lakes"):
     work = durable.DurableWork(
-        "huts", "tag", "lakes", key, "POST", b"/", (), body
+        "huts", "tag", account, key, "POST", b"/", (), b"x" * 100
     )
     return durable.AcceptDurable(key, digest, work, now, now + 10, now + 20)
 
@@ -45,11 +45,15 @@
 
 
 def test_pending_bytes_are_bounded():
-    state = machine(max_pending_bytes=1_500)
-    state.apply(accept("a"))
-    state.apply(accept("b"))
+    state = machine(max_pending_bytes=2_600)
+    for key in ("a", "b"):
+        state.apply(accept(key))
     with pytest.raises(errors.OverloadedError):
         state.apply(accept("c"))
+    for key in ("d", "e"):
+        state.apply(accept(key, account="parks"))
+    with pytest.raises(errors.OverloadedError):
+        state.apply(accept("f", account="links"))
     state.apply(end("a"))
     state.apply(accept("c"))
 
