Refuse a configuration that names a policy which does not exist

Cause: requests.chooser and requests.limiter were free names for the models; an accepted misspelling would have failed every request on every VM. Ruled out: a list of names in the models, a second place to keep. The names are checked where the policies are, for a push and in the tool's files.

--- a/laburnumsill/api/configuration.py
+++ b/laburnumsill/api/configuration.py
@@ -11,6 +11,7 @@
 from starlette import responses
 from starlette import routing
 
+from laburnumsill.api import policy_names
 from laburnumsill.api import problems
 from laburnumsill.config import canonical
 from laburnumsill.config import current as current_configuration
@@ -134,6 +135,7 @@
         """Pushes a version; a resend with the same key gets one answer."""
         sent = await problems.read_model(request, Push)
         pushed = canonical.from_values(sent.configuration)
+        policy_names.check(pushed)
         await self._check_domains(pushed, sent.expected_version)
         key = request.headers.get("Idempotency-Key")
         command = self._command(sent, pushed, key)
--- /dev/null
+++ b/laburnumsill/api/policy_names.py
@@ -0,0 +1,44 @@
+"""Checks that the policies which a configuration names exist.
+
+The models know the shape of a configuration; which policies there are is
+known further up. A name without a policy must not be accepted: every VM
+would then fail each request.
+"""
+
+from collections import abc
+
+from laburnumsill.config import models
+from laburnumsill.core import errors
+from laburnumsill.requests import choose
+from laburnumsill.requests import limit
+
+
+class UnknownPolicyError(errors.InvalidConfigurationError):
+    """A configuration names a policy that this program lacks."""
+
+    slug = "unknown-policy"
+    title = "No such policy"
+
+
+def check(configuration: models.Configuration) -> None:
+    """Checks the names of all policies.
+
+    Raises:
+        UnknownPolicyError: A name has no policy; the context has key, value
+            and what was expected.
+    """
+    requests = configuration.requests
+    _check_name("requests.chooser", requests.chooser, choose.CHOOSERS)
+    _check_name("requests.limiter", requests.limiter, limit.LIMITERS)
+
+
+def _check_name(key: str, name: str, known: abc.Iterable[str]) -> None:
+    if name in known:
+        return
+    expected = "one of " + ", ".join(known)
+    raise UnknownPolicyError(
+        f"{key}: got {name!r}, expected {expected}",
+        key=key,
+        value=name,
+        expected=expected,
+    )
--- a/laburnumsill/api/tests/test_configuration.py
+++ b/laburnumsill/api/tests/test_configuration.py
@@ -170,6 +170,15 @@
             422,
             "unreadable-configuration",
         ),
+        (
+            {
+                "expected_version": 0,
+                "configuration": {**GOOD, "requests": {"chooser": "best"}},
+                "operator": "a",
+            },
+            422,
+            "unknown-policy",
+        ),
     ],
 )
 async def test_bad_pushes(body, status, slug):
--- a/laburnumsill/cli/config_commands.py
+++ b/laburnumsill/cli/config_commands.py
@@ -5,11 +5,13 @@
 
 from fire import decorators
 
+from laburnumsill.api import policy_names
 from laburnumsill.cli import failures
 from laburnumsill.cli import session as sessions
 from laburnumsill.cli import values
 from laburnumsill.config import canonical
 from laburnumsill.config import loading
+from laburnumsill.config import models
 
 _ABSENT = None
 
@@ -30,7 +32,7 @@
         """
 
         def run() -> None:
-            loaded = loading.load(base, overlay)
+            loaded = _loaded(base, overlay)
             shown: dict[str, typing.Any] = {
                 "site": loaded.site,
                 "digest": canonical.digest(canonical.encode(loaded)),
@@ -72,9 +74,7 @@
             given = values.text(flag, expected_version)
             body = {
                 "expected_version": values.whole_number(flag, given),
-                "configuration": loading.load(base, overlay).model_dump(
-                    mode="json"
-                ),
+                "configuration": _loaded(base, overlay).model_dump(mode="json"),
                 "operator": operator or getpass.getuser(),
             }
             answer = self._session.change("PUT", "/v1/config", body, key)
@@ -123,7 +123,7 @@
         """
 
         def run() -> None:
-            here = _flat(loading.load(base, overlay).model_dump(mode="json"))
+            here = _flat(_loaded(base, overlay).model_dump(mode="json"))
             answer = self._session.get("/v1/config")
             there = _flat(answer["configuration"])
             self._session.show(
@@ -153,6 +153,13 @@
         return sessions.Action(run)
 
 
+def _loaded(base: str, overlay: str | None) -> models.Configuration:
+    """Returns the checked configuration that files make together."""
+    configuration = loading.load(base, overlay)
+    policy_names.check(configuration)
+    return configuration
+
+
 def _check_site(wanted: str | None, actual: str) -> None:
     if wanted is not None and wanted != actual:
         raise failures.NotAllGoodError(
--- a/laburnumsill/cli/failures.py
+++ b/laburnumsill/cli/failures.py
@@ -9,7 +9,6 @@
 | 4 | the outcome is unknown: it may have been done |
 """
 
-from laburnumsill.config import toml_files
 from laburnumsill.core import errors
 
 EXIT_DONE = 0
@@ -82,7 +81,7 @@
         >>> exit_code(UsageError("--tasks: got 'x', expected a number"))
         2
     """
-    if isinstance(error, UsageError | toml_files.InvalidFileError):
+    if isinstance(error, UsageError | errors.InvalidConfigurationError):
         return EXIT_USAGE
     if isinstance(error, NoVmAnsweredError):
         return EXIT_NO_VM
--- a/laburnumsill/cli/tests/test_main.py
+++ b/laburnumsill/cli/tests/test_main.py
@@ -201,6 +201,13 @@
     assert "Traceback" not in capsys.readouterr().err
 
 
+def test_a_policy_that_does_not_exist(tmp_path, capsys):
+    path = tmp_path / "site.toml"
+    path.write_text('requests.chooser = "best"\n')
+    assert run("config", "check", BASE, f"--overlay={path}") == 2
+    assert "requests.chooser" in capsys.readouterr().err
+
+
 def test_a_misspelt_flag_changes_nothing(vms):
     assert push("--opertor=ann", at=vms) == 2
     assert not vms[0].seen
