Make a pass look at shapes that may fit, not at all heads; load in bulk

Change: the queue counts the shapes that wait, a pass tries each shape once in vain at most and only after something became free; racks are indexed by slots of cores too; owed cells are counted as they change; a claim skips levels that cannot hold its tasks; indexes are built once per rack on load.

Also: slots held for a job count their cores once where they overlap what is being stopped, which refused placements before.

--- a/laburnumsill/jobs/claims.py
+++ b/laburnumsill/jobs/claims.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import itertools
 from collections import abc
 
 from laburnumsill.jobs import eviction
@@ -19,7 +20,7 @@
 Cell = jobs_messages.Cell
 Level = cells.Level
 
-CANDIDATES = 8
+CANDIDATES = 4
 """Racks with a sufficient set of cells that are compared."""
 
 EXAMINED = 48
@@ -73,7 +74,7 @@
     planner = _Planner(book, job, now)
     best: Claim | None = None
     found = 0
-    for rack in _racks(book, job):
+    for rack in _racks(book, job, new=planner.may_bind):
         claim = planner.among(list(rack.workers.values()))
         if claim is None:
             continue
@@ -98,31 +99,44 @@
 
 
 def _racks(
-    book: jobs_book.JobBook, job: placements.Job
+    book: jobs_book.JobBook, job: placements.Job, new: bool
 ) -> abc.Iterator[workers.Rack]:
-    """Yields the racks to look into: own cells, then free, then others."""
+    """Yields the racks to look into: own cells, then free, then others.
+
+    Args:
+        book: The domain's state.
+        job: The job to place.
+        new: Whether to look further than the account's own cells.
+    """
     spec = job.spec
     names: dict[str, None] = {}
     for cell in book.cells.bound.get(spec.account, ()):
         names[cell.rack] = None
-    for rack in book.pool.racks_with(spec.tasks, max(1, spec.accelerators)):
-        if len(names) >= EXAMINED // 2:
-            break
-        names[rack.name] = None
-    for rack in book.pool.racks_by_size(spec.total_accelerators):
-        if len(names) >= EXAMINED:
-            break
-        names[rack.name] = None
     for name in names:
         if name in book.pool.racks:
             yield book.pool.racks[name]
+    if not new:
+        return
+    others = itertools.chain(
+        book.pool.racks_with(spec.tasks, max(1, spec.accelerators)),
+        book.pool.racks_by_size(spec.total_accelerators),
+    )
+    for rack in others:
+        if len(names) >= EXAMINED:
+            return
+        if rack.name in names:
+            continue
+        names[rack.name] = None
+        supply = book.cells.supply(rack.name)
+        if supply.accelerators >= spec.total_accelerators:
+            yield rack
 
 
 def _spread(
     book: jobs_book.JobBook, job: placements.Job
 ) -> list[workers.WorkerRecord]:
     found: list[workers.WorkerRecord] = []
-    for number, rack in enumerate(_racks(book, job)):
+    for number, rack in enumerate(_racks(book, job, new=True)):
         if number >= ANY_RACKS:
             break
         found += rack.workers.values()
@@ -139,6 +153,12 @@
         self._job = job
         self._now = now
         self._budget = book.cells.unbound(job.spec.account)
+        self._costs = eviction.Costs(book, now)
+
+    @property
+    def may_bind(self) -> bool:
+        """Whether the account is owed a cell that could hold a task."""
+        return could_hold(self._budget, self._job.spec)
 
     def among(
         self, candidates: abc.Sequence[workers.WorkerRecord]
@@ -147,14 +167,31 @@
         fitting = [w for w in candidates if self._fits(w)]
         if not fitting:
             return None
+        own = self._own(fitting, self._costs)
+        tried: set[Strategy] = set()
         for levels in STRATEGIES:
-            if levels and not any(self._budget[level] for level in levels):
+            useful = levels & self._useful_levels(fitting)
+            if useful in tried or (levels and not useful):
                 continue
-            claim = self._try(fitting, levels)
+            tried.add(useful)
+            claim = self._try(fitting, own, useful)
             if claim is not None:
                 return claim
         return None
 
+    def _useful_levels(
+        self, candidates: abc.Iterable[workers.WorkerRecord]
+    ) -> Strategy:
+        """Returns the levels of cells that are owed and hold a task."""
+        spec = self._job.spec
+        size = min(self._book.footprint(spec, w) for w in candidates)
+        holding = {Level.WORKER, Level.RACK}
+        if size <= 2:
+            holding.add(Level.PAIR)
+        if size <= 1:
+            holding.add(Level.ACCELERATOR)
+        return frozenset(level for level in holding if self._budget[level])
+
     def _fits(self, worker: workers.WorkerRecord) -> bool:
         size = self._book.footprint(self._job.spec, worker)
         return worker.usable and 0 < size <= worker.announced.accelerators
@@ -162,30 +199,30 @@
     def _try(
         self,
         candidates: abc.Sequence[workers.WorkerRecord],
+        own: abc.Sequence[Group],
         levels: Strategy,
     ) -> Claim | None:
-        costs = eviction.Costs(self._book, self._now)
-        claim = self._select(candidates, levels, costs)
-        if claim is None or not claim.room.victims:
+        groups = [*own, *self._new_groups(candidates, levels, self._costs)]
+        claim = self._select(groups, self._costs)
+        if claim is None or len(claim.room.victims) < 2:
             return claim
         # A victim stops whole: with its other slots counted as free, fewer
         # victims may do.
+        costs = eviction.Costs(self._book, self._now)
         costs.waive(claim.room.victims)
-        again = self._select(candidates, levels, costs)
+        own = self._own(candidates, costs)
+        groups = [*own, *self._new_groups(candidates, levels, costs)]
+        again = self._select(groups, costs)
         if again and len(again.room.victims) < len(claim.room.victims):
-            fresh = eviction.Costs(self._book, self._now)
-            cost = sum(fresh.of(victim) for victim in again.room.victims)
+            cost = sum(self._costs.of(v) for v in again.room.victims)
             room = dataclasses.replace(again.room, cost=cost)
             return dataclasses.replace(again, room=room)
         return claim
 
     def _select(
-        self,
-        candidates: abc.Sequence[workers.WorkerRecord],
-        levels: Strategy,
-        costs: eviction.Costs,
+        self, groups: abc.Iterable[Group], costs: eviction.Costs
     ) -> Claim | None:
-        groups = self._groups(candidates, levels, costs)
+        """Returns the claim that takes slots from the first groups."""
         wanted = self._job.spec.tasks
         left = list(self._budget)
         taken: dict[str, int] = {}
@@ -222,23 +259,20 @@
         )
         return [chunk for chunk, _ in zip(free, range(wanted), strict=False)]
 
-    def _groups(
+    def _new_groups(
         self,
         candidates: abc.Sequence[workers.WorkerRecord],
         levels: Strategy,
         costs: eviction.Costs,
     ) -> list[Group]:
-        """Returns own cells first, then new ones, each by falling worth."""
-        wanted = self._job.spec.tasks
-        own: list[Group] = []
+        """Returns the possible slots in new cells, the best cells first."""
         new: list[Group] = []
         for worker in candidates:
-            own += self._own_groups(worker, costs)
             for cell, mask in self._new_cells(worker, levels):
                 new += self._group(worker, mask, cell, costs)
-        own.sort(key=lambda group: group.cost(wanted))
+        wanted = self._job.spec.tasks
         new.sort(key=lambda group: self._rank(group, wanted))
-        return own + new
+        return new
 
     def _rank(self, group: Group, wanted: int) -> tuple[float, bool, int]:
         """Orders new cells: cheap first, then those that break no worker."""
@@ -247,14 +281,22 @@
         small = group.cell is not None and group.cell.level < Level.WORKER
         return group.cost(wanted), small and untouched, -len(group.chunks)
 
-    def _own_groups(
-        self, worker: workers.WorkerRecord, costs: eviction.Costs
+    def _own(
+        self,
+        candidates: abc.Iterable[workers.WorkerRecord],
+        costs: eviction.Costs,
     ) -> list[Group]:
+        """Returns the possible slots in own cells, the cheapest first."""
         book = self._book
         account = self._job.spec.account
-        mask = book.cells.owned_mask(account, worker.announced.worker_id)
-        mask &= ~book.guaranteed_mask(worker)
-        return self._group(worker, mask, None, costs)
+        own: list[Group] = []
+        for worker in candidates:
+            mask = book.cells.owned_mask(account, worker.announced.worker_id)
+            if mask:
+                mask &= ~book.guaranteed_mask(worker)
+                own += self._group(worker, mask, None, costs)
+        own.sort(key=lambda group: group.cost(self._job.spec.tasks))
+        return own
 
     def _group(
         self,
--- a/laburnumsill/jobs/fit.py
+++ b/laburnumsill/jobs/fit.py
@@ -38,9 +38,7 @@
     pool: workers.Pool, spec: jobs_messages.JobSpec
 ) -> abc.Iterator[workers.Rack]:
     if not spec.accelerators:
-        cores = max(1, spec.cores) * spec.tasks
-        yield from pool.cpu_only_with(cores)
-        yield from pool.racks_with_cores(cores)
+        yield from pool.racks_with_cores(spec.tasks, spec.cores)
         return
     if spec.tasks == 1:
         yield from pool.broken_racks_with(spec.accelerators)
@@ -102,7 +100,7 @@
     slots: list[jobs_messages.Slot] = []
     one = spec.accelerators
     racks = (
-        pool.racks_with(1, one) if one else pool.racks_with_cores(spec.cores)
+        pool.racks_with(1, one) if one else pool.racks_with_cores(1, spec.cores)
     )
     for rack in racks:
         for worker in rack.workers.values():
--- a/laburnumsill/jobs/order.py
+++ b/laburnumsill/jobs/order.py
@@ -1,32 +1,11 @@
 """In which order waiting jobs are looked at."""
 
 import math
-from collections import abc
 
 from laburnumsill.jobs import policy as policies
 from laburnumsill.state import jobs_book
-from laburnumsill.state import jobs_queue
 from laburnumsill.state import placements
 
-LOOKAHEAD = 64
-"""Shapes of one line that are looked at in one pass, the oldest first."""
-
-
-def ordered_heads(
-    book: jobs_book.JobBook,
-    line: jobs_queue.Line,
-    policy: policies.Policy,
-    now: float,
-) -> list[tuple[jobs_queue.Shape, placements.Job]]:
-    """Returns the first job of each shape of a line, the next one first."""
-    heads = []
-    for number, (shape, job_id) in enumerate(line.heads()):
-        if number >= LOOKAHEAD:
-            break
-        heads.append((shape, book.jobs[job_id]))
-    heads.sort(key=lambda head: score(head[1], policy, now))
-    return heads
-
 
 def score(
     job: placements.Job, policy: policies.Policy, now: float
@@ -66,11 +45,3 @@
     accelerators = use.borrowed / max(1, book.pool.accelerators)
     cores = use.borrowed_cores / max(1, book.pool.cores)
     return max(accelerators, cores) / policy.weight(account)
-
-
-def accounts_by_share(
-    book: jobs_book.JobBook, policy: policies.Policy
-) -> list[tuple[float, str]]:
-    """Returns the accounts with borrowing jobs waiting, least share first."""
-    names: abc.Iterable[str] = book.queue.accounts(guaranteed=False)
-    return sorted((share_of(book, policy, name), name) for name in names)
--- a/laburnumsill/jobs/planner.py
+++ b/laburnumsill/jobs/planner.py
@@ -23,8 +23,8 @@
 MAX_DRAINS = 2
 """Gangs that slots are drained for at a time."""
 
-STOP_FACTOR = 2.0
-"""A gang that has waited this many bounds has borrowers stopped for it."""
+SHAPES_A_PASS = 256
+"""Shapes of borrowing jobs that one pass tries at most."""
 
 URGENT_CHECKPOINT_S = 1.0
 """Time in seconds that borrowers have to save work for an urgent claim."""
@@ -50,23 +50,44 @@
     """What a pass need not try again until something becomes free.
 
     Attributes:
-        freed: `Pool.freed` when the rest was noted.
-        full: Shapes that no free slots were found for.
+        freed: `Pool.freed` when `stuck` was noted.
+        full: Shapes that no free slots were found for, with `Pool.freed` as
+            it was then.
         stuck: Accounts and shapes that no claim was found for.
     """
 
     freed: int = -1
-    full: set[jobs_queue.Shape] = dataclasses.field(default_factory=set)
+    full: dict[jobs_queue.Shape, int] = dataclasses.field(default_factory=dict)
     stuck: set[tuple[str, jobs_queue.Shape]] = dataclasses.field(
         default_factory=set
     )
 
-    def refresh(self, freed: int) -> None:
-        """Forgets everything if something became free since."""
+    def refresh(self, freed: int, waiting: int) -> None:
+        """Forgets what may have changed since, and shapes that wait no more.
+
+        Args:
+            freed: `Pool.freed` now.
+            waiting: The number of shapes that wait.
+        """
         if freed != self.freed:
             self.freed = freed
-            self.full.clear()
             self.stuck.clear()
+        if len(self.full) > 2 * waiting + SHAPES_A_PASS:
+            self.full.clear()
+
+    def untried(
+        self, shapes: abc.Iterable[jobs_queue.Shape]
+    ) -> set[jobs_queue.Shape]:
+        """Returns the shapes to look at in this pass.
+
+        Of very many shapes those tried longest ago are taken.
+        """
+        found = [
+            shape for shape in shapes if self.full.get(shape, -1) != self.freed
+        ]
+        if len(found) > SHAPES_A_PASS:
+            found.sort(key=lambda shape: self.full.get(shape, -1))
+        return set(found[:SHAPES_A_PASS])
 
 
 class Planner:
@@ -85,22 +106,18 @@
             policy: Weights and limits.
             now: Wall time.
         """
-        self._memory.refresh(book.pool.freed)
+        waiting = len(book.queue.borrowing_shapes())
+        self._memory.refresh(book.pool.freed, waiting)
         yield from self._held(book, now)
         yield from self._guaranteed(book, policy, now)
-        yield from self._drains(book, policy, now)
+        yield from self._gangs(book, policy, now)
         yield from self._borrowers(book, policy, now)
 
     def _held(self, book: jobs_book.JobBook, now: float) -> abc.Iterator[Step]:
         """Places the jobs whose held slots have become free."""
         for job in list(book.held.values()):
             if job.hold and is_free(book, job):
-                yield Step(
-                    jobs_messages.PlaceJob(
-                        job.job_id, job.epoch + 1, job.hold, now
-                    ),
-                    "held-slots-free",
-                )
+                yield Step(place(job, job.hold, now), "held-slots-free")
 
     def _guaranteed(
         self, book: jobs_book.JobBook, policy: policies.Policy, now: float
@@ -140,125 +157,192 @@
                 return None
         return None
 
-    def _drains(
+    def _gangs(
         self, book: jobs_book.JobBook, policy: policies.Policy, now: float
     ) -> abc.Iterator[Step]:
-        """Keeps slots for the borrowing gang that waited longest."""
+        """Sees to the borrowing gang that has waited longest."""
         draining = [j for j in book.held.values() if not j.spec.guaranteed]
         for job in draining:
-            step = self._hasten(book, job, policy, now)
+            step = hasten(book, job, policy, now)
             if step is not None:
                 yield step
-        if len(draining) >= MAX_DRAINS:
-            return
-        gang = self._longest_waiting(book, policy, now)
-        if gang is None:
-            return
-        free = fit.find_free(book.pool, gang.spec, avoided(book, gang))
-        room = drains.find_drain(book, gang, now) if free is None else None
-        if room is not None:
-            yield Step(
-                jobs_messages.HoldSlots(
-                    gang.job_id,
-                    gang.epoch,
-                    room.slots,
-                    bind=(),
-                    victims=(),
-                    reason=jobs_messages.StopReason.DRAINED,
-                    checkpoint_until=0.0,
-                    now=now,
-                ),
-                "gang-waited-past-bound",
-            )
-
-    def _hasten(
+        gang = longest_waiting(book)
+        if gang is not None:
+            step = self._for_gang(book, gang, len(draining), policy, now)
+            if step is not None:
+                yield step
+
+    def _for_gang(
         self,
         book: jobs_book.JobBook,
-        job: placements.Job,
+        gang: placements.Job,
+        draining: int,
         policy: policies.Policy,
         now: float,
     ) -> Step | None:
-        """Stops what still runs on slots that drain for too long."""
-        waited = now - job.submitted_at
-        if waited < STOP_FACTOR * policy.gang_wait_bound_s:
-            return None
-        victims = in_way(book, job)
-        if not victims:
-            return None
-        return Step(
-            jobs_messages.HoldSlots(
-                job.job_id,
-                job.epoch,
-                job.hold,
-                bind=(),
-                victims=victims,
-                reason=jobs_messages.StopReason.DRAINED,
-                checkpoint_until=now + policy.checkpoint_timeout_s,
-                now=now,
-            ),
-            "drain-took-too-long",
-        )
-
-    def _longest_waiting(
-        self, book: jobs_book.JobBook, policy: policies.Policy, now: float
-    ) -> placements.Job | None:
-        """Returns the oldest borrowing gang past the bound, without hold."""
-        oldest: placements.Job | None = None
-        for account in book.queue.accounts(guaranteed=False):
-            line = book.queue.line(False, account)
-            if line is None:
-                continue
-            for number, (_, job_id) in enumerate(line.heads()):
-                if number >= order.LOOKAHEAD:
-                    break
-                job = book.jobs[job_id]
-                if job.hold or job.spec.total_accelerators < 2:
-                    continue
-                if oldest is None or job.submitted_at < oldest.submitted_at:
-                    oldest = job
-        if oldest is None:
+        """Returns what helps a gang along, the mildest that does."""
+        waited = now - gang.queued_at
+        if waited > policy.gang_wait_bound_s:
+            slots = fit.find_free(book.pool, gang.spec, avoided(book, gang))
+            if slots is not None:
+                return Step(place(gang, slots, now), "gang-first")
+        if draining >= MAX_DRAINS:
             return None
-        waited = now - oldest.submitted_at
-        return oldest if waited > policy.gang_wait_bound_s else None
+        if waited > policy.move_patience_s and can_move(book, gang):
+            room = drains.find_drain(book, gang, policy, now)
+            if room is not None:
+                return drain_step(gang, room, room.victims, policy, now)
+        if waited > policy.gang_wait_bound_s:
+            room = drains.find_drain(book, gang, policy, now)
+            if room is not None:
+                return drain_step(gang, room, (), policy, now)
+        return None
 
     def _borrowers(
         self, book: jobs_book.JobBook, policy: policies.Policy, now: float
     ) -> abc.Iterator[Step]:
-        """Places borrowing jobs, the account with the least share first."""
-        heap = order.accounts_by_share(book, policy)
-        while heap:
-            _, account = heapq.heappop(heap)
-            step = self._borrow(book, account, policy, now)
+        """Places borrowing jobs, the account with the least share first.
+
+        Only shapes for which a place may be free are looked at, and each is
+        tried once in vain at most.
+        """
+        shapes = self._memory.untried(book.queue.borrowing_shapes())
+        shares = [
+            (order.share_of(book, policy, account), account)
+            for account in book.queue.accounts(guaranteed=False)
+        ]
+        shares.sort()
+        while shapes and shares:
+            share, account = heapq.heappop(shares)
+            step = self._borrow(book, account, shapes, policy, now)
             if step is None:
                 continue
             yield step
             share = order.share_of(book, policy, account)
-            heapq.heappush(heap, (share, account))
+            heapq.heappush(shares, (share, account))
 
     def _borrow(
         self,
         book: jobs_book.JobBook,
         account: str,
+        shapes: set[jobs_queue.Shape],
         policy: policies.Policy,
         now: float,
     ) -> Step | None:
+        """Returns the placement of an account's next job that fits.
+
+        Shapes that turn out to have no place are taken out of `shapes`.
+        """
         line = book.queue.line(False, account)
         if line is None:
             return None
-        for shape, job in order.ordered_heads(book, line, policy, now):
-            if shape in self._memory.full and not job.failed_on:
+        for job in candidates(book, line, shapes, policy, now):
+            shape = jobs_queue.shape_of(job)
+            if shape not in shapes:
                 continue
             slots = fit.find_free(book.pool, job.spec, avoided(book, job))
             if slots is not None:
-                return Step(
-                    jobs_messages.PlaceJob(
-                        job.job_id, job.epoch + 1, slots, now
-                    ),
-                    "best-fit",
-                )
+                return Step(place(job, slots, now), "best-fit")
             if not job.failed_on:
-                self._memory.full.add(shape)
+                shapes.discard(shape)
+                self._memory.full[shape] = book.pool.freed
+        return None
+
+
+def candidates(
+    book: jobs_book.JobBook,
+    line: jobs_queue.Line,
+    shapes: abc.Set[jobs_queue.Shape],
+    policy: policies.Policy,
+    now: float,
+) -> list[placements.Job]:
+    """Returns a line's first job of each of the shapes, the next one first."""
+    found = [
+        book.jobs[job_id]
+        for shape in line.shapes & shapes
+        if (job_id := line.first(shape)) is not None
+    ]
+    if len(found) > 1:
+        found.sort(key=lambda job: order.score(job, policy, now))
+    return found
+
+
+def place(
+    job: placements.Job, slots: fit.Slots, now: float
+) -> jobs_messages.PlaceJob:
+    """Returns the placement of a job under its next epoch."""
+    return jobs_messages.PlaceJob(job.job_id, job.epoch + 1, slots, now)
+
+
+def longest_waiting(book: jobs_book.JobBook) -> placements.Job | None:
+    """Returns the oldest large borrower that no slots are held for."""
+    for job_id in book.queue.large():
+        job = book.jobs[job_id]
+        if not job.hold:
+            return job
+    return None
+
+
+def can_move(book: jobs_book.JobBook, gang: placements.Job) -> bool:
+    """Returns whether a gang only lacks that what is free is together.
+
+    What is stopped to make room for it fits into what is free elsewhere.
+    """
+    return book.pool.free_accelerators >= gang.spec.total_accelerators
+
+
+def drain_step(
+    gang: placements.Job,
+    room: eviction.Room,
+    victims: tuple[str, ...],
+    policy: policies.Policy,
+    now: float,
+) -> Step:
+    """Returns the hold that keeps slots for a gang and stops the victims."""
+    return Step(
+        jobs_messages.HoldSlots(
+            gang.job_id,
+            gang.epoch,
+            room.slots,
+            bind=(),
+            victims=victims,
+            reason=jobs_messages.StopReason.DRAINED,
+            checkpoint_until=now + policy.checkpoint_timeout_s,
+            now=now,
+        ),
+        "move-borrowers-together" if victims else "gang-waited-past-bound",
+    )
+
+
+def hasten(
+    book: jobs_book.JobBook,
+    gang: placements.Job,
+    policy: policies.Policy,
+    now: float,
+) -> Step | None:
+    """Stops what still runs on slots that drain for too long."""
+    if now - gang.queued_at < drains.STOP_FACTOR * policy.gang_wait_bound_s:
         return None
+    victims = tuple(
+        victim
+        for victim in in_way(book, gang)
+        if drains.may_stop(book.jobs[victim], gang, policy, now)
+    )
+    if not victims:
+        return None
+    return Step(
+        jobs_messages.HoldSlots(
+            gang.job_id,
+            gang.epoch,
+            gang.hold,
+            bind=(),
+            victims=victims,
+            reason=jobs_messages.StopReason.DRAINED,
+            checkpoint_until=now + policy.checkpoint_timeout_s,
+            now=now,
+        ),
+        "drain-took-too-long",
+    )
 
 
 def avoided(
--- a/laburnumsill/jobs/policy.py
+++ b/laburnumsill/jobs/policy.py
@@ -28,6 +28,17 @@
         default_factory=dict
     )
 
+    @property
+    def move_patience_s(self) -> float:
+        """Wait after which small borrowers are moved together for a gang.
+
+        The more fragmentation counts against completion time the sooner.
+        """
+        total = self.completion_weight + self.fragmentation_weight
+        if not total:
+            return self.gang_wait_bound_s
+        return self.gang_wait_bound_s * self.completion_weight / total
+
     def weight(self, account: str) -> float:
         """Returns an account's weight; 1 for one that is not configured."""
         return self.account_weights.get(account, 1.0)
--- a/laburnumsill/state/cells.py
+++ b/laburnumsill/state/cells.py
@@ -84,6 +84,8 @@
         self.guarantees: dict[str, Numbers] = {}
         self.bound: dict[str, list[Cell]] = {}
         self._pool = pool
+        self._unbound: dict[str, Numbers] = {}
+        self._demand = [0, 0, 0, 0]
         self._rack_owner: dict[str, str] = {}
         self._owned: dict[str, dict[str, int]] = {}
         self._supply: dict[str, RackSupply] = {}
@@ -95,21 +97,32 @@
     def set_guarantees(self, guarantees: dict[str, Numbers]) -> None:
         """Replaces what is owed; cells in use stay bound."""
         self.guarantees = dict(guarantees)
+        self._recount()
 
     def unbound(self, account: str) -> Numbers:
         """Returns how many cells of each level the account is still owed."""
-        owed = list(self.guarantees.get(account, NO_CELLS))
-        for cell in self.bound.get(account, ()):
-            owed[cell.level] -= 1
-        return _numbers(max(0, number) for number in owed)
+        return self._unbound.get(account, NO_CELLS)
 
     def demand(self) -> Numbers:
         """Returns the unbound cells of all accounts together."""
-        total = [0, 0, 0, 0]
+        return _numbers(self._demand)
+
+    def _recount(self) -> None:
+        self._unbound = {}
+        self._demand = [0, 0, 0, 0]
         for account in self.guarantees:
-            for level, number in enumerate(self.unbound(account)):
-                total[level] += number
-        return _numbers(total)
+            self._count_unbound(account)
+
+    def _count_unbound(self, account: str) -> None:
+        """Brings what is unbound up to date after a change of an account."""
+        owed = list(self.guarantees.get(account, NO_CELLS))
+        for cell in self.bound.get(account, ()):
+            owed[cell.level] -= 1
+        before = self.unbound(account)
+        now = _numbers(max(0, number) for number in owed)
+        self._unbound[account] = now
+        for level in Level:
+            self._demand[level] += now[level] - before[level]
 
     def shortfall(self) -> int:
         """Returns how many accelerators are missing to restore everything.
@@ -208,6 +221,7 @@
     def load(self, bound: dict[str, list[Cell]]) -> None:
         """Replaces what is bound, without checks, after a snapshot."""
         self.bound = {}
+        self._recount()
         self._owned = {}
         self._rack_owner = {}
         for account, cells in bound.items():
@@ -285,6 +299,7 @@
 
     def _add(self, account: str, cell: Cell) -> None:
         self.bound.setdefault(account, []).append(cell)
+        self._count_unbound(account)
         if cell.level == Level.RACK:
             self._rack_owner[cell.rack] = account
         else:
@@ -295,6 +310,7 @@
         self.bound[account].remove(cell)
         if not self.bound[account]:
             del self.bound[account]
+        self._count_unbound(account)
         if cell.level == Level.RACK:
             del self._rack_owner[cell.rack]
             rack = self._pool.racks.get(cell.rack)
--- a/laburnumsill/state/jobs.py
+++ b/laburnumsill/state/jobs.py
@@ -153,12 +153,13 @@
         self.lease_until = dump.lease_until
         self._lease_term = dump.lease_term
         self._sequence = dump.sequence
-        for state in dump.workers:
-            self.book.put_worker(_worker_record(state))
-        self.book.jobs = {job.job_id: job for job in dump.jobs}
-        self.book.cells.set_guarantees(dump.guarantees)
-        self.book.cells.load(dump.bound)
-        self.book.rebuild()
+        with self.book.pool.deferred():
+            for state in dump.workers:
+                self.book.pool.put(_worker_record(state))
+            self.book.jobs = {job.job_id: job for job in dump.jobs}
+            self.book.cells.set_guarantees(dump.guarantees)
+            self.book.cells.load(dump.bound)
+            self.book.rebuild()
         self._ended = collections.deque(
             sorted(
                 (job.ended_at, job.job_id)
--- a/laburnumsill/state/jobs_book.py
+++ b/laburnumsill/state/jobs_book.py
@@ -96,7 +96,7 @@
         if held:
             self.pool.drop(job.job_id, job.spec, held)
         try:
-            self._claim(job, slots, bind, in_use_too=False)
+            self._claim(job, slots, bind, slots == held)
         except errors.ConflictError:
             if held:
                 self.pool.hold(job.job_id, job.spec, held)
@@ -123,7 +123,7 @@
         """
         if job.hold:
             raise PlacementRefusedError(f"{job.job_id} has slots held")
-        self._claim(job, slots, bind, in_use_too=True)
+        self._claim(job, slots, bind, was_held=False, in_use_too=True)
         job.hold = slots
         self.held[job.job_id] = job
         self.pool.hold(job.job_id, job.spec, slots)
@@ -277,9 +277,18 @@
         job: placements.Job,
         slots: tuple[jobs_messages.Slot, ...],
         bind: abc.Sequence[jobs_messages.Cell],
-        in_use_too: bool,
+        was_held: bool,
+        in_use_too: bool = False,
     ) -> None:
-        """Checks slots and binds cells; drops the holds of borrowers."""
+        """Checks slots and binds cells; drops the holds of borrowers.
+
+        Args:
+            job: A queued job without a hold.
+            slots: What it is to have.
+            bind: Cells to bind first.
+            was_held: Whether the slots were held for it until now.
+            in_use_too: Whether borrowers may still be on the slots.
+        """
         spec = job.spec
         if len(slots) != spec.tasks:
             raise PlacementRefusedError(
@@ -294,6 +303,8 @@
             self._check_binding(job, slots, bind)
             for worker_id, (mask, count) in masks.items():
                 self._check(job, worker_id, mask, count, in_use_too)
+                if not in_use_too:
+                    self._check_room(spec, worker_id, count, was_held)
         except errors.ConflictError:
             for cell in bind:
                 self.cells.unbind(spec.account, cell)
@@ -365,23 +376,29 @@
             raise PlacementRefusedError(
                 f"mask {mask:b} of {worker_id!r} is not free for {job.job_id}"
             )
-        if not in_use_too:
-            self._check_room(spec, worker, count)
 
     def _check_room(
         self,
         spec: jobs_messages.JobSpec,
-        worker: workers.WorkerRecord,
+        worker_id: str,
         count: int,
+        was_held: bool,
     ) -> None:
+        """Checks cores and memory.
+
+        What is held for others counts as taken, but not against a job with
+        slots of its own: their cores may come from the same borrower that
+        was stopped.
+        """
+        worker = self.pool.workers[worker_id]
         cores = worker.free_cores
         memory_gb = worker.free_memory_gb
-        if spec.guaranteed:
+        if spec.guaranteed or was_held:
             cores += worker.held_cores
             memory_gb += worker.held_memory_gb
         if cores < spec.cores * count or memory_gb < spec.memory_gb * count:
             raise PlacementRefusedError(
-                f"{worker.announced.worker_id!r} has {cores} cores and"
+                f"{worker_id!r} has {cores} cores and"
                 f" {memory_gb} GB left for {count} tasks of {spec.cores}"
                 f" cores and {spec.memory_gb} GB"
             )
--- a/laburnumsill/state/jobs_queue.py
+++ b/laburnumsill/state/jobs_queue.py
@@ -5,6 +5,7 @@
 not at each job.
 """
 
+import collections
 from collections import abc
 
 import sortedcontainers
@@ -14,6 +15,9 @@
 Shape = tuple[int, int, int, int, str]
 """Tasks, and for each accelerators, cores and memory; and adjacency."""
 
+LARGE = 8
+"""Accelerators from which a job counts as a large gang, hard to fit in."""
+
 Order = tuple[bool, int, str]
 """Not urgent, sequence of submission, job id."""
 
@@ -35,6 +39,12 @@
     return not job.spec.urgent, job.sequence, job.job_id
 
 
+def is_large(job: placements.Job) -> bool:
+    """Returns whether a job borrows so much that slots are drained for it."""
+    spec = job.spec
+    return not spec.guaranteed and spec.total_accelerators >= LARGE
+
+
 class Line:
     """The waiting jobs of one account, guaranteed or borrowing."""
 
@@ -74,6 +84,16 @@
             del self._shapes[shape]
         self._length -= 1
 
+    @property
+    def shapes(self) -> abc.KeysView[Shape]:
+        """The shapes that wait in this line."""
+        return self._shapes.keys()
+
+    def first(self, shape: Shape) -> str | None:
+        """Returns the first job of a shape, or None."""
+        group = self._shapes.get(shape)
+        return group[0][2] if group else None
+
     def heads(self) -> abc.Iterator[tuple[Shape, str]]:
         """Yields each shape with its first job id, the oldest first."""
         for order, shape in self._heads:
@@ -88,6 +108,8 @@
         self._length = 0
         self._accelerators = 0
         self._cores = 0
+        self._borrowing: collections.Counter[Shape] = collections.Counter()
+        self._large = sortedcontainers.SortedList()
 
     def __len__(self) -> int:
         return self._length
@@ -106,6 +128,10 @@
         """Adds a job to its line."""
         key = job.spec.guaranteed, job.spec.account
         self._lines.setdefault(key, Line()).add(job)
+        if not job.spec.guaranteed:
+            self._borrowing[shape_of(job)] += 1
+        if is_large(job):
+            self._large.add((job.sequence, job.job_id))
         self._count(job, 1)
 
     def remove(self, job: placements.Job) -> None:
@@ -115,8 +141,24 @@
         line.remove(job)
         if not line:
             del self._lines[key]
+        if not job.spec.guaranteed:
+            shape = shape_of(job)
+            self._borrowing[shape] -= 1
+            if not self._borrowing[shape]:
+                del self._borrowing[shape]
+        if is_large(job):
+            self._large.remove((job.sequence, job.job_id))
         self._count(job, -1)
 
+    def borrowing_shapes(self) -> abc.KeysView[Shape]:
+        """Returns the shapes of all borrowing jobs that wait."""
+        return self._borrowing.keys()
+
+    def large(self) -> abc.Iterator[str]:
+        """Yields the large borrowing jobs that wait, the oldest first."""
+        for _, job_id in self._large:
+            yield job_id
+
     def accounts(self, guaranteed: bool) -> list[str]:
         """Returns the accounts with a line of that kind."""
         return [name for kind, name in self._lines if kind == guaranteed]
--- a/laburnumsill/state/workers.py
+++ b/laburnumsill/state/workers.py
@@ -4,8 +4,11 @@
 few racks and never at all workers.
 """
 
+import bisect
+import contextlib
 import dataclasses
 import functools
+import typing
 from collections import abc
 
 import sortedcontainers
@@ -16,6 +19,28 @@
 TRACKED_SIZES = (1, 2, 4, 8)
 """Accelerators of a task for which the free slots of a rack are indexed."""
 
+TRACKED_CORES = (1, 2, 4, 8, 16, 32)
+"""Cores of a task for which the free slots of a rack are indexed."""
+
+UNBOUNDED = 1 << 60
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sums:
+    """What of a rack the indexes are made of.
+
+    Attributes:
+        slots: Free slots for each of `TRACKED_SIZES`.
+        partial: Those of them on workers that are in use already.
+        core_slots: Free slots for each of `TRACKED_CORES`.
+        cores: Free cores.
+    """
+
+    slots: tuple[int, ...]
+    partial: tuple[int, ...]
+    core_slots: tuple[int, ...]
+    cores: int
+
 
 @dataclasses.dataclass(slots=True)
 class OnWorker:
@@ -88,11 +113,13 @@
 
     def room(self, spec: jobs_messages.JobSpec) -> int:
         """Returns how many tasks of `spec` fit now, usable or not."""
+        own = self.announced
+        free = (1 << own.accelerators) - 1 & ~(self.used_mask | self.held_mask)
         return _room(
             spec,
-            self.free_mask.bit_count(),
-            self.free_cores,
-            self.free_memory_gb,
+            free.bit_count(),
+            own.cores - self.used_cores - self.held_cores,
+            own.memory_gb - self.used_memory_gb - self.held_memory_gb,
         )
 
     def size(self, spec: jobs_messages.JobSpec) -> int:
@@ -174,24 +201,31 @@
         self.name = name
         self.accelerators = 0
         self.workers: dict[str, WorkerRecord] = {}
-        self.keys: tuple[tuple[int, ...], tuple[int, ...], int] | None = None
+        self.keys: Sums | None = None
 
-    def sums(self) -> tuple[tuple[int, ...], tuple[int, ...], int]:
-        """Returns free slots by size, those on broken workers, free cores."""
+    def sums(self) -> Sums:
+        """Returns the sums over the usable workers as they are now."""
         slots = [0] * len(TRACKED_SIZES)
         partial = [0] * len(TRACKED_SIZES)
+        core_slots = [0] * len(TRACKED_CORES)
         cores = 0
         for worker in self.workers.values():
             if not worker.usable:
                 continue
-            cores += max(0, worker.free_cores)
+            free_cores = max(0, worker.free_cores)
+            cores += free_cores
+            for place, size in enumerate(TRACKED_CORES):
+                core_slots[place] += free_cores // size
             free = worker.free_mask.bit_count()
+            if not free:
+                continue
+            broken = free < worker.announced.accelerators
             for place, size in enumerate(TRACKED_SIZES):
                 count = free // size
                 slots[place] += count
-                if free < worker.announced.accelerators:
+                if broken:
                     partial[place] += count
-        return tuple(slots), tuple(partial), cores
+        return Sums(tuple(slots), tuple(partial), tuple(core_slots), cores)
 
 
 class Pool:
@@ -217,8 +251,20 @@
         self.freed = 0
         self._slots = [_index() for _ in TRACKED_SIZES]
         self._partial = [_index() for _ in TRACKED_SIZES]
-        self._cores = _index()
-        self._cpu_only = _index()
+        self._core_slots = [_index() for _ in TRACKED_CORES]
+        self._deferred: set[str] | None = None
+
+    @contextlib.contextmanager
+    def deferred(self) -> abc.Iterator[None]:
+        """Brings each changed rack's indexes up to date once, at the end."""
+        self._deferred = set()
+        try:
+            yield
+        finally:
+            names, self._deferred = self._deferred, None
+            for name in names:
+                if name in self.racks:
+                    self._reindex(self.racks[name])
 
     def put(self, record: WorkerRecord) -> None:
         """Adds a worker or replaces its record."""
@@ -325,19 +371,24 @@
             size: Accelerators of a task, above 0. Between tracked sizes the
                 rack may turn out too small.
         """
-        yield from self._from(self._slots[_place(size)], count)
+        yield from self._from(self._slots[_place(TRACKED_SIZES, size)], count)
 
     def broken_racks_with(self, size: int) -> abc.Iterator[Rack]:
         """Yields racks with a free slot on a worker already in use."""
-        yield from self._from(self._partial[_place(size)], 1)
+        yield from self._from(self._partial[_place(TRACKED_SIZES, size)], 1)
 
-    def racks_with_cores(self, cores: int) -> abc.Iterator[Rack]:
-        """Yields racks with so many free cores, fullest first."""
-        yield from self._from(self._cores, cores)
+    def racks_with_cores(self, count: int, cores: int) -> abc.Iterator[Rack]:
+        """Yields racks with `count` free slots of `cores` cores.
 
-    def cpu_only_with(self, cores: int) -> abc.Iterator[Rack]:
-        """Yields racks with no free accelerator and so many free cores."""
-        yield from self._from(self._cpu_only, cores)
+        Racks without a free accelerator come first, so that none is left
+        without cores; then the fullest.
+        """
+        index = self._core_slots[_place(TRACKED_CORES, cores)]
+        for has_accelerators in (False, True):
+            least = ((has_accelerators, count), "")
+            most = ((has_accelerators, UNBOUNDED), "")
+            for _, name in index.irange(least, most):
+                yield self.racks[name]
 
     def racks_by_size(self, accelerators: int) -> abc.Iterator[Rack]:
         """Yields racks with so many accelerators, most free ones first."""
@@ -358,6 +409,9 @@
             self._reindex(self.racks[name])
 
     def _reindex(self, rack: Rack) -> None:
+        if self._deferred is not None:
+            self._deferred.add(rack.name)
+            return
         self._unindex(rack)
         if not rack.workers:
             return
@@ -375,31 +429,26 @@
 
     def _count_free(self, rack: Rack, sign: int) -> None:
         if rack.keys is not None:
-            slots, _, cores = rack.keys
-            self.free_accelerators += sign * slots[0]
-            self.free_cores += sign * cores
+            self.free_accelerators += sign * rack.keys.slots[0]
+            self.free_cores += sign * rack.keys.cores
 
     def _entries(
         self, rack: Rack
-    ) -> abc.Iterator[tuple[sortedcontainers.SortedList, int]]:
-        if rack.keys is None:
+    ) -> abc.Iterator[tuple[sortedcontainers.SortedList, typing.Any]]:
+        keys = rack.keys
+        if keys is None:
             return
-        slots, partial, cores = rack.keys
-        yield from zip(self._slots, slots, strict=True)
-        yield from zip(self._partial, partial, strict=True)
-        yield self._cores, cores
-        if not slots[0] and not partial[0]:
-            yield self._cpu_only, cores
+        yield from zip(self._slots, keys.slots, strict=True)
+        yield from zip(self._partial, keys.partial, strict=True)
+        has_accelerators = keys.slots[0] > 0
+        for index, count in zip(self._core_slots, keys.core_slots, strict=True):
+            yield index, (has_accelerators, count)
 
 
 def _index() -> sortedcontainers.SortedList:
     return sortedcontainers.SortedList()
 
 
-def _place(size: int) -> int:
+def _place(tracked: tuple[int, ...], size: int) -> int:
     """Returns the position of the largest tracked size up to `size`."""
-    place = 0
-    for position, tracked in enumerate(TRACKED_SIZES):
-        if tracked <= size:
-            place = position
-    return place
+    return max(0, bisect.bisect_right(tracked, size) - 1)
