Show accounts, jobs and replicas in tables that fit; keep a problem's own fields

Cause: run against the demo's site, a refusal whose problem had a member vm ended in a traceback, since the tool gave the refusing VM the same name; the tables of accounts, jobs and groups were hundreds of columns wide. Tables show a view now and JSON all; points of time are shown in UTC.

--- a/laburnumsill/cli/client.py
+++ b/laburnumsill/cli/client.py
@@ -40,6 +40,11 @@
     httpcore.ProtocolError,
 )
 _UNAVAILABLE = 503
+_OWN_MEMBERS = frozenset(
+    {"title", "status", "self", "problem", "retry_after_s", "answered_by"}
+)
+"""Members of a problem that would clash with a refusal's own fields."""
+
 _PROBLEM = "application/problem+json"
 
 Headers = dict[str, str]
@@ -121,12 +126,17 @@
     def refusal(self) -> failures.RefusedError:
         """Returns the error that stands for an answer with a problem."""
         problem = self.json() if self.is_problem else {}
+        if not isinstance(problem, dict):
+            problem = {}
         slug = str(problem.pop("type", "")).rpartition("/")[2]
         detail = str(problem.pop("detail", f"status {self.status}"))
-        for member in ("title", "status", "problem", "retry_after_s"):
+        for member in _OWN_MEMBERS:
             problem.pop(member, None)
         return failures.RefusedError(
-            detail, problem=slug or "status", vm=self.address, **problem
+            detail,
+            problem=slug or "status",
+            answered_by=self.address,
+            **problem,
         )
 
 
--- a/laburnumsill/cli/job_commands.py
+++ b/laburnumsill/cli/job_commands.py
@@ -6,6 +6,7 @@
 
 from laburnumsill.cli import session as sessions
 from laburnumsill.cli import values
+from laburnumsill.cli import views
 
 
 class JobCommands:
@@ -77,7 +78,7 @@
             if command is not None:
                 body["command"] = command
             answer = self._session.change("POST", "/v1/jobs", body, key)
-            self._session.show(answer)
+            self._session.show(answer, views.whole_job)
 
         return sessions.Action(run)
 
@@ -91,7 +92,7 @@
 
         def run() -> None:
             path = f"/v1/jobs/{sessions.quoted(job)}"
-            self._session.show(self._session.get(path))
+            self._session.show(self._session.get(path), views.whole_job)
 
         return sessions.Action(run)
 
@@ -114,7 +115,9 @@
             found = self._session.get(
                 "/v1/jobs", account=account, state=state, limit=limit
             )
-            self._session.show_list(found)
+            self._session.show_list(
+                found, lambda jobs: [views.job(job) for job in jobs]
+            )
 
         return sessions.Action(run)
 
@@ -128,6 +131,7 @@
 
         def run() -> None:
             path = f"/v1/jobs/{sessions.quoted(job)}"
-            self._session.show(self._session.change("DELETE", path))
+            answer = self._session.change("DELETE", path)
+            self._session.show(answer, views.whole_job)
 
         return sessions.Action(run)
--- a/laburnumsill/cli/output.py
+++ b/laburnumsill/cli/output.py
@@ -1,5 +1,6 @@
 """Printing results as a table for people or as JSON for programs."""
 
+import datetime
 import typing
 from collections import abc
 
@@ -11,6 +12,7 @@
 
 _GAP = "  "
 _NONE = "-"
+_TIME_SUFFIX = "_at"
 
 Row = abc.Mapping[str, typing.Any]
 
@@ -65,7 +67,7 @@
     if not names:
         return "(none)"
     lines = [[name.upper().replace("_", " ") for name in names]]
-    lines += [[_cell(row.get(name)) for name in names] for row in rows]
+    lines += [[_field(name, row.get(name)) for name in names] for row in rows]
     widths = [
         max(len(cell) for cell in column) for column in zip(*lines, strict=True)
     ]
@@ -80,18 +82,28 @@
 def _fields(record: Row) -> str:
     width = max((len(name) for name in record), default=0)
     return "\n".join(
-        f"{name.ljust(width)}{_GAP}{_cell(value)}"
+        f"{name.ljust(width)}{_GAP}{_field(name, value)}"
         for name, value in record.items()
     )
 
 
+def _field(name: str, value: object) -> str:
+    """Returns the text of a named value; points of time end in ``_at``."""
+    if name.endswith(_TIME_SUFFIX) and isinstance(value, int | float):
+        point = datetime.datetime.fromtimestamp(value, datetime.UTC)
+        return point.isoformat(timespec="seconds").replace("+00:00", "Z")
+    return _cell(value)
+
+
 def _cell(value: object) -> str:
-    if value is None or value == "":
+    if value is None or value == "" or value == []:
         return _NONE
     if isinstance(value, bool):
         return "yes" if value else "no"
     if isinstance(value, float):
         return f"{value:.6g}" if abs(value) < 1e6 else f"{value:.3f}"
+    if isinstance(value, list) and all(isinstance(v, str) for v in value):
+        return ",".join(value)
     if isinstance(value, abc.Mapping | list):
         return orjson.dumps(value).decode()
     return str(value)
--- a/laburnumsill/cli/session.py
+++ b/laburnumsill/cli/session.py
@@ -18,6 +18,7 @@
 KEY_HEADER = "Idempotency-Key"
 
 Run = abc.Callable[[], None]
+View = abc.Callable[[typing.Any], object]
 
 
 class Action:
@@ -94,19 +95,33 @@
         )
         return self.client().call(call).json()
 
-    def show(self, value: object) -> None:
-        """Prints a result."""
+    def show(self, value: object, view: View | None = None) -> None:
+        """Prints a result.
+
+        Args:
+            value: The result.
+            view: What a table shows of it; JSON shows it whole.
+        """
         format = values.one_of("--output", self.format, output.FORMATS)
-        text = output.as_json if format == "json" else output.as_table
-        print(text(value))
+        if format == "json":
+            print(output.as_json(value))
+        else:
+            if view is not None and isinstance(value, dict | list):
+                value = view(value)
+            print(output.as_table(value))
 
-    def show_list(self, answer: typing.Any) -> None:
-        """Prints a list, and in a table what else the answer says."""
+    def show_list(self, answer: typing.Any, view: View | None = None) -> None:
+        """Prints a list, and in a table what else the answer says.
+
+        Args:
+            answer: The list, alone or among other fields.
+            view: What a table shows of the list.
+        """
         found = records(answer)
         if self.as_json or found is answer:
-            self.show(answer)
+            self.show(answer, view if isinstance(answer, list) else None)
             return
-        self.show(found)
+        self.show(found, view)
         for name, value in answer.items():
             if value and value is not found:
                 self.show({name: value})
--- a/laburnumsill/cli/site_commands.py
+++ b/laburnumsill/cli/site_commands.py
@@ -8,6 +8,7 @@
 from laburnumsill.cli import failures
 from laburnumsill.cli import session as sessions
 from laburnumsill.cli import values
+from laburnumsill.cli import views
 
 _OK = 200
 
@@ -23,7 +24,7 @@
 
         def run() -> None:
             found = self._session.get("/v1/accounts")
-            self._session.show_list(found)
+            self._session.show_list(found, views.accounts)
 
         return sessions.Action(run)
 
@@ -37,7 +38,7 @@
 
         def run() -> None:
             path = f"/v1/accounts/{sessions.quoted(name)}"
-            self._session.show(self._session.get(path))
+            self._session.show(self._session.get(path), views.account)
 
         return sessions.Action(run)
 
@@ -101,8 +102,9 @@
                     for row in sessions.records(answer.json())
                 ]
             _check_any(silent, client)
+            rows.sort(key=lambda row: (row["group"], row["address"]))
             self._session.show(
-                sorted(rows, key=lambda row: (row["group"], row["address"]))
+                rows, lambda found: [views.replica(row) for row in found]
             )
             if silent:
                 raise failures.NotAllGoodError(
--- a/laburnumsill/cli/tests/test_main.py
+++ b/laburnumsill/cli/tests/test_main.py
@@ -256,6 +256,23 @@
     assert run("account", "list", f"--vms={path}") == 0
 
 
+def test_accounts(vms, capsys):
+    use = {"guaranteed": 16, "borrowed": 8, "queued": 3, "running": 2}
+    shape = {"racks": 1, "workers": 0, "pairs": 2, "accelerators": 0}
+    entry = {"guarantee": shape, "use": use, "shortfall": 4}
+    domains = {"north": entry, "south": {"guarantee": shape}}
+    lakeside = {"name": "lakeside", "domains": domains}
+    vms[0].reply({"accounts": [lakeside]})
+    vms[0].reply(lakeside)
+    assert run("account", "list", at=vms) == 0
+    shown = capsys.readouterr().out.splitlines()
+    assert "1 racks, 2 pairs" in shown[1]
+    assert shown[1].split()[-5:] == ["16", "8", "3", "2", "4"]
+    assert shown[2].split()[-5:] == ["-"] * 5
+    assert run("account", "show", "lakeside", "--output=json", at=vms) == 0
+    assert json.loads(capsys.readouterr().out) == lakeside
+
+
 def test_jobs(vms, capsys):
     vms[0].reply({"job_id": "north.1", "state": "queued"}, 201)
     submit = ("job", "submit", "--account=a", "--tasks=2", "--accelerators=8")
@@ -270,18 +287,21 @@
         "guaranteed": True,
         "command": "train 7",
     }
-    listed = [{"job_id": "north.1", "state": "running"}]
+    listed = [{"job_id": "north.1", "spec": {"tasks": 2}, "started_at": 0.5}]
     vms[0].reply({"jobs": listed, "unavailable": ["south"]})
     assert run("job", "list", "--account=a", at=vms) == 0
     assert vms[0].seen[1][1] == "/v1/jobs?account=a"
     shown = capsys.readouterr().out
     assert "JOB ID" in shown
+    assert "1970-01-01T00:00:00Z" in shown
     assert "south" in shown
     vms[0].reply({"state": "cancelled"})
     assert run("job", "cancel", "north.1", at=vms) == 0
     assert vms[0].seen[2][:2] == ("DELETE", "/v1/jobs/north.1")
-    vms[0].problem("not-found", 404)
+    members = {"vm": "vm1", "problem": 2, "answered_by": 3}
+    vms[0].problem("not-found", 404, **members)
     assert run("job", "show", "north.2", at=vms) == 1
+    assert "vm=vm1" in capsys.readouterr().err
 
 
 @pytest.mark.parametrize(
@@ -321,11 +341,12 @@
     vms[1].problem("not-ready", 503, vm="vm2")
     assert run("check", at=vms) == 1
     assert "told not-ready" in capsys.readouterr().out
-    row = {"group": "root", "role": "leader"}
+    row = {"group": "root", "role": "leader", "voters": ["vm1", "vm2"]}
     vms[0].reply([row])
     assert run("group", "status", at=(vms[0], dead)) == 1
     shown = capsys.readouterr()
     assert "leader" in shown.out
+    assert "vm1,vm2" in shown.out
     assert dead in shown.err
 
 
