--- a/laburnumsill/consensus/host.py
+++ b/laburnumsill/consensus/host.py
@@ -56,6 +56,8 @@
         metrics: Takes the counters.
         options: The engine's settings, the same on all VMs.
         limits: When snapshots are taken.
+        first: The voters of each group's first make-up, the same on all VMs;
+            `topology.first_groups` unless given.
     """
 
     def __init__(
@@ -69,6 +71,7 @@
         metrics: metrics_module.Metrics,
         options: engines.Options = DEFAULT_OPTIONS,
         limits: SnapshotLimits = DEFAULT_LIMITS,
+        first: abc.Mapping[str, abc.Sequence[str]] | None = None,
     ) -> None:
         self._me = me
         self._clock = clock
@@ -80,7 +83,7 @@
         )
         self._keeper = host_members.Keeper(
             me.vm_id,
-            topology.first_groups(vms),
+            topology.first_groups(vms) if first is None else first,
             frozenset(vm.vm_id for vm in vms if vm.has_disk),
             network,
             clock,
--- a/laburnumsill/consensus/store_disk.py
+++ b/laburnumsill/consensus/store_disk.py
@@ -36,7 +36,6 @@
         folder: The folder of this replica alone.
         group: The group's name, which the files carry.
         segment_bytes: Size after which a new segment starts.
-        sync: Whether to sync; False only to measure what it costs.
 
     Raises:
         store.DamagedLogError: What is stored can not be trusted.
@@ -49,12 +48,10 @@
         folder: pathlib.Path,
         group: str,
         segment_bytes: int = SEGMENT_BYTES,
-        sync: bool = True,
     ) -> None:
         self._folder = folder
         self._group = group
         self._segment_bytes = segment_bytes
-        self._sync = sync
         self._descriptor = -1
         self._failed = False
         self._batch = 0
@@ -150,8 +147,7 @@
         active = self._segments[-1]
         raw = b"".join(pending)
         segments.write_all(self._descriptor, raw, active.path)
-        if self._sync:
-            segments.sync(self._descriptor, active.path)
+        segments.sync(self._descriptor, active.path)
         self._batch += 1
         start = segments.batch_record(self._nonce, self._batch)
         segments.write_all(self._descriptor, start, active.path)
