Leave a repaired group as it is until the make-up is known

Cause: a VM that has just started knows only the first make-up, so its leaders took a replacement back until the root group's notice came: a good voter was removed and a dead or new one added. A make-up that lacks a group would have emptied it.

Change: where a group has moved on from its first make-up and this VM was told none, nothing but the present members is desired. No desired VMs mean no change.

--- a/laburnumsill/consensus/group_make_up.py
+++ b/laburnumsill/consensus/group_make_up.py
@@ -50,6 +50,8 @@
 def next_change(view: View) -> types.Membership | None:
     """Returns the membership to propose next, or None if all is as desired.
 
+    Without any desired VMs nothing is changed.
+
     Examples:
         >>> a, b, c, new = (types.ReplicaId(vm, i) for vm, i in [
         ...     ("a", "1"), ("b", "1"), ("c", "1"), ("c", "2")])
@@ -60,6 +62,8 @@
         >>> next_change(view).learners == (new,)
         True
     """
+    if not view.desired:
+        return None
     return (
         _add_learner(view)
         or _drop_learner(view)
--- a/laburnumsill/consensus/host.py
+++ b/laburnumsill/consensus/host.py
@@ -260,9 +260,7 @@
         waiter = self._hosted(name).propose(raw)
         self._replicas.mark(name)
         late = errors.ProposalLostError(f"{name}: no commit in time")
-        outcome = await waiter.wait(deadline, self._clock, late)
-        self._metrics.count("group_commits_total", group=name)
-        return outcome
+        return await waiter.wait(deadline, self._clock, late)
 
     async def _query_here(
         self, name: str, query: object, deadline: float
@@ -344,6 +342,7 @@
         while True:
             for name in self._names_missing():
                 await self._replicas.open(name, nursery)
+            self._publish()
             for name, hosted in list(self._replicas.hosted.items()):
                 if hosted.leads and self._keeper.reconcile(hosted):
                     self._replicas.mark(name)
@@ -354,6 +353,15 @@
                     nursery.start_soon(self._ask, hosted)
             await trio.sleep(HOUSEKEEPING_S)
 
+    def _publish(self) -> None:
+        """Shows operators where the replicas stand."""
+        for name, hosted in self._replicas.hosted.items():
+            gauge = functools.partial(self._metrics.gauge, group=name)
+            gauge("group_leads", int(hosted.leads))
+            gauge("group_term", hosted.engine.term)
+            gauge("group_committed_index", hosted.engine.committed)
+            gauge("group_applied_index", hosted.applied)
+
     def _names_missing(self) -> list[str]:
         return [
             name
--- a/laburnumsill/consensus/host_members.py
+++ b/laburnumsill/consensus/host_members.py
@@ -60,6 +60,7 @@
         self._clock = clock
         self._options = options
         self._make_up = {name: tuple(vms) for name, vms in first.items()}
+        self._told = False
         self._candidates: dict[str, dict[str, group_make_up.Candidate]] = {}
         self._led_at: dict[str, float] = {}
 
@@ -70,6 +71,7 @@
 
     def set_make_up(self, make_up: abc.Mapping[str, abc.Sequence[str]]) -> None:
         """Replaces the desired voters; leaders bring them about."""
+        self._told = True
         self._make_up = {name: tuple(vms) for name, vms in make_up.items()}
 
     def answer(
@@ -166,6 +168,20 @@
         )
         group.recover(term, membership)
 
+    def _desired(self, group: groups.HostedGroup) -> tuple[str, ...]:
+        """Returns the VMs that are to vote, as far as this VM can know.
+
+        A VM that has just started knows only the first make-up. Where the
+        group has moved on from that, it is left as it is until this VM is
+        told, instead of being taken back.
+        """
+        membership = group.engine.membership
+        members = [m.vm for m in membership.voters + membership.learners]
+        first = self._first.get(group.name, ())
+        if self._told or set(members) <= set(first):
+            return self._make_up.get(group.name, ())
+        return tuple(dict.fromkeys(members))
+
     def _founds(self, name: str) -> bool:
         first = self._first.get(name, ())
         if self._me not in first:
@@ -188,7 +204,7 @@
         }
         return group_make_up.View(
             engine.membership,
-            self._make_up.get(group.name, ()),
+            self._desired(group),
             self._candidates.get(group.name, {}),
             frozenset(caught_up),
             frozenset(alive | {group.me}),
--- a/laburnumsill/consensus/tests/host_cluster.py
+++ b/laburnumsill/consensus/tests/host_cluster.py
@@ -87,6 +87,16 @@
     return CLOCK.monotonic() + 5
 
 
+def _leaves(group: BaseExceptionGroup) -> list[Exception]:
+    found = []
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            found += _leaves(error)
+        else:
+            found.append(error)
+    return found
+
+
 class Node:
     """One VM: its network and its host, started and stopped together."""
 
@@ -97,6 +107,7 @@
         self.scope = trio.CancelScope()
         self.stopped = trio.Event()
         self.host: host.GroupHost
+        self.failures: list[Exception] = []
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         addresses = {vm.vm_id: vm.peer_address for vm in self.cluster.vms}
@@ -121,6 +132,8 @@
                     await nursery.start(peers.run)
                     await nursery.start(self.host.run)
                     task_status.started()
+        except* errors.StorageError as group:
+            self.failures += _leaves(group)
         finally:
             self.stopped.set()
 
--- a/laburnumsill/consensus/tests/test_host_repair.py
+++ b/laburnumsill/consensus/tests/test_host_repair.py
@@ -1,11 +1,14 @@
 """Hosts whose stores are lost or damaged, and groups that change."""
 
 import shutil
+import time
 
 import pytest
+import trio
 
 from laburnumsill.consensus import host
 from laburnumsill.consensus import segments
+from laburnumsill.consensus import store
 from laburnumsill.consensus import types
 from laburnumsill.consensus.tests import host_cluster
 
@@ -146,3 +149,73 @@
     assert await cluster.seen(cluster.nodes.index(gone)) == KEYS
     assert set(cluster.leader().status().voters) == {*kept, spare.vm.vm_id}
     assert list(gone.folder.glob("groups/root.set-aside*"))
+
+
+async def test_a_restarted_leader_does_not_take_a_repair_back(make_cluster):
+    cluster = make_cluster("DMDM")
+    await running(cluster, *KEYS)
+    voters = cluster.leader().status().voters
+    spare = next(n for n in cluster.nodes if n.vm.vm_id not in voters)
+    wanted = {*voters[:2], spare.vm.vm_id}
+    for node in cluster.nodes:
+        node.host.set_make_up({host_cluster.ROOT: sorted(wanted)})
+
+    def repaired():
+        leader = cluster.leader()
+        return leader is not None and set(leader.status().voters) == wanted
+
+    await cluster.until(repaired)
+    for node in cluster.nodes:
+        if node.vm.vm_id in voters[:2]:
+            await node.stop()
+            await cluster.start(cluster.nodes.index(node))
+            await cluster.until(repaired)
+    for _ in range(20):
+        await trio.sleep(0.1)
+        assert cluster.leader() is None or repaired()
+
+
+def slow_down(monkeypatch, node, seconds):
+    """Makes each sync of one VM's stores take longer."""
+    real = segments.sync
+
+    def sync(descriptor, path):
+        if node.folder in path.parents:
+            time.sleep(seconds)
+        real(descriptor, path)
+
+    monkeypatch.setattr(segments, "sync", sync)
+
+
+async def test_a_slow_disk_costs_neither_lead_nor_commits(
+    make_cluster, monkeypatch
+):
+    cluster = make_cluster()
+    await running(cluster, "k")
+    leader = cluster.leader()
+    term = leader.status().term
+    slow_down(monkeypatch, leader, 4 * host_cluster.OPTIONS.election_timeout_s)
+    for place in range(3):
+        await cluster.add(place, f"slow-{place}", within=1.0)
+    await trio.sleep(3 * host_cluster.OPTIONS.election_timeout_s)
+    assert cluster.leader() is leader
+    assert leader.status().term == term
+
+
+async def test_a_failed_sync_ends_the_host(make_cluster, monkeypatch):
+    cluster = make_cluster()
+    await running(cluster, "k")
+    node = cluster.leader()
+    real = segments.sync
+
+    def fail(descriptor, path):
+        if node.folder in path.parents:
+            raise store.SyncFailedError(f"{path}: no")
+        real(descriptor, path)
+
+    monkeypatch.setattr(segments, "sync", fail)
+    place = next(n for n in range(3) if cluster.nodes[n] is not node)
+    await cluster.add(place, "after")
+    await cluster.until(node.stopped.is_set)
+    assert {type(one) for one in node.failures} == {store.SyncFailedError}
+    assert await cluster.seen(place) == ["k", "after"]
--- a/laburnumsill/consensus/tests/test_host_rules.py
+++ b/laburnumsill/consensus/tests/test_host_rules.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
+import hypothesis
 import pytest
-from hypothesis import given
 from hypothesis import strategies
 
 from laburnumsill.consensus import founding
@@ -113,7 +113,7 @@
             assert (voter.vm in change.with_disk) == (voter == A)
 
 
-@given(
+@hypothesis.given(
     strategies.permutations("abcde"),
     strategies.sets(strategies.sampled_from("abcde"), max_size=5),
     strategies.booleans(),
@@ -132,3 +132,9 @@
     old = {voter.vm for voter in reached.voters if voter in DISK_A.voters}
     new = {voter.vm for voter in reached.voters} - old
     assert reached.with_disk == (old & {"a"}) | (new & set("abc"))
+
+
+def test_a_group_that_the_make_up_lacks_is_left_alone():
+    here = frozenset(DISK_A.voters)
+    view = group_make_up.View(DISK_A, (), {}, here, here, frozenset())
+    assert group_make_up.next_change(view) is None
