Drive the consensus engine with hypothesis under random faults

Change: two state machines (3 replicas with 2 disks, 5 with 3) draw loss, duplication, reorder, cuts, crashes in the middle of a write, lost disks under a new incarnation, pauses, transfers and membership changes under a steady load of writes and reads.

--- /dev/null
+++ b/laburnumsill/consensus/tests/test_engine_machine.py
@@ -0,0 +1,227 @@
+"""The consensus engine under random faults.
+
+Each example ends with all faults healed, after which the group must commit
+again and all its members must hold the same state. The environment variable
+LABURNUMSILL_ENGINE_EXAMPLES asks for more examples of 50 steps, from a new
+seed each time.
+"""
+
+import contextlib
+import os
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from laburnumsill.consensus import engine
+from laburnumsill.consensus import log
+from laburnumsill.consensus import types
+from laburnumsill.consensus.tests import simulated_group
+
+MORE = os.environ.get("LABURNUMSILL_ENGINE_EXAMPLES")
+STEPS = 50
+SETTINGS = hypothesis.settings(
+    max_examples=int(MORE or 30),
+    stateful_step_count=STEPS,
+    derandomize=MORE is None,
+    database=None,
+    deadline=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+NUMBERS = strategies.integers(0, 99)
+REFUSALS = (engine.NoSuchVoterError, engine.NotLeaderError)
+TURNS = strategies.integers(0, 60)
+RATES = strategies.sampled_from((0.0, 0.0, 0.1, 0.4))
+
+
+class Faults(stateful.RuleBasedStateMachine):
+    """Clients, faults and operators acting on one group."""
+
+    vms = ""
+    disks = ""
+    spare = ""
+    steps = 0
+
+    @stateful.initialize(seed=strategies.integers(0, 2**16))
+    def found(self, seed):
+        self.group = simulated_group.Group(self.vms, self.disks, seed)
+        self.group.add(self.spare)
+        self.group.load = 0.3
+        self.group.run(2.0)
+
+    def host(self, number):
+        hosts = self.group.hosts
+        return hosts[sorted(hosts)[number % len(hosts)]]
+
+    @stateful.rule(turns=TURNS, load=strategies.sampled_from((0.1, 0.5)))
+    def run(self, turns, load):
+        self.group.load = load
+        self.go_on(turns)
+
+    @stateful.rule(number=NUMBERS, count=strategies.integers(1, 20))
+    def write(self, number, count):
+        host = self.host(number)
+        for _ in range(count):
+            if host.engine:
+                self.group.write(host, b"burst")
+        self.go_on(2)
+
+    @stateful.rule(
+        number=NUMBERS, kept=strategies.integers(0, 4), down=TURNS, turns=TURNS
+    )
+    def crash(self, number, kept, down, turns):
+        host = self.host(number)
+        if host.me.vm in self.disks:
+            host.crash(kept, down * 0.05)
+        else:
+            self.lose(host)
+        self.go_on(turns)
+
+    @stateful.rule(number=NUMBERS, turns=TURNS)
+    def lose_disk(self, number, turns):
+        self.lose(self.host(number))
+        self.go_on(turns)
+
+    @stateful.rule(number=NUMBERS, paused=TURNS, turns=TURNS)
+    def pause(self, number, paused, turns):
+        self.host(number).paused_until = self.group.now + paused * 0.05
+        self.go_on(turns)
+
+    @stateful.rule(one=NUMBERS, other=NUMBERS, cut=TURNS, turns=TURNS)
+    def cut(self, one, other, cut, turns):
+        pair = frozenset((self.host(one).me.vm, self.host(other).me.vm))
+        self.group.cut[pair] = self.group.now + cut * 0.05
+        self.go_on(turns)
+
+    @stateful.rule(number=NUMBERS, cut=TURNS, turns=TURNS)
+    def isolate(self, number, cut, turns):
+        leader = self.group.leader()
+        host = leader if leader and number % 2 else self.host(number)
+        self.group.isolate(host.me.vm, cut * 0.05)
+        self.go_on(turns)
+
+    @stateful.rule(loss=RATES, duplicates=RATES, delay=RATES)
+    def degrade(self, loss, duplicates, delay):
+        self.group.loss = loss
+        self.group.duplicates = duplicates
+        self.group.delay = delay
+        self.go_on(5)
+
+    @stateful.rule(number=NUMBERS)
+    def transfer(self, number):
+        leader = self.group.leader()
+        if leader:
+            vm = self.host(number).me.vm
+            with contextlib.suppress(*REFUSALS):
+                leader.engine.transfer(vm, self.group.now)
+        self.go_on(5)
+
+    @stateful.rule(number=NUMBERS, turns=TURNS)
+    def change_membership(self, number, turns):
+        leader = self.group.leader()
+        if leader:
+            choices = list(self.changes(leader.engine.membership))
+            if choices:
+                self.group.change(leader, choices[number % len(choices)])
+        self.go_on(turns)
+
+    def go_on(self, turns):
+        type(self).steps += 1
+        self.group.run(turns * 0.05)
+
+    def changes(self, old):
+        """Yields the memberships an operator could ask for now."""
+        members = (*old.voters, *old.learners)
+        live = {host.me for host in self.group.hosts.values()}
+        for me in sorted(live - set(members)):
+            yield self.with_disks(old.voters, (*old.learners, me))
+        for me in old.learners:
+            rest = tuple(one for one in old.learners if one != me)
+            yield self.with_disks(old.voters, rest)
+            if me in live:
+                yield self.with_disks((*old.voters, me), rest)
+        for me in old.voters:
+            rest = tuple(one for one in old.voters if one != me)
+            lost = sum(one not in live for one in rest)
+            lasting = len(rest) >= 3 and lost <= (len(rest) - 1) // 2
+            if lasting and any(x.vm in self.disks for x in rest if x in live):
+                yield self.with_disks(rest, old.learners)
+
+    def with_disks(self, voters, learners):
+        vms = {one.vm for one in (*voters, *learners)}
+        disks = frozenset(vms & set(self.disks))
+        return types.Membership(voters, learners, disks)
+
+    def lose(self, host):
+        """Loses a replica's state if every majority survives that."""
+        live = {one.me for one in self.group.hosts.values()} - {host.me}
+        for known in self.memberships():
+            lost = sum(one not in live for one in known.voters)
+            disks = [x for x in known.voters if x.vm in known.with_disk]
+            if lost > (len(known.voters) - 1) // 2:
+                return
+            if disks and not any(one in live for one in disks):
+                return
+        if self.group.completed:
+            self.group.add(host.me.vm)
+
+    def memberships(self):
+        """Yields each membership that some replica goes by."""
+        for host in self.group.hosts.values():
+            stored = host.disk.stored
+            yield log.Log(stored.snapshot, stored.entries).membership
+            if host.engine:
+                yield host.engine.membership
+
+    def teardown(self):
+        group = self.group
+        group.cut.clear()
+        group.loss = group.duplicates = group.delay = group.load = 0.0
+        for host in group.hosts.values():
+            host.paused_until = host.boot_at = 0.0
+        group.run(4.0)
+        group.run_until(lambda: self.last_write(), 60.0)
+        group.run_until(self.converged, 30.0)
+
+    def converged(self):
+        leader = self.group.leader()
+        if leader is None:
+            return False
+        members = leader.engine.membership
+        return all(
+            host.values == leader.values
+            for host in self.group.hosts.values()
+            if host.me in (*members.voters, *members.learners)
+        )
+
+    def last_write(self):
+        leader = self.group.leader()
+        write = leader and self.group.write(leader, b"last")
+        self.group.run(1.0)
+        return write and write.done
+
+
+class ThreeReplicas(Faults):
+    """Two of the three have a disk."""
+
+    vms = "abc"
+    disks = "ab"
+    spare = "d"
+
+
+class FiveReplicas(Faults):
+    """Three of the five, and the spare, have a disk."""
+
+    vms = "abcde"
+    disks = "abcf"
+    spare = "f"
+
+
+def test_three_replicas():
+    stateful.run_state_machine_as_test(ThreeReplicas, settings=SETTINGS)
+    assert ThreeReplicas.steps >= 1000
+
+
+def test_five_replicas():
+    stateful.run_state_machine_as_test(FiveReplicas, settings=SETTINGS)
+    assert FiveReplicas.steps >= 1000
