--- a/laburnumsill/members/tests/cluster.py
+++ b/laburnumsill/members/tests/cluster.py
@@ -228,7 +228,7 @@
         self.busy = 0
         self.wait_s = 0.4
         self.silent_since = 0.0
-        self.incarnation = "1"
+        self.incarnation = "00000001"
         self.sequence = 0
         self._sticky = sticky
         self._turn = cluster.random.randrange(len(self.vms))
--- a/laburnumsill/members/tests/test_table.py
+++ b/laburnumsill/members/tests/test_table.py
@@ -112,12 +112,12 @@
     server = with_servers(cluster)[0]
     server.stop()
     leave = cluster.tables["vm21"].leave
-    clusters.run_sync(leave(entries.SERVER, "tee/s0", "1"))
+    clusters.run_sync(leave(entries.SERVER, "tee/s0", server.incarnation))
     assert seconds_until_unused(cluster) <= 0.2
     server.announce("vm11")  # a late announcement of the same incarnation
     cluster.run(0.5)
     assert all(not cluster.servers(vm) for vm in cluster.alive())
-    server.incarnation = "2"
+    server.incarnation = "00000002"
     server.announce("vm11")
     cluster.run(0.5)
     assert all(cluster.servers(vm) for vm in cluster.alive())
@@ -273,7 +273,7 @@
 def test_observers_hear_of_each_change_once() -> None:
     cluster = Cluster()
     server = with_servers(cluster)[0]
-    server.incarnation = "2"
+    server.incarnation = "00000002"
     server.sequence = 0
     cluster.run(1.0)
     server.leaving = True
@@ -299,3 +299,35 @@
     assert lost <= timing.WORK_LIMIT_S
     interval = timing.server_interval_s(models.MemberPolicy())
     assert interval + 0.4 + timing.FORWARD_S < timing.INHERITED_SERVER_TTL_S
+
+
+def test_what_its_domain_has_forgotten_is_unused_in_time() -> None:
+    cluster = Cluster()
+    server = with_servers(cluster)[0]
+    server.stop()
+    for vm in cluster.vms:
+        if vm.domain == server.domain:
+            cluster.start(vm.vm_id)  # all at once, nobody notices them away
+    assert seconds_until_unused(cluster) <= timing.WORK_LIMIT_S
+
+
+def test_a_vm_that_both_watchers_cannot_reach_finds_out_in_time() -> None:
+    cluster = Cluster()
+    server = with_servers(cluster)[0]
+    for watcher in watchers(cluster, server):
+        cluster.cut("vm20", watcher)
+    cluster.run(2.0)
+    assert cluster.servers("vm20") == {"s0"}
+    server.stop()
+    assert seconds_until_unused(cluster) <= timing.WORK_LIMIT_S
+
+
+def test_a_member_that_changed_its_domain_is_known_once() -> None:
+    cluster = Cluster()
+    server = with_servers(cluster)[0]
+    server.domain = "d1"
+    server.incarnation = "00000002"
+    cluster.run(1.0)
+    for vm in cluster.alive():
+        known = cluster.tables[vm].known(entries.SERVER)
+        assert [k.member.domain for k in known] == ["d1"]
--- a/laburnumsill/testing/tests/test_fakes.py
+++ b/laburnumsill/testing/tests/test_fakes.py
@@ -26,12 +26,18 @@
 
 
 class Fake:
-    def __init__(self, kind: str, folder: pathlib.Path, extra: str) -> None:
+    def __init__(
+        self,
+        kind: str,
+        folder: pathlib.Path,
+        extra: str,
+        vms: str = NOBODY,
+    ) -> None:
         self.address = free_address()
         self.record = folder / "record.jsonl"
         settings = folder / "fake.toml"
         settings.write_text(
-            f'id = "f1"\naddress = "{self.address}"\nvms = {NOBODY}\n'
+            f'id = "f1"\naddress = "{self.address}"\nvms = {vms}\n'
             f'domain = "north"\nrecord = "{self.record}"\n{extra}\n'
         )
         module = f"laburnumsill.testing.fake_{kind}"
