Let seldom announced workers outlive their watchers; index the table

Cause: a VM that took over a worker knew neither how often it announces itself nor how many members it watches, and gave it the shortest TTL: with 400 workers, told to announce every 31 s, live ones were declared gone after a VM restarted and the other watcher then died. At two-year size `servers` went through all 21,000 entries, and probes alone took about 2 KB/s.

Ruled out: a fixed long TTL for workers (slow at today's size).

Change: rows and answers to suspicions carry the interval; a deadline is counted again when it comes. Entries are indexed by service. Unanswered probes go to another VM after 0.3 s, and the interval grows with the number of domains. The longest interval of a worker is 300 s, as 60 s is beyond the budget at 808 members a VM.

--- a/laburnumsill/members/entries.py
+++ b/laburnumsill/members/entries.py
@@ -19,6 +19,9 @@
 """Sequence of the report that a member has left for good."""
 
 Member = members.BackendServer | members.Worker
+Group = tuple[str, str]
+"""Kind and service, or kind and domain: members that are asked for together."""
+
 Version = tuple[str, int, bool]
 
 SERVER = "server"
@@ -37,6 +40,7 @@
         rank: 0 for the first watcher, 1 for the second, None for others.
         due: When it is gone unless heard again; infinite for others than
             watchers.
+        adopted_at: When this VM became its watcher or stood still.
         suspected_until: When an suspicion has waited long enough, or None.
         heard_at: When an announcement last reached this VM.
         learnt_at: When a newer report last reached this VM.
@@ -53,6 +57,7 @@
     gone: bool
     rank: int | None = None
     due: float = math.inf
+    adopted_at: float = -math.inf
     suspected_until: float | None = None
     heard_at: float = -math.inf
     learnt_at: float = -math.inf
@@ -115,6 +120,13 @@
     return WORKER
 
 
+def group_of(member: Member) -> Group:
+    """Returns the group of a member, which never changes in its domain."""
+    if isinstance(member, members.BackendServer):
+        return SERVER, member.service
+    return WORKER, member.domain
+
+
 def key_of(kind: str, identifier: str) -> int:
     """Returns the 64-bit key of a member."""
     return xxhash.xxh64_intdigest(f"{kind}\0{identifier}".encode())
--- a/laburnumsill/members/intake.py
+++ b/laburnumsill/members/intake.py
@@ -119,6 +119,8 @@
         entry = self._store.get(entries.member_key(member))
         if entry is None:
             return
+        if merged is not stores.Merge.OLDER:
+            entry.next_ms = row.next_ms
         if merged is stores.Merge.CHANGED:
             self._take_change(entry)
         elif row.gone and not entry.gone:
--- a/laburnumsill/members/messages.py
+++ b/laburnumsill/members/messages.py
@@ -13,8 +13,8 @@
 Heartbeat = tuple[int, int, int, int, int]
 """One heartbeat: key, digest, sequence, busy slots, next in milliseconds."""
 
-HeardElsewhere = tuple[int, int, int, int]
-"""A member that was heard of: key, digest, sequence, milliseconds ago."""
+HeardElsewhere = tuple[int, int, int, int, int]
+"""Who was heard: key, digest, sequence, milliseconds ago, next in ms."""
 
 
 @codec.register("members.row")
--- a/laburnumsill/members/rows.py
+++ b/laburnumsill/members/rows.py
@@ -30,6 +30,7 @@
         self._digests = [0] * BUCKETS
         self._agreed_at = [-math.inf] * BUCKETS
         self._keys: list[set[int]] = [set() for _ in range(BUCKETS)]
+        self._groups: dict[entries.Group, dict[int, entries.Entry]] = {}
         self._gone: collections.OrderedDict[int, float] = (
             collections.OrderedDict()
         )
@@ -60,6 +61,10 @@
         """Returns the entry of a key, gone or not."""
         return self._entries.get(key)
 
+    def group(self, group: entries.Group) -> abc.Collection[entries.Entry]:
+        """Returns the entries of one service, or all workers."""
+        return self._groups.get(group, {}).values()
+
     def bucket(self, number: int) -> list[entries.Entry]:
         """Returns the entries of one bucket."""
         return [self._entries[key] for key in self._keys[number % BUCKETS]]
@@ -70,6 +75,8 @@
             self._remove(next(iter(self._gone)))
         self._entries[entry.key] = entry
         self._keys[entry.key % BUCKETS].add(entry.key)
+        group = entries.group_of(entry.member)
+        self._groups.setdefault(group, {})[entry.key] = entry
         if entry.gone:
             self._gone[entry.key] = now
         else:
@@ -123,7 +130,11 @@
         return max(entry.evidence_at, self._agreed_at[entry.key % BUCKETS])
 
     def _remove(self, key: int) -> None:
-        del self._entries[key]
+        entry = self._entries.pop(key)
+        group = entries.group_of(entry.member)
+        del self._groups[group][key]
+        if not self._groups[group]:
+            del self._groups[group]
         self._keys[key % BUCKETS].discard(key)
         self._gone.pop(key, None)
 
--- a/laburnumsill/members/syncing.py
+++ b/laburnumsill/members/syncing.py
@@ -1,12 +1,12 @@
 """Anti-entropy: each VM compares what it knows with a VM of each domain.
 
-Every `timing.PROBE_S` a VM sends the digest of what it knows of a domain to
-one of that domain's VMs, each in turn. If they agree, that VM has confirmed
-all of it; if not, the VM pulls what it lacks from the buckets that differ and
-learns which of its entries are not known there. So a VM that restarted, or
-that changes have passed by, catches up, and an entry that no VM of its
-domain confirms is used no more. Nothing is ever pushed: what a VM believes
-wrongly stays with it.
+At the interval `timing.probe_interval_s` a VM sends the digest of what it
+knows of a domain to one of that domain's VMs, each in turn. If they agree,
+that VM has confirmed all of it; if not, the VM pulls what it lacks from the
+buckets that differ and learns which of its entries are not known there. So a
+VM that restarted, or that changes have passed by, catches up, and an entry
+that no VM of its domain confirms is used no more. Nothing is ever pushed:
+what a VM believes wrongly stays with it.
 """
 
 import dataclasses
@@ -21,20 +21,23 @@
 from laburnumsill.members import store as stores
 from laburnumsill.members import timing
 
+REMEMBERED_PROBES = 8
+"""Probes of a domain whose answers still count."""
+
 
 @dataclasses.dataclass(slots=True)
 class _Round:
-    """The last probe of a domain.
+    """The probes of one domain.
 
     Attributes:
-        number: Its number.
-        sent_at: When it was sent.
+        number: Number of the last one.
         next_at: When the next one is due.
+        sent_at: When the last ones were sent, by number.
     """
 
     number: int = 0
-    sent_at: float = -math.inf
     next_at: float = -math.inf
+    sent_at: dict[int, float] = dataclasses.field(default_factory=dict)
 
 
 class Syncer:
@@ -62,6 +65,7 @@
         self._outbox = outbox
         self._clock = clock
         self._merged = merged
+        self._interval_s = timing.probe_interval_s(len(store.domains))
         self._rounds = {name: _Round() for name in store.domains}
 
     def probe(self, reachable: abc.Mapping[str, abc.Sequence[str]]) -> None:
@@ -76,8 +80,10 @@
             if not others or now < turn.next_at:
                 continue
             turn.number += 1
-            turn.sent_at = now
-            turn.next_at = now + timing.PROBE_S
+            turn.sent_at[turn.number] = now
+            turn.sent_at.pop(turn.number - REMEMBERED_PROBES, None)
+            # An answer puts the next one off.
+            turn.next_at = now + timing.PROBE_RETRY_S
             target = others[turn.number % len(others)]
             root = self._store.domains[name].root
             notice = messages.Probe(self._me, name, turn.number, root)
@@ -104,23 +110,23 @@
 
     def on_agreed(self, notice: messages.Agreed) -> None:
         """Takes the answer that both know the same."""
-        turn = self._current(notice.domain, notice.number)
-        if turn is None:
+        sent_at = self._answered(notice.domain, notice.number)
+        if sent_at is None:
             return
         domain = self._store.domains[notice.domain]
         for number in range(rows.BUCKETS):
-            domain.agree(number, turn.sent_at)
+            domain.agree(number, sent_at)
 
     def on_differs(self, notice: messages.Differs) -> None:
         """Pulls the buckets that differ."""
-        turn = self._current(notice.domain, notice.number)
-        if turn is None or len(notice.buckets) != rows.BUCKETS:
+        sent_at = self._answered(notice.domain, notice.number)
+        if sent_at is None or len(notice.buckets) != rows.BUCKETS:
             return
         domain = self._store.domains[notice.domain]
         differing = []
         for number, digest in enumerate(notice.buckets):
             if digest == domain.digests[number]:
-                domain.agree(number, turn.sent_at)
+                domain.agree(number, sent_at)
             else:
                 differing.append(number)
         if differing:
@@ -153,15 +159,15 @@
 
     def on_pulled(self, notice: messages.Pulled) -> None:
         """Joins what was pulled; what is known there too is confirmed."""
-        turn = self._current(notice.domain, notice.number)
-        if turn is None:
+        sent_at = self._answered(notice.domain, notice.number)
+        if sent_at is None:
             return
         domain = self._store.domains[notice.domain]
         unknown = set(notice.unknown)
         for number in notice.buckets:
             for entry in domain.bucket(number):
                 if not entry.gone and entry.digest not in unknown:
-                    entry.confirmed_at = max(entry.confirmed_at, turn.sent_at)
+                    entry.confirmed_at = max(entry.confirmed_at, sent_at)
         for row in notice.rows:
             self._merged(row)
         if notice.more:
@@ -187,40 +193,54 @@
         )
         self._outbox.send(vm, notice)
 
-    def _current(self, domain: str, number: int) -> _Round | None:
-        """Returns the round that an answer belongs to, None if it is late."""
+    def _answered(self, domain: str, number: int) -> float | None:
+        """Returns when a probe was sent, None if that is long ago.
+
+        The answer to the last probe puts the next one off.
+        """
         turn = self._rounds.get(domain)
-        return turn if turn is not None and turn.number == number else None
+        if turn is None or number not in turn.sent_at:
+            return None
+        sent_at = turn.sent_at[number]
+        if number == turn.number:
+            turn.next_at = sent_at + self._interval_s
+        return sent_at
 
 
 def usable(
     domain: rows.DomainRows,
-    entry: entries.Entry,
+    group: entries.Group,
     now: float,
     stalled_at: float,
-) -> bool:
-    """Returns whether a member may get work from this VM.
+) -> list[entries.Entry]:
+    """Returns the members of a group that may get work from this VM.
 
     Args:
-        domain: All that is known of its domain, which can be reached.
-        entry: The member.
+        domain: All that is known of a domain that can be reached.
+        group: The members asked for.
         now: The present point.
         stalled_at: When this VM last went on after it had stood still.
     """
-    if entry.gone or entry.member.leaving:
-        return False
-    evidence_at = domain.evidence_at(entry)
-    if evidence_at <= stalled_at:
-        return False
-    # A watcher goes by its deadline, others by what they were told.
-    return entry.rank is not None or evidence_at >= now - timing.CONFIRM_S
+    oldest = now - timing.CONFIRM_S
+    found = []
+    for entry in domain.group(group):
+        if entry.gone or entry.member.leaving:
+            continue
+        evidence_at = domain.evidence_at(entry)
+        # A watcher goes by its deadline, others by the age of the evidence.
+        recent = entry.rank is not None or evidence_at >= oldest
+        if recent and evidence_at > stalled_at:
+            found.append(entry)
+    return found
 
 
 def unconfirmed(domain: rows.DomainRows, before: float) -> list[entries.Entry]:
     """Returns present entries that nothing has spoken for since `before`."""
     return [
         entry
-        for entry in domain
+        for number in range(rows.BUCKETS)
+        if domain.agreed_at(number) < before
+        for entry in domain.bucket(number)
         if not entry.gone
         and entry.rank is None
         and domain.evidence_at(entry) < before
--- a/laburnumsill/members/table.py
+++ b/laburnumsill/members/table.py
@@ -119,12 +119,22 @@
         Args:
             kind: `entries.SERVER` or `entries.WORKER`.
         """
-        return [
-            Known(entry.member, self._usable(entry))
+        found = [
+            entry.member
             for domain in self._store.domains.values()
             for entry in domain
             if not entry.gone and entries.kind_of(entry.member) == kind
         ]
+        groups = {entries.group_of(member) for member in found}
+        usable = {
+            entries.member_key(member)
+            for group in groups
+            for member in self._view(*group)
+        }
+        return [
+            Known(member, entries.member_key(member) in usable)
+            for member in found
+        ]
 
     def observe(self, observer: changes.Observer) -> None:
         """Calls `observer` with each change that this VM learns of."""
@@ -246,34 +256,23 @@
                 for entry in syncing.unconfirmed(domain, before):
                     self._store.forget(entry)
 
-    def _usable(self, entry: entries.Entry) -> bool:
-        name = entry.member.domain
-        now = self._clock.monotonic()
-        stalled = now - self._last_tick > timing.STALL_S
-        if stalled or name not in self._reach.by_domain:
-            return False
-        domain = self._store.domains[name]
-        return syncing.usable(domain, entry, now, self._stalled_at)
-
     def _view(self, kind: str, name: str) -> tuple[typing.Any, ...]:
         """Returns the usable members; remembered until the next change."""
-        if self._clock.monotonic() - self._last_tick > timing.STALL_S:
+        now = self._clock.monotonic()
+        if now - self._last_tick > timing.STALL_S:
             return ()
         view = self._views.get((kind, name))
         if view is None:
-            view = tuple(self._select(kind, name))
+            view = tuple(
+                entry.member
+                for domain_name in self._reach.by_domain
+                for entry in self._usable(domain_name, (kind, name), now)
+            )
             self._views[(kind, name)] = view
         return view
 
-    def _select(self, kind: str, name: str) -> abc.Iterator[entries.Member]:
-        for domain in self._store.domains.values():
-            for entry in domain:
-                if _is_in(entry.member, kind, name) and self._usable(entry):
-                    yield entry.member
-
-
-def _is_in(member: entries.Member, kind: str, name: str) -> bool:
-    """Returns whether a member is of a service, or a worker of a domain."""
-    if isinstance(member, members.BackendServer):
-        return kind == entries.SERVER and member.service == name
-    return kind == entries.WORKER and member.domain == name
+    def _usable(
+        self, domain_name: str, group: entries.Group, now: float
+    ) -> list[entries.Entry]:
+        domain = self._store.domains[domain_name]
+        return syncing.usable(domain, group, now, self._stalled_at)
--- a/laburnumsill/members/tests/cluster.py
+++ b/laburnumsill/members/tests/cluster.py
@@ -21,6 +21,7 @@
 STEP_S = 0.05
 LATENCY_S = 0.002
 SERVICE = "tee"
+AVOID_S = 30.0
 
 
 def run_sync(coroutine: abc.Coroutine[typing.Any, typing.Any, typing.Any]):
@@ -233,6 +234,7 @@
         self._sticky = sticky
         self._turn = cluster.random.randrange(len(self.vms))
         self._next_at = 0.0
+        self._avoided: dict[str, float] = {}
         cluster.members.append(self)
 
     def stop(self) -> None:
@@ -272,16 +274,26 @@
         now = self.cluster.clock.wall()
         if not self.alive or now < self._next_at:
             return
-        vm = self.vms[self._turn % len(self.vms)]
+        while self._avoided.get(vm := self._vm(), 0.0) > now:
+            self._turn += 1
         answer = self.announce(vm)
         if answer is None:
             self._turn += 1
-            down = vm not in self.cluster.alive()
-            self._next_at = now + (self.wait_s if down else STEP_S)
+            if vm in self.cluster.alive():
+                self._next_at = now + STEP_S
+            else:
+                # The balancer takes it out, at least for a while.
+                self._avoided[vm] = now + AVOID_S
+                self._next_at = now + self.wait_s
+            if all(self._avoided.get(each, 0.0) > now for each in self.vms):
+                self._avoided.clear()
         else:
             self._turn += 0 if self._sticky else 1
             self._next_at = answer.next_announce_at
 
+    def _vm(self) -> str:
+        return self.vms[self._turn % len(self.vms)]
+
     def announce(self, vm: str) -> intake.Announced | None:
         if vm not in self.cluster.alive():
             return None
--- a/laburnumsill/members/tests/test_table.py
+++ b/laburnumsill/members/tests/test_table.py
@@ -331,3 +331,42 @@
     for vm in cluster.alive():
         known = cluster.tables[vm].known(entries.SERVER)
         assert [k.member.domain for k in known] == ["d1"]
+
+
+def test_workers_that_announce_seldom_outlive_their_watchers() -> None:
+    cluster = Cluster()
+    for n in range(400):
+        Announcing(cluster, "worker", f"w{n}", "d0", sticky=False)
+    cluster.run(60.0)
+    interval_s = timing.worker_interval_s(models.MemberPolicy(), 133)
+    assert interval_s > 2 * models.MemberPolicy().worker_ttl_ms / 1000
+    cluster.kill("vm00")
+    cluster.run(1.5)
+    cluster.start("vm00")
+    cluster.run(1.5)
+    cluster.kill("vm01")
+    cluster.run(3 * interval_s)
+    for vm in cluster.alive():
+        assert len(cluster.workers(vm, "d0")) == 400
+        assert "gone" not in [what for what, _ in cluster.changes[vm]]
+
+
+def test_a_vm_of_a_domain_that_does_not_answer_is_passed_over() -> None:
+    cluster = Cluster()
+    with_servers(cluster, 3)
+    cluster.kill("vm00")
+    for _ in range(40):
+        cluster.step()
+        for vm in cluster.alive():
+            oldest = (
+                min(
+                    domain.evidence_at(entry)
+                    for domain in cluster.tables[vm]._store.domains.values()
+                    for entry in domain
+                    if entry.rank is None
+                )
+                if not vm.startswith("vm0")
+                else cluster.clock.monotonic()
+            )
+            age = cluster.clock.monotonic() - oldest
+            assert age < timing.PROBE_S + 2 * timing.PROBE_RETRY_S
--- a/laburnumsill/members/timing.py
+++ b/laburnumsill/members/timing.py
@@ -25,9 +25,10 @@
 * If no VM of the domain is left, its members are not usable after
   ``D + TICK_S``.
 * A VM that a notice did not reach finds out by its next probe, `PROBE_S`
-  later, as both watchers tell every VM and probes go to a VM that it can
-  reach. What no VM of the domain has confirmed is not usable after
-  `CONFIRM_S`.
+  later (with more than four domains the interval grows, so that probes stay
+  within `PROBE_BUDGET_BYTES_PER_S`), as both watchers tell every VM and
+  probes go to a VM that it can reach. What no VM of the domain has confirmed
+  is not usable after `CONFIRM_S`.
 * A server that says that it is leaving is out of use everywhere after
   ``FORWARD_S + TICK_S + MARGIN_S``, or one announcement interval later if
   both watchers died at that moment.
@@ -69,7 +70,16 @@
 """TTL of a server whose watcher has changed and that was not heard yet."""
 
 PROBE_S = 0.5
-"""Time between two comparisons with a VM of each domain."""
+"""Time between two comparisons with a VM of each domain, if they are few."""
+
+PROBE_RETRY_S = 0.3
+"""Time without an answer after which another VM is probed."""
+
+PROBE_BYTES = 125
+"""One probe and its answer, both ways."""
+
+PROBE_BUDGET_BYTES_PER_S = 1_000
+"""The part of the control budget that probes may take."""
 
 CONFIRM_S = 2.0
 """Age of the evidence for a member beyond which it is not used."""
@@ -86,7 +96,7 @@
 ANNOUNCEMENTS_PER_TTL = 3
 """Announcements in one TTL."""
 
-MAX_WORKER_INTERVAL_S = 60.0
+MAX_WORKER_INTERVAL_S = 300.0
 """Longest time between two announcements of a worker."""
 
 CONTROL_BUDGET_BYTES_PER_S = 6_000
@@ -96,7 +106,8 @@
 """The part of it that announcements may take."""
 
 ANNOUNCEMENT_BYTES = 700
-"""One announcement: HTTP both ways and the notices to two watchers."""
+"""One announcement: HTTP both ways (473 measured), its part of the notices to
+and from two watchers (27 each) and the headers of TCP and IP."""
 
 BUSY_INTERVAL_S = 2.0
 """Least time between two notices about a server's busy slots alone."""
@@ -107,6 +118,18 @@
 Member = members.BackendServer | members.Worker
 
 
+def probe_interval_s(domains: int) -> float:
+    """Returns the time between two probes of one domain.
+
+    Examples:
+        >>> probe_interval_s(4)
+        0.5
+        >>> probe_interval_s(9)
+        1.125
+    """
+    return max(PROBE_S, domains * PROBE_BYTES / PROBE_BUDGET_BYTES_PER_S)
+
+
 def server_ttl_s(policy: models.MemberPolicy) -> float:
     """Returns the TTL of backend servers in seconds.
 
@@ -152,9 +175,20 @@
 
 
 def inherited_ttl_s(
-    policy: models.MemberPolicy, member: Member, watched: int
+    policy: models.MemberPolicy,
+    member: Member,
+    interval_s: float,
+    watched: int,
 ) -> float:
-    """Returns the TTL of a member that this VM has not heard of itself."""
+    """Returns the TTL of a member that this VM has not heard of itself.
+
+    Args:
+        policy: The policy in force.
+        member: The member.
+        interval_s: How often it announces itself, as far as is known here.
+        watched: Members that this VM watches.
+    """
     if isinstance(member, members.BackendServer):
         return min(server_ttl_s(policy), INHERITED_SERVER_TTL_S)
-    return ttl_s(policy, member, worker_interval_s(policy, watched))
+    usual_s = worker_interval_s(policy, watched)
+    return ttl_s(policy, member, max(interval_s, usual_s))
--- a/laburnumsill/members/watching.py
+++ b/laburnumsill/members/watching.py
@@ -55,8 +55,10 @@
         """Takes up or drops members as VMs of the domain come and go."""
         self._vms = tuple(sorted(vms))
         for entry in self._own:
-            self.adopt(entry)
-        self.count_watched()
+            self._rank(entry)
+        self.count_watched()  # new TTLs depend on it
+        for entry in self._own:
+            self._adjust_due(entry)
 
     def count_watched(self) -> None:
         """Counts the members whose first watcher this VM is."""
@@ -66,18 +68,8 @@
         """Decides whether this VM watches an entry."""
         if entry.member.domain != self._own.domain:
             return
-        watchers = watchers_of(entry.key, self._vms)
-        mine = self._me in watchers
-        entry.rank = watchers.index(self._me) if mine else None
-        if entry.gone or not mine:
-            entry.due = math.inf
-            entry.suspected_until = None
-        elif entry.due == math.inf:
-            now = self._clock.monotonic()
-            inherited = timing.inherited_ttl_s(
-                self._policy(), entry.member, self.watched
-            )
-            self._set_due(entry, max(self._ends(entry), now + inherited))
+        self._rank(entry)
+        self._adjust_due(entry)
 
     def note_heard(self, entry: entries.Entry, next_ms: int) -> None:
         """Notes that a present member has just announced itself."""
@@ -103,7 +95,8 @@
 
     def has_heard(self, entry: entries.Entry) -> bool:
         """Returns whether this VM has heard a member within its TTL."""
-        return not entry.gone and self._ends(entry) > self._clock.monotonic()
+        heard_until = entry.heard_at + self._ttl_s(entry)
+        return not entry.gone and heard_until > self._clock.monotonic()
 
     def renew(self) -> None:
         """Gives all watched members a fresh TTL, after this VM stood still."""
@@ -111,10 +104,8 @@
         for entry in self._own:
             if entry.rank is not None and not entry.gone:
                 entry.suspected_until = None
-                inherited = timing.inherited_ttl_s(
-                    self._policy(), entry.member, self.watched
-                )
-                self._set_due(entry, now + inherited)
+                entry.adopted_at = now
+                self._set_due(entry, self._ends(entry))
 
     def expire(self) -> None:
         """Says which members are gone by now."""
@@ -127,6 +118,9 @@
             entry = self._own.get(key)
             if entry is None or entry.gone or entry.due == math.inf:
                 continue
+            if entry.suspected_until is None:
+                # More may be known now of how often it announces itself.
+                entry.due = max(entry.due, self._ends(entry))
             if entry.due > now:
                 self._set_due(entry, entry.due)
             else:
@@ -144,6 +138,20 @@
         answer = messages.SuspicionReply(self._me, tuple(heard), tuple(silent))
         self._outbox.send(notice.sender, answer)
 
+    def _rank(self, entry: entries.Entry) -> None:
+        watchers = watchers_of(entry.key, self._vms)
+        mine = self._me in watchers
+        entry.rank = watchers.index(self._me) if mine else None
+
+    def _adjust_due(self, entry: entries.Entry) -> None:
+        """Takes up a deadline, or drops it."""
+        if entry.gone or entry.rank is None:
+            entry.due = math.inf
+            entry.suspected_until = None
+        elif entry.due == math.inf:
+            entry.adopted_at = self._clock.monotonic()
+            self._set_due(entry, self._ends(entry))
+
     def contradict(
         self, entry: entries.Entry, watchers: abc.Iterable[str]
     ) -> None:
@@ -160,34 +168,38 @@
 
     def on_suspicion_reply(self, notice: messages.SuspicionReply) -> None:
         """Takes the other watcher's answer."""
-        now = self._clock.monotonic()
         for key in notice.silent:
             entry = self._own.get(key)
             if entry is None or entry.gone or entry.suspected_until is None:
                 continue
             if not self.has_heard(entry):
                 self._declare_gone(entry)
-        for key, digest, sequence, age_ms in notice.heard:
+        for heard in notice.heard:
+            key, digest, _, _, _ = heard
             entry = self._own.get(key)
             if entry is None or entry.digest != digest:
                 self._outbox.request_row(notice.sender, key)
-                continue
-            self._take_heard_elsewhere(entry, sequence, now - age_ms / 1000)
+            else:
+                self._take_heard_elsewhere(entry, heard)
 
     def _heard_elsewhere(self, entry: entries.Entry) -> messages.HeardElsewhere:
         age_s = self._clock.monotonic() - entry.heard_at
         sequence = entry.member.sequence
-        return entry.key, entry.digest, sequence, int(age_s * 1000)
+        age_ms = int(age_s * 1000)
+        return entry.key, entry.digest, sequence, age_ms, entry.next_ms
 
     def _take_heard_elsewhere(
-        self, entry: entries.Entry, sequence: int, heard_at: float
+        self, entry: entries.Entry, heard: messages.HeardElsewhere
     ) -> None:
+        _, _, sequence, age_ms, next_ms = heard
+        heard_at = self._clock.monotonic() - age_ms / 1000
         busy = entries.busy_of(entry.member)
         member = entries.with_heartbeat(entry.member, sequence, busy)
         merged = self._store.merge(member, False)
         if entry.gone:
             return
         entry.heard_at = max(entry.heard_at, heard_at)
+        entry.next_ms = max(entry.next_ms, next_ms)
         entry.suspected_until = None
         if entry.rank is not None:
             self._set_due(entry, self._ends(entry))
@@ -223,10 +235,18 @@
         if now - entry.broadcast_busy_at >= timing.BUSY_INTERVAL_S:
             self.broadcast(entry)
 
+    def _ttl_s(self, entry: entries.Entry) -> float:
+        return timing.ttl_s(self._policy(), entry.member, entry.next_ms / 1000)
+
     def _ends(self, entry: entries.Entry) -> float:
-        """Returns when the TTL from the last announcement heard ends."""
-        ttl_s = timing.ttl_s(self._policy(), entry.member, entry.next_ms / 1000)
-        return entry.heard_at + ttl_s
+        """Returns when a watched member is gone unless heard again."""
+        inherited_s = timing.inherited_ttl_s(
+            self._policy(), entry.member, entry.next_ms / 1000, self.watched
+        )
+        return max(
+            entry.heard_at + self._ttl_s(entry),
+            entry.adopted_at + inherited_s,
+        )
 
     def _set_due(self, entry: entries.Entry, due: float) -> None:
         entry.due = due
