--- a/laburnumsill/daemon/assembly.py
+++ b/laburnumsill/daemon/assembly.py
@@ -223,8 +223,8 @@
     def _not_ready_because(self) -> str | None:
         if self._stopping.is_set():
             return "shutting down"
-        if self._current.get() is None:
-            return "no configuration is in force yet"
+        if not self._sync.ready or self._current.get() is None:
+            return "the configuration in force is not known yet"
         return None
 
     def status(self) -> abc.Sequence[typing.Any]:
