--- a/laburnumsill/jobs/tests/test_planner_machine.py
+++ b/laburnumsill/jobs/tests/test_planner_machine.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from hypothesis import settings
+import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
 
@@ -270,7 +270,7 @@
 
 
 TestPlannerMachine = PlannerMachine.TestCase
-TestPlannerMachine.settings = settings(
+TestPlannerMachine.settings = hypothesis.settings(
     max_examples=80, stateful_step_count=40, deadline=None
 )
 
