--- /dev/null
+++ b/laburnumsill/core/tests/test_errors.py
@@ -0,0 +1,51 @@
+import loguru
+import pytest
+
+from laburnumsill.core import codec
+from laburnumsill.core import errors
+from laburnumsill.core import logs
+
+
+def subclasses(cls):
+    for child in cls.__subclasses__():
+        yield child
+        yield from subclasses(child)
+
+
+@pytest.mark.parametrize(
+    "cls", sorted(subclasses(errors.LaburnumsillError), key=lambda c: c.slug)
+)
+def test_each_error_travels_with_its_own_type(cls):
+    error = cls("it failed", version=3)
+    record = codec.decode(codec.encode(error.to_record()))
+    back = errors.LaburnumsillError.from_record(record)
+    assert type(back) is cls
+    assert back.detail == "it failed"
+    assert back.context == {"version": 3}
+    assert back.retry_after_s == error.retry_after_s
+
+
+def test_an_unknown_slug_becomes_the_root_type():
+    record = errors.ErrorRecord("from-a-newer-version", "it failed", None, {})
+    back = errors.LaburnumsillError.from_record(record)
+    assert type(back) is errors.LaburnumsillError
+
+
+@pytest.mark.parametrize(
+    ("value", "text"),
+    [
+        ("plain", "plain"),
+        ("two words", '"two words"'),
+        ('a "quote"', r'"a \"quote\""'),
+        ("a\nline", r'"a\nline"'),
+        ("", '""'),
+        (0.1, "0.1"),
+        (None, "None"),
+    ],
+)
+def test_an_event_is_one_line_of_pairs(value, text):
+    lines = []
+    sink = loguru.logger.add(lines.append, format="{message}")
+    logs.event("tested", value=value)
+    loguru.logger.remove(sink)
+    assert lines == [f"event=tested value={text}\n"]
