Let a leader whose removal is not committed campaign again

Cause: the state machine found a group that stayed without a leader after all faults had healed. A leader had appended its own removal, then crashed before that was committed. Its log was the longest, so it refused the others its vote; its newest membership left it out, so it did not campaign itself.

Ruled out: granting votes to shorter logs (loses committed entries); dropping the entry (it may be committed elsewhere).

Change: a replica may campaign if any membership from the committed one on has it as a voter; its own support counts only if the newest has it. An APPEND that contradicts a committed entry raises LogBrokenError instead of being cut off unseen. The roles move from engine.py to roles.py. New are a test file of single rules, and in the state machines the crash of all disks at once and a lost disk together with an isolated leader.

--- a/laburnumsill/consensus/engine.py
+++ b/laburnumsill/consensus/engine.py
@@ -9,6 +9,7 @@
 from laburnumsill.consensus import options as options_module
 from laburnumsill.consensus import progress as progress_module
 from laburnumsill.consensus import replica as replica_module
+from laburnumsill.consensus import roles
 from laburnumsill.consensus import types
 from laburnumsill.core import codec
 
@@ -88,13 +89,8 @@
             group, me, stored, options, now, random
         )
         self._follower = following.Follower(self._replica)
-        self._leadership: leading.Leadership | None = None
-        self._campaign: election.Campaign | None = None
-        self._leader: types.ReplicaId | None = None
-        self._heard_at = now
-        self._election_at = now
+        self._role = roles.Role(self._replica)
         self._read_ids = 0
-        self._wait_for_leader()
 
     @staticmethod
     def found(
@@ -118,11 +114,7 @@
     @property
     def role(self) -> str:
         """One of leader, candidate, follower and learner."""
-        if self._leadership:
-            return "leader"
-        if self._campaign:
-            return "candidate"
-        return "follower" if self._replica.votes else "learner"
+        return self._role.name
 
     @property
     def term(self) -> int:
@@ -132,7 +124,7 @@
     @property
     def leader(self) -> types.ReplicaId | None:
         """The leader of the present term, as far as is known."""
-        return self._leader
+        return self._role.leader
 
     @property
     def membership(self) -> types.Membership:
@@ -162,7 +154,11 @@
     @property
     def progress(self) -> dict[types.ReplicaId, progress_module.Progress]:
         """What the leader knows of each other member; else empty."""
-        return dict(self._leadership.progress) if self._leadership else {}
+        return (
+            dict(self._role.leadership.progress)
+            if self._role.leadership
+            else {}
+        )
 
     def term_at(self, index: int) -> int | None:
         """Returns the term of the entry at `index`, or None if unknown."""
@@ -174,30 +170,30 @@
 
     def next_tick(self) -> float:
         """Returns the monotonic point at which `tick` is needed."""
-        if self._leadership:
-            return self._leadership.next_tick
-        return self._election_at
+        if self._role.leadership:
+            return self._role.leadership.next_tick
+        return self._role.election_at
 
     def tick(self, now: float) -> None:
         """Does what has become due."""
         self._replica.now = now
-        leadership = self._supported_leadership(now)
+        leadership = self._confirm_support(now)
         if leadership:
             leadership.tick()
-        elif now >= self._election_at:
-            self._miss_leader()
+        elif now >= self._role.election_at:
+            self._role.miss_leader()
 
     def step(self, message: types.Message, now: float) -> None:
         """Takes a message from another replica."""
         self._replica.now = now
         if message.target != self._replica.me:
             return
-        if message.term > self.term and not self._meet_newer_term(message):
+        if message.term > self.term and not self._role.meet_newer_term(message):
             return
         if message.kind in _FROM_CANDIDATE:
-            self._answer_candidate(message)
+            self._role.answer_candidate(message)
         elif message.kind in _TO_CANDIDATE:
-            self._count_vote(message)
+            self._role.count_vote(message)
         elif message.term < self.term:
             self._correct(message)
         elif message.kind in _FROM_LEADER:
@@ -205,7 +201,7 @@
         elif message.kind in _TO_LEADER:
             self._take_reply(message)
         elif message.kind is types.MessageKind.TIMEOUT_NOW:
-            self._start_campaign(election.Stage.VOTE, ordered=True)
+            self._role.start_campaign(election.Stage.VOTE, ordered=True)
 
     def propose(self, data: bytes, now: float) -> tuple[int, int]:
         """Appends a command; returns its index and term.
@@ -235,7 +231,7 @@
         Raises:
             NotLeaderError: This replica does not lead.
         """
-        leadership = self._supported_leadership(now)
+        leadership = self._confirm_support(now)
         if leadership is None:
             raise self._not_leader()
         self._read_ids += 1
@@ -289,32 +285,29 @@
                 f"snapshot at {snapshot.index}, applied to {replica.handed}"
             )
         kept = replica.options.kept_bytes
-        if self._leadership:
-            kept = self._leadership.kept_bytes()
+        if self._role.leadership:
+            kept = self._role.leadership.kept_bytes()
         replica.log.compact(snapshot, kept)
 
     def take_output(self) -> types.Output:
         """Returns what the host has to carry out, and empties it."""
-        if self._leadership:
-            self._leadership.flush()
+        if self._role.leadership:
+            self._role.leadership.flush()
         return self._replica.take_output()
 
     def _led_now(self, now: float) -> leading.Leadership:
         """Returns the leadership, if proposals may be added to it."""
-        leadership = self._supported_leadership(now)
+        leadership = self._confirm_support(now)
         if leadership is None or leadership.transferring:
             raise self._not_leader()
         return leadership
 
-    def _supported_leadership(self, now: float) -> leading.Leadership | None:
-        """Returns the leadership, or None once a majority is out of reach."""
+    def _confirm_support(self, now: float) -> leading.Leadership | None:
         self._replica.now = now
-        if self._leadership and not self._leadership.supported:
-            self._step_down()
-        return self._leadership
+        return self._role.confirm_support()
 
     def _not_leader(self) -> NotLeaderError:
-        other = self._leader
+        other = self._role.leader
         if other == self._replica.me:
             other = None
         return NotLeaderError(
@@ -322,61 +315,13 @@
             leader=other.vm if other else None,
         )
 
-    def _led(self) -> bool:
-        """Returns whether a leader was heard within the election timeout."""
-        if self._leadership:
-            return self._leadership.supported
-        timeout = self._replica.options.election_timeout_s
-        return (
-            self._leader is not None
-            and self._replica.now < self._heard_at + timeout
-        )
-
-    def _meet_newer_term(self, message: types.Message) -> bool:
-        """Enters a newer term; returns whether to go on with the message."""
-        kind = message.kind
-        if kind is types.MessageKind.PRE_VOTE:
-            return True
-        if kind is types.MessageKind.PRE_VOTE_REPLY and message.granted:
-            return True
-        uninvited = kind is types.MessageKind.VOTE and not message.granted
-        if uninvited and self._led():
-            return False
-        self._step_down()
-        self._replica.enter_term(message.term)
-        return True
-
-    def _answer_candidate(self, message: types.Message) -> None:
-        if message.kind is types.MessageKind.PRE_VOTE:
-            led = self._led()
-            election.answer_pre_vote(self._replica, message, led)
-        elif message.term < self.term:
-            self._replica.send(
-                types.MessageKind.VOTE_REPLY, message.source, granted=False
-            )
-        elif election.answer_vote(self._replica, message):
-            self._wait_for_leader()
-
-    def _count_vote(self, message: types.Message) -> None:
-        if self._campaign:
-            self._campaign.count(message)
-            self._finish_campaign()
-
     def _correct(self, message: types.Message) -> None:
         """Tells a leader of an older term that it leads no more."""
         if message.kind in _FROM_LEADER:
             self._replica.send(types.MessageKind.APPEND_REPLY, message.source)
 
     def _follow(self, message: types.Message) -> None:
-        if self._leadership:
-            raise LogBrokenError(
-                f"two leaders in term {self.term}: {message.source!r} and"
-                f" {self._replica.me!r}"
-            )
-        self._campaign = None
-        self._leader = message.source
-        self._heard_at = self._replica.now
-        self._wait_for_leader()
+        self._role.hear(message.source)
         if message.kind is types.MessageKind.APPEND:
             self._follower.on_append(message)
         elif message.kind is types.MessageKind.HEARTBEAT:
@@ -385,64 +330,11 @@
             self._follower.on_snapshot(message)
 
     def _take_reply(self, message: types.Message) -> None:
-        if self._leadership:
-            self._leadership.on_reply(message)
-            self._leave_if_removed()
+        if self._role.leadership:
+            self._role.leadership.on_reply(message)
+            self._role.leave_if_removed()
 
     def _advance(self) -> None:
-        if self._leadership:
-            self._leadership.advance()
-            self._leave_if_removed()
-
-    def _leave_if_removed(self) -> None:
-        if self._leadership and self._leadership.removed:
-            self._leadership.hand_over()
-            self._step_down()
-
-    def _miss_leader(self) -> None:
-        self._leader = None
-        if self._replica.votes:
-            self._start_campaign(election.Stage.PRE_VOTE, ordered=False)
-        else:
-            self._wait_for_leader()
-
-    def _start_campaign(self, stage: election.Stage, ordered: bool) -> None:
-        if self._leadership or not self._replica.votes:
-            return
-        self._leader = None
-        self._campaign = election.Campaign(self._replica, stage, ordered)
-        self._campaign.start()
-        self._wait_for_votes()
-        self._finish_campaign()
-
-    def _finish_campaign(self) -> None:
-        campaign = self._campaign
-        if campaign is None or not campaign.won:
-            return
-        self._campaign = None
-        if campaign.stage is election.Stage.PRE_VOTE:
-            self._start_campaign(election.Stage.VOTE, ordered=False)
-            return
-        self._leader = self._replica.me
-        self._leadership = leading.Leadership(self._replica)
-
-    def _step_down(self) -> None:
-        """Becomes a follower that knows no leader."""
-        if self._leadership:
-            self._leadership.resign()
-        self._leadership = None
-        self._campaign = None
-        self._leader = None
-        self._wait_for_leader()
-
-    def _wait_for_leader(self) -> None:
-        """Waits one to two election timeouts, so that ties are rare."""
-        timeout = self._replica.options.election_timeout_s
-        spread = 1 + self._replica.random.random()
-        self._election_at = self._replica.now + timeout * spread
-
-    def _wait_for_votes(self) -> None:
-        """Waits less than for a leader: nothing is disturbed by a retry."""
-        timeout = self._replica.options.election_timeout_s
-        spread = (1 + self._replica.random.random()) / 2
-        self._election_at = self._replica.now + timeout * spread
+        if self._role.leadership:
+            self._role.leadership.advance()
+            self._role.leave_if_removed()
--- a/laburnumsill/consensus/following.py
+++ b/laburnumsill/consensus/following.py
@@ -57,9 +57,13 @@
         self._accept(message.source, whole.index)
 
     def _without_committed(self, message: types.Message) -> types.Message:
-        """Cuts off what is committed here; it is equal in both logs."""
+        """Cuts off what is committed here; it must be equal in both logs."""
         replica = self._replica
         skipped = replica.committed - message.index
+        for entry in message.entries[:skipped]:
+            known = replica.log.term_at(entry.index)
+            if known not in (None, entry.term):
+                replica.truncate_from(entry.index)
         return types.Message(
             message.kind,
             message.source,
--- a/laburnumsill/consensus/log.py
+++ b/laburnumsill/consensus/log.py
@@ -68,6 +68,19 @@
         )
         return self._changes[position - 1][1] if position else NO_MEMBERSHIP
 
+    def voted_since(self, index: int, replica: types.ReplicaId) -> bool:
+        """Returns whether the membership at `index` or a later one has it.
+
+        Args:
+            index: An index of the log.
+            replica: The replica looked for among the voters.
+        """
+        return replica in self.membership_at(index).voters or any(
+            replica in membership.voters
+            for changed, membership in self._changes
+            if changed > index
+        )
+
     def term_at(self, index: int) -> int | None:
         """Returns the term of the entry at `index`, or None if unknown."""
         if index == self.base_index:
--- a/laburnumsill/consensus/replica.py
+++ b/laburnumsill/consensus/replica.py
@@ -69,6 +69,16 @@
         """Whether this replica is a voter as far as it knows."""
         return self.me in self.log.membership.voters
 
+    @property
+    def may_campaign(self) -> bool:
+        """Whether this replica may be needed as a leader.
+
+        One whose removal is not committed may hold entries that the others
+        lack and refuse them its vote; then only it can lead and commit its
+        own removal.
+        """
+        return self.log.voted_since(self.committed, self.me)
+
     @property
     def has_disk(self) -> bool:
         """Whether the membership counts on this replica's disk."""
--- a/laburnumsill/consensus/tests/test_engine_machine.py
+++ b/laburnumsill/consensus/tests/test_engine_machine.py
@@ -77,8 +77,20 @@
             self.lose(host)
         self.go_on(turns)
 
-    @stateful.rule(number=NUMBERS, turns=TURNS)
-    def lose_disk(self, number, turns):
+    @stateful.rule(
+        kept=strategies.lists(strategies.integers(0, 4), min_size=6),
+        down=strategies.integers(0, 9),
+    )
+    def crash_all_with_disk(self, kept, down):
+        for vm, records in zip(self.disks, kept, strict=False):
+            self.group.hosts[vm].crash(records, down * 0.05)
+        self.go_on(30)
+
+    @stateful.rule(number=NUMBERS, cut=TURNS, turns=TURNS)
+    def lose_disk(self, number, cut, turns):
+        leader = self.group.leader()
+        if leader and number % 2:
+            self.group.isolate(leader.me.vm, cut * 0.05)
         self.lose(self.host(number))
         self.go_on(turns)
 
--- /dev/null
+++ b/laburnumsill/consensus/tests/test_engine_rules.py
@@ -0,0 +1,164 @@
+"""Single rules of the engine, each brought about by a few messages."""
+
+import dataclasses
+import random
+
+import pytest
+
+from laburnumsill.consensus import engine
+from laburnumsill.consensus import types
+from laburnumsill.core import codec
+
+A, B, C = (types.ReplicaId(vm, "i") for vm in "abc")
+THREE = types.Membership((A, B, C), (), frozenset("a"))
+KIND = types.MessageKind
+
+
+def entry(index, term, data=b""):
+    return types.Entry(index, term, types.EntryKind.COMMAND, data)
+
+
+def membership_entry(index, term, membership):
+    kind = types.EntryKind.MEMBERSHIP
+    return types.Entry(index, term, kind, codec.encode(membership))
+
+
+FOUNDING = membership_entry(1, 1, THREE)
+
+
+def made(hard_state, *entries):
+    stored = types.Stored("i", hard_state, None, (FOUNDING, *entries))
+    options = engine.Options()
+    return engine.Engine("g", A, stored, options, 0.0, random.Random(1))
+
+
+def send(target, kind, source, term, **fields):
+    """Returns the output of the step."""
+    target.step(types.Message(kind, source, A, term, **fields), 0.1)
+    return target.take_output()
+
+
+def lead(target):
+    """Makes `target` campaign and win; returns its last output."""
+    target.tick(10.0)
+    term = target.term + 1
+    send(target, KIND.PRE_VOTE_REPLY, B, term, granted=True)
+    return send(target, KIND.VOTE_REPLY, B, term, granted=True)
+
+
+def test_vote_is_synced_before_it_is_sent_and_survives_a_restart():
+    voter = made(types.HardState(1, None))
+    output = send(voter, KIND.VOTE, B, 5, index=1, log_term=1)
+    assert output.messages[0].granted
+    assert output.hard_state == types.HardState(5, B)
+    again = made(output.hard_state)
+    output = send(again, KIND.VOTE, C, 5, index=9, log_term=4)
+    assert not output.messages[0].granted
+    late = made(types.HardState(5, None))
+    output = send(late, KIND.VOTE, B, 5, index=1, log_term=1)
+    assert output.hard_state == types.HardState(5, B)
+    output = send(late, KIND.APPEND, C, 6, index=1, log_term=1)
+    assert output.hard_state == types.HardState(6, None)
+
+
+def test_follower_of_a_live_leader_ignores_a_vote_it_did_not_order():
+    follower = made(types.HardState(2, None))
+    send(follower, KIND.HEARTBEAT, B, 2)
+    vote = {"index": 9, "log_term": 2}
+    assert send(follower, KIND.VOTE, C, 3, **vote) == types.Output()
+    output = send(follower, KIND.VOTE, C, 3, granted=True, **vote)
+    assert output.messages[0].granted
+
+
+def test_entry_of_an_older_term_is_not_committed_by_counting():
+    leader = made(types.HardState(3, None), entry(2, 2))
+    send(leader, KIND.HEARTBEAT, B, 3, commit=1)
+    lead(leader)
+    assert (leader.role, leader.term) == ("leader", 4)
+    leader.synced(3, 4)
+    send(leader, KIND.APPEND_REPLY, B, 4, granted=True, index=2)
+    assert leader.committed == 1
+    with pytest.raises(engine.MembershipPendingError):
+        leader.propose_membership(THREE, 0.2)
+    read = leader.read(0.2)
+    output = send(leader, KIND.HEARTBEAT_REPLY, B, 4)
+    assert not output.reads
+    send(leader, KIND.APPEND_REPLY, B, 4, granted=True, index=3)
+    assert leader.committed == 3
+    output = send(leader, KIND.HEARTBEAT_REPLY, B, 4, round=1)
+    assert output.reads == (types.ConfirmedRead(read, 3),)
+
+
+def test_follower_commits_only_what_it_has_compared():
+    follower = made(types.HardState(2, None), entry(2, 2, b"old"))
+    send(follower, KIND.APPEND, B, 3, index=1, log_term=1, commit=2)
+    assert follower.committed == 1
+
+
+def test_replaced_membership_is_undone():
+    two = dataclasses.replace(THREE, voters=(A, B))
+    follower = made(types.HardState(2, None), membership_entry(2, 2, two))
+    assert follower.membership == two
+    other = (entry(2, 3),)
+    send(follower, KIND.APPEND, C, 3, index=1, log_term=1, entries=other)
+    assert follower.membership == THREE
+
+
+def test_leader_whose_removal_is_not_committed_can_lead_again():
+    others = dataclasses.replace(THREE, voters=(B, C), with_disk=frozenset())
+    leader = made(types.HardState(2, None), membership_entry(2, 2, others))
+    leader.tick(10.0)
+    send(leader, KIND.PRE_VOTE_REPLY, B, 3, granted=True)
+    assert leader.role == "candidate", "its own support does not count"
+    send(leader, KIND.PRE_VOTE_REPLY, C, 3, granted=True)
+    for voter in (B, C):
+        send(leader, KIND.VOTE_REPLY, voter, 3, granted=True)
+    assert leader.role == "leader"
+    for voter in (B, C):
+        match = {"granted": True, "index": 3}
+        output = send(leader, KIND.APPEND_REPLY, voter, 3, **match)
+    assert leader.role == "learner" and leader.committed == 3
+    assert output.messages[-1].kind is KIND.TIMEOUT_NOW
+    leader.tick(99.0)
+    assert not leader.take_output().messages
+
+
+def test_sync_of_a_replaced_entry_does_not_count():
+    replica = made(types.HardState(1, None))
+    place = {"index": 1, "log_term": 1}
+    old = (entry(2, 2), entry(3, 2))
+    send(replica, KIND.APPEND, B, 2, entries=old, **place)
+    send(replica, KIND.APPEND, C, 3, entries=(entry(2, 3),), **place)
+    lead(replica)
+    send(replica, KIND.APPEND_REPLY, B, 4, granted=True, index=3)
+    replica.synced(3, 2)
+    assert replica.committed == 0
+    replica.synced(3, 4)
+    assert replica.committed == 3
+
+
+def test_committed_entry_is_never_replaced():
+    follower = made(types.HardState(2, None), entry(2, 2))
+    send(follower, KIND.HEARTBEAT, B, 2, commit=2)
+    other = (entry(2, 3),)
+    with pytest.raises(engine.LogBrokenError):
+        send(follower, KIND.APPEND, C, 3, index=1, log_term=1, entries=other)
+
+
+def test_idle_leader_sends_one_heartbeat_a_period_to_each():
+    leader = made(types.HardState(1, None))
+    lead(leader)
+    leader.synced(2, 2)
+    for member in (B, C):
+        send(leader, KIND.APPEND_REPLY, member, 2, granted=True, index=2)
+    leader.take_output()
+    now, sent = 0.1, []
+    for _ in range(8):
+        now = leader.next_tick()
+        leader.tick(now)
+        sent += leader.take_output().messages
+        for member in (B, C):
+            reply = types.Message(KIND.HEARTBEAT_REPLY, member, A, 2)
+            leader.step(reply, now)
+    assert {message.kind for message in sent} == {KIND.HEARTBEAT}
+    assert len(sent) == 2 * 8
