Test a lost disk and a missed removal without random draws

Change: one test acknowledges a write on two of three replicas, loses the disk of one, stops the other and checks that no leader comes up until it is back. Another checks that a replica that missed its own removal campaigns in vain and changes no one's term.

--- a/laburnumsill/consensus/tests/test_engine.py
+++ b/laburnumsill/consensus/tests/test_engine.py
@@ -148,6 +148,24 @@
     settle(group, group.write(group.leader(), b"after"))
 
 
+def test_lost_disk_comes_back_without_a_vote():
+    group, leader = elected("abc", "abc")
+    group.run(1.0)
+    loser, late = (x for x in group.hosts.values() if x is not leader)
+    group.isolate(late.me.vm)
+    write = group.write(leader, b"only on two")
+    settle(group, write)
+    leader.crash(seconds=20.0)
+    group.add(loser.me.vm)
+    group.cut.clear()
+    group.run(15.0)
+    assert group.leader() is None
+    group.run(15.0)
+    assert group.leader() is leader
+    settle(group, group.read(leader))
+    assert late.values == leader.values == [b"only on two"]
+
+
 def test_removed_leader_hands_over_and_disturbs_no_one():
     group, leader = elected()
     settle(group, group.write(leader, b"x"))
@@ -158,3 +176,18 @@
     assert leader.engine.role == "learner"
     group.run(10.0)
     assert (group.leader(), other.engine.term) == (other, term)
+
+
+def test_replica_that_missed_its_removal_disturbs_no_one():
+    group, leader = elected()
+    settle(group, group.write(leader, b"x"))
+    gone = next(x for x in group.hosts.values() if x is not leader)
+    group.isolate(gone.me.vm)
+    left = tuple(x for x in leader.engine.membership.voters if x != gone.me)
+    group.change(leader, types.Membership(left))
+    group.run(1.0)
+    term = leader.engine.term
+    group.cut.clear()
+    group.run(10.0)
+    assert (group.leader(), leader.engine.term) == (leader, term)
+    assert gone.engine.role == "candidate"
