Measure choosers and limiters; eject servers that take no connection

Cause: in trials of bench.routing (10 s, load 0.7, limiter borrowing, one run a figure) the p99 of confirmations was 1,030 ms with any chooser. The lost domain's connections took 1 s each to fail, three of them until a VM ejected a server.

Ruled out: the slow server (two choices hardly use it) and the chooser (all were alike).

Change: a connection may take 0.3 s, and a server that takes none is ejected at once; nothing was sent, so any request may probe it again.

Computing the capacity for each waiting request was 30 % of the time under the profiler; it is now kept for 25 ms.

Tried and dropped: choosing by room below the limit; no better.

--- /dev/null
+++ b/bench/routing.py
@@ -0,0 +1,452 @@
+"""Compares all choosers and limiters on the same recorded arrivals.
+
+``python -m bench.routing [--seconds 30] [--load 0.7] [--out FILE]``
+
+Eight VMs in three failure domains share 24 backend servers of 8 slots. The
+production router runs on each VM, in virtual time, against servers modelled
+as queues with slots (`laburnumsill.testing.model_servers`). Arrivals are
+bursty, service times heavy-tailed. One server is five times slower, one
+fails fast for a while, one freezes, and a failure domain is lost and comes
+back. All choices see the same arrivals, service times and faults.
+"""
+
+import argparse
+import collections
+import dataclasses
+import json
+import pathlib
+import random
+import time
+import typing
+
+import trio
+from trio import testing
+
+from laburnumsill.config import current as current_module
+from laburnumsill.config import models
+from laburnumsill.core import errors
+from laburnumsill.core import ids
+from laburnumsill.core import logs
+from laburnumsill.core import members
+from laburnumsill.core import metrics
+from laburnumsill.core import replication
+from laburnumsill.core import topology
+from laburnumsill.platform import backend
+from laburnumsill.requests import choose
+from laburnumsill.requests import limit
+from laburnumsill.requests import messages
+from laburnumsill.requests import router as routers
+from laburnumsill.state import claims
+from laburnumsill.state import durable
+from laburnumsill.testing import local_groups
+from laburnumsill.testing import model_servers
+
+SEED = 20261202
+DOMAINS = ("north", "south", "west")
+VMS = 8
+SERVERS = 24
+SLOTS = 8
+REPORT_S = 2.0
+"""Time between two reports of busy slots, as the member table sends them."""
+
+GONE_S = 2.5
+"""Time until a server that is silent gets no new work."""
+
+COMMIT_S = 0.002
+"""Time of one commit in a domain's group."""
+
+CLASSES: dict[str, dict[str, typing.Any]] = {
+    "confirm": {
+        "urgency": 0,
+        "repeatable": False,
+        "reserved_share": 0.15,
+        "timeout_ms": 2_000,
+        "max_wait_ms": 500,
+    },
+    "check": {
+        "urgency": 1,
+        "reserved_share": 0.25,
+        "timeout_ms": 1_000,
+        "max_wait_ms": 500,
+    },
+    "pricing": {"urgency": 5, "timeout_ms": 10_000, "max_wait_ms": 5_000},
+}
+MIX = {"confirm": 0.1, "check": 0.35, "pricing": 0.55}
+MEAN_S = {"confirm": 0.05, "check": 0.06, "pricing": 0.13}
+ACCOUNTS = {"flood": 0.55, "lakes": 0.2, "hills": 0.15, "coast": 0.1}
+PARETO_SHAPE = 1.8
+LONGEST_S = 3.0
+BURST_FACTOR = 2.5
+BURST_SHARE = 0.2
+BURST_S = 1.0
+URGENT = ("confirm", "check")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """One recorded request; times in seconds from the start."""
+
+    at: float
+    vm: int
+    class_name: str
+    account: str
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class End:
+    """How one request ended."""
+
+    class_name: str
+    account: str
+    outcome: str
+    took_s: float
+    in_time: bool
+
+
+def record_arrivals(seconds: float, load: float) -> list[Arrival]:
+    """Returns bursty arrivals that use `load` of all slots on average."""
+    draw = random.Random(SEED)
+    mean_s = sum(MIX[name] * MEAN_S[name] for name in MIX)
+    mean_rate = load * SERVERS * SLOTS / mean_s
+    calm = mean_rate / (1 + BURST_SHARE * (BURST_FACTOR - 1))
+    skew = [draw.uniform(0.5, 1.5) for _ in range(VMS)]
+    arrivals = []
+    now = 0.0
+    burst_until = calm_until = 0.0
+    while now < seconds:
+        if now >= max(burst_until, calm_until):
+            burst_until = now + draw.expovariate(1 / BURST_S)
+            calm_s = BURST_S * (1 - BURST_SHARE) / BURST_SHARE
+            calm_until = burst_until + draw.expovariate(1 / calm_s)
+        rate = calm * BURST_FACTOR if now < burst_until else calm
+        now += draw.expovariate(rate)
+        name = draw.choices(list(MIX), list(MIX.values()))[0]
+        scale = MEAN_S[name] * (PARETO_SHAPE - 1) / PARETO_SHAPE
+        arrivals.append(
+            Arrival(
+                now,
+                draw.choices(range(VMS), skew)[0],
+                name,
+                draw.choices(list(ACCOUNTS), list(ACCOUNTS.values()))[0],
+                min(LONGEST_S, scale * draw.paretovariate(PARETO_SHAPE)),
+            )
+        )
+    return arrivals
+
+
+class CommittingGroups(local_groups.LocalGroups):
+    """Local groups whose commits take `COMMIT_S`."""
+
+    async def propose(
+        self, group: str, command: object, deadline: float
+    ) -> typing.Any:
+        """Applies `command` after a while."""
+        await trio.sleep(COMMIT_S)
+        return await super().propose(group, command, deadline)
+
+
+class Site:
+    """All VMs and servers of one run.
+
+    Args:
+        chooser: Name of the chooser.
+        limiter: Name of the limiter.
+        seconds: Length of the run.
+    """
+
+    def __init__(self, chooser: str, limiter: str, seconds: float) -> None:
+        random.seed(SEED)
+        self.ends: list[End] = []
+        self._seconds = seconds
+        self._clock = model_servers.VirtualClock()
+        self.models = [_model(number) for number in range(SERVERS)]
+        self.models[1].slowness = 5.0
+        self._view = model_servers.ModelView(self.models)
+        self.client = model_servers.ModelClient(self.models)
+        self.metrics = metrics.Metrics()
+        current = current_module.Current()
+        current.put(
+            current_module.Versioned(1, "1", _configuration(chooser, limiter))
+        )
+        groups = CommittingGroups(
+            {
+                ids.domain_group(name): replication.StateMachine(
+                    claims.Claims(), durable.DurableRequests()
+                )
+                for name in DOMAINS
+            }
+        )
+        self._vms = [
+            topology.Vm(f"vm{n}", DOMAINS[n % len(DOMAINS)], "", "", True)
+            for n in range(VMS)
+        ]
+        self._routers = [
+            routers.RequestRouter(
+                vm,
+                groups,
+                self._view,
+                current,
+                self.client,
+                self._clock,
+                self.metrics,
+                VMS,
+            )
+            for vm in self._vms
+        ]
+
+    async def run(self, arrivals: list[Arrival]) -> None:
+        """Plays all arrivals and waits for their ends."""
+        async with trio.open_nursery() as background:
+            for router in self._routers:
+                await background.start(router.run)
+            background.start_soon(self._view.report, REPORT_S)
+            background.start_soon(self._faults)
+            start = trio.current_time()
+            async with trio.open_nursery() as nursery:
+                for number, arrival in enumerate(arrivals):
+                    await trio.sleep_until(start + arrival.at)
+                    nursery.start_soon(self._ask, number, arrival)
+            background.cancel_scope.cancel()
+
+    async def _faults(self) -> None:
+        """Brings about the faults; see the module's docstring."""
+        step_s = self._seconds / 10
+        fast, frozen = self.models[2], self.models[3]
+        lost = [m for m in self.models if m.server.domain == "west"]
+        await trio.sleep(2 * step_s)
+        fast.mode = "fail-fast"
+        await trio.sleep(step_s)
+        frozen.mode = "frozen"
+        await trio.sleep(GONE_S)
+        self._view.remove([frozen])
+        await trio.sleep(max(0.0, 2 * step_s - GONE_S))
+        fast.mode = "serve"
+        await trio.sleep(step_s)
+        for model in lost:
+            model.mode = "lost"
+        await trio.sleep(GONE_S)
+        self._view.remove(lost)
+        await trio.sleep(max(0.0, 2 * step_s - GONE_S))
+        for model in lost:
+            model.mode = "serve"
+        self._view.add([m for m in lost if m is not frozen])
+
+    async def _ask(self, number: int, arrival: Arrival) -> None:
+        """Sends one request through the next VM that can be reached."""
+        vm = arrival.vm
+        if any(
+            m.mode == "lost" and m.server.domain == self._vms[vm].domain
+            for m in self.models
+        ):
+            vm = (vm + 1) % VMS
+        request_class = CLASSES[arrival.class_name]
+        head = _head(number, arrival, self._clock.monotonic())
+        started = trio.current_time()
+        outcome = "answered"
+        try:
+            answer = await self._routers[vm].route(head, _no_body())
+            async for _ in answer.chunks():
+                pass
+            await answer.aclose()
+            if answer.status != 200:
+                outcome = "failed"
+        except errors.LaburnumsillError as error:
+            outcome = error.slug
+        took_s = trio.current_time() - started
+        in_time = took_s <= request_class["timeout_ms"] / 1000
+        self.ends.append(
+            End(arrival.class_name, arrival.account, outcome, took_s, in_time)
+        )
+
+
+async def _no_body() -> typing.AsyncIterator[bytes]:
+    yield b""
+
+
+def _model(number: int) -> model_servers.ModelServer:
+    return model_servers.ModelServer(
+        members.BackendServer(
+            f"s{number}",
+            "huts",
+            DOMAINS[number % len(DOMAINS)],
+            f"model:{number}",
+            "i1",
+            1,
+            SLOTS,
+            64,
+        )
+    )
+
+
+def _configuration(chooser: str, limiter: str) -> models.Configuration:
+    return models.Configuration.model_validate(
+        {
+            "site": "bench",
+            "domains": list(DOMAINS),
+            "classes": CLASSES,
+            "services": {"huts": {"slots": SLOTS, "classes": list(CLASSES)}},
+            "accounts": {name: {} for name in ACCOUNTS},
+            "requests": {"chooser": chooser, "limiter": limiter},
+        }
+    )
+
+
+def _head(number: int, arrival: Arrival, now: float) -> messages.RequestHead:
+    target = model_servers.TARGET + f"{arrival.seconds:.6f}".encode()
+    return messages.RequestHead(
+        f"req-{number}",
+        "huts",
+        "POST",
+        target,
+        (
+            (b"laburnumsill-class", arrival.class_name.encode()),
+            (b"laburnumsill-account", arrival.account.encode()),
+            (b"idempotency-key", f"k{number}".encode()),
+        ),
+        now,
+    )
+
+
+def figures(site: Site) -> dict[str, float]:
+    """Returns what was measured in one run."""
+    offered = len(site.ends)
+    good = [e for e in site.ends if e.outcome == "answered" and e.in_time]
+    urgent = [e for e in site.ends if e.class_name in URGENT]
+    late = [e for e in site.ends if e.outcome == "answered" and not e.in_time]
+    arrived = sum(model.arrived for model in site.models)
+    over = sum(model.over_committed for model in site.models)
+    result = {
+        "goodput": len(good) / offered,
+        "urgent_goodput": _good_share(urgent),
+        "pricing_goodput": _good_share(
+            [e for e in site.ends if e.class_name == "pricing"]
+        ),
+        "late_share": len(late) / offered,
+        "unknown_share": _share(
+            site.ends, lambda e: e.outcome in UNKNOWN_SLUGS
+        ),
+        "sent_per_request": site.client.sent / offered,
+        "over_committed": over / arrived,
+        "account_gap": _account_gap(site.ends),
+    }
+    for name in CLASSES:
+        took = sorted(
+            e.took_s
+            for e in site.ends
+            if e.class_name == name and e.outcome == "answered"
+        )
+        result[f"{name}_p50_ms"] = 1000 * took[len(took) // 2]
+        result[f"{name}_p99_ms"] = 1000 * took[int(len(took) * 0.99)]
+    return result
+
+
+UNKNOWN_SLUGS = frozenset(
+    {
+        errors.OutcomeUnknownError.slug,
+        backend.AnswerLostError.slug,
+        messages.HomeUnreachableError.slug,
+    }
+)
+
+
+def _good_share(ends: list[End]) -> float:
+    return _share(ends, lambda e: e.outcome == "answered" and e.in_time)
+
+
+def _share(ends: list[End], holds: typing.Callable[[End], bool]) -> float:
+    return sum(map(holds, ends)) / max(1, len(ends))
+
+
+def _account_gap(ends: list[End]) -> float:
+    """Returns the largest lead of the flooding account over another.
+
+    It is the difference of their shares of good answers, 0 if none leads.
+    """
+    by_account: dict[str, list[End]] = collections.defaultdict(list)
+    for end in ends:
+        by_account[end.account].append(end)
+    shares = {name: _good_share(group) for name, group in by_account.items()}
+    return max(0.0, shares["flood"] - min(shares.values()))
+
+
+COLUMNS = (
+    ("goodput", "{:.4f}"),
+    ("urgent_goodput", "{:.4f}"),
+    ("pricing_goodput", "{:.4f}"),
+    ("late_share", "{:.4f}"),
+    ("unknown_share", "{:.4f}"),
+    ("sent_per_request", "{:.3f}"),
+    ("over_committed", "{:.4f}"),
+    ("account_gap", "{:.4f}"),
+    ("confirm_p50_ms", "{:.0f}"),
+    ("confirm_p99_ms", "{:.0f}"),
+    ("check_p50_ms", "{:.0f}"),
+    ("check_p99_ms", "{:.0f}"),
+    ("pricing_p99_ms", "{:.0f}"),
+)
+
+
+def table(rows: list[dict[str, typing.Any]]) -> str:
+    """Returns the rows as a Markdown table."""
+    names = ["chooser", "limiter", *(name for name, _ in COLUMNS)]
+    lines = ["| " + " | ".join(names) + " |", "|---" * len(names) + "|"]
+    for row in rows:
+        cells = [row["chooser"], row["limiter"]]
+        cells += [form.format(row[name]) for name, form in COLUMNS]
+        lines.append("| " + " | ".join(cells) + " |")
+    return "\n".join(lines)
+
+
+def measure(
+    chooser: str, limiter: str, arrivals: list[Arrival], seconds: float
+) -> dict[str, typing.Any]:
+    """Runs one pair of policies and returns its row."""
+    begun = time.perf_counter()
+
+    async def main() -> Site:
+        site = Site(chooser, limiter, seconds)
+        await site.run(arrivals)
+        return site
+
+    site = trio.run(main, clock=testing.MockClock(autojump_threshold=0))
+    row = {"chooser": chooser, "limiter": limiter, **figures(site)}
+    row["ran_s"] = time.perf_counter() - begun
+    return row
+
+
+def main() -> None:
+    """Measures all pairs, prints the table and writes JSON."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=30.0)
+    parser.add_argument("--load", type=float, default=0.7)
+    parser.add_argument("--out", type=pathlib.Path, default=None)
+    parser.add_argument("--choosers", nargs="*", default=list(choose.CHOOSERS))
+    parser.add_argument("--limiters", nargs="*", default=list(limit.LIMITERS))
+    options = parser.parse_args()
+    logs.set_up("ERROR", "bench")
+    arrivals = record_arrivals(options.seconds, options.load)
+    rows = []
+    for chooser in options.choosers:
+        for limiter in options.limiters:
+            row = measure(chooser, limiter, arrivals, options.seconds)
+            rows.append(row)
+            print(
+                f"{chooser} {limiter}: {row['goodput']:.4f}"
+                f" in {row['ran_s']:.0f} s",
+                flush=True,
+            )
+    print(table(rows))
+    if options.out is not None:
+        result = {
+            "seed": SEED,
+            "seconds": options.seconds,
+            "load": options.load,
+            "requests": len(arrivals),
+            "rows": rows,
+        }
+        options.out.write_text(json.dumps(result, indent=1) + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/laburnumsill/platform/backend.py
+++ b/laburnumsill/platform/backend.py
@@ -22,8 +22,11 @@
 ENTRY_VMS = 8
 """Entry VMs that share a server's connections, unless told otherwise."""
 
-CONNECT_TIMEOUT_S = 1.0
-"""Longest wait for a connection to be made; nothing was sent then."""
+CONNECT_TIMEOUT_S = 0.3
+"""Longest wait for a connection to be made; nothing was sent then.
+
+Servers are milliseconds away, so a longer wait would only find one that does
+not take connections, while another could have had the request."""
 
 IDLE_CONNECTION_S = 30.0
 """Time after which an idle connection is closed."""
@@ -43,6 +46,13 @@
     title = "The backend server could not be reached"
 
 
+class ConnectFailedError(NotSentError):
+    """The backend server took no connection."""
+
+    slug = "connect-failed"
+    title = "The backend server took no connection"
+
+
 class AnswerLostError(errors.OutcomeUnknownError):
     """Bytes went out and the answer did not come back whole."""
 
@@ -240,6 +250,9 @@
         )
         try:
             return await pool.handle_async_request(request)
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+            text = f"server {self._server.server_id!r}: {error!r}"
+            raise ConnectFailedError(text) from error
         except (
             httpcore.NetworkError,
             httpcore.ProtocolError,
--- a/laburnumsill/requests/admit.py
+++ b/laburnumsill/requests/admit.py
@@ -24,6 +24,11 @@
 a share of all slots may be used."""
 
 
+CAPACITY_VALID_S = 0.025
+"""How long a computed capacity is used, since it takes a look at each server
+and is needed several times for each request."""
+
+
 @dataclasses.dataclass(eq=False, slots=True)
 class _Waiting(queues.Waiter):
     """A waiter with the means to wake it.
@@ -95,6 +100,8 @@
         self._clock = clock
         self._metrics = metrics
         self._gates: dict[str, _ServiceGate] = {}
+        self._room: dict[tuple[str, float], float] = {}
+        self._room_valid_until = 0.0
         self._by_account: dict[str, int] = {}
 
     async def enter(self, request: messages.RoutedRequest) -> Permit:
@@ -151,7 +158,7 @@
                 f"account {request.account!r} has {request.max_in_flight}"
                 " requests in flight here, its most"
             )
-        if self._capacity(request.service, 1.0) <= 0:
+        if self._capacity(request.service, 1.0) <= 0:  # now, not lately
             raise errors.NoServerError(
                 f"no backend server of {request.service!r} can take requests"
             )
@@ -195,12 +202,22 @@
                 if cls.urgency < level
             )
             share = max(0.0, 1.0 - reserved)
-            room = self._capacity(service, share)
+            room = self._room_for(service, share)
             least = 1.0 if room > 0 else 0.0
             if gate.in_flight_from(level) + 1 > max(least, room):
                 return False
         return True
 
+    def _room_for(self, service: str, share: float) -> float:
+        now = self._clock.monotonic()
+        if now >= self._room_valid_until:
+            self._room.clear()
+            self._room_valid_until = now + CAPACITY_VALID_S
+        room = self._room.get((service, share))
+        if room is None:
+            room = self._room[service, share] = self._capacity(service, share)
+        return room
+
     async def _wait(
         self, request: messages.RoutedRequest, waiting: _Waiting
     ) -> None:
--- a/laburnumsill/requests/choose.py
+++ b/laburnumsill/requests/choose.py
@@ -75,6 +75,21 @@
         return min(self._two(candidates), key=_reported_load)
 
 
+class ShortestDelayChooser(Chooser):
+    """Of two random servers the one that likely answers sooner.
+
+    The delay is taken as the mean latency seen from here for each request
+    in flight and the new one. A server not tried yet comes first.
+    """
+
+    def choose(self, candidates: Candidates) -> servers.ServerState:
+        """Returns one of `candidates`."""
+        return min(
+            self._two(candidates),
+            key=lambda state: (state.in_flight + 1) * state.latency_s,
+        )
+
+
 class HotColdChooser(Chooser):
     """The fastest cold server, or the least loaded if all are hot.
 
@@ -107,6 +122,7 @@
     "least-in-flight": LeastInFlightChooser,
     "two-choices": TwoChoicesChooser,
     "two-choices-reported": ReportedTwoChoicesChooser,
+    "two-choices-delay": ShortestDelayChooser,
     "hot-cold": HotColdChooser,
 }
 
--- a/laburnumsill/requests/dispatch.py
+++ b/laburnumsill/requests/dispatch.py
@@ -159,13 +159,26 @@
             return exchange
         raise AssertionError("the last attempt raises or returns")
 
-    def ended(self, state: servers.ServerState, *, failed: bool | None) -> None:
-        """Notes the end of an exchange; `failed` is None if unknown."""
+    def ended(
+        self,
+        state: servers.ServerState,
+        *,
+        failed: bool | None,
+        refused: bool = False,
+    ) -> None:
+        """Notes the end of an exchange.
+
+        Args:
+            state: The server.
+            failed: Whether it failed, None if unknown.
+            refused: Whether it took no connection.
+        """
         state.in_flight -= 1
         if failed is None:
             self._health.cancelled(state)
         elif failed:
-            self._health.failed(state, self._clock.monotonic())
+            now = self._clock.monotonic()
+            self._health.failed(state, now, refused=refused)
         else:
             self._health.succeeded(state)
 
@@ -213,6 +226,7 @@
         )
         outcome = "cancelled"
         failed: bool | None = None
+        refused = False
         answer = None
         try:
             answer = await self._client.send(
@@ -222,10 +236,11 @@
         except errors.LaburnumsillError as error:
             outcome = error.slug
             failed = True
+            refused = isinstance(error, backend.ConnectFailedError)
             raise
         finally:
             if answer is None:
-                self.ended(state, failed=failed)
+                self.ended(state, failed=failed, refused=refused)
             self._metrics.count(
                 "attempts_total", service=request.service, outcome=outcome
             )
@@ -247,9 +262,11 @@
                 f"no backend server of {request.service!r} can take requests"
             )
         limiter = self._policies.limiter
-        room = [s for s in usable if s.in_flight < max(1.0, limiter.limit(s))]
+        for state in usable:
+            state.limit = max(1.0, limiter.limit(state))
+        room = [s for s in usable if s.in_flight + 1 <= s.limit]
         near = [s for s in room if s.server.domain == self._me.domain]
-        candidates = near or room or usable
+        candidates = near or room or _with_most_room(usable)
         state = self._policies.chooser.choose(candidates)
         logs.decision(
             "request-routed",
@@ -278,3 +295,11 @@
             if state.server.server_id not in tried
             and self._health.usable(state, now, repeatable=repeatable)
         ]
+
+
+def _with_most_room(
+    states: list[servers.ServerState],
+) -> list[servers.ServerState]:
+    """Returns the servers that are over their limits by least."""
+    most = max(state.limit - state.in_flight for state in states)
+    return [s for s in states if s.limit - s.in_flight >= most]
--- a/laburnumsill/requests/health.py
+++ b/laburnumsill/requests/health.py
@@ -1,9 +1,12 @@
 """Ejects backend servers that fail, and lets probes win them back.
 
-A server that fails quickly is always idle, so any chooser that looks at load
-would send it everything. It is ejected after `FAILURES_TO_EJECT` failures in
-a row; when its time is over, one repeatable request at a time is sent to it
-as a probe, and `SUCCESSES_TO_RETURN` successes in a row bring it back.
+A server that takes no connection is ejected at once; nothing is lost by
+going elsewhere, as nothing was sent. One that fails quickly is always idle,
+so any chooser that looks at load would send it everything. It is ejected
+after `FAILURES_TO_EJECT` failures in a row; when its time is over, one
+repeatable request at a time is sent to it as a probe, and
+`SUCCESSES_TO_RETURN` successes in a row bring it back. Where it was ejected
+for taking no connection, any request may be the probe.
 """
 
 import random
@@ -33,7 +36,7 @@
         if not state.ejected:
             return True
         due = state.ejected_until
-        if not repeatable:
+        if not (repeatable or state.refused):
             due += LAST_RESORT_S
         return now >= due and not state.probing
 
@@ -54,9 +57,18 @@
             state.successes = 0
             logs.event("server-returned", server=state.server.server_id)
 
-    def failed(self, state: servers.ServerState, now: float) -> None:
-        """Notes a failure: refused, lost, truncated or a server error."""
-        state.failures += 1
+    def failed(
+        self, state: servers.ServerState, now: float, *, refused: bool
+    ) -> None:
+        """Notes a failure: refused, lost, truncated or a server error.
+
+        Args:
+            state: The server.
+            now: Monotonic time.
+            refused: Whether it took no connection.
+        """
+        state.refused = refused
+        state.failures += FAILURES_TO_EJECT if refused else 1
         state.successes = 0
         state.probing = False
         if state.ejected or state.failures >= FAILURES_TO_EJECT:
--- a/laburnumsill/requests/servers.py
+++ b/laburnumsill/requests/servers.py
@@ -17,8 +17,10 @@
         server: Its newest announcement.
         in_flight: Requests of this VM at it.
         in_flight_at_report: The same when `server` was announced.
+        limit: Most requests of this VM at it, as last computed.
         latency_s: Moving mean of its latency, measured from the send.
         failures: Failures in a row.
+        refused: Whether the last failure was a connection not taken.
         successes: Successes in a row since it was ejected.
         ejected_until: Monotonic point; a probe may go out after it.
         ejections: Ejections in a row, for the backoff.
@@ -28,8 +30,10 @@
     server: members.BackendServer
     in_flight: int = 0
     in_flight_at_report: int = 0
+    limit: float = 1.0
     latency_s: float = 0.0
     failures: int = 0
+    refused: bool = False
     successes: int = 0
     ejected_until: float = 0.0
     ejections: int = 0
--- a/laburnumsill/testing/model_servers.py
+++ b/laburnumsill/testing/model_servers.py
@@ -117,6 +117,11 @@
         self._models = [m for m in self._models if m not in gone]
         self.refresh()
 
+    def add(self, back: abc.Iterable[ModelServer]) -> None:
+        """Puts servers in, as when they announce themselves again."""
+        self._models += back
+        self.refresh()
+
     def refresh(self) -> None:
         """Passes the busy slots of now on to all VMs."""
         self._sequence += 1
@@ -152,7 +157,9 @@
         if model.mode == "lost":
             until = trio.current_time() + backend.CONNECT_TIMEOUT_S
             await trio.sleep_until(min(deadline, until))
-            raise backend.NotSentError(f"{server.server_id} does not answer")
+            raise backend.ConnectFailedError(
+                f"{server.server_id} does not answer"
+            )
         self.sent += 1
         seconds = float(request.target.removeprefix(TARGET))
         with trio.move_on_at(deadline):
