--- a/laburnumsill/consensus/host_members.py
+++ b/laburnumsill/consensus/host_members.py
@@ -14,6 +14,7 @@
 from laburnumsill.consensus import group as groups
 from laburnumsill.consensus import group_make_up
 from laburnumsill.consensus import host_messages
+from laburnumsill.consensus import host_recovery
 from laburnumsill.consensus import types
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import logs
@@ -59,6 +60,7 @@
         self._clock = clock
         self._options = options
         self._make_up = {name: tuple(vms) for name, vms in first.items()}
+        self._told = False
         self._candidates: dict[str, dict[str, group_make_up.Candidate]] = {}
         self._led_at: dict[str, float] = {}
 
@@ -69,6 +71,7 @@
 
     def set_make_up(self, make_up: abc.Mapping[str, abc.Sequence[str]]) -> None:
         """Replaces the desired voters; leaders bring them about."""
+        self._told = True
         self._make_up = {name: tuple(vms) for name, vms in make_up.items()}
 
     def answer(
@@ -82,15 +85,7 @@
         known[hello.replica.vm] = candidate
         if group is None:
             return host_messages.HelloAnswer()
-        membership = group.engine.membership
-        leader = group.engine.leader
-        return host_messages.HelloAnswer(
-            group.me,
-            group.is_fresh,
-            group.with_disk,
-            hello.replica in membership.voters + membership.learners,
-            leader.vm if leader else None,
-        )
+        return _answer(group, hello.replica)
 
     def needs_to_ask(self, group: groups.HostedGroup) -> bool:
         """Returns whether a replica is no member, or may not be any more."""
@@ -102,7 +97,7 @@
         return now - self._led_at.setdefault(group.name, now) > LEADERLESS_S
 
     async def ask(self, group: groups.HostedGroup) -> bool:
-        """Asks the other VMs once; founds the group if that is due.
+        """Asks the other VMs once; founds or recovers the group if due.
 
         Returns:
             Whether this replica is not wanted any more: the group goes on
@@ -111,7 +106,8 @@
         name = group.name
         first = self._first.get(name, ())
         wanted = self._make_up.get(name, ())
-        asked = dict.fromkeys([*first, *wanted])
+        voters = group.engine.membership.voters
+        asked = dict.fromkeys([*first, *wanted, *(v.vm for v in voters)])
         asked.pop(self._me, None)
         hello = host_messages.Hello(name, group.me, group.with_disk)
         deadline = self._clock.monotonic() + ANSWER_WITHIN_S
@@ -123,6 +119,8 @@
             if membership is not None:
                 await group.found(membership)
                 return False
+        if group.is_member and not group.is_fresh:
+            self._recover_if_due(group, answers)
         if self._me in wanted:
             return False
         return group.is_fresh or any(
@@ -148,6 +146,42 @@
             return True
         return False
 
+    def _recover_if_due(
+        self, group: groups.HostedGroup, answers: founding.Answers
+    ) -> None:
+        """Goes on with the voters that are left, where that loses nothing."""
+        found = host_recovery.recovery_entry(
+            group.engine.membership, _answer(group, group.me), answers
+        )
+        if found is None:
+            return
+        term, membership = found
+        logs.event(
+            "group-recovered",
+            level="WARNING",
+            group=group.name,
+            term=term,
+            voters=_names(membership.voters),
+            lost=_names(
+                set(group.engine.membership.voters) - set(membership.voters)
+            ),
+        )
+        group.recover(term, membership)
+
+    def _desired(self, group: groups.HostedGroup) -> tuple[str, ...]:
+        """Returns the VMs that are to vote, as far as this VM can know.
+
+        A VM that has just started knows only the first make-up. Where the
+        group has moved on from that, it is left as it is until this VM is
+        told, instead of being taken back.
+        """
+        membership = group.engine.membership
+        members = [m.vm for m in membership.voters + membership.learners]
+        first = self._first.get(group.name, ())
+        if self._told or set(members) <= set(first):
+            return self._make_up.get(group.name, ())
+        return tuple(dict.fromkeys(members))
+
     def _founds(self, name: str) -> bool:
         first = self._first.get(name, ())
         if self._me not in first:
@@ -170,7 +204,7 @@
         }
         return group_make_up.View(
             engine.membership,
-            self._make_up.get(group.name, ()),
+            self._desired(group),
             self._candidates.get(group.name, {}),
             frozenset(caught_up),
             frozenset(alive | {group.me}),
@@ -178,6 +212,23 @@
         )
 
 
+def _answer(
+    group: groups.HostedGroup, asker: types.ReplicaId
+) -> host_messages.HelloAnswer:
+    engine = group.engine
+    membership = engine.membership
+    return host_messages.HelloAnswer(
+        replica=group.me,
+        fresh=group.is_fresh,
+        with_disk=group.with_disk,
+        member=asker in membership.voters + membership.learners,
+        leader=engine.leader.vm if engine.leader else None,
+        term=engine.term,
+        last_term=engine.term_at(engine.last_index) or 0,
+        last_index=engine.last_index,
+    )
+
+
 def _names(replicas: abc.Iterable[types.ReplicaId]) -> str:
     return ",".join(
         f"{replica.vm}/{replica.incarnation}" for replica in replicas
--- a/laburnumsill/members/tests/test_table.py
+++ b/laburnumsill/members/tests/test_table.py
@@ -112,12 +112,12 @@
     server = with_servers(cluster)[0]
     server.stop()
     leave = cluster.tables["vm21"].leave
-    clusters.run_sync(leave(entries.SERVER, "tee/s0", "1"))
+    clusters.run_sync(leave(entries.SERVER, "tee/s0", server.incarnation))
     assert seconds_until_unused(cluster) <= 0.2
     server.announce("vm11")  # a late announcement of the same incarnation
     cluster.run(0.5)
     assert all(not cluster.servers(vm) for vm in cluster.alive())
-    server.incarnation = "2"
+    server.incarnation = "00000002"
     server.announce("vm11")
     cluster.run(0.5)
     assert all(cluster.servers(vm) for vm in cluster.alive())
@@ -273,7 +273,7 @@
 def test_observers_hear_of_each_change_once() -> None:
     cluster = Cluster()
     server = with_servers(cluster)[0]
-    server.incarnation = "2"
+    server.incarnation = "00000002"
     server.sequence = 0
     cluster.run(1.0)
     server.leaving = True
@@ -299,3 +299,74 @@
     assert lost <= timing.WORK_LIMIT_S
     interval = timing.server_interval_s(models.MemberPolicy())
     assert interval + 0.4 + timing.FORWARD_S < timing.INHERITED_SERVER_TTL_S
+
+
+def test_what_its_domain_has_forgotten_is_unused_in_time() -> None:
+    cluster = Cluster()
+    server = with_servers(cluster)[0]
+    server.stop()
+    for vm in cluster.vms:
+        if vm.domain == server.domain:
+            cluster.start(vm.vm_id)  # all at once, nobody notices them away
+    assert seconds_until_unused(cluster) <= timing.WORK_LIMIT_S
+
+
+def test_a_vm_that_both_watchers_cannot_reach_finds_out_in_time() -> None:
+    cluster = Cluster()
+    server = with_servers(cluster)[0]
+    for watcher in watchers(cluster, server):
+        cluster.cut("vm20", watcher)
+    cluster.run(2.0)
+    assert cluster.servers("vm20") == {"s0"}
+    server.stop()
+    assert seconds_until_unused(cluster) <= timing.WORK_LIMIT_S
+
+
+def test_a_member_that_changed_its_domain_is_known_once() -> None:
+    cluster = Cluster()
+    server = with_servers(cluster)[0]
+    server.domain = "d1"
+    server.incarnation = "00000002"
+    cluster.run(1.0)
+    for vm in cluster.alive():
+        known = cluster.tables[vm].known(entries.SERVER)
+        assert [k.member.domain for k in known] == ["d1"]
+
+
+def test_workers_that_announce_seldom_outlive_their_watchers() -> None:
+    cluster = Cluster()
+    for n in range(400):
+        Announcing(cluster, "worker", f"w{n}", "d0", sticky=False)
+    cluster.run(60.0)
+    interval_s = timing.worker_interval_s(models.MemberPolicy(), 133)
+    assert interval_s > 2 * models.MemberPolicy().worker_ttl_ms / 1000
+    cluster.kill("vm00")
+    cluster.run(1.5)
+    cluster.start("vm00")
+    cluster.run(1.5)
+    cluster.kill("vm01")
+    cluster.run(3 * interval_s)
+    for vm in cluster.alive():
+        assert len(cluster.workers(vm, "d0")) == 400
+        assert "gone" not in [what for what, _ in cluster.changes[vm]]
+
+
+def test_a_vm_of_a_domain_that_does_not_answer_is_passed_over() -> None:
+    cluster = Cluster()
+    with_servers(cluster, 3)
+    cluster.kill("vm00")
+    for _ in range(40):
+        cluster.step()
+        for vm in cluster.alive():
+            oldest = (
+                min(
+                    domain.evidence_at(entry)
+                    for domain in cluster.tables[vm]._store.domains.values()
+                    for entry in domain
+                    if entry.rank is None
+                )
+                if not vm.startswith("vm0")
+                else cluster.clock.monotonic()
+            )
+            age = cluster.clock.monotonic() - oldest
+            assert age < timing.PROBE_S + 2 * timing.PROBE_RETRY_S
