Wait up to 5 s for the record of an answer before passing it on

Cause: test_kills_of_vms_never_run_a_confirmation_twice got 'unknown' on the resend of a confirmation that had been answered: the answer went out after 0.5 s without its record, while the home group elected a leader, and the VM that was to record it later was killed.

Ruled out: a lost claim (runs stayed at one).

Change: the answer waits for its record up to 5 s or the request's deadline.

--- a/laburnumsill/requests/once.py
+++ b/laburnumsill/requests/once.py
@@ -254,7 +254,8 @@
         answer: stored_answers.StoredAnswer | None = None,
     ) -> None:
         command = self._command(claimed, outcome, answer)
-        await self._settler.now(claimed.group, command)
+        deadline = claimed.request.deadline
+        await self._settler.now(claimed.group, command, deadline)
 
     def _settle_later(
         self, claimed: _Claimed, outcome: claims.ClaimState
--- a/laburnumsill/requests/settle.py
+++ b/laburnumsill/requests/settle.py
@@ -12,7 +12,13 @@
 from laburnumsill.state import claims
 
 PROMPT_S = claims.REFUSE_PATIENCE_S
-"""Longest wait for a record before the caller gets the answer all the same."""
+"""Longest wait for a record that there is no answer."""
+
+ANSWER_PATIENCE_S = 5.0
+"""Longest wait for the record of an answer, which bridges the election of a
+leader. A caller that got an answer can count on every resend getting the
+same one, unless the home group is away for longer than this and this VM dies
+before it is back."""
 
 LATEST_S = 600.0
 """Time after which a record that cannot be made is given up; the claim then
@@ -88,9 +94,19 @@
         """Makes background records in `nursery` from now on."""
         self._nursery = nursery
 
-    async def now(self, group: str, command: claims.SettleRequest) -> None:
-        """Records, or goes on in the background after `PROMPT_S`."""
-        until = self._clock.monotonic() + PROMPT_S
+    async def now(
+        self, group: str, command: claims.SettleRequest, deadline: float
+    ) -> None:
+        """Records, or goes on in the background after a while.
+
+        Args:
+            group: The home group.
+            command: The record.
+            deadline: Monotonic point by which the request must have ended.
+        """
+        answered = command.outcome is claims.ClaimState.ANSWERED
+        patience_s = ANSWER_PATIENCE_S if answered else PROMPT_S
+        until = min(deadline, self._clock.monotonic() + patience_s)
         if not await self._try(group, command, until):
             self.later(group, command)
 
