--- a/laburnumsill/api/tests/test_services.py
+++ b/laburnumsill/api/tests/test_services.py
@@ -29,6 +29,7 @@
     config = hypercorn.Config()
     config.bind = ["127.0.0.1:0"]
     config.accesslog = None
+    config.h11_max_incomplete_size = 32 * 1024
     async with (
         server.running(),
         bench.running(router),
@@ -99,6 +100,8 @@
             assert f" {status}" in head.split("\r\n")[0], (lines, head)
             assert "laburnumsill-outcome: not-run" in head
             assert slug in orjson.loads(body)["type"]
+        head, _ = await call(port, CHECK, "x: " + "y" * 16_500, path=SERVICES)
+        assert " 431" in head.split("\r\n")[0]
         head, body = await call(
             port, CHECK, path=SERVICES, body=b"x" * 1_100_000
         )
@@ -141,3 +144,18 @@
     async with serving(reply) as (port, _, _):
         head, body = await call(port, CHECK, path=SERVICES)
         assert len(body) == size
+
+
+async def test_head_has_the_length_and_no_body():
+    async def reply(_, stream):
+        await stream.send_all(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n")
+        return True
+
+    async with serving(reply) as (port, _, server):
+        for _ in range(2):
+            head, body = await call(
+                port, CHECK, path=SERVICES, method="HEAD", body=b""
+            )
+            assert "content-length: 9" in head
+            assert body == b""
+        assert len(server.calls) == 2
--- a/laburnumsill/requests/tests/test_durable.py
+++ b/laburnumsill/requests/tests/test_durable.py
@@ -1,34 +1,109 @@
 """Durable requests: dispatched until a success is recorded."""
 
+import contextlib
+
+import pytest
 import trio
 
+from laburnumsill.requests import accept
 from laburnumsill.requests import durable as dispatchers
 from laburnumsill.requests.tests import support
+from laburnumsill.testing import local_groups
 
 
-async def test_dispatched_until_it_succeeds():
-    bench = support.Bench()
-    server = support.FakeServer(support.raw(b""))
-    router = bench.router()
-    dispatcher = dispatchers.DurableDispatcher(
-        router, bench.groups, bench.current, bench.clock, bench.metrics
-    )
+class LedGroups(local_groups.LocalGroups):
+    """Shares the machines of other groups; `leading` says who leads."""
+
+    def __init__(self, machines, leading):
+        super().__init__(machines)
+        self.leading = leading
+
+    def leads(self, group):
+        return self.leading
+
+
+@contextlib.asynccontextmanager
+async def site(reply, vms=1, **requests):
+    """Yields a bench, its server, routers and the groups of each VM."""
+    bench = support.Bench(**requests)
+    server = support.FakeServer(reply)
+    groups = [LedGroups(bench.machines, n == 0) for n in range(vms)]
+    routers = [bench.router(f"vm{n}", groups[n]) for n in range(vms)]
     async with (
         server.running(),
-        bench.running(router),
+        bench.running(*routers),
         trio.open_nursery() as nursery,
     ):
         bench.view.add(server.address)
-        await nursery.start(dispatcher.run)
-        head = support.head(bench.clock, "tag", "k1")
-        result = await support.ask(router, head)
+        for router, led in zip(routers, groups, strict=True):
+            dispatcher = dispatchers.DurableDispatcher(
+                router, led, bench.current, bench.clock, bench.metrics
+            )
+            await nursery.start(dispatcher.run)
+        yield bench, server, routers, groups
+        nursery.cancel_scope.cancel()
+
+
+def pending(bench):
+    parts = [m.component("durable") for m in bench.machines.values()]
+    return sum(len(part.pending) for part in parts)
+
+
+async def send(bench, router, key="k1"):
+    return await support.ask(router, support.head(bench.clock, "tag", key))
+
+
+async def test_dispatched_until_it_succeeds():
+    async with site(support.raw(b"")) as (bench, server, routers, _):
+        result = await send(bench, routers[0])
         assert (result.outcome, result.status) == ("accepted", 202)
         await support.until(lambda: len(server.calls) >= 2)
+        server.reply = support.respond(status=503)
+        await support.until(lambda: len(server.calls) >= 3)
         server.reply = support.respond()
-        components = [m.component("durable") for m in bench.machines.values()]
-        await support.until(lambda: not any(p.pending for p in components))
-        head = support.head(bench.clock, "tag", "k1")
-        again = await support.ask(router, head)
+        await support.until(lambda: not pending(bench))
+        again = await send(bench, routers[0])
         assert (again.outcome, again.status) == ("answered", 200)
-        nursery.cancel_scope.cancel()
-    assert {call.headers["idempotency-key"] for call in server.calls} == {"k1"}
+    keys = {call.headers["idempotency-key"] for call in server.calls}
+    assert keys == {"k1"}
+
+
+async def test_next_leader_goes_on_with_what_is_pending():
+    async with site(support.raw(b""), vms=2) as (bench, server, routers, led):
+        for number in range(20):
+            await send(bench, routers[number % 2], f"k{number}")
+        led[0].leading = False
+        server.reply = support.respond()
+        await trio.sleep(0.5)
+        assert pending(bench)
+        led[1].leading = True
+        await support.until(lambda: not pending(bench))
+
+
+async def test_not_repeatable_runs_once_and_ends_unknown():
+    async with site(support.raw(b"")) as (bench, server, routers, _):
+        configured = bench.current.get()
+        once = configured.classes["tag"].model_copy(
+            update={"repeatable": False}
+        )
+        classes = {**configured.classes, "tag": once}
+        bench.put(configured.model_copy(update={"classes": classes}))
+        await send(bench, routers[0])
+        await support.until(lambda: not pending(bench))
+        with pytest.raises(accept.DurableExpiredError) as caught:
+            await send(bench, routers[0])
+        assert caught.value.context["state"] == "unknown"
+        assert len(server.calls) == 1
+
+
+async def test_given_up_at_its_deadline():
+    async with site(support.raw(b""), durable_timeout_s=0.5) as (
+        bench,
+        server,
+        routers,
+        _,
+    ):
+        await send(bench, routers[0])
+        await support.until(lambda: not pending(bench))
+        with pytest.raises(accept.DurableExpiredError):
+            await send(bench, routers[0])
