--- a/laburnumsill/testing/cluster.py
+++ b/laburnumsill/testing/cluster.py
@@ -34,6 +34,7 @@
         accelerators: Accelerators of one worker.
         service: The service of the backend servers.
         replace_after_s: Silence after which a VM is replaced.
+        worker_fields: Further settings of every fake worker.
     """
 
     domains: abc.Mapping[str, int] = dataclasses.field(
@@ -45,6 +46,9 @@
     accelerators: int = 8
     service: str = "booking"
     replace_after_s: float = 3600.0
+    worker_fields: abc.Mapping[str, typing.Any] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -325,6 +329,7 @@
                 "cores": 32,
                 "memory_gb": 128,
                 "accelerators": self._layout.accelerators,
+                **self._layout.worker_fields,
             },
         )
 
