Take the fake backend server's settings out of its server

Change: settings, behaviour, counts and the pure functions are in server_behaviour; nothing else changes. Conclusion: one job a module.

--- a/laburnumsill/testing/fake_server.py
+++ b/laburnumsill/testing/fake_server.py
@@ -1,8 +1,8 @@
 """A fake backend server of a service, run as a process.
 
 ``python -m laburnumsill.testing.fake_server --settings server.toml``, where
-the file holds the fields of `Settings`. It announces itself, runs requests
-in its slots and can be told to misbehave while it runs:
+the file holds the fields of `server_behaviour.Settings`. It announces itself,
+runs requests in its slots and can be told to misbehave while it runs:
 
 * ``GET /_fake/runs``: ``{"<Idempotency-Key>": runs, ...}``, executions only.
 * ``GET /_fake/stats``: the fields of `Stats`.
@@ -18,14 +18,10 @@
 """
 
 import collections
-import dataclasses
-import pathlib
 import random
 import signal
-import typing
 from collections import abc
 
-import pydantic
 import trio
 from starlette import applications
 from starlette import requests
@@ -38,165 +34,10 @@
 from laburnumsill.testing import announcer
 from laburnumsill.testing import fake_serving
 from laburnumsill.testing import recorder
-
-CHUNK_BYTES = 65_536
-"""Size of one piece of a long answer."""
+from laburnumsill.testing import server_behaviour
 
 METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
 
-PARETO_SHAPE = 1.5
-"""Tail index of the heavy-tailed delay: finite mean, infinite variance."""
-
-Mode = typing.Literal[
-    "serve",
-    "fail-fast",
-    "fail-after-read",
-    "truncate",
-    "cut",
-    "hang",
-    "jam",
-    "refuse",
-]
-
-
-class Settings(pydantic.BaseModel):
-    """Settings of one fake backend server.
-
-    Attributes:
-        id: Its name, unique in its service.
-        service: The service it belongs to.
-        domain: Its failure domain.
-        address: ``host:port`` where it takes requests.
-        announced_address: What it announces, such as a proxy before it;
-            empty means `address`.
-        vms: Client addresses of VMs to announce to.
-        slots: Requests it runs at a time.
-        connections: Connections it says it takes.
-        drain_s: Time that it goes on serving after it said it leaves.
-        record: File for its runs, see `recorder`.
-        log_level: A loguru level name.
-    """
-
-    model_config = pydantic.ConfigDict(extra="forbid")
-
-    id: str
-    service: str
-    domain: str
-    address: str
-    announced_address: str = ""
-    vms: list[str] = pydantic.Field(min_length=1)
-    slots: int = 8
-    connections: int = 64
-    drain_s: float = 3.0
-    record: pathlib.Path | None = None
-    log_level: str = "INFO"
-
-
-class Behaviour(pydantic.BaseModel):
-    """How requests are treated from now on.
-
-    Attributes:
-        mode: ``serve``; ``fail-fast``: `fail_status` before the body is read
-            and without a run; ``fail-after-read``: a run, then
-            `fail_status`; ``truncate``: a run, then an answer that ends
-            after `truncate_at` bytes; ``cut``: a run, then the connection
-            is closed without an answer; ``hang``: the request is read and
-            never run or answered; ``jam``: the same until the mode changes,
-            then it is run and answered late; ``refuse``: the listener is
-            closed for `refuse_s`.
-        share: Share of the requests that `mode` is for; others are served.
-        only_next: How many requests `mode` is for; then it is ``serve``.
-        prefix: Only paths that start so are meant by `mode`.
-        delay_ms: Mean time that a run takes.
-        delay_kind: How that time is spread.
-        fail_status: HTTP status of failures.
-        answer_bytes: Length of a whole answer, or None for the JSON one.
-        truncate_at: Bytes of a truncated answer that are sent.
-        refuse_s: How long connections are refused, in seconds.
-        announcing: Whether it goes on announcing itself.
-    """
-
-    model_config = pydantic.ConfigDict(extra="forbid")
-
-    mode: Mode = "serve"
-    share: float = pydantic.Field(default=1.0, ge=0, le=1)
-    only_next: int | None = pydantic.Field(default=None, ge=0)
-    prefix: str = ""
-    delay_ms: float = pydantic.Field(default=0.0, ge=0)
-    delay_kind: typing.Literal["fixed", "uniform", "exponential", "pareto"] = (
-        "fixed"
-    )
-    fail_status: int = pydantic.Field(default=503, ge=400, le=599)
-    answer_bytes: int | None = pydantic.Field(default=None, ge=0)
-    truncate_at: int = pydantic.Field(default=10, ge=0)
-    refuse_s: float = pydantic.Field(default=1.0, ge=0)
-    announcing: bool = True
-
-
-@dataclasses.dataclass(slots=True)
-class Stats:
-    """Counts since the process started.
-
-    Attributes:
-        arrived: Requests whose head was read.
-        runs: Executions, answered or not.
-        answered: Whole answers that were sent off.
-        failed: Failures on purpose.
-        in_flight: Requests here now.
-        busy: Slots in use now.
-        peak_in_flight: Most requests here at a time.
-        over_committed: Requests that found no free slot.
-        last_arrival_at: Wall time of the last arrival, 0 before any.
-    """
-
-    arrived: int = 0
-    runs: int = 0
-    answered: int = 0
-    failed: int = 0
-    in_flight: int = 0
-    busy: int = 0
-    peak_in_flight: int = 0
-    over_committed: int = 0
-    last_arrival_at: float = 0.0
-
-
-def delay_s(behaviour: Behaviour, draw: random.Random) -> float:
-    """Returns the time of one run in seconds, drawn from its distribution.
-
-    Examples:
-        >>> delay_s(Behaviour(delay_ms=20), random.Random(1))
-        0.02
-    """
-    mean = behaviour.delay_ms / 1000
-    match behaviour.delay_kind:
-        case "uniform":
-            return draw.uniform(0, 2 * mean)
-        case "exponential":
-            return draw.expovariate(1 / mean) if mean else 0.0
-        case "pareto":
-            # The mean of a Pareto variable with scale 1 is a / (a - 1).
-            scale = mean * (PARETO_SHAPE - 1) / PARETO_SHAPE
-            return scale * draw.paretovariate(PARETO_SHAPE)
-        case _:
-            return mean
-
-
-def filler(request_id: str, length: int) -> abc.Iterator[bytes]:
-    """Yields `length` bytes: the request id and a space, repeated.
-
-    Each piece starts with the request id again.
-
-    Examples:
-        >>> b"".join(filler("ab", 7))
-        b'ab ab a'
-    """
-    unit = (request_id or "-").encode() + b" "
-    piece = unit * (CHUNK_BYTES // len(unit) + 1)
-    while length > 0:
-        part = piece[:length]
-        yield part
-        length -= len(part)
-
 
 async def _stream(pieces: abc.Iterator[bytes]) -> abc.AsyncIterator[bytes]:
     """Yields the pieces without leaving the loop's thread."""
@@ -207,9 +48,11 @@
 class FakeServer:
     """Runs requests in slots and counts them."""
 
-    def __init__(self, settings: Settings, clock: clocks.Clock) -> None:
-        self.behaviour = Behaviour()
-        self.stats = Stats()
+    def __init__(
+        self, settings: server_behaviour.Settings, clock: clocks.Clock
+    ) -> None:
+        self.behaviour = server_behaviour.Behaviour()
+        self.stats = server_behaviour.Stats()
         self.leaving = False
         self._settings = settings
         self._clock = clock
@@ -290,7 +133,9 @@
     async def _set_behaviour(
         self, request: requests.Request
     ) -> responses.Response:
-        self.behaviour = await problems.read_model(request, Behaviour)
+        self.behaviour = await problems.read_model(
+            request, server_behaviour.Behaviour
+        )
         self.announcer.paused = not self.behaviour.announcing
         self._changed.set()
         self._changed = trio.Event()
@@ -317,7 +162,7 @@
         finally:
             stats.in_flight -= 1
 
-    def _mode_for(self, request: requests.Request) -> Mode:
+    def _mode_for(self, request: requests.Request) -> server_behaviour.Mode:
         behaviour = self.behaviour
         if not request.url.path.startswith(behaviour.prefix):
             return "serve"
@@ -330,7 +175,7 @@
         return behaviour.mode
 
     async def _treat(
-        self, request: requests.Request, mode: Mode
+        self, request: requests.Request, mode: server_behaviour.Mode
     ) -> responses.Response:
         if mode == "fail-fast":
             return self._failure()
@@ -357,7 +202,7 @@
             self._runs[key] += 1
         run = self._runs[key] if key else 0
         self._recorder.write("run", key=key, run=run, path=request.url.path)
-        await trio.sleep(delay_s(self.behaviour, self._random))
+        await trio.sleep(server_behaviour.delay_s(self.behaviour, self._random))
         return run
 
     def _failure(self) -> responses.Response:
@@ -371,19 +216,21 @@
         body: bytes,
         key: str,
         run: int,
-        mode: Mode,
+        mode: server_behaviour.Mode,
     ) -> responses.Response:
         request_id = request.headers.get("laburnumsill-request-id", "")
         length = self.behaviour.answer_bytes
         if mode == "truncate":
-            whole = b"".join(filler(request_id, length or 1000))
+            whole = b"".join(
+                server_behaviour.filler(request_id, length or 1000)
+            )
             return fake_serving.TruncatedResponse(
                 whole, self.behaviour.truncate_at
             )
         self.stats.answered += 1
         if length is not None:
             return responses.StreamingResponse(
-                _stream(filler(request_id, length)),
+                _stream(server_behaviour.filler(request_id, length)),
                 headers={"Content-Length": str(length)},
                 media_type="application/octet-stream",
             )
@@ -402,7 +249,9 @@
 
 def main() -> None:
     """Runs one fake backend server until it is told to leave."""
-    settings = fake_serving.settings_from_arguments(Settings, str(__doc__))
+    settings = fake_serving.settings_from_arguments(
+        server_behaviour.Settings, str(__doc__)
+    )
     logs.set_up(settings.log_level, settings.id)
     server = FakeServer(settings, clocks.SystemClock())
     trio.run(server.run)
