Let one slug stand for one error type; wait for a settlement instead of a second

A test of all error types found two types under one slug. The test of a lost settlement slept for a second and then failed once on a busy machine (load 24); it asks until the claim is settled now and checks the same end.

--- a/laburnumsill/api/members.py
+++ b/laburnumsill/api/members.py
@@ -85,12 +85,6 @@
 """Tasks in one usage report."""
 
 
-class InvalidParameterError(errors.InvalidInputError):
-    """A query parameter that is missing or damaged."""
-
-    slug = "invalid-input"
-
-
 class Border(pydantic.BaseModel):
     """Base of the models: unknown fields and lax types are refused."""
 
@@ -272,7 +266,7 @@
     try:
         return _IDENTIFIER.validate_python(value)
     except pydantic.ValidationError as error:
-        raise InvalidParameterError(f"?{name}= is {value[:80]!r}") from error
+        raise errors.InvalidInputError(f"?{name}= is {value[:80]!r}") from error
 
 
 _IDENTIFIER: pydantic.TypeAdapter[str] = pydantic.TypeAdapter(Identifier)
--- a/laburnumsill/core/tests/test_errors.py
+++ b/laburnumsill/core/tests/test_errors.py
@@ -16,15 +16,22 @@
     "cls", sorted(subclasses(errors.LaburnumsillError), key=lambda c: c.slug)
 )
 def test_each_error_travels_with_its_own_type(cls):
-    error = cls("it failed", version=3)
+    error = cls("it failed")
     record = codec.decode(codec.encode(error.to_record()))
     back = errors.LaburnumsillError.from_record(record)
     assert type(back) is cls
     assert back.detail == "it failed"
-    assert back.context == {"version": 3}
+    assert back.context == error.context
     assert back.retry_after_s == error.retry_after_s
 
 
+def test_the_context_travels_too():
+    error = errors.VersionConflictError("it failed", version=3, winner="x")
+    record = codec.decode(codec.encode(error.to_record()))
+    back = errors.LaburnumsillError.from_record(record)
+    assert back.context == {"version": 3, "winner": "x"}
+
+
 def test_an_unknown_slug_becomes_the_root_type():
     record = errors.ErrorRecord("from-a-newer-version", "it failed", None, {})
     back = errors.LaburnumsillError.from_record(record)
--- a/laburnumsill/requests/tests/test_once.py
+++ b/laburnumsill/requests/tests/test_once.py
@@ -91,8 +91,13 @@
         bench.groups.faults[claims.SettleRequest] = ["lost"] * 3
         result = await support.ask(router, confirm(bench))
         assert result.body == b"booked"
-        await trio.sleep(1.0)
-        again = await support.ask(router, confirm(bench))
+        with trio.fail_after(30):
+            while True:
+                try:
+                    again = await support.ask(router, confirm(bench))
+                    break
+                except errors.InProgressError:
+                    await trio.sleep(0.1)
         assert (again.body, len(server.calls)) == (b"booked", 1)
 
 
