--- a/laburnumsill/consensus/host.py
+++ b/laburnumsill/consensus/host.py
@@ -56,6 +56,8 @@
         metrics: Takes the counters.
         options: The engine's settings, the same on all VMs.
         limits: When snapshots are taken.
+        first: The voters of each group's first make-up, the same on all VMs;
+            `topology.first_groups` unless given.
     """
 
     def __init__(
@@ -69,6 +71,7 @@
         metrics: metrics_module.Metrics,
         options: engines.Options = DEFAULT_OPTIONS,
         limits: SnapshotLimits = DEFAULT_LIMITS,
+        first: abc.Mapping[str, abc.Sequence[str]] | None = None,
     ) -> None:
         self._me = me
         self._clock = clock
@@ -80,7 +83,7 @@
         )
         self._keeper = host_members.Keeper(
             me.vm_id,
-            topology.first_groups(vms),
+            topology.first_groups(vms) if first is None else first,
             frozenset(vm.vm_id for vm in vms if vm.has_disk),
             network,
             clock,
@@ -257,9 +260,7 @@
         waiter = self._hosted(name).propose(raw)
         self._replicas.mark(name)
         late = errors.ProposalLostError(f"{name}: no commit in time")
-        outcome = await waiter.wait(deadline, self._clock, late)
-        self._metrics.count("group_commits_total", group=name)
-        return outcome
+        return await waiter.wait(deadline, self._clock, late)
 
     async def _query_here(
         self, name: str, query: object, deadline: float
@@ -341,6 +342,7 @@
         while True:
             for name in self._names_missing():
                 await self._replicas.open(name, nursery)
+            self._publish()
             for name, hosted in list(self._replicas.hosted.items()):
                 if hosted.leads and self._keeper.reconcile(hosted):
                     self._replicas.mark(name)
@@ -351,6 +353,15 @@
                     nursery.start_soon(self._ask, hosted)
             await trio.sleep(HOUSEKEEPING_S)
 
+    def _publish(self) -> None:
+        """Shows operators where the replicas stand."""
+        for name, hosted in self._replicas.hosted.items():
+            gauge = functools.partial(self._metrics.gauge, group=name)
+            gauge("group_leads", int(hosted.leads))
+            gauge("group_term", hosted.engine.term)
+            gauge("group_committed_index", hosted.engine.committed)
+            gauge("group_applied_index", hosted.applied)
+
     def _names_missing(self) -> list[str]:
         return [
             name
