--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -8,7 +8,7 @@
 
 from bench import virtual_domain
 from laburnumsill.jobs import fit
-from laburnumsill.jobs import planner
+from laburnumsill.jobs import steps
 from laburnumsill.state import jobs_book
 from laburnumsill.state import jobs_messages
 from laburnumsill.state import placements
@@ -30,7 +30,7 @@
 
     def steps(
         self, book: jobs_book.JobBook, now: float
-    ) -> collections_abc.Iterator[planner.Command]:
+    ) -> collections_abc.Iterator[steps.Command]:
         """Places jobs until the first that does not fit."""
         while self._queue:
             job = book.jobs[self._queue[0]]
@@ -85,7 +85,7 @@
 
     def steps(
         self, book: jobs_book.JobBook, now: float
-    ) -> collections_abc.Iterator[planner.Command]:
+    ) -> collections_abc.Iterator[steps.Command]:
         """Places the first jobs, then those that do not delay the next."""
         yield from super().steps(book, now)
         if not self._queue:
--- a/bench/virtual_domain.py
+++ b/bench/virtual_domain.py
@@ -16,6 +16,7 @@
 from laburnumsill.core import members
 from laburnumsill.jobs import planner
 from laburnumsill.jobs import policy as policies
+from laburnumsill.jobs import steps
 from laburnumsill.state import jobs
 from laburnumsill.state import jobs_book
 from laburnumsill.state import jobs_messages
@@ -51,7 +52,7 @@
     @abc.abstractmethod
     def steps(
         self, book: jobs_book.JobBook, now: float
-    ) -> collections_abc.Iterator[planner.Command]:
+    ) -> collections_abc.Iterator[steps.Command]:
         """Yields commands; each is applied before the next is asked for."""
 
 
@@ -207,7 +208,7 @@
         )
         self._placing.submitted(job_id)
 
-    def _carry_out(self, command: planner.Command) -> None:
+    def _carry_out(self, command: steps.Command) -> None:
         before = self.book.cells.shortfall()
         self._apply(command)
         if self.book.cells.shortfall() > before:
@@ -304,7 +305,7 @@
 
     def steps(
         self, book: jobs_book.JobBook, now: float
-    ) -> collections_abc.Iterator[planner.Command]:
+    ) -> collections_abc.Iterator[steps.Command]:
         """Yields the planner's commands."""
         for step in self._planner.steps(book, self._policy, now):
             yield step.command
@@ -313,5 +314,5 @@
 class _WithoutDrains(planner.Planner):
     def _gangs(
         self, book: jobs_book.JobBook, policy: policies.Policy, now: float
-    ) -> collections_abc.Iterator[planner.Step]:
+    ) -> collections_abc.Iterator[steps.Step]:
         yield from ()
--- a/laburnumsill/jobs/claims.py
+++ b/laburnumsill/jobs/claims.py
@@ -14,6 +14,7 @@
 from laburnumsill.state import cells
 from laburnumsill.state import jobs_book
 from laburnumsill.state import jobs_messages
+from laburnumsill.state import jobs_pool
 from laburnumsill.state import placements
 from laburnumsill.state import workers
 
@@ -100,7 +101,7 @@
 
 def _racks(
     book: jobs_book.JobBook, job: placements.Job, new: bool
-) -> abc.Iterator[workers.Rack]:
+) -> abc.Iterator[jobs_pool.Rack]:
     """Yields the racks to look into: own cells, then free, then others.
 
     Args:
@@ -184,7 +185,7 @@
     ) -> Strategy:
         """Returns the levels of cells that are owed and hold a task."""
         spec = self._job.spec
-        size = min(self._book.footprint(spec, w) for w in candidates)
+        size = min(w.footprint(spec) for w in candidates)
         holding = {Level.WORKER, Level.RACK}
         if size <= 2:
             holding.add(Level.PAIR)
@@ -193,7 +194,7 @@
         return frozenset(level for level in holding if self._budget[level])
 
     def _fits(self, worker: workers.WorkerRecord) -> bool:
-        size = self._book.footprint(self._job.spec, worker)
+        size = worker.footprint(self._job.spec)
         return worker.usable and 0 < size <= worker.announced.accelerators
 
     def _try(
@@ -305,7 +306,7 @@
         cell: Cell | None,
         costs: eviction.Costs,
     ) -> list[Group]:
-        size = self._book.footprint(self._job.spec, worker)
+        size = worker.footprint(self._job.spec)
         if mask.bit_count() < size:
             return []
         chunks = eviction.chunks_on(worker, mask, size, costs)
--- a/laburnumsill/jobs/decisions.py
+++ b/laburnumsill/jobs/decisions.py
@@ -2,7 +2,7 @@
 
 from laburnumsill.core import logs
 from laburnumsill.core import metrics as metrics_module
-from laburnumsill.jobs import planner
+from laburnumsill.jobs import steps
 from laburnumsill.state import jobs_book
 from laburnumsill.state import jobs_messages
 
@@ -13,7 +13,7 @@
 def note(
     metrics: metrics_module.Metrics,
     book: jobs_book.JobBook,
-    step: planner.Step,
+    step: steps.Step,
     now: float,
 ) -> None:
     """Logs and counts a step that was committed."""
--- a/laburnumsill/jobs/fit.py
+++ b/laburnumsill/jobs/fit.py
@@ -3,13 +3,14 @@
 from collections import abc
 
 from laburnumsill.state import jobs_messages
+from laburnumsill.state import jobs_pool
 from laburnumsill.state import workers
 
 Slots = tuple[jobs_messages.Slot, ...]
 
 
 def find_free(
-    pool: workers.Pool,
+    pool: jobs_pool.Pool,
     spec: jobs_messages.JobSpec,
     avoid: abc.Collection[str] = (),
 ) -> Slots | None:
@@ -35,8 +36,8 @@
 
 
 def _candidates(
-    pool: workers.Pool, spec: jobs_messages.JobSpec
-) -> abc.Iterator[workers.Rack]:
+    pool: jobs_pool.Pool, spec: jobs_messages.JobSpec
+) -> abc.Iterator[jobs_pool.Rack]:
     if not spec.accelerators:
         yield from pool.racks_with_cores(spec.tasks, spec.cores)
         return
@@ -92,7 +93,7 @@
 
 
 def _scatter(
-    pool: workers.Pool,
+    pool: jobs_pool.Pool,
     spec: jobs_messages.JobSpec,
     avoid: abc.Collection[str],
 ) -> Slots | None:
--- a/laburnumsill/jobs/planner.py
+++ b/laburnumsill/jobs/planner.py
@@ -10,43 +10,22 @@
 from collections import abc
 
 from laburnumsill.jobs import claims
-from laburnumsill.jobs import drains
-from laburnumsill.jobs import eviction
 from laburnumsill.jobs import fit
+from laburnumsill.jobs import gang_help
 from laburnumsill.jobs import order
 from laburnumsill.jobs import policy as policies
+from laburnumsill.jobs import steps as steps_module
 from laburnumsill.state import jobs_book
 from laburnumsill.state import jobs_messages
 from laburnumsill.state import jobs_queue
 from laburnumsill.state import placements
 
-MAX_DRAINS = 2
-"""Gangs that slots are drained for at a time."""
-
-GANGS_A_PASS = 4
-"""Large borrowers that one pass sees to at most, the oldest first."""
-
 SHAPES_A_PASS = 256
 """Shapes of borrowing jobs that one pass tries at most."""
 
 URGENT_CHECKPOINT_S = 1.0
 """Time in seconds that borrowers have to save work for an urgent claim."""
 
-Command = (
-    jobs_messages.PlaceJob
-    | jobs_messages.HoldSlots
-    | jobs_messages.DropHold
-    | jobs_messages.ReturnWorker
-)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Step:
-    """A command to propose, and why, for the log of decisions."""
-
-    command: Command
-    why: str
-
 
 @dataclasses.dataclass(slots=True)
 class Memory:
@@ -101,7 +80,7 @@
 
     def steps(
         self, book: jobs_book.JobBook, policy: policies.Policy, now: float
-    ) -> abc.Iterator[Step]:
+    ) -> abc.Iterator[steps_module.Step]:
         """Yields what to do now, the most urgent first.
 
         Args:
@@ -116,15 +95,19 @@
         yield from self._gangs(book, policy, now)
         yield from self._borrowers(book, policy, now)
 
-    def _held(self, book: jobs_book.JobBook, now: float) -> abc.Iterator[Step]:
+    def _held(
+        self, book: jobs_book.JobBook, now: float
+    ) -> abc.Iterator[steps_module.Step]:
         """Places the jobs whose held slots have become free."""
         for job in list(book.held.values()):
             if job.hold and is_free(book, job):
-                yield Step(place(job, job.hold, now), "held-slots-free")
+                yield steps_module.Step(
+                    steps_module.place(job, job.hold, now), "held-slots-free"
+                )
 
     def _guaranteed(
         self, book: jobs_book.JobBook, policy: policies.Policy, now: float
-    ) -> abc.Iterator[Step]:
+    ) -> abc.Iterator[steps_module.Step]:
         """Claims cells, account by account, in order of submission.
 
         A claim that does not fit its account's guarantee now lets smaller
@@ -146,7 +129,7 @@
         account: str,
         policy: policies.Policy,
         now: float,
-    ) -> Step | None:
+    ) -> steps_module.Step | None:
         for shape, job_id in line.heads():
             job = book.jobs[job_id]
             if job.hold:
@@ -162,48 +145,13 @@
 
     def _gangs(
         self, book: jobs_book.JobBook, policy: policies.Policy, now: float
-    ) -> abc.Iterator[Step]:
-        """Sees to the large borrower that waited longest and can be helped."""
-        draining = [j for j in book.held.values() if not j.spec.guaranteed]
-        for job in draining:
-            step = hasten(book, job, policy, now)
-            if step is not None:
-                yield step
-        for gang in longest_waiting(book):
-            step = self._for_gang(book, gang, len(draining), policy, now)
-            if step is not None:
-                yield step
-                return
-
-    def _for_gang(
-        self,
-        book: jobs_book.JobBook,
-        gang: placements.Job,
-        draining: int,
-        policy: policies.Policy,
-        now: float,
-    ) -> Step | None:
-        """Returns what helps a gang along, the mildest that does."""
-        waited = now - gang.queued_at
-        if waited > policy.gang_wait_bound_s:
-            slots = fit.find_free(book.pool, gang.spec, avoided(book, gang))
-            if slots is not None:
-                return Step(place(gang, slots, now), "gang-first")
-        if draining >= MAX_DRAINS:
-            return None
-        if waited > policy.move_patience_s and can_move(book, gang):
-            room = drains.find_drain(book, gang, policy, now)
-            if room is not None:
-                return drain_step(gang, room, room.victims, policy, now)
-        if waited > policy.gang_wait_bound_s:
-            room = drains.find_drain(book, gang, policy, now)
-            if room is not None:
-                return drain_step(gang, room, (), policy, now)
-        return None
+    ) -> abc.Iterator[steps_module.Step]:
+        """Helps large borrowers that have waited long."""
+        yield from gang_help.steps(book, policy, now)
 
     def _borrowers(
         self, book: jobs_book.JobBook, policy: policies.Policy, now: float
-    ) -> abc.Iterator[Step]:
+    ) -> abc.Iterator[steps_module.Step]:
         """Places borrowing jobs, the account with the least share first.
 
         Only shapes for which a place may be free are looked at, and each is
@@ -231,7 +179,7 @@
         shapes: set[jobs_queue.Shape],
         policy: policies.Policy,
         now: float,
-    ) -> Step | None:
+    ) -> steps_module.Step | None:
         """Returns the placement of an account's next job that fits.
 
         Shapes that turn out to have no place are taken out of `shapes`.
@@ -243,9 +191,13 @@
             shape = jobs_queue.shape_of(job)
             if shape not in shapes:
                 continue
-            slots = fit.find_free(book.pool, job.spec, avoided(book, job))
+            slots = fit.find_free(
+                book.pool, job.spec, steps_module.avoided(book, job)
+            )
             if slots is not None:
-                return Step(place(job, slots, now), "best-fit")
+                return steps_module.Step(
+                    steps_module.place(job, slots, now), "best-fit"
+                )
             if not job.failed_on:
                 shapes.discard(shape)
                 self._memory.full[shape] = book.pool.freed
@@ -270,119 +222,23 @@
     return found
 
 
-def place(
-    job: placements.Job, slots: fit.Slots, now: float
-) -> jobs_messages.PlaceJob:
-    """Returns the placement of a job under its next epoch."""
-    return jobs_messages.PlaceJob(job.job_id, job.epoch + 1, slots, now)
-
-
-def longest_waiting(book: jobs_book.JobBook) -> list[placements.Job]:
-    """Returns the oldest large borrowers that no slots are held for."""
-    found: list[placements.Job] = []
-    for job_id in book.queue.large():
-        job = book.jobs[job_id]
-        if not job.hold:
-            found.append(job)
-        if len(found) >= GANGS_A_PASS:
-            break
-    return found
-
-
-def can_move(book: jobs_book.JobBook, gang: placements.Job) -> bool:
-    """Returns whether a gang only lacks that what is free is together.
-
-    What is stopped to make room for it fits into what is free elsewhere.
-    """
-    return book.pool.free_accelerators >= gang.spec.total_accelerators
-
-
-def drain_step(
-    gang: placements.Job,
-    room: eviction.Room,
-    victims: tuple[str, ...],
-    policy: policies.Policy,
-    now: float,
-) -> Step:
-    """Returns the hold that keeps slots for a gang and stops the victims."""
-    return Step(
-        jobs_messages.HoldSlots(
-            gang.job_id,
-            gang.epoch,
-            room.slots,
-            bind=(),
-            victims=victims,
-            reason=jobs_messages.StopReason.DRAINED,
-            checkpoint_until=now + policy.checkpoint_timeout_s,
-            now=now,
-        ),
-        "move-borrowers-together" if victims else "gang-waited-past-bound",
-    )
-
-
-def hasten(
-    book: jobs_book.JobBook,
-    gang: placements.Job,
-    policy: policies.Policy,
-    now: float,
-) -> Step | None:
-    """Stops what still runs on slots that drain for too long."""
-    if now - gang.queued_at < drains.STOP_FACTOR * policy.gang_wait_bound_s:
-        return None
-    victims = tuple(
-        victim
-        for victim in in_way(book, gang)
-        if drains.may_stop(book.jobs[victim], gang, policy, now)
-    )
-    if not victims:
-        return None
-    return Step(
-        jobs_messages.HoldSlots(
-            gang.job_id,
-            gang.epoch,
-            gang.hold,
-            bind=(),
-            victims=victims,
-            reason=jobs_messages.StopReason.DRAINED,
-            checkpoint_until=now + policy.checkpoint_timeout_s,
-            now=now,
-        ),
-        "drain-took-too-long",
-    )
-
-
-def avoided(
-    book: jobs_book.JobBook, job: placements.Job
-) -> abc.Collection[str]:
-    """Returns the workers that a job failed on, unless it needs them."""
-    if not job.failed_on:
-        return ()
-    failed = set(job.failed_on)
-    others = (
-        worker
-        for worker_id, worker in book.pool.workers.items()
-        if worker_id not in failed and worker.usable
-    )
-    return failed if fit.ever_fits(others, job.spec) else ()
-
-
 def claim_step(
     job: placements.Job,
     claim: claims.Claim,
     policy: policies.Policy,
     now: float,
-) -> Step:
+) -> steps_module.Step:
     """Returns the placement, or the hold that stops those in the way."""
     room = claim.room
     if room.ready:
         place = jobs_messages.PlaceJob(
             job.job_id, job.epoch + 1, room.slots, now, claim.bind
         )
-        return Step(place, "guarantee-free")
+        return steps_module.Step(place, "guarantee-free")
     time_to_save = policy.checkpoint_timeout_s
     if job.spec.urgent:
         time_to_save = min(time_to_save, URGENT_CHECKPOINT_S)
-    return Step(
+    return steps_module.Step(
         jobs_messages.HoldSlots(
             job.job_id,
             job.epoch,
@@ -397,16 +253,6 @@
     )
 
 
-def in_way(book: jobs_book.JobBook, job: placements.Job) -> tuple[str, ...]:
-    """Returns the borrowers that still run on a job's held slots."""
-    costs = eviction.Costs(book, 0.0)
-    chunks = [
-        eviction.Chunk(0.0, slot.worker_id, slot.mask) for slot in job.hold
-    ]
-    room = eviction.settle(book, job, chunks, costs)
-    return room.victims if room is not None else ()
-
-
 def is_free(book: jobs_book.JobBook, job: placements.Job) -> bool:
     """Returns whether all held slots of a job can be taken now."""
     counts: dict[str, int] = {}
--- a/laburnumsill/state/cells.py
+++ b/laburnumsill/state/cells.py
@@ -28,6 +28,7 @@
 
 from laburnumsill.core import errors
 from laburnumsill.state import jobs_messages
+from laburnumsill.state import jobs_pool
 from laburnumsill.state import workers
 
 Numbers = tuple[int, int, int, int]
@@ -80,7 +81,7 @@
         bound: The physical cells that each account uses.
     """
 
-    def __init__(self, pool: workers.Pool) -> None:
+    def __init__(self, pool: jobs_pool.Pool) -> None:
         self.guarantees: dict[str, Numbers] = {}
         self.bound: dict[str, list[Cell]] = {}
         self._pool = pool
@@ -258,7 +259,7 @@
         if old.whole:
             self._whole.remove((old.accelerators, rack))
 
-    def _count(self, rack: workers.Rack) -> RackSupply:
+    def _count(self, rack: jobs_pool.Rack) -> RackSupply:
         supply = RackSupply(whole=True)
         for worker_id, worker in rack.workers.items():
             size = worker.announced.accelerators
@@ -367,7 +368,7 @@
     return low >= 0 and low % 2 == 0 and cell.mask == 3 << low
 
 
-def _accelerators(rack: workers.Rack) -> int:
+def _accelerators(rack: jobs_pool.Rack) -> int:
     return sum(w.announced.accelerators for w in rack.workers.values())
 
 
--- a/laburnumsill/state/jobs.py
+++ b/laburnumsill/state/jobs.py
@@ -1,7 +1,6 @@
 """The job ledger: the replicated state of a failure domain's jobs."""
 
 import collections
-import dataclasses
 import typing
 
 from laburnumsill.core import codec
@@ -9,8 +8,10 @@
 from laburnumsill.core import members
 from laburnumsill.core import replication
 from laburnumsill.state import jobs_book
+from laburnumsill.state import jobs_checks
 from laburnumsill.state import jobs_health
 from laburnumsill.state import jobs_messages
+from laburnumsill.state import jobs_snapshot
 from laburnumsill.state import placements
 from laburnumsill.state import workers
 
@@ -23,8 +24,6 @@
 KEY_RETENTION_S = 3 * 86_400.0
 """How long the home chosen for a submission key is remembered."""
 
-_HEALTH = ("failed_jobs", "aside_until", "asides", "gone")
-
 
 class StaleLeaderError(errors.ConflictError):
     """A leader of an older term tried to extend leases."""
@@ -33,42 +32,6 @@
     title = "Another leader has taken over"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class KeyRecord:
-    """The home that was chosen for a submission key."""
-
-    domain: str
-    digest: str
-    recorded_at: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class WorkerState:
-    """What a snapshot holds of a worker; the rest is derived."""
-
-    announced: members.Worker
-    failed_jobs: list[str]
-    aside_until: float
-    asides: int
-    gone: bool
-
-
-@codec.register("jobs.ledger")
-@dataclasses.dataclass(frozen=True, slots=True)
-class LedgerDump:
-    """The whole state of a ledger."""
-
-    jobs: list[placements.Job]
-    workers: list[WorkerState]
-    keys: dict[str, KeyRecord]
-    guarantees: dict[str, tuple[int, int, int, int]]
-    guarantees_version: int
-    bound: dict[str, list[jobs_messages.Cell]]
-    sequence: int
-    lease_term: int
-    lease_until: float
-
-
 class JobLedger(replication.Component):
     """A failure domain's workers, jobs, placements, leases and keys.
 
@@ -87,7 +50,7 @@
     def __init__(self, domain: str) -> None:
         self._domain = domain
         self.book = jobs_book.JobBook()
-        self.keys: dict[str, KeyRecord] = {}
+        self.keys: dict[str, jobs_snapshot.KeyRecord] = {}
         self.guarantees_version = 0
         self.lease_until = 0.0
         self._lease_term = 0
@@ -131,9 +94,11 @@
         """Returns the whole state, encoded."""
         pool = self.book.pool
         return codec.encode(
-            LedgerDump(
+            jobs_snapshot.LedgerDump(
                 jobs=list(self.book.jobs.values()),
-                workers=[_worker_state(w) for w in pool.workers.values()],
+                workers=[
+                    jobs_snapshot.worker_state(w) for w in pool.workers.values()
+                ],
                 keys=self.keys,
                 guarantees=self.book.cells.guarantees,
                 guarantees_version=self.guarantees_version,
@@ -146,7 +111,7 @@
 
     def load(self, raw: bytes) -> None:
         """Replaces the state by one that `dump` returned."""
-        dump: LedgerDump = codec.decode(raw)
+        dump: jobs_snapshot.LedgerDump = codec.decode(raw)
         self.book = jobs_book.JobBook()
         self.keys = dict(dump.keys)
         self.guarantees_version = dump.guarantees_version
@@ -155,7 +120,7 @@
         self._sequence = dump.sequence
         with self.book.pool.deferred():
             for state in dump.workers:
-                self.book.pool.put(_worker_record(state))
+                self.book.pool.put(jobs_snapshot.worker_record(state))
             self.book.jobs = {job.job_id: job for job in dump.jobs}
             self.book.cells.set_guarantees(dump.guarantees)
             self.book.cells.load(dump.bound)
@@ -177,7 +142,7 @@
         )
         if home.domain:
             return home
-        self.keys[command.key] = KeyRecord(
+        self.keys[command.key] = jobs_snapshot.KeyRecord(
             command.domain, command.digest, command.now
         )
         return jobs_messages.Home(command.domain)
@@ -282,7 +247,7 @@
         ):
             return
         if job.state != JobState.QUEUED or command.epoch != job.epoch + 1:
-            raise jobs_book.PlacementRefusedError(
+            raise jobs_checks.PlacementRefusedError(
                 f"{job.job_id} is {job.state} at epoch {job.epoch}, it"
                 f" cannot be placed at epoch {command.epoch}"
             )
@@ -291,13 +256,13 @@
     def _hold(self, command: jobs_messages.HoldSlots) -> None:
         job = self.book.get(command.job_id)
         if job.state != JobState.QUEUED or command.epoch != job.epoch:
-            raise jobs_book.PlacementRefusedError(
+            raise jobs_checks.PlacementRefusedError(
                 f"{job.job_id} is {job.state} at epoch {job.epoch}"
             )
         victims = [self.book.jobs.get(name) for name in command.victims]
         for victim in victims:
             if victim is not None and victim.spec.guaranteed:
-                raise jobs_book.PlacementRefusedError(
+                raise jobs_checks.PlacementRefusedError(
                     f"{victim.job_id} is guaranteed and is not stopped"
                 )
         if job.hold != command.slots:
@@ -316,7 +281,7 @@
         if job.state == JobState.RUNNING:
             return
         if job.state != JobState.PREPARING:
-            raise jobs_book.PlacementRefusedError(
+            raise jobs_checks.PlacementRefusedError(
                 f"{job.job_id} is {job.state}, it is not started"
             )
         self.book.run(job, command.now)
@@ -360,11 +325,11 @@
         if placement is None or placement.epoch != command.epoch:
             return
         if placement.stopping is None:
-            raise jobs_book.PlacementRefusedError(
+            raise jobs_checks.PlacementRefusedError(
                 f"{job.job_id} is {job.state}, its slots are not freed"
             )
         if not command.confirmed and command.now < placement.safe_at:
-            raise jobs_book.PlacementRefusedError(
+            raise jobs_checks.PlacementRefusedError(
                 f"leases of {job.job_id} may last to {placement.safe_at}"
             )
         self.book.vacate(job)
@@ -385,7 +350,7 @@
         job = self._at_epoch(command.job_id, command.epoch)
         placement = typing.cast(placements.Placement, job.placement)
         if not placement.running:
-            raise jobs_book.PlacementRefusedError(
+            raise jobs_checks.PlacementRefusedError(
                 f"{job.job_id} is {job.state} and has not run"
             )
         for slot in placement.slots:
@@ -421,11 +386,11 @@
         """Returns a job whose placement has that epoch.
 
         Raises:
-            jobs_book.PlacementRefusedError: It has another one or none.
+            jobs_checks.PlacementRefusedError: It has another one or none.
         """
         job = self.book.get(job_id)
         if job.placement is None or job.placement.epoch != epoch:
-            raise jobs_book.PlacementRefusedError(
+            raise jobs_checks.PlacementRefusedError(
                 f"{job_id} is {job.state} and has no placement of epoch {epoch}"
             )
         return job
@@ -504,17 +469,3 @@
         and one.cores == other.cores
         and one.memory_gb == other.memory_gb
     )
-
-
-def _worker_state(record: workers.WorkerRecord) -> WorkerState:
-    return WorkerState(
-        record.announced,
-        **{name: getattr(record, name) for name in _HEALTH},
-    )
-
-
-def _worker_record(state: WorkerState) -> workers.WorkerRecord:
-    return workers.WorkerRecord(
-        state.announced,
-        **{name: getattr(state, name) for name in _HEALTH},
-    )
--- a/laburnumsill/state/jobs_book.py
+++ b/laburnumsill/state/jobs_book.py
@@ -10,7 +10,9 @@
 
 from laburnumsill.core import errors
 from laburnumsill.state import cells as cells_module
+from laburnumsill.state import jobs_checks
 from laburnumsill.state import jobs_messages
+from laburnumsill.state import jobs_pool
 from laburnumsill.state import jobs_queue
 from laburnumsill.state import placements
 from laburnumsill.state import workers
@@ -18,13 +20,6 @@
 JobState = jobs_messages.JobState
 
 
-class PlacementRefusedError(errors.ConflictError):
-    """A placement that does not fit the state as it is now."""
-
-    slug = "placement-refused"
-    title = "The placement does not fit the present state"
-
-
 @dataclasses.dataclass(slots=True)
 class Use:
     """What an account has in use: accelerators, and cores of borrowers."""
@@ -51,7 +46,7 @@
 
     def __init__(self) -> None:
         self.jobs: dict[str, placements.Job] = {}
-        self.pool = workers.Pool()
+        self.pool = jobs_pool.Pool()
         self.cells = cells_module.CellBook(self.pool)
         self.queue = jobs_queue.Queue()
         self.live: dict[str, placements.Job] = {}
@@ -122,7 +117,9 @@
             errors.ConflictError: A slot is not allowed.
         """
         if job.hold:
-            raise PlacementRefusedError(f"{job.job_id} has slots held")
+            raise jobs_checks.PlacementRefusedError(
+                f"{job.job_id} has slots held"
+            )
         self._claim(job, slots, bind, was_held=False, in_use_too=True)
         job.hold = slots
         self.held[job.job_id] = job
@@ -291,20 +288,22 @@
         """
         spec = job.spec
         if len(slots) != spec.tasks:
-            raise PlacementRefusedError(
+            raise jobs_checks.PlacementRefusedError(
                 f"{len(slots)} slots for {spec.tasks} tasks"
             )
-        masks = self._masks(slots)
-        self._check_rack(spec, masks)
+        masks = jobs_checks.masks_of(slots)
+        jobs_checks.check_rack(self.pool, spec, masks)
         if bind and not spec.guaranteed:
-            raise PlacementRefusedError("a borrower binds no cells")
+            raise jobs_checks.PlacementRefusedError("a borrower binds no cells")
         self.cells.bind(spec.account, bind)
         try:
             self._check_binding(job, slots, bind)
             for worker_id, (mask, count) in masks.items():
                 self._check(job, worker_id, mask, count, in_use_too)
                 if not in_use_too:
-                    self._check_room(spec, worker_id, count, was_held)
+                    jobs_checks.check_room(
+                        self.pool.workers[worker_id], spec, count, was_held
+                    )
         except errors.ConflictError:
             for cell in bind:
                 self.cells.unbind(spec.account, cell)
@@ -323,30 +322,7 @@
     ) -> None:
         unused = set(bind) - set(self._cells_of(job, slots))
         if unused:
-            raise PlacementRefusedError(f"no slot is in {unused}")
-
-    def _masks(
-        self, slots: abc.Iterable[jobs_messages.Slot]
-    ) -> dict[str, tuple[int, int]]:
-        masks: dict[str, tuple[int, int]] = {}
-        for slot in slots:
-            mask, count = masks.get(slot.worker_id, (0, 0))
-            if mask & slot.mask:
-                raise PlacementRefusedError(f"{slot} overlaps another slot")
-            masks[slot.worker_id] = (mask | slot.mask, count + 1)
-        return masks
-
-    def _check_rack(
-        self, spec: jobs_messages.JobSpec, worker_ids: abc.Iterable[str]
-    ) -> None:
-        racks = set()
-        for worker_id in worker_ids:
-            worker = self.pool.workers.get(worker_id)
-            if worker is None or not worker.usable:
-                raise PlacementRefusedError(f"{worker_id!r} cannot be used")
-            racks.add(worker.announced.rack)
-        if spec.adjacency == "rack" and len(racks) > 1:
-            raise PlacementRefusedError(f"{sorted(racks)} are not one rack")
+            raise jobs_checks.PlacementRefusedError(f"no slot is in {unused}")
 
     def _check(
         self,
@@ -359,10 +335,10 @@
         """Checks what a job wants of one worker."""
         spec = job.spec
         worker = self.pool.workers[worker_id]
-        least = self.footprint(spec, worker) * count
+        least = worker.footprint(spec) * count
         wrong_size = mask.bit_count() != least
         if wrong_size or mask & ~worker.full_mask:
-            raise PlacementRefusedError(
+            raise jobs_checks.PlacementRefusedError(
                 f"mask {mask:b} of {worker_id!r} is not {least} accelerators"
             )
         taken = self.guaranteed_mask(worker)
@@ -373,36 +349,10 @@
         else:
             taken |= worker.held_mask
         if mask & taken:
-            raise PlacementRefusedError(
+            raise jobs_checks.PlacementRefusedError(
                 f"mask {mask:b} of {worker_id!r} is not free for {job.job_id}"
             )
 
-    def _check_room(
-        self,
-        spec: jobs_messages.JobSpec,
-        worker_id: str,
-        count: int,
-        was_held: bool,
-    ) -> None:
-        """Checks cores and memory.
-
-        What is held for others counts as taken, but not against a job with
-        slots of its own: their cores may come from the same borrower that
-        was stopped.
-        """
-        worker = self.pool.workers[worker_id]
-        cores = worker.free_cores
-        memory_gb = worker.free_memory_gb
-        if spec.guaranteed or was_held:
-            cores += worker.held_cores
-            memory_gb += worker.held_memory_gb
-        if cores < spec.cores * count or memory_gb < spec.memory_gb * count:
-            raise PlacementRefusedError(
-                f"{worker_id!r} has {cores} cores and"
-                f" {memory_gb} GB left for {count} tasks of {spec.cores}"
-                f" cores and {spec.memory_gb} GB"
-            )
-
     def guaranteed_mask(self, worker: workers.WorkerRecord) -> int:
         """Returns the accelerators held for guaranteed jobs, or in use."""
         mask = 0
@@ -414,23 +364,6 @@
                 mask |= share.mask
         return mask
 
-    @staticmethod
-    def footprint(
-        spec: jobs_messages.JobSpec, worker: workers.WorkerRecord
-    ) -> int:
-        """Returns the accelerators that a task takes up on a worker.
-
-        A guaranteed task takes at least the accelerators that its cores and
-        memory are proportional to: it must leave to the other cells of the
-        worker what is theirs.
-        """
-        if not spec.guaranteed:
-            return spec.accelerators
-        own = worker.announced
-        by_cores = _ceil(spec.cores * own.accelerators, own.cores)
-        by_memory = _ceil(spec.memory_gb * own.accelerators, own.memory_gb)
-        return max(spec.accelerators, by_cores, by_memory)
-
     def _enter_cells(
         self, job: placements.Job, slots: abc.Iterable[jobs_messages.Slot]
     ) -> None:
@@ -480,7 +413,3 @@
         self.pool.remove(worker_id)
         self.cells.forget_worker(worker_id)
         self.cells.refresh(worker.announced.rack)
-
-
-def _ceil(dividend: int, divisor: int) -> int:
-    return -(-dividend // divisor) if divisor else 0
--- a/laburnumsill/state/jobs_health.py
+++ b/laburnumsill/state/jobs_health.py
@@ -9,6 +9,7 @@
 
 import dataclasses
 
+from laburnumsill.state import jobs_pool
 from laburnumsill.state import placements
 from laburnumsill.state import workers
 
@@ -58,7 +59,9 @@
     return True
 
 
-def blame_job(job: placements.Job, worker_id: str, pool: workers.Pool) -> None:
+def blame_job(
+    job: placements.Job, worker_id: str, pool: jobs_pool.Pool
+) -> None:
     """Counts a failure on a worker against a job."""
     job.failed_on.append(worker_id)
     if len(set(job.failed_on)) < SUSPECT_WORKERS:
@@ -76,7 +79,7 @@
 
 
 def is_hopeless(
-    job: placements.Job, pool: workers.Pool, limits: Limits
+    job: placements.Job, pool: jobs_pool.Pool, limits: Limits
 ) -> bool:
     """Returns whether a job has failed too often to be tried again."""
     own = 0
--- a/laburnumsill/state/tests/test_cells.py
+++ b/laburnumsill/state/tests/test_cells.py
@@ -3,6 +3,7 @@
 from hypothesis import strategies
 
 from laburnumsill.state import cells
+from laburnumsill.state import jobs_pool
 from laburnumsill.state import workers
 from laburnumsill.state.tests import ledger_checks
 
@@ -11,7 +12,7 @@
 
 def book(*racks, **owed):
     """A book over racks given as the accelerators of their workers."""
-    pool = workers.Pool()
+    pool = jobs_pool.Pool()
     found = cells.CellBook(pool)
     for number, sizes in enumerate(racks):
         for place, size in enumerate(sizes):
--- a/laburnumsill/state/tests/test_jobs.py
+++ b/laburnumsill/state/tests/test_jobs.py
@@ -4,7 +4,7 @@
 
 from laburnumsill.core import errors
 from laburnumsill.state import jobs
-from laburnumsill.state import jobs_book
+from laburnumsill.state import jobs_checks
 from laburnumsill.state import jobs_messages as messages
 from laburnumsill.state.tests import ledger_checks
 
@@ -82,11 +82,11 @@
     one = Ledger()
     one.do(messages.PlaceJob, "j", 1, SLOTS)
     assert one.do(messages.CancelJob, "j").state == State.CANCELLING
-    with pytest.raises(jobs_book.PlacementRefusedError):
+    with pytest.raises(jobs_checks.PlacementRefusedError):
         one.do(messages.JobStarted, "j", 1)
     one.do(messages.ReleasePlacement, "j", 1, True)
     assert one.job().state == State.CANCELLED
-    with pytest.raises(jobs_book.PlacementRefusedError):
+    with pytest.raises(jobs_checks.PlacementRefusedError):
         one.do(messages.PlaceJob, "j", 2, SLOTS)
 
 
@@ -97,7 +97,7 @@
     one.do(messages.ExtendLeases, 3, one.now + 50)
     release = (messages.ReleasePlacement, "j", 1, False)
     one.now += 10.2
-    with pytest.raises(jobs_book.PlacementRefusedError):
+    with pytest.raises(jobs_checks.PlacementRefusedError):
         one.do(*release)
     one.now += 0.1
     one.do(*release)
@@ -189,3 +189,21 @@
     one.do(messages.CancelJob, "k")
     one.submit("l")
     assert "j" not in one.ledger.book.jobs
+
+
+def test_held_slots_are_kept_for_their_job():
+    one = Ledger()
+    one.submit("k", dataclasses.replace(SPEC, tasks=1))
+    hold = (SLOTS, (), (), Reason.DRAINED, 0.0)
+    one.do(messages.HoldSlots, "j", 0, *hold)
+    with pytest.raises(jobs_checks.PlacementRefusedError, match="not free"):
+        one.do(messages.PlaceJob, "k", 1, SLOTS[:1])
+    one.do(messages.DropHold, "j")
+    one.do(messages.PlaceJob, "k", 1, SLOTS[:1])
+    one.do(messages.HoldSlots, "j", 0, SLOTS, (), ("k",), *hold[3:])
+    assert one.job("k").state == State.STOPPING
+    with pytest.raises(jobs_checks.PlacementRefusedError, match="not free"):
+        one.do(messages.PlaceJob, "j", 1, SLOTS)
+    one.do(messages.ReleasePlacement, "k", 1, True)
+    one.run()
+    assert not one.job().hold
