Help large borrowers up to a share; order by submission, not by declarations

Waiting jobs of an account go by urgency and submission; nothing depends on declared run times any more. A step that the ledger refuses is put off instead of being planned again and again.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -36,12 +36,11 @@
         "fifo-best-fit": lambda site: baselines.FifoBestFit(),
         "easy": lambda site: baselines.Easy(),
         "past-the-first": lambda site: production(
-            site, (0.0, 0.0), drains=False, claims=False
-        ),
-        "+weights": lambda site: production(
             site, _weights(site), drains=False, claims=False
         ),
-        "+drains": lambda site: production(site, _weights(site), claims=False),
+        "+gang-help": lambda site: production(
+            site, _weights(site), claims=False
+        ),
         "+guarantees": lambda site: production(site, _weights(site)),
     }
 
--- a/laburnumsill/jobs/gang_help.py
+++ b/laburnumsill/jobs/gang_help.py
@@ -15,11 +15,15 @@
 from laburnumsill.jobs import steps as steps_module
 from laburnumsill.state import jobs_book
 from laburnumsill.state import jobs_messages
+from laburnumsill.state import jobs_queue
 from laburnumsill.state import placements
 
 MAX_DRAINS = 2
 """Gangs that slots are drained for at a time."""
 
+LARGE_SHARE = 0.85
+"""Part of a domain up to which large borrowers are helped."""
+
 GANGS_A_PASS = 4
 """Large borrowers that one pass sees to at most, the oldest first."""
 
@@ -34,6 +38,8 @@
         if step is not None:
             yield step
     for gang in longest_waiting(book):
+        if not has_share(book, gang):
+            continue
         step = _for_gang(book, gang, len(draining), policy, now)
         if step is not None:
             yield step
@@ -82,6 +88,22 @@
     return found
 
 
+def has_share(book: jobs_book.JobBook, gang: placements.Job) -> bool:
+    """Returns whether large borrowers have less than what they may claim.
+
+    They are helped up to a part of the domain, one gang at least, so that
+    small jobs move too; beyond it they compete like all others.
+    """
+    held = sum(
+        job.spec.total_accelerators
+        for job in book.held.values()
+        if jobs_queue.is_large(job)
+    )
+    size = gang.spec.total_accelerators
+    share = LARGE_SHARE * book.pool.accelerators
+    return book.large_in_use + held + size <= max(share, size)
+
+
 def can_move(book: jobs_book.JobBook, gang: placements.Job) -> bool:
     """Returns whether a gang only lacks that what is free is together.
 
--- a/laburnumsill/jobs/planner.py
+++ b/laburnumsill/jobs/planner.py
@@ -12,8 +12,8 @@
 from laburnumsill.jobs import claims
 from laburnumsill.jobs import fit
 from laburnumsill.jobs import gang_help
-from laburnumsill.jobs import order
 from laburnumsill.jobs import policy as policies
+from laburnumsill.jobs import sharing
 from laburnumsill.jobs import steps as steps_module
 from laburnumsill.state import jobs_book
 from laburnumsill.state import jobs_messages
@@ -95,6 +95,21 @@
         yield from self._gangs(book, policy, now)
         yield from self._borrowers(book, policy, now)
 
+    def refused(self, book: jobs_book.JobBook, command: object) -> None:
+        """Notes that the ledger refused a step, so that others come first.
+
+        The same is not planned again until something becomes free. It should
+        not happen: the ledger's state is the one that was planned from.
+        """
+        job = book.jobs.get(getattr(command, "job_id", ""))
+        if job is None:
+            return
+        shape = jobs_queue.shape_of(job)
+        if job.spec.guaranteed:
+            self._memory.stuck.add((job.spec.account, shape))
+        else:
+            self._memory.full[shape] = book.pool.freed
+
     def _held(
         self, book: jobs_book.JobBook, now: float
     ) -> abc.Iterator[steps_module.Step]:
@@ -159,17 +174,17 @@
         """
         shapes = self._memory.untried(book.queue.borrowing_shapes())
         shares = [
-            (order.share_of(book, policy, account), account)
+            (sharing.share_of(book, policy, account), account)
             for account in book.queue.accounts(guaranteed=False)
         ]
         shares.sort()
         while shapes and shares:
             share, account = heapq.heappop(shares)
-            step = self._borrow(book, account, shapes, policy, now)
+            step = self._borrow(book, account, shapes, now)
             if step is None:
                 continue
             yield step
-            share = order.share_of(book, policy, account)
+            share = sharing.share_of(book, policy, account)
             heapq.heappush(shares, (share, account))
 
     def _borrow(
@@ -177,7 +192,6 @@
         book: jobs_book.JobBook,
         account: str,
         shapes: set[jobs_queue.Shape],
-        policy: policies.Policy,
         now: float,
     ) -> steps_module.Step | None:
         """Returns the placement of an account's next job that fits.
@@ -187,7 +201,7 @@
         line = book.queue.line(False, account)
         if line is None:
             return None
-        for job in candidates(book, line, shapes, policy, now):
+        for job in candidates(book, line, shapes):
             shape = jobs_queue.shape_of(job)
             if shape not in shapes:
                 continue
@@ -208,17 +222,18 @@
     book: jobs_book.JobBook,
     line: jobs_queue.Line,
     shapes: abc.Set[jobs_queue.Shape],
-    policy: policies.Policy,
-    now: float,
 ) -> list[placements.Job]:
-    """Returns a line's first job of each of the shapes, the next one first."""
+    """Returns a line's first job of each of the shapes, the next one first.
+
+    Urgent jobs go first, then those submitted first. Declared run times
+    have no part in it: ordering by them did not pay, see the design note.
+    """
     found = [
         book.jobs[job_id]
         for shape in line.shapes & shapes
         if (job_id := line.first(shape)) is not None
     ]
-    if len(found) > 1:
-        found.sort(key=lambda job: order.score(job, policy, now))
+    found.sort(key=jobs_queue.order_of)
     return found
 
 
--- a/laburnumsill/jobs/policy.py
+++ b/laburnumsill/jobs/policy.py
@@ -5,7 +5,6 @@
 
 from laburnumsill.config import models
 from laburnumsill.state import cells
-from laburnumsill.state import jobs_messages
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,17 +78,3 @@
         (0, 1, 2, 0)
     """
     return shape.accelerators, shape.pairs, shape.workers, shape.racks
-
-
-def declared_work(spec: jobs_messages.JobSpec) -> float:
-    """Returns the declared size times the declared run time.
-
-    Both are far off at times: this orders a queue, and nothing safe rests
-    on it.
-    """
-    size = max(spec.total_accelerators, spec.tasks / 8)
-    return size * (spec.estimated_run_s or UNDECLARED_RUN_S)
-
-
-UNDECLARED_RUN_S = 3_600.0
-"""The run time, in seconds, that a job without an estimate is taken for."""
--- a/laburnumsill/jobs/scheduler.py
+++ b/laburnumsill/jobs/scheduler.py
@@ -25,6 +25,7 @@
 from laburnumsill.jobs import overuse
 from laburnumsill.jobs import planner
 from laburnumsill.jobs import policy as policies
+from laburnumsill.jobs import steps
 from laburnumsill.jobs import watch
 from laburnumsill.platform import worker as worker_client
 from laburnumsill.state import jobs_messages
@@ -260,18 +261,31 @@
             try:
                 await self._domain.propose(step.command)
             except errors.ConflictError as error:
-                logs.event(
-                    "step-refused",
-                    level="WARNING",
-                    step=type(step.command).__name__,
-                    job=getattr(step.command, "job_id", ""),
-                    detail=error.detail,
-                )
+                await self._refused(step, error)
                 return
             decisions.note(self._metrics, book, step, self._clock.wall())
             self._drive(nursery)
             began = self._clock.monotonic()
 
+    async def _refused(
+        self, step: steps.Step, error: errors.ConflictError
+    ) -> None:
+        """Gives up a step that does not fit the state any more."""
+        job_id = getattr(step.command, "job_id", "")
+        logs.event(
+            "step-refused",
+            level="WARNING",
+            step=type(step.command).__name__,
+            job=job_id,
+            detail=error.detail,
+        )
+        book = self._domain.ledger.book
+        self._planner.refused(book, step.command)
+        if job_id in book.held:
+            await self._domain.propose(
+                jobs_messages.DropHold(job_id, self._clock.wall())
+            )
+
     def _drive(self, nursery: trio.Nursery) -> None:
         """Starts what is preparing and stops what is stopping, once each."""
         for job in list(self._domain.ledger.book.unsettled.values()):
--- a/laburnumsill/state/jobs_book.py
+++ b/laburnumsill/state/jobs_book.py
@@ -42,6 +42,7 @@
         unsettled: The jobs whose placement is preparing or stopping.
         held: The jobs that slots are held for.
         use: What each account has in use.
+        large_in_use: Accelerators that large borrowers have in use.
     """
 
     def __init__(self) -> None:
@@ -53,6 +54,7 @@
         self.unsettled: dict[str, placements.Job] = {}
         self.held: dict[str, placements.Job] = {}
         self.use: dict[str, Use] = {}
+        self.large_in_use = 0
         self._cell_users: dict[jobs_messages.Cell, set[str]] = {}
 
     def get(self, job_id: str) -> placements.Job:
@@ -240,6 +242,7 @@
         self.unsettled = {}
         self.held = {}
         self.use = {}
+        self.large_in_use = 0
         self._cell_users = {}
         for job in self.jobs.values():
             if job.state == JobState.QUEUED:
@@ -263,6 +266,8 @@
         spec = job.spec
         use = self.use.setdefault(spec.account, Use())
         use.running += sign
+        if jobs_queue.is_large(job):
+            self.large_in_use += sign * spec.total_accelerators
         if spec.guaranteed:
             use.guaranteed += sign * spec.total_accelerators
         else:
