Wake the schedulers and the durable dispatcher less often where they are idle

Cause: an idle daemon of three domains woke 30 times a second to see whether it leads a domain's group, for each domain, also where it has no replica, and 10 times for durable requests that were not there. Ruled out: starting schedulers on a change of lead only; Groups tells no one of it yet, and a poll of 250 ms on voters costs little. Change: a VM without a replica looks each second, a voter each 250 ms, the dispatcher each 500 ms while nothing is pending.

--- a/laburnumsill/jobs/scheduler.py
+++ b/laburnumsill/jobs/scheduler.py
@@ -38,9 +38,12 @@
 SYNC_S = 0.25
 """Time between two comparisons with the view of members, in seconds."""
 
-FOLLOWER_TICK_S = 0.1
+FOLLOWER_TICK_S = 0.25
 """Time between two looks at whether this VM leads, in seconds."""
 
+STRANGER_TICK_S = 1.0
+"""The same on a VM without a replica of the group, which can not lead."""
+
 
 class DomainScheduler:
     """Places, starts, watches and stops the jobs of one failure domain."""
@@ -73,7 +76,8 @@
         while True:
             if self._access.leads and self._current.get() is not None:
                 await self._lead()
-            await trio.sleep(FOLLOWER_TICK_S)
+            hosted = self._access.machine is not None
+            await trio.sleep(FOLLOWER_TICK_S if hosted else STRANGER_TICK_S)
 
     def usage(self, worker_id: str, report: typing.Any) -> None:
         """Takes in a worker's usage report, which lags behind."""
--- a/laburnumsill/requests/durable.py
+++ b/laburnumsill/requests/durable.py
@@ -23,7 +23,10 @@
 from laburnumsill.state import durable
 
 SCAN_S = 0.1
-"""Period of looking for pending requests; a commit is looked at sooner."""
+"""Period of looking for pending requests while there are any."""
+
+IDLE_SCAN_S = 0.5
+"""Period of looking for pending requests while none was found."""
 
 MAX_RUNNING = 64
 """Durable requests that one VM dispatches at a time, for each domain."""
@@ -83,7 +86,8 @@
                 if configuration is not None:
                     for domain in configuration.domains:
                         self._scan(ids.domain_group(domain), nursery)
-                await trio.sleep(SCAN_S)
+                busy = any(self._tries.values())
+                await trio.sleep(SCAN_S if busy else IDLE_SCAN_S)
 
     def _scan(self, group: str, nursery: trio.Nursery) -> None:
         machine = self._groups.local(group)
