Let the simulated host send and apply before its own sync

Cause: the group host sends APPEND, heartbeats and pre-votes, and applies committed entries, while its own sync still runs in a worker thread; the simulated host did all of it after the sync.

Change: the simulated host does the same, unless a term or vote waits for a sync, so that crashes now also fall between such a message and the sync.

--- a/laburnumsill/consensus/tests/simulated_group.py
+++ b/laburnumsill/consensus/tests/simulated_group.py
@@ -22,6 +22,20 @@
 )
 
 
+EARLY = frozenset(
+    {
+        types.MessageKind.APPEND,
+        types.MessageKind.HEARTBEAT,
+        types.MessageKind.HEARTBEAT_REPLY,
+        types.MessageKind.PRE_VOTE,
+        types.MessageKind.PRE_VOTE_REPLY,
+        types.MessageKind.SNAPSHOT,
+        types.MessageKind.TIMEOUT_NOW,
+    }
+)
+"""Messages that the host may send before a sync of entries."""
+
+
 @dataclasses.dataclass
 class Operation:
     """A client's write or read; `floor` is what it must come after."""
@@ -118,7 +132,20 @@
             self.engine.tick(self.group.now)
         output = self.engine.take_output()
         self.group.check_output(self, output)
-        self.outputs.append(output)
+        self._apply_all(output)
+        self.outputs.append(self._send_early(output))
+
+    def _send_early(self, output: types.Output) -> types.Output:
+        """Sends, before the sync, what promises nothing of this log."""
+        if any(one.hard_state for one in (*self.outputs, output)):
+            return output
+        late = []
+        for message in output.messages:
+            if message.kind in EARLY:
+                self.group.send(message)
+            else:
+                late.append(message)
+        return dataclasses.replace(output, messages=tuple(late))
 
     def snapshot(self) -> None:
         if self.engine is None or not self.applied or self.outputs:
@@ -140,6 +167,8 @@
         if output.append:
             last = output.append[-1]
             self.engine.synced(last.index, last.term)
+
+    def _apply_all(self, output: types.Output) -> None:
         if output.install:
             self.applied = output.install.index
             self.values = self._load(output.install)
