--- /dev/null
+++ b/laburnumsill/consensus/tests/test_host.py
@@ -0,0 +1,135 @@
+"""Hosts on loopback TCP: founding, serving and restarts."""
+
+import pytest
+
+from laburnumsill.consensus import engine
+from laburnumsill.consensus import host
+from laburnumsill.consensus.tests import host_cluster
+from laburnumsill.core import errors
+
+
+@pytest.fixture
+def make_cluster(tmp_path, nursery):
+    def make(
+        disks: str = "DDD",
+        limits: host.SnapshotLimits = host.DEFAULT_LIMITS,
+    ) -> host_cluster.Cluster:
+        return host_cluster.Cluster(tmp_path, nursery, disks, limits)
+
+    return make
+
+
+async def test_three_found_the_groups_and_any_vm_serves(make_cluster):
+    cluster = make_cluster("DDMM")
+    await cluster.start()
+    for place in range(4):
+        await cluster.add(place, f"k{place}")
+        assert await cluster.seen(place) == [f"k{n}" for n in range(place + 1)]
+    with pytest.raises(errors.ConflictError) as refused:
+        await cluster.add(3, "bad")
+    assert refused.value.context == {"key": "bad"}
+    await cluster.until_settled()
+    founded = {node.status().voters for node in cluster.nodes[:3]}
+    assert founded == {("vm0", "vm1", "vm2")}
+
+
+async def test_nothing_is_founded_while_a_first_voter_is_silent(make_cluster):
+    cluster = make_cluster()
+    await cluster.start(0, 1)
+    with pytest.raises(errors.NoQuorumError):
+        await cluster.add(0, "early", within=1.0)
+    assert [node.status().voters for node in cluster.nodes[:2]] == [(), ()]
+    await cluster.start(2)
+    await cluster.add(0, "k")
+
+
+async def test_the_rest_goes_on_when_the_leader_stops(make_cluster):
+    cluster = make_cluster()
+    await cluster.start()
+    await cluster.add(0, "before")
+    leader = cluster.leader()
+    await leader.stop()
+    other = next(n for n in cluster.nodes if n is not leader)
+    place = cluster.nodes.index(other)
+    await cluster.add(place, "after")
+    assert await cluster.seen(place) == ["before", "after"]
+    await cluster.start(cluster.nodes.index(leader))
+    await cluster.until_settled()
+    assert leader.keys() == ["before", "after"]
+
+
+async def test_without_a_majority_a_proposal_is_truthfully_ended(make_cluster):
+    cluster = make_cluster()
+    await cluster.start()
+    await cluster.add(0, "k")
+    await cluster.until_settled()
+    leader = cluster.leader()
+    place = cluster.nodes.index(leader)
+    for node in cluster.nodes:
+        if node is not leader:
+            await node.stop()
+    with pytest.raises(errors.ProposalLostError):
+        await cluster.add(place, "maybe", within=1.5)
+    with pytest.raises(errors.NoQuorumError):
+        await cluster.add(place, "no", within=0.5)
+    with pytest.raises(errors.NoQuorumError):
+        await cluster.seen(place, within=0.5)
+
+
+async def test_a_memory_replica_comes_back_as_another(make_cluster):
+    cluster = make_cluster("DMM")
+    await cluster.start()
+    await cluster.add(0, "k")
+    for place in (1, 2, 1):
+        node = cluster.nodes[place]
+        before = node.incarnation()
+        await node.stop()
+        await cluster.start(place)
+        await cluster.until_settled()
+        assert node.incarnation() != before
+        assert node.keys() == ["k"]
+        assert node.status().voters.count(node.vm.vm_id) == 1
+
+
+async def test_all_disks_restart_with_everything(make_cluster):
+    cluster = make_cluster()
+    await cluster.start()
+    await cluster.add(1, *(f"k{n}" for n in range(20)))
+    incarnations = [node.incarnation() for node in cluster.nodes]
+    for node in cluster.nodes:
+        await node.stop()
+    await cluster.start()
+    assert await cluster.seen(2) == [f"k{n}" for n in range(20)]
+    assert incarnations == [node.incarnation() for node in cluster.nodes]
+
+
+async def test_a_restart_of_all_needs_only_the_disk(make_cluster):
+    cluster = make_cluster("DMM")
+    await cluster.start()
+    await cluster.add(1, "k1", "k2")
+    for node in cluster.nodes:
+        await node.stop()
+    await cluster.start()
+    await cluster.add(2, "k3", within=20)
+    assert await cluster.seen(1) == ["k1", "k2", "k3"]
+    await cluster.until_settled()
+
+
+async def test_a_shutdown_hands_the_lead_over(make_cluster):
+    cluster = make_cluster()
+    await cluster.start()
+    await cluster.add(0, "k")
+    await cluster.until_settled()
+    leader = cluster.leader()
+    term = leader.status().term
+    await leader.host.hand_over()
+    await cluster.until(lambda: cluster.leader() not in (None, leader), 1)
+    assert cluster.leader().status().term == term + 1
+    await cluster.nodes[0].host.transfer(
+        host_cluster.ROOT, leader.vm.vm_id, host_cluster.soon()
+    )
+    await cluster.until(lambda: cluster.leader() is leader, 1)
+    with pytest.raises(engine.NoSuchVoterError):
+        await cluster.nodes[0].host.transfer(
+            host_cluster.ROOT, "nobody", host_cluster.soon()
+        )
