--- a/laburnumsill/consensus/store_replay.py
+++ b/laburnumsill/consensus/store_replay.py
@@ -12,12 +12,12 @@
 from laburnumsill.consensus import types
 from laburnumsill.core import logs
 
-_SEGMENT_NAME = re.compile(r"log-(\d{12})")
+_SEGMENT_NAME = re.compile(r"(\d{12})\.log")
 
 
 def segment_path(folder: pathlib.Path, number: int) -> pathlib.Path:
     """Returns the file of a segment."""
-    return folder / f"log-{number:012d}"
+    return folder / f"{number:012d}.log"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
