--- a/laburnumsill/testing/scenario.py
+++ b/laburnumsill/testing/scenario.py
@@ -24,7 +24,11 @@
             },
             "classes": {
                 "offer": {"urgency": 0, "reserved_share": 0.25},
-                "confirm": {"urgency": 1, "repeatable": False},
+                "confirm": {
+                    "urgency": 1,
+                    "reserved_share": 0.25,
+                    "repeatable": False,
+                },
                 "pricing": {"urgency": 5, "timeout_ms": 30_000},
                 "tagging": {"urgency": 6, "durable": True},
             },
@@ -52,11 +56,12 @@
     path: str = "/run",
     body: bytes = b"{}",
     timeout_s: float = 15.0,
+    account: str = ACCOUNT,
 ) -> http.Answer:
     """Sends one request of a class through one VM."""
     headers = {
         "Laburnumsill-Class": request_class,
-        "Laburnumsill-Account": ACCOUNT,
+        "Laburnumsill-Account": account,
     }
     if key:
         headers["Idempotency-Key"] = key
@@ -65,6 +70,19 @@
     )
 
 
+async def behave(
+    site: cluster.Cluster,
+    names: abc.Iterable[str] | None = None,
+    **behaviour: object,
+) -> None:
+    """Makes these backend servers, or all, behave so from now on."""
+    for name in names or site.names("server-"):
+        answer = await site.client(name).send(
+            "POST", "/_fake/behaviour", behaviour
+        )
+        assert answer.status < 300, answer.body
+
+
 async def fate(site: cluster.Cluster, vm_id: str, key: str) -> http.Answer:
     """Asks one VM what became of a keyed request."""
     return await site.client(vm_id).send(
--- a/laburnumsill/testing/tests/test_request_failures.py
+++ b/laburnumsill/testing/tests/test_request_failures.py
@@ -19,15 +19,6 @@
 )
 
 
-async def behave(site, **behaviour):
-    """Makes every backend server behave so."""
-    for name in site.names("server-"):
-        answer = await site.client(name).send(
-            "POST", "/_fake/behaviour", behaviour
-        )
-        assert answer.status < 300, answer.body
-
-
 async def confirm(site, vm_id, key, timeout_s=15.0):
     """Returns the answer to one confirmation, or None if it was lost."""
     try:
@@ -67,7 +58,7 @@
 async def test_racing_resends_on_two_vms_run_once(tmp_path: pathlib.Path):
     async with cluster.running(tmp_path, SITE) as site:
         await scenario.start_site(site)
-        await behave(site, delay_ms=300)
+        await scenario.behave(site, delay_ms=300)
         keys = [f"race-{n}" for n in range(20)]
         async with trio.open_nursery() as nursery:
             for key in keys:
@@ -85,7 +76,7 @@
     draw = random.Random(5)
     async with cluster.running(tmp_path, SITE) as site:
         await scenario.start_site(site)
-        await behave(site, delay_ms=20, delay_kind="exponential")
+        await scenario.behave(site, delay_ms=20, delay_kind="exponential")
         said_not_run: set[str] = set()
         finals: dict[str, str] = {}
 
@@ -129,7 +120,7 @@
 ):
     async with cluster.running(tmp_path, SITE) as site:
         await scenario.start_site(site)
-        await behave(site, delay_ms=1500)
+        await scenario.behave(site, delay_ms=1500)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(confirm, site, "vm1", "k1", 3.0)
             await trio.sleep(0.6)
@@ -148,10 +139,10 @@
 ):
     async with cluster.running(tmp_path, SITE) as site:
         await scenario.start_site(site)
-        await behave(site, mode="cut")
+        await scenario.behave(site, mode="cut")
         first = await confirm(site, "vm1", "k1")
         assert first.outcome == "unknown"
-        await behave(site)
+        await scenario.behave(site)
         for vm_id in site.vm_ids:
             again = await confirm(site, vm_id, "k1")
             assert again.outcome == "unknown", again.body
@@ -163,7 +154,7 @@
 ):
     async with cluster.running(tmp_path, SITE) as site:
         await scenario.start_site(site)
-        await behave(site, mode="truncate")
+        await scenario.behave(site, mode="truncate")
         for request_class, key in (("offer", ""), ("confirm", "k1")):
             try:
                 answer = await scenario.request(site, "vm1", request_class, key)
@@ -213,7 +204,7 @@
 ):
     async with cluster.running(tmp_path, SITE) as site:
         await scenario.start_site(site)
-        await behave(site, mode="fail-fast", share=0.3)
+        await scenario.behave(site, mode="fail-fast", share=0.3)
         accepted = []
 
         async def tag(number):
@@ -278,7 +269,7 @@
 ):
     async with cluster.running(tmp_path, SITE) as site:
         await scenario.start_site(site)
-        await behave(site, delay_ms=1500)
+        await scenario.behave(site, delay_ms=1500)
         outcomes = []
 
         async def one(number):
@@ -300,7 +291,7 @@
     size = 100 * 1024 * 1024
     async with cluster.running(tmp_path, SITE) as site:
         await scenario.start_site(site)
-        await behave(site, answer_bytes=size)
+        await scenario.behave(site, answer_bytes=size)
         answer = await scenario.request(site, "vm1", "offer", timeout_s=60)
         assert len(answer.body) == size
         statm = pathlib.Path(f"/proc/{site.process('vm1').pid}/statm")
