--- a/laburnumsill/jobs/decisions.py
+++ b/laburnumsill/jobs/decisions.py
@@ -22,6 +22,8 @@
         _placed(metrics, book, command, step.why, now)
     elif isinstance(command, jobs_messages.HoldSlots):
         _held(metrics, book, command, step.why)
+    elif isinstance(command, jobs_messages.DropHold):
+        logs.decision("hold-dropped", job=command.job_id, why=step.why)
 
 
 def _placed(
--- a/laburnumsill/jobs/planner.py
+++ b/laburnumsill/jobs/planner.py
@@ -92,9 +92,17 @@
         yield from self._borrowers(book, policy, now)
 
     def _held(self, book: jobs_book.JobBook, now: float) -> abc.Iterator[Step]:
-        """Places the jobs whose held slots have become free."""
+        """Places the jobs whose held slots have become free.
+
+        A hold on a worker that gets no new tasks, as one that is leaving or
+        set aside, would wait for it: it is given up and planned anew.
+        """
         for job in list(book.held.values()):
-            if job.hold and is_free(book, job):
+            if job.hold and not is_usable(book, job):
+                yield Step(
+                    jobs_messages.DropHold(job.job_id, now), "held-slots-lost"
+                )
+            elif job.hold and is_free(book, job):
                 yield Step(
                     jobs_messages.PlaceJob(
                         job.job_id, job.epoch + 1, job.hold, now
@@ -317,12 +325,18 @@
     return room.victims if room is not None else ()
 
 
+def is_usable(book: jobs_book.JobBook, job: placements.Job) -> bool:
+    """Returns whether all workers of a job's held slots get new tasks."""
+    workers = book.pool.workers
+    return all(workers[slot.worker_id].usable for slot in job.hold)
+
+
 def is_free(book: jobs_book.JobBook, job: placements.Job) -> bool:
     """Returns whether all held slots of a job can be taken now."""
     counts: dict[str, int] = {}
     for slot in job.hold:
         worker = book.pool.workers[slot.worker_id]
-        if worker.used_mask & slot.mask or not worker.usable:
+        if worker.used_mask & slot.mask:
             return False
         counts[slot.worker_id] = counts.get(slot.worker_id, 0) + 1
     for worker_id, count in counts.items():
--- a/laburnumsill/testing/fake_worker.py
+++ b/laburnumsill/testing/fake_worker.py
@@ -105,6 +105,7 @@
         checkpoint_s: Time that a checkpoint takes.
         usage_factor: Reported usage over what the task asked for.
         announcing: Whether it goes on announcing itself.
+        leaving: Whether it says that it is leaving, and stays.
     """
 
     model_config = pydantic.ConfigDict(extra="forbid")
@@ -120,6 +121,7 @@
     checkpoint_s: float = pydantic.Field(default=0.05, ge=0)
     usage_factor: float = pydantic.Field(default=0.8, ge=0)
     announcing: bool = True
+    leaving: bool = False
 
 
 class Fenced(pydantic.BaseModel):
@@ -234,6 +236,8 @@
     ) -> responses.Response:
         self.behaviour = await problems.read_model(request, Behaviour)
         self.announcer.paused = not self.behaviour.announcing
+        self.leaving = self.behaviour.leaving
+        self.announcer.announce_soon()
         self.tasks.crash_after_s = (
             self.behaviour.crash_after_s
             if self.behaviour.crash_starts
