--- a/laburnumsill/consensus/store_replay.py
+++ b/laburnumsill/consensus/store_replay.py
@@ -12,12 +12,12 @@
 from laburnumsill.consensus import types
 from laburnumsill.core import logs
 
-_SEGMENT_NAME = re.compile(r"(\d{12})\.log")
+_SEGMENT_NAME = re.compile(r"log-(\d{12})")
 
 
 def segment_path(folder: pathlib.Path, number: int) -> pathlib.Path:
     """Returns the file of a segment."""
-    return folder / f"{number:012d}.log"
+    return folder / f"log-{number:012d}"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/laburnumsill/consensus/tests/test_host_repair.py
+++ b/laburnumsill/consensus/tests/test_host_repair.py
@@ -28,7 +28,7 @@
 
 def largest_segment(node):
     folder = node.folder / "groups" / host_cluster.ROOT
-    return max(folder.glob("*.log"), key=lambda path: path.stat().st_size)
+    return max(folder.glob("log-*"), key=lambda path: path.stat().st_size)
 
 
 async def running(cluster, *keys):
--- a/laburnumsill/consensus/tests/test_store.py
+++ b/laburnumsill/consensus/tests/test_store.py
@@ -40,7 +40,7 @@
 
 
 def last_segment(folder: pathlib.Path) -> pathlib.Path:
-    used = [p for p in folder.glob("*.log") if p.stat().st_size > 200]
+    used = [p for p in folder.glob("log-*") if p.stat().st_size > 200]
     return sorted(used)[-1]
 
 
@@ -68,11 +68,11 @@
     kept = store_disk.DiskStore(folder, GROUP, segment_bytes=300)
     for index in range(1, 101):
         append(kept, (entry(index, data=b"d" * 100),))
-    before = len(list(folder.glob("*.log")))
+    before = len(list(folder.glob("log-*")))
     snapshot = types.Snapshot(90, 1, MEMBERSHIP, b"state")
     kept.commit([store.Change(snapshot=snapshot)])
     assert before > 20
-    assert len(list(folder.glob("*.log"))) < 12
+    assert len(list(folder.glob("log-*"))) < 12
     append(kept, (entry(101),))
     again = reopened(kept, folder)
     assert again.stored.snapshot == snapshot
@@ -98,7 +98,7 @@
     path = last_segment(folder)
     raw = path.read_bytes()
     for size in range(len(whole), len(raw)):
-        for other in folder.glob("*.log"):
+        for other in folder.glob("log-*"):
             if other != path:
                 other.unlink()
         path.write_bytes(raw[:size])
@@ -134,7 +134,7 @@
         kept = store_disk.DiskStore(folder, GROUP)
         kept.commit([store.Change(hard_state=types.HardState(term))])
         kept.close()
-    older = sorted(folder.glob("*.log"))[1]
+    older = sorted(folder.glob("log-*"))[1]
     raw = older.read_bytes()
     older.write_bytes(raw[:-1])
     with pytest.raises(store.DamagedLogError):
