--- a/bench/routing.py
+++ b/bench/routing.py
@@ -1,6 +1,7 @@
 """Compares all choosers and limiters on the same recorded arrivals.
 
 ``python -m bench.routing [--seconds 30] [--load 0.7] [--out FILE]``
+``python -m bench.routing --flood [--seconds 6] [--out FILE]``
 
 Eight VMs in three failure domains share 24 backend servers of 8 slots. The
 production router runs on each VM, in virtual time, against servers modelled
@@ -8,6 +9,10 @@
 bursty, service times heavy-tailed. One server is five times slower, one
 fails fast for a while, one freezes, and a failure domain is lost and comes
 back. All choices see the same arrivals, service times and faults.
+
+With ``--flood`` there are no faults. Urgent requests use 30 % of the slots,
+and each limiter is measured without pricing and with pricing at five times
+the capacity of all servers.
 """
 
 import argparse
@@ -80,6 +85,8 @@
 BURST_SHARE = 0.2
 BURST_S = 1.0
 URGENT = ("confirm", "check")
+URGENT_LOAD = 0.3
+FLOOD_FACTOR = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -135,6 +142,40 @@
     return arrivals
 
 
+def record_flood(seconds: float, *, pricing: bool) -> list[Arrival]:
+    """Returns even urgent arrivals, the same with and without pricing."""
+    urgent_mean_s = sum(MIX[name] * MEAN_S[name] for name in URGENT)
+    urgent_mean_s /= sum(MIX[name] for name in URGENT)
+    rate = URGENT_LOAD * SERVERS * SLOTS / urgent_mean_s
+    draw = random.Random(SEED)
+    arrivals = _even(draw, seconds, rate, URGENT, "lakes")
+    if pricing:
+        rate = FLOOD_FACTOR * SERVERS * SLOTS / MEAN_S["pricing"]
+        draw = random.Random(SEED + 1)
+        arrivals += _even(draw, seconds, rate, ("pricing",), "flood")
+    return sorted(arrivals, key=lambda arrival: arrival.at)
+
+
+def _even(
+    draw: random.Random,
+    seconds: float,
+    rate: float,
+    names: tuple[str, ...],
+    account: str,
+) -> list[Arrival]:
+    arrivals = []
+    now = 0.0
+    while now < seconds:
+        now += draw.expovariate(rate)
+        name = draw.choices(names, [MIX[name] for name in names])[0]
+        scale = MEAN_S[name] * (PARETO_SHAPE - 1) / PARETO_SHAPE
+        length_s = min(LONGEST_S, scale * draw.paretovariate(PARETO_SHAPE))
+        arrivals.append(
+            Arrival(now, draw.randrange(VMS), name, account, length_s)
+        )
+    return arrivals
+
+
 class CommittingGroups(local_groups.LocalGroups):
     """Local groups whose commits take `COMMIT_S`."""
 
@@ -153,15 +194,20 @@
         chooser: Name of the chooser.
         limiter: Name of the limiter.
         seconds: Length of the run.
+        faults: Whether servers fail.
     """
 
-    def __init__(self, chooser: str, limiter: str, seconds: float) -> None:
+    def __init__(
+        self, chooser: str, limiter: str, seconds: float, *, faults: bool
+    ) -> None:
         random.seed(SEED)
         self.ends: list[End] = []
         self._seconds = seconds
         self._clock = model_servers.VirtualClock()
         self.models = [_model(number) for number in range(SERVERS)]
-        self.models[1].slowness = 5.0
+        self._with_faults = faults
+        if faults:
+            self.models[1].slowness = 5.0
         self._view = model_servers.ModelView(self.models)
         self.client = model_servers.ModelClient(self.models)
         self.metrics = metrics.Metrics()
@@ -201,7 +247,8 @@
             for router in self._routers:
                 await background.start(router.run)
             background.start_soon(self._view.report, REPORT_S)
-            background.start_soon(self._faults)
+            if self._with_faults:
+                background.start_soon(self._faults)
             start = trio.current_time()
             async with trio.open_nursery() as nursery:
                 for number, arrival in enumerate(arrivals):
@@ -336,8 +383,9 @@
             for e in site.ends
             if e.class_name == name and e.outcome == "answered"
         )
-        result[f"{name}_p50_ms"] = 1000 * took[len(took) // 2]
-        result[f"{name}_p99_ms"] = 1000 * took[int(len(took) * 0.99)]
+        if took:
+            result[f"{name}_p50_ms"] = 1000 * took[len(took) // 2]
+            result[f"{name}_p99_ms"] = 1000 * took[int(len(took) * 0.99)]
     return result
 
 
@@ -367,7 +415,7 @@
     for end in ends:
         by_account[end.account].append(end)
     shares = {name: _good_share(group) for name, group in by_account.items()}
-    return max(0.0, shares["flood"] - min(shares.values()))
+    return max(0.0, shares.get("flood", 0.0) - min(shares.values()))
 
 
 COLUMNS = (
@@ -387,25 +435,32 @@
 )
 
 
-def table(rows: list[dict[str, typing.Any]]) -> str:
+def table(
+    rows: list[dict[str, typing.Any]], columns: tuple[tuple[str, str], ...]
+) -> str:
     """Returns the rows as a Markdown table."""
-    names = ["chooser", "limiter", *(name for name, _ in COLUMNS)]
+    names = ["chooser", "limiter", *(name for name, _ in columns)]
     lines = ["| " + " | ".join(names) + " |", "|---" * len(names) + "|"]
     for row in rows:
         cells = [row["chooser"], row["limiter"]]
-        cells += [form.format(row[name]) for name, form in COLUMNS]
+        cells += [form.format(row[name]) for name, form in columns]
         lines.append("| " + " | ".join(cells) + " |")
     return "\n".join(lines)
 
 
 def measure(
-    chooser: str, limiter: str, arrivals: list[Arrival], seconds: float
+    chooser: str,
+    limiter: str,
+    arrivals: list[Arrival],
+    seconds: float,
+    *,
+    faults: bool = True,
 ) -> dict[str, typing.Any]:
     """Runs one pair of policies and returns its row."""
     begun = time.perf_counter()
 
     async def main() -> Site:
-        site = Site(chooser, limiter, seconds)
+        site = Site(chooser, limiter, seconds, faults=faults)
         await site.run(arrivals)
         return site
 
@@ -415,9 +470,54 @@
     return row
 
 
+FLOOD_COLUMNS = (
+    ("pricing", "{}"),
+    ("urgent_goodput", "{:.4f}"),
+    ("pricing_answered", "{}"),
+    ("over_committed", "{:.4f}"),
+    ("confirm_p50_ms", "{:.0f}"),
+    ("confirm_p99_ms", "{:.0f}"),
+    ("check_p50_ms", "{:.0f}"),
+    ("check_p99_ms", "{:.0f}"),
+)
+
+
+def measure_flood(
+    choosers: list[str], limiters: list[str], seconds: float
+) -> list[dict[str, typing.Any]]:
+    """Returns a row without and one with pricing for each pair."""
+    rows = []
+    for chooser in choosers:
+        for limiter in limiters:
+            for pricing in (False, True):
+                arrivals = record_flood(seconds, pricing=pricing)
+                row = measure(chooser, limiter, arrivals, seconds, faults=False)
+                row["pricing"] = "5x" if pricing else "none"
+                flood = sum(a.class_name == "pricing" for a in arrivals)
+                row["pricing_answered"] = round(flood * row["pricing_goodput"])
+                rows.append(row)
+                print(f"{chooser} {limiter} pricing={pricing}", flush=True)
+    return rows
+
+
+def measure_all(
+    choosers: list[str], limiters: list[str], seconds: float, load: float
+) -> list[dict[str, typing.Any]]:
+    """Returns a row for each pair of policies."""
+    arrivals = record_arrivals(seconds, load)
+    rows = []
+    for chooser in choosers:
+        for limiter in limiters:
+            row = measure(chooser, limiter, arrivals, seconds)
+            rows.append(row)
+            print(f"{chooser} {limiter}: {row['goodput']:.4f}", flush=True)
+    return rows
+
+
 def main() -> None:
     """Measures all pairs, prints the table and writes JSON."""
     parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--flood", action="store_true")
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--load", type=float, default=0.7)
     parser.add_argument("--out", type=pathlib.Path, default=None)
@@ -425,26 +525,18 @@
     parser.add_argument("--limiters", nargs="*", default=list(limit.LIMITERS))
     options = parser.parse_args()
     logs.set_up("ERROR", "bench")
-    arrivals = record_arrivals(options.seconds, options.load)
-    rows = []
-    for chooser in options.choosers:
-        for limiter in options.limiters:
-            row = measure(chooser, limiter, arrivals, options.seconds)
-            rows.append(row)
-            print(
-                f"{chooser} {limiter}: {row['goodput']:.4f}"
-                f" in {row['ran_s']:.0f} s",
-                flush=True,
-            )
-    print(table(rows))
+    if options.flood:
+        rows = measure_flood(
+            options.choosers, options.limiters, options.seconds
+        )
+    else:
+        rows = measure_all(
+            options.choosers, options.limiters, options.seconds, options.load
+        )
+    print(table(rows, FLOOD_COLUMNS if options.flood else COLUMNS))
     if options.out is not None:
-        result = {
-            "seed": SEED,
-            "seconds": options.seconds,
-            "load": options.load,
-            "requests": len(arrivals),
-            "rows": rows,
-        }
+        settings = vars(options) | {"out": None, "seed": SEED}
+        result = {"settings": settings, "rows": rows}
         options.out.write_text(json.dumps(result, indent=1) + "\n")
 
 
--- a/laburnumsill/config/models.py
+++ b/laburnumsill/config/models.py
@@ -113,7 +113,7 @@
     """
 
     chooser: Name = "two-choices"
-    limiter: Name = "fixed"
+    limiter: Name = "borrowing"
     target_latency_ms: Milliseconds = 500
     max_attempts: int = pydantic.Field(default=3, ge=1, le=10)
     retry_budget: Share = 0.1
--- /dev/null
+++ b/laburnumsill/requests/tests/test_policies.py
@@ -0,0 +1,105 @@
+"""Choosers and limiters on their own."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies as st
+
+from laburnumsill.config import models
+from laburnumsill.core import members
+from laburnumsill.requests import choose
+from laburnumsill.requests import limit
+from laburnumsill.requests import servers
+
+
+def state(name="s", busy=0, in_flight=0, slots=8, latency_s=0.0):
+    server = members.BackendServer(
+        name, "huts", "north", "a:1", "i", 1, slots, 64, busy
+    )
+    return servers.ServerState(server, in_flight=in_flight, latency_s=latency_s)
+
+
+def test_the_defaults_exist():
+    policy = models.RequestPolicy()
+    assert policy.chooser in choose.CHOOSERS
+    assert policy.limiter in limit.LIMITERS
+
+
+@hypothesis.given(
+    name=st.sampled_from(sorted(choose.CHOOSERS)),
+    loads=st.lists(st.integers(0, 20), min_size=1, max_size=30),
+)
+def test_a_chooser_returns_a_candidate(name, loads):
+    candidates = [state(str(n), in_flight=n) for n in loads]
+    chooser = choose.make(name, random.Random(1))
+    assert chooser.choose(candidates) in candidates
+
+
+def test_two_choices_prefer_the_less_loaded():
+    busy, idle = state("b", in_flight=5), state("i")
+    for name in ("two-choices", "two-choices-reported", "least-in-flight"):
+        assert choose.make(name, random.Random(1)).choose([busy, idle]) is idle
+    slow, quick = state("s", latency_s=0.5), state("q", latency_s=0.1)
+    delay = choose.make("two-choices-delay", random.Random(1))
+    assert delay.choose([slow, quick]) is quick
+
+
+def test_hot_cold_prefers_the_fast_among_the_cold():
+    hot = state("h", in_flight=8, latency_s=0.01)
+    slow, quick = state("s", latency_s=0.5), state("q", latency_s=0.1)
+    chooser = choose.make("hot-cold", random.Random(1))
+    assert chooser.choose([hot, slow, quick]) is quick
+
+
+@hypothesis.given(
+    own=st.lists(st.integers(0, 8), min_size=8, max_size=8),
+    slots=st.integers(8, 64),
+)
+def test_borrowing_never_hands_out_more_than_the_slots(own, slots):
+    """If all VMs use their limits after one report, the slots suffice."""
+    busy = sum(own)
+    limiter = limit.make("borrowing", 8, 0.5)
+    limits = []
+    for mine in own:
+        entry = state(busy=busy, slots=slots)
+        entry.in_flight_at_report = mine
+        limits.append(limiter.limit(entry))
+    equal = slots / 8
+    lifted = sum(max(0.0, equal - mine) for mine in own)
+    assert sum(limits) <= max(slots, busy) + lifted + 1e-6
+
+
+def test_fixed_limits_add_up_to_the_slots():
+    limiter = limit.make("fixed", 8, 0.5)
+    assert sum(limiter.limit(state(busy=3)) for _ in range(8)) == 8
+
+
+def test_adaptive_limit_falls_when_late_and_rises_when_used():
+    limiter = limit.make("adaptive", 8, 0.1)
+    entry = state()
+    assert limiter.limit(entry) == 1.0
+    now = 0.0
+
+    def periods(count, latency_s):
+        nonlocal now
+        for _ in range(count):
+            entry.in_flight = int(limiter.limit(entry))
+            limiter.limit(entry)
+            for _ in range(20):
+                limiter.observe(entry, latency_s)
+            now += 1.0
+            limiter.tick(now)
+
+    periods(6, 0.02)
+    risen = limiter.limit(entry)
+    assert risen == 8.0
+    periods(2, 0.2)
+    assert limiter.limit(entry) < risen
+    periods(40, 0.2)
+    assert limiter.limit(entry) == 1.0
+    entry.in_flight = 0
+    for _ in range(10):
+        limiter.observe(entry, 0.02)
+        now += 1.0
+        limiter.tick(now)
+    assert limiter.limit(entry) == 1.0, "an idle server proves nothing"
