Keep one bad request from ending the router; close idle connections

Cause: a failure of no known type in a request that runs once would have ended the router's nursery and with it the daemon; connections to servers that are gone stayed open until they were collected.

Change: such a failure ends its own request with an unknown outcome. Idle connections to absent servers are closed every 10 s. A policy name that this program does not know falls back to the default with a log line. A home group that takes no new claims gives 'unknown', as it raises no fence.

--- a/laburnumsill/platform/backend.py
+++ b/laburnumsill/platform/backend.py
@@ -141,6 +141,10 @@
             AnswerLostError: Some byte may have, and no answer came.
         """
 
+    async def tidy(self, present: collections_abc.Set[str]) -> None:
+        """Closes idle connections to all but the `present` addresses."""
+        return
+
     @abc.abstractmethod
     async def aclose(self) -> None:
         """Closes all connections."""
@@ -170,11 +174,13 @@
         exchange = _Exchange(self._clock, server, request, deadline)
         return await exchange.start(pool)
 
-    async def forget(self, server: members.BackendServer) -> None:
-        """Closes the connections to a server that is gone."""
-        entry = self._pools.pop(server.address, None)
-        if entry is not None:
-            await entry[1].aclose()
+    async def tidy(self, present: collections_abc.Set[str]) -> None:
+        """Closes idle connections, see the base class."""
+        for address in self._pools.keys() - present:
+            _, pool = self._pools[address]
+            if all(entry.is_idle() for entry in pool.connections):
+                del self._pools[address]
+                await pool.aclose()
 
     async def aclose(self) -> None:
         """Closes all connections."""
@@ -199,6 +205,8 @@
             network_backend=counted_streams.CountedBackend(),
         )
         self._pools[server.address] = (server.incarnation, pool)
+        if entry is not None:
+            await entry[1].aclose()  # to a process that is gone
         return pool
 
 
@@ -375,6 +383,8 @@
 
 def _url(server: members.BackendServer, target: bytes) -> httpcore.URL:
     host, _, port = server.address.rpartition(":")
+    if not (port.isascii() and port.isdigit()):
+        raise NotSentError(f"no host:port: {server.address!r}")
     return httpcore.URL(
         scheme=b"http", host=host.encode(), port=int(port), target=target
     )
--- a/laburnumsill/platform/tests/test_backend.py
+++ b/laburnumsill/platform/tests/test_backend.py
@@ -154,3 +154,15 @@
         client = make_client()
         with pytest.raises(error):
             await exchange(client, server, seconds=0.2)
+
+
+async def test_idle_connections_to_servers_that_are_gone_are_closed():
+    script = Scripted(OK, OK)
+    async with script.running() as server:
+        client = make_client()
+        await exchange(client, server)
+        await client.tidy(frozenset({server.address}))
+        await client.tidy(frozenset())
+        await exchange(client, server)
+        await client.aclose()
+    assert script.connections == 2
--- a/laburnumsill/requests/claim.py
+++ b/laburnumsill/requests/claim.py
@@ -60,9 +60,8 @@
         Where the attempt was granted, the caller must send it or settle it.
 
         Raises:
-            errors.OverloadedError: The home group takes no new claims.
-            messages.HomeUnreachableError: The home group gave no answer;
-                this VM sends nothing.
+            messages.HomeUnreachableError: The home group gave no answer or
+                takes no new claims; this VM sends nothing.
             errors.KeyReusedError: The key belongs to another request.
         """
         attempt = ids.fresh("att")
@@ -90,8 +89,6 @@
                     status = await self._propose(group, command, until)
                     granted = status.granted
                     return status
-                except errors.OverloadedError:
-                    raise
                 except errors.UnavailableError as error:
                     raise _unreachable(error) from error
                 except errors.ProposalLostError as error:
--- a/laburnumsill/requests/durable.py
+++ b/laburnumsill/requests/durable.py
@@ -122,6 +122,8 @@
                 tries=entry.count,
                 error=error.slug,
             )
+        except Exception as error:  # the border: it is tried again
+            logs.event("dispatch-broken", level="ERROR", error=repr(error))
         finally:
             doublings = min(entry.count - 1, _MAX_DOUBLINGS)
             backoff_s = min(LONGEST_BACKOFF_S, FIRST_BACKOFF_S * 2**doublings)
--- a/laburnumsill/requests/once.py
+++ b/laburnumsill/requests/once.py
@@ -14,6 +14,7 @@
 from laburnumsill.config import models
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import errors
+from laburnumsill.core import logs
 from laburnumsill.requests import admit
 from laburnumsill.requests import answer as answers
 from laburnumsill.requests import claim
@@ -131,6 +132,9 @@
             result = await self._run(request, configuration)
         except errors.LaburnumsillError as error:
             result = error
+        except Exception as error:  # the border: no failure ends the router
+            logs.event("run-failed", level="ERROR", error=repr(error))
+            result = errors.LaburnumsillError("unexpected failure")
         finally:
             self._running -= 1
         try:
--- a/laburnumsill/requests/policies.py
+++ b/laburnumsill/requests/policies.py
@@ -4,6 +4,8 @@
 
 from laburnumsill.config import current as current_module
 from laburnumsill.config import models
+from laburnumsill.core import errors
+from laburnumsill.core import logs
 from laburnumsill.requests import choose
 from laburnumsill.requests import limit
 
@@ -55,6 +57,14 @@
         if settings == self._settings:
             return
         self._settings = settings
+        try:
+            self._make(policy)
+        except errors.UnknownNameError as error:
+            # Of a newer version of this program; routing must go on.
+            logs.event("policy-unknown", level="ERROR", detail=error.detail)
+            self._make(models.RequestPolicy())
+
+    def _make(self, policy: models.RequestPolicy) -> None:
         self._chooser = choose.make(policy.chooser, self._draw)
         self._limiter = limit.make(
             policy.limiter, self._entry_vms, policy.target_latency_ms / 1000
--- a/laburnumsill/requests/router.py
+++ b/laburnumsill/requests/router.py
@@ -37,6 +37,9 @@
 TICK_S = 0.1
 """Period of the limiter's control loop and of looking for new slots."""
 
+TIDY_S = 10.0
+"""Period of closing connections to servers that are gone."""
+
 _DRAIN_POLL_S = 0.02
 
 
@@ -71,9 +74,11 @@
         self._metrics = metrics
         draw = random.Random()
         self._policies = policies.Policies(current, entry_vms, draw)
+        self._client = client
+        self._table = servers.ServerTable(view)
         self._dispatcher = dispatch.Dispatcher(
             me,
-            servers.ServerTable(view),
+            self._table,
             health.Health(draw),
             self._policies,
             client,
@@ -110,12 +115,18 @@
         async with trio.open_nursery() as nursery:
             self._settler.start(nursery)
             self._once.start(nursery)
+            nursery.start_soon(self._tidy)
             task_status.started()
             while True:
                 await trio.sleep(TICK_S)
                 self._policies.limiter.tick(self._clock.monotonic())
                 self._admission.pump_all()
 
+    async def _tidy(self) -> None:
+        while True:
+            await trio.sleep(TIDY_S)
+            await self._client.tidy(self._table.addresses())
+
     async def drain(self, deadline: float) -> None:
         """Refuses new requests and waits for those in flight.
 
--- a/laburnumsill/requests/servers.py
+++ b/laburnumsill/requests/servers.py
@@ -93,15 +93,13 @@
             self._refresh(service, servers)
         return self._states[service].values()
 
-    def is_present(self, state: ServerState) -> bool:
-        """Returns whether `state` is of a server that may still get work."""
-        service = state.server.service
-        self.present(service)
-        return self._states[service].get(state.server.server_id) is state
-
-    def services(self) -> list[str]:
-        """Returns the services that were asked for."""
-        return list(self._states)
+    def addresses(self) -> frozenset[str]:
+        """Returns the addresses of the present servers of all services."""
+        return frozenset(
+            state.server.address
+            for service in list(self._states)
+            for state in self.present(service)
+        )
 
     def _refresh(
         self, service: str, servers: tuple[members.BackendServer, ...]
--- a/laburnumsill/requests/tests/test_once.py
+++ b/laburnumsill/requests/tests/test_once.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from laburnumsill.core import errors
+from laburnumsill.requests import answer
 from laburnumsill.requests import classify
 from laburnumsill.requests import messages
 from laburnumsill.requests.tests import support
@@ -183,6 +184,22 @@
         assert len(server.calls) == 1
 
 
+async def test_unexpected_failure_ends_one_request_and_not_the_router():
+    async with site(support.respond(b"booked")) as (bench, server, router):
+        propose = bench.groups.propose
+
+        async def broken(group, command, deadline):
+            raise RuntimeError("a bug")
+
+        bench.groups.propose = broken
+        with pytest.raises(errors.LaburnumsillError) as caught:
+            await support.ask(router, confirm(bench))
+        assert answer.outcome_of(caught.value) == "unknown"
+        bench.groups.propose = propose
+        result = await support.ask(router, confirm(bench))
+        assert (result.body, len(server.calls)) == (b"booked", 1)
+
+
 printable = st.text(max_size=300).map(lambda text: text.encode())
 
 
--- a/laburnumsill/requests/tests/test_policies.py
+++ b/laburnumsill/requests/tests/test_policies.py
@@ -5,10 +5,12 @@
 import hypothesis
 from hypothesis import strategies as st
 
+from laburnumsill.config import current as current_module
 from laburnumsill.config import models
 from laburnumsill.core import members
 from laburnumsill.requests import choose
 from laburnumsill.requests import limit
+from laburnumsill.requests import policies
 from laburnumsill.requests import servers
 
 
@@ -103,3 +105,15 @@
         now += 1.0
         limiter.tick(now)
     assert limiter.limit(entry) == 1.0, "an idle server proves nothing"
+
+
+def test_unknown_policies_do_not_stop_routing():
+    current = current_module.Current()
+    policy = models.RequestPolicy(chooser="newer", limiter="newer")
+    configured = models.Configuration(
+        site="tana", domains=["north"], requests=policy
+    )
+    current.put(current_module.Versioned(1, "1", configured))
+    made = policies.Policies(current, 8, random.Random(1))
+    assert isinstance(made.chooser, choose.Chooser)
+    assert isinstance(made.limiter, limit.Limiter)
