--- a/bench/routing.py
+++ b/bench/routing.py
@@ -2,6 +2,7 @@
 
 ``python -m bench.routing [--seconds 30] [--load 0.7] [--out FILE]``
 ``python -m bench.routing --flood [--seconds 6] [--out FILE]``
+``python -m bench.routing --failing [--seconds 6] [--out FILE]``
 
 Eight VMs in three failure domains share 24 backend servers of 8 slots. The
 production router runs on each VM, in virtual time, against servers modelled
@@ -12,7 +13,8 @@
 
 With ``--flood`` there are no faults. Urgent requests use 30 % of the slots,
 and each limiter is measured without pricing and with pricing at five times
-the capacity of all servers.
+the capacity of all servers. With ``--failing`` every other server fails fast
+all the time, and retry budgets are compared.
 """
 
 import argparse
@@ -194,11 +196,18 @@
         chooser: Name of the chooser.
         limiter: Name of the limiter.
         seconds: Length of the run.
-        faults: Whether servers fail.
+        faults: Whether the faults of the module's docstring happen.
+        requests: Further fields of the request policy.
     """
 
     def __init__(
-        self, chooser: str, limiter: str, seconds: float, *, faults: bool
+        self,
+        chooser: str,
+        limiter: str,
+        seconds: float,
+        *,
+        faults: bool,
+        **requests: float,
     ) -> None:
         random.seed(SEED)
         self.ends: list[End] = []
@@ -213,7 +222,9 @@
         self.metrics = metrics.Metrics()
         current = current_module.Current()
         current.put(
-            current_module.Versioned(1, "1", _configuration(chooser, limiter))
+            current_module.Versioned(
+                1, "1", _configuration(chooser, limiter, **requests)
+            )
         )
         groups = CommittingGroups(
             {
@@ -326,7 +337,9 @@
     )
 
 
-def _configuration(chooser: str, limiter: str) -> models.Configuration:
+def _configuration(
+    chooser: str, limiter: str, **requests: float
+) -> models.Configuration:
     return models.Configuration.model_validate(
         {
             "site": "bench",
@@ -334,7 +347,11 @@
             "classes": CLASSES,
             "services": {"huts": {"slots": SLOTS, "classes": list(CLASSES)}},
             "accounts": {name: {} for name in ACCOUNTS},
-            "requests": {"chooser": chooser, "limiter": limiter},
+            "requests": {
+                "chooser": chooser,
+                "limiter": limiter,
+                **requests,
+            },
         }
     )
 
@@ -418,7 +435,9 @@
     return max(0.0, shares.get("flood", 0.0) - min(shares.values()))
 
 
-COLUMNS = (
+Columns = tuple[tuple[str, str], ...]
+
+COLUMNS: Columns = (
     ("goodput", "{:.4f}"),
     ("urgent_goodput", "{:.4f}"),
     ("pricing_goodput", "{:.4f}"),
@@ -435,9 +454,7 @@
 )
 
 
-def table(
-    rows: list[dict[str, typing.Any]], columns: tuple[tuple[str, str], ...]
-) -> str:
+def table(rows: list[dict[str, typing.Any]], columns: Columns) -> str:
     """Returns the rows as a Markdown table."""
     names = ["chooser", "limiter", *(name for name, _ in columns)]
     lines = ["| " + " | ".join(names) + " |", "|---" * len(names) + "|"]
@@ -470,7 +487,7 @@
     return row
 
 
-FLOOD_COLUMNS = (
+FLOOD_COLUMNS: Columns = (
     ("pricing", "{}"),
     ("urgent_goodput", "{:.4f}"),
     ("pricing_answered", "{}"),
@@ -500,6 +517,40 @@
     return rows
 
 
+FAILING_COLUMNS: Columns = (
+    ("retry_budget", "{}"),
+    ("goodput", "{:.4f}"),
+    ("sent_per_request", "{:.3f}"),
+    ("unknown_share", "{:.4f}"),
+    ("confirm_p99_ms", "{:.0f}"),
+    ("check_p99_ms", "{:.0f}"),
+)
+BUDGETS = (0.0, 0.1, 1.0)
+
+
+def measure_failing(
+    chooser: str, limiter: str, seconds: float
+) -> list[dict[str, typing.Any]]:
+    """Returns a row for each retry budget, half of the servers failing."""
+    arrivals = record_flood(seconds, pricing=False)
+    rows = []
+    for retry_budget in BUDGETS:
+
+        async def main(budget: float = retry_budget) -> Site:
+            site = Site(
+                chooser, limiter, seconds, faults=False, retry_budget=budget
+            )
+            for model in site.models[::2]:
+                model.mode = "fail-fast"
+            await site.run(arrivals)
+            return site
+
+        site = trio.run(main, clock=testing.MockClock(autojump_threshold=0))
+        row = {"chooser": chooser, "limiter": limiter, **figures(site)}
+        rows.append(row | {"retry_budget": retry_budget})
+    return rows
+
+
 def measure_all(
     choosers: list[str], limiters: list[str], seconds: float, load: float
 ) -> list[dict[str, typing.Any]]:
@@ -518,6 +569,7 @@
     """Measures all pairs, prints the table and writes JSON."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--flood", action="store_true")
+    parser.add_argument("--failing", action="store_true")
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--load", type=float, default=0.7)
     parser.add_argument("--out", type=pathlib.Path, default=None)
@@ -525,15 +577,21 @@
     parser.add_argument("--limiters", nargs="*", default=list(limit.LIMITERS))
     options = parser.parse_args()
     logs.set_up("ERROR", "bench")
+    columns = COLUMNS
     if options.flood:
+        columns = FLOOD_COLUMNS
         rows = measure_flood(
             options.choosers, options.limiters, options.seconds
         )
+    elif options.failing:
+        columns = FAILING_COLUMNS
+        policy = models.RequestPolicy()
+        rows = measure_failing(policy.chooser, policy.limiter, options.seconds)
     else:
         rows = measure_all(
             options.choosers, options.limiters, options.seconds, options.load
         )
-    print(table(rows, FLOOD_COLUMNS if options.flood else COLUMNS))
+    print(table(rows, columns))
     if options.out is not None:
         settings = vars(options) | {"out": None, "seed": SEED}
         result = {"settings": settings, "rows": rows}
