--- a/laburnumsill/requests/answer.py
+++ b/laburnumsill/requests/answer.py
@@ -7,7 +7,7 @@
 from laburnumsill.requests import headers
 from laburnumsill.requests import messages
 from laburnumsill.state import answers
-from laburnumsill.state import claims
+from laburnumsill.state import claim_records
 
 
 def streamed(
@@ -31,7 +31,7 @@
     )
 
 
-def of_claim(status: claims.ClaimStatus) -> messages.Answer:
+def of_claim(status: claim_records.ClaimStatus) -> messages.Answer:
     """Returns the answer to a resend, from what is known of its key.
 
     Raises:
@@ -42,11 +42,11 @@
     """
     if status.answer is not None:
         return stored(status.answer)
-    if status.state is claims.ClaimState.ANSWERED:
+    if status.state is claim_records.ClaimState.ANSWERED:
         raise messages.AnswerNotKeptError("the request was answered before")
-    if status.state is claims.ClaimState.IN_PROGRESS:
+    if status.state is claim_records.ClaimState.IN_PROGRESS:
         raise errors.InProgressError("the request is in progress")
-    if status.state is claims.ClaimState.UNKNOWN:
+    if status.state is claim_records.ClaimState.UNKNOWN:
         raise errors.OutcomeUnknownError(
             "the request may have run; it will not be run again"
         )
--- a/laburnumsill/requests/claim.py
+++ b/laburnumsill/requests/claim.py
@@ -16,7 +16,7 @@
 from laburnumsill.core import topology
 from laburnumsill.requests import messages
 from laburnumsill.requests import settle
-from laburnumsill.state import claims
+from laburnumsill.state import claim_records
 
 CLAIM_PATIENCE_S = 1.5
 """Longest wait for a claim, which bridges the election of a leader."""
@@ -54,7 +54,7 @@
         request: messages.RoutedRequest,
         group: str,
         retention_s: float,
-    ) -> claims.ClaimStatus:
+    ) -> claim_records.ClaimStatus:
         """Returns what the home group says to a fresh attempt.
 
         Where the attempt was granted, the caller must send it or settle it.
@@ -66,7 +66,7 @@
         """
         attempt = ids.fresh("att")
         end = self._clock.wall_deadline(request.deadline) + SETTLE_GRACE_S
-        command = claims.ClaimRequest(
+        command = claim_records.ClaimRequest(
             request.claim_key,
             request.digest,
             attempt,
@@ -79,7 +79,7 @@
         until = min(
             request.deadline,
             self._clock.monotonic() + CLAIM_PATIENCE_S,
-            request.arrived + claims.CLAIM_WINDOW_S,
+            request.arrived + claim_records.CLAIM_WINDOW_S,
         )
         granted = False
         lost = False
@@ -104,7 +104,7 @@
 
     async def refuse(
         self, request: messages.RoutedRequest, group: str
-    ) -> claims.ClaimStatus:
+    ) -> claim_records.ClaimStatus:
         """Returns what is known of a key whose request is not to be run.
 
         Where that is "not run", no send that has arrived by now will run.
@@ -113,12 +113,12 @@
             messages.HomeUnreachableError: The home group gave no answer.
             errors.KeyReusedError: The key belongs to another request.
         """
-        command = claims.RefuseRequest(
+        command = claim_records.RefuseRequest(
             request.claim_key, request.digest, self._clock.wall()
         )
-        until = self._clock.monotonic() + claims.REFUSE_PATIENCE_S
+        until = self._clock.monotonic() + claim_records.REFUSE_PATIENCE_S
         try:
-            status: claims.ClaimStatus = await self._groups.propose(
+            status: claim_records.ClaimStatus = await self._groups.propose(
                 group, command, until
             )
         except (errors.UnavailableError, errors.ProposalLostError) as error:
@@ -128,9 +128,9 @@
         return status
 
     async def _propose(
-        self, group: str, command: claims.ClaimRequest, until: float
-    ) -> claims.ClaimStatus:
-        status: claims.ClaimStatus = await self._groups.propose(
+        self, group: str, command: claim_records.ClaimRequest, until: float
+    ) -> claim_records.ClaimStatus:
+        status: claim_records.ClaimStatus = await self._groups.propose(
             group, command, until
         )
         logs.decision(
--- a/laburnumsill/requests/lookup.py
+++ b/laburnumsill/requests/lookup.py
@@ -7,7 +7,7 @@
 from laburnumsill.core import errors
 from laburnumsill.core import replication
 from laburnumsill.requests import home
-from laburnumsill.state import claims
+from laburnumsill.state import claim_records
 from laburnumsill.state import durable
 
 QUERY_S = 1.5
@@ -21,7 +21,7 @@
     Attributes:
         key: The key in the name space of its service and account.
         durable: Whether it is of a durable request.
-        state: A `claims.ClaimState` or `durable.DurableState`.
+        state: A `claim_records.ClaimState` or `durable.DurableState`.
         attempt: The newest attempt, None for durable requests.
         status: HTTP status of the answer where it is known.
         deadline: Wall time by which a durable request must have succeeded.
@@ -55,8 +55,8 @@
     if kept.state is not None:
         status = kept.status or None
         return Known(key, True, kept.state, None, status, kept.deadline)
-    claim: claims.ClaimStatus = await groups.query(
-        group, claims.GetClaim(key, clock.wall()), until
+    claim: claim_records.ClaimStatus = await groups.query(
+        group, claim_records.GetClaim(key, clock.wall()), until
     )
     if claim.state is None:
         raise errors.NotFoundError(f"nothing is known of key {key!r}")
--- a/laburnumsill/requests/once.py
+++ b/laburnumsill/requests/once.py
@@ -24,7 +24,7 @@
 from laburnumsill.requests import messages
 from laburnumsill.requests import settle
 from laburnumsill.state import answers as stored_answers
-from laburnumsill.state import claims
+from laburnumsill.state import claim_records
 
 Result = messages.Answer | errors.LaburnumsillError
 
@@ -117,7 +117,7 @@
         """
         group = home.home_group(request.claim_key, configuration)
         status = await self._claim_filter.refuse(request, group)
-        if status.state is claims.ClaimState.NOT_RUN:
+        if status.state is claim_records.ClaimState.NOT_RUN:
             raise error
         return answers.of_claim(status)
 
@@ -174,13 +174,13 @@
         try:
             return await self._dispatcher.run(claimed.request, claimed.attempt)
         except errors.UnavailableError:
-            await self._settle(claimed, claims.ClaimState.NOT_RUN)
+            await self._settle(claimed, claim_records.ClaimState.NOT_RUN)
             raise
         except errors.OutcomeUnknownError:
-            await self._settle(claimed, claims.ClaimState.UNKNOWN)
+            await self._settle(claimed, claim_records.ClaimState.UNKNOWN)
             raise
         except BaseException:
-            self._settle_later(claimed, claims.ClaimState.UNKNOWN)
+            self._settle_later(claimed, claim_records.ClaimState.UNKNOWN)
             raise
 
     async def _collect(
@@ -203,11 +203,11 @@
                     )
         except errors.OutcomeUnknownError:
             await exchange.aclose()
-            await self._settle(claimed, claims.ClaimState.UNKNOWN)
+            await self._settle(claimed, claim_records.ClaimState.UNKNOWN)
             raise
         except BaseException:
             await exchange.aclose()
-            self._settle_later(claimed, claims.ClaimState.UNKNOWN)
+            self._settle_later(claimed, claim_records.ClaimState.UNKNOWN)
             raise
         await exchange.aclose()
         answer = stored_answers.StoredAnswer(
@@ -215,7 +215,7 @@
             headers.end_to_end(exchange.headers),
             b"".join(parts),
         )
-        await self._settle(claimed, claims.ClaimState.ANSWERED, answer)
+        await self._settle(claimed, claim_records.ClaimState.ANSWERED, answer)
         return answers.stored(answer)
 
     def _stream(
@@ -226,7 +226,7 @@
         parts: list[bytes],
         chunks: typing.AsyncIterator[bytes],
     ) -> messages.Answer:
-        outcome = claims.ClaimState.UNKNOWN
+        outcome = claim_records.ClaimState.UNKNOWN
 
         async def all_chunks() -> typing.AsyncIterator[bytes]:
             nonlocal outcome
@@ -234,7 +234,7 @@
                 yield parts.pop(0)
             async for chunk in chunks:
                 yield chunk
-            outcome = claims.ClaimState.ANSWERED
+            outcome = claim_records.ClaimState.ANSWERED
 
         async def on_close() -> None:
             try:
@@ -254,7 +254,7 @@
     async def _settle(
         self,
         claimed: _Claimed,
-        outcome: claims.ClaimState,
+        outcome: claim_records.ClaimState,
         answer: stored_answers.StoredAnswer | None = None,
     ) -> None:
         command = self._command(claimed, outcome, answer)
@@ -262,7 +262,7 @@
         await self._settler.now(claimed.group, command, deadline)
 
     def _settle_later(
-        self, claimed: _Claimed, outcome: claims.ClaimState
+        self, claimed: _Claimed, outcome: claim_records.ClaimState
     ) -> None:
         command = self._command(claimed, outcome, None)
         self._settler.later(claimed.group, command)
@@ -270,9 +270,9 @@
     def _command(
         self,
         claimed: _Claimed,
-        outcome: claims.ClaimState,
+        outcome: claim_records.ClaimState,
         answer: stored_answers.StoredAnswer | None,
-    ) -> claims.SettleRequest:
+    ) -> claim_records.SettleRequest:
         return settle.settlement(
             claimed.request,
             claimed.attempt,
--- a/laburnumsill/requests/settle.py
+++ b/laburnumsill/requests/settle.py
@@ -9,9 +9,9 @@
 from laburnumsill.core import replication
 from laburnumsill.requests import messages
 from laburnumsill.state import answers
-from laburnumsill.state import claims
+from laburnumsill.state import claim_records
 
-PROMPT_S = claims.REFUSE_PATIENCE_S
+PROMPT_S = claim_records.REFUSE_PATIENCE_S
 """Longest wait for a record that there is no answer."""
 
 ANSWER_PATIENCE_S = 5.0
@@ -31,13 +31,15 @@
 _LONGEST_PAUSE_S = 5.0
 
 
-def not_run(command: claims.ClaimRequest, now: float) -> claims.SettleRequest:
+def not_run(
+    command: claim_records.ClaimRequest, now: float
+) -> claim_records.SettleRequest:
     """Returns the record that an attempt was not and will not be run."""
-    return claims.SettleRequest(
+    return claim_records.SettleRequest(
         command.key,
         command.digest,
         command.attempt,
-        claims.ClaimState.NOT_RUN,
+        claim_records.ClaimState.NOT_RUN,
         None,
         now,
         command.forget_at,
@@ -47,13 +49,13 @@
 def settlement(
     request: messages.RoutedRequest,
     attempt: str,
-    outcome: claims.ClaimState,
+    outcome: claim_records.ClaimState,
     answer: answers.StoredAnswer | None,
     now: float,
     retention_s: float,
-) -> claims.SettleRequest:
+) -> claim_records.SettleRequest:
     """Returns the record of how an attempt ended."""
-    return claims.SettleRequest(
+    return claim_records.SettleRequest(
         request.claim_key,
         request.digest,
         attempt,
@@ -95,7 +97,7 @@
         self._nursery = nursery
 
     async def now(
-        self, group: str, command: claims.SettleRequest, deadline: float
+        self, group: str, command: claim_records.SettleRequest, deadline: float
     ) -> None:
         """Records, or goes on in the background after a while.
 
@@ -104,13 +106,13 @@
             command: The record.
             deadline: Monotonic point by which the request must have ended.
         """
-        answered = command.outcome is claims.ClaimState.ANSWERED
+        answered = command.outcome is claim_records.ClaimState.ANSWERED
         patience_s = ANSWER_PATIENCE_S if answered else PROMPT_S
         until = min(deadline, self._clock.monotonic() + patience_s)
         if not await self._try(group, command, until):
             self.later(group, command)
 
-    def later(self, group: str, command: claims.SettleRequest) -> None:
+    def later(self, group: str, command: claim_records.SettleRequest) -> None:
         """Records in the background."""
         if self._nursery is None or self._pending >= MAX_PENDING:
             self._lost(command)
@@ -119,7 +121,7 @@
         self._nursery.start_soon(self._keep_trying, group, command)
 
     async def _keep_trying(
-        self, group: str, command: claims.SettleRequest
+        self, group: str, command: claim_records.SettleRequest
     ) -> None:
         give_up = self._clock.monotonic() + LATEST_S
         pause_s = _FIRST_PAUSE_S
@@ -135,7 +137,7 @@
             self._pending -= 1
 
     async def _try(
-        self, group: str, command: claims.SettleRequest, until: float
+        self, group: str, command: claim_records.SettleRequest, until: float
     ) -> bool:
         try:
             await self._groups.propose(group, command, until)
@@ -150,6 +152,6 @@
             )
         return True
 
-    def _lost(self, command: claims.SettleRequest) -> None:
+    def _lost(self, command: claim_records.SettleRequest) -> None:
         self._metrics.count("settles_lost_total")
         logs.event("settle-lost", level="WARNING", attempt=command.attempt)
--- a/laburnumsill/requests/tests/test_once.py
+++ b/laburnumsill/requests/tests/test_once.py
@@ -12,7 +12,7 @@
 from laburnumsill.requests import classify
 from laburnumsill.requests import messages
 from laburnumsill.requests.tests import support
-from laburnumsill.state import claims
+from laburnumsill.state import claim_records
 from laburnumsill.testing import local_groups
 
 
@@ -66,7 +66,7 @@
 @pytest.mark.parametrize("faults", [["answer-lost"], ["lost", "answer-lost"]])
 async def test_lost_claim_is_proposed_again_and_runs_once(faults):
     async with site(support.respond(b"booked")) as (bench, server, router):
-        bench.groups.faults[claims.ClaimRequest] = faults
+        bench.groups.faults[claim_records.ClaimRequest] = faults
         result = await support.ask(router, confirm(bench))
         await bench.groups.apply_late()
         assert (result.body, len(server.calls)) == (b"booked", 1)
@@ -76,7 +76,7 @@
 
 async def test_claim_given_up_never_runs_and_holds_up_no_resend():
     async with site(support.respond(b"booked")) as (bench, server, router):
-        bench.groups.faults[claims.ClaimRequest] = ["lost"] * 1000
+        bench.groups.faults[claim_records.ClaimRequest] = ["lost"] * 1000
         with pytest.raises(messages.HomeUnreachableError) as caught:
             await support.ask(router, confirm(bench))
         await bench.groups.apply_late()
@@ -89,7 +89,7 @@
 
 async def test_lost_settle_is_recorded_in_the_background():
     async with site(support.respond(b"booked")) as (bench, server, router):
-        bench.groups.faults[claims.SettleRequest] = ["lost"] * 3
+        bench.groups.faults[claim_records.SettleRequest] = ["lost"] * 3
         result = await support.ask(router, confirm(bench))
         assert result.body == b"booked"
         with trio.fail_after(30):
@@ -132,7 +132,7 @@
         head = confirm(bench)
         classified = classify.classify(head, bench.current.get())
         request = classified.with_body(b"{}")
-        dead = claims.ClaimRequest(
+        dead = claim_records.ClaimRequest(
             request.claim_key, request.digest, "att-dead", "vm9",
             now, now, now + 0.3, now + 99,
         )  # fmt: skip
--- a/laburnumsill/state/claims.py
+++ b/laburnumsill/state/claims.py
@@ -31,15 +31,13 @@
 
 import collections
 import dataclasses
-import enum
 
 import sortedcontainers
 
-from laburnumsill.core import clock
 from laburnumsill.core import codec
 from laburnumsill.core import errors
 from laburnumsill.core import replication
-from laburnumsill.state import answers
+from laburnumsill.state import claim_records
 
 MAX_CLAIMS = 50_000
 """Records in one domain's group; new keys are refused beyond it."""
@@ -53,161 +51,11 @@
 PRUNED_PER_COMMAND = 16
 """Records forgotten at most by one command, so that none takes long."""
 
-REFUSE_PATIENCE_S = 0.5
-"""Longest wait of a VM for the commit of "not run" before it answers."""
-
-FENCE_S = REFUSE_PATIENCE_S + clock.MAX_CLOCK_DRIFT_S
-"""How far after a command's time its fence lies."""
-
-CLAIM_WINDOW_S = 30.0
-"""A VM proposes no claim for a request that arrived longer ago."""
-
-NOT_RUN_RETENTION_S = 2 * CLAIM_WINDOW_S
-"""How long a key that was not run is remembered."""
-
-
-class ClaimState(enum.StrEnum):
-    """What is known of a claimed request."""
-
-    IN_PROGRESS = "in-progress"
-    ANSWERED = "answered"
-    UNKNOWN = "unknown"
-    NOT_RUN = "not-run"
-
-
-@codec.register("claims.claim-request")
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimRequest:
-    """Asks for the right to run a request; idempotent by `attempt`.
-
-    Attributes:
-        key: The idempotency key with its service and account.
-        digest: Digest of method, path and body.
-        attempt: Id of the one attempt that would run it.
-        vm: The VM that made the attempt.
-        arrived: Wall time at which the request arrived at the VM.
-        now: Wall time of the proposal.
-        deadline: Wall time after which the attempt is over.
-        forget_at: Wall time after which the record is dropped.
-    """
-
-    key: str
-    digest: str
-    attempt: str
-    vm: str
-    arrived: float
-    now: float
-    deadline: float
-    forget_at: float
-
-
-@codec.register("claims.refuse-request")
-@dataclasses.dataclass(frozen=True, slots=True)
-class RefuseRequest:
-    """Fences off a key before its caller is told that it was not run.
-
-    Nothing changes where the key has run, runs or may have run.
-
-    Attributes:
-        key: The idempotency key with its service and account.
-        digest: Digest of method, path and body.
-        now: Wall time of the proposal.
-    """
-
-    key: str
-    digest: str
-    now: float
-
-
-@codec.register("claims.settle-request")
-@dataclasses.dataclass(frozen=True, slots=True)
-class SettleRequest:
-    """Records how an attempt ended; idempotent by `attempt`.
-
-    Attributes:
-        key: The claimed key.
-        digest: The digest that was claimed.
-        attempt: The attempt that ended.
-        outcome: Anything but `ClaimState.IN_PROGRESS`.
-        answer: The whole answer, or None where there is none to keep.
-        now: Wall time of the proposal.
-        forget_at: Wall time after which the record is dropped; one that was
-            not run is dropped earlier.
-    """
-
-    key: str
-    digest: str
-    attempt: str
-    outcome: ClaimState
-    answer: answers.StoredAnswer | None
-    now: float
-    forget_at: float
-
-
-@codec.register("claims.get-claim")
-@dataclasses.dataclass(frozen=True, slots=True)
-class GetClaim:
-    """Asks what is known of a key at wall time `now`."""
-
-    key: str
-    now: float
-
-
-@codec.register("claims.claim-status")
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimStatus:
-    """What is known of a key.
-
-    Attributes:
-        granted: Whether the asking attempt holds the claim.
-        state: What is known of the request; None where there is no record.
-        attempt: The newest attempt.
-        answer: The stored answer, or None.
-    """
-
-    granted: bool
-    state: ClaimState | None
-    attempt: str
-    answer: answers.StoredAnswer | None
-
-
-@codec.register("claims.record")
-@dataclasses.dataclass(slots=True)
-class ClaimRecord:
-    """One key.
-
-    Attributes:
-        key: See `ClaimRequest`.
-        digest: See `ClaimRequest`.
-        attempt: The newest attempt, empty before the first.
-        state: How it stands.
-        deadline: Wall time after which it is over.
-        forget_at: Wall time after which the record is dropped.
-        fence: Wall time; a request that arrived earlier is not granted.
-        ended: Attempts that must not be granted any more.
-        answer: The stored answer, or None.
-    """
-
-    key: str
-    digest: str
-    attempt: str
-    state: ClaimState
-    deadline: float
-    forget_at: float
-    fence: float = 0.0
-    ended: tuple[str, ...] = ()
-    answer: answers.StoredAnswer | None = None
-
-    def state_at(self, now: float) -> ClaimState:
-        """Returns the state as it reads at wall time `now`."""
-        late = self.state is ClaimState.IN_PROGRESS and now >= self.deadline
-        return ClaimState.UNKNOWN if late else self.state
-
 
 @codec.register("claims.dump")
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Dump:
-    records: tuple[ClaimRecord, ...]
+    records: tuple[claim_records.ClaimRecord, ...]
     answer_order: tuple[str, ...]
 
 
@@ -224,7 +72,7 @@
         self._clear()
 
     def _clear(self) -> None:
-        self._records: dict[str, ClaimRecord] = {}
+        self._records: dict[str, claim_records.ClaimRecord] = {}
         self._by_forget_at = sortedcontainers.SortedSet()
         self._answer_order: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
@@ -247,14 +95,14 @@
     def commands(self) -> dict[type, replication.Handler]:
         """Returns the handlers of the commands."""
         return {
-            ClaimRequest: self._claim,
-            RefuseRequest: self._refuse,
-            SettleRequest: self._settle,
+            claim_records.ClaimRequest: self._claim,
+            claim_records.RefuseRequest: self._refuse,
+            claim_records.SettleRequest: self._settle,
         }
 
     def queries(self) -> dict[type, replication.Handler]:
         """Returns the handler of the one query."""
-        return {GetClaim: self._get}
+        return {claim_records.GetClaim: self._get}
 
     def dump(self) -> bytes:
         """Returns all records, encoded."""
@@ -273,7 +121,9 @@
             answer = self._records[key].answer
             self._count_answer(key, len(answer.body) if answer else 0)
 
-    def _claim(self, command: ClaimRequest) -> ClaimStatus:
+    def _claim(
+        self, command: claim_records.ClaimRequest
+    ) -> claim_records.ClaimStatus:
         record = self._record(command.key, command.now)
         if record is None:
             return self._claim_new(command)
@@ -282,40 +132,46 @@
         if command.attempt in record.ended:
             return _status(record, state)
         if record.attempt == command.attempt:
-            granted = record.state is ClaimState.IN_PROGRESS
+            granted = record.state is claim_records.ClaimState.IN_PROGRESS
             return _status(record, state, granted=granted)
         fenced = command.arrived <= record.fence
-        if record.state is not ClaimState.NOT_RUN or fenced:
+        if record.state is not claim_records.ClaimState.NOT_RUN or fenced:
             return _status(record, state)
         record.attempt = command.attempt
-        record.state = ClaimState.IN_PROGRESS
+        record.state = claim_records.ClaimState.IN_PROGRESS
         record.deadline = command.deadline
         self._keep_until(record, command.forget_at)
         return _status(record, record.state, granted=True)
 
-    def _claim_new(self, command: ClaimRequest) -> ClaimStatus:
+    def _claim_new(
+        self, command: claim_records.ClaimRequest
+    ) -> claim_records.ClaimStatus:
         self._check_room()
-        record = ClaimRecord(
+        record = claim_records.ClaimRecord(
             command.key,
             command.digest,
             command.attempt,
-            ClaimState.IN_PROGRESS,
+            claim_records.ClaimState.IN_PROGRESS,
             command.deadline,
             command.forget_at,
         )
         self._put(record)
         return _status(record, record.state, granted=True)
 
-    def _refuse(self, command: RefuseRequest) -> ClaimStatus:
+    def _refuse(
+        self, command: claim_records.RefuseRequest
+    ) -> claim_records.ClaimStatus:
         record = self._record(command.key, command.now)
         if record is None:
             record = self._put_not_run(command.key, command.digest, command.now)
         _check_digest(record, command.digest)
-        if record.state is ClaimState.NOT_RUN:
+        if record.state is claim_records.ClaimState.NOT_RUN:
             self._fence(record, command.now)
         return _status(record, record.state_at(command.now))
 
-    def _settle(self, command: SettleRequest) -> ClaimStatus:
+    def _settle(
+        self, command: claim_records.SettleRequest
+    ) -> claim_records.ClaimStatus:
         record = self._record(command.key, command.now)
         if record is None:
             # The claim was not applied, so nothing ran. It may be applied
@@ -326,15 +182,20 @@
         _check_digest(record, command.digest)
         if record.attempt != command.attempt:
             self._end_other(record, command.attempt)
-        elif record.state in (ClaimState.IN_PROGRESS, ClaimState.UNKNOWN):
+        elif record.state in (
+            claim_records.ClaimState.IN_PROGRESS,
+            claim_records.ClaimState.UNKNOWN,
+        ):
             self._settle_current(record, command)
         return _status(record, record.state_at(command.now))
 
     def _settle_current(
-        self, record: ClaimRecord, command: SettleRequest
+        self,
+        record: claim_records.ClaimRecord,
+        command: claim_records.SettleRequest,
     ) -> None:
         record.state = command.outcome
-        if command.outcome is ClaimState.NOT_RUN:
+        if command.outcome is claim_records.ClaimState.NOT_RUN:
             _end(record, command.attempt)
             self._fence(record, command.now)
             return
@@ -344,22 +205,29 @@
             record.answer = command.answer
             self._count_answer(record.key, len(command.answer.body))
 
-    def _end_other(self, record: ClaimRecord, attempt: str) -> None:
-        if record.state in (ClaimState.IN_PROGRESS, ClaimState.NOT_RUN):
+    def _end_other(
+        self, record: claim_records.ClaimRecord, attempt: str
+    ) -> None:
+        if record.state in (
+            claim_records.ClaimState.IN_PROGRESS,
+            claim_records.ClaimState.NOT_RUN,
+        ):
             _end(record, attempt)
 
-    def _put_not_run(self, key: str, digest: str, now: float) -> ClaimRecord:
+    def _put_not_run(
+        self, key: str, digest: str, now: float
+    ) -> claim_records.ClaimRecord:
         self._check_room()
-        forget_at = now + NOT_RUN_RETENTION_S
-        record = ClaimRecord(
-            key, digest, "", ClaimState.NOT_RUN, now, forget_at
+        forget_at = now + claim_records.NOT_RUN_RETENTION_S
+        record = claim_records.ClaimRecord(
+            key, digest, "", claim_records.ClaimState.NOT_RUN, now, forget_at
         )
         self._put(record)
         return record
 
-    def _fence(self, record: ClaimRecord, now: float) -> None:
-        record.fence = max(record.fence, now + FENCE_S)
-        self._keep_until(record, now + NOT_RUN_RETENTION_S)
+    def _fence(self, record: claim_records.ClaimRecord, now: float) -> None:
+        record.fence = max(record.fence, now + claim_records.FENCE_S)
+        self._keep_until(record, now + claim_records.NOT_RUN_RETENTION_S)
 
     def _check_room(self) -> None:
         if len(self._records) >= self._max_claims:
@@ -367,13 +235,13 @@
                 f"{len(self._records)} claims are held, the most there may be"
             )
 
-    def _get(self, query: GetClaim) -> ClaimStatus:
+    def _get(self, query: claim_records.GetClaim) -> claim_records.ClaimStatus:
         record = self._records.get(query.key)
         if record is None or record.forget_at <= query.now:
-            return ClaimStatus(False, None, "", None)
+            return claim_records.ClaimStatus(False, None, "", None)
         return _status(record, record.state_at(query.now))
 
-    def _record(self, key: str, now: float) -> ClaimRecord | None:
+    def _record(self, key: str, now: float) -> claim_records.ClaimRecord | None:
         """Returns a key's record unless its time is over, and prunes."""
         record = self._records.get(key)
         if record is not None and record.forget_at <= now:
@@ -385,16 +253,18 @@
             self._forget(self._records[self._by_forget_at[0][1]])
         return record
 
-    def _forget(self, record: ClaimRecord) -> None:
+    def _forget(self, record: claim_records.ClaimRecord) -> None:
         self._by_forget_at.discard((record.forget_at, record.key))
         self._drop_answer(record.key)
         del self._records[record.key]
 
-    def _put(self, record: ClaimRecord) -> None:
+    def _put(self, record: claim_records.ClaimRecord) -> None:
         self._records[record.key] = record
         self._by_forget_at.add((record.forget_at, record.key))
 
-    def _keep_until(self, record: ClaimRecord, forget_at: float) -> None:
+    def _keep_until(
+        self, record: claim_records.ClaimRecord, forget_at: float
+    ) -> None:
         self._by_forget_at.discard((record.forget_at, record.key))
         record.forget_at = forget_at
         self._by_forget_at.add((forget_at, record.key))
@@ -413,20 +283,25 @@
             self._records[key].answer = None
 
 
-def _check_digest(record: ClaimRecord, digest: str) -> None:
+def _check_digest(record: claim_records.ClaimRecord, digest: str) -> None:
     if record.digest != digest:
         raise errors.KeyReusedError(
             f"key {record.key!r} was used with another request"
         )
 
 
-def _end(record: ClaimRecord, attempt: str) -> None:
+def _end(record: claim_records.ClaimRecord, attempt: str) -> None:
     """Remembers that `attempt` must never be granted (again)."""
     if attempt not in record.ended:
         record.ended = (*record.ended, attempt)[-MAX_ENDED_ATTEMPTS:]
 
 
 def _status(
-    record: ClaimRecord, state: ClaimState, *, granted: bool = False
-) -> ClaimStatus:
-    return ClaimStatus(granted, state, record.attempt, record.answer)
+    record: claim_records.ClaimRecord,
+    state: claim_records.ClaimState,
+    *,
+    granted: bool = False,
+) -> claim_records.ClaimStatus:
+    return claim_records.ClaimStatus(
+        granted, state, record.attempt, record.answer
+    )
--- a/laburnumsill/state/tests/test_claims.py
+++ b/laburnumsill/state/tests/test_claims.py
@@ -8,9 +8,10 @@
 from laburnumsill.core import errors
 from laburnumsill.core import replication
 from laburnumsill.state import answers
+from laburnumsill.state import claim_records
 from laburnumsill.state import claims
 
-States = claims.ClaimState
+States = claim_records.ClaimState
 RETENTION = 1_000.0
 ANSWER = answers.StoredAnswer(200, ((b"a", b"b"),), b"booked")
 
@@ -18,13 +19,13 @@
 def claim(attempt, now, *, key="k", digest="d", arrived=None, deadline=None):
     arrived = now if arrived is None else arrived
     deadline = now + 10 if deadline is None else deadline
-    return claims.ClaimRequest(
+    return claim_records.ClaimRequest(
         key, digest, attempt, "vm", arrived, now, deadline, now + RETENTION
     )
 
 
 def settle(attempt, outcome, now, *, key="k", digest="d", answer=None):
-    return claims.SettleRequest(
+    return claim_records.SettleRequest(
         key, digest, attempt, outcome, answer, now, now + RETENTION
     )
 
@@ -61,7 +62,7 @@
 
 def test_refused_key_does_not_run_for_an_earlier_arrival():
     state = machine()
-    refused = claims.RefuseRequest("k", "d", 5.0)
+    refused = claim_records.RefuseRequest("k", "d", 5.0)
     assert state.apply(refused).state is States.NOT_RUN
     assert not state.apply(claim("a", 5.1, arrived=4.9)).granted
     assert not state.apply(claim("b", 5.2, arrived=5.2)).granted
@@ -75,7 +76,7 @@
     for command in (
         claim("b", 1.0, digest="e"),
         settle("a", States.ANSWERED, 1.0, digest="e"),
-        claims.RefuseRequest("k", "e", 1.0),
+        claim_records.RefuseRequest("k", "e", 1.0),
     ):
         with pytest.raises(errors.KeyReusedError):
             state.apply(command)
@@ -89,7 +90,7 @@
         state.apply(settle("a", States.ANSWERED, 0, key=key, answer=ANSWER))
     part = state.component("claims")
     assert part.answers_bytes <= 10
-    first = state.query(claims.GetClaim("0", 1.0))
+    first = state.query(claim_records.GetClaim("0", 1.0))
     assert (first.state, first.answer) == (States.ANSWERED, None)
     with pytest.raises(errors.OverloadedError):
         state.apply(claim("a", 1.0, key="new"))
@@ -105,7 +106,7 @@
     copy = machine()
     copy.load(state.dump())
     assert copy.dump() == state.dump()
-    assert copy.query(claims.GetClaim("k", 1.0)).answer == ANSWER
+    assert copy.query(claim_records.GetClaim("k", 1.0)).answer == ANSWER
     assert not copy.apply(claim("c", 2.0, key="other")).granted
 
 
@@ -195,7 +196,7 @@
 
     @stateful.rule()
     def vm_refuses(self):
-        status = self._apply(claims.RefuseRequest("k", "d", self.now))
+        status = self._apply(claim_records.RefuseRequest("k", "d", self.now))
         if status.state is States.NOT_RUN:
             assert not self.sent
             assert not self.holding
