Write one Date header; end a kept demo on either signal

Found by running the README's lines against the kept demo: an answer carried the backend server's Date beside the HTTP server's own, and a demo started in the background ignored SIGINT and left its processes behind on SIGTERM.

--- a/laburnumsill/api/tests/test_services.py
+++ b/laburnumsill/api/tests/test_services.py
@@ -11,6 +11,7 @@
 from starlette import routing
 
 from laburnumsill.api import services
+from laburnumsill.requests import headers
 from laburnumsill.requests.tests import support
 
 
@@ -159,3 +160,8 @@
             assert "content-length: 9" in head
             assert body == b""
         assert len(server.calls) == 2
+
+
+def test_the_server_s_own_date_is_not_passed_on():
+    received = ((b"date", b"Thu, 01 Jan 1970 00:00:00 GMT"), (b"x", b"1"))
+    assert headers.end_to_end(received) == ((b"x", b"1"),)
--- a/laburnumsill/requests/headers.py
+++ b/laburnumsill/requests/headers.py
@@ -27,7 +27,9 @@
     }
 )
 
-_OWN = frozenset({CLASS, TIMEOUT_MS, OUTCOME, REQUEST_ID, b"expect"})
+_OWN = frozenset({CLASS, TIMEOUT_MS, OUTCOME, REQUEST_ID, b"date", b"expect"})
+"""Headers that this system reads or writes itself; `date` is written by the
+HTTP server and may stand in an answer only once."""
 
 
 def find(headers: backend.Headers, wanted: bytes) -> str | None:
--- a/laburnumsill/testing/demo.py
+++ b/laburnumsill/testing/demo.py
@@ -10,6 +10,7 @@
 import dataclasses
 import pathlib
 import shutil
+import signal
 import sys
 import time
 import tomllib
@@ -89,10 +90,7 @@
         try:
             right = await self._show(self._steps())
             if keep and right:
-                print("The site goes on; interrupt with Ctrl-C.", flush=True)
-                await trio.sleep_forever()
-        except KeyboardInterrupt:
-            right = True
+                await _until_interrupted()
         finally:
             codes = processes.stop_all(self._processes)
         bad = {name: code for name, code in codes.items() if code != 0}
@@ -310,6 +308,13 @@
         raise DemoFailedError(f"not within {READY_TIMEOUT_S} s: {what}")
 
 
+async def _until_interrupted() -> None:
+    with trio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
+        print("The site goes on; interrupt with Ctrl-C.", flush=True)
+        async for _ in signals:
+            return
+
+
 def _count(servers: http.Answer, workers: http.Answer) -> tuple[int, int]:
     return (
         len(servers.json()["backend_servers"]),
