--- a/laburnumsill/jobs/fit.py
+++ b/laburnumsill/jobs/fit.py
@@ -3,13 +3,14 @@
 from collections import abc
 
 from laburnumsill.state import jobs_messages
+from laburnumsill.state import jobs_pool
 from laburnumsill.state import workers
 
 Slots = tuple[jobs_messages.Slot, ...]
 
 
 def find_free(
-    pool: workers.Pool,
+    pool: jobs_pool.Pool,
     spec: jobs_messages.JobSpec,
     avoid: abc.Collection[str] = (),
 ) -> Slots | None:
@@ -35,12 +36,10 @@
 
 
 def _candidates(
-    pool: workers.Pool, spec: jobs_messages.JobSpec
-) -> abc.Iterator[workers.Rack]:
+    pool: jobs_pool.Pool, spec: jobs_messages.JobSpec
+) -> abc.Iterator[jobs_pool.Rack]:
     if not spec.accelerators:
-        cores = max(1, spec.cores) * spec.tasks
-        yield from pool.cpu_only_with(cores)
-        yield from pool.racks_with_cores(cores)
+        yield from pool.racks_with_cores(spec.tasks, spec.cores)
         return
     if spec.tasks == 1:
         yield from pool.broken_racks_with(spec.accelerators)
@@ -94,7 +93,7 @@
 
 
 def _scatter(
-    pool: workers.Pool,
+    pool: jobs_pool.Pool,
     spec: jobs_messages.JobSpec,
     avoid: abc.Collection[str],
 ) -> Slots | None:
@@ -102,7 +101,7 @@
     slots: list[jobs_messages.Slot] = []
     one = spec.accelerators
     racks = (
-        pool.racks_with(1, one) if one else pool.racks_with_cores(spec.cores)
+        pool.racks_with(1, one) if one else pool.racks_with_cores(1, spec.cores)
     )
     for rack in racks:
         for worker in rack.workers.values():
