Let workers come back that bad jobs had set aside, and find several bad ones

Cause: a burst of jobs that fail everywhere fails on one worker first; three of them set it aside for 60 s although they failed on the next worker too (test_jobs_that_fail_everywhere_end_and_condemn_no_worker failed: a gang of the whole domain did not run within 20 s). And two bad workers in a row were never set aside: a job that failed on both was the one suspected, and its later success elsewhere changed nothing. Ruled out: counting accounts instead of jobs; one account may fill a domain, and its jobs are then the only evidence. Change: the evidence against a worker that was set aside is kept; when a job in it becomes suspect and too little is left, the worker comes back. A job that succeeds after all is held against the workers it failed on; JobSucceeded carries bad_worker_jobs for that (an additive field).

--- a/laburnumsill/jobs/watch.py
+++ b/laburnumsill/jobs/watch.py
@@ -242,7 +242,10 @@
         try:
             await self._domain.propose(
                 jobs_messages.JobSucceeded(
-                    job.job_id, epoch, self._clock.wall()
+                    job.job_id,
+                    epoch,
+                    self._clock.wall(),
+                    self._limits().bad_worker_jobs,
                 )
             )
         except errors.ConflictError as error:
--- a/laburnumsill/state/jobs.py
+++ b/laburnumsill/state/jobs.py
@@ -302,7 +302,11 @@
         limits = jobs_health.Limits(command.max_tries, command.bad_worker_jobs)
         worker = self.book.pool.workers.get(command.blamed)
         if command.reason in jobs_messages.FAULTS:
-            jobs_health.blame_job(job, command.blamed, self.book.pool)
+            pool = self.book.pool
+            for name in jobs_health.blame_job(
+                job, command.blamed, pool, limits
+            ):
+                self._worker_back(name)
         suspect = command.reason != StopReason.OVER_USE
         if worker is not None and suspect:
             aside = jobs_health.blame_worker(job, worker, limits, command.now)
@@ -355,6 +359,11 @@
             )
         for slot in placement.slots:
             jobs_health.praise(self.book.pool.workers[slot.worker_id])
+        limits = jobs_health.Limits(0, command.bad_worker_jobs)
+        for name in jobs_health.acquit(
+            job, self.book.pool, limits, command.now
+        ):
+            self.book.worker_changed(name)
         self.book.vacate(job)
         self._end(job, JobState.SUCCEEDED, "", command.now)
 
@@ -378,9 +387,13 @@
         worker = self.book.pool.workers.get(command.worker_id)
         if worker is None or command.now < worker.aside_until:
             return
-        worker.aside_until = 0.0
+        jobs_health.give_trial(worker)
+        self._worker_back(command.worker_id)
+
+    def _worker_back(self, worker_id: str) -> None:
+        """Brings indexes up to date with a worker that gets work again."""
         self.book.pool.freed += 1
-        self.book.worker_changed(command.worker_id)
+        self.book.worker_changed(worker_id)
 
     def _at_epoch(self, job_id: str, epoch: int) -> placements.Job:
         """Returns a job whose placement has that epoch.
--- a/laburnumsill/state/jobs_health.py
+++ b/laburnumsill/state/jobs_health.py
@@ -3,8 +3,9 @@
 A worker on which several distinct jobs failed is bad; a job that failed on
 several distinct workers is bad. Each failure counts for both at first. Once
 a job has failed on `SUSPECT_WORKERS` workers its failures are held against
-no worker, and a failure on a worker that was set aside is not held against
-the job.
+no worker, and one that was set aside because of it comes back; if the job
+succeeds after all, they are held against those workers again. A failure on a
+worker that was set aside is not held against the job.
 """
 
 import dataclasses
@@ -45,31 +46,82 @@
     Returns:
         Whether the worker was set aside for it.
     """
-    if len(set(job.failed_on)) >= SUSPECT_WORKERS:
+    if is_suspect(job):
         return False
+    return _hold_against(job, worker, limits, now)
+
+
+def _hold_against(
+    job: placements.Job,
+    worker: workers.WorkerRecord,
+    limits: Limits,
+    now: float,
+) -> bool:
+    """Counts a job against a worker; returns whether that was too many."""
     if job.job_id not in worker.failed_jobs:
         worker.failed_jobs.append(job.job_id)
-    on_trial = worker.asides > 0
-    if not on_trial and len(worker.failed_jobs) < limits.bad_worker_jobs:
+    if worker.aside_until:
+        return False
+    needed = 1 if worker.asides else limits.bad_worker_jobs
+    if len(worker.failed_jobs) < needed:
         return False
     pause = min(MAX_ASIDE_S, ASIDE_S * 2.0**worker.asides)
     worker.aside_until = now + pause
     worker.asides = min(worker.asides + 1, 16)
-    worker.failed_jobs.clear()
     return True
 
 
+def is_suspect(job: placements.Job) -> bool:
+    """Returns whether a job's failures are put down to the job itself."""
+    return len(set(job.failed_on)) >= SUSPECT_WORKERS
+
+
 def blame_job(
-    job: placements.Job, worker_id: str, pool: jobs_pool.Pool
-) -> None:
-    """Counts a failure on a worker against a job."""
+    job: placements.Job, worker_id: str, pool: jobs_pool.Pool, limits: Limits
+) -> list[str]:
+    """Counts a failure on a worker against a job.
+
+    Returns:
+        The workers that come back: too little is left against them.
+    """
     job.failed_on.append(worker_id)
-    if len(set(job.failed_on)) < SUSPECT_WORKERS:
-        return
-    for name in set(job.failed_on):
+    if not is_suspect(job):
+        return []
+    cleared = []
+    for name in sorted(set(job.failed_on)):
         worker = pool.workers.get(name)
-        if worker is not None and job.job_id in worker.failed_jobs:
-            worker.failed_jobs.remove(job.job_id)
+        if worker is None or job.job_id not in worker.failed_jobs:
+            continue
+        worker.failed_jobs.remove(job.job_id)
+        needed = 1 if worker.asides > 1 else limits.bad_worker_jobs
+        if worker.aside_until and len(worker.failed_jobs) < needed:
+            worker.aside_until = 0.0
+            worker.asides = max(0, worker.asides - 1)
+            cleared.append(name)
+    return cleared
+
+
+def acquit(
+    job: placements.Job, pool: jobs_pool.Pool, limits: Limits, now: float
+) -> list[str]:
+    """Counts a succeeding job's earlier failures against their workers.
+
+    Returns:
+        The workers that were set aside for it.
+    """
+    aside = []
+    ran_on = {slot.worker_id for slot in job.slots}
+    for worker_id in sorted(set(job.failed_on) - ran_on):
+        worker = pool.workers.get(worker_id)
+        if worker is not None and _hold_against(job, worker, limits, now):
+            aside.append(worker_id)
+    return aside
+
+
+def give_trial(worker: workers.WorkerRecord) -> None:
+    """Lets a worker that was set aside get work; one failure is enough."""
+    worker.aside_until = 0.0
+    worker.failed_jobs.clear()
 
 
 def praise(worker: workers.WorkerRecord) -> None:
--- a/laburnumsill/state/jobs_messages.py
+++ b/laburnumsill/state/jobs_messages.py
@@ -335,11 +335,17 @@
 @codec.register("jobs.succeeded")
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobSucceeded:
-    """Says that every member ended well; ends the job, frees its slots."""
+    """Says that every member ended well; ends the job, frees its slots.
+
+    Attributes:
+        bad_worker_jobs: Distinct jobs that fail on a worker before it is
+            set aside.
+    """
 
     job_id: str
     epoch: int
     now: float
+    bad_worker_jobs: int = 3
 
 
 @codec.register("jobs.extend-leases")
--- a/laburnumsill/testing/fake_worker.py
+++ b/laburnumsill/testing/fake_worker.py
@@ -96,8 +96,10 @@
     Attributes:
         refuse: Calls that are refused with 503, nothing done.
         crash_starts: Whether every start succeeds and then fails at once.
+        crash_commands: Commands whose tasks fail in this way.
         crash_after_s: Time from such a start to its failure.
         ignore_checkpoint: Whether a checkpoint is taken on and never done.
+        ignore_throttle: Whether a throttled task goes on at full speed.
         lose_answers: Calls that are carried out, then the connection is cut.
         hang: Calls that are read and never carried out.
         only_next: How many calls the lists above are for, or None for all.
@@ -112,8 +114,10 @@
 
     refuse: list[Action] = []
     crash_starts: bool = False
+    crash_commands: list[str] = []
     crash_after_s: float = pydantic.Field(default=0.01, ge=0)
     ignore_checkpoint: bool = False
+    ignore_throttle: bool = False
     lose_answers: list[Action] = []
     hang: list[Action] = []
     only_next: int | None = pydantic.Field(default=None, ge=0)
@@ -243,6 +247,8 @@
             if self.behaviour.crash_starts
             else None
         )
+        self.tasks.crash_commands = frozenset(self.behaviour.crash_commands)
+        self.tasks.ignore_throttle = self.behaviour.ignore_throttle
         self.tasks.checkpoint_s = (
             None
             if self.behaviour.ignore_checkpoint
@@ -290,6 +296,7 @@
                 cores=body.cores,
                 memory_gb=body.memory_gb,
                 run_s=body.run_s,
+                command=body.command,
             )
             return self.tasks.prepare(wanted)
         epoch, lease_deadline = body.epoch, body.lease_deadline
--- a/laburnumsill/testing/job_calls.py
+++ b/laburnumsill/testing/job_calls.py
@@ -53,9 +53,23 @@
     tasks: int,
     accelerators: int,
     run_s: float,
-    **fields: object,
+    **fields: typing.Any,
 ) -> http.Answer:
     """Submits a job once through one VM."""
+    caller = site.client(vm_id)
+    return await post(caller, key, tasks, accelerators, run_s, **fields)
+
+
+async def post(
+    caller: http.Client,
+    key: str,
+    tasks: int,
+    accelerators: int,
+    run_s: float,
+    timeout_s: float = http.DEFAULT_TIMEOUT_S,
+    **fields: object,
+) -> http.Answer:
+    """Submits a job once."""
     job = {
         "account": scenario.ACCOUNT,
         "tasks": tasks,
@@ -63,9 +77,8 @@
         "run_s": run_s,
         **fields,
     }
-    return await site.client(vm_id).send(
-        "POST", "/v1/jobs", job, {"Idempotency-Key": key}
-    )
+    headers = {"Idempotency-Key": key}
+    return await caller.send("POST", "/v1/jobs", job, headers, timeout_s)
 
 
 async def submit_until_accepted(
@@ -93,6 +106,23 @@
             await trio.sleep(0.1)
 
 
+async def cancel_until_done(site: cluster.Cluster, job_id: str) -> None:
+    """Cancels a job until it is acknowledged that none of it runs."""
+    with trio.fail_after(ACCEPT_TIMEOUT_S):
+        while True:
+            for vm_id in site.vm_ids:
+                try:
+                    answer = await site.client(vm_id).send(
+                        "DELETE", f"/v1/jobs/{job_id}"
+                    )
+                except LOST:
+                    continue
+                if answer.status == 200:
+                    return
+                assert answer.status in (202, 503, 504), answer.body
+            await trio.sleep(0.1)
+
+
 async def view_of(
     site: cluster.Cluster, job_id: str, vm_ids: abc.Sequence[str] = ()
 ) -> dict[str, typing.Any] | None:
--- a/laburnumsill/testing/worker_tasks.py
+++ b/laburnumsill/testing/worker_tasks.py
@@ -64,6 +64,7 @@
         cores: Processor cores asked for.
         memory_gb: Memory asked for, in GB.
         run_s: Run time at full speed, or None to run until stopped.
+        command: Kept and never run.
         state: ``prepared``, ``running``, ``succeeded``, ``failed`` or
             ``stopped``.
         share: Of full speed.
@@ -82,6 +83,7 @@
     cores: float = 0
     memory_gb: float = 0
     run_s: float | None = None
+    command: object = None
     state: str = "prepared"
     share: float = 1.0
     started_at: float | None = None
@@ -99,6 +101,8 @@
 
     Attributes:
         crash_after_s: Time from a start to its failure, None for none.
+        crash_commands: Commands whose tasks fail at once when started.
+        ignore_throttle: Whether a throttled task goes on at full speed.
         checkpoint_s: Time that a checkpoint takes, None for ever.
     """
 
@@ -110,6 +114,8 @@
         record: recorder.Recorder,
     ) -> None:
         self.crash_after_s: float | None = None
+        self.crash_commands: frozenset[object] = frozenset()
+        self.ignore_throttle = False
         self.checkpoint_s: float | None = 0.05
         self._worker_id = worker_id
         self._accelerators = accelerators
@@ -162,6 +168,8 @@
             task._worked_at = now
             if self.crash_after_s is not None:
                 task._crash_due = now + self.crash_after_s
+            elif task.command in self.crash_commands:
+                task._crash_due = now
             self._record("running", task)
         return _document(task)
 
@@ -200,7 +208,8 @@
         """
         task = self._live_task(task_id, epoch, lease_deadline)
         self._work(task)
-        task.share = share
+        if not self.ignore_throttle:
+            task.share = share
         self._record("throttled", task)
         return _document(task)
 
