--- a/bench/virtual_domain.py
+++ b/bench/virtual_domain.py
@@ -16,6 +16,7 @@
 from laburnumsill.core import members
 from laburnumsill.jobs import planner
 from laburnumsill.jobs import policy as policies
+from laburnumsill.jobs import steps
 from laburnumsill.state import jobs
 from laburnumsill.state import jobs_book
 from laburnumsill.state import jobs_messages
@@ -33,7 +34,9 @@
 """Tasks, and accelerators of each, of a typical large gang."""
 
 LARGE = 16
-"""Accelerators from which a gang counts as large."""
+"""Accelerators of the gangs whose waits are told: the largest that fit
+beside all guarantees. Larger borrowers have no promise at all while these
+are in use."""
 
 
 class Placing(abc.ABC):
@@ -49,7 +52,7 @@
     @abc.abstractmethod
     def steps(
         self, book: jobs_book.JobBook, now: float
-    ) -> collections_abc.Iterator[planner.Command]:
+    ) -> collections_abc.Iterator[steps.Command]:
         """Yields commands; each is applied before the next is asked for."""
 
 
@@ -205,7 +208,7 @@
         )
         self._placing.submitted(job_id)
 
-    def _carry_out(self, command: planner.Command) -> None:
+    def _carry_out(self, command: steps.Command) -> None:
         before = self.book.cells.shortfall()
         self._apply(command)
         if self.book.cells.shortfall() > before:
@@ -302,7 +305,7 @@
 
     def steps(
         self, book: jobs_book.JobBook, now: float
-    ) -> collections_abc.Iterator[planner.Command]:
+    ) -> collections_abc.Iterator[steps.Command]:
         """Yields the planner's commands."""
         for step in self._planner.steps(book, self._policy, now):
             yield step.command
@@ -311,5 +314,5 @@
 class _WithoutDrains(planner.Planner):
     def _gangs(
         self, book: jobs_book.JobBook, policy: policies.Policy, now: float
-    ) -> collections_abc.Iterator[planner.Step]:
+    ) -> collections_abc.Iterator[steps.Step]:
         yield from ()
