--- a/laburnumsill/api/services.py
+++ b/laburnumsill/api/services.py
@@ -18,6 +18,7 @@
 from laburnumsill.core import errors
 from laburnumsill.core import ids
 from laburnumsill.core import logs
+from laburnumsill.platform import backend
 from laburnumsill.requests import answer as answers
 from laburnumsill.requests import headers
 from laburnumsill.requests import messages
@@ -128,7 +129,8 @@
         )
         passed = list(answer.headers) + list(own)
         whole = answer.whole_body
-        if whole is not None and not _has_length(answer.headers):
+        bodiless = answer.status in backend.BODILESS_STATUSES
+        if whole is not None and not (bodiless or _has_length(passed)):
             passed.append((b"content-length", str(len(whole)).encode()))
         await self._start(answer.status, passed)
         async for chunk in answer.chunks():
--- a/laburnumsill/api/tests/test_services.py
+++ b/laburnumsill/api/tests/test_services.py
@@ -159,3 +159,12 @@
             assert "content-length: 9" in head
             assert body == b""
         assert len(server.calls) == 2
+
+
+async def test_answer_without_a_body_gets_no_length():
+    async with serving(support.raw(b"HTTP/1.1 204 X\r\n\r\n")) as (port, _, _):
+        for _ in range(2):
+            head, body = await call(port, *CONFIRM, path=SERVICES)
+            assert " 204" in head.split("\r\n")[0]
+            assert "content-length" not in head
+            assert body == b""
--- a/laburnumsill/platform/backend.py
+++ b/laburnumsill/platform/backend.py
@@ -34,7 +34,8 @@
 REQUEST_ID_HEADER = b"laburnumsill-request-id"
 
 _WRITING = "http11.send_request_headers.started"
-_BODILESS_STATUSES = frozenset({204, 304})
+BODILESS_STATUSES = frozenset({204, 304})
+"""Answers of these have no body and no length of one, RFC 9110."""
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -342,7 +343,7 @@
         echo = named.get(REQUEST_ID_HEADER)
         if echo is not None and echo != attempt.encode():
             raise CrossedAnswerError(f"sent {attempt!r}, got {echo[:80]!r}")
-        bodiless = self._method == "HEAD" or self.status in _BODILESS_STATUSES
+        bodiless = self._method == "HEAD" or self.status in BODILESS_STATUSES
         counted = b"content-length" in named or b"transfer-encoding" in named
         if not bodiless and not counted:
             raise TruncatedAnswerError("the answer declares no length")
