--- a/laburnumsill/testing/gang_history.py
+++ b/laburnumsill/testing/gang_history.py
@@ -88,6 +88,25 @@
     return history
 
 
+def check_prepared_first(
+    site: cluster.Cluster, members: abc.Mapping[str, int]
+) -> None:
+    """Checks that no member of a gang started before all had prepared.
+
+    Args:
+        site: The site.
+        members: The number of tasks of each job.
+    """
+    prepared: dict[tuple[str, int], set[str]] = {}
+    for line in lines(site, "prepared", "running"):
+        key = (line["job_id"], line["epoch"])
+        ready = prepared.setdefault(key, set())
+        if line["what"] == "prepared":
+            ready.add(line["task_id"])
+        else:
+            assert len(ready) == members[key[0]], (line, sorted(ready))
+
+
 def _add(
     found: History, begun: dict[str, typing.Any], end: float | None
 ) -> None:
--- a/laburnumsill/testing/tests/test_gang_history.py
+++ b/laburnumsill/testing/tests/test_gang_history.py
@@ -88,3 +88,16 @@
     ran = [(0, "running", 1), (1, "running", 2)]
     with pytest.raises(AssertionError):
         history(tmp_path, ran, ran)
+
+
+def test_a_start_before_all_have_prepared_is_found(tmp_path: pathlib.Path):
+    site = Site(tmp_path)
+    site.write(0, (0, "prepared", 1), (2, "running", 1))
+    site.write(1, (1, "prepared", 1), (2, "running", 1))
+    gang_history.check_prepared_first(site, {"j": 2})
+    site.write(1, (3, "prepared", 1), (4, "running", 1))
+    with pytest.raises(AssertionError):
+        gang_history.check_prepared_first(site, {"j": 2})
+    site.write(1)
+    with pytest.raises(AssertionError):
+        gang_history.check_prepared_first(site, {"j": 2})
--- a/laburnumsill/testing/tests/test_job_failures.py
+++ b/laburnumsill/testing/tests/test_job_failures.py
@@ -37,6 +37,7 @@
         job = await job_calls.submit_until_accepted(site, "g1", 3, 8, 1)
         await job_calls.until_state(site, job, "succeeded")
         history = gang_history.check_gangs(site, {job: 3})
+        gang_history.check_prepared_first(site, {job: 3})
         assert len(history) == 1
 
 
@@ -52,6 +53,7 @@
         killed_at = time.time()
         await job_calls.until_state(site, job, "succeeded")
         history = gang_history.check_gangs(site, {job: 2}, {used[0]: killed_at})
+        gang_history.check_prepared_first(site, {job: 2})
         assert len(history) == 2
 
 
@@ -67,6 +69,15 @@
         await trio.sleep(gang_history.LEASE_S + 4)
         site.process(used[0]).resume()
         await job_calls.until_state(site, job, "succeeded")
+        # It noticed the end of its lease when it went on, before anything.
+        ended = [
+            line["reason"]
+            for line in gang_history.lines(site, "ended")
+            if line["worker"] == used[0] and line["epoch"] == 1
+        ]
+        assert ended == ["lease-ended"]
+        gang_history.check_prepared_first(site, {job: 2})
+        assert len(gang_history.intervals(site)) == 2
 
 
 async def test_kills_of_the_leader_at_any_step_run_no_gang_in_part(
@@ -90,6 +101,7 @@
         for job in jobs:
             await job_calls.until_state(site, job, "succeeded", timeout_s=120)
         gang_history.check_gangs(site, jobs)
+        gang_history.check_prepared_first(site, jobs)
 
 
 async def test_workers_that_refuse_or_lose_answers_leave_no_gang_in_part(
@@ -115,6 +127,7 @@
                 site, job, "succeeded", "failed", timeout_s=90
             )
         gang_history.check_gangs(site, jobs)
+        gang_history.check_prepared_first(site, jobs)
 
 
 async def test_a_resent_submission_is_one_job(tmp_path: pathlib.Path):
--- a/laburnumsill/testing/tests/test_state_failures.py
+++ b/laburnumsill/testing/tests/test_state_failures.py
@@ -1,5 +1,6 @@
 """Replicated state under failure, with real processes behind the proxy."""
 
+import contextlib
 import pathlib
 
 import httpcore
@@ -52,13 +53,67 @@
     return answer.json()["version"]
 
 
+async def in_force_here(site, vm_id):
+    """Returns the version that a VM itself has in force, 0 for none."""
+    answer = await site.client(vm_id).send(
+        "GET", "/v1/config?source=in-force", timeout_s=2
+    )
+    return answer.json()["version"] if answer.status == 200 else 0
+
+
 async def until_in_force(site, vm_id, version):
+    """Waits until a VM itself has a version in force, and a quorum says so."""
+
     async def reached():
+        if await in_force_here(site, vm_id) < version:
+            return False
         return await version_in_force(site, vm_id) >= version
 
     await site.until(reached, f"version {version} is in force on {vm_id}")
 
 
+async def watch_in_force(site, vm_ids, seen):
+    """Notes what VMs have in force, again and again, in `seen` by VM.
+
+    A VM that has answered once never answers with an older version, also
+    not after a restart.
+    """
+
+    async def watch(vm_id):
+        versions = seen.setdefault(vm_id, [])
+        while True:
+            with contextlib.suppress(*LOST):
+                versions.append(await in_force_here(site, vm_id))
+            await trio.sleep(0.01)
+
+    async with trio.open_nursery() as nursery:
+        for vm_id in vm_ids:
+            nursery.start_soon(watch, vm_id)
+
+
+def check_never_older(seen):
+    """Checks what `watch_in_force` noted; 0 says that none is known yet."""
+    for vm_id, versions in seen.items():
+        known = [version for version in versions if version]
+        assert known, vm_id
+        assert known == sorted(known), (vm_id, known)
+
+
+async def replica(site, vm_id, group="root"):
+    """Returns the document of a VM's replica of a group."""
+    answer = await site.client(vm_id).send("GET", "/v1/groups")
+    return next(r for r in answer.json() if r["group"] == group)
+
+
+async def until_applied(site, vm_id, index):
+    """Waits until the root replica on a VM has applied an entry."""
+
+    async def applied():
+        return (await replica(site, vm_id))["applied"] >= index
+
+    await site.until(applied, f"{vm_id} has applied entry {index}")
+
+
 async def until_votes(site, vm_id):
     """Waits until the replica of the root group on a VM is a voter again."""
 
@@ -78,17 +133,24 @@
     async with cluster.running(tmp_path, SMALL) as site:
         await scenario.start_site(site)
         version = 1
-        for number in range(12):
-            if number in (3, 7):
-                leader = await site.until_led("root", site.vm_ids)
-                site.process(leader).kill()
-                site.start_vm(leader)
-            got = await push_until_accepted(site, site.vm_ids, version, number)
-            assert got == version + 1
-            version = got
-        for vm_id in site.vm_ids:
-            await until_in_force(site, vm_id, version)
-            assert await version_in_force(site, vm_id) == version
+        seen = {}
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch_in_force, site, site.vm_ids, seen)
+            for number in range(12):
+                if number in (3, 7):
+                    leader = await site.until_led("root", site.vm_ids)
+                    site.process(leader).kill()
+                    site.start_vm(leader)
+                got = await push_until_accepted(
+                    site, site.vm_ids, version, number
+                )
+                assert got == version + 1
+                version = got
+            for vm_id in site.vm_ids:
+                await until_in_force(site, vm_id, version)
+                assert await version_in_force(site, vm_id) == version
+            nursery.cancel_scope.cancel()
+        check_never_older(seen)
 
 
 async def test_an_isolated_leader_answers_unavailable_and_disturbs_no_one(
@@ -103,10 +165,42 @@
         version = await push_until_accepted(site, others, 1, 1)
         refused = await push_numbered(site, old, 1, 2)
         assert refused.status == 503, refused.body
+        stale = await site.client(old).send("GET", "/v1/config")
+        assert stale.status == 503, stale.body
+        assert (await replica(site, old))["role"] != "leader"
+        term = (await replica(site, new))["term"]
         await trio.sleep(3)
         site.heal()
         await until_in_force(site, old, version)
         assert await site.until_led("root", site.vm_ids) == new
+        assert (await replica(site, new))["term"] == term
+        assert (await replica(site, old))["term"] == term
+
+
+async def test_a_paused_leader_answers_no_read_with_the_past(
+    tmp_path: pathlib.Path,
+):
+    async with cluster.running(tmp_path, SMALL) as site:
+        await scenario.start_site(site)
+        old = await site.until_led("root", site.vm_ids)
+        others = [vm for vm in site.vm_ids if vm != old]
+        answers = []
+
+        async def read():
+            with contextlib.suppress(*LOST):
+                answers.append(await site.client(old).send("GET", "/v1/config"))
+
+        site.process(old).pause()
+        version = await push_until_accepted(site, others, 1, 1)
+        async with trio.open_nursery() as nursery:
+            for _ in range(20):
+                nursery.start_soon(read)
+            await trio.sleep(0.3)
+            site.process(old).resume()
+        assert answers
+        for answer in answers:
+            fresh = answer.status == 200 and answer.json()["version"] == version
+            assert fresh or answer.status == 503, answer.body
 
 
 async def test_a_paused_leader_does_no_harm_when_it_goes_on(
@@ -189,8 +283,15 @@
             version = await push_until_accepted(
                 site, [leader, *near], version, number
             )
-        site.start_vm(away)
-        await until_in_force(site, away, 1001)
+        target = (await replica(site, leader))["committed"]
+        seen = {}
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch_in_force, site, [away], seen)
+            site.start_vm(away)
+            await until_in_force(site, away, 1001)
+            await until_applied(site, away, target)
+            nursery.cancel_scope.cancel()
+        check_never_older(seen)
 
 
 async def test_a_voter_that_lost_its_disk_comes_back_without_its_old_vote(
