--- a/bench/routing.py
+++ b/bench/routing.py
@@ -1,6 +1,8 @@
 """Compares all choosers and limiters on the same recorded arrivals.
 
 ``python -m bench.routing [--seconds 30] [--load 0.7] [--out FILE]``
+``python -m bench.routing --flood [--seconds 6] [--out FILE]``
+``python -m bench.routing --failing [--seconds 6] [--out FILE]``
 
 Eight VMs in three failure domains share 24 backend servers of 8 slots. The
 production router runs on each VM, in virtual time, against servers modelled
@@ -8,6 +10,11 @@
 bursty, service times heavy-tailed. One server is five times slower, one
 fails fast for a while, one freezes, and a failure domain is lost and comes
 back. All choices see the same arrivals, service times and faults.
+
+With ``--flood`` there are no faults. Urgent requests use 30 % of the slots,
+and each limiter is measured without pricing and with pricing at five times
+the capacity of all servers. With ``--failing`` every other server fails fast
+all the time, and retry budgets are compared.
 """
 
 import argparse
@@ -80,6 +87,8 @@
 BURST_SHARE = 0.2
 BURST_S = 1.0
 URGENT = ("confirm", "check")
+URGENT_LOAD = 0.3
+FLOOD_FACTOR = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -135,6 +144,40 @@
     return arrivals
 
 
+def record_flood(seconds: float, *, pricing: bool) -> list[Arrival]:
+    """Returns even urgent arrivals, the same with and without pricing."""
+    urgent_mean_s = sum(MIX[name] * MEAN_S[name] for name in URGENT)
+    urgent_mean_s /= sum(MIX[name] for name in URGENT)
+    rate = URGENT_LOAD * SERVERS * SLOTS / urgent_mean_s
+    draw = random.Random(SEED)
+    arrivals = _even(draw, seconds, rate, URGENT, "lakes")
+    if pricing:
+        rate = FLOOD_FACTOR * SERVERS * SLOTS / MEAN_S["pricing"]
+        draw = random.Random(SEED + 1)
+        arrivals += _even(draw, seconds, rate, ("pricing",), "flood")
+    return sorted(arrivals, key=lambda arrival: arrival.at)
+
+
+def _even(
+    draw: random.Random,
+    seconds: float,
+    rate: float,
+    names: tuple[str, ...],
+    account: str,
+) -> list[Arrival]:
+    arrivals = []
+    now = 0.0
+    while now < seconds:
+        now += draw.expovariate(rate)
+        name = draw.choices(names, [MIX[name] for name in names])[0]
+        scale = MEAN_S[name] * (PARETO_SHAPE - 1) / PARETO_SHAPE
+        length_s = min(LONGEST_S, scale * draw.paretovariate(PARETO_SHAPE))
+        arrivals.append(
+            Arrival(now, draw.randrange(VMS), name, account, length_s)
+        )
+    return arrivals
+
+
 class CommittingGroups(local_groups.LocalGroups):
     """Local groups whose commits take `COMMIT_S`."""
 
@@ -153,21 +196,35 @@
         chooser: Name of the chooser.
         limiter: Name of the limiter.
         seconds: Length of the run.
+        faults: Whether the faults of the module's docstring happen.
+        requests: Further fields of the request policy.
     """
 
-    def __init__(self, chooser: str, limiter: str, seconds: float) -> None:
+    def __init__(
+        self,
+        chooser: str,
+        limiter: str,
+        seconds: float,
+        *,
+        faults: bool,
+        **requests: float,
+    ) -> None:
         random.seed(SEED)
         self.ends: list[End] = []
         self._seconds = seconds
         self._clock = model_servers.VirtualClock()
         self.models = [_model(number) for number in range(SERVERS)]
-        self.models[1].slowness = 5.0
+        self._with_faults = faults
+        if faults:
+            self.models[1].slowness = 5.0
         self._view = model_servers.ModelView(self.models)
         self.client = model_servers.ModelClient(self.models)
         self.metrics = metrics.Metrics()
         current = current_module.Current()
         current.put(
-            current_module.Versioned(1, "1", _configuration(chooser, limiter))
+            current_module.Versioned(
+                1, "1", _configuration(chooser, limiter, **requests)
+            )
         )
         groups = CommittingGroups(
             {
@@ -201,7 +258,8 @@
             for router in self._routers:
                 await background.start(router.run)
             background.start_soon(self._view.report, REPORT_S)
-            background.start_soon(self._faults)
+            if self._with_faults:
+                background.start_soon(self._faults)
             start = trio.current_time()
             async with trio.open_nursery() as nursery:
                 for number, arrival in enumerate(arrivals):
@@ -279,7 +337,9 @@
     )
 
 
-def _configuration(chooser: str, limiter: str) -> models.Configuration:
+def _configuration(
+    chooser: str, limiter: str, **requests: float
+) -> models.Configuration:
     return models.Configuration.model_validate(
         {
             "site": "bench",
@@ -287,7 +347,11 @@
             "classes": CLASSES,
             "services": {"huts": {"slots": SLOTS, "classes": list(CLASSES)}},
             "accounts": {name: {} for name in ACCOUNTS},
-            "requests": {"chooser": chooser, "limiter": limiter},
+            "requests": {
+                "chooser": chooser,
+                "limiter": limiter,
+                **requests,
+            },
         }
     )
 
@@ -336,8 +400,9 @@
             for e in site.ends
             if e.class_name == name and e.outcome == "answered"
         )
-        result[f"{name}_p50_ms"] = 1000 * took[len(took) // 2]
-        result[f"{name}_p99_ms"] = 1000 * took[int(len(took) * 0.99)]
+        if took:
+            result[f"{name}_p50_ms"] = 1000 * took[len(took) // 2]
+            result[f"{name}_p99_ms"] = 1000 * took[int(len(took) * 0.99)]
     return result
 
 
@@ -367,10 +432,12 @@
     for end in ends:
         by_account[end.account].append(end)
     shares = {name: _good_share(group) for name, group in by_account.items()}
-    return max(0.0, shares["flood"] - min(shares.values()))
+    return max(0.0, shares.get("flood", 0.0) - min(shares.values()))
+
 
+Columns = tuple[tuple[str, str], ...]
 
-COLUMNS = (
+COLUMNS: Columns = (
     ("goodput", "{:.4f}"),
     ("urgent_goodput", "{:.4f}"),
     ("pricing_goodput", "{:.4f}"),
@@ -387,25 +454,30 @@
 )
 
 
-def table(rows: list[dict[str, typing.Any]]) -> str:
+def table(rows: list[dict[str, typing.Any]], columns: Columns) -> str:
     """Returns the rows as a Markdown table."""
-    names = ["chooser", "limiter", *(name for name, _ in COLUMNS)]
+    names = ["chooser", "limiter", *(name for name, _ in columns)]
     lines = ["| " + " | ".join(names) + " |", "|---" * len(names) + "|"]
     for row in rows:
         cells = [row["chooser"], row["limiter"]]
-        cells += [form.format(row[name]) for name, form in COLUMNS]
+        cells += [form.format(row[name]) for name, form in columns]
         lines.append("| " + " | ".join(cells) + " |")
     return "\n".join(lines)
 
 
 def measure(
-    chooser: str, limiter: str, arrivals: list[Arrival], seconds: float
+    chooser: str,
+    limiter: str,
+    arrivals: list[Arrival],
+    seconds: float,
+    *,
+    faults: bool = True,
 ) -> dict[str, typing.Any]:
     """Runs one pair of policies and returns its row."""
     begun = time.perf_counter()
 
     async def main() -> Site:
-        site = Site(chooser, limiter, seconds)
+        site = Site(chooser, limiter, seconds, faults=faults)
         await site.run(arrivals)
         return site
 
@@ -415,9 +487,89 @@
     return row
 
 
+FLOOD_COLUMNS: Columns = (
+    ("pricing", "{}"),
+    ("urgent_goodput", "{:.4f}"),
+    ("pricing_answered", "{}"),
+    ("over_committed", "{:.4f}"),
+    ("confirm_p50_ms", "{:.0f}"),
+    ("confirm_p99_ms", "{:.0f}"),
+    ("check_p50_ms", "{:.0f}"),
+    ("check_p99_ms", "{:.0f}"),
+)
+
+
+def measure_flood(
+    choosers: list[str], limiters: list[str], seconds: float
+) -> list[dict[str, typing.Any]]:
+    """Returns a row without and one with pricing for each pair."""
+    rows = []
+    for chooser in choosers:
+        for limiter in limiters:
+            for pricing in (False, True):
+                arrivals = record_flood(seconds, pricing=pricing)
+                row = measure(chooser, limiter, arrivals, seconds, faults=False)
+                row["pricing"] = "5x" if pricing else "none"
+                flood = sum(a.class_name == "pricing" for a in arrivals)
+                row["pricing_answered"] = round(flood * row["pricing_goodput"])
+                rows.append(row)
+                print(f"{chooser} {limiter} pricing={pricing}", flush=True)
+    return rows
+
+
+FAILING_COLUMNS: Columns = (
+    ("retry_budget", "{}"),
+    ("goodput", "{:.4f}"),
+    ("sent_per_request", "{:.3f}"),
+    ("unknown_share", "{:.4f}"),
+    ("confirm_p99_ms", "{:.0f}"),
+    ("check_p99_ms", "{:.0f}"),
+)
+BUDGETS = (0.0, 0.1, 1.0)
+
+
+def measure_failing(
+    chooser: str, limiter: str, seconds: float
+) -> list[dict[str, typing.Any]]:
+    """Returns a row for each retry budget, half of the servers failing."""
+    arrivals = record_flood(seconds, pricing=False)
+    rows = []
+    for retry_budget in BUDGETS:
+
+        async def main(budget: float = retry_budget) -> Site:
+            site = Site(
+                chooser, limiter, seconds, faults=False, retry_budget=budget
+            )
+            for model in site.models[::2]:
+                model.mode = "fail-fast"
+            await site.run(arrivals)
+            return site
+
+        site = trio.run(main, clock=testing.MockClock(autojump_threshold=0))
+        row = {"chooser": chooser, "limiter": limiter, **figures(site)}
+        rows.append(row | {"retry_budget": retry_budget})
+    return rows
+
+
+def measure_all(
+    choosers: list[str], limiters: list[str], seconds: float, load: float
+) -> list[dict[str, typing.Any]]:
+    """Returns a row for each pair of policies."""
+    arrivals = record_arrivals(seconds, load)
+    rows = []
+    for chooser in choosers:
+        for limiter in limiters:
+            row = measure(chooser, limiter, arrivals, seconds)
+            rows.append(row)
+            print(f"{chooser} {limiter}: {row['goodput']:.4f}", flush=True)
+    return rows
+
+
 def main() -> None:
     """Measures all pairs, prints the table and writes JSON."""
     parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--flood", action="store_true")
+    parser.add_argument("--failing", action="store_true")
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--load", type=float, default=0.7)
     parser.add_argument("--out", type=pathlib.Path, default=None)
@@ -425,26 +577,24 @@
     parser.add_argument("--limiters", nargs="*", default=list(limit.LIMITERS))
     options = parser.parse_args()
     logs.set_up("ERROR", "bench")
-    arrivals = record_arrivals(options.seconds, options.load)
-    rows = []
-    for chooser in options.choosers:
-        for limiter in options.limiters:
-            row = measure(chooser, limiter, arrivals, options.seconds)
-            rows.append(row)
-            print(
-                f"{chooser} {limiter}: {row['goodput']:.4f}"
-                f" in {row['ran_s']:.0f} s",
-                flush=True,
-            )
-    print(table(rows))
+    columns = COLUMNS
+    if options.flood:
+        columns = FLOOD_COLUMNS
+        rows = measure_flood(
+            options.choosers, options.limiters, options.seconds
+        )
+    elif options.failing:
+        columns = FAILING_COLUMNS
+        policy = models.RequestPolicy()
+        rows = measure_failing(policy.chooser, policy.limiter, options.seconds)
+    else:
+        rows = measure_all(
+            options.choosers, options.limiters, options.seconds, options.load
+        )
+    print(table(rows, columns))
     if options.out is not None:
-        result = {
-            "seed": SEED,
-            "seconds": options.seconds,
-            "load": options.load,
-            "requests": len(arrivals),
-            "rows": rows,
-        }
+        settings = vars(options) | {"out": None, "seed": SEED}
+        result = {"settings": settings, "rows": rows}
         options.out.write_text(json.dumps(result, indent=1) + "\n")
 
 
