Let configuration versions travel as differences

Cause: each version went whole into the root group's log and whole to each VM that fetched it, from any VM that had it. Change: the VM that takes a push commits the difference to the version that it was made on top of, whole bodies only where there is no smaller difference. The state machine checks the digest of the result and refuses an unfit difference with nothing changed; the push is then proposed whole. A status asks for the newest version's number, no more for its body. Ruled out: RFC 7396, which cannot set null; comparing values as Python does, which takes 1, 1.0 and True for equal while their digests differ. Conclusion: replicas from before this change cannot read the new command.

--- a/laburnumsill/api/configuration.py
+++ b/laburnumsill/api/configuration.py
@@ -15,6 +15,7 @@
 from laburnumsill.api import problems
 from laburnumsill.config import canonical
 from laburnumsill.config import current as current_configuration
+from laburnumsill.config import difference
 from laburnumsill.config import models
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import errors
@@ -22,6 +23,7 @@
 from laburnumsill.core import logs
 from laburnumsill.core import replication
 from laburnumsill.state import configuration
+from laburnumsill.state import configuration_versions
 
 CALL_TIMEOUT_S = 8.0
 """Time that a push or a read has."""
@@ -56,9 +58,17 @@
     """What brings accepted versions into force on this VM."""
 
     @abc.abstractmethod
-    def offer(self, accepted: configuration.AcceptedConfiguration) -> None:
+    def offer(
+        self, accepted: configuration_versions.AcceptedConfiguration
+    ) -> None:
         """Puts an accepted version in force unless a newer one is."""
 
+    def kept(
+        self, version: int
+    ) -> configuration_versions.AcceptedConfiguration | None:
+        """Returns an accepted version if it is at hand on this VM."""
+        return None
+
     @abc.abstractmethod
     def status(self) -> list[VmInForce]:
         """Returns what each VM last said is in force there."""
@@ -136,17 +146,21 @@
         sent = await problems.read_model(request, Push)
         pushed = canonical.from_values(sent.configuration)
         policy_names.check(pushed)
-        await self._check_domains(pushed, sent.expected_version)
+        self._check_domains_known(pushed)
+        before = await self._version(sent.expected_version)
+        self._check_domains_stay(pushed, before)
         key = request.headers.get("Idempotency-Key")
         command = self._command(sent, pushed, key)
-        accepted = await self._propose(command)
+        change = _difference(before, command)
+        accepted = await self._propose(command, change)
         self._sync.offer(
-            configuration.AcceptedConfiguration(
+            configuration_versions.AcceptedConfiguration(
                 accepted.version,
                 accepted.digest,
                 accepted.operator,
                 accepted.accepted_at,
                 command.body,
+                change,
             )
         )
         logs.event(
@@ -193,12 +207,12 @@
     async def _accepted_version(self) -> int | None:
         """Returns what a quorum says is accepted, None without a quorum."""
         try:
-            answer: configuration.CurrentAnswer = await self._query(
-                configuration.ReadCurrent(), STATUS_TIMEOUT_S
+            answer: configuration.NewestAnswer = await self._query(
+                configuration.ReadNewest(), STATUS_TIMEOUT_S
             )
         except errors.UnavailableError:
             return None
-        return answer.accepted.version if answer.accepted else 0
+        return answer.version
 
     async def _query(self, query: object, timeout_s: float) -> typing.Any:
         deadline = self._clock.monotonic() + timeout_s
@@ -233,14 +247,11 @@
             sent.operator,
         )
 
-    async def _check_domains(
-        self, pushed: models.Configuration, expected_version: int
-    ) -> None:
-        """Checks the failure domains against the VMs and the version before.
+    def _check_domains_known(self, pushed: models.Configuration) -> None:
+        """Checks the failure domains against the VMs.
 
         Raises:
             UnknownDomainsError: One has no VM, so no group either.
-            DomainsChangedError: They are not those of the version before.
         """
         known = {vm.domain for vm in self._sync.status()}
         unknown = sorted(set(pushed.domains) - known)
@@ -251,41 +262,97 @@
                 key="domains",
                 value=unknown[0],
             )
-        before = await self._domains_of(expected_version)
-        if before and before != set(pushed.domains):
+
+    def _check_domains_stay(
+        self,
+        pushed: models.Configuration,
+        before: configuration_versions.AcceptedConfiguration | None,
+    ) -> None:
+        """Checks the failure domains against those of the version before.
+
+        Raises:
+            DomainsChangedError: They are not the same.
+        """
+        if before is None:
+            return
+        domains = self._domains_of(before)
+        if domains != set(pushed.domains):
             raise DomainsChangedError(
                 f"domains: got {', '.join(sorted(pushed.domains))}, expected"
-                f" {', '.join(sorted(before))} as in version"
-                f" {expected_version}",
+                f" {', '.join(sorted(domains))} as in version"
+                f" {before.version}",
                 key="domains",
             )
 
-    async def _domains_of(self, version: int) -> set[str]:
-        """Returns a version's domains, none if it is not kept.
+    def _domains_of(
+        self, accepted: configuration_versions.AcceptedConfiguration
+    ) -> set[str]:
+        versioned = self._current.versioned()
+        if versioned is not None and versioned.version == accepted.version:
+            return set(versioned.configuration.domains)
+        return set(canonical.decode(accepted.body).domains)
+
+    async def _version(
+        self, version: int
+    ) -> configuration_versions.AcceptedConfiguration | None:
+        """Returns a version, None if it is not kept.
 
         One that is not kept is not the newest, so the push is refused later
         or was accepted before.
         """
         if not version:
-            return set()
+            return None
+        kept = self._sync.kept(version)
+        if kept is not None:
+            return kept
         try:
-            accepted: configuration.AcceptedConfiguration = await self._query(
-                configuration.ReadVersion(version), CALL_TIMEOUT_S
+            accepted: configuration_versions.AcceptedConfiguration = (
+                await self._query(
+                    configuration.ReadVersion(version), CALL_TIMEOUT_S
+                )
             )
         except errors.NotFoundError:
-            return set()
-        return set(canonical.decode(accepted.body).domains)
+            return None
+        return accepted
 
     async def _propose(
-        self, command: configuration.PushConfiguration
+        self,
+        command: configuration.PushConfiguration,
+        change: difference.Difference | None,
     ) -> configuration.PushAccepted:
-        """Proposes until an answer or the deadline; a resend is harmless.
+        """Proposes a push as a difference, and whole if that does not fit.
 
         Raises:
             errors.ProposalLostError: It may have been accepted.
             errors.UnavailableError: It was certainly not accepted.
         """
         deadline = self._clock.monotonic() + CALL_TIMEOUT_S
+        if change is not None:
+            try:
+                return await self._propose_until(
+                    configuration.PushDifference(
+                        command.push_id,
+                        command.expected_version,
+                        command.digest,
+                        change,
+                        command.now,
+                        command.operator,
+                    ),
+                    deadline,
+                )
+            except difference.UnfitDifferenceError as error:
+                logs.event(
+                    "configuration-difference-unfit",
+                    level="ERROR",
+                    expected_version=command.expected_version,
+                    error=error.detail,
+                )
+        return await self._propose_until(command, deadline)
+
+    async def _propose_until(
+        self, command: configuration.Push, deadline: float
+    ) -> configuration.PushAccepted:
+        """Proposes until an answer or the deadline; a resend is harmless."""
         lost: errors.ProposalLostError | None = None
         while True:
             try:
@@ -302,6 +369,26 @@
             await trio.sleep(RETRY_S)
 
 
+def _difference(
+    before: configuration_versions.AcceptedConfiguration | None,
+    command: configuration.PushConfiguration,
+) -> difference.Difference | None:
+    """Returns what makes a pushed body of the one before.
+
+    Returns:
+        None if the whole body is to be proposed: the version before is not
+        at hand, the difference is no smaller, or the body is too large and
+        is to be refused for that.
+    """
+    too_large = len(command.body) > configuration.MAX_BODY_BYTES
+    if before is None or too_large:
+        return None
+    found = difference.difference(before.body, command.body)
+    if found is None or found.size >= len(command.body):
+        return None
+    return found
+
+
 def _number(text: str) -> int:
     try:
         return int(text)
@@ -312,7 +399,7 @@
 
 
 def _whole(
-    accepted: configuration.AcceptedConfiguration,
+    accepted: configuration_versions.AcceptedConfiguration,
 ) -> responses.Response:
     return problems.json_response(
         {
--- a/laburnumsill/daemon/configuration_file.py
+++ b/laburnumsill/daemon/configuration_file.py
@@ -15,7 +15,7 @@
 from laburnumsill.core import errors
 from laburnumsill.core import hashing
 from laburnumsill.core import logs
-from laburnumsill.state import configuration
+from laburnumsill.state import configuration_versions
 
 FILE_NAME = "configuration-in-force"
 _NEW_SUFFIX = ".new"
@@ -29,7 +29,7 @@
     def __init__(self, data_folder: pathlib.Path) -> None:
         self._path = data_folder / FILE_NAME
 
-    def read(self) -> configuration.AcceptedConfiguration | None:
+    def read(self) -> configuration_versions.AcceptedConfiguration | None:
         """Returns the version in the file, None if there is none.
 
         Raises:
@@ -48,7 +48,9 @@
         self._set_aside()
         return None
 
-    def write(self, accepted: configuration.AcceptedConfiguration) -> None:
+    def write(
+        self, accepted: configuration_versions.AcceptedConfiguration
+    ) -> None:
         """Replaces the version in the file and syncs it.
 
         Raises:
@@ -81,8 +83,8 @@
         return errors.StorageError(f"cannot {what} {self._path}: {failure}")
 
 
-def _checked(message: object) -> configuration.AcceptedConfiguration:
-    if isinstance(message, configuration.AcceptedConfiguration):
+def _checked(message: object) -> configuration_versions.AcceptedConfiguration:
+    if isinstance(message, configuration_versions.AcceptedConfiguration):
         return message
     raise codec.UndecodableMessageError(f"a {type(message).__name__}")
 
--- a/laburnumsill/daemon/configuration_sync.py
+++ b/laburnumsill/daemon/configuration_sync.py
@@ -10,7 +10,12 @@
     A VM tells all others its version when it changes, and a few of them, in
     turn, every second, which covers notices that were lost at a cost that
     does not grow with the number of VMs. A VM that hears of a newer version
-    fetches it from one that has it.
+    fetches the differences from its own to it from one that has it, checks
+    the digest after each, and fetches it whole where there are none.
+
+    Of a failure domain one VM at a time fetches from another domain, drawn
+    by the version; the others fetch from it. So a version crosses between
+    two domains once, and its source serves few VMs.
 
     At the start a VM asks a quorum first. If none can be had in time it
     takes the newest that its disk or its own failure domain's VMs know.
@@ -18,7 +23,6 @@
 
 import dataclasses
 import pathlib
-import random
 from collections import abc
 
 import trio
@@ -26,6 +30,7 @@
 from laburnumsill.api import configuration as configuration_api
 from laburnumsill.config import canonical
 from laburnumsill.config import current as current_configuration
+from laburnumsill.config import difference
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import codec
 from laburnumsill.core import errors
@@ -34,7 +39,9 @@
 from laburnumsill.core import replication
 from laburnumsill.core import topology
 from laburnumsill.daemon import configuration_file
+from laburnumsill.daemon import configuration_sources
 from laburnumsill.state import configuration
+from laburnumsill.state import configuration_versions
 
 POLL_S = 0.2
 """Time between two looks at the local replica, whose snapshots are not
@@ -53,6 +60,12 @@
 """Time at the start in which only a quorum's answer counts."""
 
 
+Ask = abc.Callable[
+    [int], abc.Awaitable[configuration_versions.ConfigurationUpdate]
+]
+"""Asks for what leads on from a version, 0 for the whole."""
+
+
 @codec.register("configuration.in-force")
 @dataclasses.dataclass(frozen=True, slots=True)
 class InForceNotice:
@@ -66,9 +79,15 @@
 @codec.register("configuration.fetch")
 @dataclasses.dataclass(frozen=True, slots=True)
 class FetchInForce:
-    """Asks a VM for the version in force on it."""
+    """Asks a VM for what leads to the version in force on it.
+
+    Attributes:
+        vm: The asker.
+        version: The version in force on the asker, 0 to get the whole.
+    """
 
     vm: str
+    version: int = 0
 
 
 class ConfigurationSync(configuration_api.InForce):
@@ -106,11 +125,17 @@
             if data_folder
             else None
         )
-        self._accepted: configuration.AcceptedConfiguration | None = None
-        self._offered: configuration.AcceptedConfiguration | None = None
+        self._accepted: configuration_versions.AcceptedConfiguration | None = (
+            None
+        )
+        self._offered: configuration_versions.AcceptedConfiguration | None = (
+            None
+        )
+        self._steps = configuration_versions.Steps()
         self._unusable: set[tuple[int, str]] = set()
         self._said: dict[str, InForceNotice] = {}
         self._observed: replication.StateMachine | None = None
+        self._sources = configuration_sources.Sources(me, vms, clock)
         self._tell_at = 0.0
         self._turn = 0
         self._wake = trio.Event()
@@ -127,15 +152,30 @@
         """Waits until this VM knows what is in force."""
         await self._ready.wait()
 
-    def offer(self, accepted: configuration.AcceptedConfiguration) -> None:
+    def offer(
+        self, accepted: configuration_versions.AcceptedConfiguration
+    ) -> None:
         """Has an accepted version put in force soon, unless a newer one is."""
         if accepted.version > self._current.version:
             self._offered = accepted
             self._wake.set()
 
-    def _adopt(self, accepted: configuration.AcceptedConfiguration) -> None:
+    def kept(
+        self, version: int
+    ) -> configuration_versions.AcceptedConfiguration | None:
+        """Returns an accepted version if it is in force here."""
+        if self._accepted is not None and self._accepted.version == version:
+            return self._accepted
+        return None
+
+    def _adopt(
+        self,
+        accepted: configuration_versions.AcceptedConfiguration,
+        steps: abc.Sequence[configuration_versions.VersionStep] | None = None,
+    ) -> None:
         """Puts an accepted version in force unless a newer one is.
 
+        `steps` lead to it from the version in force, None if not known.
         Only `run` and its tasks call this, so that a failed disk ends them.
 
         Raises:
@@ -148,6 +188,7 @@
             return
         if self._file is not None:
             self._file.write(accepted)
+        self._keep_steps(accepted, steps)
         self._accepted = accepted
         self._current.put(versioned)
         logs.event(
@@ -158,6 +199,19 @@
         )
         self._tell(self._others)
 
+    def _keep_steps(
+        self,
+        accepted: configuration_versions.AcceptedConfiguration,
+        steps: abc.Sequence[configuration_versions.VersionStep] | None,
+    ) -> None:
+        """Keeps the steps to a version for those who will fetch it."""
+        if steps is None:
+            steps = [accepted.step] if accepted.step else []
+        if not steps:
+            self._steps.clear()
+        for step in steps:
+            self._steps.add(step)
+
     def status(self) -> list[configuration_api.VmInForce]:
         """Returns what each VM last said is in force there."""
         reachable = self._peers.reachable() | {self._me.vm_id}
@@ -191,16 +245,7 @@
 
     async def _ask_quorum(self) -> bool:
         """Returns whether a quorum of the root group told what is accepted."""
-        deadline = self._clock.monotonic() + FETCH_TIMEOUT_S
-        try:
-            answer: configuration.CurrentAnswer = await self._groups.query(
-                ids.ROOT_GROUP, configuration.ReadCurrent(), deadline
-            )
-        except errors.LaburnumsillError:
-            return False
-        if answer.accepted is not None:
-            self._adopt(answer.accepted)
-        return True
+        return await self._update_by(self._ask_groups)
 
     async def _ask_domain(self) -> None:
         """Takes the newest version of all VMs of this VM's own domain."""
@@ -235,11 +280,12 @@
         log: configuration.ConfigurationLog = machine.component(
             configuration.COMPONENT_NAME
         )
-        if log.current is not None:
-            self._adopt(log.current)
+        if log.version > self._current.version and log.current is not None:
+            steps = log.steps_since(self._current.version)
+            self._adopt(log.current, steps or [])
 
     def _on_applied(self, command: object) -> None:
-        if isinstance(command, configuration.PushConfiguration):
+        if isinstance(command, configuration.Push):
             self._wake.set()
 
     async def _fetch_newer(self) -> None:
@@ -253,25 +299,66 @@
         if newer:
             newest = max(said.version for said in newer)
             sources = {said.vm for said in newer if said.version == newest}
-            near = sources & self._peers.reachable()
-            await self._fetch_from(random.choice(sorted(near or sources)))
+            source = self._sources.choose(
+                newest,
+                self._current.version,
+                sources,
+                self._peers.reachable(),
+            )
+            if source is not None:
+                await self._fetch_from(source)
 
     async def _fetch_from(self, vm: str) -> None:
-        deadline = self._clock.monotonic() + FETCH_TIMEOUT_S
+        async def ask(
+            version: int,
+        ) -> configuration_versions.ConfigurationUpdate:
+            return await self._ask_peer(vm, version)
+
+        await self._update_by(ask)
+
+    async def _update_by(self, ask: Ask) -> bool:
+        """Fetches what is newer, by differences and else whole.
+
+        Returns:
+            Whether there was an answer.
+
+        Raises:
+            errors.StorageError: This VM could not sync what it got.
+        """
+        base = self._accepted
         try:
-            answer: configuration.CurrentAnswer = await self._peers.call(
-                vm, FetchInForce(self._me.vm_id), deadline
-            )
+            update = await ask(base.version if base else 0)
+            reached = await _reached(base, update)
+            if reached is None and update.steps:
+                update = await ask(0)
+                reached = update.whole
         except errors.LaburnumsillError as error:
-            logs.event(
-                "configuration-fetch-failed",
-                level="DEBUG",
-                peer=vm,
-                error=error,
+            logs.event("configuration-fetch-failed", level="DEBUG", error=error)
+            return False
+        if reached is not None:
+            self._adopt(reached, update.steps or None)
+        return True
+
+    async def _ask_peer(
+        self, vm: str, version: int
+    ) -> configuration_versions.ConfigurationUpdate:
+        deadline = self._clock.monotonic() + FETCH_TIMEOUT_S
+        request = FetchInForce(self._me.vm_id, version)
+        update: configuration_versions.ConfigurationUpdate = (
+            await self._peers.call(vm, request, deadline)
+        )
+        return update
+
+    async def _ask_groups(
+        self, version: int
+    ) -> configuration_versions.ConfigurationUpdate:
+        deadline = self._clock.monotonic() + FETCH_TIMEOUT_S
+        update: configuration_versions.ConfigurationUpdate = (
+            await self._groups.query(
+                ids.ROOT_GROUP, configuration.ReadSince(version), deadline
             )
-            return
-        if answer.accepted is not None:
-            self._adopt(answer.accepted)
+        )
+        return update
 
     def _tell_in_turn(self) -> None:
         """Tells the next few VMs once a round is due."""
@@ -311,14 +398,16 @@
 
     async def _on_fetch(
         self, request: FetchInForce
-    ) -> configuration.CurrentAnswer:
-        return configuration.CurrentAnswer(self._accepted)
+    ) -> configuration_versions.ConfigurationUpdate:
+        return configuration_versions.update_since(
+            request.version, self._accepted, self._steps
+        )
 
     def _digest(self) -> str:
         return self._accepted.digest if self._accepted else ""
 
     def _decoded(
-        self, accepted: configuration.AcceptedConfiguration
+        self, accepted: configuration_versions.AcceptedConfiguration
     ) -> current_configuration.Versioned | None:
         """Returns a version's models, None if this program has no use for it.
 
@@ -359,3 +448,30 @@
             said.version,
             said.digest,
         )
+
+
+async def _reached(
+    base: configuration_versions.AcceptedConfiguration | None,
+    update: configuration_versions.ConfigurationUpdate,
+) -> configuration_versions.AcceptedConfiguration | None:
+    """Returns what an update leads to from the version that it was asked for.
+
+    Returns:
+        None if it leads nowhere, or if its steps do not fit.
+    """
+    if base is None or update.whole is not None:
+        return update.whole
+    reached = base
+    try:
+        for step in update.steps:
+            reached = configuration_versions.after_step(reached, step)
+            await trio.lowlevel.checkpoint()
+    except difference.UnfitDifferenceError as error:
+        logs.event(
+            "configuration-difference-unfit",
+            level="ERROR",
+            version=reached.version,
+            error=error.detail,
+        )
+        return None
+    return reached
--- a/laburnumsill/state/configuration.py
+++ b/laburnumsill/state/configuration.py
@@ -3,15 +3,21 @@
 Versions count from 1. A push says which version it was made on top of; of
 pushes made on top of the same one exactly one is accepted. The answer to an
 accepted push is kept by its id, so that a resend gets it again.
+
+A push comes whole or as the difference to the version it was made on top of,
+see `config.difference`. Both are the same push: the id, the expected version
+and the digest of the whole decide, and either may be the other's resend.
 """
 
 import collections
 import dataclasses
 
+from laburnumsill.config import difference
 from laburnumsill.core import codec
 from laburnumsill.core import errors
 from laburnumsill.core import hashing
 from laburnumsill.core import replication
+from laburnumsill.state import configuration_versions
 
 MAX_BODY_BYTES = 1024 * 1024
 """Largest canonical configuration."""
@@ -48,6 +54,31 @@
     operator: str
 
 
+@codec.register("configuration.push-difference")
+@dataclasses.dataclass(frozen=True, slots=True)
+class PushDifference:
+    """Puts a configuration on top of an expected version, as a difference.
+
+    Attributes:
+        push_id: As in `PushConfiguration`.
+        expected_version: The version that `change` applies to.
+        digest: Digest of the whole configuration that it gives.
+        change: What makes the new configuration of the expected version.
+        now: Wall time of the proposal, Unix seconds.
+        operator: Who pushes, for people.
+    """
+
+    push_id: str
+    expected_version: int
+    digest: str
+    change: difference.Difference
+    now: float
+    operator: str
+
+
+Push = PushConfiguration | PushDifference
+
+
 @codec.register("configuration.push-accepted")
 @dataclasses.dataclass(frozen=True, slots=True)
 class PushAccepted:
@@ -59,16 +90,27 @@
     accepted_at: float
 
 
-@codec.register("configuration.accepted")
+@codec.register("configuration.read-newest")
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadNewest:
+    """Asks for the number of the newest accepted version."""
+
+
+@codec.register("configuration.newest")
 @dataclasses.dataclass(frozen=True, slots=True)
-class AcceptedConfiguration:
-    """An accepted version, whole."""
+class NewestAnswer:
+    """The number of the newest accepted version, 0 before the first."""
 
     version: int
     digest: str
-    operator: str
-    accepted_at: float
-    body: bytes
+
+
+@codec.register("configuration.read-since")
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadSince:
+    """Asks for what is newer than a version, 0 for the newest whole."""
+
+    version: int
 
 
 @codec.register("configuration.read-current")
@@ -82,7 +124,7 @@
 class CurrentAnswer:
     """The newest accepted version, None before the first."""
 
-    accepted: AcceptedConfiguration | None
+    accepted: configuration_versions.AcceptedConfiguration | None
 
 
 @codec.register("configuration.read-version")
@@ -105,10 +147,16 @@
 @codec.register("configuration.snapshot")
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigurationSnapshot:
-    """The state of a `ConfigurationLog`."""
+    """The state of a `ConfigurationLog`.
+
+    A body that its difference to the one before gives is left out.
+    """
 
     answers: list[KeptAnswer]
-    bodies: list[AcceptedConfiguration]
+    bodies: list[configuration_versions.AcceptedConfiguration]
+    steps: list[configuration_versions.VersionStep] = dataclasses.field(
+        default_factory=list
+    )
 
 
 class ConfigurationLog(replication.Component):
@@ -130,9 +178,10 @@
     def __init__(self) -> None:
         self._answers: collections.deque[KeptAnswer] = collections.deque()
         self._by_push: dict[str, PushAccepted] = {}
-        self._bodies: collections.deque[AcceptedConfiguration] = (
-            collections.deque(maxlen=KEPT_BODIES)
-        )
+        self._bodies: collections.deque[
+            configuration_versions.AcceptedConfiguration
+        ] = collections.deque(maxlen=KEPT_BODIES)
+        self._steps = configuration_versions.Steps()
 
     @property
     def name(self) -> str:
@@ -140,7 +189,7 @@
         return COMPONENT_NAME
 
     @property
-    def current(self) -> AcceptedConfiguration | None:
+    def current(self) -> configuration_versions.AcceptedConfiguration | None:
         """The newest accepted version, None before the first."""
         return self._bodies[-1] if self._bodies else None
 
@@ -151,13 +200,18 @@
 
     def commands(self) -> dict[type, replication.Handler]:
         """Returns a handler for each command type."""
-        return {PushConfiguration: self.push}
+        return {PushConfiguration: self.push, PushDifference: self.push}
 
     def queries(self) -> dict[type, replication.Handler]:
         """Returns a handler for each query type."""
-        return {ReadCurrent: self._read_current, ReadVersion: self.read_version}
+        return {
+            ReadCurrent: self._read_current,
+            ReadNewest: self._read_newest,
+            ReadSince: self.read_since,
+            ReadVersion: self.read_version,
+        }
 
-    def push(self, command: PushConfiguration) -> PushAccepted:
+    def push(self, command: Push) -> PushAccepted:
         """Accepts a push made on top of the newest version.
 
         Raises:
@@ -166,20 +220,39 @@
             errors.KeyReusedError: Another push had the same id.
             errors.InvalidConfigurationError: The body is too large or does
                 not match its digest.
+            difference.UnfitDifferenceError: The difference does not give the
+                promised digest on the version it was made on top of.
         """
         known = self._by_push.get(command.push_id)
         if known is not None:
             return _same_push(known, command)
-        _check_body(command)
+        if isinstance(command, PushConfiguration):
+            _check_body(command.body, command.digest)
         if command.expected_version != self.version:
             raise self._conflict(command)
         accepted = PushAccepted(
             self.version + 1, command.digest, command.operator, command.now
         )
-        self._keep(command, accepted)
+        self._keep(command.push_id, accepted, *self._body_of(command))
         return accepted
 
-    def read_version(self, query: ReadVersion) -> AcceptedConfiguration:
+    def read_since(
+        self, query: ReadSince
+    ) -> configuration_versions.ConfigurationUpdate:
+        """Returns what leads from a version to the newest."""
+        return configuration_versions.update_since(
+            query.version, self.current, self._steps
+        )
+
+    def steps_since(
+        self, version: int
+    ) -> list[configuration_versions.VersionStep] | None:
+        """Returns the steps after `version`, None if not all are kept."""
+        return self._steps.since(version)
+
+    def read_version(
+        self, query: ReadVersion
+    ) -> configuration_versions.AcceptedConfiguration:
         """Returns one version.
 
         Raises:
@@ -200,7 +273,11 @@
     def dump(self) -> bytes:
         """Returns the whole state, encoded."""
         return codec.encode(
-            ConfigurationSnapshot(list(self._answers), list(self._bodies))
+            ConfigurationSnapshot(
+                list(self._answers),
+                configuration_versions.without_given_bodies(self._bodies),
+                self._steps.all(),
+            )
         )
 
     def load(self, raw: bytes) -> None:
@@ -210,27 +287,56 @@
         self._by_push = {
             answer.push_id: answer.accepted for answer in snapshot.answers
         }
-        self._bodies = collections.deque(snapshot.bodies, maxlen=KEPT_BODIES)
+        self._bodies = collections.deque(
+            configuration_versions.with_given_bodies(snapshot.bodies),
+            maxlen=KEPT_BODIES,
+        )
+        self._steps = configuration_versions.Steps(snapshot.steps)
 
     def _read_current(self, query: ReadCurrent) -> CurrentAnswer:
         return CurrentAnswer(self.current)
 
-    def _keep(self, command: PushConfiguration, accepted: PushAccepted) -> None:
-        self._answers.append(KeptAnswer(command.push_id, accepted))
-        self._by_push[command.push_id] = accepted
+    def _read_newest(self, query: ReadNewest) -> NewestAnswer:
+        digest = self.current.digest if self.current else ""
+        return NewestAnswer(self.version, digest)
+
+    def _body_of(
+        self, command: Push
+    ) -> tuple[bytes, difference.Difference | None]:
+        """Returns the pushed body, and its difference if it came as one."""
+        if isinstance(command, PushConfiguration):
+            return command.body, None
+        base = self.current.body if self.current else b""
+        body = difference.apply_checked(base, command.change, command.digest)
+        _check_body(body, command.digest)
+        return body, command.change
+
+    def _keep(
+        self,
+        push_id: str,
+        accepted: PushAccepted,
+        body: bytes,
+        change: difference.Difference | None,
+    ) -> None:
+        self._answers.append(KeptAnswer(push_id, accepted))
+        self._by_push[push_id] = accepted
         if len(self._answers) > KEPT_ANSWERS:
             del self._by_push[self._answers.popleft().push_id]
-        self._bodies.append(
-            AcceptedConfiguration(
-                accepted.version,
-                accepted.digest,
-                accepted.operator,
-                accepted.accepted_at,
-                command.body,
-            )
+        newest = configuration_versions.AcceptedConfiguration(
+            accepted.version,
+            accepted.digest,
+            accepted.operator,
+            accepted.accepted_at,
+            body,
+            change,
         )
+        self._bodies.append(newest)
+        if newest.step is not None:
+            self._steps.add(newest.step)
+        else:
+            self._steps.clear()
 
-    def _conflict(self, command: PushConfiguration) -> errors.LaburnumsillError:
+    def _conflict(self, command: Push) -> errors.LaburnumsillError:
         """Returns the error that names what was accepted instead.
 
         It is the version on top of the expected one while that is kept, so
@@ -263,7 +369,7 @@
         return self._answers[-1].accepted
 
 
-def _same_push(known: PushAccepted, command: PushConfiguration) -> PushAccepted:
+def _same_push(known: PushAccepted, command: Push) -> PushAccepted:
     """Returns the kept answer if `command` is a resend of the same push."""
     same = (
         known.digest == command.digest
@@ -281,15 +387,14 @@
     )
 
 
-def _check_body(command: PushConfiguration) -> None:
-    if len(command.body) > MAX_BODY_BYTES:
+def _check_body(body: bytes, digest: str) -> None:
+    if len(body) > MAX_BODY_BYTES:
         raise errors.InvalidConfigurationError(
-            f"the configuration has {len(command.body)} bytes,"
-            f" over {MAX_BODY_BYTES}"
+            f"the configuration has {len(body)} bytes, over {MAX_BODY_BYTES}"
         )
-    actual = hashing.digest(command.body)
-    if actual != command.digest:
+    actual = hashing.digest(body)
+    if actual != digest:
         raise errors.InvalidConfigurationError(
-            f"the digest is {actual}, not {command.digest}",
+            f"the digest is {actual}, not {digest}",
             digest=actual,
         )
