--- a/laburnumsill/jobs/gangs.py
+++ b/laburnumsill/jobs/gangs.py
@@ -42,9 +42,19 @@
     title = "A member of the gang failed"
 
     def __init__(
-        self, detail: str, worker_id: str = "", reason: str = ""
+        self,
+        detail: str,
+        *,
+        worker_id: str = "",
+        reason: str = "",
+        retry_after_s: float | None = None,
     ) -> None:
-        super().__init__(detail, worker_id=worker_id, reason=reason)
+        super().__init__(
+            detail,
+            retry_after_s=retry_after_s,
+            worker_id=worker_id,
+            reason=reason,
+        )
         self.worker_id = worker_id
         self.reason = StopReason(reason or StopReason.REFUSED)
 
@@ -306,8 +316,8 @@
                 if self._clock.monotonic() >= deadline:
                     raise StepFailedError(
                         error.detail,
-                        member.slot.worker_id,
-                        StopReason.UNREACHABLE,
+                        worker_id=member.slot.worker_id,
+                        reason=StopReason.UNREACHABLE,
                     ) from error
             await trio.sleep(RETRY_PAUSE_S)
 
@@ -392,7 +402,9 @@
 
 
 def _failed(member: Member, detail: str) -> StepFailedError:
-    return StepFailedError(detail, member.slot.worker_id, StopReason.REFUSED)
+    return StepFailedError(
+        detail, worker_id=member.slot.worker_id, reason=StopReason.REFUSED
+    )
 
 
 def _order(
