Limit the help for gangs only while small jobs wait too

Cause: with the limit of 0.85 at all times a gang waited 4.6 bounds at load 0.5 (Tana Shore, without guarantees), 2.1 without the limit.

Change: the limit, now 0.7 of the domain, counts only while a small borrower has waited past the bound as well.

--- a/laburnumsill/jobs/gang_help.py
+++ b/laburnumsill/jobs/gang_help.py
@@ -21,8 +21,9 @@
 MAX_DRAINS = 2
 """Gangs that slots are drained for at a time."""
 
-LARGE_SHARE = 0.85
-"""Part of a domain up to which large borrowers are helped."""
+LARGE_SHARE = 0.7
+"""Part of a domain up to which large borrowers are helped while small ones
+wait past the bound too."""
 
 GANGS_A_PASS = 4
 """Large borrowers that one pass sees to at most, the oldest first."""
@@ -38,7 +39,7 @@
         if step is not None:
             yield step
     for gang in longest_waiting(book):
-        if not has_share(book, gang):
+        if small_wait_too(book, policy, now) and not has_share(book, gang):
             continue
         step = _for_gang(book, gang, len(draining), policy, now)
         if step is not None:
@@ -88,11 +89,21 @@
     return found
 
 
+def small_wait_too(
+    book: jobs_book.JobBook, policy: policies.Policy, now: float
+) -> bool:
+    """Returns whether a small borrower has waited past the bound as well."""
+    job_id = book.queue.oldest_small()
+    if job_id is None:
+        return False
+    return now - book.jobs[job_id].queued_at > policy.gang_wait_bound_s
+
+
 def has_share(book: jobs_book.JobBook, gang: placements.Job) -> bool:
     """Returns whether large borrowers have less than what they may claim.
 
-    They are helped up to a part of the domain, one gang at least, so that
-    small jobs move too; beyond it they compete like all others.
+    While small jobs wait long too, large ones are helped up to a part of the
+    domain, one gang at least; beyond it they compete like all others.
     """
     held = sum(
         job.spec.total_accelerators
--- a/laburnumsill/state/jobs_queue.py
+++ b/laburnumsill/state/jobs_queue.py
@@ -110,6 +110,7 @@
         self._cores = 0
         self._borrowing: collections.Counter[Shape] = collections.Counter()
         self._large = sortedcontainers.SortedList()
+        self._small = sortedcontainers.SortedList()
 
     def __len__(self) -> int:
         return self._length
@@ -130,8 +131,7 @@
         self._lines.setdefault(key, Line()).add(job)
         if not job.spec.guaranteed:
             self._borrowing[shape_of(job)] += 1
-        if is_large(job):
-            self._large.add((job.sequence, job.job_id))
+            self._by_size(job).add((job.sequence, job.job_id))
         self._count(job, 1)
 
     def remove(self, job: placements.Job) -> None:
@@ -146,8 +146,7 @@
             self._borrowing[shape] -= 1
             if not self._borrowing[shape]:
                 del self._borrowing[shape]
-        if is_large(job):
-            self._large.remove((job.sequence, job.job_id))
+            self._by_size(job).remove((job.sequence, job.job_id))
         self._count(job, -1)
 
     def borrowing_shapes(self) -> abc.KeysView[Shape]:
@@ -159,6 +158,10 @@
         for _, job_id in self._large:
             yield job_id
 
+    def oldest_small(self) -> str | None:
+        """Returns the oldest small borrowing job that waits, or None."""
+        return self._small[0][1] if self._small else None
+
     def accounts(self, guaranteed: bool) -> list[str]:
         """Returns the accounts with a line of that kind."""
         return [name for kind, name in self._lines if kind == guaranteed]
@@ -172,6 +175,9 @@
         lines = (self._lines.get((kind, account)) for kind in (True, False))
         return sum(len(line) for line in lines if line is not None)
 
+    def _by_size(self, job: placements.Job) -> sortedcontainers.SortedList:
+        return self._large if is_large(job) else self._small
+
     def _count(self, job: placements.Job, sign: int) -> None:
         self._length += sign
         self._accelerators += sign * job.spec.total_accelerators
