--- a/laburnumsill/testing/tests/test_proxy.py
+++ b/laburnumsill/testing/tests/test_proxy.py
@@ -9,6 +9,7 @@
 
 from laburnumsill.core import errors
 from laburnumsill.testing import proxy as proxies
+from laburnumsill.testing import proxy_control
 
 HIDDEN_S = 0.2
 
@@ -198,7 +199,7 @@
     links.write_text(
         '[links.a]\nlisten = "127.0.0.1:0"\ntarget = "127.0.0.1:1"\n'
     )
-    command = [sys.executable, "-m", "laburnumsill.testing.proxy"]
+    command = [sys.executable, "-m", "laburnumsill.testing.proxy_control"]
     command += ["--control", "127.0.0.1:0", "--links", str(links)]
     process = await trio.to_thread.run_sync(
         lambda: subprocess.Popen(command, stderr=subprocess.PIPE, text=True)
@@ -208,7 +209,7 @@
             lambda: list(itertools.islice(process.stderr, 1))
         )
         address = lines[0].partition("control=")[2].split()[0]
-        control = proxies.ProxyControl(address)
+        control = proxy_control.ProxyControl(address)
         assert list(await control.links()) == ["a"]
         added = await control.add_link("b", "127.0.0.1:0", "127.0.0.1:1")
         await control.set_fault("b", proxies.Fault(proxies.Mode.CUT, 0.1))
