Count only those that wait against the length of a queue

Cause: a class with max_queued 0 refused everything, as a request was counted before it could start at once; and the account of a newcomer that was refused was reckoned apart from its queue.

Change: a request that cannot start joins the queue, and if that is too long the last of the most crowding account gives way, which may be itself.

--- a/laburnumsill/requests/admit.py
+++ b/laburnumsill/requests/admit.py
@@ -116,7 +116,6 @@
         self._check(request)
         gate = self._gate(request.service)
         waiting = _Waiting(request.account, request.weight, request.deadline)
-        self._make_room(gate, request)
         queue = gate.queues.setdefault(request.class_name, queues.FairQueue())
         queue.push(waiting)
         self._by_account[request.account] = (
@@ -124,6 +123,8 @@
         )
         try:
             self.pump(request.service)
+            if not waiting.decided.is_set():
+                self._make_room(queue, request)
             await self._wait(request, waiting)
         except BaseException:
             if waiting.decided.is_set() and waiting.refusal is None:
@@ -171,17 +172,16 @@
         return gate
 
     def _make_room(
-        self, gate: _ServiceGate, request: messages.RoutedRequest
+        self, queue: queues.FairQueue, request: messages.RoutedRequest
     ) -> None:
-        queue = gate.queues.get(request.class_name)
-        if queue is None or len(queue) < request.request_class.max_queued:
+        """Refuses one waiter, maybe this one, where the queue is too long."""
+        if len(queue) <= request.request_class.max_queued:
             return
         refusal = errors.OverloadedError(
-            f"{len(queue)} requests of class {request.class_name!r} wait here"
+            f"{len(queue) - 1} requests of class {request.class_name!r}"
+            " wait here"
         )
-        victim = None
-        if queue:
-            victim = queue.crowding_out(request.account, request.weight)
+        victim = queue.crowding_out(request.account)
         if victim is None:
             raise refusal
         assert isinstance(victim, _Waiting)
--- a/laburnumsill/requests/queues.py
+++ b/laburnumsill/requests/queues.py
@@ -48,6 +48,10 @@
         self.weight = 1.0
 
 
+def _crowding(account: _AccountQueue) -> float:
+    return len(account.waiters) / account.weight
+
+
 class FairQueue:
     """The waiters of one class.
 
@@ -95,21 +99,14 @@
             account.waiters.remove(waiter)
             self._size -= 1
 
-    def crowding_out(self, account: str, weight: float) -> Waiter | None:
-        """Returns the waiter that must make room for one of `account`.
+    def crowding_out(self, account: str) -> Waiter | None:
+        """Returns the waiter that must make room for the last of `account`.
 
         It is the least urgent one of the account with most waiters for its
-        weight; None if that is `account` itself, whose newcomer is refused.
+        weight; None if no account has more than `account` itself.
         """
-        name, crowd = max(
-            self._accounts.items(),
-            key=lambda item: len(item[1].waiters) / item[1].weight,
-        )
-        own = self._accounts.get(account)
-        own_size = (len(own.waiters) if own else 0) + 1
-        if name == account:
-            return None
-        if own_size / weight >= len(crowd.waiters) / crowd.weight:
+        crowd = max(self._accounts.values(), key=_crowding)
+        if _crowding(crowd) <= _crowding(self._accounts[account]):
             return None
         waiter: Waiter = crowd.waiters[-1]
         return waiter
--- a/laburnumsill/requests/tests/support.py
+++ b/laburnumsill/requests/tests/support.py
@@ -26,7 +26,7 @@
 DOMAINS = ("north", "south", "west")
 CLASSES = {
     "confirm": {"urgency": 0, "repeatable": False, "reserved_share": 0.25},
-    "check": {"urgency": 1, "reserved_share": 0.25},
+    "check": {"urgency": 1, "reserved_share": 0.25, "max_queued": 600},
     "pricing": {"urgency": 5, "timeout_ms": 60_000, "max_wait_ms": 30_000},
     "tag": {"urgency": 6, "durable": True},
 }
--- a/laburnumsill/requests/tests/test_isolation.py
+++ b/laburnumsill/requests/tests/test_isolation.py
@@ -198,3 +198,25 @@
     site = run(scenario)
     assert ("check", "lakes") not in site.refused
     assert len(site.latencies["check", "lakes"]) == 200
+
+
+def test_full_queue_refuses_at_once_at_the_expense_of_the_flood():
+    async def scenario(site):
+        async with trio.open_nursery() as nursery:
+            start = functools.partial(nursery.start_soon, site.ask, "check")
+            running = SERVERS * SLOTS * 3 // 4  # the rest is for "confirm"
+            for _ in range(running + 600):
+                start("flood", 0.5)
+            await trio.sleep(0.1)
+            assert not site.refused
+            started = trio.current_time()
+            await site.ask("check", "flood", 0.5)
+            assert trio.current_time() - started < 0.01
+            assert len(site.refused["check", "flood"]) == 1
+            for _ in range(20):
+                start("lakes", 0.01)
+            await trio.sleep(0.01)
+            assert len(site.refused["check", "flood"]) == 21
+
+    site = run(scenario)
+    assert ("check", "lakes") not in site.refused
