--- a/laburnumsill/requests/router.py
+++ b/laburnumsill/requests/router.py
@@ -25,6 +25,7 @@
 from laburnumsill.requests import claim
 from laburnumsill.requests import classify
 from laburnumsill.requests import dispatch
+from laburnumsill.requests import headers
 from laburnumsill.requests import health
 from laburnumsill.requests import lookup
 from laburnumsill.requests import messages
@@ -185,7 +186,7 @@
         request = None
         outcome = "error"
         try:
-            classified = classify.classify(head, self._configuration())
+            classified = self._classify(head)
             async with self._reader.reading(classified, body) as request:
                 result = await self._run(request)
             outcome = str(result.outcome)
@@ -196,6 +197,15 @@
         finally:
             self._note(head, request, outcome)
 
+    def _classify(self, head: messages.RequestHead) -> classify.Classified:
+        configuration = self._current.get()
+        if configuration is not None:
+            return classify.classify(head, configuration)
+        detail = "no configuration is in force yet"
+        if headers.find(head.headers, headers.KEY) is not None:
+            raise messages.HomeUnreachableError(detail)
+        raise errors.UnavailableError(detail)
+
     async def _run(self, request: messages.RoutedRequest) -> messages.Answer:
         if self._draining:
             return await self._refuse_draining(request)
--- a/laburnumsill/requests/tests/test_once.py
+++ b/laburnumsill/requests/tests/test_once.py
@@ -7,6 +7,7 @@
 import trio
 from hypothesis import strategies as st
 
+from laburnumsill.config import current as current_module
 from laburnumsill.core import errors
 from laburnumsill.requests import answer
 from laburnumsill.requests import classify
@@ -206,6 +207,16 @@
         assert (result.body, len(server.calls)) == (b"booked", 1)
 
 
+async def test_without_a_configuration_a_key_is_not_called_not_run():
+    async with site(support.respond()) as (bench, _, _):
+        bench.current = current_module.Current()
+        router = bench.router("vm1")
+        with pytest.raises(messages.HomeUnreachableError):
+            await support.ask(router, confirm(bench))
+        with pytest.raises(errors.UnavailableError):
+            await support.ask(router, support.head(bench.clock))
+
+
 async def test_bodies_held_are_bounded_for_each_account():
     async with site(support.respond(b"x", wait_s=0.5)) as (
         bench,
