Read the body of a refused request before its answer goes out

Cause: a request refused by its head with most of its body unread had its connection reset, and the caller lost the answer. The new test fails without the change (broken pipe on the first refusal).

Change: up to 4 MiB or 1 s of the body is read and dropped first.

--- a/laburnumsill/api/services.py
+++ b/laburnumsill/api/services.py
@@ -33,6 +33,13 @@
 Send = abc.Callable[[abc.MutableMapping[str, typing.Any]], abc.Awaitable[None]]
 
 
+MAX_UNREAD_BYTES = 4 * 1024 * 1024
+UNREAD_S = 1.0
+"""What is read of a refused request's body, in bytes and seconds, before its
+answer: a connection that is closed on unread bytes is reset, and the caller
+may lose the answer."""
+
+
 class HeadersTooLargeError(errors.InvalidInputError):
     """The headers of a request are over their limit."""
 
@@ -114,6 +121,16 @@
                 self._body_read.set()
                 return
 
+    async def skip_body(self) -> None:
+        """Reads what is left of the body, within bounds."""
+        left = MAX_UNREAD_BYTES
+        with trio.move_on_after(UNREAD_S):
+            while left > 0 and not self._body_read.is_set():
+                message = await self._receive()
+                left -= len(message.get("body", b""))
+                if not message.get("more_body", False):
+                    return
+
     async def watch(self, scope: trio.CancelScope) -> None:
         """Cancels `scope` once the caller is gone."""
         await self._body_read.wait()
@@ -141,6 +158,7 @@
         self, error: errors.LaburnumsillError, request_id: str
     ) -> None:
         """Tells the caller of an error and of the request's outcome."""
+        await self.skip_body()
         response = problems.problem(error)
         outcome = answers.outcome_of(error)
         passed = [
--- a/laburnumsill/api/tests/test_services.py
+++ b/laburnumsill/api/tests/test_services.py
@@ -168,3 +168,12 @@
             assert " 204" in head.split("\r\n")[0]
             assert "content-length" not in head
             assert body == b""
+
+
+async def test_refusal_reaches_a_caller_that_is_still_sending():
+    async with serving(support.respond()) as (port, _, _):
+        for _ in range(20):
+            head, _ = await call(
+                port, path="/v1/services/none/x", body=b"x" * 900_000
+            )
+            assert " 404" in head.split("\r\n")[0]
