--- a/laburnumsill/requests/dispatch.py
+++ b/laburnumsill/requests/dispatch.py
@@ -80,6 +80,49 @@
         self._dispatcher.ended(self._state, failure)
 
 
+class _Tries:
+    """What was tried for one request.
+
+    Attributes:
+        servers: Ids of the servers that had an attempt.
+        count: Attempts so far.
+        sent: Whether a byte of any attempt may have reached a server.
+    """
+
+    def __init__(self, max_attempts: int) -> None:
+        self._max_attempts = max_attempts
+        self.servers: set[str] = set()
+        self.count = 0
+        self.sent = False
+
+    @property
+    def exhausted(self) -> bool:
+        """Whether there may be no further attempt."""
+        return self.count >= self._max_attempts
+
+    def note(self, state: servers.ServerState) -> None:
+        """Notes an attempt at a server."""
+        self.servers.add(state.server.server_id)
+        self.count += 1
+
+    def truth(
+        self, error: errors.LaburnumsillError
+    ) -> errors.LaburnumsillError:
+        """Returns the error that is true of all attempts, not of the last."""
+        if not isinstance(error, errors.UnavailableError):
+            return error
+        if self.sent:
+            return errors.OutcomeUnknownError(error.detail)
+        return errors.NoServerError(error.detail)
+
+
+def _repeats(error: errors.LaburnumsillError, attempt: str | None) -> bool:
+    """Returns whether a request may be sent again after `error`."""
+    if isinstance(error, backend.NotSentError):
+        return True
+    return attempt is None and isinstance(error, errors.OutcomeUnknownError)
+
+
 class Dispatcher:
     """Chooses servers and sends requests to them.
 
@@ -136,37 +179,23 @@
         """
         policy = self._policies.request_policy
         self._budget.earn(policy.retry_budget)
-        tried: set[str] = set()
-        sent = False
-        for number in range(1, policy.max_attempts + 1):
-            last = number == policy.max_attempts
+        tries = _Tries(policy.max_attempts)
+        while True:
             try:
-                state = self._choose(request, tried, number)
-            except errors.NoServerError:
-                if sent:
-                    raise errors.OutcomeUnknownError(
-                        "the answer was lost and no other server is left"
-                    ) from None
-                raise
-            tried.add(state.server.server_id)
-            try:
-                exchange = await self._attempt(request, state, attempt)
-            except backend.NotSentError as error:
-                if self._give_up(request, last):
-                    raise self._final(error, sent) from error
-                continue
-            except errors.OutcomeUnknownError:
-                sent = True
-                if attempt is not None or self._give_up(request, last):
+                exchange = await self._try(request, tries, attempt)
+            except errors.LaburnumsillError as error:
+                if _repeats(error, attempt) and self._retry(request, tries):
+                    continue
+                truth = tries.truth(error)
+                if truth is error:
                     raise
-                continue
-            sent = True
+                raise truth from error
             failed = exchange.status >= SERVER_ERROR
-            if failed and attempt is None and not self._give_up(request, last):
-                await self._drop(exchange)
-                continue
-            return exchange
-        raise AssertionError("the last attempt raises or returns")
+            if not (failed and attempt is None):
+                return exchange
+            if not self._retry(request, tries):
+                return exchange
+            await self._drop(exchange)
 
     def ended(
         self, state: servers.ServerState, failure: servers.Failure | None
@@ -207,21 +236,30 @@
             return servers.Failure.LOST
         return None
 
-    def _final(
-        self, error: backend.NotSentError, sent: bool
-    ) -> errors.LaburnumsillError:
-        """Returns the truth over all attempts, not only the last one."""
-        if sent:
-            return errors.OutcomeUnknownError(error.detail)
-        return errors.NoServerError(error.detail)
+    async def _try(
+        self,
+        request: messages.RoutedRequest,
+        tries: "_Tries",
+        attempt: str | None,
+    ) -> Exchange:
+        state = self._choose(request, tries)
+        tries.note(state)
+        try:
+            exchange = await self._attempt(request, state, attempt)
+        except errors.OutcomeUnknownError:
+            tries.sent = True
+            raise
+        tries.sent = True
+        return exchange
 
-    def _give_up(self, request: messages.RoutedRequest, last: bool) -> bool:
-        if last or self._clock.monotonic() >= request.deadline:
-            return True
-        if self._budget.spend():
+    def _retry(self, request: messages.RoutedRequest, tries: "_Tries") -> bool:
+        """Returns whether to try again, and takes it from the budget."""
+        if tries.exhausted or self._clock.monotonic() >= request.deadline:
             return False
+        if self._budget.spend():
+            return True
         self._metrics.count("retry_budget_empty_total")
-        return True
+        return False
 
     async def _drop(self, exchange: Exchange) -> None:
         """Reads a failed answer to its end, so that it is counted."""
@@ -277,12 +315,9 @@
         return Exchange(self, state, answer)
 
     def _choose(
-        self,
-        request: messages.RoutedRequest,
-        tried: abc.Set[str],
-        number: int,
+        self, request: messages.RoutedRequest, tries: "_Tries"
     ) -> servers.ServerState:
-        usable = self._usable(request, tried)
+        usable = self._usable(request, tries.servers)
         if not usable:
             raise errors.NoServerError(
                 f"no backend server of {request.service!r} can take requests"
@@ -300,7 +335,7 @@
             service=request.service,
             request_class=request.class_name,
             account=request.account,
-            attempt=number,
+            attempt=tries.count + 1,
             server=state.server.server_id,
             among=len(candidates),
             why="near" if near else "far" if room else "all-full",
