Refuse addresses that none can connect to; prove bad input with real VMs

Cause: an announcement was taken with any text as host and with ports up to 99999. A host label of 80 characters cannot be encoded; httpcore then raises UnicodeError, which nothing caught: an offer got 500 "internal" in place of 503, as test_bad_input showed before this change.

Ruled out: catching it at the border of the router only; the caller would be told "unknown" although no byte was sent.

Change: a member's address is an IP number with a port of 1 to 65535, and the backend client counts a ValueError before the first byte as not sent.

The test sends 26 kinds of bad requests, odd methods, a reused key and four impossible addresses to real VMs, and looks for typed problems, leaked internals, dead processes and errors in the logs. Failed first: one of the four addresses, as above.

--- a/laburnumsill/api/members.py
+++ b/laburnumsill/api/members.py
@@ -52,6 +52,7 @@
 """
 
 import dataclasses
+import ipaddress
 import typing
 
 import pydantic
@@ -69,8 +70,22 @@
 Identifier = typing.Annotated[
     str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")
 ]
+MAX_PORT = 65_535
+
+
+def _checked_address(address: str) -> str:
+    """Refuses what is no IP number with a port, since none can connect."""
+    host, _, port = address.rpartition(":")
+    ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+    if not 1 <= int(port) <= MAX_PORT:
+        raise ValueError(f"{port} is no port")
+    return address
+
+
 Address = typing.Annotated[
-    str, pydantic.Field(pattern=r"^[A-Za-z0-9.:_\[\]-]{1,255}:[0-9]{1,5}$")
+    str,
+    pydantic.Field(pattern=r"^[0-9A-Fa-f.:\[\]]{2,45}:[0-9]{1,5}$"),
+    pydantic.AfterValidator(_checked_address),
 ]
 Sequence = typing.Annotated[int, pydantic.Field(ge=0, lt=2**53)]
 Amount = typing.Annotated[int, pydantic.Field(ge=0, le=1_000_000)]
--- a/laburnumsill/platform/backend.py
+++ b/laburnumsill/platform/backend.py
@@ -266,6 +266,7 @@
             httpcore.ProtocolError,
             httpcore.TimeoutException,
             OSError,
+            ValueError,  # an address that cannot be encoded
         ) as error:
             raise self._failure(repr(error)) from error
 
--- /dev/null
+++ b/laburnumsill/testing/tests/test_bad_input.py
@@ -0,0 +1,219 @@
+"""Bad input at real VMs: typed answers, nothing leaks, no task dies."""
+
+import contextlib
+import pathlib
+
+import httpcore
+import orjson
+import pytest
+import trio
+
+from laburnumsill.testing import cluster
+from laburnumsill.testing import scenario
+
+SITE = cluster.Layout(servers=1)
+RUN = "/v1/services/booking/run"
+OFFER = "Laburnumsill-Class: offer"
+CONFIRM = "Laburnumsill-Class: confirm"
+LEAKS = (b"Traceback", b".py", b"site-packages", b"pydantic", b"0x")
+MB = 1024 * 1024
+
+
+async def raw(address, request, timeout_s=10):
+    """Sends bytes and returns all that comes back until the end."""
+    host, port = address.rsplit(":", 1)
+    received = b""
+    with trio.move_on_after(timeout_s):
+        stream = await trio.open_tcp_stream(host, int(port))
+        async with stream:
+            with contextlib.suppress(trio.BrokenResourceError):
+                await stream.send_all(request)
+            with contextlib.suppress(trio.BrokenResourceError):
+                async for part in stream:
+                    received += part
+    return received
+
+
+def message(method, path, *headers, body=b"", length=None):
+    """Returns a request as it goes over the wire."""
+    lines = [
+        f"{method} {path} HTTP/1.1",
+        "Host: a",
+        "Connection: close",
+        f"Content-Length: {len(body) if length is None else length}",
+        *headers,
+    ]
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
+
+
+BAD = {
+    "unknown service": (
+        message("POST", "/v1/services/nothing/run"),
+        (404, "unknown-name"),
+    ),
+    "no service": (message("GET", "/v1/services/"), (404, "unknown-name")),
+    "unknown class": (
+        message("POST", RUN, "Laburnumsill-Class: nothing"),
+        (404, "unknown-name"),
+    ),
+    "unknown account": (
+        message("POST", RUN, OFFER, "Laburnumsill-Account: nobody"),
+        (404, "unknown-name"),
+    ),
+    "missing key": (message("POST", RUN, CONFIRM), (400, "missing-key")),
+    "empty key": (
+        message("POST", RUN, CONFIRM, "Idempotency-Key:  "),
+        (400, "invalid-input"),
+    ),
+    "long key": (
+        message("POST", RUN, CONFIRM, "Idempotency-Key: " + "k" * 201),
+        (400, "invalid-input"),
+    ),
+    "unprintable key": (
+        message("POST", RUN, CONFIRM, "Idempotency-Key: a\x80b"),
+        (400, "invalid-input"),
+    ),
+    "no number as timeout": (
+        message("POST", RUN, OFFER, "Laburnumsill-Timeout-Ms: 1e3"),
+        (400, "invalid-input"),
+    ),
+    "past deadline": (
+        message("POST", RUN, OFFER, "Laburnumsill-Timeout-Ms: -5"),
+        (400, "deadline-passed"),
+    ),
+    "large body": (
+        message("POST", RUN, OFFER, body=b"x" * (MB + 1)),
+        (413, "too-large"),
+    ),
+    "large headers": (
+        message("POST", RUN, OFFER, "X-Fill: " + "x" * 17_000),
+        (431, "headers-too-large"),
+    ),
+    "huge headers": (
+        message("POST", RUN, OFFER, "X-Fill: " + "x" * 200_000),
+        (431, None),
+    ),
+    "two lengths": (
+        message("POST", RUN, OFFER, "Content-Length: 7"),
+        (400, None),
+    ),
+    "negative length": (message("POST", RUN, OFFER, length=-4), (400, None)),
+    "no HTTP": (b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\r\n\r\n", (400, None)),
+    "damaged chunk": (
+        b"POST /v1/services/booking/run HTTP/1.1\r\nHost: a\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n",
+        (400, None),
+    ),
+    "bad method": (message("PATCH", "/v1/jobs"), (405, "method-not-allowed")),
+    "unknown path": (message("GET", "/v2/nothing"), (404, "not-found")),
+    "no service of a key": (
+        message("GET", "/v1/requests/k"),
+        (400, "invalid-input"),
+    ),
+    "no JSON": (
+        message("POST", "/v1/backend-servers", body=b"{nope"),
+        (400, "malformed-json"),
+    ),
+    "a list": (
+        message("POST", "/v1/workers", body=b"[1]"),
+        (400, "malformed-json"),
+    ),
+    "deep JSON": (
+        message("PUT", "/v1/config", body=b"[" * 100_000),
+        (400, "malformed-json"),
+    ),
+    "not UTF-8": (
+        message("PUT", "/v1/config", body=b'{"operator": "\xff\xfe"}'),
+        (400, "malformed-json"),
+    ),
+    "large operator's body": (
+        message("PUT", "/v1/config", body=b" " * (4 * MB + 1)),
+        (413, "too-large"),
+    ),
+    "job without a key": (
+        message("POST", "/v1/jobs", body=b'{"account": "lakeside"}'),
+        (400, "missing-key"),
+    ),
+}
+
+
+def check_answer(name, received, status, slug):
+    """Checks one answer of a VM to bad input."""
+    head, _, body = received.partition(b"\r\n\r\n")
+    assert head, f"{name}: no answer"
+    assert head.split()[1] == str(status).encode(), (name, received[:300])
+    assert not any(leak in body for leak in LEAKS), (name, body)
+    if slug is not None:
+        assert orjson.loads(body)["type"].endswith("/" + slug), (name, body)
+
+
+def check_unharmed(site):
+    """Checks that no VM has died or met an error of its own."""
+    for vm_id in site.vm_ids:
+        assert site.process(vm_id).running, site.process(vm_id).log_text()
+        log = site.process(vm_id).log_text()
+        assert "Traceback" not in log, log[log.index("Traceback") :][:3000]
+        assert "level=ERROR" not in log, log[log.index("level=ERROR") :][:500]
+
+
+def memory(site, vm_id):
+    """Returns the resident memory of a VM in bytes."""
+    statm = pathlib.Path(f"/proc/{site.process(vm_id).pid}/statm")
+    return int(statm.read_text().split()[1]) * 4096
+
+
+async def test_bad_requests_get_typed_answers(tmp_path: pathlib.Path):
+    async with cluster.running(tmp_path, SITE) as site:
+        await scenario.start_site(site)
+        address = site.address("vm1")
+        for name, (request, (status, slug)) in BAD.items():
+            check_answer(name, await raw(address, request), status, slug)
+        for method in ("CONNECT", "TRACE", "OPTIONS", "BREW"):
+            received = await raw(address, message(method, RUN, OFFER))
+            assert not any(leak in received for leak in LEAKS), received
+        first = await scenario.request(site, "vm1", "confirm", "k1")
+        assert first.status == 200
+        reused = await scenario.request(
+            site, "vm2", "confirm", "k1", body=b'{"other": 1}'
+        )
+        assert reused.status == 422
+        assert reused.json()["type"].endswith("/key-reused")
+        assert reused.outcome != "answered"
+        for vm_id in site.vm_ids:
+            answer = await scenario.request(site, vm_id, "offer")
+            assert answer.outcome == "answered"
+        check_unharmed(site)
+
+
+@pytest.mark.parametrize(
+    "address", ["127.0.0.1:99999", "a" * 80 + ":80", "[::1:80", "x_-:0"]
+)
+async def test_an_impossible_address_is_refused_or_harmless(
+    tmp_path: pathlib.Path, address
+):
+    """Such a server is never usable, and no request dies of it."""
+    async with cluster.running(tmp_path, cluster.Layout()) as site:
+        await scenario.start_site(site)
+        announcement = {
+            "server_id": "odd",
+            "service": "booking",
+            "domain": "north",
+            "address": address,
+            "incarnation": "00001780000000000000",
+            "sequence": 1,
+            "slots": 8,
+            "connections": 64,
+        }
+        sent = await site.client("vm1").send(
+            "POST", "/v1/backend-servers", announcement
+        )
+        assert sent.status in (200, 400), sent.body
+        for request_class in ("offer", "confirm", "tagging"):
+            with contextlib.suppress(httpcore.ReadError):
+                answer = await scenario.request(
+                    site, "vm1", request_class, f"odd-{request_class}"
+                )
+                assert answer.status in (202, 503), answer.body
+        await trio.sleep(1)
+        check_unharmed(site)
+        await site.until_status("vm1", "/readyz")
