Probe ejected servers when due; prove what lost servers get

Cause: with two servers in a failure domain and light traffic, one that failed fast and was healed got no work again within 45 s. Two choices among at most two candidates kept their order, so a tie always went to the first, and an ejected server that was due was a candidate like any other: a chooser that finds an idle server before it never probed it.

Ruled out: the length of the ejection (8 s at most), and lost announcements (the server was listed as usable).

Change: an ejected server whose probe is due goes before all others, for the first attempt of a request that may be repeated and while a retry is left; other attempts leave ejected servers out. Two choices are drawn in random order also from two.

The fake server has a mode "cross" and names the request in its answer's header.

--- a/laburnumsill/requests/budget.py
+++ b/laburnumsill/requests/budget.py
@@ -23,13 +23,18 @@
     def __init__(self, tokens: float = BURST) -> None:
         self._tokens = tokens
 
+    @property
+    def empty(self) -> bool:
+        """Whether there is no retry left."""
+        return self._tokens < 1.0
+
     def earn(self, share: float) -> None:
         """Adds what one request earns."""
         self._tokens = min(BURST, self._tokens + share)
 
     def spend(self) -> bool:
         """Takes one retry if there is one, and returns whether there was."""
-        if self._tokens < 1.0:
+        if self.empty:
             return False
         self._tokens -= 1.0
         return True
--- a/laburnumsill/requests/choose.py
+++ b/laburnumsill/requests/choose.py
@@ -32,9 +32,8 @@
         """Returns one of `candidates`."""
 
     def _two(self, candidates: Candidates) -> Candidates:
-        if len(candidates) <= 2:
-            return candidates
-        return self._draw.sample(candidates, 2)
+        """Returns two in random order, so that ties go to either."""
+        return self._draw.sample(candidates, min(2, len(candidates)))
 
 
 class RandomChooser(Chooser):
--- a/laburnumsill/requests/dispatch.py
+++ b/laburnumsill/requests/dispatch.py
@@ -261,12 +261,7 @@
             raise errors.NoServerError(
                 f"no backend server of {request.service!r} can take requests"
             )
-        limiter = self._policies.limiter
-        for state in usable:
-            state.limit = max(1.0, limiter.limit(state))
-        room = [s for s in usable if s.in_flight + 1 <= s.limit]
-        near = [s for s in room if s.server.domain == self._me.domain]
-        candidates = near or room or _with_most_room(usable)
+        candidates, why = self._candidates(request, usable, number)
         state = self._policies.chooser.choose(candidates)
         logs.decision(
             "request-routed",
@@ -277,13 +272,41 @@
             attempt=number,
             server=state.server.server_id,
             among=len(candidates),
-            why="near" if near else "far" if room else "all-full",
+            why=why,
             chooser=self._policies.request_policy.chooser,
             in_flight=state.in_flight,
             load=state.load,
         )
         return state
 
+    def _candidates(
+        self,
+        request: messages.RoutedRequest,
+        usable: list[servers.ServerState],
+        number: int,
+    ) -> tuple[list[servers.ServerState], str]:
+        """Returns the servers to choose from, and why just these.
+
+        An ejected server whose probe is due goes before all others, or a
+        chooser that finds enough idle ones would never win it back. Only a
+        first attempt that can be sent again is the probe.
+        """
+        if request.request_class.repeatable:
+            due = [state for state in usable if state.ejected]
+            if due and number == 1 and not self._budget.empty:
+                return due, "probe"
+            usable = [s for s in usable if not s.ejected] or usable
+        limiter = self._policies.limiter
+        for state in usable:
+            state.limit = max(1.0, limiter.limit(state))
+        room = [s for s in usable if s.in_flight + 1 <= s.limit]
+        near = [s for s in room if s.server.domain == self._me.domain]
+        if near:
+            return near, "near"
+        if room:
+            return room, "far"
+        return _with_most_room(usable), "all-full"
+
     def _usable(
         self, request: messages.RoutedRequest, tried: abc.Set[str]
     ) -> list[servers.ServerState]:
--- a/laburnumsill/testing/fake_server.py
+++ b/laburnumsill/testing/fake_server.py
@@ -59,6 +59,7 @@
         self._runs: collections.Counter[str] = collections.Counter()
         self._slots = trio.CapacityLimiter(settings.slots)
         self._changed = trio.Event()
+        self._crossed: dict[str, object] = {"request_id": "none yet"}
         self._random = random.Random(settings.id)
         self._recorder = recorder.Recorder(settings.record, clock)
         self.listener = fake_serving.Listener(self.app(), settings.address)
@@ -234,17 +235,19 @@
                 headers={"Content-Length": str(length)},
                 media_type="application/octet-stream",
             )
-        return problems.json_response(
-            {
-                "server_id": self._settings.id,
-                "request_id": request_id,
-                "key": key,
-                "run": run,
-                "method": request.method,
-                "path": request.url.path,
-                "body": body.decode("latin-1"),
-            }
-        )
+        answer: dict[str, object] = {
+            "server_id": self._settings.id,
+            "request_id": request_id,
+            "key": key,
+            "run": run,
+            "method": request.method,
+            "path": request.url.path,
+            "body": body.decode("latin-1"),
+        }
+        if mode == "cross":
+            answer, self._crossed = self._crossed, answer
+        echo = {"Laburnumsill-Request-Id": str(answer["request_id"])}
+        return problems.json_response(answer, headers=echo)
 
 
 def main() -> None:
--- a/laburnumsill/testing/server_behaviour.py
+++ b/laburnumsill/testing/server_behaviour.py
@@ -22,6 +22,7 @@
     "cut",
     "hang",
     "jam",
+    "cross",
     "refuse",
 ]
 
@@ -69,8 +70,9 @@
             after `truncate_at` bytes; ``cut``: a run, then the connection
             is closed without an answer; ``hang``: the request is read and
             never run or answered; ``jam``: the same until the mode changes,
-            then it is run and answered late; ``refuse``: the listener is
-            closed for `refuse_s`.
+            then it is run and answered late; ``cross``: a run, then the
+            whole answer to another request, its id in the header;
+            ``refuse``: the listener is closed for `refuse_s`.
         share: Share of the requests that `mode` is for; others are served.
         only_next: How many requests `mode` is for; then it is ``serve``.
         prefix: Only paths that start so are meant by `mode`.
