Validate only the accounts that a version touches

Cause: applying a difference parsed and a new version validated the whole configuration on each VM, most of what a version costs in processor time. Change: the log and each VM keep the values of the newest version and apply a difference to them, sharing all that stays; the models of a version are made from those in force, with only the touched accounts validated, and all of them where failure domains or the accounts as a whole change. Ruled out: trusting the difference without validation, since a newer program may accept what this one cannot read.

--- a/laburnumsill/config/difference.py
+++ b/laburnumsill/config/difference.py
@@ -6,8 +6,8 @@
     else is set whole. It is deterministic, and with B and N in canonical
     form ``apply(B, difference(B, N)) == N``, byte for byte.
 
-    Values are compared by their JSON text, since Python takes 1, 1.0 and
-    True for equal, and these have different digests.
+    Python takes 1, 1.0 and True for equal, and these have different digests,
+    so what was found is applied before it is returned.
 
 Examples:
     >>> made = difference(b'{"a":1,"b":{"c":2,"d":3}}', b'{"b":{"c":4}}')
@@ -21,7 +21,9 @@
 """
 
 import dataclasses
+import operator
 import typing
+from collections import abc
 
 import orjson
 
@@ -30,6 +32,7 @@
 from laburnumsill.core import hashing
 
 Path = tuple[str, ...]
+_Same = abc.Callable[[typing.Any, typing.Any], bool]
 
 
 class UnfitDifferenceError(errors.ConflictError):
@@ -73,18 +76,86 @@
         return keys + sum(len(one.value) for one in self.settings)
 
 
+class Document:
+    """Canonical JSON with the values that it stands for, never changed.
+
+    A version after a version shares all values that are the same, so that
+    only the text of the whole is made anew.
+
+    Attributes:
+        text: The canonical JSON.
+        values: What it stands for; not to be changed.
+    """
+
+    def __init__(self, text: bytes, values: typing.Any) -> None:
+        self.text = text
+        self.values = values
+
+    @staticmethod
+    def parse(text: bytes) -> "Document":
+        """Returns the document that JSON stands for.
+
+        Raises:
+            UnfitDifferenceError: It is no JSON, so nothing applies to it.
+        """
+        try:
+            return Document(text, orjson.loads(text))
+        except orjson.JSONDecodeError as failure:
+            raise UnfitDifferenceError(f"no JSON: {failure}") from failure
+
+    def after(self, change: Difference) -> "Document":
+        """Returns the document that `change` makes of this one.
+
+        Raises:
+            UnfitDifferenceError: A path does not exist in this one.
+        """
+        values = self.values
+        try:
+            for path in change.removals:
+                values = _without(values, path)
+            for one in change.settings:
+                values = _with(values, one.path, orjson.loads(one.value))
+            return Document(_text(values), values)
+        except (LookupError, TypeError, ValueError) as failure:
+            raise UnfitDifferenceError(f"cannot be applied: {failure!r}") from (
+                failure
+            )
+
+    def after_checked(self, change: Difference, digest: str) -> "Document":
+        """Returns what `change` makes of this if it has the digest.
+
+        Raises:
+            UnfitDifferenceError: It has not, or a path does not exist.
+        """
+        new = self.after(change)
+        actual = hashing.digest(new.text)
+        if actual != digest:
+            raise UnfitDifferenceError(
+                f"it gives digest {actual}, not {digest}", digest=actual
+            )
+        return new
+
+
 def difference(base: bytes, new: bytes) -> Difference | None:
     """Returns what makes `new` of `base`.
 
+    Explanation:
+        Python's comparison is fast and nearly always right; where it is not,
+        applying shows it, and the texts are compared.
+
     Returns:
         None if there is no such difference: one of the two is not JSON, or
         `new` is not in canonical form.
     """
     try:
-        found = _difference_of(orjson.loads(base), orjson.loads(new))
-        return found if apply(base, found) == new else None
-    except (orjson.JSONDecodeError, orjson.JSONEncodeError):
+        old, newer = Document.parse(base), Document.parse(new)
+        for same in (operator.eq, _same_text):
+            found = _difference_of(old.values, newer.values, same)
+            if old.after(found).text == new:
+                return found
+    except (UnfitDifferenceError, orjson.JSONEncodeError):
         return None
+    return None
 
 
 def apply(base: bytes, change: Difference) -> bytes:
@@ -93,21 +164,7 @@
     Raises:
         UnfitDifferenceError: A path does not exist in `base`.
     """
-    try:
-        whole = orjson.loads(base)
-        for path in change.removals:
-            del _parent(whole, path)[path[-1]]
-        for one in change.settings:
-            value = orjson.loads(one.value)
-            if one.path:
-                _parent(whole, one.path)[one.path[-1]] = value
-            else:
-                whole = value
-        return _text(whole)
-    except (LookupError, TypeError, ValueError) as failure:
-        raise UnfitDifferenceError(f"cannot be applied: {failure!r}") from (
-            failure
-        )
+    return Document.parse(base).after(change).text
 
 
 def apply_checked(base: bytes, change: Difference, digest: str) -> bytes:
@@ -116,19 +173,15 @@
     Raises:
         UnfitDifferenceError: It has not, or a path does not exist in `base`.
     """
-    new = apply(base, change)
-    actual = hashing.digest(new)
-    if actual != digest:
-        raise UnfitDifferenceError(
-            f"it gives digest {actual}, not {digest}", digest=actual
-        )
-    return new
+    return Document.parse(base).after_checked(change, digest).text
 
 
-def _difference_of(base: typing.Any, new: typing.Any) -> Difference:
+def _difference_of(
+    base: typing.Any, new: typing.Any, same: _Same
+) -> Difference:
     settings: list[Setting] = []
     removals: list[Path] = []
-    _compare((), base, new, settings, removals)
+    _compare((), base, new, same, settings, removals)
     return Difference(tuple(settings), tuple(removals))
 
 
@@ -136,32 +189,53 @@
     path: Path,
     base: typing.Any,
     new: typing.Any,
+    same: _Same,
     settings: list[Setting],
     removals: list[Path],
 ) -> None:
     """Adds what differs at and below `path`."""
-    text = _text(new)
-    if _text(base) == text:
+    if same(base, new):
         return
     if not (isinstance(base, dict) and isinstance(new, dict)):
-        settings.append(Setting(path, text))
+        settings.append(Setting(path, _text(new)))
         return
     removals.extend((*path, key) for key in sorted(base.keys() - new.keys()))
     for key in sorted(new):
         below = (*path, key)
         if key in base:
-            _compare(below, base[key], new[key], settings, removals)
+            _compare(below, base[key], new[key], same, settings, removals)
         else:
             settings.append(Setting(below, _text(new[key])))
 
 
-def _parent(whole: typing.Any, path: Path) -> dict[str, typing.Any]:
-    """Returns the object that holds the last key of `path`."""
-    for key in path[:-1]:
-        whole = whole[key]
-    if not isinstance(whole, dict):
-        raise TypeError(f"no object at {path[:-1]}")
-    return whole
+def _same_text(base: typing.Any, new: typing.Any) -> bool:
+    return _text(base) == _text(new)
+
+
+def _with(values: typing.Any, path: Path, value: typing.Any) -> typing.Any:
+    """Returns `values` with `value` at `path`; shares all the rest."""
+    if not path:
+        return value
+    copy = _copied(values)
+    below = value if len(path) == 1 else _with(values[path[0]], path[1:], value)
+    copy[path[0]] = below
+    return copy
+
+
+def _without(values: typing.Any, path: Path) -> typing.Any:
+    """Returns `values` without the key at `path`; shares all the rest."""
+    copy = _copied(values)
+    if len(path) == 1:
+        del copy[path[0]]
+    else:
+        copy[path[0]] = _without(values[path[0]], path[1:])
+    return copy
+
+
+def _copied(values: typing.Any) -> dict[str, typing.Any]:
+    if not isinstance(values, dict):
+        raise TypeError(f"a {type(values).__name__} is no object")
+    return dict(values)
 
 
 def _text(value: typing.Any) -> bytes:
--- a/laburnumsill/daemon/configuration_sync.py
+++ b/laburnumsill/daemon/configuration_sync.py
@@ -21,6 +21,7 @@
     takes the newest that its disk or its own failure domain's VMs know.
 """
 
+import contextlib
 import dataclasses
 import pathlib
 from collections import abc
@@ -29,8 +30,10 @@
 
 from laburnumsill.api import configuration as configuration_api
 from laburnumsill.config import canonical
+from laburnumsill.config import changed
 from laburnumsill.config import current as current_configuration
 from laburnumsill.config import difference
+from laburnumsill.config import models as configuration_models
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import codec
 from laburnumsill.core import errors
@@ -131,6 +134,7 @@
         self._offered: configuration_versions.AcceptedConfiguration | None = (
             None
         )
+        self._opened: configuration_versions.OpenedVersion | None = None
         self._steps = configuration_versions.Steps()
         self._unusable: set[tuple[int, str]] = set()
         self._said: dict[str, InForceNotice] = {}
@@ -169,13 +173,10 @@
         return None
 
     def _adopt(
-        self,
-        accepted: configuration_versions.AcceptedConfiguration,
-        steps: abc.Sequence[configuration_versions.VersionStep] | None = None,
+        self, accepted: configuration_versions.AcceptedConfiguration
     ) -> None:
         """Puts an accepted version in force unless a newer one is.
 
-        `steps` lead to it from the version in force, None if not known.
         Only `run` and its tasks call this, so that a failed disk ends them.
 
         Raises:
@@ -183,14 +184,57 @@
         """
         if accepted.version <= self._current.version:
             return
-        versioned = self._decoded(accepted)
-        if versioned is None:
+        models = self._decoded(
+            accepted, lambda: canonical.decode(accepted.body)
+        )
+        if models is not None:
+            self._put(accepted, models)
+            self._steps.clear()
+            self._opened = None
+
+    def _adopt_opened(
+        self,
+        reached: configuration_versions.OpenedVersion,
+        steps: abc.Sequence[configuration_versions.VersionStep],
+    ) -> None:
+        """Does the same with a version that steps led to.
+
+        They lead to it from the version in force, maybe from an older one.
+        """
+        accepted = reached.accepted
+        before = self._current.versioned()
+        version = self._current.version
+        if accepted.version <= version:
             return
+        changes = [step.change for step in steps if step.version > version]
+        if before is None or len(changes) != accepted.version - version:
+            self._adopt(accepted)
+            return
+        models = self._decoded(
+            accepted,
+            lambda: changed.decode(
+                before.configuration, reached.document, changes
+            ),
+        )
+        if models is not None:
+            self._put(accepted, models)
+            self._opened = reached
+            for step in steps:
+                self._steps.add(step)
+
+    def _put(
+        self,
+        accepted: configuration_versions.AcceptedConfiguration,
+        models: configuration_models.Configuration,
+    ) -> None:
         if self._file is not None:
             self._file.write(accepted)
-        self._keep_steps(accepted, steps)
         self._accepted = accepted
-        self._current.put(versioned)
+        self._current.put(
+            current_configuration.Versioned(
+                accepted.version, accepted.digest, models
+            )
+        )
         logs.event(
             "configuration-in-force",
             version=accepted.version,
@@ -199,19 +243,6 @@
         )
         self._tell(self._others)
 
-    def _keep_steps(
-        self,
-        accepted: configuration_versions.AcceptedConfiguration,
-        steps: abc.Sequence[configuration_versions.VersionStep] | None,
-    ) -> None:
-        """Keeps the steps to a version for those who will fetch it."""
-        if steps is None:
-            steps = [accepted.step] if accepted.step else []
-        if not steps:
-            self._steps.clear()
-        for step in steps:
-            self._steps.add(step)
-
     def status(self) -> list[configuration_api.VmInForce]:
         """Returns what each VM last said is in force there."""
         reachable = self._peers.reachable() | {self._me.vm_id}
@@ -265,9 +296,24 @@
                 await self._wake.wait()
 
     def _take_offered(self) -> None:
-        if self._offered is not None:
-            self._adopt(self._offered)
-            self._offered = None
+        offered, self._offered = self._offered, None
+        if offered is None:
+            return
+        base = self._accepted
+        if offered.step is not None and base is not None:
+            with contextlib.suppress(difference.UnfitDifferenceError):
+                reached = self._open(base).after(offered.step)
+                self._adopt_opened(reached, [offered.step])
+                return
+        self._adopt(offered)
+
+    def _open(
+        self, accepted: configuration_versions.AcceptedConfiguration
+    ) -> configuration_versions.OpenedVersion:
+        """Returns a version with its values, which are kept for the newest."""
+        if self._opened is None or self._opened.accepted is not accepted:
+            self._opened = configuration_versions.opened(accepted)
+        return self._opened
 
     def _look_at_replica(self) -> None:
         """Offers the newest version in this VM's root replica, if any."""
@@ -280,9 +326,13 @@
         log: configuration.ConfigurationLog = machine.component(
             configuration.COMPONENT_NAME
         )
-        if log.version > self._current.version and log.current is not None:
-            steps = log.steps_since(self._current.version)
-            self._adopt(log.current, steps or [])
+        if log.current is None or log.version <= self._current.version:
+            return
+        steps = log.steps_since(self._current.version)
+        if steps and log.opened is not None:
+            self._adopt_opened(log.opened, steps)
+        else:
+            self._adopt(log.current)
 
     def _on_applied(self, command: object) -> None:
         if isinstance(command, configuration.Push):
@@ -328,17 +378,45 @@
         base = self._accepted
         try:
             update = await ask(base.version if base else 0)
-            reached = await _reached(base, update)
+            reached = await self._reached(base, update.steps)
             if reached is None and update.steps:
                 update = await ask(0)
-                reached = update.whole
         except errors.LaburnumsillError as error:
             logs.event("configuration-fetch-failed", level="DEBUG", error=error)
             return False
-        if reached is not None:
-            self._adopt(reached, update.steps or None)
+        if update.whole is not None:
+            self._adopt(update.whole)
+        elif reached is not None:
+            self._adopt_opened(reached, update.steps)
         return True
 
+    async def _reached(
+        self,
+        base: configuration_versions.AcceptedConfiguration | None,
+        steps: abc.Sequence[configuration_versions.VersionStep],
+    ) -> configuration_versions.OpenedVersion | None:
+        """Returns what steps lead to from a version.
+
+        Returns:
+            None if there are no steps, or if they do not fit.
+        """
+        if base is None or not steps:
+            return None
+        try:
+            reached = self._open(base)
+            for step in steps:
+                reached = reached.after(step)
+                await trio.lowlevel.checkpoint()
+        except difference.UnfitDifferenceError as error:
+            logs.event(
+                "configuration-difference-unfit",
+                level="ERROR",
+                version=base.version,
+                error=error.detail,
+            )
+            return None
+        return reached
+
     async def _ask_peer(
         self, vm: str, version: int
     ) -> configuration_versions.ConfigurationUpdate:
@@ -407,8 +485,10 @@
         return self._accepted.digest if self._accepted else ""
 
     def _decoded(
-        self, accepted: configuration_versions.AcceptedConfiguration
-    ) -> current_configuration.Versioned | None:
+        self,
+        accepted: configuration_versions.AcceptedConfiguration,
+        decode: abc.Callable[[], configuration_models.Configuration],
+    ) -> configuration_models.Configuration | None:
         """Returns a version's models, None if this program has no use for it.
 
         A newer program may accept what this one cannot read; the version in
@@ -418,7 +498,7 @@
         if key in self._unusable:
             return None
         try:
-            models = canonical.decode(accepted.body)
+            return decode()
         except errors.InvalidConfigurationError as error:
             self._unusable = {key}
             logs.event(
@@ -428,9 +508,6 @@
                 error=error.detail,
             )
             return None
-        return current_configuration.Versioned(
-            accepted.version, accepted.digest, models
-        )
 
     def _status_of(
         self, vm: topology.Vm, reachable: abc.Set[str]
@@ -448,30 +525,3 @@
             said.version,
             said.digest,
         )
-
-
-async def _reached(
-    base: configuration_versions.AcceptedConfiguration | None,
-    update: configuration_versions.ConfigurationUpdate,
-) -> configuration_versions.AcceptedConfiguration | None:
-    """Returns what an update leads to from the version that it was asked for.
-
-    Returns:
-        None if it leads nowhere, or if its steps do not fit.
-    """
-    if base is None or update.whole is not None:
-        return update.whole
-    reached = base
-    try:
-        for step in update.steps:
-            reached = configuration_versions.after_step(reached, step)
-            await trio.lowlevel.checkpoint()
-    except difference.UnfitDifferenceError as error:
-        logs.event(
-            "configuration-difference-unfit",
-            level="ERROR",
-            version=reached.version,
-            error=error.detail,
-        )
-        return None
-    return reached
--- a/laburnumsill/daemon/tests/test_configuration_travel.py
+++ b/laburnumsill/daemon/tests/test_configuration_travel.py
@@ -106,6 +106,7 @@
             sync._accepted = support.dataclasses.replace(
                 sync._accepted, body=b"{}"
             )
+            sync._opened = None
         net.push()
         await trio.sleep(2)
         assert net.versions() == [2] * 4
--- a/laburnumsill/state/configuration.py
+++ b/laburnumsill/state/configuration.py
@@ -182,6 +182,7 @@
             configuration_versions.AcceptedConfiguration
         ] = collections.deque(maxlen=KEPT_BODIES)
         self._steps = configuration_versions.Steps()
+        self._opened: configuration_versions.OpenedVersion | None = None
 
     @property
     def name(self) -> str:
@@ -198,6 +199,17 @@
         """The number of the newest accepted version, 0 before the first."""
         return self._bodies[-1].version if self._bodies else 0
 
+    @property
+    def opened(self) -> configuration_versions.OpenedVersion | None:
+        """The newest accepted version with its values.
+
+        Raises:
+            difference.UnfitDifferenceError: Its body is no JSON.
+        """
+        if self._opened is None and self.current is not None:
+            self._opened = configuration_versions.opened(self.current)
+        return self._opened
+
     def commands(self) -> dict[type, replication.Handler]:
         """Returns a handler for each command type."""
         return {PushConfiguration: self.push, PushDifference: self.push}
@@ -233,7 +245,8 @@
         accepted = PushAccepted(
             self.version + 1, command.digest, command.operator, command.now
         )
-        self._keep(command.push_id, accepted, *self._body_of(command))
+        self._add(command, accepted)
+        self._keep(command.push_id, accepted)
         return accepted
 
     def read_since(
@@ -292,6 +305,7 @@
             maxlen=KEPT_BODIES,
         )
         self._steps = configuration_versions.Steps(snapshot.steps)
+        self._opened = None
 
     def _read_current(self, query: ReadCurrent) -> CurrentAnswer:
         return CurrentAnswer(self.current)
@@ -300,41 +314,48 @@
         digest = self.current.digest if self.current else ""
         return NewestAnswer(self.version, digest)
 
-    def _body_of(
-        self, command: Push
-    ) -> tuple[bytes, difference.Difference | None]:
-        """Returns the pushed body, and its difference if it came as one."""
+    def _add(self, command: Push, accepted: PushAccepted) -> None:
+        """Adds the pushed version, unless its difference does not fit."""
         if isinstance(command, PushConfiguration):
-            return command.body, None
-        base = self.current.body if self.current else b""
-        body = difference.apply_checked(base, command.change, command.digest)
-        _check_body(body, command.digest)
-        return body, command.change
-
-    def _keep(
-        self,
-        push_id: str,
-        accepted: PushAccepted,
-        body: bytes,
-        change: difference.Difference | None,
-    ) -> None:
-        self._answers.append(KeptAnswer(push_id, accepted))
-        self._by_push[push_id] = accepted
-        if len(self._answers) > KEPT_ANSWERS:
-            del self._by_push[self._answers.popleft().push_id]
-        newest = configuration_versions.AcceptedConfiguration(
+            self._add_whole(command, accepted)
+            return
+        base = self.opened
+        if base is None:
+            raise difference.UnfitDifferenceError("there is no version before")
+        step = configuration_versions.VersionStep(
             accepted.version,
             accepted.digest,
             accepted.operator,
             accepted.accepted_at,
-            body,
-            change,
+            command.change,
         )
-        self._bodies.append(newest)
-        if newest.step is not None:
-            self._steps.add(newest.step)
-        else:
-            self._steps.clear()
+        newest = base.after(step)
+        _check_body(newest.document.text, command.digest)
+        self._opened = newest
+        self._bodies.append(newest.accepted)
+        self._steps.add(step)
+
+    def _add_whole(
+        self, command: PushConfiguration, accepted: PushAccepted
+    ) -> None:
+        self._opened = None
+        self._steps.clear()
+        self._bodies.append(
+            configuration_versions.AcceptedConfiguration(
+                accepted.version,
+                accepted.digest,
+                accepted.operator,
+                accepted.accepted_at,
+                command.body,
+            )
+        )
+
+    def _keep(self, push_id: str, accepted: PushAccepted) -> None:
+        """Keeps the answer to a push for its resends."""
+        self._answers.append(KeptAnswer(push_id, accepted))
+        self._by_push[push_id] = accepted
+        if len(self._answers) > KEPT_ANSWERS:
+            del self._by_push[self._answers.popleft().push_id]
 
     def _conflict(self, command: Push) -> errors.LaburnumsillError:
         """Returns the error that names what was accepted instead.
--- a/laburnumsill/state/configuration_versions.py
+++ b/laburnumsill/state/configuration_versions.py
@@ -153,26 +153,43 @@
     return ConfigurationUpdate(whole=current)
 
 
-def after_step(
-    base: AcceptedConfiguration, step: VersionStep
-) -> AcceptedConfiguration:
-    """Returns the version that a step leads to.
+@dataclasses.dataclass(frozen=True, slots=True)
+class OpenedVersion:
+    """An accepted version with its values at hand, to lead on from."""
+
+    accepted: AcceptedConfiguration
+    document: difference.Document
+
+    def after(self, step: VersionStep) -> "OpenedVersion":
+        """Returns the version that a step leads to.
+
+        Raises:
+            difference.UnfitDifferenceError: It does not lead on from here.
+        """
+        if step.version != self.accepted.version + 1:
+            raise difference.UnfitDifferenceError(
+                f"version {step.version} does not follow"
+                f" {self.accepted.version}"
+            )
+        document = self.document.after_checked(step.change, step.digest)
+        accepted = AcceptedConfiguration(
+            step.version,
+            step.digest,
+            step.operator,
+            step.accepted_at,
+            document.text,
+            step.change,
+        )
+        return OpenedVersion(accepted, document)
+
+
+def opened(accepted: AcceptedConfiguration) -> OpenedVersion:
+    """Returns a version with its values.
 
     Raises:
-        difference.UnfitDifferenceError: It does not lead on from `base`.
+        difference.UnfitDifferenceError: Its body is no JSON.
     """
-    if step.version != base.version + 1:
-        raise difference.UnfitDifferenceError(
-            f"version {step.version} does not follow {base.version}"
-        )
-    return AcceptedConfiguration(
-        step.version,
-        step.digest,
-        step.operator,
-        step.accepted_at,
-        difference.apply_checked(base.body, step.change, step.digest),
-        step.change,
-    )
+    return OpenedVersion(accepted, difference.Document.parse(accepted.body))
 
 
 def without_given_bodies(
@@ -192,8 +209,12 @@
 ) -> list[AcceptedConfiguration]:
     """Returns the versions that `without_given_bodies` was given."""
     bodies: list[AcceptedConfiguration] = []
+    before: OpenedVersion | None = None
     for accepted in packed:
         if bodies and accepted.step is not None:
-            accepted = after_step(bodies[-1], accepted.step)
+            before = (before or opened(bodies[-1])).after(accepted.step)
+            accepted = before.accepted
+        else:
+            before = None
         bodies.append(accepted)
     return bodies
