Tell few VMs of a new version and ask for a status

Cause: each VM told all others of each version, 650 notices a version with 26 VMs; each round told only four VMs a second, so a status could be seconds old. Change: with more than eight others a VM tells those of its own failure domain, and one with a replica of the root group also the one VM of each other domain that fetches first. A status asks the reachable VMs that are behind as far as is known. Fetching is a module of its own. Ruled out: telling the failure domain's versions as one notice, since a domain has but three VMs.

--- a/laburnumsill/api/configuration.py
+++ b/laburnumsill/api/configuration.py
@@ -69,6 +69,10 @@
         """Returns an accepted version if it is at hand on this VM."""
         return None
 
+    async def refresh(self) -> None:
+        """Asks VMs for the version in force there before a status."""
+        await trio.lowlevel.checkpoint()
+
     @abc.abstractmethod
     def status(self) -> list[VmInForce]:
         """Returns what each VM last said is in force there."""
@@ -189,6 +193,7 @@
 
     async def status(self, request: requests.Request) -> responses.Response:
         """Returns which version is in force on each VM."""
+        await self._sync.refresh()
         vms = self._sync.status()
         accepted = await self._accepted_version()
         newest = max([accepted or 0, *(vm.version for vm in vms)])
--- a/laburnumsill/daemon/configuration_sync.py
+++ b/laburnumsill/daemon/configuration_sync.py
@@ -7,9 +7,10 @@
     older one never is. On a VM with a disk a version is synced before it is
     in force, so that a restart does not go back behind it.
 
-    A VM tells all others its version when it changes, and a few of them, in
-    turn, every second, which covers notices that were lost at a cost that
-    does not grow with the number of VMs. A VM that hears of a newer version
+    A VM tells others its version when it changes, all or those that fetch
+    it first, see `configuration_recipients`, and a few of them, in turn,
+    every second, which covers notices that were lost at a cost that does
+    not grow with the number of VMs. A VM that hears of a newer version
     fetches the differences from its own to it from one that has it, checks
     the digest after each, and fetches it whole where there are none.
 
@@ -41,7 +42,9 @@
 from laburnumsill.core import logs
 from laburnumsill.core import replication
 from laburnumsill.core import topology
+from laburnumsill.daemon import configuration_fetch
 from laburnumsill.daemon import configuration_file
+from laburnumsill.daemon import configuration_recipients
 from laburnumsill.daemon import configuration_sources
 from laburnumsill.state import configuration
 from laburnumsill.state import configuration_versions
@@ -53,22 +56,16 @@
 TELL_S = 1.0
 """Time between two rounds of telling some VMs the version in force."""
 
-TELL_VMS = 4
-"""How many VMs are told in one round."""
-
 FETCH_TIMEOUT_S = 1.0
 """Time that a peer has to answer with a version."""
 
+REFRESH_TIMEOUT_S = 1.0
+"""Time that a peer has to tell its version to a status."""
+
 QUORUM_PREFERRED_S = 3.0
 """Time at the start in which only a quorum's answer counts."""
 
 
-Ask = abc.Callable[
-    [int], abc.Awaitable[configuration_versions.ConfigurationUpdate]
-]
-"""Asks for what leads on from a version, 0 for the whole."""
-
-
 @codec.register("configuration.in-force")
 @dataclasses.dataclass(frozen=True, slots=True)
 class InForceNotice:
@@ -79,6 +76,12 @@
     digest: str
 
 
+@codec.register("configuration.read-in-force")
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadInForce:
+    """Asks a VM for its `InForceNotice`."""
+
+
 @codec.register("configuration.fetch")
 @dataclasses.dataclass(frozen=True, slots=True)
 class FetchInForce:
@@ -118,7 +121,7 @@
     ) -> None:
         self._me = me
         self._vms = vms
-        self._others = [vm.vm_id for vm in vms if vm.vm_id != me.vm_id]
+        self._recipients = configuration_recipients.Recipients(me, vms)
         self._groups = groups
         self._peers = peers
         self._current = current
@@ -141,11 +144,11 @@
         self._observed: replication.StateMachine | None = None
         self._sources = configuration_sources.Sources(me, vms, clock)
         self._tell_at = 0.0
-        self._turn = 0
         self._wake = trio.Event()
         self._ready = trio.Event()
         peers.on_notice(InForceNotice, self._on_notice)
         peers.on_call(FetchInForce, self._on_fetch)
+        peers.on_call(ReadInForce, self._on_read)
 
     @property
     def ready(self) -> bool:
@@ -241,13 +244,45 @@
             digest=accepted.digest,
             operator=accepted.operator,
         )
-        self._tell(self._others)
+        self._tell(
+            self._recipients.of_new(
+                accepted.version,
+                self._peers.reachable(),
+                self._groups.local(ids.ROOT_GROUP) is not None,
+            )
+        )
 
     def status(self) -> list[configuration_api.VmInForce]:
         """Returns what each VM last said is in force there."""
         reachable = self._peers.reachable() | {self._me.vm_id}
         return [self._status_of(vm, reachable) for vm in self._vms]
 
+    async def refresh(self) -> None:
+        """Asks the reachable VMs that are behind as far as known here."""
+        notices = self._said.values()
+        newest = max(
+            [self._current.version, *(said.version for said in notices)]
+        )
+        async with trio.open_nursery() as nursery:
+            for vm in self._peers.reachable() - {self._me.vm_id}:
+                said = self._said.get(vm)
+                if said is None or said.version < newest:
+                    nursery.start_soon(self._refresh_from, vm)
+
+    async def _refresh_from(self, vm: str) -> None:
+        deadline = self._clock.monotonic() + REFRESH_TIMEOUT_S
+        try:
+            notice = await self._peers.call(vm, ReadInForce(), deadline)
+        except errors.LaburnumsillError as error:
+            logs.event(
+                "configuration-status-failed",
+                level="DEBUG",
+                peer=vm,
+                error=error,
+            )
+            return
+        self._on_notice(notice)
+
     async def run(self) -> None:
         """Runs until cancelled.
 
@@ -366,7 +401,7 @@
 
         await self._update_by(ask)
 
-    async def _update_by(self, ask: Ask) -> bool:
+    async def _update_by(self, ask: configuration_fetch.Ask) -> bool:
         """Fetches what is newer, by differences and else whole.
 
         Returns:
@@ -375,48 +410,17 @@
         Raises:
             errors.StorageError: This VM could not sync what it got.
         """
-        base = self._accepted
-        try:
-            update = await ask(base.version if base else 0)
-            reached = await self._reached(base, update.steps)
-            if reached is None and update.steps:
-                update = await ask(0)
-        except errors.LaburnumsillError as error:
-            logs.event("configuration-fetch-failed", level="DEBUG", error=error)
+        fetched = await configuration_fetch.fetch(
+            ask, self._accepted, self._open
+        )
+        if fetched is None:
             return False
-        if update.whole is not None:
-            self._adopt(update.whole)
-        elif reached is not None:
-            self._adopt_opened(reached, update.steps)
+        if fetched.reached is not None:
+            self._adopt_opened(fetched.reached, fetched.steps)
+        elif fetched.whole is not None:
+            self._adopt(fetched.whole)
         return True
 
-    async def _reached(
-        self,
-        base: configuration_versions.AcceptedConfiguration | None,
-        steps: abc.Sequence[configuration_versions.VersionStep],
-    ) -> configuration_versions.OpenedVersion | None:
-        """Returns what steps lead to from a version.
-
-        Returns:
-            None if there are no steps, or if they do not fit.
-        """
-        if base is None or not steps:
-            return None
-        try:
-            reached = self._open(base)
-            for step in steps:
-                reached = reached.after(step)
-                await trio.lowlevel.checkpoint()
-        except difference.UnfitDifferenceError as error:
-            logs.event(
-                "configuration-difference-unfit",
-                level="ERROR",
-                version=base.version,
-                error=error.detail,
-            )
-            return None
-        return reached
-
     async def _ask_peer(
         self, vm: str, version: int
     ) -> configuration_versions.ConfigurationUpdate:
@@ -441,24 +445,20 @@
     def _tell_in_turn(self) -> None:
         """Tells the next few VMs once a round is due."""
         now = self._clock.monotonic()
-        if now < self._tell_at or not self._others:
-            return
-        self._tell_at = now + TELL_S
-        count = min(TELL_VMS, len(self._others))
-        turn = [
-            self._others[(self._turn + offset) % len(self._others)]
-            for offset in range(count)
-        ]
-        self._turn = (self._turn + count) % len(self._others)
-        self._tell(turn)
+        if now >= self._tell_at:
+            self._tell_at = now + TELL_S
+            self._tell(self._recipients.of_round())
 
     def _tell(self, vms: abc.Iterable[str]) -> None:
-        notice = InForceNotice(
-            self._me.vm_id, self._current.version, self._digest()
-        )
+        notice = self._notice()
         for vm in vms:
             self._peers.notify(vm, notice)
 
+    def _notice(self) -> InForceNotice:
+        return InForceNotice(
+            self._me.vm_id, self._current.version, self._digest()
+        )
+
     def _on_notice(self, notice: InForceNotice) -> None:
         self._said[notice.vm] = notice
         if notice.version > self._current.version:
@@ -474,6 +474,9 @@
                 there=notice.digest,
             )
 
+    async def _on_read(self, request: ReadInForce) -> InForceNotice:
+        return self._notice()
+
     async def _on_fetch(
         self, request: FetchInForce
     ) -> configuration_versions.ConfigurationUpdate:
@@ -513,9 +516,7 @@
         self, vm: topology.Vm, reachable: abc.Set[str]
     ) -> configuration_api.VmInForce:
         if vm == self._me:
-            said = InForceNotice(
-                vm.vm_id, self._current.version, self._digest()
-            )
+            said = self._notice()
         else:
             said = self._said.get(vm.vm_id, InForceNotice(vm.vm_id, 0, ""))
         return configuration_api.VmInForce(
--- a/laburnumsill/daemon/tests/test_configuration_travel.py
+++ b/laburnumsill/daemon/tests/test_configuration_travel.py
@@ -4,6 +4,7 @@
 from laburnumsill.config import difference
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import topology
+from laburnumsill.daemon import configuration_recipients
 from laburnumsill.daemon import configuration_sources
 from laburnumsill.daemon import configuration_sync
 from laburnumsill.daemon.tests import test_configuration_sync as support
@@ -146,3 +147,53 @@
         assert one.choose(8, 6, {"far"}, reachable) == "far"
     again = [one.choose(9, 8, {"far"}, reachable) for one in all_sources]
     assert again.count("far") == 1
+
+
+def of_new(vms, version, replicas, reachable):
+    """Returns who is told by whom of a version that all VMs get."""
+    told = {}
+    for vm in vms:
+        recipients = configuration_recipients.Recipients(vm, vms)
+        told[vm.vm_id] = recipients.of_new(
+            version, reachable, vm.vm_id in replicas
+        )
+    return told
+
+
+def test_at_two_year_size_few_are_told_and_none_is_missed():
+    vms = [
+        topology.Vm(f"n{n:02}", f"d{n % 9}", "", "", False) for n in range(26)
+    ]
+    names = {vm.vm_id for vm in vms}
+    lost = {"n06", "n15", "n22"}
+    for version in range(1, 40):
+        told = of_new(vms, version, {"n00", "n01", "n02"}, names - lost)
+        assert sum(map(len, told.values())) < 26 * 4
+        reached = {"n00", "n01", "n02"}
+        while True:
+            more = {to for at in reached - lost for to in told[at]} - reached
+            if not more:
+                break
+            reached |= more
+        assert reached == names
+    recipients = configuration_recipients.Recipients(vms[3], vms)
+    rounds = {vm for _ in range(7) for vm in recipients.of_round()}
+    assert rounds == names - {"n03"}
+
+
+def test_on_a_small_site_all_are_told():
+    told = of_new(support.VMS, 1, set(), set())
+    assert all(len(others) == 3 for others in told.values())
+
+
+async def test_a_status_asks_those_that_are_behind(autojump_clock):
+    net = Net()
+    async with support.running(*net.site.syncs.values()):
+        await settled(net)
+        sync = net.site.syncs["vm1"]
+        sync._said.clear()
+        net.site.cut.add("vm3")
+        assert {vm.version for vm in sync.status()} == {0, 1}
+        await sync.refresh()
+        versions = {vm.vm: vm.version for vm in sync.status()}
+        assert versions == {"vm0": 1, "vm1": 1, "vm2": 1, "vm3": 0}
