--- a/laburnumsill/jobs/gangs.py
+++ b/laburnumsill/jobs/gangs.py
@@ -42,9 +42,19 @@
     title = "A member of the gang failed"
 
     def __init__(
-        self, detail: str, worker_id: str = "", reason: str = ""
+        self,
+        detail: str,
+        *,
+        worker_id: str = "",
+        reason: str = "",
+        retry_after_s: float | None = None,
     ) -> None:
-        super().__init__(detail, worker_id=worker_id, reason=reason)
+        super().__init__(
+            detail,
+            retry_after_s=retry_after_s,
+            worker_id=worker_id,
+            reason=reason,
+        )
         self.worker_id = worker_id
         self.reason = StopReason(reason or StopReason.REFUSED)
 
@@ -104,10 +114,26 @@
             for number, slot in enumerate(job.slots)
         ]
 
-    def address(self, worker_id: str) -> str | None:
-        """Returns where a worker takes calls, or None if it is unknown."""
+    async def throttle(
+        self, worker_id: str, task_id: str, epoch: int, share: float
+    ) -> None:
+        """Lets a task run at a part of full speed.
+
+        Raises:
+            errors.LaburnumsillError: The worker is unknown or did not do it.
+        """
         worker = self._domain.ledger.book.pool.workers.get(worker_id)
-        return worker.announced.address if worker is not None else None
+        if worker is None:
+            raise errors.NotFoundError(f"no worker {worker_id!r}")
+        await self._client.act(
+            worker.announced.address,
+            Action.THROTTLE,
+            task_id,
+            epoch,
+            self._granter.until,
+            self._clock.monotonic() + ATTEMPT_TIMEOUT_S,
+            share,
+        )
 
     async def start(self, job_id: str, epoch: int) -> None:
         """Prepares all members, commits that, and starts them."""
@@ -290,8 +316,8 @@
                 if self._clock.monotonic() >= deadline:
                     raise StepFailedError(
                         error.detail,
-                        member.slot.worker_id,
-                        StopReason.UNREACHABLE,
+                        worker_id=member.slot.worker_id,
+                        reason=StopReason.UNREACHABLE,
                     ) from error
             await trio.sleep(RETRY_PAUSE_S)
 
@@ -376,7 +402,9 @@
 
 
 def _failed(member: Member, detail: str) -> StepFailedError:
-    return StepFailedError(detail, member.slot.worker_id, StopReason.REFUSED)
+    return StepFailedError(
+        detail, worker_id=member.slot.worker_id, reason=StopReason.REFUSED
+    )
 
 
 def _order(
--- a/laburnumsill/platform/tests/test_backend.py
+++ b/laburnumsill/platform/tests/test_backend.py
@@ -125,7 +125,7 @@
             nursery.start_soon(send, 0.5)
             await trio.sleep(0.1)
             nursery.start_soon(send, 0.1)
-        assert ends == [backend.NotSentError, backend.AnswerLostError]
+        assert ends == [backend.NotSentError, backend.AnswerLateError]
 
 
 async def test_closed_after_the_request_may_have_run():
@@ -154,3 +154,15 @@
         client = make_client()
         with pytest.raises(error):
             await exchange(client, server, seconds=0.2)
+
+
+async def test_idle_connections_to_servers_that_are_gone_are_closed():
+    script = Scripted(OK, OK)
+    async with script.running() as server:
+        client = make_client()
+        await exchange(client, server)
+        await client.tidy(frozenset({server.address}))
+        await client.tidy(frozenset())
+        await exchange(client, server)
+        await client.aclose()
+    assert script.connections == 2
