--- a/laburnumsill/requests/dispatch.py
+++ b/laburnumsill/requests/dispatch.py
@@ -322,7 +322,7 @@
             raise errors.NoServerError(
                 f"no backend server of {request.service!r} can take requests"
             )
-        candidates, why = self._candidates(request, usable, number)
+        candidates, why = self._candidates(request, usable, tries.count + 1)
         state = self._policies.chooser.choose(candidates)
         logs.decision(
             "request-routed",
