Prove what a cut off failure domain goes on serving

Cause: no test had the callers of a cut off domain; the one there is looks from outside.

Change: a layout may put a proxy link before each backend server, so that a partition also cuts the way to servers. The test cuts north's two VMs from all others and from the servers of the other domains.

--- a/laburnumsill/testing/cluster.py
+++ b/laburnumsill/testing/cluster.py
@@ -46,6 +46,7 @@
     accelerators: int = 8
     service: str = "booking"
     replace_after_s: float = 3600.0
+    linked_servers: bool = False
     worker_fields: abc.Mapping[str, typing.Any] = dataclasses.field(
         default_factory=dict
     )
@@ -341,6 +342,10 @@
         far = [vm.client for vm in self._vms.values() if vm.domain != domain]
         address = processes.free_addresses(1)[0]
         self._member_addresses[name] = address
+        if self._layout.linked_servers and name.startswith("server-"):
+            self._proxy.add_link(name, "127.0.0.1:0", address)
+            listen = self._proxy.status(name).listen
+            fields = {**fields, "announced_address": listen}
         fields = {
             "id": name,
             "address": address,
--- a/laburnumsill/testing/tests/test_request_servers.py
+++ b/laburnumsill/testing/tests/test_request_servers.py
@@ -8,12 +8,17 @@
 import trio
 
 from laburnumsill.testing import cluster
+from laburnumsill.testing import proxy
 from laburnumsill.testing import scenario
 
 SITE = cluster.Layout(servers=2)
 WORK_LIMIT_S = 3.0
 """Source: the brief, "no new work after a few seconds"."""
 
+REFUSED_WITHIN_S = 2.0
+"""Longest wait for a refusal of what cannot be served."""
+
+BLACK_HOLE = proxy.Fault(proxy.Mode.DROP)
 LOST = (
     httpcore.NetworkError,
     httpcore.TimeoutException,
@@ -256,3 +261,56 @@
         assert outcomes["unknown"] > 0, outcomes
         for key, runs in (await scenario.runs(site)).items():
             assert runs == 1 or key.startswith("offer"), key
+
+
+async def test_a_cut_off_domain_serves_its_callers_with_its_own_servers(
+    tmp_path: pathlib.Path,
+):
+    layout = cluster.Layout(
+        domains={"north": 2, "east": 1, "south": 1},
+        servers=1,
+        linked_servers=True,
+    )
+    own, far = "server-north-0", ("server-east-0", "server-south-0")
+    async with cluster.running(tmp_path, layout) as site:
+        await scenario.start_site(site)
+        north = site.vms_of("north")
+        site.isolate(north, BLACK_HOLE)
+        for name in far:
+            site.proxy.set_fault(name, BLACK_HOLE)
+        await site.until_led("domain.north", north)
+        await trio.sleep(2)
+
+        for answer in await offers(site, 40, north):
+            assert answer.json()["server_id"] == own
+        waits, run, refused = [], set(), set()
+        for number in range(24):
+            key = f"cut-{number}"
+            begun = time.monotonic()
+            answer = await scenario.request(
+                site, north[number % 2], "confirm", key
+            )
+            if answer.outcome == "answered":
+                run.add(key)
+                continue
+            waits.append(time.monotonic() - begun)
+            assert answer.status == 503, answer.body
+            # Nothing was sent, but an earlier send of the key may have been
+            # run, and only its cut off home could tell.
+            assert answer.outcome in ("not-run", "unknown"), answer.body
+            assert "retry-after" in answer.headers
+            refused.add(key)
+        print(len(run), len(refused), max(waits))
+        assert run
+        assert refused
+        assert max(waits) < REFUSED_WITHIN_S, waits
+        assert await scenario.runs(site) == dict.fromkeys(run, 1)
+
+        site.process(own).kill()
+        await trio.sleep(WORK_LIMIT_S)
+        for vm_id in north:
+            begun = time.monotonic()
+            answer = await scenario.request(site, vm_id, "offer")
+            assert time.monotonic() - begun < REFUSED_WITHIN_S
+            assert (answer.status, answer.outcome) == (503, "not-run")
+            assert "retry-after" in answer.headers
