Bound the memory of request bodies, and take what refused callers still send

Where a request is refused before its body is read, nobody took the pieces that went on coming: hypercorn's queue of ten pieces fills, and then both its reader and the answer's end wait for room for ever.

Ruled out: a smaller limit for one body (it is the operator's); counting connections (the platform's balancer holds many idle ones).

Change: one VM holds 32 MB of request bodies, from the first byte to the end of the answer; above that a request is refused with 503 overloaded, not run. A body is one buffer, not a list of pieces of any size. The rest of a refused body is thrown away until the caller's connection ends. The HTTP server keeps two pieces for each exchange instead of ten. The body of an operator's or member's call has 10 s to arrive.

Not done: operators' bodies of up to 4 MB are not counted together.

--- a/laburnumsill/api/problems.py
+++ b/laburnumsill/api/problems.py
@@ -10,6 +10,7 @@
 
 import orjson
 import pydantic
+import trio
 from starlette import requests
 from starlette import responses
 
@@ -21,6 +22,9 @@
 MAX_OPERATOR_BODY_BYTES = 4 * 1024 * 1024
 """Largest JSON body of an operator's or member's call."""
 
+BODY_TIMEOUT_S = 10.0
+"""Longest time for the body of an operator's or member's call to arrive."""
+
 ModelT = typing.TypeVar("ModelT", bound=pydantic.BaseModel)
 Endpoint = abc.Callable[[requests.Request], abc.Awaitable[responses.Response]]
 
@@ -62,15 +66,16 @@
 
     Raises:
         errors.TooLargeError: The body is longer than `limit` bytes.
+        errors.DeadlinePassedError: It took longer than `BODY_TIMEOUT_S`.
     """
-    chunks = []
-    size = 0
-    async for chunk in request.stream():
-        size += len(chunk)
-        if size > limit:
-            raise errors.TooLargeError(f"the body is over {limit} bytes")
-        chunks.append(chunk)
-    return b"".join(chunks)
+    body = bytearray()
+    with trio.move_on_after(BODY_TIMEOUT_S):
+        async for chunk in request.stream():
+            if len(body) + len(chunk) > limit:
+                raise errors.TooLargeError(f"the body is over {limit} bytes")
+            body += chunk
+        return bytes(body)
+    raise errors.DeadlinePassedError("the body did not arrive in time")
 
 
 async def read_model(request: requests.Request, model: type[ModelT]) -> ModelT:
--- a/laburnumsill/api/services.py
+++ b/laburnumsill/api/services.py
@@ -27,6 +27,9 @@
 MAX_HEADER_BYTES = 16 * 1024
 """Names and values of all headers of a request."""
 
+REFUSED_BODY_S = 5.0
+"""Time in which the rest of a refused body is thrown away."""
+
 Scope = abc.MutableMapping[str, typing.Any]
 Receive = abc.Callable[[], abc.Awaitable[abc.MutableMapping[str, typing.Any]]]
 Send = abc.Callable[[abc.MutableMapping[str, typing.Any]], abc.Awaitable[None]]
@@ -63,7 +66,9 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(caller.watch, nursery.cancel_scope)
             await self._serve(scope, caller, request_id)
-            nursery.cancel_scope.cancel()
+            if not caller.body_refused:
+                nursery.cancel_scope.cancel()
+            nursery.cancel_scope.deadline = trio.current_time() + REFUSED_BODY_S
 
     async def _serve(
         self, scope: Scope, caller: "_Caller", request_id: str
@@ -101,6 +106,12 @@
         self._send = send
         self._head_only = head_only
         self._body_read = trio.Event()
+        self._body_refused = False
+
+    @property
+    def body_refused(self) -> bool:
+        """Whether the answer began before the body was read."""
+        return self._body_refused
 
     async def body(self) -> abc.AsyncIterator[bytes]:
         """Yields the body as it arrives."""
@@ -114,7 +125,11 @@
                 return
 
     async def watch(self, scope: trio.CancelScope) -> None:
-        """Cancels `scope` once the caller is gone."""
+        """Cancels `scope` once the caller is gone.
+
+        It throws away what comes of a body that was refused: the server
+        stops, and keeps its memory, where nobody takes the pieces.
+        """
         await self._body_read.wait()
         while (await self._receive())["type"] != "http.disconnect":
             pass
@@ -139,6 +154,9 @@
         self, error: errors.LaburnumsillError, request_id: str
     ) -> None:
         """Tells the caller of an error and of the request's outcome."""
+        if not self._body_read.is_set():
+            self._body_refused = True
+            self._body_read.set()
         response = problems.problem(error)
         outcome = answers.outcome_of(error)
         passed = [
--- a/laburnumsill/daemon/server.py
+++ b/laburnumsill/daemon/server.py
@@ -13,6 +13,8 @@
 MAX_HEADER_BYTES = 32 * 1024
 KEEP_ALIVE_S = 60
 LISTEN_BACKLOG = 512
+MAX_BODY_PIECES = 2
+"""Pieces of a body, 64 KB at most, that wait to be read."""
 
 
 class _EventHandler(logging.Handler):
@@ -61,6 +63,7 @@
     config.keep_alive_timeout = KEEP_ALIVE_S
     config.graceful_timeout = stop_grace_s
     config.backlog = LISTEN_BACKLOG
+    config.max_app_queue_size = MAX_BODY_PIECES
     config.include_server_header = False
     await hypercorn.trio.serve(
         application,
--- a/laburnumsill/requests/router.py
+++ b/laburnumsill/requests/router.py
@@ -98,6 +98,7 @@
             clock,
         )
         self._accept = accept.AcceptFilter(groups, clock)
+        self._body_memory = read.BodyMemory()
         self._draining = False
         self._in_flight = 0
 
@@ -156,12 +157,13 @@
                 `answer.outcome_of` tells what became of the request.
         """
         self._in_flight += 1
+        held = self._body_memory.hold()
         try:
-            result = await self._answer(head, body)
+            result = await self._answer(head, body, held)
         except BaseException:
-            self._in_flight -= 1
+            self._end(held)
             raise
-        result.also_on_close(self._ended)
+        result.also_on_close(functools.partial(self._ended, held))
         return result
 
     async def known(self, key: str) -> lookup.Known:
@@ -179,7 +181,10 @@
         return await self._run_once(request)
 
     async def _answer(
-        self, head: messages.RequestHead, body: abc.AsyncIterator[bytes]
+        self,
+        head: messages.RequestHead,
+        body: abc.AsyncIterator[bytes],
+        held: read.HeldBody,
     ) -> messages.Answer:
         request = None
         outcome = "error"
@@ -191,6 +196,7 @@
                     classified.service.max_body_bytes,
                     self._clock,
                     classified.deadline,
+                    held,
                 )
             )
             result = await self._run(request)
@@ -272,8 +278,12 @@
             account=account,
         )
 
-    async def _ended(self) -> None:
+    async def _ended(self, held: read.HeldBody) -> None:
+        self._end(held)
+
+    def _end(self, held: read.HeldBody) -> None:
         self._in_flight -= 1
+        held.release()
 
 
 async def _release(exchange: dispatch.Exchange, permit: admit.Permit) -> None:
--- a/laburnumsill/testing/tests/test_bad_input.py
+++ b/laburnumsill/testing/tests/test_bad_input.py
@@ -21,10 +21,9 @@
 
 async def raw(address, request, timeout_s=10):
     """Sends bytes and returns all that comes back until the end."""
-    host, port = address.rsplit(":", 1)
     received = b""
     with trio.move_on_after(timeout_s):
-        stream = await trio.open_tcp_stream(host, int(port))
+        stream = await trio.open_tcp_stream(*split(address))
         async with stream:
             with contextlib.suppress(trio.BrokenResourceError):
                 await stream.send_all(request)
@@ -34,6 +33,12 @@
     return received
 
 
+def split(address):
+    """Returns host and port of an address."""
+    host, port = address.rsplit(":", 1)
+    return host, int(port)
+
+
 def message(method, path, *headers, body=b"", length=None):
     """Returns a request as it goes over the wire."""
     lines = [
@@ -217,3 +222,99 @@
         await trio.sleep(1)
         check_unharmed(site)
         await site.until_status("vm1", "/readyz")
+
+
+SLOW = 150
+"""Connections that are held open without a whole request."""
+
+MEMORY_LIMIT = 300 * MB
+"""60 MB of the daemon's own, 32 MB of bodies, and some 0.6 MB of buffers for
+each of 300 connections; the 300 bodies alone would be 300 MB."""
+
+
+async def slow_caller(address, request, piece):
+    """Sends a request whose body trickles in; returns what came back."""
+    received = b""
+    stream = await trio.open_tcp_stream(*split(address))
+    async with stream, trio.open_nursery() as nursery:
+
+        async def trickle():
+            with contextlib.suppress(trio.BrokenResourceError):
+                await stream.send_all(request)
+                while True:
+                    await trio.sleep(0.2)
+                    await stream.send_all(piece)
+
+        nursery.start_soon(trickle)
+        with contextlib.suppress(trio.BrokenResourceError):
+            async for part in stream:
+                received += part
+        nursery.cancel_scope.cancel()
+    return received
+
+
+async def test_half_sent_and_trickling_requests_hold_up_nobody(
+    tmp_path: pathlib.Path,
+):
+    timeout = "Laburnumsill-Timeout-Ms: 3000"
+    trickling = message("POST", RUN, OFFER, timeout, length=100_000)
+    async with cluster.running(tmp_path, SITE) as site:
+        await scenario.start_site(site)
+        address = site.address("vm1")
+        answers = []
+
+        async def one():
+            answers.append(await slow_caller(address, trickling, b"x"))
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(SLOW):
+                nursery.start_soon(one)
+            halves = []
+            for number in range(SLOW):
+                stream = await trio.open_tcp_stream(*split(address))
+                await stream.send_all(trickling[: 10 + number])
+                halves.append(stream)
+            for _ in range(20):
+                answer = await scenario.request(site, "vm1", "offer")
+                assert answer.outcome == "answered"
+            for stream in halves:
+                await trio.aclose_forcefully(stream)
+            nursery.cancel_scope.deadline = trio.current_time() + 30
+        assert len(answers) == SLOW
+        for received in answers:
+            check_answer("trickling", received, 400, "deadline-passed")
+            assert b"not-run" in received.lower()
+        check_unharmed(site)
+
+
+async def test_bodies_that_never_end_leave_the_memory_bounded(
+    tmp_path: pathlib.Path,
+):
+    timeout = "Laburnumsill-Timeout-Ms: 8000"
+    almost = message(
+        "POST", RUN, OFFER, timeout, body=b"x" * (MB - 1), length=MB
+    )
+    async with cluster.running(tmp_path, SITE) as site:
+        await scenario.start_site(site)
+        address = site.address("vm1")
+        answers, most = [], [0]
+
+        async def one():
+            answers.append(await slow_caller(address, almost, b""))
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(2 * SLOW):
+                nursery.start_soon(one)
+            with trio.move_on_after(40):
+                while len(answers) < 2 * SLOW:
+                    most[0] = max(most[0], memory(site, "vm1"))
+                    await trio.sleep(0.05)
+            nursery.cancel_scope.cancel()
+        print(most[0] / MB, len(answers))
+        assert len(answers) == 2 * SLOW
+        assert most[0] < MEMORY_LIMIT
+        statuses = {received.split()[1] for received in answers if received}
+        assert statuses <= {b"400", b"503"}
+        answer = await scenario.request(site, "vm1", "offer")
+        assert answer.outcome == "answered"
+        check_unharmed(site)
