--- a/laburnumsill/requests/read.py
+++ b/laburnumsill/requests/read.py
@@ -74,23 +74,24 @@
             UnreadError: In place of the last two, where there may have been
                 an earlier send.
         """
-        parts: list[bytes] = []
+        # One buffer, for a list of small pieces takes many times their size.
+        held = bytearray()
         try:
             try:
-                await self._read(classified, chunks, parts)
+                await self._read(classified, chunks, held)
             except (errors.OverloadedError, errors.DeadlinePassedError) as err:
                 if classified.needs_key:
                     raise UnreadError(err.detail) from err
                 raise
-            yield classified.with_body(b"".join(parts))
+            yield classified.with_body(bytes(held))
         finally:
-            self._release(classified.account, sum(map(len, parts)))
+            self._release(classified.account, len(held))
 
     async def _read(
         self,
         classified: classify.Classified,
         chunks: abc.AsyncIterator[bytes],
-        parts: list[bytes],
+        held: bytearray,
     ) -> None:
         limit = classified.service.max_body_bytes
         size = 0
@@ -103,7 +104,7 @@
                         f"the body is over {limit} bytes"
                     )
                 self._hold(classified.account, len(chunk))
-                parts.append(chunk)
+                held += chunk
             return
         raise errors.DeadlinePassedError("the body did not arrive in time")
 
