End the lead, not the daemon, when a lease cannot be extended; prove partitions

Cause: the watch and the throttle raised NotLeadingError out of the scheduler when the lead was lost while a proposal was under way; the whole daemon ended (daemon-failed, seen after a freeze of two of three voters: test_a_quorum_frozen_past_its_leases_stops_its_gangs_whole failed, the gang was never placed again within 60 s). Change: such an error ends the lead; the scheduler follows and may lead again. Seen once under load: test_scheduler.py test_a_cancelled_job_never_runs_again failed and passed alone, with and without this change.

--- a/laburnumsill/jobs/scheduler.py
+++ b/laburnumsill/jobs/scheduler.py
@@ -94,8 +94,9 @@
             self._overuse,
         )
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(lead.watch.run)
-            nursery.start_soon(lead.throttle)
+            scope = nursery.cancel_scope
+            nursery.start_soon(_while_leading, lead.watch.run, scope)
+            nursery.start_soon(_while_leading, lead.throttle, scope)
             while self._access.leads and self._access.term == term:
                 self._observe()
                 self._wake = trio.Event()
@@ -141,6 +142,16 @@
 """Commands after which the planner may have something to do."""
 
 
+async def _while_leading(
+    task: abc.Callable[[], abc.Awaitable[None]], scope: trio.CancelScope
+) -> None:
+    """Runs a task; if it finds that the lead is lost, all that leads ends."""
+    try:
+        await task()
+    except* access.NotLeadingError:
+        scope.cancel()
+
+
 class _Lead:
     """What a scheduler does and knows while it leads."""
 
--- a/laburnumsill/testing/cluster.py
+++ b/laburnumsill/testing/cluster.py
@@ -35,6 +35,8 @@
         service: The service of the backend servers.
         replace_after_s: Silence after which a VM is replaced.
         worker_fields: Further settings of every fake worker.
+        bare: Failure domains without backend servers and workers.
+        near_only: Whether members announce themselves only in their domain.
     """
 
     domains: abc.Mapping[str, int] = dataclasses.field(
@@ -49,6 +51,8 @@
     worker_fields: abc.Mapping[str, typing.Any] = dataclasses.field(
         default_factory=dict
     )
+    bare: abc.Set[str] = frozenset()
+    near_only: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,6 +84,12 @@
         """The ids of all VMs."""
         return list(self._vms)
 
+    @property
+    def _furnished(self) -> list[str]:
+        """The domains that have backend servers and workers."""
+        layout = self._layout
+        return [name for name in layout.domains if name not in layout.bare]
+
     @property
     def proxy(self) -> proxies.Proxy:
         """The proxy that the links between VMs lead through."""
@@ -128,7 +138,7 @@
         self._write_vms()
         for vm_id in self._vms:
             self.start_vm(vm_id)
-        for domain in self._layout.domains:
+        for domain in self._furnished:
             for number in range(self._layout.servers):
                 self._start_server(domain, number)
             for number in range(self._layout.workers):
@@ -254,7 +264,7 @@
 
     async def until_members(self, vm_id: str) -> None:
         """Waits until a VM knows all backend servers and workers."""
-        domains = len(self._layout.domains)
+        domains = len(self._furnished)
 
         async def known() -> bool:
             client = self.client(vm_id)
@@ -339,6 +349,8 @@
         domain = fields["domain"]
         near = [self._vms[vm_id].client for vm_id in self.vms_of(domain)]
         far = [vm.client for vm in self._vms.values() if vm.domain != domain]
+        if self._layout.near_only:
+            far = []
         address = processes.free_addresses(1)[0]
         self._member_addresses[name] = address
         fields = {
