Set a worker that gives no answer aside by one job; prove a leader cut off

Cause: a job was placed on the same worker, whose task interface hung, again and again: 10 epochs in 60 s with two free workers beside it (test_a_leader_cut_off_prolongs_no_lease failed with that). Only distinct jobs counted, and the job itself is not to blame for silence. Ruled out: a list of workers to avoid in each job; every other job would find the same worker again. Change: each silence of a worker counts against it, also with one job. New test: the home leader cut off (it still reaches the workers) or frozen, a member killed, another deaf to stop and prepare: the deaf one ends with its lease before the next epoch runs. check_gangs takes a wider stop_spread_s for just this case of three failures at once (new leader, then a lease to find the loss, then a lease to end); the default is as strict as before.

--- a/laburnumsill/state/jobs.py
+++ b/laburnumsill/state/jobs.py
@@ -309,7 +309,10 @@
                 self._worker_back(name)
         suspect = command.reason != StopReason.OVER_USE
         if worker is not None and suspect:
-            aside = jobs_health.blame_worker(job, worker, limits, command.now)
+            silent = command.reason == StopReason.UNREACHABLE
+            aside = jobs_health.blame_worker(
+                job, worker, limits, command.now, silent
+            )
             if aside:
                 self.book.worker_changed(command.blamed)
         if jobs_health.is_hopeless(job, self.book.pool, limits):
--- a/laburnumsill/state/jobs_health.py
+++ b/laburnumsill/state/jobs_health.py
@@ -40,13 +40,24 @@
     worker: workers.WorkerRecord,
     limits: Limits,
     now: float,
+    silent: bool = False,
 ) -> bool:
     """Counts a failure of a job against a worker.
 
+    Args:
+        job: The job.
+        worker: The worker.
+        limits: What a failure is judged by.
+        now: Wall time.
+        silent: Whether the worker gave no answer. No job is to blame for
+            that, so each time counts, also with one job alone.
+
     Returns:
         Whether the worker was set aside for it.
     """
-    if is_suspect(job):
+    if silent:
+        worker.failed_jobs.append(job.job_id)
+    elif is_suspect(job):
         return False
     return _hold_against(job, worker, limits, now)
 
@@ -92,7 +103,9 @@
         worker = pool.workers.get(name)
         if worker is None or job.job_id not in worker.failed_jobs:
             continue
-        worker.failed_jobs.remove(job.job_id)
+        worker.failed_jobs[:] = [
+            other for other in worker.failed_jobs if other != job.job_id
+        ]
         needed = 1 if worker.asides > 1 else limits.bad_worker_jobs
         if worker.aside_until and len(worker.failed_jobs) < needed:
             worker.aside_until = 0.0
--- a/laburnumsill/state/tests/test_jobs_health.py
+++ b/laburnumsill/state/tests/test_jobs_health.py
@@ -86,3 +86,14 @@
     assert worker.aside_until == 100.0 + 2 * jobs_health.ASIDE_S
     assert fail(jobs[3], "w1", pool) == ["w0"]
     assert worker.asides == 1
+
+
+def test_a_worker_that_gives_no_answer_is_set_aside_by_one_job():
+    worker = pool_of("w0").workers["w0"]
+    (job,) = jobs_of(1)
+    aside = [
+        jobs_health.blame_worker(job, worker, LIMITS, 0.0, silent=True)
+        for _ in range(LIMITS.bad_worker_jobs)
+    ]
+    assert aside == [False, False, True]
+    assert not job.failed_on
--- a/laburnumsill/testing/tests/test_job_partitions.py
+++ b/laburnumsill/testing/tests/test_job_partitions.py
@@ -3,6 +3,7 @@
 import pathlib
 import time
 
+import pytest
 import trio
 
 from laburnumsill.core import hashing
@@ -13,6 +14,13 @@
 
 DROP = proxies.Fault(mode=proxies.Mode.DROP)
 PAST_LEASES_S = gang_history.LEASE_S + 2.0
+STALE_ORDERS_S = 3.0
+"""What a leader has left to send when it is back has arrived by then."""
+
+TAKEOVER_SPREAD_S = 3.0 + 2 * gang_history.LEASE_S
+"""A new leader is there, finds within a lease that a member is lost, and the
+lease of a member that hears no stop ends."""
+
 DOMAIN = cluster.Layout(
     domains={"north": 2, "east": 1}, workers=4, bare=frozenset({"east"})
 )
@@ -125,6 +133,35 @@
     await site.until(runs, f"{job} runs under epoch {epoch}", 60)
 
 
+@pytest.mark.parametrize("frozen", [False, True])
+async def test_a_leader_cut_off_prolongs_no_lease(
+    tmp_path: pathlib.Path, frozen: bool
+):
+    async with cluster.running(tmp_path, DOMAIN) as site:
+        await job_calls.start_site(site, bad_worker_jobs=1)
+        job, leader, (dead, deaf) = await run_gang(site)
+        # Only its lease can end the task of a worker that hears no stop.
+        deafness = {"hang": ["stop", "prepare"]}
+        await job_calls.behave(site, deafness, [deaf])
+        if frozen:
+            site.process(leader).pause()
+        else:
+            # It still reaches the workers.
+            site.isolate([leader], DROP)
+        site.process(dead).kill()
+        killed = {dead: time.time()}
+        # No earlier than all leases of the first epoch have ended.
+        await until_epoch(site, job, 2)
+        if frozen:
+            site.process(leader).resume()
+        else:
+            site.heal()
+        await trio.sleep(STALE_ORDERS_S)
+        gang_history.check_gangs(
+            site, {job: 2}, killed, stop_spread_s=TAKEOVER_SPREAD_S
+        )
+
+
 async def test_a_quorum_frozen_past_its_leases_stops_its_gangs_whole(
     tmp_path: pathlib.Path,
 ):
