--- a/laburnumsill/requests/dispatch.py
+++ b/laburnumsill/requests/dispatch.py
@@ -23,6 +23,11 @@
 SERVER_ERROR = 500
 """Lowest HTTP status that counts as a failure of the server."""
 
+FAIR_TIMEOUT_SHARE = 0.5
+"""Part of its class's time that a request must have waited for its answer
+before a late one counts against the server: a caller that asks for too short
+a time must not get servers ejected."""
+
 
 class Exchange:
     """One attempt whose answer's head has arrived; close it in every case."""
@@ -53,20 +58,69 @@
         try:
             async for chunk in self._answer.chunks():
                 yield chunk
+        except backend.AnswerLateError:
+            raise  # maybe for a caller that reads slowly
         except errors.OutcomeUnknownError:
-            self._end(failed=True)
+            self._end(servers.Failure.LOST)
             raise
-        self._end(failed=self.status >= SERVER_ERROR)
+        if self.status >= SERVER_ERROR:
+            self._end(servers.Failure.ERROR)
+        else:
+            self._end(None)
 
     async def aclose(self) -> None:
         """Ends the exchange; may be called again."""
         await self._answer.aclose()
-        self._end(failed=None)
-
-    def _end(self, *, failed: bool | None) -> None:
         if self._open:
             self._open = False
-            self._dispatcher.ended(self._state, failed=failed)
+            self._dispatcher.broken_off(self._state)
+
+    def _end(self, failure: servers.Failure | None) -> None:
+        self._open = False
+        self._dispatcher.ended(self._state, failure)
+
+
+class _Tries:
+    """What was tried for one request.
+
+    Attributes:
+        servers: Ids of the servers that had an attempt.
+        count: Attempts so far.
+        sent: Whether a byte of any attempt may have reached a server.
+    """
+
+    def __init__(self, max_attempts: int) -> None:
+        self._max_attempts = max_attempts
+        self.servers: set[str] = set()
+        self.count = 0
+        self.sent = False
+
+    @property
+    def exhausted(self) -> bool:
+        """Whether there may be no further attempt."""
+        return self.count >= self._max_attempts
+
+    def note(self, state: servers.ServerState) -> None:
+        """Notes an attempt at a server."""
+        self.servers.add(state.server.server_id)
+        self.count += 1
+
+    def truth(
+        self, error: errors.LaburnumsillError
+    ) -> errors.LaburnumsillError:
+        """Returns the error that is true of all attempts, not of the last."""
+        if not isinstance(error, errors.UnavailableError):
+            return error
+        if self.sent:
+            return errors.OutcomeUnknownError(error.detail)
+        return errors.NoServerError(error.detail)
+
+
+def _repeats(error: errors.LaburnumsillError, attempt: str | None) -> bool:
+    """Returns whether a request may be sent again after `error`."""
+    if isinstance(error, backend.NotSentError):
+        return True
+    return attempt is None and isinstance(error, errors.OutcomeUnknownError)
 
 
 class Dispatcher:
@@ -105,11 +159,9 @@
         """Returns what this VM may have in flight, see `admit.Capacity`."""
         limiter = self._policies.limiter
         now = self._clock.monotonic()
-        return sum(
-            limiter.limit(state, share)
-            for state in self._table.present(service)
-            if self._health.usable(state, now, repeatable=True)
-        )
+        present = self._table.present(service)
+        usable = self._health.usable(present, now, repeatable=True)
+        return sum(limiter.limit(state, share) for state in usable)
 
     async def run(
         self, request: messages.RoutedRequest, attempt: str | None = None
@@ -127,76 +179,87 @@
         """
         policy = self._policies.request_policy
         self._budget.earn(policy.retry_budget)
-        tried: set[str] = set()
-        sent = False
-        for number in range(1, policy.max_attempts + 1):
-            last = number == policy.max_attempts
-            try:
-                state = self._choose(request, tried, number)
-            except errors.NoServerError:
-                if sent:
-                    raise errors.OutcomeUnknownError(
-                        "the answer was lost and no other server is left"
-                    ) from None
-                raise
-            tried.add(state.server.server_id)
+        tries = _Tries(policy.max_attempts)
+        while True:
             try:
-                exchange = await self._attempt(request, state, attempt)
-            except backend.NotSentError as error:
-                if self._give_up(request, last):
-                    raise self._final(error, sent) from error
-                continue
-            except errors.OutcomeUnknownError:
-                sent = True
-                if attempt is not None or self._give_up(request, last):
+                exchange = await self._try(request, tries, attempt)
+            except errors.LaburnumsillError as error:
+                if _repeats(error, attempt) and self._retry(request, tries):
+                    continue
+                truth = tries.truth(error)
+                if truth is error:
                     raise
-                continue
-            sent = True
+                raise truth from error
             failed = exchange.status >= SERVER_ERROR
-            if failed and attempt is None and not self._give_up(request, last):
-                await self._drop(exchange)
-                continue
-            return exchange
-        raise AssertionError("the last attempt raises or returns")
+            if not (failed and attempt is None):
+                return exchange
+            if not self._retry(request, tries):
+                return exchange
+            await self._drop(exchange)
 
     def ended(
-        self,
-        state: servers.ServerState,
-        *,
-        failed: bool | None,
-        refused: bool = False,
+        self, state: servers.ServerState, failure: servers.Failure | None
     ) -> None:
-        """Notes the end of an exchange.
+        """Notes the end of an attempt, a success where `failure` is None."""
+        state.in_flight -= 1
+        if failure is None:
+            self._health.succeeded(state)
+        else:
+            self._health.failed(state, self._clock.monotonic(), failure)
+
+    def broken_off(self, state: servers.ServerState) -> None:
+        """Notes an attempt that tells nothing of the server."""
+        state.in_flight -= 1
+        self._health.cancelled(state)
+
+    def _failure_of(
+        self,
+        error: errors.LaburnumsillError,
+        request: messages.RoutedRequest,
+        started: float,
+    ) -> servers.Failure | None:
+        """Returns what an error says of the server, None for nothing bad.
 
         Args:
-            state: The server.
-            failed: Whether it failed, None if unknown.
-            refused: Whether it took no connection.
+            error: The error that ended the attempt.
+            request: What was sent.
+            started: Monotonic point of the attempt's start.
         """
-        state.in_flight -= 1
-        if failed is None:
-            self._health.cancelled(state)
-        elif failed:
-            now = self._clock.monotonic()
-            self._health.failed(state, now, refused=refused)
-        else:
-            self._health.succeeded(state)
+        if isinstance(error, backend.ConnectFailedError):
+            return servers.Failure.REFUSED
+        if isinstance(error, backend.AnswerLateError):
+            waited_s = self._clock.monotonic() - started
+            fair_s = request.request_class.timeout_ms / 1000
+            if waited_s < FAIR_TIMEOUT_SHARE * fair_s:
+                return None
+        if isinstance(error, errors.OutcomeUnknownError):
+            return servers.Failure.LOST
+        return None
 
-    def _final(
-        self, error: backend.NotSentError, sent: bool
-    ) -> errors.LaburnumsillError:
-        """Returns the truth over all attempts, not only the last one."""
-        if sent:
-            return errors.OutcomeUnknownError(error.detail)
-        return errors.NoServerError(error.detail)
+    async def _try(
+        self,
+        request: messages.RoutedRequest,
+        tries: "_Tries",
+        attempt: str | None,
+    ) -> Exchange:
+        state = self._choose(request, tries)
+        tries.note(state)
+        try:
+            exchange = await self._attempt(request, state, attempt)
+        except errors.OutcomeUnknownError:
+            tries.sent = True
+            raise
+        tries.sent = True
+        return exchange
 
-    def _give_up(self, request: messages.RoutedRequest, last: bool) -> bool:
-        if last or self._clock.monotonic() >= request.deadline:
-            return True
-        if self._budget.spend():
+    def _retry(self, request: messages.RoutedRequest, tries: "_Tries") -> bool:
+        """Returns whether to try again, and takes it from the budget."""
+        if tries.exhausted or self._clock.monotonic() >= request.deadline:
             return False
+        if self._budget.spend():
+            return True
         self._metrics.count("retry_budget_empty_total")
-        return True
+        return False
 
     async def _drop(self, exchange: Exchange) -> None:
         """Reads a failed answer to its end, so that it is counted."""
@@ -225,9 +288,6 @@
             request.body,
         )
         outcome = "cancelled"
-        failed: bool | None = None
-        refused = False
-        answer = None
         try:
             answer = await self._client.send(
                 state.server, outgoing, request.deadline
@@ -235,12 +295,16 @@
             outcome = str(answer.status)
         except errors.LaburnumsillError as error:
             outcome = error.slug
-            failed = True
-            refused = isinstance(error, backend.ConnectFailedError)
+            failure = self._failure_of(error, request, started)
+            if failure is None:
+                self.broken_off(state)
+            else:
+                self.ended(state, failure)
+            raise
+        except BaseException:
+            self.broken_off(state)
             raise
         finally:
-            if answer is None:
-                self.ended(state, failed=failed, refused=refused)
             self._metrics.count(
                 "attempts_total", service=request.service, outcome=outcome
             )
@@ -251,22 +315,14 @@
         return Exchange(self, state, answer)
 
     def _choose(
-        self,
-        request: messages.RoutedRequest,
-        tried: abc.Set[str],
-        number: int,
+        self, request: messages.RoutedRequest, tries: "_Tries"
     ) -> servers.ServerState:
-        usable = self._usable(request, tried)
+        usable = self._usable(request, tries.servers)
         if not usable:
             raise errors.NoServerError(
                 f"no backend server of {request.service!r} can take requests"
             )
-        limiter = self._policies.limiter
-        for state in usable:
-            state.limit = max(1.0, limiter.limit(state))
-        room = [s for s in usable if s.in_flight + 1 <= s.limit]
-        near = [s for s in room if s.server.domain == self._me.domain]
-        candidates = near or room or _with_most_room(usable)
+        candidates, why = self._candidates(request, usable, tries.count + 1)
         state = self._policies.chooser.choose(candidates)
         logs.decision(
             "request-routed",
@@ -274,27 +330,53 @@
             service=request.service,
             request_class=request.class_name,
             account=request.account,
-            attempt=number,
+            attempt=tries.count + 1,
             server=state.server.server_id,
             among=len(candidates),
-            why="near" if near else "far" if room else "all-full",
+            why=why,
             chooser=self._policies.request_policy.chooser,
             in_flight=state.in_flight,
             load=state.load,
         )
         return state
 
+    def _candidates(
+        self,
+        request: messages.RoutedRequest,
+        usable: list[servers.ServerState],
+        number: int,
+    ) -> tuple[list[servers.ServerState], str]:
+        """Returns the servers to choose from, and why just these.
+
+        An ejected server whose probe is due goes before all others, or a
+        chooser that finds enough idle ones would never win it back. Only a
+        first attempt that can be sent again is the probe.
+        """
+        if request.request_class.repeatable:
+            due = [state for state in usable if state.ejected]
+            if due and number == 1 and not self._budget.empty:
+                return due, "probe"
+            usable = [s for s in usable if not s.ejected] or usable
+        limiter = self._policies.limiter
+        for state in usable:
+            state.limit = max(1.0, limiter.limit(state))
+        room = [s for s in usable if s.in_flight + 1 <= s.limit]
+        near = [s for s in room if s.server.domain == self._me.domain]
+        if near:
+            return near, "near"
+        if room:
+            return room, "far"
+        return _with_most_room(usable), "all-full"
+
     def _usable(
         self, request: messages.RoutedRequest, tried: abc.Set[str]
     ) -> list[servers.ServerState]:
-        now = self._clock.monotonic()
-        repeatable = request.request_class.repeatable
-        return [
-            state
-            for state in self._table.present(request.service)
-            if state.server.server_id not in tried
-            and self._health.usable(state, now, repeatable=repeatable)
-        ]
+        usable = self._health.usable(
+            self._table.present(request.service),
+            self._clock.monotonic(),
+            repeatable=request.request_class.repeatable,
+        )
+        return [s for s in usable if s.server.server_id not in tried]
 
 
 def _with_most_room(
--- a/laburnumsill/requests/router.py
+++ b/laburnumsill/requests/router.py
@@ -25,6 +25,7 @@
 from laburnumsill.requests import claim
 from laburnumsill.requests import classify
 from laburnumsill.requests import dispatch
+from laburnumsill.requests import headers
 from laburnumsill.requests import health
 from laburnumsill.requests import lookup
 from laburnumsill.requests import messages
@@ -37,6 +38,9 @@
 TICK_S = 0.1
 """Period of the limiter's control loop and of looking for new slots."""
 
+TIDY_S = 10.0
+"""Period of closing connections to servers that are gone."""
+
 _DRAIN_POLL_S = 0.02
 
 
@@ -71,9 +75,11 @@
         self._metrics = metrics
         draw = random.Random()
         self._policies = policies.Policies(current, entry_vms, draw)
+        self._client = client
+        self._table = servers.ServerTable(view)
         self._dispatcher = dispatch.Dispatcher(
             me,
-            servers.ServerTable(view),
+            self._table,
             health.Health(draw),
             self._policies,
             client,
@@ -93,6 +99,7 @@
             clock,
         )
         self._accept = accept.AcceptFilter(groups, clock)
+        self._reader = read.BodyReader(clock)
         self._draining = False
         self._in_flight = 0
 
@@ -110,12 +117,18 @@
         async with trio.open_nursery() as nursery:
             self._settler.start(nursery)
             self._once.start(nursery)
+            nursery.start_soon(self._tidy)
             task_status.started()
             while True:
                 await trio.sleep(TICK_S)
                 self._policies.limiter.tick(self._clock.monotonic())
                 self._admission.pump_all()
 
+    async def _tidy(self) -> None:
+        while True:
+            await trio.sleep(TIDY_S)
+            await self._client.tidy(self._table.addresses())
+
     async def drain(self, deadline: float) -> None:
         """Refuses new requests and waits for those in flight.
 
@@ -173,16 +186,9 @@
         request = None
         outcome = "error"
         try:
-            classified = classify.classify(head, self._configuration())
-            request = classified.with_body(
-                await read.read_body(
-                    body,
-                    classified.service.max_body_bytes,
-                    self._clock,
-                    classified.deadline,
-                )
-            )
-            result = await self._run(request)
+            classified = self._classify(head)
+            async with self._reader.reading(classified, body) as request:
+                result = await self._run(request)
             outcome = str(result.outcome)
             return result
         except errors.LaburnumsillError as error:
@@ -191,6 +197,15 @@
         finally:
             self._note(head, request, outcome)
 
+    def _classify(self, head: messages.RequestHead) -> classify.Classified:
+        configuration = self._current.get()
+        if configuration is not None:
+            return classify.classify(head, configuration)
+        detail = "no configuration is in force yet"
+        if headers.find(head.headers, headers.KEY) is not None:
+            raise messages.HomeUnreachableError(detail)
+        raise errors.UnavailableError(detail)
+
     async def _run(self, request: messages.RoutedRequest) -> messages.Answer:
         if self._draining:
             return await self._refuse_draining(request)
--- a/laburnumsill/requests/tests/test_once.py
+++ b/laburnumsill/requests/tests/test_once.py
@@ -7,11 +7,14 @@
 import trio
 from hypothesis import strategies as st
 
+from laburnumsill.config import current as current_module
 from laburnumsill.core import errors
+from laburnumsill.requests import answer
 from laburnumsill.requests import classify
 from laburnumsill.requests import messages
+from laburnumsill.requests import read
 from laburnumsill.requests.tests import support
-from laburnumsill.state import claims
+from laburnumsill.state import claim_records
 from laburnumsill.testing import local_groups
 
 
@@ -65,7 +68,7 @@
 @pytest.mark.parametrize("faults", [["answer-lost"], ["lost", "answer-lost"]])
 async def test_lost_claim_is_proposed_again_and_runs_once(faults):
     async with site(support.respond(b"booked")) as (bench, server, router):
-        bench.groups.faults[claims.ClaimRequest] = faults
+        bench.groups.faults[claim_records.ClaimRequest] = faults
         result = await support.ask(router, confirm(bench))
         await bench.groups.apply_late()
         assert (result.body, len(server.calls)) == (b"booked", 1)
@@ -75,7 +78,7 @@
 
 async def test_claim_given_up_never_runs_and_holds_up_no_resend():
     async with site(support.respond(b"booked")) as (bench, server, router):
-        bench.groups.faults[claims.ClaimRequest] = ["lost"] * 1000
+        bench.groups.faults[claim_records.ClaimRequest] = ["lost"] * 1000
         with pytest.raises(messages.HomeUnreachableError) as caught:
             await support.ask(router, confirm(bench))
         await bench.groups.apply_late()
@@ -88,7 +91,7 @@
 
 async def test_lost_settle_is_recorded_in_the_background():
     async with site(support.respond(b"booked")) as (bench, server, router):
-        bench.groups.faults[claims.SettleRequest] = ["lost"] * 3
+        bench.groups.faults[claim_records.SettleRequest] = ["lost"] * 3
         result = await support.ask(router, confirm(bench))
         assert result.body == b"booked"
         with trio.fail_after(30):
@@ -131,7 +134,7 @@
         head = confirm(bench)
         classified = classify.classify(head, bench.current.get())
         request = classified.with_body(b"{}")
-        dead = claims.ClaimRequest(
+        dead = claim_records.ClaimRequest(
             request.claim_key, request.digest, "att-dead", "vm9",
             now, now, now + 0.3, now + 99,
         )  # fmt: skip
@@ -188,6 +191,53 @@
         assert len(server.calls) == 1
 
 
+async def test_unexpected_failure_ends_one_request_and_not_the_router():
+    async with site(support.respond(b"booked")) as (bench, server, router):
+        propose = bench.groups.propose
+
+        async def broken(group, command, deadline):
+            raise RuntimeError("a bug")
+
+        bench.groups.propose = broken
+        with pytest.raises(errors.LaburnumsillError) as caught:
+            await support.ask(router, confirm(bench))
+        assert answer.outcome_of(caught.value) == "unknown"
+        bench.groups.propose = propose
+        result = await support.ask(router, confirm(bench))
+        assert (result.body, len(server.calls)) == (b"booked", 1)
+
+
+async def test_without_a_configuration_a_key_is_not_called_not_run():
+    async with site(support.respond()) as (bench, _, _):
+        bench.current = current_module.Current()
+        router = bench.router("vm1")
+        with pytest.raises(messages.HomeUnreachableError):
+            await support.ask(router, confirm(bench))
+        with pytest.raises(errors.UnavailableError):
+            await support.ask(router, support.head(bench.clock))
+
+
+async def test_bodies_held_are_bounded_for_each_account():
+    async with site(support.respond(b"x", wait_s=0.5)) as (
+        bench,
+        server,
+        router,
+    ):
+        reader = read.BodyReader(bench.clock, 1_000)
+        router._reader = reader
+        async with trio.open_nursery() as nursery:
+            check = support.head(bench.clock, "check", account="flood")
+            nursery.start_soon(support.ask, router, check, b"x" * 400)
+            await support.until(lambda: len(server.calls) == 1)
+            with pytest.raises(errors.OverloadedError):
+                await support.ask(router, check, b"x" * 200)
+            booking = support.head(bench.clock, "confirm", "k", "flood")
+            with pytest.raises(read.UnreadError):
+                await support.ask(router, booking, b"x" * 200)
+            await support.ask(router, support.head(bench.clock), b"x" * 200)
+        assert reader.held_bytes == 0
+
+
 printable = st.text(max_size=300).map(lambda text: text.encode())
 
 
