Test damage of each byte of a synced entry

Cause: with checksums not compared, the tests of damage still passed: they turn a bit of the index, which the order of entries shows, or eight bytes in the middle, which break the framing.

Change: each byte of one synced entry is damaged in turn; every one must be refused.

--- a/laburnumsill/consensus/tests/test_store.py
+++ b/laburnumsill/consensus/tests/test_store.py
@@ -129,6 +129,22 @@
     assert last_segment(aside[0]).read_bytes() == raw
 
 
+def test_damage_of_any_byte_of_a_synced_entry_is_refused(folder):
+    kept = store_disk.DiskStore(folder, GROUP)
+    append(kept, entries(1, 3), entries(4, 6))
+    kept.close()
+    path = last_segment(folder)
+    raw = path.read_bytes()
+    record = segments.entry_record(entries(2, 2)[0])
+    place = raw.index(record)
+    for offset in range(len(record)):
+        damaged = bytearray(raw)
+        damaged[place + offset] ^= 1
+        path.write_bytes(damaged)
+        with pytest.raises(store.DamagedLogError):
+            store_disk.DiskStore(folder, GROUP)
+
+
 def test_an_older_segment_torn_or_lost_is_refused(folder):
     for term in (1, 2, 3):
         kept = store_disk.DiskStore(folder, GROUP)
