Test the epoch of a placement; wait for a version in force past a 503

Cause: with the epoch of PlaceJob not compared, all tests of jobs and state passed.

Change: a placement under the last epoch, an older one or one after the next is refused, and so are a start and a success without a placement.

--- a/laburnumsill/state/tests/test_jobs.py
+++ b/laburnumsill/state/tests/test_jobs.py
@@ -78,6 +78,21 @@
     assert one.do(messages.RecordHome, "k", "e", "south").domain == "south"
 
 
+def test_a_placement_under_another_epoch_than_the_next_is_refused():
+    one = Ledger()
+    one.run()
+    one.fail()
+    assert (one.job().state, one.job().epoch) == (State.QUEUED, 1)
+    for epoch in (0, 1, 3):
+        with pytest.raises(jobs_checks.PlacementRefusedError):
+            one.do(messages.PlaceJob, "j", epoch, SLOTS)
+    for kind in (messages.JobStarted, messages.JobSucceeded):
+        with pytest.raises(errors.ConflictError):
+            one.do(kind, "j", 1)
+    one.run()
+    assert one.job().epoch == 2
+
+
 def test_a_start_after_the_cancellation_is_refused():
     one = Ledger()
     one.do(messages.PlaceJob, "j", 1, SLOTS)
--- a/laburnumsill/testing/tests/test_state_failures.py
+++ b/laburnumsill/testing/tests/test_state_failures.py
@@ -67,7 +67,8 @@
     async def reached():
         if await in_force_here(site, vm_id) < version:
             return False
-        return await version_in_force(site, vm_id) >= version
+        answer = await site.client(vm_id).send("GET", "/v1/config")
+        return answer.status == 200 and answer.json()["version"] >= version
 
     await site.until(reached, f"version {version} is in force on {vm_id}")
 
