--- a/laburnumsill/daemon/tests/test_configuration_sync.py
+++ b/laburnumsill/daemon/tests/test_configuration_sync.py
@@ -270,3 +270,24 @@
         sync.offer(dataclasses.replace(accepted, version=0))
         await trio.sleep(0.1)
         assert holder.version == 1
+
+
+async def test_an_older_answer_or_replica_takes_no_vm_back(
+    tmp_path, autojump_clock
+):
+    ahead, behind = Site(), Site()
+    for _ in range(5):
+        newest = ahead.push()
+    file = configuration_file.ConfigurationFile(tmp_path)
+    file.write(newest)
+    behind.push()
+    sync, holder, _ = behind.add(0, tmp_path)
+    async with running(sync):
+        await sync.wait_ready()
+        for _ in range(3):
+            assert holder.version == 5
+            assert file.read().version == 5
+            behind.push()
+            await trio.sleep(1)
+    assert behind.history["vm0"] == [5]
+    assert file.read().version == 5
