Spare the root group's leader from telling other domains

Cause: of a version's 20.8 fetches on 26 VMs the leader answered 6.0, and it sends the entry to the voters besides: 4,348 bytes sent a version. Change: of the replicas of the root group only those that do not lead tell the VMs of other failure domains. Ruled out: drawing the source by the version, since the first that tells is the first that can be asked.

--- a/laburnumsill/daemon/configuration_recipients.py
+++ b/laburnumsill/daemon/configuration_recipients.py
@@ -19,10 +19,11 @@
     Explanation:
         If each of n VMs told all others of each version, that would be
         n * (n - 1) notices. Beyond `ALL_UP_TO` others a VM tells those of
-        its own failure domain, and one with a replica of the root group
+        its own failure domain, and one that follows the root group's leader
         also the VM of each other domain that the version draws, which is
-        the one that fetches first, see `configuration_sources`. The rounds
-        cover whoever was missed.
+        the one that fetches first, see `configuration_sources`. The leader,
+        which sends the version to all voters, is left out, so that others
+        are fetched from. The rounds cover whoever was missed.
 
     Args:
         me: This VM.
@@ -44,18 +45,19 @@
         self._turn = 0
 
     def of_new(
-        self, version: int, reachable: abc.Set[str], has_replica: bool
+        self, version: int, reachable: abc.Set[str], follows_root: bool
     ) -> list[str]:
         """Returns who is told at once of a version that came into force.
 
         Args:
             version: The version.
             reachable: The VMs that can be reached.
-            has_replica: Whether this VM has a replica of the root group.
+            follows_root: Whether this VM has a replica of the root group that
+                does not lead it.
         """
         if len(self._others) <= ALL_UP_TO:
             return self._others
-        if not has_replica:
+        if not follows_root:
             return self._near
         drawn = [
             hashing.rendezvous(str(version), vms & reachable)
--- a/laburnumsill/daemon/configuration_sync.py
+++ b/laburnumsill/daemon/configuration_sync.py
@@ -248,10 +248,15 @@
             self._recipients.of_new(
                 accepted.version,
                 self._peers.reachable(),
-                self._groups.local(ids.ROOT_GROUP) is not None,
+                self._follows_root(),
             )
         )
 
+    def _follows_root(self) -> bool:
+        """Returns whether this VM has a root replica that does not lead."""
+        has_replica = self._groups.local(ids.ROOT_GROUP) is not None
+        return has_replica and not self._groups.leads(ids.ROOT_GROUP)
+
     def status(self) -> list[configuration_api.VmInForce]:
         """Returns what each VM last said is in force there."""
         reachable = self._peers.reachable() | {self._me.vm_id}
