--- a/laburnumsill/api/services.py
+++ b/laburnumsill/api/services.py
@@ -28,6 +28,12 @@
 MAX_HEADER_BYTES = 16 * 1024
 """Names and values of all headers of a request."""
 
+MAX_UNREAD_BYTES = 4 * 1024 * 1024
+UNREAD_S = 1.0
+"""What is read of a refused request's body, in bytes and seconds, before its
+answer: a connection that is closed on unread bytes is reset, and the caller
+may lose the answer."""
+
 REFUSED_BODY_S = 5.0
 """Time in which the rest of a refused body is thrown away."""
 
@@ -125,6 +131,16 @@
                 self._body_read.set()
                 return
 
+    async def skip_body(self) -> None:
+        """Reads what is left of the body, within bounds."""
+        left = MAX_UNREAD_BYTES
+        with trio.move_on_after(UNREAD_S):
+            while left > 0 and not self._body_read.is_set():
+                message = await self._receive()
+                left -= len(message.get("body", b""))
+                if not message.get("more_body", False):
+                    self._body_read.set()
+
     async def watch(self, scope: trio.CancelScope) -> None:
         """Cancels `scope` once the caller is gone.
 
@@ -156,6 +172,7 @@
         self, error: errors.LaburnumsillError, request_id: str
     ) -> None:
         """Tells the caller of an error and of the request's outcome."""
+        await self.skip_body()
         if not self._body_read.is_set():
             self._body_refused = True
             self._body_read.set()
