--- a/laburnumsill/requests/router.py
+++ b/laburnumsill/requests/router.py
@@ -25,6 +25,7 @@
 from laburnumsill.requests import claim
 from laburnumsill.requests import classify
 from laburnumsill.requests import dispatch
+from laburnumsill.requests import headers
 from laburnumsill.requests import health
 from laburnumsill.requests import lookup
 from laburnumsill.requests import messages
@@ -98,6 +99,7 @@
             clock,
         )
         self._accept = accept.AcceptFilter(groups, clock)
+        self._reader = read.BodyReader(clock)
         self._draining = False
         self._in_flight = 0
 
@@ -184,16 +186,9 @@
         request = None
         outcome = "error"
         try:
-            classified = classify.classify(head, self._configuration())
-            request = classified.with_body(
-                await read.read_body(
-                    body,
-                    classified.service.max_body_bytes,
-                    self._clock,
-                    classified.deadline,
-                )
-            )
-            result = await self._run(request)
+            classified = self._classify(head)
+            async with self._reader.reading(classified, body) as request:
+                result = await self._run(request)
             outcome = str(result.outcome)
             return result
         except errors.LaburnumsillError as error:
@@ -202,6 +197,15 @@
         finally:
             self._note(head, request, outcome)
 
+    def _classify(self, head: messages.RequestHead) -> classify.Classified:
+        configuration = self._current.get()
+        if configuration is not None:
+            return classify.classify(head, configuration)
+        detail = "no configuration is in force yet"
+        if headers.find(head.headers, headers.KEY) is not None:
+            raise messages.HomeUnreachableError(detail)
+        raise errors.UnavailableError(detail)
+
     async def _run(self, request: messages.RoutedRequest) -> messages.Answer:
         if self._draining:
             return await self._refuse_draining(request)
