--- a/bench/routing.py
+++ b/bench/routing.py
@@ -38,7 +38,7 @@
 from laburnumsill.core import metrics
 from laburnumsill.core import replication
 from laburnumsill.core import topology
-from laburnumsill.platform import backend
+from laburnumsill.requests import answer as answers
 from laburnumsill.requests import choose
 from laburnumsill.requests import limit
 from laburnumsill.requests import messages
@@ -310,7 +310,7 @@
             if answer.status != 200:
                 outcome = "failed"
         except errors.LaburnumsillError as error:
-            outcome = error.slug
+            outcome = str(answers.outcome_of(error))
         took_s = trio.current_time() - started
         in_time = took_s <= request_class["timeout_ms"] / 1000
         self.ends.append(
@@ -387,9 +387,7 @@
             [e for e in site.ends if e.class_name == "pricing"]
         ),
         "late_share": len(late) / offered,
-        "unknown_share": _share(
-            site.ends, lambda e: e.outcome in UNKNOWN_SLUGS
-        ),
+        "unknown_share": _share(site.ends, lambda e: e.outcome == "unknown"),
         "sent_per_request": site.client.sent / offered,
         "over_committed": over / arrived,
         "account_gap": _account_gap(site.ends),
@@ -406,15 +404,6 @@
     return result
 
 
-UNKNOWN_SLUGS = frozenset(
-    {
-        errors.OutcomeUnknownError.slug,
-        backend.AnswerLostError.slug,
-        messages.HomeUnreachableError.slug,
-    }
-)
-
-
 def _good_share(ends: list[End]) -> float:
     return _share(ends, lambda e: e.outcome == "answered" and e.in_time)
 
