--- a/laburnumsill/daemon/configuration_sync.py
+++ b/laburnumsill/daemon/configuration_sync.py
@@ -7,9 +7,10 @@
     older one never is. On a VM with a disk a version is synced before it is
     in force, so that a restart does not go back behind it.
 
-    A VM tells all others its version when it changes, and a few of them, in
-    turn, every second, which covers notices that were lost at a cost that
-    does not grow with the number of VMs. A VM that hears of a newer version
+    A VM tells others its version when it changes, all or those that fetch
+    it first, see `configuration_recipients`, and a few of them, in turn,
+    every second, which covers notices that were lost at a cost that does
+    not grow with the number of VMs. A VM that hears of a newer version
     fetches the differences from its own to it from one that has it, checks
     the digest after each, and fetches it whole where there are none.
 
@@ -21,6 +22,7 @@
     takes the newest that its disk or its own failure domain's VMs know.
 """
 
+import contextlib
 import dataclasses
 import pathlib
 from collections import abc
@@ -29,8 +31,10 @@
 
 from laburnumsill.api import configuration as configuration_api
 from laburnumsill.config import canonical
+from laburnumsill.config import changed
 from laburnumsill.config import current as current_configuration
 from laburnumsill.config import difference
+from laburnumsill.config import models as configuration_models
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import codec
 from laburnumsill.core import errors
@@ -38,7 +42,9 @@
 from laburnumsill.core import logs
 from laburnumsill.core import replication
 from laburnumsill.core import topology
+from laburnumsill.daemon import configuration_fetch
 from laburnumsill.daemon import configuration_file
+from laburnumsill.daemon import configuration_recipients
 from laburnumsill.daemon import configuration_sources
 from laburnumsill.state import configuration
 from laburnumsill.state import configuration_versions
@@ -50,22 +56,16 @@
 TELL_S = 1.0
 """Time between two rounds of telling some VMs the version in force."""
 
-TELL_VMS = 4
-"""How many VMs are told in one round."""
-
 FETCH_TIMEOUT_S = 1.0
 """Time that a peer has to answer with a version."""
 
+REFRESH_TIMEOUT_S = 1.0
+"""Time that a peer has to tell its version to a status."""
+
 QUORUM_PREFERRED_S = 3.0
 """Time at the start in which only a quorum's answer counts."""
 
 
-Ask = abc.Callable[
-    [int], abc.Awaitable[configuration_versions.ConfigurationUpdate]
-]
-"""Asks for what leads on from a version, 0 for the whole."""
-
-
 @codec.register("configuration.in-force")
 @dataclasses.dataclass(frozen=True, slots=True)
 class InForceNotice:
@@ -76,6 +76,12 @@
     digest: str
 
 
+@codec.register("configuration.read-in-force")
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadInForce:
+    """Asks a VM for its `InForceNotice`."""
+
+
 @codec.register("configuration.fetch")
 @dataclasses.dataclass(frozen=True, slots=True)
 class FetchInForce:
@@ -115,7 +121,7 @@
     ) -> None:
         self._me = me
         self._vms = vms
-        self._others = [vm.vm_id for vm in vms if vm.vm_id != me.vm_id]
+        self._recipients = configuration_recipients.Recipients(me, vms)
         self._groups = groups
         self._peers = peers
         self._current = current
@@ -131,17 +137,18 @@
         self._offered: configuration_versions.AcceptedConfiguration | None = (
             None
         )
+        self._opened: configuration_versions.OpenedVersion | None = None
         self._steps = configuration_versions.Steps()
         self._unusable: set[tuple[int, str]] = set()
         self._said: dict[str, InForceNotice] = {}
         self._observed: replication.StateMachine | None = None
         self._sources = configuration_sources.Sources(me, vms, clock)
         self._tell_at = 0.0
-        self._turn = 0
         self._wake = trio.Event()
         self._ready = trio.Event()
         peers.on_notice(InForceNotice, self._on_notice)
         peers.on_call(FetchInForce, self._on_fetch)
+        peers.on_call(ReadInForce, self._on_read)
 
     @property
     def ready(self) -> bool:
@@ -169,13 +176,10 @@
         return None
 
     def _adopt(
-        self,
-        accepted: configuration_versions.AcceptedConfiguration,
-        steps: abc.Sequence[configuration_versions.VersionStep] | None = None,
+        self, accepted: configuration_versions.AcceptedConfiguration
     ) -> None:
         """Puts an accepted version in force unless a newer one is.
 
-        `steps` lead to it from the version in force, None if not known.
         Only `run` and its tasks call this, so that a failed disk ends them.
 
         Raises:
@@ -183,40 +187,102 @@
         """
         if accepted.version <= self._current.version:
             return
-        versioned = self._decoded(accepted)
-        if versioned is None:
+        models = self._decoded(
+            accepted, lambda: canonical.decode(accepted.body)
+        )
+        if models is not None:
+            self._put(accepted, models)
+            self._steps.clear()
+            self._opened = None
+
+    def _adopt_opened(
+        self,
+        reached: configuration_versions.OpenedVersion,
+        steps: abc.Sequence[configuration_versions.VersionStep],
+    ) -> None:
+        """Does the same with a version that steps led to.
+
+        They lead to it from the version in force, maybe from an older one.
+        """
+        accepted = reached.accepted
+        before = self._current.versioned()
+        version = self._current.version
+        if accepted.version <= version:
+            return
+        changes = [step.change for step in steps if step.version > version]
+        if before is None or len(changes) != accepted.version - version:
+            self._adopt(accepted)
             return
+        models = self._decoded(
+            accepted,
+            lambda: changed.decode(
+                before.configuration, reached.document, changes
+            ),
+        )
+        if models is not None:
+            self._put(accepted, models)
+            self._opened = reached
+            for step in steps:
+                self._steps.add(step)
+
+    def _put(
+        self,
+        accepted: configuration_versions.AcceptedConfiguration,
+        models: configuration_models.Configuration,
+    ) -> None:
         if self._file is not None:
             self._file.write(accepted)
-        self._keep_steps(accepted, steps)
         self._accepted = accepted
-        self._current.put(versioned)
+        self._current.put(
+            current_configuration.Versioned(
+                accepted.version, accepted.digest, models
+            )
+        )
         logs.event(
             "configuration-in-force",
             version=accepted.version,
             digest=accepted.digest,
             operator=accepted.operator,
         )
-        self._tell(self._others)
-
-    def _keep_steps(
-        self,
-        accepted: configuration_versions.AcceptedConfiguration,
-        steps: abc.Sequence[configuration_versions.VersionStep] | None,
-    ) -> None:
-        """Keeps the steps to a version for those who will fetch it."""
-        if steps is None:
-            steps = [accepted.step] if accepted.step else []
-        if not steps:
-            self._steps.clear()
-        for step in steps:
-            self._steps.add(step)
+        self._tell(
+            self._recipients.of_new(
+                accepted.version,
+                self._peers.reachable(),
+                self._groups.local(ids.ROOT_GROUP) is not None,
+            )
+        )
 
     def status(self) -> list[configuration_api.VmInForce]:
         """Returns what each VM last said is in force there."""
         reachable = self._peers.reachable() | {self._me.vm_id}
         return [self._status_of(vm, reachable) for vm in self._vms]
 
+    async def refresh(self) -> None:
+        """Asks the reachable VMs that are behind as far as known here."""
+        notices = self._said.values()
+        newest = max(
+            [self._current.version, *(said.version for said in notices)]
+        )
+        async with trio.open_nursery() as nursery:
+            for vm in self._peers.reachable() - {self._me.vm_id}:
+                said = self._said.get(vm)
+                if said is None or said.version < newest:
+                    nursery.start_soon(self._refresh_from, vm)
+
+    async def _refresh_from(self, vm: str) -> None:
+        deadline = self._clock.monotonic() + REFRESH_TIMEOUT_S
+        try:
+            notice = await self._peers.call(vm, ReadInForce(), deadline)
+        except errors.LaburnumsillError as error:
+            logs.event(
+                "configuration-status-failed",
+                level="DEBUG",
+                peer=vm,
+                error=error,
+            )
+            return
+        self._on_notice(notice)
+
     async def run(self) -> None:
         """Runs until cancelled.
 
@@ -265,9 +331,24 @@
                 await self._wake.wait()
 
     def _take_offered(self) -> None:
-        if self._offered is not None:
-            self._adopt(self._offered)
-            self._offered = None
+        offered, self._offered = self._offered, None
+        if offered is None:
+            return
+        base = self._accepted
+        if offered.step is not None and base is not None:
+            with contextlib.suppress(difference.UnfitDifferenceError):
+                reached = self._open(base).after(offered.step)
+                self._adopt_opened(reached, [offered.step])
+                return
+        self._adopt(offered)
+
+    def _open(
+        self, accepted: configuration_versions.AcceptedConfiguration
+    ) -> configuration_versions.OpenedVersion:
+        """Returns a version with its values, which are kept for the newest."""
+        if self._opened is None or self._opened.accepted is not accepted:
+            self._opened = configuration_versions.opened(accepted)
+        return self._opened
 
     def _look_at_replica(self) -> None:
         """Offers the newest version in this VM's root replica, if any."""
@@ -280,9 +361,13 @@
         log: configuration.ConfigurationLog = machine.component(
             configuration.COMPONENT_NAME
         )
-        if log.version > self._current.version and log.current is not None:
-            steps = log.steps_since(self._current.version)
-            self._adopt(log.current, steps or [])
+        if log.current is None or log.version <= self._current.version:
+            return
+        steps = log.steps_since(self._current.version)
+        if steps and log.opened is not None:
+            self._adopt_opened(log.opened, steps)
+        else:
+            self._adopt(log.current)
 
     def _on_applied(self, command: object) -> None:
         if isinstance(command, configuration.Push):
@@ -316,7 +401,7 @@
 
         await self._update_by(ask)
 
-    async def _update_by(self, ask: Ask) -> bool:
+    async def _update_by(self, ask: configuration_fetch.Ask) -> bool:
         """Fetches what is newer, by differences and else whole.
 
         Returns:
@@ -325,18 +410,15 @@
         Raises:
             errors.StorageError: This VM could not sync what it got.
         """
-        base = self._accepted
-        try:
-            update = await ask(base.version if base else 0)
-            reached = await _reached(base, update)
-            if reached is None and update.steps:
-                update = await ask(0)
-                reached = update.whole
-        except errors.LaburnumsillError as error:
-            logs.event("configuration-fetch-failed", level="DEBUG", error=error)
+        fetched = await configuration_fetch.fetch(
+            ask, self._accepted, self._open
+        )
+        if fetched is None:
             return False
-        if reached is not None:
-            self._adopt(reached, update.steps or None)
+        if fetched.reached is not None:
+            self._adopt_opened(fetched.reached, fetched.steps)
+        elif fetched.whole is not None:
+            self._adopt(fetched.whole)
         return True
 
     async def _ask_peer(
@@ -363,24 +445,20 @@
     def _tell_in_turn(self) -> None:
         """Tells the next few VMs once a round is due."""
         now = self._clock.monotonic()
-        if now < self._tell_at or not self._others:
-            return
-        self._tell_at = now + TELL_S
-        count = min(TELL_VMS, len(self._others))
-        turn = [
-            self._others[(self._turn + offset) % len(self._others)]
-            for offset in range(count)
-        ]
-        self._turn = (self._turn + count) % len(self._others)
-        self._tell(turn)
+        if now >= self._tell_at:
+            self._tell_at = now + TELL_S
+            self._tell(self._recipients.of_round())
 
     def _tell(self, vms: abc.Iterable[str]) -> None:
-        notice = InForceNotice(
-            self._me.vm_id, self._current.version, self._digest()
-        )
+        notice = self._notice()
         for vm in vms:
             self._peers.notify(vm, notice)
 
+    def _notice(self) -> InForceNotice:
+        return InForceNotice(
+            self._me.vm_id, self._current.version, self._digest()
+        )
+
     def _on_notice(self, notice: InForceNotice) -> None:
         self._said[notice.vm] = notice
         if notice.version > self._current.version:
@@ -396,6 +474,9 @@
                 there=notice.digest,
             )
 
+    async def _on_read(self, request: ReadInForce) -> InForceNotice:
+        return self._notice()
+
     async def _on_fetch(
         self, request: FetchInForce
     ) -> configuration_versions.ConfigurationUpdate:
@@ -407,8 +488,10 @@
         return self._accepted.digest if self._accepted else ""
 
     def _decoded(
-        self, accepted: configuration_versions.AcceptedConfiguration
-    ) -> current_configuration.Versioned | None:
+        self,
+        accepted: configuration_versions.AcceptedConfiguration,
+        decode: abc.Callable[[], configuration_models.Configuration],
+    ) -> configuration_models.Configuration | None:
         """Returns a version's models, None if this program has no use for it.
 
         A newer program may accept what this one cannot read; the version in
@@ -418,7 +501,7 @@
         if key in self._unusable:
             return None
         try:
-            models = canonical.decode(accepted.body)
+            return decode()
         except errors.InvalidConfigurationError as error:
             self._unusable = {key}
             logs.event(
@@ -428,17 +511,12 @@
                 error=error.detail,
             )
             return None
-        return current_configuration.Versioned(
-            accepted.version, accepted.digest, models
-        )
 
     def _status_of(
         self, vm: topology.Vm, reachable: abc.Set[str]
     ) -> configuration_api.VmInForce:
         if vm == self._me:
-            said = InForceNotice(
-                vm.vm_id, self._current.version, self._digest()
-            )
+            said = self._notice()
         else:
             said = self._said.get(vm.vm_id, InForceNotice(vm.vm_id, 0, ""))
         return configuration_api.VmInForce(
@@ -448,30 +526,3 @@
             said.version,
             said.digest,
         )
-
-
-async def _reached(
-    base: configuration_versions.AcceptedConfiguration | None,
-    update: configuration_versions.ConfigurationUpdate,
-) -> configuration_versions.AcceptedConfiguration | None:
-    """Returns what an update leads to from the version that it was asked for.
-
-    Returns:
-        None if it leads nowhere, or if its steps do not fit.
-    """
-    if base is None or update.whole is not None:
-        return update.whole
-    reached = base
-    try:
-        for step in update.steps:
-            reached = configuration_versions.after_step(reached, step)
-            await trio.lowlevel.checkpoint()
-    except difference.UnfitDifferenceError as error:
-        logs.event(
-            "configuration-difference-unfit",
-            level="ERROR",
-            version=reached.version,
-            error=error.detail,
-        )
-        return None
-    return reached
