--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -1,7 +1,7 @@
 """Measures slopes inside one process: `python -m bench.slopes`.
 
 * configuration: bytes, processor time and memory of one version with so many
-  client accounts, and of a merge patch (RFC 7396) of one account;
+  client accounts, and of a difference in one number of one account;
 * ledger: bytes of each command of a job's life, time to apply it, memory and
   snapshot bytes for each worker, running task and waiting job;
 * scheduler: what a leader does again and again while nothing changes.
@@ -17,10 +17,10 @@
 from collections import abc
 
 import fire
-import orjson
 
 from bench import measuring
 from laburnumsill.config import canonical
+from laburnumsill.config import difference
 from laburnumsill.config import models
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import codec
@@ -30,6 +30,7 @@
 from laburnumsill.jobs import planner
 from laburnumsill.jobs import policy as policies
 from laburnumsill.state import configuration
+from laburnumsill.state import configuration_versions
 from laburnumsill.state import jobs
 from laburnumsill.state import jobs_messages
 
@@ -65,12 +66,12 @@
     )
 
 
-def patch_bytes(configured: models.Configuration) -> int:
-    """Returns the length of a merge patch of one account's guarantee."""
-    account = next(iter(configured.accounts))
-    domain = next(iter(configured.accounts[account].guarantee))
-    patch = {"accounts": {account: {"guarantee": {domain: {"workers": 3}}}}}
-    return len(orjson.dumps(patch))
+def changed(configured: models.Configuration) -> models.Configuration:
+    """Returns a configuration that differs in one number of one account."""
+    values = configured.model_dump(mode="json")
+    account = next(iter(values["accounts"].values()))
+    next(iter(account["guarantee"].values()))["workers"] = 3
+    return canonical.from_values(values)
 
 
 def measure_configuration(accounts: int) -> dict[str, typing.Any]:
@@ -78,9 +79,17 @@
     configured = site(accounts)
     raw = canonical.encode(configured)
     digest = canonical.digest(raw)
-    accepted = configuration.AcceptedConfiguration(
+    accepted = configuration_versions.AcceptedConfiguration(
         1, digest, "operator", NOW, raw
     )
+    newer = canonical.encode(changed(configured))
+    change = difference.difference(raw, newer)
+    assert change is not None
+    opened = difference.Document.parse(raw)
+    newer_digest = canonical.digest(newer)
+    step = configuration.PushDifference(
+        "0123456789abcdef", 1, newer_digest, change, NOW, "operator"
+    )
     before = measuring.memory_mb(os.getpid())
     kept = [canonical.decode(raw) for _ in range(20)]
     gc.collect()
@@ -98,7 +107,11 @@
         "accounts": accounts,
         "body_bytes": len(raw),
         "command_bytes": len(codec.encode(push)),
-        "patch_bytes": patch_bytes(configured),
+        "difference_bytes": len(codec.encode(step)),
+        "difference_ms": 1e3
+        * seconds_of(lambda: difference.difference(raw, newer)),
+        "apply_ms": 1e3
+        * seconds_of(lambda: opened.after_checked(change, newer_digest)),
         "validate_ms": 1e3 * seconds_of(lambda: canonical.decode(raw)),
         "encode_ms": 1e3 * seconds_of(lambda: canonical.encode(configured)),
         "digest_ms": 1e3 * seconds_of(lambda: canonical.digest(raw)),
--- a/bench/urgent_start.py
+++ b/bench/urgent_start.py
@@ -115,7 +115,7 @@
     site: cluster.Cluster, runs: int
 ) -> list[dict[str, typing.Any]]:
     """Returns the times of the largest gang until one is late."""
-    spent = []
+    spent: list[float] = []
     with trio.move_on_after(LARGE_TIMEOUT_S * runs):
         for number in range(runs):
             with trio.move_on_after(LARGE_TIMEOUT_S) as scope:
