--- a/bench/arrivals.py
+++ b/bench/arrivals.py
@@ -137,7 +137,22 @@
     bound_s=300.0,
 )
 
-SITES = {site.name: site for site in (TANA_SHORE, FINGAL)}
+STREAM = (
+    Kind(0.70, 1, 1, 600.0),
+    Kind(0.28, 1, 2, 900.0),
+    Kind(0.02, 2, 8, 1_800.0),
+)
+"""A stream of small jobs with a few gangs, 0.38 of the work."""
+
+SITES = {
+    site.name: site
+    for site in (
+        TANA_SHORE,
+        FINGAL,
+        dataclasses.replace(TANA_SHORE, name="tana-stream", kinds=STREAM),
+        dataclasses.replace(FINGAL, name="fingal-stream", kinds=STREAM),
+    )
+}
 GUARANTEED_PART = 0.3
 """Part of the jobs within its account's guarantee that claim it."""
 
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -80,7 +80,9 @@
             for one in ended
             if least <= one.arrival.spec.total_accelerators <= most
         ]
-        found[f"slow_{name}"] = statistics.fmean(of_class)
+        found[f"slow_{name}"] = (
+            statistics.fmean(of_class) if of_class else math.nan
+        )
     waits = [
         (one.started_at or math.inf) - one.arrival.at
         for one in ended
