Give borrowed slots back where a server is full and others use it

A VM that had borrowed while a server was idle kept its part as long as its queue was never empty, while every other VM had its equal share as well: the sum stayed above the slots.

Change: where a report shows less than one slot free and other VMs use some, a VM above its equal share goes one below what it had at that report.

--- a/laburnumsill/requests/limit.py
+++ b/laburnumsill/requests/limit.py
@@ -79,7 +79,9 @@
 
     If all VMs take their parts at once, the slots are just used up, so the
     reports may be old. A VM that is loaded alone comes to nearly all slots
-    within some reports.
+    within some reports. Where a report shows none free and others use some,
+    a VM above its equal share gives one back: the others have theirs as well,
+    and the sum would stay above the slots as long as the load lasts.
     """
 
     def limit(self, state: servers.ServerState, share: float = 1.0) -> float:
@@ -87,6 +89,8 @@
         slots = state.server.slots * share
         free = max(0.0, slots - state.server.busy)
         part = state.in_flight_at_report + free / self._entry_vms
+        if free < 1 and state.others > 0:
+            part = state.in_flight_at_report - 1.0
         return max(share, self._equal(state, share), part)
 
 
