Check with hypothesis that any body is a valid model or a typed problem

Cause: the border models had examples only.

Change: 600 bodies a run, bytes and JSON made of the models' own field names, go through all seven models of the API and the border's wrapper: the answer is 200 or a 400 malformed-json.

--- a/laburnumsill/testing/tests/test_bad_input.py
+++ b/laburnumsill/testing/tests/test_bad_input.py
@@ -1,13 +1,22 @@
 """Bad input at real VMs: typed answers, nothing leaks, no task dies."""
 
 import contextlib
+import json
 import pathlib
 
 import httpcore
+import hypothesis
 import orjson
 import pytest
 import trio
-
+from hypothesis import strategies
+from starlette import requests
+
+from laburnumsill.api import configuration
+from laburnumsill.api import groups
+from laburnumsill.api import jobs
+from laburnumsill.api import members
+from laburnumsill.api import problems
 from laburnumsill.testing import cluster
 from laburnumsill.testing import scenario
 
@@ -318,3 +327,58 @@
         answer = await scenario.request(site, "vm1", "offer")
         assert answer.outcome == "answered"
         check_unharmed(site)
+
+
+MODELS = (
+    members.ServerAnnouncement,
+    members.WorkerAnnouncement,
+    members.UsageReport,
+    jobs.JobBody,
+    configuration.Push,
+    groups.Transfer,
+    groups.Replace,
+)
+FIELDS = sorted({name for model in MODELS for name in model.model_fields})
+VALUES = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers(-(2**70), 2**70)
+    | strategies.floats()
+    | strategies.text(max_size=20)
+    | strategies.sampled_from(["127.0.0.1:80", "north", "1:99999", "::1"]),
+    lambda inner: (
+        strategies.lists(inner, max_size=4)
+        | strategies.dictionaries(
+            strategies.sampled_from(FIELDS) | strategies.text(max_size=8),
+            inner,
+            max_size=12,
+        )
+    ),
+    max_leaves=20,
+)
+BODIES = strategies.binary(max_size=200) | VALUES.map(
+    lambda value: json.dumps(value).encode()
+)
+
+
+@hypothesis.given(model=strategies.sampled_from(MODELS), body=BODIES)
+@hypothesis.settings(max_examples=600, deadline=None)
+def test_any_body_is_a_valid_model_or_a_typed_problem(model, body):
+    async def receive():
+        return {"type": "http.request", "body": body, "more_body": False}
+
+    async def endpoint(request):
+        read = await problems.read_model(request, model)
+        assert isinstance(read, model)
+        return problems.json_response({})
+
+    async def call():
+        scope = {"type": "http", "path": "/", "headers": [], "root_path": ""}
+        request = requests.Request(scope | {"query_string": b""}, receive)
+        return await problems.guarded(endpoint)(request)
+
+    response = trio.run(call)
+    assert response.status_code in (200, 400), response.body
+    if response.status_code == 400:
+        slug = orjson.loads(response.body)["type"].rsplit("/", 1)[1]
+        assert slug == "malformed-json"
