Let a test of a cancelled job wait until its start was sent

It counted one start of a running job, which is committed as running before the start goes out; on a machine at load 19 it was cancelled before that.

--- a/laburnumsill/jobs/tests/test_scheduler.py
+++ b/laburnumsill/jobs/tests/test_scheduler.py
@@ -62,6 +62,10 @@
     async with domain.running():
         running = await domain.submit("a", accelerators=8)
         await domain.reaches(running.job_id, State.RUNNING)
+        # RUNNING is committed before the start is sent.
+        with trio.fail_after(30):
+            while not domain.started(running.job_id):
+                await trio.sleep(0.01)
         queued = await domain.submit("b", accelerators=8, run_s=0.1)
         view = await domain.service.cancel(queued.job_id)
         assert view.state == State.CANCELLED
