--- a/laburnumsill/jobs/tests/test_scheduler.py
+++ b/laburnumsill/jobs/tests/test_scheduler.py
@@ -64,7 +64,9 @@
         await domain.reaches(running.job_id, State.RUNNING)
         # RUNNING is committed before the start is sent.
         with trio.fail_after(30):
-            while not domain.started(running.job_id):
+            while True:
+                if domain.started(running.job_id):
+                    break
                 await trio.sleep(0.01)
         queued = await domain.submit("b", accelerators=8, run_s=0.1)
         view = await domain.service.cancel(queued.job_id)
