Give each worker a pool of connections of its own

Ruled out: fewer calls at a time; a pass over many workers would then wait for 16 that hang. Change: a pool for each address, the longest unused closed beyond 4,096.

--- a/laburnumsill/platform/worker.py
+++ b/laburnumsill/platform/worker.py
@@ -6,6 +6,7 @@
 """
 
 import abc
+import collections
 import enum
 import typing
 
@@ -21,7 +22,12 @@
 """Longest time to connect to a worker, in seconds."""
 
 KEEP_ALIVE_S = 30.0
-MAX_CONNECTIONS = 1_024
+MAX_CONNECTIONS = 16
+"""Connections to one worker."""
+
+MAX_POOLS = 4_096
+"""Workers whose connections are kept; the longest unused goes first."""
+
 _GONE_SLUGS = frozenset({"task-state", "not-found", "lease-ended"})
 
 
@@ -156,15 +162,17 @@
 
 
 class HttpWorkerClient(WorkerClient):
-    """Calls workers over HTTP with connections that are kept open."""
+    """Calls workers over HTTP with connections that are kept open.
+
+    Each worker has a pool of its own, because a pool looks through all its
+    connections at each call.
+    """
 
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=MAX_CONNECTIONS,
-            max_keepalive_connections=MAX_CONNECTIONS,
-            keepalive_expiry=KEEP_ALIVE_S,
-        )
+        self._pools: collections.OrderedDict[
+            str, httpcore.AsyncConnectionPool
+        ] = collections.OrderedDict()
 
     async def prepare(
         self, address: str, task_id: str, order: Prepare, deadline: float
@@ -208,7 +216,30 @@
 
     async def close(self) -> None:
         """Closes all connections."""
-        await self._pool.aclose()
+        for pool in self._pools.values():
+            await pool.aclose()
+        self._pools.clear()
+
+    def _pool_of(self, address: str) -> httpcore.AsyncConnectionPool:
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = httpcore.AsyncConnectionPool(
+                max_connections=MAX_CONNECTIONS,
+                max_keepalive_connections=MAX_CONNECTIONS,
+                keepalive_expiry=KEEP_ALIVE_S,
+            )
+            self._pools[address] = pool
+        self._pools.move_to_end(address)
+        return pool
+
+    async def _close_unused(self) -> None:
+        """Closes the longest unused pool where there are too many."""
+        if len(self._pools) <= MAX_POOLS:
+            return
+        address, pool = next(iter(self._pools.items()))
+        if all(entry.is_idle() for entry in pool.connections):
+            del self._pools[address]
+            await pool.aclose()
 
     async def _call(
         self,
@@ -235,8 +266,9 @@
         path: str,
         body: dict[str, typing.Any] | None,
     ) -> httpcore.Response:
+        await self._close_unused()
         try:
-            return await self._pool.request(
+            return await self._pool_of(address).request(
                 method,
                 f"http://{address}{path}",
                 headers={"Content-Type": "application/json"},
