Move the HTTP clients to clients/; refuse announcements on a VM that is cut off

Cause of the first known red test: a VM that reaches no other VM went on acknowledging announcements that it could pass on to nobody, so its workers were gone everywhere else. It refuses them now with a typed 503 and the member turns to the next VM. The only VM of a failure domain still serves it alone (a test holds that).

The peer network can be open: VMs are added as they are learnt of, whoever dials in is welcome. Deadlines can leave a process as the time left, for VMs whose wall clocks jump.

--- a/bench/worker_calls.py
+++ b/bench/worker_calls.py
@@ -20,7 +20,7 @@
 
 from bench import measuring
 from laburnumsill.core import clock as clocks
-from laburnumsill.platform import worker as worker_client
+from laburnumsill.clients import worker as worker_client
 from laburnumsill.testing import cluster
 from laburnumsill.testing import scenario
 
--- a/bench/worker_pool.py
+++ b/bench/worker_pool.py
@@ -18,7 +18,7 @@
 
 from bench import measuring
 from laburnumsill.core import clock as clocks
-from laburnumsill.platform import worker as worker_client
+from laburnumsill.clients import worker as worker_client
 
 WORKERS = (1, 16, 64, 128, 256)
 SECONDS = 3.0
--- a/laburnumsill/api/services.py
+++ b/laburnumsill/api/services.py
@@ -18,7 +18,7 @@
 from laburnumsill.core import errors
 from laburnumsill.core import ids
 from laburnumsill.core import logs
-from laburnumsill.platform import backend
+from laburnumsill.clients import backend
 from laburnumsill.requests import answer as answers
 from laburnumsill.requests import headers
 from laburnumsill.requests import messages
--- a/laburnumsill/platform/backend.py
+++ b/laburnumsill/clients/backend.py
@@ -17,7 +17,7 @@
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import errors
 from laburnumsill.core import members
-from laburnumsill.platform import counted_streams
+from laburnumsill.clients import counted_streams
 
 ENTRY_VMS = 8
 """Entry VMs that share a server's connections, unless told otherwise."""
--- a/laburnumsill/platform/tests/test_backend.py
+++ b/laburnumsill/clients/tests/test_backend.py
@@ -9,7 +9,7 @@
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import errors
 from laburnumsill.core import members
-from laburnumsill.platform import backend
+from laburnumsill.clients import backend
 
 OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 CHUNKED = (
--- a/laburnumsill/platform/tests/test_worker.py
+++ b/laburnumsill/clients/tests/test_worker.py
@@ -4,7 +4,7 @@
 import trio
 
 from laburnumsill.core import clock as clocks
-from laburnumsill.platform import worker
+from laburnumsill.clients import worker
 from laburnumsill.testing import fake_worker
 
 Action = worker.Action
--- a/laburnumsill/core/clock.py
+++ b/laburnumsill/core/clock.py
@@ -45,6 +45,23 @@
         return time.time()
 
 
+class TimeLeftClock(SystemClock):
+    """A clock whose deadlines leave the process as the time that is left.
+
+    For VMs whose wall clocks may jump by seconds: a deadline that is sent to
+    another VM is then longer by the time that the message takes, and nothing
+    worse. All VMs of one system must use the same kind of clock.
+    """
+
+    def wall_deadline(self, monotonic_deadline: float) -> float:
+        """Returns the seconds left until a monotonic deadline."""
+        return monotonic_deadline - self.monotonic()
+
+    def monotonic_deadline(self, wall_deadline: float) -> float:
+        """Returns the monotonic point that lies so many seconds ahead."""
+        return self.monotonic() + wall_deadline
+
+
 class ManualClock(Clock):
     """A clock that moves only when told to, for tests and virtual time.
 
--- a/laburnumsill/daemon/assembly.py
+++ b/laburnumsill/daemon/assembly.py
@@ -30,8 +30,8 @@
 from laburnumsill.jobs import scheduler
 from laburnumsill.jobs import service as job_service
 from laburnumsill.members import table
-from laburnumsill.platform import backend
-from laburnumsill.platform import worker
+from laburnumsill.clients import backend
+from laburnumsill.clients import worker
 from laburnumsill.requests import durable
 from laburnumsill.requests import router
 from laburnumsill.state import machines
--- a/laburnumsill/jobs/gangs.py
+++ b/laburnumsill/jobs/gangs.py
@@ -16,7 +16,7 @@
 from laburnumsill.core import metrics as metrics_module
 from laburnumsill.jobs import access
 from laburnumsill.jobs import leases
-from laburnumsill.platform import worker as worker_client
+from laburnumsill.clients import worker as worker_client
 from laburnumsill.state import jobs_messages
 from laburnumsill.state import placements
 
--- a/laburnumsill/jobs/scheduler.py
+++ b/laburnumsill/jobs/scheduler.py
@@ -27,7 +27,7 @@
 from laburnumsill.jobs import policy as policies
 from laburnumsill.jobs import steps
 from laburnumsill.jobs import watch
-from laburnumsill.platform import worker as worker_client
+from laburnumsill.clients import worker as worker_client
 from laburnumsill.state import jobs_messages
 
 TICK_S = 0.1
--- a/laburnumsill/jobs/tests/fakes.py
+++ b/laburnumsill/jobs/tests/fakes.py
@@ -18,7 +18,7 @@
 from laburnumsill.core import topology
 from laburnumsill.jobs import scheduler
 from laburnumsill.jobs import service
-from laburnumsill.platform import worker as worker_client
+from laburnumsill.clients import worker as worker_client
 from laburnumsill.state import jobs
 from laburnumsill.state import jobs_messages
 from laburnumsill.testing import local_groups
--- a/laburnumsill/members/errors.py
+++ b/laburnumsill/members/errors.py
@@ -38,6 +38,13 @@
     title = "The failure domain cannot be reached from here"
 
 
+class CutOffError(errors.UnavailableError):
+    """This VM reaches no other and could not pass an announcement on."""
+
+    slug = "cut-off"
+    title = "This VM is cut off from the others"
+
+
 class TableFullError(errors.OverloadedError):
     """The failure domain has as many members as can be known."""
 
--- a/laburnumsill/members/intake.py
+++ b/laburnumsill/members/intake.py
@@ -70,6 +70,11 @@
         """
         key = entries.member_key(member)
         watchers = self._reach.watchers(key, member.domain)
+        if self._reach.cut_off:
+            raise errors.CutOffError(
+                f"{self._me} reaches no other VM; announce"
+                f" {entries.member_id(member)!r} elsewhere"
+            )
         interval_s = self._interval_s(member)
         wait_s = interval_s * (1 - JITTER * self._random.random())
         next_at = self._clock.wall() + wait_s
--- a/laburnumsill/members/reachability.py
+++ b/laburnumsill/members/reachability.py
@@ -29,6 +29,9 @@
         self.by_domain: dict[str, list[str]] = {}
         self._me = me.vm_id
         self._domain_of = {vm.vm_id: vm.domain for vm in vms}
+        self._has_neighbours = any(
+            vm.domain == me.domain and vm.vm_id != me.vm_id for vm in vms
+        )
         self._since = dict.fromkeys(topology.domains(vms), math.inf)
         self._peers = peers
         self._clock = clock
@@ -50,6 +53,16 @@
                 self._since[domain] = now
         return True
 
+    @property
+    def cut_off(self) -> bool:
+        """Whether this VM reaches no other, though its domain has others.
+
+        What such a VM hears it can pass on to nobody, and without another
+        voter of its domain it decides nothing itself. The only VM of a
+        failure domain is no such case: it serves its domain alone.
+        """
+        return self._has_neighbours and self.vms <= {self._me}
+
     def since(self, domain: str) -> float:
         """Returns since when a domain is in reach, infinite if it is not."""
         return self._since[domain]
--- a/laburnumsill/members/tests/test_table.py
+++ b/laburnumsill/members/tests/test_table.py
@@ -370,3 +370,25 @@
             )
             age = cluster.clock.monotonic() - oldest
             assert age < timing.PROBE_S + 2 * timing.PROBE_RETRY_S
+
+
+def test_a_vm_that_is_cut_off_takes_no_announcements() -> None:
+    cluster = Cluster(domains=1)
+    worker = Announcing(cluster, "worker", "w0", "d0", sticky=True)
+    worker._turn = 0
+    cluster.run(1.0)
+    for other in ("vm01", "vm02"):
+        cluster.cut("vm00", other)
+    cluster.run(6.0)
+    for vm in ("vm01", "vm02"):
+        assert cluster.workers(vm, "d0") == {"w0"}
+        assert ("gone", "-") not in cluster.changes[vm][-1:]
+
+
+def test_the_only_vm_of_a_domain_serves_it_alone() -> None:
+    cluster = Cluster(domains=2, per_domain=1)
+    Announcing(cluster, "worker", "w0", "d0", vms=["vm00"])
+    cluster.run(1.0)
+    cluster.isolate("d0")
+    cluster.run(6.0)
+    assert cluster.workers("vm00", "d0") == {"w0"}
--- a/laburnumsill/requests/dispatch.py
+++ b/laburnumsill/requests/dispatch.py
@@ -13,7 +13,7 @@
 from laburnumsill.core import logs
 from laburnumsill.core import metrics as metrics_module
 from laburnumsill.core import topology
-from laburnumsill.platform import backend
+from laburnumsill.clients import backend
 from laburnumsill.requests import budget
 from laburnumsill.requests import health as health_module
 from laburnumsill.requests import messages
--- a/laburnumsill/requests/headers.py
+++ b/laburnumsill/requests/headers.py
@@ -4,7 +4,7 @@
     RFC 9110, section 7.6.1: hop-by-hop header fields.
 """
 
-from laburnumsill.platform import backend
+from laburnumsill.clients import backend
 
 KEY = b"idempotency-key"
 CLASS = b"laburnumsill-class"
--- a/laburnumsill/requests/messages.py
+++ b/laburnumsill/requests/messages.py
@@ -9,7 +9,7 @@
 from laburnumsill.config import models
 from laburnumsill.core import errors
 from laburnumsill.core import hashing
-from laburnumsill.platform import backend
+from laburnumsill.clients import backend
 
 ANONYMOUS = "anonymous"
 """The account of callers that name none, on an equal footing with others."""
--- a/laburnumsill/requests/router.py
+++ b/laburnumsill/requests/router.py
@@ -18,7 +18,7 @@
 from laburnumsill.core import metrics as metrics_module
 from laburnumsill.core import replication
 from laburnumsill.core import topology
-from laburnumsill.platform import backend
+from laburnumsill.clients import backend
 from laburnumsill.requests import accept
 from laburnumsill.requests import admit
 from laburnumsill.requests import answer as answers
--- a/laburnumsill/requests/tests/support.py
+++ b/laburnumsill/requests/tests/support.py
@@ -16,7 +16,7 @@
 from laburnumsill.core import metrics
 from laburnumsill.core import replication
 from laburnumsill.core import topology
-from laburnumsill.platform import backend
+from laburnumsill.clients import backend
 from laburnumsill.requests import messages
 from laburnumsill.requests import router as routers
 from laburnumsill.state import claims
--- a/laburnumsill/testing/model_servers.py
+++ b/laburnumsill/testing/model_servers.py
@@ -14,7 +14,7 @@
 
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import members
-from laburnumsill.platform import backend
+from laburnumsill.clients import backend
 
 ONE_WAY_S = 0.0005
 """Between VM and server inside a failure domain."""
--- a/laburnumsill/wire/network.py
+++ b/laburnumsill/wire/network.py
@@ -44,6 +44,10 @@
 STABLE_S = 1.0
 """A connection that lasted so long makes the pauses short again."""
 
+YIELD_S = 0.4
+"""In an open network the VM with the greater id waits so long before it
+dials, so that two VMs that know each other seldom dial at once."""
+
 
 class _Peer:
     """What is known of one other VM.
@@ -51,11 +55,16 @@
     Attributes:
         connection: The connection to it, or None.
         connected: Set while there is a connection.
+        detached: Set while there is none.
+        dialing: Ends the dialing, None where this VM never dials it.
     """
 
     def __init__(self) -> None:
         self.connection: connections.Connection | None = None
         self.connected = trio.Event()
+        self.detached = trio.Event()
+        self.detached.set()
+        self.dialing: trio.CancelScope | None = None
 
     def attach(self, connection: connections.Connection) -> None:
         """Uses a new connection; an older one is certainly dead."""
@@ -63,12 +72,14 @@
             self.connection.lose(failures.ConnectionLostError("replaced"))
         self.connection = connection
         self.connected.set()
+        self.detached = trio.Event()
 
     def detach(self, connection: connections.Connection) -> None:
         """Forgets a connection that was lost, unless it was replaced."""
         if self.connection is connection:
             self.connection = None
             self.connected = trio.Event()
+            self.detached.set()
 
 
 class PeerNetwork(replication.Peers):
@@ -78,6 +89,10 @@
     for longer than `connections.SILENCE_LIMIT_S` is closed and dialed anew;
     when nothing else is sent, keep-alive frames of 5 bytes prevent that.
 
+    In an open network the VMs are not known beforehand: they are added as
+    they are learnt of, whoever dials in is welcome, and either end of a pair
+    may dial, as maybe only one of them knows the other.
+
     Deadlines are monotonic points of the clock that was passed in.
     """
 
@@ -87,6 +102,7 @@
         addresses: abc.Mapping[str, str],
         clock: clocks.Clock,
         metrics: metrics_module.Metrics,
+        is_open: bool = False,
     ) -> None:
         """Makes the network; `run` starts it.
 
@@ -96,12 +112,16 @@
                 entry for this VM is not used. Read at each attempt.
             clock: The clock of this process.
             metrics: Takes the counters.
+            is_open: Whether VMs may be added later and may dial in unknown.
+                A VM without a peer address then only dials.
 
         Raises:
             errors.InvalidConfigurationError: An address is malformed.
         """
         self._me = me
-        self._addresses = addresses
+        self._open = is_open
+        self._workers: trio.Nursery | None = None
+        self._addresses = dict(addresses) if is_open else addresses
         self._clock = clock
         self._metrics = metrics
         self._handlers = handlers.Handlers(clock)
@@ -110,7 +130,8 @@
         self._finished = connections.Traffic()
         self._listening_address = me.peer_address
         for address in (me.peer_address, *addresses.values()):
-            addressing.split(address)
+            if address or not is_open:
+                addressing.split(address)
 
     @property
     def listening_address(self) -> str:
@@ -137,17 +158,49 @@
             failures.AddressInUseError: Another process has the address.
             failures.PeerListenError: It cannot be listened on.
         """
-        listeners = await sockets.listen(self._me.peer_address)
-        self._listening_address = sockets.local_address(listeners[0])
+        listeners = await self._listen()
         async with trio.open_nursery() as nursery:
             self._workers = nursery
-            nursery.start_soon(self._serve, listeners)
-            for vm in self._peers:
-                if self._me.vm_id < vm:
-                    nursery.start_soon(self._keep_dialing, vm)
+            if listeners:
+                nursery.start_soon(self._serve, listeners)
+            for vm in list(self._peers):
+                self._start_dialing(vm)
             nursery.start_soon(self._keep_ticking)
             task_status.started()
 
+    @property
+    def peers(self) -> frozenset[str]:
+        """The other VMs that are known, connected or not."""
+        return frozenset(self._peers)
+
+    def add_peer(self, vm: str, address: str) -> None:
+        """Makes a VM of an open network known; one known already stays.
+
+        Raises:
+            errors.InvalidConfigurationError: The address is malformed.
+        """
+        if vm == self._me.vm_id or vm in self._addresses:
+            return
+        addressing.split(address)
+        self._addresses = {**self._addresses, vm: address}
+        self._peers.setdefault(vm, _Peer())
+        self._start_dialing(vm)
+
+    def remove_peer(self, vm: str) -> None:
+        """Forgets a VM of an open network and closes its connection."""
+        peer = self._peers.pop(vm, None)
+        self._addresses = {
+            other: address
+            for other, address in self._addresses.items()
+            if other != vm
+        }
+        if peer is None:
+            return
+        if peer.dialing is not None:
+            peer.dialing.cancel()
+        if peer.connection is not None:
+            peer.connection.lose(failures.ConnectionLostError("forgotten"))
+
     async def call(
         self, vm: str, request: object, deadline: float
     ) -> typing.Any:
@@ -234,6 +287,24 @@
             raise errors.PeerUnreachableError(f"no time left for {vm}", vm=vm)
         return peer.connection
 
+    async def _listen(self) -> list[trio.SocketListener]:
+        """Listens, unless this VM of an open network only dials."""
+        if not self._me.peer_address and self._open:
+            return []
+        listeners = await sockets.listen(self._me.peer_address)
+        self._listening_address = sockets.local_address(listeners[0])
+        return listeners
+
+    def _start_dialing(self, vm: str) -> None:
+        """Starts to dial a VM that this one may dial, once `run` runs."""
+        peer = self._peers[vm]
+        dials = self._open or self._me.vm_id < vm
+        if self._workers is None or not dials or peer.dialing is not None:
+            return
+        if vm in self._addresses:
+            peer.dialing = trio.CancelScope()
+            self._workers.start_soon(self._keep_dialing, vm, peer)
+
     async def _serve(self, listeners: list[trio.SocketListener]) -> None:
         await trio.serve_listeners(self._accept, listeners)
 
@@ -242,17 +313,22 @@
             due = self._clock.monotonic() + TICK_S
             await trio.sleep(TICK_S)
             late = self._clock.monotonic() - due > LATE_S
-            for peer in self._peers.values():
+            for peer in list(self._peers.values()):
                 if peer.connection is not None:
                     peer.connection.tick(late)
             if number % TICKS_A_REPORT == 0:
                 self._publish()
 
-    async def _keep_dialing(self, vm: str) -> None:
-        """Keeps a connection to `vm`, which has a greater id."""
+    async def _keep_dialing(self, vm: str, peer: _Peer) -> None:
+        """Keeps a connection to `vm` until it is forgotten."""
+        with peer.dialing or trio.CancelScope():
+            await self._dial_again_and_again(vm, peer)
+
+    async def _dial_again_and_again(self, vm: str, peer: _Peer) -> None:
         pauses = backoff.Backoff(FIRST_PAUSE_S, LONGEST_PAUSE_S)
         reported = ""
         while True:
+            await self._until_needed(vm, peer)
             started = self._clock.monotonic()
             try:
                 await self._dial(vm)
@@ -265,6 +341,15 @@
                 pauses.reset()
             await trio.sleep(pauses.next())
 
+    async def _until_needed(self, vm: str, peer: _Peer) -> None:
+        """Waits while the other end of an open network's pair has dialed."""
+        if not self._open:
+            return
+        await peer.detached.wait()
+        if vm < self._me.vm_id and self._me.peer_address:
+            await trio.sleep(YIELD_S)
+            await peer.detached.wait()
+
     async def _dial(self, vm: str) -> None:
         """Dials `vm` once and runs the connection until it is lost.
 
@@ -281,7 +366,7 @@
                 raise failures.HelloRefusedError(
                     f"{self._addresses[vm]} is {name!r}, not {vm!r}"
                 )
-            await self._run_connection(vm, stream, reader)
+            await self._run_connection(vm, stream, reader, dialed=True)
         finally:
             await trio.aclose_forcefully(stream)
 
@@ -293,22 +378,31 @@
                 name = await hello.receive(reader)
                 self._check_dialer(name)
                 await hello.send(stream, self._me.vm_id)
-            await self._run_connection(name, stream, reader)
+            await self._run_connection(name, stream, reader, dialed=False)
         except failures.WireError as error:
             _report("peer-refused", sockets.remote_address(stream), error)
         finally:
             await trio.aclose_forcefully(stream)
 
     def _check_dialer(self, name: str) -> None:
+        if self._open and name and name != self._me.vm_id:
+            self._peers.setdefault(name, _Peer())
+            return
         if name not in self._peers or name >= self._me.vm_id:
             raise failures.HelloRefusedError(
                 f"{name!r} must not dial {self._me.vm_id!r}"
             )
 
     async def _run_connection(
-        self, vm: str, stream: trio.SocketStream, reader: frames.FrameReader
+        self,
+        vm: str,
+        stream: trio.SocketStream,
+        reader: frames.FrameReader,
+        dialed: bool,
     ) -> None:
-        peer = self._peers[vm]
+        peer = self._peers.get(vm)
+        if peer is None or self._workers is None:  # forgotten meanwhile
+            return
         connection = connections.Connection(
             vm,
             stream,
@@ -316,7 +410,7 @@
             self._handlers,
             self._clock,
             self._workers,
-            dialed=self._me.vm_id < vm,
+            dialed=dialed,
         )
         peer.attach(connection)
         logs.event("peer-connected", peer=vm)
@@ -326,6 +420,8 @@
         finally:
             peer.detach(connection)
             self._finished = _sum(self._finished, connection.traffic)
+            if peer.connection is None and vm not in self._addresses:
+                self._peers.pop(vm, None)
         _report("peer-lost", vm, reason)
 
     def _publish(self) -> None:
