--- a/bench/worker_calls.py
+++ b/bench/worker_calls.py
@@ -19,8 +19,8 @@
 import trio
 
 from bench import measuring
-from laburnumsill.core import clock as clocks
 from laburnumsill.clients import worker as worker_client
+from laburnumsill.core import clock as clocks
 from laburnumsill.testing import cluster
 from laburnumsill.testing import scenario
 
--- a/bench/worker_pool.py
+++ b/bench/worker_pool.py
@@ -17,8 +17,8 @@
 import trio
 
 from bench import measuring
-from laburnumsill.core import clock as clocks
 from laburnumsill.clients import worker as worker_client
+from laburnumsill.core import clock as clocks
 
 WORKERS = (1, 16, 64, 128, 256)
 SECONDS = 3.0
--- a/laburnumsill/api/services.py
+++ b/laburnumsill/api/services.py
@@ -14,11 +14,11 @@
 from starlette import routing
 
 from laburnumsill.api import problems
+from laburnumsill.clients import backend
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import errors
 from laburnumsill.core import ids
 from laburnumsill.core import logs
-from laburnumsill.clients import backend
 from laburnumsill.requests import answer as answers
 from laburnumsill.requests import headers
 from laburnumsill.requests import messages
--- /dev/null
+++ b/laburnumsill/batch/commands.py
@@ -0,0 +1,204 @@
+"""Commands and queries of the job ledger, and their results."""
+
+import dataclasses
+import enum
+
+from laburnumsill.batch import model
+from laburnumsill.core import codec
+
+
+class JobState(enum.StrEnum):
+    """What is shown of a job."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+class EndKind(enum.StrEnum):
+    """How a run ended."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LEASE_ENDED = "lease-ended"
+    MEMBER_ENDED = "member-ended"
+    """Another member of its gang ended."""
+    INCOMPLETE_GANG = "incomplete-gang"
+    """The other members did not come in time."""
+
+
+@codec.register("batch.submit")
+@dataclasses.dataclass(frozen=True, slots=True)
+class SubmitJob:
+    """Accepts a job; a second submission with its id changes nothing."""
+
+    job: model.Job
+    at_ms: int
+
+
+@codec.register("batch.cancel")
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelJob:
+    """Cancels a job; one that has ended stays as it is."""
+
+    job_id: str
+    at_ms: int
+
+
+@codec.register("batch.placement")
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placement:
+    """The worker on which a run is to be started."""
+
+    run: model.RunId
+    worker_id: str
+
+
+@codec.register("batch.place")
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlaceRuns:
+    """Assigns runs to workers; each group is taken whole or not at all."""
+
+    groups: tuple[tuple[Placement, ...], ...]
+    at_ms: int
+
+
+@codec.register("batch.placed")
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placed:
+    """Whether each group was taken, and why not where it was not."""
+
+    refusals: tuple[str, ...]
+
+
+@codec.register("batch.ended-run")
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndedRun:
+    """The end of a run as its worker lists it.
+
+    Attributes:
+        number: The place in the worker's list, rising.
+        run: Which run.
+        kind: How it ended.
+        saved: The progress from which a later run can go on, or "".
+    """
+
+    number: int
+    run: model.RunId
+    kind: EndKind
+    saved: str = ""
+
+
+@codec.register("batch.note-ends")
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoteEnds:
+    """Takes note of ends; only then may the worker forget them."""
+
+    worker_id: str
+    ends: tuple[EndedRun, ...]
+    at_ms: int
+
+
+@codec.register("batch.release")
+@dataclasses.dataclass(frozen=True, slots=True)
+class Release:
+    """A run that certainly does not run and never will.
+
+    Attributes:
+        run: Which run.
+        worker_id: Where it was placed.
+        reason: Why that is certain.
+        saved: The newest progress seen, or "".
+    """
+
+    run: model.RunId
+    worker_id: str
+    reason: str
+    saved: str = ""
+
+
+@codec.register("batch.release-runs")
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReleaseRuns:
+    """Frees what runs held that were never started or are lost."""
+
+    releases: tuple[Release, ...]
+    at_ms: int
+
+
+@codec.register("batch.seen-run")
+@dataclasses.dataclass(frozen=True, slots=True)
+class SeenRun:
+    """A run that its worker listed as running."""
+
+    run: model.RunId
+    saved: str = ""
+
+
+@codec.register("batch.note-running")
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoteRunning:
+    """Takes note of runs that were seen running, and of their progress."""
+
+    seen: tuple[SeenRun, ...]
+
+
+@codec.register("batch.put-worker")
+@dataclasses.dataclass(frozen=True, slots=True)
+class PutWorker:
+    """Makes a worker known, or changes what is known of it."""
+
+    worker: model.Worker
+
+
+@codec.register("batch.remove-worker")
+@dataclasses.dataclass(frozen=True, slots=True)
+class RemoveWorker:
+    """Forgets a worker that is gone; its runs are lost."""
+
+    worker_id: str
+    reason: str
+    saved: tuple[SeenRun, ...] = ()
+
+
+@codec.register("batch.forget-jobs")
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForgetJobs:
+    """Forgets the jobs that ended before a time."""
+
+    ended_before_ms: int
+
+
+@codec.register("batch.job-query")
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobQuery:
+    """Asks for the state of a job."""
+
+    job_id: str
+
+
+@codec.register("batch.job-answer")
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobAnswer:
+    """The state of a job; empty if there is no such job."""
+
+    state: str = ""
+
+
+@codec.register("batch.pending-query")
+@dataclasses.dataclass(frozen=True, slots=True)
+class PendingQuery:
+    """Asks how many jobs of a queue have not begun."""
+
+    queue: str
+
+
+@codec.register("batch.pending-answer")
+@dataclasses.dataclass(frozen=True, slots=True)
+class PendingAnswer:
+    """How many jobs of a queue have not begun."""
+
+    jobs: int
--- a/laburnumsill/clients/backend.py
+++ b/laburnumsill/clients/backend.py
@@ -14,10 +14,10 @@
 import httpcore
 import trio
 
+from laburnumsill.clients import counted_streams
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import errors
 from laburnumsill.core import members
-from laburnumsill.clients import counted_streams
 
 ENTRY_VMS = 8
 """Entry VMs that share a server's connections, unless told otherwise."""
--- a/laburnumsill/clients/tests/test_backend.py
+++ b/laburnumsill/clients/tests/test_backend.py
@@ -6,10 +6,10 @@
 import pytest
 import trio
 
+from laburnumsill.clients import backend
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import errors
 from laburnumsill.core import members
-from laburnumsill.clients import backend
 
 OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 CHUNKED = (
--- a/laburnumsill/clients/tests/test_worker.py
+++ b/laburnumsill/clients/tests/test_worker.py
@@ -3,8 +3,8 @@
 import pytest
 import trio
 
-from laburnumsill.core import clock as clocks
 from laburnumsill.clients import worker
+from laburnumsill.core import clock as clocks
 from laburnumsill.testing import fake_worker
 
 Action = worker.Action
--- a/laburnumsill/daemon/assembly.py
+++ b/laburnumsill/daemon/assembly.py
@@ -15,6 +15,8 @@
 from laburnumsill.api import members as members_api
 from laburnumsill.api import operations as operations_api
 from laburnumsill.api import services as services_api
+from laburnumsill.clients import backend
+from laburnumsill.clients import worker
 from laburnumsill.config import current as current_configuration
 from laburnumsill.consensus import host as group_host
 from laburnumsill.core import clock as clocks
@@ -30,8 +32,6 @@
 from laburnumsill.jobs import scheduler
 from laburnumsill.jobs import service as job_service
 from laburnumsill.members import table
-from laburnumsill.clients import backend
-from laburnumsill.clients import worker
 from laburnumsill.requests import durable
 from laburnumsill.requests import router
 from laburnumsill.state import machines
--- a/laburnumsill/jobs/gangs.py
+++ b/laburnumsill/jobs/gangs.py
@@ -10,13 +10,13 @@
 
 import trio
 
+from laburnumsill.clients import worker as worker_client
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import errors
 from laburnumsill.core import logs
 from laburnumsill.core import metrics as metrics_module
 from laburnumsill.jobs import access
 from laburnumsill.jobs import leases
-from laburnumsill.clients import worker as worker_client
 from laburnumsill.state import jobs_messages
 from laburnumsill.state import placements
 
--- a/laburnumsill/jobs/scheduler.py
+++ b/laburnumsill/jobs/scheduler.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from laburnumsill.clients import worker as worker_client
 from laburnumsill.config import current as current_module
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import errors
@@ -27,7 +28,6 @@
 from laburnumsill.jobs import policy as policies
 from laburnumsill.jobs import steps
 from laburnumsill.jobs import watch
-from laburnumsill.clients import worker as worker_client
 from laburnumsill.state import jobs_messages
 
 TICK_S = 0.1
--- a/laburnumsill/jobs/tests/fakes.py
+++ b/laburnumsill/jobs/tests/fakes.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from laburnumsill.clients import worker as worker_client
 from laburnumsill.config import current as current_module
 from laburnumsill.config import models
 from laburnumsill.core import clock as clocks
@@ -18,7 +19,6 @@
 from laburnumsill.core import topology
 from laburnumsill.jobs import scheduler
 from laburnumsill.jobs import service
-from laburnumsill.clients import worker as worker_client
 from laburnumsill.state import jobs
 from laburnumsill.state import jobs_messages
 from laburnumsill.testing import local_groups
--- a/laburnumsill/jobs/watch.py
+++ b/laburnumsill/jobs/watch.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from laburnumsill.clients import worker as worker_client
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import errors
 from laburnumsill.core import logs
@@ -17,7 +18,6 @@
 from laburnumsill.jobs import access
 from laburnumsill.jobs import gangs
 from laburnumsill.jobs import leases
-from laburnumsill.clients import worker as worker_client
 from laburnumsill.state import jobs_messages
 from laburnumsill.state import placements
 
--- a/laburnumsill/requests/dispatch.py
+++ b/laburnumsill/requests/dispatch.py
@@ -7,13 +7,13 @@
 import typing
 from collections import abc
 
+from laburnumsill.clients import backend
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import errors
 from laburnumsill.core import ids
 from laburnumsill.core import logs
 from laburnumsill.core import metrics as metrics_module
 from laburnumsill.core import topology
-from laburnumsill.clients import backend
 from laburnumsill.requests import budget
 from laburnumsill.requests import health as health_module
 from laburnumsill.requests import messages
--- a/laburnumsill/requests/messages.py
+++ b/laburnumsill/requests/messages.py
@@ -6,10 +6,10 @@
 import typing
 from collections import abc
 
+from laburnumsill.clients import backend
 from laburnumsill.config import models
 from laburnumsill.core import errors
 from laburnumsill.core import hashing
-from laburnumsill.clients import backend
 
 ANONYMOUS = "anonymous"
 """The account of callers that name none, on an equal footing with others."""
--- a/laburnumsill/requests/router.py
+++ b/laburnumsill/requests/router.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from laburnumsill.clients import backend
 from laburnumsill.config import current as current_module
 from laburnumsill.config import models
 from laburnumsill.core import clock as clocks
@@ -18,7 +19,6 @@
 from laburnumsill.core import metrics as metrics_module
 from laburnumsill.core import replication
 from laburnumsill.core import topology
-from laburnumsill.clients import backend
 from laburnumsill.requests import accept
 from laburnumsill.requests import admit
 from laburnumsill.requests import answer as answers
--- a/laburnumsill/requests/tests/support.py
+++ b/laburnumsill/requests/tests/support.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from laburnumsill.clients import backend
 from laburnumsill.config import current as current_module
 from laburnumsill.config import models
 from laburnumsill.core import clock as clocks
@@ -16,7 +17,6 @@
 from laburnumsill.core import metrics
 from laburnumsill.core import replication
 from laburnumsill.core import topology
-from laburnumsill.clients import backend
 from laburnumsill.requests import messages
 from laburnumsill.requests import router as routers
 from laburnumsill.state import claims
--- a/laburnumsill/testing/model_servers.py
+++ b/laburnumsill/testing/model_servers.py
@@ -12,9 +12,9 @@
 
 import trio
 
+from laburnumsill.clients import backend
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import members
-from laburnumsill.clients import backend
 
 ONE_WAY_S = 0.0005
 """Between VM and server inside a failure domain."""
