--- /dev/null
+++ b/laburnumsill/batch/checks.py
@@ -0,0 +1,115 @@
+"""Whether a group of runs may be placed."""
+
+import typing
+
+from laburnumsill.batch import commands
+from laburnumsill.batch import model
+
+if typing.TYPE_CHECKING:
+    from laburnumsill.batch import ledger as ledgers
+
+Group = tuple[commands.Placement, ...]
+
+
+def placement_refusal(ledger: "ledgers.BatchLedger", group: Group) -> str:
+    """Returns why a group may not be placed, "" if it may.
+
+    The planner works on a state that may be a few commands old; what it
+    decided is checked again here, in the order of the log.
+    """
+    for placement in group:
+        refusal = _task_refusal(ledger, placement) or _worker_refusal(
+            ledger, placement
+        )
+        if refusal:
+            return refusal
+    return _gang_refusal(ledger, group) or _room_refusal(ledger, group)
+
+
+def _task_refusal(
+    ledger: "ledgers.BatchLedger", placement: commands.Placement
+) -> str:
+    task = placement.run.task
+    job = ledger.jobs.get(task.job_id)
+    if job is None or not job.active:
+        return f"job {task.job_id} has ended"
+    known = job.task(task)
+    if known is None:
+        return f"no task {task}"
+    if known.done_run:
+        return f"{task} is done"
+    if ledger.live_run(task) is not None:
+        return f"{task} has a live run"
+    if placement.run.number <= known.last_run:
+        return f"{task} has had run {known.last_run}"
+    if not job.ready(task.occurrence, task.step):
+        return f"{task} depends on a step that is not done"
+    return ""
+
+
+def _worker_refusal(
+    ledger: "ledgers.BatchLedger", placement: commands.Placement
+) -> str:
+    worker = ledger.workers.get(placement.worker_id)
+    if worker is None:
+        return f"no worker {placement.worker_id}"
+    if worker.draining:
+        return f"{worker.worker_id} is draining"
+    job = ledger.jobs[placement.run.task.job_id].job
+    step = job.steps[placement.run.task.step]
+    if worker.pool != job.terms.pool:
+        return f"{worker.worker_id} works for {worker.pool}"
+    if step.required_label and step.required_label not in worker.labels:
+        return f"{worker.worker_id} lacks the label {step.required_label}"
+    return ""
+
+
+def _gang_refusal(ledger: "ledgers.BatchLedger", group: Group) -> str:
+    """Checks that gangs are whole and their members' runs have one number."""
+    steps: dict[tuple[str, int, int], list[model.RunId]] = {}
+    for placement in group:
+        task = placement.run.task
+        key = (task.job_id, task.occurrence, task.step)
+        steps.setdefault(key, []).append(placement.run)
+    for (job_id, _, number), runs in steps.items():
+        step = ledger.jobs[job_id].job.steps[number]
+        if not step.gang:
+            continue
+        members = {run.task.index for run in runs}
+        if len(members) != step.tasks or len(runs) != step.tasks:
+            return f"{len(runs)} of a gang of {step.tasks}"
+        if len({run.number for run in runs}) != 1:
+            return "runs of a gang with different numbers"
+    return ""
+
+
+def _room_refusal(ledger: "ledgers.BatchLedger", group: Group) -> str:
+    free: dict[str, model.Resources] = {}
+    counts: dict[tuple[str, str, int, int], int] = {}
+    for placement in group:
+        worker_id = placement.worker_id
+        task = placement.run.task
+        step = ledger.jobs[task.job_id].job.steps[task.step]
+        room = free.get(worker_id) or ledger.free_on(worker_id)
+        if not step.needs.fits_in(room):
+            return f"no room for {task} on {worker_id}"
+        free[worker_id] = room - step.needs
+        key = (worker_id, task.job_id, task.occurrence, task.step)
+        if key not in counts:
+            counts[key] = count_on(ledger, worker_id, task)
+        counts[key] += 1
+        if step.max_per_worker and counts[key] > step.max_per_worker:
+            return f"more than {step.max_per_worker} on {worker_id}"
+    return ""
+
+
+def count_on(
+    ledger: "ledgers.BatchLedger", worker_id: str, task: model.TaskId
+) -> int:
+    """Returns how many live runs of a task's step a worker has."""
+    return sum(
+        run.task.job_id == task.job_id
+        and run.task.occurrence == task.occurrence
+        and run.task.step == task.step
+        for run in ledger.runs_on(worker_id)
+    )
--- /dev/null
+++ b/laburnumsill/batch/ledger.py
@@ -0,0 +1,355 @@
+"""The replicated record of jobs, workers and runs.
+
+Everything that must survive the loss of a VM is here: which jobs were
+accepted, which runs were placed where, how runs ended. A run is placed here
+before its worker is told, and its end is noted here before the worker may
+forget it, so that whoever leads next knows of every run that there may be.
+"""
+
+import dataclasses
+from collections import abc
+
+from laburnumsill.batch import checks
+from laburnumsill.batch import commands
+from laburnumsill.batch import model
+from laburnumsill.batch import records
+from laburnumsill.core import codec
+from laburnumsill.core import replication
+
+
+@codec.register("batch.snapshot")
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """The whole ledger."""
+
+    jobs: list[records.JobRecord]
+    workers: list[model.Worker]
+    runs: list[records.RunRecord]
+    noted: dict[str, int]
+
+
+class BatchLedger(replication.Component):
+    """Jobs, workers and live runs of one site.
+
+    What always holds: a task has at most one live run; the live runs of a
+    worker fit into it; a gang is placed whole; nothing is placed of a job
+    that has ended or of a step whose predecessors are not done.
+
+    Examples:
+        >>> ledger = BatchLedger()
+        >>> step = model.Step(1, model.Resources(1000, 64, 1))
+        >>> job = model.Job("j1", "q", "a", "", (step,),
+        ...                 model.QueueTerms("pool", 0, 3))
+        >>> ledger.submit(commands.SubmitJob(job, 0))
+        >>> ledger.job_state(commands.JobQuery("j1")).state
+        'queued'
+    """
+
+    name = "batch"
+
+    def __init__(self) -> None:
+        self._jobs: dict[str, records.JobRecord] = {}
+        self._workers: dict[str, model.Worker] = {}
+        self._runs: dict[model.RunId, records.RunRecord] = {}
+        self._by_worker: dict[str, dict[model.RunId, records.RunRecord]] = {}
+        self._run_of_task: dict[model.TaskId, model.RunId] = {}
+        self._noted: dict[str, int] = {}
+        self._active: dict[str, records.JobRecord] = {}
+
+    @property
+    def jobs(self) -> abc.Mapping[str, records.JobRecord]:
+        """All jobs that are remembered, by id."""
+        return self._jobs
+
+    @property
+    def active_jobs(self) -> abc.Mapping[str, records.JobRecord]:
+        """The jobs that have not ended, by id."""
+        return self._active
+
+    @property
+    def workers(self) -> abc.Mapping[str, model.Worker]:
+        """The workers that are known, by id."""
+        return self._workers
+
+    @property
+    def runs(self) -> abc.Mapping[model.RunId, records.RunRecord]:
+        """The runs that may be running."""
+        return self._runs
+
+    def runs_on(
+        self, worker_id: str
+    ) -> abc.Mapping[model.RunId, records.RunRecord]:
+        """Returns the runs that may be running on a worker."""
+        return self._by_worker.get(worker_id, {})
+
+    def live_run(self, task: model.TaskId) -> model.RunId | None:
+        """Returns the run of a task that may be running, or None."""
+        return self._run_of_task.get(task)
+
+    def noted(self, worker_id: str) -> int:
+        """Returns the place up to which a worker's ends are noted."""
+        return self._noted.get(worker_id, 0)
+
+    def needs_of(self, run: model.RunId) -> model.Resources:
+        """Returns what a run of a remembered job occupies."""
+        return self._jobs[run.task.job_id].job.steps[run.task.step].needs
+
+    def free_on(self, worker_id: str) -> model.Resources:
+        """Returns what no live run occupies on a worker."""
+        free = self._workers[worker_id].capacity
+        for run in self.runs_on(worker_id):
+            free -= self.needs_of(run)
+        return free
+
+    def submit(self, command: commands.SubmitJob) -> None:
+        """Accepts a job unless it is known already."""
+        job_id = command.job.job_id
+        if job_id in self._jobs:
+            return
+        record = records.new_job(command.job, command.at_ms)
+        self._jobs[job_id] = record
+        self._active[job_id] = record
+
+    def cancel(self, command: commands.CancelJob) -> commands.JobAnswer:
+        """Cancels a job; the answer is empty if there is none."""
+        record = self._jobs.get(command.job_id)
+        if record is None:
+            return commands.JobAnswer()
+        if record.active:
+            self._finish(record, commands.JobState.CANCELLED, command.at_ms)
+        return commands.JobAnswer(str(record.state))
+
+    def place(self, command: commands.PlaceRuns) -> commands.Placed:
+        """Places the groups that may be placed."""
+        return commands.Placed(
+            tuple(
+                self._place_group(group, command.at_ms)
+                for group in command.groups
+            )
+        )
+
+    def note_ends(self, command: commands.NoteEnds) -> None:
+        """Takes note of ends that were not noted before."""
+        noted = self.noted(command.worker_id)
+        for end in command.ends:
+            if end.number > noted:
+                noted = end.number
+                self._end(end, command.at_ms)
+        if command.worker_id in self._workers:
+            self._noted[command.worker_id] = noted
+
+    def release(self, command: commands.ReleaseRuns) -> None:
+        """Frees what lost runs held."""
+        for one in command.releases:
+            record = self._runs.get(one.run)
+            if record is None or record.worker_id != one.worker_id:
+                continue
+            self._remove_run(one.run)
+            self._save(one.run, one.saved)
+
+    def note_running(self, command: commands.NoteRunning) -> None:
+        """Takes note of runs that were seen and of their progress."""
+        for seen in command.seen:
+            record = self._runs.get(seen.run)
+            if record is not None:
+                record.seen = True
+                self._begin(seen.run.task.job_id)
+                self._save(seen.run, seen.saved)
+
+    def put_worker(self, command: commands.PutWorker) -> None:
+        """Makes a worker known."""
+        self._workers[command.worker.worker_id] = command.worker
+
+    def remove_worker(self, command: commands.RemoveWorker) -> None:
+        """Forgets a worker; its runs are lost."""
+        for seen in command.saved:
+            if seen.run in self._runs:
+                self._save(seen.run, seen.saved)
+        for run in list(self.runs_on(command.worker_id)):
+            self._remove_run(run)
+        self._workers.pop(command.worker_id, None)
+        self._noted.pop(command.worker_id, None)
+        self._by_worker.pop(command.worker_id, None)
+
+    def forget(self, command: commands.ForgetJobs) -> None:
+        """Forgets jobs that ended long ago and have no live run."""
+        busy = {run.task.job_id for run in self._runs}
+        for job_id, record in list(self._jobs.items()):
+            ended = 0 < record.ended_ms < command.ended_before_ms
+            if ended and job_id not in busy:
+                del self._jobs[job_id]
+
+    def job_state(self, query: commands.JobQuery) -> commands.JobAnswer:
+        """Returns the state of a job."""
+        record = self._jobs.get(query.job_id)
+        return commands.JobAnswer(str(record.state) if record else "")
+
+    def pending(self, query: commands.PendingQuery) -> commands.PendingAnswer:
+        """Returns how many jobs of a queue have not begun."""
+        return commands.PendingAnswer(
+            sum(
+                not record.begun and record.job.queue == query.queue
+                for record in self._active.values()
+            )
+        )
+
+    def dump(self) -> bytes:
+        """Returns the whole ledger, encoded."""
+        return codec.encode(
+            Snapshot(
+                list(self._jobs.values()),
+                list(self._workers.values()),
+                list(self._runs.values()),
+                dict(self._noted),
+            )
+        )
+
+    def load(self, raw: bytes) -> None:
+        """Replaces the ledger by one that `dump` returned."""
+        snapshot: Snapshot = codec.decode(raw)
+        self.__init__()  # type: ignore[misc]
+        for job in snapshot.jobs:
+            self._jobs[job.job.job_id] = job
+            if job.active:
+                self._active[job.job.job_id] = job
+        for worker in snapshot.workers:
+            self._workers[worker.worker_id] = worker
+        for run in snapshot.runs:
+            self._add_run(run)
+        self._noted = dict(snapshot.noted)
+
+    def _place_group(
+        self, group: tuple[commands.Placement, ...], at_ms: int
+    ) -> str:
+        """Places a group whole; returns why not, "" if it was placed."""
+        refusal = checks.placement_refusal(self, group)
+        if refusal:
+            return refusal
+        for placement in group:
+            task = placement.run.task
+            record = self._jobs[task.job_id]
+            known = record.task(task)
+            if known is not None:
+                known.last_run = placement.run.number
+            record.state = commands.JobState.RUNNING
+            self._add_run(
+                records.RunRecord(placement.run, placement.worker_id, at_ms)
+            )
+        return ""
+
+    def _end(self, end: commands.EndedRun, at_ms: int) -> None:
+        """Takes note of one end.
+
+        A run that is not live any more may still turn out to have been done:
+        the worker listed that before its lease ended, and nobody could read
+        it then.
+        """
+        was_live = end.run in self._runs
+        self._remove_run(end.run)
+        record = self._jobs.get(end.run.task.job_id)
+        task = record.task(end.run.task) if record else None
+        if record is None or task is None:
+            return
+        self._begin(end.run.task.job_id)
+        self._save(end.run, end.saved)
+        if end.kind is commands.EndKind.DONE:
+            self._note_done(record, end.run, at_ms)
+        elif end.kind is commands.EndKind.FAILED and was_live:
+            self._note_failure(record, end.run, at_ms)
+
+    def _note_done(
+        self, record: records.JobRecord, run: model.RunId, at_ms: int
+    ) -> None:
+        """One member's end stands for its whole gang."""
+        step = record.step(run.task)
+        if step is None:
+            return
+        done = [run.task]
+        if record.job.steps[run.task.step].gang:
+            done = list(records.siblings(record.job, run.task))
+        for task in done:
+            known = step.tasks[task.index]
+            if not known.done_run:
+                known.done_run = run.number
+                step.undone -= 1
+        if record.active and record.done:
+            self._finish(record, commands.JobState.COMPLETED, at_ms)
+
+    def _note_failure(
+        self, record: records.JobRecord, run: model.RunId, at_ms: int
+    ) -> None:
+        step = record.step(run.task)
+        if step is None:
+            return
+        spec = record.job.steps[run.task.step]
+        if spec.gang:
+            if run.number <= step.failed_run:
+                return  # another member has brought it down already
+            step.failed_run = run.number
+            for task in step.tasks:
+                task.failures += 1
+        else:
+            step.tasks[run.task.index].failures += 1
+        spent = records.attempts(record, run.task)
+        hopeless = spent >= record.job.terms.max_attempts
+        if hopeless and not spec.long_running and record.active:
+            self._finish(record, commands.JobState.FAILED, at_ms)
+
+    def _finish(
+        self, record: records.JobRecord, state: commands.JobState, at_ms: int
+    ) -> None:
+        record.state = state
+        record.ended_ms = max(1, at_ms)
+        self._active.pop(record.job.job_id, None)
+
+    def _begin(self, job_id: str) -> None:
+        record = self._jobs.get(job_id)
+        if record is not None:
+            record.begun = True
+
+    def _save(self, run: model.RunId, saved: str) -> None:
+        """Keeps progress; that of a gang's member is that of the gang."""
+        record = self._jobs.get(run.task.job_id)
+        step = record.step(run.task) if record else None
+        if not saved or record is None or step is None:
+            return
+        if record.job.steps[run.task.step].gang:
+            for task in step.tasks:
+                task.saved = saved
+        elif run.number >= step.tasks[run.task.index].last_run:
+            step.tasks[run.task.index].saved = saved
+
+    def _add_run(self, record: records.RunRecord) -> None:
+        self._runs[record.run] = record
+        self._run_of_task[record.run.task] = record.run
+        on_worker = self._by_worker.setdefault(record.worker_id, {})
+        on_worker[record.run] = record
+
+    def _remove_run(self, run: model.RunId) -> None:
+        record = self._runs.pop(run, None)
+        if record is None:
+            return
+        self._by_worker.get(record.worker_id, {}).pop(run, None)
+        if self._run_of_task.get(run.task) == run:
+            del self._run_of_task[run.task]
+
+    def commands(self) -> dict[type, replication.Handler]:
+        """Returns the handlers of commands."""
+        return {
+            commands.SubmitJob: self.submit,
+            commands.CancelJob: self.cancel,
+            commands.PlaceRuns: self.place,
+            commands.NoteEnds: self.note_ends,
+            commands.ReleaseRuns: self.release,
+            commands.NoteRunning: self.note_running,
+            commands.PutWorker: self.put_worker,
+            commands.RemoveWorker: self.remove_worker,
+            commands.ForgetJobs: self.forget,
+        }
+
+    def queries(self) -> dict[type, replication.Handler]:
+        """Returns the handlers of queries."""
+        return {
+            commands.JobQuery: self.job_state,
+            commands.PendingQuery: self.pending,
+        }
--- /dev/null
+++ b/laburnumsill/batch/packing.py
@@ -0,0 +1,194 @@
+"""Fitting one unit into what is free."""
+
+import math
+from collections import abc
+
+from laburnumsill.batch import model
+from laburnumsill.batch import rooms as room_module
+from laburnumsill.batch import units
+
+Assignment = list[tuple[model.TaskId, room_module.Room]]
+RoomOf = abc.Callable[[room_module.Room], model.Resources]
+CountOn = abc.Callable[[str, model.TaskId], int]
+
+
+def free_now(room: room_module.Room) -> model.Resources:
+    """Returns what is free now."""
+    return room.free
+
+
+def free_soon(room: room_module.Room) -> model.Resources:
+    """Returns what will be free when all that is being stopped has ended."""
+    return room.soon_free
+
+
+def eligible(
+    unit: units.Unit, rooms: abc.Iterable[room_module.Room]
+) -> list[room_module.Room]:
+    """Returns the rooms whose workers may run a unit's tasks at all."""
+    step = unit.step
+    pool = unit.record.job.terms.pool
+    return [
+        room
+        for room in rooms
+        if room.worker.pool == pool
+        and (
+            not step.required_label or step.required_label in room.worker.labels
+        )
+    ]
+
+
+def fit(
+    unit: units.Unit,
+    rooms: abc.Sequence[room_module.Room],
+    room_of: RoomOf,
+    count_on: CountOn,
+) -> Assignment:
+    """Returns where a unit's tasks fit: all of a gang, else those that do.
+
+    A gang goes to one rack if it fits into one: the fullest that holds it,
+    so that empty racks stay whole for larger gangs. Within a rack the
+    workers with the least room go first.
+
+    Args:
+        unit: The tasks.
+        rooms: The workers that may run them.
+        room_of: What of a worker may be used.
+        count_on: How many tasks of a task's step a worker has already.
+
+    Returns:
+        Tasks and their workers; empty if nothing, or not all of a gang, fits.
+    """
+    slots = _slots(unit, rooms, room_of, count_on)
+    wanted = len(unit.tasks)
+    if not unit.step.gang:
+        return _assign(unit, _in_order(unit, rooms, slots, room_of), slots)
+    chosen = _best_rack(unit, rooms, slots, room_of)
+    if chosen is None and not _needs_one_rack(unit, rooms):
+        chosen = _widest_racks_first(rooms, slots, room_of)
+    if chosen is None:
+        return []
+    found = _assign(unit, chosen, slots)
+    return found if len(found) == wanted else []
+
+
+def _slots(
+    unit: units.Unit,
+    rooms: abc.Sequence[room_module.Room],
+    room_of: RoomOf,
+    count_on: CountOn,
+) -> dict[str, int]:
+    """Returns how many of a unit's tasks fit on each worker."""
+    step = unit.step
+    slots = {}
+    for room in rooms:
+        count = step.needs.times_in(room_of(room))
+        if step.max_per_worker:
+            known = count_on(room.worker.worker_id, unit.tasks[0])
+            count = min(count, max(0, step.max_per_worker - known))
+        slots[room.worker.worker_id] = count
+    return slots
+
+
+def _best_rack(
+    unit: units.Unit,
+    rooms: abc.Sequence[room_module.Room],
+    slots: dict[str, int],
+    room_of: RoomOf,
+) -> list[room_module.Room] | None:
+    """Returns the rooms of the rack that holds a unit with the least left."""
+    best: tuple[bool, float] | None = None
+    chosen = None
+    for rack, inside in room_module.by_rack(rooms).items():
+        if sum(slots[r.worker.worker_id] for r in inside) < len(unit.tasks):
+            continue
+        left = sum(room_of(room).accelerators for room in inside)
+        away = bool(unit.step.data_rack) and rack != unit.step.data_rack
+        if best is None or (away, left) < best:
+            best = (away, left)
+            chosen = inside
+    return _fullest_first(chosen, room_of) if chosen else None
+
+
+def _needs_one_rack(
+    unit: units.Unit, rooms: abc.Sequence[room_module.Room]
+) -> bool:
+    """Whether a gang should wait for one rack: some rack could hold it."""
+    if not unit.step.same_rack:
+        return False
+    most = max(
+        (
+            sum(
+                unit.step.needs.times_in(room.worker.capacity)
+                for room in inside
+            )
+            for inside in room_module.by_rack(rooms).values()
+        ),
+        default=0,
+    )
+    return most >= len(unit.tasks)
+
+
+def _widest_racks_first(
+    rooms: abc.Sequence[room_module.Room],
+    slots: dict[str, int],
+    room_of: RoomOf,
+) -> list[room_module.Room]:
+    """Returns all rooms, so that a gang touches few racks."""
+    racks = room_module.by_rack(rooms)
+    order = sorted(
+        racks,
+        key=lambda rack: -sum(slots[r.worker.worker_id] for r in racks[rack]),
+    )
+    found: list[room_module.Room] = []
+    for rack in order:
+        found += _fullest_first(racks[rack], room_of)
+    return found
+
+
+def _in_order(
+    unit: units.Unit,
+    rooms: abc.Sequence[room_module.Room],
+    slots: dict[str, int],
+    room_of: RoomOf,
+) -> list[room_module.Room]:
+    """Returns rooms for single tasks: near their data, then the fullest."""
+    rack = unit.step.data_rack
+    near = [room for room in rooms if room.worker.rack == rack]
+    if rack and near:
+        return _fullest_first(near, room_of)
+    return _fullest_first(rooms, room_of)
+
+
+def _fullest_first(
+    rooms: abc.Iterable[room_module.Room], room_of: RoomOf
+) -> list[room_module.Room]:
+    def key(room: room_module.Room) -> tuple[float, float, str]:
+        free = room_of(room)
+        return (free.accelerators, free.cpu_millis, room.worker.worker_id)
+
+    return sorted(rooms, key=key)
+
+
+def _assign(
+    unit: units.Unit,
+    rooms: abc.Iterable[room_module.Room],
+    slots: dict[str, int],
+) -> Assignment:
+    found: Assignment = []
+    waiting = iter(unit.tasks)
+    left = len(unit.tasks)
+    for room in rooms:
+        take = min(slots[room.worker.worker_id], left)
+        left -= take
+        found += [(next(waiting), room) for _ in range(take)]
+    return found
+
+
+def share_free(rooms: abc.Iterable[room_module.Room]) -> float:
+    """Returns the share of accelerators that is free, not a number if none."""
+    total = free = 0
+    for room in rooms:
+        total += room.worker.capacity.accelerators
+        free += room.free.accelerators
+    return free / total if total else math.nan
--- /dev/null
+++ b/laburnumsill/batch/planner.py
@@ -0,0 +1,231 @@
+"""What is to be placed and stopped next: a pure function of a view.
+
+Units are taken in order of priority and objective. One that fits is placed;
+an urgent one that does not fit keeps what is about to be free, and stops the
+cheapest runs of lower priority if that is not enough; a gang that has waited
+long keeps a rack for itself, so that small tasks do not starve it.
+"""
+
+import dataclasses
+from collections import abc
+
+from laburnumsill.batch import checks
+from laburnumsill.batch import commands
+from laburnumsill.batch import ledger as ledgers
+from laburnumsill.batch import model
+from laburnumsill.batch import packing
+from laburnumsill.batch import preemption
+from laburnumsill.batch import rooms as room_module
+from laburnumsill.batch import units
+
+URGENT_PRIORITY = 0
+"""Jobs of this priority may stop others and own what is guaranteed."""
+
+FENCE_AFTER_MS = 3_000
+"""A gang that has waited so long keeps room that becomes free, in ms: about
+half a run of the users' background tasks."""
+
+MAX_FENCED = 2
+"""So many waiting gangs keep room at a time; more would idle the site."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class View:
+    """What a plan is made of.
+
+    Attributes:
+        ledger: The replicated record.
+        usable: The workers that may be given runs.
+        stopping: Runs that were told to stop and have not ended.
+        guarantees: Guaranteed accelerators by client account.
+        now_ms: Wall time, ms since 1970.
+        avoid: Workers on which a task is not to be run again.
+    """
+
+    ledger: ledgers.BatchLedger
+    usable: abc.Set[str]
+    stopping: abc.Set[model.RunId]
+    guarantees: abc.Mapping[str, int]
+    now_ms: int
+    avoid: abc.Callable[[model.TaskId], abc.Set[str]] = lambda _: frozenset()
+
+
+@dataclasses.dataclass(slots=True)
+class Plan:
+    """What to do next.
+
+    Attributes:
+        groups: Runs to place, each group whole.
+        stops: Runs to stop, to make room.
+        waiting: Units that could not be placed.
+    """
+
+    groups: list[tuple[commands.Placement, ...]]
+    stops: list[model.RunId]
+    waiting: list[units.Unit]
+
+
+def plan(view: View) -> Plan:
+    """Returns what to place and to stop."""
+    return _Planner(view).run()
+
+
+class _Planner:
+    def __init__(self, view: View) -> None:
+        self._view = view
+        self._ledger = view.ledger
+        self._plan = Plan([], [], [])
+        self._rooms = _rooms(view)
+        self._victims: list[preemption.Victim] | None = None
+        self._fenced = 0
+
+    def run(self) -> Plan:
+        waiting = units.ready_units(self._ledger, self._view.now_ms)
+        for unit in sorted(waiting, key=self._order):
+            self._place(unit)
+        return self._plan
+
+    def _order(self, unit: units.Unit) -> tuple[object, ...]:
+        return (
+            unit.priority,
+            not self._guaranteed(unit),
+            unit.objective_ms,
+            unit.key,
+        )
+
+    def _guaranteed(self, unit: units.Unit) -> bool:
+        if unit.priority != URGENT_PRIORITY:
+            return False
+        account = unit.record.job.account
+        own = self._view.guarantees.get(account, 0)
+        return self._urgent_use(account) <= own
+
+    def _urgent_use(self, account: str) -> int:
+        """Returns the accelerators that an account's urgent jobs need."""
+        return sum(
+            _accelerators(record.job)
+            for record in self._ledger.active_jobs.values()
+            if record.job.account == account
+            and record.job.terms.priority == URGENT_PRIORITY
+        )
+
+    def _place(self, unit: units.Unit) -> None:
+        rooms = self._eligible(unit)
+        found = packing.fit(unit, rooms, packing.free_now, self._count_on)
+        self._take(unit, found)
+        placed = {task for task, _ in found}
+        unit.tasks = [task for task in unit.tasks if task not in placed]
+        if not unit.tasks:
+            return
+        self._plan.waiting.append(unit)
+        if unit.priority == URGENT_PRIORITY:
+            self._make_room(unit, rooms)
+        elif unit.step.gang:
+            self._fence_rack(unit, rooms)
+
+    def _eligible(self, unit: units.Unit) -> list[room_module.Room]:
+        avoid: set[str] = set()
+        for task in unit.tasks:
+            avoid |= self._view.avoid(task)
+        rooms = packing.eligible(unit, self._rooms.values())
+        kept = [room for room in rooms if room.worker.worker_id not in avoid]
+        return kept or rooms
+
+    def _take(self, unit: units.Unit, found: packing.Assignment) -> None:
+        placements = []
+        for task, room in found:
+            room.take(unit.step.needs)
+            run = unit.run_of(task)
+            placements.append(commands.Placement(run, room.worker.worker_id))
+        if unit.step.gang and placements:
+            self._plan.groups.append(tuple(placements))
+        else:
+            self._plan.groups += [(placement,) for placement in placements]
+
+    def _make_room(
+        self, unit: units.Unit, rooms: list[room_module.Room]
+    ) -> None:
+        """Keeps what is about to be free; stops others if it is too little."""
+        soon = packing.fit(unit, rooms, packing.free_soon, self._count_on)
+        if len(soon) == len(unit.tasks):
+            self._reserve(unit, soon)
+            return
+        eviction = preemption.evict(
+            unit, rooms, self._may_stop(), self._count_on
+        )
+        if eviction is None:
+            self._reserve(unit, soon)
+            return
+        for victim in eviction.victims:
+            self._stop(victim)
+        self._reserve(unit, eviction.assignment)
+
+    def _may_stop(self) -> list[preemption.Victim]:
+        if self._victims is None:
+            self._victims = preemption.victims_below(
+                self._ledger,
+                URGENT_PRIORITY,
+                self._view.stopping,
+                self._view.now_ms,
+            )
+        return self._victims
+
+    def _stop(self, victim: preemption.Victim) -> None:
+        if self._victims is not None:
+            self._victims.remove(victim)
+        self._plan.stops += victim.runs
+        for worker_id, amount in victim.freed.items():
+            room = self._rooms.get(worker_id)
+            if room is not None:
+                room.leaving += amount
+
+    def _fence_rack(
+        self, unit: units.Unit, rooms: list[room_module.Room]
+    ) -> None:
+        """Keeps the rack with the most room for a gang that waits long."""
+        waited = self._view.now_ms - unit.waiting_since_ms
+        if waited < FENCE_AFTER_MS or self._fenced >= MAX_FENCED:
+            return
+        self._fenced += 1
+        racks = room_module.by_rack(rooms)
+        if not racks:
+            return
+        widest = max(
+            racks.values(),
+            key=lambda inside: sum(r.soon_free.accelerators for r in inside),
+        )
+        left = len(unit.tasks)
+        for room in widest:
+            count = min(left, unit.step.needs.times_in(room.worker.capacity))
+            left -= count
+            for _ in range(count):
+                room.reserve(unit.step.needs)
+
+    def _reserve(self, unit: units.Unit, found: packing.Assignment) -> None:
+        for _, room in found:
+            room.reserve(unit.step.needs)
+
+    def _count_on(self, worker_id: str, task: model.TaskId) -> int:
+        return checks.count_on(self._ledger, worker_id, task)
+
+
+def _rooms(view: View) -> dict[str, room_module.Room]:
+    """Returns the usable workers with what is free and what is leaving."""
+    rooms = {}
+    for worker_id in sorted(view.usable):
+        worker = view.ledger.workers.get(worker_id)
+        if worker is None or worker.draining:
+            continue
+        room = room_module.Room(worker, view.ledger.free_on(worker_id))
+        for run in view.ledger.runs_on(worker_id):
+            if run in view.stopping:
+                room.leaving += view.ledger.needs_of(run)
+        rooms[worker_id] = room
+    return rooms
+
+
+def _accelerators(job: model.Job) -> int:
+    """Returns the accelerators that a job needs at most at one time."""
+    return max(
+        (step.tasks * step.needs.accelerators for step in job.steps), default=0
+    )
--- /dev/null
+++ b/laburnumsill/batch/rooms.py
@@ -0,0 +1,47 @@
+"""What is free on workers, while a plan is being made."""
+
+import dataclasses
+from collections import abc
+
+from laburnumsill.batch import model
+
+
+@dataclasses.dataclass(slots=True)
+class Room:
+    """One worker that may be given runs.
+
+    Attributes:
+        worker: The worker.
+        free: What nobody occupies or has reserved.
+        leaving: What runs occupy that are being stopped.
+    """
+
+    worker: model.Worker
+    free: model.Resources
+    leaving: model.Resources = dataclasses.field(
+        default_factory=model.Resources
+    )
+
+    @property
+    def soon_free(self) -> model.Resources:
+        """What will be free once all that is being stopped has ended."""
+        return self.free + self.leaving
+
+    def take(self, needs: model.Resources) -> None:
+        """Occupies an amount that fits."""
+        self.free -= needs
+
+    def reserve(self, needs: model.Resources) -> None:
+        """Keeps an amount of what is free now or soon."""
+        self.free -= needs
+
+
+Rooms = abc.Mapping[str, Room]
+
+
+def by_rack(rooms: abc.Iterable[Room]) -> dict[str, list[Room]]:
+    """Returns rooms by the rack that they stand in."""
+    racks: dict[str, list[Room]] = {}
+    for room in rooms:
+        racks.setdefault(room.worker.rack, []).append(room)
+    return racks
--- /dev/null
+++ b/laburnumsill/batch/scheduler.py
@@ -0,0 +1,415 @@
+"""Carries the plan out on the VM that leads.
+
+While this VM leads the group of the ledger, a term runs: one session for each
+worker, a planner that is woken by what changes, and housekeeping. When the
+lead is lost, all of it is cancelled; the ledger tells the next leader which
+runs there may be.
+"""
+
+import dataclasses
+import math
+from collections import abc
+
+import trio
+
+from laburnumsill.batch import commands
+from laburnumsill.batch import ledger as ledgers
+from laburnumsill.batch import model
+from laburnumsill.batch import planner
+from laburnumsill.batch import session as sessions
+from laburnumsill.batch import units
+from laburnumsill.batch import worker_client
+from laburnumsill.core import clock as clocks
+from laburnumsill.core import errors
+from laburnumsill.core import logs
+from laburnumsill.core import metrics as metrics_module
+from laburnumsill.core import replication
+
+LEAD_POLL_S = 0.05
+"""How often a VM looks whether it has come to lead."""
+
+HOUSEKEEPING_S = 0.5
+"""How often workers are looked at for their silence."""
+
+COMMIT_WITHIN_S = 2.0
+"""A commit that takes longer ends the term: the lead is as good as lost."""
+
+UNHEARD_S = 4.0
+"""A worker that was silent for so long gets no new runs; it says something
+every 1.5 s."""
+
+FORGET_WORKER_S = 12.0
+"""A worker that was silent for so long, and whose leases are over, is gone."""
+
+KEEP_ENDED_S = 300.0
+"""Jobs are remembered for so long after their end; the users ask for 120 s
+at least."""
+
+
+class LeadLostError(errors.UnavailableError):
+    """A commit of the scheduler failed: another VM leads, or none."""
+
+    slug = "lead-lost"
+    title = "The scheduler does not lead any more"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Heard:
+    """What a heartbeat told of a worker.
+
+    Attributes:
+        at: When it came, monotonic.
+        sequence: Its number.
+        clock_ms: The worker's clock when it was sent, or None.
+    """
+
+    at: float
+    sequence: int
+    clock_ms: int | None
+
+
+class Scheduler:
+    """Schedules the jobs of one ledger while this VM leads its group.
+
+    Args:
+        group: The group whose state machine holds the ledger.
+        groups: Access to it.
+        client: Gives orders to workers.
+        guarantees: Returns the guaranteed accelerators by client account.
+        clock: The clock of this process.
+        metrics: Takes the counters.
+        longest_lease_ms: The longest lease that workers grant.
+    """
+
+    def __init__(
+        self,
+        group: str,
+        groups: replication.Groups,
+        client: worker_client.WorkerClient,
+        guarantees: abc.Callable[[], abc.Mapping[str, int]],
+        clock: clocks.Clock,
+        metrics: metrics_module.Metrics,
+        longest_lease_ms: int,
+    ) -> None:
+        self._group = group
+        self._groups = groups
+        self._client = client
+        self._guarantees = guarantees
+        self._clock = clock
+        self._metrics = metrics
+        self._longest_lease_ms = longest_lease_ms
+        self._term: _Term | None = None
+
+    @property
+    def leads(self) -> bool:
+        """Whether a term runs here."""
+        return self._term is not None
+
+    async def run(self) -> None:
+        """Runs a term whenever this VM leads, until cancelled."""
+        while True:
+            if self._groups.leads(self._group):
+                await self._run_term()
+            await trio.sleep(LEAD_POLL_S)
+
+    def hear(self, worker_id: str, heard: Heard) -> None:
+        """Passes a heartbeat to the term, if one runs."""
+        if self._term is not None:
+            self._term.hear(worker_id, heard)
+
+    def notice(self, command: object) -> None:
+        """Notices that a command was applied; it may call for a plan."""
+        if self._term is not None and not isinstance(
+            command, commands.NoteRunning
+        ):
+            self._term.wake()
+
+    async def _run_term(self) -> None:
+        fence = self._groups.term(self._group)
+        ledger = await self._confirmed_ledger()
+        if ledger is None or self._groups.term(self._group) != fence:
+            return
+        self._term = _Term(self, ledger, fence)
+        logs.event("scheduler-started", group=self._group, fence=fence)
+        try:
+            await self._term.run()
+        finally:
+            self._term = None
+            logs.event("scheduler-stopped", group=self._group, fence=fence)
+
+    async def _confirmed_ledger(self) -> ledgers.BatchLedger | None:
+        """Returns the ledger once all that earlier leaders did is in it."""
+        deadline = self._clock.monotonic() + COMMIT_WITHIN_S
+        try:
+            await self._groups.query(
+                self._group, commands.PendingQuery(""), deadline
+            )
+        except errors.LaburnumsillError as error:
+            logs.event("lead-not-confirmed", "WARNING", reason=error.slug)
+            return None
+        machine = self._groups.local(self._group)
+        if machine is None or not self._groups.leads(self._group):
+            return None
+        ledger: ledgers.BatchLedger = machine.component(
+            ledgers.BatchLedger.name
+        )
+        return ledger
+
+
+class _Term(sessions.Term):
+    """What runs while this VM leads."""
+
+    def __init__(
+        self, owner: Scheduler, ledger: ledgers.BatchLedger, fence: int
+    ) -> None:
+        self.ledger = ledger
+        self.client = owner._client
+        self.clock = owner._clock
+        self.fence = fence
+        self.longest_lease_ms = owner._longest_lease_ms
+        self._owner = owner
+        self._sessions: dict[str, sessions.WorkerSession] = {}
+        self._scopes: dict[str, trio.CancelScope] = {}
+        self._seen: set[model.RunId] = set()
+        self._wakeup = trio.Event()
+        self._wakeup.set()
+        self._scope = trio.CancelScope()
+        self._nursery: trio.Nursery
+        self._waiting: dict[tuple[str, int, int], str] = {}
+
+    async def run(self) -> None:
+        """Runs until the lead is lost."""
+        with self._scope:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                nursery.start_soon(self._watch_lead)
+                nursery.start_soon(self._keep_house)
+                await self._keep_planning()
+
+    async def commit(self, command: object) -> None:
+        """Commits a command, see the base class."""
+        await self._propose(command)
+
+    def wake(self) -> None:
+        """Has a plan made soon."""
+        self._wakeup.set()
+
+    def note_seen(self, run: model.RunId) -> None:
+        """Notes a run that is committed as seen with the next batch."""
+        self._seen.add(run)
+
+    def fenced_off(self, worker_id: str) -> None:
+        """A worker obeys a later leader: this term is over."""
+        logs.event("fenced-off", "WARNING", worker=worker_id, fence=self.fence)
+        self._scope.cancel()
+
+    def hear(self, worker_id: str, heard: Heard) -> None:
+        """Passes a heartbeat to the worker's session."""
+        session = self._sessions.get(worker_id)
+        if session is not None:
+            session.hear(heard.clock_ms)
+
+    async def _propose(self, command: object) -> object:
+        """Commits a command; ends the term if that fails."""
+        deadline = self.clock.monotonic() + COMMIT_WITHIN_S
+        try:
+            return await self._owner._groups.propose(
+                self._owner._group, command, deadline
+            )
+        except errors.LaburnumsillError as error:
+            logs.event(
+                "scheduler-commit-failed",
+                "WARNING",
+                command=type(command).__name__,
+                reason=error.slug,
+                detail=error.detail,
+            )
+            self._scope.cancel()
+            await trio.lowlevel.checkpoint()
+            raise LeadLostError(error.detail) from error
+
+    async def _watch_lead(self) -> None:
+        groups = self._owner._groups
+        group = self._owner._group
+        while groups.leads(group) and groups.term(group) == self.fence:
+            await trio.sleep(LEAD_POLL_S)
+        self._scope.cancel()
+
+    async def _keep_planning(self) -> None:
+        while True:
+            with trio.move_on_after(self._until_next_due_s()):
+                await self._wakeup.wait()
+            self._wakeup = trio.Event()
+            self._match_sessions()
+            self._stop_unwanted()
+            await self._plan_once()
+
+    def _until_next_due_s(self) -> float:
+        now_ms = self._now_ms()
+        due_ms = units.next_due_ms(self.ledger, now_ms)
+        if due_ms is None:
+            return HOUSEKEEPING_S
+        return min(HOUSEKEEPING_S, (due_ms - now_ms) / 1000 + 0.001)
+
+    async def _plan_once(self) -> None:
+        view = planner.View(
+            self.ledger,
+            self._usable(),
+            frozenset(self._stopping()),
+            self._owner._guarantees(),
+            self._now_ms(),
+        )
+        made = planner.plan(view)
+        self._log_waiting(made)
+        for run in made.stops:
+            self._stop(run, "an urgent job needs the room")
+        if made.groups:
+            await self._place(made)
+
+    async def _place(self, made: planner.Plan) -> None:
+        command = commands.PlaceRuns(tuple(made.groups), self._now_ms())
+        placed = await self._propose(command)
+        assert isinstance(placed, commands.Placed)
+        for group, refusal in zip(made.groups, placed.refusals, strict=True):
+            for placement in group:
+                self._log_placement(placement, refusal)
+                session = self._sessions.get(placement.worker_id)
+                if not refusal and session is not None:
+                    session.start(placement.run)
+
+    def _log_placement(
+        self, placement: commands.Placement, refusal: str
+    ) -> None:
+        record = self.ledger.jobs.get(placement.run.task.job_id)
+        logs.decision(
+            "run-placed" if not refusal else "placement-refused",
+            job=placement.run.task.job_id,
+            run=placement.run,
+            worker=placement.worker_id,
+            queue=record.job.queue if record else "",
+            waited_ms=self._now_ms() - record.submitted_ms if record else 0,
+            refusal=refusal,
+        )
+
+    def _log_waiting(self, made: planner.Plan) -> None:
+        """Writes a line when a unit begins to wait, not at each plan."""
+        waiting = {}
+        for unit in made.waiting:
+            waiting[unit.key] = unit.record.job.job_id
+            if unit.key not in self._waiting:
+                logs.decision(
+                    "unit-waits",
+                    job=unit.record.job.job_id,
+                    occurrence=unit.occurrence,
+                    step=unit.number,
+                    tasks=len(unit.tasks),
+                    accelerators=unit.step.needs.accelerators,
+                    priority=unit.priority,
+                    usable=len(self._sessions),
+                )
+        self._waiting = waiting
+
+    def _usable(self) -> set[str]:
+        now = self.clock.monotonic()
+        return {
+            worker_id
+            for worker_id, session in self._sessions.items()
+            if session.failing_since is None
+            and now - session.heard_at < UNHEARD_S
+            and now >= session.unwell_until
+        }
+
+    def _stopping(self) -> set[model.RunId]:
+        found: set[model.RunId] = set()
+        for session in self._sessions.values():
+            found |= session.stopping
+        return found
+
+    def _stop(self, run: model.RunId, reason: str) -> None:
+        record = self.ledger.runs.get(run)
+        session = self._sessions.get(record.worker_id) if record else None
+        if session is not None:
+            session.stop(run, reason)
+
+    def _stop_unwanted(self) -> None:
+        """Stops runs of ended jobs, done tasks and broken gangs."""
+        for run in list(self.ledger.runs):
+            reason = self._unwanted_because(run)
+            if reason:
+                self._stop(run, reason)
+
+    def _unwanted_because(self, run: model.RunId) -> str:
+        record = self.ledger.jobs.get(run.task.job_id)
+        task = record.task(run.task) if record else None
+        step = record.step(run.task) if record else None
+        if record is None or task is None or step is None:
+            return "its job is not known"
+        if task.done_run:
+            return "" if task.done_run == run.number else "its task is done"
+        if not record.active:
+            return f"its job is {record.state}"
+        if not record.job.steps[run.task.step].gang:
+            return ""
+        for index in range(len(step.tasks)):
+            sibling = dataclasses.replace(run.task, index=index)
+            if self.ledger.live_run(sibling) != run:
+                other = self.ledger.live_run(sibling)
+                if other is None or other.number != run.number:
+                    return "its gang is not whole"
+        return ""
+
+    def _match_sessions(self) -> None:
+        """Has a session for each worker that is known, and no other."""
+        for worker_id, worker in self.ledger.workers.items():
+            session = self._sessions.get(worker_id)
+            if session is not None:
+                session.update(worker)
+                continue
+            session = sessions.WorkerSession(worker, self, self._nursery)
+            self._sessions[worker_id] = session
+            self._scopes[worker_id] = trio.CancelScope()
+            self._nursery.start_soon(self._run_session, session)
+        for worker_id in list(self._sessions):
+            if worker_id not in self.ledger.workers:
+                del self._sessions[worker_id]
+                self._scopes.pop(worker_id).cancel()
+
+    async def _run_session(self, session: sessions.WorkerSession) -> None:
+        with self._scopes[session.worker_id]:
+            await session.run()
+
+    async def _keep_house(self) -> None:
+        while True:
+            await trio.sleep(HOUSEKEEPING_S)
+            await self._commit_seen()
+            await self._remove_silent()
+            self._publish()
+
+    async def _commit_seen(self) -> None:
+        if not self._seen:
+            return
+        seen = tuple(commands.SeenRun(run) for run in sorted(self._seen))
+        self._seen.clear()
+        await self._propose(commands.NoteRunning(seen))
+
+    async def _remove_silent(self) -> None:
+        now = self.clock.monotonic()
+        for worker_id, session in list(self._sessions.items()):
+            silent_s = now - session.heard_at
+            if silent_s < FORGET_WORKER_S or now < session.leases_over_at:
+                continue
+            reason = f"silent for {silent_s:.1f} s"
+            logs.event("worker-gone", worker=worker_id, reason=reason)
+            saved = tuple(session.progress())
+            await self._propose(commands.RemoveWorker(worker_id, reason, saved))
+            self.wake()
+
+    def _publish(self) -> None:
+        metrics = self._owner._metrics
+        metrics.gauge("jobs_active", len(self.ledger.active_jobs))
+        metrics.gauge("runs_live", len(self.ledger.runs))
+        metrics.gauge("workers_known", len(self.ledger.workers))
+        metrics.gauge("units_waiting", len(self._waiting))
+
+    def _now_ms(self) -> int:
+        return math.floor(self.clock.wall() * 1000)
--- /dev/null
+++ b/laburnumsill/batch/tests/test_planner.py
@@ -0,0 +1,160 @@
+from laburnumsill.batch import commands
+from laburnumsill.batch import ledger as ledgers
+from laburnumsill.batch import model
+from laburnumsill.batch import planner
+
+GIB = 1024
+
+
+def job(job_id, tasks, accelerators, priority=0, account="a", **step):
+    needs = model.Resources(1000 * accelerators, GIB, accelerators)
+    one = model.Step(tasks, needs, 2000, **step)
+    terms = model.QueueTerms("pool", priority, 3, 1.5, 250)
+    return model.Job(job_id, f"q{priority}", account, "", (one,), terms)
+
+
+def site(racks=2, per_rack=2):
+    ledger = ledgers.BatchLedger()
+    for rack in range(racks):
+        for number in range(per_rack):
+            worker = model.Worker(
+                f"w{rack}{number}",
+                "pool",
+                "",
+                "d",
+                model.Resources(64_000, 64 * GIB, 8),
+                (f"r{rack}",),
+                f"r{rack}",
+            )
+            ledger.put_worker(commands.PutWorker(worker))
+    return ledger
+
+
+def view(ledger, stopping=(), now_ms=0, guarantees=None):
+    return planner.View(
+        ledger,
+        set(ledger.workers),
+        frozenset(stopping),
+        guarantees or {},
+        now_ms,
+    )
+
+
+def submit(ledger, *jobs):
+    for one in jobs:
+        ledger.submit(commands.SubmitJob(one, 0))
+
+
+def carry_out(ledger, made):
+    placed = ledger.place(commands.PlaceRuns(tuple(made.groups), 0))
+    assert set(placed.refusals) <= {""}
+    return placed
+
+
+def test_a_gang_goes_whole_to_one_rack():
+    ledger = site()
+    submit(ledger, job("g", 2, 8, gang=True, same_rack=True))
+    made = planner.plan(view(ledger))
+    (group,) = made.groups
+    racks = {ledger.workers[p.worker_id].rack for p in group}
+    assert len(group) == 2 and len(racks) == 1
+    carry_out(ledger, made)
+
+
+def test_a_gang_that_does_not_fit_is_not_placed_in_part():
+    ledger = site(racks=1)
+    submit(ledger, job("x", 1, 1, priority=1))
+    carry_out(ledger, planner.plan(view(ledger)))
+    submit(ledger, job("g", 2, 8, priority=1, gang=True))
+    made = planner.plan(view(ledger))
+    assert made.groups == []
+    assert made.stops == []
+    assert [unit.record.job.job_id for unit in made.waiting] == ["g"]
+
+
+def test_small_tasks_fill_what_is_broken_into_first():
+    ledger = site()
+    submit(ledger, job("x", 1, 2, priority=1))
+    carry_out(ledger, planner.plan(view(ledger)))
+    submit(ledger, job("y", 3, 2, priority=1))
+    made = planner.plan(view(ledger))
+    carry_out(ledger, made)
+    assert len({run.worker_id for run in ledger.runs.values()}) == 1
+
+
+def test_an_urgent_gang_stops_the_cheapest_and_keeps_their_room():
+    ledger = site(racks=1)
+    submit(ledger, job("saves", 1, 8, priority=1, saves_progress=True))
+    submit(ledger, job("loses", 1, 8, priority=1))
+    carry_out(ledger, planner.plan(view(ledger)))
+    submit(ledger, job("u", 1, 8, gang=True), job("late", 1, 8, priority=1))
+    made = planner.plan(view(ledger, now_ms=9000))
+    assert [run.task.job_id for run in made.stops] == ["saves"]
+    assert made.groups == []
+    again = planner.plan(view(ledger, made.stops, now_ms=9100))
+    assert again.stops == []
+    (run,) = made.stops
+    worker_id = ledger.runs[run].worker_id
+    end = commands.EndedRun(1, run, commands.EndKind.STOPPED, "half")
+    ledger.note_ends(commands.NoteEnds(worker_id, (end,), 9500))
+    last = planner.plan(view(ledger, now_ms=9500))
+    ((placement,),) = last.groups
+    assert placement.run.task.job_id == "u"
+    assert placement.worker_id == worker_id
+
+
+def test_work_of_equal_priority_is_never_stopped():
+    ledger = site(racks=1)
+    submit(ledger, job("a", 2, 8))
+    carry_out(ledger, planner.plan(view(ledger)))
+    submit(ledger, job("b", 1, 8))
+    assert planner.plan(view(ledger)).stops == []
+
+
+def test_the_guaranteed_goes_before_what_is_beyond():
+    ledger = site(racks=1, per_rack=1)
+    submit(ledger, job("beyond", 2, 8, account="greedy"))
+    submit(ledger, job("own", 1, 8, account="modest"))
+    made = planner.plan(view(ledger, guarantees={"greedy": 8, "modest": 8}))
+    assert [group[0].run.task.job_id for group in made.groups] == ["own"]
+
+
+def test_a_long_waiting_gang_keeps_a_rack():
+    ledger = site(racks=1)
+    submit(ledger, job("x", 1, 8, priority=1))
+    carry_out(ledger, planner.plan(view(ledger)))
+    submit(ledger, job("g", 2, 8, priority=1, gang=True))
+    submit(ledger, job("small", 1, 1, priority=2))
+    early = planner.plan(view(ledger, now_ms=100))
+    assert [g[0].run.task.job_id for g in early.groups] == ["small"]
+    late = planner.plan(view(ledger, now_ms=planner.FENCE_AFTER_MS))
+    assert late.groups == []
+
+
+def test_a_step_waits_for_those_it_depends_on():
+    ledger = site()
+    needs = model.Resources(1000, GIB, 1)
+    steps = (model.Step(1, needs), model.Step(2, needs, depends_on=(0,)))
+    terms = model.QueueTerms("pool", 1, 3)
+    submit(ledger, model.Job("j", "q", "a", "", steps, terms))
+    made = planner.plan(view(ledger))
+    assert [g[0].run.task.step for g in made.groups] == [0]
+    carry_out(ledger, made)
+    ((placement,),) = made.groups
+    end = commands.EndedRun(1, placement.run, commands.EndKind.DONE)
+    ledger.note_ends(commands.NoteEnds(placement.worker_id, (end,), 5))
+    made = planner.plan(view(ledger))
+    assert [g[0].run.task.step for g in made.groups] == [1, 1]
+
+
+def test_an_occurrence_waits_for_its_time():
+    ledger = site()
+    needs = model.Resources(1000, GIB, 1)
+    terms = model.QueueTerms("pool", 1, 3)
+    timed = model.Job(
+        "j", "q", "a", "", (model.Step(1, needs),), terms, 3, 1000, 500
+    )
+    submit(ledger, timed)
+    assert planner.plan(view(ledger, now_ms=999)).groups == []
+    made = planner.plan(view(ledger, now_ms=1500))
+    assert [g[0].run.task.occurrence for g in made.groups] == [0, 1]
--- /dev/null
+++ b/laburnumsill/batch/units.py
@@ -0,0 +1,129 @@
+"""What can be placed now: gangs whole, other tasks one by one."""
+
+import dataclasses
+from collections import abc
+
+from laburnumsill.batch import ledger as ledgers
+from laburnumsill.batch import model
+from laburnumsill.batch import records
+
+
+@dataclasses.dataclass(slots=True)
+class Unit:
+    """Tasks of one step that wait to be placed.
+
+    Attributes:
+        record: The job.
+        occurrence: Which occurrence.
+        number: Which step.
+        tasks: The tasks that wait; all of a gang.
+        waiting_since_ms: Since when they could run, ms since 1970.
+        objective_ms: Until when their job is in time, ms since 1970.
+    """
+
+    record: records.JobRecord
+    occurrence: int
+    number: int
+    tasks: list[model.TaskId]
+    waiting_since_ms: int
+    objective_ms: float
+
+    @property
+    def step(self) -> model.Step:
+        """The step as it was submitted."""
+        return self.record.job.steps[self.number]
+
+    @property
+    def priority(self) -> int:
+        """That of the job's queue."""
+        return self.record.job.terms.priority
+
+    @property
+    def key(self) -> tuple[str, int, int]:
+        """Names the unit among all."""
+        return (self.record.job.job_id, self.occurrence, self.number)
+
+    def run_of(self, task: model.TaskId) -> model.RunId:
+        """Returns the next run of a task; a gang's have one number."""
+        step = self.record.steps[self.occurrence][self.number]
+        if self.step.gang:
+            last = max(one.last_run for one in step.tasks)
+        else:
+            last = step.tasks[task.index].last_run
+        return model.RunId(task, last + 1)
+
+
+def ready_units(ledger: ledgers.BatchLedger, now_ms: int) -> list[Unit]:
+    """Returns all units that could run now, in no order."""
+    found = []
+    for record in ledger.active_jobs.values():
+        for occurrence in range(len(record.steps)):
+            if record.job.due_ms(occurrence) > now_ms:
+                continue
+            found += _units_of(ledger, record, occurrence)
+    return found
+
+
+def next_due_ms(ledger: ledgers.BatchLedger, now_ms: int) -> int | None:
+    """Returns when the next occurrence is due, None if none is."""
+    return min(
+        (
+            record.job.due_ms(occurrence)
+            for record in ledger.active_jobs.values()
+            for occurrence in range(len(record.steps))
+            if record.job.due_ms(occurrence) > now_ms
+        ),
+        default=None,
+    )
+
+
+def chain_ms(job: model.Job) -> int:
+    """Returns the estimated time of a job's longest chain of steps, ms.
+
+    Examples:
+        >>> first = model.Step(1, model.Resources(), 900)
+        >>> second = model.Step(1, model.Resources(), 500, (0,))
+        >>> terms = model.QueueTerms("p", 0, 1)
+        >>> chain_ms(model.Job("j", "q", "", "", (first, second), terms))
+        1400
+    """
+    ends: list[int] = []
+    for step in job.steps:
+        before = max((ends[number] for number in step.depends_on), default=0)
+        ends.append(before + step.estimated_ms)
+    return max(ends, default=0)
+
+
+def _units_of(
+    ledger: ledgers.BatchLedger, record: records.JobRecord, occurrence: int
+) -> abc.Iterator[Unit]:
+    job = record.job
+    since = max(record.submitted_ms, job.due_ms(occurrence))
+    terms = job.terms
+    objective = since + terms.stretch * chain_ms(job) + terms.target_ms
+    for number, step in enumerate(record.steps[occurrence]):
+        if not step.undone or not record.ready(occurrence, number):
+            continue
+        tasks = _waiting(ledger, record, occurrence, number)
+        whole = len(tasks) == job.steps[number].tasks
+        if tasks and (whole or not job.steps[number].gang):
+            yield Unit(record, occurrence, number, tasks, since, objective)
+
+
+def _waiting(
+    ledger: ledgers.BatchLedger,
+    record: records.JobRecord,
+    occurrence: int,
+    number: int,
+) -> list[model.TaskId]:
+    """Returns the tasks of a step that are neither done nor live."""
+    step = record.steps[occurrence][number]
+    names = (
+        model.TaskId(record.job.job_id, occurrence, number, index)
+        for index in range(len(step.tasks))
+    )
+    return [
+        name
+        for name in names
+        if not step.tasks[name.index].done_run and ledger.live_run(name) is None
+    ]
--- a/laburnumsill/consensus/host.py
+++ b/laburnumsill/consensus/host.py
@@ -15,6 +15,7 @@
 from laburnumsill.consensus import host_messages
 from laburnumsill.consensus import host_replicas
 from laburnumsill.consensus import host_status
+from laburnumsill.consensus import voter_choice
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import codec
 from laburnumsill.core import errors
@@ -58,6 +59,7 @@
         limits: When snapshots are taken.
         first: The voters of each group's first make-up, the same on all VMs;
             `topology.first_groups` unless given.
+        choice: Chooses the voters where no settings name them.
     """
 
     def __init__(
@@ -72,6 +74,7 @@
         options: engines.Options = DEFAULT_OPTIONS,
         limits: SnapshotLimits = DEFAULT_LIMITS,
         first: abc.Mapping[str, abc.Sequence[str]] | None = None,
+        choice: voter_choice.VoterChoice | None = None,
     ) -> None:
         self._me = me
         self._clock = clock
@@ -88,6 +91,7 @@
             network,
             clock,
             options,
+            choice,
         )
         self._forwarder = host_forward.Forwarder(
             me.vm_id, network, clock, self._leader_of, self._vms_of
@@ -166,6 +170,19 @@
         hosted = self._replicas.hosted.get(group)
         return hosted.engine.term if hosted is not None else 0
 
+    def leader(self, group: str) -> str | None:
+        """Returns the VM that leads a group as far as is known here."""
+        return self._leader_of(group)
+
+    def members(self, group: str) -> tuple[str, ...]:
+        """Returns the VMs of a group's voters and learners known here."""
+        hosted = self._replicas.hosted.get(group)
+        if hosted is None:
+            return ()
+        membership = hosted.engine.membership
+        replicas = membership.voters + membership.learners
+        return tuple(dict.fromkeys(replica.vm for replica in replicas))
+
     def local(self, group: str) -> replication.StateMachine | None:
         """Returns this VM's replica of a group, maybe behind, or None."""
         hosted = self._replicas.hosted.get(group)
--- a/laburnumsill/consensus/host_members.py
+++ b/laburnumsill/consensus/host_members.py
@@ -16,6 +16,7 @@
 from laburnumsill.consensus import host_messages
 from laburnumsill.consensus import host_recovery
 from laburnumsill.consensus import types
+from laburnumsill.consensus import voter_choice
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import logs
 from laburnumsill.core import replication
@@ -42,6 +43,8 @@
         peers: The other VMs.
         clock: The clock of this process.
         options: The engine's settings.
+        choice: Chooses the voters among the VMs that are there, where no
+            settings name them; None where they do.
     """
 
     def __init__(
@@ -52,8 +55,11 @@
         peers: replication.Peers,
         clock: clocks.Clock,
         options: engines.Options,
+        choice: voter_choice.VoterChoice | None = None,
     ) -> None:
         self._me = me
+        self._choice = choice
+        self._asking: dict[str, dict[str, float]] = {}
         self._first = first
         self._disks = disks
         self._peers = peers
@@ -83,6 +89,8 @@
         candidate = group_make_up.Candidate(hello.replica, hello.with_disk)
         known = self._candidates.setdefault(hello.group, {})
         known[hello.replica.vm] = candidate
+        asking = self._asking.setdefault(hello.group, {})
+        asking[hello.replica.vm] = self._clock.monotonic()
         if group is None:
             return host_messages.HelloAnswer()
         return _answer(group, hello.replica)
@@ -175,6 +183,8 @@
         group has moved on from that, it is left as it is until this VM is
         told, instead of being taken back.
         """
+        if self._choice is not None:
+            return self._choice.desired(self._voter_view(group))
         membership = group.engine.membership
         members = [m.vm for m in membership.voters + membership.learners]
         first = self._first.get(group.name, ())
@@ -182,6 +192,19 @@
             return self._make_up.get(group.name, ())
         return tuple(dict.fromkeys(members))
 
+    def _voter_view(self, group: groups.HostedGroup) -> voter_choice.VoterView:
+        engine = group.engine
+        heard_at = {
+            replica.vm: one.heard_at for replica, one in engine.progress.items()
+        }
+        return voter_choice.VoterView(
+            tuple(dict.fromkeys(v.vm for v in engine.membership.voters)),
+            tuple(dict.fromkeys(v.vm for v in engine.membership.learners)),
+            {**heard_at, self._me: self._clock.monotonic()},
+            self._asking.get(group.name, {}),
+            self._clock.monotonic(),
+        )
+
     def _founds(self, name: str) -> bool:
         first = self._first.get(name, ())
         if self._me not in first:
