Add an emulator: real schedulers against workers with leases in virtual time

52 seeds with orders lost, late and cut off, hanging and failing workers, crashes and changes of the lead. First finding was the oracle's own: a step may begin when those before it have ended, not only when that was noted.

--- /dev/null
+++ b/laburnumsill/emulator/oracle.py
@@ -0,0 +1,121 @@
+"""What must always hold, judged by what the workers see."""
+
+import dataclasses
+
+from laburnumsill.batch import model
+
+CANCEL_S = 3.0
+"""Nothing of a job starts later than this after its cancellation."""
+
+
+@dataclasses.dataclass(slots=True)
+class Truth:
+    """What the emulation knows of one job.
+
+    Attributes:
+        job: As it was submitted.
+        cancelled_at: When its cancellation was acknowledged, or None.
+        done: Tasks that have ended well.
+        noted_done: Tasks whose good end was noted.
+        failures: Noted failures by task.
+    """
+
+    job: model.Job
+    cancelled_at: float | None = None
+    done: set[model.TaskId] = dataclasses.field(default_factory=set)
+    noted_done: set[model.TaskId] = dataclasses.field(default_factory=set)
+    failures: dict[model.TaskId, int] = dataclasses.field(default_factory=dict)
+
+
+class Oracle:
+    """Collects broken rules.
+
+    Attributes:
+        broken: One line for each.
+        jobs: What is known of the jobs by id.
+    """
+
+    def __init__(self) -> None:
+        self.broken: list[str] = []
+        self.jobs: dict[str, Truth] = {}
+        self._live: dict[model.TaskId, dict[model.RunId, str]] = {}
+        self._used: dict[str, model.Resources] = {}
+
+    def submitted(self, job: model.Job) -> None:
+        """Notes that a job was sent."""
+        self.jobs.setdefault(job.job_id, Truth(job))
+
+    def started(
+        self, run: model.RunId, worker: model.Worker, now: float, late: bool
+    ) -> None:
+        """Judges a run that begins on a worker.
+
+        Args:
+            run: Which run.
+            worker: Where.
+            now: The loop's time.
+            late: Whether the order was carried out late; rules with a time
+                bound do not hold for it.
+        """
+        truth = self.jobs.get(run.task.job_id)
+        if truth is None:
+            self._break(now, f"UNASKED {run}")
+            return
+        others = self._live.setdefault(run.task, {})
+        if others:
+            self._break(now, f"TWICE {run} on {worker.worker_id}: {others}")
+        if run.task in truth.noted_done:
+            self._break(now, f"TWICE {run}: its task is done")
+        step = truth.job.steps[run.task.step]
+        for number in step.depends_on:
+            for index in range(truth.job.steps[number].tasks):
+                before = dataclasses.replace(run.task, step=number, index=index)
+                if before not in truth.done:
+                    self._break(now, f"ORDER {run} before {before}")
+        at = truth.cancelled_at
+        if at is not None and now > at + CANCEL_S and not late:
+            self._break(now, f"UNASKED {run}, cancelled at {at:.2f}")
+        spent = truth.failures.get(run.task, 0)
+        if spent >= truth.job.terms.max_attempts:
+            self._break(now, f"BUDGET {run} after {spent} failures")
+        used = self._used.get(worker.worker_id, model.Resources()) + step.needs
+        self._used[worker.worker_id] = used
+        if not used.fits_in(worker.capacity):
+            self._break(now, f"LIMIT {run} on {worker.worker_id}: {used}")
+        others[run] = worker.worker_id
+
+    def ended(self, run: model.RunId, worker_id: str, done: bool) -> None:
+        """Notes that a run occupies its worker no more."""
+        if done:
+            self.jobs[run.task.job_id].done.add(run.task)
+        if self._live.get(run.task, {}).pop(run, None) is None:
+            return
+        truth = self.jobs[run.task.job_id]
+        needs = truth.job.steps[run.task.step].needs
+        self._used[worker_id] = self._used[worker_id] - needs
+
+    def noted(self, run: model.RunId, kind: str, gang: bool) -> None:
+        """Notes that an end was acknowledged to its worker."""
+        truth = self.jobs[run.task.job_id]
+        if kind == "done" and gang:
+            step = truth.job.steps[run.task.step]
+            for index in range(step.tasks):
+                truth.noted_done.add(dataclasses.replace(run.task, index=index))
+        elif kind == "done":
+            truth.noted_done.add(run.task)
+        elif kind == "failed":
+            count = truth.failures.get(run.task, 0)
+            truth.failures[run.task] = count + 1
+
+    def shown(self, job_id: str, state: str, now: float) -> None:
+        """Judges a state that was shown of a job."""
+        truth = self.jobs.get(job_id)
+        if truth is None:
+            self._break(now, f"MIXED {job_id} was never sent")
+        elif state == "completed":
+            wanted = sum(s.tasks for s in truth.job.steps)
+            if len(truth.done) < wanted * truth.job.occurrences:
+                self._break(now, f"MIXED {job_id} is not completed")
+
+    def _break(self, now: float, text: str) -> None:
+        self.broken.append(f"{now:.3f} {text}")
--- /dev/null
+++ b/laburnumsill/emulator/site.py
@@ -0,0 +1,252 @@
+"""An emulated site: two VMs that may lead, workers, and callers."""
+
+import dataclasses
+import random
+import typing
+
+import trio
+
+from laburnumsill.batch import commands
+from laburnumsill.batch import ledger as ledgers
+from laburnumsill.batch import model
+from laburnumsill.batch import scheduler as schedulers
+from laburnumsill.core import codec
+from laburnumsill.core import errors
+from laburnumsill.core import metrics as metrics_module
+from laburnumsill.core import replication
+from laburnumsill.emulator import clock as clocks
+from laburnumsill.emulator import oracle as oracles
+from laburnumsill.emulator import workers as worker_module
+
+GROUP = "site"
+COMMIT_S = 0.009
+"""A commit takes two trips of half a millisecond and one sync of 6 ms."""
+
+HEARTBEAT_S = 1.5
+
+
+class Leadership:
+    """Who leads the one state machine.
+
+    Attributes:
+        machine: The state machine.
+        leader: The VM that leads, or "".
+        current_term: Rises with each change.
+    """
+
+    def __init__(self, machine: replication.StateMachine) -> None:
+        self.machine = machine
+        self.leader = ""
+        self.current_term = 0
+
+    def lead(self, vm: str) -> None:
+        """Has a VM lead from now on, "" for none."""
+        self.leader = vm
+        self.current_term += 1
+
+
+class VmGroups(replication.Groups):
+    """The groups as one VM of the emulation sees them."""
+
+    def __init__(self, shared: Leadership, vm: str) -> None:
+        self._shared = shared
+        self._vm = vm
+
+    async def propose(
+        self, group: str, command: object, deadline: float
+    ) -> typing.Any:
+        """Commits a command if this VM leads then."""
+        term = self._shared.current_term
+        await trio.sleep(COMMIT_S)
+        if self._shared.leader != self._vm or self._shared.current_term != term:
+            raise errors.ProposalLostError("the lead was lost")
+        result = self._shared.machine.apply(_coded(command))
+        return None if result is None else _coded(result)
+
+    async def query(
+        self, group: str, query: object, deadline: float
+    ) -> typing.Any:
+        """Answers a query if this VM leads."""
+        await trio.sleep(COMMIT_S / 4)
+        if self._shared.leader != self._vm:
+            raise errors.NoQuorumError("does not lead")
+        return _coded(self._shared.machine.query(_coded(query)))
+
+    def leads(self, group: str) -> bool:
+        """Returns whether this VM leads."""
+        return self._shared.leader == self._vm
+
+    def term(self, group: str) -> int:
+        """Returns the term."""
+        return self._shared.current_term
+
+    def local(self, group: str) -> replication.StateMachine:
+        """Returns the state machine."""
+        return self._shared.machine
+
+
+@dataclasses.dataclass(slots=True)
+class Outcome:
+    """What became of a job.
+
+    Attributes:
+        submitted_at: The loop's time.
+        ended_at: When its end was shown, None if it was not.
+        state: What was shown last.
+    """
+
+    submitted_at: float
+    ended_at: float | None = None
+    state: str = ""
+
+
+class EmulatedSite:
+    """Runs real schedulers against emulated workers.
+
+    Args:
+        seed: Of everything that is random.
+        racks: How many racks there are.
+        per_rack: Workers in each.
+        accelerators: Of each worker.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        racks: int = 3,
+        per_rack: int = 4,
+        accelerators: int = 8,
+    ) -> None:
+        self.random = random.Random(seed)
+        self.oracle = oracles.Oracle()
+        self.work: dict[tuple[str, int], float] = {}
+        self.hopeless: set[str] = set()
+        self.guarantees: dict[str, int] = {}
+        self.outcomes: dict[str, Outcome] = {}
+        self.pool = worker_module.WorkerPool(
+            self.oracle,
+            lambda task: self.work[(task.job_id, task.step)],
+            lambda task: task.job_id in self.hopeless,
+        )
+        self.client = worker_module.UnreliableClient(self.pool, self.random)
+        self.ledger = ledgers.BatchLedger()
+        machine = replication.StateMachine(self.ledger)
+        self.groups = Leadership(machine)
+        self.silent: set[str] = set()
+        self._shape = (racks, per_rack, accelerators)
+        self._clock = clocks.TrioClock()
+        self.schedulers = {
+            vm: schedulers.Scheduler(
+                GROUP,
+                VmGroups(self.groups, vm),
+                self.client,
+                lambda: self.guarantees,
+                self._clock,
+                metrics_module.Metrics(),
+                worker_module.LONGEST_LEASE_MS,
+            )
+            for vm in ("vm1", "vm2")
+        }
+        for scheduler in self.schedulers.values():
+            machine.observe(scheduler.notice)
+
+    async def run(
+        self,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Runs the site until cancelled; vm1 leads first."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self.client.run)
+            nursery.start_soon(self.pool.run)
+            for scheduler in self.schedulers.values():
+                nursery.start_soon(scheduler.run)
+            self.groups.lead("vm1")
+            racks, per_rack, accelerators = self._shape
+            for rack in range(racks):
+                for number in range(per_rack):
+                    self.add_worker(f"w{rack}-{number}", rack, accelerators)
+            nursery.start_soon(self._send_heartbeats)
+            task_status.started()
+            await trio.sleep_forever()
+
+    def add_worker(
+        self, worker_id: str, rack: int, accelerators: int = 8
+    ) -> worker_module.EmulatedWorker:
+        """Adds a worker and makes it known."""
+        worker = model.Worker(
+            worker_id,
+            "pool",
+            worker_id,
+            f"d{rack}",
+            model.Resources(64_000, 262_144, accelerators),
+            ("a", f"r{rack}"),
+            f"r{rack}",
+        )
+        behaviour = worker_module.Behaviour(
+            clock_rate=self.random.choice([1.0, 0.98])
+        )
+        made = self.pool.add(worker, behaviour)
+        self.groups.machine.apply(commands.PutWorker(worker))
+        return made
+
+    async def propose(self, command: object) -> typing.Any:
+        """Commits a caller's command with whoever leads."""
+        while True:
+            vm = self.groups.leader
+            try:
+                return await VmGroups(self.groups, vm).propose(
+                    GROUP, command, trio.current_time() + 1
+                )
+            except errors.LaburnumsillError:
+                await trio.sleep(0.1)
+
+    async def submit(
+        self, job: model.Job, work_s: list[float], hopeless: bool = False
+    ) -> None:
+        """Hands a job in; `work_s` is the true work of each step's tasks."""
+        self.oracle.submitted(job)
+        for step, seconds in enumerate(work_s):
+            self.work[(job.job_id, step)] = seconds
+        if hopeless:
+            self.hopeless.add(job.job_id)
+        self.outcomes[job.job_id] = Outcome(trio.current_time())
+        await self.propose(
+            commands.SubmitJob(job, int(self._clock.wall() * 1000))
+        )
+
+    async def cancel(self, job_id: str) -> None:
+        """Cancels a job."""
+        await self.propose(
+            commands.CancelJob(job_id, int(self._clock.wall() * 1000))
+        )
+        truth = self.oracle.jobs[job_id]
+        truth.cancelled_at = trio.current_time()
+
+    def look(self) -> None:
+        """Looks at the states of all jobs, as callers do."""
+        now = trio.current_time()
+        for job_id, outcome in self.outcomes.items():
+            state = self.ledger.job_state(commands.JobQuery(job_id)).state
+            if state:
+                self.oracle.shown(job_id, state, now)
+            ended = state in ("completed", "failed", "cancelled")
+            if ended and outcome.ended_at is None:
+                outcome.ended_at = now
+            outcome.state = state
+
+    async def _send_heartbeats(self) -> None:
+        while True:
+            for worker in list(self.pool.workers.values()):
+                worker_id = worker.worker.worker_id
+                if worker.gone or worker_id in self.silent:
+                    continue
+                now = trio.current_time()
+                heard = schedulers.Heard(now, 0, worker.clock_ms)
+                for scheduler in self.schedulers.values():
+                    scheduler.hear(worker_id, heard)
+            await trio.sleep(HEARTBEAT_S)
+
+
+def _coded(message: object) -> typing.Any:
+    return codec.decode(codec.encode(message))
--- /dev/null
+++ b/laburnumsill/emulator/tests/test_site.py
@@ -0,0 +1,174 @@
+"""The scheduler against emulated workers, in virtual time."""
+
+import random
+
+import pytest
+import trio
+import trio.testing
+from trio._core import _run as trio_run
+
+from laburnumsill.batch import model
+from laburnumsill.emulator import site as sites
+
+GIB = 1024
+DAY_S = 30.0
+SETTLE_S = 90.0
+
+
+def job_of(source, number):
+    """Returns a job like those of the users, and its steps' true work."""
+    kind = source.choice(["urgent", "sweep", "batch"])
+    accelerators = source.choice([1, 2, 4, 8])
+    if kind == "urgent":
+        steps = [
+            model.Step(
+                source.randint(1, 4),
+                model.Resources(4000, GIB, accelerators),
+                2500,
+                gang=True,
+                same_rack=source.random() < 0.8,
+            )
+        ]
+        terms = model.QueueTerms("pool", 0, 3, 1.5, 250)
+    elif kind == "sweep":
+        steps = [
+            model.Step(
+                source.randint(1, 6),
+                model.Resources(6000, GIB, accelerators),
+                5000,
+                gang=True,
+                saves_progress=source.random() < 0.5,
+            )
+        ]
+        terms = model.QueueTerms("pool", 1, 2, 3.0, 1000)
+    else:
+        first = model.Step(
+            source.randint(1, 12),
+            model.Resources(2000, GIB, 1),
+            3000,
+            saves_progress=source.random() < 0.5,
+            data_rack=source.choice(["", "r0", "r1"]),
+            max_per_worker=source.choice([0, 2]),
+        )
+        steps = [first]
+        if source.random() < 0.3:
+            after = model.Step(
+                2, model.Resources(2000, GIB, 1), 1000, depends_on=(0,)
+            )
+            steps.append(after)
+        terms = model.QueueTerms("pool", 2, 4, 3.0, 3000)
+    job = model.Job(f"j{number}", kind, "a", "payload", tuple(steps), terms)
+    return job, [source.uniform(0.5, 5.0) for _ in steps]
+
+
+async def hand_in(site, source, count):
+    for number in range(count):
+        job, work_s = job_of(source, number)
+        await site.submit(job, work_s, hopeless=source.random() < 0.05)
+        if source.random() < 0.15:
+            await trio.sleep(source.uniform(0, 0.5))
+            await site.cancel(job.job_id)
+        await trio.sleep(source.expovariate(count / DAY_S))
+
+
+async def disturb(site, source, kinds):
+    """Brings troubles at random moments, one after the other."""
+    while trio.current_time() < DAY_S:
+        await trio.sleep(source.uniform(1.0, 5.0))
+        kind = source.choice(kinds)
+        workers = list(site.pool.workers.values())
+        some = source.sample(workers, k=2)
+        for_s = source.uniform(1.0, 6.0)
+        if kind == "lead":
+            site.groups.lead("")
+            await trio.sleep(source.uniform(0.0, 3.0))
+            site.groups.lead(source.choice(["vm1", "vm2"]))
+        elif kind == "lost":
+            site.client.lost_share = 0.3
+            await trio.sleep(for_s)
+            site.client.lost_share = 0.0
+        elif kind == "late":
+            site.client.late_share = 0.2
+            await trio.sleep(for_s)
+            site.client.late_share = 0.0
+        elif kind == "cut":
+            site.client.cut = {one.worker.worker_id for one in some}
+            await trio.sleep(2 * for_s)
+            site.client.cut = set()
+        elif kind == "hang":
+            for one in some:
+                one.behaviour.hangs = True
+            await trio.sleep(for_s)
+            for one in some:
+                one.behaviour.hangs = False
+        elif kind == "fail":
+            some[0].behaviour.fails = True
+            await trio.sleep(for_s)
+            some[0].behaviour.fails = False
+        elif kind == "crash":
+            gone = some[0]
+            if not gone.gone:
+                gone.vanish()
+                rack = int(gone.worker.rack[1:])
+                site.add_worker(f"{gone.worker.worker_id}x", rack)
+
+
+async def play(seed, kinds, count=40):
+    """Plays one day and returns the site."""
+    source = random.Random(seed)
+    site = sites.EmulatedSite(seed)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(site.run)
+        async with trio.open_nursery() as day:
+            day.start_soon(hand_in, site, source, count)
+            if kinds:
+                day.start_soon(disturb, site, source, kinds)
+        with trio.move_on_after(SETTLE_S):
+            while site.ledger.active_jobs or site.ledger.runs:
+                await trio.sleep(0.5)
+                site.look()
+        site.look()
+        nursery.cancel_scope.cancel()
+    return site
+
+
+def run(seed, kinds, count=40):
+    # Trio shuffles the tasks that can run; a seed is to repeat its day.
+    trio_run._ALLOW_DETERMINISTIC_SCHEDULING = True
+    trio_run._r.seed(seed)
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(play, seed, kinds, count, clock=clock)
+
+
+def check(site):
+    assert site.oracle.broken == []
+    states = {outcome.state for outcome in site.outcomes.values()}
+    assert states <= {"completed", "failed", "cancelled"}
+    for job_id, outcome in site.outcomes.items():
+        if outcome.state == "failed":
+            assert job_id in site.hopeless or site.oracle.jobs[job_id].failures
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_calm_day_ends_whole(seed):
+    site = run(seed, [])
+    check(site)
+    for job_id, outcome in site.outcomes.items():
+        failed = outcome.state == "failed"
+        assert failed == (
+            job_id in site.hopeless and outcome.state != "cancelled"
+        )
+
+
+TROUBLES = ["lead", "lost", "late", "cut", "hang", "fail", "crash"]
+
+
+@pytest.mark.parametrize("kind", TROUBLES)
+@pytest.mark.parametrize("seed", range(4))
+def test_one_trouble_breaks_no_rule(kind, seed):
+    check(run(100 + seed, [kind]))
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_all_troubles_together_break_no_rule(seed):
+    check(run(1000 + seed, TROUBLES))
--- /dev/null
+++ b/laburnumsill/emulator/workers.py
@@ -0,0 +1,430 @@
+"""Emulated workers: they run tasks under leases and list ends."""
+
+import dataclasses
+import random
+from collections import abc
+
+import trio
+
+from laburnumsill.batch import commands
+from laburnumsill.batch import model
+from laburnumsill.batch import worker_client
+from laburnumsill.core import errors
+from laburnumsill.emulator import oracle as oracles
+
+TICK_S = 0.02
+"""How often what has ended is looked for, virtual time."""
+
+STOP_GRACE_S = 0.4
+CHECKPOINT_S = 1.0
+GANG_TIMEOUT_S = 3.0
+FAR_FACTOR = 3.0
+LONGEST_LEASE_MS = 10_000
+
+WorkOf = abc.Callable[[model.TaskId], float]
+
+
+@dataclasses.dataclass(slots=True)
+class Behaviour:
+    """How a worker does its work.
+
+    Attributes:
+        speed: Work done in a second; below 1 it is slow.
+        hangs: Whether its tasks stand still.
+        fails: Whether all that it starts fails at once.
+        clock_rate: Of its clock; it may be 2% slow.
+    """
+
+    speed: float = 1.0
+    hangs: bool = False
+    fails: bool = False
+    clock_rate: float = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Running:
+    run: model.RunId
+    step: model.Step
+    work_s: float
+    done_s: float
+    began_at: float
+    was_whole: bool = False
+    stop_at: float | None = None
+
+    @property
+    def saved(self) -> str:
+        if not self.step.saves_progress:
+            return ""
+        return f"{int(self.done_s / CHECKPOINT_S) * CHECKPOINT_S:.3f}"
+
+
+class EmulatedWorker:
+    """One incarnation of a worker; its owner calls `tick`."""
+
+    def __init__(
+        self,
+        worker: model.Worker,
+        pool: "WorkerPool",
+        behaviour: Behaviour,
+    ) -> None:
+        self.worker = worker
+        self.behaviour = behaviour
+        self.gone = False
+        self._pool = pool
+        self._started_at = trio.current_time()
+        self._fence = 0
+        self._lease_ms = 0
+        self._running: dict[model.TaskId, _Running] = {}
+        self._over: dict[model.TaskId, int] = {}
+        self._ends: list[commands.EndedRun] = []
+        self._count = 0
+        self._noted = 0
+        self._changed = trio.Event()
+
+    @property
+    def clock_ms(self) -> int:
+        """Its own steady clock."""
+        elapsed = trio.current_time() - self._started_at
+        return int((elapsed * self.behaviour.clock_rate + 1000) * 1000)
+
+    @property
+    def running(self) -> abc.Mapping[model.TaskId, _Running]:
+        """What runs on it, by task."""
+        return self._running
+
+    def start(self, order: worker_client.StartOrder, late: bool) -> None:
+        """Carries out a start order.
+
+        Raises:
+            errors.LaburnumsillError: It was refused.
+        """
+        self._check(order.fence)
+        self._prolong(order.lease_ms)
+        task = order.run.task
+        known = self._running.get(task)
+        if known is not None and known.run == order.run:
+            return
+        if order.run.number <= self._over.get(task, 0) or known is not None:
+            raise worker_client.RunOverError("old", clock_ms=self.clock_ms)
+        if order.lease_ms <= self.clock_ms:
+            raise worker_client.LeaseTooOldError("late", clock_ms=self.clock_ms)
+        now = trio.current_time()
+        self._pool.oracle.started(order.run, self.worker, now, late)
+        truth = self._pool.oracle.jobs.get(task.job_id)
+        if truth is None:
+            return
+        step = truth.job.steps[task.step]
+        done_s = float(order.saved) if order.saved else 0.0
+        self._running[task] = _Running(
+            order.run, step, self._pool.work_of(task), done_s, now
+        )
+
+    def stop(self, run: model.RunId, fence: int) -> None:
+        """Carries out a stop order.
+
+        Raises:
+            errors.LaburnumsillError: It was refused.
+        """
+        self._check(fence)
+        known = self._running.get(run.task)
+        there = known is not None and known.run.number <= run.number
+        if known is not None and there and known.stop_at is None:
+            known.stop_at = trio.current_time() + STOP_GRACE_S
+        over = self._over.get(run.task, 0)
+        self._over[run.task] = max(over, run.number)
+
+    async def report(
+        self, order: worker_client.ReportOrder
+    ) -> worker_client.Report:
+        """Carries out an order to report; may wait for an end."""
+        self._check(order.fence)
+        if order.lease_ms is not None:
+            self._prolong(order.lease_ms)
+        self._note(order.noted)
+        with trio.move_on_after(order.wait_ms / 1000):
+            while not self._ends:
+                await self._changed.wait()
+        running = tuple(
+            worker_client.RunningRun(
+                one.run, one.saved, int(100 * one.done_s / one.work_s)
+            )
+            for one in self._running.values()
+        )
+        return worker_client.Report(self.clock_ms, running, tuple(self._ends))
+
+    def tick(self) -> None:
+        """Works for one tick."""
+        if self._running and self.clock_ms > self._lease_ms:
+            for one in list(self._running.values()):
+                self.end(one.run, commands.EndKind.LEASE_ENDED)
+        now = trio.current_time()
+        for one in list(self._running.values()):
+            if one.stop_at is not None and now >= one.stop_at:
+                self.end(one.run, commands.EndKind.STOPPED)
+            elif self.behaviour.fails and now - one.began_at > 0.2:
+                self.end(one.run, commands.EndKind.FAILED)
+            elif not one.step.gang:
+                self._work(one)
+
+    def _work(self, one: _Running) -> None:
+        rack = one.step.data_rack
+        far = bool(rack) and rack != self.worker.rack
+        self.advance(one, FAR_FACTOR if far else 1.0)
+        if one.done_s >= one.work_s:
+            hopeless = self._pool.hopeless(one.run.task)
+            kind = commands.EndKind.FAILED if hopeless else None
+            self.end(one.run, kind or commands.EndKind.DONE)
+
+    def advance(self, one: _Running, factor: float) -> None:
+        """Does a tick's work of a task."""
+        if not self.behaviour.hangs:
+            one.done_s += TICK_S * self.behaviour.speed / factor
+
+    def end(self, run: model.RunId, kind: commands.EndKind) -> None:
+        """Ends a run that is there and lists its end."""
+        known = self._running.get(run.task)
+        if known is None or known.run != run:
+            return
+        del self._running[run.task]
+        over = self._over.get(run.task, 0)
+        self._over[run.task] = max(over, run.number)
+        self._count += 1
+        saved = known.saved if kind is not commands.EndKind.DONE else ""
+        self._ends.append(commands.EndedRun(self._count, run, kind, saved))
+        done = kind is commands.EndKind.DONE
+        self._pool.oracle.ended(run, self.worker.worker_id, done)
+        if kind is not commands.EndKind.DONE:
+            self._pool.count_lost(known.step, known.done_s, known.saved)
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def vanish(self) -> None:
+        """Ends the incarnation and all that runs on it."""
+        self.gone = True
+        for one in list(self._running.values()):
+            self.end(one.run, commands.EndKind.STOPPED)
+
+    def _check(self, fence: int) -> None:
+        if self.gone:
+            raise worker_client.IncarnationGoneError(self.worker.worker_id)
+        if fence < self._fence:
+            raise worker_client.FencedOffError(f"{fence} < {self._fence}")
+        self._fence = fence
+
+    def _prolong(self, lease_ms: int) -> None:
+        longest = self.clock_ms + LONGEST_LEASE_MS
+        self._lease_ms = max(self._lease_ms, min(lease_ms, longest))
+
+    def _note(self, noted: int) -> None:
+        for end in self._ends:
+            if self._noted < end.number <= noted:
+                truth = self._pool.oracle.jobs[end.run.task.job_id]
+                gang = truth.job.steps[end.run.task.step].gang
+                self._pool.oracle.noted(end.run, end.kind.value, gang)
+        self._noted = max(self._noted, noted)
+        self._ends = [end for end in self._ends if end.number > noted]
+
+
+class WorkerPool:
+    """All workers of an emulated site, and the gangs across them.
+
+    Args:
+        oracle: Judges what is seen.
+        work_of: Returns the true work of a task, in seconds.
+        hopeless: Returns whether a task always fails.
+    """
+
+    def __init__(
+        self,
+        oracle: oracles.Oracle,
+        work_of: WorkOf,
+        hopeless: abc.Callable[[model.TaskId], bool],
+    ) -> None:
+        self.oracle = oracle
+        self.work_of = work_of
+        self.hopeless = hopeless
+        self.workers: dict[str, EmulatedWorker] = {}
+        self.lost_core_s = 0.0
+        self.done_core_s = 0.0
+
+    def add(
+        self, worker: model.Worker, behaviour: Behaviour | None = None
+    ) -> EmulatedWorker:
+        """Adds a worker."""
+        made = EmulatedWorker(worker, self, behaviour or Behaviour())
+        self.workers[worker.worker_id] = made
+        return made
+
+    def count_lost(self, step: model.Step, done_s: float, saved: str) -> None:
+        """Counts work that was done and not saved."""
+        kept = float(saved) if saved else 0.0
+        self.lost_core_s += (done_s - kept) * model.weight(step.needs)
+
+    async def run(self) -> None:
+        """Lets all work until cancelled."""
+        while True:
+            await trio.sleep(TICK_S)
+            for worker in list(self.workers.values()):
+                worker.tick()
+            self._tick_gangs()
+
+    def _tick_gangs(self) -> None:
+        gangs: dict[tuple[str, int, int, int], list[EmulatedWorker]] = {}
+        for worker in self.workers.values():
+            for one in worker.running.values():
+                if one.step.gang:
+                    task = one.run.task
+                    key = (
+                        task.job_id,
+                        task.occurrence,
+                        task.step,
+                        one.run.number,
+                    )
+                    gangs.setdefault(key, []).append(worker)
+        for key, members in gangs.items():
+            self._tick_gang(key, members)
+
+    def _tick_gang(
+        self, key: tuple[str, int, int, int], members: list[EmulatedWorker]
+    ) -> None:
+        job_id, occurrence, step_number, number = key
+        parts = [
+            (worker, one)
+            for worker in dict.fromkeys(members)
+            for one in list(worker.running.values())
+            if (one.run.task.job_id, one.run.task.occurrence)
+            == (job_id, occurrence)
+            and (one.run.task.step, one.run.number) == (step_number, number)
+        ]
+        now = trio.current_time()
+        whole = len(parts) == parts[0][1].step.tasks
+        if not whole and any(one.was_whole for _, one in parts):
+            for worker, one in parts:
+                worker.end(one.run, commands.EndKind.MEMBER_ENDED)
+            return
+        if not whole:
+            for worker, one in parts:
+                if now - one.began_at > GANG_TIMEOUT_S:
+                    worker.end(one.run, commands.EndKind.INCOMPLETE_GANG)
+            return
+        racks = {worker.worker.rack for worker, _ in parts}
+        apart = parts[0][1].step.same_rack and len(racks) > 1
+        slowest = min(worker.behaviour.speed for worker, _ in parts)
+        hangs = any(worker.behaviour.hangs for worker, _ in parts)
+        for _, one in parts:
+            one.was_whole = True
+            if not hangs:
+                factor = FAR_FACTOR if apart else 1.0
+                one.done_s += TICK_S * slowest / factor
+        if all(one.done_s >= one.work_s for _, one in parts):
+            failed = self.hopeless(parts[0][1].run.task)
+            kind = commands.EndKind.FAILED if failed else commands.EndKind.DONE
+            for worker, one in parts:
+                worker.end(one.run, kind)
+
+
+class UnreliableClient(worker_client.WorkerClient):
+    """Brings orders to emulated workers, or loses, delays, repeats them.
+
+    Attributes:
+        lost_share: Share of the orders that are carried out and not answered.
+        late_share: Share that is carried out 2 to 12 s later, unanswered.
+        cut: Workers that cannot be reached.
+    """
+
+    def __init__(self, pool: WorkerPool, source: random.Random) -> None:
+        self.lost_share = 0.0
+        self.late_share = 0.0
+        self.cut: set[str] = set()
+        self._pool = pool
+        self._random = source
+        self._nursery: trio.Nursery | None = None
+
+    async def run(
+        self,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Carries out late orders until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            await trio.sleep_forever()
+
+    async def start(
+        self,
+        worker: model.Worker,
+        order: worker_client.StartOrder,
+        deadline: float,
+    ) -> worker_client.Answer:
+        """Starts a run, see the base class."""
+        target = await self._reach(worker, deadline)
+
+        def carry_out(late: bool) -> None:
+            target.start(order, late)
+
+        await self._order(carry_out, deadline)
+        return worker_client.Answer(target.clock_ms)
+
+    async def stop(
+        self,
+        worker: model.Worker,
+        run: model.RunId,
+        fence: int,
+        deadline: float,
+    ) -> worker_client.Answer:
+        """Stops a run, see the base class."""
+        target = await self._reach(worker, deadline)
+        await self._order(lambda _: target.stop(run, fence), deadline)
+        return worker_client.Answer(target.clock_ms)
+
+    async def report(
+        self,
+        worker: model.Worker,
+        order: worker_client.ReportOrder,
+        deadline: float,
+    ) -> worker_client.Report:
+        """Asks for a report, see the base class."""
+        target = await self._reach(worker, deadline)
+        report = await target.report(order)
+        if worker.worker_id in self.cut:
+            await self._no_answer(deadline)
+        if self._random.random() < self.lost_share:
+            await self._no_answer(deadline)
+        await trio.sleep(0.001)
+        return report
+
+    async def _reach(
+        self, worker: model.Worker, deadline: float
+    ) -> EmulatedWorker:
+        await trio.sleep(self._random.uniform(0.0005, 0.002))
+        target = self._pool.workers.get(worker.worker_id)
+        if worker.worker_id in self.cut or target is None:
+            await self._no_answer(deadline)
+        assert target is not None
+        return target
+
+    async def _order(
+        self, carry_out: abc.Callable[[bool], None], deadline: float
+    ) -> None:
+        luck = self._random.random()
+        if luck < self.late_share and self._nursery is not None:
+            self._nursery.start_soon(self._carry_out_late, carry_out)
+            await self._no_answer(deadline)
+        carry_out(False)
+        if luck < self.late_share + self.lost_share:
+            await self._no_answer(deadline)
+        await trio.sleep(0.001)
+
+    async def _carry_out_late(
+        self, carry_out: abc.Callable[[bool], None]
+    ) -> None:
+        await trio.sleep(self._random.uniform(2.0, 12.0))
+        try:
+            carry_out(True)
+        except errors.LaburnumsillError:
+            return  # refused: nobody waits for the answer
+
+    async def _no_answer(self, deadline: float) -> None:
+        await trio.sleep(max(0.0, deadline - trio.current_time()))
+        raise worker_client.NoAnswerError("lost")
