--- /dev/null
+++ b/laburnumsill/batch/tests/test_ledger_machine.py
@@ -0,0 +1,241 @@
+"""The ledger under any order of commands, also those it must refuse."""
+
+import hypothesis
+import hypothesis.stateful as stateful
+import hypothesis.strategies as st
+
+from laburnumsill.batch import commands
+from laburnumsill.batch import ledger as ledgers
+from laburnumsill.batch import model
+from laburnumsill.batch import records
+
+WORKERS = ["w0", "w1", "w2"]
+JOBS = ["j0", "j1", "j2", "j3"]
+CAPACITY = model.Resources(8000, 8000, 8)
+KINDS = list(commands.EndKind)
+
+steps = st.builds(
+    model.Step,
+    tasks=st.integers(1, 3),
+    needs=st.builds(
+        model.Resources,
+        st.sampled_from([1000, 4000]),
+        st.just(1000),
+        st.sampled_from([1, 4, 8]),
+    ),
+    gang=st.booleans(),
+    max_per_worker=st.sampled_from([0, 1]),
+)
+
+
+class LedgerMachine(stateful.RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.ledger = ledgers.BatchLedger()
+        self.now = 0
+        self.numbers = dict.fromkeys(WORKERS, 0)
+        self.ended_states = {}
+        self.done = set()
+
+    def tick(self):
+        self.now += 1
+        return self.now
+
+    @stateful.rule(
+        job_id=st.sampled_from(JOBS),
+        spec=st.lists(steps, min_size=1, max_size=2),
+    )
+    def submit(self, job_id, spec):
+        chained = tuple(
+            model.Step(
+                one.tasks,
+                one.needs,
+                gang=one.gang,
+                max_per_worker=one.max_per_worker,
+                depends_on=tuple(range(number)),
+            )
+            for number, one in enumerate(spec)
+        )
+        terms = model.QueueTerms("pool", 1, 2)
+        job = model.Job(job_id, "q", "a", "", chained, terms)
+        self.ledger.submit(commands.SubmitJob(job, self.tick()))
+
+    @stateful.rule(job_id=st.sampled_from(JOBS))
+    def cancel(self, job_id):
+        self.ledger.cancel(commands.CancelJob(job_id, self.tick()))
+
+    @stateful.rule(worker_id=st.sampled_from(WORKERS), draining=st.booleans())
+    def put_worker(self, worker_id, draining):
+        worker = model.Worker(
+            worker_id, "pool", "", "d", CAPACITY, draining=draining
+        )
+        self.ledger.put_worker(commands.PutWorker(worker))
+
+    @stateful.rule(worker_id=st.sampled_from(WORKERS))
+    def remove_worker(self, worker_id):
+        self.ledger.remove_worker(commands.RemoveWorker(worker_id, "gone"))
+        self.numbers[worker_id] = 0
+
+    @stateful.rule(data=st.data(), job_id=st.sampled_from(JOBS))
+    def place(self, data, job_id):
+        """Places a step's tasks anywhere, whether that is allowed or not."""
+        record = self.ledger.jobs.get(job_id)
+        if record is None:
+            return
+        number = data.draw(st.integers(0, len(record.job.steps) - 1))
+        step = record.job.steps[number]
+        count = data.draw(st.integers(1, step.tasks))
+        group = []
+        last = max(t.last_run for t in record.steps[0][number].tasks)
+        for index in range(count):
+            run = model.RunId(model.TaskId(job_id, 0, number, index), last + 1)
+            worker_id = data.draw(st.sampled_from(WORKERS))
+            group.append(commands.Placement(run, worker_id))
+        placed = self.ledger.place(
+            commands.PlaceRuns((tuple(group),), self.tick())
+        )
+        if not placed.refusals[0]:
+            for placement in group:
+                assert placement.run.task not in self.done
+                assert self.ledger.jobs[job_id].active
+
+    @stateful.rule(data=st.data(), kind=st.sampled_from(KINDS))
+    def end(self, data, kind):
+        runs = list(self.ledger.runs.values())
+        if not runs:
+            return
+        record = data.draw(st.sampled_from(runs))
+        self.numbers[record.worker_id] += 1
+        end = commands.EndedRun(
+            self.numbers[record.worker_id], record.run, kind, "s"
+        )
+        note = commands.NoteEnds(record.worker_id, (end,), self.tick())
+        for _ in range(data.draw(st.integers(1, 2))):
+            self.ledger.note_ends(note)  # a repeated note changes nothing
+
+    @stateful.rule(data=st.data())
+    def release(self, data):
+        runs = list(self.ledger.runs.values())
+        if runs:
+            record = data.draw(st.sampled_from(runs))
+            one = commands.Release(record.run, record.worker_id, "why")
+            self.ledger.release(commands.ReleaseRuns((one,), self.tick()))
+
+    @stateful.rule()
+    def reload(self):
+        raw = self.ledger.dump()
+        self.ledger = ledgers.BatchLedger()
+        self.ledger.load(raw)
+        assert self.ledger.dump() == raw
+
+    @stateful.invariant()
+    def a_task_has_one_live_run(self):
+        tasks = [run.task for run in self.ledger.runs]
+        assert len(tasks) == len(set(tasks))
+        for task in tasks:
+            assert self.ledger.live_run(task) in self.ledger.runs
+
+    @stateful.invariant()
+    def no_worker_is_over_its_capacity(self):
+        for worker_id in self.ledger.workers:
+            free = self.ledger.free_on(worker_id)
+            assert model.Resources().fits_in(free), free
+
+    @stateful.invariant()
+    def an_end_is_never_taken_back(self):
+        for job_id, record in self.ledger.jobs.items():
+            before = self.ended_states.get(job_id)
+            assert before is None or record.state == before
+            if not record.active:
+                self.ended_states[job_id] = record.state
+            for occurrence in record.steps:
+                for number, step in enumerate(occurrence):
+                    for index, task in enumerate(step.tasks):
+                        name = model.TaskId(job_id, 0, number, index)
+                        assert task.done_run or name not in self.done
+                        if task.done_run:
+                            self.done.add(name)
+
+    @stateful.invariant()
+    def what_is_shown_is_true(self):
+        for record in self.ledger.jobs.values():
+            if record.state is commands.JobState.COMPLETED:
+                assert record.done
+            if record.state is commands.JobState.FAILED:
+                assert any(
+                    task.failures >= record.job.terms.max_attempts
+                    for step in record.steps[0]
+                    for task in step.tasks
+                )
+
+    @stateful.invariant()
+    def a_step_has_run_only_after_those_before(self):
+        for record in self.ledger.jobs.values():
+            for number, step in enumerate(record.steps[0]):
+                if any(task.last_run for task in step.tasks):
+                    assert record.ready(0, number)
+
+
+TestLedgerMachine = LedgerMachine.TestCase
+TestLedgerMachine.settings = hypothesis.settings(
+    max_examples=60, stateful_step_count=40, deadline=None, derandomize=True
+)
+
+
+def test_a_gang_is_placed_whole_or_not_at_all():
+    ledger = ledgers.BatchLedger()
+    worker = model.Worker("w0", "pool", "", "d", CAPACITY)
+    ledger.put_worker(commands.PutWorker(worker))
+    step = model.Step(2, model.Resources(1000, 1000, 4), gang=True)
+    terms = model.QueueTerms("pool", 1, 2)
+    job = model.Job("j", "q", "a", "", (step,), terms)
+    ledger.submit(commands.SubmitJob(job, 0))
+    runs = [model.RunId(model.TaskId("j", 0, 0, i), 1) for i in range(2)]
+    half = (commands.Placement(runs[0], "w0"),)
+    placed = ledger.place(commands.PlaceRuns((half,), 0))
+    assert placed.refusals == ("1 of a gang of 2",)
+    assert not ledger.runs
+    whole = tuple(commands.Placement(run, "w0") for run in runs)
+    assert ledger.place(commands.PlaceRuns((whole,), 0)).refusals == ("",)
+
+
+def test_one_members_good_end_stands_for_its_gang():
+    ledger = ledgers.BatchLedger()
+    worker = model.Worker("w0", "pool", "", "d", CAPACITY)
+    ledger.put_worker(commands.PutWorker(worker))
+    step = model.Step(2, model.Resources(1000, 1000, 4), gang=True)
+    terms = model.QueueTerms("pool", 1, 2)
+    job = model.Job("j", "q", "a", "", (step,), terms)
+    ledger.submit(commands.SubmitJob(job, 0))
+    runs = [model.RunId(model.TaskId("j", 0, 0, i), 1) for i in range(2)]
+    whole = tuple(commands.Placement(run, "w0") for run in runs)
+    ledger.place(commands.PlaceRuns((whole,), 0))
+    end = commands.EndedRun(1, runs[0], commands.EndKind.DONE)
+    ledger.note_ends(commands.NoteEnds("w0", (end,), 5))
+    state = ledger.job_state(commands.JobQuery("j")).state
+    assert state == commands.JobState.COMPLETED
+    assert list(ledger.runs) == [runs[1]]  # occupies its worker until it ends
+
+
+def test_a_gang_fails_once_a_run():
+    ledger = ledgers.BatchLedger()
+    worker = model.Worker("w0", "pool", "", "d", CAPACITY)
+    ledger.put_worker(commands.PutWorker(worker))
+    step = model.Step(2, model.Resources(1000, 1000, 4), gang=True)
+    job = model.Job("j", "q", "a", "", (step,), model.QueueTerms("pool", 1, 2))
+    ledger.submit(commands.SubmitJob(job, 0))
+    for number in (1, 2):
+        runs = [
+            model.RunId(model.TaskId("j", 0, 0, i), number) for i in range(2)
+        ]
+        whole = tuple(commands.Placement(run, "w0") for run in runs)
+        ledger.place(commands.PlaceRuns((whole,), 0))
+        ends = tuple(
+            commands.EndedRun(2 * number + i, run, commands.EndKind.FAILED)
+            for i, run in enumerate(runs)
+        )
+        record = ledger.jobs["j"]
+        assert records.attempts(record, runs[0].task) == number - 1
+        ledger.note_ends(commands.NoteEnds("w0", ends, 5))
+    state = ledger.job_state(commands.JobQuery("j")).state
+    assert state == commands.JobState.FAILED
