--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 	$(BIN)/mypy laburnumsill
 	$(BIN)/lint-imports
 	$(BIN)/python tools/check_imports.py
+	$(BIN)/python tools/check_wire_names.py
 
 format: $(VENV)/.installed
 	$(BIN)/ruff format .
--- a/laburnumsill/core/logs.py
+++ b/laburnumsill/core/logs.py
@@ -5,9 +5,27 @@
 
 import loguru
 
+from laburnumsill.core import log_limits
+
 _FORMAT = "time={time:YYYY-MM-DDTHH:mm:ss.SSS!UTC}Z level={level} {message}"
 
 
+_limiter: log_limits.EventLimiter | None = None
+
+
+def set_up_bounded(level: str, vm: str, stream: typing.TextIO) -> None:
+    """Like `set_up`, at a bounded rate and never waiting for the reader."""
+    global _limiter
+    _limiter = log_limits.EventLimiter()
+    loguru.logger.remove()
+    loguru.logger.add(
+        log_limits.NonBlockingSink(stream).write,
+        level=level,
+        format=f"{_FORMAT} vm={vm}",
+        catch=True,
+    )
+
+
 def set_up(level: str, vm: str, stream: typing.TextIO | None = None) -> None:
     """Sends events of `level` and above to a stream.
 
@@ -33,6 +51,12 @@
         level: A loguru level name.
         **fields: Further pairs; values with blanks are quoted.
     """
+    if _limiter is not None:
+        left_out = _limiter.admit(name)
+        if left_out is None:
+            return
+        if left_out:
+            fields["left_out_before"] = left_out
     pairs = " ".join(f"{key}={_text(value)}" for key, value in fields.items())
     loguru.logger.log(level, "{}", f"event={name} {pairs}".rstrip())
 
--- a/laburnumsill/daemon/role_main.py
+++ b/laburnumsill/daemon/role_main.py
@@ -43,7 +43,7 @@
     except errors.LaburnumsillError as error:
         print(f"laburnumsill {role}: {error.detail}", file=sys.stderr)
         return EXIT_BAD_SETTINGS
-    logs.set_up(settings.log_level, settings.name, sys.stdout)
+    logs.set_up_bounded(settings.log_level, settings.name, sys.stdout)
     try:
         trio.run(_daemon(role, path, settings), strict_exception_groups=True)
     except BaseExceptionGroup as group:
