--- a/tools/check_wire_names.py
+++ b/tools/check_wire_names.py
@@ -13,18 +13,17 @@
 ADAPTER = pathlib.Path("laburnumsill/platform")
 PRODUCT = pathlib.Path("laburnumsill")
 
-ORDINARY = frozenset(
-    """
-    accounts address api_keys capacity count cpu data_rack depends_on fence
-    gang host interval_ms kind labels limits long_running max_attempts
-    max_body_bytes max_header_bytes memory name noted path_prefix pending
-    percent priority public reason repeat_count required_label routes run
-    running same_rack saved saves_progress service services slots spec
-    speculative state status steps stretch task timeout_ms type version zone
-    clock_ms seq body headers enforces_capacity tasks done failed stopped title detail
-    draining guaranteed standby ended late old broken alone room stop hold
-    """.split()
-)
+_WORDS = """
+accounts address alone api_keys body broken capacity clock_ms count cpu
+data_rack depends_on detail done draining ended enforces_capacity failed
+fence gang guaranteed headers hold host interval_ms kind labels late limits
+long_running max_attempts max_body_bytes max_header_bytes memory name noted
+old path_prefix pending percent priority public reason repeat_count
+required_label room routes run running same_rack saved saves_progress seq
+service services slots spec speculative standby state status steps stop
+stopped stretch task tasks timeout_ms title type version zone
+"""
+ORDINARY = frozenset(_WORDS.split())
 """Words of the field that the product uses in a meaning of its own."""
 
 _WIRE_PATH = re.compile(r"^/-/[a-z]")
@@ -51,7 +50,9 @@
         return {
             key.value
             for key in node.keys
-            if isinstance(key, ast.Constant) and isinstance(key.value, str)
+            if isinstance(key, ast.Constant)
+            and isinstance(key.value, str)
+            and "_" in key.value
         }
     if isinstance(node, ast.Constant) and isinstance(node.value, str):
         return {node.value} if _is_wire_string(node.value) else set()
