Let the leases of a worker without answers end

Cause: every unanswered report asked for a longer lease, and since it may have arrived nothing could ever count as ended: the runs of a worker that was cut off for good were never placed again. After 1.5 s without an answer leases are prolonged no more.

--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -39,6 +39,10 @@
 """A start without an answer is given up after so long: the other members of
 a gang wait 3 s for it."""
 
+STOP_PROLONGING_AFTER_S = 1.5
+"""After so long without an answer leases are prolonged no more, since an
+order that seems lost may have arrived: only then do they ever end for sure."""
+
 MISSED_REPORTS = 2
 """A run that was started and is in so many reports neither as running nor
 as ended is stopped, so that it certainly is not there."""
@@ -206,6 +210,8 @@
         now = self._term.clock.monotonic()
         noted = self._term.ledger.noted(self._worker_id)
         lease_ms = self._leases.next_lease_ms(now)
+        if self._is_lost(now):
+            lease_ms = None
         wait_ms = self._wait_ms()
         if lease_ms is not None:
             self._leases.granted(lease_ms)
@@ -224,6 +230,11 @@
         self._answered(report.clock_ms)
         await self._take(report, now)
 
+    def _is_lost(self, now: float) -> bool:
+        """Whether calls have failed for so long that leases are to end."""
+        since = self._failing_since
+        return since is not None and now - since > STOP_PROLONGING_AFTER_S
+
     def _wait_ms(self) -> int:
         """Returns how long the next report may wait for an end."""
         runs = self._term.ledger.runs_on(self._worker_id)
@@ -423,6 +434,8 @@
         """Gives a start order once; returns whether the run is there now."""
         now = self._term.clock.monotonic()
         lease_ms = self._leases.next_lease_ms(now)
+        if self._is_lost(now):
+            return False
         record = self._term.ledger.jobs.get(run.task.job_id)
         task = record.task(run.task) if record else None
         if record is None or task is None:
--- /dev/null
+++ b/laburnumsill/batch/tests/test_session.py
@@ -0,0 +1,300 @@
+"""Sessions against a worker whose answers a test decides on."""
+
+import dataclasses
+
+import pytest
+import trio
+import trio.lowlevel
+import trio.testing
+
+from laburnumsill.batch import commands
+from laburnumsill.batch import ledger as ledgers
+from laburnumsill.batch import model
+from laburnumsill.batch import session as sessions
+from laburnumsill.batch import worker_client
+from laburnumsill.core import errors
+from laburnumsill.emulator import clock as clocks
+
+RUN = model.RunId(model.TaskId("j", 0, 0, 0), 1)
+WORKER = model.Worker(
+    "w", "pool", "w", "d", model.Resources(8000, 8000, 8), ("a", "r"), "r"
+)
+
+
+class ScriptedClient(worker_client.WorkerClient):
+    """Answers with what a test put in: reports, or errors to raise."""
+
+    def __init__(self):
+        self.orders = []
+        self.start_answers = []
+        self.stop_answers = []
+        self.reports = []
+        self.clock_ms = 1000
+
+    async def start(self, worker, order, deadline):
+        self.orders.append(("start", order))
+        return await self._answer(self.start_answers, deadline)
+
+    async def stop(self, worker, run, fence, deadline):
+        self.orders.append(("stop", run))
+        return await self._answer(self.stop_answers, deadline)
+
+    async def report(self, worker, order, deadline):
+        self.orders.append(("report", order))
+        if not self.reports:
+            await trio.sleep(order.wait_ms / 1000 or 0.01)
+            return worker_client.Report(self.clock_ms, (), ())
+        found = self.reports.pop(0)
+        if isinstance(found, Exception):
+            raise found
+        await trio.sleep(0.01)
+        return found
+
+    async def _answer(self, answers, deadline):
+        await trio.sleep(0.001)
+        found = answers.pop(0) if answers else worker_client.Answer(1000)
+        if isinstance(found, worker_client.NoAnswerError):
+            await trio.sleep(deadline - trio.current_time())
+        if isinstance(found, Exception):
+            raise found
+        return found
+
+    def given(self, kind):
+        return [order for name, order in self.orders if name == kind]
+
+
+class FakeTerm(sessions.Term):
+    def __init__(self, nursery):
+        self.ledger = ledgers.BatchLedger()
+        self.client = ScriptedClient()
+        self.clock = clocks.TrioClock()
+        self.fence = 7
+        self.longest_lease_ms = 10_000
+        self.committed = []
+        step = model.Step(1, model.Resources(1000, 1000, 1))
+        terms = model.QueueTerms("pool", 1, 3)
+        job = model.Job("j", "q", "a", "", (step,), terms)
+        self.ledger.put_worker(commands.PutWorker(WORKER))
+        self.ledger.submit(commands.SubmitJob(job, 0))
+        self.ledger.place(
+            commands.PlaceRuns(((commands.Placement(RUN, "w"),),), 0)
+        )
+        self.session = sessions.WorkerSession(WORKER, self, nursery)
+        self.session.hear(1000)
+
+    async def commit(self, command):
+        await trio.sleep(0.005)
+        self.committed.append(command)
+        self.ledger.commands()[type(command)](command)
+
+    def wake(self):
+        pass
+
+    def note_seen(self, run):
+        pass
+
+    def fenced_off(self, worker_id):
+        self.committed.append("fenced off")
+
+    def released(self):
+        return [
+            one
+            for command in self.committed
+            if isinstance(command, commands.ReleaseRuns)
+            for one in command.releases
+        ]
+
+
+def play(script):
+    async def main():
+        async with trio.open_nursery() as nursery:
+            term = FakeTerm(nursery)
+            nursery.start_soon(term.session.run)
+            await script(term)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def running():
+    return worker_client.Report(
+        1000, (worker_client.RunningRun(RUN, "", 10),), ()
+    )
+
+
+def ended(kind, number=1):
+    return worker_client.Report(
+        1000, (), (commands.EndedRun(number, RUN, kind),)
+    )
+
+
+def test_an_end_is_committed_before_the_worker_may_forget_it():
+    async def script(term):
+        term.client.reports = [running(), ended(commands.EndKind.DONE)]
+        term.session.start(RUN)
+        await trio.sleep(1.0)
+        (note,) = term.committed
+        assert note.ends[0].kind is commands.EndKind.DONE
+        noted = [order.noted for order in term.client.given("report")]
+        assert noted == [0, 0, 1]  # a last report lets it forget, then peace
+
+    play(script)
+
+
+def test_a_start_without_an_answer_is_given_again():
+    async def script(term):
+        term.client.start_answers = [worker_client.NoAnswerError("lost")]
+        term.client.reports = [running()] * 3
+        term.session.start(RUN)
+        await trio.sleep(1.5)
+        starts = term.client.given("start")
+        assert [order.run for order in starts] == [RUN, RUN]
+        assert starts[1].lease_ms > starts[0].lease_ms
+        assert not term.committed
+
+    play(script)
+
+
+def test_a_start_given_up_counts_as_gone_only_after_an_acknowledged_stop():
+    async def script(term):
+        lost = worker_client.NoAnswerError("lost")
+        term.client.start_answers = [lost] * 10
+        term.client.stop_answers = [lost, lost]
+        term.session.start(RUN)
+        await trio.sleep(sessions.START_GIVE_UP_S + 2.5)
+        assert term.client.given("stop")
+        assert not term.released()  # no stop has been acknowledged
+        await trio.sleep(5.0)
+        assert [one.run for one in term.released()] == [RUN]
+
+    play(script)
+
+
+def test_a_report_from_before_the_stop_proves_nothing():
+    async def script(term):
+        session = term.session
+        session.stop(RUN, "test")
+        await trio.lowlevel.checkpoint()
+        await session._settle(set(), trio.current_time())
+        assert not term.released()
+        await trio.sleep(0.01)  # now it is acknowledged
+        await session._settle(set(), trio.current_time() - 0.05)
+        assert not term.released()
+        await session._settle(set(), trio.current_time())
+        assert [one.run for one in term.released()] == [RUN]
+
+    play(script)
+
+
+def test_a_run_that_is_over_there_is_not_released_before_its_end_is_read():
+    async def script(term):
+        term.client.start_answers = [worker_client.RunOverError("old")]
+        term.client.reports = [ended(commands.EndKind.DONE)]
+        term.session.start(RUN)
+        await trio.sleep(1.0)
+        assert not term.released()
+        assert term.ledger.jobs["j"].state is commands.JobState.COMPLETED
+
+    play(script)
+
+
+def test_what_was_refused_at_once_is_free_at_once():
+    async def script(term):
+        term.client.start_answers = [worker_client.NothingDoneError("busy")]
+        term.session.start(RUN)
+        await trio.sleep(0.1)
+        assert [one.run for one in term.released()] == [RUN]
+        assert term.session.unwell_until > trio.current_time()
+
+    play(script)
+
+
+def test_a_refusal_after_a_lost_order_proves_nothing():
+    async def script(term):
+        term.client.start_answers = [
+            worker_client.NoAnswerError("lost"),
+            *[worker_client.NothingDoneError("busy")] * 20,
+        ]
+        term.client.stop_answers = [worker_client.NoAnswerError("lost")] * 9
+        term.session.start(RUN)
+        await trio.sleep(3.0)
+        assert not term.released()
+        assert term.client.given("stop")
+
+    play(script)
+
+
+def test_silence_releases_only_when_the_leases_have_ended():
+    async def script(term):
+        term.client.reports = [running()]
+        term.session.start(RUN)
+        await trio.sleep(0.1)
+        lost = worker_client.NoAnswerError("lost")
+        term.client.reports = [lost] * 1000
+        await trio.sleep(9.5)
+        assert not term.released()
+        await trio.sleep(4.0)
+        assert [one.run for one in term.released()] == [RUN]
+
+    play(script)
+
+
+def test_another_incarnation_at_the_address_ends_all_at_once():
+    async def script(term):
+        gone = worker_client.IncarnationGoneError("421")
+        term.client.reports = [running(), gone]
+        term.session.start(RUN)
+        await trio.sleep(0.5)
+        assert "w" not in term.ledger.workers
+        assert not term.ledger.runs
+
+    play(script)
+
+
+def test_a_worker_that_obeys_another_leader_ends_the_term():
+    async def script(term):
+        term.client.reports = [worker_client.FencedOffError("9")]
+        term.session.start(RUN)
+        await trio.sleep(0.05)
+        assert "fenced off" in term.committed
+
+    play(script)
+
+
+def test_a_run_that_nobody_asked_for_is_stopped():
+    async def script(term):
+        other = dataclasses.replace(RUN, number=2)
+        stray = worker_client.RunningRun(other, "", 1)
+        report = worker_client.Report(
+            1000, (stray, worker_client.RunningRun(RUN, "", 1)), ()
+        )
+        term.client.reports = [report]
+        term.session.start(RUN)
+        await trio.sleep(0.1)
+        assert term.client.given("stop") == [other]
+
+    play(script)
+
+
+def test_a_run_that_its_worker_forgot_is_stopped_and_placed_again():
+    async def script(term):
+        term.client.reports = [running()]
+        term.session.start(RUN)
+        await trio.sleep(10.0)
+        assert term.client.given("stop") == [RUN]
+        assert [one.run for one in term.released()] == [RUN]
+
+    play(script)
+
+
+def test_errors_of_a_commit_are_not_swallowed():
+    async def script(term):
+        async def fail(command):
+            raise errors.NoQuorumError("no lead")
+
+        term.commit = fail
+        report = ended(commands.EndKind.DONE)
+        with pytest.raises(errors.NoQuorumError):
+            await term.session._take(report, trio.current_time())
+
+    play(script)
