Repeat lost entries though reads come all the time

Cause: a leader looked for members that owe an answer only when its heartbeat timer fired, and each confirmed read put that timer off. Ruled out by the positions that a late commit now logs: the leader's disk, the follower's disk, the make-up. Now each round of heartbeats looks, whoever began it.

--- a/laburnumsill/consensus/engine.py
+++ b/laburnumsill/consensus/engine.py
@@ -141,6 +141,11 @@
         """The highest index known to be committed."""
         return self._replica.committed
 
+    @property
+    def durable(self) -> int:
+        """The highest index that its own store holds."""
+        return self._replica.durable
+
     @property
     def handed(self) -> int:
         """The highest index handed out to be applied."""
--- a/laburnumsill/consensus/group.py
+++ b/laburnumsill/consensus/group.py
@@ -125,6 +125,11 @@
         """Whether its store is on a disk."""
         return self._store.with_disk
 
+    @property
+    def synced_index(self) -> int:
+        """Index up to which its own log is stored."""
+        return self._engine.durable
+
     @property
     def applied(self) -> int:
         """Index of the last entry applied."""
--- a/laburnumsill/consensus/host.py
+++ b/laburnumsill/consensus/host.py
@@ -277,7 +277,31 @@
         waiter = self._hosted(name).propose(raw)
         self._replicas.mark(name)
         late = errors.ProposalLostError(f"{name}: no commit in time")
-        return await waiter.wait(deadline, self._clock, late)
+        try:
+            return await waiter.wait(deadline, self._clock, late)
+        except errors.ProposalLostError as error:
+            if error is late:
+                self._log_positions(name)
+            raise
+
+    def _log_positions(self, name: str) -> None:
+        """Writes where the replicas of a group led here stand."""
+        hosted = self._replicas.hosted.get(name)
+        if hosted is None or not hosted.leads:
+            return
+        logs.event(
+            "commit-late",
+            "WARNING",
+            group=name,
+            last=hosted.engine.last_index,
+            committed=hosted.engine.committed,
+            kept=hosted.synced_index,
+            followers=",".join(
+                f"{replica.vm}:{one.mode.value}:{one.match}:{one.next}"
+                f":{one.idle}"
+                for replica, one in hosted.engine.progress.items()
+            ),
+        )
 
     async def _query_here(
         self, name: str, query: object, deadline: float
--- a/laburnumsill/consensus/leading.py
+++ b/laburnumsill/consensus/leading.py
@@ -120,12 +120,8 @@
         replica = self._replica
         if self.transferring and replica.now >= self._transfer_deadline:
             self._transfer_to = None
-        if replica.now < self._heartbeat_at:
-            return
-        for progress in self.progress.values():
-            if progress.stalled(replica.now):
-                progress.retry()
-        self._send_heartbeats()
+        if replica.now >= self._heartbeat_at:
+            self._send_heartbeats()
 
     def on_reply(self, message: types.Message) -> None:
         """Takes any reply of a member; others are ignored."""
@@ -247,7 +243,15 @@
         self._replica.confirm_reads(self._reads.confirm(number))
 
     def _send_heartbeats(self) -> None:
+        """Sends a round of heartbeats, and repeats what went unanswered.
+
+        Reads begin rounds too, and put the next tick off each time: what was
+        lost must not have to wait for a pause between reads.
+        """
         replica = self._replica
+        for progress in self.progress.values():
+            if progress.stalled(replica.now):
+                progress.retry()
         self._heartbeat_at = replica.now + replica.options.heartbeat_s
         for member, progress in self.progress.items():
             commit = min(progress.match, replica.committed)
--- a/laburnumsill/consensus/tests/test_engine_rules.py
+++ b/laburnumsill/consensus/tests/test_engine_rules.py
@@ -7,6 +7,7 @@
 
 from laburnumsill.consensus import engine
 from laburnumsill.consensus import types
+from laburnumsill.consensus.tests import simulated_group
 from laburnumsill.core import codec
 
 A, B, C = (types.ReplicaId(vm, "i") for vm in "abc")
@@ -162,3 +163,21 @@
             leader.step(reply, now)
     assert {message.kind for message in sent} == {KIND.HEARTBEAT}
     assert len(sent) == 2 * 8
+
+
+def test_a_member_catches_up_though_reads_come_all_the_time():
+    group = simulated_group.Group("abc", "abc", 5)
+    leader = group.elect()
+    behind = next(vm for vm in "abc" if vm != leader.me.vm)
+
+    def use(seconds):
+        for _ in range(round(seconds / 0.05)):
+            group.write(leader, b"x")
+            group.read(leader)
+            group.run(0.05)
+
+    use(1.0)
+    group.isolate(behind, 4.0)  # what is on its way then is lost
+    use(6.0)
+    progress = leader.engine.progress[group.hosts[behind].me]
+    assert progress.match >= leader.engine.committed - 5
