--- a/laburnumsill/batch/ledger.py
+++ b/laburnumsill/batch/ledger.py
@@ -240,11 +240,10 @@
     def _end(self, end: commands.EndedRun, at_ms: int) -> None:
         """Takes note of one end.
 
-        A run that is not live any more may still turn out to have been done:
-        the worker listed that before its lease ended, and nobody could read
-        it then.
+        A run that is not live any more may still turn out to have been done
+        or to have failed: the worker listed that before its lease ended, and
+        nobody could read it then. Both count.
         """
-        was_live = end.run in self._runs
         self._remove_run(end.run)
         record = self._jobs.get(end.run.task.job_id)
         task = record.task(end.run.task) if record else None
@@ -254,7 +253,7 @@
         self._save(end.run, end.saved)
         if end.kind is commands.EndKind.DONE:
             self._note_done(record, end.run, at_ms)
-        elif end.kind is commands.EndKind.FAILED and was_live:
+        elif end.kind is commands.EndKind.FAILED:
             self._note_failure(record, end.run, at_ms)
 
     def _note_done(
@@ -283,9 +282,9 @@
             return
         spec = record.job.steps[run.task.step]
         if spec.gang:
-            if run.number <= step.failed_run:
+            if run.number in step.failed_runs:
                 return  # another member has brought it down already
-            step.failed_run = run.number
+            step.failed_runs.append(run.number)
             for task in step.tasks:
                 task.failures += 1
         else:
--- a/laburnumsill/batch/packing.py
+++ b/laburnumsill/batch/packing.py
@@ -6,6 +6,10 @@
 from laburnumsill.batch import model
 from laburnumsill.batch import rooms as room_module
 from laburnumsill.batch import units
+from laburnumsill.batch import worker_health
+
+URGENT_PRIORITY = 0
+"""Jobs of this priority may stop others and own what is guaranteed."""
 
 Assignment = list[tuple[model.TaskId, room_module.Room]]
 RoomOf = abc.Callable[[room_module.Room], model.Resources]
@@ -65,7 +69,7 @@
         return _assign(unit, _in_order(unit, rooms, slots, room_of), slots)
     chosen = _best_rack(unit, rooms, slots, room_of)
     if chosen is None and not _needs_one_rack(unit, rooms):
-        chosen = _widest_racks_first(rooms, slots, room_of)
+        chosen = _widest_racks_first(unit, rooms, slots, room_of)
     if chosen is None:
         return []
     found = _assign(unit, chosen, slots)
@@ -107,7 +111,7 @@
         if best is None or (away, left) < best:
             best = (away, left)
             chosen = inside
-    return _fullest_first(chosen, room_of) if chosen else None
+    return _fullest_first(unit, chosen, room_of) if chosen else None
 
 
 def _needs_one_rack(
@@ -130,6 +134,7 @@
 
 
 def _widest_racks_first(
+    unit: units.Unit,
     rooms: abc.Sequence[room_module.Room],
     slots: dict[str, int],
     room_of: RoomOf,
@@ -142,7 +147,7 @@
     )
     found: list[room_module.Room] = []
     for rack in order:
-        found += _fullest_first(racks[rack], room_of)
+        found += _fullest_first(unit, racks[rack], room_of)
     return found
 
 
@@ -156,16 +161,31 @@
     rack = unit.step.data_rack
     near = [room for room in rooms if room.worker.rack == rack]
     if rack and near:
-        return _fullest_first(near, room_of)
-    return _fullest_first(rooms, room_of)
+        return _fullest_first(unit, near, room_of)
+    return _fullest_first(unit, rooms, room_of)
 
 
 def _fullest_first(
-    rooms: abc.Iterable[room_module.Room], room_of: RoomOf
+    unit: units.Unit,
+    rooms: abc.Iterable[room_module.Room],
+    room_of: RoomOf,
 ) -> list[room_module.Room]:
-    def key(room: room_module.Room) -> tuple[float, float, str]:
+    """Returns rooms in the order in which a unit should fill them.
+
+    Urgent units go to the fast workers first, all others to the slightly
+    slow ones, which have more time. Among equals the fullest goes first.
+    """
+    urgent = unit.priority == URGENT_PRIORITY
+
+    def key(room: room_module.Room) -> tuple[bool, float, float, str]:
         free = room_of(room)
-        return (free.accelerators, free.cpu_millis, room.worker.worker_id)
+        slow = room.slowness >= worker_health.NOTICEABLY_SLOW
+        return (
+            slow == urgent,
+            free.accelerators,
+            free.cpu_millis,
+            room.worker.worker_id,
+        )
 
     return sorted(rooms, key=key)
 
--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -17,9 +17,7 @@
 from laburnumsill.batch import preemption
 from laburnumsill.batch import rooms as room_module
 from laburnumsill.batch import units
-
-URGENT_PRIORITY = 0
-"""Jobs of this priority may stop others and own what is guaranteed."""
+from laburnumsill.batch import worker_health
 
 FENCE_AFTER_MS = 3_000
 """A gang that has waited so long keeps room that becomes free, in ms: about
@@ -40,6 +38,7 @@
         guarantees: Guaranteed accelerators by client account.
         now_ms: Wall time, ms since 1970.
         avoid: Workers on which a task is not to be run again.
+        slowness: Run time on a worker relative to others.
     """
 
     ledger: ledgers.BatchLedger
@@ -48,6 +47,7 @@
     guarantees: abc.Mapping[str, int]
     now_ms: int
     avoid: abc.Callable[[model.TaskId], abc.Set[str]] = lambda _: frozenset()
+    slowness: abc.Callable[[str], float] = lambda _: 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -94,7 +94,7 @@
         )
 
     def _guaranteed(self, unit: units.Unit) -> bool:
-        if unit.priority != URGENT_PRIORITY:
+        if unit.priority != packing.URGENT_PRIORITY:
             return False
         account = unit.record.job.account
         own = self._view.guarantees.get(account, 0)
@@ -106,7 +106,7 @@
             _accelerators(record.job)
             for record in self._ledger.active_jobs.values()
             if record.job.account == account
-            and record.job.terms.priority == URGENT_PRIORITY
+            and record.job.terms.priority == packing.URGENT_PRIORITY
         )
 
     def _place(self, unit: units.Unit) -> None:
@@ -118,7 +118,7 @@
         if not unit.tasks:
             return
         self._plan.waiting.append(unit)
-        if unit.priority == URGENT_PRIORITY:
+        if unit.priority == packing.URGENT_PRIORITY:
             self._make_room(unit, rooms)
         elif unit.step.gang:
             self._fence_rack(unit, rooms)
@@ -129,7 +129,10 @@
             avoid |= self._view.avoid(task)
         rooms = packing.eligible(unit, self._rooms.values())
         kept = [room for room in rooms if room.worker.worker_id not in avoid]
-        return kept or rooms
+        sound = [
+            room for room in kept if room.slowness < worker_health.VERY_SLOW
+        ]
+        return sound or kept or rooms
 
     def _take(self, unit: units.Unit, found: packing.Assignment) -> None:
         placements = []
@@ -164,7 +167,7 @@
         if self._victims is None:
             self._victims = preemption.victims_below(
                 self._ledger,
-                URGENT_PRIORITY,
+                packing.URGENT_PRIORITY,
                 self._view.stopping,
                 self._view.now_ms,
             )
@@ -216,7 +219,11 @@
         worker = view.ledger.workers.get(worker_id)
         if worker is None or worker.draining:
             continue
-        room = room_module.Room(worker, view.ledger.free_on(worker_id))
+        room = room_module.Room(
+            worker,
+            view.ledger.free_on(worker_id),
+            slowness=view.slowness(worker_id),
+        )
         for run in view.ledger.runs_on(worker_id):
             if run in view.stopping:
                 room.leaving += view.ledger.needs_of(run)
--- a/laburnumsill/batch/records.py
+++ b/laburnumsill/batch/records.py
@@ -30,12 +30,12 @@
 
     Attributes:
         tasks: By index.
-        failed_run: Of a gang: number of the newest run that has failed.
+        failed_runs: Of a gang: numbers of the runs that have failed.
         undone: How many of its tasks are not done.
     """
 
     tasks: list[TaskRecord]
-    failed_run: int = 0
+    failed_runs: list[int] = dataclasses.field(default_factory=list)
     undone: int = 0
 
 
@@ -123,7 +123,7 @@
 
 def _occurrence(job: model.Job) -> list[StepRecord]:
     return [
-        StepRecord([TaskRecord() for _ in range(step.tasks)], 0, step.tasks)
+        StepRecord([TaskRecord() for _ in range(step.tasks)], undone=step.tasks)
         for step in job.steps
     ]
 
--- a/laburnumsill/batch/rooms.py
+++ b/laburnumsill/batch/rooms.py
@@ -14,6 +14,7 @@
         worker: The worker.
         free: What nobody occupies or has reserved.
         leaving: What runs occupy that are being stopped.
+        slowness: Run time on the worker relative to others.
     """
 
     worker: model.Worker
@@ -21,6 +22,7 @@
     leaving: model.Resources = dataclasses.field(
         default_factory=model.Resources
     )
+    slowness: float = 1.0
 
     @property
     def soon_free(self) -> model.Resources:
--- a/laburnumsill/batch/scheduler.py
+++ b/laburnumsill/batch/scheduler.py
@@ -19,6 +19,7 @@
 from laburnumsill.batch import session as sessions
 from laburnumsill.batch import units
 from laburnumsill.batch import worker_client
+from laburnumsill.batch import worker_health
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import errors
 from laburnumsill.core import logs
@@ -46,6 +47,10 @@
 at least."""
 
 
+FORGET_EVERY_S = 30
+"""How often jobs that ended long ago are looked for."""
+
+
 class LeadLostError(errors.UnavailableError):
     """A commit of the scheduler failed: another VM leads, or none."""
 
@@ -167,6 +172,7 @@
         self.clock = owner._clock
         self.fence = fence
         self.longest_lease_ms = owner._longest_lease_ms
+        self.health = worker_health.WorkerHealth()
         self._owner = owner
         self._sessions: dict[str, sessions.WorkerSession] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
@@ -176,6 +182,7 @@
         self._scope = trio.CancelScope()
         self._nursery: trio.Nursery
         self._waiting: dict[tuple[str, int, int], str] = {}
+        self._forget_at_ms = 0
 
     async def run(self) -> None:
         """Runs until the lead is lost."""
@@ -260,6 +267,8 @@
             frozenset(self._stopping()),
             self._owner._guarantees(),
             self._now_ms(),
+            self.health.avoid,
+            self.health.slowness,
         )
         made = planner.plan(view)
         self._log_waiting(made)
@@ -319,6 +328,7 @@
             if session.failing_since is None
             and now - session.heard_at < UNHEARD_S
             and now >= session.unwell_until
+            and not self.health.set_aside(worker_id, now)
         }
 
     def _stopping(self) -> set[model.RunId]:
@@ -385,6 +395,7 @@
             await trio.sleep(HOUSEKEEPING_S)
             await self._commit_seen()
             await self._remove_silent()
+            await self._forget_ended()
             self._publish()
 
     async def _commit_seen(self) -> None:
@@ -406,6 +417,22 @@
             await self._propose(commands.RemoveWorker(worker_id, reason, saved))
             self.wake()
 
+    async def _forget_ended(self) -> None:
+        """Forgets jobs that ended long ago, some at a time."""
+        now_ms = self._now_ms()
+        for job_id, record in self.ledger.jobs.items():
+            if not record.active:
+                self.health.forget_job(job_id)
+        if now_ms < self._forget_at_ms:
+            return
+        self._forget_at_ms = now_ms + FORGET_EVERY_S * 1000
+        before_ms = now_ms - int(KEEP_ENDED_S * 1000)
+        if any(
+            0 < record.ended_ms < before_ms
+            for record in self.ledger.jobs.values()
+        ):
+            await self._propose(commands.ForgetJobs(before_ms))
+
     def _publish(self) -> None:
         metrics = self._owner._metrics
         metrics.gauge("jobs_active", len(self.ledger.active_jobs))
--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -18,6 +18,7 @@
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
 from laburnumsill.batch import worker_client
+from laburnumsill.batch import worker_health
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import errors
 from laburnumsill.core import logs
@@ -56,6 +57,7 @@
         client: Gives orders to workers.
         clock: The clock of this process.
         fence: The term of the lead, on every order.
+        health: What was observed of workers.
         longest_lease_ms: The longest lease that workers grant.
     """
 
@@ -63,6 +65,7 @@
     client: worker_client.WorkerClient
     clock: clocks.Clock
     fence: int
+    health: worker_health.WorkerHealth
     longest_lease_ms: int
 
     @abc.abstractmethod
@@ -299,9 +302,31 @@
         for run in self._running:
             if run not in self._term.ledger.runs:
                 self.stop(run, "nobody asked for it any more")
+        self._look_for_hangs()
         for run in [run for run in self._stops if self._is_over(run)]:
             del self._stops[run]
 
+    def _look_for_hangs(self) -> None:
+        """Stops runs whose progress stands still, to run them elsewhere."""
+        now = self._term.clock.monotonic()
+        for run, seen in self._running.items():
+            record = self._term.ledger.jobs.get(run.task.job_id)
+            if record is None or run in self._stops:
+                continue
+            gang = record.job.steps[run.task.step].gang
+            if not self._term.health.note_running(seen, gang, now):
+                continue
+            self._term.health.note_hang(self._worker_id, run, now)
+            logs.event(
+                "run-stalled",
+                "WARNING",
+                job=run.task.job_id,
+                run=run,
+                worker=self._worker_id,
+                percent=seen.percent,
+            )
+            self.stop(run, "its progress stands still")
+
     async def _note_ends(self, ends: tuple[commands.EndedRun, ...]) -> None:
         for end in ends:
             logs.event(
@@ -317,8 +342,25 @@
         await self._term.commit(commands.NoteEnds(self._worker_id, ends, at_ms))
         for end in ends:
             self._started.pop(end.run, None)
+            self._observe_end(end)
         self._term.wake()
 
+    def _observe_end(self, end: commands.EndedRun) -> None:
+        record = self._term.ledger.jobs.get(end.run.task.job_id)
+        if record is None:
+            return
+        step = record.job.steps[end.run.task.step]
+        now = self._term.clock.monotonic()
+        health = self._term.health
+        if health.note_end(self._worker_id, end, step, now):
+            logs.event(
+                "worker-set-aside",
+                "WARNING",
+                worker=self._worker_id,
+                reason="different jobs failed on it",
+                run=end.run,
+            )
+
     async def _settle(
         self, listed: collections_abc.Set[model.RunId], sent_at: float
     ) -> None:
@@ -373,6 +415,7 @@
                 reason=one.reason,
             )
             self._started.pop(one.run, None)
+            self._term.health.forget_run(one.run)
         at_ms = int(self._term.clock.wall() * 1000)
         await self._term.commit(commands.ReleaseRuns(tuple(releases), at_ms))
         self._term.wake()
@@ -452,6 +495,7 @@
         )
         self._answered(answer.clock_ms)
         self._started[run] = 0
+        self._term.health.note_started(run, self._term.clock.monotonic())
         logs.event(
             "run-started",
             job=run.task.job_id,
--- a/laburnumsill/batch/tests/test_ledger_machine.py
+++ b/laburnumsill/batch/tests/test_ledger_machine.py
@@ -239,3 +239,20 @@
         ledger.note_ends(commands.NoteEnds("w0", ends, 5))
     state = ledger.job_state(commands.JobQuery("j")).state
     assert state == commands.JobState.FAILED
+
+
+def test_a_failure_that_is_read_late_counts_as_an_attempt():
+    ledger = ledgers.BatchLedger()
+    worker = model.Worker("w0", "pool", "", "d", CAPACITY)
+    ledger.put_worker(commands.PutWorker(worker))
+    step = model.Step(1, model.Resources(1000, 1000, 1))
+    job = model.Job("j", "q", "a", "", (step,), model.QueueTerms("pool", 1, 1))
+    ledger.submit(commands.SubmitJob(job, 0))
+    run = model.RunId(model.TaskId("j", 0, 0, 0), 1)
+    ledger.place(commands.PlaceRuns(((commands.Placement(run, "w0"),),), 0))
+    lost = commands.Release(run, "w0", "its lease has ended")
+    ledger.release(commands.ReleaseRuns((lost,), 1))
+    end = commands.EndedRun(1, run, commands.EndKind.FAILED)
+    ledger.note_ends(commands.NoteEnds("w0", (end,), 5))
+    state = ledger.job_state(commands.JobQuery("j")).state
+    assert state == commands.JobState.FAILED
--- a/laburnumsill/batch/tests/test_session.py
+++ b/laburnumsill/batch/tests/test_session.py
@@ -12,6 +12,7 @@
 from laburnumsill.batch import model
 from laburnumsill.batch import session as sessions
 from laburnumsill.batch import worker_client
+from laburnumsill.batch import worker_health
 from laburnumsill.core import errors
 from laburnumsill.emulator import clock as clocks
 
@@ -69,6 +70,7 @@
         self.client = ScriptedClient()
         self.clock = clocks.TrioClock()
         self.fence = 7
+        self.health = worker_health.WorkerHealth()
         self.longest_lease_ms = 10_000
         self.committed = []
         step = model.Step(1, model.Resources(1000, 1000, 1))
--- /dev/null
+++ b/laburnumsill/batch/worker_health.py
@@ -0,0 +1,179 @@
+"""Telling slow, hanging and failing workers from bad jobs.
+
+Everything here is the leader's own observation and may be forgotten: a new
+leader learns it again within seconds. Nothing that must hold rests on it.
+"""
+
+import collections
+import dataclasses
+import statistics
+from collections import abc
+
+from laburnumsill.batch import commands
+from laburnumsill.batch import model
+from laburnumsill.batch import worker_client
+
+FAILING_JOBS = 2
+"""A worker on which so many different jobs failed one after the other, with
+nothing done in between, is set aside: of the users' jobs one in twenty fails
+by itself, so two in a row are the worker's doing."""
+
+SET_ASIDE_S = 4.0
+"""How long a failing or hanging worker gets nothing, at first; the users'
+troubles of this kind last 5 to 7 s."""
+
+LONGEST_SET_ASIDE_S = 16.0
+"""The same when it goes on; it doubles each time."""
+
+STALLED_AFTER_S = 2.5
+"""A run whose progress stood still for so long hangs; a worker reports whole
+percents, and the longest runs of the users do one in a third of a second."""
+
+GANG_STALLED_AFTER_S = 3.5
+"""The same for a gang, whose members wait up to 3 s for each other."""
+
+SAMPLES = 12
+"""Newest relative run times of a worker that are gone by."""
+
+MIN_SIBLINGS = 3
+"""So many tasks of a step must have ended before they are compared."""
+
+NOTICEABLY_SLOW = 1.12
+"""Relative run time from which a worker counts as slower than others."""
+
+VERY_SLOW = 2.0
+"""Relative run time from which a worker is used only if nothing else is."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Standing:
+    """What is known of one worker.
+
+    Attributes:
+        failed_jobs: Jobs that failed there since something was done there.
+        aside_until: It gets nothing before this point, monotonic.
+        aside_s: How long it was set aside last.
+        ratios: Newest run times relative to those of other workers.
+    """
+
+    failed_jobs: set[str] = dataclasses.field(default_factory=set)
+    aside_until: float = 0.0
+    aside_s: float = 0.0
+    ratios: collections.deque[float] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=SAMPLES)
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class _Seen:
+    percent: int
+    since: float
+    first_at: float
+
+
+class WorkerHealth:
+    """What the leader has observed of workers and of tasks on them."""
+
+    def __init__(self) -> None:
+        self._workers: dict[str, _Standing] = {}
+        self._seen: dict[model.RunId, _Seen] = {}
+        self._failed_on: dict[model.TaskId, set[str]] = {}
+        self._durations: dict[tuple[str, int, int], list[float]] = {}
+
+    def set_aside(self, worker_id: str, now: float) -> bool:
+        """Returns whether a worker is to get nothing now."""
+        standing = self._workers.get(worker_id)
+        return standing is not None and now < standing.aside_until
+
+    def slowness(self, worker_id: str) -> float:
+        """Returns the run time on a worker relative to others, 1.0 unknown."""
+        standing = self._workers.get(worker_id)
+        if standing is None or not standing.ratios:
+            return 1.0
+        return statistics.median(standing.ratios)
+
+    def avoid(self, task: model.TaskId) -> abc.Set[str]:
+        """Returns the workers on which a task has failed or hung."""
+        return self._failed_on.get(task, set())
+
+    def forget_job(self, job_id: str) -> None:
+        """Forgets what was observed of a job's tasks."""
+        for tasks in (self._failed_on,):
+            for task in [t for t in tasks if t.job_id == job_id]:
+                del tasks[task]
+        for key in [key for key in self._durations if key[0] == job_id]:
+            del self._durations[key]
+
+    def note_end(
+        self,
+        worker_id: str,
+        end: commands.EndedRun,
+        step: model.Step,
+        now: float,
+    ) -> bool:
+        """Takes note of an end; returns whether the worker is set aside."""
+        seen = self._seen.pop(end.run, None)
+        standing = self._workers.setdefault(worker_id, _Standing())
+        if end.kind is commands.EndKind.DONE:
+            standing.failed_jobs.clear()
+            standing.aside_s = 0.0
+            if seen is not None and not step.gang and not end.saved:
+                self._compare(standing, end.run, now - seen.first_at)
+            return False
+        if end.kind is not commands.EndKind.FAILED:
+            return False
+        self._failed_on.setdefault(end.run.task, set()).add(worker_id)
+        standing.failed_jobs.add(end.run.task.job_id)
+        if len(standing.failed_jobs) < FAILING_JOBS:
+            return False
+        self._put_aside(standing, now)
+        return True
+
+    def note_started(self, run: model.RunId, now: float) -> None:
+        """Takes note that a run has begun."""
+        self._seen.setdefault(run, _Seen(0, now, now))
+
+    def note_running(
+        self, seen: worker_client.RunningRun, gang: bool, now: float
+    ) -> bool:
+        """Takes note of progress; returns whether the run hangs."""
+        known = self._seen.get(seen.run)
+        if known is None:
+            self._seen[seen.run] = _Seen(seen.percent, now, now)
+            return False
+        if seen.percent != known.percent:
+            known.percent = seen.percent
+            known.since = now
+            return False
+        limit = GANG_STALLED_AFTER_S if gang else STALLED_AFTER_S
+        return seen.percent < 100 and now - known.since >= limit
+
+    def note_hang(self, worker_id: str, run: model.RunId, now: float) -> None:
+        """Sets a worker aside on which a single task hangs."""
+        self._failed_on.setdefault(run.task, set()).add(worker_id)
+        standing = self._workers.setdefault(worker_id, _Standing())
+        self._put_aside(standing, now)
+
+    def forget_run(self, run: model.RunId) -> None:
+        """Forgets a run that will list no end."""
+        self._seen.pop(run, None)
+
+    def _put_aside(self, standing: _Standing, now: float) -> None:
+        if now < standing.aside_until:
+            return
+        longer = max(SET_ASIDE_S, 2 * standing.aside_s)
+        standing.aside_s = min(longer, LONGEST_SET_ASIDE_S)
+        standing.aside_until = now + standing.aside_s
+
+    def _compare(
+        self, standing: _Standing, run: model.RunId, took_s: float
+    ) -> None:
+        """Compares a run's time with those of its siblings elsewhere."""
+        task = run.task
+        key = (task.job_id, task.occurrence, task.step)
+        times = self._durations.setdefault(key, [])
+        if len(times) >= MIN_SIBLINGS:
+            usual = statistics.median(times)
+            if usual > 0:
+                standing.ratios.append(took_s / usual)
+        times.append(took_s)
