Keep whole racks for gangs; let a gang spread when the site is mostly free

Now small tasks fill the fullest rack first, the emptiest rooms of a rack are kept, and a gang that has waited 1.5 s goes to several racks while most of its pool is free.

--- a/laburnumsill/batch/packing.py
+++ b/laburnumsill/batch/packing.py
@@ -1,6 +1,5 @@
 """Fitting one unit into what is free."""
 
-import math
 from collections import abc
 
 from laburnumsill.batch import model
@@ -47,6 +46,7 @@
     rooms: abc.Sequence[room_module.Room],
     room_of: RoomOf,
     count_on: CountOn,
+    may_spread: bool = False,
 ) -> Assignment:
     """Returns where a unit's tasks fit: all of a gang, else those that do.
 
@@ -59,6 +59,8 @@
         rooms: The workers that may run them.
         room_of: What of a worker may be used.
         count_on: How many tasks of a task's step a worker has already.
+        may_spread: Whether a gang that is much slower on several racks may
+            go to several all the same.
 
     Returns:
         Tasks and their workers; empty if nothing, or not all of a gang, fits.
@@ -68,7 +70,7 @@
     if not unit.step.gang:
         return _assign(unit, _in_order(unit, rooms, slots, room_of), slots)
     chosen = _best_rack(unit, rooms, slots, room_of)
-    if chosen is None and not _needs_one_rack(unit, rooms):
+    if chosen is None and (may_spread or not _needs_one_rack(unit, rooms)):
         chosen = _widest_racks_first(unit, rooms, slots, room_of)
     if chosen is None:
         return []
@@ -172,16 +174,23 @@
 ) -> list[room_module.Room]:
     """Returns rooms in the order in which a unit should fill them.
 
-    Urgent units go to the fast workers first, all others to the slightly
-    slow ones, which have more time. Among equals the fullest goes first.
+    Urgent units go to the fast workers first. Then the fullest rack goes
+    first and in it the fullest worker, so that whole racks and whole workers
+    are left for gangs.
     """
     urgent = unit.priority == URGENT_PRIORITY
+    rooms = list(rooms)
+    in_rack: dict[str, int] = {}
+    for room in rooms:
+        rack = room.worker.rack
+        in_rack[rack] = in_rack.get(rack, 0) + room_of(room).accelerators
 
-    def key(room: room_module.Room) -> tuple[bool, float, float, str]:
+    def key(room: room_module.Room) -> tuple[bool, int, int, int, str]:
         free = room_of(room)
         slow = room.slowness >= worker_health.NOTICEABLY_SLOW
         return (
-            slow == urgent,
+            slow and urgent,
+            in_rack[room.worker.rack],
             free.accelerators,
             free.cpu_millis,
             room.worker.worker_id,
@@ -205,10 +214,14 @@
     return found
 
 
-def share_free(rooms: abc.Iterable[room_module.Room]) -> float:
-    """Returns the share of accelerators that is free, not a number if none."""
-    total = free = 0
+def mostly_free(rooms: abc.Iterable[room_module.Room]) -> bool:
+    """Returns whether less than half of what workers have is in use."""
+    capacity = free = model.Resources()
     for room in rooms:
-        total += room.worker.capacity.accelerators
-        free += room.free.accelerators
-    return free / total if total else math.nan
+        capacity += room.worker.capacity
+        free += room.free
+    return (
+        2 * free.accelerators >= capacity.accelerators
+        and 2 * free.cpu_millis >= capacity.cpu_millis
+        and 2 * free.memory_mb >= capacity.memory_mb
+    )
--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -23,6 +23,10 @@
 """A gang that has waited so long keeps room that becomes free, in ms: about
 half a run of the users' background tasks."""
 
+SPREAD_AFTER_MS = 1_500
+"""A gang that has waited so long, in ms, while most of its pool is free,
+goes to several racks: nothing else would make use of the room."""
+
 MAX_FENCED = 2
 """So many waiting gangs keep room at a time; more would idle the site."""
 
@@ -111,7 +115,13 @@
 
     def _place(self, unit: units.Unit) -> None:
         rooms = self._eligible(unit)
-        found = packing.fit(unit, rooms, packing.free_now, self._count_on)
+        found = packing.fit(
+            unit,
+            rooms,
+            packing.free_now,
+            self._count_on,
+            self._may_spread(unit, rooms),
+        )
         self._take(unit, found)
         placed = {task for task, _ in found}
         unit.tasks = [task for task in unit.tasks if task not in placed]
@@ -123,6 +133,13 @@
         elif unit.step.gang:
             self._fence_rack(unit, rooms)
 
+    def _may_spread(
+        self, unit: units.Unit, rooms: list[room_module.Room]
+    ) -> bool:
+        """Whether a gang should rather run slowly than wait for one rack."""
+        waited = self._view.now_ms - unit.waiting_since_ms
+        return waited >= SPREAD_AFTER_MS and packing.mostly_free(rooms)
+
     def _eligible(self, unit: units.Unit) -> list[room_module.Room]:
         avoid: set[str] = set()
         for task in unit.tasks:
@@ -193,12 +210,12 @@
         racks = room_module.by_rack(rooms)
         if not racks:
             return
-        widest = max(
+        inside = max(
             racks.values(),
-            key=lambda inside: sum(r.soon_free.accelerators for r in inside),
+            key=lambda rooms: sum(r.soon_free.accelerators for r in rooms),
         )
         left = len(unit.tasks)
-        for room in widest:
+        for room in sorted(inside, key=_emptiest_first):
             count = min(left, unit.step.needs.times_in(room.worker.capacity))
             left -= count
             for _ in range(count):
@@ -212,6 +229,15 @@
         return checks.count_on(self._ledger, worker_id, task)
 
 
+def _emptiest_first(room: room_module.Room) -> tuple[int, str]:
+    """Orders rooms by what of them will be free soon, the most first.
+
+    What is kept for a gang gets no new runs and empties further, so the same
+    rooms are chosen at the next plan.
+    """
+    return (-room.soon_free.accelerators, room.worker.worker_id)
+
+
 def _rooms(view: View) -> dict[str, room_module.Room]:
     """Returns the usable workers with what is free and what is leaving."""
     rooms = {}
--- a/laburnumsill/batch/tests/test_planner.py
+++ b/laburnumsill/batch/tests/test_planner.py
@@ -158,3 +158,60 @@
     assert planner.plan(view(ledger, now_ms=999)).groups == []
     made = planner.plan(view(ledger, now_ms=1500))
     assert [g[0].run.task.occurrence for g in made.groups] == [0, 1]
+
+
+def occupy(ledger, worker_id, job_id, accelerators):
+    """Places a long task on one worker."""
+    submit(ledger, job(job_id, 1, accelerators, priority=2))
+    run = model.RunId(model.TaskId(job_id, 0, 0, 0), 1)
+    placement = commands.Placement(run, worker_id)
+    command = commands.PlaceRuns(((placement,),), 0)
+    assert ledger.place(command).refusals == ("",)
+
+
+def test_a_gang_spreads_when_the_site_is_mostly_free_and_no_rack_is():
+    ledger = site(racks=3, per_rack=4)
+    for rack in range(3):
+        occupy(ledger, f"w{rack}0", f"x{rack}", 1)
+        occupy(ledger, f"w{rack}1", f"y{rack}", 1)
+    gang = job("g", 3, 8, priority=1, gang=True, same_rack=True)
+    submit(ledger, gang)
+    assert planner.plan(view(ledger, now_ms=100)).groups == []
+    waited = planner.plan(view(ledger, now_ms=planner.SPREAD_AFTER_MS))
+    (group,) = waited.groups
+    assert len(group) == 3
+
+
+def test_a_rack_is_kept_where_a_gang_will_fit_first():
+    ledger = site(racks=1, per_rack=4)
+    for number in range(3):
+        occupy(ledger, f"w0{number}", f"x{number}", 8)
+    submit(ledger, job("g", 2, 8, priority=1, gang=True, same_rack=True))
+    submit(ledger, job("s", 1, 1, priority=2))
+    made = planner.plan(view(ledger, now_ms=planner.FENCE_AFTER_MS))
+    assert made.groups == []  # the one empty worker is kept for the gang
+
+
+def test_small_tasks_leave_whole_racks():
+    ledger = site(racks=3, per_rack=4)
+    submit(ledger, job("x", 12, 1, priority=2))
+    carry_out(ledger, planner.plan(view(ledger)))
+    racks = {ledger.workers[run.worker_id].rack for run in ledger.runs.values()}
+    assert len(racks) == 1
+
+
+def test_urgent_tasks_go_to_fast_workers():
+    ledger = site(racks=1, per_rack=4)
+    submit(ledger, job("u", 2, 8, gang=True))
+    seen = view(ledger)
+    slow = {"w00": 1.3, "w01": 1.3}
+    seen = planner.View(
+        ledger,
+        seen.usable,
+        frozenset(),
+        {},
+        0,
+        slowness=lambda worker_id: slow.get(worker_id, 1.0),
+    )
+    (group,) = planner.plan(seen).groups
+    assert {p.worker_id for p in group} == {"w02", "w03"}
