--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -127,6 +127,7 @@
         unit.tasks = [task for task in unit.tasks if task not in placed]
         if not unit.tasks:
             return
+        unit.obstacle = self._obstacle(unit, rooms)
         self._plan.waiting.append(unit)
         if unit.priority == packing.URGENT_PRIORITY:
             self._make_room(unit, rooms)
@@ -162,6 +163,17 @@
         else:
             self._plan.groups += [(placement,) for placement in placements]
 
+    def _obstacle(self, unit: units.Unit, rooms: list[room_module.Room]) -> str:
+        """Says in one word how much room there is, for people."""
+        slots = [
+            sum(unit.step.needs.times_in(room.free) for room in inside)
+            for inside in room_module.by_rack(rooms).values()
+        ]
+        return (
+            f"best-rack:{max(slots, default=0)},all:{sum(slots)},"
+            f"wanted:{len(unit.tasks)},kept-for-gangs:{self._fenced}"
+        )
+
     def _make_room(
         self, unit: units.Unit, rooms: list[room_module.Room]
     ) -> None:
--- a/laburnumsill/batch/scheduler.py
+++ b/laburnumsill/batch/scheduler.py
@@ -47,6 +47,9 @@
 at least."""
 
 
+LOG_WAITING_EVERY_S = 5.0
+"""A unit that waits is written again so often, with what stands in its way."""
+
 FORGET_EVERY_S = 30
 """How often jobs that ended long ago are looked for."""
 
@@ -181,7 +184,7 @@
         self._wakeup.set()
         self._scope = trio.CancelScope()
         self._nursery: trio.Nursery
-        self._waiting: dict[tuple[str, int, int], str] = {}
+        self._waiting: dict[tuple[str, int, int], float] = {}
         self._forget_at_ms = 0
 
     async def run(self) -> None:
@@ -303,23 +306,32 @@
         )
 
     def _log_waiting(self, made: planner.Plan) -> None:
-        """Writes a line when a unit begins to wait, not at each plan."""
+        """Writes a line when a unit begins to wait, and now and then."""
+        now = self.clock.monotonic()
         waiting = {}
         for unit in made.waiting:
-            waiting[unit.key] = unit.record.job.job_id
-            if unit.key not in self._waiting:
-                logs.decision(
-                    "unit-waits",
-                    job=unit.record.job.job_id,
-                    occurrence=unit.occurrence,
-                    step=unit.number,
-                    tasks=len(unit.tasks),
-                    accelerators=unit.step.needs.accelerators,
-                    priority=unit.priority,
-                    usable=len(self._sessions),
-                )
+            log_at = self._waiting.get(unit.key, now)
+            if log_at <= now:
+                self._log_unit(unit)
+                log_at = now + LOG_WAITING_EVERY_S
+            waiting[unit.key] = log_at
         self._waiting = waiting
 
+    def _log_unit(self, unit: units.Unit) -> None:
+        logs.decision(
+            "unit-waits",
+            job=unit.record.job.job_id,
+            occurrence=unit.occurrence,
+            step=unit.number,
+            tasks=len(unit.tasks),
+            accelerators=unit.step.needs.accelerators,
+            gang=unit.step.gang,
+            priority=unit.priority,
+            waited_ms=self._now_ms() - unit.waiting_since_ms,
+            obstacle=unit.obstacle,
+            usable=len(self._usable()),
+        )
+
     def _usable(self) -> set[str]:
         now = self.clock.monotonic()
         return {
--- a/laburnumsill/batch/units.py
+++ b/laburnumsill/batch/units.py
@@ -19,6 +19,7 @@
         tasks: The tasks that wait; all of a gang.
         waiting_since_ms: Since when they could run, ms since 1970.
         objective_ms: Until when their job is in time, ms since 1970.
+        obstacle: Why it was not placed, for people.
     """
 
     record: records.JobRecord
@@ -27,6 +28,7 @@
     tasks: list[model.TaskId]
     waiting_since_ms: int
     objective_ms: float
+    obstacle: str = ""
 
     @property
     def step(self) -> model.Step:
