Order units by what their jobs can still achieve; keep one rack at a time

A job that is too late for any worth no longer goes before those that are not, and a kept rack stays the same from plan to plan.

--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import enum
 from collections import abc
 
 from laburnumsill.batch import checks
@@ -27,10 +28,23 @@
 """A gang that has waited so long, in ms, while most of its pool is free,
 goes to several racks: nothing else would make use of the room."""
 
-MAX_FENCED = 2
+MAX_FENCED = 1
 """So many waiting gangs keep room at a time; more would idle the site."""
 
 
+LATE_FACTOR = 3.0
+"""A job that takes up to so many times its objective is still worth
+something to the users, one that takes longer nothing."""
+
+
+class Lateness(enum.IntEnum):
+    """What a job can still achieve; the lower goes first."""
+
+    IN_TIME = 0
+    LATE = 1
+    TOO_LATE = 2
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class View:
     """What a plan is made of.
@@ -43,6 +57,7 @@
         now_ms: Wall time, ms since 1970.
         avoid: Workers on which a task is not to be run again.
         slowness: Run time on a worker relative to others.
+        kept_racks: The racks that were kept for gangs at the last plan.
     """
 
     ledger: ledgers.BatchLedger
@@ -52,6 +67,9 @@
     now_ms: int
     avoid: abc.Callable[[model.TaskId], abc.Set[str]] = lambda _: frozenset()
     slowness: abc.Callable[[str], float] = lambda _: 1.0
+    kept_racks: abc.Mapping[units.Key, str] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(slots=True)
@@ -62,11 +80,13 @@
         groups: Runs to place, each group whole.
         stops: Runs to stop, to make room.
         waiting: Units that could not be placed.
+        kept_racks: The racks that are kept for gangs, for the next plan.
     """
 
     groups: list[tuple[commands.Placement, ...]]
     stops: list[model.RunId]
     waiting: list[units.Unit]
+    kept_racks: dict[units.Key, str] = dataclasses.field(default_factory=dict)
 
 
 def plan(view: View) -> Plan:
@@ -93,10 +113,21 @@
         return (
             unit.priority,
             not self._guaranteed(unit),
+            self._lateness(unit),
             unit.objective_ms,
             unit.key,
         )
 
+    def _lateness(self, unit: units.Unit) -> Lateness:
+        """Tells what a unit's job can still achieve if it starts now."""
+        end_ms = self._view.now_ms + units.chain_ms(unit.record.job)
+        if end_ms <= unit.objective_ms:
+            return Lateness.IN_TIME
+        allowed_ms = unit.objective_ms - unit.waiting_since_ms
+        if end_ms <= unit.waiting_since_ms + LATE_FACTOR * allowed_ms:
+            return Lateness.LATE
+        return Lateness.TOO_LATE
+
     def _guaranteed(self, unit: units.Unit) -> bool:
         if unit.priority != packing.URGENT_PRIORITY:
             return False
@@ -218,14 +249,23 @@
         waited = self._view.now_ms - unit.waiting_since_ms
         if waited < FENCE_AFTER_MS or self._fenced >= MAX_FENCED:
             return
-        self._fenced += 1
+        if self._lateness(unit) is Lateness.TOO_LATE:
+            return
         racks = room_module.by_rack(rooms)
         if not racks:
             return
-        inside = max(
-            racks.values(),
-            key=lambda rooms: sum(r.soon_free.accelerators for r in rooms),
-        )
+        self._fenced += 1
+        rack = self._view.kept_racks.get(unit.key)
+        if rack not in racks:
+            rack = max(
+                racks,
+                key=lambda name: sum(
+                    unit.step.needs.times_in(room.soon_free)
+                    for room in racks[name]
+                ),
+            )
+        self._plan.kept_racks[unit.key] = rack
+        inside = racks[rack]
         left = len(unit.tasks)
         for room in sorted(inside, key=_emptiest_first):
             count = min(left, unit.step.needs.times_in(room.worker.capacity))
--- a/laburnumsill/batch/scheduler.py
+++ b/laburnumsill/batch/scheduler.py
@@ -184,7 +184,8 @@
         self._wakeup.set()
         self._scope = trio.CancelScope()
         self._nursery: trio.Nursery
-        self._waiting: dict[tuple[str, int, int], float] = {}
+        self._waiting: dict[units.Key, float] = {}
+        self._kept_racks: dict[units.Key, str] = {}
         self._forget_at_ms = 0
 
     async def run(self) -> None:
@@ -272,8 +273,10 @@
             self._now_ms(),
             self.health.avoid,
             self.health.slowness,
+            self._kept_racks,
         )
         made = planner.plan(view)
+        self._kept_racks = made.kept_racks
         self._log_waiting(made)
         for run in made.stops:
             self._stop(run, "an urgent job needs the room")
--- a/laburnumsill/batch/units.py
+++ b/laburnumsill/batch/units.py
@@ -7,6 +7,9 @@
 from laburnumsill.batch import model
 from laburnumsill.batch import records
 
+Key = tuple[str, int, int]
+"""Job, occurrence and step: names a unit among all."""
+
 
 @dataclasses.dataclass(slots=True)
 class Unit:
@@ -41,7 +44,7 @@
         return self.record.job.terms.priority
 
     @property
-    def key(self) -> tuple[str, int, int]:
+    def key(self) -> Key:
         """Names the unit among all."""
         return (self.record.job.job_id, self.occurrence, self.number)
 
--- a/laburnumsill/emulator/site.py
+++ b/laburnumsill/emulator/site.py
@@ -24,6 +24,9 @@
 
 HEARTBEAT_S = 1.5
 
+DEFAULT_CAPACITY = model.Resources(64_000, 262_144, 8)
+"""Of a worker, unless another one is given."""
+
 
 class Leadership:
     """Who leads the one state machine.
@@ -107,7 +110,7 @@
         seed: Of everything that is random.
         racks: How many racks there are.
         per_rack: Workers in each.
-        accelerators: Of each worker.
+        capacity: Of each worker.
     """
 
     def __init__(
@@ -115,7 +118,7 @@
         seed: int,
         racks: int = 3,
         per_rack: int = 4,
-        accelerators: int = 8,
+        capacity: model.Resources = DEFAULT_CAPACITY,
     ) -> None:
         self.random = random.Random(seed)
         self.oracle = oracles.Oracle()
@@ -133,7 +136,8 @@
         machine = replication.StateMachine(self.ledger)
         self.groups = Leadership(machine)
         self.silent: set[str] = set()
-        self._shape = (racks, per_rack, accelerators)
+        self._shape = (racks, per_rack)
+        self._capacity = capacity
         self._clock = clocks.TrioClock()
         self.schedulers = {
             vm: schedulers.Scheduler(
@@ -162,16 +166,16 @@
             for scheduler in self.schedulers.values():
                 nursery.start_soon(scheduler.run)
             self.groups.lead("vm1")
-            racks, per_rack, accelerators = self._shape
+            racks, per_rack = self._shape
             for rack in range(racks):
                 for number in range(per_rack):
-                    self.add_worker(f"w{rack}-{number}", rack, accelerators)
+                    self.add_worker(f"w{rack}-{number}", rack)
             nursery.start_soon(self._send_heartbeats)
             task_status.started()
             await trio.sleep_forever()
 
     def add_worker(
-        self, worker_id: str, rack: int, accelerators: int = 8
+        self, worker_id: str, rack: int
     ) -> worker_module.EmulatedWorker:
         """Adds a worker and makes it known."""
         worker = model.Worker(
@@ -179,7 +183,7 @@
             "pool",
             worker_id,
             f"d{rack}",
-            model.Resources(64_000, 262_144, accelerators),
+            self._capacity,
             ("a", f"r{rack}"),
             f"r{rack}",
         )
