--- a/laburnumsill/batch/packing.py
+++ b/laburnumsill/batch/packing.py
@@ -103,19 +103,36 @@
     room_of: RoomOf,
 ) -> list[room_module.Room] | None:
     """Returns the rooms of the rack that holds a unit with the least left."""
-    best: tuple[bool, float] | None = None
+    best: tuple[bool, bool, float] | None = None
     chosen = None
     for rack, inside in room_module.by_rack(rooms).items():
         if sum(slots[r.worker.worker_id] for r in inside) < len(unit.tasks):
             continue
         left = sum(room_of(room).accelerators for room in inside)
         away = bool(unit.step.data_rack) and rack != unit.step.data_rack
-        if best is None or (away, left) < best:
-            best = (away, left)
+        slow = unit.priority == URGENT_PRIORITY and not _fits_fast(
+            unit, inside, slots
+        )
+        if best is None or (away, slow, left) < best:
+            best = (away, slow, left)
             chosen = inside
     return _fullest_first(unit, chosen, room_of) if chosen else None
 
 
+def _fits_fast(
+    unit: units.Unit,
+    rooms: abc.Sequence[room_module.Room],
+    slots: dict[str, int],
+) -> bool:
+    """Whether a unit fits on those workers that are not slow."""
+    fast = sum(
+        slots[room.worker.worker_id]
+        for room in rooms
+        if room.slowness < worker_health.NOTICEABLY_SLOW
+    )
+    return fast >= len(unit.tasks)
+
+
 def _needs_one_rack(
     unit: units.Unit, rooms: abc.Sequence[room_module.Room]
 ) -> bool:
@@ -174,23 +191,17 @@
 ) -> list[room_module.Room]:
     """Returns rooms in the order in which a unit should fill them.
 
-    Urgent units go to the fast workers first. Then the fullest rack goes
-    first and in it the fullest worker, so that whole racks and whole workers
-    are left for gangs.
+    Urgent units go to the fast workers first. Then the fullest goes first, so
+    that whole workers are left for gangs. Filling the fullest rack first was
+    tried and reverted, see docs/design/placement.md.
     """
     urgent = unit.priority == URGENT_PRIORITY
-    rooms = list(rooms)
-    in_rack: dict[str, int] = {}
-    for room in rooms:
-        rack = room.worker.rack
-        in_rack[rack] = in_rack.get(rack, 0) + room_of(room).accelerators
 
-    def key(room: room_module.Room) -> tuple[bool, int, int, int, str]:
+    def key(room: room_module.Room) -> tuple[bool, int, int, str]:
         free = room_of(room)
         slow = room.slowness >= worker_health.NOTICEABLY_SLOW
         return (
             slow and urgent,
-            in_rack[room.worker.rack],
             free.accelerators,
             free.cpu_millis,
             room.worker.worker_id,
--- a/laburnumsill/batch/preemption.py
+++ b/laburnumsill/batch/preemption.py
@@ -103,30 +103,52 @@
     inside = {room.worker.worker_id for room in rooms}
     useful = [v for v in victims if inside & v.freed.keys()]
     useful.sort(key=lambda victim: _price(victim, inside))
-    extra: dict[str, model.Resources] = {}
-
-    def room_of(room: room_module.Room) -> model.Resources:
-        more = extra.get(room.worker.worker_id)
-        return room.soon_free + more if more else room.soon_free
-
     chosen: list[Victim] = []
     for victim in useful:
         chosen.append(victim)
-        for worker_id, freed in victim.freed.items():
-            extra[worker_id] = extra.get(worker_id, model.Resources()) + freed
-        found = packing.fit(unit, rooms, room_of, count_on)
+        found = _fit_after(unit, rooms, chosen, count_on)
         if len(found) == len(unit.tasks):
-            needed = _needed(chosen, found)
-            return Eviction(tuple(needed), found)
+            return _pruned(unit, rooms, chosen, count_on)
     return None
 
 
-def _needed(
-    chosen: abc.Sequence[Victim], found: packing.Assignment
-) -> list[Victim]:
-    """Drops the victims on workers where the unit is not to run after all."""
-    used = {room.worker.worker_id for _, room in found}
-    return [victim for victim in chosen if used & victim.freed.keys()]
+def _pruned(
+    unit: units.Unit,
+    rooms: abc.Sequence[room_module.Room],
+    chosen: list[Victim],
+    count_on: packing.CountOn,
+) -> Eviction:
+    """Leaves out the victims without which the unit fits as well.
+
+    The dearest are tried first. Victims were added until the unit fitted, so
+    some of them freed room that it does not use.
+    """
+    for victim in sorted(chosen, key=lambda one: -one.cost):
+        others = [one for one in chosen if one is not victim]
+        if len(_fit_after(unit, rooms, others, count_on)) == len(unit.tasks):
+            chosen = others
+    assignment = _fit_after(unit, rooms, chosen, count_on)
+    return Eviction(tuple(chosen), assignment)
+
+
+def _fit_after(
+    unit: units.Unit,
+    rooms: abc.Sequence[room_module.Room],
+    victims: abc.Iterable[Victim],
+    count_on: packing.CountOn,
+) -> packing.Assignment:
+    """Returns where a unit fits once some victims have ended."""
+    extra: dict[str, model.Resources] = {}
+    for victim in victims:
+        for worker_id, freed in victim.freed.items():
+            known = extra.get(worker_id, model.Resources())
+            extra[worker_id] = known + freed
+
+    def room_of(room: room_module.Room) -> model.Resources:
+        more = extra.get(room.worker.worker_id)
+        return room.soon_free + more if more else room.soon_free
+
+    return packing.fit(unit, rooms, room_of, count_on)
 
 
 def _price(victim: Victim, inside: abc.Set[str]) -> float:
