--- a/laburnumsill/daemon/role.py
+++ b/laburnumsill/daemon/role.py
@@ -60,10 +60,26 @@
         """Whether this daemon is about to end."""
         return self._stopping.is_set()
 
-    async def run(self) -> None:
-        """Runs until SIGTERM or SIGINT, then shuts down gracefully."""
+    def stop(self) -> None:
+        """Begins the graceful shutdown, as SIGTERM does."""
+        self._stopping.set()
+
+    async def run(
+        self,
+        with_signals: bool = True,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Runs until it is told to stop, then shuts down gracefully.
+
+        Args:
+            with_signals: Whether SIGTERM, SIGINT and SIGHUP are obeyed; a
+                process has only one that obeys them.
+            task_status: Started once the daemon serves.
+        """
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._watch_signals)
+            if with_signals:
+                nursery.start_soon(self._watch_signals)
             nursery.start_soon(self._watch_settings)
             self._directory.set_seeds(self._settings.seed_vms)
             await nursery.start(self._network.run)
@@ -77,6 +93,7 @@
                 seeds=",".join(self._settings.seeds),
                 founding=self._settings.founding,
             )
+            task_status.started()
             await self._stopping.wait()
             await self._shut_down()
             self._stop_server.set()
--- /dev/null
+++ b/laburnumsill/daemon/tests/test_roles.py
@@ -0,0 +1,345 @@
+"""The roles of a site in one process: entries, core, workers, operator.
+
+Each VM has a loopback address of its own, since its address is its id.
+"""
+
+import pathlib
+import shutil
+import socket
+
+import pytest
+import trio
+
+from laburnumsill.batch import model
+from laburnumsill.daemon import core_role
+from laburnumsill.daemon import entry_role
+from laburnumsill.daemon import role
+from laburnumsill.daemon import role_settings
+from laburnumsill.daemon import server
+from laburnumsill.emulator import oracle as oracles
+from laburnumsill.emulator import workers as emulated
+from laburnumsill.platform.tests import standin
+
+
+def free_port() -> int:
+    with socket.socket() as one:
+        one.bind(("127.0.0.1", 0))
+        return one.getsockname()[1]
+
+
+class Site:
+    """Daemons and workers that a test starts and stops."""
+
+    def __init__(self, folder: pathlib.Path, nursery: trio.Nursery) -> None:
+        self.folder = folder
+        self.nursery = nursery
+        self.peer_port = free_port()
+        self.control_port = free_port()
+        self.scopes: dict[str, trio.CancelScope] = {}
+        self.ended: dict[str, trio.Event] = {}
+        self.daemons: dict[str, role.RoleDaemon] = {}
+        self.seeds = [f"127.0.77.{n}" for n in (1, 2, 3)]
+        self.oracle = oracles.Oracle()
+        self.work_s = 0.3
+        self.pool = emulated.WorkerPool(
+            self.oracle, lambda _: self.work_s, lambda _: False
+        )
+        self.apps: dict[str, standin.ExecutorApp] = {}
+        self.callers = standin.Caller([])
+        self.operator = standin.Caller(
+            [f"{vm}:{self.control_port}" for vm in self.seeds]
+        )
+
+    def settings(self, vm: str, **changes) -> pathlib.Path:
+        """Writes a settings file as the platform would."""
+        seeds = ", ".join(f'"{s}:{self.control_port}"' for s in self.seeds)
+        values = {
+            "name": f'"{vm}"',
+            "address": f'"{vm}"',
+            "failure_domain": '"d"',
+            "peer_port": self.peer_port,
+            "seeds": f"[{seeds}]",
+            "log_level": '"WARNING"',
+            **changes,
+        }
+        listen = values.pop("listen")
+        lines = [f"{key} = {value}" for key, value in values.items()]
+        path = self.folder / f"{vm}.toml"
+        path.write_text("\n".join([*lines, "[listen]", *listen]) + "\n")
+        return path
+
+    async def start_core(self, vm: str, founding: bool = False) -> None:
+        data = self.folder / vm
+        data.mkdir(exist_ok=True)
+        path = self.settings(
+            vm,
+            founding=str(founding).lower(),
+            data_folder=f'"{data}"',
+            listen=[f'control = "{vm}:{self.control_port}"'],
+        )
+        await self._run(vm, core_role.CoreDaemon, path)
+
+    async def start_entry(self, vm: str) -> None:
+        callers = f"{vm}:{free_port()}"
+        ready = f"{vm}:{free_port()}"
+        path = self.settings(
+            vm, listen=[f'callers = "{callers}"', f'readiness = "{ready}"']
+        )
+        self.callers.addresses.append(callers)
+        await self._run(vm, entry_role.EntryDaemon, path)
+
+    async def _run(self, vm, kind, path) -> None:
+        daemon = kind(path, role_settings.load(path))
+        self.daemons[vm] = daemon
+        self.scopes[vm] = trio.CancelScope()
+        self.ended[vm] = trio.Event()
+        await self.nursery.start(self._run_one, vm, daemon)
+
+    async def _run_one(self, vm, daemon, task_status) -> None:
+        with self.scopes[vm]:
+            await daemon.run(False, task_status=task_status)
+        self.ended[vm].set()
+
+    async def kill(self, vm: str) -> None:
+        self.scopes[vm].cancel()
+        await self.ended[vm].wait()
+
+    async def start_worker(self, name: str, rack: str = "r1") -> None:
+        address = f"127.0.0.1:{free_port()}"
+        worker = self.pool.add(
+            model.Worker(
+                name,
+                standin.POOL,
+                address,
+                "d",
+                model.Resources(32_000, 64_000, 8),
+                ("a", rack),
+                rack,
+            )
+        )
+        self.apps[name] = standin.ExecutorApp(worker)
+        stop = trio.Event()
+        await self.nursery.start(
+            server.serve,
+            server.HttpOnly(self.apps[name]),
+            address,
+            stop.wait,
+            0.1,
+        )
+        self.nursery.start_soon(self._announce, worker)
+
+    async def _announce(self, worker) -> None:
+        sequence = 0
+        while not worker.gone:
+            sequence += 1
+            path = f"/-/instances/{worker.worker.worker_id}"
+            body = standin.heartbeat(worker, sequence)
+            for address in self.operator.addresses:
+                status, _ = await self.operator.call("PUT", path, body, address)
+                if status == 200:
+                    break
+            await trio.sleep(0.5)
+
+    async def start(self) -> None:
+        """Starts a whole site with its first configuration."""
+        self.nursery.start_soon(self.pool.run)
+        async with trio.open_nursery() as starting:
+            for vm in self.seeds:
+                starting.start_soon(self.start_core, vm, True)
+            starting.start_soon(self.start_entry, "127.0.77.11")
+        await self.configure(standin.configuration(1))
+        for number in range(2):
+            await self.start_worker(f"w{number}")
+        await self.callers.until(200, "GET", "/sweep/")
+
+    async def configure(self, document) -> None:
+        await self.operator.until(200, "PUT", "/-/config", document)
+
+    async def submit(self, queue: str, number: int, **step) -> str:
+        """Hands a job in and returns its path."""
+        job_id = f"{number:016x}"
+        one = {"count": 1, "cpu": 1000, "mem_mb": 64, "gpu": 1, **step}
+        terms = model.QueueTerms(standin.POOL, 0, 3)
+        spec = model.Step(
+            one["count"],
+            model.Resources(one["cpu"], one["mem_mb"], one["gpu"]),
+            gang=one.get("gang", False),
+        )
+        self.oracle.submitted(
+            model.Job(job_id, queue, "a", "text", (spec,), terms)
+        )
+        path = f"/{queue}/{job_id}"
+        body = {"spec": "text", "steps": [one]}
+        await self.callers.until(200, "POST", path, body)
+        return path
+
+    def leader(self) -> str:
+        for vm, daemon in self.daemons.items():
+            if isinstance(daemon, core_role.CoreDaemon) and vm in self.seeds:
+                running = not self.ended[vm].is_set()
+                if running and daemon._host.leads(role.SITE_GROUP):
+                    return vm
+        return ""
+
+    async def until_leader(self) -> str:
+        with trio.fail_after(10):
+            while not self.leader():  # noqa: ASYNC110
+                await trio.sleep(0.05)
+        return self.leader()
+
+
+@pytest.fixture
+async def site(tmp_path, nursery):
+    made = Site(tmp_path, nursery)
+    await made.start()
+    yield made
+    assert made.oracle.broken == []
+    await made.callers.aclose()
+    await made.operator.aclose()
+    nursery.cancel_scope.cancel()
+
+
+async def test_jobs_go_the_whole_way(site):
+    gang = await site.submit("urgent", 1, count=2, gpu=8, gang=True)
+    small = await site.submit("batch", 2, count=3)
+    await site.callers.until_state(gang, "completed")
+    await site.callers.until_state(small, "completed")
+    again = await site.callers.call(
+        "POST", small, {"spec": "text", "steps": [{"count": 3}]}
+    )
+    assert again[0] == 200  # the same id again: it stays one job
+    assert await site.callers.call("GET", "/batch/") == (200, {"pending": 0})
+    assert (await site.callers.call("GET", f"/sweep/{7:016x}"))[0] == 410
+    assert (await site.callers.call("DELETE", f"/sweep/{7:016x}"))[0] == 410
+
+
+async def test_calls_that_are_not_allowed_get_clear_answers(site):
+    call = site.callers.call
+    job = f"/urgent/{3:016x}"
+    body = {"spec": "", "steps": [{"count": 1}]}
+    assert (await call("POST", job, body, key="nobody's"))[0] == 401
+    assert (await call("POST", job, body, host="else.example"))[0] == 404
+    assert (await call("POST", "/urgent/xyz", body))[0] == 404
+    assert (await call("POST", job, {"steps": []}))[0] == 400
+    large = {"spec": "x" * 5000, "steps": []}
+    assert (await call("POST", job, large))[0] == 413
+    assert (await call("PATCH", job))[0] == 405
+    assert (await call("GET", job))[0] == 410  # none of them was accepted
+
+
+async def test_a_cancelled_job_stops(site):
+    site.work_s = 30.0
+    path = await site.submit("sweep", 4, count=2, gpu=8)
+    await site.callers.until_state(path, "running")
+    assert (await site.callers.call("DELETE", path))[0] == 200
+    await site.callers.until_state(path, "cancelled")
+    with trio.fail_after(5):
+        while any(  # noqa: ASYNC110
+            one.running for one in site.pool.workers.values()
+        ):
+            await trio.sleep(0.05)
+
+
+async def test_the_loss_of_the_leader_loses_no_job(site):
+    site.work_s = 2.0
+    paths = [await site.submit("batch", n, count=4) for n in range(10, 13)]
+    await site.kill(await site.until_leader())
+    paths.append(await site.submit("urgent", 20, count=2, gpu=8, gang=True))
+    for path in paths:
+        await site.callers.until_state(path, "completed", within=30)
+
+
+async def test_a_vm_that_lost_its_disk_joins_again(site):
+    lost = await site.until_leader()
+    await site.submit("batch", 30)
+    await site.kill(lost)
+    shutil.rmtree(site.folder / lost)
+    await site.start_core(lost, founding=False)
+    with trio.fail_after(15):
+        while True:
+            members = site.daemons[lost]._host.members(role.SITE_GROUP)
+            if set(members) == set(site.seeds):
+                break
+            await trio.sleep(0.1)
+    other = next(vm for vm in site.seeds if vm != lost)
+    await trio.sleep(1.5)
+    await site.kill(other)  # a second loss is borne now
+    path = await site.submit("urgent", 31)
+    await site.callers.until_state(path, "completed", within=20)
+
+
+async def test_a_spare_vm_takes_the_place_of_a_lost_one(site):
+    spare = "127.0.77.4"
+    await site.start_core(spare)
+    leading = await site.until_leader()
+    lost = next(vm for vm in site.seeds if vm != leading)
+    await site.kill(lost)
+    leader = site.daemons[await site.until_leader()]
+    with trio.fail_after(20):
+        while True:
+            members = set(leader._host.members(role.SITE_GROUP))
+            if spare in members and lost not in members:
+                break
+            await trio.sleep(0.1)
+
+
+async def test_configurations_only_go_forward(site):
+    call = site.operator.call
+    newer = standin.configuration(9)
+    newer["tenants"][0]["api_keys"] = ["another-key"]
+    await site.configure(newer)
+    assert (await call("PUT", "/-/config", standin.configuration(5)))[0] == 200
+    assert (await call("PUT", "/-/config", newer))[0] == 200
+    other = standin.configuration(9)
+    assert (await call("PUT", "/-/config", other))[0] == 409
+    bad = standin.configuration(12, services=[])
+    assert (await call("PUT", "/-/config", bad))[0] == 400
+    for address in site.operator.addresses:
+        assert await call("GET", "/-/config", address=address) == (200, newer)
+    with trio.fail_after(2):  # the key that was taken away stops working
+        while True:
+            status, _ = await site.callers.call("GET", "/sweep/")
+            if status == 401:
+                break
+            await trio.sleep(0.05)
+
+
+async def test_an_entry_without_the_core_refuses_at_once(site):
+    leader = await site.until_leader()
+    for vm in site.seeds:
+        if vm != leader:
+            await site.kill(vm)
+    with trio.fail_after(6):
+        while True:
+            began = trio.current_time()
+            status, problem = await site.callers.call("GET", "/sweep/")
+            if status == 503 and problem["type"] == "no-configuration":
+                break
+            await trio.sleep(0.1)
+    assert trio.current_time() - began < 0.5
+    body = {"spec": "", "steps": [{"count": 1}]}
+    status, _ = await site.callers.call("POST", f"/urgent/{5:016x}", body)
+    assert status == 503
+    ready, _ = await site.callers.call("GET", "/-/ready")
+    assert ready == 503
+
+
+async def test_an_entry_that_stops_says_so_and_answers_what_is_open(site):
+    entry = site.daemons["127.0.77.11"]
+    path = await site.submit("batch", 40)
+    entry.stop()
+    await trio.sleep(0.1)
+    assert (await site.callers.call("GET", "/-/ready"))[0] == 503
+    await site.callers.until_state(path, "completed", within=2.5)
+    with trio.fail_after(5):
+        await site.ended["127.0.77.11"].wait()
+
+
+async def test_a_draining_worker_gets_no_new_work(site):
+    worker = site.pool.workers["w0"]
+    body = standin.heartbeat(worker, 10**6, state="draining")
+    await site.operator.until(200, "PUT", "/-/instances/w0", body)
+    path = await site.submit("batch", 50, count=4)
+    await site.callers.until_state(path, "completed")
+    assert "/-/run-start" not in site.apps["w0"].calls
+    assert site.apps["w1"].calls.count("/-/run-start") == 4
