--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -113,7 +113,7 @@
         return (
             unit.priority,
             not self._guaranteed(unit),
-            self._lateness(unit),
+            self._lateness(unit) is not Lateness.IN_TIME,
             unit.objective_ms,
             unit.key,
         )
