--- a/laburnumsill/config/models.py
+++ b/laburnumsill/config/models.py
@@ -1,6 +1,6 @@
 """The configuration in force, as validated models.
 
-Operators write these as TOML, see `docs/OPERATING.md`. Lengths of time that
+Operators write these as TOML, see `docs/OPERATIONS.md`. Lengths of time that
 operators set carry their unit in the name; the code turns them into
 deadlines where they are used.
 """
