--- a/laburnumsill/daemon/role_settings.py
+++ b/laburnumsill/daemon/role_settings.py
@@ -1,8 +1,8 @@
 """Settings of a daemon that runs one role of a site.
 
-A TOML file in the product's own names. The format is checked with msgspec:
-pydantic alone takes 6 MB more at import, and on the users' small VMs memory
-is what a daemon costs (see docs/STYLE.md).
+A TOML file in the product's own names. The format is checked with msgspec
+instead of pydantic, since on the users' small VMs memory is what a daemon
+costs (docs/STYLE.md has the figures).
 """
 
 import pathlib
--- a/laburnumsill/platform/http.py
+++ b/laburnumsill/platform/http.py
@@ -1,6 +1,7 @@
 """Plain ASGI: a request read whole, an answer sent whole.
 
-Starlette takes 25 MB to import; a role's few calls need none of it.
+A role has a few calls and needs none of what a framework would bring, which
+costs memory (docs/STYLE.md has the figures).
 """
 
 import dataclasses
