Split the session of a worker; one copy of the pools of connections

The two clients of workers share clients/http_pools.py; the platform's dropped a pool without closing it.

--- a/laburnumsill/batch/scheduler.py
+++ b/laburnumsill/batch/scheduler.py
@@ -17,6 +17,7 @@
 from laburnumsill.batch import model
 from laburnumsill.batch import planner
 from laburnumsill.batch import session as sessions
+from laburnumsill.batch import term as terms
 from laburnumsill.batch import units
 from laburnumsill.batch import worker_client
 from laburnumsill.batch import worker_health
@@ -164,7 +165,7 @@
         return ledger
 
 
-class _Term(sessions.Term):
+class _Term(terms.Term):
     """What runs while this VM leads."""
 
     def __init__(
--- /dev/null
+++ b/laburnumsill/batch/term.py
@@ -0,0 +1,45 @@
+"""What the parts of a scheduler's term share."""
+
+import abc
+
+from laburnumsill.batch import ledger as ledgers
+from laburnumsill.batch import model
+from laburnumsill.batch import worker_client
+from laburnumsill.batch import worker_health
+from laburnumsill.core import clock as clocks
+
+
+class Term(abc.ABC):
+    """What a session needs of the scheduler that leads.
+
+    Attributes:
+        ledger: The replicated record as applied on this VM.
+        client: Gives orders to workers.
+        clock: The clock of this process.
+        fence: The term of the lead, on every order.
+        health: What was observed of workers.
+        longest_lease_ms: The longest lease that workers grant.
+    """
+
+    ledger: ledgers.BatchLedger
+    client: worker_client.WorkerClient
+    clock: clocks.Clock
+    fence: int
+    health: worker_health.WorkerHealth
+    longest_lease_ms: int
+
+    @abc.abstractmethod
+    async def commit(self, command: object) -> None:
+        """Commits a command; a lost lead ends the term instead."""
+
+    @abc.abstractmethod
+    def wake(self) -> None:
+        """Has a plan made soon."""
+
+    @abc.abstractmethod
+    def note_seen(self, run: model.RunId) -> None:
+        """Notes that a run was seen running for the first time."""
+
+    @abc.abstractmethod
+    def fenced_off(self, worker_id: str) -> None:
+        """Notes that a worker obeys a later leader."""
--- a/laburnumsill/batch/tests/test_session.py
+++ b/laburnumsill/batch/tests/test_session.py
@@ -10,7 +10,9 @@
 from laburnumsill.batch import commands
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
+from laburnumsill.batch import orders
 from laburnumsill.batch import session as sessions
+from laburnumsill.batch import term as terms
 from laburnumsill.batch import worker_client
 from laburnumsill.batch import worker_health
 from laburnumsill.core import errors
@@ -64,7 +66,7 @@
         return [order for name, order in self.orders if name == kind]
 
 
-class FakeTerm(sessions.Term):
+class FakeTerm(terms.Term):
     def __init__(self, nursery):
         self.ledger = ledgers.BatchLedger()
         self.client = ScriptedClient()
@@ -163,7 +165,7 @@
         term.client.start_answers = [lost] * 10
         term.client.stop_answers = [lost, lost]
         term.session.start(RUN)
-        await trio.sleep(sessions.START_GIVE_UP_S + 2.5)
+        await trio.sleep(orders.START_GIVE_UP_S + 2.5)
         assert term.client.given("stop")
         assert not term.released()  # no stop has been acknowledged
         await trio.sleep(5.0)
--- /dev/null
+++ b/laburnumsill/batch/worker_state.py
@@ -0,0 +1,140 @@
+"""What the leader knows of one worker, and what its messages change."""
+
+import dataclasses
+
+import trio
+
+from laburnumsill.batch import commands
+from laburnumsill.batch import leases as lease_module
+from laburnumsill.batch import model
+from laburnumsill.batch import term as terms
+from laburnumsill.batch import worker_client
+from laburnumsill.core import logs
+
+STOP_PROLONGING_AFTER_S = 1.5
+"""After so long without an answer leases are prolonged no more, since an
+order that seems lost may have arrived: only then do they ever end for sure."""
+
+
+@dataclasses.dataclass(slots=True)
+class Stop:
+    """An order to stop a run.
+
+    Attributes:
+        reason: Why.
+        acknowledged_at: When the worker acknowledged it, monotonic.
+    """
+
+    reason: str
+    acknowledged_at: float | None = None
+
+
+class WorkerState:
+    """One worker as its session and its orders see it.
+
+    Attributes:
+        worker: What it says of itself.
+        term: The lead under which it is dealt with.
+        leases: Its clock, and how long its leases may last.
+        running: What it listed as running, by run.
+        started: Runs that it has confirmed, with the reports since then that
+            did not list them.
+        starting: Runs whose start orders are under way.
+        stops: Runs that it was told to stop.
+        wakeup: Set when the session has something to do.
+        heard_at: When it was last heard from, monotonic.
+        failing_since: Since when calls to it have failed, None if they have
+            not.
+        unwell_until: It is given no new runs before this point, monotonic.
+    """
+
+    def __init__(self, worker: model.Worker, term: terms.Term) -> None:
+        now = term.clock.monotonic()
+        self.worker = worker
+        self.term = term
+        self.leases = lease_module.LeaseBook(term.longest_lease_ms, now)
+        self.running: dict[model.RunId, worker_client.RunningRun] = {}
+        self.started: dict[model.RunId, int] = {}
+        self.starting: set[model.RunId] = set()
+        self.stops: dict[model.RunId, Stop] = {}
+        self.wakeup = trio.Event()
+        self.heard_at = now
+        self.failing_since: float | None = None
+        self.unwell_until = now
+
+    @property
+    def worker_id(self) -> str:
+        """The worker."""
+        return self.worker.worker_id
+
+    @property
+    def lost(self) -> bool:
+        """Whether calls have failed for so long that leases are to end."""
+        since = self.failing_since
+        now = self.term.clock.monotonic()
+        return since is not None and now - since > STOP_PROLONGING_AFTER_S
+
+    def saved(self, run: model.RunId) -> str:
+        """Returns the newest progress of a run that was seen, or ""."""
+        seen = self.running.get(run)
+        return seen.saved if seen else ""
+
+    def progress(self) -> list[commands.SeenRun]:
+        """Returns the progress of all live runs that were seen here."""
+        return [
+            commands.SeenRun(run, seen.saved)
+            for run, seen in self.running.items()
+            if run in self.term.ledger.runs_on(self.worker_id)
+        ]
+
+    def hear(self, clock_ms: int | None) -> None:
+        """Notes a heartbeat, with the worker's clock when it was sent."""
+        now = self.term.clock.monotonic()
+        self.heard_at = now
+        if clock_ms is not None:
+            self.leases.observe(clock_ms, now)
+
+    def answered(self, clock_ms: int | None) -> None:
+        """Notes that a call was answered."""
+        if self.failing_since is not None:
+            logs.event("worker-regained", worker=self.worker_id)
+            self.term.wake()
+        self.failing_since = None
+        self.hear(clock_ms)
+
+    def is_over(self, run: model.RunId) -> bool:
+        """Returns whether a run neither runs there nor may do so."""
+        live = run in self.term.ledger.runs_on(self.worker_id)
+        return not live and run not in self.running
+
+    async def gone(self, reason: str) -> None:
+        """The worker's incarnation has ended, and all that ran on it."""
+        logs.event("worker-gone", worker=self.worker_id, reason=reason)
+        await self.term.commit(
+            commands.RemoveWorker(
+                self.worker_id, reason, tuple(self.progress())
+            )
+        )
+        self.term.wake()
+
+    def release(self, run: model.RunId, reason: str) -> commands.Release:
+        """Returns the release of a run, with its newest progress."""
+        return commands.Release(run, self.worker_id, reason, self.saved(run))
+
+    async def commit_releases(self, releases: list[commands.Release]) -> None:
+        """Commits that some runs certainly do not run and never will."""
+        if not releases:
+            return
+        for one in releases:
+            logs.event(
+                "run-released",
+                job=one.run.task.job_id,
+                run=one.run,
+                worker=self.worker_id,
+                reason=one.reason,
+            )
+            self.started.pop(one.run, None)
+            self.term.health.forget_run(one.run)
+        at_ms = int(self.term.clock.wall() * 1000)
+        await self.term.commit(commands.ReleaseRuns(tuple(releases), at_ms))
+        self.term.wake()
--- a/laburnumsill/clients/worker.py
+++ b/laburnumsill/clients/worker.py
@@ -6,15 +6,14 @@
 """
 
 import abc
-import collections
 import enum
 import typing
 
 import httpcore
 import orjson
 import pydantic
-import trio
 
+from laburnumsill.clients import http_pools
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import errors
 
@@ -162,17 +161,15 @@
 
 
 class HttpWorkerClient(WorkerClient):
-    """Calls workers over HTTP with connections that are kept open.
-
-    Each worker has a pool of its own, because a pool looks through all its
-    connections at each call.
-    """
+    """Calls workers over HTTP with connections that are kept open."""
 
     def __init__(self, clock: clocks.Clock) -> None:
-        self._clock = clock
-        self._pools: collections.OrderedDict[
-            str, httpcore.AsyncConnectionPool
-        ] = collections.OrderedDict()
+        self._pools = http_pools.HttpPools(
+            clock,
+            http_pools.PoolLimits(
+                MAX_CONNECTIONS, KEEP_ALIVE_S, CONNECT_TIMEOUT_S, MAX_POOLS
+            ),
+        )
 
     async def prepare(
         self, address: str, task_id: str, order: Prepare, deadline: float
@@ -216,30 +213,7 @@
 
     async def close(self) -> None:
         """Closes all connections."""
-        for pool in self._pools.values():
-            await pool.aclose()
-        self._pools.clear()
-
-    def _pool_of(self, address: str) -> httpcore.AsyncConnectionPool:
-        pool = self._pools.get(address)
-        if pool is None:
-            pool = httpcore.AsyncConnectionPool(
-                max_connections=MAX_CONNECTIONS,
-                max_keepalive_connections=MAX_CONNECTIONS,
-                keepalive_expiry=KEEP_ALIVE_S,
-            )
-            self._pools[address] = pool
-        self._pools.move_to_end(address)
-        return pool
-
-    async def _close_unused(self) -> None:
-        """Closes the longest unused pool where there are too many."""
-        if len(self._pools) <= MAX_POOLS:
-            return
-        address, pool = next(iter(self._pools.items()))
-        if all(entry.is_idle() for entry in pool.connections):
-            del self._pools[address]
-            await pool.aclose()
+        await self._pools.close()
 
     async def _call(
         self,
@@ -249,41 +223,20 @@
         body: dict[str, typing.Any] | None,
         deadline: float,
     ) -> bytes:
-        remaining = deadline - self._clock.monotonic()
-        response = None
-        with trio.move_on_after(max(0.0, remaining)):
-            response = await self._request(method, address, path, body)
-        if response is None:
-            raise WorkerUnreachableError(f"{method} {path} at {address}: late")
-        if response.status >= 300:
-            raise _refusal(response, f"{method} {path} at {address}")
-        return response.content
-
-    async def _request(
-        self,
-        method: str,
-        address: str,
-        path: str,
-        body: dict[str, typing.Any] | None,
-    ) -> httpcore.Response:
-        await self._close_unused()
         try:
-            return await self._pool_of(address).request(
+            response = await self._pools.request(
                 method,
-                f"http://{address}{path}",
-                headers={"Content-Type": "application/json"},
-                content=orjson.dumps(body) if body is not None else b"",
-                extensions={"timeout": {"connect": CONNECT_TIMEOUT_S}},
+                address,
+                path,
+                {"Content-Type": "application/json"},
+                orjson.dumps(body) if body is not None else b"",
+                deadline,
             )
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-            httpcore.UnsupportedProtocol,
-        ) as error:
-            raise WorkerUnreachableError(
-                f"{method} {path} at {address}: {error!r}"
-            ) from error
+        except http_pools.NoResponseError as error:
+            raise WorkerUnreachableError(error.detail) from error
+        if response.status >= 300:
+            raise _refusal(response, f"{method} {path} at {address}")
+        return response.content
 
 
 ModelT = typing.TypeVar("ModelT", bound=pydantic.BaseModel)
--- a/laburnumsill/platform/workers.py
+++ b/laburnumsill/platform/workers.py
@@ -1,17 +1,14 @@
 """Orders to the platform's executors, over HTTP."""
 
-import collections
-
 import httpcore
 import msgspec
-import trio
 
 from laburnumsill.batch import commands
 from laburnumsill.batch import model
 from laburnumsill.batch import worker_client
+from laburnumsill.clients import http_pools
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import errors
-from laburnumsill.core import logs
 from laburnumsill.platform import wire
 
 MAX_CONNECTIONS = 12
@@ -20,19 +17,9 @@
 KEEP_ALIVE_S = 60.0
 """New connections are priced; a worker is called again within seconds."""
 
-MAX_POOLS = 4_096
-"""Workers whose connections are kept; the longest unused goes first."""
-
 CONNECT_TIMEOUT_S = 0.5
 """A connection within a site takes some milliseconds."""
 
-_LOST = (
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    httpcore.TimeoutException,
-    httpcore.ConnectionNotAvailable,
-)
-
 _END_KINDS = {
     "done": commands.EndKind.DONE,
     "failed": commands.EndKind.FAILED,
@@ -49,10 +36,12 @@
     """Speaks the platform's calls run-start, run-stop and hold."""
 
     def __init__(self, clock: clocks.Clock) -> None:
-        self._clock = clock
-        self._pools: collections.OrderedDict[
-            str, httpcore.AsyncConnectionPool
-        ] = collections.OrderedDict()
+        self._pools = http_pools.HttpPools(
+            clock,
+            http_pools.PoolLimits(
+                MAX_CONNECTIONS, KEEP_ALIVE_S, CONNECT_TIMEOUT_S
+            ),
+        )
 
     async def start(
         self,
@@ -115,9 +104,7 @@
 
     async def close(self) -> None:
         """Closes all connections."""
-        for pool in self._pools.values():
-            await pool.aclose()
-        self._pools.clear()
+        await self._pools.close()
 
     async def _call(
         self,
@@ -127,51 +114,25 @@
         deadline: float,
     ) -> bytes:
         """Returns the body of a success; anything else becomes an error."""
-        remaining = deadline - self._clock.monotonic()
-        response = None
-        with trio.move_on_after(max(0.0, remaining)):
-            response = await self._request(worker, path, body)
-        if response is None:
-            raise worker_client.NoAnswerError(
-                f"{path} at {worker.worker_id}: no answer in time"
-            )
-        if response.status != 200:
-            raise _refusal(response, f"{path} at {worker.worker_id}")
-        return response.content
-
-    async def _request(
-        self, worker: model.Worker, path: str, body: dict[str, object]
-    ) -> httpcore.Response:
         try:
-            return await self._pool_of(worker.address).request(
+            response = await self._pools.request(
                 "POST",
-                f"http://{worker.address}{path}",
-                headers={
+                worker.address,
+                path,
+                {
                     "Content-Type": "application/json",
                     "X-Expect-Instance": worker.worker_id,
                 },
-                content=msgspec.json.encode(body),
-                extensions={"timeout": {"connect": CONNECT_TIMEOUT_S}},
+                msgspec.json.encode(body),
+                deadline,
             )
-        except (OSError, *_LOST) as error:
+        except http_pools.NoResponseError as error:
             raise worker_client.NoAnswerError(
-                f"{path} at {worker.worker_id}: {error!r}"
+                f"{worker.worker_id}: {error.detail}"
             ) from error
-
-    def _pool_of(self, address: str) -> httpcore.AsyncConnectionPool:
-        pool = self._pools.get(address)
-        if pool is None:
-            pool = httpcore.AsyncConnectionPool(
-                max_connections=MAX_CONNECTIONS,
-                max_keepalive_connections=MAX_CONNECTIONS,
-                keepalive_expiry=KEEP_ALIVE_S,
-            )
-            self._pools[address] = pool
-            if len(self._pools) > MAX_POOLS:
-                dropped, _ = self._pools.popitem(last=False)
-                logs.event("worker-pool-dropped", address=dropped)
-        self._pools.move_to_end(address)
-        return pool
+        if response.status != 200:
+            raise _refusal(response, f"{path} at {worker.worker_id}")
+        return response.content
 
 
 def _answer(raw: bytes) -> wire.OrderAnswer:
