--- /dev/null
+++ b/laburnumsill/daemon/tests/test_role_settings.py
@@ -0,0 +1,72 @@
+import pathlib
+
+import pytest
+
+from laburnumsill.core import errors
+from laburnumsill.daemon import role_main
+from laburnumsill.daemon import role_settings
+
+GOOD = """
+name = "core-1"
+address = "10.1.0.22"
+failure_domain = "north"
+peer_port = 7000
+seeds = ["10.1.0.22:8526", "10.2.0.38:8526"]
+founding = true
+data_folder = "/data"
+[listen]
+control = "10.1.0.22:8526"
+[bounds]
+longest_lease_ms = 9000
+"""
+
+
+def load(tmp_path, text):
+    path = tmp_path / "settings.toml"
+    path.write_text(text)
+    return role_settings.load(path)
+
+
+def test_settings_are_read(tmp_path):
+    loaded = load(tmp_path, GOOD)
+    assert loaded.seed_vms == ("10.1.0.22", "10.2.0.38")
+    assert loaded.peer_address("10.2.0.38") == "10.2.0.38:7000"
+    assert loaded.bounds.longest_lease_ms == 9000
+    assert loaded.bounds.key_revoked_ms == 5000
+
+
+@pytest.mark.parametrize(
+    ("text", "named"),
+    [
+        (GOOD.replace("peer_port = 7000", ""), "peer_port"),
+        (GOOD.replace("7000", '"7000"'), "peer_port"),
+        (GOOD.replace("founding", "foundign"), "foundign"),
+        (GOOD.replace("[listen]", "[listen"), "settings.toml"),
+        (GOOD + "unknown_ms = 5\n", "unknown_ms"),
+    ],
+)
+def test_what_is_wrong_is_named(tmp_path, text, named):
+    with pytest.raises(errors.InvalidConfigurationError) as caught:
+        load(tmp_path, text)
+    assert named in caught.value.detail
+
+
+def test_a_bad_file_ends_the_program_with_2(tmp_path, capsys):
+    missing = tmp_path / "missing.toml"
+    assert role_main.run("core", missing) == role_main.EXIT_BAD_SETTINGS
+    assert "missing.toml" in capsys.readouterr().err
+
+
+def test_the_template_names_the_settings():
+    """The deploy file's template sets only keys that there are."""
+    root = pathlib.Path(__file__).parents[3]
+    text = (root / "deploy" / "settings.toml.template").read_text()
+    known = set(role_settings.RoleSettings.__struct_fields__)
+    known |= set(role_settings.Listen.__struct_fields__)
+    known |= set(role_settings.Bounds.__struct_fields__)
+    keys = {
+        line.split("=")[0].strip()
+        for line in text.splitlines()
+        if "=" in line and not line.startswith("#")
+    }
+    assert keys and keys <= known
