--- a/laburnumsill/consensus/tests/test_engine_rules.py
+++ b/laburnumsill/consensus/tests/test_engine_rules.py
@@ -181,3 +181,25 @@
     use(6.0)
     progress = leader.engine.progress[group.hosts[behind].me]
     assert progress.match >= leader.engine.committed - 5
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_what_was_acknowledged_outlives_a_lost_disk_and_a_power_loss(seed):
+    """One disk is lost right then, and all others lose what is not synced."""
+    group = simulated_group.Group("abc", "abc", seed)
+    group.load = 0.5
+    leader = group.elect()
+    group.run(0.5 + seed / 10)
+    operation = group.write(leader, b"acknowledged")
+    group.run_until(lambda: operation.done)
+    lost = "abc"[seed % 3]
+    for vm, host in group.hosts.items():
+        if vm != lost:
+            host.crash(0, 0.3)
+    group.add(lost)
+    group.load = 0.0
+    group.run(6.0)
+    survivors = [h for vm, h in group.hosts.items() if vm != lost]
+    assert any(h.engine.role == "leader" for h in survivors)
+    for host in survivors:
+        assert b"acknowledged" in host.values
