Forget that a worker is very slow; compare no runs far from their data

Ruled out by what unit-waits now says: label, rack, the room kept for gangs, runs that the ledger holds and nobody runs. Runs of steps with a data rack are not compared, a worker is very slow only by the last 10 s, and a unit that has waited 6 s goes to any worker.

--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -24,6 +24,10 @@
 """A gang that has waited so long keeps room that becomes free, in ms: about
 half a run of the users' background tasks."""
 
+ANY_WORKER_AFTER_MS = 6_000
+"""A unit that has waited so long, in ms, goes to any worker, also to a very
+slow one or one on which it failed: a whole run of the users' tasks."""
+
 SPREAD_AFTER_MS = 1_500
 """A gang that has waited so long, in ms, while most of its pool is free,
 goes to several racks: nothing else would make use of the room."""
@@ -181,6 +185,9 @@
         sound = [
             room for room in kept if room.slowness < worker_health.VERY_SLOW
         ]
+        waited = self._view.now_ms - unit.waiting_since_ms
+        if waited >= ANY_WORKER_AFTER_MS:
+            return rooms  # rather a poor worker than none
         return sound or kept or rooms
 
     def _take(self, unit: units.Unit, found: packing.Assignment) -> None:
@@ -201,8 +208,8 @@
             for inside in room_module.by_rack(rooms).values()
         ]
         return (
-            f"best-rack:{max(slots, default=0)},all:{sum(slots)},"
-            f"wanted:{len(unit.tasks)},kept-for-gangs:{self._fenced}"
+            f"workers:{len(rooms)},best-rack:{max(slots, default=0)},"
+            f"all:{sum(slots)},wanted:{len(unit.tasks)},kept-for-gangs:{self._fenced}"
         )
 
     def _make_room(
@@ -249,8 +256,6 @@
         waited = self._view.now_ms - unit.waiting_since_ms
         if waited < FENCE_AFTER_MS or self._fenced >= MAX_FENCED:
             return
-        if self._lateness(unit) is Lateness.TOO_LATE:
-            return
         racks = room_module.by_rack(rooms)
         if not racks:
             return
--- a/laburnumsill/batch/scheduler.py
+++ b/laburnumsill/batch/scheduler.py
@@ -273,7 +273,7 @@
             self._owner._guarantees(),
             self._now_ms(),
             self.health.avoid,
-            self.health.slowness,
+            self._slowness,
             self._kept_racks,
         )
         made = planner.plan(view)
@@ -284,6 +284,9 @@
         if made.groups:
             await self._place(made)
 
+    def _slowness(self, worker_id: str) -> float:
+        return self.health.slowness(worker_id, self.clock.monotonic())
+
     async def _place(self, made: planner.Plan) -> None:
         command = commands.PlaceRuns(tuple(made.groups), self._now_ms())
         placed = await self._propose(command)
@@ -330,6 +333,9 @@
             tasks=len(unit.tasks),
             accelerators=unit.step.needs.accelerators,
             gang=unit.step.gang,
+            same_rack=unit.step.same_rack,
+            data_rack=unit.step.data_rack,
+            label=unit.step.required_label,
             priority=unit.priority,
             waited_ms=self._now_ms() - unit.waiting_since_ms,
             obstacle=unit.obstacle,
--- a/laburnumsill/batch/tests/test_planner.py
+++ b/laburnumsill/batch/tests/test_planner.py
@@ -218,3 +218,22 @@
     )
     (group,) = planner.plan(seen).groups
     assert {p.worker_id for p in group} == {"w02", "w03"}
+
+
+def test_a_unit_that_waits_long_takes_any_worker():
+    ledger = site(racks=1, per_rack=2)
+    submit(ledger, job("g", 2, 8, priority=1, gang=True))
+
+    def seen(now_ms):
+        return planner.View(
+            ledger,
+            set(ledger.workers),
+            frozenset(),
+            {},
+            now_ms,
+            slowness=lambda worker_id: 5.0 if worker_id == "w00" else 1.0,
+        )
+
+    assert planner.plan(seen(100)).groups == []
+    later = planner.plan(seen(planner.ANY_WORKER_AFTER_MS))
+    assert len(later.groups) == 1
--- a/laburnumsill/batch/tests/test_worker_health.py
+++ b/laburnumsill/batch/tests/test_worker_health.py
@@ -88,9 +88,10 @@
         health.note_started(which, 0.0)
         done = end(which, commands.EndKind.DONE)
         health.note_end(worker, done, STEP, took)
-    assert health.slowness("slow") >= worker_health.NOTICEABLY_SLOW
-    assert health.slowness("w4") < worker_health.NOTICEABLY_SLOW
-    assert health.slowness("unknown") == 1.0
+    now = 2.0
+    assert health.slowness("slow", now) >= worker_health.NOTICEABLY_SLOW
+    assert health.slowness("w4", now) < worker_health.NOTICEABLY_SLOW
+    assert health.slowness("unknown", now) == 1.0
 
 
 def test_a_gang_says_nothing_about_its_workers_speed():
@@ -100,4 +101,30 @@
         health.note_started(which, 0.0)
         done = end(which, commands.EndKind.DONE)
         health.note_end(f"w{index}", done, GANG, float(1 + index))
-    assert health.slowness("w7") == 1.0
+    assert health.slowness("w7", 9.0) == 1.0
+
+
+def end_eight(health, step, slow_s):
+    """Eight siblings end, every fourth of them after `slow_s`."""
+    for index in range(8):
+        worker = "slow" if index % 4 == 3 else f"w{index}"
+        which = run("j", index)
+        health.note_started(which, 0.0)
+        took_s = slow_s if worker == "slow" else 1.0
+        done = end(which, commands.EndKind.DONE)
+        health.note_end(worker, done, step, took_s)
+
+
+def test_a_run_far_from_its_data_says_nothing_about_its_worker():
+    health = worker_health.WorkerHealth()
+    far = model.Step(8, model.Resources(1000, 64, 1), data_rack="r1")
+    end_eight(health, far, 3.0)
+    assert health.slowness("slow", 3.0) == 1.0
+
+
+def test_nobody_is_very_slow_for_ever():
+    health = worker_health.WorkerHealth()
+    end_eight(health, STEP, 5.0)
+    assert health.slowness("slow", 6.0) >= worker_health.VERY_SLOW
+    later = 6.0 + worker_health.VERY_SLOW_FOR_S
+    assert health.slowness("slow", later) < worker_health.VERY_SLOW
--- a/laburnumsill/batch/worker_health.py
+++ b/laburnumsill/batch/worker_health.py
@@ -44,6 +44,10 @@
 VERY_SLOW = 2.0
 """Relative run time from which a worker is used only if nothing else is."""
 
+VERY_SLOW_FOR_S = 10.0
+"""A worker counts as very slow only by run times of the last seconds: it gets
+no runs then, so nothing else would ever show that it has recovered."""
+
 
 @dataclasses.dataclass(slots=True)
 class _Standing:
@@ -53,13 +57,14 @@
         failed_jobs: Jobs that failed there since something was done there.
         aside_until: It gets nothing before this point, monotonic.
         aside_s: How long it was set aside last.
-        ratios: Newest run times relative to those of other workers.
+        ratios: Newest run times relative to those of other workers, each
+            with when it was seen, monotonic.
     """
 
     failed_jobs: set[str] = dataclasses.field(default_factory=set)
     aside_until: float = 0.0
     aside_s: float = 0.0
-    ratios: collections.deque[float] = dataclasses.field(
+    ratios: collections.deque[tuple[float, float]] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=SAMPLES)
     )
 
@@ -85,12 +90,17 @@
         standing = self._workers.get(worker_id)
         return standing is not None and now < standing.aside_until
 
-    def slowness(self, worker_id: str) -> float:
+    def slowness(self, worker_id: str, now: float) -> float:
         """Returns the run time on a worker relative to others, 1.0 unknown."""
         standing = self._workers.get(worker_id)
         if standing is None or not standing.ratios:
             return 1.0
-        return statistics.median(standing.ratios)
+        since = now - VERY_SLOW_FOR_S
+        recent = [ratio for at, ratio in standing.ratios if at >= since]
+        if recent and statistics.median(recent) >= VERY_SLOW:
+            return statistics.median(recent)
+        usual = statistics.median(ratio for _, ratio in standing.ratios)
+        return min(usual, VERY_SLOW - 0.01)
 
     def avoid(self, task: model.TaskId) -> abc.Set[str]:
         """Returns the workers on which a task has failed or hung."""
@@ -117,8 +127,8 @@
         if end.kind is commands.EndKind.DONE:
             standing.failed_jobs.clear()
             standing.aside_s = 0.0
-            if seen is not None and not step.gang and not end.saved:
-                self._compare(standing, end.run, now - seen.first_at)
+            if seen is not None and _is_comparable(step, end):
+                self._compare(standing, end.run, seen.first_at, now)
             return False
         if end.kind is not commands.EndKind.FAILED:
             return False
@@ -166,14 +176,24 @@
         standing.aside_until = now + standing.aside_s
 
     def _compare(
-        self, standing: _Standing, run: model.RunId, took_s: float
+        self, standing: _Standing, run: model.RunId, began: float, now: float
     ) -> None:
         """Compares a run's time with those of its siblings elsewhere."""
+        took_s = now - began
         task = run.task
         key = (task.job_id, task.occurrence, task.step)
         times = self._durations.setdefault(key, [])
         if len(times) >= MIN_SIBLINGS:
             usual = statistics.median(times)
             if usual > 0:
-                standing.ratios.append(took_s / usual)
+                standing.ratios.append((now, took_s / usual))
         times.append(took_s)
+
+
+def _is_comparable(step: model.Step, end: commands.EndedRun) -> bool:
+    """Whether a run's time says something about its worker.
+
+    That of a gang is its slowest member's; one that went on from saved
+    progress is shorter; one far from its data is longer.
+    """
+    return not step.gang and not end.saved and not step.data_rack
