Drop what the planner and scheduler do not need

Read once more: three states of lateness of which two were told apart by nothing; a heartbeat's time and number that nobody read; two ways to occupy a room and two to commit; a factor of 1. An account's urgent use was added up anew for each urgent unit and each job's chain twice a plan; what is known of ended jobs' tasks was searched once for every job ever ended, twice a second.

--- a/laburnumsill/batch/intake.py
+++ b/laburnumsill/batch/intake.py
@@ -122,12 +122,7 @@
                     draining=worker.draining,
                     sequence=announcement.sequence,
                 )
-        heard = schedulers.Heard(
-            self._clock.monotonic(),
-            announcement.sequence,
-            announcement.clock_ms,
-        )
-        self._scheduler.hear(worker.worker_id, heard)
+        self._scheduler.hear(worker.worker_id, announcement.clock_ms)
         return Taken(self._me)
 
     async def _on_departure(self, departure: Departure) -> Taken:
--- a/laburnumsill/batch/packing.py
+++ b/laburnumsill/batch/packing.py
@@ -68,7 +68,7 @@
     slots = _slots(unit, rooms, room_of, count_on)
     wanted = len(unit.tasks)
     if not unit.step.gang:
-        return _assign(unit, _in_order(unit, rooms, slots, room_of), slots)
+        return _assign(unit, _in_order(unit, rooms, room_of), slots)
     chosen = _best_rack(unit, rooms, slots, room_of)
     if chosen is None and (may_spread or not _needs_one_rack(unit, rooms)):
         chosen = _widest_racks_first(unit, rooms, slots, room_of)
@@ -173,7 +173,6 @@
 def _in_order(
     unit: units.Unit,
     rooms: abc.Sequence[room_module.Room],
-    slots: dict[str, int],
     room_of: RoomOf,
 ) -> list[room_module.Room]:
     """Returns rooms for single tasks: near their data, then the fullest."""
--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -6,8 +6,8 @@
 long keeps a rack for itself, so that small tasks do not starve it.
 """
 
+import collections
 import dataclasses
-import enum
 from collections import abc
 
 from laburnumsill.batch import checks
@@ -36,19 +36,6 @@
 """So many waiting gangs keep room at a time; more would idle the site."""
 
 
-LATE_FACTOR = 3.0
-"""A job that takes up to so many times its objective is still worth
-something to the users, one that takes longer nothing."""
-
-
-class Lateness(enum.IntEnum):
-    """What a job can still achieve; the lower goes first."""
-
-    IN_TIME = 0
-    LATE = 1
-    TOO_LATE = 2
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class View:
     """What a plan is made of.
@@ -104,6 +91,7 @@
         self._ledger = view.ledger
         self._plan = Plan([], [], [])
         self._rooms = _rooms(view)
+        self._urgent_use = _urgent_use(view.ledger)
         self._victims: list[preemption.Victim] | None = None
         self._fenced = 0
 
@@ -117,36 +105,21 @@
         return (
             unit.priority,
             not self._guaranteed(unit),
-            self._lateness(unit) is not Lateness.IN_TIME,
+            not self._in_time(unit),
             unit.objective_ms,
             unit.key,
         )
 
-    def _lateness(self, unit: units.Unit) -> Lateness:
-        """Tells what a unit's job can still achieve if it starts now."""
-        end_ms = self._view.now_ms + units.chain_ms(unit.record.job)
-        if end_ms <= unit.objective_ms:
-            return Lateness.IN_TIME
-        allowed_ms = unit.objective_ms - unit.waiting_since_ms
-        if end_ms <= unit.waiting_since_ms + LATE_FACTOR * allowed_ms:
-            return Lateness.LATE
-        return Lateness.TOO_LATE
+    def _in_time(self, unit: units.Unit) -> bool:
+        """Whether a unit's job can still be in time if it starts now."""
+        return self._view.now_ms + unit.chain_ms <= unit.objective_ms
 
     def _guaranteed(self, unit: units.Unit) -> bool:
         if unit.priority != packing.URGENT_PRIORITY:
             return False
         account = unit.record.job.account
         own = self._view.guarantees.get(account, 0)
-        return self._urgent_use(account) <= own
-
-    def _urgent_use(self, account: str) -> int:
-        """Returns the accelerators that an account's urgent jobs need."""
-        return sum(
-            _accelerators(record.job)
-            for record in self._ledger.active_jobs.values()
-            if record.job.account == account
-            and record.job.terms.priority == packing.URGENT_PRIORITY
-        )
+        return self._urgent_use[account] <= own
 
     def _place(self, unit: units.Unit) -> None:
         rooms = self._eligible(unit)
@@ -276,11 +249,11 @@
             count = min(left, unit.step.needs.times_in(room.worker.capacity))
             left -= count
             for _ in range(count):
-                room.reserve(unit.step.needs)
+                room.take(unit.step.needs)
 
     def _reserve(self, unit: units.Unit, found: packing.Assignment) -> None:
         for _, room in found:
-            room.reserve(unit.step.needs)
+            room.take(unit.step.needs)
 
     def _count_on(self, worker_id: str, task: model.TaskId) -> int:
         return checks.count_on(self._ledger, worker_id, task)
@@ -314,6 +287,15 @@
     return rooms
 
 
+def _urgent_use(ledger: ledgers.BatchLedger) -> collections.Counter[str]:
+    """Returns the accelerators that urgent jobs need, by client account."""
+    use: collections.Counter[str] = collections.Counter()
+    for record in ledger.active_jobs.values():
+        if record.job.terms.priority == packing.URGENT_PRIORITY:
+            use[record.job.account] += _accelerators(record.job)
+    return use
+
+
 def _accelerators(job: model.Job) -> int:
     """Returns the accelerators that a job needs at most at one time."""
     return max(
--- a/laburnumsill/batch/preemption.py
+++ b/laburnumsill/batch/preemption.py
@@ -14,9 +14,6 @@
 from laburnumsill.batch import rooms as room_module
 from laburnumsill.batch import units
 
-UNSAVED_FACTOR = 1.0
-"""Weight of work that is lost because the step saves no progress."""
-
 SAVED_WORK_S = 1.0
 """Work lost at most by a step that saves progress, in seconds: the users'
 workers save once a second."""
@@ -175,5 +172,5 @@
         step = ledger.jobs[run.task.job_id].job.steps[run.task.step]
         ran_s = max(0.0, (now_ms - record.placed_ms) / 1000)
         lost_s = min(ran_s, SAVED_WORK_S) if step.saves_progress else ran_s
-        cost += UNSAVED_FACTOR * lost_s * model.weight(needs)
+        cost += lost_s * model.weight(needs)
     return Victim(tuple(runs), cost, freed)
--- a/laburnumsill/batch/rooms.py
+++ b/laburnumsill/batch/rooms.py
@@ -30,16 +30,9 @@
         return self.free + self.leaving
 
     def take(self, needs: model.Resources) -> None:
-        """Occupies an amount that fits."""
+        """Occupies an amount, or keeps it where it will be free soon."""
         self.free -= needs
 
-    def reserve(self, needs: model.Resources) -> None:
-        """Keeps an amount of what is free now or soon."""
-        self.free -= needs
-
-
-Rooms = abc.Mapping[str, Room]
-
 
 def by_rack(rooms: abc.Iterable[Room]) -> dict[str, list[Room]]:
     """Returns rooms by the rack that they stand in."""
--- a/laburnumsill/batch/scheduler.py
+++ b/laburnumsill/batch/scheduler.py
@@ -62,21 +62,6 @@
     title = "The scheduler does not lead any more"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Heard:
-    """What a heartbeat told of a worker.
-
-    Attributes:
-        at: When it came, monotonic.
-        sequence: Its number.
-        clock_ms: The worker's clock when it was sent, or None.
-    """
-
-    at: float
-    sequence: int
-    clock_ms: int | None
-
-
 class Scheduler:
     """Schedules the jobs of one ledger while this VM leads its group.
 
@@ -109,11 +94,6 @@
         self._longest_lease_ms = longest_lease_ms
         self._term: _Term | None = None
 
-    @property
-    def leads(self) -> bool:
-        """Whether a term runs here."""
-        return self._term is not None
-
     async def run(self) -> None:
         """Runs a term whenever this VM leads, until cancelled."""
         while True:
@@ -121,10 +101,15 @@
                 await self._run_term()
             await trio.sleep(LEAD_POLL_S)
 
-    def hear(self, worker_id: str, heard: Heard) -> None:
-        """Passes a heartbeat to the term, if one runs."""
+    def hear(self, worker_id: str, clock_ms: int | None) -> None:
+        """Passes a heartbeat to the term, if one runs.
+
+        Args:
+            worker_id: The worker.
+            clock_ms: Its clock when it sent the heartbeat, or None.
+        """
         if self._term is not None:
-            self._term.hear(worker_id, heard)
+            self._term.hear(worker_id, clock_ms)
 
     def notice(self, command: object) -> None:
         """Notices that a command was applied; it may call for a plan."""
@@ -198,10 +183,6 @@
                 nursery.start_soon(self._keep_house)
                 await self._keep_planning()
 
-    async def commit(self, command: object) -> None:
-        """Commits a command, see the base class."""
-        await self._propose(command)
-
     def wake(self) -> None:
         """Has a plan made soon."""
         self._wakeup.set()
@@ -215,14 +196,14 @@
         logs.event("fenced-off", "WARNING", worker=worker_id, fence=self.fence)
         self._scope.cancel()
 
-    def hear(self, worker_id: str, heard: Heard) -> None:
+    def hear(self, worker_id: str, clock_ms: int | None) -> None:
         """Passes a heartbeat to the worker's session."""
         session = self._sessions.get(worker_id)
         if session is not None:
-            session.hear(heard.clock_ms)
+            session.hear(clock_ms)
 
-    async def _propose(self, command: object) -> object:
-        """Commits a command; ends the term if that fails."""
+    async def commit(self, command: object) -> object:
+        """Commits a command, see the base class."""
         deadline = self.clock.monotonic() + COMMIT_WITHIN_S
         try:
             return await self._owner._groups.propose(
@@ -289,7 +270,7 @@
 
     async def _place(self, made: planner.Plan) -> None:
         command = commands.PlaceRuns(tuple(made.groups), self._now_ms())
-        placed = await self._propose(command)
+        placed = await self.commit(command)
         assert isinstance(placed, commands.Placed)
         for group, refusal in zip(made.groups, placed.refusals, strict=True):
             for placement in group:
@@ -386,10 +367,9 @@
             return ""
         for index in range(len(step.tasks)):
             sibling = dataclasses.replace(run.task, index=index)
-            if self.ledger.live_run(sibling) != run:
-                other = self.ledger.live_run(sibling)
-                if other is None or other.number != run.number:
-                    return "its gang is not whole"
+            other = self.ledger.live_run(sibling)
+            if other is None or other.number != run.number:
+                return "its gang is not whole"
         return ""
 
     def _match_sessions(self) -> None:
@@ -425,7 +405,7 @@
             return
         seen = tuple(commands.SeenRun(run) for run in sorted(self._seen))
         self._seen.clear()
-        await self._propose(commands.NoteRunning(seen))
+        await self.commit(commands.NoteRunning(seen))
 
     async def _remove_silent(self) -> None:
         now = self.clock.monotonic()
@@ -436,15 +416,13 @@
             reason = f"silent for {silent_s:.1f} s"
             logs.event("worker-gone", worker=worker_id, reason=reason)
             saved = tuple(session.progress())
-            await self._propose(commands.RemoveWorker(worker_id, reason, saved))
+            await self.commit(commands.RemoveWorker(worker_id, reason, saved))
             self.wake()
 
     async def _forget_ended(self) -> None:
         """Forgets jobs that ended long ago, some at a time."""
         now_ms = self._now_ms()
-        for job_id, record in self.ledger.jobs.items():
-            if not record.active:
-                self.health.forget_job(job_id)
+        self.health.keep_jobs(self.ledger.active_jobs)
         if now_ms < self._forget_at_ms:
             return
         self._forget_at_ms = now_ms + FORGET_EVERY_S * 1000
@@ -453,7 +431,7 @@
             0 < record.ended_ms < before_ms
             for record in self.ledger.jobs.values()
         ):
-            await self._propose(commands.ForgetJobs(before_ms))
+            await self.commit(commands.ForgetJobs(before_ms))
 
     def _publish(self) -> None:
         metrics = self._owner._metrics
--- a/laburnumsill/batch/term.py
+++ b/laburnumsill/batch/term.py
@@ -29,8 +29,8 @@
     longest_lease_ms: int
 
     @abc.abstractmethod
-    async def commit(self, command: object) -> None:
-        """Commits a command; a lost lead ends the term instead."""
+    async def commit(self, command: object) -> object:
+        """Returns a command's result; a lost lead ends the term instead."""
 
     @abc.abstractmethod
     def wake(self) -> None:
--- a/laburnumsill/batch/tests/test_worker_health.py
+++ b/laburnumsill/batch/tests/test_worker_health.py
@@ -56,7 +56,9 @@
     health = worker_health.WorkerHealth()
     failed(health, "w", "a", 1.0)
     assert health.avoid(run("a").task) == {"w"}
-    health.forget_job("a")
+    health.keep_jobs({"a"})
+    assert health.avoid(run("a").task) == {"w"}
+    health.keep_jobs({"b"})
     assert health.avoid(run("a").task) == set()
 
 
--- a/laburnumsill/batch/units.py
+++ b/laburnumsill/batch/units.py
@@ -22,6 +22,7 @@
         tasks: The tasks that wait; all of a gang.
         waiting_since_ms: Since when they could run, ms since 1970.
         objective_ms: Until when their job is in time, ms since 1970.
+        chain_ms: Estimated time of the job's longest chain of steps.
         obstacle: Why it was not placed, for people.
     """
 
@@ -31,6 +32,7 @@
     tasks: list[model.TaskId]
     waiting_since_ms: int
     objective_ms: float
+    chain_ms: int
     obstacle: str = ""
 
     @property
@@ -105,14 +107,17 @@
     job = record.job
     since = max(record.submitted_ms, job.due_ms(occurrence))
     terms = job.terms
-    objective = since + terms.stretch * chain_ms(job) + terms.target_ms
+    chain = chain_ms(job)
+    objective = since + terms.stretch * chain + terms.target_ms
     for number, step in enumerate(record.steps[occurrence]):
         if not step.undone or not record.ready(occurrence, number):
             continue
         tasks = _waiting(ledger, record, occurrence, number)
         whole = len(tasks) == job.steps[number].tasks
         if tasks and (whole or not job.steps[number].gang):
-            yield Unit(record, occurrence, number, tasks, since, objective)
+            yield Unit(
+                record, occurrence, number, tasks, since, objective, chain
+            )
 
 
 def _waiting(
--- a/laburnumsill/batch/worker_health.py
+++ b/laburnumsill/batch/worker_health.py
@@ -106,12 +106,11 @@
         """Returns the workers on which a task has failed or hung."""
         return self._failed_on.get(task, set())
 
-    def forget_job(self, job_id: str) -> None:
-        """Forgets what was observed of a job's tasks."""
-        for tasks in (self._failed_on,):
-            for task in [t for t in tasks if t.job_id == job_id]:
-                del tasks[task]
-        for key in [key for key in self._durations if key[0] == job_id]:
+    def keep_jobs(self, jobs: abc.Container[str]) -> None:
+        """Forgets what was observed of the tasks of all other jobs."""
+        for task in [t for t in self._failed_on if t.job_id not in jobs]:
+            del self._failed_on[task]
+        for key in [key for key in self._durations if key[0] not in jobs]:
             del self._durations[key]
 
     def note_end(
--- a/laburnumsill/emulator/site.py
+++ b/laburnumsill/emulator/site.py
@@ -245,10 +245,8 @@
                 worker_id = worker.worker.worker_id
                 if worker.gone or worker_id in self.silent:
                     continue
-                now = trio.current_time()
-                heard = schedulers.Heard(now, 0, worker.clock_ms)
                 for scheduler in self.schedulers.values():
-                    scheduler.hear(worker_id, heard)
+                    scheduler.hear(worker_id, worker.clock_ms)
             await trio.sleep(HEARTBEAT_S)
 
 
--- a/laburnumsill/platform/caller_app.py
+++ b/laburnumsill/platform/caller_app.py
@@ -1,7 +1,6 @@
 """The ASGI application for callers: jobs of queues."""
 
 import abc
-import typing
 
 import msgspec
 
@@ -79,14 +78,16 @@
     ) -> None:
         """Serves the balancer's question."""
         if scope["type"] == "http":
-            status = 200 if self._front.ready else 503
-            await http.send_answer(send, http.Answer(status))
+            await http.send_answer(send, self._readiness())
+
+    def _readiness(self) -> http.Answer:
+        return http.Answer(200 if self._front.ready else 503)
 
     async def _answer(
         self, call: "_Call", body: bytes, began: float
     ) -> http.Answer:
         if call.request.path == READY_PATH:
-            return http.Answer(200 if self._front.ready else 503)
+            return self._readiness()
         configuration = self._front.configuration
         if configuration is None:
             raise NoConfigurationError("no configuration is in force here")
@@ -221,8 +222,3 @@
     if isinstance(error, errors.UnavailableError):
         return http.failure(503, error)
     return http.failure(error.status, error)
-
-
-Application = typing.Callable[
-    [http.Scope, http.Receive, http.Send], typing.Awaitable[None]
-]
