One copy of the loop's clock, a daemon's end, log sinks and asking a leader

Three tests and the emulator had a clock each that follows trio; the two programs each turned failures into exit codes; two functions set loguru up the same way; the host and the remote groups each turned a lost query into 'no quorum'. Four tests of the ledger built the same ledger. A role that ends by a fault of the program now logs each failure, as the other daemon does, and raises it as before; other behaviour and all assertions stay.

--- a/bench/batch_planning.py
+++ b/bench/batch_planning.py
@@ -105,7 +105,7 @@
     record = site.ledger.jobs.get(one.job.job_id)
     if record is None or record.state != "completed":
         return None
-    return record.ended_ms / 1000 - sites.clocks.EPOCH
+    return record.ended_ms / 1000 - sites.EPOCH
 
 
 def run_days(shape: loads.Shape, load: float, days: int) -> list[Result]:
--- a/laburnumsill/api/tests/test_configuration.py
+++ b/laburnumsill/api/tests/test_configuration.py
@@ -1,14 +1,13 @@
 import json
 
 import pytest
-import trio
 from starlette import routing
 
 from laburnumsill.api import configuration as configuration_api
 from laburnumsill.config import current
-from laburnumsill.core import clock as clocks
 from laburnumsill.core import errors
 from laburnumsill.core import replication
+from laburnumsill.core import trio_clock
 from laburnumsill.state import configuration
 from laburnumsill.testing import local_groups
 
@@ -30,14 +29,6 @@
         return self.vms
 
 
-class TrioClock(clocks.Clock):
-    def monotonic(self):
-        return trio.current_time()
-
-    def wall(self):
-        return trio.current_time()
-
-
 class LossyGroups(local_groups.LocalGroups):
     """Loses the answers of the next `losses` proposals."""
 
@@ -59,7 +50,7 @@
         self.current, self.sync = current.Current(), InForce()
         self.router = routing.Router(
             configuration_api.routes(
-                self.groups, self.current, self.sync, TrioClock()
+                self.groups, self.current, self.sync, trio_clock.TrioClock()
             )
         )
 
--- a/laburnumsill/batch/tests/test_ledger_machine.py
+++ b/laburnumsill/batch/tests/test_ledger_machine.py
@@ -182,77 +182,77 @@
 )
 
 
-def test_a_gang_is_placed_whole_or_not_at_all():
+def ledger_with(tasks, attempts=2):
+    """Returns a ledger with one worker and one job; two tasks are a gang."""
     ledger = ledgers.BatchLedger()
     worker = model.Worker("w0", "pool", "", "d", CAPACITY)
     ledger.put_worker(commands.PutWorker(worker))
-    step = model.Step(2, model.Resources(1000, 1000, 4), gang=True)
-    terms = model.QueueTerms("pool", 1, 2)
+    needs = model.Resources(1000, 1000, 4)
+    step = model.Step(tasks, needs, gang=tasks > 1)
+    terms = model.QueueTerms("pool", 1, attempts)
     job = model.Job("j", "q", "a", "", (step,), terms)
     ledger.submit(commands.SubmitJob(job, 0))
-    runs = [model.RunId(model.TaskId("j", 0, 0, i), 1) for i in range(2)]
-    half = (commands.Placement(runs[0], "w0"),)
-    placed = ledger.place(commands.PlaceRuns((half,), 0))
-    assert placed.refusals == ("1 of a gang of 2",)
+    return ledger
+
+
+def runs_of(tasks, number=1):
+    return [
+        model.RunId(model.TaskId("j", 0, 0, index), number)
+        for index in range(tasks)
+    ]
+
+
+def place(ledger, runs):
+    """Places runs as one group; returns why not."""
+    group = tuple(commands.Placement(run, "w0") for run in runs)
+    return ledger.place(commands.PlaceRuns((group,), 0)).refusals[0]
+
+
+def note(ledger, *ends):
+    ledger.note_ends(commands.NoteEnds("w0", ends, 5))
+
+
+def state_of(ledger):
+    return ledger.job_state(commands.JobQuery("j")).state
+
+
+def test_a_gang_is_placed_whole_or_not_at_all():
+    ledger = ledger_with(2)
+    runs = runs_of(2)
+    assert place(ledger, runs[:1]) == "1 of a gang of 2"
     assert not ledger.runs
-    whole = tuple(commands.Placement(run, "w0") for run in runs)
-    assert ledger.place(commands.PlaceRuns((whole,), 0)).refusals == ("",)
+    assert place(ledger, runs) == ""
 
 
 def test_one_members_good_end_stands_for_its_gang():
-    ledger = ledgers.BatchLedger()
-    worker = model.Worker("w0", "pool", "", "d", CAPACITY)
-    ledger.put_worker(commands.PutWorker(worker))
-    step = model.Step(2, model.Resources(1000, 1000, 4), gang=True)
-    terms = model.QueueTerms("pool", 1, 2)
-    job = model.Job("j", "q", "a", "", (step,), terms)
-    ledger.submit(commands.SubmitJob(job, 0))
-    runs = [model.RunId(model.TaskId("j", 0, 0, i), 1) for i in range(2)]
-    whole = tuple(commands.Placement(run, "w0") for run in runs)
-    ledger.place(commands.PlaceRuns((whole,), 0))
-    end = commands.EndedRun(1, runs[0], commands.EndKind.DONE)
-    ledger.note_ends(commands.NoteEnds("w0", (end,), 5))
-    state = ledger.job_state(commands.JobQuery("j")).state
-    assert state == commands.JobState.COMPLETED
+    ledger = ledger_with(2)
+    runs = runs_of(2)
+    place(ledger, runs)
+    note(ledger, commands.EndedRun(1, runs[0], commands.EndKind.DONE))
+    assert state_of(ledger) == commands.JobState.COMPLETED
     assert list(ledger.runs) == [runs[1]]  # occupies its worker until it ends
 
 
 def test_a_gang_fails_once_a_run():
-    ledger = ledgers.BatchLedger()
-    worker = model.Worker("w0", "pool", "", "d", CAPACITY)
-    ledger.put_worker(commands.PutWorker(worker))
-    step = model.Step(2, model.Resources(1000, 1000, 4), gang=True)
-    job = model.Job("j", "q", "a", "", (step,), model.QueueTerms("pool", 1, 2))
-    ledger.submit(commands.SubmitJob(job, 0))
+    ledger = ledger_with(2)
     for number in (1, 2):
-        runs = [
-            model.RunId(model.TaskId("j", 0, 0, i), number) for i in range(2)
-        ]
-        whole = tuple(commands.Placement(run, "w0") for run in runs)
-        ledger.place(commands.PlaceRuns((whole,), 0))
-        ends = tuple(
+        runs = runs_of(2, number)
+        place(ledger, runs)
+        ends = [
             commands.EndedRun(2 * number + i, run, commands.EndKind.FAILED)
             for i, run in enumerate(runs)
-        )
+        ]
         record = ledger.jobs["j"]
         assert records.attempts(record, runs[0].task) == number - 1
-        ledger.note_ends(commands.NoteEnds("w0", ends, 5))
-    state = ledger.job_state(commands.JobQuery("j")).state
-    assert state == commands.JobState.FAILED
+        note(ledger, *ends)
+    assert state_of(ledger) == commands.JobState.FAILED
 
 
 def test_a_failure_that_is_read_late_counts_as_an_attempt():
-    ledger = ledgers.BatchLedger()
-    worker = model.Worker("w0", "pool", "", "d", CAPACITY)
-    ledger.put_worker(commands.PutWorker(worker))
-    step = model.Step(1, model.Resources(1000, 1000, 1))
-    job = model.Job("j", "q", "a", "", (step,), model.QueueTerms("pool", 1, 1))
-    ledger.submit(commands.SubmitJob(job, 0))
-    run = model.RunId(model.TaskId("j", 0, 0, 0), 1)
-    ledger.place(commands.PlaceRuns(((commands.Placement(run, "w0"),),), 0))
+    ledger = ledger_with(1, attempts=1)
+    (run,) = runs_of(1)
+    place(ledger, [run])
     lost = commands.Release(run, "w0", "its lease has ended")
     ledger.release(commands.ReleaseRuns((lost,), 1))
-    end = commands.EndedRun(1, run, commands.EndKind.FAILED)
-    ledger.note_ends(commands.NoteEnds("w0", (end,), 5))
-    state = ledger.job_state(commands.JobQuery("j")).state
-    assert state == commands.JobState.FAILED
+    note(ledger, commands.EndedRun(1, run, commands.EndKind.FAILED))
+    assert state_of(ledger) == commands.JobState.FAILED
--- a/laburnumsill/batch/tests/test_session.py
+++ b/laburnumsill/batch/tests/test_session.py
@@ -16,7 +16,7 @@
 from laburnumsill.batch import worker_client
 from laburnumsill.batch import worker_health
 from laburnumsill.core import errors
-from laburnumsill.emulator import clock as clocks
+from laburnumsill.core import trio_clock
 
 RUN = model.RunId(model.TaskId("j", 0, 0, 0), 1)
 WORKER = model.Worker(
@@ -70,7 +70,7 @@
     def __init__(self, nursery):
         self.ledger = ledgers.BatchLedger()
         self.client = ScriptedClient()
-        self.clock = clocks.TrioClock()
+        self.clock = trio_clock.TrioClock()
         self.fence = 7
         self.health = worker_health.WorkerHealth()
         self.longest_lease_ms = 10_000
--- a/laburnumsill/consensus/host.py
+++ b/laburnumsill/consensus/host.py
@@ -155,10 +155,7 @@
             functools.partial(self._query_here, group, query),
             deadline,
         )
-        try:
-            return await self._forwarder.run(errand)
-        except errors.ProposalLostError as error:  # a query changes nothing
-            raise errors.NoQuorumError(error.detail) from error
+        return await self._forwarder.ask(errand)
 
     def leads(self, group: str) -> bool:
         """Returns whether this VM leads a group, as far as it knows."""
--- a/laburnumsill/consensus/host_forward.py
+++ b/laburnumsill/consensus/host_forward.py
@@ -119,6 +119,18 @@
                 pause = min(2 * pause, LONGEST_PAUSE_S)
         raise _given_up(errand.group, maybe, last)
 
+    async def ask(self, errand: Errand) -> typing.Any:
+        """Returns the answer to a query, which changes nothing.
+
+        Raises:
+            errors.NoQuorumError: No answer came.
+            errors.LaburnumsillError: The state machine refused it.
+        """
+        try:
+            return await self.run(errand)
+        except errors.ProposalLostError as error:
+            raise errors.NoQuorumError(error.detail) from error
+
     async def _attempt(self, vm: str, errand: Errand) -> group_waiters.Outcome:
         if vm == self._me:
             return await errand.locally(errand.deadline)
--- a/laburnumsill/consensus/remote.py
+++ b/laburnumsill/consensus/remote.py
@@ -57,12 +57,7 @@
         wall = self._clock.wall_deadline(deadline)
         raw = codec.encode(query)
         request = host_messages.ForwardedQuery(group, raw, wall)
-        try:
-            return await self._forwarder.run(
-                self._errand(group, request, deadline)
-            )
-        except errors.ProposalLostError as error:  # a query changes nothing
-            raise errors.NoQuorumError(error.detail) from error
+        return await self._forwarder.ask(self._errand(group, request, deadline))
 
     def leads(self, group: str) -> bool:
         """Returns False."""
--- a/laburnumsill/core/logs.py
+++ b/laburnumsill/core/logs.py
@@ -9,7 +9,6 @@
 
 _FORMAT = "time={time:YYYY-MM-DDTHH:mm:ss.SSS!UTC}Z level={level} {message}"
 
-
 _limiter: log_limits.EventLimiter | None = None
 
 
@@ -17,30 +16,17 @@
     """Like `set_up`, at a bounded rate and never waiting for the reader."""
     global _limiter
     _limiter = log_limits.EventLimiter()
-    loguru.logger.remove()
-    loguru.logger.add(
-        log_limits.NonBlockingSink(stream).write,
-        level=level,
-        format=f"{_FORMAT} vm={vm}",
-        catch=True,
-    )
+    _send_to(log_limits.NonBlockingSink(stream).write, level, vm)
 
 
-def set_up(level: str, vm: str, stream: typing.TextIO | None = None) -> None:
-    """Sends events of `level` and above to a stream.
+def set_up(level: str, vm: str) -> None:
+    """Sends events of `level` and above to standard error.
 
     Args:
         level: A loguru level name, such as ``INFO``.
         vm: The id of this VM or the name of this program, on every line.
-        stream: Standard error unless given.
     """
-    loguru.logger.remove()
-    loguru.logger.add(
-        stream or sys.stderr,
-        level=level,
-        format=f"{_FORMAT} vm={vm}",
-        catch=True,
-    )
+    _send_to(sys.stderr, level, vm)
 
 
 def event(name: str, /, level: str = "INFO", **fields: object) -> None:
@@ -66,6 +52,13 @@
     event(name, level="INFO", kind="decision", **fields)
 
 
+def _send_to(sink: typing.Any, level: str, vm: str) -> None:
+    loguru.logger.remove()
+    loguru.logger.add(
+        sink, level=level, format=f"{_FORMAT} vm={vm}", catch=True
+    )
+
+
 def _text(value: object) -> str:
     """Returns `value` as one word, quoted where it would not be one."""
     if isinstance(value, float):
--- a/laburnumsill/daemon/role_main.py
+++ b/laburnumsill/daemon/role_main.py
@@ -1,7 +1,7 @@
 """The program of one role: `python3 -m laburnumsill.daemon.role_main ROLE`.
 
 The settings file is named by the variable `LABURNUMSILL_NODE_FILE`, or by a
-second argument. Exit codes are those of `laburnumsilld`.
+second argument. Exit codes are those of `daemon.running`.
 """
 
 import os
@@ -9,15 +9,12 @@
 import sys
 from collections import abc
 
-import trio
-
 from laburnumsill.core import errors
 from laburnumsill.core import logs
 from laburnumsill.daemon import role_settings
+from laburnumsill.daemon import running
 
 SETTINGS_VARIABLE = "LABURNUMSILL_NODE_FILE"
-EXIT_FAILED = 1
-EXIT_BAD_SETTINGS = 2
 ROLES = ("entry", "core")
 
 
@@ -32,7 +29,7 @@
             f" the variable {SETTINGS_VARIABLE} names the file",
             file=sys.stderr,
         )
-        sys.exit(EXIT_BAD_SETTINGS)
+        sys.exit(running.EXIT_BAD_SETTINGS)
     sys.exit(run(arguments[0], pathlib.Path(path)))
 
 
@@ -42,17 +39,9 @@
         settings = role_settings.load(path)
     except errors.LaburnumsillError as error:
         print(f"laburnumsill {role}: {error.detail}", file=sys.stderr)
-        return EXIT_BAD_SETTINGS
+        return running.EXIT_BAD_SETTINGS
     logs.set_up_bounded(settings.log_level, settings.name, sys.stdout)
-    try:
-        trio.run(_daemon(role, path, settings), strict_exception_groups=True)
-    except BaseExceptionGroup as group:
-        expected, others = group.split(errors.LaburnumsillError)
-        logs.event("daemon-failed", level="CRITICAL", error=repr(group))
-        if others is not None or expected is None:
-            raise
-        return EXIT_FAILED
-    return 0
+    return running.run(_daemon(role, path, settings))
 
 
 def _daemon(
--- /dev/null
+++ b/laburnumsill/daemon/running.py
@@ -0,0 +1,49 @@
+"""Running a daemon's main task, and what its process ends with.
+
+Exit codes: 0 after a graceful shutdown, `EXIT_FAILED` after a failure that it
+must not go on from, such as a failed disk, `EXIT_BAD_SETTINGS` for bad
+settings or arguments.
+"""
+
+from collections import abc
+
+import trio
+
+from laburnumsill.core import errors
+from laburnumsill.core import logs
+
+EXIT_FAILED = 1
+EXIT_BAD_SETTINGS = 2
+
+
+def run(main: abc.Callable[[], abc.Awaitable[None]]) -> int:
+    """Runs a daemon until it ends and returns the exit code.
+
+    A failure that is no `LaburnumsillError` is a fault of the program: it is
+    logged like the others and raised again.
+    """
+    try:
+        trio.run(main, strict_exception_groups=True)
+    except BaseExceptionGroup as group:
+        for leaf in _leaves(group):
+            logs.event(
+                "daemon-failed",
+                level="CRITICAL",
+                type=type(leaf).__name__,
+                error=str(leaf),
+            )
+        if group.split(errors.LaburnumsillError)[1] is not None:
+            raise
+        return EXIT_FAILED
+    return 0
+
+
+def _leaves(group: BaseExceptionGroup) -> list[BaseException]:
+    """Returns the exceptions in a group, however deep they lie."""
+    found: list[BaseException] = []
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            found += _leaves(error)
+        else:
+            found.append(error)
+    return found
--- a/laburnumsill/daemon/tests/test_configuration_lease.py
+++ b/laburnumsill/daemon/tests/test_configuration_lease.py
@@ -3,8 +3,8 @@
 
 from laburnumsill.config import site
 from laburnumsill.core import errors
+from laburnumsill.core import trio_clock
 from laburnumsill.daemon import configuration_lease
-from laburnumsill.emulator import clock as clocks
 from laburnumsill.state import highest_version
 from laburnumsill.testing import local_groups
 
@@ -37,7 +37,7 @@
             groups,
             lambda raw: site.SiteConfiguration(int(raw), (), (), ()),
             REVOKED_MS,
-            clocks.TrioClock(),
+            trio_clock.TrioClock(),
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(lease.run)
--- a/laburnumsill/daemon/tests/test_configuration_sync.py
+++ b/laburnumsill/daemon/tests/test_configuration_sync.py
@@ -8,10 +8,10 @@
 from laburnumsill.config import canonical
 from laburnumsill.config import current
 from laburnumsill.config import models
-from laburnumsill.core import clock as clocks
 from laburnumsill.core import errors
 from laburnumsill.core import replication
 from laburnumsill.core import topology
+from laburnumsill.core import trio_clock
 from laburnumsill.daemon import configuration_file
 from laburnumsill.daemon import configuration_sync
 from laburnumsill.state import configuration
@@ -22,14 +22,6 @@
 ]
 
 
-class TrioClock(clocks.Clock):
-    def monotonic(self):
-        return trio.current_time()
-
-    def wall(self):
-        return trio.current_time()
-
-
 class Peers(replication.Peers):
     """Peers in one process; those in `cut` hear and say nothing."""
 
@@ -84,7 +76,7 @@
         holder.observe(lambda versioned: seen.append(versioned.version))
         peers = Peers(self.net, self.cut, vm.vm_id)
         sync = configuration_sync.ConfigurationSync(
-            vm, VMS, groups, peers, holder, folder, TrioClock()
+            vm, VMS, groups, peers, holder, folder, trio_clock.TrioClock()
         )
         self.syncs[vm.vm_id], self.groups[vm.vm_id] = sync, groups
         return sync, holder, groups
--- a/laburnumsill/emulator/site.py
+++ b/laburnumsill/emulator/site.py
@@ -14,11 +14,15 @@
 from laburnumsill.core import errors
 from laburnumsill.core import metrics as metrics_module
 from laburnumsill.core import replication
-from laburnumsill.emulator import clock as clocks
+from laburnumsill.core import trio_clock
 from laburnumsill.emulator import oracle as oracles
 from laburnumsill.emulator import workers as worker_module
 
 GROUP = "site"
+
+EPOCH = 1_700_000_000.0
+"""Wall time at the start of an emulation, in Unix seconds."""
+
 COMMIT_S = 0.009
 """A commit takes two trips of half a millisecond and one sync of 6 ms."""
 
@@ -138,7 +142,7 @@
         self.silent: set[str] = set()
         self._shape = (racks, per_rack)
         self._capacity = capacity
-        self._clock = clocks.TrioClock()
+        self._clock = trio_clock.TrioClock(EPOCH)
         self.schedulers = {
             vm: schedulers.Scheduler(
                 GROUP,
