Send the metrics with the roles' plain ASGI; collect gangs once

The metrics application wrote an answer's messages again; it sends them through platform.http now, which lets an answer name its type. The emulator collected a gang's workers and then searched them for its members; it collects the members. A daemon's own VM is made once.

--- a/laburnumsill/daemon/core_role.py
+++ b/laburnumsill/daemon/core_role.py
@@ -52,10 +52,9 @@
         self, path: pathlib.Path, settings: role_settings.RoleSettings
     ) -> None:
         super().__init__(path, settings)
-        self._me_vm = self._me(settings)
         first = settings.seed_vms if settings.founding else ()
         self._host = group_host.GroupHost(
-            self._me_vm,
+            self._vm,
             self._first_vms(settings),
             self._network,
             site_machine,
@@ -79,7 +78,7 @@
             settings.bounds.longest_lease_ms,
         )
         self._intake = intake.WorkerIntake(
-            self._me_vm.vm_id,
+            self._vm.vm_id,
             role.SITE_GROUP,
             self._host,
             self._network,
@@ -145,7 +144,7 @@
         """Tells the host where replicas may be; it asks them how to join."""
         vms = dict.fromkeys(
             (
-                self._me_vm.vm_id,
+                self._vm.vm_id,
                 *self._core_members(),
                 *self._directory.vms,
                 *self._settings.seed_vms,
--- a/laburnumsill/daemon/entry_role.py
+++ b/laburnumsill/daemon/entry_role.py
@@ -28,7 +28,7 @@
     ) -> None:
         super().__init__(path, settings)
         self._groups = remote.RemoteGroups(
-            self._me(settings).vm_id,
+            self._vm.vm_id,
             self._network,
             self._clock,
             lambda: self._directory.vms,
--- a/laburnumsill/daemon/metrics_app.py
+++ b/laburnumsill/daemon/metrics_app.py
@@ -1,9 +1,7 @@
 """The ASGI application that serves the metrics as Prometheus text."""
 
-import typing
-from collections import abc
-
 from laburnumsill.core import metrics as metrics_module
+from laburnumsill.platform import http
 
 PATH = "/metrics"
 
@@ -15,26 +13,14 @@
         self._metrics = metrics
 
     async def __call__(
-        self,
-        scope: abc.Mapping[str, typing.Any],
-        receive: abc.Callable[[], abc.Awaitable[typing.Any]],
-        send: abc.Callable[[dict[str, typing.Any]], abc.Awaitable[None]],
+        self, scope: http.Scope, receive: http.Receive, send: http.Send
     ) -> None:
         """Serves one request."""
         if scope["type"] != "http":
             return
-        found = scope["path"] == PATH
-        body, headers = self._metrics.render() if found else (b"", {})
-        pairs = [
-            (name.lower().encode(), value.encode())
-            for name, value in headers.items()
-        ]
-        pairs.append((b"content-length", str(len(body)).encode()))
-        await send(
-            {
-                "type": "http.response.start",
-                "status": 200 if found else 404,
-                "headers": pairs,
-            }
-        )
-        await send({"type": "http.response.body", "body": body})
+        if scope["path"] != PATH:
+            await http.send_answer(send, http.Answer(404))
+            return
+        body, headers = self._metrics.render()
+        kind = headers["Content-Type"]
+        await http.send_answer(send, http.Answer(200, body, content_type=kind))
--- a/laburnumsill/daemon/role.py
+++ b/laburnumsill/daemon/role.py
@@ -44,11 +44,12 @@
         self._metrics = metrics_module.Metrics()
         self._stopping = trio.Event()
         self._stop_server = trio.Event()
+        self._vm = self._me(settings)
         self._network = networks.PeerNetwork(
-            self._me(settings), {}, self._clock, self._metrics, is_open=True
+            self._vm, {}, self._clock, self._metrics, is_open=True
         )
         self._directory = directory.Directory(
-            self._me(settings).vm_id,
+            self._vm.vm_id,
             self._network,
             settings.peer_address,
             self._core_members,
--- a/laburnumsill/emulator/workers.py
+++ b/laburnumsill/emulator/workers.py
@@ -225,6 +225,10 @@
         self._ends = [end for end in self._ends if end.number > noted]
 
 
+_Member = tuple[EmulatedWorker, _Running]
+"""A member of a gang, and where it runs."""
+
+
 class WorkerPool:
     """All workers of an emulated site, and the gangs across them.
 
@@ -269,33 +273,19 @@
             self._tick_gangs()
 
     def _tick_gangs(self) -> None:
-        gangs: dict[tuple[str, int, int, int], list[EmulatedWorker]] = {}
+        gangs: dict[tuple[str, int, int, int], list[_Member]] = {}
         for worker in self.workers.values():
             for one in worker.running.values():
                 if one.step.gang:
                     task = one.run.task
-                    key = (
-                        task.job_id,
-                        task.occurrence,
-                        task.step,
-                        one.run.number,
-                    )
-                    gangs.setdefault(key, []).append(worker)
-        for key, members in gangs.items():
-            self._tick_gang(key, members)
-
-    def _tick_gang(
-        self, key: tuple[str, int, int, int], members: list[EmulatedWorker]
-    ) -> None:
-        job_id, occurrence, step_number, number = key
-        parts = [
-            (worker, one)
-            for worker in dict.fromkeys(members)
-            for one in list(worker.running.values())
-            if (one.run.task.job_id, one.run.task.occurrence)
-            == (job_id, occurrence)
-            and (one.run.task.step, one.run.number) == (step_number, number)
-        ]
+                    number = one.run.number
+                    key = (task.job_id, task.occurrence, task.step, number)
+                    gangs.setdefault(key, []).append((worker, one))
+        for parts in gangs.values():
+            self._tick_gang(parts)
+
+    def _tick_gang(self, parts: list["_Member"]) -> None:
+        """Works for one tick at a gang, or ends it if it is not whole."""
         now = trio.current_time()
         whole = len(parts) == parts[0][1].step.tasks
         if not whole and any(one.was_whole for _, one in parts):
--- a/laburnumsill/platform/http.py
+++ b/laburnumsill/platform/http.py
@@ -55,11 +55,13 @@
         status: The HTTP status.
         body: The whole body.
         retry_after_s: When to come back, None for nothing said.
+        content_type: Of the body.
     """
 
     status: int
     body: bytes = b""
     retry_after_s: int | None = None
+    content_type: str = "application/json"
 
 
 def request_of(scope: Scope) -> Request:
@@ -102,7 +104,7 @@
         close: Whether the connection is closed after it.
     """
     headers = [
-        (b"content-type", b"application/json"),
+        (b"content-type", answer.content_type.encode()),
         (b"content-length", str(len(answer.body)).encode()),
     ]
     if answer.retry_after_s is not None:
