--- a/bench/configuration_node.py
+++ b/bench/configuration_node.py
@@ -25,6 +25,7 @@
 from laburnumsill.core import metrics
 from laburnumsill.core import replication
 from laburnumsill.core import topology
+from laburnumsill.daemon import configuration_messages
 from laburnumsill.daemon import configuration_sync
 from laburnumsill.state import machines
 from laburnumsill.wire import network
@@ -94,7 +95,7 @@
             self.fetches += 1
             return await handler(request)
 
-        fetch = request_type is configuration_sync.FetchInForce
+        fetch = request_type is configuration_messages.FetchInForce
         super().on_call(request_type, counted if fetch else handler)
 
 
--- a/laburnumsill/daemon/configuration_sync.py
+++ b/laburnumsill/daemon/configuration_sync.py
@@ -23,7 +23,6 @@
 """
 
 import contextlib
-import dataclasses
 import pathlib
 from collections import abc
 
@@ -36,7 +35,6 @@
 from laburnumsill.config import difference
 from laburnumsill.config import models as configuration_models
 from laburnumsill.core import clock as clocks
-from laburnumsill.core import codec
 from laburnumsill.core import errors
 from laburnumsill.core import ids
 from laburnumsill.core import logs
@@ -44,6 +42,7 @@
 from laburnumsill.core import topology
 from laburnumsill.daemon import configuration_fetch
 from laburnumsill.daemon import configuration_file
+from laburnumsill.daemon import configuration_messages as messages
 from laburnumsill.daemon import configuration_recipients
 from laburnumsill.daemon import configuration_sources
 from laburnumsill.state import configuration
@@ -66,36 +65,6 @@
 """Time at the start in which only a quorum's answer counts."""
 
 
-@codec.register("configuration.in-force")
-@dataclasses.dataclass(frozen=True, slots=True)
-class InForceNotice:
-    """Tells the version in force on a VM."""
-
-    vm: str
-    version: int
-    digest: str
-
-
-@codec.register("configuration.read-in-force")
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReadInForce:
-    """Asks a VM for its `InForceNotice`."""
-
-
-@codec.register("configuration.fetch")
-@dataclasses.dataclass(frozen=True, slots=True)
-class FetchInForce:
-    """Asks a VM for what leads to the version in force on it.
-
-    Attributes:
-        vm: The asker.
-        version: The version in force on the asker, 0 to get the whole.
-    """
-
-    vm: str
-    version: int = 0
-
-
 class ConfigurationSync(configuration_api.InForce):
     """Keeps the version in force on this VM up to date.
 
@@ -140,15 +109,15 @@
         self._opened: configuration_versions.OpenedVersion | None = None
         self._steps = configuration_versions.Steps()
         self._unusable: set[tuple[int, str]] = set()
-        self._said: dict[str, InForceNotice] = {}
+        self._said: dict[str, messages.InForceNotice] = {}
         self._observed: replication.StateMachine | None = None
         self._sources = configuration_sources.Sources(me, vms, clock)
         self._tell_at = 0.0
         self._wake = trio.Event()
         self._ready = trio.Event()
-        peers.on_notice(InForceNotice, self._on_notice)
-        peers.on_call(FetchInForce, self._on_fetch)
-        peers.on_call(ReadInForce, self._on_read)
+        peers.on_notice(messages.InForceNotice, self._on_notice)
+        peers.on_call(messages.FetchInForce, self._on_fetch)
+        peers.on_call(messages.ReadInForce, self._on_read)
 
     @property
     def ready(self) -> bool:
@@ -277,7 +246,9 @@
     async def _refresh_from(self, vm: str) -> None:
         deadline = self._clock.monotonic() + REFRESH_TIMEOUT_S
         try:
-            notice = await self._peers.call(vm, ReadInForce(), deadline)
+            notice = await self._peers.call(
+                vm, messages.ReadInForce(), deadline
+            )
         except errors.LaburnumsillError as error:
             logs.event(
                 "configuration-status-failed",
@@ -430,7 +401,7 @@
         self, vm: str, version: int
     ) -> configuration_versions.ConfigurationUpdate:
         deadline = self._clock.monotonic() + FETCH_TIMEOUT_S
-        request = FetchInForce(self._me.vm_id, version)
+        request = messages.FetchInForce(self._me.vm_id, version)
         update: configuration_versions.ConfigurationUpdate = (
             await self._peers.call(vm, request, deadline)
         )
@@ -459,12 +430,12 @@
         for vm in vms:
             self._peers.notify(vm, notice)
 
-    def _notice(self) -> InForceNotice:
-        return InForceNotice(
+    def _notice(self) -> messages.InForceNotice:
+        return messages.InForceNotice(
             self._me.vm_id, self._current.version, self._digest()
         )
 
-    def _on_notice(self, notice: InForceNotice) -> None:
+    def _on_notice(self, notice: messages.InForceNotice) -> None:
         self._said[notice.vm] = notice
         if notice.version > self._current.version:
             self._wake.set()
@@ -479,11 +450,13 @@
                 there=notice.digest,
             )
 
-    async def _on_read(self, request: ReadInForce) -> InForceNotice:
+    async def _on_read(
+        self, request: messages.ReadInForce
+    ) -> messages.InForceNotice:
         return self._notice()
 
     async def _on_fetch(
-        self, request: FetchInForce
+        self, request: messages.FetchInForce
     ) -> configuration_versions.ConfigurationUpdate:
         return configuration_versions.update_since(
             request.version, self._accepted, self._steps
@@ -523,7 +496,9 @@
         if vm == self._me:
             said = self._notice()
         else:
-            said = self._said.get(vm.vm_id, InForceNotice(vm.vm_id, 0, ""))
+            said = self._said.get(
+                vm.vm_id, messages.InForceNotice(vm.vm_id, 0, "")
+            )
         return configuration_api.VmInForce(
             vm.vm_id,
             vm.domain,
--- a/laburnumsill/daemon/tests/test_configuration_sync.py
+++ b/laburnumsill/daemon/tests/test_configuration_sync.py
@@ -13,6 +13,7 @@
 from laburnumsill.core import topology
 from laburnumsill.core import trio_clock
 from laburnumsill.daemon import configuration_file
+from laburnumsill.daemon import configuration_messages
 from laburnumsill.daemon import configuration_sync
 from laburnumsill.state import configuration
 from laburnumsill.testing import local_groups
@@ -183,7 +184,7 @@
     async with running(neighbour):
         site.push()
         await trio.sleep(3)
-        del site.net["vm3"].notices[configuration_sync.InForceNotice]
+        del site.net["vm3"].notices[configuration_messages.InForceNotice]
         sync, holder, groups = site.add(1)
         groups.unavailable.add("root")
         site.cut.add("vm3")
@@ -193,7 +194,7 @@
             assert holder.version == 0
             site.cut.clear()
             site.net["vm3"].on_notice(
-                configuration_sync.InForceNotice, lambda notice: None
+                configuration_messages.InForceNotice, lambda notice: None
             )
             with trio.fail_after(5):
                 await sync.wait_ready()
--- a/laburnumsill/daemon/tests/test_configuration_travel.py
+++ b/laburnumsill/daemon/tests/test_configuration_travel.py
@@ -4,9 +4,9 @@
 from laburnumsill.config import difference
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import topology
+from laburnumsill.daemon import configuration_messages
 from laburnumsill.daemon import configuration_recipients
 from laburnumsill.daemon import configuration_sources
-from laburnumsill.daemon import configuration_sync
 from laburnumsill.daemon.tests import test_configuration_sync as support
 from laburnumsill.state import configuration
 
@@ -21,7 +21,7 @@
             self.note(name, peers)
 
     def note(self, name, peers):
-        handler = peers.calls[configuration_sync.FetchInForce]
+        handler = peers.calls[configuration_messages.FetchInForce]
 
         async def noting(request):
             answer = await handler(request)
@@ -29,7 +29,7 @@
             self.fetches.append((request.vm, name, whole))
             return answer
 
-        peers.calls[configuration_sync.FetchInForce] = noting
+        peers.calls[configuration_messages.FetchInForce] = noting
 
     def push(self):
         log = self.site.log
