--- a/laburnumsill/daemon/configuration_sync.py
+++ b/laburnumsill/daemon/configuration_sync.py
@@ -40,6 +40,7 @@
 from laburnumsill.core import logs
 from laburnumsill.core import replication
 from laburnumsill.core import topology
+from laburnumsill.daemon import configuration_decoding
 from laburnumsill.daemon import configuration_fetch
 from laburnumsill.daemon import configuration_file
 from laburnumsill.daemon import configuration_messages as messages
@@ -108,7 +109,7 @@
         )
         self._opened: configuration_versions.OpenedVersion | None = None
         self._steps = configuration_versions.Steps()
-        self._unusable: set[tuple[int, str]] = set()
+        self._decoder = configuration_decoding.Decoder()
         self._said: dict[str, messages.InForceNotice] = {}
         self._observed: replication.StateMachine | None = None
         self._sources = configuration_sources.Sources(me, vms, clock)
@@ -156,7 +157,7 @@
         """
         if accepted.version <= self._current.version:
             return
-        models = self._decoded(
+        models = self._decoder.models_of(
             accepted, lambda: canonical.decode(accepted.body)
         )
         if models is not None:
@@ -182,7 +183,7 @@
         if before is None or len(changes) != accepted.version - version:
             self._adopt(accepted)
             return
-        models = self._decoded(
+        models = self._decoder.models_of(
             accepted,
             lambda: changed.decode(
                 before.configuration, reached.document, changes
@@ -355,7 +356,7 @@
             said
             for said in self._said.values()
             if said.version > self._current.version
-            and (said.version, said.digest) not in self._unusable
+            and self._decoder.may_use(said.version, said.digest)
         ]
         if newer:
             newest = max(said.version for said in newer)
@@ -465,31 +466,6 @@
     def _digest(self) -> str:
         return self._accepted.digest if self._accepted else ""
 
-    def _decoded(
-        self,
-        accepted: configuration_versions.AcceptedConfiguration,
-        decode: abc.Callable[[], configuration_models.Configuration],
-    ) -> configuration_models.Configuration | None:
-        """Returns a version's models, None if this program has no use for it.
-
-        A newer program may accept what this one cannot read; the version in
-        force stays then, and the status shows this VM behind.
-        """
-        key = (accepted.version, accepted.digest)
-        if key in self._unusable:
-            return None
-        try:
-            return decode()
-        except errors.InvalidConfigurationError as error:
-            self._unusable = {key}
-            logs.event(
-                "configuration-unusable",
-                level="ERROR",
-                version=accepted.version,
-                error=error.detail,
-            )
-            return None
-
     def _status_of(
         self, vm: topology.Vm, reachable: abc.Set[str]
     ) -> configuration_api.VmInForce:
