Let no late announcement bring back a worker that has ended

The sequences of announcements were in one leader's memory, so after a change of the lead an overtaken announcement could take a drain back; those of crashed workers were kept for ever. Ruled out: going by the address alone (either of the two may be the late one). Change: the ledger keeps the sequence of the newest change of each worker and, for five minutes, which incarnations have certainly ended (left, or denied by their address). Two workers that claim one address get nothing until the address was asked which of them is there. Before: the five tests fail (two of them with the contested check taken out). After: they pass; 138 tests of batch, emulator and platform pass.

--- a/laburnumsill/batch/commands.py
+++ b/laburnumsill/batch/commands.py
@@ -149,25 +149,41 @@
 @codec.register("batch.put-worker")
 @dataclasses.dataclass(frozen=True, slots=True)
 class PutWorker:
-    """Makes a worker known, or changes what is known of it."""
+    """Makes a worker known, or changes what is known of it.
+
+    Attributes:
+        worker: The worker.
+        sequence: Of the announcement that said so; an announcement that was
+            overtaken by another changes nothing.
+    """
 
     worker: model.Worker
+    sequence: int = 0
 
 
 @codec.register("batch.remove-worker")
 @dataclasses.dataclass(frozen=True, slots=True)
 class RemoveWorker:
-    """Forgets a worker that is gone; its runs are lost."""
+    """Forgets a worker that is gone; its runs are lost.
+
+    Attributes:
+        worker_id: The worker.
+        reason: Why, for people.
+        saved: Newest progress of its runs.
+        ended_ms: When its incarnation has certainly ended, ms since 1970: it
+            is never known again then. 0 if it may only be cut off.
+    """
 
     worker_id: str
     reason: str
     saved: tuple[SeenRun, ...] = ()
+    ended_ms: int = 0
 
 
 @codec.register("batch.forget-jobs")
 @dataclasses.dataclass(frozen=True, slots=True)
 class ForgetJobs:
-    """Forgets the jobs that ended before a time."""
+    """Forgets the jobs and workers that ended before a time."""
 
     ended_before_ms: int
 
--- a/laburnumsill/batch/intake.py
+++ b/laburnumsill/batch/intake.py
@@ -80,7 +80,6 @@
         self._peers = peers
         self._scheduler = scheduler
         self._clock = clock
-        self._sequences: dict[str, int] = {}
         peers.on_call(Announcement, self._on_announcement)
         peers.on_call(Departure, self._on_departure)
 
@@ -107,31 +106,41 @@
     async def _on_announcement(self, announcement: Announcement) -> Taken:
         """Takes note of an announcement, where this VM leads."""
         worker = announcement.worker
-        known = self._ledger().workers.get(worker.worker_id)
-        last = self._sequences.get(worker.worker_id, -1)
-        if announcement.sequence >= last:
-            self._sequences[worker.worker_id] = announcement.sequence
-            if known != worker:
-                await self._commit(commands.PutWorker(worker))
-                logs.event(
-                    "worker-known",
-                    worker=worker.worker_id,
-                    pool=worker.pool,
-                    address=worker.address,
-                    rack=worker.rack,
-                    draining=worker.draining,
-                    sequence=announcement.sequence,
-                )
+        sequence = announcement.sequence
+        ledger = self._ledger()
+        ended = ledger.has_ended(worker.worker_id)
+        if ended or sequence < ledger.sequence(worker.worker_id):
+            logs.decision(
+                "announcement-overtaken",
+                worker=worker.worker_id,
+                sequence=sequence,
+                newest=ledger.sequence(worker.worker_id),
+                ended=ended,
+            )
+            return Taken(self._me)
+        if ledger.workers.get(worker.worker_id) != worker:
+            await self._commit(commands.PutWorker(worker, sequence))
+            logs.event(
+                "worker-known",
+                worker=worker.worker_id,
+                pool=worker.pool,
+                address=worker.address,
+                rack=worker.rack,
+                draining=worker.draining,
+                sequence=sequence,
+            )
         self._scheduler.hear(worker.worker_id, announcement.clock_ms)
         return Taken(self._me)
 
     async def _on_departure(self, departure: Departure) -> Taken:
         """Takes note that a worker has ended, where this VM leads."""
         worker_id = departure.worker_id
-        self._sequences.pop(worker_id, None)
-        if worker_id in self._ledger().workers:
+        if not self._ledger().has_ended(worker_id):
             logs.event("worker-left", worker=worker_id)
-            await self._commit(commands.RemoveWorker(worker_id, "it left"))
+            ended_ms = int(self._clock.wall() * 1000)
+            await self._commit(
+                commands.RemoveWorker(worker_id, "it left", (), ended_ms)
+            )
         return Taken(self._me)
 
     async def _commit(self, command: object) -> None:
--- a/laburnumsill/batch/ledger.py
+++ b/laburnumsill/batch/ledger.py
@@ -26,6 +26,8 @@
     workers: list[model.Worker]
     runs: list[records.RunRecord]
     noted: dict[str, int]
+    sequences: dict[str, int]
+    ended_workers: dict[str, int]
 
 
 class BatchLedger(replication.Component):
@@ -54,6 +56,8 @@
         self._by_worker: dict[str, dict[model.RunId, records.RunRecord]] = {}
         self._run_of_task: dict[model.TaskId, model.RunId] = {}
         self._noted: dict[str, int] = {}
+        self._sequences: dict[str, int] = {}
+        self._ended_workers: dict[str, int] = {}
         self._active: dict[str, records.JobRecord] = {}
 
     @property
@@ -90,6 +94,14 @@
         """Returns the place up to which a worker's ends are noted."""
         return self._noted.get(worker_id, 0)
 
+    def sequence(self, worker_id: str) -> int:
+        """Returns which announcement of a worker the ledger goes by."""
+        return self._sequences.get(worker_id, 0)
+
+    def has_ended(self, worker_id: str) -> bool:
+        """Returns whether a worker's incarnation has certainly ended."""
+        return worker_id in self._ended_workers
+
     def needs_of(self, run: model.RunId) -> model.Resources:
         """Returns what a run of a remembered job occupies."""
         return self._jobs[run.task.job_id].job.steps[run.task.step].needs
@@ -157,8 +169,17 @@
                 self._save(seen.run, seen.saved)
 
     def put_worker(self, command: commands.PutWorker) -> None:
-        """Makes a worker known."""
-        self._workers[command.worker.worker_id] = command.worker
+        """Makes a worker known.
+
+        An announcement may arrive after later ones, and also after the end
+        of its sender: such a one changes nothing.
+        """
+        worker_id = command.worker.worker_id
+        overtaken = command.sequence < self.sequence(worker_id)
+        if overtaken or self.has_ended(worker_id):
+            return
+        self._workers[worker_id] = command.worker
+        self._sequences[worker_id] = command.sequence
 
     def remove_worker(self, command: commands.RemoveWorker) -> None:
         """Forgets a worker; its runs are lost."""
@@ -169,16 +190,28 @@
             self._remove_run(run)
         self._workers.pop(command.worker_id, None)
         self._noted.pop(command.worker_id, None)
+        self._sequences.pop(command.worker_id, None)
         self._by_worker.pop(command.worker_id, None)
+        if command.ended_ms:
+            self._ended_workers[command.worker_id] = command.ended_ms
 
     def forget(self, command: commands.ForgetJobs) -> None:
-        """Forgets jobs that ended long ago and have no live run."""
+        """Forgets what ended long ago; jobs only if they have no live run."""
+        for worker_id, ended_ms in list(self._ended_workers.items()):
+            if ended_ms < command.ended_before_ms:
+                del self._ended_workers[worker_id]
         busy = {run.task.job_id for run in self._runs}
         for job_id, record in list(self._jobs.items()):
             ended = 0 < record.ended_ms < command.ended_before_ms
             if ended and job_id not in busy:
                 del self._jobs[job_id]
 
+    def may_forget(self, before_ms: int) -> bool:
+        """Returns whether `forget` would find something."""
+        jobs = (record.ended_ms for record in self._jobs.values())
+        ends = (*jobs, *self._ended_workers.values())
+        return any(0 < ended_ms < before_ms for ended_ms in ends)
+
     def job_state(self, query: commands.JobQuery) -> commands.JobAnswer:
         """Returns the state of a job."""
         record = self._jobs.get(query.job_id)
@@ -201,6 +234,8 @@
                 list(self._workers.values()),
                 list(self._runs.values()),
                 dict(self._noted),
+                dict(self._sequences),
+                dict(self._ended_workers),
             )
         )
 
@@ -217,6 +252,8 @@
         for run in snapshot.runs:
             self._add_run(run)
         self._noted = dict(snapshot.noted)
+        self._sequences = dict(snapshot.sequences)
+        self._ended_workers = dict(snapshot.ended_workers)
 
     def _place_group(
         self, group: tuple[commands.Placement, ...], at_ms: int
--- a/laburnumsill/batch/scheduler.py
+++ b/laburnumsill/batch/scheduler.py
@@ -325,15 +325,33 @@
 
     def _usable(self) -> set[str]:
         now = self.clock.monotonic()
+        contested = self._contested()
         return {
             worker_id
             for worker_id, session in self._sessions.items()
             if session.failing_since is None
+            and worker_id not in contested
             and now - session.heard_at < UNHEARD_S
             and now >= session.unwell_until
             and not self.health.set_aside(worker_id, now)
         }
 
+    def _contested(self) -> set[str]:
+        """Returns the workers that claim an address which another claims.
+
+        One of them has ended, and which one is not known until the address
+        is asked: a late announcement may be that of the ended one.
+        """
+        claims: dict[str, list[str]] = {}
+        for worker_id, worker in self.ledger.workers.items():
+            claims.setdefault(worker.address, []).append(worker_id)
+        return {
+            worker_id
+            for claimants in claims.values()
+            if len(claimants) > 1
+            for worker_id in claimants
+        }
+
     def _stopping(self) -> set[model.RunId]:
         found: set[model.RunId] = set()
         for session in self._sessions.values():
@@ -387,6 +405,8 @@
             if worker_id not in self.ledger.workers:
                 del self._sessions[worker_id]
                 self._scopes.pop(worker_id).cancel()
+        for worker_id in self._contested():
+            self._sessions[worker_id].verify()
 
     async def _run_session(self, session: sessions.WorkerSession) -> None:
         with self._scopes[session.worker_id]:
@@ -427,10 +447,7 @@
             return
         self._forget_at_ms = now_ms + FORGET_EVERY_S * 1000
         before_ms = now_ms - int(KEEP_ENDED_S * 1000)
-        if any(
-            0 < record.ended_ms < before_ms
-            for record in self.ledger.jobs.values()
-        ):
+        if self.ledger.may_forget(before_ms):
             await self.commit(commands.ForgetJobs(before_ms))
 
     def _publish(self) -> None:
--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -43,6 +43,7 @@
         self._state = worker_state.WorkerState(worker, term)
         self._orders = orders.Orders(self._state, nursery)
         self._reported_noted = term.ledger.noted(worker.worker_id)
+        self._unverified = False
 
     @property
     def worker_id(self) -> str:
@@ -86,6 +87,16 @@
         """Takes what the worker says of itself now."""
         self._state.worker = worker
 
+    def verify(self) -> None:
+        """Asks the worker's address whether this incarnation is there.
+
+        Another one there answers so, and the session ends then.
+        """
+        if not self._unverified:
+            self._unverified = True
+            logs.event("worker-contested", worker=self.worker_id)
+        self._state.wakeup.set()
+
     def start(self, run: model.RunId) -> None:
         """Begins to start a run that was placed here."""
         self._orders.start(run)
@@ -106,7 +117,8 @@
     def _needs_report(self) -> bool:
         ledger = self._term.ledger
         unsaid = ledger.noted(self._state.worker_id) > self._reported_noted
-        return bool(ledger.runs_on(self._state.worker_id)) or unsaid
+        runs = ledger.runs_on(self._state.worker_id)
+        return bool(runs) or unsaid or self._unverified
 
     async def _report_once(self) -> None:
         now = self._term.clock.monotonic()
@@ -129,13 +141,14 @@
             await self._report_failed(error)
             return
         self._reported_noted = max(self._reported_noted, noted)
+        self._unverified = False
         self._state.answered(report.clock_ms)
         await self._take(report, now)
 
     def _wait_ms(self) -> int:
         """Returns how long the next report may wait for an end."""
         runs = self._term.ledger.runs_on(self._state.worker_id)
-        if not runs:
+        if not runs or self._unverified:
             return 0
         if not self._state.leases.known:
             return 0
--- /dev/null
+++ b/laburnumsill/batch/tests/test_worker_incarnations.py
@@ -0,0 +1,110 @@
+"""Announcements that arrive after later ones, or after their sender's end."""
+
+import trio
+import trio.testing
+
+from laburnumsill.batch import commands
+from laburnumsill.batch import ledger as ledgers
+from laburnumsill.batch import model
+from laburnumsill.emulator import site as sites
+
+ENDED_MS = 5_000
+
+
+def worker(draining=False):
+    return model.Worker(
+        "w", "pool", "a:1", "d", model.Resources(8, 8, 8), draining=draining
+    )
+
+
+def test_an_overtaken_announcement_does_not_take_a_drain_back():
+    ledger = ledgers.BatchLedger()
+    ledger.put_worker(commands.PutWorker(worker(), 3))
+    ledger.put_worker(commands.PutWorker(worker(draining=True), 9))
+    ledger.put_worker(commands.PutWorker(worker(), 8))
+    assert ledger.workers["w"].draining
+    restored = ledgers.BatchLedger()
+    restored.load(ledger.dump())
+    restored.put_worker(commands.PutWorker(worker(), 8))
+    assert restored.workers["w"].draining
+
+
+def test_a_worker_that_has_ended_is_never_known_again():
+    ledger = ledgers.BatchLedger()
+    ledger.put_worker(commands.PutWorker(worker(), 3))
+    gone = commands.RemoveWorker("w", "it left", (), ENDED_MS)
+    ledger.remove_worker(gone)
+    restored = ledgers.BatchLedger()
+    restored.load(ledger.dump())
+    for one in (ledger, restored):
+        one.put_worker(commands.PutWorker(worker(), 4))
+        assert "w" not in one.workers
+        assert one.may_forget(ENDED_MS + 1)
+        one.forget(commands.ForgetJobs(ENDED_MS + 1))
+        assert not one.has_ended("w")
+
+
+def test_a_worker_that_was_only_silent_may_come_back():
+    ledger = ledgers.BatchLedger()
+    ledger.put_worker(commands.PutWorker(worker(), 3))
+    ledger.remove_worker(commands.RemoveWorker("w", "silent"))
+    ledger.put_worker(commands.PutWorker(worker(), 4))
+    assert "w" in ledger.workers
+
+
+def play(script):
+    async def main():
+        site = sites.EmulatedSite(1, racks=1, per_rack=1)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(site.run)
+            await script(site)
+            nursery.cancel_scope.cancel()
+        assert not site.oracle.broken, site.oracle.broken
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def gang(job_id, tasks):
+    step = model.Step(tasks, model.Resources(1000, 64, 4), 1000, gang=True)
+    terms = model.QueueTerms("pool", 0, 3, 1.5, 250)
+    return model.Job(job_id, "q", "a", "", (step,), terms)
+
+
+def test_a_late_announcement_of_a_crashed_worker_takes_no_work():
+    """Its successor at the same address is asked which of them is there."""
+
+    async def script(site):
+        await trio.sleep(1.0)
+        old = site.pool.workers["w0-0"].worker
+        site.pool.workers["w0-0"].vanish()
+        site.add_worker("reborn", 0, old.address)
+        await trio.sleep(0.5)
+        assert set(site.ledger.workers) == {"reborn"}
+        # Neither its crash nor its successor was known to this leader.
+        site.ledger._ended_workers.clear()
+        site.announce(old, 100)
+        await site.submit(gang("j", 2), [1.0])
+        await trio.sleep(1.5)
+        assert set(site.ledger.workers) == {"reborn"}
+        site.look()
+        assert site.outcomes["j"].state == "completed"
+
+    play(script)
+
+
+def test_work_waits_while_two_workers_claim_an_unreachable_address():
+    async def script(site):
+        await trio.sleep(1.0)
+        old = site.pool.workers["w0-0"].worker
+        site.pool.workers["w0-0"].vanish()
+        site.client.cut = {"w0-0", "reborn"}
+        site.add_worker("reborn", 0, old.address)
+        await site.submit(gang("j", 1), [1.0])
+        await trio.sleep(2.0)
+        assert not site.ledger.runs
+        site.client.cut = set()
+        await trio.sleep(3.0)
+        site.look()
+        assert site.outcomes["j"].state == "completed"
+
+    play(script)
--- a/laburnumsill/batch/worker_state.py
+++ b/laburnumsill/batch/worker_state.py
@@ -112,7 +112,10 @@
         logs.event("worker-gone", worker=self.worker_id, reason=reason)
         await self.term.commit(
             commands.RemoveWorker(
-                self.worker_id, reason, tuple(self.progress())
+                self.worker_id,
+                reason,
+                tuple(self.progress()),
+                int(self.term.clock.wall() * 1000),
             )
         )
         self.term.wake()
--- a/laburnumsill/emulator/site.py
+++ b/laburnumsill/emulator/site.py
@@ -179,13 +179,19 @@
             await trio.sleep_forever()
 
     def add_worker(
-        self, worker_id: str, rack: int
+        self, worker_id: str, rack: int, address: str = ""
     ) -> worker_module.EmulatedWorker:
-        """Adds a worker and makes it known."""
+        """Adds a worker and makes it known.
+
+        Args:
+            worker_id: New for each incarnation.
+            rack: The number of its rack.
+            address: That of the worker before it, "" for one of its own.
+        """
         worker = model.Worker(
             worker_id,
             "pool",
-            worker_id,
+            address or worker_id,
             f"d{rack}",
             self._capacity,
             ("a", f"r{rack}"),
@@ -195,9 +201,13 @@
             clock_rate=self.random.choice([1.0, 0.98])
         )
         made = self.pool.add(worker, behaviour)
-        self.groups.machine.apply(commands.PutWorker(worker))
+        self.announce(worker, 0)
         return made
 
+    def announce(self, worker: model.Worker, sequence: int) -> None:
+        """Has an announcement arrive, maybe long after it was sent."""
+        self.groups.machine.apply(commands.PutWorker(worker, sequence))
+
     async def propose(self, command: object) -> typing.Any:
         """Commits a caller's command with whoever leads."""
         while True:
