Close all idle connections to a server after one unanswered request

Cause: open connections may go silent for good without a reset while new ones work (the users' news). A kept connection that is silent costs a timeout of a second; up to twelve are kept for a worker, so starts and stops could meet one silent connection after the other until they were given up. Ruled out: the connections between VMs, which end after 1.5 s of silence and are dialed anew (wire/tests/test_network.py). Change: a request without an answer in time closes the idle connections of its address, so the next one opens a new connection. Before: the new test fails (the second request meets another silent one). After: it passes.

--- a/laburnumsill/clients/http_pools.py
+++ b/laburnumsill/clients/http_pools.py
@@ -85,6 +85,7 @@
                 )
         except (OSError, *_LOST) as error:
             raise NoResponseError(f"{call}: {error!r}") from error
+        await self._close_idle(address)
         raise NoResponseError(f"{call}: none in time")
 
     async def close(self) -> None:
@@ -105,6 +106,17 @@
         self._pools.move_to_end(address)
         return pool
 
+    async def _close_idle(self, address: str) -> None:
+        """Closes the connections to an address that carry no request.
+
+        Connections may go silent for good without a reset, all at once;
+        without this each of them would cost a timeout of its own.
+        """
+        pool = self._pools.get(address)
+        for connection in pool.connections if pool else ():
+            if connection.is_idle():
+                await connection.aclose()
+
     async def _close_unused(self) -> None:
         """Closes the longest unused pool where there are too many."""
         if len(self._pools) <= self._limits.pools:
--- /dev/null
+++ b/laburnumsill/clients/tests/test_http_pools.py
@@ -0,0 +1,79 @@
+"""Kept connections against a server whose old ones go silent."""
+
+import contextlib
+
+import pytest
+import trio
+
+from laburnumsill.clients import http_pools
+from laburnumsill.core import trio_clock
+
+LIMITS = http_pools.PoolLimits(
+    connections=8, keep_alive_s=60.0, connect_within_s=1.0
+)
+PATIENCE_S = 0.2
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class Server:
+    """Answers on new connections; those that it was told of stay silent."""
+
+    def __init__(self):
+        self.address = ""
+        self.connections = 0
+        self.released = trio.Event()
+        self._silent_up_to = 0
+
+    def silence_open_connections(self):
+        self._silent_up_to = self.connections
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
+        async with trio.open_nursery() as nursery:
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            nursery.start_soon(trio.serve_listeners, self._serve, listeners)
+            port = listeners[0].socket.getsockname()[1]
+            self.address = f"127.0.0.1:{port}"
+            task_status.started()
+
+    async def _serve(self, stream):
+        self.connections += 1
+        number = self.connections
+        with contextlib.suppress(trio.BrokenResourceError):
+            while await stream.receive_some():
+                await self.released.wait()
+                if number <= self._silent_up_to:
+                    await trio.sleep_forever()
+                await stream.send_all(ANSWER)
+
+
+async def request(pools, address):
+    deadline = trio.current_time() + PATIENCE_S
+    return await pools.request("POST", address, "/x", {}, b"{}", deadline)
+
+
+async def open_connections(pools, server, count):
+    """Has so many requests at a time, so that as many connections are kept."""
+    async with trio.open_nursery() as nursery:
+        for _ in range(count):
+            nursery.start_soon(request, pools, server.address)
+        with trio.fail_after(5):
+            while server.connections < count:
+                await trio.sleep(0.001)
+        server.released.set()
+
+
+async def test_one_unanswered_request_ends_all_silent_connections():
+    """Otherwise each of them costs a timeout of its own."""
+    async with trio.open_nursery() as nursery:
+        server = Server()
+        await nursery.start(server.run)
+        pools = http_pools.HttpPools(trio_clock.TrioClock(), LIMITS)
+        await open_connections(pools, server, 4)
+        server.silence_open_connections()
+        with pytest.raises(http_pools.NoResponseError):
+            await request(pools, server.address)
+        answer = await request(pools, server.address)
+        assert answer.status == 200
+        assert server.connections == 5
+        await pools.close()
+        nursery.cancel_scope.cancel()
