--- a/laburnumsill/clients/tests/test_http_pools.py
+++ b/laburnumsill/clients/tests/test_http_pools.py
@@ -16,12 +16,16 @@
 
 
 class Server:
-    """Answers on new connections; those that it was told of stay silent."""
+    """Answers on new connections; those that it was told of stay silent.
 
-    def __init__(self):
+    It answers nothing before `first` connections are open.
+    """
+
+    def __init__(self, first):
         self.address = ""
         self.connections = 0
-        self.released = trio.Event()
+        self._first = first
+        self._all_open = trio.Event()
         self._silent_up_to = 0
 
     def silence_open_connections(self):
@@ -38,9 +42,11 @@
     async def _serve(self, stream):
         self.connections += 1
         number = self.connections
+        if number == self._first:
+            self._all_open.set()
         with contextlib.suppress(trio.BrokenResourceError):
             while await stream.receive_some():
-                await self.released.wait()
+                await self._all_open.wait()
                 if number <= self._silent_up_to:
                     await trio.sleep_forever()
                 await stream.send_all(ANSWER)
@@ -51,24 +57,15 @@
     return await pools.request("POST", address, "/x", {}, b"{}", deadline)
 
 
-async def open_connections(pools, server, count):
-    """Has so many requests at a time, so that as many connections are kept."""
-    async with trio.open_nursery() as nursery:
-        for _ in range(count):
-            nursery.start_soon(request, pools, server.address)
-        with trio.fail_after(5):
-            while server.connections < count:
-                await trio.sleep(0.001)
-        server.released.set()
-
-
 async def test_one_unanswered_request_ends_all_silent_connections():
     """Otherwise each of them costs a timeout of its own."""
     async with trio.open_nursery() as nursery:
-        server = Server()
+        server = Server(first=4)
         await nursery.start(server.run)
         pools = http_pools.HttpPools(trio_clock.TrioClock(), LIMITS)
-        await open_connections(pools, server, 4)
+        async with trio.open_nursery() as at_once:
+            for _ in range(4):
+                at_once.start_soon(request, pools, server.address)
         server.silence_open_connections()
         with pytest.raises(http_pools.NoResponseError):
             await request(pools, server.address)
