--- a/bench/batch_planning.py
+++ b/bench/batch_planning.py
@@ -42,7 +42,13 @@
     """Plays one day."""
     source = random.Random(seed)
     jobs = loads.arrivals(shape, source, DAY_S, load)
-    site = sites.EmulatedSite(seed, shape.racks, shape.per_rack, shape.capacity)
+    site = sites.EmulatedSite(
+        seed,
+        shape.racks,
+        shape.per_rack,
+        shape.capacity,
+        shape.stop_grace_s,
+    )
     async with trio.open_nursery() as nursery:
         await nursery.start(site.run)
         for number, worker in enumerate(site.pool.workers.values()):
@@ -64,7 +70,7 @@
 async def hand_in(site: sites.EmulatedSite, one: loads.Arrival) -> None:
     """Hands a job in, looks at it, and cancels it if it is to be."""
     await trio.sleep(one.at_s)
-    await site.submit(one.job, list(one.work_s))
+    await site.submit(one.job, list(one.work_s), uneven=one.kind.uneven)
     if one.cancel_after_s is not None:
         await trio.sleep(one.cancel_after_s)
         await site.cancel(one.job.job_id)
--- a/laburnumsill/emulator/load.py
+++ b/laburnumsill/emulator/load.py
@@ -34,6 +34,8 @@
         second_step_share: Share with a second step.
         cancelled_share: Share that is cancelled after a while.
         estimate_spread: Sigma of the logarithm of the guess.
+        uneven: Sigma of the logarithm of one task's work against another's.
+        there_first: Jobs that are handed in at the very start.
         worth: For a job that is in time.
         late_worth: For one within three times its objective.
     """
@@ -56,6 +58,8 @@
     second_step_share: float
     cancelled_share: float
     estimate_spread: float
+    uneven: float
+    there_first: int
     worth: float
     late_worth: float
 
@@ -80,7 +84,9 @@
 
 
 def _kinds(
-    cores: tuple[int, int, int], rates: tuple[float, ...]
+    cores: tuple[int, int, int],
+    rates: tuple[float, ...],
+    there_first: tuple[int, int],
 ) -> tuple[Kind, ...]:
     """Returns sweeps, urgent confirmations and batches of one site."""
     mb_per_core = 4_050
@@ -90,17 +96,20 @@
         Kind(
             "sweep", rates[0], terms("pool", 1, 2, 3.0, 1000),
             5, 0.8, 30, 6.8, 0.3, sweep, sweep * mb_per_core // 1000,
-            (1, 2, 4, 8, 8), True, 0.6, 0.45, 0.0, 0.0, 0.05, 0.9, 3.0, 0.9,
+            (1, 2, 4, 8, 8), True, 0.6, 0.45, 0.0, 0.0, 0.05, 0.9,
+            0.0, there_first[0], 3.0, 0.9,
         ),
         Kind(
             "urgent", rates[1], terms("pool", 0, 3, 1.5, 250),
             3.4, 0.8, 21, 2.5, 0.5, urgent, urgent * mb_per_core // 1000,
-            (1, 2, 4, 8, 8), True, 0.8, 0.0, 0.0, 0.0, 0.0, 0.5, 4.0, 0.8,
+            (1, 2, 4, 8, 8), True, 0.8, 0.0, 0.0, 0.0, 0.0, 0.5,
+            0.0, 0, 4.0, 0.8,
         ),
         Kind(
             "batch", rates[2], terms("pool", 2, 4, 3.0, 3000),
             16, 0.8, 94, 6.1, 0.3, batch, batch * mb_per_core // 1000,
-            (1,), False, 0.0, 0.45, 0.12, 0.3, 0.15, 0.9, 1.0, 0.3,
+            (1,), False, 0.0, 0.45, 0.12, 0.3, 0.15, 0.9,
+            0.2, there_first[1], 1.0, 0.3,
         ),
     )  # fmt: skip
 
@@ -109,7 +118,7 @@
     3,
     8,
     model.Resources(128_000, 524_288, 8),
-    _kinds((52, 15, 11), (0.392, 0.954, 0.369)),
+    _kinds((52, 15, 11), (0.392, 0.954, 0.369), (3, 4)),
     0.9,
 )
 """Hut booking: confirmations are urgent, pricing and tagging can wait."""
@@ -118,7 +127,7 @@
     4,
     6,
     model.Resources(32_000, 131_072, 8),
-    _kinds((13, 4, 3), (0.539, 1.2, 0.529)),
+    _kinds((13, 4, 3), (0.539, 1.2, 0.529), (4, 5)),
     0.2,
 )
 """Tee sheet: slot offers are urgent, reconciliation and recalculation wait."""
@@ -166,6 +175,9 @@
     """
     found: list[Arrival] = []
     for kind in shape.kinds:
+        for _ in range(kind.there_first):
+            name = f"{kind.name}-{len(found)}"
+            found.append(_arrival(shape, source, kind, 0.0, name))
         at_s = source.expovariate(kind.per_s * load)
         while at_s < length_s:
             name = f"{kind.name}-{len(found)}"
--- a/laburnumsill/emulator/site.py
+++ b/laburnumsill/emulator/site.py
@@ -115,6 +115,7 @@
         racks: How many racks there are.
         per_rack: Workers in each.
         capacity: Of each worker.
+        stop_grace_s: How long a stop takes.
     """
 
     def __init__(
@@ -123,17 +124,21 @@
         racks: int = 3,
         per_rack: int = 4,
         capacity: model.Resources = DEFAULT_CAPACITY,
+        stop_grace_s: float = worker_module.DEFAULT_STOP_GRACE_S,
     ) -> None:
+        self._seed = seed
         self.random = random.Random(seed)
         self.oracle = oracles.Oracle()
         self.work: dict[tuple[str, int], float] = {}
+        self.uneven: dict[str, float] = {}
         self.hopeless: set[str] = set()
         self.guarantees: dict[str, int] = {}
         self.outcomes: dict[str, Outcome] = {}
         self.pool = worker_module.WorkerPool(
             self.oracle,
-            lambda task: self.work[(task.job_id, task.step)],
+            self._work_of,
             lambda task: task.job_id in self.hopeless,
+            stop_grace_s,
         )
         self.client = worker_module.UnreliableClient(self.pool, self.random)
         self.ledger = ledgers.BatchLedger()
@@ -220,10 +225,23 @@
                 await trio.sleep(0.1)
 
     async def submit(
-        self, job: model.Job, work_s: list[float], hopeless: bool = False
+        self,
+        job: model.Job,
+        work_s: list[float],
+        hopeless: bool = False,
+        uneven: float = 0.0,
     ) -> None:
-        """Hands a job in; `work_s` is the true work of each step's tasks."""
+        """Hands a job in.
+
+        Args:
+            job: The job.
+            work_s: The true work of each step's tasks.
+            hopeless: Whether its tasks always fail.
+            uneven: Sigma of the logarithm of the work of one task of a step
+                against another's.
+        """
         self.oracle.submitted(job)
+        self.uneven[job.job_id] = uneven
         for step, seconds in enumerate(work_s):
             self.work[(job.job_id, step)] = seconds
         if hopeless:
@@ -253,6 +271,15 @@
                 outcome.ended_at = now
             outcome.state = state
 
+    def _work_of(self, task: model.TaskId) -> float:
+        """Returns the true work of a task, in seconds; each run has it."""
+        work_s = self.work[(task.job_id, task.step)]
+        uneven = self.uneven[task.job_id]
+        if not uneven:
+            return work_s
+        source = random.Random(f"{self._seed} {task}")
+        return work_s * source.lognormvariate(0, uneven)
+
     async def _send_heartbeats(self) -> None:
         while True:
             for worker in list(self.pool.workers.values()):
--- a/laburnumsill/emulator/workers.py
+++ b/laburnumsill/emulator/workers.py
@@ -15,7 +15,9 @@
 TICK_S = 0.02
 """How often what has ended is looked for, virtual time."""
 
-STOP_GRACE_S = 0.4
+DEFAULT_STOP_GRACE_S = 0.4
+"""A stop takes so long, unless the site says otherwise."""
+
 CHECKPOINT_S = 1.0
 GANG_TIMEOUT_S = 3.0
 FAR_FACTOR = 3.0
@@ -129,7 +131,7 @@
         known = self._running.get(run.task)
         there = known is not None and known.run.number <= run.number
         if known is not None and there and known.stop_at is None:
-            known.stop_at = trio.current_time() + STOP_GRACE_S
+            known.stop_at = trio.current_time() + self._pool.stop_grace_s
         over = self._over.get(run.task, 0)
         self._over[run.task] = max(over, run.number)
 
@@ -236,6 +238,7 @@
         oracle: Judges what is seen.
         work_of: Returns the true work of a task, in seconds.
         hopeless: Returns whether a task always fails.
+        stop_grace_s: How long a stop takes.
     """
 
     def __init__(
@@ -243,8 +246,10 @@
         oracle: oracles.Oracle,
         work_of: WorkOf,
         hopeless: abc.Callable[[model.TaskId], bool],
+        stop_grace_s: float = DEFAULT_STOP_GRACE_S,
     ) -> None:
         self.oracle = oracle
+        self.stop_grace_s = stop_grace_s
         self.work_of = work_of
         self.hopeless = hopeless
         self.workers: dict[str, EmulatedWorker] = {}
