Plan without counting the same slots again for each waiting unit

Change: slots counted for one unit bound those for the next ones of the same needs; obstacles are worked out when a line is due; gangs are counted once.

--- a/laburnumsill/batch/model.py
+++ b/laburnumsill/batch/model.py
@@ -54,16 +54,15 @@
             >>> Resources(1000, 64, 2).times_in(Resources(9000, 640, 8))
             4
         """
-        ratios = [
-            available // needed
-            for needed, available in (
-                (self.cpu_millis, room.cpu_millis),
-                (self.memory_mb, room.memory_mb),
-                (self.accelerators, room.accelerators),
-            )
-            if needed > 0
-        ]
-        return max(0, min(ratios)) if ratios else UNBOUNDED
+        # Written out: the planner asks this for each worker and unit.
+        times = UNBOUNDED
+        if self.cpu_millis > 0:
+            times = min(times, room.cpu_millis // self.cpu_millis)
+        if self.memory_mb > 0:
+            times = min(times, room.memory_mb // self.memory_mb)
+        if self.accelerators > 0:
+            times = min(times, room.accelerators // self.accelerators)
+        return max(0, times)
 
 
 UNBOUNDED = 1_000_000
--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -49,6 +49,7 @@
         avoid: Workers on which a task is not to be run again.
         slowness: Run time on a worker relative to others.
         kept_racks: The racks that were kept for gangs at the last plan.
+        explain: Whether it is to be said what stands in a unit's way.
     """
 
     ledger: ledgers.BatchLedger
@@ -61,6 +62,7 @@
     kept_racks: abc.Mapping[units.Key, str] = dataclasses.field(
         default_factory=dict
     )
+    explain: abc.Callable[[units.Key], bool] = lambda _: False
 
 
 @dataclasses.dataclass(slots=True)
@@ -72,12 +74,14 @@
         stops: Runs to stop, to make room.
         waiting: Units that could not be placed.
         kept_racks: The racks that are kept for gangs, for the next plan.
+        obstacles: What stands in the way of waiting units, for people.
     """
 
     groups: list[tuple[commands.Placement, ...]]
     stops: list[model.RunId]
     waiting: list[units.Unit]
     kept_racks: dict[units.Key, str] = dataclasses.field(default_factory=dict)
+    obstacles: dict[units.Key, str] = dataclasses.field(default_factory=dict)
 
 
 def plan(view: View) -> Plan:
@@ -94,6 +98,7 @@
         self._urgent_use = _urgent_use(view.ledger)
         self._victims: list[preemption.Victim] | None = None
         self._fenced = 0
+        self._most_slots: dict[tuple[object, ...], int] = {}
 
     def run(self) -> Plan:
         waiting = units.ready_units(self._ledger, self._view.now_ms)
@@ -123,25 +128,47 @@
 
     def _place(self, unit: units.Unit) -> None:
         rooms = self._eligible(unit)
-        found = packing.fit(
-            unit,
-            rooms,
-            packing.free_now,
-            self._count_on,
-            self._may_spread(unit, rooms),
-        )
+        found = [] if self._is_hopeless(unit) else self._fit(unit, rooms)
         self._take(unit, found)
         placed = {task for task, _ in found}
         unit.tasks = [task for task in unit.tasks if task not in placed]
         if not unit.tasks:
             return
-        unit.obstacle = self._obstacle(unit, rooms)
+        if self._view.explain(unit.key):
+            self._plan.obstacles[unit.key] = self._obstacle(unit, rooms)
         self._plan.waiting.append(unit)
         if unit.priority == packing.URGENT_PRIORITY:
             self._make_room(unit, rooms)
         elif unit.step.gang:
             self._fence_rack(unit, rooms)
 
+    def _fit(
+        self, unit: units.Unit, rooms: list[room_module.Room]
+    ) -> packing.Assignment:
+        return packing.fit(
+            unit,
+            rooms,
+            packing.free_now,
+            self._count_on,
+            self._may_spread(unit, rooms),
+        )
+
+    def _is_hopeless(self, unit: units.Unit) -> bool:
+        """Whether an earlier unit like this has shown that it cannot fit.
+
+        What is free only becomes less while a plan is made, so the slots
+        that were counted for the first unit bound those for the others.
+        """
+        step = unit.step
+        key = (unit.record.job.terms.pool, step.required_label, step.needs)
+        if key not in self._most_slots:
+            rooms = packing.eligible(unit, self._rooms.values())
+            self._most_slots[key] = sum(
+                step.needs.times_in(room.free) for room in rooms
+            )
+        wanted = len(unit.tasks) if step.gang else 1
+        return self._most_slots[key] < wanted
+
     def _may_spread(
         self, unit: units.Unit, rooms: list[room_module.Room]
     ) -> bool:
--- a/laburnumsill/batch/scheduler.py
+++ b/laburnumsill/batch/scheduler.py
@@ -6,7 +6,6 @@
 runs there may be.
 """
 
-import dataclasses
 import math
 from collections import abc
 
@@ -256,6 +255,7 @@
             self.health.avoid,
             self._slowness,
             self._kept_racks,
+            self._is_log_due,
         )
         made = planner.plan(view)
         self._kept_racks = made.kept_racks
@@ -299,13 +299,16 @@
         waiting = {}
         for unit in made.waiting:
             log_at = self._waiting.get(unit.key, now)
-            if log_at <= now:
-                self._log_unit(unit)
+            if unit.key in made.obstacles:
+                self._log_unit(unit, made.obstacles[unit.key])
                 log_at = now + LOG_WAITING_EVERY_S
             waiting[unit.key] = log_at
         self._waiting = waiting
 
-    def _log_unit(self, unit: units.Unit) -> None:
+    def _is_log_due(self, key: units.Key) -> bool:
+        return self._waiting.get(key, 0.0) <= self.clock.monotonic()
+
+    def _log_unit(self, unit: units.Unit, obstacle: str) -> None:
         logs.decision(
             "unit-waits",
             job=unit.record.job.job_id,
@@ -319,7 +322,7 @@
             label=unit.step.required_label,
             priority=unit.priority,
             waited_ms=self._now_ms() - unit.waiting_since_ms,
-            obstacle=unit.obstacle,
+            obstacle=obstacle,
             usable=len(self._usable()),
         )
 
@@ -366,12 +369,31 @@
 
     def _stop_unwanted(self) -> None:
         """Stops runs of ended jobs, done tasks and broken gangs."""
+        broken = self._broken_gangs()
         for run in list(self.ledger.runs):
-            reason = self._unwanted_because(run)
+            reason = self._unwanted_because(run, broken)
             if reason:
                 self._stop(run, reason)
 
-    def _unwanted_because(self, run: model.RunId) -> str:
+    def _broken_gangs(self) -> set[tuple[str, int, int]]:
+        """Returns the steps whose gangs have live runs and are not whole."""
+        members: dict[tuple[str, int, int], list[int]] = {}
+        for run in self.ledger.runs:
+            task = run.task
+            record = self.ledger.jobs.get(task.job_id)
+            if record is not None and record.job.steps[task.step].gang:
+                key = (task.job_id, task.occurrence, task.step)
+                members.setdefault(key, []).append(run.number)
+        return {
+            key
+            for key, numbers in members.items()
+            if len(numbers) < self.ledger.jobs[key[0]].job.steps[key[2]].tasks
+            or len(set(numbers)) > 1
+        }
+
+    def _unwanted_because(
+        self, run: model.RunId, broken: abc.Set[tuple[str, int, int]]
+    ) -> str:
         record = self.ledger.jobs.get(run.task.job_id)
         task = record.task(run.task) if record else None
         step = record.step(run.task) if record else None
@@ -381,14 +403,8 @@
             return "" if task.done_run == run.number else "its task is done"
         if not record.active:
             return f"its job is {record.state}"
-        if not record.job.steps[run.task.step].gang:
-            return ""
-        for index in range(len(step.tasks)):
-            sibling = dataclasses.replace(run.task, index=index)
-            other = self.ledger.live_run(sibling)
-            if other is None or other.number != run.number:
-                return "its gang is not whole"
-        return ""
+        key = (run.task.job_id, run.task.occurrence, run.task.step)
+        return "its gang is not whole" if key in broken else ""
 
     def _match_sessions(self) -> None:
         """Has a session for each worker that is known, and no other."""
--- a/laburnumsill/batch/units.py
+++ b/laburnumsill/batch/units.py
@@ -23,7 +23,6 @@
         waiting_since_ms: Since when they could run, ms since 1970.
         objective_ms: Until when their job is in time, ms since 1970.
         chain_ms: Estimated time of the job's longest chain of steps.
-        obstacle: Why it was not placed, for people.
     """
 
     record: records.JobRecord
@@ -33,7 +32,6 @@
     waiting_since_ms: int
     objective_ms: float
     chain_ms: int
-    obstacle: str = ""
 
     @property
     def step(self) -> model.Step:
