Evict for the next cheapest slot instead of for one victim more

Change: victims are sorted on each worker; the worker on which the next slot costs least is cleared next, and what turns out not to be needed is left out.

--- a/laburnumsill/batch/preemption.py
+++ b/laburnumsill/batch/preemption.py
@@ -82,7 +82,8 @@
     """
     racks = room_module.by_rack(rooms)
     choices = [
-        _evict_within(unit, r, victims, count_on) for r in racks.values()
+        _evict_within(unit, inside, victims, count_on)
+        for inside in racks.values()
     ]
     found = [choice for choice in choices if choice is not None]
     if not found:
@@ -96,66 +97,114 @@
     victims: abc.Sequence[Victim],
     count_on: packing.CountOn,
 ) -> Eviction | None:
-    """Stops victims one by one, the cheapest for their room first."""
-    inside = {room.worker.worker_id for room in rooms}
-    useful = [v for v in victims if inside & v.freed.keys()]
-    useful.sort(key=lambda victim: _price(victim, inside))
-    chosen: list[Victim] = []
-    for victim in useful:
-        chosen.append(victim)
-        found = _fit_after(unit, rooms, chosen, count_on)
-        if len(found) == len(unit.tasks):
-            return _pruned(unit, rooms, chosen, count_on)
-    return None
-
-
-def _pruned(
-    unit: units.Unit,
-    rooms: abc.Sequence[room_module.Room],
-    chosen: list[Victim],
-    count_on: packing.CountOn,
-) -> Eviction:
-    """Leaves out the victims without which the unit fits as well.
+    """Stops what makes the next slot cheapest, until there are enough."""
+    clearing = _Clearing(unit, rooms, victims)
+    if not clearing.make_slots(len(unit.tasks)):
+        return None
+    clearing.prune(len(unit.tasks))
+    assignment = packing.fit(unit, rooms, clearing.room_of, count_on)
+    if len(assignment) < len(unit.tasks):
+        return None  # a bound on tasks a worker stands in the way
+    return Eviction(tuple(clearing.chosen), assignment)
 
-    The dearest are tried first. Victims were added until the unit fitted, so
-    some of them freed room that it does not use.
-    """
-    for victim in sorted(chosen, key=lambda one: -one.cost):
-        others = [one for one in chosen if one is not victim]
-        if len(_fit_after(unit, rooms, others, count_on)) == len(unit.tasks):
-            chosen = others
-    assignment = _fit_after(unit, rooms, chosen, count_on)
-    return Eviction(tuple(chosen), assignment)
 
+class _Clearing:
+    """Some rooms, and the victims that were chosen to make slots there.
 
-def _fit_after(
-    unit: units.Unit,
-    rooms: abc.Sequence[room_module.Room],
-    victims: abc.Iterable[Victim],
-    count_on: packing.CountOn,
-) -> packing.Assignment:
-    """Returns where a unit fits once some victims have ended."""
-    extra: dict[str, model.Resources] = {}
-    for victim in victims:
-        for worker_id, freed in victim.freed.items():
-            known = extra.get(worker_id, model.Resources())
-            extra[worker_id] = known + freed
-
-    def room_of(room: room_module.Room) -> model.Resources:
-        more = extra.get(room.worker.worker_id)
-        return room.soon_free + more if more else room.soon_free
+    Args:
+        unit: What is to fit.
+        rooms: Where.
+        victims: What may be stopped.
+    """
 
-    return packing.fit(unit, rooms, room_of, count_on)
+    def __init__(
+        self,
+        unit: units.Unit,
+        rooms: abc.Sequence[room_module.Room],
+        victims: abc.Iterable[Victim],
+    ) -> None:
+        self.chosen: list[Victim] = []
+        self._needs = unit.step.needs
+        self._room = {room.worker.worker_id: room.soon_free for room in rooms}
+        self._on_worker: dict[str, list[Victim]] = {}
+        for victim in victims:
+            for worker_id in victim.freed.keys() & self._room.keys():
+                self._on_worker.setdefault(worker_id, []).append(victim)
+        for worker_id, there in self._on_worker.items():
+            there.sort(key=lambda one: _price(one, worker_id))
+
+    def room_of(self, room: room_module.Room) -> model.Resources:
+        """Returns what is free soon in a room, the chosen ones gone."""
+        return self._room[room.worker.worker_id]
+
+    def make_slots(self, wanted: int) -> bool:
+        """Chooses victims until there are so many slots, if that can be."""
+        while self._slots() < wanted:
+            offers = [
+                offer
+                for worker_id in self._on_worker
+                if (offer := self._next_slot(worker_id)) is not None
+            ]
+            if not offers:
+                return False
+            _, _, group = min(offers, key=lambda offer: offer[:2])
+            for victim in group:
+                self._choose(victim)
+        return True
+
+    def prune(self, wanted: int) -> None:
+        """Leaves out victims without which there are enough slots as well.
+
+        The dearest are tried first: each was chosen for one slot, and a gang
+        that was chosen later may have freed it too.
+        """
+        for victim in sorted(self.chosen, key=lambda one: -one.cost):
+            self._shift(victim, -1)
+            if self._slots() >= wanted:
+                self.chosen.remove(victim)
+            else:
+                self._shift(victim, 1)
+
+    def _slots(self) -> int:
+        return sum(self._needs.times_in(free) for free in self._room.values())
+
+    def _next_slot(
+        self, worker_id: str
+    ) -> tuple[float, str, list[Victim]] | None:
+        """Returns what one more slot on a worker costs, and its victims."""
+        free = self._room[worker_id]
+        before = self._needs.times_in(free)
+        cost = 0.0
+        group: list[Victim] = []
+        for victim in self._on_worker[worker_id]:
+            if victim in self.chosen:
+                continue
+            group.append(victim)
+            cost += victim.cost
+            free += victim.freed[worker_id]
+            gained = self._needs.times_in(free) - before
+            if gained > 0:
+                return cost / gained, worker_id, group
+        return None
+
+    def _choose(self, victim: Victim) -> None:
+        self.chosen.append(victim)
+        self._shift(victim, 1)
+
+    def _shift(self, victim: Victim, sign: int) -> None:
+        """Adds what a victim frees to the rooms, or takes it away again."""
+        for worker_id, freed in victim.freed.items():
+            if worker_id not in self._room:
+                continue
+            if sign > 0:
+                self._room[worker_id] += freed
+            else:
+                self._room[worker_id] -= freed
 
 
-def _price(victim: Victim, inside: abc.Set[str]) -> float:
-    """Returns the cost for each accelerator that it frees in these rooms."""
-    freed = sum(
-        model.weight(amount)
-        for worker_id, amount in victim.freed.items()
-        if worker_id in inside
-    )
-    return victim.cost / max(freed, 0.001)
+def _price(victim: Victim, worker_id: str) -> float:
+    """Returns the cost for each core that it frees on a worker."""
+    return victim.cost / max(model.weight(victim.freed[worker_id]), 0.001)
 
 
 def _victim(
