--- a/laburnumsill/emulator/load.py
+++ b/laburnumsill/emulator/load.py
@@ -229,14 +229,18 @@
 ) -> model.Step:
     width = _skewed(source, kind.width, kind.width_spread)
     rack = f"r{source.randrange(shape.racks)}"
+    tasks = max(1, min(kind.longest_width, round(width)))
+    needs = model.Resources(
+        kind.cpu_millis, kind.memory_mb, source.choice(kind.accelerators)
+    )
+    # A gang that no rack holds would be late whatever is done.
+    one_rack = tasks <= shape.per_rack * needs.times_in(shape.capacity)
     return model.Step(
-        max(1, min(kind.longest_width, round(width))),
-        model.Resources(
-            kind.cpu_millis, kind.memory_mb, source.choice(kind.accelerators)
-        ),
+        tasks,
+        needs,
         depends_on=depends_on,
         gang=kind.gang,
-        same_rack=source.random() < kind.one_rack_share,
+        same_rack=source.random() < kind.one_rack_share and one_rack,
         data_rack=rack if source.random() < kind.data_rack_share else "",
         saves_progress=source.random() < kind.saves_share,
     )
