--- a/laburnumsill/batch/packing.py
+++ b/laburnumsill/batch/packing.py
@@ -126,13 +126,16 @@
 ) -> bool:
     """Whether a unit fits on those workers that are not slow."""
     fast = sum(
-        slots[room.worker.worker_id]
-        for room in rooms
-        if room.slowness < worker_health.NOTICEABLY_SLOW
+        slots[room.worker.worker_id] for room in rooms if not is_slow(room)
     )
     return fast >= len(unit.tasks)
 
 
+def is_slow(room: room_module.Room) -> bool:
+    """Whether runs take noticeably longer on a worker than on others."""
+    return room.slowness >= worker_health.NOTICEABLY_SLOW
+
+
 def _needs_one_rack(
     unit: units.Unit, rooms: abc.Sequence[room_module.Room]
 ) -> bool:
@@ -198,9 +201,8 @@
 
     def key(room: room_module.Room) -> tuple[bool, int, int, str]:
         free = room_of(room)
-        slow = room.slowness >= worker_health.NOTICEABLY_SLOW
         return (
-            slow and urgent,
+            urgent and is_slow(room),
             free.accelerators,
             free.cpu_millis,
             room.worker.worker_id,
--- a/laburnumsill/batch/preemption.py
+++ b/laburnumsill/batch/preemption.py
@@ -80,15 +80,17 @@
         victims: What may be stopped.
         count_on: How many tasks of a task's step a worker has already.
     """
-    racks = room_module.by_rack(rooms)
-    choices = [
-        _evict_within(unit, inside, victims, count_on)
-        for inside in racks.values()
-    ]
-    found = [choice for choice in choices if choice is not None]
-    if not found:
-        return _evict_within(unit, rooms, victims, count_on)
-    return min(found, key=lambda one: sum(v.cost for v in one.victims))
+    fast = [room for room in rooms if not packing.is_slow(room)]
+    for some in (fast, rooms):
+        racks = room_module.by_rack(some)
+        choices = [
+            _evict_within(unit, inside, victims, count_on)
+            for inside in racks.values()
+        ]
+        found = [choice for choice in choices if choice is not None]
+        if found:
+            return min(found, key=lambda one: sum(v.cost for v in one.victims))
+    return _evict_within(unit, rooms, victims, count_on)
 
 
 def _evict_within(
