Learn workers' speeds from the log, all steps and workers together

Cause: a run was compared with those siblings that had ended before it, so late ones looked slow whatever their worker, and a new leader began anew. Change: worker_speeds fits steps and workers together (a two-way layout) from the replicated commands, on each replica from its first command on, also when it reads its log back.

--- a/laburnumsill/batch/scheduler.py
+++ b/laburnumsill/batch/scheduler.py
@@ -20,6 +20,7 @@
 from laburnumsill.batch import units
 from laburnumsill.batch import worker_client
 from laburnumsill.batch import worker_health
+from laburnumsill.batch import worker_speeds
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import errors
 from laburnumsill.core import logs
@@ -92,6 +93,7 @@
         self._metrics = metrics
         self._longest_lease_ms = longest_lease_ms
         self._term: _Term | None = None
+        self._speeds: worker_speeds.WorkerSpeeds | None = None
 
     async def run(self) -> None:
         """Runs a term whenever this VM leads, until cancelled."""
@@ -110,6 +112,22 @@
         if self._term is not None:
             self._term.hear(worker_id, clock_ms)
 
+    def follow(self, machine: replication.StateMachine) -> None:
+        """Hears of all commands of a replica's state machine.
+
+        Called before the first of them, so that a leader knows how fast
+        workers are from what earlier leaders did.
+        """
+        ledger = machine.component(ledgers.BatchLedger.name)
+        speeds = worker_speeds.WorkerSpeeds(ledger)
+        self._speeds = speeds
+        machine.observe(speeds.take)
+        machine.observe(self.notice)
+
+    def slowness(self, worker_id: str) -> float:
+        """Returns the run time on a worker relative to usual ones."""
+        return self._speeds.slowness(worker_id) if self._speeds else 1.0
+
     def notice(self, command: object) -> None:
         """Notices that a command was applied; it may call for a plan."""
         if self._term is not None and not isinstance(
@@ -266,7 +284,12 @@
             await self._place(made)
 
     def _slowness(self, worker_id: str) -> float:
-        return self.health.slowness(worker_id, self.clock.monotonic())
+        now = self.clock.monotonic()
+        lately = self.health.slowness_lately(worker_id, now)
+        if lately >= worker_health.VERY_SLOW:
+            return lately
+        usual = self._owner.slowness(worker_id)
+        return min(usual, worker_health.NOT_VERY_SLOW)
 
     async def _place(self, made: planner.Plan) -> None:
         command = commands.PlaceRuns(tuple(made.groups), self._now_ms())
--- a/laburnumsill/batch/tests/test_worker_health.py
+++ b/laburnumsill/batch/tests/test_worker_health.py
@@ -81,7 +81,7 @@
     assert health.note_running(seen, True, 3.6)
 
 
-def test_slow_workers_are_learnt_from_siblings():
+def test_workers_that_were_slow_lately_are_learnt_from_siblings():
     health = worker_health.WorkerHealth()
     for index in range(8):
         worker = "slow" if index % 4 == 3 else f"w{index}"
@@ -91,9 +91,10 @@
         done = end(which, commands.EndKind.DONE)
         health.note_end(worker, done, STEP, took)
     now = 2.0
-    assert health.slowness("slow", now) >= worker_health.NOTICEABLY_SLOW
-    assert health.slowness("w4", now) < worker_health.NOTICEABLY_SLOW
-    assert health.slowness("unknown", now) == 1.0
+    lately = health.slowness_lately
+    assert lately("slow", now) >= worker_health.NOTICEABLY_SLOW
+    assert lately("w4", now) < worker_health.NOTICEABLY_SLOW
+    assert lately("unknown", now) == 1.0
 
 
 def test_a_gang_says_nothing_about_its_workers_speed():
@@ -103,7 +104,7 @@
         health.note_started(which, 0.0)
         done = end(which, commands.EndKind.DONE)
         health.note_end(f"w{index}", done, GANG, float(1 + index))
-    assert health.slowness("w7", 9.0) == 1.0
+    assert health.slowness_lately("w7", 9.0) == 1.0
 
 
 def end_eight(health, step, slow_s):
@@ -121,12 +122,12 @@
     health = worker_health.WorkerHealth()
     far = model.Step(8, model.Resources(1000, 64, 1), data_rack="r1")
     end_eight(health, far, 3.0)
-    assert health.slowness("slow", 3.0) == 1.0
+    assert health.slowness_lately("slow", 3.0) == 1.0
 
 
 def test_nobody_is_very_slow_for_ever():
     health = worker_health.WorkerHealth()
     end_eight(health, STEP, 5.0)
-    assert health.slowness("slow", 6.0) >= worker_health.VERY_SLOW
+    assert health.slowness_lately("slow", 6.0) >= worker_health.VERY_SLOW
     later = 6.0 + worker_health.VERY_SLOW_FOR_S
-    assert health.slowness("slow", later) < worker_health.VERY_SLOW
+    assert health.slowness_lately("slow", later) < worker_health.VERY_SLOW
--- a/laburnumsill/batch/worker_health.py
+++ b/laburnumsill/batch/worker_health.py
@@ -44,6 +44,9 @@
 VERY_SLOW = 2.0
 """Relative run time from which a worker is used only if nothing else is."""
 
+NOT_VERY_SLOW = VERY_SLOW - 0.01
+"""What a worker counts for at most that was not very slow of late."""
+
 VERY_SLOW_FOR_S = 10.0
 """A worker counts as very slow only by run times of the last seconds: it gets
 no runs then, so nothing else would ever show that it has recovered."""
@@ -90,17 +93,17 @@
         standing = self._workers.get(worker_id)
         return standing is not None and now < standing.aside_until
 
-    def slowness(self, worker_id: str, now: float) -> float:
-        """Returns the run time on a worker relative to others, 1.0 unknown."""
+    def slowness_lately(self, worker_id: str, now: float) -> float:
+        """Returns the run time on a worker, against others, of late.
+
+        1.0 if it is not known; `worker_speeds` knows what is usual.
+        """
         standing = self._workers.get(worker_id)
-        if standing is None or not standing.ratios:
+        if standing is None:
             return 1.0
         since = now - VERY_SLOW_FOR_S
         recent = [ratio for at, ratio in standing.ratios if at >= since]
-        if recent and statistics.median(recent) >= VERY_SLOW:
-            return statistics.median(recent)
-        usual = statistics.median(ratio for _, ratio in standing.ratios)
-        return min(usual, VERY_SLOW - 0.01)
+        return statistics.median(recent) if recent else 1.0
 
     def avoid(self, task: model.TaskId) -> abc.Set[str]:
         """Returns the workers on which a task has failed or hung."""
--- /dev/null
+++ b/laburnumsill/batch/worker_speeds.py
@@ -0,0 +1,170 @@
+"""How fast workers are, from how long tasks of the same step took on them.
+
+Tasks of one step have about the same work, so what one of them took tells of
+its worker once it is compared with the others. A step's tasks run on several
+workers and a worker runs tasks of several steps; both effects are fitted
+together, as means of the logarithms (a two-way layout).
+
+Everything is taken from the replicated commands, so each replica learns the
+same, and a new leader knows what the old one knew.
+"""
+
+import collections
+import dataclasses
+import math
+import statistics
+from collections import abc
+
+from laburnumsill.batch import commands
+from laburnumsill.batch import ledger as ledgers
+from laburnumsill.batch import model
+
+SAMPLES_A_WORKER = 16
+"""Newest run times of a worker that are gone by; the users' workers end
+about a task in two seconds."""
+
+STEPS = 64
+"""Newest steps whose run times are compared."""
+
+MIN_SIBLINGS = 3
+"""So many tasks of a step must have ended before they are compared."""
+
+CAUTION = 2.0
+"""A worker counts as one of usual speed as strongly as so many run times
+would show it: tasks of the users' steps differ by 0.2 (sigma of the
+logarithm), their workers by 0.13, and (0.2 / 0.13) squared is 2.4."""
+
+LARGEST_EFFECT = 0.7
+"""A single run time counts for no more than twice the usual one (its
+logarithm): what is slower than that passes, see `worker_health`."""
+
+USUAL_QUANTILE = 0.25
+"""Workers are compared with the one at this rank among those known: slow
+workers are the minority."""
+
+MAX_UNFINISHED = 4_096
+"""Runs that were placed and whose end is waited for, at most."""
+
+StepKey = tuple[str, int, int]
+
+
+@dataclasses.dataclass(slots=True)
+class _StepTimes:
+    """What the tasks of a step took, as logarithms of seconds."""
+
+    times: list[tuple[str, float]] = dataclasses.field(default_factory=list)
+    usual: float = 0.0
+
+
+class WorkerSpeeds:
+    """Learns from the commands of one ledger.
+
+    Args:
+        ledger: The ledger that the commands were applied to.
+    """
+
+    def __init__(self, ledger: ledgers.BatchLedger) -> None:
+        self._ledger = ledger
+        self._placed: dict[model.RunId, tuple[str, int]] = {}
+        self._steps: collections.OrderedDict[StepKey, _StepTimes] = (
+            collections.OrderedDict()
+        )
+        self._workers: dict[str, collections.deque[tuple[StepKey, float]]] = {}
+        self._effects: dict[str, float] = {}
+        self._usual_effect = 0.0
+
+    def slowness(self, worker_id: str) -> float:
+        """Returns the run time on a worker relative to usual ones."""
+        effect = self._effects.get(worker_id)
+        if effect is None:
+            return 1.0
+        return math.exp(effect - self._usual_effect)
+
+    def take(self, command: object) -> None:
+        """Takes note of a command that was applied to the ledger."""
+        if isinstance(command, commands.PlaceRuns):
+            self._take_placements(command)
+        elif isinstance(command, commands.NoteEnds):
+            self._take_ends(command)
+        elif isinstance(command, commands.RemoveWorker):
+            self._workers.pop(command.worker_id, None)
+            self._effects.pop(command.worker_id, None)
+
+    def _take_placements(self, command: commands.PlaceRuns) -> None:
+        for group in command.groups:
+            for placement in group:
+                run = placement.run
+                if run in self._ledger.runs and self._is_comparable(run):
+                    place = (placement.worker_id, command.at_ms)
+                    self._placed[run] = place
+        if len(self._placed) > MAX_UNFINISHED:
+            self._placed = {
+                run: place
+                for run, place in self._placed.items()
+                if run in self._ledger.runs
+            }
+
+    def _is_comparable(self, run: model.RunId) -> bool:
+        """Whether a run's time will say something about its worker.
+
+        That of a gang is its slowest member's; one that goes on from saved
+        progress is shorter; one far from its data is longer.
+        """
+        record = self._ledger.jobs[run.task.job_id]
+        step = record.job.steps[run.task.step]
+        task = record.task(run.task)
+        fresh = task is not None and not task.saved
+        return fresh and not step.gang and not step.data_rack
+
+    def _take_ends(self, command: commands.NoteEnds) -> None:
+        changed = False
+        for end in command.ends:
+            worker_id, placed_ms = self._placed.pop(end.run, ("", 0))
+            took_ms = command.at_ms - placed_ms
+            done = end.kind is commands.EndKind.DONE
+            if worker_id == command.worker_id and done and took_ms > 0:
+                self._add(end.run.task, worker_id, math.log(took_ms / 1000))
+                changed = True
+        if changed:
+            self._fit_usual()
+
+    def _add(self, task: model.TaskId, worker_id: str, time: float) -> None:
+        key = (task.job_id, task.occurrence, task.step)
+        step = self._steps.setdefault(key, _StepTimes())
+        step.times.append((worker_id, time))
+        times = self._workers.setdefault(
+            worker_id, collections.deque(maxlen=SAMPLES_A_WORKER)
+        )
+        times.append((key, time))
+        if len(self._steps) > STEPS:
+            self._steps.popitem(last=False)
+        if len(step.times) >= MIN_SIBLINGS:
+            self._fit(step)
+
+    def _fit(self, step: _StepTimes) -> None:
+        """Fits a step's usual time, then the workers that its tasks ran on."""
+        step.usual = statistics.fmean(
+            time - self._effects.get(worker_id, 0.0)
+            for worker_id, time in step.times
+        )
+        for worker_id in {worker_id for worker_id, _ in step.times}:
+            self._fit_worker(worker_id)
+
+    def _fit_worker(self, worker_id: str) -> None:
+        differences = list(self._differences(worker_id))
+        if differences:
+            self._effects[worker_id] = sum(differences) / (
+                len(differences) + CAUTION
+            )
+
+    def _differences(self, worker_id: str) -> abc.Iterator[float]:
+        for key, time in self._workers.get(worker_id, ()):
+            step = self._steps.get(key)
+            if step is not None and len(step.times) >= MIN_SIBLINGS:
+                difference = time - step.usual
+                yield max(-LARGEST_EFFECT, min(LARGEST_EFFECT, difference))
+
+    def _fit_usual(self) -> None:
+        known = sorted(self._effects.values())
+        if known:
+            self._usual_effect = known[int(len(known) * USUAL_QUANTILE)]
--- a/laburnumsill/daemon/core_role.py
+++ b/laburnumsill/daemon/core_role.py
@@ -57,7 +57,7 @@
             self._vm,
             self._first_vms(settings),
             self._network,
-            site_machine,
+            self._make_machine,
             pathlib.Path(settings.data_folder or "."),
             self._clock,
             self._metrics,
@@ -112,7 +112,6 @@
         self._directory.answer_questions()
         await nursery.start(self._host.run)
         nursery.start_soon(self._keep_make_up)
-        self._observe()
         nursery.start_soon(self._scheduler.run)
         listen = self._settings.listen
         control_port = int(listen.control.rpartition(":")[2])
@@ -134,11 +133,11 @@
             await self._host.hand_over()
         await trio.sleep(NOTICE_S)
 
-    def _observe(self) -> None:
-        """Has the scheduler hear of each command that is applied here."""
-        machine = self._host.local(role.SITE_GROUP)
-        if machine is not None:
-            machine.observe(self._scheduler.notice)
+    def _make_machine(self, group: str) -> replication.StateMachine:
+        """Returns an empty state machine that the scheduler follows."""
+        machine = site_machine(group)
+        self._scheduler.follow(machine)
+        return machine
 
     def _set_make_up(self) -> None:
         """Tells the host where replicas may be; it asks them how to join."""
--- a/laburnumsill/emulator/site.py
+++ b/laburnumsill/emulator/site.py
@@ -161,7 +161,7 @@
             for vm in ("vm1", "vm2")
         }
         for scheduler in self.schedulers.values():
-            machine.observe(scheduler.notice)
+            scheduler.follow(machine)
 
     async def run(
         self,
--- a/laburnumsill/platform/tests/test_roles.py
+++ b/laburnumsill/platform/tests/test_roles.py
@@ -10,7 +10,9 @@
 import pytest
 import trio
 
+from laburnumsill.batch import commands
 from laburnumsill.batch import model
+from laburnumsill.batch import scheduler as schedulers
 from laburnumsill.daemon import core_role
 from laburnumsill.daemon import entry_role
 from laburnumsill.daemon import role
@@ -268,6 +270,31 @@
     await site.callers.until_state(path, "completed", within=20)
 
 
+async def test_the_scheduler_of_a_vm_that_joined_later_hears_of_commands(
+    site, monkeypatch
+):
+    """It would plan every half second only, were it to lead."""
+    heard = []
+
+    def notice(self, command):
+        heard.append((self, type(command)))
+
+    monkeypatch.setattr(schedulers.Scheduler, "notice", notice)
+    spare = "127.0.77.4"
+    await site.start_core(spare)
+    joined = site.daemons[spare]._scheduler
+    leading = await site.until_leader()
+    await site.kill(next(vm for vm in site.seeds if vm != leading))
+    with trio.fail_after(20):
+        members = site.daemons[leading]._host.members
+        while spare not in members(role.SITE_GROUP):  # noqa: ASYNC110
+            await trio.sleep(0.1)
+    await site.submit("batch", 33)
+    with trio.fail_after(5):
+        while (joined, commands.SubmitJob) not in heard:  # noqa: ASYNC110
+            await trio.sleep(0.05)
+
+
 async def test_a_spare_vm_takes_the_place_of_a_lost_one(site):
     spare = "127.0.77.4"
     await site.start_core(spare)
