Clear fast workers first only where a unit would be late on slow ones

Cause: on Fingal a stop takes 0.2 s at most, so an urgent job is in time on a slow worker too, and fast workers were cleared at a higher cost for nothing. Change: whether slow workers will do is told from the time that a stop takes (a setting now, from the platform's bounds) and the unit's objective.

--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -50,6 +50,7 @@
         slowness: Run time on a worker relative to others.
         kept_racks: The racks that were kept for gangs at the last plan.
         explain: Whether it is to be said what stands in a unit's way.
+        stop_grace_ms: What is stopped ends within so long.
     """
 
     ledger: ledgers.BatchLedger
@@ -63,6 +64,7 @@
         default_factory=dict
     )
     explain: abc.Callable[[units.Key], bool] = lambda _: False
+    stop_grace_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -221,7 +223,11 @@
             self._reserve(unit, soon)
             return
         eviction = preemption.evict(
-            unit, rooms, self._may_stop(), self._count_on
+            unit,
+            rooms,
+            self._may_stop(),
+            self._count_on,
+            self._needs_fast_workers(unit, rooms),
         )
         if eviction is None:
             self._reserve(unit, soon)
@@ -230,6 +236,15 @@
             self._stop(victim)
         self._reserve(unit, eviction.assignment)
 
+    def _needs_fast_workers(
+        self, unit: units.Unit, rooms: abc.Iterable[room_module.Room]
+    ) -> bool:
+        """Whether a unit would be late on slow workers after a stop."""
+        slowest = max((room.slowness for room in rooms), default=1.0)
+        begins_ms = self._view.now_ms + self._view.stop_grace_ms
+        ends_ms = begins_ms + slowest * unit.chain_ms
+        return ends_ms > unit.objective_ms
+
     def _may_stop(self) -> list[preemption.Victim]:
         if self._victims is None:
             self._victims = preemption.victims_below(
--- a/laburnumsill/batch/preemption.py
+++ b/laburnumsill/batch/preemption.py
@@ -71,6 +71,7 @@
     rooms: abc.Sequence[room_module.Room],
     victims: abc.Sequence[Victim],
     count_on: packing.CountOn,
+    fast_first: bool,
 ) -> Eviction | None:
     """Returns the cheapest way found to fit a unit, or None if there is none.
 
@@ -79,9 +80,11 @@
         rooms: The workers that may run it.
         victims: What may be stopped.
         count_on: How many tasks of a task's step a worker has already.
+        fast_first: Whether slow workers are to be taken only if the fast
+            ones do not suffice.
     """
     fast = [room for room in rooms if not packing.is_slow(room)]
-    for some in (fast, rooms):
+    for some in (fast, rooms) if fast_first else (rooms,):
         racks = room_module.by_rack(some)
         choices = [
             _evict_within(unit, inside, victims, count_on)
--- a/laburnumsill/batch/scheduler.py
+++ b/laburnumsill/batch/scheduler.py
@@ -6,6 +6,7 @@
 runs there may be.
 """
 
+import dataclasses
 import math
 from collections import abc
 
@@ -62,6 +63,19 @@
     title = "The scheduler does not lead any more"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerBounds:
+    """How long workers take for something at most.
+
+    Attributes:
+        longest_lease_ms: The longest lease that they grant.
+        stop_grace_ms: From the order to stop a run to its end.
+    """
+
+    longest_lease_ms: int
+    stop_grace_ms: int
+
+
 class Scheduler:
     """Schedules the jobs of one ledger while this VM leads its group.
 
@@ -72,7 +86,7 @@
         guarantees: Returns the guaranteed accelerators by client account.
         clock: The clock of this process.
         metrics: Takes the counters.
-        longest_lease_ms: The longest lease that workers grant.
+        bounds: What workers and gangs were promised to take at most.
     """
 
     def __init__(
@@ -83,7 +97,7 @@
         guarantees: abc.Callable[[], abc.Mapping[str, int]],
         clock: clocks.Clock,
         metrics: metrics_module.Metrics,
-        longest_lease_ms: int,
+        bounds: WorkerBounds,
     ) -> None:
         self._group = group
         self._groups = groups
@@ -91,7 +105,7 @@
         self._guarantees = guarantees
         self._clock = clock
         self._metrics = metrics
-        self._longest_lease_ms = longest_lease_ms
+        self._bounds = bounds
         self._term: _Term | None = None
         self._speeds: worker_speeds.WorkerSpeeds | None = None
 
@@ -177,7 +191,7 @@
         self.client = owner._client
         self.clock = owner._clock
         self.fence = fence
-        self.longest_lease_ms = owner._longest_lease_ms
+        self.longest_lease_ms = owner._bounds.longest_lease_ms
         self.health = worker_health.WorkerHealth()
         self._owner = owner
         self._sessions: dict[str, sessions.WorkerSession] = {}
@@ -274,6 +288,7 @@
             self._slowness,
             self._kept_racks,
             self._is_log_due,
+            self._owner._bounds.stop_grace_ms,
         )
         made = planner.plan(view)
         self._kept_racks = made.kept_racks
--- a/laburnumsill/batch/tests/test_planner.py
+++ b/laburnumsill/batch/tests/test_planner.py
@@ -160,12 +160,12 @@
     assert [g[0].run.task.occurrence for g in made.groups] == [0, 1]
 
 
-def occupy(ledger, worker_id, job_id, accelerators):
+def occupy(ledger, worker_id, job_id, accelerators, placed_ms=0):
     """Places a long task on one worker."""
     submit(ledger, job(job_id, 1, accelerators, priority=2))
     run = model.RunId(model.TaskId(job_id, 0, 0, 0), 1)
     placement = commands.Placement(run, worker_id)
-    command = commands.PlaceRuns(((placement,),), 0)
+    command = commands.PlaceRuns(((placement,),), placed_ms)
     assert ledger.place(command).refusals == ("",)
 
 
@@ -237,3 +237,28 @@
     assert planner.plan(seen(100)).groups == []
     later = planner.plan(seen(planner.ANY_WORKER_AFTER_MS))
     assert len(later.groups) == 1
+
+
+def stop_for_urgent(ledger, slow, grace_ms):
+    """Returns the workers that are cleared for an urgent gang of 2 s."""
+    seen = planner.View(
+        ledger,
+        set(ledger.workers),
+        frozenset(),
+        {},
+        1_000,
+        slowness=lambda worker_id: 1.3 if worker_id in slow else 1.0,
+        stop_grace_ms=grace_ms,
+    )
+    made = planner.plan(seen)
+    return {ledger.runs[run].worker_id for run in made.stops}
+
+
+def test_fast_workers_are_cleared_where_a_stop_and_a_slow_one_are_too_much():
+    ledger = site(racks=1, per_rack=2)
+    occupy(ledger, "w00", "cheap", 8)
+    occupy(ledger, "w01", "dear", 8, placed_ms=-60_000)
+    ledger.submit(commands.SubmitJob(job("u", 1, 8), 1_000))
+    assert stop_for_urgent(ledger, {"w00"}, 900) == {"w01"}
+    # In time on the slow one too, which is cheaper to clear.
+    assert stop_for_urgent(ledger, {"w00"}, 200) == {"w00"}
--- a/laburnumsill/daemon/core_role.py
+++ b/laburnumsill/daemon/core_role.py
@@ -75,7 +75,10 @@
             self._guarantees,
             self._clock,
             self._metrics,
-            settings.bounds.longest_lease_ms,
+            scheduler.WorkerBounds(
+                settings.bounds.longest_lease_ms,
+                settings.bounds.stop_grace_ms,
+            ),
         )
         self._intake = intake.WorkerIntake(
             self._vm.vm_id,
--- a/laburnumsill/daemon/role_settings.py
+++ b/laburnumsill/daemon/role_settings.py
@@ -37,11 +37,13 @@
 
     Attributes:
         longest_lease_ms: Workers grant no longer lease.
+        stop_grace_ms: Workers end a run within this when they are told to.
         key_revoked_ms: A key that was taken away works no longer than this.
         shutdown_ms: From SIGTERM to SIGKILL.
     """
 
     longest_lease_ms: int = 10_000
+    stop_grace_ms: int = 1_000
     key_revoked_ms: int = 5_000
     shutdown_ms: int = 6_000
 
--- a/laburnumsill/emulator/site.py
+++ b/laburnumsill/emulator/site.py
@@ -156,7 +156,9 @@
                 lambda: self.guarantees,
                 self._clock,
                 metrics_module.Metrics(),
-                worker_module.LONGEST_LEASE_MS,
+                schedulers.WorkerBounds(
+                    worker_module.LONGEST_LEASE_MS, int(1000 * stop_grace_s)
+                ),
             )
             for vm in ("vm1", "vm2")
         }
