Count waves in the objectives of emulated jobs

Cause: the users' objective counts a step that is wider than a quarter of the room in waves; without them wide urgent gangs were late whatever was done.

--- a/laburnumsill/emulator/load.py
+++ b/laburnumsill/emulator/load.py
@@ -82,6 +82,15 @@
     kinds: tuple[Kind, ...]
     stop_grace_s: float
 
+    def waves(self, step: model.Step) -> int:
+        """Returns how often a step's work counts in its job's objective.
+
+        A step that is wider than a quarter of the site may run in waves.
+        """
+        workers = self.racks * self.per_rack
+        slots = workers * step.needs.times_in(self.capacity)
+        return math.ceil(step.tasks / max(1, slots // 4))
+
 
 def _kinds(
     cores: tuple[int, int, int],
@@ -215,7 +224,11 @@
     )
     account = source.choice(["a", "b", "c", "d"])
     job = model.Job(name, kind.name, account, "payload", guessed, kind.terms)
-    objective_s = kind.terms.stretch * sum(work) + kind.terms.target_ms / 1000
+    chain_s = sum(
+        shape.waves(step) * seconds
+        for step, seconds in zip(steps, work, strict=True)
+    )
+    objective_s = kind.terms.stretch * chain_s + kind.terms.target_ms / 1000
     cancelled = source.random() < kind.cancelled_share
     after_s = source.uniform(0.2, 5.0) if cancelled else None
     return Arrival(at_s, job, work, kind, objective_s, after_s)
