Give no new runs to a worker that left an order unanswered

Reports wait 2 s for an end and a second more, so such a worker counted as sound for up to 3 s, though the orders to stop had been unanswered after one. Change: an order without an answer says as much as a report without one; the next answer makes the worker sound again. Before: the new test fails.

--- a/laburnumsill/batch/orders.py
+++ b/laburnumsill/batch/orders.py
@@ -106,6 +106,8 @@
                     return
             except errors.LaburnumsillError as error:
                 self._log_start_failure(run, error)
+                if isinstance(error, worker_client.NoAnswerError):
+                    state.unanswered(error)
                 maybe_begun = True
             await trio.sleep(RETRY_PAUSE_S)
         if run in state.term.ledger.runs_on(state.worker_id):
@@ -183,6 +185,8 @@
                     worker=state.worker_id,
                     reason=error.slug,
                 )
+                if isinstance(error, worker_client.NoAnswerError):
+                    state.unanswered(error)
                 await trio.sleep(RETRY_PAUSE_S)
                 continue
             state.answered(answer.clock_ms)
--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -166,16 +166,7 @@
             return
         if isinstance(error, worker_client.FencedOffError):
             self._term.fenced_off(self._state.worker_id)
-        if self._state.failing_since is None:
-            self._state.failing_since = now
-            logs.event(
-                "worker-lost",
-                "WARNING",
-                worker=self._state.worker_id,
-                reason=error.slug,
-                detail=error.detail,
-            )
-            self._term.wake()
+        self._state.unanswered(error)
         if now >= self._state.leases.over_at:
             await self._release_all("its lease has ended")
         await trio.sleep(orders.RETRY_PAUSE_S)
--- a/laburnumsill/batch/tests/test_session.py
+++ b/laburnumsill/batch/tests/test_session.py
@@ -159,6 +159,26 @@
     play(script)
 
 
+@pytest.mark.parametrize("kind", ["start", "stop"])
+def test_a_worker_that_leaves_an_order_unanswered_gets_no_new_runs(kind):
+    """Reports wait for two seconds, so they tell it too late."""
+
+    async def script(term):
+        lost = [worker_client.NoAnswerError("lost")]
+        term.client.start_answers = list(lost)
+        term.client.stop_answers = list(lost)
+        term.client.reports = [running()]
+        await trio.sleep(0.1)
+        order = getattr(term.session, kind)
+        order(*(RUN, "test")[: 2 if kind == "stop" else 1])
+        await trio.sleep(orders.ATTEMPT_S + 0.02)
+        assert term.session.failing_since is not None
+        await trio.sleep(orders.RETRY_PAUSE_S + 0.02)
+        assert term.session.failing_since is None  # it answered the next one
+
+    play(script)
+
+
 def test_a_start_given_up_counts_as_gone_only_after_an_acknowledged_stop():
     async def script(term):
         lost = worker_client.NoAnswerError("lost")
--- a/laburnumsill/batch/worker_state.py
+++ b/laburnumsill/batch/worker_state.py
@@ -9,6 +9,7 @@
 from laburnumsill.batch import model
 from laburnumsill.batch import term as terms
 from laburnumsill.batch import worker_client
+from laburnumsill.core import errors
 from laburnumsill.core import logs
 
 STOP_PROLONGING_AFTER_S = 1.5
@@ -102,6 +103,20 @@
         self.failing_since = None
         self.hear(clock_ms)
 
+    def unanswered(self, error: errors.LaburnumsillError) -> None:
+        """Notes that a call was not answered: it is given no new runs."""
+        if self.failing_since is not None:
+            return
+        self.failing_since = self.term.clock.monotonic()
+        logs.event(
+            "worker-lost",
+            "WARNING",
+            worker=self.worker_id,
+            reason=error.slug,
+            detail=error.detail,
+        )
+        self.term.wake()
+
     def is_over(self, run: model.RunId) -> bool:
         """Returns whether a run neither runs there nor may do so."""
         live = run in self.term.ledger.runs_on(self.worker_id)
