--- a/laburnumsill/batch/preemption.py
+++ b/laburnumsill/batch/preemption.py
@@ -133,8 +133,9 @@
         self._room = {room.worker.worker_id: room.soon_free for room in rooms}
         self._on_worker: dict[str, list[Victim]] = {}
         for victim in victims:
-            for worker_id in victim.freed.keys() & self._room.keys():
-                self._on_worker.setdefault(worker_id, []).append(victim)
+            for worker_id in victim.freed:
+                if worker_id in self._room:
+                    self._on_worker.setdefault(worker_id, []).append(victim)
         for worker_id, there in self._on_worker.items():
             there.sort(key=lambda one: _price(one, worker_id))
 
--- a/laburnumsill/emulator/load.py
+++ b/laburnumsill/emulator/load.py
@@ -7,9 +7,17 @@
 import dataclasses
 import math
 import random
+import statistics
+from collections import abc
 
 from laburnumsill.batch import model
 
+ACCOUNTS = ("a", "b", "c", "d")
+"""The client accounts of an emulated site."""
+
+URGENT = "urgent"
+"""The kind of jobs that someone waits for."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Kind:
@@ -109,7 +117,7 @@
             0.0, there_first[0], 3.0, 0.9,
         ),
         Kind(
-            "urgent", rates[1], terms("pool", 0, 3, 1.5, 250),
+            URGENT, rates[1], terms("pool", 0, 3, 1.5, 250),
             3.4, 0.8, 21, 2.5, 0.5, urgent, urgent * mb_per_core // 1000,
             (1, 2, 4, 8, 8), True, 0.8, 0.0, 0.0, 0.0, 0.0, 0.5,
             0.0, 0, 4.0, 0.8,
@@ -195,6 +203,14 @@
     return sorted(found, key=lambda one: one.at_s)
 
 
+def mean_core_s(jobs: abc.Iterable[Arrival]) -> dict[str, float]:
+    """Returns the mean work of a job in core-seconds, by kind."""
+    by_kind: dict[str, list[float]] = {}
+    for one in jobs:
+        by_kind.setdefault(one.kind.name, []).append(one.core_s)
+    return {kind: statistics.fmean(work) for kind, work in by_kind.items()}
+
+
 def credit(arrival: Arrival, mean_core_s: float, took_s: float | None) -> float:
     """Returns what a job earns that ended `took_s` after it came."""
     size = 0.3 + 0.7 * arrival.core_s / mean_core_s
@@ -222,7 +238,7 @@
         )
         for step, seconds in zip(steps, work, strict=True)
     )
-    account = source.choice(["a", "b", "c", "d"])
+    account = source.choice(ACCOUNTS)
     job = model.Job(name, kind.name, account, "payload", guessed, kind.terms)
     chain_s = sum(
         shape.waves(step) * seconds
--- /dev/null
+++ b/laburnumsill/emulator/main.py
@@ -0,0 +1,136 @@
+"""The program `laburnumsill-emulator`: a site in virtual time.
+
+It runs the real scheduler against emulated workers, so a change of the
+planner, a load or a series of troubles can be tried in seconds and without a
+site. Nothing is started and no port is opened.
+"""
+
+import json
+import sys
+
+import fire
+import loguru
+
+from laburnumsill.emulator import days as days_module
+from laburnumsill.emulator import troubles
+
+RULE_BROKEN = 1
+"""Exit status if something did not hold that must always hold."""
+
+BAD_ARGUMENT = 2
+
+
+class Emulator:
+    """Plays days of an emulated site and says what jobs earned."""
+
+    def day(
+        self,
+        seed: int = 1,
+        site: str = "tana-shore",
+        load: float = 1.0,
+        trouble: str = "",
+        log: bool = False,
+    ) -> None:
+        """Plays one day and prints what became of its jobs.
+
+        Args:
+            seed: Of everything that is random; it repeats the day.
+            site: `tana-shore` or `fingal`.
+            load: Multiple of the usual rates of jobs.
+            trouble: What may come, with commas between: lead, lost, late,
+                cut, hang, fail, crash; or `all`.
+            log: Whether to print the scheduler's log lines too.
+        """
+        if not log:
+            loguru.logger.remove()
+        day = days_module.Day(_shape(site), seed, load, _kinds(trouble))
+        result = days_module.run(day)
+        for state, count in sorted(result.states.items()):
+            print(f"state={state} jobs={count}")
+        _print_summary({seed: result})
+
+    def days(
+        self,
+        count: int = 8,
+        first_seed: int = 0,
+        site: str = "tana-shore",
+        load: float = 1.0,
+        trouble: str = "",
+        output: str = "text",
+    ) -> None:
+        """Plays some days with different seeds and adds them up.
+
+        Args:
+            count: How many.
+            first_seed: The seed of the first; each next one is one more.
+            site: `tana-shore` or `fingal`.
+            load: Multiple of the usual rates of jobs.
+            trouble: As for `day`.
+            output: `text` or `json`.
+        """
+        loguru.logger.remove()
+        if count < 1:
+            _refuse(f"count is {count}, not 1 or more")
+        shape, kinds = _shape(site), _kinds(trouble)
+        results = {
+            seed: days_module.run(days_module.Day(shape, seed, load, kinds))
+            for seed in range(first_seed, first_seed + count)
+        }
+        _print_summary(results, output)
+
+
+def _shape(site: str) -> days_module.loads.Shape:
+    if site not in days_module.SHAPES:
+        _refuse(f"no site {site!r}; there are {', '.join(days_module.SHAPES)}")
+    return days_module.SHAPES[site]
+
+
+def _kinds(trouble: str | tuple[str, ...]) -> tuple[str, ...]:
+    """Returns the kinds named; fire makes a tuple of what has commas."""
+    names = trouble.split(",") if isinstance(trouble, str) else trouble
+    kinds = tuple(name.strip() for name in names if name.strip())
+    if kinds == ("all",):
+        return tuple(troubles.KINDS)
+    for kind in kinds:
+        if kind not in troubles.KINDS:
+            known = ", ".join(troubles.KINDS)
+            _refuse(f"no trouble {kind!r}; there are {known}")
+    return kinds
+
+
+def _print_summary(
+    results: dict[int, days_module.Result], output: str = "text"
+) -> None:
+    """Prints what days add up to; ends the program if a rule was broken."""
+    summary = days_module.summary(results)
+    line = {
+        "days": len(results),
+        "earned": round(summary.earned, 3),
+        **{kind: round(part, 3) for kind, part in summary.by_kind.items()},
+        "wasted": round(summary.wasted, 3),
+        "urgent_ratio": round(summary.urgent_ratio, 2),
+        "broken": len(summary.broken),
+    }
+    if output == "json":
+        print(json.dumps({**line, "lines": summary.broken}))
+    else:
+        print(" ".join(f"{key}={value}" for key, value in line.items()))
+        for broken in summary.broken:
+            print(f"broken: {broken}")
+    if summary.broken:
+        sys.exit(RULE_BROKEN)
+
+
+def _refuse(detail: str) -> None:
+    """Ends the program: an argument makes no sense."""
+    print(f"laburnumsill-emulator: {detail}", file=sys.stderr)
+    sys.exit(BAD_ARGUMENT)
+
+
+def main() -> None:
+    """Runs the command line."""
+    fire.Fire(Emulator, name="laburnumsill-emulator")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/laburnumsill/emulator/tests/test_main.py
@@ -0,0 +1,65 @@
+"""The program `laburnumsill-emulator`."""
+
+import json
+
+import pytest
+
+from laburnumsill.emulator import days
+from laburnumsill.emulator import load as loads
+from laburnumsill.emulator import main
+
+
+@pytest.fixture(autouse=True)
+def short_days(monkeypatch):
+    monkeypatch.setattr(days, "DAY_S", 6.0)
+
+
+def test_a_day_says_what_became_of_its_jobs(capsys):
+    main.Emulator().day(seed=3, site="fingal", trouble="lost,crash")
+    text = capsys.readouterr().out
+    assert "state=completed" in text
+    assert "broken=0" in text
+
+
+def test_the_same_seeds_give_the_same_figures(capsys):
+    printed = []
+    for _ in range(2):
+        main.Emulator().days(count=2, site="fingal", output="json")
+        printed.append(json.loads(capsys.readouterr().out))
+    assert printed[0] == printed[1]
+    assert printed[0]["days"] == 2
+    assert 0 < printed[0]["earned"] <= 1
+
+
+@pytest.mark.parametrize(
+    "arguments, named",
+    [
+        ({"site": "nowhere"}, "nowhere"),
+        ({"trouble": "flood"}, "flood"),
+        ({"count": 0}, "0"),
+    ],
+)
+def test_arguments_that_make_no_sense_are_refused(arguments, named, capsys):
+    with pytest.raises(SystemExit) as raised:
+        main.Emulator().days(**arguments)
+    assert raised.value.code == main.BAD_ARGUMENT
+    assert named in capsys.readouterr().err
+
+
+def test_a_broken_rule_ends_the_program_with_a_status(monkeypatch, capsys):
+    def broken(day):
+        return days.Result({}, {}, 0.0, 0.0, {}, [f"TWICE {day.seed}"])
+
+    monkeypatch.setattr(days, "run", broken)
+    with pytest.raises(SystemExit) as raised:
+        main.Emulator().days(count=2)
+    assert raised.value.code == main.RULE_BROKEN
+    assert "broken: seed 1: TWICE 1" in capsys.readouterr().out
+
+
+def test_a_wide_step_counts_in_waves():
+    shape = loads.FINGAL
+    narrow = loads.model.Step(12, loads.model.Resources(accelerators=4))
+    wide = loads.model.Step(13, loads.model.Resources(accelerators=4))
+    assert shape.waves(narrow) == 1
+    assert shape.waves(wide) == 2
--- a/laburnumsill/emulator/tests/test_site.py
+++ b/laburnumsill/emulator/tests/test_site.py
@@ -4,11 +4,11 @@
 
 import pytest
 import trio
-import trio.testing
-from trio._core import _run as trio_run
 
 from laburnumsill.batch import model
 from laburnumsill.emulator import site as sites
+from laburnumsill.emulator import troubles
+from laburnumsill.emulator import virtual_time
 
 GIB = 1024
 DAY_S = 30.0
@@ -71,48 +71,6 @@
         await trio.sleep(source.expovariate(count / DAY_S))
 
 
-async def disturb(site, source, kinds):
-    """Brings troubles at random moments, one after the other."""
-    while trio.current_time() < DAY_S:
-        await trio.sleep(source.uniform(1.0, 5.0))
-        kind = source.choice(kinds)
-        workers = list(site.pool.workers.values())
-        some = source.sample(workers, k=2)
-        for_s = source.uniform(1.0, 6.0)
-        if kind == "lead":
-            site.groups.lead("")
-            await trio.sleep(source.uniform(0.0, 3.0))
-            site.groups.lead(source.choice(["vm1", "vm2"]))
-        elif kind == "lost":
-            site.client.lost_share = 0.3
-            await trio.sleep(for_s)
-            site.client.lost_share = 0.0
-        elif kind == "late":
-            site.client.late_share = 0.2
-            await trio.sleep(for_s)
-            site.client.late_share = 0.0
-        elif kind == "cut":
-            site.client.cut = {one.worker.worker_id for one in some}
-            await trio.sleep(2 * for_s)
-            site.client.cut = set()
-        elif kind == "hang":
-            for one in some:
-                one.behaviour.hangs = True
-            await trio.sleep(for_s)
-            for one in some:
-                one.behaviour.hangs = False
-        elif kind == "fail":
-            some[0].behaviour.fails = True
-            await trio.sleep(for_s)
-            some[0].behaviour.fails = False
-        elif kind == "crash":
-            gone = some[0]
-            if not gone.gone:
-                gone.vanish()
-                rack = int(gone.worker.rack[1:])
-                site.add_worker(f"{gone.worker.worker_id}x", rack)
-
-
 async def play(seed, kinds, count=40):
     """Plays one day and returns the site."""
     source = random.Random(seed)
@@ -122,7 +80,7 @@
         async with trio.open_nursery() as day:
             day.start_soon(hand_in, site, source, count)
             if kinds:
-                day.start_soon(disturb, site, source, kinds)
+                day.start_soon(troubles.bring, site, source, kinds, DAY_S)
         with trio.move_on_after(SETTLE_S):
             while site.ledger.active_jobs or site.ledger.runs:
                 await trio.sleep(0.5)
@@ -133,11 +91,7 @@
 
 
 def run(seed, kinds, count=40):
-    # Trio shuffles the tasks that can run; a seed is to repeat its day.
-    trio_run._ALLOW_DETERMINISTIC_SCHEDULING = True
-    trio_run._r.seed(seed)
-    clock = trio.testing.MockClock(autojump_threshold=0)
-    return trio.run(play, seed, kinds, count, clock=clock)
+    return virtual_time.run(seed, play, seed, kinds, count)
 
 
 def check(site):
@@ -160,7 +114,7 @@
         )
 
 
-TROUBLES = ["lead", "lost", "late", "cut", "hang", "fail", "crash"]
+TROUBLES = list(troubles.KINDS)
 
 
 @pytest.mark.parametrize("kind", TROUBLES)
--- /dev/null
+++ b/laburnumsill/emulator/troubles.py
@@ -0,0 +1,126 @@
+"""Troubles that come over an emulated site, one after the other."""
+
+import random
+from collections import abc
+
+import trio
+
+from laburnumsill.emulator import site as sites
+from laburnumsill.emulator import workers as worker_module
+
+LONGEST_PAUSE_S = 5.0
+LONGEST_S = 6.0
+LONGEST_WITHOUT_LEADER_S = 3.0
+
+LOST_SHARE = 0.3
+"""Share of the orders that are carried out and not answered."""
+
+LATE_SHARE = 0.2
+"""Share of the orders that are carried out seconds late."""
+
+Trouble = abc.Callable[[sites.EmulatedSite, random.Random], abc.Awaitable[None]]
+
+
+async def bring(
+    site: sites.EmulatedSite,
+    source: random.Random,
+    kinds: abc.Sequence[str],
+    until_s: float,
+) -> None:
+    """Brings troubles at random moments until the loop's time is `until_s`.
+
+    Args:
+        site: The site.
+        source: Of all that is random.
+        kinds: Names out of `KINDS`.
+        until_s: When to end.
+
+    Raises:
+        KeyError: There is no such kind.
+    """
+    while trio.current_time() < until_s:
+        await trio.sleep(source.uniform(1.0, LONGEST_PAUSE_S))
+        await KINDS[source.choice(kinds)](site, source)
+
+
+async def _lose_lead(site: sites.EmulatedSite, source: random.Random) -> None:
+    site.groups.lead("")
+    await trio.sleep(source.uniform(0.0, LONGEST_WITHOUT_LEADER_S))
+    site.groups.lead(source.choice(list(site.schedulers)))
+
+
+async def _lose_answers(
+    site: sites.EmulatedSite, source: random.Random
+) -> None:
+    site.client.lost_share = LOST_SHARE
+    await _last(source)
+    site.client.lost_share = 0.0
+
+
+async def _delay_orders(
+    site: sites.EmulatedSite, source: random.Random
+) -> None:
+    site.client.late_share = LATE_SHARE
+    await _last(source)
+    site.client.late_share = 0.0
+
+
+async def _cut_off(site: sites.EmulatedSite, source: random.Random) -> None:
+    some = _some_workers(site, source)
+    site.client.cut = {one.worker.worker_id for one in some}
+    await _last(source)
+    await _last(source)
+    site.client.cut = set()
+
+
+async def _hang(site: sites.EmulatedSite, source: random.Random) -> None:
+    some = _some_workers(site, source)
+    for one in some:
+        one.behaviour.hangs = True
+    await _last(source)
+    for one in some:
+        one.behaviour.hangs = False
+
+
+async def _fail(site: sites.EmulatedSite, source: random.Random) -> None:
+    one, _ = _some_workers(site, source)
+    one.behaviour.fails = True
+    await _last(source)
+    one.behaviour.fails = False
+
+
+async def _crash(site: sites.EmulatedSite, source: random.Random) -> None:
+    """A worker crashes, and its successor has its address."""
+    gone, _ = _some_workers(site, source)
+    if gone.gone:
+        return
+    gone.vanish()
+    worker = gone.worker
+    rack = int(worker.rack[1:])
+    site.add_worker(f"{worker.worker_id}x", rack, worker.address)
+    await _last(source)
+    # An announcement of the crashed one was held up until now.
+    site.announce(worker, 1_000)
+
+
+def _some_workers(
+    site: sites.EmulatedSite, source: random.Random
+) -> list[worker_module.EmulatedWorker]:
+    return source.sample(list(site.pool.workers.values()), k=2)
+
+
+async def _last(source: random.Random) -> None:
+    await trio.sleep(source.uniform(1.0, LONGEST_S))
+
+
+KINDS: dict[str, Trouble] = {
+    "lead": _lose_lead,
+    "lost": _lose_answers,
+    "late": _delay_orders,
+    "cut": _cut_off,
+    "hang": _hang,
+    "fail": _fail,
+    "crash": _crash,
+}
+"""What may come: the lead is lost, answers are lost, orders come late; workers
+are cut off, hang, fail all that they start, or crash."""
