--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -32,15 +32,6 @@
 """A gang that has waited so long, in ms, while most of its pool is free,
 goes to several racks: nothing else would make use of the room."""
 
-LEAVE_OPEN_STOPS = 2
-"""Work that is not urgent leaves the emptiest rack to urgent gangs for as
-long as so many stops take. With stops of 0.9 s half of it and twice as much
-gained half on the emulator; with stops of 0.2 s nothing is gained by waiting.
-It has to stay well below 3 s: nothing is to wait longer beside free workers."""
-
-RACKS_TO_LEAVE_ONE_OPEN = 3
-"""So many racks must a pool have before one of them is left open."""
-
 MAX_FENCED = 1
 """So many waiting gangs keep room at a time; more would idle the site."""
 
@@ -109,7 +100,6 @@
         self._urgent_use = _urgent_use(view.ledger)
         self._victims: list[preemption.Victim] | None = None
         self._fenced = 0
-        self._open_racks: dict[str, str] = {}
         self._most_slots: dict[tuple[object, ...], int] = {}
 
     def run(self) -> Plan:
@@ -193,7 +183,6 @@
         for task in unit.tasks:
             avoid |= self._view.avoid(task)
         rooms = packing.eligible(unit, self._rooms.values())
-        rooms = self._without_open_rack(unit, rooms)
         kept = [room for room in rooms if room.worker.worker_id not in avoid]
         sound = [
             room for room in kept if room.slowness < worker_health.VERY_SLOW
@@ -203,39 +192,6 @@
             return rooms  # rather a poor worker than none
         return sound or kept or rooms
 
-    def _without_open_rack(
-        self, unit: units.Unit, rooms: list[room_module.Room]
-    ) -> list[room_module.Room]:
-        """Leaves out the rack that urgent gangs are to find free.
-
-        A gang that finds room needs to stop nobody: it begins at once, and
-        nobody's work is thrown away.
-        """
-        waited = self._view.now_ms - unit.waiting_since_ms
-        leave_open_ms = LEAVE_OPEN_STOPS * self._view.stop_grace_ms
-        if unit.priority == packing.URGENT_PRIORITY or waited >= leave_open_ms:
-            return rooms
-        rack = self._open_rack(unit.record.job.terms.pool)
-        if rack == unit.step.data_rack:
-            return rooms
-        return [room for room in rooms if room.worker.rack != rack]
-
-    def _open_rack(self, pool: str) -> str:
-        """Returns the emptiest rack of a pool, "" if it has too few."""
-        if pool not in self._open_racks:
-            racks = room_module.by_rack(
-                room
-                for room in self._rooms.values()
-                if room.worker.pool == pool
-            )
-            enough = len(racks) >= RACKS_TO_LEAVE_ONE_OPEN
-            self._open_racks[pool] = (
-                max(racks, key=lambda name: _openness(racks[name]))
-                if enough
-                else ""
-            )
-        return self._open_racks[pool]
-
     def _take(self, unit: units.Unit, found: packing.Assignment) -> None:
         placements = []
         for task, room in found:
@@ -345,12 +301,6 @@
         return checks.count_on(self._ledger, worker_id, task)
 
 
-def _openness(rooms: abc.Sequence[room_module.Room]) -> tuple[int, str]:
-    """Orders racks by what of them will be free soon."""
-    free = sum(room.soon_free.accelerators for room in rooms)
-    return free, rooms[0].worker.rack
-
-
 def _emptiest_first(room: room_module.Room) -> tuple[int, str]:
     """Orders rooms by what of them will be free soon, the most first.
 
