--- a/laburnumsill/batch/scheduler.py
+++ b/laburnumsill/batch/scheduler.py
@@ -1,112 +1,32 @@
-"""Carries the plan out on the VM that leads.
+"""Schedules the jobs of a ledger where its group is led.
 
-While this VM leads the group of the ledger, a term runs: one session for each
-worker, a planner that is woken by what changes, and housekeeping. When the
-lead is lost, all of it is cancelled; the ledger tells the next leader which
-runs there may be.
+While this VM leads, a term runs (`leading`). On every VM the scheduler follows
+the commands of its replica, to learn how fast workers are.
 """
 
-import dataclasses
-import math
-from collections import abc
-
 import trio
 
 from laburnumsill.batch import commands
+from laburnumsill.batch import leading
 from laburnumsill.batch import ledger as ledgers
-from laburnumsill.batch import model
-from laburnumsill.batch import planner
-from laburnumsill.batch import session as sessions
-from laburnumsill.batch import term as terms
-from laburnumsill.batch import units
-from laburnumsill.batch import worker_client
-from laburnumsill.batch import worker_health
 from laburnumsill.batch import worker_speeds
-from laburnumsill.core import clock as clocks
 from laburnumsill.core import errors
 from laburnumsill.core import logs
-from laburnumsill.core import metrics as metrics_module
 from laburnumsill.core import replication
 
-LEAD_POLL_S = 0.05
-"""How often a VM looks whether it has come to lead."""
-
-HOUSEKEEPING_S = 0.5
-"""How often workers are looked at for their silence."""
-
-COMMIT_WITHIN_S = 2.0
-"""A commit that takes longer ends the term: the lead is as good as lost."""
-
-UNHEARD_S = 4.0
-"""A worker that was silent for so long gets no new runs; it says something
-every 1.5 s."""
-
-FORGET_WORKER_S = 12.0
-"""A worker that was silent for so long, and whose leases are over, is gone."""
-
-KEEP_ENDED_S = 300.0
-"""Jobs are remembered for so long after their end; the users ask for 120 s
-at least."""
-
-
-LOG_WAITING_EVERY_S = 5.0
-"""A unit that waits is written again so often, with what stands in its way."""
-
-FORGET_EVERY_S = 30
-"""How often jobs that ended long ago are looked for."""
-
-
-class LeadLostError(errors.UnavailableError):
-    """A commit of the scheduler failed: another VM leads, or none."""
-
-    slug = "lead-lost"
-    title = "The scheduler does not lead any more"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class WorkerBounds:
-    """How long workers take for something at most.
-
-    Attributes:
-        longest_lease_ms: The longest lease that they grant.
-        stop_grace_ms: From the order to stop a run to its end.
-    """
-
-    longest_lease_ms: int
-    stop_grace_ms: int
-
 
 class Scheduler:
     """Schedules the jobs of one ledger while this VM leads its group.
 
     Args:
-        group: The group whose state machine holds the ledger.
-        groups: Access to it.
-        client: Gives orders to workers.
-        guarantees: Returns the guaranteed accelerators by client account.
-        clock: The clock of this process.
-        metrics: Takes the counters.
-        bounds: What workers and gangs were promised to take at most.
+        context: What it works with.
     """
 
-    def __init__(
-        self,
-        group: str,
-        groups: replication.Groups,
-        client: worker_client.WorkerClient,
-        guarantees: abc.Callable[[], abc.Mapping[str, int]],
-        clock: clocks.Clock,
-        metrics: metrics_module.Metrics,
-        bounds: WorkerBounds,
-    ) -> None:
-        self._group = group
-        self._groups = groups
-        self._client = client
-        self._guarantees = guarantees
-        self._clock = clock
-        self._metrics = metrics
-        self._bounds = bounds
-        self._term: _Term | None = None
+    def __init__(self, context: leading.Context) -> None:
+        self._context = context
+        self._group = context.group
+        self._groups = context.groups
+        self._term: leading.LeadingTerm | None = None
         self._speeds: worker_speeds.WorkerSpeeds | None = None
 
     async def run(self) -> None:
@@ -114,7 +34,7 @@
         while True:
             if self._groups.leads(self._group):
                 await self._run_term()
-            await trio.sleep(LEAD_POLL_S)
+            await trio.sleep(leading.LEAD_POLL_S)
 
     def hear(self, worker_id: str, clock_ms: int | None) -> None:
         """Passes a heartbeat to the term, if one runs.
@@ -138,10 +58,6 @@
         machine.observe(speeds.take)
         machine.observe(self.notice)
 
-    def slowness(self, worker_id: str) -> float:
-        """Returns the run time on a worker relative to usual ones."""
-        return self._speeds.slowness(worker_id) if self._speeds else 1.0
-
     def notice(self, command: object) -> None:
         """Notices that a command was applied; it may call for a plan."""
         if self._term is not None and not isinstance(
@@ -154,7 +70,9 @@
         ledger = await self._confirmed_ledger()
         if ledger is None or self._groups.term(self._group) != fence:
             return
-        self._term = _Term(self, ledger, fence)
+        self._term = leading.LeadingTerm(
+            self._context, ledger, fence, self._usual_slowness
+        )
         logs.event("scheduler-started", group=self._group, fence=fence)
         try:
             await self._term.run()
@@ -164,7 +82,7 @@
 
     async def _confirmed_ledger(self) -> ledgers.BatchLedger | None:
         """Returns the ledger once all that earlier leaders did is in it."""
-        deadline = self._clock.monotonic() + COMMIT_WITHIN_S
+        deadline = self._context.clock.monotonic() + leading.COMMIT_WITHIN_S
         try:
             await self._groups.query(
                 self._group, commands.PendingQuery(""), deadline
@@ -180,336 +98,6 @@
         )
         return ledger
 
-
-class _Term(terms.Term):
-    """What runs while this VM leads."""
-
-    def __init__(
-        self, owner: Scheduler, ledger: ledgers.BatchLedger, fence: int
-    ) -> None:
-        self.ledger = ledger
-        self.client = owner._client
-        self.clock = owner._clock
-        self.fence = fence
-        self.longest_lease_ms = owner._bounds.longest_lease_ms
-        self.health = worker_health.WorkerHealth()
-        self._owner = owner
-        self._sessions: dict[str, sessions.WorkerSession] = {}
-        self._scopes: dict[str, trio.CancelScope] = {}
-        self._seen: set[model.RunId] = set()
-        self._wakeup = trio.Event()
-        self._wakeup.set()
-        self._scope = trio.CancelScope()
-        self._nursery: trio.Nursery
-        self._waiting: dict[units.Key, float] = {}
-        self._kept_racks: dict[units.Key, str] = {}
-        self._forget_at_ms = 0
-
-    async def run(self) -> None:
-        """Runs until the lead is lost."""
-        with self._scope:
-            async with trio.open_nursery() as nursery:
-                self._nursery = nursery
-                nursery.start_soon(self._watch_lead)
-                nursery.start_soon(self._keep_house)
-                await self._keep_planning()
-
-    def wake(self) -> None:
-        """Has a plan made soon."""
-        self._wakeup.set()
-
-    def note_seen(self, run: model.RunId) -> None:
-        """Notes a run that is committed as seen with the next batch."""
-        self._seen.add(run)
-
-    def fenced_off(self, worker_id: str) -> None:
-        """A worker obeys a later leader: this term is over."""
-        logs.event("fenced-off", "WARNING", worker=worker_id, fence=self.fence)
-        self._scope.cancel()
-
-    def hear(self, worker_id: str, clock_ms: int | None) -> None:
-        """Passes a heartbeat to the worker's session."""
-        session = self._sessions.get(worker_id)
-        if session is not None:
-            session.hear(clock_ms)
-
-    async def commit(self, command: object) -> object:
-        """Commits a command, see the base class."""
-        deadline = self.clock.monotonic() + COMMIT_WITHIN_S
-        try:
-            return await self._owner._groups.propose(
-                self._owner._group, command, deadline
-            )
-        except errors.LaburnumsillError as error:
-            logs.event(
-                "scheduler-commit-failed",
-                "WARNING",
-                command=type(command).__name__,
-                reason=error.slug,
-                detail=error.detail,
-            )
-            self._scope.cancel()
-            await trio.lowlevel.checkpoint()
-            raise LeadLostError(error.detail) from error
-
-    async def _watch_lead(self) -> None:
-        groups = self._owner._groups
-        group = self._owner._group
-        while True:
-            await trio.sleep(LEAD_POLL_S)
-            if not groups.leads(group) or groups.term(group) != self.fence:
-                self._scope.cancel()
-                return
-
-    async def _keep_planning(self) -> None:
-        while True:
-            with trio.move_on_after(self._until_next_due_s()):
-                await self._wakeup.wait()
-            self._wakeup = trio.Event()
-            self._match_sessions()
-            self._stop_unwanted()
-            await self._plan_once()
-
-    def _until_next_due_s(self) -> float:
-        now_ms = self._now_ms()
-        due_ms = units.next_due_ms(self.ledger, now_ms)
-        if due_ms is None:
-            return HOUSEKEEPING_S
-        return min(HOUSEKEEPING_S, (due_ms - now_ms) / 1000 + 0.001)
-
-    async def _plan_once(self) -> None:
-        view = planner.View(
-            self.ledger,
-            self._usable(),
-            frozenset(self._stopping()),
-            self._owner._guarantees(),
-            self._now_ms(),
-            self.health.avoid,
-            self._slowness,
-            self._kept_racks,
-            self._is_log_due,
-            self._owner._bounds.stop_grace_ms,
-        )
-        made = planner.plan(view)
-        self._kept_racks = made.kept_racks
-        self._log_waiting(made)
-        for run in made.stops:
-            self._stop(run, "an urgent job needs the room")
-        if made.groups:
-            await self._place(made)
-
-    def _slowness(self, worker_id: str) -> float:
-        now = self.clock.monotonic()
-        lately = self.health.slowness_lately(worker_id, now)
-        if lately >= worker_health.VERY_SLOW:
-            return lately
-        usual = self._owner.slowness(worker_id)
-        return min(usual, worker_health.NOT_VERY_SLOW)
-
-    async def _place(self, made: planner.Plan) -> None:
-        command = commands.PlaceRuns(tuple(made.groups), self._now_ms())
-        placed = await self.commit(command)
-        assert isinstance(placed, commands.Placed)
-        for group, refusal in zip(made.groups, placed.refusals, strict=True):
-            for placement in group:
-                self._log_placement(placement, refusal)
-                session = self._sessions.get(placement.worker_id)
-                if not refusal and session is not None:
-                    session.start(placement.run)
-
-    def _log_placement(
-        self, placement: commands.Placement, refusal: str
-    ) -> None:
-        record = self.ledger.jobs.get(placement.run.task.job_id)
-        logs.decision(
-            "run-placed" if not refusal else "placement-refused",
-            job=placement.run.task.job_id,
-            run=placement.run,
-            worker=placement.worker_id,
-            queue=record.job.queue if record else "",
-            waited_ms=self._now_ms() - record.submitted_ms if record else 0,
-            refusal=refusal,
-        )
-
-    def _log_waiting(self, made: planner.Plan) -> None:
-        """Writes a line when a unit begins to wait, and now and then."""
-        now = self.clock.monotonic()
-        waiting = {}
-        for unit in made.waiting:
-            log_at = self._waiting.get(unit.key, now)
-            if unit.key in made.obstacles:
-                self._log_unit(unit, made.obstacles[unit.key])
-                log_at = now + LOG_WAITING_EVERY_S
-            waiting[unit.key] = log_at
-        self._waiting = waiting
-
-    def _is_log_due(self, key: units.Key) -> bool:
-        return self._waiting.get(key, 0.0) <= self.clock.monotonic()
-
-    def _log_unit(self, unit: units.Unit, obstacle: str) -> None:
-        logs.decision(
-            "unit-waits",
-            job=unit.record.job.job_id,
-            occurrence=unit.occurrence,
-            step=unit.number,
-            tasks=len(unit.tasks),
-            accelerators=unit.step.needs.accelerators,
-            gang=unit.step.gang,
-            same_rack=unit.step.same_rack,
-            data_rack=unit.step.data_rack,
-            label=unit.step.required_label,
-            priority=unit.priority,
-            waited_ms=self._now_ms() - unit.waiting_since_ms,
-            obstacle=obstacle,
-            usable=len(self._usable()),
-        )
-
-    def _usable(self) -> set[str]:
-        now = self.clock.monotonic()
-        contested = self._contested()
-        return {
-            worker_id
-            for worker_id, session in self._sessions.items()
-            if session.failing_since is None
-            and worker_id not in contested
-            and now - session.heard_at < UNHEARD_S
-            and now >= session.unwell_until
-            and not self.health.set_aside(worker_id, now)
-        }
-
-    def _contested(self) -> set[str]:
-        """Returns the workers that claim an address which another claims.
-
-        One of them has ended, and which one is not known until the address
-        is asked: a late announcement may be that of the ended one.
-        """
-        claims: dict[str, list[str]] = {}
-        for worker_id, worker in self.ledger.workers.items():
-            claims.setdefault(worker.address, []).append(worker_id)
-        return {
-            worker_id
-            for claimants in claims.values()
-            if len(claimants) > 1
-            for worker_id in claimants
-        }
-
-    def _stopping(self) -> set[model.RunId]:
-        found: set[model.RunId] = set()
-        for session in self._sessions.values():
-            found |= session.stopping
-        return found
-
-    def _stop(self, run: model.RunId, reason: str) -> None:
-        record = self.ledger.runs.get(run)
-        session = self._sessions.get(record.worker_id) if record else None
-        if session is not None:
-            session.stop(run, reason)
-
-    def _stop_unwanted(self) -> None:
-        """Stops runs of ended jobs, done tasks and broken gangs."""
-        broken = self._broken_gangs()
-        for run in list(self.ledger.runs):
-            reason = self._unwanted_because(run, broken)
-            if reason:
-                self._stop(run, reason)
-
-    def _broken_gangs(self) -> set[tuple[str, int, int]]:
-        """Returns the steps whose gangs have live runs and are not whole."""
-        members: dict[tuple[str, int, int], list[int]] = {}
-        for run in self.ledger.runs:
-            task = run.task
-            record = self.ledger.jobs.get(task.job_id)
-            if record is not None and record.job.steps[task.step].gang:
-                key = (task.job_id, task.occurrence, task.step)
-                members.setdefault(key, []).append(run.number)
-        return {
-            key
-            for key, numbers in members.items()
-            if len(numbers) < self.ledger.jobs[key[0]].job.steps[key[2]].tasks
-            or len(set(numbers)) > 1
-        }
-
-    def _unwanted_because(
-        self, run: model.RunId, broken: abc.Set[tuple[str, int, int]]
-    ) -> str:
-        record = self.ledger.jobs.get(run.task.job_id)
-        task = record.task(run.task) if record else None
-        step = record.step(run.task) if record else None
-        if record is None or task is None or step is None:
-            return "its job is not known"
-        if task.done_run:
-            return "" if task.done_run == run.number else "its task is done"
-        if not record.active:
-            return f"its job is {record.state}"
-        key = (run.task.job_id, run.task.occurrence, run.task.step)
-        return "its gang is not whole" if key in broken else ""
-
-    def _match_sessions(self) -> None:
-        """Has a session for each worker that is known, and no other."""
-        for worker_id, worker in self.ledger.workers.items():
-            session = self._sessions.get(worker_id)
-            if session is not None:
-                session.update(worker)
-                continue
-            session = sessions.WorkerSession(worker, self, self._nursery)
-            self._sessions[worker_id] = session
-            self._scopes[worker_id] = trio.CancelScope()
-            self._nursery.start_soon(self._run_session, session)
-        for worker_id in list(self._sessions):
-            if worker_id not in self.ledger.workers:
-                del self._sessions[worker_id]
-                self._scopes.pop(worker_id).cancel()
-        for worker_id in self._contested():
-            self._sessions[worker_id].verify()
-
-    async def _run_session(self, session: sessions.WorkerSession) -> None:
-        with self._scopes[session.worker_id]:
-            await session.run()
-
-    async def _keep_house(self) -> None:
-        while True:
-            await trio.sleep(HOUSEKEEPING_S)
-            await self._commit_seen()
-            await self._remove_silent()
-            await self._forget_ended()
-            self._publish()
-
-    async def _commit_seen(self) -> None:
-        if not self._seen:
-            return
-        seen = tuple(commands.SeenRun(run) for run in sorted(self._seen))
-        self._seen.clear()
-        await self.commit(commands.NoteRunning(seen))
-
-    async def _remove_silent(self) -> None:
-        now = self.clock.monotonic()
-        for worker_id, session in list(self._sessions.items()):
-            silent_s = now - session.heard_at
-            if silent_s < FORGET_WORKER_S or now < session.leases_over_at:
-                continue
-            reason = f"silent for {silent_s:.1f} s"
-            logs.event("worker-gone", worker=worker_id, reason=reason)
-            saved = tuple(session.progress())
-            await self.commit(commands.RemoveWorker(worker_id, reason, saved))
-            self.wake()
-
-    async def _forget_ended(self) -> None:
-        """Forgets jobs that ended long ago, some at a time."""
-        now_ms = self._now_ms()
-        self.health.keep_jobs(self.ledger.active_jobs)
-        if now_ms < self._forget_at_ms:
-            return
-        self._forget_at_ms = now_ms + FORGET_EVERY_S * 1000
-        before_ms = now_ms - int(KEEP_ENDED_S * 1000)
-        if self.ledger.may_forget(before_ms):
-            await self.commit(commands.ForgetJobs(before_ms))
-
-    def _publish(self) -> None:
-        metrics = self._owner._metrics
-        metrics.gauge("jobs_active", len(self.ledger.active_jobs))
-        metrics.gauge("runs_live", len(self.ledger.runs))
-        metrics.gauge("workers_known", len(self.ledger.workers))
-        metrics.gauge("units_waiting", len(self._waiting))
-
-    def _now_ms(self) -> int:
-        return math.floor(self.clock.wall() * 1000)
+    def _usual_slowness(self, worker_id: str) -> float:
+        """Returns the run time on a worker relative to usual ones."""
+        return self._speeds.slowness(worker_id) if self._speeds else 1.0
--- a/laburnumsill/daemon/core_role.py
+++ b/laburnumsill/daemon/core_role.py
@@ -6,6 +6,7 @@
 import trio
 
 from laburnumsill.batch import intake
+from laburnumsill.batch import leading
 from laburnumsill.batch import ledger
 from laburnumsill.batch import scheduler
 from laburnumsill.config import site
@@ -69,16 +70,18 @@
         self._set_make_up()
         self._configuration: site.SiteConfiguration | None = None
         self._scheduler = scheduler.Scheduler(
-            role.SITE_GROUP,
-            self._host,
-            workers.PlatformWorkerClient(self._clock),
-            self._guarantees,
-            self._clock,
-            self._metrics,
-            scheduler.WorkerBounds(
-                settings.bounds.longest_lease_ms,
-                settings.bounds.stop_grace_ms,
-            ),
+            leading.Context(
+                role.SITE_GROUP,
+                self._host,
+                workers.PlatformWorkerClient(self._clock),
+                self._guarantees,
+                self._clock,
+                self._metrics,
+                leading.WorkerBounds(
+                    settings.bounds.longest_lease_ms,
+                    settings.bounds.stop_grace_ms,
+                ),
+            )
         )
         self._intake = intake.WorkerIntake(
             self._vm.vm_id,
--- a/laburnumsill/emulator/site.py
+++ b/laburnumsill/emulator/site.py
@@ -7,6 +7,7 @@
 import trio
 
 from laburnumsill.batch import commands
+from laburnumsill.batch import leading
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
 from laburnumsill.batch import scheduler as schedulers
@@ -152,15 +153,17 @@
         self._clock = trio_clock.TrioClock(EPOCH)
         self.schedulers = {
             vm: schedulers.Scheduler(
-                GROUP,
-                VmGroups(self.groups, vm),
-                self.client,
-                lambda: self.guarantees,
-                self._clock,
-                metrics_module.Metrics(),
-                schedulers.WorkerBounds(
-                    worker_module.LONGEST_LEASE_MS, int(1000 * stop_grace_s)
-                ),
+                leading.Context(
+                    GROUP,
+                    VmGroups(self.groups, vm),
+                    self.client,
+                    lambda: self.guarantees,
+                    self._clock,
+                    metrics_module.Metrics(),
+                    leading.WorkerBounds(
+                        worker_module.LONGEST_LEASE_MS, int(1000 * stop_grace_s)
+                    ),
+                )
             )
             for vm in ("vm1", "vm2")
         }
