--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -130,7 +130,7 @@
 
     def _place(self, unit: units.Unit) -> None:
         rooms = self._eligible(unit)
-        found = [] if self._is_hopeless(unit) else self._fit(unit, rooms)
+        found = [] if self._has_no_room(unit) else self._fit(unit, rooms)
         self._take(unit, found)
         placed = {task for task, _ in found}
         unit.tasks = [task for task in unit.tasks if task not in placed]
@@ -155,7 +155,7 @@
             self._may_spread(unit, rooms),
         )
 
-    def _is_hopeless(self, unit: units.Unit) -> bool:
+    def _has_no_room(self, unit: units.Unit) -> bool:
         """Whether an earlier unit like this has shown that it cannot fit.
 
         What is free only becomes less while a plan is made, so the slots
--- a/laburnumsill/batch/preemption.py
+++ b/laburnumsill/batch/preemption.py
@@ -84,7 +84,8 @@
             ones do not suffice.
     """
     fast = [room for room in rooms if not packing.is_slow(room)]
-    for some in (fast, rooms) if fast_first else (rooms,):
+    preferences = [fast, rooms] if fast_first else [rooms]
+    for some in preferences:
         racks = room_module.by_rack(some)
         choices = [
             _evict_within(unit, inside, victims, count_on)
@@ -109,7 +110,7 @@
     clearing.prune(len(unit.tasks))
     assignment = packing.fit(unit, rooms, clearing.room_of, count_on)
     if len(assignment) < len(unit.tasks):
-        return None  # a bound on tasks a worker stands in the way
+        return None  # at most so many tasks may run on one worker
     return Eviction(tuple(clearing.chosen), assignment)
 
 
@@ -130,18 +131,20 @@
     ) -> None:
         self.chosen: list[Victim] = []
         self._needs = unit.step.needs
-        self._room = {room.worker.worker_id: room.soon_free for room in rooms}
+        self._soon_free = {
+            room.worker.worker_id: room.soon_free for room in rooms
+        }
         self._on_worker: dict[str, list[Victim]] = {}
         for victim in victims:
             for worker_id in victim.freed:
-                if worker_id in self._room:
+                if worker_id in self._soon_free:
                     self._on_worker.setdefault(worker_id, []).append(victim)
         for worker_id, there in self._on_worker.items():
             there.sort(key=lambda one: _price(one, worker_id))
 
     def room_of(self, room: room_module.Room) -> model.Resources:
         """Returns what is free soon in a room, the chosen ones gone."""
-        return self._room[room.worker.worker_id]
+        return self._soon_free[room.worker.worker_id]
 
     def make_slots(self, wanted: int) -> bool:
         """Chooses victims until there are so many slots, if that can be."""
@@ -172,13 +175,15 @@
                 self._shift(victim, 1)
 
     def _slots(self) -> int:
-        return sum(self._needs.times_in(free) for free in self._room.values())
+        return sum(
+            self._needs.times_in(free) for free in self._soon_free.values()
+        )
 
     def _next_slot(
         self, worker_id: str
     ) -> tuple[float, str, list[Victim]] | None:
         """Returns what one more slot on a worker costs, and its victims."""
-        free = self._room[worker_id]
+        free = self._soon_free[worker_id]
         before = self._needs.times_in(free)
         cost = 0.0
         group: list[Victim] = []
@@ -200,12 +205,12 @@
     def _shift(self, victim: Victim, sign: int) -> None:
         """Adds what a victim frees to the rooms, or takes it away again."""
         for worker_id, freed in victim.freed.items():
-            if worker_id not in self._room:
+            if worker_id not in self._soon_free:
                 continue
             if sign > 0:
-                self._room[worker_id] += freed
+                self._soon_free[worker_id] += freed
             else:
-                self._room[worker_id] -= freed
+                self._soon_free[worker_id] -= freed
 
 
 def _price(victim: Victim, worker_id: str) -> float:
