--- a/laburnumsill/batch/preemption.py
+++ b/laburnumsill/batch/preemption.py
@@ -23,10 +23,12 @@
 restoring, and the time of a job that may have been in time."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class Victim:
     """Runs that end together, and what stopping them costs.
 
+    Each is equal to itself only: comparing all runs took most of a plan.
+
     Attributes:
         runs: One run, or all of a gang.
         cost: Core-seconds of work that would be lost.
