--- a/laburnumsill/batch/gateway.py
+++ b/laburnumsill/batch/gateway.py
@@ -48,7 +48,7 @@
             errors.UnavailableError: It was certainly not accepted.
             errors.OutcomeUnknownError: It may have been accepted.
         """
-        command = commands.SubmitJob(job, int(self._clock.wall() * 1000))
+        command = commands.SubmitJob(job, self._clock.wall_ms())
         await self._groups.propose(
             self._group, command, self._within(deadline, SUBMIT_WITHIN_S)
         )
@@ -60,7 +60,7 @@
             UnknownJobError: There is no such job.
             errors.LaburnumsillError: It may or may not be cancelled.
         """
-        command = commands.CancelJob(job_id, int(self._clock.wall() * 1000))
+        command = commands.CancelJob(job_id, self._clock.wall_ms())
         answer = await self._groups.propose(
             self._group, command, self._within(deadline, ASK_WITHIN_S)
         )
--- a/laburnumsill/batch/intake.py
+++ b/laburnumsill/batch/intake.py
@@ -137,7 +137,7 @@
         worker_id = departure.worker_id
         if not self._ledger().has_ended(worker_id):
             logs.event("worker-left", worker=worker_id)
-            ended_ms = int(self._clock.wall() * 1000)
+            ended_ms = self._clock.wall_ms()
             await self._commit(
                 commands.RemoveWorker(worker_id, "it left", (), ended_ms)
             )
--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -7,7 +7,6 @@
 """
 
 import dataclasses
-import math
 from collections import abc
 
 import trio
@@ -200,7 +199,7 @@
             await self._plan_once()
 
     def _until_next_due_s(self) -> float:
-        now_ms = self._now_ms()
+        now_ms = self.clock.wall_ms()
         due_ms = units.next_due_ms(self.ledger, now_ms)
         if due_ms is None:
             return HOUSEKEEPING_S
@@ -212,7 +211,7 @@
             self._usable(),
             frozenset(self._stopping()),
             self._context.guarantees(),
-            self._now_ms(),
+            self.clock.wall_ms(),
             self.health.avoid,
             self._slowness,
             self._kept_racks,
@@ -236,7 +235,7 @@
         return min(usual, worker_health.NOT_VERY_SLOW)
 
     async def _place(self, made: planner.Plan) -> None:
-        command = commands.PlaceRuns(tuple(made.groups), self._now_ms())
+        command = commands.PlaceRuns(tuple(made.groups), self.clock.wall_ms())
         placed = await self.commit(command)
         assert isinstance(placed, commands.Placed)
         for group, refusal in zip(made.groups, placed.refusals, strict=True):
@@ -256,7 +255,9 @@
             run=placement.run,
             worker=placement.worker_id,
             queue=record.job.queue if record else "",
-            waited_ms=self._now_ms() - record.submitted_ms if record else 0,
+            waited_ms=self.clock.wall_ms() - record.submitted_ms
+            if record
+            else 0,
             refusal=refusal,
         )
 
@@ -288,7 +289,7 @@
             data_rack=unit.step.data_rack,
             label=unit.step.required_label,
             priority=unit.priority,
-            waited_ms=self._now_ms() - unit.waiting_since_ms,
+            waited_ms=self.clock.wall_ms() - unit.waiting_since_ms,
             obstacle=obstacle,
             usable=len(self._usable()),
         )
@@ -424,7 +425,7 @@
 
     async def _forget_ended(self) -> None:
         """Forgets jobs that ended long ago, some at a time."""
-        now_ms = self._now_ms()
+        now_ms = self.clock.wall_ms()
         self.health.keep_jobs(self.ledger.active_jobs)
         if now_ms < self._forget_at_ms:
             return
@@ -439,6 +440,3 @@
         metrics.gauge("runs_live", len(self.ledger.runs))
         metrics.gauge("workers_known", len(self.ledger.workers))
         metrics.gauge("units_waiting", len(self._waiting))
-
-    def _now_ms(self) -> int:
-        return math.floor(self.clock.wall() * 1000)
--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -221,7 +221,7 @@
                 kind=end.kind,
                 saved=end.saved,
             )
-        at_ms = int(self._term.clock.wall() * 1000)
+        at_ms = self._term.clock.wall_ms()
         await self._term.commit(
             commands.NoteEnds(self._state.worker_id, ends, at_ms)
         )
--- a/laburnumsill/batch/worker_state.py
+++ b/laburnumsill/batch/worker_state.py
@@ -130,7 +130,7 @@
                 self.worker_id,
                 reason,
                 tuple(self.progress()),
-                int(self.term.clock.wall() * 1000),
+                self.term.clock.wall_ms(),
             )
         )
         self.term.wake()
@@ -153,6 +153,6 @@
             )
             self.started.pop(one.run, None)
             self.term.health.forget_run(one.run)
-        at_ms = int(self.term.clock.wall() * 1000)
+        at_ms = self.term.clock.wall_ms()
         await self.term.commit(commands.ReleaseRuns(tuple(releases), at_ms))
         self.term.wake()
--- a/laburnumsill/core/clock.py
+++ b/laburnumsill/core/clock.py
@@ -24,6 +24,15 @@
     def wall(self) -> float:
         """Returns Unix seconds, UTC."""
 
+    def wall_ms(self) -> int:
+        """Returns whole Unix milliseconds, UTC.
+
+        Examples:
+            >>> ManualClock(1.9999).wall_ms()
+            1999
+        """
+        return int(self.wall() * 1000)
+
     def wall_deadline(self, monotonic_deadline: float) -> float:
         """Returns the wall-clock point of a monotonic deadline."""
         return self.wall() + (monotonic_deadline - self.monotonic())
--- a/laburnumsill/emulator/site.py
+++ b/laburnumsill/emulator/site.py
@@ -254,15 +254,11 @@
         if hopeless:
             self.hopeless.add(job.job_id)
         self.outcomes[job.job_id] = Outcome(trio.current_time())
-        await self.propose(
-            commands.SubmitJob(job, int(self._clock.wall() * 1000))
-        )
+        await self.propose(commands.SubmitJob(job, self._clock.wall_ms()))
 
     async def cancel(self, job_id: str) -> None:
         """Cancels a job."""
-        await self.propose(
-            commands.CancelJob(job_id, int(self._clock.wall() * 1000))
-        )
+        await self.propose(commands.CancelJob(job_id, self._clock.wall_ms()))
         truth = self.oracle.jobs[job_id]
         truth.cancelled_at = trio.current_time()
 
