Name a task's step in one place

(job, occurrence, step) was put together from a task in eight places and its type written three times, twice under names of their own. model.StepKey and TaskId.step_key serve all.

--- a/laburnumsill/batch/checks.py
+++ b/laburnumsill/batch/checks.py
@@ -66,10 +66,9 @@
 
 def _gang_refusal(ledger: "ledgers.BatchLedger", group: Group) -> str:
     """Checks that gangs are whole and their members' runs have one number."""
-    steps: dict[tuple[str, int, int], list[model.RunId]] = {}
+    steps: dict[model.StepKey, list[model.RunId]] = {}
     for placement in group:
-        task = placement.run.task
-        key = (task.job_id, task.occurrence, task.step)
+        key = placement.run.task.step_key
         steps.setdefault(key, []).append(placement.run)
     for (job_id, _, number), runs in steps.items():
         step = ledger.jobs[job_id].job.steps[number]
@@ -85,7 +84,7 @@
 
 def _room_refusal(ledger: "ledgers.BatchLedger", group: Group) -> str:
     free: dict[str, model.Resources] = {}
-    counts: dict[tuple[str, str, int, int], int] = {}
+    counts: dict[tuple[str, model.StepKey], int] = {}
     for placement in group:
         worker_id = placement.worker_id
         task = placement.run.task
@@ -94,7 +93,7 @@
         if not step.needs.fits_in(room):
             return f"no room for {task} on {worker_id}"
         free[worker_id] = room - step.needs
-        key = (worker_id, task.job_id, task.occurrence, task.step)
+        key = (worker_id, task.step_key)
         if key not in counts:
             counts[key] = count_on(ledger, worker_id, task)
         counts[key] += 1
@@ -108,8 +107,5 @@
 ) -> int:
     """Returns how many live runs of a task's step a worker has."""
     return sum(
-        run.task.job_id == task.job_id
-        and run.task.occurrence == task.occurrence
-        and run.task.step == task.step
-        for run in ledger.runs_on(worker_id)
+        run.task.step_key == task.step_key for run in ledger.runs_on(worker_id)
     )
--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -129,8 +129,8 @@
         self._wakeup.set()
         self._scope = trio.CancelScope()
         self._nursery: trio.Nursery
-        self._waiting: dict[units.Key, float] = {}
-        self._kept_racks: dict[units.Key, str] = {}
+        self._waiting: dict[model.StepKey, float] = {}
+        self._kept_racks: dict[model.StepKey, str] = {}
         self._forget_at_ms = 0
 
     async def run(self) -> None:
@@ -273,7 +273,7 @@
             waiting[unit.key] = log_at
         self._waiting = waiting
 
-    def _is_log_due(self, key: units.Key) -> bool:
+    def _is_log_due(self, key: model.StepKey) -> bool:
         return self._waiting.get(key, 0.0) <= self.clock.monotonic()
 
     def _log_unit(self, unit: units.Unit, obstacle: str) -> None:
@@ -343,15 +343,14 @@
             if reason:
                 self._stop(run, reason)
 
-    def _broken_gangs(self) -> set[tuple[str, int, int]]:
+    def _broken_gangs(self) -> set[model.StepKey]:
         """Returns the steps whose gangs have live runs and are not whole."""
-        members: dict[tuple[str, int, int], list[int]] = {}
+        members: dict[model.StepKey, list[int]] = {}
         for run in self.ledger.runs:
             task = run.task
             record = self.ledger.jobs.get(task.job_id)
             if record is not None and record.job.steps[task.step].gang:
-                key = (task.job_id, task.occurrence, task.step)
-                members.setdefault(key, []).append(run.number)
+                members.setdefault(task.step_key, []).append(run.number)
         return {
             key
             for key, numbers in members.items()
@@ -360,7 +359,7 @@
         }
 
     def _unwanted_because(
-        self, run: model.RunId, broken: abc.Set[tuple[str, int, int]]
+        self, run: model.RunId, broken: abc.Set[model.StepKey]
     ) -> str:
         record = self.ledger.jobs.get(run.task.job_id)
         task = record.task(run.task) if record else None
@@ -371,8 +370,7 @@
             return "" if task.done_run == run.number else "its task is done"
         if not record.active:
             return f"its job is {record.state}"
-        key = (run.task.job_id, run.task.occurrence, run.task.step)
-        return "its gang is not whole" if key in broken else ""
+        return "its gang is not whole" if run.task.step_key in broken else ""
 
     def _match_sessions(self) -> None:
         """Has a session for each worker that is known, and no other."""
--- a/laburnumsill/batch/model.py
+++ b/laburnumsill/batch/model.py
@@ -171,6 +171,10 @@
         return self.first_due_ms + occurrence * self.interval_ms
 
 
+StepKey = tuple[str, int, int]
+"""Job, occurrence and step: names one step of one occurrence among all."""
+
+
 @codec.register("batch.task-id")
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
 class TaskId:
@@ -188,6 +192,11 @@
     step: int
     index: int
 
+    @property
+    def step_key(self) -> StepKey:
+        """Names the task's step among all."""
+        return (self.job_id, self.occurrence, self.step)
+
     def __str__(self) -> str:
         return f"{self.job_id}.{self.occurrence}.{self.step}.{self.index}"
 
--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -60,10 +60,10 @@
     now_ms: int
     avoid: abc.Callable[[model.TaskId], abc.Set[str]] = lambda _: frozenset()
     slowness: abc.Callable[[str], float] = lambda _: 1.0
-    kept_racks: abc.Mapping[units.Key, str] = dataclasses.field(
+    kept_racks: abc.Mapping[model.StepKey, str] = dataclasses.field(
         default_factory=dict
     )
-    explain: abc.Callable[[units.Key], bool] = lambda _: False
+    explain: abc.Callable[[model.StepKey], bool] = lambda _: False
     stop_grace_ms: int = 0
 
 
@@ -82,8 +82,12 @@
     groups: list[tuple[commands.Placement, ...]]
     stops: list[model.RunId]
     waiting: list[units.Unit]
-    kept_racks: dict[units.Key, str] = dataclasses.field(default_factory=dict)
-    obstacles: dict[units.Key, str] = dataclasses.field(default_factory=dict)
+    kept_racks: dict[model.StepKey, str] = dataclasses.field(
+        default_factory=dict
+    )
+    obstacles: dict[model.StepKey, str] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def plan(view: View) -> Plan:
--- a/laburnumsill/batch/preemption.py
+++ b/laburnumsill/batch/preemption.py
@@ -55,7 +55,7 @@
     now_ms: int,
 ) -> list[Victim]:
     """Returns what may be stopped for a unit of a priority."""
-    together: dict[tuple[str, int, int, int], list[model.RunId]] = {}
+    together: dict[tuple[model.StepKey, int], list[model.RunId]] = {}
     for run in ledger.runs:
         job = ledger.jobs[run.task.job_id].job
         if job.terms.priority <= priority or run in stopping:
@@ -63,7 +63,7 @@
         task = run.task
         gang = job.steps[task.step].gang
         index = -1 if gang else task.index
-        key = (task.job_id, task.occurrence, task.step, index)
+        key = (task.step_key, index)
         together.setdefault(key, []).append(run)
     return [_victim(ledger, runs, now_ms) for runs in together.values()]
 
--- a/laburnumsill/batch/units.py
+++ b/laburnumsill/batch/units.py
@@ -7,9 +7,6 @@
 from laburnumsill.batch import model
 from laburnumsill.batch import records
 
-Key = tuple[str, int, int]
-"""Job, occurrence and step: names a unit among all."""
-
 
 @dataclasses.dataclass(slots=True)
 class Unit:
@@ -44,7 +41,7 @@
         return self.record.job.terms.priority
 
     @property
-    def key(self) -> Key:
+    def key(self) -> model.StepKey:
         """Names the unit among all."""
         return (self.record.job.job_id, self.occurrence, self.number)
 
--- a/laburnumsill/batch/worker_health.py
+++ b/laburnumsill/batch/worker_health.py
@@ -86,7 +86,7 @@
         self._workers: dict[str, _Standing] = {}
         self._seen: dict[model.RunId, _Seen] = {}
         self._failed_on: dict[model.TaskId, set[str]] = {}
-        self._durations: dict[tuple[str, int, int], list[float]] = {}
+        self._durations: dict[model.StepKey, list[float]] = {}
 
     def set_aside(self, worker_id: str, now: float) -> bool:
         """Returns whether a worker is to get nothing now."""
@@ -182,9 +182,7 @@
     ) -> None:
         """Compares a run's time with those of its siblings elsewhere."""
         took_s = now - began
-        task = run.task
-        key = (task.job_id, task.occurrence, task.step)
-        times = self._durations.setdefault(key, [])
+        times = self._durations.setdefault(run.task.step_key, [])
         if len(times) >= MIN_SIBLINGS:
             usual = statistics.median(times)
             if usual > 0:
--- a/laburnumsill/batch/worker_speeds.py
+++ b/laburnumsill/batch/worker_speeds.py
@@ -45,8 +45,6 @@
 MAX_UNFINISHED = 4_096
 """Runs that were placed and whose end is waited for, at most."""
 
-StepKey = tuple[str, int, int]
-
 
 @dataclasses.dataclass(slots=True)
 class _StepTimes:
@@ -66,10 +64,12 @@
     def __init__(self, ledger: ledgers.BatchLedger) -> None:
         self._ledger = ledger
         self._placed: dict[model.RunId, tuple[str, int]] = {}
-        self._steps: collections.OrderedDict[StepKey, _StepTimes] = (
+        self._steps: collections.OrderedDict[model.StepKey, _StepTimes] = (
             collections.OrderedDict()
         )
-        self._workers: dict[str, collections.deque[tuple[StepKey, float]]] = {}
+        self._workers: dict[
+            str, collections.deque[tuple[model.StepKey, float]]
+        ] = {}
         self._effects: dict[str, float] = {}
         self._usual_effect = 0.0
 
@@ -129,7 +129,7 @@
             self._fit_usual()
 
     def _add(self, task: model.TaskId, worker_id: str, time: float) -> None:
-        key = (task.job_id, task.occurrence, task.step)
+        key = task.step_key
         step = self._steps.setdefault(key, _StepTimes())
         step.times.append((worker_id, time))
         times = self._workers.setdefault(
--- a/laburnumsill/emulator/workers.py
+++ b/laburnumsill/emulator/workers.py
@@ -282,13 +282,11 @@
             self._tick_gangs()
 
     def _tick_gangs(self) -> None:
-        gangs: dict[tuple[str, int, int, int], list[_Member]] = {}
+        gangs: dict[tuple[model.StepKey, int], list[_Member]] = {}
         for worker in self.workers.values():
             for one in worker.running.values():
                 if one.step.gang:
-                    task = one.run.task
-                    number = one.run.number
-                    key = (task.job_id, task.occurrence, task.step, number)
+                    key = (one.run.task.step_key, one.run.number)
                     gangs.setdefault(key, []).append((worker, one))
         for parts in gangs.values():
             self._tick_gang(parts)
