Look for contested addresses and usable workers once a plan

Each plan went through all workers twice to find those that claim one address, and once more with both for each waiting unit that was logged. Both are worked out once now and passed on.

--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -196,7 +196,10 @@
             self._wakeup = trio.Event()
             self._match_sessions()
             self._stop_unwanted()
-            await self._plan_once()
+            contested = self._contested()
+            for worker_id in contested:
+                self._sessions[worker_id].verify()
+            await self._plan_once(self._usable(contested))
 
     def _until_next_due_s(self) -> float:
         now_ms = self.clock.wall_ms()
@@ -205,10 +208,10 @@
             return HOUSEKEEPING_S
         return min(HOUSEKEEPING_S, (due_ms - now_ms) / 1000 + 0.001)
 
-    async def _plan_once(self) -> None:
+    async def _plan_once(self, usable: abc.Set[str]) -> None:
         view = planner.View(
             self.ledger,
-            self._usable(),
+            usable,
             frozenset(self._stopping()),
             self._context.guarantees(),
             self.clock.wall_ms(),
@@ -220,7 +223,7 @@
         )
         made = planner.plan(view)
         self._kept_racks = made.kept_racks
-        self._log_waiting(made)
+        self._log_waiting(made, len(usable))
         for run in made.stops:
             self._stop(run, "an urgent job needs the room")
         if made.groups:
@@ -261,14 +264,14 @@
             refusal=refusal,
         )
 
-    def _log_waiting(self, made: planner.Plan) -> None:
+    def _log_waiting(self, made: planner.Plan, usable: int) -> None:
         """Writes a line when a unit begins to wait, and now and then."""
         now = self.clock.monotonic()
         waiting = {}
         for unit in made.waiting:
             log_at = self._waiting.get(unit.key, now)
             if unit.key in made.obstacles:
-                self._log_unit(unit, made.obstacles[unit.key])
+                self._log_unit(unit, made.obstacles[unit.key], usable)
                 log_at = now + LOG_WAITING_EVERY_S
             waiting[unit.key] = log_at
         self._waiting = waiting
@@ -276,7 +279,7 @@
     def _is_log_due(self, key: model.StepKey) -> bool:
         return self._waiting.get(key, 0.0) <= self.clock.monotonic()
 
-    def _log_unit(self, unit: units.Unit, obstacle: str) -> None:
+    def _log_unit(self, unit: units.Unit, obstacle: str, usable: int) -> None:
         logs.decision(
             "unit-waits",
             job=unit.record.job.job_id,
@@ -291,12 +294,12 @@
             priority=unit.priority,
             waited_ms=self.clock.wall_ms() - unit.waiting_since_ms,
             obstacle=obstacle,
-            usable=len(self._usable()),
+            usable=usable,
         )
 
-    def _usable(self) -> set[str]:
+    def _usable(self, contested: abc.Set[str]) -> set[str]:
+        """Returns the workers that may be given runs now."""
         now = self.clock.monotonic()
-        contested = self._contested()
         return {
             worker_id
             for worker_id, session in self._sessions.items()
@@ -387,8 +390,6 @@
             if worker_id not in self.ledger.workers:
                 del self._sessions[worker_id]
                 self._scopes.pop(worker_id).cancel()
-        for worker_id in self._contested():
-            self._sessions[worker_id].verify()
 
     async def _run_session(self, session: sessions.WorkerSession) -> None:
         with self._scopes[session.worker_id]:
