Say once when a run's time tells of its worker

worker_health and worker_speeds had the same condition, explained twice in the same words, the same least number of siblings, and the limit of what counts as slow stood in the module that no longer uses it. Step.tells_speed and worker_speeds have them now.

--- a/laburnumsill/batch/model.py
+++ b/laburnumsill/batch/model.py
@@ -109,6 +109,16 @@
     saves_progress: bool = False
     long_running: bool = False
 
+    @property
+    def tells_speed(self) -> bool:
+        """Whether what one of its tasks takes tells of the worker.
+
+        That of a gang is its slowest member's; one far from its data takes
+        longer anywhere. One that goes on from saved progress is shorter,
+        which is up to the run.
+        """
+        return not self.gang and not self.data_rack
+
 
 @codec.register("batch.queue-terms")
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/laburnumsill/batch/packing.py
+++ b/laburnumsill/batch/packing.py
@@ -5,7 +5,7 @@
 from laburnumsill.batch import model
 from laburnumsill.batch import rooms as room_module
 from laburnumsill.batch import units
-from laburnumsill.batch import worker_health
+from laburnumsill.batch import worker_speeds
 
 URGENT_PRIORITY = 0
 """Jobs of this priority may stop others and own what is guaranteed."""
@@ -133,7 +133,7 @@
 
 def is_slow(room: room_module.Room) -> bool:
     """Whether runs take noticeably longer on a worker than on others."""
-    return room.slowness >= worker_health.NOTICEABLY_SLOW
+    return room.slowness >= worker_speeds.NOTICEABLY_SLOW
 
 
 def _needs_one_rack(
--- a/laburnumsill/batch/tests/test_worker_health.py
+++ b/laburnumsill/batch/tests/test_worker_health.py
@@ -2,6 +2,7 @@
 from laburnumsill.batch import model
 from laburnumsill.batch import worker_client
 from laburnumsill.batch import worker_health
+from laburnumsill.batch import worker_speeds
 
 STEP = model.Step(8, model.Resources(1000, 64, 1))
 GANG = model.Step(8, model.Resources(1000, 64, 1), gang=True)
@@ -92,8 +93,8 @@
         health.note_end(worker, done, STEP, took)
     now = 2.0
     lately = health.slowness_lately
-    assert lately("slow", now) >= worker_health.NOTICEABLY_SLOW
-    assert lately("w4", now) < worker_health.NOTICEABLY_SLOW
+    assert lately("slow", now) >= worker_speeds.NOTICEABLY_SLOW
+    assert lately("w4", now) < worker_speeds.NOTICEABLY_SLOW
     assert lately("unknown", now) == 1.0
 
 
--- a/laburnumsill/batch/worker_health.py
+++ b/laburnumsill/batch/worker_health.py
@@ -12,6 +12,7 @@
 from laburnumsill.batch import commands
 from laburnumsill.batch import model
 from laburnumsill.batch import worker_client
+from laburnumsill.batch import worker_speeds
 
 FAILING_JOBS = 2
 """A worker on which so many different jobs failed one after the other, with
@@ -35,12 +36,6 @@
 SAMPLES = 12
 """Newest relative run times of a worker that are gone by."""
 
-MIN_SIBLINGS = 3
-"""So many tasks of a step must have ended before they are compared."""
-
-NOTICEABLY_SLOW = 1.12
-"""Relative run time from which a worker counts as slower than others."""
-
 VERY_SLOW = 2.0
 """Relative run time from which a worker is used only if nothing else is."""
 
@@ -129,7 +124,7 @@
         if end.kind is commands.EndKind.DONE:
             standing.failed_jobs.clear()
             standing.aside_s = 0.0
-            if seen is not None and _is_comparable(step, end):
+            if seen is not None and step.tells_speed and not end.saved:
                 self._compare(standing, end.run, seen.first_at, now)
             return False
         if end.kind is not commands.EndKind.FAILED:
@@ -183,17 +178,8 @@
         """Compares a run's time with those of its siblings elsewhere."""
         took_s = now - began
         times = self._durations.setdefault(run.task.step_key, [])
-        if len(times) >= MIN_SIBLINGS:
+        if len(times) >= worker_speeds.MIN_SIBLINGS:
             usual = statistics.median(times)
             if usual > 0:
                 standing.ratios.append((now, took_s / usual))
         times.append(took_s)
-
-
-def _is_comparable(step: model.Step, end: commands.EndedRun) -> bool:
-    """Whether a run's time says something about its worker.
-
-    That of a gang is its slowest member's; one that went on from saved
-    progress is shorter; one far from its data is longer.
-    """
-    return not step.gang and not end.saved and not step.data_rack
--- a/laburnumsill/batch/worker_speeds.py
+++ b/laburnumsill/batch/worker_speeds.py
@@ -19,6 +19,9 @@
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
 
+NOTICEABLY_SLOW = 1.12
+"""Relative run time from which a worker counts as slower than others."""
+
 SAMPLES_A_WORKER = 16
 """Newest run times of a worker that are gone by; the users' workers end
 about a task in two seconds."""
@@ -105,16 +108,12 @@
             }
 
     def _is_comparable(self, run: model.RunId) -> bool:
-        """Whether a run's time will say something about its worker.
-
-        That of a gang is its slowest member's; one that goes on from saved
-        progress is shorter; one far from its data is longer.
-        """
+        """Whether a run's time will tell of its worker, see the step."""
         record = self._ledger.jobs[run.task.job_id]
         step = record.job.steps[run.task.step]
         task = record.task(run.task)
         fresh = task is not None and not task.saved
-        return fresh and not step.gang and not step.data_rack
+        return fresh and step.tells_speed
 
     def _take_ends(self, command: commands.NoteEnds) -> None:
         changed = False
--- a/laburnumsill/emulator/main.py
+++ b/laburnumsill/emulator/main.py
@@ -12,6 +12,7 @@
 import loguru
 
 from laburnumsill.emulator import days as days_module
+from laburnumsill.emulator import load as loads
 from laburnumsill.emulator import troubles
 
 RULE_BROKEN = 1
@@ -79,7 +80,7 @@
         _print_summary(results, output)
 
 
-def _shape(site: str) -> days_module.loads.Shape:
+def _shape(site: str) -> loads.Shape:
     if site not in days_module.SHAPES:
         _refuse(f"no site {site!r}; there are {', '.join(days_module.SHAPES)}")
     return days_module.SHAPES[site]
--- a/laburnumsill/emulator/tests/test_main.py
+++ b/laburnumsill/emulator/tests/test_main.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from laburnumsill.batch import model
 from laburnumsill.emulator import days
 from laburnumsill.emulator import load as loads
 from laburnumsill.emulator import main
@@ -59,7 +60,7 @@
 
 def test_a_wide_step_counts_in_waves():
     shape = loads.FINGAL
-    narrow = loads.model.Step(12, loads.model.Resources(accelerators=4))
-    wide = loads.model.Step(13, loads.model.Resources(accelerators=4))
+    narrow = model.Step(12, model.Resources(accelerators=4))
+    wide = model.Step(13, model.Resources(accelerators=4))
     assert shape.waves(narrow) == 1
     assert shape.waves(wide) == 2
