Keep the ports of a test's processes from other test runs

Ports were looked at, given up and listened on a second or more later; each worker of pytest knew only its own, so two sites that start side by side took the same. Seven other places took ports from the range of outgoing connections.

Ruled out: a slow election or a slow start; all other VMs of the failed sites were up within 2 s.

Change: laburnumsill.testing.ports keeps each port with a bound socket that never listens; one copy for all tests and benches.

--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -32,7 +32,7 @@
 from laburnumsill.config import canonical
 from laburnumsill.daemon import configuration_file
 from laburnumsill.state import configuration
-from laburnumsill.testing import processes
+from laburnumsill.testing import ports
 
 PACE_S = 86_400 / 80_000
 """Time between two pushes at two-year size."""
@@ -67,7 +67,7 @@
     def __init__(self, way: Way, folder: str) -> None:
         self._way = way
         self._arguments = [
-            "--ports=" + "-".join(map(str, processes.free_ports(way.vms))),
+            "--ports=" + "-".join(map(str, ports.free_ports(way.vms))),
             f"--accounts={way.size.accounts}",
             f"--shares={way.size.shares}",
             f"--domains={way.size.domains}",
--- a/bench/peers.py
+++ b/bench/peers.py
@@ -8,7 +8,6 @@
 
 import dataclasses
 import functools
-import socket
 import subprocess
 import sys
 import time
@@ -25,6 +24,7 @@
 from laburnumsill.core import logs
 from laburnumsill.core import metrics
 from laburnumsill.core import topology
+from laburnumsill.testing import ports as testing_ports
 from laburnumsill.wire import network
 
 VMS = 8
@@ -142,15 +142,6 @@
         nursery.cancel_scope.cancel()
 
 
-def free_ports(count: int) -> list[int]:
-    """Returns ports that were free a moment ago."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
-
-
 def start_vm(
     number: int, ports: list[int], seconds: float
 ) -> subprocess.Popen[bytes]:
@@ -169,7 +160,7 @@
 
 def measure_all(seconds: float) -> None:
     """Starts the VMs, prints the tables and writes the JSON."""
-    ports = free_ports(VMS)
+    ports = testing_ports.free_ports(VMS)
     started = [start_vm(number, ports, seconds) for number in range(VMS)]
     try:
         first, *others = [report_line(process) for process in started]
--- a/bench/request_path.py
+++ b/bench/request_path.py
@@ -18,6 +18,7 @@
 from bench import load
 from bench import measuring
 from laburnumsill.testing import cluster
+from laburnumsill.testing import ports
 from laburnumsill.testing import processes
 
 PATH = "/offers"
@@ -132,7 +133,7 @@
 ) -> list[Result]:
     server = "server-north-0"
     direct = site.address(server)
-    forwarder_address = processes.free_addresses(1)[0]
+    forwarder_address = ports.free_address()
     forwarder = processes.Process(
         "forwarder",
         "bench.bare_forwarder",
--- a/bench/state.py
+++ b/bench/state.py
@@ -21,7 +21,7 @@
 import orjson
 
 from bench import measuring
-from laburnumsill.testing import processes
+from laburnumsill.testing import ports
 
 VMS = 3
 CLIENTS = (1, 16, 64)
@@ -52,9 +52,9 @@
     """Three VMs as processes."""
 
     def __init__(self, way: Way, groups: int, folder: str) -> None:
-        ports = processes.free_ports(VMS)
+        taken = ports.free_ports(VMS)
         self._arguments = [
-            "--ports=" + "-".join(map(str, ports)),
+            "--ports=" + "-".join(map(str, taken)),
             f"--groups={groups}",
             f"--sync={way.sync}",
         ]
--- a/laburnumsill/api/tests/test_members.py
+++ b/laburnumsill/api/tests/test_members.py
@@ -1,7 +1,6 @@
 """The members' calls over real HTTP on a free port."""
 
 import functools
-import socket
 import typing
 from collections import abc
 
@@ -19,6 +18,7 @@
 from laburnumsill.api import members
 from laburnumsill.members import usage as usage_module
 from laburnumsill.members.tests import cluster as clusters
+from laburnumsill.testing import ports
 
 SERVER = {
     "server_id": "s1",
@@ -108,9 +108,7 @@
 
 @pytest.fixture
 async def site(nursery: trio.Nursery) -> abc.AsyncIterator[Site]:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        address = f"127.0.0.1:{probe.getsockname()[1]}"
+    address = ports.free_address()
     found = Site(address)
     config = hypercorn.config.Config()
     config.bind = [address]
--- a/laburnumsill/clients/tests/test_worker.py
+++ b/laburnumsill/clients/tests/test_worker.py
@@ -1,21 +1,14 @@
-import socket
-
 import pytest
 import trio
 
 from laburnumsill.clients import worker
 from laburnumsill.core import clock as clocks
 from laburnumsill.testing import fake_worker
+from laburnumsill.testing import ports
 
 Action = worker.Action
 
 
-def free_address():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 def order(clock, epoch=1, accelerators=(0, 1)):
     return worker.Prepare(
         job_id="north.1",
@@ -34,7 +27,7 @@
 
     def __init__(self):
         self.clock = clocks.SystemClock()
-        self.address = free_address()
+        self.address = ports.free_address()
         self.fake = fake_worker.FakeWorker(
             fake_worker.Settings(
                 id="w1",
--- a/laburnumsill/consensus/tests/host_cluster.py
+++ b/laburnumsill/consensus/tests/host_cluster.py
@@ -1,9 +1,7 @@
 """VMs on loopback TCP in one process, for the tests of the host."""
 
-import contextlib
 import dataclasses
 import pathlib
-import socket
 
 import trio
 
@@ -15,6 +13,7 @@
 from laburnumsill.core import metrics
 from laburnumsill.core import replication
 from laburnumsill.core import topology
+from laburnumsill.testing import ports
 from laburnumsill.wire import network
 
 OPTIONS = engine.Options(election_timeout_s=0.3, heartbeat_s=0.06)
@@ -72,17 +71,6 @@
         return Total([command.key])
 
 
-def free_ports(count: int) -> list[int]:
-    with contextlib.ExitStack() as stack:
-        opened = [
-            stack.enter_context(contextlib.closing(socket.socket()))
-            for _ in range(count)
-        ]
-        for one in opened:
-            one.bind(("127.0.0.1", 0))
-        return [one.getsockname()[1] for one in opened]
-
-
 def soon() -> float:
     return CLOCK.monotonic() + 5
 
@@ -168,7 +156,7 @@
         self.folder = folder
         self.nursery = nursery
         self.limits = limits
-        ports = free_ports(len(disks))
+        taken = ports.free_ports(len(disks))
         self.vms = [
             topology.Vm(
                 f"vm{place}",
@@ -177,7 +165,7 @@
                 f"127.0.0.1:{port}",
                 disks[place] == "D",
             )
-            for place, port in enumerate(ports)
+            for place, port in enumerate(taken)
         ]
         self.nodes = [Node(self, vm) for vm in self.vms]
 
--- a/laburnumsill/platform/tests/test_roles.py
+++ b/laburnumsill/platform/tests/test_roles.py
@@ -5,7 +5,6 @@
 
 import pathlib
 import shutil
-import socket
 
 import pytest
 import trio
@@ -21,12 +20,7 @@
 from laburnumsill.emulator import oracle as oracles
 from laburnumsill.emulator import workers as emulated
 from laburnumsill.platform.tests import standin
-
-
-def free_port() -> int:
-    with socket.socket() as one:
-        one.bind(("127.0.0.1", 0))
-        return one.getsockname()[1]
+from laburnumsill.testing import ports
 
 
 class Site:
@@ -35,8 +29,7 @@
     def __init__(self, folder: pathlib.Path, nursery: trio.Nursery) -> None:
         self.folder = folder
         self.nursery = nursery
-        self.peer_port = free_port()
-        self.control_port = free_port()
+        self.peer_port, self.control_port = ports.free_ports(2)
         self.scopes: dict[str, trio.CancelScope] = {}
         self.ended: dict[str, trio.Event] = {}
         self.daemons: dict[str, role.RoleDaemon] = {}
@@ -85,8 +78,8 @@
         await self._run(vm, core_role.CoreDaemon, path)
 
     async def start_entry(self, vm: str) -> None:
-        callers = f"{vm}:{free_port()}"
-        ready = f"{vm}:{free_port()}"
+        callers = f"{vm}:{ports.free_ports(1)[0]}"
+        ready = f"{vm}:{ports.free_ports(1)[0]}"
         path = self.settings(
             vm, listen=[f'callers = "{callers}"', f'readiness = "{ready}"']
         )
@@ -110,7 +103,7 @@
         await self.ended[vm].wait()
 
     async def start_worker(self, name: str, rack: str = "r1") -> None:
-        address = f"127.0.0.1:{free_port()}"
+        address = f"127.0.0.1:{ports.free_ports(1)[0]}"
         worker = self.pool.add(
             model.Worker(
                 name,
--- a/laburnumsill/testing/cluster.py
+++ b/laburnumsill/testing/cluster.py
@@ -15,6 +15,7 @@
 import trio
 
 from laburnumsill.testing import http
+from laburnumsill.testing import ports
 from laburnumsill.testing import processes
 from laburnumsill.testing import proxy as proxies
 
@@ -352,7 +353,7 @@
         far = [vm.client for vm in self._vms.values() if vm.domain != domain]
         if self._layout.near_only:
             far = []
-        address = processes.free_addresses(1)[0]
+        address = ports.free_address()
         self._member_addresses[name] = address
         if self._layout.linked_servers and name.startswith("server-"):
             self._proxy.add_link(name, "127.0.0.1:0", address)
@@ -398,7 +399,7 @@
 def _placed(layout: Layout) -> dict[str, VmAddresses]:
     """Returns the VMs with free addresses; those with a disk come first."""
     count = sum(layout.domains.values())
-    addresses = processes.free_addresses(2 * count)
+    addresses = ports.free_addresses(2 * count)
     vms: dict[str, VmAddresses] = {}
     for domain, size in layout.domains.items():
         for rank in range(size):
--- a/laburnumsill/testing/processes.py
+++ b/laburnumsill/testing/processes.py
@@ -2,47 +2,15 @@
 
 import os
 import pathlib
-import random
 import signal
-import socket
 import subprocess
 import sys
 import time
 from collections import abc
 
-_FIRST_PORT = 20_000
-_LAST_PORT = 32_000
-"""Below the range that the kernel gives to outgoing connections."""
-
-_given: set[int] = set()
-"""Ports given out, on which what they are for may not listen yet."""
-
 STOP_TIMEOUT_S = 45.0
 
 
-def free_ports(count: int) -> list[int]:
-    """Returns ports on which nothing listens now, none of them twice."""
-    found: list[int] = []
-    while len(found) < count:
-        port = random.randrange(_FIRST_PORT, _LAST_PORT)
-        if port in _given:
-            continue
-        with socket.socket() as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        _given.add(port)
-        found.append(port)
-    return found
-
-
-def free_addresses(count: int) -> list[str]:
-    """Returns loopback addresses on which nothing listens now."""
-    return [f"127.0.0.1:{port}" for port in free_ports(count)]
-
-
 class Process:
     """One process of ours, with its output in a file."""
 
--- a/laburnumsill/testing/tests/test_fakes.py
+++ b/laburnumsill/testing/tests/test_fakes.py
@@ -2,7 +2,6 @@
 
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -13,18 +12,13 @@
 import pytest
 import trio
 
+from laburnumsill.testing import ports
 from laburnumsill.testing import recorder
 
 START_LIMIT_S = 20.0
 NOBODY = '["127.0.0.1:9"]'
 
 
-def free_address() -> str:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 class Fake:
     def __init__(
         self,
@@ -33,7 +27,7 @@
         extra: str,
         vms: str = NOBODY,
     ) -> None:
-        self.address = free_address()
+        self.address = ports.free_address()
         self.record = folder / "record.jsonl"
         settings = folder / "fake.toml"
         settings.write_text(
--- a/laburnumsill/wire/tests/test_open_network.py
+++ b/laburnumsill/wire/tests/test_open_network.py
@@ -1,7 +1,6 @@
 """Networks whose VMs are learnt of later."""
 
 import dataclasses
-import socket
 
 import pytest
 import trio
@@ -11,6 +10,7 @@
 from laburnumsill.core import errors
 from laburnumsill.core import metrics
 from laburnumsill.core import topology
+from laburnumsill.testing import ports
 from laburnumsill.wire import network
 
 CLOCK = clocks.TimeLeftClock()
@@ -22,12 +22,6 @@
     text: str
 
 
-def free_address() -> str:
-    with socket.socket() as one:
-        one.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{one.getsockname()[1]}"
-
-
 def made(name: str, address: str) -> network.PeerNetwork:
     me = topology.Vm(name, "d", "", address, False)
     found = network.PeerNetwork(me, {}, CLOCK, metrics.Metrics(), is_open=True)
@@ -53,7 +47,7 @@
 
 @pytest.mark.parametrize("knows", ["lower", "greater", "both"])
 async def test_either_end_may_dial(nursery, knows):
-    places = {"a": free_address(), "b": free_address()}
+    places = {"a": ports.free_address(), "b": ports.free_address()}
     vms = {name: made(name, places[name]) for name in places}
     for one in vms.values():
         await nursery.start(one.run)
@@ -70,7 +64,7 @@
 
 
 async def test_a_vm_without_an_address_only_dials(nursery):
-    place = free_address()
+    place = ports.free_address()
     core = made("core", place)
     entry = made("entry-1", "")
     await nursery.start(core.run)
@@ -81,7 +75,7 @@
 
 
 async def test_who_was_never_added_is_forgotten_when_it_goes(nursery):
-    place = free_address()
+    place = ports.free_address()
     core = made("core", place)
     entry = made("entry-1", "")
     await nursery.start(core.run)
@@ -101,7 +95,7 @@
 
 
 async def test_a_forgotten_peer_is_not_reached(nursery):
-    places = {"a": free_address(), "b": free_address()}
+    places = {"a": ports.free_address(), "b": ports.free_address()}
     vms = {name: made(name, places[name]) for name in places}
     for one in vms.values():
         await nursery.start(one.run)
