Add a soak of real daemons with random troubles from outside

The roles run as processes on loopback; proxies lie on every link between VMs, to them and to the workers, and silence, hold, reset, cut one way, delay or refuse them; daemons are killed, ended, paused, all killed together, and lose their disk while no other is behind. Troubles overlap. Workers run in the soak's loop with clocks up to 2% slow, crash, drain and begin anew. Callers keep their connections open. What is held to: accepted jobs are known and end, no second run, no room over capacity, final states stay, refused jobs never run, configurations read back are never older than an acknowledged one, no daemon ends by itself.

Each VM is told a peer port of its own, so that each pair has a link that a proxy can lie on; the daemons need no change for that.

Not injected: wall clocks that jump, slow or full disks and lost unsynced bytes cannot be brought about from outside a process without root; the emulator and consensus/tests cover them.

--- a/laburnumsill/emulator/oracle.py
+++ b/laburnumsill/emulator/oracle.py
@@ -15,6 +15,7 @@
     Attributes:
         job: As it was submitted.
         cancelled_at: When its cancellation was acknowledged, or None.
+        begun: Whether any of its tasks was ever started.
         done: Tasks that have ended well.
         noted_done: Tasks whose good end was noted.
         failures: Noted failures by task.
@@ -22,6 +23,7 @@
 
     job: model.Job
     cancelled_at: float | None = None
+    begun: bool = False
     done: set[model.TaskId] = dataclasses.field(default_factory=set)
     noted_done: set[model.TaskId] = dataclasses.field(default_factory=set)
     failures: dict[model.TaskId, int] = dataclasses.field(default_factory=dict)
@@ -61,6 +63,7 @@
         if truth is None:
             self._break(now, f"UNASKED {run}")
             return
+        truth.begun = True
         others = self._live.setdefault(run.task, {})
         if others:
             self._break(now, f"TWICE {run} on {worker.worker_id}: {others}")
--- /dev/null
+++ b/laburnumsill/platform/tests/soak/main.py
@@ -0,0 +1,191 @@
+"""Soaks of real daemons with random troubles, one after the other or more.
+
+`python -m laburnumsill.platform.tests.soak.main --seeds 1-50` plays fifty;
+`--fresh 10` draws ten new ones. The folder of a broken one is kept and named,
+with all logs of its daemons.
+"""
+
+import argparse
+import dataclasses
+import pathlib
+import random
+import shutil
+import sys
+import tempfile
+
+import trio
+
+from laburnumsill.platform.tests.soak import site as sites
+from laburnumsill.platform.tests.soak import troubles
+from laburnumsill.platform.tests.soak import witness as witnesses
+
+DEFAULT_SECONDS = 20.0
+MEAN_GAP_S = 0.9
+"""Between the beginnings of two troubles, so that they overlap."""
+
+SAID_BY_A_FAILURE = ("Traceback", "event=daemon-failed")
+
+
+@dataclasses.dataclass(slots=True)
+class Verdict:
+    """What one soak showed.
+
+    Attributes:
+        seed: Its seed.
+        broken: One line for each broken promise.
+        kinds: The troubles, in the order in which they began.
+        jobs: How many jobs were sent.
+        completed: How many of them were shown as completed.
+        answers: How many calls got each status; 0 stands for no answer.
+        folder: Logs and data.
+    """
+
+    seed: int
+    broken: list[str]
+    kinds: list[str]
+    jobs: int
+    completed: int
+    answers: dict[int, int]
+    folder: pathlib.Path
+
+    def line(self) -> str:
+        """Returns the verdict on one line, the broken promises below."""
+        text = (
+            f"seed={self.seed} broken={len(self.broken)} jobs={self.jobs}"
+            f" completed={self.completed} troubles={','.join(self.kinds)}"
+            f" answers={self.answers}"
+        )
+        return "\n    ".join([text, *self.broken])
+
+
+async def soak(seed: int, seconds: float, folder: pathlib.Path) -> Verdict:
+    """Plays one soak.
+
+    Args:
+        seed: Of the troubles and the callers.
+        seconds: Troubles come for so long.
+        folder: For settings, logs and data; empty.
+    """
+    kinds: list[str] = []
+    async with trio.open_nursery() as nursery:
+        site = sites.SoakSite(folder, seed, nursery)
+        try:
+            await site.start()
+            witness = witnesses.Witness(site)
+            await witness.configure_first()
+            site.disturb_core()
+            await _play(site, witness, seconds, kinds)
+            broken = _ended(site)
+            await witness.settle()
+            await witness.aclose()
+            broken += [*site.oracle.broken, *witness.broken]
+            broken += _ended(site) + _complaints(site)
+        finally:
+            site.stop()
+            nursery.cancel_scope.cancel()
+    return Verdict(
+        seed,
+        broken,
+        kinds,
+        len(witness.fates),
+        sum(fate.final == "completed" for fate in witness.fates),
+        witness.answers,
+        folder,
+    )
+
+
+async def _play(
+    site: sites.SoakSite,
+    witness: witnesses.Witness,
+    seconds: float,
+    kinds: list[str],
+) -> None:
+    """Lets troubles come beside the calls, and waits until all are over."""
+    async with trio.open_nursery() as callers:
+        callers.start_soon(witness.run)
+        end = trio.current_time() + seconds
+        async with trio.open_nursery() as running:
+            while True:
+                gap_s = site.random.expovariate(1 / MEAN_GAP_S)
+                await trio.sleep(gap_s)
+                if trio.current_time() > end:
+                    break
+                kind = site.random.choice(troubles.KINDS)
+                kinds.append(kind.__name__)
+                running.start_soon(kind(site).run)
+        callers.cancel_scope.cancel()
+
+
+def _ended(site: sites.SoakSite) -> list[str]:
+    """Returns which daemons do not run, though each trouble undoes itself."""
+    return [
+        f"FAULT {vm} ended by itself"
+        for vm, process in site.processes.items()
+        if not process.running
+    ]
+
+
+def _complaints(site: sites.SoakSite) -> list[str]:
+    """Returns what daemons say of failures of their own."""
+    found = []
+    for vm, process in site.processes.items():
+        for line in process.log_text().splitlines():
+            if any(word in line for word in SAID_BY_A_FAILURE):
+                found.append(f"FAULT {vm}: {line[:200]}")
+    return found
+
+
+async def _play_all(seeds: list[int], jobs: int, seconds: float) -> bool:
+    """Plays soaks side by side; returns whether all promises were kept."""
+    left = iter(seeds)
+    kept = True
+    top = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
+
+    async def worker() -> None:
+        nonlocal kept
+        for seed in left:
+            folder = top / str(seed)
+            folder.mkdir()
+            verdict = await soak(seed, seconds, folder)
+            print(verdict.line(), flush=True)
+            if verdict.broken:
+                kept = False
+                print(f"    kept in {folder}", flush=True)
+            else:
+                shutil.rmtree(folder)
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(jobs):
+            nursery.start_soon(worker)
+    return kept
+
+
+def _seeds(text: str, fresh: int) -> list[int]:
+    """Returns the seeds that `text` names, and so many fresh ones.
+
+    Examples:
+        >>> _seeds("3-5,9", 0)
+        [3, 4, 5, 9]
+    """
+    found = []
+    for part in filter(None, text.split(",")):
+        first, _, last = part.partition("-")
+        found += range(int(first), int(last or first) + 1)
+    return found + [random.randrange(10**9) for _ in range(fresh)]
+
+
+def main() -> None:
+    """Plays what the arguments ask for; the exit code is 1 if one broke."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", default="", help="such as 1-50,77")
+    parser.add_argument("--fresh", type=int, default=0, help="so many new ones")
+    parser.add_argument("--jobs", type=int, default=1, help="side by side")
+    parser.add_argument("--seconds", type=float, default=DEFAULT_SECONDS)
+    given = parser.parse_args()
+    seeds = _seeds(given.seeds, given.fresh)
+    kept = trio.run(_play_all, seeds, given.jobs, given.seconds)
+    sys.exit(0 if kept else 1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/laburnumsill/platform/tests/soak/site.py
@@ -0,0 +1,216 @@
+"""A site of real daemons behind proxies, with emulated workers in this loop."""
+
+import dataclasses
+import pathlib
+import random
+import shutil
+import zlib
+
+import trio
+
+from laburnumsill.batch import model
+from laburnumsill.daemon import server
+from laburnumsill.emulator import oracle as oracles
+from laburnumsill.emulator import workers as emulated
+from laburnumsill.platform.tests import standin
+from laburnumsill.platform.tests.soak import layout
+from laburnumsill.testing import ports
+from laburnumsill.testing import processes
+from laburnumsill.testing import proxy as proxies
+
+WORKERS = 6
+PER_RACK = 3
+CAPACITY = model.Resources(32_000, 64_000, 8)
+
+LONGEST_WORK_S = 1.5
+SHORTEST_WORK_S = 0.2
+
+SLOWEST_CLOCK = 0.98
+"""Workers' steady clocks may be 2% slow."""
+
+ANNOUNCE_S = 0.5
+"""Workers announce themselves so often; the users' do each 1.5 s."""
+
+SERVER_GRACE_S = 0.1
+CATCH_UP_S = 5.0
+"""A core VM counts as lost for so long after it is back; the users allow 4 s
+on machines that do nothing else."""
+
+
+@dataclasses.dataclass(slots=True)
+class Announcer:
+    """What a worker says of itself.
+
+    Attributes:
+        app: Serves the incarnation that is there now.
+        state: As the wire has it.
+        sequence: Of the last announcement.
+    """
+
+    app: standin.ExecutorApp
+    state: str = "ready"
+    sequence: int = 0
+
+
+class SoakSite:
+    """Processes, links and workers of one soak.
+
+    Args:
+        folder: For settings, logs and data.
+        seed: Of all that is random here.
+        nursery: Runs the proxies and the workers.
+    """
+
+    def __init__(
+        self, folder: pathlib.Path, seed: int, nursery: trio.Nursery
+    ) -> None:
+        self.folder = folder
+        self.nursery = nursery
+        self.random = random.Random(seed)
+        self.vms = layout.vms()
+        self.proxy = proxies.Proxy()
+        self.processes: dict[str, processes.Process] = {}
+        self.oracle = oracles.Oracle()
+        self.pool = emulated.WorkerPool(
+            self.oracle,
+            _work_s,
+            is_hopeless,
+            lambda: self.random.uniform(0.05, 0.4),
+        )
+        self.announcers: dict[str, Announcer] = {}
+        self.operator = standin.Caller(
+            [self.vms[vm].control for vm in layout.CORE]
+        )
+        self.disturbed_at = trio.current_time()
+        self.keep_calm = False
+        self.incarnations = 0
+
+    async def start(self) -> None:
+        """Starts everything; the site has no configuration yet."""
+        await self.proxy.start(self.nursery)
+        for name, (listen, target) in layout.links(self.vms).items():
+            self.proxy.add_link(name, listen, target)
+        for vm in self.vms:
+            self.start_vm(vm, founding=True)
+        self.nursery.start_soon(self.pool.run)
+        for number in range(WORKERS):
+            await self._start_worker(f"w{number}", f"r{number // PER_RACK}")
+
+    def start_vm(self, vm: str, founding: bool = False) -> None:
+        """Starts the daemon of a VM, or starts it again."""
+        one = self.vms[vm]
+        if one.role == "core":
+            layout.data_folder(self.folder, vm).mkdir(exist_ok=True)
+        settings = layout.write_settings(self.folder, one, founding)
+        if vm not in self.processes:
+            self.processes[vm] = processes.Process(
+                vm,
+                "laburnumsill.daemon.role_main",
+                [one.role, str(settings)],
+                self.folder / f"{vm}.log",
+            )
+        if not self.processes[vm].running:
+            self.processes[vm].start()
+
+    def wipe(self, vm: str) -> None:
+        """Takes the disk of a VM that is down."""
+        shutil.rmtree(layout.data_folder(self.folder, vm))
+
+    def stop(self) -> None:
+        """Ends all daemons."""
+        for process in self.processes.values():
+            process.kill()
+
+    def links_of(self, vm: str) -> list[str]:
+        """Returns the names of all links between a VM and other VMs."""
+        return [
+            name
+            for name in layout.links(self.vms)
+            if vm in name.split(">") and name != layout.outside_link(vm)
+        ]
+
+    def disturb_core(self) -> None:
+        """Notes that the core is disturbed now."""
+        self.disturbed_at = trio.current_time()
+
+    @property
+    def core_is_calm(self) -> bool:
+        """Whether all disks hold the same, so that one may be lost."""
+        running = all(self.processes[vm].running for vm in layout.CORE)
+        calm_s = trio.current_time() - self.disturbed_at
+        return running and calm_s > CATCH_UP_S
+
+    def order_link(self, worker: str) -> str:
+        """Returns the name of the link on which a worker gets its orders."""
+        return f"orders>{worker}"
+
+    def replace_worker(self, name: str) -> None:
+        """Ends a worker's incarnation; another begins at its address."""
+        app = self.announcers[name].app
+        old = app.worker.worker
+        app.worker.vanish()
+        self.incarnations += 1
+        app.worker = self.pool.add(
+            dataclasses.replace(old, worker_id=f"{name}-{self.incarnations}"),
+            self._behaviour(),
+        )
+        self.announcers[name].sequence = 0
+        self.announcers[name].state = "ready"
+
+    def _behaviour(self) -> emulated.Behaviour:
+        return emulated.Behaviour(
+            clock_rate=self.random.uniform(SLOWEST_CLOCK, 1.0)
+        )
+
+    async def _start_worker(self, name: str, rack: str) -> None:
+        own = ports.free_address()
+        link = self.order_link(name)
+        self.proxy.add_link(link, "127.0.0.1:0", own)
+        worker = model.Worker(
+            name,
+            standin.POOL,
+            self.proxy.status(link).listen,
+            "d",
+            CAPACITY,
+            ("a", rack),
+            rack,
+        )
+        app = standin.ExecutorApp(self.pool.add(worker, self._behaviour()))
+        self.announcers[name] = Announcer(app)
+        await self.nursery.start(
+            server.serve,
+            server.HttpOnly(app),
+            own,
+            trio.Event().wait,
+            SERVER_GRACE_S,
+        )
+        self.nursery.start_soon(self._announce, self.announcers[name])
+
+    async def _announce(self, announcer: Announcer) -> None:
+        first = self.random.randrange(len(layout.CORE))
+        while True:
+            worker = announcer.app.worker
+            announcer.sequence += 1
+            path = f"/-/instances/{worker.worker.worker_id}"
+            body = standin.heartbeat(
+                worker, announcer.sequence, state=announcer.state
+            )
+            for place in range(len(layout.CORE)):
+                vm = layout.CORE[(first + place) % len(layout.CORE)]
+                status, _ = await self.operator.call(
+                    "PUT", path, body, self.vms[vm].control
+                )
+                if status == 200:
+                    break
+            await trio.sleep(ANNOUNCE_S)
+
+
+def _work_s(task: model.TaskId) -> float:
+    """Returns how long a task takes, the same for all its runs."""
+    draw = zlib.crc32(str(task).encode()) / 2**32
+    return SHORTEST_WORK_S + draw * (LONGEST_WORK_S - SHORTEST_WORK_S)
+
+
+def is_hopeless(task: model.TaskId) -> bool:
+    """Returns whether a task always fails: one job in sixteen."""
+    return task.job_id.endswith("f")
--- /dev/null
+++ b/laburnumsill/platform/tests/soak/troubles.py
@@ -0,0 +1,245 @@
+"""Troubles of a soak; each is one run of a class with its own way to end."""
+
+import abc
+
+import trio
+
+from laburnumsill.platform.tests.soak import layout
+from laburnumsill.platform.tests.soak import site as sites
+from laburnumsill.testing import proxy as proxies
+
+BLACK_HOLES = (
+    proxies.Fault(proxies.Mode.DROP),
+    proxies.Fault(proxies.Mode.HOLD),
+    proxies.Fault(proxies.Mode.RESET),
+    proxies.Fault(proxies.Mode.CUT),
+)
+
+SHORTEST_S = 0.2
+LONGEST_S = 4.0
+DRAIN_S = 1.5
+
+
+class Trouble(abc.ABC):
+    """Something bad that begins, lasts and ends.
+
+    Args:
+        site: Where; it draws what is left open, too.
+    """
+
+    concerns_workers = False
+    """Whether it leaves the VMs alone."""
+
+    def __init__(self, site: sites.SoakSite) -> None:
+        self._site = site
+        self._random = site.random
+
+    async def run(self) -> None:
+        """Does it, unless the VMs are to be left alone just now."""
+        if self.concerns_workers:
+            await self._play()
+        elif not self._site.keep_calm:
+            self._site.disturb_core()
+            await self._play()
+            self._site.disturb_core()
+
+    @abc.abstractmethod
+    async def _play(self) -> None:
+        """Does it, and undoes it."""
+
+    def _core_vm(self) -> str:
+        return self._random.choice(layout.CORE)
+
+    def _any_vm(self) -> str:
+        return self._random.choice([*layout.CORE, *layout.ENTRIES])
+
+    async def _last(self) -> None:
+        await trio.sleep(self._random.uniform(SHORTEST_S, LONGEST_S))
+
+
+class Kill(Trouble):
+    """SIGKILL of one daemon."""
+
+    async def _play(self) -> None:
+        vm = self._any_vm()
+        self._site.processes[vm].kill()
+        await self._last()
+        self._site.start_vm(vm)
+
+
+class KillAll(Trouble):
+    """SIGKILL of all daemons of the core, or of the whole site."""
+
+    async def _play(self) -> None:
+        vms = [*layout.CORE]
+        if self._random.random() < 0.5:
+            vms += layout.ENTRIES
+        for vm in vms:
+            self._site.processes[vm].kill()
+        await trio.sleep(self._random.uniform(SHORTEST_S, 1.5))
+        self._random.shuffle(vms)
+        for vm in vms:
+            self._site.start_vm(vm)
+            await trio.sleep(self._random.uniform(0.0, 0.3))
+
+
+class Terminate(Trouble):
+    """SIGTERM of one daemon, then its next life."""
+
+    async def _play(self) -> None:
+        vm = self._any_vm()
+        process = self._site.processes[vm]
+        process.terminate()
+        with trio.move_on_after(6.0):
+            while process.running:  # noqa: ASYNC110
+                await trio.sleep(0.05)
+        process.kill()
+        self._site.start_vm(vm)
+
+
+class Pause(Trouble):
+    """SIGSTOP of one daemon, and SIGCONT."""
+
+    async def _play(self) -> None:
+        vm = self._any_vm()
+        process = self._site.processes[vm]
+        if process.running:
+            process.pause()
+        await self._last()
+        if process.running:
+            process.resume()
+
+
+class LoseDisk(Trouble):
+    """A core VM dies and comes back with an empty disk.
+
+    Only while all others hold everything: more is not tolerated. Once the
+    disk is lost, other troubles may come again.
+    """
+
+    async def run(self) -> None:
+        if self._site.keep_calm:
+            return
+        self._site.keep_calm = True
+        while not self._site.core_is_calm:  # noqa: ASYNC110
+            await trio.sleep(0.1)
+        await self._play()
+
+    async def _play(self) -> None:
+        vm = self._core_vm()
+        self._site.processes[vm].kill()
+        self._site.wipe(vm)
+        self._site.disturb_core()
+        self._site.keep_calm = False
+        await self._last()
+        self._site.start_vm(vm)
+        self._site.disturb_core()
+
+
+class CutVm(Trouble):
+    """One VM is cut off from the others: silently, held, reset or refused."""
+
+    async def _play(self) -> None:
+        vm = self._any_vm()
+        fault = self._random.choice(BLACK_HOLES)
+        names = self._site.links_of(vm)
+        for name in names:
+            self._site.proxy.set_fault(name, fault)
+        await self._last()
+        for name in names:
+            self._site.proxy.heal(name)
+
+
+class CutOneWay(Trouble):
+    """What one VM sends on some of its links arrives nowhere."""
+
+    async def _play(self) -> None:
+        vm = self._any_vm()
+        names = self._site.links_of(vm)
+        for name in names:
+            source, _ = name.split(">")
+            direction = (
+                proxies.Direction.TO_TARGET
+                if source == vm
+                else proxies.Direction.FROM_TARGET
+            )
+            fault = proxies.Fault(proxies.Mode.DROP)
+            self._site.proxy.set_fault(name, fault, direction)
+        await self._last()
+        for name in names:
+            self._site.proxy.heal(name)
+
+
+class SlowLinks(Trouble):
+    """Some links are delayed, or cut again and again after some bytes."""
+
+    async def _play(self) -> None:
+        names = self._random.sample(sorted(layout.links(self._site.vms)), 4)
+        for name in names:
+            self._site.proxy.set_fault(name, self._fault())
+        await self._last()
+        for name in names:
+            self._site.proxy.heal(name)
+
+    def _fault(self) -> proxies.Fault:
+        if self._random.random() < 0.5:
+            return proxies.Fault(delay_s=0.05, jitter_s=0.3)
+        count = self._random.randrange(1, 4000)
+        return proxies.Fault(cut_after_bytes=count)
+
+
+class CutWorkers(Trouble):
+    """Some workers get no orders, or their answers are lost."""
+
+    concerns_workers = True
+
+    async def _play(self) -> None:
+        count = self._random.randrange(1, 4)
+        names = self._random.sample(sorted(self._site.announcers), count)
+        direction = self._random.choice(list(proxies.Direction))
+        modes = (proxies.Mode.DROP, proxies.Mode.HOLD)
+        fault = proxies.Fault(self._random.choice(modes))
+        links = [self._site.order_link(name) for name in names]
+        for link in links:
+            self._site.proxy.set_fault(link, fault, direction)
+        await self._last()
+        for link in links:
+            self._site.proxy.heal(link)
+
+
+class CrashWorker(Trouble):
+    """A worker's incarnation ends without a word, and another begins."""
+
+    concerns_workers = True
+
+    async def _play(self) -> None:
+        name = self._random.choice(sorted(self._site.announcers))
+        self._site.replace_worker(name)
+        await trio.lowlevel.checkpoint()
+
+
+class DrainWorker(Trouble):
+    """A worker announces its end, drains, and another begins."""
+
+    concerns_workers = True
+
+    async def _play(self) -> None:
+        name = self._random.choice(sorted(self._site.announcers))
+        self._site.announcers[name].state = "draining"
+        await trio.sleep(DRAIN_S)
+        self._site.replace_worker(name)
+
+
+KINDS: tuple[type[Trouble], ...] = (
+    Kill,
+    KillAll,
+    Terminate,
+    Pause,
+    LoseDisk,
+    CutVm,
+    CutOneWay,
+    SlowLinks,
+    CutWorkers,
+    CrashWorker,
+    DrainWorker,
+)
--- a/laburnumsill/platform/tests/standin.py
+++ b/laburnumsill/platform/tests/standin.py
@@ -66,6 +66,28 @@
     }
 
 
+def job_body(job: model.Job) -> dict:
+    """Returns a job as its caller hands it in; what is empty is left out."""
+    return {
+        "spec": job.payload,
+        "steps": [
+            {
+                "count": step.tasks,
+                "cpu": step.needs.cpu_millis,
+                "mem_mb": step.needs.memory_mb,
+                "gpu": step.needs.accelerators,
+                "estimate_ms": step.estimated_ms,
+                "depends_on": list(step.depends_on),
+                "gang": step.gang,
+                "same_rack": step.same_rack,
+                "max_per_server": step.max_per_worker,
+                "saves_progress": step.saves_progress,
+            }
+            for step in job.steps
+        ],
+    }
+
+
 class ExecutorApp:
     """Serves one emulated worker as the platform's executor does."""
 
