Give the soak longer tasks, more configurations and a load it can bear

Gangs that no rack of the soak holds ran at a third of their speed and left jobs without an end after 45 s; they may spread now, and half as many jobs come.

--- a/laburnumsill/platform/tests/soak/site.py
+++ b/laburnumsill/platform/tests/soak/site.py
@@ -22,8 +22,10 @@
 PER_RACK = 3
 CAPACITY = model.Resources(32_000, 64_000, 8)
 
-LONGEST_WORK_S = 1.5
-SHORTEST_WORK_S = 0.2
+SHORT_WORK_S = (0.2, 1.5)
+LONG_WORK_S = (4.0, 7.0)
+LONG_SHARE = 0.15
+"""Of the tasks; long ones still run where a worker is cut off for seconds."""
 
 SLOWEST_CLOCK = 0.98
 """Workers' steady clocks may be 2% slow."""
@@ -207,8 +209,9 @@
 
 def _work_s(task: model.TaskId) -> float:
     """Returns how long a task takes, the same for all its runs."""
-    draw = zlib.crc32(str(task).encode()) / 2**32
-    return SHORTEST_WORK_S + draw * (LONGEST_WORK_S - SHORTEST_WORK_S)
+    source = random.Random(zlib.crc32(str(task).encode()))
+    is_long = source.random() < LONG_SHARE
+    return source.uniform(*(LONG_WORK_S if is_long else SHORT_WORK_S))
 
 
 def is_hopeless(task: model.TaskId) -> bool:
--- a/laburnumsill/platform/tests/soak/witness.py
+++ b/laburnumsill/platform/tests/soak/witness.py
@@ -20,6 +20,16 @@
 IN_FORCE_S = 2.0
 """An accepted configuration is read back everywhere after so long."""
 
+JOBS_PER_S = 2.0
+"""With the sizes below, about half of what the workers can do."""
+
+ACCELERATORS = (1, 1, 2, 4, 8)
+"""What the tasks of a gang need, one as likely as the other."""
+
+RACK_ACCELERATORS = sites.PER_RACK * sites.CAPACITY.accelerators
+"""A gang that needs more cannot have one rack; it would run at a third of its
+speed on several, and hold up the others for most of a soak."""
+
 ATTEMPTS = 4
 PRIORITIES = {"urgent": 0, "sweep": 1, "batch": 2}
 FINAL = ("completed", "failed", "cancelled")
@@ -90,7 +100,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._submit_all_the_time, nursery)
             nursery.start_soon(self._look_all_the_time)
-            nursery.start_soon(self._configure_all_the_time)
+            nursery.start_soon(self._configure_all_the_time, nursery)
 
     async def settle(self) -> None:
         """Waits for the end of all jobs, and looks at what is left."""
@@ -127,7 +137,7 @@
 
     async def _submit_all_the_time(self, nursery: trio.Nursery) -> None:
         while True:
-            await trio.sleep(self._random.expovariate(4.0))
+            await trio.sleep(self._random.expovariate(JOBS_PER_S))
             fate = self._new_job()
             nursery.start_soon(self._submit, fate)
 
@@ -143,7 +153,7 @@
         return fate
 
     def _steps(self, queue: str) -> tuple[model.Step, ...]:
-        gpus = self._random.choice((1, 2, 4, 8))
+        gpus = self._random.choice(ACCELERATORS)
         needs = model.Resources(gpus * 2_000, gpus * 2_000, gpus)
         count = self._random.randrange(1, 5)
         if queue != "batch":
@@ -153,7 +163,7 @@
                     needs,
                     1000,
                     gang=True,
-                    same_rack=True,
+                    same_rack=count * gpus <= RACK_ACCELERATORS,
                     saves_progress=queue == "sweep",
                 ),
             )
@@ -218,13 +228,12 @@
         if state in FINAL:
             fate.final = state
 
-    async def _configure_all_the_time(self) -> None:
+    async def _configure_all_the_time(self, nursery: trio.Nursery) -> None:
         while True:
-            await trio.sleep(self._random.uniform(0.2, 1.5))
-            if self._random.random() < 0.5:
-                await self._change_configuration()
-            vm = self._random.choice(layout.CORE)
-            await self._read_configuration(vm, IN_FORCE_S)
+            await trio.sleep(self._random.uniform(0.1, 0.8))
+            await self._change_configuration()
+            for vm in layout.CORE:
+                nursery.start_soon(self._read_configuration, vm, IN_FORCE_S)
 
     async def _change_configuration(self) -> None:
         self._sent += self._random.randrange(1, 4)
@@ -263,6 +272,8 @@
 
     def _count(self, status: int) -> None:
         self.answers[status] = self.answers.get(status, 0) + 1
+        if status == 500:
+            self._break("FAULT 500 was answered")
 
     def _shuffled(self, addresses: list[str]) -> list[str]:
         return self._random.sample(addresses, len(addresses))
