Learn how long tasks of a queue take; count waves in objectives

Cause: what jobs can still be in time, which goes first and whether slow workers will do all rested on declared times. Objectives left out that a step wider than a quarter of its pool counts as several waves.

Change: batch.run_times learns, from the replicated commands, the usual time of a queue and how far its declared times are off, and weighs the two; objectives count waves. The emulator draws declared times as the sheets say (0.9 for Tana Shore's urgent jobs, 0.2 for Fingal's, 0.5 for batches).

--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -12,6 +12,7 @@
 import trio
 
 from laburnumsill.batch import commands
+from laburnumsill.batch import learnt as learnt_module
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
 from laburnumsill.batch import planner
@@ -104,7 +105,7 @@
         context: What the scheduler was given.
         ledger: The ledger, with all that earlier leaders did.
         fence: The term of the lead.
-        usual_slowness: Returns the run time on a worker, against usual ones.
+        learnt: What was learnt from the commands of the ledger.
     """
 
     def __init__(
@@ -112,7 +113,7 @@
         context: Context,
         ledger: ledgers.BatchLedger,
         fence: int,
-        usual_slowness: abc.Callable[[str], float],
+        learnt: learnt_module.Learnt,
     ) -> None:
         self.ledger = ledger
         self.client = context.client
@@ -121,7 +122,7 @@
         self.longest_lease_ms = context.bounds.longest_lease_ms
         self.health = worker_health.WorkerHealth()
         self._context = context
-        self._usual_slowness = usual_slowness
+        self._learnt = learnt
         self._sessions: dict[str, sessions.WorkerSession] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
         self._seen: set[model.RunId] = set()
@@ -220,6 +221,7 @@
             self._kept_racks,
             self._is_log_due,
             self._context.bounds.stop_grace_ms,
+            self._learnt.times.expected_ms,
         )
         made = planner.plan(view)
         self._kept_racks = made.kept_racks
@@ -234,7 +236,7 @@
         lately = self.health.slowness_lately(worker_id, now)
         if lately >= worker_health.VERY_SLOW:
             return lately
-        usual = self._usual_slowness(worker_id)
+        usual = self._learnt.speeds.slowness(worker_id)
         return min(usual, worker_health.NOT_VERY_SLOW)
 
     async def _place(self, made: planner.Plan) -> None:
--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -51,6 +51,7 @@
         kept_racks: The racks that were kept for gangs at the last plan.
         explain: Whether it is to be said what stands in a unit's way.
         stop_grace_ms: What is stopped ends within so long.
+        step_ms: Returns how long a task of a step takes, in ms.
     """
 
     ledger: ledgers.BatchLedger
@@ -65,6 +66,7 @@
     )
     explain: abc.Callable[[model.StepKey], bool] = lambda _: False
     stop_grace_ms: int = 0
+    step_ms: units.StepMs = units.declared_ms
 
 
 @dataclasses.dataclass(slots=True)
@@ -107,7 +109,9 @@
         self._most_slots: dict[tuple[object, ...], int] = {}
 
     def run(self) -> Plan:
-        waiting = units.ready_units(self._ledger, self._view.now_ms)
+        waiting = units.ready_units(
+            self._ledger, self._view.now_ms, self._view.step_ms
+        )
         for unit in sorted(waiting, key=self._order):
             self._place(unit)
         return self._plan
--- a/laburnumsill/batch/scheduler.py
+++ b/laburnumsill/batch/scheduler.py
@@ -8,8 +8,8 @@
 
 from laburnumsill.batch import commands
 from laburnumsill.batch import leading
+from laburnumsill.batch import learnt as learnt_module
 from laburnumsill.batch import ledger as ledgers
-from laburnumsill.batch import worker_speeds
 from laburnumsill.core import errors
 from laburnumsill.core import logs
 from laburnumsill.core import replication
@@ -27,7 +27,7 @@
         self._group = context.group
         self._groups = context.groups
         self._term: leading.LeadingTerm | None = None
-        self._speeds: worker_speeds.WorkerSpeeds | None = None
+        self._learnt: learnt_module.Learnt | None = None
 
     async def run(self) -> None:
         """Runs a term whenever this VM leads, until cancelled."""
@@ -49,13 +49,13 @@
     def follow(self, machine: replication.StateMachine) -> None:
         """Hears of all commands of a replica's state machine.
 
-        Called before the first of them, so that a leader knows how fast
-        workers are from what earlier leaders did.
+        Called before the first of them, so that a leader knows what earlier
+        leaders could know.
         """
         ledger = machine.component(ledgers.BatchLedger.name)
-        speeds = worker_speeds.WorkerSpeeds(ledger)
-        self._speeds = speeds
-        machine.observe(speeds.take)
+        learnt = learnt_module.Learnt(ledger)
+        self._learnt = learnt
+        machine.observe(learnt.take)
         machine.observe(self.notice)
 
     def notice(self, command: object) -> None:
@@ -71,7 +71,10 @@
         if ledger is None or self._groups.term(self._group) != fence:
             return
         self._term = leading.LeadingTerm(
-            self._context, ledger, fence, self._usual_slowness
+            self._context,
+            ledger,
+            fence,
+            self._learnt or learnt_module.Learnt(ledger),
         )
         logs.event("scheduler-started", group=self._group, fence=fence)
         try:
@@ -97,7 +100,3 @@
             ledgers.BatchLedger.name
         )
         return ledger
-
-    def _usual_slowness(self, worker_id: str) -> float:
-        """Returns the run time on a worker relative to usual ones."""
-        return self._speeds.slowness(worker_id) if self._speeds else 1.0
--- /dev/null
+++ b/laburnumsill/batch/tests/test_run_times.py
@@ -0,0 +1,138 @@
+"""Learning how long tasks take from the commands of the ledger."""
+
+import math
+import random
+import statistics
+
+import pytest
+
+from laburnumsill.batch import commands
+from laburnumsill.batch import ledger as ledgers
+from laburnumsill.batch import model
+from laburnumsill.batch import run_times
+from laburnumsill.batch import units
+
+TERMS = model.QueueTerms("p", 1, 3, 3.0, 1000)
+NEEDS = model.Resources(1000, 100, 1)
+
+
+class Log:
+    """Applies commands to a ledger and has run times follow them."""
+
+    def __init__(self):
+        self.ledger = ledgers.BatchLedger()
+        self.times = run_times.RunTimes(self.ledger)
+        self.ends = 0
+        for name in ("w0", "w1"):
+            room = model.Resources(100_000, 100_000, 100)
+            worker = model.Worker(name, "p", name, "d", room, (), name)
+            self.apply(commands.PutWorker(worker))
+
+    def apply(self, command):
+        self.ledger.commands()[type(command)](command)
+        self.times.take(command)
+
+    def job(self, job_id, declared_ms, queue="q", **step):
+        spec = model.Step(step.pop("tasks", 1), NEEDS, declared_ms, **step)
+        return model.Job(job_id, queue, "a", "", (spec,), TERMS)
+
+    def run(self, job, *took_ms, places=("w0",)):
+        """Runs all tasks of a job; they take these times."""
+        self.apply(commands.SubmitJob(job, 0))
+        runs = [
+            model.RunId(model.TaskId(job.job_id, 0, 0, index), 1)
+            for index in range(len(took_ms))
+        ]
+        placed = tuple(
+            commands.Placement(run, places[index % len(places)])
+            for index, run in enumerate(runs)
+        )
+        gang = job.steps[0].gang
+        groups = (placed,) if gang else tuple((one,) for one in placed)
+        self.apply(commands.PlaceRuns(groups, 1000))
+        for one, took in sorted(
+            zip(placed, took_ms, strict=True), key=lambda pair: pair[1]
+        ):
+            self.ends += 1
+            end = commands.EndedRun(self.ends, one.run, commands.EndKind.DONE)
+            at_ms = 1000 + took
+            self.apply(commands.NoteEnds(one.worker_id, (end,), at_ms))
+
+    def expected_ms(self, declared_ms, queue="q"):
+        return self.times.expected_ms(self.job("new", declared_ms, queue), 0)
+
+
+def test_what_is_declared_counts_until_something_was_seen():
+    assert Log().expected_ms(700) == 700
+
+
+def test_declared_times_that_are_far_off_are_corrected():
+    log = Log()
+    source = random.Random(1)
+    errors = []
+    for number in range(40):
+        took_ms = 6800 * source.lognormvariate(0, 0.3)
+        declared_ms = int(took_ms * source.lognormvariate(0, 0.9))
+        expected_ms = log.expected_ms(declared_ms)
+        if number >= 10:
+            errors.append(abs(math.log(expected_ms / took_ms)))
+        log.run(log.job(f"j{number}", declared_ms), int(took_ms))
+    assert statistics.mean(errors) < 0.4  # declared ones are 0.7 off
+
+
+def test_good_declared_times_are_kept_where_the_work_differs():
+    log = Log()
+    source = random.Random(2)
+    errors = []
+    for number in range(40):
+        took_ms = 2500 * source.lognormvariate(0, 0.8)
+        declared_ms = int(took_ms * source.lognormvariate(0, 0.1))
+        expected_ms = log.expected_ms(declared_ms)
+        if number >= 10:
+            errors.append(abs(math.log(expected_ms / took_ms)))
+        log.run(log.job(f"j{number}", declared_ms), int(took_ms))
+    assert statistics.mean(errors) < 0.2
+
+
+def test_a_queue_learns_nothing_from_another():
+    log = Log()
+    for number in range(10):
+        log.run(log.job(f"j{number}", 1000, "other"), 9000)
+    assert log.expected_ms(1000) == 1000
+    assert log.expected_ms(1000, "other") > 4000
+
+
+def test_without_a_declared_time_the_usual_one_counts():
+    log = Log()
+    log.run(log.job("j", 0), 5000)
+    assert log.expected_ms(0) == pytest.approx(5000)
+
+
+def test_short_tasks_of_a_step_do_not_count_for_all():
+    log = Log()
+    job = log.job("j", 0, tasks=3)
+    log.run(job, 1000, 8000, 8000)
+    assert log.expected_ms(0) == pytest.approx(4000)  # the geometric mean
+
+
+@pytest.mark.parametrize(
+    ("step", "places"),
+    [
+        ({"data_rack": "elsewhere"}, ("w0",)),
+        ({"gang": True, "same_rack": True}, ("w0", "w1")),
+    ],
+)
+def test_runs_that_are_slow_where_they_are_tell_nothing(step, places):
+    log = Log()
+    log.run(log.job("j", 1000, tasks=2, **step), 9000, 9000, places=places)
+    assert log.expected_ms(1000) == 1000
+
+
+def test_a_wide_step_may_take_several_waves():
+    log = Log()
+    # 200 slots in all, so 50 in a wave
+    log.apply(commands.SubmitJob(log.job("wide", 1000, tasks=51), 0))
+    log.apply(commands.SubmitJob(log.job("slim", 1000, tasks=50), 0))
+    ready = units.ready_units(log.ledger, 0)
+    objectives = {unit.record.job.job_id: unit.objective_ms for unit in ready}
+    assert objectives == {"wide": 7000, "slim": 4000}
--- a/laburnumsill/batch/units.py
+++ b/laburnumsill/batch/units.py
@@ -1,12 +1,17 @@
 """What can be placed now: gangs whole, other tasks one by one."""
 
 import dataclasses
+import math
 from collections import abc
 
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
 from laburnumsill.batch import records
 
+WAVES_IN_A_POOL = 4
+"""A wave is a quarter of what a pool can run at a time; from the users' rules
+on credit."""
+
 
 @dataclasses.dataclass(slots=True)
 class Unit:
@@ -19,7 +24,7 @@
         tasks: The tasks that wait; all of a gang.
         waiting_since_ms: Since when they could run, ms since 1970.
         objective_ms: Until when their job is in time, ms since 1970.
-        chain_ms: Estimated time of the job's longest chain of steps.
+        chain_ms: Expected time of the job's longest chain of steps.
     """
 
     record: records.JobRecord
@@ -28,7 +33,7 @@
     tasks: list[model.TaskId]
     waiting_since_ms: int
     objective_ms: float
-    chain_ms: int
+    chain_ms: float
 
     @property
     def step(self) -> model.Step:
@@ -55,14 +60,26 @@
         return model.RunId(task, last + 1)
 
 
-def ready_units(ledger: ledgers.BatchLedger, now_ms: int) -> list[Unit]:
+StepMs = abc.Callable[[model.Job, int], float]
+"""Returns how long a task of a step takes, in ms."""
+
+
+def declared_ms(job: model.Job, number: int) -> float:
+    """Returns what the submitter says a task of a step takes, in ms."""
+    return job.steps[number].estimated_ms
+
+
+def ready_units(
+    ledger: ledgers.BatchLedger, now_ms: int, step_ms: StepMs = declared_ms
+) -> list[Unit]:
     """Returns all units that could run now, in no order."""
     found: list[Unit] = []
+    waves = _Waves(ledger)
     for record in ledger.active_jobs.values():
         for occurrence in range(len(record.steps)):
             if record.job.due_ms(occurrence) > now_ms:
                 continue
-            found += _units_of(ledger, record, occurrence)
+            found += _units_of(ledger, record, occurrence, step_ms, waves)
     return found
 
 
@@ -79,8 +96,8 @@
     )
 
 
-def chain_ms(job: model.Job) -> int:
-    """Returns the estimated time of a job's longest chain of steps, ms.
+def chain_ms(job: model.Job, step_ms: StepMs = declared_ms) -> float:
+    """Returns the time of a job's longest chain of steps, in ms.
 
     Examples:
         >>> first = model.Step(1, model.Resources(), 900)
@@ -89,21 +106,53 @@
         >>> chain_ms(model.Job("j", "q", "", "", (first, second), terms))
         1400
     """
-    ends: list[int] = []
-    for step in job.steps:
+    ends: list[float] = []
+    for this, step in enumerate(job.steps):
         before = max((ends[number] for number in step.depends_on), default=0)
-        ends.append(before + step.estimated_ms)
+        ends.append(before + step_ms(job, this))
     return max(ends, default=0)
 
 
+class _Waves:
+    """How often the time of a step counts in its job's objective.
+
+    The users count a step that is wider than a part of its pool as several
+    waves, one after the other.
+    """
+
+    def __init__(self, ledger: ledgers.BatchLedger) -> None:
+        self._ledger = ledger
+        self._slots: dict[tuple[str, model.Resources], int] = {}
+
+    def of(self, job: model.Job, number: int) -> int:
+        """Returns the number of waves of a step."""
+        step = job.steps[number]
+        key = (job.terms.pool, step.needs)
+        if key not in self._slots:
+            self._slots[key] = sum(
+                step.needs.times_in(worker.capacity)
+                for worker in self._ledger.workers.values()
+                if worker.pool == job.terms.pool
+            )
+        wave = max(1, self._slots[key] // WAVES_IN_A_POOL)
+        return math.ceil(step.tasks / wave)
+
+
 def _units_of(
-    ledger: ledgers.BatchLedger, record: records.JobRecord, occurrence: int
+    ledger: ledgers.BatchLedger,
+    record: records.JobRecord,
+    occurrence: int,
+    step_ms: StepMs,
+    waves: "_Waves",
 ) -> abc.Iterator[Unit]:
     job = record.job
     since = max(record.submitted_ms, job.due_ms(occurrence))
     terms = job.terms
-    chain = chain_ms(job)
-    objective = since + terms.stretch * chain + terms.target_ms
+    chain = chain_ms(job, step_ms)
+    allowed = chain_ms(
+        job, lambda job, number: waves.of(job, number) * step_ms(job, number)
+    )
+    objective = since + terms.stretch * allowed + terms.target_ms
     for number, step in enumerate(record.steps[occurrence]):
         if not step.undone or not record.ready(occurrence, number):
             continue
--- a/laburnumsill/emulator/load.py
+++ b/laburnumsill/emulator/load.py
@@ -104,6 +104,7 @@
     cores: tuple[int, int, int],
     rates: tuple[float, ...],
     there_first: tuple[int, int],
+    urgent_estimate_spread: float,
 ) -> tuple[Kind, ...]:
     """Returns sweeps, urgent confirmations and batches of one site."""
     mb_per_core = 4_050
@@ -119,13 +120,14 @@
         Kind(
             URGENT, rates[1], terms("pool", 0, 3, 1.5, 250),
             3.4, 0.8, 21, 2.5, 0.5, urgent, urgent * mb_per_core // 1000,
-            (1, 2, 4, 8, 8), True, 0.8, 0.0, 0.0, 0.0, 0.0, 0.5,
+            (1, 2, 4, 8, 8), True, 0.8, 0.0, 0.0, 0.0, 0.0,
+            urgent_estimate_spread,
             0.0, 0, 4.0, 0.8,
         ),
         Kind(
             "batch", rates[2], terms("pool", 2, 4, 3.0, 3000),
             16, 0.8, 94, 6.1, 0.3, batch, batch * mb_per_core // 1000,
-            (1,), False, 0.0, 0.45, 0.12, 0.3, 0.15, 0.9,
+            (1,), False, 0.0, 0.45, 0.12, 0.3, 0.15, 0.5,
             0.2, there_first[1], 1.0, 0.3,
         ),
     )  # fmt: skip
@@ -135,7 +137,7 @@
     3,
     8,
     model.Resources(128_000, 524_288, 8),
-    _kinds((52, 15, 11), (0.392, 0.954, 0.369), (3, 4)),
+    _kinds((52, 15, 11), (0.392, 0.954, 0.369), (3, 4), 0.9),
     0.9,
 )
 """Hut booking: confirmations are urgent, pricing and tagging can wait."""
@@ -144,7 +146,7 @@
     4,
     6,
     model.Resources(32_000, 131_072, 8),
-    _kinds((13, 4, 3), (0.539, 1.2, 0.529), (4, 5)),
+    _kinds((13, 4, 3), (0.539, 1.2, 0.529), (4, 5), 0.2),
     0.2,
 )
 """Tee sheet: slot offers are urgent, reconciliation and recalculation wait."""
