Count a gang's time once; follow placed runs in one place

Each member of a gang ends for itself, so a gang of nine taught its run time nine times (test_a_gang_counts_once_though_each_member_ends fails before). Speeds of workers and run times of queues both followed placements to their ends, each in its own way; batch.placed_runs does it for both. What is decided is the same but for the weight of gangs.

--- a/laburnumsill/batch/run_times.py
+++ b/laburnumsill/batch/run_times.py
@@ -13,9 +13,9 @@
 import dataclasses
 import math
 
-from laburnumsill.batch import commands
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
+from laburnumsill.batch import placed_runs
 
 PRIOR_STEPS = 2.0
 """So many steps' worth the assumptions below count, until more was seen."""
@@ -26,11 +26,8 @@
 PRIOR_SPREAD = 0.5
 """Assumed difference of run times within a queue, sigma of the logarithm."""
 
-MAX_UNFINISHED = 4_096
-"""Runs that were placed and whose end is waited for, at most."""
-
 MAX_STEPS_SEEN = 4_096
-"""Steps of which some tasks are done and others are waited for, at most."""
+"""Steps of which some tasks are done, remembered so that each counts once."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -79,9 +76,9 @@
 
     def __init__(self, ledger: ledgers.BatchLedger) -> None:
         self._ledger = ledger
-        self._placed_ms: dict[model.RunId, int] = {}
+        self._placed = placed_runs.PlacedRuns(ledger, self._is_usual)
         self._queues: dict[str, _QueueTimes] = {}
-        self._taken: dict[model.StepKey, list[float]] = {}
+        self._taken: dict[model.StepKey, list[float] | None] = {}
 
     def expected_ms(self, job: model.Job, number: int) -> float:
         """Returns how long a task of a step will take, in ms."""
@@ -101,28 +98,10 @@
 
     def take(self, command: object) -> None:
         """Takes note of a command that was applied to the ledger."""
-        if isinstance(command, commands.PlaceRuns):
-            self._take_placements(command)
-        elif isinstance(command, commands.NoteEnds):
-            self._take_ends(command)
-
-    def _take_placements(self, command: commands.PlaceRuns) -> None:
-        for group in command.groups:
-            for placement in group:
-                run = placement.run
-                if run in self._ledger.runs and self._is_usual(run, group):
-                    self._placed_ms[run] = command.at_ms
-        if len(self._placed_ms) > MAX_UNFINISHED:
-            live = self._ledger.runs
-            self._placed_ms = {
-                run: at_ms
-                for run, at_ms in self._placed_ms.items()
-                if run in live
-            }
-
-    def _is_usual(
-        self, run: model.RunId, group: tuple[commands.Placement, ...]
-    ) -> bool:
+        for run in self._placed.done_by(command):
+            self._take_run(run)
+
+    def _is_usual(self, run: model.RunId, group: placed_runs.Group) -> bool:
         """Whether a run does all the work of its task, near its data."""
         record = self._ledger.jobs[run.task.job_id]
         step = record.job.steps[run.task.step]
@@ -131,7 +110,7 @@
             return False
         return not step.same_rack or len(self._racks(group)) == 1
 
-    def _racks(self, group: tuple[commands.Placement, ...]) -> set[str]:
+    def _racks(self, group: placed_runs.Group) -> set[str]:
         workers = self._ledger.workers
         return {
             workers[placement.worker_id].rack
@@ -139,29 +118,24 @@
             if placement.worker_id in workers
         }
 
-    def _take_ends(self, command: commands.NoteEnds) -> None:
-        for end in command.ends:
-            placed_ms = self._placed_ms.pop(end.run, None)
-            if placed_ms is None or end.kind is not commands.EndKind.DONE:
-                continue
-            took_ms = max(1, command.at_ms - placed_ms)
-            key = end.run.task.step_key
-            self._taken.setdefault(key, []).append(math.log(took_ms))
-            if len(self._taken) > MAX_STEPS_SEEN:
-                del self._taken[next(iter(self._taken))]
-            self._take_step(key)
-
-    def _take_step(self, key: model.StepKey) -> None:
+    def _take_run(self, run: placed_runs.DoneRun) -> None:
         """Takes the mean time of a step's tasks once all of them are done.
 
-        Earlier the short ones among them would count for all.
+        Earlier the short ones among them would count for all. A gang is done
+        with the first of its members; the others say the same again.
         """
+        key = run.task.step_key
+        times = self._taken.setdefault(key, [])
+        if times is None:
+            return
+        times.append(math.log(run.took_ms))
         job_id, occurrence, number = key
         record = self._ledger.jobs.get(job_id)
-        if record is None or record.steps[occurrence][number].undone:
-            return
-        times = self._taken.pop(key)
-        self._add(record.job, number, sum(times) / len(times))
+        if record is not None and not record.steps[occurrence][number].undone:
+            self._add(record.job, number, sum(times) / len(times))
+            self._taken[key] = None
+        if len(self._taken) > MAX_STEPS_SEEN:
+            del self._taken[next(iter(self._taken))]
 
     def _add(self, job: model.Job, number: int, taken: float) -> None:
         queue = self._queues.setdefault(job.queue, _QueueTimes())
--- a/laburnumsill/batch/tests/test_run_times.py
+++ b/laburnumsill/batch/tests/test_run_times.py
@@ -115,6 +115,13 @@
     assert log.expected_ms(0) == pytest.approx(4000)  # the geometric mean
 
 
+def test_a_gang_counts_once_though_each_member_ends():
+    log = Log()
+    log.run(log.job("gang", 0, tasks=9, gang=True), *[8000] * 9)
+    log.run(log.job("single", 0), 2000)
+    assert log.expected_ms(0) == pytest.approx(4000)
+
+
 @pytest.mark.parametrize(
     ("step", "places"),
     [
--- a/laburnumsill/batch/worker_speeds.py
+++ b/laburnumsill/batch/worker_speeds.py
@@ -18,6 +18,7 @@
 from laburnumsill.batch import commands
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
+from laburnumsill.batch import placed_runs
 
 NOTICEABLY_SLOW = 1.12
 """Relative run time from which a worker counts as slower than others."""
@@ -45,9 +46,6 @@
 """Workers are compared with the one at this rank among those known: slow
 workers are the minority."""
 
-MAX_UNFINISHED = 4_096
-"""Runs that were placed and whose end is waited for, at most."""
-
 
 @dataclasses.dataclass(slots=True)
 class _StepTimes:
@@ -66,7 +64,7 @@
 
     def __init__(self, ledger: ledgers.BatchLedger) -> None:
         self._ledger = ledger
-        self._placed: dict[model.RunId, tuple[str, int]] = {}
+        self._placed = placed_runs.PlacedRuns(ledger, self._is_comparable)
         self._steps: collections.OrderedDict[model.StepKey, _StepTimes] = (
             collections.OrderedDict()
         )
@@ -85,29 +83,18 @@
 
     def take(self, command: object) -> None:
         """Takes note of a command that was applied to the ledger."""
-        if isinstance(command, commands.PlaceRuns):
-            self._take_placements(command)
-        elif isinstance(command, commands.NoteEnds):
-            self._take_ends(command)
-        elif isinstance(command, commands.RemoveWorker):
+        done = self._placed.done_by(command)
+        for run in done:
+            self._add(run.task, run.worker_id, math.log(run.took_ms / 1000))
+        if done:
+            self._fit_usual()
+        if isinstance(command, commands.RemoveWorker):
             self._workers.pop(command.worker_id, None)
             self._effects.pop(command.worker_id, None)
 
-    def _take_placements(self, command: commands.PlaceRuns) -> None:
-        for group in command.groups:
-            for placement in group:
-                run = placement.run
-                if run in self._ledger.runs and self._is_comparable(run):
-                    place = (placement.worker_id, command.at_ms)
-                    self._placed[run] = place
-        if len(self._placed) > MAX_UNFINISHED:
-            self._placed = {
-                run: place
-                for run, place in self._placed.items()
-                if run in self._ledger.runs
-            }
-
-    def _is_comparable(self, run: model.RunId) -> bool:
+    def _is_comparable(
+        self, run: model.RunId, group: placed_runs.Group
+    ) -> bool:
         """Whether a run's time will tell of its worker, see the step."""
         record = self._ledger.jobs[run.task.job_id]
         step = record.job.steps[run.task.step]
@@ -115,18 +102,6 @@
         fresh = task is not None and not task.saved
         return fresh and step.tells_speed
 
-    def _take_ends(self, command: commands.NoteEnds) -> None:
-        changed = False
-        for end in command.ends:
-            worker_id, placed_ms = self._placed.pop(end.run, ("", 0))
-            took_ms = command.at_ms - placed_ms
-            done = end.kind is commands.EndKind.DONE
-            if worker_id == command.worker_id and done and took_ms > 0:
-                self._add(end.run.task, worker_id, math.log(took_ms / 1000))
-                changed = True
-        if changed:
-            self._fit_usual()
-
     def _add(self, task: model.TaskId, worker_id: str, time: float) -> None:
         key = task.step_key
         step = self._steps.setdefault(key, _StepTimes())
--- a/laburnumsill/platform/tests/soak/main.py
+++ b/laburnumsill/platform/tests/soak/main.py
@@ -10,6 +10,7 @@
 import pathlib
 import random
 import shutil
+import statistics
 import sys
 import tempfile
 
@@ -23,6 +24,9 @@
 MEAN_GAP_S = 0.9
 """Between the beginnings of two troubles, so that they overlap."""
 
+LOOK_EVERY_S = 0.05
+"""How often the soak looks how late its own loop is."""
+
 SAID_BY_A_FAILURE = ("Traceback", "event=daemon-failed")
 
 
@@ -37,6 +41,9 @@
         jobs: How many jobs were sent.
         completed: How many of them were shown as completed.
         answers: How many calls got each status; 0 stands for no answer.
+        late_s: How late the soak's own loop was at worst and usually (the
+            mean). Proxies, workers and callers are that late too, so a site
+            that did not get on while it was says nothing of the daemons.
         folder: Logs and data.
     """
 
@@ -46,6 +53,7 @@
     jobs: int
     completed: int
     answers: dict[int, int]
+    late_s: tuple[float, float]
     folder: pathlib.Path
 
     def line(self) -> str:
@@ -54,6 +62,7 @@
             f"seed={self.seed} broken={len(self.broken)} jobs={self.jobs}"
             f" completed={self.completed} troubles={','.join(self.kinds)}"
             f" answers={self.answers}"
+            f" loop-late-s={self.late_s[0]:.2f},{self.late_s[1]:.4f}"
         )
         return "\n    ".join([text, *self.broken])
 
@@ -67,8 +76,10 @@
         folder: For settings, logs and data; empty.
     """
     kinds: list[str] = []
+    lags: list[float] = []
     async with trio.open_nursery() as nursery:
         site = sites.SoakSite(folder, seed, nursery)
+        nursery.start_soon(_watch_loop, lags)
         try:
             await site.start()
             witness = witnesses.Witness(site)
@@ -90,10 +101,19 @@
         len(witness.fates),
         sum(fate.final == "completed" for fate in witness.fates),
         witness.answers,
+        (max(lags, default=0.0), statistics.fmean(lags or [0.0])),
         folder,
     )
 
 
+async def _watch_loop(lags: list[float]) -> None:
+    """Notes how late this loop wakes a task that sleeps."""
+    while True:
+        due = trio.current_time() + LOOK_EVERY_S
+        await trio.sleep_until(due)
+        lags.append(trio.current_time() - due)
+
+
 async def _play(
     site: sites.SoakSite,
     witness: witnesses.Witness,
--- a/laburnumsill/platform/tests/soak/site.py
+++ b/laburnumsill/platform/tests/soak/site.py
@@ -35,8 +35,8 @@
 
 SERVER_GRACE_S = 0.1
 CATCH_UP_S = 5.0
-"""A core VM counts as lost for so long after it is back; the users allow 4 s
-on machines that do nothing else."""
+"""A core VM counts as lost for so long after it serves again; the users allow
+4 s after its start, on machines that do nothing else."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -135,12 +135,26 @@
         """Notes that the core is disturbed now."""
         self.disturbed_at = trio.current_time()
 
-    @property
-    def core_is_calm(self) -> bool:
-        """Whether all disks hold the same, so that one may be lost."""
-        running = all(self.processes[vm].running for vm in layout.CORE)
-        calm_s = trio.current_time() - self.disturbed_at
-        return running and calm_s > CATCH_UP_S
+    async def until_core_is_calm(self) -> None:
+        """Waits until all disks hold the same, so that one may be lost.
+
+        A VM is back only when it serves: under load a daemon takes more than
+        a second to start.
+        """
+        while trio.current_time() - self.disturbed_at < CATCH_UP_S:
+            if not await self._core_answers():
+                self.disturb_core()
+            await trio.sleep(0.1)
+
+    async def _core_answers(self) -> bool:
+        """Whether each core VM reads the configuration from a quorum."""
+        for vm in layout.CORE:
+            status, _ = await self.operator.call(
+                "GET", "/-/config", address=self.vms[vm].control
+            )
+            if status != 200:
+                return False
+        return True
 
     def order_link(self, worker: str) -> str:
         """Returns the name of the link on which a worker gets its orders."""
--- a/laburnumsill/platform/tests/soak/troubles.py
+++ b/laburnumsill/platform/tests/soak/troubles.py
@@ -121,8 +121,7 @@
         if self._site.keep_calm:
             return
         self._site.keep_calm = True
-        while not self._site.core_is_calm:  # noqa: ASYNC110
-            await trio.sleep(0.1)
+        await self._site.until_core_is_calm()
         await self._play()
 
     async def _play(self) -> None:
