--- a/laburnumsill/testing/tests/test_announcing.py
+++ b/laburnumsill/testing/tests/test_announcing.py
@@ -22,6 +22,7 @@
 from laburnumsill.members import changes
 from laburnumsill.members import table as tables
 from laburnumsill.members import usage
+from laburnumsill.testing import ports
 from laburnumsill.testing.tests import test_fakes as fakes
 
 LIMIT_S = 15.0
@@ -55,7 +56,7 @@
 
 class OneVm:
     def __init__(self) -> None:
-        self.address = fakes.free_address()
+        self.address = ports.free_address()
         vm = topology.Vm("vm1", "north", self.address, "", False)
         self.table = tables.MemberTable(
             vm,
@@ -101,7 +102,7 @@
 
 
 def vms(vm: OneVm) -> str:
-    dead = fakes.free_address()
+    dead = ports.free_address()
     return f'["{dead}", "{vm.address}"]'
 
 
