--- a/laburnumsill/testing/tests/test_proxy.py
+++ b/laburnumsill/testing/tests/test_proxy.py
@@ -211,7 +211,11 @@
         address = lines[0].partition("control=")[2].split()[0]
         control = proxy_control.ProxyControl(address)
         assert list(await control.links()) == ["a"]
-        added = await control.add_link("b", "127.0.0.1:0", "127.0.0.1:1")
+        # Where nobody listened, the link would reset what connects to it,
+        # at times before `connect` has returned.
+        target = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
+        port = target.socket.getsockname()[1]
+        added = await control.add_link("b", "127.0.0.1:0", f"127.0.0.1:{port}")
         await control.set_fault("b", proxies.Fault(proxies.Mode.CUT, 0.1))
         with pytest.raises(OSError):
             await connect(added.listen)
@@ -221,6 +225,7 @@
         with pytest.raises(proxies.ProxyError, match="not-found"):
             await control.heal("c")
         await control.aclose()
+        await target.aclose()
     finally:
         process.kill()
         process.wait()
