Count along what a plan asks for; ids of runs as structs

Cause: a plan of 176 workers took 11 ms, with an urgent gang that has to make room 42 ms, and the leader of a grown site plans forty times a second and more on one loop that also carries commits and reports. Profiled: hashes of data classes, what is free counted anew for each worker, tasks that wait looked for in all jobs, and victims gone through for each rack. Change: batch.live_runs counts along; the ledger remembers which tasks wait; the planner looks for suitable workers once for each pool and label; the offers of victims are renewed only where one was chosen; Resources, TaskId and RunId are msgspec structs (docs/STYLE.md). The hypothesis machine checks what is counted along against counting anew.

--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -16,6 +16,7 @@
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
 from laburnumsill.batch import planner
+from laburnumsill.batch import records
 from laburnumsill.batch import session as sessions
 from laburnumsill.batch import term as terms
 from laburnumsill.batch import units
@@ -342,40 +343,35 @@
 
     def _stop_unwanted(self) -> None:
         """Stops runs of ended jobs, done tasks and broken gangs."""
-        broken = self._broken_gangs()
-        for run in list(self.ledger.runs):
-            reason = self._unwanted_because(run, broken)
-            if reason:
-                self._stop(run, reason)
-
-    def _broken_gangs(self) -> set[model.StepKey]:
-        """Returns the steps whose gangs have live runs and are not whole."""
-        members: dict[model.StepKey, list[int]] = {}
-        for run in self.ledger.runs:
-            task = run.task
-            record = self.ledger.jobs.get(task.job_id)
-            if record is not None and record.job.steps[task.step].gang:
-                members.setdefault(task.step_key, []).append(run.number)
-        return {
-            key
-            for key, numbers in members.items()
-            if len(numbers) < self.ledger.jobs[key[0]].job.steps[key[2]].tasks
-            or len(set(numbers)) > 1
-        }
-
-    def _unwanted_because(
-        self, run: model.RunId, broken: abc.Set[model.StepKey]
-    ) -> str:
-        record = self.ledger.jobs.get(run.task.job_id)
-        task = record.task(run.task) if record else None
-        step = record.step(run.task) if record else None
-        if record is None or task is None or step is None:
-            return "its job is not known"
-        if task.done_run:
-            return "" if task.done_run == run.number else "its task is done"
-        if not record.active:
-            return f"its job is {record.state}"
-        return "its gang is not whole" if run.task.step_key in broken else ""
+        unwanted = [
+            (run, reason)
+            for key, runs in self.ledger.runs_of_steps.items()
+            for run, reason in self._unwanted_of(key, runs)
+        ]
+        for run, reason in unwanted:
+            self._stop(run, reason)
+
+    def _unwanted_of(
+        self, key: model.StepKey, runs: abc.Iterable[model.RunId]
+    ) -> abc.Iterator[tuple[model.RunId, str]]:
+        """Yields the runs of a step that are to end, and why."""
+        record = self.ledger.jobs.get(key[0])
+        reason = ""
+        if record is None:
+            reason = "its job is not known"
+        elif not record.active:
+            reason = f"its job is {record.state}"
+        elif record.job.steps[key[2]].gang and not _is_whole(record, key, runs):
+            reason = "its gang is not whole"
+        elif not record.has_done_tasks(key):
+            return
+        for run in runs:
+            task = record.task(run.task) if record else None
+            if task is not None and task.done_run:
+                if task.done_run != run.number:
+                    yield run, "its task is done"
+            elif reason:
+                yield run, reason
 
     def _match_sessions(self) -> None:
         """Has a session for each worker that is known, and no other."""
@@ -441,3 +437,14 @@
         metrics.gauge("runs_live", len(self.ledger.runs))
         metrics.gauge("workers_known", len(self.ledger.workers))
         metrics.gauge("units_waiting", len(self._waiting))
+
+
+def _is_whole(
+    record: records.JobRecord,
+    key: model.StepKey,
+    runs: abc.Iterable[model.RunId],
+) -> bool:
+    """Whether all members of a gang are live, in runs of one number."""
+    numbers = [run.number for run in runs]
+    tasks = record.job.steps[key[2]].tasks
+    return len(numbers) >= tasks and len(set(numbers)) == 1
--- a/laburnumsill/batch/ledger.py
+++ b/laburnumsill/batch/ledger.py
@@ -11,6 +11,7 @@
 
 from laburnumsill.batch import checks
 from laburnumsill.batch import commands
+from laburnumsill.batch import live_runs
 from laburnumsill.batch import model
 from laburnumsill.batch import records
 from laburnumsill.core import codec
@@ -52,9 +53,8 @@
     def __init__(self) -> None:
         self._jobs: dict[str, records.JobRecord] = {}
         self._workers: dict[str, model.Worker] = {}
-        self._runs: dict[model.RunId, records.RunRecord] = {}
-        self._by_worker: dict[str, dict[model.RunId, records.RunRecord]] = {}
-        self._run_of_task: dict[model.TaskId, model.RunId] = {}
+        self._live = live_runs.LiveRuns()
+        self._waiting: dict[model.StepKey, list[model.TaskId]] = {}
         self._noted: dict[str, int] = {}
         self._sequences: dict[str, int] = {}
         self._ended_workers: dict[str, int] = {}
@@ -78,17 +78,34 @@
     @property
     def runs(self) -> abc.Mapping[model.RunId, records.RunRecord]:
         """The runs that may be running."""
-        return self._runs
+        return self._live.all
+
+    @property
+    def runs_of_steps(
+        self,
+    ) -> abc.Mapping[
+        model.StepKey, abc.Mapping[model.RunId, records.RunRecord]
+    ]:
+        """The runs that may be running, by step."""
+        return self._live.by_step
 
     def runs_on(
         self, worker_id: str
     ) -> abc.Mapping[model.RunId, records.RunRecord]:
         """Returns the runs that may be running on a worker."""
-        return self._by_worker.get(worker_id, {})
+        return self._live.on_worker(worker_id)
 
     def live_run(self, task: model.TaskId) -> model.RunId | None:
         """Returns the run of a task that may be running, or None."""
-        return self._run_of_task.get(task)
+        return self._live.of_task(task)
+
+    def waiting_tasks(self, key: model.StepKey) -> abc.Sequence[model.TaskId]:
+        """Returns the tasks of a step that are neither done nor live."""
+        known = self._waiting.get(key)
+        if known is None:
+            known = self._find_waiting(key)
+            self._waiting[key] = known
+        return known
 
     def noted(self, worker_id: str) -> int:
         """Returns the place up to which a worker's ends are noted."""
@@ -108,10 +125,7 @@
 
     def free_on(self, worker_id: str) -> model.Resources:
         """Returns what no live run occupies on a worker."""
-        free = self._workers[worker_id].capacity
-        for run in self.runs_on(worker_id):
-            free -= self.needs_of(run)
-        return free
+        return self._workers[worker_id].capacity - self._live.used_on(worker_id)
 
     def submit(self, command: commands.SubmitJob) -> None:
         """Accepts a job unless it is known already."""
@@ -153,7 +167,7 @@
     def release(self, command: commands.ReleaseRuns) -> None:
         """Frees what lost runs held."""
         for one in command.releases:
-            record = self._runs.get(one.run)
+            record = self.runs.get(one.run)
             if record is None or record.worker_id != one.worker_id:
                 continue
             self._remove_run(one.run)
@@ -162,7 +176,7 @@
     def note_running(self, command: commands.NoteRunning) -> None:
         """Takes note of runs that were seen and of their progress."""
         for seen in command.seen:
-            record = self._runs.get(seen.run)
+            record = self.runs.get(seen.run)
             if record is not None:
                 record.seen = True
                 self._begin(seen.run.task.job_id)
@@ -184,14 +198,13 @@
     def remove_worker(self, command: commands.RemoveWorker) -> None:
         """Forgets a worker; its runs are lost."""
         for seen in command.saved:
-            if seen.run in self._runs:
+            if seen.run in self.runs:
                 self._save(seen.run, seen.saved)
         for run in list(self.runs_on(command.worker_id)):
             self._remove_run(run)
         self._workers.pop(command.worker_id, None)
         self._noted.pop(command.worker_id, None)
         self._sequences.pop(command.worker_id, None)
-        self._by_worker.pop(command.worker_id, None)
         if command.ended_ms:
             self._ended_workers[command.worker_id] = command.ended_ms
 
@@ -200,7 +213,7 @@
         for worker_id, ended_ms in list(self._ended_workers.items()):
             if ended_ms < command.ended_before_ms:
                 del self._ended_workers[worker_id]
-        busy = {run.task.job_id for run in self._runs}
+        busy = {job_id for job_id, _, _ in self.runs_of_steps}
         for job_id, record in list(self._jobs.items()):
             ended = 0 < record.ended_ms < command.ended_before_ms
             if ended and job_id not in busy:
@@ -232,7 +245,7 @@
             Snapshot(
                 list(self._jobs.values()),
                 list(self._workers.values()),
-                list(self._runs.values()),
+                list(self.runs.values()),
                 dict(self._noted),
                 dict(self._sequences),
                 dict(self._ended_workers),
@@ -308,6 +321,7 @@
             if not known.done_run:
                 known.done_run = run.number
                 step.undone -= 1
+        self._waiting.pop(run.task.step_key, None)
         if record.active and record.done:
             self._finish(record, commands.JobState.COMPLETED, at_ms)
 
@@ -337,6 +351,8 @@
         record.state = state
         record.ended_ms = max(1, at_ms)
         self._active.pop(record.job.job_id, None)
+        for key in records.step_keys(record.job):
+            self._waiting.pop(key, None)
 
     def _begin(self, job_id: str) -> None:
         record = self._jobs.get(job_id)
@@ -356,18 +372,22 @@
             step.tasks[run.task.index].saved = saved
 
     def _add_run(self, record: records.RunRecord) -> None:
-        self._runs[record.run] = record
-        self._run_of_task[record.run.task] = record.run
-        on_worker = self._by_worker.setdefault(record.worker_id, {})
-        on_worker[record.run] = record
+        self._live.add(record, self.needs_of(record.run))
+        self._waiting.pop(record.run.task.step_key, None)
 
     def _remove_run(self, run: model.RunId) -> None:
-        record = self._runs.pop(run, None)
-        if record is None:
-            return
-        self._by_worker.get(record.worker_id, {}).pop(run, None)
-        if self._run_of_task.get(run.task) == run:
-            del self._run_of_task[run.task]
+        self._live.remove(run)
+        self._waiting.pop(run.task.step_key, None)
+
+    def _find_waiting(self, key: model.StepKey) -> list[model.TaskId]:
+        job_id, occurrence, number = key
+        tasks = self._jobs[job_id].steps[occurrence][number].tasks
+        names = (
+            model.TaskId(job_id, occurrence, number, index)
+            for index, task in enumerate(tasks)
+            if not task.done_run
+        )
+        return [name for name in names if self.live_run(name) is None]
 
     def commands(self) -> dict[type, replication.Handler]:
         """Returns the handlers of commands."""
--- a/laburnumsill/batch/model.py
+++ b/laburnumsill/batch/model.py
@@ -2,12 +2,13 @@
 
 import dataclasses
 
+import msgspec
+
 from laburnumsill.core import codec
 
 
 @codec.register("batch.resources")
-@dataclasses.dataclass(frozen=True, slots=True)
-class Resources:
+class Resources(msgspec.Struct, frozen=True, gc=False):
     """An amount of what a worker has and a task needs.
 
     Attributes:
@@ -186,8 +187,9 @@
 
 
 @codec.register("batch.task-id")
-@dataclasses.dataclass(frozen=True, slots=True, order=True)
-class TaskId:
+class TaskId(
+    msgspec.Struct, frozen=True, order=True, cache_hash=True, gc=False
+):
     """The name of one task.
 
     Examples:
@@ -222,8 +224,7 @@
 
 
 @codec.register("batch.run-id")
-@dataclasses.dataclass(frozen=True, slots=True, order=True)
-class RunId:
+class RunId(msgspec.Struct, frozen=True, order=True, cache_hash=True, gc=False):
     """One run of a task; runs are numbered from 1."""
 
     task: TaskId
--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -104,9 +104,10 @@
         self._plan = Plan([], [], [])
         self._rooms = _rooms(view)
         self._urgent_use = _urgent_use(view.ledger)
-        self._victims: list[preemption.Victim] | None = None
+        self._victims: preemption.Victims | None = None
         self._fenced = 0
         self._most_slots: dict[tuple[object, ...], int] = {}
+        self._suitable: dict[tuple[str, str], _Suitable] = {}
 
     def run(self) -> Plan:
         waiting = units.ready_units(
@@ -172,9 +173,9 @@
         step = unit.step
         key = (unit.record.job.terms.pool, step.required_label, step.needs)
         if key not in self._most_slots:
-            rooms = packing.eligible(unit, self._rooms.values())
             self._most_slots[key] = sum(
-                step.needs.times_in(room.free) for room in rooms
+                step.needs.times_in(room.free)
+                for room in self._suitable_for(unit).all
             )
         wanted = len(unit.tasks) if step.gang else 1
         return self._most_slots[key] < wanted
@@ -186,19 +187,28 @@
         waited = self._view.now_ms - unit.waiting_since_ms
         return waited >= SPREAD_AFTER_MS and packing.mostly_free(rooms)
 
+    def _suitable_for(self, unit: units.Unit) -> "_Suitable":
+        """Returns the workers of a unit's pool that have its label."""
+        key = (unit.record.job.terms.pool, unit.step.required_label)
+        if key not in self._suitable:
+            rooms = packing.eligible(unit, self._rooms.values())
+            self._suitable[key] = _Suitable(rooms, _without_very_slow(rooms))
+        return self._suitable[key]
+
     def _eligible(self, unit: units.Unit) -> list[room_module.Room]:
+        suitable = self._suitable_for(unit)
+        waited = self._view.now_ms - unit.waiting_since_ms
+        if waited >= ANY_WORKER_AFTER_MS:
+            return suitable.all  # rather a poor worker than none
         avoid: set[str] = set()
         for task in unit.tasks:
             avoid |= self._view.avoid(task)
-        rooms = packing.eligible(unit, self._rooms.values())
-        kept = [room for room in rooms if room.worker.worker_id not in avoid]
-        sound = [
-            room for room in kept if room.slowness < worker_health.VERY_SLOW
+        if not avoid:
+            return suitable.sound or suitable.all
+        kept = [
+            room for room in suitable.all if room.worker.worker_id not in avoid
         ]
-        waited = self._view.now_ms - unit.waiting_since_ms
-        if waited >= ANY_WORKER_AFTER_MS:
-            return rooms  # rather a poor worker than none
-        return sound or kept or rooms
+        return _without_very_slow(kept) or kept or suitable.all
 
     def _take(self, unit: units.Unit, found: packing.Assignment) -> None:
         placements = []
@@ -253,13 +263,15 @@
         ends_ms = begins_ms + slowest * unit.chain_ms
         return ends_ms > unit.objective_ms
 
-    def _may_stop(self) -> list[preemption.Victim]:
+    def _may_stop(self) -> preemption.Victims:
         if self._victims is None:
-            self._victims = preemption.victims_below(
-                self._ledger,
-                packing.URGENT_PRIORITY,
-                self._view.stopping,
-                self._view.now_ms,
+            self._victims = preemption.Victims(
+                preemption.victims_below(
+                    self._ledger,
+                    packing.URGENT_PRIORITY,
+                    self._view.stopping,
+                    self._view.now_ms,
+                )
             )
         return self._victims
 
@@ -309,6 +321,25 @@
         return checks.count_on(self._ledger, worker_id, task)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Suitable:
+    """The rooms that may run a kind of unit.
+
+    Attributes:
+        all: All of them.
+        sound: Those whose workers are not very slow.
+    """
+
+    all: list[room_module.Room]
+    sound: list[room_module.Room]
+
+
+def _without_very_slow(
+    rooms: abc.Iterable[room_module.Room],
+) -> list[room_module.Room]:
+    return [room for room in rooms if room.slowness < worker_health.VERY_SLOW]
+
+
 def _emptiest_first(room: room_module.Room) -> tuple[int, str]:
     """Orders rooms by what of them will be free soon, the most first.
 
--- a/laburnumsill/batch/preemption.py
+++ b/laburnumsill/batch/preemption.py
@@ -6,11 +6,13 @@
 """
 
 import dataclasses
+import functools
 from collections import abc
 
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
 from laburnumsill.batch import packing
+from laburnumsill.batch import records
 from laburnumsill.batch import rooms as room_module
 from laburnumsill.batch import units
 
@@ -48,6 +50,41 @@
     assignment: packing.Assignment
 
 
+class Victims:
+    """What may be stopped, by the workers where it runs.
+
+    Args:
+        victims: All of it.
+    """
+
+    def __init__(self, victims: abc.Iterable[Victim]) -> None:
+        self._on_worker: dict[str, list[Victim]] = {}
+        self._all_freed: dict[str, model.Resources] = {}
+        for victim in victims:
+            for worker_id, freed in victim.freed.items():
+                self._on_worker.setdefault(worker_id, []).append(victim)
+                self._all_freed[worker_id] = self.freed_on(worker_id) + freed
+        for worker_id, there in self._on_worker.items():
+            there.sort(key=functools.partial(_price, worker_id))
+
+    def on_worker(self, worker_id: str) -> abc.Sequence[Victim]:
+        """Returns those that run on a worker, the cheapest first."""
+        return self._on_worker.get(worker_id, ())
+
+    def freed_on(self, worker_id: str) -> model.Resources:
+        """Returns what all of them free on a worker."""
+        return self._all_freed.get(worker_id, _NOTHING)
+
+    def remove(self, victim: Victim) -> None:
+        """Takes out one that is being stopped."""
+        for worker_id, freed in victim.freed.items():
+            self._on_worker[worker_id].remove(victim)
+            self._all_freed[worker_id] -= freed
+
+
+_NOTHING = model.Resources()
+
+
 def victims_below(
     ledger: ledgers.BatchLedger,
     priority: int,
@@ -55,23 +92,24 @@
     now_ms: int,
 ) -> list[Victim]:
     """Returns what may be stopped for a unit of a priority."""
-    together: dict[tuple[model.StepKey, int], list[model.RunId]] = {}
-    for run in ledger.runs:
-        job = ledger.jobs[run.task.job_id].job
-        if job.terms.priority <= priority or run in stopping:
+    found: list[Victim] = []
+    for key, runs in ledger.runs_of_steps.items():
+        job = ledger.jobs[key[0]].job
+        if job.terms.priority <= priority:
             continue
-        task = run.task
-        gang = job.steps[task.step].gang
-        index = -1 if gang else task.index
-        key = (task.step_key, index)
-        together.setdefault(key, []).append(run)
-    return [_victim(ledger, runs, now_ms) for runs in together.values()]
+        step = job.steps[key[2]]
+        left = [run for run in runs.values() if run.run not in stopping]
+        if not step.gang:
+            found += [_victim(step, (run,), now_ms) for run in left]
+        elif left:
+            found.append(_victim(step, left, now_ms))
+    return found
 
 
 def evict(
     unit: units.Unit,
     rooms: abc.Sequence[room_module.Room],
-    victims: abc.Sequence[Victim],
+    victims: Victims,
     count_on: packing.CountOn,
     fast_first: bool,
 ) -> Eviction | None:
@@ -102,11 +140,11 @@
 def _evict_within(
     unit: units.Unit,
     rooms: abc.Sequence[room_module.Room],
-    victims: abc.Sequence[Victim],
+    victims: Victims,
     count_on: packing.CountOn,
 ) -> Eviction | None:
     """Stops what makes the next slot cheapest, until there are enough."""
-    clearing = _Clearing(unit, rooms, victims)
+    clearing = _Clearing(unit.step.needs, rooms, victims)
     if not clearing.make_slots(len(unit.tasks)):
         return None
     clearing.prune(len(unit.tasks))
@@ -116,33 +154,46 @@
     return Eviction(tuple(clearing.chosen), assignment)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Offer:
+    """What one more slot on a worker takes.
+
+    Attributes:
+        cost: Core-seconds that are lost, for each slot that is gained.
+        worker_id: The worker.
+        victims: What has to be stopped.
+    """
+
+    cost: float
+    worker_id: str
+    victims: tuple[Victim, ...]
+
+
 class _Clearing:
     """Some rooms, and the victims that were chosen to make slots there.
 
     Args:
-        unit: What is to fit.
+        needs: What one slot takes.
         rooms: Where.
         victims: What may be stopped.
     """
 
     def __init__(
         self,
-        unit: units.Unit,
+        needs: model.Resources,
         rooms: abc.Sequence[room_module.Room],
-        victims: abc.Iterable[Victim],
+        victims: Victims,
     ) -> None:
         self.chosen: list[Victim] = []
-        self._needs = unit.step.needs
+        self._needs = needs
+        self._victims = victims
         self._soon_free = {
             room.worker.worker_id: room.soon_free for room in rooms
         }
-        self._on_worker: dict[str, list[Victim]] = {}
-        for victim in victims:
-            for worker_id in victim.freed:
-                if worker_id in self._soon_free:
-                    self._on_worker.setdefault(worker_id, []).append(victim)
-        for worker_id, there in self._on_worker.items():
-            there.sort(key=lambda one: _price(one, worker_id))
+        self._slots = sum(
+            needs.times_in(free) for free in self._soon_free.values()
+        )
+        self._offers: dict[str, _Offer] = {}
 
     def room_of(self, room: room_module.Room) -> model.Resources:
         """Returns what is free soon in a room, the chosen ones gone."""
@@ -150,16 +201,18 @@
 
     def make_slots(self, wanted: int) -> bool:
         """Chooses victims until there are so many slots, if that can be."""
-        while self._slots() < wanted:
-            offers = [
-                offer
-                for worker_id in self._on_worker
-                if (offer := self._next_slot(worker_id)) is not None
-            ]
-            if not offers:
+        if self._most_slots() < wanted:
+            return False
+        for worker_id in self._soon_free:
+            self._renew_offer(worker_id)
+        while self._slots < wanted:
+            if not self._offers:
                 return False
-            _, _, group = min(offers, key=lambda offer: offer[:2])
-            for victim in group:
+            best = min(
+                self._offers.values(),
+                key=lambda offer: (offer.cost, offer.worker_id),
+            )
+            for victim in best.victims:
                 self._choose(victim)
         return True
 
@@ -171,25 +224,26 @@
         """
         for victim in sorted(self.chosen, key=lambda one: -one.cost):
             self._shift(victim, -1)
-            if self._slots() >= wanted:
+            if self._slots >= wanted:
                 self.chosen.remove(victim)
             else:
                 self._shift(victim, 1)
 
-    def _slots(self) -> int:
+    def _most_slots(self) -> int:
+        """Returns how many slots there would be with all victims gone."""
         return sum(
-            self._needs.times_in(free) for free in self._soon_free.values()
+            self._needs.times_in(free + self._victims.freed_on(worker_id))
+            for worker_id, free in self._soon_free.items()
         )
 
-    def _next_slot(
-        self, worker_id: str
-    ) -> tuple[float, str, list[Victim]] | None:
-        """Returns what one more slot on a worker costs, and its victims."""
+    def _renew_offer(self, worker_id: str) -> None:
+        """Finds the victims for one more slot on a worker anew."""
+        self._offers.pop(worker_id, None)
         free = self._soon_free[worker_id]
         before = self._needs.times_in(free)
         cost = 0.0
         group: list[Victim] = []
-        for victim in self._on_worker[worker_id]:
+        for victim in self._victims.on_worker(worker_id):
             if victim in self.chosen:
                 continue
             group.append(victim)
@@ -197,42 +251,45 @@
             free += victim.freed[worker_id]
             gained = self._needs.times_in(free) - before
             if gained > 0:
-                return cost / gained, worker_id, group
-        return None
+                self._offers[worker_id] = _Offer(
+                    cost / gained, worker_id, tuple(group)
+                )
+                return
 
     def _choose(self, victim: Victim) -> None:
         self.chosen.append(victim)
         self._shift(victim, 1)
+        for worker_id in victim.freed:
+            if worker_id in self._soon_free:
+                self._renew_offer(worker_id)
 
     def _shift(self, victim: Victim, sign: int) -> None:
         """Adds what a victim frees to the rooms, or takes it away again."""
         for worker_id, freed in victim.freed.items():
-            if worker_id not in self._soon_free:
+            before = self._soon_free.get(worker_id)
+            if before is None:
                 continue
-            if sign > 0:
-                self._soon_free[worker_id] += freed
-            else:
-                self._soon_free[worker_id] -= freed
+            after = before + freed if sign > 0 else before - freed
+            self._soon_free[worker_id] = after
+            self._slots += self._needs.times_in(after)
+            self._slots -= self._needs.times_in(before)
 
 
-def _price(victim: Victim, worker_id: str) -> float:
+def _price(worker_id: str, victim: Victim) -> float:
     """Returns the cost for each core that it frees on a worker."""
     return victim.cost / max(model.weight(victim.freed[worker_id]), 0.001)
 
 
 def _victim(
-    ledger: ledgers.BatchLedger, runs: list[model.RunId], now_ms: int
+    step: model.Step, runs: abc.Sequence[records.RunRecord], now_ms: int
 ) -> Victim:
+    """Returns runs of one step that end together."""
     freed: dict[str, model.Resources] = {}
-    cost = DISTURBANCE_CORE_S
+    lost_s = 0.0
     for run in runs:
-        record = ledger.runs[run]
-        needs = ledger.needs_of(run)
-        freed[record.worker_id] = (
-            freed.get(record.worker_id, model.Resources()) + needs
-        )
-        step = ledger.jobs[run.task.job_id].job.steps[run.task.step]
-        ran_s = max(0.0, (now_ms - record.placed_ms) / 1000)
-        lost_s = min(ran_s, SAVED_WORK_S) if step.saves_progress else ran_s
-        cost += lost_s * model.weight(needs)
-    return Victim(tuple(runs), cost, freed)
+        there = freed.get(run.worker_id)
+        freed[run.worker_id] = there + step.needs if there else step.needs
+        ran_s = max(0.0, (now_ms - run.placed_ms) / 1000)
+        lost_s += min(ran_s, SAVED_WORK_S) if step.saves_progress else ran_s
+    cost = DISTURBANCE_CORE_S + lost_s * model.weight(step.needs)
+    return Victim(tuple(run.run for run in runs), cost, freed)
--- a/laburnumsill/batch/records.py
+++ b/laburnumsill/batch/records.py
@@ -85,6 +85,12 @@
         occurrence = self.steps[task.occurrence]
         return occurrence[task.step] if task.step < len(occurrence) else None
 
+    def has_done_tasks(self, key: model.StepKey) -> bool:
+        """Returns whether any task of a step of this job is done."""
+        _, occurrence, number = key
+        step = self.steps[occurrence][number]
+        return step.undone < len(step.tasks)
+
     def ready(self, occurrence: int, step: int) -> bool:
         """Returns whether all that a step depends on is done."""
         records = self.steps[occurrence]
@@ -142,3 +148,10 @@
     """Yields the names of all tasks of a task's step, itself too."""
     for index in range(job.steps[task.step].tasks):
         yield model.TaskId(task.job_id, task.occurrence, task.step, index)
+
+
+def step_keys(job: model.Job) -> abc.Iterator[model.StepKey]:
+    """Yields the names of all steps of all occurrences of a job."""
+    for occurrence in range(job.occurrences):
+        for number in range(len(job.steps)):
+            yield (job.job_id, occurrence, number)
--- a/laburnumsill/batch/tests/test_ledger_machine.py
+++ b/laburnumsill/batch/tests/test_ledger_machine.py
@@ -135,6 +135,38 @@
         for task in tasks:
             assert self.ledger.live_run(task) in self.ledger.runs
 
+    @stateful.invariant()
+    def what_is_counted_along_is_what_counting_anew_gives(self):
+        for worker_id, worker in self.ledger.workers.items():
+            free = worker.capacity
+            for run, record in self.ledger.runs.items():
+                if record.worker_id == worker_id:
+                    assert run in self.ledger.runs_on(worker_id)
+                    free -= self.ledger.needs_of(run)
+            assert self.ledger.free_on(worker_id) == free
+        by_step = {}
+        for run in self.ledger.runs:
+            by_step.setdefault(run.task.step_key, set()).add(run)
+        assert by_step == {
+            key: set(runs) for key, runs in self.ledger.runs_of_steps.items()
+        }
+
+    @stateful.invariant()
+    def what_waits_is_neither_done_nor_live(self):
+        for job_id, record in self.ledger.active_jobs.items():
+            for number, step in enumerate(record.steps[0]):
+                waiting = [
+                    name
+                    for index, task in enumerate(step.tasks)
+                    if not task.done_run
+                    and self.ledger.live_run(
+                        name := model.TaskId(job_id, 0, number, index)
+                    )
+                    is None
+                ]
+                key = (job_id, 0, number)
+                assert list(self.ledger.waiting_tasks(key)) == waiting
+
     @stateful.invariant()
     def no_worker_is_over_its_capacity(self):
         for worker_id in self.ledger.workers:
--- a/laburnumsill/batch/tests/test_session.py
+++ b/laburnumsill/batch/tests/test_session.py
@@ -1,7 +1,6 @@
 """Sessions against a worker whose answers a test decides on."""
 
-import dataclasses
-
+import msgspec
 import pytest
 import trio
 import trio.lowlevel
@@ -287,7 +286,7 @@
 
 def test_a_run_that_nobody_asked_for_is_stopped():
     async def script(term):
-        other = dataclasses.replace(RUN, number=2)
+        other = msgspec.structs.replace(RUN, number=2)
         stray = worker_client.RunningRun(other, "", 1)
         report = worker_client.Report(
             1000, (stray, worker_client.RunningRun(RUN, "", 1)), ()
--- a/laburnumsill/batch/units.py
+++ b/laburnumsill/batch/units.py
@@ -145,39 +145,52 @@
     step_ms: StepMs,
     waves: "_Waves",
 ) -> abc.Iterator[Unit]:
+    """Yields the units of one occurrence of a job."""
     job = record.job
-    since = max(record.submitted_ms, job.due_ms(occurrence))
-    terms = job.terms
-    chain = chain_ms(job, step_ms)
-    allowed = chain_ms(
-        job, lambda job, number: waves.of(job, number) * step_ms(job, number)
-    )
-    objective = since + terms.stretch * allowed + terms.target_ms
+    timing = None
     for number, step in enumerate(record.steps[occurrence]):
         if not step.undone or not record.ready(occurrence, number):
             continue
-        tasks = _waiting(ledger, record, occurrence, number)
+        tasks = ledger.waiting_tasks((job.job_id, occurrence, number))
         whole = len(tasks) == job.steps[number].tasks
-        if tasks and (whole or not job.steps[number].gang):
-            yield Unit(
-                record, occurrence, number, tasks, since, objective, chain
-            )
+        if not tasks or (job.steps[number].gang and not whole):
+            continue
+        if timing is None:
+            timing = _timing(record, occurrence, step_ms, waves)
+        yield Unit(
+            record,
+            occurrence,
+            number,
+            list(tasks),
+            timing.since_ms,
+            timing.objective_ms,
+            timing.chain_ms,
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Timing:
+    """See the attributes of `Unit`."""
+
+    since_ms: int
+    objective_ms: float
+    chain_ms: float
 
 
-def _waiting(
-    ledger: ledgers.BatchLedger,
+def _timing(
     record: records.JobRecord,
     occurrence: int,
-    number: int,
-) -> list[model.TaskId]:
-    """Returns the tasks of a step that are neither done nor live."""
-    step = record.steps[occurrence][number]
-    names = (
-        model.TaskId(record.job.job_id, occurrence, number, index)
-        for index in range(len(step.tasks))
+    step_ms: StepMs,
+    waves: "_Waves",
+) -> _Timing:
+    job = record.job
+    times = [step_ms(job, number) for number in range(len(job.steps))]
+    since_ms = max(record.submitted_ms, job.due_ms(occurrence))
+    allowed_ms = chain_ms(
+        job, lambda job, number: waves.of(job, number) * times[number]
+    )
+    return _Timing(
+        since_ms,
+        since_ms + job.terms.stretch * allowed_ms + job.terms.target_ms,
+        chain_ms(job, lambda _, number: times[number]),
     )
-    return [
-        name
-        for name in names
-        if not step.tasks[name.index].done_run and ledger.live_run(name) is None
-    ]
--- a/laburnumsill/emulator/oracle.py
+++ b/laburnumsill/emulator/oracle.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import msgspec
+
 from laburnumsill.batch import model
 
 CANCEL_S = 3.0
@@ -72,7 +74,9 @@
         step = truth.job.steps[run.task.step]
         for number in step.depends_on:
             for index in range(truth.job.steps[number].tasks):
-                before = dataclasses.replace(run.task, step=number, index=index)
+                before = msgspec.structs.replace(
+                    run.task, step=number, index=index
+                )
                 if before not in truth.done:
                     self._break(now, f"ORDER {run} before {before}")
         at = truth.cancelled_at
@@ -103,7 +107,9 @@
         if kind == "done" and gang:
             step = truth.job.steps[run.task.step]
             for index in range(step.tasks):
-                truth.noted_done.add(dataclasses.replace(run.task, index=index))
+                truth.noted_done.add(
+                    msgspec.structs.replace(run.task, index=index)
+                )
         elif kind == "done":
             truth.noted_done.add(run.task)
         elif kind == "failed":
