Give a taken or senseless address of a client interface a typed error

Cause: the HTTP server's own failure to bind was a plain OSError, while peers' addresses have wire.failures.AddressInUseError. Change: daemon.server binds the address for a moment and raises AddressTakenError or ListenError.

--- a/laburnumsill/daemon/server.py
+++ b/laburnumsill/daemon/server.py
@@ -1,6 +1,8 @@
 """The HTTP server of one daemon: hypercorn with our limits and logs."""
 
+import errno
 import logging
+import socket
 import typing
 from collections import abc
 
@@ -8,6 +10,7 @@
 import hypercorn.trio
 import trio
 
+from laburnumsill.core import errors
 from laburnumsill.core import logs
 
 MAX_HEADER_BYTES = 32 * 1024
@@ -65,6 +68,38 @@
         await send({"type": "lifespan.shutdown.complete"})
 
 
+class ListenError(errors.LaburnumsillError):
+    """An address of this daemon cannot be listened on."""
+
+    slug = "listen"
+    title = "Cannot listen on an address"
+
+
+class AddressTakenError(ListenError):
+    """Another process listens on an address of this daemon."""
+
+    slug = "address-taken"
+    title = "An address is in use"
+
+
+def _check_address(address: str) -> None:
+    """Binds an address for a moment: the server's own failure has no type.
+
+    Raises:
+        ListenError: It cannot be bound, see `serve`.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            probe.bind((host, int(port)))
+    except (OSError, ValueError) as error:
+        text = f"{address}: {error}"
+        if isinstance(error, OSError) and error.errno == errno.EADDRINUSE:
+            raise AddressTakenError(text) from error
+        raise ListenError(text) from error
+
+
 async def serve(
     application: typing.Any,
     address: str,
@@ -81,7 +116,12 @@
         stop: Returns when no new connection is to be taken.
         stop_grace_s: Seconds that exchanges in flight have after that.
         task_status: Started once the socket listens.
+
+    Raises:
+        AddressTakenError: Another process listens on the address.
+        ListenError: It cannot be listened on.
     """
+    _check_address(address)
     config = hypercorn.config.Config()
     config.bind = [address]
     config.accesslog = None
