--- a/laburnumsill/platform/tests/soak/site.py
+++ b/laburnumsill/platform/tests/soak/site.py
@@ -33,6 +33,13 @@
 ANNOUNCE_S = 0.5
 """Workers announce themselves so often; the users' do each 1.5 s."""
 
+STOP_S = (0.05, 0.4)
+"""How long a worker takes to stop a run; at most 0.2 and 0.9 s on the users'
+sites."""
+
+TORN_BYTES = 40
+"""Bytes of a write that was under way: less than any record of the log."""
+
 SERVER_GRACE_S = 0.1
 CATCH_UP_S = 5.0
 """A core VM counts as lost for so long after it serves again; the users allow
@@ -77,7 +84,7 @@
             self.oracle,
             _work_s,
             is_hopeless,
-            lambda: self.random.uniform(0.05, 0.4),
+            lambda: self.random.uniform(*STOP_S),
         )
         self.announcers: dict[str, Announcer] = {}
         self.operator = standin.Caller(
@@ -118,6 +125,16 @@
         """Takes the disk of a VM that is down."""
         shutil.rmtree(layout.data_folder(self.folder, vm))
 
+    def tear_log(self, vm: str) -> None:
+        """Leaves part of a write at the end of a dead VM's newest log file."""
+        folder = layout.data_folder(self.folder, vm)
+        for path in folder.glob("**/log-*"):
+            newest = max(path.parent.glob("log-*"))
+            if path == newest:
+                torn = random.Random(path.stat().st_size).randbytes(TORN_BYTES)
+                with path.open("ab") as file:
+                    file.write(torn)
+
     def stop(self) -> None:
         """Ends all daemons."""
         for process in self.processes.values():
--- a/laburnumsill/platform/tests/soak/troubles.py
+++ b/laburnumsill/platform/tests/soak/troubles.py
@@ -17,7 +17,23 @@
 
 SHORTEST_S = 0.2
 LONGEST_S = 4.0
+"""How long a trouble lasts, in seconds: below and above what elections (0.8 s)
+and leases (4 s here) take."""
+
+LONGEST_DARK_S = 1.5
+"""All of the core is down for so long at most, in seconds."""
+
+RESTART_GAP_S = 0.3
+"""Longest time from the start of one daemon to that of the next."""
+
+SHUTDOWN_S = 6.0
+"""From SIGTERM to SIGKILL, as on the users' sites."""
+
+LOOK_EVERY_S = 0.05
+"""How often it is looked whether a daemon has ended."""
+
 DRAIN_S = 1.5
+"""A worker drains for so long before it ends."""
 
 
 class Trouble(abc.ABC):
@@ -58,11 +74,12 @@
 
 
 class Kill(Trouble):
-    """SIGKILL of one daemon."""
+    """SIGKILL of one daemon, in the middle of a write to its disk."""
 
     async def _play(self) -> None:
         vm = self._any_vm()
         self._site.processes[vm].kill()
+        self._site.tear_log(vm)
         await self._last()
         self._site.start_vm(vm)
 
@@ -76,11 +93,11 @@
             vms += layout.ENTRIES
         for vm in vms:
             self._site.processes[vm].kill()
-        await trio.sleep(self._random.uniform(SHORTEST_S, 1.5))
+        await trio.sleep(self._random.uniform(SHORTEST_S, LONGEST_DARK_S))
         self._random.shuffle(vms)
         for vm in vms:
             self._site.start_vm(vm)
-            await trio.sleep(self._random.uniform(0.0, 0.3))
+            await trio.sleep(self._random.uniform(0.0, RESTART_GAP_S))
 
 
 class Terminate(Trouble):
@@ -90,9 +107,9 @@
         vm = self._any_vm()
         process = self._site.processes[vm]
         process.terminate()
-        with trio.move_on_after(6.0):
+        with trio.move_on_after(SHUTDOWN_S):
             while process.running:  # noqa: ASYNC110
-                await trio.sleep(0.05)
+                await trio.sleep(LOOK_EVERY_S)
         process.kill()
         self._site.start_vm(vm)
 
