--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -12,6 +12,7 @@
 import trio
 
 from laburnumsill.batch import commands
+from laburnumsill.batch import headroom as headroom_module
 from laburnumsill.batch import learnt as learnt_module
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
@@ -132,6 +133,7 @@
         self.health = worker_health.WorkerHealth()
         self._context = context
         self._learnt = learnt
+        self._headroom = headroom_module.Headroom()
         self._sessions: dict[str, sessions.WorkerSession] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
         self._seen: set[model.RunId] = set()
@@ -240,6 +242,10 @@
             self._kept_racks,
             self._is_log_due,
             self._context.bounds.stop_grace_ms,
+            self._headroom.to_keep(
+                planner.urgent_use(self.ledger).total(),
+                self.clock.monotonic(),
+            ),
             self._learnt.times.expected_ms,
         )
         made = planner.plan(view)
--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -32,6 +32,10 @@
 """A gang that has waited so long, in ms, while most of its pool is free,
 goes to several racks: nothing else would make use of the room."""
 
+HEADROOM_UNTIL_MS = 1_000
+"""Tasks leave headroom while their job could begin so much later and still be
+in time, in ms."""
+
 MAX_FENCED = 1
 """So many waiting gangs keep room at a time; more would idle the site."""
 
@@ -51,6 +55,7 @@
         kept_racks: The racks that were kept for gangs at the last plan.
         explain: Whether it is to be said what stands in a unit's way.
         stop_grace_ms: What is stopped ends within so long.
+        headroom: Accelerators that single tasks leave free for urgent jobs.
         step_ms: Returns how long a task of a step takes, in ms.
     """
 
@@ -66,6 +71,7 @@
     )
     explain: abc.Callable[[model.StepKey], bool] = lambda _: False
     stop_grace_ms: int = 0
+    headroom: int = 0
     step_ms: units.StepMs = units.declared_ms
 
 
@@ -103,7 +109,7 @@
         self._ledger = view.ledger
         self._plan = Plan([], [], [])
         self._rooms = _rooms(view)
-        self._urgent_use = _urgent_use(view.ledger)
+        self._urgent_use = urgent_use(view.ledger)
         self._victims: preemption.Victims | None = None
         self._fenced = 0
         self._most_slots: dict[tuple[object, ...], int] = {}
@@ -140,6 +146,7 @@
     def _place(self, unit: units.Unit) -> None:
         rooms = self._eligible(unit)
         found = [] if self._has_no_room(unit) else self._fit(unit, rooms)
+        found = self._within_headroom(unit, found)
         self._take(unit, found)
         placed = {task for task, _ in found}
         unit.tasks = [task for task in unit.tasks if task not in placed]
@@ -164,6 +171,34 @@
             self._may_spread(unit, rooms),
         )
 
+    def _within_headroom(
+        self, unit: units.Unit, found: packing.Assignment
+    ) -> packing.Assignment:
+        """Returns what of an assignment leaves headroom for urgent jobs.
+
+        Gangs leave none: they find room seldom enough. A step of which nothing
+        runs gets one task in any case, so that its job is never idle while
+        there is room.
+        """
+        step = unit.step
+        if not self._leaves_headroom(unit):
+            return found
+        rooms = self._suitable_for(unit).all
+        free = sum(room.free.accelerators for room in rooms)
+        most = max(0, free - self._view.headroom) // step.needs.accelerators
+        least = 0 if unit.key in self._ledger.runs_of_steps else 1
+        return found[: max(least, most)]
+
+    def _leaves_headroom(self, unit: units.Unit) -> bool:
+        """Whether a unit is one that can wait for urgent jobs to come."""
+        step = unit.step
+        if unit.priority == packing.URGENT_PRIORITY or not self._view.headroom:
+            return False
+        if step.gang or step.long_running or not step.needs.accelerators:
+            return False
+        spare_ms = unit.objective_ms - self._view.now_ms - unit.chain_ms
+        return spare_ms >= HEADROOM_UNTIL_MS
+
     def _has_no_room(self, unit: units.Unit) -> bool:
         """Whether an earlier unit like this has shown that it cannot fit.
 
@@ -368,7 +403,7 @@
     return rooms
 
 
-def _urgent_use(ledger: ledgers.BatchLedger) -> collections.Counter[str]:
+def urgent_use(ledger: ledgers.BatchLedger) -> collections.Counter[str]:
     """Returns the accelerators that urgent jobs need, by client account."""
     use: collections.Counter[str] = collections.Counter()
     for record in ledger.active_jobs.values():
--- a/laburnumsill/batch/tests/test_planner.py
+++ b/laburnumsill/batch/tests/test_planner.py
@@ -1,3 +1,5 @@
+import dataclasses
+
 from laburnumsill.batch import commands
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
@@ -262,3 +264,49 @@
     assert stop_for_urgent(ledger, {"w00"}, 900) == {"w01"}
     # In time on the slow one too, which is cheaper to clear.
     assert stop_for_urgent(ledger, {"w00"}, 200) == {"w00"}
+
+
+def with_headroom(ledger, headroom, now_ms=0):
+    return dataclasses.replace(view(ledger, now_ms=now_ms), headroom=headroom)
+
+
+def patient_job(job_id, tasks, **step):
+    """Returns a job with seconds to spare."""
+    one = job(job_id, tasks, 1, priority=2, **step)
+    terms = dataclasses.replace(one.terms, target_ms=5_000)
+    return dataclasses.replace(one, terms=terms)
+
+
+def test_tasks_that_can_wait_leave_headroom_for_urgent_jobs():
+    """They were placed and stopped again for the next urgent job."""
+    ledger = site(racks=1)
+    submit(ledger, patient_job("batch", 16))
+    made = planner.plan(with_headroom(ledger, 10))
+    assert len(made.groups) == 6
+    carry_out(ledger, made)
+    assert planner.plan(with_headroom(ledger, 10)).groups == []
+    assert len(planner.plan(with_headroom(ledger, 0)).groups) == 10
+
+
+def test_tasks_that_would_be_late_leave_no_headroom():
+    ledger = site(racks=1)
+    submit(ledger, patient_job("batch", 16))
+    made = planner.plan(with_headroom(ledger, 10, now_ms=14_500))
+    assert len(made.groups) == 16
+
+
+def test_a_job_of_which_nothing_runs_gets_one_task_whatever_the_headroom():
+    ledger = site(racks=1)
+    submit(ledger, patient_job("batch", 16))
+    made = planner.plan(with_headroom(ledger, 16))
+    assert len(made.groups) == 1
+    carry_out(ledger, made)
+    assert planner.plan(with_headroom(ledger, 16)).groups == []
+
+
+def test_gangs_and_tasks_that_last_leave_no_headroom():
+    ledger = site(racks=1)
+    submit(ledger, patient_job("gang", 4, gang=True))
+    submit(ledger, patient_job("lasts", 4, long_running=True))
+    made = planner.plan(with_headroom(ledger, 16))
+    assert sum(len(group) for group in made.groups) == 8
