Keep soak seed 15 and the starving gang that it found as known red

Fifty seeds of the soak on: seed 15 broke LOST, a gang of four whole workers waited 40 s and had no end. In its logs unit-waits says best-rack:2, all:3, wanted:4 for 15 s: the planner keeps the rooms of one rack for a gang that waits, a rack of the soak has three workers, and small tasks went on taking the fourth. test_a_gang_that_no_rack_holds_keeps_room_in_several shows it without processes.

--- a/laburnumsill/batch/tests/test_planner.py
+++ b/laburnumsill/batch/tests/test_planner.py
@@ -310,3 +310,15 @@
     submit(ledger, patient_job("lasts", 4, long_running=True))
     made = planner.plan(with_headroom(ledger, 16))
     assert sum(len(group) for group in made.groups) == 8
+
+
+def test_a_gang_that_no_rack_holds_keeps_room_in_several():
+    """Small tasks took the last worker it lacked again and again."""
+    ledger = site(racks=2, per_rack=3)
+    submit(ledger, job("small", 6, 1, priority=2, max_per_worker=1))
+    carry_out(ledger, planner.plan(view(ledger)))
+    submit(ledger, job("wide", 4, 8, priority=1, gang=True))
+    submit(ledger, job("more", 48, 1, priority=2))
+    made = planner.plan(view(ledger, now_ms=planner.FENCE_AFTER_MS))
+    taken = {p.worker_id for group in made.groups for p in group}
+    assert len(ledger.workers) - len(taken) >= 4
--- a/laburnumsill/platform/tests/test_soak.py
+++ b/laburnumsill/platform/tests/test_soak.py
@@ -14,6 +14,7 @@
 BROKEN_ONCE = {
     2: "the soak forgot calls that its own end had cut off",
     3: ONE_LOOP,
+    15: "a gang that spans racks waited 40 s for the last of its workers",
     17: ONE_LOOP,
     18: ONE_LOOP,
     19: ONE_LOOP,
