A store whose disk was full goes on once there is room

Cause: any failed write marked the store as failed for good. With ENOSPC and EDQUOT that is not needed, as long as nothing is trusted after the last sync.

Change: what a full disk has left of a batch is cut off at the last synced length, the cut is synced, and the batch with its start is written again; a sync that found no room is never repeated over the same pages, since the system may have dropped them. A segment that was being begun is begun again before anything else is written, as its name may be there with an older term. A batch whose sync ended counts although the start of the next one found no room.

Tests: ENOSPC at each changing call, for 1, 2, 5 and 20 calls, with half a write left and unsynced pages read as zeros; the same with a kill; opening at each call. Each failed first: without the cut, with a cut to what was written instead of to what was synced, without the segment begun again, without the batch's start, and without a cut after a start that found no room.

test_a_failing_disk_is_fatal asserted for ENOSPC what is changed here; its two rows gave way to test_store_full.py, which asserts the same typed error at every call and that nothing is lost afterwards. The rows for EIO stand, and EIO while it is mended has a test of its own.

--- a/laburnumsill/consensus/segments.py
+++ b/laburnumsill/consensus/segments.py
@@ -12,6 +12,7 @@
 tail that was torn before its sync ended, and nothing rests on it.
 """
 
+import contextlib
 import dataclasses
 import enum
 import os
@@ -24,6 +25,7 @@
 
 from laburnumsill.consensus import store
 from laburnumsill.consensus import types
+from laburnumsill.core import errors
 
 FORMAT_VERSION = 1
 SEGMENT_MAGIC = b"LBSLOG"
@@ -196,22 +198,31 @@
     """
     aside = path.with_name(path.name + ASIDE_SUFFIX)
     try:
-        descriptor = os.open(
-            aside, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600
-        )
+        _write_aside(aside, parts)
+        os.replace(aside, path)
     except OSError as error:
+        _remove(aside)
         raise store.storage_error(error, aside) from error
+    except store.DiskFullError:
+        _remove(aside)
+        raise
+    sync_folder(path.parent)
+
+
+def _write_aside(aside: pathlib.Path, parts: abc.Iterable[bytes]) -> None:
+    descriptor = os.open(aside, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
     try:
         for part in parts:
             write_all(descriptor, part, aside)
         sync(descriptor, aside)
     finally:
         os.close(descriptor)
-    try:
-        os.replace(aside, path)
-    except OSError as error:
-        raise store.storage_error(error, aside) from error
-    sync_folder(path.parent)
+
+
+def _remove(aside: pathlib.Path) -> None:
+    """Frees the room of a file that was not finished, if that can be done."""
+    with contextlib.suppress(OSError):
+        aside.unlink(missing_ok=True)
 
 
 def sync(descriptor: int, path: pathlib.Path) -> None:
@@ -224,10 +235,28 @@
     try:
         os.fdatasync(descriptor)
     except OSError as error:
-        typed = store.storage_error(error, path)
-        if isinstance(typed, store.DiskFullError):
-            raise typed from error
-        raise store.SyncFailedError(typed.detail) from error
+        raise _sync_error(error, path) from error
+
+
+def _sync_error(error: OSError, path: pathlib.Path) -> errors.StorageError:
+    typed = store.storage_error(error, path)
+    if isinstance(typed, store.DiskFullError):
+        return typed
+    return store.SyncFailedError(typed.detail)
+
+
+def cut(descriptor: int, size: int, path: pathlib.Path) -> None:
+    """Cuts an open file to `size` bytes and syncs it.
+
+    Raises:
+        store.DiskFullError: There was no room even for that.
+        store.SyncFailedError: What the file holds is unknown now.
+    """
+    try:
+        os.ftruncate(descriptor, size)
+        os.fsync(descriptor)
+    except OSError as error:
+        raise _sync_error(error, path) from error
 
 
 def truncate(path: pathlib.Path, size: int) -> None:
@@ -238,10 +267,7 @@
     """
     descriptor = os.open(path, os.O_WRONLY)
     try:
-        os.ftruncate(descriptor, size)
-        os.fsync(descriptor)
-    except OSError as error:
-        raise store.SyncFailedError(f"{path}: {error.strerror}") from error
+        cut(descriptor, size, path)
     finally:
         os.close(descriptor)
 
@@ -259,6 +285,6 @@
     try:
         os.fsync(descriptor)
     except OSError as error:
-        raise store.SyncFailedError(f"{folder}: {error.strerror}") from error
+        raise _sync_error(error, folder) from error
     finally:
         os.close(descriptor)
--- a/laburnumsill/consensus/store.py
+++ b/laburnumsill/consensus/store.py
@@ -56,6 +56,10 @@
     title = "The store is closed"
 
 
+RETRY_S = 0.5
+"""Pause between tries to write to a full disk, in seconds: a replica has to
+take part again within 2 s of there being room, and a try takes one sync."""
+
 _FULL_ERRNOS = frozenset({errno.ENOSPC, errno.EDQUOT})
 
 
@@ -96,6 +100,35 @@
         )
 
 
+def batches(
+    changes: collections_abc.Sequence[Change],
+) -> collections_abc.Iterator[list[Change]]:
+    """Yields `changes` in order, those with a snapshot alone.
+
+    So what is committed again after a full disk never brings entries back
+    from before a snapshot that was kept.
+
+    Examples:
+        >>> entries = Change(entries=(
+        ...     types.Entry(1, 1, types.EntryKind.EMPTY, b""),))
+        >>> taken = Change(snapshot=types.Snapshot(
+        ...     1, 1, types.Membership(()), b""))
+        >>> list(map(len, batches([entries, entries, taken, entries])))
+        [2, 1, 1]
+    """
+    batch: list[Change] = []
+    for change in changes:
+        if change.snapshot is not None:
+            if batch:
+                yield batch
+            yield [change]
+            batch = []
+        else:
+            batch.append(change)
+    if batch:
+        yield batch
+
+
 class ReplicaStore(abc.ABC):
     """Keeps the state of one replica of one group."""
 
@@ -121,6 +154,9 @@
         Calls never overlap; with a disk it runs in a worker thread.
 
         Raises:
+            DiskFullError: Some or none of `changes` are kept. Once there is
+                room the same changes may be committed again, before others;
+                a snapshot that was taken here may be left out.
             errors.StorageError: The disk failed; the process must not go on.
         """
 
--- a/laburnumsill/consensus/store_disk.py
+++ b/laburnumsill/consensus/store_disk.py
@@ -21,17 +21,31 @@
 
 @dataclasses.dataclass(slots=True)
 class _Segment:
-    """A segment file and the highest index that was ever written to it."""
+    """A segment file.
+
+    Attributes:
+        number: Its number.
+        path: Its file.
+        last_index: The highest index that was ever written to it.
+        size: Its bytes.
+        synced: How many of these were synced.
+    """
 
     number: int
     path: pathlib.Path
     last_index: int
     size: int
+    synced: int
 
 
 class DiskStore(store.ReplicaStore):
     """Keeps one replica in `folder`, which is made if it is missing.
 
+    Where a write or a sync found the disk full, the active segment may end in
+    part of a batch, and the system may have dropped what it could not write
+    while it looks written. So all after the last sync is cut off and written
+    again before anything else.
+
     Args:
         folder: The folder of this replica alone.
         group: The group's name, which the files carry.
@@ -54,6 +68,8 @@
         self._segment_bytes = segment_bytes
         self._descriptor = -1
         self._failed = False
+        self._torn = False
+        self._beginning = False
         self._batch = 0
         self._nonce = b""
         self._segments: list[_Segment] = []
@@ -85,12 +101,13 @@
             raise store.StoreClosedError(f"{self._folder} is not open")
         try:
             self._commit(changes)
-        except errors.StorageError:
-            self._failed = True
-            raise
         except OSError as error:
-            self._failed = True
-            raise store.storage_error(error, self._folder) from error
+            typed = store.storage_error(error, self._folder)
+            self._note_failure(typed)
+            raise typed from error
+        except errors.StorageError as error:
+            self._note_failure(error)
+            raise
 
     def close(self) -> None:
         """Closes the active segment."""
@@ -113,14 +130,45 @@
         )
         for part in found.segments:
             self._segments.append(
-                _Segment(part.number, part.path, part.last_index, part.size)
+                _Segment(
+                    part.number,
+                    part.path,
+                    part.last_index,
+                    part.size,
+                    part.size,
+                )
             )
             self._log_bytes += part.size
         self._start_segment(found.next_number)
 
+    def _note_failure(self, error: errors.StorageError) -> None:
+        """Only a full disk leaves something that can be mended."""
+        if isinstance(error, store.DiskFullError):
+            self._torn = True
+        else:
+            self._failed = True
+
+    def _mend(self) -> None:
+        """Takes back what a full disk has left undone after the last sync.
+
+        A segment that was being begun may be there already, with the term of
+        that time: nothing may be written to the one before it any more.
+        """
+        if not self._torn:
+            return
+        active = self._segments[-1]
+        segments.cut(self._descriptor, active.synced, active.path)
+        active.size = active.synced
+        if self._beginning:
+            self._start_segment(active.number + 1)
+        elif self._batch:
+            self._start_batch()
+        self._torn = False
+
     def _commit(self, changes: abc.Sequence[store.Change]) -> None:
+        self._mend()
         if self._segments[-1].size >= self._segment_bytes:
-            self._start_segment(self._segments[-1].number + 1)
+            self._next_segment()
         pending: list[bytes] = []
         for change in changes:
             if change.hard_state is not None:
@@ -144,15 +192,33 @@
         """Writes the rest of one batch, syncs it and starts the next."""
         if not pending:
             return
+        self._mend()
         active = self._segments[-1]
         raw = b"".join(pending)
         segments.write_all(self._descriptor, raw, active.path)
         segments.sync(self._descriptor, active.path)
+        active.size += len(raw)
+        active.synced = active.size
+        self._log_bytes += len(raw)
         self._batch += 1
+        try:
+            self._start_batch()
+        except store.DiskFullError:
+            self._torn = True  # the batch before is kept all the same
+
+    def _start_batch(self) -> None:
+        """Writes the start of a batch; it is synced with the batch."""
+        active = self._segments[-1]
         start = segments.batch_record(self._nonce, self._batch)
         segments.write_all(self._descriptor, start, active.path)
-        active.size += len(raw) + len(start)
-        self._log_bytes += len(raw) + len(start)
+        active.size += len(start)
+        self._log_bytes += len(start)
+
+    def _next_segment(self) -> None:
+        """Has the next batch begin a segment; one without a batch will do."""
+        self._mend()
+        if self._batch:
+            self._start_segment(self._segments[-1].number + 1)
 
     def _start_segment(self, number: int) -> None:
         """Makes a segment durable, header and term included, then uses it."""
@@ -167,16 +233,18 @@
             + segments.hard_state_record(self._hard_state)
             + segments.batch_record(nonce, 0)
         )
+        self._beginning = True
         segments.write_file(path, (raw,))
         descriptor = os.open(path, os.O_WRONLY | os.O_APPEND)
         self.close()
         self._descriptor = descriptor
         self._nonce = nonce
         self._batch = 0
-        self._segments.append(_Segment(number, path, 0, len(raw)))
+        self._beginning = False
+        self._segments.append(_Segment(number, path, 0, len(raw), len(raw)))
 
     def _keep_snapshot(self, snapshot: types.Snapshot, keep_tail: bool) -> None:
-        self._start_segment(self._segments[-1].number + 1)
+        self._next_segment()
         kept = self._segments[-1:]
         if keep_tail:
             kept = self._after(snapshot.index)
