A VM with a full disk stays up, hands over its leads and takes part again

Cause: DiskFullError ended the daemon, which was started again and again till there was room; a leader went without handing over.

Meanwhile its engine is not writable: it takes no entries, grants no votes, does not campaign and drops what it could only promise after a sync, so nothing piles up; it follows its leader, answers heartbeats and tells in them that it is full (the free text field of peer.thrift, which older programs ignore), answers confirmed reads and forwards. A leader takes no more proposals and hands over to a voter that can write, but only once the others have committed all of its log: that shows that they can vote. A store that cannot be opened for want of room is tried every second while the rest of the VM serves.

A leader that was ordered to campaign with two of three disks full left the group without a leader, and refusals waited for their deadlines; hence the condition on the hand-over.

--- a/laburnumsill/consensus/codec_raft.py
+++ b/laburnumsill/consensus/codec_raft.py
@@ -6,6 +6,9 @@
 
 _NUMBERS = ("index", "log_term", "commit", "hint", "round", "synced", "offset")
 
+_FULL = "disk-full"
+"""The detail of a message whose sender can write nothing now."""
+
 
 class MalformedRaftMessageError(errors.LaburnumsillError):
     """A Raft message from a peer with a field missing or out of range."""
@@ -47,6 +50,8 @@
         raft.data = message.data
     if message.last:
         raft.last = True
+    if message.full:
+        raft.detail = _FULL
     return raft
 
 
@@ -66,6 +71,7 @@
             granted=bool(raft.granted),
             data=raft.data or b"",
             last=bool(raft.last),
+            full=raft.detail == _FULL,
             **{name: getattr(raft, name) or 0 for name in _NUMBERS},
         )
     except (ValueError, TypeError, AttributeError) as error:
--- a/laburnumsill/consensus/engine.py
+++ b/laburnumsill/consensus/engine.py
@@ -17,6 +17,7 @@
 NotLeaderError = engine_errors.NotLeaderError
 MembershipPendingError = engine_errors.MembershipPendingError
 InvalidMembershipError = engine_errors.InvalidMembershipError
+NoRoomError = engine_errors.NoRoomError
 NoSuchVoterError = engine_errors.NoSuchVoterError
 LogBrokenError = engine_errors.LogBrokenError
 
@@ -37,6 +38,7 @@
 _FROM_CANDIDATE = frozenset(
     {types.MessageKind.PRE_VOTE, types.MessageKind.VOTE}
 )
+_NEEDS_A_VOTE = frozenset((*_FROM_CANDIDATE, types.MessageKind.TIMEOUT_NOW))
 _TO_CANDIDATE = frozenset(
     {types.MessageKind.PRE_VOTE_REPLY, types.MessageKind.VOTE_REPLY}
 )
@@ -151,6 +153,17 @@
         """The highest index handed out to be applied."""
         return self._replica.handed
 
+    @property
+    def writable(self) -> bool:
+        """Whether its host can store anything, see `set_writable`."""
+        return self._replica.writable
+
+    @property
+    def can_commit(self) -> bool:
+        """Whether this replica leads and enough voters can write."""
+        leadership = self._role.leadership
+        return leadership is not None and leadership.can_commit
+
     @property
     def last_index(self) -> int:
         """Index of the last entry in the log."""
@@ -179,6 +192,15 @@
             return self._role.leadership.next_tick
         return self._role.election_at
 
+    def set_writable(self, writable: bool) -> None:
+        """Notes whether the host can store anything.
+
+        A replica that can not takes no entries, grants no votes and does not
+        campaign. It follows its leader, tells it so, and answers reads; if it
+        leads, it takes no proposals and hands its lead to a voter that can.
+        """
+        self._replica.writable = writable
+
     def tick(self, now: float) -> None:
         """Does what has become due."""
         self._replica.now = now
@@ -193,6 +215,8 @@
         self._replica.now = now
         if message.target != self._replica.me:
             return
+        if message.kind in _NEEDS_A_VOTE and not self.writable:
+            return
         if message.term > self.term and not self._role.meet_newer_term(message):
             return
         if message.kind in _FROM_CANDIDATE:
@@ -213,6 +237,7 @@
 
         Raises:
             NotLeaderError: This replica does not lead.
+            NoRoomError: Too many voters can not write.
         """
         return self._led_now(now).propose(types.EntryKind.COMMAND, data)
 
@@ -223,6 +248,7 @@
 
         Raises:
             NotLeaderError: This replica does not lead.
+            NoRoomError: Too many voters can not write.
             MembershipPendingError: The last change is not committed.
             InvalidMembershipError: More than one voter changes.
         """
@@ -253,7 +279,10 @@
             NotLeaderError: This replica does not lead.
             NoSuchVoterError: There is no voter on `vm`.
         """
-        self._led_now(now).transfer(vm)
+        leadership = self._confirm_support(now)
+        if leadership is None or leadership.transferring:
+            raise self._not_leader()
+        leadership.transfer(vm)
 
     def synced(self, index: int, term: int | None = None) -> None:
         """Notes that the entries up to `index` are stored.
@@ -305,7 +334,11 @@
         leadership = self._confirm_support(now)
         if leadership is None or leadership.transferring:
             raise self._not_leader()
-        return leadership
+        if leadership.can_commit:
+            return leadership
+        if leadership.successors:
+            raise self._not_leader()
+        raise NoRoomError(f"too many disks of {self._replica.group} are full")
 
     def _confirm_support(self, now: float) -> leading.Leadership | None:
         self._replica.now = now
@@ -327,10 +360,12 @@
 
     def _follow(self, message: types.Message) -> None:
         self._role.hear(message.source)
-        if message.kind is types.MessageKind.APPEND:
-            self._follower.on_append(message)
-        elif message.kind is types.MessageKind.HEARTBEAT:
+        if message.kind is types.MessageKind.HEARTBEAT:
             self._follower.on_heartbeat(message)
+        elif not self.writable:
+            return
+        elif message.kind is types.MessageKind.APPEND:
+            self._follower.on_append(message)
         else:
             self._follower.on_snapshot(message)
 
--- a/laburnumsill/consensus/engine_errors.py
+++ b/laburnumsill/consensus/engine_errors.py
@@ -27,6 +27,13 @@
         self.leader = leader
 
 
+class NoRoomError(errors.UnavailableError):
+    """So many disks are full that nothing could be committed."""
+
+    slug = "no-room"
+    title = "The disks of too many voters are full"
+
+
 class MembershipPendingError(errors.UnavailableError):
     """The last change of the membership is not committed yet."""
 
--- a/laburnumsill/consensus/following.py
+++ b/laburnumsill/consensus/following.py
@@ -33,6 +33,7 @@
             types.MessageKind.HEARTBEAT_REPLY,
             message.source,
             round=message.round,
+            full=not replica.writable,
         )
 
     def on_snapshot(self, message: types.Message) -> None:
--- a/laburnumsill/consensus/group.py
+++ b/laburnumsill/consensus/group.py
@@ -8,6 +8,7 @@
 """
 
 import dataclasses
+import math
 import random
 from collections import abc
 
@@ -30,6 +31,10 @@
 SNAPSHOT_LOG_BYTES = 32 * 1024 * 1024
 """Log bytes after which a snapshot is taken."""
 
+SNAPSHOT_RETRY_S = 10.0
+"""Pause after a snapshot for which there was no room, in seconds: each try
+encodes the whole state."""
+
 UNSYNCED_KINDS = frozenset(
     {
         types.MessageKind.APPEND,
@@ -111,6 +116,7 @@
         self._changed = trio.Event()
         self._synced = trio.Event()
         self._paused = False
+        self._no_snapshot_before = -math.inf
         self._led_term = 0
         self._lead_ended = trio.Event()
         self._engine = self._new_engine(kept.stored)
@@ -125,6 +131,11 @@
         """Whether its store is on a disk."""
         return self._store.with_disk
 
+    @property
+    def writable(self) -> bool:
+        """Whether its store took the last change that it was given."""
+        return self._engine.writable
+
     @property
     def synced_index(self) -> int:
         """Index up to which its own log is stored."""
@@ -282,10 +293,12 @@
     async def keep_syncing(self, pumped: abc.Callable[[], None]) -> None:
         """Syncs what is queued, again and again, in a worker thread.
 
-        The store is closed at the end, when no sync runs any more.
+        What a full disk does not take is tried until there is room. The store
+        is closed at the end, when no sync runs any more.
 
         Args:
-            pumped: Called after each sync, to pump this group.
+            pumped: Called after each sync, and when the disk is found to be
+                full, to pump this group.
 
         Raises:
             StorageError: The disk failed.
@@ -294,14 +307,58 @@
             while True:
                 await self._changed.wait()
                 self._changed = trio.Event()
-                changes = self._take_pending()
-                if changes:
-                    await trio.to_thread.run_sync(self._store.commit, changes)
-                    self._note_kept(changes)
-                    pumped()
+                for batch in store.batches(self._take_pending()):
+                    await self._keep(batch, pumped)
         finally:
             self._store.close()
 
+    async def _keep(
+        self, batch: list[store.Change], pumped: abc.Callable[[], None]
+    ) -> None:
+        """Commits a batch, as soon as there is room for it."""
+        while True:
+            try:
+                await trio.to_thread.run_sync(self._store.commit, batch)
+            except store.DiskFullError as error:
+                if _may_be_left_out(batch):
+                    self._put_snapshot_off(error)
+                    break
+                self._lose_disk(error)
+                pumped()
+                await trio.sleep(store.RETRY_S)
+            else:
+                self._regain_disk()
+                break
+        self._note_kept(batch)
+        pumped()
+
+    def _lose_disk(self, error: store.DiskFullError) -> None:
+        """Promises nothing more until the store takes something again."""
+        self._held.clear()
+        if self.writable:
+            self._engine.set_writable(False)
+            logs.event(
+                "disk-full",
+                "ERROR",
+                group=self.name,
+                leads=self.leads,
+                last=self._engine.last_index,
+                kept=self.synced_index,
+                detail=error.detail,
+            )
+
+    def _regain_disk(self) -> None:
+        if not self.writable:
+            self._engine.set_writable(True)
+            logs.event("disk-room", "WARNING", group=self.name)
+
+    def _put_snapshot_off(self, error: store.DiskFullError) -> None:
+        """Goes on with the log, which holds all that the snapshot does."""
+        self._no_snapshot_before = self._clock.monotonic() + SNAPSHOT_RETRY_S
+        logs.event(
+            "snapshot-put-off", "WARNING", group=self.name, detail=error.detail
+        )
+
     def stop(self) -> None:
         """Fails all that waits."""
         self._proposals.lose("the replica was stopped")
@@ -374,14 +431,18 @@
                 break
 
     def _release(self) -> None:
-        """Lets the messages go whose changes are kept, in their order."""
+        """Lets the messages go whose changes are kept, in their order.
+
+        While nothing can be written the others are dropped: whoever waits
+        for them asks again.
+        """
         if not self._held:
             return
         still: list[_Held] = []
         for held in self._held:
             if held.after <= self._kept:
                 self.outgoing.append(held.message)
-            else:
+            elif self.writable:
                 still.append(held)
         self._held = still
 
@@ -410,6 +471,9 @@
         )
 
     def _snapshot_if_due(self) -> None:
+        too_early = self._clock.monotonic() < self._no_snapshot_before
+        if too_early or not self.writable:
+            return
         covered = self._applier.covered
         entries = self.applied - covered
         large = self._store.log_bytes >= self._limits.log_bytes and entries
@@ -429,4 +493,15 @@
             self._commit_now()
 
 
+def _may_be_left_out(batch: list[store.Change]) -> bool:
+    """Returns whether a batch is nothing but a snapshot taken here."""
+    return all(
+        change.snapshot is not None
+        and change.keep_tail
+        and change.hard_state is None
+        and not change.entries
+        for change in batch
+    )
+
+
 _NOTHING = types.Output()
--- a/laburnumsill/consensus/host.py
+++ b/laburnumsill/consensus/host.py
@@ -158,9 +158,12 @@
         return await self._forwarder.ask(errand)
 
     def leads(self, group: str) -> bool:
-        """Returns whether this VM leads a group, as far as it knows."""
+        """Returns whether this VM leads a group, as far as it knows.
+
+        A leader that nothing can be committed with does not count.
+        """
         hosted = self._replicas.hosted.get(group)
-        return hosted is not None and hosted.leads
+        return hosted is not None and hosted.engine.can_commit
 
     def term(self, group: str) -> int:
         """Returns the newest term of this VM's replica, or 0."""
@@ -339,6 +342,7 @@
             replica: one.match
             for replica, one in hosted.engine.progress.items()
             if replica in hosted.engine.membership.voters
+            and one.writable
             and replica.vm in reachable
         }
         if not progress:
@@ -399,15 +403,18 @@
             gauge("group_term", hosted.engine.term)
             gauge("group_committed_index", hosted.engine.committed)
             gauge("group_applied_index", hosted.applied)
+            gauge("group_disk_full", int(not hosted.writable))
+        for name in self._replicas.waiting:
+            self._metrics.gauge("group_disk_full", 1, group=name)
 
     def _names_missing(self) -> list[str]:
-        return [
+        wanted = {
             name
             for name, vms in self._keeper.make_up.items()
-            if self._me.vm_id in vms
-            and name not in self._replicas.hosted
-            and name not in self._asking
-        ]
+            if self._me.vm_id in vms and name not in self._asking
+        }
+        wanted |= self._replicas.waiting
+        return sorted(wanted - self._replicas.hosted.keys())
 
     async def _ask(self, hosted: groups.HostedGroup) -> None:
         try:
--- a/laburnumsill/consensus/host_forward.py
+++ b/laburnumsill/consensus/host_forward.py
@@ -92,6 +92,8 @@
         Raises:
             errors.ProposalLostError: It may or may not have been carried out.
             errors.NoQuorumError: It was certainly not carried out.
+            engines.NoRoomError: The same, and nothing can be until disks have
+                room again.
             errors.LaburnumsillError: The state machine refused it.
         """
         maybe: errors.LaburnumsillError | None = None
@@ -102,6 +104,10 @@
             vm = self._next_vm(errand.group)
             try:
                 outcome = await self._attempt(vm, errand)
+            except engines.NoRoomError as error:
+                if maybe is None:
+                    raise
+                raise _given_up(errand.group, maybe, error) from error
             except NOT_COMMITTED as error:
                 last = error
             except errors.LaburnumsillError as error:
--- a/laburnumsill/consensus/host_members.py
+++ b/laburnumsill/consensus/host_members.py
@@ -30,7 +30,11 @@
 CAUGHT_UP_ENTRIES = 256
 """A learner may miss so many entries when it is promoted."""
 
-NO_CHANGE = (engines.MembershipPendingError, engines.NotLeaderError)
+NO_CHANGE = (
+    engines.MembershipPendingError,
+    engines.NotLeaderError,
+    engines.NoRoomError,
+)
 
 
 class Keeper:
--- a/laburnumsill/consensus/host_replicas.py
+++ b/laburnumsill/consensus/host_replicas.py
@@ -25,6 +25,11 @@
 LONGEST_SLEEP_S = 1.0
 """The driver looks at its groups at least so often."""
 
+OPEN_RETRY_S = 1.0
+"""Pause between tries to open a store on a full disk, in seconds: a replica
+has to take part again within 2 s of there being room, and each try reads the
+whole store."""
+
 _FOLDER = "groups"
 _SET_ASIDE = ".set-aside"
 
@@ -63,6 +68,7 @@
         self._hosted: dict[str, groups.HostedGroup] = {}
         self._syncs: dict[str, _SyncTask] = {}
         self._marked: set[str] = set()
+        self._waiting: dict[str, float] = {}
         self._awake = trio.Event()
         self._failure: Exception | None = None
         network.on_raft(self._take)
@@ -72,6 +78,11 @@
         """The replicas by group."""
         return self._hosted
 
+    @property
+    def waiting(self) -> abc.Set[str]:
+        """The groups whose stores could not be opened for want of room."""
+        return self._waiting.keys()
+
     def stored_groups(self) -> list[str]:
         """Returns the names of the groups that the data folder holds."""
         if self._folder is None or not self._folder.exists():
@@ -82,12 +93,22 @@
     async def open(self, name: str, nursery: trio.Nursery) -> None:
         """Opens this VM's replica of a group.
 
-        A damaged store is set aside; the replica comes back as a new one.
+        A damaged store is set aside; the replica comes back as a new one. On
+        a full disk nothing is opened; the caller calls again now and then.
 
         Raises:
             StorageError: The disk failed.
         """
-        kept = await self._open_store(name)
+        now = self._clock.monotonic()
+        if now < self._waiting.get(name, now):
+            return
+        try:
+            kept = await self._open_store(name)
+        except store.DiskFullError as error:
+            self._wait_for_room(name, error)
+            return
+        if self._waiting.pop(name, None) is not None:
+            logs.event("disk-room", "WARNING", group=name)
         group = groups.HostedGroup(
             name,
             self._vm,
@@ -112,6 +133,11 @@
             nursery.start_soon(self._keep_syncing, group, self._syncs[name])
         self.mark(name)
 
+    def _wait_for_room(self, name: str, error: store.DiskFullError) -> None:
+        if name not in self._waiting:
+            logs.event("disk-full", "ERROR", group=name, detail=error.detail)
+        self._waiting[name] = self._clock.monotonic() + OPEN_RETRY_S
+
     async def retire(self, name: str) -> None:
         """Stops a replica that its group does not want any more.
 
--- a/laburnumsill/consensus/leading.py
+++ b/laburnumsill/consensus/leading.py
@@ -50,6 +50,31 @@
         """Whether a majority was heard within the election timeout."""
         return self._replica.now < self._support_deadline
 
+    @property
+    def can_commit(self) -> bool:
+        """Whether this leader and enough other voters can write.
+
+        Who is silent counts as unable only where some voter's disk is full;
+        else a majority's silence ends the lead.
+        """
+        replica = self._replica
+        if not replica.writable:
+            return False
+        if all(one.writable for one in self.progress.values()):
+            return True
+        membership = replica.log.membership
+        able = membership_module.committable(membership, self._able, self._able)
+        return bool(able)
+
+    @property
+    def successors(self) -> list[types.ReplicaId]:
+        """The other voters that can write; none if they elect nobody."""
+        membership = self._replica.log.membership
+        able = [one for one in membership.voters if self._able(one)]
+        if len(able) < membership_module.majority(membership):
+            return []
+        return [one for one in able if one != self._replica.me]
+
     @property
     def next_tick(self) -> float:
         """When `tick` is needed."""
@@ -133,6 +158,7 @@
             self._on_append_reply(progress, message)
         elif message.kind is types.MessageKind.HEARTBEAT_REPLY:
             progress.round = max(progress.round, message.round)
+            progress.note_writable(not message.full)
             self._confirm_reads()
         elif message.kind is types.MessageKind.SNAPSHOT_REPLY:
             progress.accept_chunk(message.index, message.offset)
@@ -159,6 +185,7 @@
         for member, progress in self.progress.items():
             while self._send_next(member, progress):
                 pass
+        self._yield_if_full()
         self._order_transfer()
 
     def resign(self) -> None:
@@ -166,9 +193,12 @@
         self._replica.lose_reads(self._reads.drain())
 
     def hand_over(self) -> None:
-        """Asks the voter that is furthest on to campaign at once."""
+        """Asks the best voter to campaign at once.
+
+        That is the one that is furthest on, of those that can write.
+        """
         voters = self._replica.log.membership.voters
-        best = max(voters, key=self._held)
+        best = max(voters, key=lambda one: (self._able(one), self._held(one)))
         self._send_heartbeats()
         self._replica.send(types.MessageKind.TIMEOUT_NOW, best)
 
@@ -203,6 +233,15 @@
             return self._replica.now
         return self.progress[voter].heard_at
 
+    def _able(self, voter: types.ReplicaId) -> bool:
+        """Whether a voter is there and said that it can write."""
+        replica = self._replica
+        if voter == replica.me:
+            return replica.writable
+        progress = self.progress[voter]
+        silent_at = progress.heard_at + replica.options.election_timeout_s
+        return progress.writable and replica.now < silent_at
+
     def _held(self, voter: types.ReplicaId) -> int:
         if voter == self._replica.me:
             return self._replica.durable
@@ -327,10 +366,23 @@
         )
         progress.sent_chunk(replica.now)
 
+    def _yield_if_full(self) -> None:
+        """Begins to hand over, again and again, while it can not write."""
+        if self._replica.writable:
+            return
+        successors = self.successors
+        if not successors:
+            self._transfer_to = None
+        elif not self.transferring:
+            self.transfer(max(successors, key=self._held).vm)
+
     def _order_transfer(self) -> None:
         target = self._transfer_to
         if target is None or self._transfer_ordered:
             return
+        replica = self._replica
+        if not replica.writable and replica.committed < replica.log.last_index:
+            return  # that the others commit it shows that they can vote
         if self._held(target) == self._replica.log.last_index:
             self._replica.send(types.MessageKind.TIMEOUT_NOW, target)
             self._transfer_ordered = True
--- a/laburnumsill/consensus/progress.py
+++ b/laburnumsill/consensus/progress.py
@@ -31,6 +31,7 @@
         sent_commit: Commit index last sent.
         snapshot: The snapshot being sent, or None.
         offset: Position of the next chunk of it.
+        writable: Whether the member said that it can write.
     """
 
     def __init__(
@@ -45,6 +46,7 @@
         self.sent_commit = 0
         self.snapshot: types.Snapshot | None = None
         self.offset = 0
+        self.writable = True
         self._options = options
         self._waiting = False
         self._waiting_since = now
@@ -61,6 +63,8 @@
     @property
     def may_send(self) -> bool:
         """Whether flow control lets another message go."""
+        if not self.writable:
+            return False
         if self.mode is not Mode.REPLICATE:
             return not self._waiting
         return (
@@ -149,6 +153,12 @@
         self.offset = 0
         self._clear()
 
+    def note_writable(self, writable: bool) -> None:
+        """Notes whether the member can write; repeats what it dropped."""
+        if writable and not self.writable:
+            self.retry()
+        self.writable = writable
+
     def accept_chunk(self, index: int, offset: int) -> None:
         """Notes how much of the snapshot at `index` has arrived."""
         if self.snapshot and self.snapshot.index == index:
--- a/laburnumsill/consensus/replica.py
+++ b/laburnumsill/consensus/replica.py
@@ -21,6 +21,7 @@
         log: The log.
         committed: The highest index known to be committed.
         durable: The highest index that the host has stored.
+        writable: Whether the host can store anything now.
     """
 
     def __init__(
@@ -40,6 +41,7 @@
         self.log = log.Log(stored.snapshot, stored.entries)
         self.committed = stored.snapshot.index if stored.snapshot else 0
         self.durable = self.log.last_index
+        self.writable = True
         self._hard_state = stored.hard_state
         self._unsaved = False
         self._install: types.Snapshot | None = None
--- a/laburnumsill/consensus/roles.py
+++ b/laburnumsill/consensus/roles.py
@@ -88,19 +88,21 @@
     def miss_leader(self) -> None:
         """Campaigns, or waits on, after a time without a leader."""
         self.leader = None
-        if self._replica.may_campaign:
+        if self._replica.may_campaign and self._replica.writable:
             self.start_campaign(election.Stage.PRE_VOTE, ordered=False)
         else:
             self._wait_for_leader()
 
     def start_campaign(self, stage: election.Stage, ordered: bool) -> None:
-        """Campaigns, if this replica is a voter.
+        """Campaigns, if this replica is a voter and can store its vote.
 
         Args:
             stage: Whether to begin with the pre-vote or the vote.
             ordered: Whether the leader asked for it.
         """
-        if self.leadership or not self._replica.may_campaign:
+        replica = self._replica
+        ready = replica.may_campaign and replica.writable
+        if self.leadership or not ready:
             return
         self.leader = None
         self.campaign = election.Campaign(self._replica, stage, ordered)
--- a/laburnumsill/consensus/types.py
+++ b/laburnumsill/consensus/types.py
@@ -118,6 +118,7 @@
             without a disk.
         offset: SNAPSHOT: position of `data` in the whole snapshot.
         last: SNAPSHOT: whether this is the last chunk.
+        full: HEARTBEAT_REPLY: whether the sender can write nothing now.
     """
 
     kind: MessageKind
@@ -135,6 +136,7 @@
     offset: int = 0
     data: bytes = b""
     last: bool = False
+    full: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
