--- /dev/null
+++ b/laburnumsill/consensus/tests/simulated_disk.py
@@ -0,0 +1,206 @@
+"""A disk that forgets what was not synced when its power is lost.
+
+Files live in a real folder, which plays the part of the operating system's
+cache: a process that is killed finds everything there again. Beside it stands
+what the disk holds: the content of each file at its last sync, and the names
+of each folder at its last sync. A loss of power makes the folder show that,
+and of each later write and name a part, drawn at random.
+"""
+
+import contextlib
+import os
+import pathlib
+import random
+import stat
+import tempfile
+from collections import abc
+
+import pytest
+
+KEPT_SHARES = (0.0, 0.0, 0.5, 1.0)
+"""Of what was written after a sync: missing, torn or present."""
+
+
+@contextlib.contextmanager
+def simulated() -> abc.Iterator["SimulatedDisk"]:
+    """Yields a disk below an empty folder; both are gone afterwards."""
+    with (
+        tempfile.TemporaryDirectory() as name,
+        pytest.MonkeyPatch.context() as patches,
+    ):
+        data, lost = pathlib.Path(name, "data"), pathlib.Path(name, "lost")
+        data.mkdir()
+        lost.mkdir()
+        disk = SimulatedDisk(data, lost, patches)
+        yield disk
+        disk.close()
+
+
+class ProcessKilled(BaseException):
+    """Ends a process in the middle of what it does."""
+
+
+class SimulatedDisk:
+    """The disk below one folder.
+
+    Args:
+        root: The folder, which exists and is empty.
+        lost: Another one, for folders whose names are lost.
+        monkeypatch: Takes the place of the system calls.
+
+    Attributes:
+        root: The folder.
+    """
+
+    def __init__(
+        self,
+        root: pathlib.Path,
+        lost: pathlib.Path,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        self.root = root
+        self._lost = lost
+        self._calls_left: int | None = None
+        self._synced: dict[int, bytes] = {}
+        self._names: dict[pathlib.Path, dict[str, int]] = {root: {}}
+        self._open: dict[int, int] = {}
+        self._real_sync = os.fsync
+        self._real_open = os.open
+        for name in ("write", "replace", "rename", "ftruncate", "unlink"):
+            self._count(monkeypatch, name)
+        monkeypatch.setattr(os, "fsync", self._sync)
+        monkeypatch.setattr(os, "fdatasync", self._sync)
+
+    def kill_after(self, calls: int) -> None:
+        """Kills the process at the call after so many to the system."""
+        self._calls_left = calls
+
+    def restart(self) -> None:
+        """Lets the next process work undisturbed."""
+        self._calls_left = None
+
+    def close(self) -> None:
+        """Closes the files that are kept open."""
+        for descriptor in self._open.values():
+            os.close(descriptor)
+        self._open = {}
+
+    def lose_power(self, source: random.Random) -> None:
+        """Shows what the disk holds after a loss of power."""
+        self.restart()
+        folders = self._folders()
+        contents = {
+            inode: self._after_loss(inode, source)
+            for inode in self._inodes(folders)
+        }
+        for folder in sorted(folders, key=lambda path: len(path.parts)):
+            if folder.exists():
+                self._restore(folder, contents, source)
+        self._forget()
+
+    def _count(self, monkeypatch: pytest.MonkeyPatch, name: str) -> None:
+        real = getattr(os, name)
+
+        def counted(*args, **kwargs):
+            self._note_names()
+            self._pass_call()
+            return real(*args, **kwargs)
+
+        monkeypatch.setattr(os, name, counted)
+
+    def _pass_call(self) -> None:
+        if self._calls_left is None:
+            return
+        if self._calls_left == 0:
+            raise ProcessKilled
+        self._calls_left -= 1
+
+    def _sync(self, descriptor: int) -> None:
+        self._note_names()
+        self._pass_call()
+        found = os.fstat(descriptor)
+        if stat.S_ISDIR(found.st_mode):
+            folder = pathlib.Path(os.readlink(f"/proc/self/fd/{descriptor}"))
+            self._names[folder] = self._present(folder)
+            return
+        self._synced[found.st_ino] = self._content(found.st_ino)
+        self._note_new_file(found.st_ino)
+
+    def _note_new_file(self, inode: int) -> None:
+        """A new file's first name is durable with its own first sync."""
+        if any(inode in names.values() for names in self._names.values()):
+            return
+        for folder in self._folders():
+            for name, number in self._present(folder).items():
+                if number == inode:
+                    self._names.setdefault(folder, {})[name] = inode
+
+    def _note_names(self) -> None:
+        """Keeps each file open, so that its number is not used again."""
+        for folder in self._folders():
+            for name, inode in self._present(folder).items():
+                path = folder / name
+                if inode not in self._open and not path.is_dir():
+                    self._open[inode] = self._real_open(path, os.O_RDONLY)
+
+    def _folders(self) -> list[pathlib.Path]:
+        found = sorted(p for p in self.root.rglob("*") if p.is_dir())
+        return [self.root, *found]
+
+    def _present(self, folder: pathlib.Path) -> dict[str, int]:
+        paths = sorted(folder.iterdir())
+        return {path.name: path.stat().st_ino for path in paths}
+
+    def _content(self, inode: int) -> bytes:
+        descriptor = self._open[inode]
+        return os.pread(descriptor, os.fstat(descriptor).st_size, 0)
+
+    def _inodes(self, folders: list[pathlib.Path]) -> list[int]:
+        """Returns the files that have a name, in the order they were made."""
+        named = {i for names in self._names.values() for i in names.values()}
+        seen = {i for f in folders for i in self._present(f).values()}
+        return [inode for inode in self._open if inode in named | seen]
+
+    def _after_loss(self, inode: int, source: random.Random) -> bytes:
+        """Returns the synced content and a part of what came after it."""
+        synced = self._synced.get(inode, b"")
+        written = self._content(inode)
+        if not written.startswith(synced):
+            return source.choice((synced, written))
+        tail = written[len(synced) :]
+        kept = int(len(tail) * source.choice(KEPT_SHARES))
+        return synced + tail[:kept]
+
+    def _restore(
+        self,
+        folder: pathlib.Path,
+        contents: dict[int, bytes],
+        source: random.Random,
+    ) -> None:
+        durable = self._names.get(folder, {})
+        present = self._present(folder)
+        kept: dict[str, int] = {}
+        for name in sorted(durable.keys() | present.keys()):
+            choices = [durable.get(name), present.get(name)]
+            inode = source.choice(choices)
+            if inode is not None:
+                kept[name] = inode
+        for name, inode in present.items():
+            path = folder / name
+            if inode in contents:
+                path.unlink()
+            elif kept.get(name) != inode:
+                path.rename(self._lost / f"{inode}")
+        for name, inode in kept.items():
+            if inode in contents:
+                (folder / name).write_bytes(contents[inode])
+
+    def _forget(self) -> None:
+        """Starts anew from what stands in the folder, all of it durable."""
+        self.close()
+        self._synced = {}
+        self._names = {}
+        self._note_names()
+        self._synced = {inode: self._content(inode) for inode in self._open}
+        for folder in self._folders():
+            self._names[folder] = self._present(folder)
