--- a/laburnumsill/consensus/store_disk.py
+++ b/laburnumsill/consensus/store_disk.py
@@ -18,6 +18,9 @@
 SEGMENT_BYTES = 4 * 1024 * 1024
 """Size after which the next batch starts a new segment."""
 
+LOGGED_SEGMENTS = 8
+"""How many of the newest segments are named in the log at a start."""
+
 
 @dataclasses.dataclass(slots=True)
 class _Segment:
@@ -102,6 +105,7 @@
         self._folder.mkdir(parents=True, exist_ok=True)
         segments.sync_folder(self._folder.parent)
         found = store_replay.replay(self._folder, self._group)
+        self._log_found(found)
         self._incarnation = found.incarnation or ids.fresh("r")
         self._hard_state = found.hard_state
         self._covered = found.snapshot.index if found.snapshot else 0
@@ -118,6 +122,15 @@
             self._log_bytes += part.size
         self._start_segment(found.next_number)
 
+    def _log_found(self, found: store_replay.Found) -> None:
+        logs.event(
+            "store-opened",
+            group=self._group,
+            snapshot_index=found.snapshot.index if found.snapshot else 0,
+            segments=",".join(map(str, found.segments[-LOGGED_SEGMENTS:])),
+            unsynced_entries=sum(part.unsynced for part in found.segments),
+        )
+
     def _commit(self, changes: abc.Sequence[store.Change]) -> None:
         if self._segments[-1].size >= self._segment_bytes:
             self._start_segment(self._segments[-1].number + 1)
--- a/laburnumsill/consensus/store_replay.py
+++ b/laburnumsill/consensus/store_replay.py
@@ -22,12 +22,28 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FoundSegment:
-    """A readable segment."""
+    """A readable segment.
+
+    Attributes:
+        number: Its place in the log.
+        path: Its file.
+        first_index: Index of its first entry, 0 if it has none.
+        last_index: The highest index in it, 0 if it has no entry.
+        size: Bytes that count.
+        unsynced: Entries after its last batch start. No sync of theirs is
+            known to have ended, so the file may hold them and the disk not.
+    """
 
     number: int
     path: pathlib.Path
+    first_index: int
     last_index: int
     size: int
+    unsynced: int
+
+    def __str__(self) -> str:
+        """Returns its number and entries, such as ``2:390-412``."""
+        return f"{self.number}:{self.first_index}-{self.last_index}"
 
 
 @dataclasses.dataclass(slots=True)
@@ -130,7 +146,9 @@
         end = 0
         count = 0
         nonce = b""
+        first_index = 0
         last_index = 0
+        unsynced = 0
         for part in segments.records(raw, segments.SEGMENT_MAGIC, path):
             if not nonce:
                 nonce = self._read_header(part, number, path)
@@ -139,15 +157,21 @@
                 self._found.hard_state = state
             elif part.type is segments.RecordType.ENTRY:
                 entry = segments.entry_of(part.payload)
+                unsynced += 1
+                first_index = first_index or entry.index
                 last_index = max(last_index, entry.index)
                 self._take(entry, path)
+            elif part.type is segments.RecordType.BATCH:
+                unsynced = 0
             end = segments.end_of(part)
             count += 1
         if count < segments.HEAD_RECORDS:
             raise store.DamagedLogError(f"{path}: {count} head records")
         if end < len(raw):
             self._cut_tail(path, raw, end, nonce, is_last)
-        self._found.segments.append(FoundSegment(number, path, last_index, end))
+        self._found.segments.append(
+            FoundSegment(number, path, first_index, last_index, end, unsynced)
+        )
 
     def _read_header(
         self, part: segments.Record, number: int, path: pathlib.Path
