Sync the last segment at a start before anything in it is relied on

Cause: entries that were written and not synced when a process was killed were read back from the operating system's cache and counted as durable; the next segment was synced, theirs never again, so a loss of power left a hole, the store was damaged, and with all voters alike the group was lost.

Ruled out: the entry never having been written (last_index at the restart includes it), the segment having been shortened later (no torn tail was cut, and the simulated disk shows the same hole without).

--- a/laburnumsill/consensus/segments.py
+++ b/laburnumsill/consensus/segments.py
@@ -230,6 +230,22 @@
         raise store.SyncFailedError(typed.detail) from error
 
 
+def sync_file(path: pathlib.Path) -> None:
+    """Waits until the data of the file at `path` is on the disk.
+
+    Raises:
+        errors.StorageError: The disk failed.
+    """
+    try:
+        descriptor = os.open(path, os.O_WRONLY)
+    except OSError as error:
+        raise store.storage_error(error, path) from error
+    try:
+        sync(descriptor, path)
+    finally:
+        os.close(descriptor)
+
+
 def truncate(path: pathlib.Path, size: int) -> None:
     """Cuts a file to `size` bytes and syncs it.
 
--- a/laburnumsill/consensus/store_replay.py
+++ b/laburnumsill/consensus/store_replay.py
@@ -142,6 +142,11 @@
 
     def _read_segment(self, number: int, is_last: bool) -> None:
         path = segment_path(self._folder, number)
+        if is_last:
+            # Its writer may have been killed between a write and the sync:
+            # only the operating system's cache holds such a tail, and a
+            # loss of power would take what a restart had relied on.
+            segments.sync_file(path)
         raw = path.read_bytes()
         end = 0
         count = 0
