--- a/laburnumsill/consensus/tests/test_store_power_loss.py
+++ b/laburnumsill/consensus/tests/test_store_power_loss.py
@@ -13,10 +13,15 @@
 stored, and began a new segment; the old one was never synced again.
 """
 
+import contextlib
+import os
 import pathlib
 import random
 
+import hypothesis
 import pytest
+from hypothesis import stateful
+from hypothesis import strategies
 
 from laburnumsill.consensus import store
 from laburnumsill.consensus import store_disk
@@ -24,8 +29,13 @@
 from laburnumsill.consensus.tests import simulated_disk
 
 GROUP = "site"
+VOTER = types.ReplicaId("vm1", "r-1")
+MEMBERSHIP = types.Membership((VOTER,), (), frozenset({"vm1"}))
 SEEDS = range(20)
 SEGMENT_BYTES = 400
+EXAMPLES = 60
+MORE_EXAMPLES = "LABURNUMSILL_STORE_EXAMPLES"
+"""An environment variable that asks for more, from a new seed each time."""
 CALLS_TO_SYNC = 1
 """A commit's first call to the system writes, its second syncs."""
 
@@ -65,3 +75,173 @@
             append(again, 5, 6)
             disk.lose_power(random.Random(seed))
             assert opened(disk.root).stored.entries == entries(1, 6)
+
+
+def test_a_vote_read_back_outlives_a_loss_of_power():
+    state = types.HardState(4, VOTER)
+    change = store.Change(hard_state=state)
+    for seed in SEEDS:
+        with simulated_disk.simulated() as disk:
+            kept = opened(disk.root)
+            killed_before_sync(disk, kept, change)
+            assert opened(disk.root).stored.hard_state == state
+            disk.lose_power(random.Random(seed))
+            assert opened(disk.root).stored.hard_state == state
+
+
+def test_the_folders_of_a_new_store_outlive_a_loss_of_power():
+    for seed in SEEDS:
+        with simulated_disk.simulated() as disk:
+            folder = disk.root / "groups" / GROUP
+            kept = store_disk.DiskStore(folder, GROUP)
+            append(kept, 1, 3)
+            kept.close()
+            disk.lose_power(random.Random(seed))
+            again = store_disk.DiskStore(folder, GROUP)
+            assert again.stored.entries == entries(1, 3)
+
+
+class PowerLosses(stateful.RuleBasedStateMachine):
+    """One store, killed at any call and without power at any moment.
+
+    What a commit has returned for, and what an opened store has reported,
+    must be found by every later opening.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.resources = contextlib.ExitStack()
+        self.kept = None
+        self.promised = types.Stored("", types.HardState(), None, ())
+        self.last = 0
+        self.term = 1
+
+    @stateful.initialize(seed=strategies.integers(0, 2**16))
+    def begin(self, seed):
+        self.source = random.Random(seed)
+        disk = simulated_disk.simulated()
+        self.disk = self.resources.enter_context(disk)
+        self.open()
+
+    def teardown(self):
+        if self.kept is not None:
+            self.kept.close()
+        self.resources.close()
+
+    @stateful.rule(count=strategies.integers(1, 4))
+    def commit_entries(self, count):
+        new = entries(self.last + 1, self.last + count, self.term)
+        self.commit(store.Change(entries=new))
+
+    @stateful.rule(back=strategies.integers(0, 3))
+    def replace_entries(self, back):
+        covered = self.covered()
+        first = max(covered + 1, self.last - back)
+        self.term += 1
+        self.commit(store.Change(entries=entries(first, first + 1, self.term)))
+
+    @stateful.rule()
+    def vote(self):
+        self.term += 1
+        state = types.HardState(self.term, VOTER)
+        self.commit(store.Change(hard_state=state))
+
+    @stateful.rule()
+    def take_snapshot(self):
+        if self.last > self.covered():
+            term = self.promised.entries[-1].term
+            data = f"{self.last}".encode()
+            snapshot = types.Snapshot(self.last, term, MEMBERSHIP, data)
+            self.commit(store.Change(snapshot=snapshot))
+
+    @stateful.rule(calls=strategies.integers(0, 12))
+    def be_killed_soon(self, calls):
+        self.disk.kill_after(calls)
+
+    @stateful.rule()
+    def be_killed(self):
+        self.reopen()
+
+    @stateful.rule()
+    def lose_power(self):
+        self.disk.lose_power(self.source)
+        self.reopen()
+
+    def covered(self):
+        snapshot = self.promised.snapshot
+        return snapshot.index if snapshot else 0
+
+    def commit(self, change):
+        try:
+            self.kept.commit([change])
+        except simulated_disk.ProcessKilled:
+            self.reopen(change)
+            return
+        self.promised = after(self.promised, change)
+        self.last = last_index(self.promised)
+
+    def reopen(self, unsure=None):
+        """Starts again, with a change that may have been kept or not."""
+        self.kept.close()
+        self.disk.restart()
+        self.open(unsure)
+
+    def open(self, unsure=None):
+        self.kept = opened(self.disk.root)
+        found = self.kept.stored
+        allowed = [self.promised]
+        if unsure is not None:
+            allowed += partly(self.promised, unsure)
+        assert any(same(found, stored) for stored in allowed), (found, allowed)
+        self.promised = found
+        self.last = last_index(found)
+
+
+def last_index(stored: types.Stored) -> int:
+    """Returns the index of the last entry, or the snapshot's."""
+    if stored.entries:
+        return stored.entries[-1].index
+    return stored.snapshot.index if stored.snapshot else 0
+
+
+def same(found: types.Stored, wanted: types.Stored) -> bool:
+    """Returns whether two stores hold the same, whoever wrote them."""
+    return (found.hard_state, found.snapshot, found.entries) == (
+        wanted.hard_state,
+        wanted.snapshot,
+        wanted.entries,
+    )
+
+
+def after(stored: types.Stored, change: store.Change) -> types.Stored:
+    """Returns what a store holds after a whole change."""
+    kept = list(stored.entries)
+    snapshot = change.snapshot or stored.snapshot
+    if change.entries:
+        kept = [e for e in kept if e.index < change.entries[0].index]
+        kept += change.entries
+    if change.snapshot is not None:
+        kept = [e for e in kept if e.index > change.snapshot.index]
+    state = change.hard_state or stored.hard_state
+    return types.Stored(stored.incarnation, state, snapshot, tuple(kept))
+
+
+def partly(stored: types.Stored, change: store.Change) -> list[types.Stored]:
+    """Returns what may be found after a kill in the middle of a change."""
+    whole = [after(stored, change)]
+    for count in range(1, len(change.entries)):
+        part = store.Change(entries=change.entries[:count])
+        whole.append(after(stored, part))
+    return whole
+
+
+PowerLosses.TestCase.settings = hypothesis.settings(
+    max_examples=int(os.environ.get(MORE_EXAMPLES, EXAMPLES)),
+    stateful_step_count=30,
+    derandomize=MORE_EXAMPLES not in os.environ,
+    database=None,
+    deadline=None,
+    phases=(hypothesis.Phase.generate,),
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+TestPowerLosses = PowerLosses.TestCase
