Full disks among the faults of the engine's state machine, and rules one by one

A simulated disk that is full stores nothing for up to 3 s, on any number of the replicas; what could only be sent after a write is dropped, as the host does. The group must commit again afterwards and agree, as with all faults.

--- a/laburnumsill/consensus/tests/simulated_group.py
+++ b/laburnumsill/consensus/tests/simulated_group.py
@@ -79,6 +79,11 @@
         )
 
 
+def _writes(output: types.Output) -> bool:
+    """Returns whether anything of an output is to be stored."""
+    return bool(output.hard_state or output.install or output.append)
+
+
 class Host:
     """One replica: its engine, its disk, its applied state."""
 
@@ -89,6 +94,7 @@
             types.Stored(me.incarnation, types.HardState(), None, ())
         )
         self.paused_until = 0.0
+        self.full_until = 0.0
         self.boot_at = math.inf
         self.boot()
 
@@ -119,11 +125,23 @@
         if self.engine is None or self.group.now < self.paused_until:
             return
         self._take()
+        if self.group.now < self.full_until and any(map(_writes, self.outputs)):
+            self.engine.set_writable(False)
+            self._drop_promises()
+            return
+        if self.outputs:
+            self.engine.set_writable(True)
         # Now and then a sync takes so long that the engine goes on.
         while self.outputs and self.group.random.random() > 0.2:
             self._carry_out(self.outputs[0])
             self.outputs.popleft()
 
+    def _drop_promises(self) -> None:
+        """Leaves out what could only be sent once there is room again."""
+        self.outputs = collections.deque(
+            dataclasses.replace(output, messages=()) for output in self.outputs
+        )
+
     def _take(self) -> None:
         inbox, self.inbox = self.inbox, []
         for message in inbox:
@@ -284,7 +302,7 @@
         assert host.engine is not None
         try:
             index, term = host.engine.propose(value, self.now)
-        except engine.NotLeaderError:
+        except (engine.NotLeaderError, engine.NoRoomError):
             return None
         operation = Operation(self.floor, index, term)
         host.writes.append(operation)
@@ -360,6 +378,10 @@
         assert host.engine is not None
         try:
             host.engine.propose_membership(new, self.now)
-        except (engine.NotLeaderError, engine.MembershipPendingError):
+        except (
+            engine.NotLeaderError,
+            engine.NoRoomError,
+            engine.MembershipPendingError,
+        ):
             return False
         return True
--- a/laburnumsill/consensus/tests/test_engine_machine.py
+++ b/laburnumsill/consensus/tests/test_engine_machine.py
@@ -99,6 +99,20 @@
         self.host(number).paused_until = self.group.now + paused * 0.05
         self.go_on(turns)
 
+    @stateful.rule(
+        number=NUMBERS,
+        count=strategies.integers(1, 5),
+        full=TURNS,
+        turns=TURNS,
+    )
+    def fill_disks(self, number, count, full, turns):
+        until = self.group.now + full * 0.05
+        for place in range(count):
+            host = self.host(number + place)
+            if host.me.vm in self.disks:
+                host.full_until = until
+        self.go_on(turns)
+
     @stateful.rule(one=NUMBERS, other=NUMBERS, cut=TURNS, turns=TURNS)
     def cut(self, one, other, cut, turns):
         pair = frozenset((self.host(one).me.vm, self.host(other).me.vm))
@@ -190,7 +204,7 @@
         group.cut.clear()
         group.loss = group.duplicates = group.delay = group.load = 0.0
         for host in group.hosts.values():
-            host.paused_until = host.boot_at = 0.0
+            host.paused_until = host.boot_at = host.full_until = 0.0
         group.run(4.0)
         group.run_until(lambda: self.last_write(), 60.0)
         group.run_until(self.converged, 30.0)
--- a/laburnumsill/consensus/tests/test_engine_rules.py
+++ b/laburnumsill/consensus/tests/test_engine_rules.py
@@ -225,3 +225,91 @@
     group.run(3.0)
     assert hanging.engine.last_index >= operation.index
     assert not operation.done
+
+
+def test_a_replica_that_can_not_write_promises_nothing():
+    follower = made(types.HardState(2, None))
+    send(follower, KIND.HEARTBEAT, B, 2)
+    follower.set_writable(False)
+    ask = {"index": 9, "log_term": 2}
+    assert not send(follower, KIND.PRE_VOTE, C, 3, **ask).messages
+    assert send(follower, KIND.VOTE, C, 3, granted=True, **ask) == (
+        types.Output()
+    )
+    assert send(follower, KIND.TIMEOUT_NOW, B, 2) == types.Output()
+    more = {"index": 1, "log_term": 1, "entries": (entry(2, 2),)}
+    assert send(follower, KIND.APPEND, B, 2, **more) == types.Output()
+    follower.tick(99.0)
+    assert follower.role == "follower"
+    assert follower.take_output() == types.Output()
+    follower.set_writable(True)
+    assert send(follower, KIND.APPEND, B, 2, **more).append == (entry(2, 2),)
+
+
+def test_a_replica_that_can_not_write_follows_and_says_so():
+    follower = made(types.HardState(2, None))
+    follower.set_writable(False)
+    output = send(follower, KIND.HEARTBEAT, B, 2, round=3)
+    assert output.messages[0].full
+    assert output.messages[0].round == 3
+    send(follower, KIND.APPEND, C, 3, index=1, log_term=1)
+    assert follower.leader == C
+
+
+def test_a_leader_that_can_not_write_hands_over_to_one_that_can():
+    leader = made(types.HardState(1, None))
+    lead(leader)
+    leader.set_writable(False)
+    send(leader, KIND.HEARTBEAT_REPLY, B, 2, full=True)
+    assert not leader.can_commit
+    with pytest.raises(engine.NoRoomError):
+        leader.propose(b"x", 0.1)
+
+
+def test_the_lead_goes_over_once_the_others_have_committed_its_log():
+    everyone = dataclasses.replace(THREE, with_disk=frozenset("abc"))
+    stored = types.Stored(
+        "i",
+        types.HardState(1, None),
+        None,
+        (membership_entry(1, 1, everyone),),
+    )
+    leader = engine.Engine(
+        "g", A, stored, engine.Options(), 0.0, random.Random(1)
+    )
+    lead(leader)
+    leader.set_writable(False)
+    held = {"granted": True, "index": 2, "synced": 2}
+    output = send(leader, KIND.APPEND_REPLY, B, 2, **held)
+    assert KIND.TIMEOUT_NOW not in {one.kind for one in output.messages}
+    with pytest.raises(engine.NotLeaderError):
+        leader.propose(b"x", 0.1)
+    output = send(leader, KIND.APPEND_REPLY, C, 2, **held)
+    orders = [one for one in output.messages if one.kind is KIND.TIMEOUT_NOW]
+    assert len(orders) == 1
+    assert leader.committed == 2
+
+
+def test_a_leader_whose_followers_can_not_write_refuses_at_once():
+    leader = made(types.HardState(1, None))
+    lead(leader)
+    for member in (B, C):
+        send(leader, KIND.HEARTBEAT_REPLY, member, 2, full=True)
+    with pytest.raises(engine.NoRoomError):
+        leader.propose(b"x", 0.1)
+    send(leader, KIND.HEARTBEAT_REPLY, C, 2)
+    assert leader.can_commit
+    leader.propose(b"x", 0.1)
+
+
+def test_a_member_that_can_not_write_is_sent_no_entries_until_it_can():
+    leader = made(types.HardState(1, None))
+    lead(leader)
+    for member in (B, C):
+        send(leader, KIND.APPEND_REPLY, member, 2, granted=True, index=2)
+    send(leader, KIND.HEARTBEAT_REPLY, B, 2, full=True)
+    leader.propose(b"x", 0.1)
+    sent = leader.take_output().messages
+    assert [one.target for one in sent if one.entries] == [C]
+    output = send(leader, KIND.HEARTBEAT_REPLY, B, 2)
+    assert [one.target for one in output.messages if one.entries] == [B]
