Sync what is left behind and the names that a start relies on

Change: a segment is synced before the next one begins, the folder before anything in it is read, and each folder that may be new.

--- a/laburnumsill/consensus/segments.py
+++ b/laburnumsill/consensus/segments.py
@@ -262,6 +262,25 @@
         os.close(descriptor)
 
 
+def make_folder(folder: pathlib.Path) -> None:
+    """Makes a folder and those above it that are missing, names synced.
+
+    The folder above and the one above that are synced even if they were
+    there: the process that made them may have been killed before it did.
+
+    Raises:
+        errors.StorageError: The disk is full or failed.
+    """
+    missing = [path for path in folder.parents if not path.exists()]
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+    except OSError as error:
+        raise store.storage_error(error, folder) from error
+    unsure = (folder.parent, folder.parent.parent)
+    for parent in {*unsure, *(path.parent for path in missing)}:
+        sync_folder(parent)
+
+
 def sync_folder(folder: pathlib.Path) -> None:
     """Waits until the names in a folder are on the disk.
 
--- a/laburnumsill/consensus/store_disk.py
+++ b/laburnumsill/consensus/store_disk.py
@@ -102,8 +102,7 @@
             self._descriptor = -1
 
     def _open(self) -> None:
-        self._folder.mkdir(parents=True, exist_ok=True)
-        segments.sync_folder(self._folder.parent)
+        segments.make_folder(self._folder)
         found = store_replay.replay(self._folder, self._group)
         self._log_found(found)
         self._incarnation = found.incarnation or ids.fresh("r")
@@ -169,6 +168,10 @@
 
     def _start_segment(self, number: int) -> None:
         """Makes a segment durable, header and term included, then uses it."""
+        if self._descriptor >= 0:
+            # The last batch start is written after a sync. A loss of power
+            # may tear it, which is damage in all but the last segment.
+            segments.sync(self._descriptor, self._segments[-1].path)
         path = store_replay.segment_path(self._folder, number)
         nonce = secrets.token_bytes(segments.NONCE_BYTES)
         header = segments.SegmentHeader(
--- a/laburnumsill/consensus/store_replay.py
+++ b/laburnumsill/consensus/store_replay.py
@@ -88,6 +88,9 @@
 
     def run(self) -> Found:
         """Reads the snapshot, then the segments in order."""
+        # A snapshot's name may be younger than the last sync of the folder;
+        # the segments that it replaces must not go before it is durable.
+        segments.sync_folder(self._folder)
         for path in self._folder.glob(f"*{segments.ASIDE_SUFFIX}"):
             path.unlink()
         log_from = self._read_snapshot()
