--- a/laburnumsill/consensus/tests/simulated_disk.py
+++ b/laburnumsill/consensus/tests/simulated_disk.py
@@ -5,9 +5,15 @@
 what the disk holds: the content of each file at its last sync, and the names
 of each folder at its last sync. A loss of power makes the folder show that,
 and of each later write and name a part, drawn at random.
+
+A disk that is full refuses what changes it. A write leaves half of its bytes,
+and a sync gives up what it could not write: the cache shows it still, and no
+later sync writes it, unless it is written anew.
 """
 
 import contextlib
+import errno
+import fcntl
 import os
 import pathlib
 import random
@@ -61,13 +67,18 @@
         self.root = root
         self._lost = lost
         self._calls_left: int | None = None
+        self._full_after: int | None = None
+        self._given_up: dict[int, tuple[int, int]] = {}
         self._synced: dict[int, bytes] = {}
         self._names: dict[pathlib.Path, dict[str, int]] = {root: {}}
         self._open: dict[int, int] = {}
         self._real_sync = os.fsync
         self._real_open = os.open
-        for name in ("write", "replace", "rename", "ftruncate", "unlink"):
+        self._real_write = os.write
+        for name in ("replace", "rename", "unlink", "mkdir"):
             self._count(monkeypatch, name)
+        self._count(monkeypatch, "write", self._before_write)
+        self._count(monkeypatch, "ftruncate", self._before_cut)
         monkeypatch.setattr(os, "fsync", self._sync)
         monkeypatch.setattr(os, "fdatasync", self._sync)
 
@@ -75,6 +86,14 @@
         """Kills the process at the call after so many to the system."""
         self._calls_left = calls
 
+    def fill_after(self, calls: int) -> None:
+        """Takes nothing from the call after so many on."""
+        self._full_after = calls
+
+    def make_room(self) -> None:
+        """Takes everything again."""
+        self._full_after = None
+
     def restart(self) -> None:
         """Lets the next process work undisturbed."""
         self._calls_left = None
@@ -88,6 +107,7 @@
     def lose_power(self, source: random.Random) -> None:
         """Shows what the disk holds after a loss of power."""
         self.restart()
+        full_after, self._full_after = self._full_after, None
         folders = self._folders()
         contents = {
             inode: self._after_loss(inode, source)
@@ -97,13 +117,21 @@
             if folder.exists():
                 self._restore(folder, contents, source)
         self._forget()
+        self._full_after = full_after
 
-    def _count(self, monkeypatch: pytest.MonkeyPatch, name: str) -> None:
+    def _count(
+        self,
+        monkeypatch: pytest.MonkeyPatch,
+        name: str,
+        before: abc.Callable[..., None] = lambda *_: None,
+    ) -> None:
         real = getattr(os, name)
 
         def counted(*args, **kwargs):
             self._note_names()
             self._pass_call()
+            before(*args)
+            self._refuse_if_full()
             return real(*args, **kwargs)
 
         monkeypatch.setattr(os, name, counted)
@@ -115,15 +143,64 @@
             raise ProcessKilled
         self._calls_left -= 1
 
+    @property
+    def _is_full(self) -> bool:
+        return self._full_after == 0
+
+    def _refuse_if_full(self) -> None:
+        if self._is_full:
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+        if self._full_after is not None:
+            self._full_after -= 1
+
+    def _before_write(self, descriptor: int, raw: bytes) -> None:
+        if self._is_full:
+            raw = bytes(raw)[: len(raw) // 2]
+        start = os.lseek(descriptor, 0, os.SEEK_CUR)
+        if fcntl.fcntl(descriptor, fcntl.F_GETFL) & os.O_APPEND:
+            start = os.fstat(descriptor).st_size
+        if self._is_full:
+            self._real_write(descriptor, raw)
+        inode = os.fstat(descriptor).st_ino
+        first, last = self._given_up.pop(inode, (0, 0))
+        if start <= first:
+            first = max(first, start + len(raw))
+        if first < last:
+            self._given_up[inode] = (first, last)
+
+    def _before_cut(self, descriptor: int, size: int) -> None:
+        inode = os.fstat(descriptor).st_ino
+        first, last = self._given_up.get(inode, (0, 0))
+        if self._is_full:
+            return
+        self._given_up.pop(inode, None)
+        if first < min(last, size):
+            self._given_up[inode] = (first, min(last, size))
+
+    def _give_up(self, inode: int) -> None:
+        """Forgets what a failed sync should have written."""
+        size = len(self._content(inode))
+        synced = len(self._synced.get(inode, b""))
+        first, last = self._given_up.get(inode, (synced, size))
+        if synced < size:
+            self._given_up[inode] = (min(first, synced), max(last, size))
+
     def _sync(self, descriptor: int) -> None:
         self._note_names()
         self._pass_call()
         found = os.fstat(descriptor)
         if stat.S_ISDIR(found.st_mode):
             folder = pathlib.Path(os.readlink(f"/proc/self/fd/{descriptor}"))
+            self._refuse_if_full()
             self._names[folder] = self._present(folder)
             return
-        self._synced[found.st_ino] = self._content(found.st_ino)
+        if self._is_full:
+            self._give_up(found.st_ino)
+        self._refuse_if_full()
+        content = bytearray(self._content(found.st_ino))
+        first, last = self._given_up.get(found.st_ino, (0, 0))
+        content[first:last] = bytes(last - first)
+        self._synced[found.st_ino] = bytes(content)
         self._note_new_file(found.st_ino)
 
     def _note_new_file(self, inode: int) -> None:
@@ -199,6 +276,7 @@
         """Starts anew from what stands in the folder, all of it durable."""
         self.close()
         self._synced = {}
+        self._given_up = {}
         self._names = {}
         self._note_names()
         self._synced = {inode: self._content(inode) for inode in self._open}
--- a/laburnumsill/consensus/tests/test_store_full.py
+++ b/laburnumsill/consensus/tests/test_store_full.py
@@ -79,7 +79,15 @@
     was not synced, which reads as zeros from then on.
     """
 
-    CHANGING = ("write", "fdatasync", "fsync", "ftruncate", "replace", "unlink")
+    CHANGING = (
+        "write",
+        "fdatasync",
+        "fsync",
+        "ftruncate",
+        "replace",
+        "unlink",
+        "mkdir",
+    )
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
         self.calls = 0
--- a/laburnumsill/consensus/tests/test_store_power_loss.py
+++ b/laburnumsill/consensus/tests/test_store_power_loss.py
@@ -14,6 +14,7 @@
 """
 
 import contextlib
+import itertools
 import os
 import pathlib
 import random
@@ -38,6 +39,8 @@
 """An environment variable that asks for more, from a new seed each time."""
 CALLS_TO_SYNC = 1
 """A commit's first call to the system writes, its second syncs."""
+CALLS_TO_OPEN = 8
+"""Calls of an opening that a full disk refuses, at least."""
 
 
 def entries(first: int, last: int, term: int = 1) -> tuple[types.Entry, ...]:
@@ -101,11 +104,30 @@
             assert again.stored.entries == entries(1, 3)
 
 
+def test_a_tail_whose_sync_found_no_room_is_not_relied_on():
+    """It was killed before a sync, and the disk was full at its restart."""
+    lost = store.Change(entries=entries(4, 4))
+    for seed, calls in itertools.product(SEEDS[:5], range(CALLS_TO_OPEN)):
+        with simulated_disk.simulated() as disk:
+            kept = opened(disk.root)
+            append(kept, 1, 3)
+            killed_before_sync(disk, kept, lost)
+            disk.fill_after(calls)
+            with pytest.raises(store.DiskFullError):
+                opened(disk.root)
+            disk.make_room()
+            found = opened(disk.root).stored.entries
+            assert found[:3] == entries(1, 3)
+            disk.lose_power(random.Random(seed))
+            assert opened(disk.root).stored.entries == found
+
+
 class PowerLosses(stateful.RuleBasedStateMachine):
     """One store, killed at any call and without power at any moment.
 
-    What a commit has returned for, and what an opened store has reported,
-    must be found by every later opening.
+    The disk is full from some call on, now and then. What a commit has
+    returned for, and what an opened store has reported, must be found by every
+    later opening.
     """
 
     def __init__(self):
@@ -115,6 +137,8 @@
         self.promised = types.Stored("", types.HardState(), None, ())
         self.last = 0
         self.term = 1
+        self.stuck = None
+        self.left_out = None
 
     @stateful.initialize(seed=strategies.integers(0, 2**16))
     def begin(self, seed):
@@ -158,6 +182,16 @@
     def be_killed_soon(self, calls):
         self.disk.kill_after(calls)
 
+    @stateful.rule(calls=strategies.integers(0, 12))
+    def fill_disk_soon(self, calls):
+        self.disk.fill_after(calls)
+
+    @stateful.rule()
+    def make_room(self):
+        self.disk.make_room()
+        if self.stuck is not None:
+            self.commit(self.stuck)
+
     @stateful.rule()
     def be_killed(self):
         self.reopen()
@@ -172,11 +206,21 @@
         return snapshot.index if snapshot else 0
 
     def commit(self, change):
+        """Commits a change; what a full disk did not take comes first."""
+        change = self.stuck or change
         try:
             self.kept.commit([change])
         except simulated_disk.ProcessKilled:
             self.reopen(change)
             return
+        except store.DiskFullError:
+            self.stuck = change
+            if change.snapshot is not None:
+                self.stuck, self.left_out = None, change
+            return
+        self.stuck = None
+        if change.snapshot is not None:
+            self.left_out = None
         self.promised = after(self.promised, change)
         self.last = last_index(self.promised)
 
@@ -184,17 +228,30 @@
         """Starts again, with a change that may have been kept or not."""
         self.kept.close()
         self.disk.restart()
-        self.open(unsure)
+        self.open(unsure or self.stuck)
 
     def open(self, unsure=None):
-        self.kept = opened(self.disk.root)
+        self.kept = self.opened_with_room()
+        self.stuck = None
         found = self.kept.stored
         allowed = [self.promised]
         if unsure is not None:
             allowed += partly(self.promised, unsure)
+        if self.left_out is not None:
+            allowed += [after(one, self.left_out) for one in allowed]
         assert any(same(found, stored) for stored in allowed), (found, allowed)
         self.promised = found
         self.last = last_index(found)
+        self.left_out = None
+
+    def opened_with_room(self):
+        for _ in range(2):
+            try:
+                return opened(self.disk.root)
+            except store.DiskFullError:
+                continue
+        self.disk.make_room()
+        return opened(self.disk.root)
 
 
 def last_index(stored: types.Stored) -> int:
