A start writes the last batch again instead of relying on a sync

A sync that fails for want of room gives its pages up, and the next one succeeds without them. So the last batch of the last segment is written over itself before it is synced, at every start; the batch before it was synced before this one began.

--- a/laburnumsill/consensus/segments.py
+++ b/laburnumsill/consensus/segments.py
@@ -259,17 +259,19 @@
         raise _sync_error(error, path) from error
 
 
-def sync_file(path: pathlib.Path) -> None:
-    """Waits until the data of the file at `path` is on the disk.
+def write_again(path: pathlib.Path, raw: bytes, offset: int) -> None:
+    """Writes what a file holds at `offset` once more, and syncs the file.
 
     Raises:
-        errors.StorageError: The disk failed.
+        errors.StorageError: The disk is full or failed.
     """
     try:
         descriptor = os.open(path, os.O_WRONLY)
     except OSError as error:
         raise store.storage_error(error, path) from error
     try:
+        os.lseek(descriptor, offset, os.SEEK_SET)
+        write_all(descriptor, raw, path)
         sync(descriptor, path)
     finally:
         os.close(descriptor)
--- a/laburnumsill/consensus/store_replay.py
+++ b/laburnumsill/consensus/store_replay.py
@@ -145,11 +145,6 @@
 
     def _read_segment(self, number: int, is_last: bool) -> None:
         path = segment_path(self._folder, number)
-        if is_last:
-            # Its writer may have been killed between a write and the sync:
-            # only the operating system's cache holds such a tail, and a
-            # loss of power would take what a restart had relied on.
-            segments.sync_file(path)
         raw = path.read_bytes()
         end = 0
         count = 0
@@ -157,6 +152,7 @@
         first_index = 0
         last_index = 0
         unsynced = 0
+        last_start = 0
         for part in segments.records(raw, segments.SEGMENT_MAGIC, path):
             if not nonce:
                 nonce = self._read_header(part, number, path)
@@ -171,12 +167,19 @@
                 self._take(entry, path)
             elif part.type is segments.RecordType.BATCH:
                 unsynced = 0
+                last_start = part.offset
             end = segments.end_of(part)
             count += 1
         if count < segments.HEAD_RECORDS:
             raise store.DamagedLogError(f"{path}: {count} head records")
         if end < len(raw):
             self._cut_tail(path, raw, end, nonce, is_last)
+        if is_last:
+            # Its writer may have been killed between a write and the sync:
+            # only the operating system's cache holds such a tail, and a
+            # loss of power would take what a restart had relied on. A sync
+            # that found no room may have given it up, so it is written again.
+            segments.write_again(path, raw[last_start:end], last_start)
         self._found.segments.append(
             FoundSegment(number, path, first_index, last_index, end, unsynced)
         )
