Soaks with real daemons whose disks are full for a while

A program of the tests runs the role of a core VM and lets its writes fail with ENOSPC, half done, while a marker file is there. The new trouble is drawn only where it is asked for (--full-disks), so older seeds stay what they were.

--- a/laburnumsill/platform/tests/soak/layout.py
+++ b/laburnumsill/platform/tests/soak/layout.py
@@ -134,11 +134,16 @@
         f"longest_lease_ms = {LONGEST_LEASE_MS}",
         f"key_revoked_ms = {KEY_REVOKED_MS}",
     ]
-    path = folder / f"{one.vm}.toml"
+    path = settings_path(folder, one.vm)
     path.write_text("\n".join(lines) + "\n")
     return path
 
 
+def settings_path(folder: pathlib.Path, vm: str) -> pathlib.Path:
+    """Returns the settings file of a VM."""
+    return folder / f"{vm}.toml"
+
+
 def data_folder(folder: pathlib.Path, vm: str) -> pathlib.Path:
     """Returns where a core VM keeps its state."""
     return folder / f"data-{vm}"
--- a/laburnumsill/platform/tests/soak/main.py
+++ b/laburnumsill/platform/tests/soak/main.py
@@ -14,6 +14,7 @@
 import subprocess
 import sys
 import tempfile
+from collections import abc
 
 import trio
 
@@ -70,13 +71,19 @@
         return "\n    ".join([text, *self.broken])
 
 
-async def soak(seed: int, seconds: float, folder: pathlib.Path) -> Verdict:
+async def soak(
+    seed: int,
+    seconds: float,
+    folder: pathlib.Path,
+    choice: abc.Sequence[type[troubles.Trouble]] = troubles.KINDS,
+) -> Verdict:
     """Plays one soak.
 
     Args:
         seed: Of the troubles and the callers.
         seconds: Troubles come for so long.
         folder: For settings, logs and data; empty.
+        choice: The kinds that are drawn from.
     """
     kinds: list[str] = []
     lags: list[float] = []
@@ -88,7 +95,7 @@
             witness = witnesses.Witness(site)
             await witness.configure_first()
             site.disturb_core()
-            await _play(site, witness, seconds, kinds)
+            await _play(site, witness, seconds, kinds, choice)
             broken = _ended(site)
             await witness.settle()
             await witness.aclose()
@@ -122,6 +129,7 @@
     witness: witnesses.Witness,
     seconds: float,
     kinds: list[str],
+    choice: abc.Sequence[type[troubles.Trouble]],
 ) -> None:
     """Lets troubles come beside the calls, and waits until all are over."""
     async with trio.open_nursery() as callers:
@@ -133,7 +141,7 @@
                 await trio.sleep(gap_s)
                 if trio.current_time() > end:
                     break
-                kind = site.random.choice(troubles.KINDS)
+                kind = site.random.choice(choice)
                 kinds.append(kind.__name__)
                 running.start_soon(kind(site).run)
         callers.cancel_scope.cancel()
@@ -158,14 +166,15 @@
     return found
 
 
-async def _play_all(seeds: list[int], seconds: float) -> bool:
+async def _play_all(seeds: list[int], seconds: float, full_disks: bool) -> bool:
     """Plays one soak after the other; returns whether all were kept."""
     kept = True
     top = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
     for seed in seeds:
         folder = top / str(seed)
         folder.mkdir()
-        verdict = await soak(seed, seconds, folder)
+        choice = troubles.KINDS_WITH_DISKS if full_disks else troubles.KINDS
+        verdict = await soak(seed, seconds, folder, choice)
         print(verdict.line(), flush=True)
         if verdict.broken:
             kept = False
@@ -175,7 +184,9 @@
     return kept
 
 
-def play_in_processes(seeds: list[int], jobs: int, seconds: float) -> bool:
+def play_in_processes(
+    seeds: list[int], jobs: int, seconds: float, full_disks: bool = False
+) -> bool:
     """Plays soaks side by side, each with a process and a loop of its own.
 
     Links, workers and callers of a soak share one loop. Three soaks in one
@@ -192,6 +203,7 @@
                 *(sys.executable, "-m", MODULE),
                 *("--seeds", ",".join(map(str, share))),
                 *("--seconds", str(seconds)),
+                *(["--full-disks"] if full_disks else []),
             ]
         )
         for share in shares
@@ -222,12 +234,15 @@
     parser.add_argument("--fresh", type=int, default=0, help="so many new ones")
     parser.add_argument("--jobs", type=int, default=1, help="side by side")
     parser.add_argument("--seconds", type=float, default=DEFAULT_SECONDS)
+    parser.add_argument("--full-disks", action="store_true", help="these too")
     given = parser.parse_args()
     seeds = _seeds(given.seeds, given.fresh)
     if given.jobs > 1:
-        kept = play_in_processes(seeds, given.jobs, given.seconds)
+        kept = play_in_processes(
+            seeds, given.jobs, given.seconds, given.full_disks
+        )
     else:
-        kept = trio.run(_play_all, seeds, given.seconds)
+        kept = trio.run(_play_all, seeds, given.seconds, given.full_disks)
     sys.exit(0 if kept else 1)
 
 
--- a/laburnumsill/platform/tests/soak/site.py
+++ b/laburnumsill/platform/tests/soak/site.py
@@ -13,6 +13,7 @@
 from laburnumsill.emulator import oracle as oracles
 from laburnumsill.emulator import workers as emulated
 from laburnumsill.platform.tests import standin
+from laburnumsill.platform.tests.soak import daemon_on_disk
 from laburnumsill.platform.tests.soak import layout
 from laburnumsill.testing import ports
 from laburnumsill.testing import processes
@@ -46,6 +47,12 @@
 4 s after its start, on machines that do nothing else."""
 
 
+_PROGRAMS = {
+    "core": "laburnumsill.platform.tests.soak.daemon_on_disk",
+    "entry": "laburnumsill.daemon.role_main",
+}
+
+
 @dataclasses.dataclass(slots=True)
 class Announcer:
     """What a worker says of itself.
@@ -114,13 +121,24 @@
         if vm not in self.processes:
             self.processes[vm] = processes.Process(
                 vm,
-                "laburnumsill.daemon.role_main",
+                _PROGRAMS[one.role],
                 [one.role, str(settings)],
                 self.folder / f"{vm}.log",
             )
         if not self.processes[vm].running:
             self.processes[vm].start()
 
+    def fill_disk(self, vm: str) -> None:
+        """Lets a core VM write nothing more."""
+        self._full_marker(vm).touch()
+
+    def make_room(self, vm: str) -> None:
+        """Lets a core VM write again."""
+        self._full_marker(vm).unlink(missing_ok=True)
+
+    def _full_marker(self, vm: str) -> pathlib.Path:
+        return daemon_on_disk.full_marker(layout.settings_path(self.folder, vm))
+
     def wipe(self, vm: str) -> None:
         """Takes the disk of a VM that is down."""
         shutil.rmtree(layout.data_folder(self.folder, vm))
--- a/laburnumsill/platform/tests/soak/troubles.py
+++ b/laburnumsill/platform/tests/soak/troubles.py
@@ -246,6 +246,19 @@
         self._site.replace_worker(name)
 
 
+class FullDisks(Trouble):
+    """Some core VMs, often one and at times all, can write nothing."""
+
+    async def _play(self) -> None:
+        count = self._random.choice((1, 1, 1, 2, len(layout.CORE)))
+        vms = self._random.sample(layout.CORE, count)
+        for vm in vms:
+            self._site.fill_disk(vm)
+        await self._last()
+        for vm in vms:
+            self._site.make_room(vm)
+
+
 KINDS: tuple[type[Trouble], ...] = (
     Kill,
     KillAll,
@@ -259,3 +272,6 @@
     CrashWorker,
     DrainWorker,
 )
+"""What older seeds draw from; a new kind would make other soaks of them."""
+
+KINDS_WITH_DISKS: tuple[type[Trouble], ...] = (*KINDS, FullDisks, FullDisks)
--- a/laburnumsill/platform/tests/test_soak.py
+++ b/laburnumsill/platform/tests/test_soak.py
@@ -6,11 +6,14 @@
 import pytest
 
 from laburnumsill.platform.tests.soak import main as soaks
+from laburnumsill.platform.tests.soak import troubles
 
 SHORT_S = 6.0
 SHORT_SEED = 20261202
 
 ONE_LOOP = "soaks side by side shared one loop, which was late at each turn"
+FULL_DISK_SEEDS = (1, 2)
+
 BROKEN_ONCE = {
     2: "the soak forgot calls that its own end had cut off",
     3: ONE_LOOP,
@@ -33,6 +36,18 @@
     assert verdict.completed
 
 
+@pytest.mark.parametrize("seed", FULL_DISK_SEEDS)
+async def test_no_promise_is_broken_by_full_disks(
+    tmp_path: pathlib.Path, seed: int
+):
+    verdict = await soaks.soak(
+        seed, SHORT_S, tmp_path, troubles.KINDS_WITH_DISKS
+    )
+    assert verdict.broken == [], verdict.line()
+    assert troubles.FullDisks.__name__ in verdict.kinds
+    assert verdict.completed
+
+
 def test_soaks_side_by_side_have_a_process_each(monkeypatch):
     started = []
 
