--- a/laburnumsill/consensus/tests/test_store_power_loss.py
+++ b/laburnumsill/consensus/tests/test_store_power_loss.py
@@ -147,12 +147,12 @@
         self.commit(store.Change(hard_state=state))
 
     @stateful.rule()
-    def take_snapshot(self):
+    def take_snapshot(self, start_calls=None):
         if self.last > self.covered():
             term = self.promised.entries[-1].term
             data = f"{self.last}".encode()
             snapshot = types.Snapshot(self.last, term, MEMBERSHIP, data)
-            self.commit(store.Change(snapshot=snapshot))
+            self.commit(store.Change(snapshot=snapshot), start_calls)
 
     @stateful.rule(calls=strategies.integers(0, 12))
     def be_killed_soon(self, calls):
@@ -167,14 +167,26 @@
         self.disk.lose_power(self.source)
         self.reopen()
 
+    @stateful.rule(
+        calls=strategies.integers(6, 11),
+        start_calls=strategies.integers(0, 6),
+    )
+    def have_a_snapshot_and_a_start_cut_short(self, calls, start_calls):
+        """The snapshot may have its name, and the name not be durable."""
+        self.disk.kill_after(calls)
+        self.take_snapshot(start_calls)
+        self.reopen()
+
     def covered(self):
         snapshot = self.promised.snapshot
         return snapshot.index if snapshot else 0
 
-    def commit(self, change):
+    def commit(self, change, start_calls=None):
         try:
             self.kept.commit([change])
         except simulated_disk.ProcessKilled:
+            if start_calls is not None:
+                self.start_cut_short(start_calls)
             self.reopen(change)
             return
         self.promised = after(self.promised, change)
@@ -186,6 +198,13 @@
         self.disk.restart()
         self.open(unsure)
 
+    def start_cut_short(self, calls):
+        """Kills a start; what it may have reported is not asked for."""
+        self.disk.kill_after(calls)
+        with contextlib.suppress(simulated_disk.ProcessKilled):
+            opened(self.disk.root).close()
+        self.disk.lose_power(self.source)
+
     def open(self, unsure=None):
         self.kept = opened(self.disk.root)
         found = self.kept.stored
