--- a/laburnumsill/consensus/tests/test_store_power_loss.py
+++ b/laburnumsill/consensus/tests/test_store_power_loss.py
@@ -14,6 +14,7 @@
 """
 
 import contextlib
+import itertools
 import os
 import pathlib
 import random
@@ -101,6 +102,27 @@
             assert again.stored.entries == entries(1, 3)
 
 
+@pytest.mark.parametrize("calls", range(4, 12))
+def test_a_snapshot_whose_name_is_not_durable_voids_no_segment(calls):
+    """A start that removes what the snapshot replaces is cut short too."""
+    snapshot = types.Snapshot(9, 1, MEMBERSHIP, b"state")
+    change = store.Change(snapshot=snapshot)
+    for start_calls, seed in itertools.product(range(7), SEEDS):
+        with simulated_disk.simulated() as disk:
+            kept = opened(disk.root)
+            append(kept, 1, 9)
+            disk.kill_after(calls)
+            with contextlib.suppress(simulated_disk.ProcessKilled):
+                kept.commit([change])
+            kept.close()
+            disk.kill_after(start_calls)
+            with contextlib.suppress(simulated_disk.ProcessKilled):
+                opened(disk.root).close()
+            disk.lose_power(random.Random(seed))
+            found = opened(disk.root).stored
+            assert found.snapshot or found.entries == entries(1, 9)
+
+
 class PowerLosses(stateful.RuleBasedStateMachine):
     """One store, killed at any call and without power at any moment.
 
