Show that the version in force may fall back after a kill and a loss of power (known red)

A process killed between rename and the folder's sync leaves a new name in the cache alone; the restart reads the new version, and after a loss of power the old one is back.

--- /dev/null
+++ b/laburnumsill/daemon/tests/test_configuration_file.py
@@ -0,0 +1,35 @@
+"""The file of the version in force, when the power is lost.
+
+The daemon never takes a configuration back, also after a restart. A process
+that is killed between the rename of the new file and the sync of its folder
+leaves a name that only the operating system's cache holds: the restart reads
+the new version, acts on it, and a loss of power brings the old one back.
+"""
+
+import random
+
+import pytest
+
+from laburnumsill.consensus.tests import simulated_disk
+from laburnumsill.daemon import configuration_file
+from laburnumsill.daemon.tests import test_configuration_sync
+
+SEEDS = range(20)
+CALLS = range(8)
+
+
+@pytest.mark.parametrize("calls", CALLS)
+def test_a_version_that_a_restart_read_outlives_a_loss_of_power(calls):
+    for seed in SEEDS:
+        site = test_configuration_sync.Site()
+        with simulated_disk.simulated() as disk:
+            file = configuration_file.ConfigurationFile(disk.root)
+            file.write(site.push())
+            disk.kill_after(calls)
+            try:
+                file.write(site.push())
+            except simulated_disk.ProcessKilled:
+                disk.restart()
+            read = file.read()
+            disk.lose_power(random.Random(seed))
+            assert file.read() == read
