Sync the folder of the version in force before it is read

Before: a version that a restart had read fell back in the test for a kill between rename and sync of the folder.

--- a/laburnumsill/daemon/configuration_file.py
+++ b/laburnumsill/daemon/configuration_file.py
@@ -36,6 +36,9 @@
             errors.StorageError: The file cannot be read or set aside.
         """
         try:
+            # A process killed after a rename leaves a name that a loss of
+            # power would take back, and with it what is in force here.
+            _sync_folder(self._path.parent)
             raw = self._path.read_bytes()
         except FileNotFoundError:
             return None
