--- a/laburnumsill/daemon/configuration_file.py
+++ b/laburnumsill/daemon/configuration_file.py
@@ -36,10 +36,10 @@
             errors.StorageError: The file cannot be read or set aside.
         """
         try:
+            raw = self._path.read_bytes()
             # A process killed after a rename leaves a name that a loss of
             # power would take back, and with it what is in force here.
             _sync_folder(self._path.parent)
-            raw = self._path.read_bytes()
         except FileNotFoundError:
             return None
         except OSError as failure:
--- a/laburnumsill/daemon/tests/test_configuration_file.py
+++ b/laburnumsill/daemon/tests/test_configuration_file.py
@@ -6,6 +6,7 @@
 the new version, acts on it, and a loss of power brings the old one back.
 """
 
+import contextlib
 import random
 
 import pytest
@@ -26,10 +27,9 @@
             file = configuration_file.ConfigurationFile(disk.root)
             file.write(site.push())
             disk.kill_after(calls)
-            try:
+            with contextlib.suppress(simulated_disk.ProcessKilled):
                 file.write(site.push())
-            except simulated_disk.ProcessKilled:
-                disk.restart()
+            disk.restart()
             read = file.read()
             disk.lose_power(random.Random(seed))
             assert file.read() == read
