Tests of plans share their small sites

Cause: tests of waiting gangs need the jobs, sites and views of test_planner.py. Change: they move to tests/planned_site.py as they are; no test changes.

--- /dev/null
+++ b/laburnumsill/batch/tests/planned_site.py
@@ -0,0 +1,67 @@
+"""Small sites, jobs and views of them, for tests of plans."""
+
+from laburnumsill.batch import commands
+from laburnumsill.batch import ledger as ledgers
+from laburnumsill.batch import model
+from laburnumsill.batch import planner
+
+GIB = 1024
+
+
+def job(job_id, tasks, accelerators, priority=0, account="a", **step):
+    """Returns a job of one step."""
+    needs = model.Resources(1000 * accelerators, GIB, accelerators)
+    one = model.Step(tasks, needs, 2000, **step)
+    terms = model.QueueTerms("pool", priority, 3, 1.5, 250)
+    return model.Job(job_id, f"q{priority}", account, "", (one,), terms)
+
+
+def site(racks=2, per_rack=2):
+    """Returns a ledger of workers with 8 accelerators each."""
+    ledger = ledgers.BatchLedger()
+    for rack in range(racks):
+        for number in range(per_rack):
+            worker = model.Worker(
+                f"w{rack}{number}",
+                "pool",
+                "",
+                "d",
+                model.Resources(64_000, 64 * GIB, 8),
+                (f"r{rack}",),
+                f"r{rack}",
+            )
+            ledger.put_worker(commands.PutWorker(worker))
+    return ledger
+
+
+def view(ledger, stopping=(), now_ms=0, guarantees=None):
+    """Returns a view in which all workers are usable."""
+    return planner.View(
+        ledger,
+        set(ledger.workers),
+        frozenset(stopping),
+        guarantees or {},
+        now_ms,
+    )
+
+
+def submit(ledger, *jobs):
+    """Hands jobs in."""
+    for one in jobs:
+        ledger.submit(commands.SubmitJob(one, 0))
+
+
+def carry_out(ledger, made):
+    """Places what a plan says."""
+    placed = ledger.place(commands.PlaceRuns(tuple(made.groups), 0))
+    assert set(placed.refusals) <= {""}
+    return placed
+
+
+def occupy(ledger, worker_id, job_id, accelerators, placed_ms=0):
+    """Places a long task on one worker."""
+    submit(ledger, job(job_id, 1, accelerators, priority=2))
+    run = model.RunId(model.TaskId(job_id, 0, 0, 0), 1)
+    placement = commands.Placement(run, worker_id)
+    command = commands.PlaceRuns(((placement,),), placed_ms)
+    assert ledger.place(command).refusals == ("",)
--- a/laburnumsill/batch/tests/test_planner.py
+++ b/laburnumsill/batch/tests/test_planner.py
@@ -1,214 +1,183 @@
 import dataclasses
 
 from laburnumsill.batch import commands
-from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
 from laburnumsill.batch import planner
-
-GIB = 1024
-
-
-def job(job_id, tasks, accelerators, priority=0, account="a", **step):
-    needs = model.Resources(1000 * accelerators, GIB, accelerators)
-    one = model.Step(tasks, needs, 2000, **step)
-    terms = model.QueueTerms("pool", priority, 3, 1.5, 250)
-    return model.Job(job_id, f"q{priority}", account, "", (one,), terms)
-
-
-def site(racks=2, per_rack=2):
-    ledger = ledgers.BatchLedger()
-    for rack in range(racks):
-        for number in range(per_rack):
-            worker = model.Worker(
-                f"w{rack}{number}",
-                "pool",
-                "",
-                "d",
-                model.Resources(64_000, 64 * GIB, 8),
-                (f"r{rack}",),
-                f"r{rack}",
-            )
-            ledger.put_worker(commands.PutWorker(worker))
-    return ledger
-
-
-def view(ledger, stopping=(), now_ms=0, guarantees=None):
-    return planner.View(
-        ledger,
-        set(ledger.workers),
-        frozenset(stopping),
-        guarantees or {},
-        now_ms,
-    )
-
-
-def submit(ledger, *jobs):
-    for one in jobs:
-        ledger.submit(commands.SubmitJob(one, 0))
-
-
-def carry_out(ledger, made):
-    placed = ledger.place(commands.PlaceRuns(tuple(made.groups), 0))
-    assert set(placed.refusals) <= {""}
-    return placed
+from laburnumsill.batch.tests import planned_site
 
 
 def test_a_gang_goes_whole_to_one_rack():
-    ledger = site()
-    submit(ledger, job("g", 2, 8, gang=True, same_rack=True))
-    made = planner.plan(view(ledger))
+    ledger = planned_site.site()
+    planned_site.submit(
+        ledger, planned_site.job("g", 2, 8, gang=True, same_rack=True)
+    )
+    made = planner.plan(planned_site.view(ledger))
     (group,) = made.groups
     racks = {ledger.workers[p.worker_id].rack for p in group}
     assert len(group) == 2 and len(racks) == 1
-    carry_out(ledger, made)
+    planned_site.carry_out(ledger, made)
 
 
 def test_a_gang_that_does_not_fit_is_not_placed_in_part():
-    ledger = site(racks=1)
-    submit(ledger, job("x", 1, 1, priority=1))
-    carry_out(ledger, planner.plan(view(ledger)))
-    submit(ledger, job("g", 2, 8, priority=1, gang=True))
-    made = planner.plan(view(ledger))
+    ledger = planned_site.site(racks=1)
+    planned_site.submit(ledger, planned_site.job("x", 1, 1, priority=1))
+    planned_site.carry_out(ledger, planner.plan(planned_site.view(ledger)))
+    planned_site.submit(
+        ledger, planned_site.job("g", 2, 8, priority=1, gang=True)
+    )
+    made = planner.plan(planned_site.view(ledger))
     assert made.groups == []
     assert made.stops == []
     assert [unit.record.job.job_id for unit in made.waiting] == ["g"]
 
 
 def test_small_tasks_fill_what_is_broken_into_first():
-    ledger = site()
-    submit(ledger, job("x", 1, 2, priority=1))
-    carry_out(ledger, planner.plan(view(ledger)))
-    submit(ledger, job("y", 3, 2, priority=1))
-    made = planner.plan(view(ledger))
-    carry_out(ledger, made)
+    ledger = planned_site.site()
+    planned_site.submit(ledger, planned_site.job("x", 1, 2, priority=1))
+    planned_site.carry_out(ledger, planner.plan(planned_site.view(ledger)))
+    planned_site.submit(ledger, planned_site.job("y", 3, 2, priority=1))
+    made = planner.plan(planned_site.view(ledger))
+    planned_site.carry_out(ledger, made)
     assert len({run.worker_id for run in ledger.runs.values()}) == 1
 
 
 def test_an_urgent_gang_stops_the_cheapest_and_keeps_their_room():
-    ledger = site(racks=1)
-    submit(ledger, job("saves", 1, 8, priority=1, saves_progress=True))
-    submit(ledger, job("loses", 1, 8, priority=1))
-    carry_out(ledger, planner.plan(view(ledger)))
-    submit(ledger, job("u", 1, 8, gang=True), job("late", 1, 8, priority=1))
-    made = planner.plan(view(ledger, now_ms=9000))
+    ledger = planned_site.site(racks=1)
+    planned_site.submit(
+        ledger, planned_site.job("saves", 1, 8, priority=1, saves_progress=True)
+    )
+    planned_site.submit(ledger, planned_site.job("loses", 1, 8, priority=1))
+    planned_site.carry_out(ledger, planner.plan(planned_site.view(ledger)))
+    planned_site.submit(
+        ledger,
+        planned_site.job("u", 1, 8, gang=True),
+        planned_site.job("late", 1, 8, priority=1),
+    )
+    made = planner.plan(planned_site.view(ledger, now_ms=9000))
     assert [run.task.job_id for run in made.stops] == ["saves"]
     assert made.groups == []
-    again = planner.plan(view(ledger, made.stops, now_ms=9100))
+    again = planner.plan(planned_site.view(ledger, made.stops, now_ms=9100))
     assert again.stops == []
     (run,) = made.stops
     worker_id = ledger.runs[run].worker_id
     end = commands.EndedRun(1, run, commands.EndKind.STOPPED, "half")
     ledger.note_ends(commands.NoteEnds(worker_id, (end,), 9500))
-    last = planner.plan(view(ledger, now_ms=9500))
+    last = planner.plan(planned_site.view(ledger, now_ms=9500))
     ((placement,),) = last.groups
     assert placement.run.task.job_id == "u"
     assert placement.worker_id == worker_id
 
 
 def test_work_of_equal_priority_is_never_stopped():
-    ledger = site(racks=1)
-    submit(ledger, job("a", 2, 8))
-    carry_out(ledger, planner.plan(view(ledger)))
-    submit(ledger, job("b", 1, 8))
-    assert planner.plan(view(ledger)).stops == []
+    ledger = planned_site.site(racks=1)
+    planned_site.submit(ledger, planned_site.job("a", 2, 8))
+    planned_site.carry_out(ledger, planner.plan(planned_site.view(ledger)))
+    planned_site.submit(ledger, planned_site.job("b", 1, 8))
+    assert planner.plan(planned_site.view(ledger)).stops == []
 
 
 def test_the_guaranteed_goes_before_what_is_beyond():
-    ledger = site(racks=1, per_rack=1)
-    submit(ledger, job("beyond", 2, 8, account="greedy"))
-    submit(ledger, job("own", 1, 8, account="modest"))
-    made = planner.plan(view(ledger, guarantees={"greedy": 8, "modest": 8}))
+    ledger = planned_site.site(racks=1, per_rack=1)
+    planned_site.submit(
+        ledger, planned_site.job("beyond", 2, 8, account="greedy")
+    )
+    planned_site.submit(ledger, planned_site.job("own", 1, 8, account="modest"))
+    made = planner.plan(
+        planned_site.view(ledger, guarantees={"greedy": 8, "modest": 8})
+    )
     assert [group[0].run.task.job_id for group in made.groups] == ["own"]
 
 
 def test_a_long_waiting_gang_keeps_a_rack():
-    ledger = site(racks=1)
-    submit(ledger, job("x", 1, 8, priority=1))
-    carry_out(ledger, planner.plan(view(ledger)))
-    submit(ledger, job("g", 2, 8, priority=1, gang=True))
-    submit(ledger, job("small", 1, 1, priority=2))
-    early = planner.plan(view(ledger, now_ms=100))
+    ledger = planned_site.site(racks=1)
+    planned_site.submit(ledger, planned_site.job("x", 1, 8, priority=1))
+    planned_site.carry_out(ledger, planner.plan(planned_site.view(ledger)))
+    planned_site.submit(
+        ledger, planned_site.job("g", 2, 8, priority=1, gang=True)
+    )
+    planned_site.submit(ledger, planned_site.job("small", 1, 1, priority=2))
+    early = planner.plan(planned_site.view(ledger, now_ms=100))
     assert [g[0].run.task.job_id for g in early.groups] == ["small"]
-    late = planner.plan(view(ledger, now_ms=planner.FENCE_AFTER_MS))
+    late = planner.plan(
+        planned_site.view(ledger, now_ms=planner.FENCE_AFTER_MS)
+    )
     assert late.groups == []
 
 
 def test_a_step_waits_for_those_it_depends_on():
-    ledger = site()
-    needs = model.Resources(1000, GIB, 1)
+    ledger = planned_site.site()
+    needs = model.Resources(1000, planned_site.GIB, 1)
     steps = (model.Step(1, needs), model.Step(2, needs, depends_on=(0,)))
     terms = model.QueueTerms("pool", 1, 3)
-    submit(ledger, model.Job("j", "q", "a", "", steps, terms))
-    made = planner.plan(view(ledger))
+    planned_site.submit(ledger, model.Job("j", "q", "a", "", steps, terms))
+    made = planner.plan(planned_site.view(ledger))
     assert [g[0].run.task.step for g in made.groups] == [0]
-    carry_out(ledger, made)
+    planned_site.carry_out(ledger, made)
     ((placement,),) = made.groups
     end = commands.EndedRun(1, placement.run, commands.EndKind.DONE)
     ledger.note_ends(commands.NoteEnds(placement.worker_id, (end,), 5))
-    made = planner.plan(view(ledger))
+    made = planner.plan(planned_site.view(ledger))
     assert [g[0].run.task.step for g in made.groups] == [1, 1]
 
 
 def test_an_occurrence_waits_for_its_time():
-    ledger = site()
-    needs = model.Resources(1000, GIB, 1)
+    ledger = planned_site.site()
+    needs = model.Resources(1000, planned_site.GIB, 1)
     terms = model.QueueTerms("pool", 1, 3, 1.0, 5000)
     timed = model.Job(
         "j", "q", "a", "", (model.Step(1, needs),), terms, 3, 1000, 500
     )
-    submit(ledger, timed)
-    assert planner.plan(view(ledger, now_ms=999)).groups == []
-    made = planner.plan(view(ledger, now_ms=1500))
+    planned_site.submit(ledger, timed)
+    assert planner.plan(planned_site.view(ledger, now_ms=999)).groups == []
+    made = planner.plan(planned_site.view(ledger, now_ms=1500))
     assert [g[0].run.task.occurrence for g in made.groups] == [0, 1]
 
 
-def occupy(ledger, worker_id, job_id, accelerators, placed_ms=0):
-    """Places a long task on one worker."""
-    submit(ledger, job(job_id, 1, accelerators, priority=2))
-    run = model.RunId(model.TaskId(job_id, 0, 0, 0), 1)
-    placement = commands.Placement(run, worker_id)
-    command = commands.PlaceRuns(((placement,),), placed_ms)
-    assert ledger.place(command).refusals == ("",)
-
-
 def test_a_gang_spreads_when_the_site_is_mostly_free_and_no_rack_is():
-    ledger = site(racks=3, per_rack=4)
+    ledger = planned_site.site(racks=3, per_rack=4)
     for rack in range(3):
-        occupy(ledger, f"w{rack}0", f"x{rack}", 1)
-        occupy(ledger, f"w{rack}1", f"y{rack}", 1)
-    gang = job("g", 3, 8, priority=1, gang=True, same_rack=True)
-    submit(ledger, gang)
-    assert planner.plan(view(ledger, now_ms=100)).groups == []
-    waited = planner.plan(view(ledger, now_ms=planner.SPREAD_AFTER_MS))
+        planned_site.occupy(ledger, f"w{rack}0", f"x{rack}", 1)
+        planned_site.occupy(ledger, f"w{rack}1", f"y{rack}", 1)
+    gang = planned_site.job("g", 3, 8, priority=1, gang=True, same_rack=True)
+    planned_site.submit(ledger, gang)
+    assert planner.plan(planned_site.view(ledger, now_ms=100)).groups == []
+    waited = planner.plan(
+        planned_site.view(ledger, now_ms=planner.SPREAD_AFTER_MS)
+    )
     (group,) = waited.groups
     assert len(group) == 3
 
 
 def test_a_rack_is_kept_where_a_gang_will_fit_first():
-    ledger = site(racks=1, per_rack=4)
+    ledger = planned_site.site(racks=1, per_rack=4)
     for number in range(3):
-        occupy(ledger, f"w0{number}", f"x{number}", 8)
-    submit(ledger, job("g", 2, 8, priority=1, gang=True, same_rack=True))
-    submit(ledger, job("s", 1, 1, priority=2))
-    made = planner.plan(view(ledger, now_ms=planner.FENCE_AFTER_MS))
+        planned_site.occupy(ledger, f"w0{number}", f"x{number}", 8)
+    planned_site.submit(
+        ledger,
+        planned_site.job("g", 2, 8, priority=1, gang=True, same_rack=True),
+    )
+    planned_site.submit(ledger, planned_site.job("s", 1, 1, priority=2))
+    made = planner.plan(
+        planned_site.view(ledger, now_ms=planner.FENCE_AFTER_MS)
+    )
     assert made.groups == []  # the one empty worker is kept for the gang
 
 
 def test_no_more_is_stopped_than_the_urgent_unit_needs():
-    ledger = site(racks=1, per_rack=2)
+    ledger = planned_site.site(racks=1, per_rack=2)
     for worker_id in ("w00", "w01"):
         for number in range(4):
-            occupy(ledger, worker_id, f"{worker_id}-{number}", 2)
-    submit(ledger, job("u", 1, 4))
-    made = planner.plan(view(ledger, now_ms=1000))
+            planned_site.occupy(ledger, worker_id, f"{worker_id}-{number}", 2)
+    planned_site.submit(ledger, planned_site.job("u", 1, 4))
+    made = planner.plan(planned_site.view(ledger, now_ms=1000))
     assert len(made.stops) == 2
     assert len({ledger.runs[run].worker_id for run in made.stops}) == 1
 
 
 def test_urgent_tasks_go_to_fast_workers():
-    ledger = site(racks=1, per_rack=4)
-    submit(ledger, job("u", 2, 8, gang=True))
-    seen = view(ledger)
+    ledger = planned_site.site(racks=1, per_rack=4)
+    planned_site.submit(ledger, planned_site.job("u", 2, 8, gang=True))
+    seen = planned_site.view(ledger)
     slow = {"w00": 1.3, "w01": 1.3}
     seen = planner.View(
         ledger,
@@ -223,8 +192,10 @@
 
 
 def test_a_unit_that_waits_long_takes_any_worker():
-    ledger = site(racks=1, per_rack=2)
-    submit(ledger, job("g", 2, 8, priority=1, gang=True))
+    ledger = planned_site.site(racks=1, per_rack=2)
+    planned_site.submit(
+        ledger, planned_site.job("g", 2, 8, priority=1, gang=True)
+    )
 
     def seen(now_ms):
         return planner.View(
@@ -257,68 +228,76 @@
 
 
 def test_fast_workers_are_cleared_where_a_stop_and_a_slow_one_are_too_much():
-    ledger = site(racks=1, per_rack=2)
-    occupy(ledger, "w00", "cheap", 8)
-    occupy(ledger, "w01", "dear", 8, placed_ms=-60_000)
-    ledger.submit(commands.SubmitJob(job("u", 1, 8), 1_000))
+    ledger = planned_site.site(racks=1, per_rack=2)
+    planned_site.occupy(ledger, "w00", "cheap", 8)
+    planned_site.occupy(ledger, "w01", "dear", 8, placed_ms=-60_000)
+    ledger.submit(commands.SubmitJob(planned_site.job("u", 1, 8), 1_000))
     assert stop_for_urgent(ledger, {"w00"}, 900) == {"w01"}
     # In time on the slow one too, which is cheaper to clear.
     assert stop_for_urgent(ledger, {"w00"}, 200) == {"w00"}
 
 
 def with_headroom(ledger, headroom, now_ms=0):
-    return dataclasses.replace(view(ledger, now_ms=now_ms), headroom=headroom)
+    return dataclasses.replace(
+        planned_site.view(ledger, now_ms=now_ms), headroom=headroom
+    )
 
 
 def patient_job(job_id, tasks, **step):
     """Returns a job with seconds to spare."""
-    one = job(job_id, tasks, 1, priority=2, **step)
+    one = planned_site.job(job_id, tasks, 1, priority=2, **step)
     terms = dataclasses.replace(one.terms, target_ms=5_000)
     return dataclasses.replace(one, terms=terms)
 
 
 def test_tasks_that_can_wait_leave_headroom_for_urgent_jobs():
     """They were placed and stopped again for the next urgent job."""
-    ledger = site(racks=1)
-    submit(ledger, patient_job("batch", 16))
+    ledger = planned_site.site(racks=1)
+    planned_site.submit(ledger, patient_job("batch", 16))
     made = planner.plan(with_headroom(ledger, 10))
     assert len(made.groups) == 6
-    carry_out(ledger, made)
+    planned_site.carry_out(ledger, made)
     assert planner.plan(with_headroom(ledger, 10)).groups == []
     assert len(planner.plan(with_headroom(ledger, 0)).groups) == 10
 
 
 def test_tasks_that_would_be_late_leave_no_headroom():
-    ledger = site(racks=1)
-    submit(ledger, patient_job("batch", 16))
+    ledger = planned_site.site(racks=1)
+    planned_site.submit(ledger, patient_job("batch", 16))
     made = planner.plan(with_headroom(ledger, 10, now_ms=14_500))
     assert len(made.groups) == 16
 
 
 def test_a_job_of_which_nothing_runs_gets_one_task_whatever_the_headroom():
-    ledger = site(racks=1)
-    submit(ledger, patient_job("batch", 16))
+    ledger = planned_site.site(racks=1)
+    planned_site.submit(ledger, patient_job("batch", 16))
     made = planner.plan(with_headroom(ledger, 16))
     assert len(made.groups) == 1
-    carry_out(ledger, made)
+    planned_site.carry_out(ledger, made)
     assert planner.plan(with_headroom(ledger, 16)).groups == []
 
 
 def test_gangs_and_tasks_that_last_leave_no_headroom():
-    ledger = site(racks=1)
-    submit(ledger, patient_job("gang", 4, gang=True))
-    submit(ledger, patient_job("lasts", 4, long_running=True))
+    ledger = planned_site.site(racks=1)
+    planned_site.submit(ledger, patient_job("gang", 4, gang=True))
+    planned_site.submit(ledger, patient_job("lasts", 4, long_running=True))
     made = planner.plan(with_headroom(ledger, 16))
     assert sum(len(group) for group in made.groups) == 8
 
 
 def test_a_gang_that_no_rack_holds_keeps_room_in_several():
     """Small tasks took the last worker it lacked again and again."""
-    ledger = site(racks=2, per_rack=3)
-    submit(ledger, job("small", 6, 1, priority=2, max_per_worker=1))
-    carry_out(ledger, planner.plan(view(ledger)))
-    submit(ledger, job("wide", 4, 8, priority=1, gang=True))
-    submit(ledger, job("more", 48, 1, priority=2))
-    made = planner.plan(view(ledger, now_ms=planner.FENCE_AFTER_MS))
+    ledger = planned_site.site(racks=2, per_rack=3)
+    planned_site.submit(
+        ledger, planned_site.job("small", 6, 1, priority=2, max_per_worker=1)
+    )
+    planned_site.carry_out(ledger, planner.plan(planned_site.view(ledger)))
+    planned_site.submit(
+        ledger, planned_site.job("wide", 4, 8, priority=1, gang=True)
+    )
+    planned_site.submit(ledger, planned_site.job("more", 48, 1, priority=2))
+    made = planner.plan(
+        planned_site.view(ledger, now_ms=planner.FENCE_AFTER_MS)
+    )
     taken = {p.worker_id for group in made.groups for p in group}
     assert len(ledger.workers) - len(taken) >= 4
