--- a/laburnumsill/batch/tests/planned_site.py
+++ b/laburnumsill/batch/tests/planned_site.py
@@ -58,10 +58,27 @@
     return placed
 
 
-def occupy(ledger, worker_id, job_id, accelerators, placed_ms=0):
+def occupy(
+    ledger, worker_id, job_id, accelerators, placed_ms=0, priority=2, **step
+):
     """Places a long task on one worker."""
-    submit(ledger, job(job_id, 1, accelerators, priority=2))
+    submit(ledger, job(job_id, 1, accelerators, priority, **step))
     run = model.RunId(model.TaskId(job_id, 0, 0, 0), 1)
     placement = commands.Placement(run, worker_id)
     command = commands.PlaceRuns(((placement,),), placed_ms)
     assert ledger.place(command).refusals == ("",)
+
+
+def lose(ledger, worker_id):
+    """Has a worker end."""
+    ledger.remove_worker(commands.RemoveWorker(worker_id, "lost", ended_ms=1))
+
+
+def taken(made):
+    """Returns the workers that a plan gives runs."""
+    return {placed.worker_id for group in made.groups for placed in group}
+
+
+def placed_jobs(made):
+    """Returns the jobs of which a plan places runs."""
+    return {group[0].run.task.job_id for group in made.groups}
