A gang that no rack holds keeps room in several; nobody keeps what cannot hold it

Cause: a gang that waits kept the rack with the most room, whether or not that could hold it. A rack that had lost a worker stayed kept, and a rack was kept for a gang that all workers together cannot hold. Change: batch.keeping chooses among the racks that could hold the gang if they were empty; if none could, the emptiest workers of the pool, no more than it needs; if all of them are too few, nothing. What is kept only gets emptier: a worker takes the place of another only where more of it is free. The planner's own rule for whether a gang waits for one rack uses the same count, which respects max_per_worker. Ruled out: keeping several racks whole (more idle than the gang needs); MAX_FENCED stays 1, so a second waiting gang keeps nothing.

--- a/laburnumsill/batch/packing.py
+++ b/laburnumsill/batch/packing.py
@@ -140,19 +140,25 @@
     unit: units.Unit, rooms: abc.Sequence[room_module.Room]
 ) -> bool:
     """Whether a gang should wait for one rack: some rack could hold it."""
-    if not unit.step.same_rack:
-        return False
-    most = max(
-        (
-            sum(
-                unit.step.needs.times_in(room.worker.capacity)
-                for room in inside
-            )
-            for inside in room_module.by_rack(rooms).values()
-        ),
-        default=0,
-    )
-    return most >= len(unit.tasks)
+    return unit.step.same_rack and bool(racks_that_hold(unit, rooms))
+
+
+def racks_that_hold(
+    unit: units.Unit, rooms: abc.Sequence[room_module.Room]
+) -> dict[str, list[room_module.Room]]:
+    """Returns the racks that could hold a unit if they were empty."""
+    return {
+        rack: inside
+        for rack, inside in room_module.by_rack(rooms).items()
+        if sum(slots_at_best(unit, room) for room in inside) >= len(unit.tasks)
+    }
+
+
+def slots_at_best(unit: units.Unit, room: room_module.Room) -> int:
+    """Returns how many of a unit's tasks a worker could run if empty."""
+    count = unit.step.needs.times_in(room.worker.capacity)
+    most = unit.step.max_per_worker
+    return min(count, most) if most else count
 
 
 def _widest_racks_first(
--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -3,7 +3,7 @@
 Units are taken in order of priority and objective. One that fits is placed;
 an urgent one that does not fit keeps what is about to be free, and stops the
 cheapest runs of lower priority if that is not enough; a gang that has waited
-long keeps a rack for itself, so that small tasks do not starve it.
+long keeps room for itself (`keeping`), so that small tasks do not starve it.
 """
 
 import collections
@@ -12,6 +12,7 @@
 
 from laburnumsill.batch import checks
 from laburnumsill.batch import commands
+from laburnumsill.batch import keeping
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
 from laburnumsill.batch import packing
@@ -158,7 +159,7 @@
         if unit.priority == packing.URGENT_PRIORITY:
             self._make_room(unit, rooms)
         elif unit.step.gang:
-            self._fence_rack(unit, rooms)
+            self._keep_rooms(unit, rooms)
 
     def _fit(
         self, unit: units.Unit, rooms: list[room_module.Room]
@@ -319,32 +320,21 @@
             if room is not None:
                 room.leaving += amount
 
-    def _fence_rack(
+    def _keep_rooms(
         self, unit: units.Unit, rooms: list[room_module.Room]
     ) -> None:
-        """Keeps the rack with the most room for a gang that waits long."""
+        """Keeps for a gang that waits long what will be room for it."""
         waited = self._view.now_ms - unit.waiting_since_ms
         if waited < FENCE_AFTER_MS or self._fenced >= MAX_FENCED:
             return
-        racks = room_module.by_rack(rooms)
-        if not racks:
+        rack_before = self._view.kept_racks.get(unit.key, "")
+        kept = keeping.rooms_for(unit, rooms, rack_before)
+        if kept is None:
             return
         self._fenced += 1
-        rack = self._view.kept_racks.get(unit.key)
-        if rack not in racks:
-            rack = max(
-                racks,
-                key=lambda name: sum(
-                    unit.step.needs.times_in(room.soon_free)
-                    for room in racks[name]
-                ),
-            )
-        self._plan.kept_racks[unit.key] = rack
-        inside = racks[rack]
-        left = len(unit.tasks)
-        for room in sorted(inside, key=_emptiest_first):
-            count = min(left, unit.step.needs.times_in(room.worker.capacity))
-            left -= count
+        if kept.rack:
+            self._plan.kept_racks[unit.key] = kept.rack
+        for room, count in kept.slots:
             for _ in range(count):
                 room.take(unit.step.needs)
 
@@ -375,15 +365,6 @@
     return [room for room in rooms if room.slowness < worker_health.VERY_SLOW]
 
 
-def _emptiest_first(room: room_module.Room) -> tuple[int, str]:
-    """Orders rooms by what of them will be free soon, the most first.
-
-    What is kept for a gang gets no new runs and empties further, so the same
-    rooms are chosen at the next plan.
-    """
-    return (-room.soon_free.accelerators, room.worker.worker_id)
-
-
 def _rooms(view: View) -> dict[str, room_module.Room]:
     """Returns the usable workers with what is free and what is leaving."""
     rooms = {}
--- a/laburnumsill/batch/tests/test_waiting_gangs.py
+++ b/laburnumsill/batch/tests/test_waiting_gangs.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from laburnumsill.batch import commands
 from laburnumsill.batch import planner
 from laburnumsill.batch.tests import planned_site
 
@@ -32,6 +33,73 @@
     return planner.plan(dataclasses.replace(view, **changes))
 
 
+def end_runs(ledger, runs):
+    """Has runs end as done."""
+    for run in runs:
+        worker_id = ledger.runs[run].worker_id
+        number = ledger.noted(worker_id) + 1
+        end = commands.EndedRun(number, run, commands.EndKind.DONE)
+        ledger.note_ends(commands.NoteEnds(worker_id, (end,), LATE_MS))
+
+
+def test_a_gang_that_spans_racks_begins_though_small_tasks_always_wait():
+    ledger = occupied_site(racks=2, per_rack=3)
+    planned_site.submit(ledger, gang("wide", 4), small("many", 1_000))
+    oldest = sorted(ledger.runs)
+    for _ in range(len(ledger.workers)):
+        end_runs(ledger, oldest[:1])
+        oldest = oldest[1:]
+        made = late_plan(ledger)
+        planned_site.carry_out(ledger, made)
+        if "wide" in planned_site.placed_jobs(made):
+            return
+        assert planned_site.placed_jobs(made) <= {"many"}
+    raise AssertionError("the gang did not begin when all others had ended")
+
+
+def test_a_gang_that_spans_racks_keeps_no_more_workers_than_it_needs():
+    ledger = occupied_site(racks=2, per_rack=3)
+    planned_site.submit(ledger, gang("wide", 4), small("many", 48))
+    made = late_plan(ledger)
+    assert len(planned_site.taken(made)) == 2
+
+
+def test_of_several_waiting_gangs_one_keeps_room():
+    ledger = occupied_site(racks=2, per_rack=3)
+    planned_site.submit(ledger, gang("first", 4), gang("second", 4))
+    planned_site.submit(ledger, small("many", 48))
+    made = late_plan(ledger)
+    assert [unit.key[0] for unit in made.waiting] == ["first", "second", "many"]
+    assert len(planned_site.taken(made)) == 2
+
+
+def test_a_gang_that_one_rack_holds_keeps_only_that():
+    ledger = occupied_site(racks=3, per_rack=3)
+    planned_site.submit(ledger, gang("g", 3), small("many", 80))
+    made = late_plan(ledger)
+    racks = [ledger.workers[one].rack for one in planned_site.taken(made)]
+    assert len(racks) == 6 and len(set(racks)) == 2
+
+
+def test_what_becomes_empty_is_kept_instead_of_what_still_runs():
+    ledger = occupied_site(racks=2, per_rack=3)
+    planned_site.submit(ledger, gang("wide", 4), small("many", 48))
+    kept = set(ledger.workers) - planned_site.taken(late_plan(ledger))
+    other = min(set(ledger.workers) - kept)
+    end_runs(ledger, list(ledger.runs_on(other)))
+    assert other not in planned_site.taken(late_plan(ledger))
+
+
+def test_another_worker_is_kept_for_one_that_goes():
+    ledger = occupied_site(racks=2, per_rack=3)
+    planned_site.submit(ledger, gang("wide", 4), small("many", 48))
+    made = late_plan(ledger)
+    kept = set(ledger.workers) - planned_site.taken(made)
+    planned_site.lose(ledger, min(kept))
+    made = late_plan(ledger, kept_racks=made.kept_racks)
+    assert len(planned_site.taken(made)) == 1
+
+
 def test_nothing_is_kept_for_a_gang_that_the_workers_left_do_not_hold():
     """It kept a rack from small tasks until the lost workers came back."""
     ledger = occupied_site(racks=2, per_rack=3)
