Known red: racks on which runs last are waited for

Seen in the code of batch.keeping: what a rack could hold is counted as if all in it ended. Runs that last until their job is cancelled do not, so a gang waits for such a rack, and keeps it idle, for as long as that job is there. Two tests, both fail (pytest laburnumsill/batch/tests/test_waiting_gangs.py).

--- a/laburnumsill/batch/tests/test_waiting_gangs.py
+++ b/laburnumsill/batch/tests/test_waiting_gangs.py
@@ -120,3 +120,28 @@
     again = late_plan(ledger, kept_racks=made.kept_racks)
     (other,) = again.kept_racks.values()
     assert other != rack
+
+
+def test_a_rack_on_which_a_run_lasts_is_not_kept():
+    """Nothing ended there that the gang could wait for."""
+    ledger = planned_site.site(racks=2, per_rack=3)
+    planned_site.occupy(ledger, "w00", "lasts", 1, long_running=True)
+    for worker_id in ("w10", "w11", "w12"):
+        planned_site.occupy(ledger, worker_id, f"on-{worker_id}", 4)
+    planned_site.submit(ledger, gang("g", 3), small("many", 48))
+    racks = {
+        ledger.workers[one].rack
+        for one in planned_site.taken(late_plan(ledger))
+    }
+    assert racks == {"r0"}
+
+
+def test_a_gang_spreads_where_runs_that_last_leave_it_no_whole_rack():
+    ledger = planned_site.site(racks=2, per_rack=3)
+    for rack in range(2):
+        planned_site.occupy(
+            ledger, f"w{rack}0", f"lasts{rack}", 8, long_running=True
+        )
+    planned_site.submit(ledger, gang("g", 3, same_rack=True))
+    ((*placed,),) = planner.plan(planned_site.view(ledger)).groups
+    assert len(placed) == 3
