Runs that last are not waited for

Cause: what a rack could hold was counted as if every run there ended. Runs that last until their job is cancelled do not, so a gang waited for such a rack, or kept it idle, as long as that job was there. Change: rooms say what such runs occupy (one pass over the steps that run, in each plan); packing and keeping count the rest. An urgent gang counts all, since it may stop them.

--- a/laburnumsill/batch/packing.py
+++ b/laburnumsill/batch/packing.py
@@ -146,7 +146,7 @@
 def racks_that_hold(
     unit: units.Unit, rooms: abc.Sequence[room_module.Room]
 ) -> dict[str, list[room_module.Room]]:
-    """Returns the racks that could hold a unit if they were empty."""
+    """Returns the racks that could hold a unit once they are empty."""
     return {
         rack: inside
         for rack, inside in room_module.by_rack(rooms).items()
@@ -155,8 +155,13 @@
 
 
 def slots_at_best(unit: units.Unit, room: room_module.Room) -> int:
-    """Returns how many of a unit's tasks a worker could run if empty."""
-    count = unit.step.needs.times_in(room.worker.capacity)
+    """Returns how many of a unit's tasks a worker can run once it is empty.
+
+    Runs that last do not end by themselves; an urgent unit may stop them.
+    """
+    urgent = unit.priority == URGENT_PRIORITY
+    best = room.worker.capacity if urgent else room.free_at_best
+    count = unit.step.needs.times_in(best)
     most = unit.step.max_per_worker
     return min(count, most) if most else count
 
--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -381,9 +381,22 @@
             if run in view.stopping:
                 room.leaving += view.ledger.needs_of(run)
         rooms[worker_id] = room
+    _add_lasting(view, rooms)
     return rooms
 
 
+def _add_lasting(view: View, rooms: abc.Mapping[str, room_module.Room]) -> None:
+    """Adds to rooms what runs occupy there that do not end by themselves."""
+    for (job_id, _, number), runs in view.ledger.runs_of_steps.items():
+        step = view.ledger.jobs[job_id].job.steps[number]
+        if not step.long_running:
+            continue
+        for run in runs.values():
+            room = rooms.get(run.worker_id)
+            if room is not None and run.run not in view.stopping:
+                room.lasting += step.needs
+
+
 def urgent_use(ledger: ledgers.BatchLedger) -> collections.Counter[str]:
     """Returns the accelerators that urgent jobs need, by client account."""
     use: collections.Counter[str] = collections.Counter()
--- a/laburnumsill/batch/rooms.py
+++ b/laburnumsill/batch/rooms.py
@@ -14,6 +14,7 @@
         worker: The worker.
         free: What nobody occupies or has reserved.
         leaving: What runs occupy that are being stopped.
+        lasting: What runs occupy that last until their job is cancelled.
         slowness: Run time on the worker relative to others.
     """
 
@@ -22,6 +23,9 @@
     leaving: model.Resources = dataclasses.field(
         default_factory=model.Resources
     )
+    lasting: model.Resources = dataclasses.field(
+        default_factory=model.Resources
+    )
     slowness: float = 1.0
 
     @property
@@ -29,6 +33,11 @@
         """What will be free once all that is being stopped has ended."""
         return self.free + self.leaving
 
+    @property
+    def free_at_best(self) -> model.Resources:
+        """What will be free once all has ended that ends by itself."""
+        return self.worker.capacity - self.lasting
+
     def take(self, needs: model.Resources) -> None:
         """Occupies an amount, or keeps it where it will be free soon."""
         self.free -= needs
