Known red: an urgent gang among urgent tasks keeps no room

Seen in the code: an urgent gang for which nothing can be stopped reserves nothing, unlike any other gang, so smaller urgent tasks that come later take what it lacks. The test fails (pytest laburnumsill/batch/tests/test_waiting_gangs.py).

--- a/laburnumsill/batch/tests/test_waiting_gangs.py
+++ b/laburnumsill/batch/tests/test_waiting_gangs.py
@@ -145,3 +145,16 @@
     planned_site.submit(ledger, gang("g", 3, same_rack=True))
     ((*placed,),) = planner.plan(planned_site.view(ledger)).groups
     assert len(placed) == 3
+
+
+def test_an_urgent_gang_for_which_nothing_can_be_stopped_keeps_room():
+    """Other urgent tasks took what it lacked again and again."""
+    ledger = planned_site.site(racks=2, per_rack=3)
+    for worker_id in sorted(ledger.workers):
+        job_id = f"on-{worker_id}"
+        planned_site.occupy(ledger, worker_id, job_id, 1, priority=0)
+    urgent = planned_site.job("z-many", 48, 1)
+    planned_site.submit(ledger, gang("wide", 4, priority=0), urgent)
+    made = late_plan(ledger)
+    assert made.stops == []
+    assert len(planned_site.taken(made)) == 2
