An urgent gang that nothing can be stopped for keeps room too

Cause: an urgent gang among urgent work reserved nothing where it found no eviction, so smaller urgent tasks that came later took what it lacked. Change: after FENCE_AFTER_MS it keeps room as other gangs do; still one gang at a time. Ruled out: reserving at once; most urgent jobs end sooner than that.

--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -3,7 +3,8 @@
 Units are taken in order of priority and objective. One that fits is placed;
 an urgent one that does not fit keeps what is about to be free, and stops the
 cheapest runs of lower priority if that is not enough; a gang that has waited
-long keeps room for itself (`keeping`), so that small tasks do not starve it.
+long keeps room for itself (`keeping`), so that small tasks do not starve it,
+also an urgent one that nothing can be stopped for.
 """
 
 import collections
@@ -285,6 +286,8 @@
         )
         if eviction is None:
             self._reserve(unit, soon)
+            if unit.step.gang:
+                self._keep_rooms(unit, rooms)
             return
         for victim in eviction.victims:
             self._stop(victim)
