Known red: jobs stand still beside room that is kept for a gang

Cause: a gang that spans racks may keep most of a site until its last worker is free; jobs that found no room elsewhere had nothing running meanwhile on an idle site. Two tests fail, two more that bound the mend pass already (pytest laburnumsill/batch/tests/test_waiting_gangs.py).

--- a/laburnumsill/batch/tests/test_waiting_gangs.py
+++ b/laburnumsill/batch/tests/test_waiting_gangs.py
@@ -158,3 +158,44 @@
     made = late_plan(ledger)
     assert made.stops == []
     assert len(planned_site.taken(made)) == 2
+
+
+def mostly_kept_site():
+    """Returns a site of which a waiting gang keeps all but a full worker."""
+    ledger = planned_site.site(racks=2, per_rack=3)
+    planned_site.occupy(ledger, "w00", "full", 8)
+    planned_site.occupy(ledger, "w01", "last", 1)
+    planned_site.submit(ledger, gang("wide", 5))
+    return ledger
+
+
+def test_a_job_gets_on_in_kept_room_while_the_site_is_mostly_free():
+    """It stood still beside an idle site until the gang's last worker."""
+    ledger = mostly_kept_site()
+    planned_site.submit(ledger, small("many", 48))
+    made = late_plan(ledger)
+    planned_site.carry_out(ledger, made)
+    assert [len(group) for group in made.groups] == [1]
+    assert planned_site.taken(made) == {"w01"}  # where the gang waits anyhow
+    assert late_plan(ledger).groups == []
+
+
+def test_a_gang_gets_on_in_kept_room_while_the_site_is_mostly_free():
+    ledger = mostly_kept_site()
+    planned_site.submit(ledger, gang("x-small", 2, priority=2))
+    made = late_plan(ledger)
+    assert [len(group) for group in made.groups] == [2]
+
+
+def test_a_job_that_came_just_now_leaves_kept_room_alone():
+    ledger = mostly_kept_site()
+    ledger.submit(commands.SubmitJob(small("new", 1), LATE_MS - 100))
+    assert late_plan(ledger).groups == []
+
+
+def test_a_job_leaves_kept_room_alone_while_the_site_is_mostly_in_use():
+    ledger = mostly_kept_site()
+    for number in range(2):
+        planned_site.occupy(ledger, f"w1{number}", f"busy{number}", 8)
+    planned_site.submit(ledger, small("many", 48))
+    assert late_plan(ledger).groups == []
