No job stands still beside room that is kept on a mostly free site

Cause: what a gang keeps is idle until its last worker is free. Jobs that found no room elsewhere had nothing running meanwhile, also on a site of which less than half was in use. Change: what is kept is told from what is taken (rooms.Room.kept). A unit of which nothing runs, that has waited SPREAD_AFTER_MS, gets one task into kept room while most of its pool is free, where the least is free; a gang goes whole. mostly_free counts kept room as free, and does not hold at exactly half any more, as it said already.

--- a/laburnumsill/batch/packing.py
+++ b/laburnumsill/batch/packing.py
@@ -25,6 +25,11 @@
     return room.soon_free
 
 
+def free_or_kept(room: room_module.Room) -> model.Resources:
+    """Returns what is free now, also what is kept for a gang that waits."""
+    return room.free_or_kept
+
+
 def eligible(
     unit: units.Unit, rooms: abc.Iterable[room_module.Room]
 ) -> list[room_module.Room]:
@@ -238,13 +243,17 @@
 
 
 def mostly_free(rooms: abc.Iterable[room_module.Room]) -> bool:
-    """Returns whether less than half of what workers have is in use."""
+    """Returns whether less than half of what workers have is in use.
+
+    What is kept for a gang that waits is not in use.
+    """
     capacity = free = model.Resources()
     for room in rooms:
         capacity += room.worker.capacity
-        free += room.free
+        free += room.free_or_kept
+    used = capacity - free
     return (
-        2 * free.accelerators >= capacity.accelerators
-        and 2 * free.cpu_millis >= capacity.cpu_millis
-        and 2 * free.memory_mb >= capacity.memory_mb
+        2 * used.accelerators < max(1, capacity.accelerators)
+        and 2 * used.cpu_millis < max(1, capacity.cpu_millis)
+        and 2 * used.memory_mb < max(1, capacity.memory_mb)
     )
--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -149,6 +149,8 @@
         rooms = self._eligible(unit)
         found = [] if self._has_no_room(unit) else self._fit(unit, rooms)
         found = self._within_headroom(unit, found)
+        if not found and self._fenced:
+            found = self._fit_into_kept(unit, rooms)
         self._take(unit, found)
         placed = {task for task, _ in found}
         unit.tasks = [task for task in unit.tasks if task not in placed]
@@ -173,6 +175,25 @@
             self._may_spread(unit, rooms),
         )
 
+    def _fit_into_kept(
+        self, unit: units.Unit, rooms: list[room_module.Room]
+    ) -> packing.Assignment:
+        """Returns where a unit gets on in room that is kept for a gang.
+
+        A job must not stand still because a gang waits for the last of its
+        workers while most of the pool is free. One task is enough for that,
+        and delays the gang little: it goes where the least is free.
+        """
+        waited = self._view.now_ms - unit.waiting_since_ms
+        if waited < SPREAD_AFTER_MS or unit.key in self._ledger.runs_of_steps:
+            return []
+        if not self._is_mostly_free(unit):
+            return []
+        found = packing.fit(
+            unit, rooms, packing.free_or_kept, self._count_on, True
+        )
+        return found if unit.step.gang else found[:1]
+
     def _within_headroom(
         self, unit: units.Unit, found: packing.Assignment
     ) -> packing.Assignment:
@@ -224,6 +245,13 @@
         waited = self._view.now_ms - unit.waiting_since_ms
         return waited >= SPREAD_AFTER_MS and packing.mostly_free(rooms)
 
+    def _is_mostly_free(self, unit: units.Unit) -> bool:
+        """Whether most of a unit's pool is free, or only kept for a gang."""
+        suitable = self._suitable_for(unit)
+        if suitable.mostly_free:
+            suitable.mostly_free = packing.mostly_free(suitable.all)
+        return suitable.mostly_free
+
     def _suitable_for(self, unit: units.Unit) -> "_Suitable":
         """Returns the workers of a unit's pool that have its label."""
         key = (unit.record.job.terms.pool, unit.step.required_label)
@@ -339,7 +367,7 @@
             self._plan.kept_racks[unit.key] = kept.rack
         for room, count in kept.slots:
             for _ in range(count):
-                room.take(unit.step.needs)
+                room.keep(unit.step.needs)
 
     def _reserve(self, unit: units.Unit, found: packing.Assignment) -> None:
         for _, room in found:
@@ -349,17 +377,20 @@
         return checks.count_on(self._ledger, worker_id, task)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class _Suitable:
     """The rooms that may run a kind of unit.
 
     Attributes:
         all: All of them.
         sound: Those whose workers are not very slow.
+        mostly_free: Whether most of them may be free. What is free only
+            becomes less while a plan is made, so False stays.
     """
 
     all: list[room_module.Room]
     sound: list[room_module.Room]
+    mostly_free: bool = True
 
 
 def _without_very_slow(
--- a/laburnumsill/batch/rooms.py
+++ b/laburnumsill/batch/rooms.py
@@ -13,6 +13,7 @@
     Attributes:
         worker: The worker.
         free: What nobody occupies or has reserved.
+        kept: What is not free since it is kept for a gang that waits.
         leaving: What runs occupy that are being stopped.
         lasting: What runs occupy that last until their job is cancelled.
         slowness: Run time on the worker relative to others.
@@ -20,6 +21,7 @@
 
     worker: model.Worker
     free: model.Resources
+    kept: model.Resources = dataclasses.field(default_factory=model.Resources)
     leaving: model.Resources = dataclasses.field(
         default_factory=model.Resources
     )
@@ -33,6 +35,11 @@
         """What will be free once all that is being stopped has ended."""
         return self.free + self.leaving
 
+    @property
+    def free_or_kept(self) -> model.Resources:
+        """What nobody occupies, whoever waits for it."""
+        return self.free + self.kept
+
     @property
     def free_at_best(self) -> model.Resources:
         """What will be free once all has ended that ends by itself."""
@@ -42,6 +49,11 @@
         """Occupies an amount, or keeps it where it will be free soon."""
         self.free -= needs
 
+    def keep(self, needs: model.Resources) -> None:
+        """Keeps an amount for a gang that waits."""
+        self.free -= needs
+        self.kept += needs
+
 
 def by_rack(rooms: abc.Iterable[Room]) -> dict[str, list[Room]]:
     """Returns rooms by the rack that they stand in."""
--- a/laburnumsill/batch/tests/test_waiting_gangs.py
+++ b/laburnumsill/batch/tests/test_waiting_gangs.py
@@ -95,7 +95,9 @@
     planned_site.submit(ledger, gang("wide", 4), small("many", 48))
     made = late_plan(ledger)
     kept = set(ledger.workers) - planned_site.taken(made)
-    planned_site.lose(ledger, min(kept))
+    gone = min(kept)
+    ledger.cancel(commands.CancelJob(f"on-{gone}", LATE_MS))
+    planned_site.lose(ledger, gone)
     made = late_plan(ledger, kept_racks=made.kept_racks)
     assert len(planned_site.taken(made)) == 1
 
