Checks of a placement read a view of the ledger

Cause: batch.checks and batch.ledger imported each other, hidden by an import for types only. Change: batch.ledger_view is what checks need, an abstract base class of five reads; the ledger is one. No behaviour changes; a search of the import graph for circles finds none in the whole package. Ran: make check, pytest laburnumsill/batch.

--- a/laburnumsill/batch/checks.py
+++ b/laburnumsill/batch/checks.py
@@ -1,17 +1,13 @@
 """Whether a group of runs may be placed."""
 
-import typing
-
 from laburnumsill.batch import commands
+from laburnumsill.batch import ledger_view
 from laburnumsill.batch import model
 
-if typing.TYPE_CHECKING:
-    from laburnumsill.batch import ledger as ledgers
-
 Group = tuple[commands.Placement, ...]
 
 
-def placement_refusal(ledger: "ledgers.BatchLedger", group: Group) -> str:
+def placement_refusal(ledger: ledger_view.LedgerView, group: Group) -> str:
     """Returns why a group may not be placed, "" if it may.
 
     The planner works on a state that may be a few commands old; what it
@@ -27,7 +23,7 @@
 
 
 def _task_refusal(
-    ledger: "ledgers.BatchLedger", placement: commands.Placement
+    ledger: ledger_view.LedgerView, placement: commands.Placement
 ) -> str:
     task = placement.run.task
     job = ledger.jobs.get(task.job_id)
@@ -48,7 +44,7 @@
 
 
 def _worker_refusal(
-    ledger: "ledgers.BatchLedger", placement: commands.Placement
+    ledger: ledger_view.LedgerView, placement: commands.Placement
 ) -> str:
     worker = ledger.workers.get(placement.worker_id)
     if worker is None:
@@ -64,7 +60,7 @@
     return ""
 
 
-def _gang_refusal(ledger: "ledgers.BatchLedger", group: Group) -> str:
+def _gang_refusal(ledger: ledger_view.LedgerView, group: Group) -> str:
     """Checks that gangs are whole and their members' runs have one number."""
     steps: dict[model.StepKey, list[model.RunId]] = {}
     for placement in group:
@@ -82,7 +78,7 @@
     return ""
 
 
-def _room_refusal(ledger: "ledgers.BatchLedger", group: Group) -> str:
+def _room_refusal(ledger: ledger_view.LedgerView, group: Group) -> str:
     free: dict[str, model.Resources] = {}
     counts: dict[tuple[str, model.StepKey], int] = {}
     for placement in group:
@@ -103,7 +99,7 @@
 
 
 def count_on(
-    ledger: "ledgers.BatchLedger", worker_id: str, task: model.TaskId
+    ledger: ledger_view.LedgerView, worker_id: str, task: model.TaskId
 ) -> int:
     """Returns how many live runs of a task's step a worker has."""
     return sum(
--- a/laburnumsill/batch/ledger.py
+++ b/laburnumsill/batch/ledger.py
@@ -11,6 +11,7 @@
 
 from laburnumsill.batch import checks
 from laburnumsill.batch import commands
+from laburnumsill.batch import ledger_view
 from laburnumsill.batch import live_runs
 from laburnumsill.batch import model
 from laburnumsill.batch import records
@@ -35,7 +36,7 @@
     ended_workers: dict[str, int]
 
 
-class BatchLedger(replication.Component):
+class BatchLedger(replication.Component, ledger_view.LedgerView):
     """Jobs, workers and live runs of one site.
 
     What always holds: a task has at most one live run; the live runs of a
