What is learnt of runs skips saved progress in one place

Cause: run_times and worker_speeds each looked up a run's job, step and task to leave out runs that go on from saved progress. Change: placed_runs does it for both, and asks them of a step and its group.

--- a/laburnumsill/batch/model.py
+++ b/laburnumsill/batch/model.py
@@ -115,8 +115,7 @@
         """Whether what one of its tasks takes tells of the worker.
 
         That of a gang is its slowest member's; one far from its data takes
-        longer anywhere. One that goes on from saved progress is shorter,
-        which is up to the run.
+        longer anywhere.
         """
         return not self.gang and not self.data_rack
 
--- a/laburnumsill/batch/placed_runs.py
+++ b/laburnumsill/batch/placed_runs.py
@@ -13,8 +13,8 @@
 Group = tuple[commands.Placement, ...]
 """Runs that were placed together."""
 
-Tells = abc.Callable[[model.RunId, Group], bool]
-"""Returns whether the time of a run, placed in a group, is wanted."""
+Tells = abc.Callable[[model.Step, Group], bool]
+"""Returns whether the time of a step's run, placed in a group, is wanted."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,9 +35,12 @@
 class PlacedRuns:
     """The runs of a ledger that are waited for.
 
+    Runs that go on from saved progress are left out: they are shorter, and how
+    much is up to the run.
+
     Args:
         ledger: The ledger that the commands were applied to.
-        tells: Which runs are of interest; asked when they are placed.
+        tells: Which other runs are of interest; asked when they are placed.
     """
 
     def __init__(self, ledger: ledgers.BatchLedger, tells: Tells) -> None:
@@ -57,7 +60,7 @@
         for group in command.groups:
             for placement in group:
                 run = placement.run
-                if run in self._ledger.runs and self._tells(run, group):
+                if run in self._ledger.runs and self._is_wanted(run, group):
                     place = (placement.worker_id, command.at_ms)
                     self._placed[run] = place
         if len(self._placed) > MAX_UNFINISHED:
@@ -66,6 +69,13 @@
                 run: place for run, place in self._placed.items() if run in live
             }
 
+    def _is_wanted(self, run: model.RunId, group: Group) -> bool:
+        record = self._ledger.jobs[run.task.job_id]
+        task = record.task(run.task)
+        if task is None or task.saved:
+            return False
+        return self._tells(record.job.steps[run.task.step], group)
+
     def _end(self, command: commands.NoteEnds) -> abc.Iterator[DoneRun]:
         for end in command.ends:
             worker_id, placed_ms = self._placed.pop(end.run, ("", 0))
--- a/laburnumsill/batch/run_times.py
+++ b/laburnumsill/batch/run_times.py
@@ -101,12 +101,9 @@
         for run in self._placed.done_by(command):
             self._take_run(run)
 
-    def _is_usual(self, run: model.RunId, group: placed_runs.Group) -> bool:
-        """Whether a run does all the work of its task, near its data."""
-        record = self._ledger.jobs[run.task.job_id]
-        step = record.job.steps[run.task.step]
-        task = record.task(run.task)
-        if task is None or task.saved or step.data_rack or step.long_running:
+    def _is_usual(self, step: model.Step, group: placed_runs.Group) -> bool:
+        """Whether runs do all the work of their tasks, near their data."""
+        if step.data_rack or step.long_running:
             return False
         return not step.same_rack or len(self._racks(group)) == 1
 
--- a/laburnumsill/batch/worker_speeds.py
+++ b/laburnumsill/batch/worker_speeds.py
@@ -64,7 +64,7 @@
 
     def __init__(self, ledger: ledgers.BatchLedger) -> None:
         self._ledger = ledger
-        self._placed = placed_runs.PlacedRuns(ledger, self._is_comparable)
+        self._placed = placed_runs.PlacedRuns(ledger, _is_comparable)
         self._steps: collections.OrderedDict[model.StepKey, _StepTimes] = (
             collections.OrderedDict()
         )
@@ -92,16 +92,6 @@
             self._workers.pop(command.worker_id, None)
             self._effects.pop(command.worker_id, None)
 
-    def _is_comparable(
-        self, run: model.RunId, group: placed_runs.Group
-    ) -> bool:
-        """Whether a run's time will tell of its worker, see the step."""
-        record = self._ledger.jobs[run.task.job_id]
-        step = record.job.steps[run.task.step]
-        task = record.task(run.task)
-        fresh = task is not None and not task.saved
-        return fresh and step.tells_speed
-
     def _add(self, task: model.TaskId, worker_id: str, time: float) -> None:
         key = task.step_key
         step = self._steps.setdefault(key, _StepTimes())
@@ -142,3 +132,8 @@
         known = sorted(self._effects.values())
         if known:
             self._usual_effect = known[int(len(known) * USUAL_QUANTILE)]
+
+
+def _is_comparable(step: model.Step, _: placed_runs.Group) -> bool:
+    """Whether a run's time will tell of its worker."""
+    return step.tells_speed
