--- a/laburnumsill/batch/packing.py
+++ b/laburnumsill/batch/packing.py
@@ -25,6 +25,11 @@
     return room.soon_free
 
 
+def free_or_kept(room: room_module.Room) -> model.Resources:
+    """Returns what is free now, also what is kept for a gang that waits."""
+    return room.free_or_kept
+
+
 def eligible(
     unit: units.Unit, rooms: abc.Iterable[room_module.Room]
 ) -> list[room_module.Room]:
@@ -140,19 +145,30 @@
     unit: units.Unit, rooms: abc.Sequence[room_module.Room]
 ) -> bool:
     """Whether a gang should wait for one rack: some rack could hold it."""
-    if not unit.step.same_rack:
-        return False
-    most = max(
-        (
-            sum(
-                unit.step.needs.times_in(room.worker.capacity)
-                for room in inside
-            )
-            for inside in room_module.by_rack(rooms).values()
-        ),
-        default=0,
-    )
-    return most >= len(unit.tasks)
+    return unit.step.same_rack and bool(racks_that_hold(unit, rooms))
+
+
+def racks_that_hold(
+    unit: units.Unit, rooms: abc.Sequence[room_module.Room]
+) -> dict[str, list[room_module.Room]]:
+    """Returns the racks that could hold a unit once they are empty."""
+    return {
+        rack: inside
+        for rack, inside in room_module.by_rack(rooms).items()
+        if sum(slots_at_best(unit, room) for room in inside) >= len(unit.tasks)
+    }
+
+
+def slots_at_best(unit: units.Unit, room: room_module.Room) -> int:
+    """Returns how many of a unit's tasks a worker can run once it is empty.
+
+    Runs that last do not end by themselves; an urgent unit may stop them.
+    """
+    urgent = unit.priority == URGENT_PRIORITY
+    best = room.worker.capacity if urgent else room.free_at_best
+    count = unit.step.needs.times_in(best)
+    most = unit.step.max_per_worker
+    return min(count, most) if most else count
 
 
 def _widest_racks_first(
@@ -227,13 +243,17 @@
 
 
 def mostly_free(rooms: abc.Iterable[room_module.Room]) -> bool:
-    """Returns whether less than half of what workers have is in use."""
+    """Returns whether less than half of what workers have is in use.
+
+    What is kept for a gang that waits is not in use.
+    """
     capacity = free = model.Resources()
     for room in rooms:
         capacity += room.worker.capacity
-        free += room.free
+        free += room.free_or_kept
+    used = capacity - free
     return (
-        2 * free.accelerators >= capacity.accelerators
-        and 2 * free.cpu_millis >= capacity.cpu_millis
-        and 2 * free.memory_mb >= capacity.memory_mb
+        2 * used.accelerators < max(1, capacity.accelerators)
+        and 2 * used.cpu_millis < max(1, capacity.cpu_millis)
+        and 2 * used.memory_mb < max(1, capacity.memory_mb)
     )
--- a/laburnumsill/batch/rooms.py
+++ b/laburnumsill/batch/rooms.py
@@ -13,15 +13,21 @@
     Attributes:
         worker: The worker.
         free: What nobody occupies or has reserved.
+        kept: What is not free since it is kept for a gang that waits.
         leaving: What runs occupy that are being stopped.
+        lasting: What runs occupy that last until their job is cancelled.
         slowness: Run time on the worker relative to others.
     """
 
     worker: model.Worker
     free: model.Resources
+    kept: model.Resources = dataclasses.field(default_factory=model.Resources)
     leaving: model.Resources = dataclasses.field(
         default_factory=model.Resources
     )
+    lasting: model.Resources = dataclasses.field(
+        default_factory=model.Resources
+    )
     slowness: float = 1.0
 
     @property
@@ -29,10 +35,25 @@
         """What will be free once all that is being stopped has ended."""
         return self.free + self.leaving
 
+    @property
+    def free_or_kept(self) -> model.Resources:
+        """What nobody occupies, whoever waits for it."""
+        return self.free + self.kept
+
+    @property
+    def free_at_best(self) -> model.Resources:
+        """What will be free once all has ended that ends by itself."""
+        return self.worker.capacity - self.lasting
+
     def take(self, needs: model.Resources) -> None:
         """Occupies an amount, or keeps it where it will be free soon."""
         self.free -= needs
 
+    def keep(self, needs: model.Resources) -> None:
+        """Keeps an amount for a gang that waits."""
+        self.free -= needs
+        self.kept += needs
+
 
 def by_rack(rooms: abc.Iterable[Room]) -> dict[str, list[Room]]:
     """Returns rooms by the rack that they stand in."""
