--- a/laburnumsill/batch/tests/test_waiting_gangs.py
+++ b/laburnumsill/batch/tests/test_waiting_gangs.py
@@ -201,3 +201,20 @@
         planned_site.occupy(ledger, f"w1{number}", f"busy{number}", 8)
     planned_site.submit(ledger, small("many", 48))
     assert late_plan(ledger).groups == []
+
+
+def test_a_gang_does_not_spread_into_kept_room():
+    """It was three times as slow there, and held up the gang that waited."""
+    ledger = planned_site.site(racks=2, per_rack=3)
+    used = {"w01": 1, "w02": 5, "w10": 8, "w11": 8, "w12": 1}
+    for worker_id, accelerators in used.items():
+        job_id = f"on-{worker_id}"
+        planned_site.occupy(ledger, worker_id, job_id, accelerators)
+    planned_site.submit(ledger, gang("first", 3, same_rack=True))
+    second = planned_site.job(
+        "second", 4, 4, priority=2, gang=True, same_rack=True
+    )
+    planned_site.submit(ledger, second)
+    made = late_plan(ledger)
+    assert made.kept_racks == {("first", 0, 0): "r0"}
+    assert made.groups == []
