Gangs do not spread into room that is kept for another

Cause: a unit that stood still was let into kept room as if it might spread, and kept room counted as free where a gang decides whether to spread.

--- a/laburnumsill/batch/packing.py
+++ b/laburnumsill/batch/packing.py
@@ -242,15 +242,17 @@
     return found
 
 
-def mostly_free(rooms: abc.Iterable[room_module.Room]) -> bool:
+def mostly_free(rooms: abc.Iterable[room_module.Room], room_of: RoomOf) -> bool:
     """Returns whether less than half of what workers have is in use.
 
-    What is kept for a gang that waits is not in use.
+    Args:
+        rooms: The workers.
+        room_of: What of a worker counts as not in use.
     """
     capacity = free = model.Resources()
     for room in rooms:
         capacity += room.worker.capacity
-        free += room.free_or_kept
+        free += room_of(room)
     used = capacity - free
     return (
         2 * used.accelerators < max(1, capacity.accelerators)
--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -182,16 +182,15 @@
 
         A job must not stand still because a gang waits for the last of its
         workers while most of the pool is free. One task is enough for that,
-        and delays the gang little: it goes where the least is free.
+        and delays the gang little: it goes where the least is free. Another
+        gang goes there if it need not spread; it would hold the room long.
         """
         waited = self._view.now_ms - unit.waiting_since_ms
         if waited < SPREAD_AFTER_MS or unit.key in self._ledger.runs_of_steps:
             return []
         if not self._is_mostly_free(unit):
             return []
-        found = packing.fit(
-            unit, rooms, packing.free_or_kept, self._count_on, True
-        )
+        found = packing.fit(unit, rooms, packing.free_or_kept, self._count_on)
         return found if unit.step.gang else found[:1]
 
     def _within_headroom(
@@ -243,13 +242,17 @@
     ) -> bool:
         """Whether a gang should rather run slowly than wait for one rack."""
         waited = self._view.now_ms - unit.waiting_since_ms
-        return waited >= SPREAD_AFTER_MS and packing.mostly_free(rooms)
+        return waited >= SPREAD_AFTER_MS and packing.mostly_free(
+            rooms, packing.free_now
+        )
 
     def _is_mostly_free(self, unit: units.Unit) -> bool:
         """Whether most of a unit's pool is free, or only kept for a gang."""
         suitable = self._suitable_for(unit)
         if suitable.mostly_free:
-            suitable.mostly_free = packing.mostly_free(suitable.all)
+            suitable.mostly_free = packing.mostly_free(
+                suitable.all, packing.free_or_kept
+            )
         return suitable.mostly_free
 
     def _suitable_for(self, unit: units.Unit) -> "_Suitable":
