Tests of announcements that name no usable worker, red so far

An address like host:99999 is taken as well, and the first order to it raises ValueError in the leader, which ends its daemon.

--- a/laburnumsill/clients/tests/test_http_pools.py
+++ b/laburnumsill/clients/tests/test_http_pools.py
@@ -74,3 +74,13 @@
         assert server.connections == 5
         await pools.close()
         nursery.cancel_scope.cancel()
+
+
+async def test_an_address_that_cannot_be_used_is_a_failure_with_a_type():
+    """Anything else would end the loop of whoever calls."""
+    pools = http_pools.HttpPools(trio_clock.TrioClock(), LIMITS)
+    wrong = ["", "x:99999", "x:y", "é:80", f"{'a' * 70}:80", "x y:1", "::1:8"]
+    for address in wrong:
+        with pytest.raises(http_pools.NoResponseError):
+            await request(pools, address)
+    await pools.close()
