The test server of kept connections reads a request to its end

The test that one unanswered request ends all silent connections failed now and then. Its server answered each piece that it received, so a request whose body came in a piece of its own was answered twice; the client found the second answer on the idle connection, took it for ended, and opened a new one, which is not silent. What the test asserts is unchanged.

--- a/laburnumsill/clients/tests/test_http_pools.py
+++ b/laburnumsill/clients/tests/test_http_pools.py
@@ -12,6 +12,7 @@
     connections=8, keep_alive_s=60.0, connect_within_s=1.0
 )
 PATIENCE_S = 0.2
+BODY = b"{}"
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
@@ -45,16 +46,26 @@
         if number == self._first:
             self._all_open.set()
         with contextlib.suppress(trio.BrokenResourceError):
-            while await stream.receive_some():
+            while await self._received_whole(stream):
                 await self._all_open.wait()
                 if number <= self._silent_up_to:
                     await trio.sleep_forever()
                 await stream.send_all(ANSWER)
 
+    async def _received_whole(self, stream):
+        """Waits for a request; its body may come in a piece of its own."""
+        raw = b""
+        while not raw.endswith(BODY):
+            piece = await stream.receive_some()
+            if not piece:
+                return False
+            raw += piece
+        return True
+
 
 async def request(pools, address):
     deadline = trio.current_time() + PATIENCE_S
-    return await pools.request("POST", address, "/x", {}, b"{}", deadline)
+    return await pools.request("POST", address, "/x", {}, BODY, deadline)
 
 
 async def test_one_unanswered_request_ends_all_silent_connections():
