Announcements are refused unless they are whole and sound

What a worker always sends had defaults here, so that an announcement of another writer became a worker: without a state it counted as ready, without a capacity as an empty one. A body nested deeply or with a number over 64 bits ended in an untyped error, and an address such as host:99999 was committed and ended the daemon of each leader that gave an order there.

Now a module of its own decodes announcements, with bounds on each field, and refuses what repeats a name, has other bytes than UTF-8, or names an id or an address that no order could reach. The answer is a 400 with a type of its own; one log line has the reason; nothing reaches the leader. The client of workers turns an address that makes no URL into its own error.

The test of the decoded heartbeat moved to test_announcements.py with all that it asserted.

--- a/laburnumsill/clients/http_pools.py
+++ b/laburnumsill/clients/http_pools.py
@@ -67,23 +67,25 @@
         """Returns the response, whatever its status.
 
         Raises:
-            NoResponseError: None came before the monotonic deadline.
+            NoResponseError: None came before the monotonic deadline, or the
+                address is none that can be used.
         """
         call = f"{method} {path} at {address}"
+        url = _url(address, path)
         remaining = deadline - self._clock.monotonic()
         await self._close_unused()
         try:
             with trio.move_on_after(max(0.0, remaining)):
                 return await self._pool_of(address).request(
                     method,
-                    f"http://{address}{path}",
+                    url,
                     headers=list(headers.items()),
                     content=content,
                     extensions={
                         "timeout": {"connect": self._limits.connect_within_s}
                     },
                 )
-        except (OSError, *_LOST) as error:
+        except (OSError, UnicodeError, *_LOST) as error:
             raise NoResponseError(f"{call}: {error!r}") from error
         await self._close_idle(address)
         raise NoResponseError(f"{call}: none in time")
@@ -127,6 +129,18 @@
             await pool.aclose()
 
 
+def _url(address: str, path: str) -> httpcore.URL:
+    """Returns where a request goes.
+
+    Raises:
+        NoResponseError: The address can not be part of a URL.
+    """
+    try:
+        return httpcore.URL(f"http://{address}{path}")
+    except (ValueError, TypeError) as error:
+        raise NoResponseError(f"{path} at {address!r}: {error}") from error
+
+
 _LOST = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
--- a/laburnumsill/platform/control_app.py
+++ b/laburnumsill/platform/control_app.py
@@ -6,9 +6,9 @@
 from laburnumsill.core import logs
 from laburnumsill.core import metrics as metrics_module
 from laburnumsill.core import replication
+from laburnumsill.platform import announcements
 from laburnumsill.platform import decoding
 from laburnumsill.platform import http
-from laburnumsill.platform import wire
 from laburnumsill.state import highest_version
 
 CONFIGURATION_PATH = "/-/config"
@@ -56,6 +56,7 @@
         if scope["type"] != "http":
             return
         request = http.request_of(scope)
+        reason = ""
         try:
             body = await http.read_body(receive)
             answer = await self._answer(request, body)
@@ -63,10 +64,12 @@
             return
         except errors.OutcomeUnknownError as error:
             answer = http.failure(503, error)
+            reason = error.detail
         except errors.LaburnumsillError as error:
             answer = http.failure(error.status, error)
+            reason = error.detail
         await http.send_answer(send, answer)
-        self._note(request, answer)
+        self._note(request, answer, reason)
 
     async def _answer(self, request: http.Request, body: bytes) -> http.Answer:
         if request.path == CONFIGURATION_PATH:
@@ -80,6 +83,7 @@
             if request.method == "PUT":
                 return await self._announce(worker_id, body)
             if request.method == "DELETE":
+                announcements.check_worker_id(worker_id)
                 await self._intake.leave(worker_id)
                 return http.json_answer(200, {})
             return http.Answer(405)
@@ -116,21 +120,17 @@
         return http.Answer(200, highest_version.unpack(document.packed))
 
     async def _announce(self, worker_id: str, body: bytes) -> http.Answer:
-        heartbeat = decoding.parse(body, wire.HeartbeatBody)
-        leader = await self._intake.announce(
-            intakes.Announcement(
-                decoding.worker(worker_id, heartbeat),
-                heartbeat.seq,
-                heartbeat.clock_ms,
-            )
-        )
+        announcement = announcements.decode(worker_id, body)
+        leader = await self._intake.announce(announcement)
         address = f"{leader}:{self._control_port}"
         return http.json_answer(200, {"heartbeat_addr": address})
 
     def _deadline(self) -> float:
         return self._clock.monotonic() + CONFIGURATION_WITHIN_S
 
-    def _note(self, request: http.Request, answer: http.Answer) -> None:
+    def _note(
+        self, request: http.Request, answer: http.Answer, reason: str
+    ) -> None:
         is_worker = request.path.startswith(INSTANCES_PREFIX)
         self._metrics.count(
             "control_requests_total",
@@ -145,4 +145,5 @@
                 method=request.method,
                 path=request.path[:80],
                 status=answer.status,
+                reason=reason[:200],
             )
--- a/laburnumsill/platform/decoding.py
+++ b/laburnumsill/platform/decoding.py
@@ -19,9 +19,6 @@
 """Most tasks of a job, all occurrences together: what the ledger can carry
 for one caller. The largest job of the users' sites has some hundred."""
 
-DRAINING = "draining"
-"""A worker's state on the wire when it is about to leave."""
-
 T = typing.TypeVar("T")
 
 
@@ -40,8 +37,10 @@
     """
     try:
         return msgspec.json.decode(raw, type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeError) as error:
         raise MalformedBodyError(str(error)) from error
+    except RecursionError as error:
+        raise MalformedBodyError("nested too deeply") from error
 
 
 def is_job_id(text: str) -> bool:
@@ -118,35 +117,6 @@
     )
 
 
-def worker(worker_id: str, body: wire.HeartbeatBody) -> model.Worker:
-    """Returns what a heartbeat tells of a worker."""
-    return model.Worker(
-        worker_id,
-        body.service,
-        body.address,
-        body.zone,
-        model.Resources(
-            body.capacity.cpu, body.capacity.mem_mb, body.capacity.gpu
-        ),
-        body.labels,
-        _rack(body.labels),
-        body.state == DRAINING,
-    )
-
-
-def _rack(labels: tuple[str, ...]) -> str:
-    """Returns the rack among a worker's labels.
-
-    The wire does not mark it: labels are the worker's kind and its rack, in
-    this order, and racks are named like ``r1-3``.
-
-    Examples:
-        >>> _rack(("a", "r1-3"))
-        'r1-3'
-    """
-    return labels[-1] if len(labels) > 1 else ""
-
-
 def configuration(raw: bytes) -> site.SiteConfiguration:
     """Returns a configuration that may be put in force.
 
--- a/laburnumsill/platform/tests/test_announcements.py
+++ b/laburnumsill/platform/tests/test_announcements.py
@@ -2,10 +2,13 @@
 
 import json
 
+import hypothesis
+import hypothesis.strategies as st
 import loguru
 import trio
 
 from laburnumsill.batch import intake as intakes
+from laburnumsill.batch import model
 from laburnumsill.core import codec
 from laburnumsill.core import metrics as metrics_module
 from laburnumsill.core import trio_clock
@@ -99,6 +102,20 @@
 WRONG_IDS = ["", "a/b", "a b", "é", "a\nb", "\x00", "x" * 1_000, "..", "/"]
 
 
+JSON_VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-(10**40), 10**40)
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.text(max_size=20),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=5), inner, max_size=3)
+    ),
+    max_leaves=5,
+)
+
+
 class Intake:
     """Takes what the application passes on."""
 
@@ -212,3 +229,20 @@
     first, draining = border.intake.taken[:2]
     assert not first.worker.draining and draining.worker.draining
     assert first.worker.rack == "r1-3" and first.sequence == 4
+    assert first.worker.capacity == model.Resources(16000, 32768, 0)
+
+
+@hypothesis.given(st.sampled_from(sorted(SOUND)), JSON_VALUES)
+def test_any_value_in_a_field_is_taken_or_refused(field, value):
+    border = Border()
+    raw = json.dumps({**SOUND, field: value}).encode()
+    status, _ = border.put(raw)
+    assert status == (200 if border.intake.taken else 400)
+
+
+@hypothesis.given(st.binary(max_size=200) | JSON_VALUES.map(json.dumps))
+def test_any_bytes_are_refused(raw):
+    border = Border()
+    body = raw.encode() if isinstance(raw, str) else raw
+    assert border.put(body)[0] == 400
+    assert not border.intake.taken
--- a/laburnumsill/platform/tests/test_decoding.py
+++ b/laburnumsill/platform/tests/test_decoding.py
@@ -129,21 +129,3 @@
 def test_a_job_that_makes_no_sense_is_refused(body):
     with pytest.raises(decoding.MalformedBodyError):
         job(**body)
-
-
-def test_a_heartbeat_is_decoded():
-    body = {
-        "service": "s",
-        "address": "10.128.0.9:8080",
-        "zone": "swords",
-        "state": "draining",
-        "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 8},
-        "labels": ["a", "r1-3"],
-        "clock_ms": 482113,
-        "seq": 4,
-        "unknown": [1, 2],
-    }
-    parsed = decoding.parse(json.dumps(body).encode(), wire.HeartbeatBody)
-    worker = decoding.worker("i-1", parsed)
-    assert worker.draining and worker.rack == "r1-3"
-    assert worker.capacity == model.Resources(16000, 32768, 8)
--- a/laburnumsill/platform/wire.py
+++ b/laburnumsill/platform/wire.py
@@ -1,7 +1,29 @@
 """The messages of the platform, field by field as they are on the wire."""
 
+import typing
+
 import msgspec
 
+LARGEST_NUMBER = 2**53
+"""Numbers up to this one are exact for all readers of JSON, and fit into the
+log's 64 bits."""
+
+LARGEST_AMOUNT = 10**9
+"""A million cores, or a petabyte of memory in MB."""
+
+MOST_ACCELERATORS = 10_000
+"""Of one worker; the users' workers have 8."""
+
+LONGEST_NAME = 256
+"""Of a service, a failure domain or a label, in characters."""
+
+Count = typing.Annotated[int, msgspec.Meta(ge=0, le=LARGEST_NUMBER)]
+Amount = typing.Annotated[int, msgspec.Meta(ge=0, le=LARGEST_AMOUNT)]
+Accelerators = typing.Annotated[int, msgspec.Meta(ge=0, le=MOST_ACCELERATORS)]
+Name = typing.Annotated[
+    str, msgspec.Meta(min_length=1, max_length=LONGEST_NAME)
+]
+
 
 class StepBody(msgspec.Struct):
     """A step of a submitted job; fields that are zero are left out."""
@@ -35,26 +57,30 @@
 class CapacityBody(msgspec.Struct):
     """What a worker has in all."""
 
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Amount
+    mem_mb: Amount
+    gpu: Accelerators
 
 
 class HeartbeatBody(msgspec.Struct):
-    """What a worker says of itself; its id is in the path."""
+    """What a worker says of itself; its id is in the path.
 
-    service: str
+    Nothing that workers always send has a default: what lacks it was not
+    sent by a worker.
+    """
+
+    service: Name
     address: str
-    zone: str = ""
-    state: str = "ready"
-    seq: int = 0
-    slots: int = 0
-    version: str = ""  # of its software, not of a message
-    cold_left_ms: int = 0
-    remaining_ms: int | None = None  # the least time left while it drains
-    capacity: CapacityBody = msgspec.field(default_factory=CapacityBody)
-    labels: tuple[str, ...] = ()
-    clock_ms: int | None = None
+    zone: Name
+    version: str  # of its software, not of a message
+    slots: Count
+    state: typing.Literal["ready", "draining"]
+    cold_left_ms: Count
+    seq: Count
+    capacity: CapacityBody
+    labels: tuple[Name, ...]
+    clock_ms: Count | msgspec.UnsetType = msgspec.UNSET
+    remaining_ms: Count = 0  # the least time left, only while it drains
 
 
 class RouteBody(msgspec.Struct):
