Tests of announcements for a pool that no configuration names, red so far

The emulated VMs have the real intake of announcements now, with calls between them. With the id of a sound worker such an announcement moves it to a pool for which no job is; with the address of one it keeps the sound one idle for as long as nothing answers for it.

--- a/laburnumsill/batch/tests/test_worker_incarnations.py
+++ b/laburnumsill/batch/tests/test_worker_incarnations.py
@@ -1,11 +1,16 @@
 """Announcements that arrive after later ones, or after their sender's end."""
 
+import dataclasses
+
+import pytest
 import trio
 import trio.testing
 
 from laburnumsill.batch import commands
+from laburnumsill.batch import intake as intakes
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
+from laburnumsill.core import errors
 from laburnumsill.emulator import site as sites
 
 ENDED_MS = 5_000
@@ -108,3 +113,39 @@
         assert site.outcomes["j"].state == "completed"
 
     play(script)
+
+
+def test_an_unnamed_pool_takes_no_worker_out_of_a_named_one():
+    """An announcement of another writer may bear the id of a sound worker."""
+
+    async def script(site):
+        known = site.pool.workers["w0-0"].worker
+        stray = dataclasses.replace(known, pool="nobody's")
+        with pytest.raises(errors.ConflictError):
+            await site.intakes["vm2"].announce(
+                intakes.Announcement(stray, 9, None)
+            )
+        assert site.ledger.workers["w0-0"] == known
+        await site.submit(gang("j", 2), [1.0])
+        await trio.sleep(1.5)
+        site.look()
+        assert site.outcomes["j"].state == "completed"
+
+    play(script)
+
+
+def test_a_worker_of_an_unnamed_pool_blocks_no_address():
+    """It may be of another writer, and nothing may answer for it."""
+
+    async def script(site):
+        known = site.pool.workers["w0-0"].worker
+        stray = dataclasses.replace(known, pool="nobody's", worker_id="stray")
+        site.client.cut = {"stray"}
+        await site.intakes["vm2"].announce(intakes.Announcement(stray, 9, None))
+        assert "stray" in site.ledger.workers
+        await site.submit(gang("j", 2), [1.0])
+        await trio.sleep(1.5)
+        site.look()
+        assert site.outcomes["j"].state == "completed"
+
+    play(script)
--- a/laburnumsill/emulator/site.py
+++ b/laburnumsill/emulator/site.py
@@ -7,6 +7,7 @@
 import trio
 
 from laburnumsill.batch import commands
+from laburnumsill.batch import intake
 from laburnumsill.batch import leading
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
@@ -17,6 +18,7 @@
 from laburnumsill.core import replication
 from laburnumsill.core import trio_clock
 from laburnumsill.emulator import oracle as oracles
+from laburnumsill.emulator import peers
 from laburnumsill.emulator import workers as worker_module
 
 GROUP = "site"
@@ -53,7 +55,7 @@
         self.current_term += 1
 
 
-class VmGroups(replication.Groups):
+class VmGroups(replication.LeaderGroups):
     """The groups as one VM of the emulation sees them."""
 
     def __init__(self, shared: Leadership, vm: str) -> None:
@@ -88,6 +90,10 @@
         """Returns the term."""
         return self._shared.current_term
 
+    def leader(self, group: str) -> str | None:
+        """Returns the VM that leads."""
+        return self._shared.leader or None
+
     def local(self, group: str) -> replication.StateMachine:
         """Returns the state machine."""
         return self._shared.machine
@@ -169,6 +175,18 @@
         }
         for scheduler in self.schedulers.values():
             scheduler.follow(machine)
+        handlers: dict[tuple[str, type], replication.AsyncHandler] = {}
+        self.intakes = {
+            vm: intake.WorkerIntake(
+                vm,
+                GROUP,
+                VmGroups(self.groups, vm),
+                peers.EmulatedPeers(handlers, vm),
+                scheduler,
+                self._clock,
+            )
+            for vm, scheduler in self.schedulers.items()
+        }
 
     async def run(
         self,
