Announcements for a pool that nobody configured leave other workers alone

With the id of a known worker such an announcement replaced what was known, so the worker got no run until its next change; with its address it put the worker in doubt, which then got no run while nothing answered for the newcomer. Ruled out: refusing all of them, since a configuration may name the pool later, and workers of a pool that was dropped still say that they leave. Now the leader refuses the first kind, typed, and takes only claims of configured pools for a doubt.

--- a/laburnumsill/batch/intake.py
+++ b/laburnumsill/batch/intake.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+from collections import abc
 
 from laburnumsill.batch import commands
 from laburnumsill.batch import ledger as ledgers
@@ -53,6 +54,13 @@
     leader: str
 
 
+class ContradictoryAnnouncementError(errors.ConflictError):
+    """A known worker was announced for a pool that is not configured."""
+
+    slug = "contradictory-announcement"
+    title = "The announcement contradicts what is known"
+
+
 class WorkerIntake:
     """Takes announcements and departures.
 
@@ -62,6 +70,7 @@
         groups: Access to it.
         peers: The other VMs.
         scheduler: Hears the heartbeats where this VM leads.
+        pools: Returns the pools that the configuration names.
         clock: The clock of this process.
     """
 
@@ -72,6 +81,7 @@
         groups: replication.LeaderGroups,
         peers: replication.Peers,
         scheduler: schedulers.Scheduler,
+        pools: abc.Callable[[], abc.Set[str]],
         clock: clocks.Clock,
     ) -> None:
         self._me = me
@@ -79,6 +89,7 @@
         self._groups = groups
         self._peers = peers
         self._scheduler = scheduler
+        self._pools = pools
         self._clock = clock
         peers.on_call(Announcement, self._on_announcement)
         peers.on_call(Departure, self._on_departure)
@@ -87,6 +98,7 @@
         """Has the leader take note; returns the leader's VM.
 
         Raises:
+            ContradictoryAnnouncementError: What is known stands.
             errors.LaburnumsillError: The leader may not have taken note.
         """
         return await self._pass_on(announcement)
@@ -118,7 +130,10 @@
                 ended=ended,
             )
             return Taken(self._me)
-        if ledger.workers.get(worker.worker_id) != worker:
+        known = ledger.workers.get(worker.worker_id)
+        if known is not None:
+            self._check_pool(known, worker.pool)
+        if known != worker:
             await self._commit(commands.PutWorker(worker, sequence))
             logs.event(
                 "worker-known",
@@ -132,6 +147,21 @@
         self._scheduler.hear(worker.worker_id, announcement.clock_ms)
         return Taken(self._me)
 
+    def _check_pool(self, known: model.Worker, pool: str) -> None:
+        """Checks that a worker is not moved out of reach of all jobs.
+
+        An incarnation works for one pool, so of two announcements with its
+        id one is of another writer: the one whose pool nobody configured.
+
+        Raises:
+            ContradictoryAnnouncementError: `pool` is such a one.
+        """
+        named = self._pools()
+        if pool != known.pool and known.pool in named and pool not in named:
+            raise ContradictoryAnnouncementError(
+                f"{known.worker_id} works for {known.pool!r}, not {pool!r}"
+            )
+
     async def _on_departure(self, departure: Departure) -> Taken:
         """Takes note that a worker has ended, where this VM leads."""
         worker_id = departure.worker_id
--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -97,6 +97,7 @@
         clock: The clock of this process.
         metrics: Takes the counters.
         bounds: What workers take at most.
+        pools: Returns the pools that the configuration names.
     """
 
     group: str
@@ -106,6 +107,7 @@
     clock: clocks.Clock
     metrics: metrics_module.Metrics
     bounds: WorkerBounds
+    pools: abc.Callable[[], abc.Set[str]]
 
 
 class LeadingTerm(terms.Term):
@@ -340,16 +342,21 @@
         """Returns the workers that claim an address which another claims.
 
         One of them has ended, and which one is not known until the address
-        is asked: a late announcement may be that of the ended one.
+        is asked: a late announcement may be that of the ended one. One whose
+        pool the configuration does not name puts no other in doubt, since
+        anyone may have announced it.
         """
-        claims: dict[str, list[str]] = {}
-        for worker_id, worker in self.ledger.workers.items():
-            claims.setdefault(worker.address, []).append(worker_id)
+        claims: dict[str, list[model.Worker]] = {}
+        for worker in self.ledger.workers.values():
+            claims.setdefault(worker.address, []).append(worker)
+        named = self._context.pools()
         return {
-            worker_id
+            worker.worker_id
             for claimants in claims.values()
             if len(claimants) > 1
-            for worker_id in claimants
+            for worker in claimants
+            if worker.pool not in named
+            or sum(other.pool in named for other in claimants) > 1
         }
 
     def _stopping(self) -> set[model.RunId]:
--- a/laburnumsill/config/site.py
+++ b/laburnumsill/config/site.py
@@ -129,6 +129,11 @@
         """Returns the account that a key belongs to, or None."""
         return self._account_of.get(key)
 
+    @property
+    def pool_names(self) -> abc.Set[str]:
+        """The names of all pools."""
+        return frozenset(pool.name for pool in self.pools)
+
     @property
     def guarantees(self) -> abc.Mapping[str, int]:
         """The guaranteed accelerators by account."""
--- a/laburnumsill/daemon/core_role.py
+++ b/laburnumsill/daemon/core_role.py
@@ -81,6 +81,7 @@
                     settings.bounds.longest_lease_ms,
                     settings.bounds.stop_grace_ms,
                 ),
+                self._pools,
             )
         )
         self._intake = intake.WorkerIntake(
@@ -89,6 +90,7 @@
             self._host,
             self._network,
             self._scheduler,
+            self._pools,
             self._clock,
         )
 
@@ -164,9 +166,19 @@
 
     def _guarantees(self) -> abc.Mapping[str, int]:
         """Returns the guaranteed accelerators of the newest configuration."""
+        newest = self._newest_configuration()
+        return newest.guarantees if newest else {}
+
+    def _pools(self) -> abc.Set[str]:
+        """Returns the pools that the newest configuration names."""
+        newest = self._newest_configuration()
+        return newest.pool_names if newest else frozenset()
+
+    def _newest_configuration(self) -> site.SiteConfiguration | None:
+        """Returns the newest configuration that is known on this VM."""
         machine = self._host.local(role.SITE_GROUP)
         if machine is None:
-            return {}
+            return None
         component: highest_version.HighestVersion = machine.component(
             highest_version.HighestVersion.name
         )
@@ -176,4 +188,4 @@
             document = highest_version.unpack(held.packed)
             self._configuration = decoding.configuration(document)
             logs.event("configuration-in-force", version=held.version)
-        return self._configuration.guarantees if self._configuration else {}
+        return self._configuration
--- a/laburnumsill/emulator/site.py
+++ b/laburnumsill/emulator/site.py
@@ -3,6 +3,7 @@
 import dataclasses
 import random
 import typing
+from collections import abc
 
 import trio
 
@@ -23,6 +24,9 @@
 
 GROUP = "site"
 
+POOL = "pool"
+"""All workers of the site are of this one."""
+
 EPOCH = 1_700_000_000.0
 """Wall time at the start of an emulation, in Unix seconds."""
 
@@ -169,6 +173,7 @@
                     leading.WorkerBounds(
                         worker_module.LONGEST_LEASE_MS, int(1000 * stop_grace_s)
                     ),
+                    _named_pools,
                 )
             )
             for vm in ("vm1", "vm2")
@@ -183,6 +188,7 @@
                 VmGroups(self.groups, vm),
                 peers.EmulatedPeers(handlers, vm),
                 scheduler,
+                _named_pools,
                 self._clock,
             )
             for vm, scheduler in self.schedulers.items()
@@ -220,7 +226,7 @@
         """
         worker = model.Worker(
             worker_id,
-            "pool",
+            POOL,
             address or worker_id,
             f"d{rack}",
             self._capacity,
@@ -312,5 +318,9 @@
             await trio.sleep(HEARTBEAT_S)
 
 
+def _named_pools() -> abc.Set[str]:
+    return frozenset({POOL})
+
+
 def _coded(message: object) -> typing.Any:
     return codec.decode(codec.encode(message))
