Tests of workers' reports with rows that make no sense, red so far

One such row makes the whole report count as no answer, so the worker counts as lost for as long as the row is listed, and rows whose numbers are strings, floats or too short are taken with what can be made of them. A listed run of a step that its job lacks raises IndexError, which ends the daemon.

--- a/laburnumsill/batch/tests/test_session.py
+++ b/laburnumsill/batch/tests/test_session.py
@@ -299,6 +299,26 @@
     play(script)
 
 
+def test_a_run_of_a_step_that_its_job_lacks_is_stopped():
+    """Nothing that a worker lists may end the session."""
+
+    async def script(term):
+        task = model.TaskId("j", 0, 99, 0)
+        stray = model.RunId(task, 1)
+        listed = worker_client.RunningRun(stray, "", 1)
+        ends = (commands.EndedRun(1, stray, commands.EndKind.DONE),)
+        term.client.reports = [
+            worker_client.Report(1000, (listed,), ()),
+            worker_client.Report(1000, (), ends),
+        ]
+        term.session.start(RUN)
+        await trio.sleep(1.0)
+        assert term.client.given("stop")[0] == stray
+        assert term.ledger.noted("w") == 1
+
+    play(script)
+
+
 def test_a_run_that_its_worker_forgot_is_stopped_and_placed_again():
     async def script(term):
         term.client.reports = [running()]
--- /dev/null
+++ b/laburnumsill/platform/tests/test_reports.py
@@ -0,0 +1,147 @@
+"""Answers of workers: a row that makes no sense hides no other one."""
+
+import json
+
+import httpcore
+import loguru
+import pytest
+import trio
+
+from laburnumsill.batch import commands
+from laburnumsill.batch import model
+from laburnumsill.batch import worker_client
+from laburnumsill.core import codec
+from laburnumsill.core import trio_clock
+from laburnumsill.platform import workers
+
+JOB = "5c0e7a21d94b36f8"
+RUN = model.RunId(model.TaskId(JOB, 0, 1, 17), 2)
+ENDED = model.RunId(model.TaskId(JOB, 0, 1, 9), 1)
+RUNNING_ROW = [f"{JOB}.0.1.17", 2, "00000bb87a21d94b", 41]
+ENDED_ROW = [58, f"{JOB}.0.1.9", 1, "done", ""]
+WORKER = model.Worker("i-1", "p", "127.0.0.1:1", "d", model.Resources())
+
+BAD_RUNNING_ROWS = [
+    [],
+    RUNNING_ROW[:3],
+    [JOB, 2, "", 41],
+    [f"{JOB}.0.1.-1", 2, "", 41],
+    [f"{JOB}.0.1.1_0", 2, "", 41],
+    [f"{JOB}.0.1.007", 2, "", 41],
+    [f"{JOB}.0.1.17", "2", "", 41],
+    [f"{JOB}.0.1.17", 0, "", 41],
+    [f"{JOB}.0.1.17", True, "", 41],
+    [f"{JOB}.0.1.17", 2.5, "", 41],
+    [f"{JOB}.0.1.17", 10**30, "", 41],
+    [f"{JOB}.0.1.17", 2, None, 41],
+    [f"{JOB}.0.1.17", 2, "", "41"],
+    [f"{JOB}.0.1.17", 2, "", None],
+    {"task": f"{JOB}.0.1.17"},
+    None,
+    "row",
+]
+BAD_ENDED_ROWS = [
+    [],
+    ENDED_ROW[:3],
+    [0, f"{JOB}.0.1.9", 1, "done", ""],
+    [-1, f"{JOB}.0.1.9", 1, "done", ""],
+    ["58", f"{JOB}.0.1.9", 1, "done", ""],
+    [10**30, f"{JOB}.0.1.9", 1, "done", ""],
+    [58, f"{JOB}.0.1", 1, "done", ""],
+    [58, f"{JOB}.0.-1.9", 1, "done", ""],
+    [58, f"{JOB}.0.1.9", None, "done", ""],
+    [58, f"{JOB}.0.1.9", 1, "finished", ""],
+    [58, f"{JOB}.0.1.9", 1, ["done"], ""],
+    [58, f"{JOB}.0.1.9", 1, "done", 7],
+    7,
+]
+
+
+class Pools:
+    """Answers each request with the same status and body."""
+
+    def __init__(self, status, raw):
+        self._response = httpcore.Response(status, content=raw)
+
+    async def request(self, *_):
+        self._response.read()
+        return self._response
+
+
+def ask(raw, lines, status=200):
+    """Returns the report that a worker's answer makes."""
+    client = workers.PlatformWorkerClient(trio_clock.TrioClock())
+    client._pools = Pools(status, raw)
+    order = worker_client.ReportOrder(None, 1, 0, 0)
+    sink = loguru.logger.add(lines.append, level="WARNING")
+    try:
+        return trio.run(client.report, WORKER, order, 1.0)
+    finally:
+        loguru.logger.remove(sink)
+
+
+def answer(**changes):
+    body = {
+        "clock_ms": 482113,
+        "running": [RUNNING_ROW],
+        "ended": [ENDED_ROW],
+        **changes,
+    }
+    return json.dumps(body).encode()
+
+
+def test_a_report_is_decoded():
+    lines = []
+    longer = [*RUNNING_ROW, 250]
+    report = ask(answer(running=[longer]), lines)
+    assert report.running == (
+        worker_client.RunningRun(RUN, "00000bb87a21d94b", 41),
+    )
+    assert report.ended == (
+        commands.EndedRun(58, ENDED, commands.EndKind.DONE, ""),
+    )
+    assert report.clock_ms == 482113 and not lines
+
+
+def test_a_bad_row_hides_no_other_one():
+    wrong = []
+    for field, rows in (
+        ("running", BAD_RUNNING_ROWS),
+        ("ended", BAD_ENDED_ROWS),
+    ):
+        sound = RUNNING_ROW if field == "running" else ENDED_ROW
+        for row in rows:
+            lines = []
+            try:
+                report = ask(answer(**{field: [row, sound]}), lines)
+            except worker_client.NoAnswerError:
+                wrong.append(f"{field} {row!r}: all rows were refused")
+                continue
+            codec.encode(commands.NoteEnds("i-1", report.ended, 0))
+            found = {one.run for one in (*report.running, *report.ended)}
+            if len(report.running) + len(report.ended) != 2 or found != {
+                RUN,
+                ENDED,
+            }:
+                wrong.append(f"{field} {row!r}: taken")
+            elif len(lines) != 1 or " reason=" not in lines[0]:
+                wrong.append(f"{field} {row!r}: {lines}")
+    assert not wrong, "\n".join(wrong)
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"",
+        b"[]",
+        b"{}",
+        b"\xff",
+        answer(clock_ms=None),
+        answer(clock_ms="482113"),
+        answer(running={}),
+        answer(ended=None),
+    ],
+)
+def test_an_answer_that_is_no_report_is_none(raw):
+    with pytest.raises(worker_client.NoAnswerError):
+        ask(raw, [])
