Rows of workers' reports are read one by one

A row that is too short raised IndexError and ended the daemon, one that is otherwise wrong made the report count as no answer, so its worker was lost for as long as the row was listed; strings and floats were taken as numbers. Now each row has its types and bounds, one that makes no sense is logged with the reason and counted, and the others are taken. While a running row is unread nothing is concluded from what is not listed. A run of a step or task that its job lacks is stopped like any other that nobody asked for.

--- a/laburnumsill/batch/records.py
+++ b/laburnumsill/batch/records.py
@@ -83,7 +83,8 @@
         if not 0 <= task.occurrence < len(self.steps):
             return None
         occurrence = self.steps[task.occurrence]
-        return occurrence[task.step] if task.step < len(occurrence) else None
+        known = 0 <= task.step < len(occurrence)
+        return occurrence[task.step] if known else None
 
     def has_done_tasks(self, key: model.StepKey) -> bool:
         """Returns whether any task of a step of this job is done."""
--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -28,6 +28,10 @@
 """The same while it is open whether a stopped run ever began."""
 
 
+UNREAD_PAUSE_S = 0.5
+"""Pause after a report that could not be read in full: ends that are listed
+have the worker answer at once, and this one will list them again."""
+
 MISSED_REPORTS = 2
 """A run that was started and is in so many reports neither as running nor
 as ended is stopped, so that it certainly is not there."""
@@ -178,8 +182,9 @@
         fresh = tuple(end for end in report.ended if end.number > noted)
         if fresh:
             await self._note_ends(fresh)
-        listed = {end.run for end in report.ended}
-        await self._settle(listed, sent_at)
+        if not report.unread_running:
+            listed = {end.run for end in report.ended}
+            await self._settle(listed, sent_at)
         for run in self._state.running:
             if run not in self._term.ledger.runs:
                 self._orders.stop(run, "nobody asked for it any more")
@@ -188,6 +193,8 @@
             run for run in self._state.stops if self._state.is_over(run)
         ]:
             del self._state.stops[run]
+        if report.unread_running or report.unread_ended:
+            await trio.sleep(UNREAD_PAUSE_S)
 
     def _look_for_hangs(self) -> None:
         """Stops runs whose progress stands still, to run them elsewhere."""
@@ -196,6 +203,8 @@
             record = self._term.ledger.jobs.get(run.task.job_id)
             if record is None or run in self._state.stops:
                 continue
+            if record.task(run.task) is None:
+                continue
             gang = record.job.steps[run.task.step].gang
             if not self._term.health.note_running(seen, gang, now):
                 continue
@@ -232,7 +241,7 @@
 
     def _observe_end(self, end: commands.EndedRun) -> None:
         record = self._term.ledger.jobs.get(end.run.task.job_id)
-        if record is None:
+        if record is None or record.task(end.run.task) is None:
             return
         step = record.job.steps[end.run.task.step]
         now = self._term.clock.monotonic()
--- a/laburnumsill/batch/tests/test_session.py
+++ b/laburnumsill/batch/tests/test_session.py
@@ -319,6 +319,21 @@
     play(script)
 
 
+def test_a_report_with_an_unread_row_proves_that_nothing_is_gone():
+    async def script(term):
+        unread = worker_client.Report(1000, (), (), unread_running=1)
+        term.client.reports = [running(), *[unread] * 8, running()]
+        term.session.start(RUN)
+        await trio.sleep(3.0)
+        term.session.stop(RUN, "test")
+        await trio.sleep(1.0)
+        assert term.client.given("stop") == [RUN]
+        assert not term.released()
+        assert len(term.client.given("report")) < 12  # it pauses between
+
+    play(script)
+
+
 def test_a_run_that_its_worker_forgot_is_stopped_and_placed_again():
     async def script(term):
         term.client.reports = [running()]
--- a/laburnumsill/batch/worker_client.py
+++ b/laburnumsill/batch/worker_client.py
@@ -91,11 +91,16 @@
         clock_ms: The worker's clock when it answered.
         running: All that runs on it.
         ended: Ends in the order of their numbers.
+        unread_running: How many of what runs on it could not be read, so
+            that a run which is not listed may be there.
+        unread_ended: How many ends could not be read.
     """
 
     clock_ms: int
     running: tuple[RunningRun, ...]
     ended: tuple[commands.EndedRun, ...]
+    unread_running: int = 0
+    unread_ended: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/laburnumsill/platform/tests/test_reports.py
+++ b/laburnumsill/platform/tests/test_reports.py
@@ -3,6 +3,8 @@
 import json
 
 import httpcore
+import hypothesis
+import hypothesis.strategies as st
 import loguru
 import pytest
 import trio
@@ -13,6 +15,7 @@
 from laburnumsill.core import codec
 from laburnumsill.core import trio_clock
 from laburnumsill.platform import workers
+from laburnumsill.platform.tests import test_announcements
 
 JOB = "5c0e7a21d94b36f8"
 RUN = model.RunId(model.TaskId(JOB, 0, 1, 17), 2)
@@ -145,3 +148,23 @@
 def test_an_answer_that_is_no_report_is_none(raw):
     with pytest.raises(worker_client.NoAnswerError):
         ask(raw, [])
+
+
+@pytest.mark.parametrize("clock_ms", [10**30, -1])
+def test_a_clock_out_of_all_bounds_is_no_answer(clock_ms):
+    with pytest.raises(worker_client.NoAnswerError):
+        ask(answer(clock_ms=clock_ms), [])
+
+
+def test_a_deeply_nested_answer_is_none():
+    deep = b'{"clock_ms": 1, "x": ' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+    with pytest.raises(worker_client.NoAnswerError):
+        ask(deep, [])
+
+
+@hypothesis.given(st.lists(test_announcements.JSON_VALUES, max_size=5))
+def test_rows_of_any_kind_are_read_or_counted_as_unread(rows):
+    lines = []
+    report = ask(answer(running=rows, ended=rows), lines)
+    assert len(report.running) + report.unread_running == len(rows)
+    assert len(report.ended) + report.unread_ended == len(rows)
--- a/laburnumsill/platform/wire.py
+++ b/laburnumsill/platform/wire.py
@@ -18,6 +18,8 @@
 """Of a service, a failure domain or a label, in characters."""
 
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=LARGEST_NUMBER)]
+Number = typing.Annotated[int, msgspec.Meta(ge=1, le=LARGEST_NUMBER)]
+Percent = typing.Annotated[float, msgspec.Meta(ge=0, le=LARGEST_NUMBER)]
 Amount = typing.Annotated[int, msgspec.Meta(ge=0, le=LARGEST_AMOUNT)]
 Accelerators = typing.Annotated[int, msgspec.Meta(ge=0, le=MOST_ACCELERATORS)]
 Name = typing.Annotated[
@@ -142,17 +144,32 @@
 class OrderAnswer(msgspec.Struct):
     """A worker's answer to an order."""
 
-    clock_ms: int | None = None
+    clock_ms: Count | None = None
     reason: str = ""  # of a refusal: fence, old, late, room, ticket
 
 
 class ReportAnswer(msgspec.Struct):
-    """A worker's answer to a hold.
+    """A worker's answer to a hold; its rows are read one by one."""
 
-    Rows of `running` are task, run, saved, percent, and maybe more; rows of
-    `ended` are number, task, run, how, saved.
-    """
+    clock_ms: Count
+    running: list[msgspec.Raw] = []
+    ended: list[msgspec.Raw] = []
+
+
+class RunningRow(msgspec.Struct, array_like=True):
+    """A run in a hold; further entries may follow."""
+
+    task: str
+    run: Number
+    saved: str
+    percent: Percent
+
+
+class EndedRow(msgspec.Struct, array_like=True):
+    """An end in a hold."""
 
-    clock_ms: int
-    running: list[list[str | int | float]] = []
-    ended: list[list[str | int]] = []
+    seq: Number  # N on the users' pages
+    task: str
+    run: Number
+    how: str
+    saved: str = ""
--- a/laburnumsill/platform/workers.py
+++ b/laburnumsill/platform/workers.py
@@ -3,12 +3,14 @@
 import httpcore
 import msgspec
 
-from laburnumsill.batch import commands
 from laburnumsill.batch import model
 from laburnumsill.batch import worker_client
 from laburnumsill.clients import http_pools
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import errors
+from laburnumsill.core import logs
+from laburnumsill.platform import decoding
+from laburnumsill.platform import reports
 from laburnumsill.platform import wire
 
 MAX_CONNECTIONS = 12
@@ -20,17 +22,6 @@
 CONNECT_TIMEOUT_S = 0.5
 """A connection within a site takes some milliseconds."""
 
-_END_KINDS = {
-    "done": commands.EndKind.DONE,
-    "failed": commands.EndKind.FAILED,
-    "stopped": commands.EndKind.STOPPED,
-    "lapsed": commands.EndKind.LEASE_ENDED,
-    # "broken" means that another member of the gang ended, not a fault.
-    "broken": commands.EndKind.MEMBER_ENDED,
-    # "alone" means that the other members did not come in time.
-    "alone": commands.EndKind.INCOMPLETE_GANG,
-}
-
 
 class PlatformWorkerClient(worker_client.WorkerClient):
     """Speaks the platform's calls run-start, run-stop and hold."""
@@ -60,7 +51,8 @@
         if order.saved:
             body["saved"] = order.saved
         raw = await self._call(worker, "/-/run-start", body, deadline)
-        return worker_client.Answer(_answer(raw).clock_ms)
+        call = f"run-start at {worker.worker_id}"
+        return worker_client.Answer(_answer(raw, call).clock_ms)
 
     async def stop(
         self,
@@ -72,7 +64,8 @@
         """Stops a run, see the base class."""
         body = {"task": str(run.task), "run": run.number, "fence": fence}
         raw = await self._call(worker, "/-/run-stop", body, deadline)
-        return worker_client.Answer(_answer(raw).clock_ms)
+        call = f"run-stop at {worker.worker_id}"
+        return worker_client.Answer(_answer(raw, call).clock_ms)
 
     async def report(
         self,
@@ -91,15 +84,10 @@
             body["wait_ms"] = order.wait_ms
         raw = await self._call(worker, "/-/hold", body, deadline)
         try:
-            answer = msgspec.json.decode(raw, type=wire.ReportAnswer)
-            return worker_client.Report(
-                answer.clock_ms,
-                tuple(_running(row) for row in answer.running),
-                tuple(_ended(row) for row in answer.ended),
-            )
-        except (msgspec.MsgspecError, ValueError, KeyError) as error:
+            return reports.decode(worker.worker_id, raw)
+        except decoding.MalformedBodyError as error:
             raise worker_client.NoAnswerError(
-                f"{worker.worker_id} reported {raw[:80]!r}: {error}"
+                f"{worker.worker_id} reported {raw[:80]!r}: {error.detail}"
             ) from error
 
     async def close(self) -> None:
@@ -135,34 +123,22 @@
         return response.content
 
 
-def _answer(raw: bytes) -> wire.OrderAnswer:
-    """Returns the answer to an order; one without a body says nothing."""
+def _answer(raw: bytes, call: str) -> wire.OrderAnswer:
+    """Returns the answer to an order; one that cannot be read says nothing."""
+    if not raw:
+        return wire.OrderAnswer()
     try:
-        return msgspec.json.decode(raw, type=wire.OrderAnswer)
-    except msgspec.MsgspecError:
+        return decoding.parse(raw, wire.OrderAnswer)
+    except decoding.MalformedBodyError as error:
+        logs.event(
+            "order-answer-unread", "WARNING", call=call, reason=error.detail
+        )
         return wire.OrderAnswer()
 
 
-def _running(row: list[str | int | float]) -> worker_client.RunningRun:
-    task = model.TaskId.parse(str(row[0]))
-    run = model.RunId(task, int(row[1]))
-    percent = int(row[3]) if len(row) > 3 else 0
-    return worker_client.RunningRun(run, str(row[2]), percent)
-
-
-def _ended(row: list[str | int]) -> commands.EndedRun:
-    task = model.TaskId.parse(str(row[1]))
-    return commands.EndedRun(
-        int(row[0]),
-        model.RunId(task, int(row[2])),
-        _END_KINDS[str(row[3])],
-        str(row[4]) if len(row) > 4 else "",
-    )
-
-
 def _refusal(response: httpcore.Response, call: str) -> Exception:
     """Returns the error that a status other than 200 stands for."""
-    answer = _answer(response.content)
+    answer = _answer(response.content, call)
     detail = f"{call}: {response.status} {answer.reason}"
     clock_ms = answer.clock_ms
     if response.status == 421:
