--- a/laburnumsill/batch/tests/test_worker_incarnations.py
+++ b/laburnumsill/batch/tests/test_worker_incarnations.py
@@ -149,3 +149,73 @@
         assert site.outcomes["j"].state == "completed"
 
     play(script)
+
+
+def test_a_worker_that_was_silent_does_not_come_back_as_it_was_before():
+    """A heartbeat from before its drain may arrive when a cut has healed."""
+    ledger = ledgers.BatchLedger()
+    ledger.put_worker(commands.PutWorker(worker(draining=True), 9))
+    ledger.remove_worker(commands.RemoveWorker("w", "silent"))
+    restored = ledgers.BatchLedger()
+    restored.load(ledger.dump())
+    for one in (ledger, restored):
+        one.put_worker(commands.PutWorker(worker(), 8))
+        assert "w" not in one.workers
+        one.put_worker(commands.PutWorker(worker(draining=True), 10))
+        assert one.workers["w"].draining
+
+
+def new_leader(site):
+    site.groups.lead("vm2" if site.groups.leader == "vm1" else "vm1")
+
+
+def restarted(site):
+    """All VMs restart from a snapshot."""
+    site.ledger.load(site.ledger.dump())
+    new_leader(site)
+
+
+def memory_pruned(site):
+    site.groups.machine.apply(commands.ForgetJobs(10**15))
+
+
+def nothing(site):
+    pass
+
+
+@pytest.mark.parametrize("draining", [False, True])
+@pytest.mark.parametrize("vm", ["vm1", "vm2"])
+@pytest.mark.parametrize("order", ["event first", "announcement first"])
+@pytest.mark.parametrize(
+    "event", [nothing, new_leader, restarted, memory_pruned]
+)
+def test_a_late_announcement_changes_nothing_whatever_happens(
+    event, order, vm, draining
+):
+    """Its sender crashed, and another worker is there at its address."""
+
+    async def script(site):
+        await trio.sleep(1.0)
+        old = site.pool.workers["w0-0"].worker
+        if draining:
+            old = dataclasses.replace(old, draining=True)
+            site.announce(old, 90)
+        site.pool.workers["w0-0"].vanish()
+        reborn = site.add_worker("reborn", 0, old.address)
+        await trio.sleep(0.5)
+        assert set(site.ledger.workers) == {"reborn"}
+        steps = [lambda: event(site), lambda: None]
+        if order == "announcement first":
+            steps.reverse()
+        steps[0]()
+        await trio.sleep(0.2)
+        late = intakes.Announcement(old, 100, 1000)
+        await site.intakes[vm].announce(late)
+        steps[1]()
+        await site.submit(gang("j", 2), [1.0])
+        await trio.sleep(2.5)
+        assert site.ledger.workers == {"reborn": reborn.worker}
+        site.look()
+        assert site.outcomes["j"].state == "completed"
+
+    play(script)
