A drain is remembered of workers that were removed for their silence

The newest announcement of a worker was forgotten with it, so one that drained, was cut off, and was removed came back as ready when a heartbeat from before its drain arrived at last. It is kept now, of those that drained only: others lose nothing by an older announcement, and a worker that was announced once with a far too large number must not stay locked out. The test that was red passes.

--- a/laburnumsill/batch/ledger.py
+++ b/laburnumsill/batch/ledger.py
@@ -21,6 +21,11 @@
 """Amounts for which it is remembered how often they fit into a pool; a day of
 the users has some dozens."""
 
+MAX_ABSENT_WORKERS = 1_000
+"""Workers that were removed for their silence while they drained and of which
+it is remembered up to which announcement they had said so, some 20 bytes each:
+an older one, that they are ready, may arrive when a cut heals."""
+
 
 @codec.register("batch.snapshot")
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -221,12 +226,21 @@
                 self._save(seen.run, seen.saved)
         for run in list(self.runs_on(command.worker_id)):
             self._remove_run(run)
-        self._workers.pop(command.worker_id, None)
+        known = self._workers.pop(command.worker_id, None)
         self._slots.clear()
         self._noted.pop(command.worker_id, None)
-        self._sequences.pop(command.worker_id, None)
         if command.ended_ms:
             self._ended_workers[command.worker_id] = command.ended_ms
+        ready = known is not None and not known.draining
+        if command.ended_ms or ready:
+            self._sequences.pop(command.worker_id, None)
+        self._forget_oldest_drains()
+
+    def _forget_oldest_drains(self) -> None:
+        """Forgets some workers that were silent while they drained."""
+        absent = [w for w in self._sequences if w not in self._workers]
+        for worker_id in absent[: max(0, len(absent) - MAX_ABSENT_WORKERS)]:
+            del self._sequences[worker_id]
 
     def forget(self, command: commands.ForgetJobs) -> None:
         """Forgets what ended long ago; jobs only if they have no live run."""
