--- a/laburnumsill/batch/tests/test_worker_incarnations.py
+++ b/laburnumsill/batch/tests/test_worker_incarnations.py
@@ -219,3 +219,25 @@
         assert site.outcomes["j"].state == "completed"
 
     play(script)
+
+
+def test_a_failure_that_is_listed_again_after_a_long_cut_counts_once():
+    """The worker never heard that its end was noted."""
+    ledger = ledgers.BatchLedger()
+    ledger.put_worker(commands.PutWorker(worker(), 3))
+    step = model.Step(1, model.Resources(1, 1, 1))
+    terms = model.QueueTerms("pool", 0, 2)
+    job = model.Job("j", "q", "a", "", (step,), terms)
+    ledger.submit(commands.SubmitJob(job, 0))
+    run = model.RunId(model.TaskId("j", 0, 0, 0), 1)
+    group = (commands.Placement(run, "w"),)
+    ledger.place(commands.PlaceRuns((group,), 0))
+    failed = commands.EndedRun(1, run, commands.EndKind.FAILED)
+    ledger.note_ends(commands.NoteEnds("w", (failed,), 0))
+    ledger.remove_worker(commands.RemoveWorker("w", "silent"))
+    restored = ledgers.BatchLedger()
+    restored.load(ledger.dump())
+    for one in (ledger, restored):
+        one.put_worker(commands.PutWorker(worker(), 4))
+        one.note_ends(commands.NoteEnds("w", (failed,), 0))
+        assert one.jobs["j"].state is not commands.JobState.FAILED
