Ends that are noted stay so when their worker is removed for its silence

A worker that was cut off for twelve seconds or more and had not heard that its ends were noted lists them again when it is back; each failure among them then counted a second time, which can end a job as failed before its attempts are spent.

--- a/laburnumsill/batch/ledger.py
+++ b/laburnumsill/batch/ledger.py
@@ -22,9 +22,9 @@
 the users has some dozens."""
 
 MAX_ABSENT_WORKERS = 1_000
-"""Workers that were removed for their silence while they drained and of which
-it is remembered up to which announcement they had said so, some 20 bytes each:
-an older one, that they are ready, may arrive when a cut heals."""
+"""Workers that were removed for their silence and of which it is remembered,
+in some 20 bytes each, what may arrive or be listed once more when a cut heals:
+ends that are noted, and announcements from before a drain."""
 
 
 @codec.register("batch.snapshot")
@@ -184,7 +184,7 @@
             if end.number > noted:
                 noted = end.number
                 self._end(end, command.at_ms)
-        if command.worker_id in self._workers:
+        if not self.has_ended(command.worker_id):
             self._noted[command.worker_id] = noted
 
     def release(self, command: commands.ReleaseRuns) -> None:
@@ -228,19 +228,20 @@
             self._remove_run(run)
         known = self._workers.pop(command.worker_id, None)
         self._slots.clear()
-        self._noted.pop(command.worker_id, None)
         if command.ended_ms:
+            self._noted.pop(command.worker_id, None)
             self._ended_workers[command.worker_id] = command.ended_ms
         ready = known is not None and not known.draining
         if command.ended_ms or ready:
             self._sequences.pop(command.worker_id, None)
-        self._forget_oldest_drains()
+        self._forget_absent(self._noted)
+        self._forget_absent(self._sequences)
 
-    def _forget_oldest_drains(self) -> None:
-        """Forgets some workers that were silent while they drained."""
-        absent = [w for w in self._sequences if w not in self._workers]
+    def _forget_absent(self, known: dict[str, int]) -> None:
+        """Forgets what is known of the workers that are gone the longest."""
+        absent = [one for one in known if one not in self._workers]
         for worker_id in absent[: max(0, len(absent) - MAX_ABSENT_WORKERS)]:
-            del self._sequences[worker_id]
+            del known[worker_id]
 
     def forget(self, command: commands.ForgetJobs) -> None:
         """Forgets what ended long ago; jobs only if they have no live run."""
