Tests of bad and late announcements against whole daemons

All bad bodies at all VMs of the core, under the id of a known worker and of a new one; and the late announcement of a crashed worker at each VM while another is there at its address, also after the loss of the leader.

--- a/laburnumsill/platform/tests/standin.py
+++ b/laburnumsill/platform/tests/standin.py
@@ -171,12 +171,18 @@
         self, method, path, body=None, address=None, key=KEY, host=HOST
     ):
         """Returns status and JSON of the answer, (0, None) without one."""
+        content = b"" if body is None else json.dumps(body).encode()
+        return await self.send(method, path, content, address, key, host)
+
+    async def send(
+        self, method, path, content, address=None, key=KEY, host=HOST
+    ):
+        """Like `call`, with the bytes of the body."""
         headers = {
             "Host": host,
             "Authorization": f"Bearer {key}",
             "X-Deadline-Ms": "2000",
         }
-        content = b"" if body is None else json.dumps(body).encode()
         with contextlib.suppress(
             httpcore.NetworkError, httpcore.ProtocolError, OSError
         ):
--- a/laburnumsill/platform/tests/test_roles.py
+++ b/laburnumsill/platform/tests/test_roles.py
@@ -3,6 +3,7 @@
 Each VM has a loopback address of its own, since its address is its id.
 """
 
+import dataclasses
 import pathlib
 import shutil
 
@@ -20,6 +21,7 @@
 from laburnumsill.emulator import oracle as oracles
 from laburnumsill.emulator import workers as emulated
 from laburnumsill.platform.tests import standin
+from laburnumsill.platform.tests import test_announcements
 from laburnumsill.testing import ports
 
 
@@ -366,3 +368,52 @@
     await site.callers.until_state(path, "completed")
     assert "/-/run-start" not in site.apps["w0"].calls
     assert site.apps["w1"].calls.count("/-/run-start") == 4
+
+
+async def test_bad_announcements_disturb_nobody(site):
+    """Each VM of the core gets all of them, under the id of a worker too."""
+    sound = standin.heartbeat(site.pool.workers["w0"], 10**6)
+    for name, raw in test_announcements.bad_bodies():
+        for vm in site.seeds:
+            path = f"/-/instances/{'w0' if len(name) % 2 else 'i-new'}"
+            address = f"{vm}:{site.control_port}"
+            status, answer = await site.operator.send("PUT", path, raw, address)
+            assert (status, answer["type"]) == (400, "malformed-announcement")
+    stray = {**sound, "service": "nobody's"}
+    status, _ = await site.operator.call("PUT", "/-/instances/w0", stray)
+    assert status == 409
+    status, _ = await site.operator.call("PUT", "/-/instances/i-new", stray)
+    assert status == 200
+    path = await site.submit("urgent", 60, count=2, gpu=8, gang=True)
+    await site.callers.until_state(path, "completed")
+    assert not any(ended.is_set() for ended in site.ended.values())
+
+
+async def test_a_late_announcement_of_a_crashed_worker_brings_nothing_back(
+    site,
+):
+    """The new worker at its address does all the work."""
+    old = site.pool.workers["w0"]
+    late = standin.heartbeat(old, 10**6)
+    old.vanish()
+    reborn = site.pool.add(dataclasses.replace(old.worker, worker_id="reborn"))
+    site.apps["w0"].worker = reborn
+    site.nursery.start_soon(site._announce, reborn)
+    for vm in site.seeds:
+        address = f"{vm}:{site.control_port}"
+        status, _ = await site.operator.call(
+            "PUT", "/-/instances/w0", late, address
+        )
+        assert status == 200
+    path = await site.submit("urgent", 61, count=2, gpu=8, gang=True)
+    await site.callers.until_state(path, "completed")
+    await site.kill(await site.until_leader())
+    await site.until_leader()
+    left = [vm for vm in site.seeds if not site.ended[vm].is_set()]
+    site.operator.addresses = [f"{vm}:{site.control_port}" for vm in left]
+    await site.operator.until(200, "PUT", "/-/instances/w0", late)
+    path = await site.submit("urgent", 62, count=2, gpu=8, gang=True)
+    await site.callers.until_state(path, "completed")
+    leading = site.daemons[await site.until_leader()]
+    machine = leading._host.local(role.SITE_GROUP)
+    assert set(machine.component("batch").workers) == {"reborn", "w1"}
