--- a/laburnumsill/batch/tests/test_session.py
+++ b/laburnumsill/batch/tests/test_session.py
@@ -356,3 +356,52 @@
             await term.session._take(report, trio.current_time())
 
     play(script)
+
+
+STRAY = model.RunId(model.TaskId("cancelled", 0, 0, 0), 1)
+
+
+def make_idle(term):
+    """Takes the only run back, so that nothing is believed to be there."""
+    release = commands.Release(RUN, "w", "test")
+    term.ledger.release(commands.ReleaseRuns((release,), 0))
+
+
+def test_each_worker_is_asked_once_by_each_leader_though_it_seems_idle():
+    """Orders of an earlier leader may be carried out late, or have been.
+
+    The question brings the new fence, so none is carried out after it.
+    """
+
+    async def script(term):
+        make_idle(term)
+        lost = worker_client.NoAnswerError("lost")
+        listed = worker_client.RunningRun(STRAY, "", 1)
+        still_there = worker_client.Report(1000, (listed,), ())
+        stopped = commands.EndedRun(1, STRAY, commands.EndKind.STOPPED)
+        term.client.reports = [
+            lost,
+            still_there,
+            still_there,
+            worker_client.Report(1000, (), (stopped,)),
+        ]
+        await trio.sleep(3.0)
+        assert term.client.given("stop") == [STRAY]
+        reports = term.client.given("report")
+        assert [one.noted for one in reports] == [0, 0, 0, 0, 1]
+        assert {one.fence for one in reports} == {term.fence}
+
+    play(script)
+
+
+def test_a_run_that_outlives_its_stop_is_stopped_again():
+    async def script(term):
+        make_idle(term)
+        listed = worker_client.RunningRun(STRAY, "", 1)
+        report = worker_client.Report(1000, (listed,), ())
+        term.client.reports = [report] * 1000
+        await trio.sleep(5.0)
+        stops = term.client.given("stop")
+        assert 2 <= len(stops) <= 4 and set(stops) == {STRAY}
+
+    play(script)
