Each leader asks each worker once, and stops what nobody wants there

A worker on which the ledger has no run was asked for no report, so a run there that an earlier leader had ordered, and that began late, went on until its lease ended; and the worker still took orders of that leader, since it had not seen the new fence. A run that is listed 2 s after its stop was acknowledged is stopped again.

--- a/laburnumsill/batch/orders.py
+++ b/laburnumsill/batch/orders.py
@@ -60,6 +60,21 @@
             self._nursery.start_soon(self._stop, run)
         state.wakeup.set()
 
+    def stop_again(self, run: model.RunId) -> None:
+        """Gives an acknowledged stop once more."""
+        state = self._state
+        stop = state.stops[run]
+        stop.acknowledged_at = None
+        logs.event(
+            "run-outlives-stop",
+            "WARNING",
+            job=run.task.job_id,
+            run=run,
+            worker=state.worker_id,
+            reason=stop.reason,
+        )
+        self._nursery.start_soon(self._stop, run)
+
     def _wanted(self, run: model.RunId) -> bool:
         """Whether a placed run is still to be started."""
         state = self._state
--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -1,8 +1,10 @@
 """One worker as the leading scheduler deals with it.
 
-A session asks for reports for as long as runs may be there: each report
-prolongs the leases and brings the ends, which are committed before the next
-one lets the worker forget them. Orders without a clear answer are given
+A session asks for a report at first and then for as long as runs may be
+there. The first one brings the worker the leader's fence, after which it
+carries out no order of an earlier leader, and shows what such orders have
+begun. Each report prolongs the leases and brings the ends, which are committed
+before the next one lets the worker forget them. Orders without a clear answer are given
 again; a run that may or may not have begun is stopped, and counts as gone
 only once the worker has acknowledged that and does not list it.
 """
@@ -28,6 +30,10 @@
 """The same while it is open whether a stopped run ever began."""
 
 
+STOP_AGAIN_S = 2.0
+"""A run that is listed for so long after its stop was acknowledged is stopped
+again; the users' workers take 1 s at most."""
+
 UNREAD_PAUSE_S = 0.5
 """Pause after a report that could not be read in full: ends that are listed
 have the worker answer at once, and this one will list them again."""
@@ -47,6 +53,7 @@
         self._state = worker_state.WorkerState(worker, term)
         self._orders = orders.Orders(self._state, nursery)
         self._reported_noted = term.ledger.noted(worker.worker_id)
+        self._answered = False
         self._unverified = False
 
     @property
@@ -122,7 +129,8 @@
         ledger = self._term.ledger
         unsaid = ledger.noted(self._state.worker_id) > self._reported_noted
         runs = ledger.runs_on(self._state.worker_id)
-        return bool(runs) or unsaid or self._unverified
+        unasked = not self._answered or self._unverified
+        return bool(runs or self._state.running) or unsaid or unasked
 
     async def _report_once(self) -> None:
         now = self._term.clock.monotonic()
@@ -145,6 +153,7 @@
             await self._report_failed(error)
             return
         self._reported_noted = max(self._reported_noted, noted)
+        self._answered = True
         self._unverified = False
         self._state.answered(report.clock_ms)
         await self._take(report, now)
@@ -152,10 +161,10 @@
     def _wait_ms(self) -> int:
         """Returns how long the next report may wait for an end."""
         runs = self._term.ledger.runs_on(self._state.worker_id)
-        if not runs or self._unverified:
-            return 0
-        if not self._state.leases.known:
+        if self._unverified or not self._state.leases.known:
             return 0
+        if not runs:
+            return SETTLE_WAIT_MS if self._state.running else 0
         unsettled = any(
             stop.acknowledged_at is not None and run not in self._state.running
             for run, stop in self._state.stops.items()
@@ -185,9 +194,11 @@
         if not report.unread_running:
             listed = {end.run for end in report.ended}
             await self._settle(listed, sent_at)
+        live = self._term.ledger.runs_on(self._state.worker_id)
         for run in self._state.running:
-            if run not in self._term.ledger.runs:
+            if run not in live:
                 self._orders.stop(run, "nobody asked for it any more")
+        self._stop_again(sent_at)
         self._look_for_hangs()
         for run in [
             run for run in self._state.stops if self._state.is_over(run)
@@ -196,6 +207,15 @@
         if report.unread_running or report.unread_ended:
             await trio.sleep(UNREAD_PAUSE_S)
 
+    def _stop_again(self, sent_at: float) -> None:
+        """Gives the stops again whose runs are listed long after them."""
+        for run, stop in self._state.stops.items():
+            acknowledged_at = stop.acknowledged_at
+            if run not in self._state.running or acknowledged_at is None:
+                continue
+            if sent_at - acknowledged_at >= STOP_AGAIN_S:
+                self._orders.stop_again(run)
+
     def _look_for_hangs(self) -> None:
         """Stops runs whose progress stands still, to run them elsewhere."""
         now = self._term.clock.monotonic()
