--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -4,9 +4,9 @@
 there. The first one brings the worker the leader's fence, after which it
 carries out no order of an earlier leader, and shows what such orders have
 begun. Each report prolongs the leases and brings the ends, which are committed
-before the next one lets the worker forget them. Orders without a clear answer are given
-again; a run that may or may not have begun is stopped, and counts as gone
-only once the worker has acknowledged that and does not list it.
+before the next one lets the worker forget them. Orders without a clear answer
+are given again; a run that may or may not have begun is stopped, and counts as
+gone only once the worker has acknowledged that and does not list it.
 """
 
 from collections import abc as collections_abc
