Tests of what callers and operators may send, two red so far

A job with any JSON in any place is accepted or refused. Red: numbers over 64 bits, which the log does not carry, end in OverflowError, in configurations as well; a negative limit of tasks on a worker is accepted, and such a job never runs; a deadline of thousands of digits ends in ValueError.

--- /dev/null
+++ b/laburnumsill/platform/tests/test_border.py
@@ -0,0 +1,175 @@
+"""Whatever callers and operators send is taken whole or refused, typed."""
+
+import json
+
+import hypothesis
+import hypothesis.strategies as st
+import trio
+
+from laburnumsill.batch import commands
+from laburnumsill.batch import gateway
+from laburnumsill.core import metrics
+from laburnumsill.core import trio_clock
+from laburnumsill.daemon import core_role
+from laburnumsill.platform import caller_app
+from laburnumsill.platform import control_app
+from laburnumsill.platform.tests import standin
+from laburnumsill.platform.tests import test_announcements
+from laburnumsill.platform.tests import test_caller_app
+from laburnumsill.testing import local_groups
+
+GROUP = "site"
+JOB_ID = "5c0e7a21d94b36f8"
+STEP = {
+    "count": 2,
+    "cpu": 500,
+    "mem_mb": 256,
+    "gpu": 1,
+    "estimate_ms": 900,
+    "depends_on": [],
+    "saves_progress": True,
+    "gang": False,
+    "same_rack": False,
+    "data_rack": "r1-3",
+    "required_label": "a",
+    "max_per_server": 1,
+    "speculative": False,
+    "long_running": False,
+}
+JOB = {
+    "spec": "text",
+    "steps": [STEP],
+    "repeat_count": 2,
+    "start_at_ms": 1_000,
+    "interval_ms": 500,
+}
+VALUES = test_announcements.JSON_VALUES
+
+
+def altered(document):
+    """Returns a strategy for a document with another value somewhere."""
+
+    def put(choice):
+        path, value = choice
+        copy = json.loads(json.dumps(document))
+        place = copy
+        for key in path[:-1]:
+            place = place[key]
+        place[path[-1]] = value
+        return copy
+
+    paths = list(places(document))
+    return st.tuples(st.sampled_from(paths), VALUES).map(put)
+
+
+def places(document, path=()):
+    """Yields the path of each value within a document."""
+    members = []
+    if isinstance(document, dict):
+        members = list(document.items())
+    elif isinstance(document, list):
+        members = list(enumerate(document))
+    for key, value in members:
+        yield (*path, key)
+        yield from places(value, (*path, key))
+
+
+class Border:
+    """Both applications before one ledger."""
+
+    def __init__(self):
+        clock = trio_clock.TrioClock()
+        self.machine = core_role.site_machine(GROUP)
+        groups = local_groups.LocalGroups({GROUP: self.machine})
+        self.callers = caller_app.CallerApp(
+            test_caller_app.Front(),
+            gateway.JobGateway(GROUP, groups, clock),
+            clock,
+            metrics.Metrics(),
+        )
+        self.control = control_app.ControlApp(
+            GROUP,
+            groups,
+            test_announcements.Intake(),
+            7000,
+            clock,
+            metrics.Metrics(),
+        )
+
+    def call(self, app, method, path, body=b"", **headers):
+        """Returns the status and the body of the answer."""
+        sent = []
+
+        async def receive():
+            return {"type": "http.request", "body": body}
+
+        async def send(message):
+            sent.append(message)
+
+        named = {
+            "host": standin.HOST,
+            "authorization": f"Bearer {standin.KEY}",
+            **headers,
+        }
+        scope = {
+            "type": "http",
+            "method": method,
+            "path": path,
+            "headers": [(k.encode(), v.encode()) for k, v in named.items()],
+        }
+        trio.run(app, scope, receive, send)
+        return sent[0]["status"], sent[1]["body"]
+
+    def submit(self, document, **headers):
+        raw = json.dumps(document).encode()
+        path = f"/batch/{JOB_ID}"
+        return self.call(self.callers, "POST", path, raw, **headers)
+
+
+@hypothesis.given(altered(JOB))
+@hypothesis.settings(max_examples=300)
+def test_any_job_is_accepted_or_refused(document):
+    border = Border()
+    status, answer = border.submit(document)
+    assert status in (200, 400), answer
+    found = border.machine.query(commands.JobQuery(JOB_ID))
+    assert bool(found.state) == (status == 200)
+
+
+def test_any_time_that_a_caller_waits_is_borne():
+    for text in ("", "0", "9" * 5_000, "-1", "1.5", "x", "²", "0" * 5_000):
+        status, answer = Border().submit(JOB, **{"x-deadline-ms": text})
+        assert status == 200, (text[:9], answer)
+
+
+def test_numbers_out_of_all_bounds_are_refused():
+    """The log carries 64 bits; a job that no worker may run waits for ever."""
+    wrong = []
+    for path in places(JOB):
+        copy = json.loads(json.dumps(JOB))
+        place = copy
+        for key in path[:-1]:
+            place = place[key]
+        if type(place[path[-1]]) is not int:
+            continue
+        numbers = [10**30, -(10**30)]
+        if path[-1] in ("estimate_ms", "max_per_server", "cpu", "count"):
+            numbers.append(-1)
+        for number in numbers:
+            place[path[-1]] = number
+            try:
+                status, _ = Border().submit(copy)
+            except OverflowError:
+                status = "OverflowError"
+            if status != 400:
+                wrong.append(f"{path[-1]} {number}: {status}")
+    version = json.dumps(standin.configuration(10**30)).encode()
+    border = Border()
+    path = control_app.CONFIGURATION_PATH
+    try:
+        status, _ = border.call(border.control, "PUT", path, version)
+    except OverflowError:
+        status = "OverflowError"
+    if status != 400:
+        wrong.append(f"version 10**30: {status}")
+    assert not wrong, "\n".join(wrong)
