Numbers of callers and operators are bounded by what the log carries

A job or a configuration with a number over 64 bits ended in OverflowError, so its sender got no answer that it could use; a negative limit of tasks on a worker or a negative run time was accepted, and nothing was ever placed of such a job. A deadline of over nine digits counts as none instead of ending in ValueError. All is decoded with bounds now, and any configuration is tried like any job: in force as it is, or refused while the earlier one stays.

--- a/laburnumsill/platform/caller_app.py
+++ b/laburnumsill/platform/caller_app.py
@@ -16,6 +16,9 @@
 
 READY_PATH = "/-/ready"
 DEFAULT_DEADLINE_MS = 3_000
+MAX_DEADLINE_DIGITS = 9
+"""A deadline of more digits is none; 4,300 are refused as a number."""
+
 BEARER = "Bearer "
 
 
@@ -233,8 +236,11 @@
 def _deadline_ms(request: http.Request, queue: site.Queue) -> int:
     """Returns how long the caller waits, in ms; from the request's start."""
     text = request.headers.get("x-deadline-ms", "")
-    waits = int(text) if text.isdecimal() else DEFAULT_DEADLINE_MS
-    return min(waits, queue.timeout_ms)
+    if not text.isdecimal():
+        return min(DEFAULT_DEADLINE_MS, queue.timeout_ms)
+    if len(text) > MAX_DEADLINE_DIGITS:
+        return queue.timeout_ms
+    return min(int(text), queue.timeout_ms)
 
 
 def _answer_to(error: errors.LaburnumsillError) -> http.Answer:
--- a/laburnumsill/platform/decoding.py
+++ b/laburnumsill/platform/decoding.py
@@ -66,8 +66,6 @@
         raise MalformedBodyError("a job without steps")
     if len(body.spec.encode()) > MAX_SPEC_BYTES:
         raise MalformedBodyError(f"a spec of {len(body.spec)} characters")
-    if body.repeat_count < 0 or body.interval_ms < 0:
-        raise MalformedBodyError("a negative repeat count or interval")
     tasks = sum(step.tasks for step in steps) * max(1, body.repeat_count)
     if tasks > MAX_TASKS:
         raise MalformedBodyError(f"{tasks} tasks, {MAX_TASKS} at most")
@@ -99,8 +97,6 @@
             f"step {number} depends on {body.depends_on!r}"
         )
     needs = model.Resources(body.cpu, body.mem_mb, body.gpu)
-    if min(body.cpu, body.mem_mb, body.gpu) < 0:
-        raise MalformedBodyError(f"step {number} needs {needs!r}")
     return model.Step(
         body.count,
         needs,
--- a/laburnumsill/platform/tests/test_border.py
+++ b/laburnumsill/platform/tests/test_border.py
@@ -13,6 +13,7 @@
 from laburnumsill.daemon import core_role
 from laburnumsill.platform import caller_app
 from laburnumsill.platform import control_app
+from laburnumsill.platform import decoding
 from laburnumsill.platform.tests import standin
 from laburnumsill.platform.tests import test_announcements
 from laburnumsill.platform.tests import test_caller_app
@@ -43,7 +44,9 @@
     "start_at_ms": 1_000,
     "interval_ms": 500,
 }
-VALUES = test_announcements.JSON_VALUES
+VALUES = test_announcements.JSON_VALUES | st.sampled_from(
+    [-1, 2**31, 2**63, 2**64, 10**30, -(10**30), 1e300]
+)
 
 
 def altered(document):
@@ -136,6 +139,23 @@
     assert bool(found.state) == (status == 200)
 
 
+@hypothesis.given(altered(standin.configuration(7)))
+@hypothesis.settings(max_examples=300)
+def test_any_configuration_is_in_force_or_refused(document):
+    border = Border()
+    control = border.control
+    first = json.dumps(standin.configuration(1)).encode()
+    path = control_app.CONFIGURATION_PATH
+    assert border.call(control, "PUT", path, first)[0] == 200
+    raw = json.dumps(document).encode()
+    status, answer = border.call(control, "PUT", path, raw)
+    assert status in (200, 400), answer
+    _, in_force = border.call(control, "GET", path)
+    decoding.configuration(in_force)
+    is_newer = status == 200 and document["version"] > 1
+    assert in_force == (raw if is_newer else first)
+
+
 def test_any_time_that_a_caller_waits_is_borne():
     for text in ("", "0", "9" * 5_000, "-1", "1.5", "x", "²", "0" * 5_000):
         status, answer = Border().submit(JOB, **{"x-deadline-ms": text})
--- a/laburnumsill/platform/wire.py
+++ b/laburnumsill/platform/wire.py
@@ -17,6 +17,9 @@
 LONGEST_NAME = 256
 """Of a service, a failure domain or a label, in characters."""
 
+Whole = typing.Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
+"""What the log carries."""
+
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=LARGEST_NUMBER)]
 Number = typing.Annotated[int, msgspec.Meta(ge=1, le=LARGEST_NUMBER)]
 Percent = typing.Annotated[float, msgspec.Meta(ge=0, le=LARGEST_NUMBER)]
@@ -30,18 +33,18 @@
 class StepBody(msgspec.Struct):
     """A step of a submitted job; fields that are zero are left out."""
 
-    count: int
-    cpu: int = 0  # thousandths of a core
-    mem_mb: int = 0
-    gpu: int = 0
-    estimate_ms: int = 0
-    depends_on: tuple[int, ...] = ()
+    count: Whole
+    cpu: Count = 0  # thousandths of a core
+    mem_mb: Count = 0
+    gpu: Count = 0
+    estimate_ms: Count = 0
+    depends_on: tuple[Whole, ...] = ()
     saves_progress: bool = False
     gang: bool = False
     same_rack: bool = False
     data_rack: str = ""
     required_label: str = ""
-    max_per_server: int = 0  # a server is a worker here
+    max_per_server: Count = 0  # a server is a worker here
     speculative: bool = False
     long_running: bool = False
 
@@ -51,9 +54,9 @@
 
     steps: tuple[StepBody, ...]
     spec: str = ""  # opaque; handed to the workers unread
-    repeat_count: int = 0
-    start_at_ms: int = 0  # ms since 1970
-    interval_ms: int = 0
+    repeat_count: Count = 0
+    start_at_ms: Whole = 0  # ms since 1970
+    interval_ms: Count = 0
 
 
 class CapacityBody(msgspec.Struct):
@@ -92,11 +95,11 @@
     host: str
     path_prefix: str
     service: str
-    timeout_ms: int
+    timeout_ms: Whole
     kind: str = ""
-    target_duration_ms: int = 0
-    priority: int = 0
-    max_attempts: int = 1
+    target_duration_ms: Whole = 0
+    priority: Whole = 0
+    max_attempts: Whole = 1
     stretch: float = 1.0
     public: bool = False
     advice: dict[str, int] | None = None
@@ -113,14 +116,14 @@
 class LimitsBody(msgspec.Struct):
     """Bounds of callers' requests."""
 
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 262144
+    max_header_bytes: Whole = 16384
+    max_body_bytes: Whole = 262144
 
 
 class GuaranteeBody(msgspec.Struct):
     """What is a tenant's own."""
 
-    gpu: int = 0
+    gpu: Whole = 0
 
 
 class TenantBody(msgspec.Struct):
@@ -134,7 +137,7 @@
 class ConfigurationBody(msgspec.Struct):
     """A whole configuration."""
 
-    version: int
+    version: Whole
     routes: tuple[RouteBody, ...]
     services: tuple[ServiceBody, ...]
     limits: LimitsBody = msgspec.field(default_factory=LimitsBody)
