Test of settings files that make no sense, red so far

The file is read again each second, maybe while it is written. Numbers of thousands of digits and deep nesting end in untyped errors, which end the daemon; seeds without a host or port, ports out of range and bounds of nothing are taken.

--- a/laburnumsill/daemon/tests/test_role_settings.py
+++ b/laburnumsill/daemon/tests/test_role_settings.py
@@ -71,3 +71,31 @@
         if "=" in line and not line.startswith("#")
     }
     assert keys and keys <= known
+
+
+def test_a_file_that_makes_no_sense_is_refused_with_a_type(tmp_path):
+    """It may be read while it is written, each second."""
+    wrong = []
+    for text in (
+        GOOD.replace("7000", "9" * 5_000),
+        GOOD.replace("7000", "70000"),
+        GOOD.replace("7000", "0"),
+        GOOD.replace("9000", "0"),
+        GOOD.replace("9000", "-1"),
+        GOOD.replace("9000", "9e3"),
+        GOOD.replace("9000", "1979-02-30"),
+        GOOD.replace("10.2.0.38:8526", ""),
+        GOOD.replace("10.2.0.38:8526", "10.2.0.38"),
+        GOOD.replace("10.2.0.38:8526", ":8526"),
+        GOOD.replace("10.2.0.38:8526", "10.2.0.38:x"),
+        GOOD.replace('["10.1.0.22:8526", "10.2.0.38:8526"]', "[" * 5_000),
+        GOOD.replace('address = "10.1.0.22"', 'address = ""'),
+    ):
+        try:
+            load(tmp_path, text)
+            wrong.append(f"taken: {text:.200}")
+        except errors.InvalidConfigurationError:
+            continue
+        except (ValueError, RecursionError) as error:
+            wrong.append(f"{error!r:.80}: {text:.200}")
+    assert not wrong, "\n".join(wrong)
