Settings files that make no sense are refused with a type

Each failure of the reader becomes the one error that keeps the settings that are in force, also those of numbers and nesting that ended the daemon. Seeds and addresses have a host and a port, ports and bounds their ranges.

--- a/laburnumsill/daemon/role_settings.py
+++ b/laburnumsill/daemon/role_settings.py
@@ -7,6 +7,7 @@
 
 import pathlib
 import tomllib
+import typing
 
 import msgspec
 
@@ -16,6 +17,16 @@
 """Milliseconds in a second."""
 
 
+Port = typing.Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+Bound = typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+Text = typing.Annotated[str, msgspec.Meta(min_length=1)]
+Place = typing.Annotated[str, msgspec.Meta(pattern=r"^\S+:[0-9]{1,5}$")]
+"""``host:port``."""
+PlaceOrNone = typing.Annotated[
+    str, msgspec.Meta(pattern=r"^(\S+:[0-9]{1,5})?$")
+]
+
+
 class Listen(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Addresses, ``host:port``, that a role listens on; "" for none.
 
@@ -26,10 +37,10 @@
         metrics: Prometheus.
     """
 
-    callers: str = ""
-    readiness: str = ""
-    control: str = ""
-    metrics: str = ""
+    callers: PlaceOrNone = ""
+    readiness: PlaceOrNone = ""
+    control: PlaceOrNone = ""
+    metrics: PlaceOrNone = ""
 
 
 class Bounds(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -42,10 +53,10 @@
         shutdown_ms: From SIGTERM to SIGKILL.
     """
 
-    longest_lease_ms: int = 10_000
-    stop_grace_ms: int = 1_000
-    key_revoked_ms: int = 5_000
-    shutdown_ms: int = 6_000
+    longest_lease_ms: Bound = 10_000
+    stop_grace_ms: Bound = 1_000
+    key_revoked_ms: Bound = 5_000
+    shutdown_ms: Bound = 6_000
 
 
 class RoleSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -68,12 +79,12 @@
     """
 
     name: str
-    address: str
+    address: Text
     failure_domain: str
-    peer_port: int
-    seeds: tuple[str, ...]
+    peer_port: Port
+    seeds: tuple[Place, ...]
     founding: bool = False
-    tolerated_losses: int = 1
+    tolerated_losses: Bound = 1
     data_folder: str | None = None
     log_level: str = "INFO"
     listen: Listen = Listen()
@@ -98,9 +109,10 @@
     try:
         document = tomllib.loads(path.read_text(encoding="utf-8"))
         return msgspec.convert(document, RoleSettings)
-    except (OSError, UnicodeDecodeError) as error:
-        raise errors.InvalidConfigurationError(f"{path}: {error}") from error
-    except tomllib.TOMLDecodeError as error:
-        raise errors.InvalidConfigurationError(f"{path}: {error}") from error
-    except msgspec.ValidationError as error:
+    except (
+        OSError,
+        ValueError,  # also no UTF-8, no TOML, a number of too many digits
+        RecursionError,
+        msgspec.ValidationError,
+    ) as error:
         raise errors.InvalidConfigurationError(f"{path}: {error}") from error
