Test of cancelled jobs whose starter was removed

All start orders of the first leader are carried out 2 to 12 s late, the jobs are cancelled under the next one, and workers are cut off for up to 14 s. No run goes on for more than 1.5 s on a worker that can be reached: 24 plays pass.

--- /dev/null
+++ b/laburnumsill/emulator/tests/test_cancelled.py
@@ -0,0 +1,67 @@
+"""Runs of cancelled jobs end soon, whoever ordered them and however late."""
+
+import pytest
+import trio
+import trio.testing
+
+from laburnumsill.batch import model
+from laburnumsill.emulator import site as sites
+
+WORKERS = 4
+JOBS = 6
+SOON_S = 1.5
+"""A run is listed, stopped, and ends within 0.4 s of that."""
+
+WATCHED_S = 25.0
+"""Late orders are carried out up to 12 s after they were given."""
+
+
+def job(number):
+    step = model.Step(4, model.Resources(1000, 64, 1), 1000)
+    terms = model.QueueTerms("pool", 1, 3)
+    return model.Job(f"j{number}", "q", "a", "", (step,), terms)
+
+
+async def watch(site, cut_until, found):
+    """Collects the runs that go on although their worker can be reached."""
+    ends_at = trio.current_time() + WATCHED_S
+    while trio.current_time() < ends_at:
+        await trio.sleep(0.1)
+        now = trio.current_time()
+        if now >= cut_until:
+            site.client.cut = set()
+        found.extend(
+            f"{now:.1f} {one.run} since {one.began_at:.1f}"
+            for worker in site.pool.workers.values()
+            for one in worker.running.values()
+            if now - max(one.began_at, cut_until) > SOON_S
+        )
+
+
+@pytest.mark.parametrize("cut_s", [0.0, 3.0, 8.0, 14.0])
+@pytest.mark.parametrize("seed", range(6))
+def test_a_cancelled_job_ends_though_its_starter_was_removed(seed, cut_s):
+    """Its orders are carried out late, some while workers are cut off."""
+    found = []
+
+    async def main():
+        site = sites.EmulatedSite(seed, racks=1, per_rack=WORKERS)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(site.run)
+            await trio.sleep(1.0)
+            site.client.late_share = 1.0
+            for number in range(JOBS):
+                await site.submit(job(number), [30.0])
+            await trio.sleep(0.1 + site.random.random())
+            site.groups.lead("vm2")  # vm1 is removed
+            site.client.late_share = 0.0
+            if cut_s:
+                site.client.cut = set(site.pool.workers)
+            for number in range(JOBS):
+                await site.cancel(f"j{number}")
+            await watch(site, trio.current_time() + cut_s, found)
+            nursery.cancel_scope.cancel()
+        assert not site.oracle.broken, site.oracle.broken
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert not found, found[:3]
