--- a/laburnumsill/clients/tests/test_http_pools.py
+++ b/laburnumsill/clients/tests/test_http_pools.py
@@ -95,3 +95,39 @@
         with pytest.raises(http_pools.NoResponseError):
             await request(pools, address)
     await pools.close()
+
+
+GARBAGE = [
+    b"",
+    b"\x00\xff\xfe",
+    b"HTTP/9.9 200 OK\r\n\r\n",
+    b"HTTP/1.1 abc OK\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+    b"HTTP/1.1 200 OK\r\n" + b"x" * 200_000 + b"\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nA\x00: b\r\n\r\n",
+    b"HTTP/1.1 101 Switching Protocols\r\n\r\n",
+]
+
+
+async def test_whatever_is_answered_is_a_response_or_a_failure_with_a_type():
+    async with trio.open_nursery() as nursery:
+        for raw in GARBAGE:
+
+            async def answer(stream, raw=raw):
+                with contextlib.suppress(trio.BrokenResourceError):
+                    await stream.receive_some()
+                    await stream.send_all(raw)
+                    await stream.aclose()
+
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            nursery.start_soon(trio.serve_listeners, answer, listeners)
+            port = listeners[0].socket.getsockname()[1]
+            pools = http_pools.HttpPools(trio_clock.TrioClock(), LIMITS)
+            with contextlib.suppress(http_pools.NoResponseError):
+                response = await request(pools, f"127.0.0.1:{port}")
+                assert response.status in (101, 200), raw[:40]
+            await pools.close()
+        nursery.cancel_scope.cancel()
