--- a/laburnumsill/platform/tests/test_border.py
+++ b/laburnumsill/platform/tests/test_border.py
@@ -11,6 +11,7 @@
 from laburnumsill.core import metrics
 from laburnumsill.core import trio_clock
 from laburnumsill.daemon import core_role
+from laburnumsill.daemon import server
 from laburnumsill.platform import caller_app
 from laburnumsill.platform import control_app
 from laburnumsill.platform import decoding
@@ -18,6 +19,7 @@
 from laburnumsill.platform.tests import test_announcements
 from laburnumsill.platform.tests import test_caller_app
 from laburnumsill.testing import local_groups
+from laburnumsill.testing import ports
 
 GROUP = "site"
 JOB_ID = "5c0e7a21d94b36f8"
@@ -193,3 +195,43 @@
     if status != 400:
         wrong.append(f"version 10**30: {status}")
     assert not wrong, "\n".join(wrong)
+
+
+GARBAGE = [
+    b"\x00\xff\xfe\r\n\r\n",
+    b"GET\r\n\r\n",
+    b"PUT /-/instances/\xff HTTP/1.1\r\nHost: a\r\n\r\n",
+    b"PUT /-/instances/%ff%00%zz HTTP/1.1\r\nHost: a\r\n\r\n",
+    b"PUT /-/instances/i-1 HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n",
+    b"PUT /-/instances/i-1 HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nab",
+    b"PUT * HTTP/1.1\r\nHost: a\r\n\r\n",
+    b"BREW /-/config HTTP/1.1\r\nHost: a\r\n\r\n",
+    b"GET /" + b"x" * 100_000 + b" HTTP/1.1\r\nHost: a\r\n\r\n",
+    b"GET / HTTP/1.1\r\nHost: a\r\nUpgrade: websocket\r\n"
+    b"Connection: upgrade\r\nSec-WebSocket-Version: 13\r\n"
+    b"Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n",
+    b"GET / HTTP/1.1\r\nHost: a\r\nConnection: Upgrade, HTTP2-Settings\r\n"
+    b"Upgrade: h2c\r\nHTTP2-Settings: AAMAAABkAAQAAP__\r\n\r\n",
+    b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\x00\x00\x00\x04\x00\x00\x00\x00\x00",
+]
+
+
+async def test_bytes_that_are_no_request_disturb_no_other_connection(nursery):
+    border = Border()
+    address = f"127.0.0.1:{ports.free_ports(1)[0]}"
+    stop = trio.Event()
+    await nursery.start(
+        server.serve, server.HttpOnly(border.control), address, stop.wait, 0.1
+    )
+    other = standin.Caller([address])
+    path = "/-/instances/i-1"
+    sound = test_announcements.SOUND
+    for raw in GARBAGE:
+        stream = await trio.open_tcp_stream("127.0.0.1", int(address[10:]))
+        await stream.send_all(raw)
+        with trio.move_on_after(0.1):
+            await stream.receive_some()
+        await stream.aclose()
+        assert (await other.call("PUT", path, sound))[0] == 200, raw[:40]
+    await other.aclose()
+    nursery.cancel_scope.cancel()
