--- a/laburnumsill/batch/tests/test_worker_incarnations.py
+++ b/laburnumsill/batch/tests/test_worker_incarnations.py
@@ -241,3 +241,30 @@
         one.put_worker(commands.PutWorker(worker(), 4))
         one.note_ends(commands.NoteEnds("w", (failed,), 0))
         assert one.jobs["j"].state is not commands.JobState.FAILED
+
+
+def test_a_worker_of_an_unnamed_pool_is_not_called():
+    """Its address may be anything; no run was ever ordered there."""
+    called = set()
+
+    async def script(site):
+        report = site.client.report
+
+        async def noted(worker, order, deadline):
+            called.add(worker.worker_id)
+            return await report(worker, order, deadline)
+
+        site.client.report = noted
+        known = site.pool.workers["w0-0"].worker
+        stray = dataclasses.replace(
+            known, pool="nobody's", worker_id="stray", address="elsewhere"
+        )
+        site.add_worker("w0-1", 0)
+        await site.intakes["vm2"].announce(intakes.Announcement(stray, 1, None))
+        await trio.sleep(1.0)
+        new_leader(site)
+        await trio.sleep(2.0)
+        assert "stray" in site.ledger.workers
+
+    play(script)
+    assert called == {"w0-0", "w0-1"}
