Workers of a pool that no job had are not asked for a first report

Their address may be anything that was announced. A pool counts that the configuration names or that a job still has which the ledger remembers, since an earlier leader can have ordered runs in no other.

--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -156,6 +156,13 @@
                 nursery.start_soon(self._keep_house)
                 await self._keep_planning()
 
+    def is_served(self, pool: str) -> bool:
+        """Returns whether a pool is configured, or was for a job."""
+        if pool in self._context.pools():
+            return True
+        jobs = self.ledger.jobs.values()
+        return any(record.job.terms.pool == pool for record in jobs)
+
     def wake(self) -> None:
         """Has a plan made soon."""
         self._wakeup.set()
--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -129,8 +129,10 @@
         ledger = self._term.ledger
         unsaid = ledger.noted(self._state.worker_id) > self._reported_noted
         runs = ledger.runs_on(self._state.worker_id)
-        unasked = not self._answered or self._unverified
-        return bool(runs or self._state.running) or unsaid or unasked
+        if runs or self._state.running or unsaid or self._unverified:
+            return True
+        pool = self._state.worker.pool
+        return not self._answered and self._term.is_served(pool)
 
     async def _report_once(self) -> None:
         now = self._term.clock.monotonic()
--- a/laburnumsill/batch/term.py
+++ b/laburnumsill/batch/term.py
@@ -32,6 +32,10 @@
     async def commit(self, command: object) -> object:
         """Returns a command's result; a lost lead ends the term instead."""
 
+    @abc.abstractmethod
+    def is_served(self, pool: str) -> bool:
+        """Returns whether a run may ever have been ordered in a pool."""
+
     @abc.abstractmethod
     def wake(self) -> None:
         """Has a plan made soon."""
--- a/laburnumsill/batch/tests/test_session.py
+++ b/laburnumsill/batch/tests/test_session.py
@@ -90,6 +90,9 @@
         self.committed.append(command)
         self.ledger.commands()[type(command)](command)
 
+    def is_served(self, pool):
+        return pool == WORKER.pool
+
     def wake(self):
         pass
 
