What can be read of a report counts though another row cannot

While a running row was unread nothing at all was settled, so runs that were listed did not count as seen. Only what follows from a run's absence waits now: its release, and the count of reports that miss it. The new test fails on the commit before.

--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -193,9 +193,8 @@
         fresh = tuple(end for end in report.ended if end.number > noted)
         if fresh:
             await self._note_ends(fresh)
-        if not report.unread_running:
-            listed = {end.run for end in report.ended}
-            await self._settle(listed, sent_at)
+        listed = {end.run for end in report.ended}
+        await self._settle(listed, sent_at, not report.unread_running)
         live = self._term.ledger.runs_on(self._state.worker_id)
         for run in self._state.running:
             if run not in live:
@@ -278,9 +277,18 @@
             )
 
     async def _settle(
-        self, listed: collections_abc.Set[model.RunId], sent_at: float
+        self,
+        listed: collections_abc.Set[model.RunId],
+        sent_at: float,
+        whole: bool = True,
     ) -> None:
-        """Finds out what became of placed runs that are not running."""
+        """Finds out what became of placed runs that are not running.
+
+        Args:
+            listed: Runs whose ends are in the report.
+            sent_at: When the report was asked for, monotonic.
+            whole: Whether a run that is not in the report is not there.
+        """
         releases = []
         for run in list(self._term.ledger.runs_on(self._state.worker_id)):
             stop = self._state.stops.get(run)
@@ -290,11 +298,13 @@
                 continue
             elif stop is not None:
                 acknowledged = stop.acknowledged_at
-                if acknowledged is not None and acknowledged <= sent_at:
+                if acknowledged is None or not whole:
+                    continue
+                if acknowledged <= sent_at:
                     releases.append(self._state.release(run, "it never began"))
             elif run not in self._state.started:
                 self._orders.start(run)  # placed by an earlier leader
-            else:
+            elif whole:
                 self._miss(run)
         await self._state.commit_releases(releases)
 
--- a/laburnumsill/batch/tests/test_session.py
+++ b/laburnumsill/batch/tests/test_session.py
@@ -337,6 +337,22 @@
     play(script)
 
 
+def test_what_is_read_of_a_report_counts_though_a_row_is_not():
+    seen = []
+
+    async def script(term):
+        term.note_seen = seen.append
+        part = worker_client.Report(
+            1000, running().running, (), unread_running=1
+        )
+        term.client.reports = [part]
+        term.session.start(RUN)
+        await trio.sleep(0.2)
+
+    play(script)
+    assert seen == [RUN]
+
+
 def test_a_run_that_its_worker_forgot_is_stopped_and_placed_again():
     async def script(term):
         term.client.reports = [running()]
