--- a/laburnumsill/emulator/tests/test_cancelled.py
+++ b/laburnumsill/emulator/tests/test_cancelled.py
@@ -5,6 +5,7 @@
 import trio.testing
 
 from laburnumsill.batch import model
+from laburnumsill.batch import worker_client
 from laburnumsill.emulator import site as sites
 
 WORKERS = 4
@@ -65,3 +66,22 @@
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
     assert not found, found[:3]
+
+
+def test_an_idle_worker_refuses_orders_of_an_earlier_leader():
+    async def main():
+        site = sites.EmulatedSite(1, racks=1, per_rack=WORKERS)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(site.run)
+            await trio.sleep(1.0)
+            fence = site.groups.current_term
+            site.groups.lead("vm2")
+            await trio.sleep(0.5)
+            run = model.RunId(model.TaskId("j0", 0, 0, 0), 1)
+            late = worker_client.StartOrder(run, "", "", 10_000, fence)
+            for worker in site.pool.workers.values():
+                with pytest.raises(worker_client.FencedOffError):
+                    worker.start(late, True)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
