--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -1,10 +1,12 @@
 """One worker as the leading scheduler deals with it.
 
-A session asks for reports for as long as runs may be there: each report
-prolongs the leases and brings the ends, which are committed before the next
-one lets the worker forget them. Orders without a clear answer are given
-again; a run that may or may not have begun is stopped, and counts as gone
-only once the worker has acknowledged that and does not list it.
+A session asks for a report at first and then for as long as runs may be
+there. The first one brings the worker the leader's fence, after which it
+carries out no order of an earlier leader, and shows what such orders have
+begun. Each report prolongs the leases and brings the ends, which are committed
+before the next one lets the worker forget them. Orders without a clear answer
+are given again; a run that may or may not have begun is stopped, and counts as
+gone only once the worker has acknowledged that and does not list it.
 """
 
 from collections import abc as collections_abc
@@ -28,6 +30,14 @@
 """The same while it is open whether a stopped run ever began."""
 
 
+STOP_AGAIN_S = 2.0
+"""A run that is listed for so long after its stop was acknowledged is stopped
+again; the users' workers take 1 s at most."""
+
+UNREAD_PAUSE_S = 0.5
+"""Pause after a report that could not be read in full: ends that are listed
+have the worker answer at once, and this one will list them again."""
+
 MISSED_REPORTS = 2
 """A run that was started and is in so many reports neither as running nor
 as ended is stopped, so that it certainly is not there."""
@@ -43,6 +53,7 @@
         self._state = worker_state.WorkerState(worker, term)
         self._orders = orders.Orders(self._state, nursery)
         self._reported_noted = term.ledger.noted(worker.worker_id)
+        self._answered = False
         self._unverified = False
 
     @property
@@ -118,7 +129,10 @@
         ledger = self._term.ledger
         unsaid = ledger.noted(self._state.worker_id) > self._reported_noted
         runs = ledger.runs_on(self._state.worker_id)
-        return bool(runs) or unsaid or self._unverified
+        if runs or self._state.running or unsaid or self._unverified:
+            return True
+        pool = self._state.worker.pool
+        return not self._answered and self._term.is_served(pool)
 
     async def _report_once(self) -> None:
         now = self._term.clock.monotonic()
@@ -141,6 +155,7 @@
             await self._report_failed(error)
             return
         self._reported_noted = max(self._reported_noted, noted)
+        self._answered = True
         self._unverified = False
         self._state.answered(report.clock_ms)
         await self._take(report, now)
@@ -148,10 +163,10 @@
     def _wait_ms(self) -> int:
         """Returns how long the next report may wait for an end."""
         runs = self._term.ledger.runs_on(self._state.worker_id)
-        if not runs or self._unverified:
-            return 0
-        if not self._state.leases.known:
+        if self._unverified or not self._state.leases.known:
             return 0
+        if not runs:
+            return SETTLE_WAIT_MS if self._state.running else 0
         unsettled = any(
             stop.acknowledged_at is not None and run not in self._state.running
             for run, stop in self._state.stops.items()
@@ -179,15 +194,28 @@
         if fresh:
             await self._note_ends(fresh)
         listed = {end.run for end in report.ended}
-        await self._settle(listed, sent_at)
+        await self._settle(listed, sent_at, not report.unread_running)
+        live = self._term.ledger.runs_on(self._state.worker_id)
         for run in self._state.running:
-            if run not in self._term.ledger.runs:
+            if run not in live:
                 self._orders.stop(run, "nobody asked for it any more")
+        self._stop_again(sent_at)
         self._look_for_hangs()
         for run in [
             run for run in self._state.stops if self._state.is_over(run)
         ]:
             del self._state.stops[run]
+        if report.unread_running or report.unread_ended:
+            await trio.sleep(UNREAD_PAUSE_S)
+
+    def _stop_again(self, sent_at: float) -> None:
+        """Gives the stops again whose runs are listed long after them."""
+        for run, stop in self._state.stops.items():
+            acknowledged_at = stop.acknowledged_at
+            if run not in self._state.running or acknowledged_at is None:
+                continue
+            if sent_at - acknowledged_at >= STOP_AGAIN_S:
+                self._orders.stop_again(run)
 
     def _look_for_hangs(self) -> None:
         """Stops runs whose progress stands still, to run them elsewhere."""
@@ -196,6 +224,8 @@
             record = self._term.ledger.jobs.get(run.task.job_id)
             if record is None or run in self._state.stops:
                 continue
+            if record.task(run.task) is None:
+                continue
             gang = record.job.steps[run.task.step].gang
             if not self._term.health.note_running(seen, gang, now):
                 continue
@@ -232,7 +262,7 @@
 
     def _observe_end(self, end: commands.EndedRun) -> None:
         record = self._term.ledger.jobs.get(end.run.task.job_id)
-        if record is None:
+        if record is None or record.task(end.run.task) is None:
             return
         step = record.job.steps[end.run.task.step]
         now = self._term.clock.monotonic()
@@ -247,9 +277,18 @@
             )
 
     async def _settle(
-        self, listed: collections_abc.Set[model.RunId], sent_at: float
+        self,
+        listed: collections_abc.Set[model.RunId],
+        sent_at: float,
+        whole: bool = True,
     ) -> None:
-        """Finds out what became of placed runs that are not running."""
+        """Finds out what became of placed runs that are not running.
+
+        Args:
+            listed: Runs whose ends are in the report.
+            sent_at: When the report was asked for, monotonic.
+            whole: Whether a run that is not in the report is not there.
+        """
         releases = []
         for run in list(self._term.ledger.runs_on(self._state.worker_id)):
             stop = self._state.stops.get(run)
@@ -259,11 +298,13 @@
                 continue
             elif stop is not None:
                 acknowledged = stop.acknowledged_at
-                if acknowledged is not None and acknowledged <= sent_at:
+                if acknowledged is None or not whole:
+                    continue
+                if acknowledged <= sent_at:
                     releases.append(self._state.release(run, "it never began"))
             elif run not in self._state.started:
                 self._orders.start(run)  # placed by an earlier leader
-            else:
+            elif whole:
                 self._miss(run)
         await self._state.commit_releases(releases)
 
--- a/laburnumsill/batch/tests/test_session.py
+++ b/laburnumsill/batch/tests/test_session.py
@@ -90,6 +90,9 @@
         self.committed.append(command)
         self.ledger.commands()[type(command)](command)
 
+    def is_served(self, pool):
+        return pool == WORKER.pool
+
     def wake(self):
         pass
 
@@ -299,6 +302,57 @@
     play(script)
 
 
+def test_a_run_of_a_step_that_its_job_lacks_is_stopped():
+    """Nothing that a worker lists may end the session."""
+
+    async def script(term):
+        task = model.TaskId("j", 0, 99, 0)
+        stray = model.RunId(task, 1)
+        listed = worker_client.RunningRun(stray, "", 1)
+        ends = (commands.EndedRun(1, stray, commands.EndKind.DONE),)
+        term.client.reports = [
+            worker_client.Report(1000, (listed,), ()),
+            worker_client.Report(1000, (), ends),
+        ]
+        term.session.start(RUN)
+        await trio.sleep(1.0)
+        assert term.client.given("stop")[0] == stray
+        assert term.ledger.noted("w") == 1
+
+    play(script)
+
+
+def test_a_report_with_an_unread_row_proves_that_nothing_is_gone():
+    async def script(term):
+        unread = worker_client.Report(1000, (), (), unread_running=1)
+        term.client.reports = [running(), *[unread] * 8, running()]
+        term.session.start(RUN)
+        await trio.sleep(3.0)
+        term.session.stop(RUN, "test")
+        await trio.sleep(1.0)
+        assert term.client.given("stop") == [RUN]
+        assert not term.released()
+        assert len(term.client.given("report")) < 12  # it pauses between
+
+    play(script)
+
+
+def test_what_is_read_of_a_report_counts_though_a_row_is_not():
+    seen = []
+
+    async def script(term):
+        term.note_seen = seen.append
+        part = worker_client.Report(
+            1000, running().running, (), unread_running=1
+        )
+        term.client.reports = [part]
+        term.session.start(RUN)
+        await trio.sleep(0.2)
+
+    play(script)
+    assert seen == [RUN]
+
+
 def test_a_run_that_its_worker_forgot_is_stopped_and_placed_again():
     async def script(term):
         term.client.reports = [running()]
@@ -321,3 +375,52 @@
             await term.session._take(report, trio.current_time())
 
     play(script)
+
+
+STRAY = model.RunId(model.TaskId("cancelled", 0, 0, 0), 1)
+
+
+def make_idle(term):
+    """Takes the only run back, so that nothing is believed to be there."""
+    release = commands.Release(RUN, "w", "test")
+    term.ledger.release(commands.ReleaseRuns((release,), 0))
+
+
+def test_each_worker_is_asked_once_by_each_leader_though_it_seems_idle():
+    """Orders of an earlier leader may be carried out late, or have been.
+
+    The question brings the new fence, so none is carried out after it.
+    """
+
+    async def script(term):
+        make_idle(term)
+        lost = worker_client.NoAnswerError("lost")
+        listed = worker_client.RunningRun(STRAY, "", 1)
+        still_there = worker_client.Report(1000, (listed,), ())
+        stopped = commands.EndedRun(1, STRAY, commands.EndKind.STOPPED)
+        term.client.reports = [
+            lost,
+            still_there,
+            still_there,
+            worker_client.Report(1000, (), (stopped,)),
+        ]
+        await trio.sleep(3.0)
+        assert term.client.given("stop") == [STRAY]
+        reports = term.client.given("report")
+        assert [one.noted for one in reports] == [0, 0, 0, 0, 1]
+        assert {one.fence for one in reports} == {term.fence}
+
+    play(script)
+
+
+def test_a_run_that_outlives_its_stop_is_stopped_again():
+    async def script(term):
+        make_idle(term)
+        listed = worker_client.RunningRun(STRAY, "", 1)
+        report = worker_client.Report(1000, (listed,), ())
+        term.client.reports = [report] * 1000
+        await trio.sleep(5.0)
+        stops = term.client.given("stop")
+        assert 2 <= len(stops) <= 4 and set(stops) == {STRAY}
+
+    play(script)
--- a/laburnumsill/batch/tests/test_worker_incarnations.py
+++ b/laburnumsill/batch/tests/test_worker_incarnations.py
@@ -1,11 +1,16 @@
 """Announcements that arrive after later ones, or after their sender's end."""
 
+import dataclasses
+
+import pytest
 import trio
 import trio.testing
 
 from laburnumsill.batch import commands
+from laburnumsill.batch import intake as intakes
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
+from laburnumsill.core import errors
 from laburnumsill.emulator import site as sites
 
 ENDED_MS = 5_000
@@ -108,3 +113,158 @@
         assert site.outcomes["j"].state == "completed"
 
     play(script)
+
+
+def test_an_unnamed_pool_takes_no_worker_out_of_a_named_one():
+    """An announcement of another writer may bear the id of a sound worker."""
+
+    async def script(site):
+        known = site.pool.workers["w0-0"].worker
+        stray = dataclasses.replace(known, pool="nobody's")
+        with pytest.raises(errors.ConflictError):
+            await site.intakes["vm2"].announce(
+                intakes.Announcement(stray, 9, None)
+            )
+        assert site.ledger.workers["w0-0"] == known
+        await site.submit(gang("j", 2), [1.0])
+        await trio.sleep(1.5)
+        site.look()
+        assert site.outcomes["j"].state == "completed"
+
+    play(script)
+
+
+def test_a_worker_of_an_unnamed_pool_blocks_no_address():
+    """It may be of another writer, and nothing may answer for it."""
+
+    async def script(site):
+        known = site.pool.workers["w0-0"].worker
+        stray = dataclasses.replace(known, pool="nobody's", worker_id="stray")
+        site.client.cut = {"stray"}
+        await site.intakes["vm2"].announce(intakes.Announcement(stray, 9, None))
+        assert "stray" in site.ledger.workers
+        await site.submit(gang("j", 2), [1.0])
+        await trio.sleep(1.5)
+        site.look()
+        assert site.outcomes["j"].state == "completed"
+
+    play(script)
+
+
+def test_a_worker_that_was_silent_does_not_come_back_as_it_was_before():
+    """A heartbeat from before its drain may arrive when a cut has healed."""
+    ledger = ledgers.BatchLedger()
+    ledger.put_worker(commands.PutWorker(worker(draining=True), 9))
+    ledger.remove_worker(commands.RemoveWorker("w", "silent"))
+    restored = ledgers.BatchLedger()
+    restored.load(ledger.dump())
+    for one in (ledger, restored):
+        one.put_worker(commands.PutWorker(worker(), 8))
+        assert "w" not in one.workers
+        one.put_worker(commands.PutWorker(worker(draining=True), 10))
+        assert one.workers["w"].draining
+
+
+def new_leader(site):
+    site.groups.lead("vm2" if site.groups.leader == "vm1" else "vm1")
+
+
+def restarted(site):
+    """All VMs restart from a snapshot."""
+    site.ledger.load(site.ledger.dump())
+    new_leader(site)
+
+
+def memory_pruned(site):
+    site.groups.machine.apply(commands.ForgetJobs(10**15))
+
+
+def nothing(site):
+    pass
+
+
+@pytest.mark.parametrize("draining", [False, True])
+@pytest.mark.parametrize("vm", ["vm1", "vm2"])
+@pytest.mark.parametrize("order", ["event first", "announcement first"])
+@pytest.mark.parametrize(
+    "event", [nothing, new_leader, restarted, memory_pruned]
+)
+def test_a_late_announcement_changes_nothing_whatever_happens(
+    event, order, vm, draining
+):
+    """Its sender crashed, and another worker is there at its address."""
+
+    async def script(site):
+        await trio.sleep(1.0)
+        old = site.pool.workers["w0-0"].worker
+        if draining:
+            old = dataclasses.replace(old, draining=True)
+            site.announce(old, 90)
+        site.pool.workers["w0-0"].vanish()
+        reborn = site.add_worker("reborn", 0, old.address)
+        await trio.sleep(0.5)
+        assert set(site.ledger.workers) == {"reborn"}
+        steps = [lambda: event(site), lambda: None]
+        if order == "announcement first":
+            steps.reverse()
+        steps[0]()
+        await trio.sleep(0.2)
+        late = intakes.Announcement(old, 100, 1000)
+        await site.intakes[vm].announce(late)
+        steps[1]()
+        await site.submit(gang("j", 2), [1.0])
+        await trio.sleep(2.5)
+        assert site.ledger.workers == {"reborn": reborn.worker}
+        site.look()
+        assert site.outcomes["j"].state == "completed"
+
+    play(script)
+
+
+def test_a_failure_that_is_listed_again_after_a_long_cut_counts_once():
+    """The worker never heard that its end was noted."""
+    ledger = ledgers.BatchLedger()
+    ledger.put_worker(commands.PutWorker(worker(), 3))
+    step = model.Step(1, model.Resources(1, 1, 1))
+    terms = model.QueueTerms("pool", 0, 2)
+    job = model.Job("j", "q", "a", "", (step,), terms)
+    ledger.submit(commands.SubmitJob(job, 0))
+    run = model.RunId(model.TaskId("j", 0, 0, 0), 1)
+    group = (commands.Placement(run, "w"),)
+    ledger.place(commands.PlaceRuns((group,), 0))
+    failed = commands.EndedRun(1, run, commands.EndKind.FAILED)
+    ledger.note_ends(commands.NoteEnds("w", (failed,), 0))
+    ledger.remove_worker(commands.RemoveWorker("w", "silent"))
+    restored = ledgers.BatchLedger()
+    restored.load(ledger.dump())
+    for one in (ledger, restored):
+        one.put_worker(commands.PutWorker(worker(), 4))
+        one.note_ends(commands.NoteEnds("w", (failed,), 0))
+        assert one.jobs["j"].state is not commands.JobState.FAILED
+
+
+def test_a_worker_of_an_unnamed_pool_is_not_called():
+    """Its address may be anything; no run was ever ordered there."""
+    called = set()
+
+    async def script(site):
+        report = site.client.report
+
+        async def noted(worker, order, deadline):
+            called.add(worker.worker_id)
+            return await report(worker, order, deadline)
+
+        site.client.report = noted
+        known = site.pool.workers["w0-0"].worker
+        stray = dataclasses.replace(
+            known, pool="nobody's", worker_id="stray", address="elsewhere"
+        )
+        site.add_worker("w0-1", 0)
+        await site.intakes["vm2"].announce(intakes.Announcement(stray, 1, None))
+        await trio.sleep(1.0)
+        new_leader(site)
+        await trio.sleep(2.0)
+        assert "stray" in site.ledger.workers
+
+    play(script)
+    assert called == {"w0-0", "w0-1"}
--- a/laburnumsill/clients/tests/test_http_pools.py
+++ b/laburnumsill/clients/tests/test_http_pools.py
@@ -12,6 +12,7 @@
     connections=8, keep_alive_s=60.0, connect_within_s=1.0
 )
 PATIENCE_S = 0.2
+BODY = b"{}"
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
@@ -45,16 +46,26 @@
         if number == self._first:
             self._all_open.set()
         with contextlib.suppress(trio.BrokenResourceError):
-            while await stream.receive_some():
+            while await self._received_whole(stream):
                 await self._all_open.wait()
                 if number <= self._silent_up_to:
                     await trio.sleep_forever()
                 await stream.send_all(ANSWER)
 
+    async def _received_whole(self, stream):
+        """Waits for a request; its body may come in a piece of its own."""
+        raw = b""
+        while not raw.endswith(BODY):
+            piece = await stream.receive_some()
+            if not piece:
+                return False
+            raw += piece
+        return True
+
 
 async def request(pools, address):
     deadline = trio.current_time() + PATIENCE_S
-    return await pools.request("POST", address, "/x", {}, b"{}", deadline)
+    return await pools.request("POST", address, "/x", {}, BODY, deadline)
 
 
 async def test_one_unanswered_request_ends_all_silent_connections():
@@ -74,3 +85,49 @@
         assert server.connections == 5
         await pools.close()
         nursery.cancel_scope.cancel()
+
+
+async def test_an_address_that_cannot_be_used_is_a_failure_with_a_type():
+    """Anything else would end the loop of whoever calls."""
+    pools = http_pools.HttpPools(trio_clock.TrioClock(), LIMITS)
+    wrong = ["", "x:99999", "x:y", "é:80", f"{'a' * 70}:80", "x y:1", "::1:8"]
+    for address in wrong:
+        with pytest.raises(http_pools.NoResponseError):
+            await request(pools, address)
+    await pools.close()
+
+
+GARBAGE = [
+    b"",
+    b"\x00\xff\xfe",
+    b"HTTP/9.9 200 OK\r\n\r\n",
+    b"HTTP/1.1 abc OK\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+    b"HTTP/1.1 200 OK\r\n" + b"x" * 200_000 + b"\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nA\x00: b\r\n\r\n",
+    b"HTTP/1.1 101 Switching Protocols\r\n\r\n",
+]
+
+
+async def test_whatever_is_answered_is_a_response_or_a_failure_with_a_type():
+    async with trio.open_nursery() as nursery:
+        for raw in GARBAGE:
+
+            async def answer(stream, raw=raw):
+                with contextlib.suppress(trio.BrokenResourceError):
+                    await stream.receive_some()
+                    await stream.send_all(raw)
+                    await stream.aclose()
+
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            nursery.start_soon(trio.serve_listeners, answer, listeners)
+            port = listeners[0].socket.getsockname()[1]
+            pools = http_pools.HttpPools(trio_clock.TrioClock(), LIMITS)
+            with contextlib.suppress(http_pools.NoResponseError):
+                response = await request(pools, f"127.0.0.1:{port}")
+                assert response.status in (101, 200), raw[:40]
+            await pools.close()
+        nursery.cancel_scope.cancel()
--- a/laburnumsill/emulator/site.py
+++ b/laburnumsill/emulator/site.py
@@ -3,10 +3,12 @@
 import dataclasses
 import random
 import typing
+from collections import abc
 
 import trio
 
 from laburnumsill.batch import commands
+from laburnumsill.batch import intake
 from laburnumsill.batch import leading
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
@@ -17,10 +19,14 @@
 from laburnumsill.core import replication
 from laburnumsill.core import trio_clock
 from laburnumsill.emulator import oracle as oracles
+from laburnumsill.emulator import peers
 from laburnumsill.emulator import workers as worker_module
 
 GROUP = "site"
 
+POOL = "pool"
+"""All workers of the site are of this one."""
+
 EPOCH = 1_700_000_000.0
 """Wall time at the start of an emulation, in Unix seconds."""
 
@@ -53,7 +59,7 @@
         self.current_term += 1
 
 
-class VmGroups(replication.Groups):
+class VmGroups(replication.LeaderGroups):
     """The groups as one VM of the emulation sees them."""
 
     def __init__(self, shared: Leadership, vm: str) -> None:
@@ -88,6 +94,10 @@
         """Returns the term."""
         return self._shared.current_term
 
+    def leader(self, group: str) -> str | None:
+        """Returns the VM that leads."""
+        return self._shared.leader or None
+
     def local(self, group: str) -> replication.StateMachine:
         """Returns the state machine."""
         return self._shared.machine
@@ -163,12 +173,26 @@
                     leading.WorkerBounds(
                         worker_module.LONGEST_LEASE_MS, int(1000 * stop_grace_s)
                     ),
+                    _named_pools,
                 )
             )
             for vm in ("vm1", "vm2")
         }
         for scheduler in self.schedulers.values():
             scheduler.follow(machine)
+        handlers: dict[tuple[str, type], replication.AsyncHandler] = {}
+        self.intakes = {
+            vm: intake.WorkerIntake(
+                vm,
+                GROUP,
+                VmGroups(self.groups, vm),
+                peers.EmulatedPeers(handlers, vm),
+                scheduler,
+                _named_pools,
+                self._clock,
+            )
+            for vm, scheduler in self.schedulers.items()
+        }
 
     async def run(
         self,
@@ -202,7 +226,7 @@
         """
         worker = model.Worker(
             worker_id,
-            "pool",
+            POOL,
             address or worker_id,
             f"d{rack}",
             self._capacity,
@@ -294,5 +318,9 @@
             await trio.sleep(HEARTBEAT_S)
 
 
+def _named_pools() -> abc.Set[str]:
+    return frozenset({POOL})
+
+
 def _coded(message: object) -> typing.Any:
     return codec.decode(codec.encode(message))
