The roles of a site with full disks; a replica that is not wanted ends on one too

Over HTTP: jobs are accepted and end while the leader's disk is full, its VM still reaches the leader and shows the metric; with all disks full a job is refused within 0.3 s and never runs, and what is done is still told; a core VM that starts with a full disk serves. A replica's folder that cannot be renamed for want of room stays, instead of ending the daemon.

--- a/laburnumsill/consensus/host_replicas.py
+++ b/laburnumsill/consensus/host_replicas.py
@@ -141,7 +141,8 @@
     async def retire(self, name: str) -> None:
         """Stops a replica that its group does not want any more.
 
-        Its files are set aside, never deleted.
+        Its files are set aside, never deleted. On a full disk they stay; a
+        replica that is opened with them finds out again that nobody wants it.
 
         Raises:
             StorageError: The disk failed.
@@ -153,7 +154,11 @@
             return
         task.scope.cancel()
         await task.ended.wait()
-        await trio.to_thread.run_sync(store_disk.set_aside, self._folder / name)
+        folder = self._folder / name
+        try:
+            await trio.to_thread.run_sync(store_disk.set_aside, folder)
+        except store.DiskFullError as error:
+            logs.event("set-aside-put-off", "ERROR", detail=error.detail)
 
     def stop(self) -> None:
         """Stops all replicas; those with a disk are closed by their task."""
--- a/laburnumsill/consensus/tests/test_disk_full.py
+++ b/laburnumsill/consensus/tests/test_disk_full.py
@@ -241,3 +241,22 @@
     await trio.sleep(4 * store.RETRY_S)
     groups = 4
     assert full.refused - before <= 5 * 3 * groups
+
+
+async def test_a_replica_that_nobody_wants_ends_on_a_full_disk_too(
+    make_cluster, monkeypatch
+):
+    cluster = make_cluster()
+    await running(cluster, "k")
+    node = cluster.nodes[0]
+
+    def refuse(source, target):
+        raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+
+    monkeypatch.setattr(os, "rename", refuse)
+    await node.host._replicas.retire(host_cluster.ROOT)
+    await cluster.until(lambda: node.host.local(host_cluster.ROOT))
+    assert not node.stopped.is_set()
+    monkeypatch.undo()
+    await cluster.add(1, "after")
+    await same_after_a_restart(cluster, "k", "after")
--- a/laburnumsill/platform/tests/test_roles.py
+++ b/laburnumsill/platform/tests/test_roles.py
@@ -12,6 +12,8 @@
 from laburnumsill.batch import commands
 from laburnumsill.batch import model
 from laburnumsill.batch import scheduler as schedulers
+from laburnumsill.consensus import segments
+from laburnumsill.consensus import store
 from laburnumsill.daemon import core_role
 from laburnumsill.daemon import entry_role
 from laburnumsill.daemon import role
@@ -22,6 +24,8 @@
 from laburnumsill.platform.tests import standin
 from laburnumsill.testing import ports
 
+AT_ONCE_S = 0.3
+
 
 class Site:
     """Daemons and workers that a test starts and stops."""
@@ -155,6 +159,12 @@
 
     async def submit(self, queue: str, number: int, **step) -> str:
         """Hands a job in and returns its path."""
+        path, body = self.job(queue, number, **step)
+        await self.callers.until(200, "POST", path, body)
+        return path
+
+    def job(self, queue: str, number: int, **step) -> tuple[str, dict]:
+        """Returns path and body of a job that may be accepted."""
         job_id = f"{number:016x}"
         one = {"count": 1, "cpu": 1000, "mem_mb": 64, "gpu": 1, **step}
         terms = model.QueueTerms(standin.POOL, 0, 3)
@@ -167,9 +177,7 @@
             model.Job(job_id, queue, "a", "text", (spec,), terms)
         )
         path = f"/{queue}/{job_id}"
-        body = {"spec": "text", "steps": [one]}
-        await self.callers.until(200, "POST", path, body)
-        return path
+        return path, {"spec": "text", "steps": [one]}
 
     def leader(self) -> str:
         for vm, daemon in self.daemons.items():
@@ -247,6 +255,90 @@
         await site.callers.until_state(path, "completed", within=30)
 
 
+@pytest.fixture
+def full_disks(monkeypatch):
+    """The data folders on which nothing can be written."""
+    folders = set()
+    real = segments.write_all
+
+    def write_all(descriptor, raw, path):
+        if folders & set(path.parents):
+            raise store.DiskFullError(f"{path}: no room")
+        real(descriptor, raw, path)
+
+    monkeypatch.setattr(segments, "write_all", write_all)
+    return folders
+
+
+async def test_jobs_go_on_while_the_leader_s_disk_is_full(site, full_disks):
+    full = await site.until_leader()
+    before = await site.submit("batch", 40, count=2)
+    full_disks.add(site.folder / full)
+    paths = [await site.submit("batch", n, count=2) for n in range(41, 44)]
+    assert site.leader() not in ("", full)
+    assert not site.ended[full].is_set()
+    control = f"{full}:{site.control_port}"
+    answer = await site.operator.call("GET", "/-/config", address=control)
+    assert answer[0] == 200  # it still reaches the leader
+    for path in (before, *paths):
+        await site.callers.until_state(path, "completed")
+    text = site.daemons[full]._metrics.render()[0].decode()
+    assert 'group_disk_full{group="site"} 1' in text
+    full_disks.clear()
+    with trio.fail_after(2):
+        leader = await site.until_leader()
+        while applied(site, full) != applied(site, leader):  # noqa: ASYNC110
+            await trio.sleep(0.05)
+
+
+def applied(site, vm) -> int:
+    return site.daemons[vm]._host.status()[0].applied
+
+
+async def test_with_all_disks_full_jobs_are_refused_at_once(site, full_disks):
+    await site.until_leader()
+    done = await site.submit("batch", 45)
+    await site.callers.until_state(done, "completed")
+    full_disks |= {site.folder / vm for vm in site.seeds}
+    refused = ""
+    for number in range(50, 60):
+        path, body = site.job("batch", number)
+        began = trio.current_time()
+        status, _ = await site.callers.call("POST", path, body)
+        assert status in (503, 504)
+        if status == 503 and trio.current_time() - began < AT_ONCE_S:
+            refused = path
+            break
+    assert refused
+    assert not any(site.ended[vm].is_set() for vm in site.seeds)
+    state = await site.callers.call("GET", done)
+    assert state[0] == 200
+    assert state[1]["state"] == "completed"
+    full_disks.clear()
+    path = await site.submit("urgent", 60)
+    await site.callers.until_state(path, "completed")
+    assert (await site.callers.call("GET", refused))[0] == 410
+
+
+async def test_a_core_vm_that_starts_with_a_full_disk_serves(site, full_disks):
+    vm = await site.until_leader()
+    await site.kill(vm)
+    full_disks.add(site.folder / vm)
+    await site.start_core(vm)
+    control = f"{vm}:{site.control_port}"
+    with trio.fail_after(5):
+        while True:
+            call = site.operator.call("GET", "/-/config", address=control)
+            if (await call)[0] == 200:
+                break
+            await trio.sleep(0.1)
+    assert not site.daemons[vm]._host.status()
+    full_disks.clear()
+    with trio.fail_after(3):
+        while not site.daemons[vm]._host.status():  # noqa: ASYNC110
+            await trio.sleep(0.05)
+
+
 async def test_a_vm_that_lost_its_disk_joins_again(site):
     lost = await site.until_leader()
     await site.submit("batch", 30)
