--- a/laburnumsill/consensus/group.py
+++ b/laburnumsill/consensus/group.py
@@ -334,7 +334,7 @@
 
     def _lose_disk(self, error: store.DiskFullError) -> None:
         """Promises nothing more until the store takes something again."""
-        self._held.clear()
+        self._held = [one for one in self._held if one.after <= self._kept]
         if self.writable:
             self._engine.set_writable(False)
             logs.event(
--- a/laburnumsill/consensus/tests/test_host_group.py
+++ b/laburnumsill/consensus/tests/test_host_group.py
@@ -3,6 +3,7 @@
 import random
 
 import pytest
+import trio
 
 from laburnumsill.consensus import engine
 from laburnumsill.consensus import group
@@ -152,3 +153,54 @@
     more = {"term": 3, "index": 3, "log_term": 2, "commit": 4}
     replica.take(Kind.APPEND, VM3, entries=(other,), **more)
     assert isinstance(outcome_of(again), errors.NoQuorumError)
+
+
+class FullStore(SlowStore):
+    """A disk that is full until the test says otherwise."""
+
+    full = True
+    tries = 0
+
+    def commit(self, changes):
+        self.tries += 1
+        if self.full:
+            raise store.DiskFullError("no room")
+        super().commit(changes)
+
+
+async def test_a_full_disk_lets_nothing_pile_up_and_nothing_be_promised(
+    replica, nursery
+):
+    kept = FullStore()
+    replica.group._store = kept
+    nursery.start_soon(replica.group.keep_syncing, replica.group.pump)
+    more = {"term": 1, "index": 2, "log_term": 1}
+    replica.take(Kind.APPEND, entries=(command(3, 1, "b"),), **more)
+    with trio.fail_after(1):
+        while replica.group.writable:  # noqa: ASYNC110
+            await trio.sleep(0.01)
+    sent = replica.sent()
+    for index in range(3, 1003):
+        more = {"index": index, "log_term": 1}
+        entry = command(index + 1, 1, "c")
+        sent += replica.take(Kind.APPEND, term=1, entries=(entry,), **more)
+        sent += replica.take(Kind.HEARTBEAT, term=1)
+        ask = {"term": 9, "granted": True, **more}
+        sent += replica.take(Kind.VOTE, VM3, **ask)
+        sent += replica.take(Kind.PRE_VOTE, VM3, **ask)
+    assert set(sent) == {Kind.HEARTBEAT_REPLY}
+    assert replica.group.engine.last_index == 3
+    assert len(replica.group._pending) + len(replica.group._held) <= 2
+    assert kept.tries <= 3
+    kept.full = False
+    with trio.fail_after(2 * store.RETRY_S):
+        while not replica.group.writable:  # noqa: ASYNC110
+            await trio.sleep(0.01)
+    assert [change.entries for change in kept.changes][0] == (
+        command(3, 1, "b"),
+    )
+    more = {"term": 1, "index": 3, "log_term": 1}
+    replica.take(Kind.APPEND, entries=(command(4, 1, "d"),), **more)
+    with trio.fail_after(1):
+        while Kind.APPEND_REPLY not in replica.sent():  # noqa: ASYNC110
+            await trio.sleep(0.01)
