--- a/laburnumsill/consensus/tests/test_engine_rules.py
+++ b/laburnumsill/consensus/tests/test_engine_rules.py
@@ -313,3 +313,16 @@
     assert [one.target for one in sent if one.entries] == [C]
     output = send(leader, KIND.HEARTBEAT_REPLY, B, 2)
     assert [one.target for one in output.messages if one.entries] == [B]
+
+
+def test_what_a_full_member_dropped_is_sent_again_once_it_can_write():
+    leader = made(types.HardState(1, None))
+    lead(leader)
+    for member in (B, C):
+        send(leader, KIND.APPEND_REPLY, member, 2, granted=True, index=2)
+    leader.propose(b"x", 0.1)
+    assert len([one for one in leader.take_output().messages if one.entries])
+    send(leader, KIND.HEARTBEAT_REPLY, B, 2, full=True)
+    output = send(leader, KIND.HEARTBEAT_REPLY, B, 2)
+    again = [one for one in output.messages if one.entries]
+    assert [(one.target, one.entries[0].data) for one in again] == [(B, b"x")]
--- a/laburnumsill/consensus/tests/test_host_group.py
+++ b/laburnumsill/consensus/tests/test_host_group.py
@@ -192,6 +192,10 @@
     assert replica.group.engine.last_index == 3
     assert len(replica.group._pending) + len(replica.group._held) <= 2
     assert kept.tries <= 3
+    for _ in range(100):
+        assert replica.take(Kind.HEARTBEAT, VM3, term=2) == []
+    assert replica.group.engine.leader == VM3
+    assert len(replica.group._pending) + len(replica.group._held) <= 2
     kept.full = False
     with trio.fail_after(2 * store.RETRY_S):
         while not replica.group.writable:  # noqa: ASYNC110
@@ -199,8 +203,8 @@
     assert [change.entries for change in kept.changes][0] == (
         command(3, 1, "b"),
     )
-    more = {"term": 1, "index": 3, "log_term": 1}
-    replica.take(Kind.APPEND, entries=(command(4, 1, "d"),), **more)
+    more = {"term": 2, "index": 3, "log_term": 1}
+    replica.take(Kind.APPEND, VM3, entries=(command(4, 2, "d"),), **more)
     with trio.fail_after(1):
         while Kind.APPEND_REPLY not in replica.sent():  # noqa: ASYNC110
             await trio.sleep(0.01)
