--- a/laburnumsill/batch/tests/planned_site.py
+++ b/laburnumsill/batch/tests/planned_site.py
@@ -62,8 +62,14 @@
     ledger, worker_id, job_id, accelerators, placed_ms=0, priority=2, **step
 ):
     """Places a long task on one worker."""
-    submit(ledger, job(job_id, 1, accelerators, priority, **step))
-    run = model.RunId(model.TaskId(job_id, 0, 0, 0), 1)
+    one = job(job_id, 1, accelerators, priority, **step)
+    occupy_with(ledger, worker_id, one, placed_ms)
+
+
+def occupy_with(ledger, worker_id, one, placed_ms=0):
+    """Places a job's only task on one worker."""
+    submit(ledger, one)
+    run = model.RunId(model.TaskId(one.job_id, 0, 0, 0), 1)
     placement = commands.Placement(run, worker_id)
     command = commands.PlaceRuns(((placement,),), placed_ms)
     assert ledger.place(command).refusals == ("",)
--- a/laburnumsill/batch/tests/test_waiting_gangs.py
+++ b/laburnumsill/batch/tests/test_waiting_gangs.py
@@ -218,3 +218,44 @@
     made = late_plan(ledger)
     assert made.kept_racks == {("first", 0, 0): "r0"}
     assert made.groups == []
+
+
+def kept_beside_long_runs(short_ms):
+    """Returns a site in use, two workers kept, and tasks that take so long.
+
+    The gang's last worker is expected to be free in 12 s.
+    """
+    ledger = planned_site.site(racks=1, per_rack=3)
+    for worker_id in ("w01", "w02"):
+        long_job = planned_site.job(f"on-{worker_id}", 1, 8, priority=2)
+        planned_site.occupy_with(ledger, worker_id, lasting(long_job, 15_000))
+    planned_site.submit(ledger, gang("g", 2))
+    planned_site.submit(ledger, lasting(small("many", 20), short_ms))
+    return ledger
+
+
+def lasting(job, task_ms):
+    """Returns a job whose tasks are declared to take so long."""
+    (step,) = job.steps
+    step = dataclasses.replace(step, estimated_ms=task_ms)
+    return dataclasses.replace(job, steps=(step,))
+
+
+def test_short_tasks_use_room_that_is_kept_for_later():
+    """They waited for 40 s beside workers that were idle meanwhile."""
+    ledger = kept_beside_long_runs(4_000)
+    made = late_plan(ledger)
+    assert [placed.worker_id for (placed,) in made.groups] == ["w00"] * 8
+
+
+def test_tasks_that_might_end_too_late_leave_kept_room_alone():
+    assert late_plan(kept_beside_long_runs(4_100)).groups == []
+
+
+def test_a_run_that_is_overdue_is_given_half_its_time_again():
+    ledger = kept_beside_long_runs(2_900)
+    view = planned_site.view(ledger, now_ms=18_000)
+    assert len(planner.plan(view).groups) == 8
+    ledger = kept_beside_long_runs(3_100)
+    view = planned_site.view(ledger, now_ms=18_000)
+    assert planner.plan(view).groups == []
