Short tasks use room that is kept for a gang that begins much later

Change: single tasks may use kept room if they would leave it before the gang begins also when they took three times as long as expected. The gang begins when the last run that it waits for ends: its expected end, or half as long again as it has run, where it is overdue. Such tasks cannot move that time on, so nothing starves the gang.

--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -18,6 +18,7 @@
 from laburnumsill.batch import model
 from laburnumsill.batch import packing
 from laburnumsill.batch import preemption
+from laburnumsill.batch import records
 from laburnumsill.batch import rooms as room_module
 from laburnumsill.batch import units
 from laburnumsill.batch import worker_health
@@ -38,6 +39,11 @@
 """Tasks leave headroom while their job could begin so much later and still be
 in time, in ms."""
 
+SAFELY_SHORT = 3
+"""A task may use room that is kept for a gang if it would leave it in time also
+when it took so many times as long as expected: declared times of the users are
+off by 0.5 to 0.9 (sigma of the logarithm), and 3 is e to the 1.1."""
+
 MAX_FENCED = 1
 """So many waiting gangs keep room at a time; more would idle the site."""
 
@@ -114,6 +120,7 @@
         self._urgent_use = urgent_use(view.ledger)
         self._victims: preemption.Victims | None = None
         self._fenced = 0
+        self._kept_until_ms = 0.0
         self._most_slots: dict[tuple[object, ...], int] = {}
         self._suitable: dict[tuple[str, str], _Suitable] = {}
 
@@ -148,9 +155,9 @@
     def _place(self, unit: units.Unit) -> None:
         rooms = self._eligible(unit)
         found = [] if self._has_no_room(unit) else self._fit(unit, rooms)
+        if len(found) < len(unit.tasks) and self._fenced:
+            found = self._fit_into_kept(unit, rooms, found)
         found = self._within_headroom(unit, found)
-        if not found and self._fenced:
-            found = self._fit_into_kept(unit, rooms)
         self._take(unit, found)
         placed = {task for task, _ in found}
         unit.tasks = [task for task in unit.tasks if task not in placed]
@@ -176,22 +183,36 @@
         )
 
     def _fit_into_kept(
-        self, unit: units.Unit, rooms: list[room_module.Room]
+        self,
+        unit: units.Unit,
+        rooms: list[room_module.Room],
+        found: packing.Assignment,
     ) -> packing.Assignment:
-        """Returns where a unit gets on in room that is kept for a gang.
-
-        A job must not stand still because a gang waits for the last of its
-        workers while most of the pool is free. One task is enough for that,
-        and delays the gang little: it goes where the least is free. Another
-        gang goes there if it need not spread; it would hold the room long.
+        """Returns where a unit fits if it may use room kept for a gang.
+
+        Tasks may that will be gone when the gang begins. Others may if their
+        job would stand still while most of the pool is free: one task is
+        enough for that, and delays the gang little, as it goes where the least
+        is free. Another gang may if it need not spread; it would hold the room
+        long.
+
+        Args:
+            unit: The tasks.
+            rooms: The workers that may run them.
+            found: Where they fit without.
         """
+        in_time = self._leaves_kept_room_in_time(unit)
+        if not in_time and (found or not self._stands_still(unit)):
+            return found
+        found = packing.fit(unit, rooms, packing.free_or_kept, self._count_on)
+        return found if in_time or unit.step.gang else found[:1]
+
+    def _stands_still(self, unit: units.Unit) -> bool:
+        """Whether nothing of a unit runs though most of its pool is free."""
         waited = self._view.now_ms - unit.waiting_since_ms
         if waited < SPREAD_AFTER_MS or unit.key in self._ledger.runs_of_steps:
-            return []
-        if not self._is_mostly_free(unit):
-            return []
-        found = packing.fit(unit, rooms, packing.free_or_kept, self._count_on)
-        return found if unit.step.gang else found[:1]
+            return False
+        return self._is_mostly_free(unit)
 
     def _within_headroom(
         self, unit: units.Unit, found: packing.Assignment
@@ -366,12 +387,44 @@
         if kept is None:
             return
         self._fenced += 1
+        self._kept_until_ms = self._whole_at_ms(unit, kept)
         if kept.rack:
             self._plan.kept_racks[unit.key] = kept.rack
         for room, count in kept.slots:
             for _ in range(count):
                 room.keep(unit.step.needs)
 
+    def _whole_at_ms(self, unit: units.Unit, kept: keeping.Kept) -> float:
+        """Returns when all that a gang keeps will probably be free."""
+        ends = [
+            self._expected_end_ms(run)
+            for room, count in kept.slots
+            if unit.step.needs.times_in(room.free) < count
+            for run in self._ledger.runs_on(room.worker.worker_id).values()
+        ]
+        return max(ends, default=0.0)
+
+    def _expected_end_ms(self, run: records.RunRecord) -> float:
+        """Returns when a run will probably end.
+
+        One that takes longer than expected will go on for half as long as it
+        has run: times differ by factors.
+        """
+        task = run.run.task
+        job = self._ledger.jobs[task.job_id].job
+        expected_ms = run.placed_ms + self._view.step_ms(job, task.step)
+        ran_ms = self._view.now_ms - run.placed_ms
+        return max(expected_ms, self._view.now_ms + ran_ms / 2)
+
+    def _leaves_kept_room_in_time(self, unit: units.Unit) -> bool:
+        """Whether tasks end long before a gang can use what it keeps."""
+        step = unit.step
+        if step.gang or step.long_running:
+            return False
+        step_ms = self._view.step_ms(unit.record.job, unit.number)
+        most_ms = SAFELY_SHORT * step_ms
+        return self._view.now_ms + most_ms <= self._kept_until_ms
+
     def _reserve(self, unit: units.Unit, found: packing.Assignment) -> None:
         for _, room in found:
             room.take(unit.step.needs)
