--- a/laburnumsill/batch/keeping.py
+++ b/laburnumsill/batch/keeping.py
@@ -7,7 +7,9 @@
 import dataclasses
 from collections import abc
 
+from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import packing
+from laburnumsill.batch import records
 from laburnumsill.batch import rooms as room_module
 from laburnumsill.batch import units
 
@@ -48,6 +50,49 @@
     return _kept(unit, rack, racks[rack])
 
 
+def whole_at_ms(
+    unit: units.Unit,
+    kept: Kept,
+    ledger: ledgers.BatchLedger,
+    now_ms: int,
+    step_ms: units.StepMs,
+) -> float:
+    """Returns when all that a gang keeps will probably be free, ms since 1970.
+
+    Args:
+        unit: The gang.
+        kept: What it is about to keep.
+        ledger: What runs there.
+        now_ms: Wall time, ms since 1970.
+        step_ms: Returns how long a task of a step takes, in ms.
+    """
+    ends = [
+        _expected_end_ms(run, ledger, now_ms, step_ms)
+        for room, count in kept.slots
+        if unit.step.needs.times_in(room.free) < count
+        for run in ledger.runs_on(room.worker.worker_id).values()
+    ]
+    return max(ends, default=0.0)
+
+
+def _expected_end_ms(
+    run: records.RunRecord,
+    ledger: ledgers.BatchLedger,
+    now_ms: int,
+    step_ms: units.StepMs,
+) -> float:
+    """Returns when a run will probably end.
+
+    One that takes longer than expected will go on for half as long as it has
+    run: times differ by factors.
+    """
+    task = run.run.task
+    job = ledger.jobs[task.job_id].job
+    expected_ms = run.placed_ms + step_ms(job, task.step)
+    ran_ms = now_ms - run.placed_ms
+    return max(expected_ms, now_ms + ran_ms / 2)
+
+
 def _slots_soon(unit: units.Unit, rooms: abc.Iterable[room_module.Room]) -> int:
     """Returns for how many tasks there will be room soon."""
     return sum(unit.step.needs.times_in(room.soon_free) for room in rooms)
--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -18,7 +18,6 @@
 from laburnumsill.batch import model
 from laburnumsill.batch import packing
 from laburnumsill.batch import preemption
-from laburnumsill.batch import records
 from laburnumsill.batch import rooms as room_module
 from laburnumsill.batch import units
 from laburnumsill.batch import worker_health
@@ -387,35 +386,15 @@
         if kept is None:
             return
         self._fenced += 1
-        self._kept_until_ms = self._whole_at_ms(unit, kept)
+        self._kept_until_ms = keeping.whole_at_ms(
+            unit, kept, self._ledger, self._view.now_ms, self._view.step_ms
+        )
         if kept.rack:
             self._plan.kept_racks[unit.key] = kept.rack
         for room, count in kept.slots:
             for _ in range(count):
                 room.keep(unit.step.needs)
 
-    def _whole_at_ms(self, unit: units.Unit, kept: keeping.Kept) -> float:
-        """Returns when all that a gang keeps will probably be free."""
-        ends = [
-            self._expected_end_ms(run)
-            for room, count in kept.slots
-            if unit.step.needs.times_in(room.free) < count
-            for run in self._ledger.runs_on(room.worker.worker_id).values()
-        ]
-        return max(ends, default=0.0)
-
-    def _expected_end_ms(self, run: records.RunRecord) -> float:
-        """Returns when a run will probably end.
-
-        One that takes longer than expected will go on for half as long as it
-        has run: times differ by factors.
-        """
-        task = run.run.task
-        job = self._ledger.jobs[task.job_id].job
-        expected_ms = run.placed_ms + self._view.step_ms(job, task.step)
-        ran_ms = self._view.now_ms - run.placed_ms
-        return max(expected_ms, self._view.now_ms + ran_ms / 2)
-
     def _leaves_kept_room_in_time(self, unit: units.Unit) -> bool:
         """Whether tasks end long before a gang can use what it keeps."""
         step = unit.step
