End a stand-in executor's call quietly when its caller goes away

The mend of the known red test: read_body's DisconnectedError ends the call, as in the roles' applications.

--- a/laburnumsill/platform/tests/standin.py
+++ b/laburnumsill/platform/tests/standin.py
@@ -99,7 +99,10 @@
         if scope["type"] != "http":
             return
         request = http.request_of(scope)
-        body = json.loads(await http.read_body(receive))
+        try:
+            body = json.loads(await http.read_body(receive))
+        except http.DisconnectedError:
+            return
         self.calls.append(request.path)
         status, answer = await self._answer(request, body)
         answer["clock_ms"] = self.worker.clock_ms
