--- a/laburnumsill/consensus/tests/simulated_disk.py
+++ b/laburnumsill/consensus/tests/simulated_disk.py
@@ -3,15 +3,18 @@
 Files live in a real folder, which plays the part of the operating system's
 cache: a process that is killed finds everything there again. Beside it stands
 what the disk holds: the content of each file at its last sync, and the names
-of each folder at its last sync. A loss of power makes the folder show that,
-and of each later write and name a part, drawn at random.
-
-A disk that is full refuses what changes it. A write leaves half of its bytes,
-and a sync gives up what it could not write: the cache shows it still, and no
-later sync writes it, unless it is written anew.
+of each folder at its last sync. A loss of power makes the folder show that; of
+the later writes each is there, missing or torn, whatever became of those before
+it, and of the names each is the old or the new one.
+
+A process that is killed in a write leaves half of its bytes. A disk that is
+full refuses what changes it: a write leaves half of its bytes too, and a sync
+gives up what it could not write, as one that fails does. The cache shows that
+still, and no later sync writes it, unless it is written anew.
 """
 
 import contextlib
+import dataclasses
 import errno
 import fcntl
 import os
@@ -23,8 +26,19 @@
 
 import pytest
 
-KEPT_SHARES = (0.0, 0.0, 0.5, 1.0)
-"""Of what was written after a sync: missing, torn or present."""
+KEPT_SHARES = (0.0, 0.5, 1.0)
+"""Of a write after a sync: missing, torn or present."""
+
+ALL_MISSING = 0.3
+"""How often all writes after the syncs are gone."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Write:
+    """A write that no sync has covered."""
+
+    offset: int
+    raw: bytes
 
 
 @contextlib.contextmanager
@@ -68,7 +82,9 @@
         self._lost = lost
         self._calls_left: int | None = None
         self._full_after: int | None = None
+        self._syncs_fail = False
         self._given_up: dict[int, tuple[int, int]] = {}
+        self._writes: dict[int, list[_Write]] = {}
         self._synced: dict[int, bytes] = {}
         self._names: dict[pathlib.Path, dict[str, int]] = {root: {}}
         self._open: dict[int, int] = {}
@@ -94,6 +110,10 @@
         """Takes everything again."""
         self._full_after = None
 
+    def fail_next_sync(self) -> None:
+        """Has the next sync of a file fail with an error of the disk."""
+        self._syncs_fail = True
+
     def restart(self) -> None:
         """Lets the next process work undisturbed."""
         self._calls_left = None
@@ -129,6 +149,8 @@
 
         def counted(*args, **kwargs):
             self._note_names()
+            if name == "write" and self._calls_left == 0:
+                self._write_half(*args)
             self._pass_call()
             before(*args)
             self._refuse_if_full()
@@ -155,13 +177,22 @@
 
     def _before_write(self, descriptor: int, raw: bytes) -> None:
         if self._is_full:
-            raw = bytes(raw)[: len(raw) // 2]
+            self._write_half(descriptor, raw)
+        else:
+            self._note_write(descriptor, raw)
+
+    def _write_half(self, descriptor: int, raw: bytes) -> None:
+        raw = bytes(raw)[: len(raw) // 2]
+        self._note_write(descriptor, raw)
+        self._real_write(descriptor, raw)
+
+    def _note_write(self, descriptor: int, raw: bytes) -> None:
         start = os.lseek(descriptor, 0, os.SEEK_CUR)
         if fcntl.fcntl(descriptor, fcntl.F_GETFL) & os.O_APPEND:
             start = os.fstat(descriptor).st_size
-        if self._is_full:
-            self._real_write(descriptor, raw)
         inode = os.fstat(descriptor).st_ino
+        write = _Write(start, bytes(raw))
+        self._writes.setdefault(inode, []).append(write)
         first, last = self._given_up.pop(inode, (0, 0))
         if start <= first:
             first = max(first, start + len(raw))
@@ -194,13 +225,17 @@
             self._refuse_if_full()
             self._names[folder] = self._present(folder)
             return
-        if self._is_full:
+        if self._is_full or self._syncs_fail:
             self._give_up(found.st_ino)
         self._refuse_if_full()
+        if self._syncs_fail:
+            self._syncs_fail = False
+            raise OSError(errno.EIO, os.strerror(errno.EIO))
         content = bytearray(self._content(found.st_ino))
         first, last = self._given_up.get(found.st_ino, (0, 0))
         content[first:last] = bytes(last - first)
         self._synced[found.st_ino] = bytes(content)
+        self._writes.pop(found.st_ino, None)
         self._note_new_file(found.st_ino)
 
     def _note_new_file(self, inode: int) -> None:
@@ -241,12 +276,21 @@
     def _after_loss(self, inode: int, source: random.Random) -> bytes:
         """Returns the synced content and a part of what came after it."""
         synced = self._synced.get(inode, b"")
-        written = self._content(inode)
-        if not written.startswith(synced):
-            return source.choice((synced, written))
-        tail = written[len(synced) :]
-        kept = int(len(tail) * source.choice(KEPT_SHARES))
-        return synced + tail[:kept]
+        size = len(self._content(inode))
+        if size < len(synced):
+            return source.choice((synced, synced[:size]))
+        found = bytearray(synced)
+        if source.random() < ALL_MISSING:
+            return bytes(found)
+        for write in self._writes.get(inode, ()):
+            kept = int(len(write.raw) * source.choice(KEPT_SHARES))
+            if not kept:
+                continue
+            found += bytes(max(0, write.offset - len(found)))
+            found[write.offset : write.offset + kept] = write.raw[:kept]
+        first, last = self._given_up.get(inode, (0, 0))
+        found[first:last] = bytes(len(found[first:last]))
+        return bytes(found[:size])
 
     def _restore(
         self,
@@ -277,6 +321,7 @@
         self.close()
         self._synced = {}
         self._given_up = {}
+        self._writes = {}
         self._names = {}
         self._note_names()
         self._synced = {inode: self._content(inode) for inode in self._open}
