--- a/laburnumsill/daemon/configuration_file.py
+++ b/laburnumsill/daemon/configuration_file.py
@@ -38,7 +38,7 @@
         try:
             raw = self._path.read_bytes()
             # A process killed after a rename leaves a name that a loss of
-            # power would take back, and with it what is in force here.
+            # power would take back.
             _sync_folder(self._path.parent)
         except FileNotFoundError:
             return None
--- a/laburnumsill/daemon/tests/test_configuration_file.py
+++ b/laburnumsill/daemon/tests/test_configuration_file.py
@@ -1,9 +1,10 @@
 """The file of the version in force, when the power is lost.
 
-The daemon never takes a configuration back, also after a restart. A process
-that is killed between the rename of the new file and the sync of its folder
-leaves a name that only the operating system's cache holds: the restart reads
-the new version, acts on it, and a loss of power brings the old one back.
+A process that is killed between the rename of a new file and the sync of its
+folder leaves a name that only the operating system's cache holds. A later
+process reads the new version there, and a loss of power would bring the old
+one back. The daemon writes what it has read again before it acts on it; what
+`read` returns is durable by itself all the same.
 """
 
 import contextlib
