Let the fault-injecting proxy silence the connections open now

Connections may go silent for good, without a reset, while new ones work. No fault of the proxy did so: DROP concerns new connections too, and healing it resets what has lost bytes. SILENCE swallows the bytes and the end of what is open when it is set, in one or both directions, also after healing; a silenced connection ends when both of its ends have left it, so that it takes no descriptors for ever.

--- a/laburnumsill/testing/proxy_links.py
+++ b/laburnumsill/testing/proxy_links.py
@@ -31,6 +31,8 @@
         self._streams = [client]
         self._scope = trio.CancelScope()
         self._damaged = False
+        self._silent: set[proxy_faults.Direction] = set()
+        self._ended: set[proxy_faults.Direction] = set()
         self.cut_after: dict[proxy_faults.Direction, int | None] = {}
 
     async def run(self) -> None:
@@ -54,10 +56,17 @@
             stream.socket.close()
 
     def healed(self) -> None:
-        """Resets the session if bytes or its end were lost."""
-        if self._damaged:
+        """Resets the session if bytes or its end were lost.
+
+        One that was silenced stays as it is.
+        """
+        if self._damaged and not self._silent:
             self.end(reset=True)
 
+    def silence(self, direction: proxy_faults.Direction) -> None:
+        """Swallows all that is still sent in a direction, and its end."""
+        self._silent.add(direction)
+
     async def _pass_both_ways(self) -> None:
         client = self._streams[0]
         if not await self._passing(proxy_faults.Direction.TO_TARGET):
@@ -81,6 +90,7 @@
     async def _passing(self, direction: proxy_faults.Direction) -> bool:
         """Waits while bytes are held back; returns False if they are lost."""
         passing = await self._link.passing(direction)
+        passing = passing and direction not in self._silent
         self._damaged = self._damaged or not passing
         return passing
 
@@ -105,8 +115,15 @@
                 delay = self._link.delay(direction)
                 await into.send((trio.current_time() + delay, chunk))
                 if not chunk:
+                    self._note_end(direction)
                     return
 
+    def _note_end(self, direction: proxy_faults.Direction) -> None:
+        """Ends a silenced session once both of its sides have left it."""
+        self._ended.add(direction)
+        if self._silent and len(self._ended) == len(self._streams):
+            self.end()
+
     async def _deliver(
         self,
         chunks: trio.MemoryReceiveChannel[tuple[float, bytes | None]],
@@ -206,6 +223,8 @@
             self.faults[single] = fault
             for session in self._sessions:
                 session.cut_after[single] = fault.cut_after_bytes
+                if fault.mode is proxy_faults.Mode.SILENCE:
+                    session.silence(single)
         if self._has(proxy_faults.Mode.CUT) and not was_cut:
             self._stop_serving()
         if was_cut and not self._has(proxy_faults.Mode.CUT):
--- a/laburnumsill/testing/tests/test_proxy.py
+++ b/laburnumsill/testing/tests/test_proxy.py
@@ -133,6 +133,40 @@
         assert proxy.status("a").open == 1
 
 
+@pytest.mark.parametrize("direction", list(proxies.Direction))
+async def test_silence_concerns_present_connections_for_good(direction):
+    async with echo_link() as (proxy, address):
+        old = await connect(address)
+        assert await ask(old, b"one") == b"one"
+        proxy.set_fault("a", proxies.Fault(proxies.Mode.SILENCE), direction)
+        new = await connect(address)
+        for number in (b"2", b"3"):
+            await old.send_all(b"lost")
+            assert await is_silent(old)
+            assert await ask(new, number) == number
+            proxy.heal("a")
+        delivered = proxy.status("a").to_target_bytes
+        one_way = direction is proxies.Direction.FROM_TARGET
+        assert delivered == (13 if one_way else 5)
+
+
+async def test_a_silenced_connection_ends_when_both_ends_have_left_it():
+    async with proxies.running() as proxy:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listeners[0].socket.getsockname()[1]
+        proxy.add_link("a", "127.0.0.1:0", f"127.0.0.1:{port}")
+        near = await connect(proxy.status("a").listen)
+        far = await listeners[0].accept()
+        proxy.set_fault("a", proxies.Fault(proxies.Mode.SILENCE))
+        await near.aclose()
+        assert await is_silent(far)
+        assert proxy.status("a").open == 1
+        await far.aclose()
+        with trio.fail_after(5):
+            while proxy.status("a").open:
+                await trio.sleep(0.01)
+
+
 async def test_hold_keeps_bytes_back_until_healed():
     async with echo_link() as (proxy, address):
         old = await connect(address)
