Show how long a silent peer connection stays (known red)

A connection between two VMs that goes silent for good, both ways or one way, is only left after 1.5 s and up to a tick of 0.4 s; entries get no answers and followers no heartbeats for so long.

--- a/laburnumsill/wire/tests/test_network.py
+++ b/laburnumsill/wire/tests/test_network.py
@@ -1,3 +1,5 @@
+import contextlib
+
 import loguru
 import pytest
 import trio
@@ -11,6 +13,9 @@
 from laburnumsill.wire.generated.peer import ttypes
 from laburnumsill.wire.tests import cluster
 
+REPLACED_WITHIN_S = 1.2
+"""Well below the 3 s after which a VM counts as in touch again."""
+
 
 async def test_calls_go_both_ways_and_answers_may_cross():
     async with cluster.running("a", "b") as (a, b):
@@ -269,6 +274,31 @@
         assert await a.call("b", cluster.Echo(3), cluster.soon())
 
 
+async def test_a_connection_gone_silent_is_replaced_soon():
+    """Also one that is silent one way, on which the other end still hears."""
+    async with cluster.behind_proxy() as (a, b, proxy):
+        for direction in proxies.Direction:
+            await trio.sleep(network.STABLE_S + 0.1)
+            fault = proxies.Fault(proxies.Mode.SILENCE)
+            proxy.set_fault("b", fault, direction)
+            silent_at = cluster.CLOCK.monotonic()
+            await _until_answered(a, "b")
+            await _until_answered(b, "a")
+            took_s = cluster.CLOCK.monotonic() - silent_at
+            print("replaced", direction, took_s)
+            assert took_s < REPLACED_WITHIN_S
+            proxy.heal("b")
+
+
+async def _until_answered(source, target):
+    with trio.fail_after(10):
+        while True:
+            with contextlib.suppress(errors.LaburnumsillError):
+                await source.call(target, cluster.Echo(1), cluster.soon(0.1))
+                return
+            await trio.sleep(0.01)
+
+
 @pytest.mark.parametrize("mode", [proxies.Mode.CUT, proxies.Mode.RESET])
 async def test_connection_cut_in_mid_call_leaves_the_outcome_unknown(mode):
     async with cluster.behind_proxy() as (a, b, proxy):
