Show how long the end of a cut goes unnoticed (known red)

The pause between attempts to dial grows to 1 s, and an attempt begun during a cut is waited for 1 s, so the two may see each other 2 s after the cut ended.

--- a/laburnumsill/wire/tests/test_network.py
+++ b/laburnumsill/wire/tests/test_network.py
@@ -16,6 +16,9 @@
 REPLACED_WITHIN_S = 1.2
 """Well below the 3 s after which a VM counts as in touch again."""
 
+REACHED_AGAIN_WITHIN_S = 0.6
+"""From the end of a cut: a pause, and little more."""
+
 
 async def test_calls_go_both_ways_and_answers_may_cross():
     async with cluster.running("a", "b") as (a, b):
@@ -290,6 +293,21 @@
             proxy.heal("b")
 
 
+async def test_a_peer_cut_off_for_long_is_dialed_soon_after_its_return():
+    """However the pauses between the attempts have grown meanwhile."""
+    async with cluster.behind_proxy() as (a, _, proxy):
+        for cut_s in (4.0, 4.3, 4.6, 4.9):
+            await trio.sleep(network.STABLE_S + 0.1)
+            proxy.set_fault("b", proxies.Fault(proxies.Mode.DROP))
+            await trio.sleep(cut_s)
+            proxy.heal("b")
+            healed_at = cluster.CLOCK.monotonic()
+            await _until_answered(a, "b")
+            took_s = cluster.CLOCK.monotonic() - healed_at
+            print("dialed again", cut_s, took_s)
+            assert took_s < REACHED_AGAIN_WITHIN_S
+
+
 async def _until_answered(source, target):
     with trio.fail_after(10):
         while True:
