Show how long a report is waited for on a silent connection (known red)

A worker's report may wait 2 s for an end, and is given up after 2.5 s. Where the connection has gone silent, ends are heard of so much later, also when another order has shown meanwhile that only new connections work.

Run: pytest laburnumsill/clients/tests/test_http_pools.py::test_a_long_wait_on_a_silent_connection_ends_with_the_proof fails: the wait lasts the 3 s of its deadline instead of 0.55.

--- a/laburnumsill/clients/tests/test_http_pools.py
+++ b/laburnumsill/clients/tests/test_http_pools.py
@@ -12,6 +12,7 @@
     connections=8, keep_alive_s=60.0, connect_within_s=1.0
 )
 PATIENCE_S = 0.2
+HELD_S = 0.7
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
@@ -29,6 +30,7 @@
         self._silent_up_to = 0
 
     def silence_open_connections(self):
+        """Answers nothing on them any more, not even what came before."""
         self._silent_up_to = self.connections
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
@@ -45,16 +47,18 @@
         if number == self._first:
             self._all_open.set()
         with contextlib.suppress(trio.BrokenResourceError):
-            while await stream.receive_some():
+            while raw := await stream.receive_some():
                 await self._all_open.wait()
+                if b"/held" in raw:
+                    await trio.sleep(HELD_S)
                 if number <= self._silent_up_to:
                     await trio.sleep_forever()
                 await stream.send_all(ANSWER)
 
 
-async def request(pools, address):
-    deadline = trio.current_time() + PATIENCE_S
-    return await pools.request("POST", address, "/x", {}, b"{}", deadline)
+async def request(pools, address, path="/x", patience_s=PATIENCE_S):
+    deadline = trio.current_time() + patience_s
+    return await pools.request("POST", address, path, {}, b"{}", deadline)
 
 
 async def test_one_unanswered_request_ends_all_silent_connections():
@@ -74,3 +78,56 @@
         assert server.connections == 5
         await pools.close()
         nursery.cancel_scope.cancel()
+
+
+async def held(pools, address, ends):
+    """Waits long for an answer; notes when it ended, and how."""
+    try:
+        await request(pools, address, "/held", patience_s=3.0)
+        ends.append((trio.current_time(), "answered"))
+    except http_pools.NoResponseError:
+        ends.append((trio.current_time(), "lost"))
+
+
+async def test_a_long_wait_on_a_silent_connection_ends_with_the_proof():
+    """A short request that is answered on a new connection is the proof."""
+    async with trio.open_nursery() as nursery:
+        server = Server(first=2)
+        await nursery.start(server.run)
+        pools = http_pools.HttpPools(trio_clock.TrioClock(), LIMITS)
+        async with trio.open_nursery() as at_once:
+            for _ in range(2):
+                at_once.start_soon(request, pools, server.address)
+        ends = []
+        began = trio.current_time()
+        async with trio.open_nursery() as waits:
+            waits.start_soon(held, pools, server.address, ends)
+            await trio.sleep(0.05)
+            server.silence_open_connections()
+            with pytest.raises(http_pools.NoResponseError):
+                await request(pools, server.address)
+            assert (await request(pools, server.address)).status == 200
+        ((ended, how),) = ends
+        assert how == "lost"
+        assert ended - began < 0.05 + PATIENCE_S + 0.3
+        await pools.close()
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_long_wait_goes_on_while_nothing_is_answered():
+    """A worker that hangs is asked no more often than one that does not."""
+    async with trio.open_nursery() as nursery:
+        server = Server(first=1)
+        await nursery.start(server.run)
+        pools = http_pools.HttpPools(trio_clock.TrioClock(), LIMITS)
+        ends = []
+        async with trio.open_nursery() as waits:
+            waits.start_soon(held, pools, server.address, ends)
+            await trio.sleep(0.05)
+            with pytest.raises(http_pools.NoResponseError):
+                await request(pools, server.address, "/held", 0.1)
+            with pytest.raises(http_pools.NoResponseError):
+                await request(pools, server.address, "/held", 0.1)
+        assert [how for _, how in ends] == ["answered"]
+        await pools.close()
+        nursery.cancel_scope.cancel()
