Have the test's server read a request whole

The stand-in of the tests of kept connections answered each chunk that came; where a request's head came before its body it answered twice, so the client dropped the connection as one with bytes left over and the test's premise was gone. The checks are as they were.

--- a/laburnumsill/clients/tests/test_http_pools.py
+++ b/laburnumsill/clients/tests/test_http_pools.py
@@ -13,6 +13,7 @@
 )
 PATIENCE_S = 0.2
 HELD_S = 0.7
+BODY = b"{}"
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
@@ -47,7 +48,7 @@
         if number == self._first:
             self._all_open.set()
         with contextlib.suppress(trio.BrokenResourceError):
-            while raw := await stream.receive_some():
+            while raw := await _whole_request(stream):
                 await self._all_open.wait()
                 if b"/held" in raw:
                     await trio.sleep(HELD_S)
@@ -56,9 +57,20 @@
                 await stream.send_all(ANSWER)
 
 
+async def _whole_request(stream):
+    """Returns a request, b"" at the end; its head may come before its body."""
+    raw = b""
+    while not raw.endswith(BODY):
+        chunk = await stream.receive_some()
+        if not chunk:
+            return b""
+        raw += chunk
+    return raw
+
+
 async def request(pools, address, path="/x", patience_s=PATIENCE_S):
     deadline = trio.current_time() + patience_s
-    return await pools.request("POST", address, path, {}, b"{}", deadline)
+    return await pools.request("POST", address, path, {}, BODY, deadline)
 
 
 async def test_one_unanswered_request_ends_all_silent_connections():
