Give up waits on connections that are proven silent

Where an order is not answered and a later one on a new connection is, the requests that were under way before are most likely on silent connections. A report that may wait 2 s was waited for up to 2.5 s there, and ends were heard of so much later. It is given up with the proof now, and asked for anew.

Ruled out: shorter waits of reports, since each report is priced; giving up without the proof, since a worker that hangs would be asked again and again. Where no order comes the wait stays bounded by 2.5 s.

--- a/laburnumsill/clients/http_pools.py
+++ b/laburnumsill/clients/http_pools.py
@@ -2,10 +2,16 @@
 
 A pool looks through all its connections at each call, so there is one for
 each worker instead of one for all.
+
+Connections may go silent for good, without a reset and all at once, while new
+ones work. A request without an answer closes those that carry nothing; if a
+later one is answered, the requests that were under way before are given up,
+since their connections are most likely silent too.
 """
 
 import collections
 import dataclasses
+import itertools
 from collections import abc
 
 import httpcore
@@ -40,6 +46,51 @@
     pools: int = 4_096
 
 
+class _Place:
+    """The connections to one address, and the requests under way there."""
+
+    def __init__(self, limits: PoolLimits) -> None:
+        self.pool = httpcore.AsyncConnectionPool(
+            max_connections=limits.connections,
+            max_keepalive_connections=limits.connections,
+            keepalive_expiry=limits.keep_alive_s,
+        )
+        self._under_way: dict[int, trio.CancelScope] = {}
+        self._numbers = itertools.count()
+        self._suspected_below = 0
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is under way."""
+        return all(entry.is_idle() for entry in self.pool.connections)
+
+    def begin(self, scope: trio.CancelScope) -> int:
+        """Notes a request that `scope` ends; returns its number."""
+        number = next(self._numbers)
+        self._under_way[number] = scope
+        return number
+
+    def end(self, number: int) -> None:
+        """Notes that a request is over."""
+        del self._under_way[number]
+
+    def answered(self, number: int) -> None:
+        """Gives up the suspected requests if a later one was answered."""
+        if number < self._suspected_below:
+            return
+        for other, scope in self._under_way.items():
+            if other < self._suspected_below:
+                scope.cancel()
+        self._suspected_below = 0
+
+    async def suspect_all(self) -> None:
+        """Closes what is idle and suspects what is under way."""
+        self._suspected_below = next(self._numbers)
+        for connection in self.pool.connections:
+            if connection.is_idle():
+                await connection.aclose()
+
+
 class HttpPools:
     """Sends requests over kept connections.
 
@@ -51,9 +102,9 @@
     def __init__(self, clock: clocks.Clock, limits: PoolLimits) -> None:
         self._clock = clock
         self._limits = limits
-        self._pools: collections.OrderedDict[
-            str, httpcore.AsyncConnectionPool
-        ] = collections.OrderedDict()
+        self._places: collections.OrderedDict[str, _Place] = (
+            collections.OrderedDict()
+        )
 
     async def request(
         self,
@@ -72,9 +123,12 @@
         call = f"{method} {path} at {address}"
         remaining = deadline - self._clock.monotonic()
         await self._close_unused()
+        place = self._place_of(address)
+        scope = trio.CancelScope()
+        number = place.begin(scope)
         try:
-            with trio.move_on_after(max(0.0, remaining)):
-                return await self._pool_of(address).request(
+            with trio.move_on_after(max(0.0, remaining)), scope:
+                response = await place.pool.request(
                     method,
                     f"http://{address}{path}",
                     headers=list(headers.items()),
@@ -83,48 +137,39 @@
                         "timeout": {"connect": self._limits.connect_within_s}
                     },
                 )
+                place.answered(number)
+                return response
         except (OSError, *_LOST) as error:
             raise NoResponseError(f"{call}: {error!r}") from error
-        await self._close_idle(address)
+        finally:
+            place.end(number)
+        if scope.cancelled_caught:
+            raise NoResponseError(f"{call}: its connection is silent")
+        await place.suspect_all()
         raise NoResponseError(f"{call}: none in time")
 
     async def close(self) -> None:
         """Closes all connections."""
-        for pool in self._pools.values():
-            await pool.aclose()
-        self._pools.clear()
-
-    def _pool_of(self, address: str) -> httpcore.AsyncConnectionPool:
-        pool = self._pools.get(address)
-        if pool is None:
-            pool = httpcore.AsyncConnectionPool(
-                max_connections=self._limits.connections,
-                max_keepalive_connections=self._limits.connections,
-                keepalive_expiry=self._limits.keep_alive_s,
-            )
-            self._pools[address] = pool
-        self._pools.move_to_end(address)
-        return pool
-
-    async def _close_idle(self, address: str) -> None:
-        """Closes the connections to an address that carry no request.
-
-        Connections may go silent for good without a reset, all at once;
-        without this each of them would cost a timeout of its own.
-        """
-        pool = self._pools.get(address)
-        for connection in pool.connections if pool else ():
-            if connection.is_idle():
-                await connection.aclose()
+        for place in self._places.values():
+            await place.pool.aclose()
+        self._places.clear()
+
+    def _place_of(self, address: str) -> _Place:
+        place = self._places.get(address)
+        if place is None:
+            place = _Place(self._limits)
+            self._places[address] = place
+        self._places.move_to_end(address)
+        return place
 
     async def _close_unused(self) -> None:
         """Closes the longest unused pool where there are too many."""
-        if len(self._pools) <= self._limits.pools:
+        if len(self._places) <= self._limits.pools:
             return
-        address, pool = next(iter(self._pools.items()))
-        if all(entry.is_idle() for entry in pool.connections):
-            del self._pools[address]
-            await pool.aclose()
+        address, place = next(iter(self._places.items()))
+        if place.is_idle:
+            del self._places[address]
+            await place.pool.aclose()
 
 
 _LOST = (
