--- a/laburnumsill/platform/http.py
+++ b/laburnumsill/platform/http.py
@@ -26,6 +26,13 @@
     slug = "body-too-large"
 
 
+class BodyLateError(errors.UnavailableError):
+    """Nothing came of a body for so long that its caller is given up."""
+
+    slug = "body-late"
+    title = "The body did not arrive in time"
+
+
 class DisconnectedError(errors.LaburnumsillError):
     """The caller went away before its request was whole."""
 
