Give up a caller that falls silent within a body after 10 s

The wait is for the next piece, so a slow caller is read to its end.

Ruled out: a read limit of the HTTP server, which would also end connections whose callers wait for a long answer.

--- a/laburnumsill/platform/http.py
+++ b/laburnumsill/platform/http.py
@@ -9,6 +9,7 @@
 from collections import abc
 
 import msgspec
+import trio
 
 from laburnumsill.core import errors
 
@@ -19,6 +20,11 @@
 MAX_BODY_BYTES = 4 * 1024 * 1024
 """Largest body that is read at all, whatever the configuration allows."""
 
+PIECE_WITHIN_S = 10.0
+"""Longest wait for the next piece of a body. A caller whose connection has
+gone silent would keep its descriptor for ever; the users' callers wait 10 s
+for the whole answer at most."""
+
 
 class BodyTooLargeError(errors.TooLargeError):
     """A body over the limit of its call."""
@@ -84,13 +90,14 @@
     """Returns the whole body.
 
     Raises:
+        BodyLateError: Nothing came for `PIECE_WITHIN_S`.
         BodyTooLargeError: It is larger than `limit`.
         DisconnectedError: The caller went away.
     """
     pieces = []
     size = 0
     while True:
-        message = await receive()
+        message = await _next_message(receive)
         if message["type"] == "http.disconnect":
             raise DisconnectedError("the caller went away")
         piece = message.get("body", b"")
@@ -102,6 +109,12 @@
             return b"".join(pieces)
 
 
+async def _next_message(receive: Receive) -> dict[str, typing.Any]:
+    with trio.move_on_after(PIECE_WITHIN_S):
+        return await receive()
+    raise BodyLateError(f"nothing for {PIECE_WITHIN_S:.0f} s")
+
+
 async def send_answer(send: Send, answer: Answer, close: bool = False) -> None:
     """Sends an answer whole.
 
