Silence all open connections in the soak now and then

A trouble more: every 4 s in the mean all open connections of one VM or of all go silent, one way or both, with those to workers; new ones work. It has a loop and a source of randomness of its own, so the seeds that broke a promise once bring the same other troubles as before. The proxy does it by a method instead of a mode, since a mode took the place of a fault that lay on the link and healing ended that as well.

Run: pytest of test_proxy.py and laburnumsill/wire: all passed.

--- a/laburnumsill/platform/tests/soak/main.py
+++ b/laburnumsill/platform/tests/soak/main.py
@@ -27,6 +27,10 @@
 MEAN_GAP_S = 0.9
 """Between the beginnings of two troubles, so that they overlap."""
 
+MEAN_SILENCE_GAP_S = 4.0
+"""Between two moments at which all open connections go silent: time enough
+for all of them to be replaced, mostly."""
+
 LOOK_EVERY_S = 0.05
 """How often the soak looks how late its own loop is."""
 
@@ -127,6 +131,7 @@
     async with trio.open_nursery() as callers:
         callers.start_soon(witness.run)
         end = trio.current_time() + seconds
+        callers.start_soon(_silence_now_and_then, site, kinds)
         async with trio.open_nursery() as running:
             while True:
                 gap_s = site.random.expovariate(1 / MEAN_GAP_S)
@@ -139,6 +144,17 @@
         callers.cancel_scope.cancel()
 
 
+async def _silence_now_and_then(
+    site: sites.SoakSite, kinds: list[str]
+) -> None:
+    """Lets all open connections go silent beside the other troubles."""
+    source = random.Random(site.seed)
+    while True:
+        await trio.sleep(source.expovariate(1 / MEAN_SILENCE_GAP_S))
+        kinds.append(troubles.SilenceAll.__name__)
+        await troubles.SilenceAll(site, source).run()
+
+
 def _ended(site: sites.SoakSite) -> list[str]:
     """Returns which daemons do not run, though each trouble undoes itself."""
     return [
--- a/laburnumsill/platform/tests/soak/site.py
+++ b/laburnumsill/platform/tests/soak/site.py
@@ -75,6 +75,7 @@
     ) -> None:
         self.folder = folder
         self.nursery = nursery
+        self.seed = seed
         self.random = random.Random(seed)
         self.vms = layout.vms()
         self.proxy = proxies.Proxy()
--- a/laburnumsill/platform/tests/soak/troubles.py
+++ b/laburnumsill/platform/tests/soak/troubles.py
@@ -1,6 +1,7 @@
 """Troubles of a soak; each is one run of a class with its own way to end."""
 
 import abc
+import random
 
 import trio
 
@@ -204,6 +205,33 @@
         return proxies.Fault(cut_after_bytes=count)
 
 
+class SilenceAll(Trouble):
+    """All open connections go silent for good; new ones work.
+
+    Those of one VM or of all, one way or both, and those to workers as well.
+    It has its own source of randomness, so that the seeds of soaks that broke
+    a promise bring the same other troubles as before it was added.
+
+    Args:
+        site: Where.
+        source: Draws what is left open.
+    """
+
+    def __init__(self, site: sites.SoakSite, source: random.Random) -> None:
+        super().__init__(site)
+        self._random = source
+
+    async def _play(self) -> None:
+        names = list(layout.links(self._site.vms))
+        if self._random.random() < 0.5:
+            names = self._site.links_of(self._any_vm())
+        names += map(self._site.order_link, self._site.announcers)
+        direction = self._random.choice(list(proxies.Direction))
+        for name in names:
+            self._site.proxy.silence(name, direction)
+        await trio.lowlevel.checkpoint()
+
+
 class CutWorkers(Trouble):
     """Some workers get no orders, or their answers are lost."""
 
--- a/laburnumsill/testing/proxy.py
+++ b/laburnumsill/testing/proxy.py
@@ -72,6 +72,16 @@
         """Removes the faults of a link."""
         self._link(name).set_fault(Fault(), Direction.BOTH)
 
+    def silence(
+        self, name: str, direction: Direction = Direction.BOTH
+    ) -> None:
+        """Silences the connections of a link that are open now, for good.
+
+        What is still sent on them is swallowed and their end is hidden; new
+        connections pass, and the faults of the link stay as they are.
+        """
+        self._link(name).silence(direction)
+
     def status(self, name: str) -> LinkStatus:
         """Returns the address and the counters of a link."""
         return self._link(name).status()
--- a/laburnumsill/testing/proxy_faults.py
+++ b/laburnumsill/testing/proxy_faults.py
@@ -20,17 +20,13 @@
     bytes is reset when the fault is healed. HOLD keeps bytes back until
     then, as TCP does over a short partition. RESET and CUT concern both
     directions: RESET takes connections and resets them, CUT closes them and
-    refuses new ones. SILENCE concerns the connections that are open when it
-    is set: their bytes are swallowed and their end is hidden for good, also
-    after the fault is healed, while new connections pass.
-    """
+    refuses new ones.    """
 
     PASS = "pass"
     DROP = "drop"
     HOLD = "hold"
     RESET = "reset"
     CUT = "cut"
-    SILENCE = "silence"
 
 
 class Direction(enum.Enum):
--- a/laburnumsill/testing/proxy_links.py
+++ b/laburnumsill/testing/proxy_links.py
@@ -223,8 +223,6 @@
             self.faults[single] = fault
             for session in self._sessions:
                 session.cut_after[single] = fault.cut_after_bytes
-                if fault.mode is proxy_faults.Mode.SILENCE:
-                    session.silence(single)
         if self._has(proxy_faults.Mode.CUT) and not was_cut:
             self._stop_serving()
         if was_cut and not self._has(proxy_faults.Mode.CUT):
@@ -233,6 +231,12 @@
         self._changed.set()
         self._changed = trio.Event()
 
+    def silence(self, direction: proxy_faults.Direction) -> None:
+        """Silences the connections that are open now, see `Proxy.silence`."""
+        for session in self._sessions:
+            for single in direction.single:
+                session.silence(single)
+
     def delay(self, direction: proxy_faults.Direction) -> float:
         """Returns the delay of a chunk that comes now, in seconds."""
         fault = self.faults[direction]
--- a/laburnumsill/testing/tests/test_proxy.py
+++ b/laburnumsill/testing/tests/test_proxy.py
@@ -138,7 +138,7 @@
     async with echo_link() as (proxy, address):
         old = await connect(address)
         assert await ask(old, b"one") == b"one"
-        proxy.set_fault("a", proxies.Fault(proxies.Mode.SILENCE), direction)
+        proxy.silence("a", direction)
         new = await connect(address)
         for number in (b"2", b"3"):
             await old.send_all(b"lost")
@@ -157,7 +157,7 @@
         proxy.add_link("a", "127.0.0.1:0", f"127.0.0.1:{port}")
         near = await connect(proxy.status("a").listen)
         far = await listeners[0].accept()
-        proxy.set_fault("a", proxies.Fault(proxies.Mode.SILENCE))
+        proxy.silence("a")
         await near.aclose()
         assert await is_silent(far)
         assert proxy.status("a").open == 1
--- a/laburnumsill/wire/tests/test_network.py
+++ b/laburnumsill/wire/tests/test_network.py
@@ -282,15 +282,13 @@
     async with cluster.behind_proxy() as (a, b, proxy):
         for direction in proxies.Direction:
             await trio.sleep(network.STABLE_S + 0.1)
-            fault = proxies.Fault(proxies.Mode.SILENCE)
-            proxy.set_fault("b", fault, direction)
+            proxy.silence("b", direction)
             silent_at = cluster.CLOCK.monotonic()
             await _until_answered(a, "b")
             await _until_answered(b, "a")
             took_s = cluster.CLOCK.monotonic() - silent_at
             print("replaced", direction, took_s)
             assert took_s < REPLACED_WITHIN_S
-            proxy.heal("b")
 
 
 async def test_a_peer_cut_off_for_long_is_dialed_soon_after_its_return():
