--- a/laburnumsill/platform/tests/soak/main.py
+++ b/laburnumsill/platform/tests/soak/main.py
@@ -144,9 +144,7 @@
         callers.cancel_scope.cancel()
 
 
-async def _silence_now_and_then(
-    site: sites.SoakSite, kinds: list[str]
-) -> None:
+async def _silence_now_and_then(site: sites.SoakSite, kinds: list[str]) -> None:
     """Lets all open connections go silent beside the other troubles."""
     source = random.Random(site.seed)
     while True:
--- a/laburnumsill/testing/proxy.py
+++ b/laburnumsill/testing/proxy.py
@@ -72,9 +72,7 @@
         """Removes the faults of a link."""
         self._link(name).set_fault(Fault(), Direction.BOTH)
 
-    def silence(
-        self, name: str, direction: Direction = Direction.BOTH
-    ) -> None:
+    def silence(self, name: str, direction: Direction = Direction.BOTH) -> None:
         """Silences the connections of a link that are open now, for good.
 
         What is still sent on them is swallowed and their end is hidden; new
--- a/laburnumsill/testing/proxy_faults.py
+++ b/laburnumsill/testing/proxy_faults.py
@@ -20,7 +20,8 @@
     bytes is reset when the fault is healed. HOLD keeps bytes back until
     then, as TCP does over a short partition. RESET and CUT concern both
     directions: RESET takes connections and resets them, CUT closes them and
-    refuses new ones.    """
+    refuses new ones.
+    """
 
     PASS = "pass"
     DROP = "drop"
--- a/laburnumsill/testing/tests/test_proxy.py
+++ b/laburnumsill/testing/tests/test_proxy.py
@@ -163,7 +163,7 @@
         assert proxy.status("a").open == 1
         await far.aclose()
         with trio.fail_after(5):
-            while proxy.status("a").open:
+            while proxy.status("a").open:  # noqa: ASYNC110
                 await trio.sleep(0.01)
 
 
