Show that each silent connection to a backend server costs a request (known red)

After a late answer only its own connection is closed; the others that went silent with it are used one after the other, and each takes a request's deadline, whose outcome is unknown then.

Run: pytest laburnumsill/clients/tests/test_backend.py::test_one_late_answer_ends_all_connections_that_went_silent fails: the request after the first late one is late too.

--- a/laburnumsill/clients/tests/test_backend.py
+++ b/laburnumsill/clients/tests/test_backend.py
@@ -101,6 +101,48 @@
     assert script.connections == 2
 
 
+class GoingSilent(Scripted):
+    """Answers nothing on the connections that were open at some point.
+
+    It answers nothing at all before `first` connections are open.
+    """
+
+    def __init__(self, first):
+        super().__init__()
+        self._first = first
+        self._all_open = trio.Event()
+        self.silent_up_to = 0
+
+    async def _serve(self, stream):
+        self.connections += 1
+        number = self.connections
+        if number == self._first:
+            self._all_open.set()
+        async for chunk in stream:
+            if not chunk.endswith(b"}"):
+                continue
+            await self._all_open.wait()
+            if number <= self.silent_up_to:
+                await trio.sleep_forever()
+            await stream.send_all(OK)
+
+
+async def test_one_late_answer_ends_all_connections_that_went_silent():
+    """Otherwise each of them costs a deadline of its own."""
+    script = GoingSilent(first=4)
+    async with script.running() as server:
+        client = make_client()
+        async with trio.open_nursery() as at_once:
+            for _ in range(4):
+                at_once.start_soon(exchange, client, server)
+        script.silent_up_to = script.connections
+        with pytest.raises(backend.AnswerLateError):
+            await exchange(client, server, seconds=0.2)
+        assert await exchange(client, server, seconds=0.5) == b"ok"
+        assert script.connections == 5
+        await client.aclose()
+
+
 async def test_refused_connection_was_not_sent():
     async with Scripted().running() as server:
         pass
