Close idle connections to a server after one late answer

A late answer on a kept connection may mean that it went silent, and its siblings with it. They are closed; a late answer on a connection made for the request says nothing of those that were kept, so they stay. The requests under way are left alone: their outcome is unknown, and each has its own deadline.

--- a/laburnumsill/clients/backend.py
+++ b/laburnumsill/clients/backend.py
@@ -4,6 +4,10 @@
 exchange did not end whole, so an answer belongs to the request before it.
 An exchange that fails is told apart: `NotSentError` where no byte can have
 reached the server, `errors.OutcomeUnknownError` otherwise.
+
+Connections may go silent for good, without a reset and all at once, while new
+ones work. So a late answer on a kept connection closes all idle ones to that
+server: otherwise each of them costs a deadline.
 """
 
 import abc
@@ -15,6 +19,7 @@
 import trio
 
 from laburnumsill.clients import counted_streams
+from laburnumsill.clients import http_pools
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import errors
 from laburnumsill.core import members
@@ -33,6 +38,7 @@
 
 REQUEST_ID_HEADER = b"laburnumsill-request-id"
 
+_CONNECTED = "connection.connect_tcp.complete"
 _WRITING = "http11.send_request_headers.started"
 BODILESS_STATUSES = frozenset({204, 304})
 """Answers of these have no body and no length of one, RFC 9110."""
@@ -219,7 +225,11 @@
 
 
 class _Exchange:
-    """One request on its way, knowing whether writing has begun."""
+    """One request on its way.
+
+    It knows whether writing has begun, and whether that was on a connection
+    made for it.
+    """
 
     def __init__(
         self,
@@ -233,6 +243,7 @@
         self._request = request
         self._deadline = deadline
         self._writing = False
+        self._connected = False
 
     async def start(self, pool: httpcore.AsyncConnectionPool) -> BackendAnswer:
         """Sends the request and returns the head of the answer."""
@@ -240,6 +251,8 @@
         with trio.move_on_after(_left(self._clock, self._deadline)):
             response = await self._response(pool)
         if response is None:
+            if self._writing and not self._connected:
+                await http_pools.close_idle(pool)
             raise self._late()
         answer = _HttpAnswer(
             response, self._clock, self._deadline, self._request.method
@@ -281,6 +294,8 @@
     async def _trace(self, name: str, info: dict[str, typing.Any]) -> None:
         if name == _WRITING:
             self._writing = True
+        elif name == _CONNECTED:
+            self._connected = True
 
     def _failure(self, why: str) -> errors.LaburnumsillError:
         text = f"server {self._server.server_id!r}: {why}"
--- a/laburnumsill/clients/http_pools.py
+++ b/laburnumsill/clients/http_pools.py
@@ -46,6 +46,13 @@
     pools: int = 4_096
 
 
+async def close_idle(pool: httpcore.AsyncConnectionPool) -> None:
+    """Closes the connections that carry no request."""
+    for connection in pool.connections:
+        if connection.is_idle():
+            await connection.aclose()
+
+
 class _Place:
     """The connections to one address, and the requests under way there."""
 
@@ -86,9 +93,7 @@
     async def suspect_all(self) -> None:
         """Closes what is idle and suspects what is under way."""
         self._suspected_below = next(self._numbers)
-        for connection in self.pool.connections:
-            if connection.is_idle():
-                await connection.aclose()
+        await close_idle(self.pool)
 
 
 class HttpPools:
--- a/laburnumsill/clients/tests/test_backend.py
+++ b/laburnumsill/clients/tests/test_backend.py
@@ -143,6 +143,36 @@
         await client.aclose()
 
 
+class SlowThenSilent(Scripted):
+    """Answers on its first connection, after a pause; else never."""
+
+    async def _serve(self, stream):
+        self.connections += 1
+        number = self.connections
+        async for chunk in stream:
+            if not chunk.endswith(b"}"):
+                continue
+            if number > 1:
+                await trio.sleep_forever()
+            await trio.sleep(0.1)
+            await stream.send_all(OK)
+
+
+async def test_a_late_answer_on_a_new_connection_ends_no_other():
+    """It says nothing of those that were kept."""
+    script = SlowThenSilent()
+    async with script.running() as server:
+        client = make_client()
+        async with trio.open_nursery() as at_once:
+            at_once.start_soon(exchange, client, server)
+            await trio.sleep(0.05)
+            with pytest.raises(backend.AnswerLateError):
+                await exchange(client, server, seconds=0.3)
+        assert await exchange(client, server) == b"ok"
+        assert script.connections == 2
+        await client.aclose()
+
+
 async def test_refused_connection_was_not_sent():
     async with Scripted().running() as server:
         pass
