Show that an order that was given up still arrives (known red)

Soak broke a promise once: a run began 3.3 s after its job had been cancelled. Its start order was held back by a trouble on the worker's link, not answered for 0.5 s and given up; the job was cancelled; the leader was killed; when the link was healed the order arrived, and was only stopped 0.3 s later. An order that is given up closes its connection in order, so the bytes that wait are still sent.

Bytes that a partition holds up are lost if their sender resets the connection; the proxy does so now, too.

--- a/laburnumsill/clients/tests/test_http_pools.py
+++ b/laburnumsill/clients/tests/test_http_pools.py
@@ -7,6 +7,7 @@
 
 from laburnumsill.clients import http_pools
 from laburnumsill.core import trio_clock
+from laburnumsill.testing import proxy as proxies
 
 LIMITS = http_pools.PoolLimits(
     connections=8, keep_alive_s=60.0, connect_within_s=1.0
@@ -143,3 +144,24 @@
         assert [how for _, how in ends] == ["answered"]
         await pools.close()
         nursery.cancel_scope.cancel()
+
+
+async def test_an_order_that_was_given_up_does_not_arrive_later():
+    """It would start what was cancelled meanwhile."""
+    async with proxies.running() as proxy, trio.open_nursery() as nursery:
+        server = Server(first=1)
+        await nursery.start(server.run)
+        proxy.add_link("a", "127.0.0.1:0", server.address)
+        address = proxy.status("a").listen
+        pools = http_pools.HttpPools(trio_clock.TrioClock(), LIMITS)
+        assert (await request(pools, address)).status == 200
+        sent = proxy.status("a").to_target_bytes
+        proxy.set_fault("a", proxies.Fault(proxies.Mode.HOLD))
+        with pytest.raises(http_pools.NoResponseError):
+            await request(pools, address)
+        await trio.sleep(0.1)
+        proxy.heal("a")
+        await trio.sleep(0.2)
+        assert proxy.status("a").to_target_bytes == sent
+        await pools.close()
+        nursery.cancel_scope.cancel()
--- a/laburnumsill/testing/proxy_faults.py
+++ b/laburnumsill/testing/proxy_faults.py
@@ -18,9 +18,10 @@
 
     DROP swallows bytes and hides the end of a connection; what has lost
     bytes is reset when the fault is healed. HOLD keeps bytes back until
-    then, as TCP does over a short partition. RESET and CUT concern both
-    directions: RESET takes connections and resets them, CUT closes them and
-    refuses new ones.
+    then, as TCP does over a short partition; they are lost if their sender
+    resets the connection meanwhile. RESET and CUT concern both directions:
+    RESET takes connections and resets them, CUT closes them and refuses new
+    ones.
     """
 
     PASS = "pass"
--- a/laburnumsill/testing/proxy_links.py
+++ b/laburnumsill/testing/proxy_links.py
@@ -33,6 +33,7 @@
         self._damaged = False
         self._silent: set[proxy_faults.Direction] = set()
         self._ended: set[proxy_faults.Direction] = set()
+        self._reset: set[proxy_faults.Direction] = set()
         self.cut_after: dict[proxy_faults.Direction, int | None] = {}
 
     async def run(self) -> None:
@@ -112,6 +113,7 @@
                     chunk = await source.receive_some(CHUNK_BYTES)
                 except trio.BrokenResourceError:
                     chunk = None
+                    self._reset.add(direction)
                 delay = self._link.delay(direction)
                 await into.send((trio.current_time() + delay, chunk))
                 if not chunk:
@@ -133,9 +135,10 @@
         """Delivers chunks when due; b"" is the end and None a reset."""
         async for due, chunk in chunks:
             await trio.sleep_until(due)
+            held = self._link.holds(direction)
             if not await self._passing(direction):
                 continue
-            if chunk is None:
+            if chunk is None or (held and direction in self._reset):
                 self.end(reset=True)
                 return
             try:
@@ -244,10 +247,14 @@
 
     async def passing(self, direction: proxy_faults.Direction) -> bool:
         """Waits while bytes are held back; returns False if they are lost."""
-        while self.faults[direction].mode is proxy_faults.Mode.HOLD:
+        while self.holds(direction):
             await self._changed.wait()
         return self.faults[direction].mode is not proxy_faults.Mode.DROP
 
+    def holds(self, direction: proxy_faults.Direction) -> bool:
+        """Whether bytes are held back in a direction now."""
+        return self.faults[direction].mode is proxy_faults.Mode.HOLD
+
     def _has(self, mode: proxy_faults.Mode) -> bool:
         return any(fault.mode is mode for fault in self.faults.values())
 
--- a/laburnumsill/testing/tests/test_proxy.py
+++ b/laburnumsill/testing/tests/test_proxy.py
@@ -1,6 +1,8 @@
 import contextlib
 import itertools
 import pathlib
+import socket
+import struct
 import subprocess
 import sys
 
@@ -179,6 +181,25 @@
         assert [await receive(each, 4) for each in (old, new)] == [b"kept"] * 2
 
 
+@pytest.mark.parametrize("reset", [False, True])
+async def test_held_bytes_are_lost_where_their_sender_resets(reset):
+    async with echo_link() as (proxy, address):
+        stream = await connect(address)
+        assert await ask(stream, b"one") == b"one"
+        proxy.set_fault("a", proxies.Fault(proxies.Mode.HOLD))
+        await stream.send_all(b"held")
+        if reset:
+            linger = struct.pack("ii", 1, 0)
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        await trio.sleep(HIDDEN_S)
+        await stream.aclose()
+        await trio.sleep(HIDDEN_S)
+        proxy.heal("a")
+        await trio.sleep(HIDDEN_S)
+        delivered = proxy.status("a").to_target_bytes
+        assert delivered == (3 if reset else 7)
+
+
 async def test_delay_is_added_in_one_direction_and_keeps_order():
     async with echo_link() as (proxy, address):
         stream = await connect(address)
