Reset connections to workers whose order was given up

A connection that is closed in order still delivers what waits to be sent, so an order that a cut held back could start a run of a job that was cancelled seconds before. The connection is reset where it is closed before an answer has begun, so the kernel drops what it holds. What has arrived at a worker that hangs may still be carried out; that is stopped as before.

Ruled out: an end of the start order's own (its lease is the run's, too, and is prolonged by reports, so a short one ends runs where one report is late).

--- a/laburnumsill/clients/http_pools.py
+++ b/laburnumsill/clients/http_pools.py
@@ -17,6 +17,7 @@
 import httpcore
 import trio
 
+from laburnumsill.clients import reset_streams
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import errors
 
@@ -61,6 +62,7 @@
             max_connections=limits.connections,
             max_keepalive_connections=limits.connections,
             keepalive_expiry=limits.keep_alive_s,
+            network_backend=reset_streams.ResetBackend(),
         )
         self._under_way: dict[int, trio.CancelScope] = {}
         self._numbers = itertools.count()
