--- a/laburnumsill/clients/tests/test_http_pools.py
+++ b/laburnumsill/clients/tests/test_http_pools.py
@@ -7,11 +7,13 @@
 
 from laburnumsill.clients import http_pools
 from laburnumsill.core import trio_clock
+from laburnumsill.testing import proxy as proxies
 
 LIMITS = http_pools.PoolLimits(
     connections=8, keep_alive_s=60.0, connect_within_s=1.0
 )
 PATIENCE_S = 0.2
+HELD_S = 0.7
 BODY = b"{}"
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
@@ -30,6 +32,7 @@
         self._silent_up_to = 0
 
     def silence_open_connections(self):
+        """Answers nothing on them any more, not even what came before."""
         self._silent_up_to = self.connections
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
@@ -46,26 +49,29 @@
         if number == self._first:
             self._all_open.set()
         with contextlib.suppress(trio.BrokenResourceError):
-            while await self._received_whole(stream):
+            while raw := await _whole_request(stream):
                 await self._all_open.wait()
+                if b"/held" in raw:
+                    await trio.sleep(HELD_S)
                 if number <= self._silent_up_to:
                     await trio.sleep_forever()
                 await stream.send_all(ANSWER)
 
-    async def _received_whole(self, stream):
-        """Waits for a request; its body may come in a piece of its own."""
-        raw = b""
-        while not raw.endswith(BODY):
-            piece = await stream.receive_some()
-            if not piece:
-                return False
-            raw += piece
-        return True
 
+async def _whole_request(stream):
+    """Returns a request, b"" at the end; its head may come before its body."""
+    raw = b""
+    while not raw.endswith(BODY):
+        chunk = await stream.receive_some()
+        if not chunk:
+            return b""
+        raw += chunk
+    return raw
 
-async def request(pools, address):
-    deadline = trio.current_time() + PATIENCE_S
-    return await pools.request("POST", address, "/x", {}, BODY, deadline)
+
+async def request(pools, address, path="/x", patience_s=PATIENCE_S):
+    deadline = trio.current_time() + patience_s
+    return await pools.request("POST", address, path, {}, BODY, deadline)
 
 
 async def test_one_unanswered_request_ends_all_silent_connections():
@@ -131,3 +137,77 @@
                 assert response.status in (101, 200), raw[:40]
             await pools.close()
         nursery.cancel_scope.cancel()
+
+
+async def held(pools, address, ends):
+    """Waits long for an answer; notes when it ended, and how."""
+    try:
+        await request(pools, address, "/held", patience_s=3.0)
+        ends.append((trio.current_time(), "answered"))
+    except http_pools.NoResponseError:
+        ends.append((trio.current_time(), "lost"))
+
+
+async def test_a_long_wait_on_a_silent_connection_ends_with_the_proof():
+    """A short request that is answered on a new connection is the proof."""
+    async with trio.open_nursery() as nursery:
+        server = Server(first=2)
+        await nursery.start(server.run)
+        pools = http_pools.HttpPools(trio_clock.TrioClock(), LIMITS)
+        async with trio.open_nursery() as at_once:
+            for _ in range(2):
+                at_once.start_soon(request, pools, server.address)
+        ends = []
+        began = trio.current_time()
+        async with trio.open_nursery() as waits:
+            waits.start_soon(held, pools, server.address, ends)
+            await trio.sleep(0.05)
+            server.silence_open_connections()
+            with pytest.raises(http_pools.NoResponseError):
+                await request(pools, server.address)
+            assert (await request(pools, server.address)).status == 200
+        ((ended, how),) = ends
+        assert how == "lost"
+        assert ended - began < 0.05 + PATIENCE_S + 0.3
+        await pools.close()
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_long_wait_goes_on_while_nothing_is_answered():
+    """A worker that hangs is asked no more often than one that does not."""
+    async with trio.open_nursery() as nursery:
+        server = Server(first=1)
+        await nursery.start(server.run)
+        pools = http_pools.HttpPools(trio_clock.TrioClock(), LIMITS)
+        ends = []
+        async with trio.open_nursery() as waits:
+            waits.start_soon(held, pools, server.address, ends)
+            await trio.sleep(0.05)
+            with pytest.raises(http_pools.NoResponseError):
+                await request(pools, server.address, "/held", 0.1)
+            with pytest.raises(http_pools.NoResponseError):
+                await request(pools, server.address, "/held", 0.1)
+        assert [how for _, how in ends] == ["answered"]
+        await pools.close()
+        nursery.cancel_scope.cancel()
+
+
+async def test_an_order_that_was_given_up_does_not_arrive_later():
+    """It would start what was cancelled meanwhile."""
+    async with proxies.running() as proxy, trio.open_nursery() as nursery:
+        server = Server(first=1)
+        await nursery.start(server.run)
+        proxy.add_link("a", "127.0.0.1:0", server.address)
+        address = proxy.status("a").listen
+        pools = http_pools.HttpPools(trio_clock.TrioClock(), LIMITS)
+        assert (await request(pools, address)).status == 200
+        sent = proxy.status("a").to_target_bytes
+        proxy.set_fault("a", proxies.Fault(proxies.Mode.HOLD))
+        with pytest.raises(http_pools.NoResponseError):
+            await request(pools, address)
+        await trio.sleep(0.1)
+        proxy.heal("a")
+        await trio.sleep(0.2)
+        assert proxy.status("a").to_target_bytes == sent
+        await pools.close()
+        nursery.cancel_scope.cancel()
--- a/laburnumsill/testing/proxy_links.py
+++ b/laburnumsill/testing/proxy_links.py
@@ -31,6 +31,9 @@
         self._streams = [client]
         self._scope = trio.CancelScope()
         self._damaged = False
+        self._silent: set[proxy_faults.Direction] = set()
+        self._ended: set[proxy_faults.Direction] = set()
+        self._reset: set[proxy_faults.Direction] = set()
         self.cut_after: dict[proxy_faults.Direction, int | None] = {}
 
     async def run(self) -> None:
@@ -54,10 +57,17 @@
             stream.socket.close()
 
     def healed(self) -> None:
-        """Resets the session if bytes or its end were lost."""
-        if self._damaged:
+        """Resets the session if bytes or its end were lost.
+
+        One that was silenced stays as it is.
+        """
+        if self._damaged and not self._silent:
             self.end(reset=True)
 
+    def silence(self, direction: proxy_faults.Direction) -> None:
+        """Swallows all that is still sent in a direction, and its end."""
+        self._silent.add(direction)
+
     async def _pass_both_ways(self) -> None:
         client = self._streams[0]
         if not await self._passing(proxy_faults.Direction.TO_TARGET):
@@ -81,6 +91,7 @@
     async def _passing(self, direction: proxy_faults.Direction) -> bool:
         """Waits while bytes are held back; returns False if they are lost."""
         passing = await self._link.passing(direction)
+        passing = passing and direction not in self._silent
         self._damaged = self._damaged or not passing
         return passing
 
@@ -102,11 +113,19 @@
                     chunk = await source.receive_some(CHUNK_BYTES)
                 except trio.BrokenResourceError:
                     chunk = None
+                    self._reset.add(direction)
                 delay = self._link.delay(direction)
                 await into.send((trio.current_time() + delay, chunk))
                 if not chunk:
+                    self._note_end(direction)
                     return
 
+    def _note_end(self, direction: proxy_faults.Direction) -> None:
+        """Ends a silenced session once both of its sides have left it."""
+        self._ended.add(direction)
+        if self._silent and len(self._ended) == len(self._streams):
+            self.end()
+
     async def _deliver(
         self,
         chunks: trio.MemoryReceiveChannel[tuple[float, bytes | None]],
@@ -116,9 +135,10 @@
         """Delivers chunks when due; b"" is the end and None a reset."""
         async for due, chunk in chunks:
             await trio.sleep_until(due)
+            held = self._link.holds(direction)
             if not await self._passing(direction):
                 continue
-            if chunk is None:
+            if chunk is None or (held and direction in self._reset):
                 self.end(reset=True)
                 return
             try:
@@ -214,6 +234,12 @@
         self._changed.set()
         self._changed = trio.Event()
 
+    def silence(self, direction: proxy_faults.Direction) -> None:
+        """Silences the connections that are open now, see `Proxy.silence`."""
+        for session in self._sessions:
+            for single in direction.single:
+                session.silence(single)
+
     def delay(self, direction: proxy_faults.Direction) -> float:
         """Returns the delay of a chunk that comes now, in seconds."""
         fault = self.faults[direction]
@@ -221,10 +247,14 @@
 
     async def passing(self, direction: proxy_faults.Direction) -> bool:
         """Waits while bytes are held back; returns False if they are lost."""
-        while self.faults[direction].mode is proxy_faults.Mode.HOLD:
+        while self.holds(direction):
             await self._changed.wait()
         return self.faults[direction].mode is not proxy_faults.Mode.DROP
 
+    def holds(self, direction: proxy_faults.Direction) -> bool:
+        """Whether bytes are held back in a direction now."""
+        return self.faults[direction].mode is proxy_faults.Mode.HOLD
+
     def _has(self, mode: proxy_faults.Mode) -> bool:
         return any(fault.mode is mode for fault in self.faults.values())
 
--- a/laburnumsill/wire/tests/test_network.py
+++ b/laburnumsill/wire/tests/test_network.py
@@ -1,3 +1,5 @@
+import contextlib
+
 import loguru
 import pytest
 import trio
@@ -11,6 +13,12 @@
 from laburnumsill.wire.generated.peer import ttypes
 from laburnumsill.wire.tests import cluster
 
+REPLACED_WITHIN_S = 1.2
+"""Well below the 3 s after which a VM counts as in touch again."""
+
+REACHED_AGAIN_WITHIN_S = 0.6
+"""From the end of a cut: a pause, and little more."""
+
 
 async def test_calls_go_both_ways_and_answers_may_cross():
     async with cluster.running("a", "b") as (a, b):
@@ -269,6 +277,44 @@
         assert await a.call("b", cluster.Echo(3), cluster.soon())
 
 
+async def test_a_connection_gone_silent_is_replaced_soon():
+    """Also one that is silent one way, on which the other end still hears."""
+    async with cluster.behind_proxy() as (a, b, proxy):
+        for direction in proxies.Direction:
+            await trio.sleep(network.STABLE_S + 0.1)
+            proxy.silence("b", direction)
+            silent_at = cluster.CLOCK.monotonic()
+            await _until_answered(a, "b")
+            await _until_answered(b, "a")
+            took_s = cluster.CLOCK.monotonic() - silent_at
+            print("replaced", direction, took_s)
+            assert took_s < REPLACED_WITHIN_S
+
+
+async def test_a_peer_cut_off_for_long_is_dialed_soon_after_its_return():
+    """However the pauses between the attempts have grown meanwhile."""
+    async with cluster.behind_proxy() as (a, _, proxy):
+        for cut_s in (4.0, 4.3, 4.6, 4.9):
+            await trio.sleep(network.STABLE_S + 0.1)
+            proxy.set_fault("b", proxies.Fault(proxies.Mode.DROP))
+            await trio.sleep(cut_s)
+            proxy.heal("b")
+            healed_at = cluster.CLOCK.monotonic()
+            await _until_answered(a, "b")
+            took_s = cluster.CLOCK.monotonic() - healed_at
+            print("dialed again", cut_s, took_s)
+            assert took_s < REACHED_AGAIN_WITHIN_S
+
+
+async def _until_answered(source, target):
+    with trio.fail_after(10):
+        while True:
+            with contextlib.suppress(errors.LaburnumsillError):
+                await source.call(target, cluster.Echo(1), cluster.soon(0.1))
+                return
+            await trio.sleep(0.01)
+
+
 @pytest.mark.parametrize("mode", [proxies.Mode.CUT, proxies.Mode.RESET])
 async def test_connection_cut_in_mid_call_leaves_the_outcome_unknown(mode):
     async with cluster.behind_proxy() as (a, b, proxy):
