Operations on files that outlive a loss of power have a module of their own

They stood among the record formats of the log's segments, and the file of the version in force had its own copy of writing aside, syncing and renaming, which it shares now.

--- a/laburnumsill/clients/tests/test_http_pools.py
+++ b/laburnumsill/clients/tests/test_http_pools.py
@@ -166,8 +166,8 @@
             with pytest.raises(http_pools.NoResponseError):
                 await request(pools, server.address)
             assert (await request(pools, server.address)).status == 200
-        ((ended, how),) = ends
-        assert how == "lost"
+        ((ended, outcome),) = ends
+        assert outcome == "lost"
         assert ended - began < 0.05 + PATIENCE_S + 0.3
         await pools.close()
         nursery.cancel_scope.cancel()
@@ -187,7 +187,7 @@
                 await request(pools, server.address, "/held", 0.1)
             with pytest.raises(http_pools.NoResponseError):
                 await request(pools, server.address, "/held", 0.1)
-        assert [how for _, how in ends] == ["answered"]
+        assert [outcome for _, outcome in ends] == ["answered"]
         await pools.close()
         nursery.cancel_scope.cancel()
 
--- a/laburnumsill/consensus/snapshots.py
+++ b/laburnumsill/consensus/snapshots.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from laburnumsill.consensus import durable_files
 from laburnumsill.consensus import segments
 from laburnumsill.consensus import store
 from laburnumsill.consensus import types
@@ -43,7 +44,7 @@
         segments.RecordType.HEADER, msgspec.msgpack.encode(header)
     )
     body = segments.record(segments.RecordType.SNAPSHOT_DATA, data)
-    segments.write_file(folder / _NAME, (raw, body))
+    durable_files.write_file(folder / _NAME, (raw, body))
 
 
 def read(
--- a/laburnumsill/consensus/store_disk.py
+++ b/laburnumsill/consensus/store_disk.py
@@ -6,6 +6,7 @@
 import secrets
 from collections import abc
 
+from laburnumsill.consensus import durable_files
 from laburnumsill.consensus import segments
 from laburnumsill.consensus import snapshots
 from laburnumsill.consensus import store
@@ -119,7 +120,7 @@
             self._descriptor = -1
 
     def _open(self) -> None:
-        segments.make_folder(self._folder)
+        durable_files.make_folder(self._folder)
         found = store_replay.replay(self._folder, self._group)
         self._log_found(found)
         self._incarnation = found.incarnation or ids.fresh("r")
@@ -160,7 +161,7 @@
         if not self._torn:
             return
         active = self._segments[-1]
-        segments.cut(self._descriptor, active.synced, active.path)
+        durable_files.cut(self._descriptor, active.synced, active.path)
         active.size = active.synced
         if self._beginning:
             self._start_segment(active.number + 1)
@@ -207,8 +208,8 @@
         self._mend()
         active = self._segments[-1]
         raw = b"".join(pending)
-        segments.write_all(self._descriptor, raw, active.path)
-        segments.sync(self._descriptor, active.path)
+        durable_files.write_all(self._descriptor, raw, active.path)
+        durable_files.sync(self._descriptor, active.path)
         active.size += len(raw)
         active.synced = active.size
         self._log_bytes += len(raw)
@@ -222,7 +223,7 @@
         """Writes the start of a batch; it is synced with the batch."""
         active = self._segments[-1]
         start = segments.batch_record(self._nonce, self._batch)
-        segments.write_all(self._descriptor, start, active.path)
+        durable_files.write_all(self._descriptor, start, active.path)
         active.size += len(start)
         self._log_bytes += len(start)
 
@@ -237,7 +238,7 @@
         if self._descriptor >= 0:
             # The last batch start is written after a sync. A loss of power
             # may tear it, which is damage in all but the last segment.
-            segments.sync(self._descriptor, self._segments[-1].path)
+            durable_files.sync(self._descriptor, self._segments[-1].path)
         path = store_replay.segment_path(self._folder, number)
         nonce = secrets.token_bytes(segments.NONCE_BYTES)
         header = segments.SegmentHeader(
@@ -250,7 +251,7 @@
             + segments.batch_record(nonce, 0)
         )
         self._beginning = True
-        segments.write_file(path, (raw,))
+        durable_files.write_file(path, (raw,))
         descriptor = os.open(path, os.O_WRONLY | os.O_APPEND)
         self.close()
         self._descriptor = descriptor
@@ -302,7 +303,7 @@
         os.rename(folder, place)
     except OSError as error:
         raise store.storage_error(error, folder) from error
-    segments.sync_folder(folder.parent)
+    durable_files.sync_folder(folder.parent)
     logs.event("store-set-aside", level="ERROR", folder=folder, place=place)
     return place
 
--- a/laburnumsill/consensus/store_replay.py
+++ b/laburnumsill/consensus/store_replay.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from laburnumsill.consensus import durable_files
 from laburnumsill.consensus import segments
 from laburnumsill.consensus import snapshots
 from laburnumsill.consensus import store
@@ -90,8 +91,8 @@
         """Reads the snapshot, then the segments in order."""
         # A snapshot's name may be younger than the last sync of the folder;
         # the segments that it replaces must not go before it is durable.
-        segments.sync_folder(self._folder)
-        for path in self._folder.glob(f"*{segments.ASIDE_SUFFIX}"):
+        durable_files.sync_folder(self._folder)
+        for path in self._folder.glob(f"*{durable_files.ASIDE_SUFFIX}"):
             path.unlink()
         log_from = self._read_snapshot()
         numbers = self._numbers()
@@ -179,7 +180,7 @@
             # only the operating system's cache holds such a tail, and a
             # loss of power would take what a restart had relied on. A sync
             # that found no room may have given it up, so it is written again.
-            segments.write_again(path, raw[last_start:end], last_start)
+            durable_files.write_again(path, raw[last_start:end], last_start)
         self._found.segments.append(
             FoundSegment(number, path, first_index, last_index, end, unsynced)
         )
@@ -228,7 +229,7 @@
             offset=end,
             dropped_bytes=len(raw) - end,
         )
-        segments.truncate(path, end)
+        durable_files.truncate(path, end)
 
     def _after_snapshot(self) -> tuple[types.Entry, ...]:
         covered = self._found.snapshot.index if self._found.snapshot else 0
--- a/laburnumsill/consensus/tests/test_disk_full.py
+++ b/laburnumsill/consensus/tests/test_disk_full.py
@@ -7,9 +7,9 @@
 import pytest
 import trio
 
+from laburnumsill.consensus import durable_files
 from laburnumsill.consensus import engine
 from laburnumsill.consensus import host
-from laburnumsill.consensus import segments
 from laburnumsill.consensus import store
 from laburnumsill.consensus.tests import host_cluster
 from laburnumsill.core import errors
@@ -23,7 +23,7 @@
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
         self._folders: set[pathlib.Path] = set()
         self.refused = 0
-        real = segments.write_all
+        real = durable_files.write_all
 
         def write_all(descriptor, raw, path):
             if self._folders & set(path.parents):
@@ -35,7 +35,7 @@
                 )
             real(descriptor, raw, path)
 
-        monkeypatch.setattr(segments, "write_all", write_all)
+        monkeypatch.setattr(durable_files, "write_all", write_all)
 
     def fill(self, *nodes: host_cluster.Node) -> None:
         self._folders |= {node.folder for node in nodes}
@@ -216,14 +216,14 @@
     cluster = make_cluster(host.SnapshotLimits(entries=10))
     await running(cluster, "before")
     leader = cluster.leader()
-    real = segments.write_all
+    real = durable_files.write_all
 
     def write_all(descriptor, raw, path):
         if leader.folder in path.parents and path.name.startswith("snapshot"):
             raise store.DiskFullError(f"{path}: no room")
         real(descriptor, raw, path)
 
-    monkeypatch.setattr(segments, "write_all", write_all)
+    monkeypatch.setattr(durable_files, "write_all", write_all)
     keys = [f"k{n}" for n in range(40)]
     await cluster.add(0, *keys)
     folder = leader.folder / "groups" / host_cluster.ROOT
--- a/laburnumsill/consensus/tests/test_host_repair.py
+++ b/laburnumsill/consensus/tests/test_host_repair.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 
+from laburnumsill.consensus import durable_files
 from laburnumsill.consensus import host
 from laburnumsill.consensus import segments
 from laburnumsill.consensus import store
@@ -182,14 +183,14 @@
 
 def slow_down(monkeypatch, node, seconds):
     """Makes each sync of one VM's stores take longer."""
-    real = segments.sync
+    real = durable_files.sync
 
     def sync(descriptor, path):
         if node.folder in path.parents:
             time.sleep(seconds)
         real(descriptor, path)
 
-    monkeypatch.setattr(segments, "sync", sync)
+    monkeypatch.setattr(durable_files, "sync", sync)
 
 
 async def test_a_slow_disk_costs_neither_lead_nor_commits(
@@ -211,14 +212,14 @@
     cluster = make_cluster()
     await running(cluster, "k")
     node = cluster.leader()
-    real = segments.sync
+    real = durable_files.sync
 
     def fail(descriptor, path):
         if node.folder in path.parents:
             raise store.SyncFailedError(f"{path}: no")
         real(descriptor, path)
 
-    monkeypatch.setattr(segments, "sync", fail)
+    monkeypatch.setattr(durable_files, "sync", fail)
     place = next(n for n in range(3) if cluster.nodes[n] is not node)
     await cluster.add(place, "after")
     await cluster.until(node.stopped.is_set)
--- a/laburnumsill/consensus/tests/test_store_full.py
+++ b/laburnumsill/consensus/tests/test_store_full.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from laburnumsill.consensus import segments
+from laburnumsill.consensus import durable_files
 from laburnumsill.consensus import store
 from laburnumsill.consensus import store_disk
 from laburnumsill.consensus import types
@@ -274,14 +274,14 @@
     for batch in BATCHES[:3]:
         kept.commit(batch)
     big = types.Snapshot(5, 2, MEMBERSHIP, b"s" * 100_000)
-    real = segments.write_all
+    real = durable_files.write_all
 
     def write_all(descriptor, raw, path):
         if len(raw) > 50_000:
             raise store.DiskFullError(f"{path}: no room")
         real(descriptor, raw, path)
 
-    disk._patch.setattr(segments, "write_all", write_all)
+    disk._patch.setattr(durable_files, "write_all", write_all)
     for _ in range(5):
         with pytest.raises(store.DiskFullError):
             kept.commit([store.Change(snapshot=big)])
--- a/laburnumsill/daemon/configuration_file.py
+++ b/laburnumsill/daemon/configuration_file.py
@@ -8,9 +8,9 @@
 """
 
 import contextlib
-import os
 import pathlib
 
+from laburnumsill.consensus import durable_files
 from laburnumsill.core import codec
 from laburnumsill.core import errors
 from laburnumsill.core import hashing
@@ -18,7 +18,6 @@
 from laburnumsill.state import configuration_versions
 
 FILE_NAME = "configuration-in-force"
-_NEW_SUFFIX = ".new"
 _DAMAGED_SUFFIX = ".damaged"
 _SEPARATOR = b"\n"
 
@@ -39,7 +38,7 @@
             raw = self._path.read_bytes()
             # A process killed after a rename leaves a name that a loss of
             # power would take back.
-            _sync_folder(self._path.parent)
+            durable_files.sync_folder(self._path.parent)
         except FileNotFoundError:
             return None
         except OSError as failure:
@@ -62,17 +61,11 @@
         """
         body = codec.encode(accepted)
         raw = hashing.digest(body).encode() + _SEPARATOR + body
-        new = self._path.with_name(FILE_NAME + _NEW_SUFFIX)
         try:
             self._path.parent.mkdir(parents=True, exist_ok=True)
-            with new.open("wb") as file:
-                file.write(raw)
-                file.flush()
-                os.fsync(file.fileno())
-            new.replace(self._path)
-            _sync_folder(self._path.parent)
         except OSError as failure:
             raise self._failed("write", failure) from failure
+        durable_files.write_file(self._path, (raw,))
 
     def _set_aside(self) -> None:
         aside = self._path.with_name(FILE_NAME + _DAMAGED_SUFFIX)
@@ -90,11 +83,3 @@
     if isinstance(message, configuration_versions.AcceptedConfiguration):
         return message
     raise codec.UndecodableMessageError(f"a {type(message).__name__}")
-
-
-def _sync_folder(folder: pathlib.Path) -> None:
-    descriptor = os.open(folder, os.O_RDONLY)
-    try:
-        os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
