--- a/laburnumsill/consensus/tests/simulated_disk.py
+++ b/laburnumsill/consensus/tests/simulated_disk.py
@@ -70,6 +70,9 @@
 
     Attributes:
         root: The folder.
+        atomic_renames: Whether a name that was given to another file shows
+            the old file or the new one after a loss of power. Otherwise it
+            may be gone, too.
     """
 
     def __init__(
@@ -79,6 +82,7 @@
         monkeypatch: pytest.MonkeyPatch,
     ) -> None:
         self.root = root
+        self.atomic_renames = True
         self._lost = lost
         self._calls_left: int | None = None
         self._full_after: int | None = None
@@ -303,6 +307,8 @@
         kept: dict[str, int] = {}
         for name in sorted(durable.keys() | present.keys()):
             choices = [durable.get(name), present.get(name)]
+            if not self.atomic_renames and choices[0] != choices[1]:
+                choices.append(None)
             inode = source.choice(choices)
             if inode is not None:
                 kept[name] = inode
--- a/laburnumsill/consensus/tests/test_store_power_loss.py
+++ b/laburnumsill/consensus/tests/test_store_power_loss.py
@@ -185,3 +185,25 @@
             found = opened(disk.root).stored.entries
             assert found == entries(1, len(found))
             assert len(found) >= 3
+
+
+def test_a_snapshot_is_never_lost_with_the_one_before():
+    """Its name must not be taken over: both files might lose it."""
+    for calls, seed in itertools.product(range(12), SEEDS):
+        with simulated_disk.simulated() as disk:
+            disk.atomic_renames = False
+            kept = opened(disk.root)
+            append(kept, 1, 9)
+            first = types.Snapshot(9, 1, MEMBERSHIP, b"first")
+            kept.commit([store.Change(snapshot=first)])
+            append(kept, 10, 12)
+            second = types.Snapshot(12, 1, MEMBERSHIP, b"second")
+            disk.kill_after(calls)
+            with contextlib.suppress(simulated_disk.ProcessKilled):
+                kept.commit([store.Change(snapshot=second)])
+            kept.close()
+            disk.lose_power(random.Random(seed))
+            found = opened(disk.root).stored
+            tail = entries(10, 12) if found.snapshot == first else ()
+            assert found.snapshot in (first, second)
+            assert found.entries == tail
