--- a/laburnumsill/consensus/snapshots.py
+++ b/laburnumsill/consensus/snapshots.py
@@ -1,7 +1,13 @@
-"""The snapshot file: written aside, synced, renamed, its folder synced."""
+"""The snapshot files: written aside, synced, renamed, their folder synced.
+
+Each has a name of its own, with its index, and the one before goes only when
+the new name is durable. Nothing rests on renames that are atomic across a loss
+of power.
+"""
 
 import dataclasses
 import pathlib
+import re
 
 import msgspec
 
@@ -10,7 +16,7 @@
 from laburnumsill.consensus import store
 from laburnumsill.consensus import types
 
-_NAME = "snapshot"
+_NAME = re.compile(r"snapshot-(\d{20})")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,7 +41,7 @@
 
 
 def write(folder: pathlib.Path, header: SnapshotHeader, data: bytes) -> None:
-    """Replaces the snapshot in `folder` by a new one, whole or not at all.
+    """Writes a snapshot to `folder`, then removes those before it.
 
     Raises:
         errors.StorageError: The disk is full or failed.
@@ -44,21 +50,26 @@
         segments.RecordType.HEADER, msgspec.msgpack.encode(header)
     )
     body = segments.record(segments.RecordType.SNAPSHOT_DATA, data)
-    durable_files.write_file(folder / _NAME, (raw, body))
+    path = folder / f"snapshot-{header.index:020d}"
+    durable_files.write_file(path, (raw, body))
+    _remove_before(path)
 
 
 def read(
     folder: pathlib.Path,
 ) -> tuple[SnapshotHeader, types.Snapshot] | None:
-    """Returns the snapshot in `folder`, or None if there never was one.
+    """Returns the newest snapshot in `folder`, or None if there is none.
+
+    Those before it are removed. The names in the folder have to be durable.
 
     Raises:
         store.DamagedLogError: The snapshot does not match its checksums.
         store.UnknownFormatError: Another version wrote it.
     """
-    path = folder / _NAME
-    if not path.exists():
+    paths = _paths(folder)
+    if not paths:
         return None
+    path = paths[-1]
     raw = path.read_bytes()
     found = list(segments.records(raw, segments.SNAPSHOT_MAGIC, path))
     kinds = [part.type for part in found]
@@ -69,4 +80,16 @@
     snapshot = types.Snapshot(
         header.index, header.term, header.membership, found[1].payload
     )
+    _remove_before(path)
     return header, snapshot
+
+
+def _paths(folder: pathlib.Path) -> list[pathlib.Path]:
+    """Returns the snapshots in a folder, the newest last."""
+    return sorted(p for p in folder.iterdir() if _NAME.fullmatch(p.name))
+
+
+def _remove_before(path: pathlib.Path) -> None:
+    for older in _paths(path.parent):
+        if older < path:
+            older.unlink()
--- a/laburnumsill/consensus/tests/test_store.py
+++ b/laburnumsill/consensus/tests/test_store.py
@@ -167,7 +167,7 @@
         [store.Change(snapshot=types.Snapshot(3, 1, MEMBERSHIP, b"state"))]
     )
     kept.close()
-    path = folder / "snapshot"
+    (path,) = folder.glob("snapshot-*")
     raw = path.read_bytes()
     path.write_bytes(raw[:-1] + b"!")
     with pytest.raises(store.DamagedLogError):
@@ -185,7 +185,7 @@
     real = os.replace
 
     def crash(source, target):
-        if pathlib.Path(target).name == "snapshot":
+        if pathlib.Path(target).name.startswith("snapshot-"):
             raise OSError(errno.EIO, "crash")
         real(source, target)
 
