--- a/bench/state_node.py
+++ b/bench/state_node.py
@@ -17,8 +17,8 @@
 import orjson
 import trio
 
+from laburnumsill.consensus import durable_files
 from laburnumsill.consensus import host
-from laburnumsill.consensus import segments
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import codec
 from laburnumsill.core import errors
@@ -249,7 +249,7 @@
 
 
 def _no_sync(descriptor: int, path: pathlib.Path) -> None:
-    """Stands in for `segments.sync` where its cost is to be left out."""
+    """Stands in for `durable_files.sync` where its cost is to be left out."""
 
 
 def main(
@@ -266,7 +266,7 @@
     """
     logs.set_up("WARNING", f"vm{vm}")
     if not sync:
-        segments.sync = _no_sync
+        durable_files.sync = _no_sync
     numbers = [int(port) for port in str(ports).split("-")]
     trio.run(Node(vm, numbers, groups, folder).run)
 
--- a/bench/sync.py
+++ b/bench/sync.py
@@ -17,7 +17,7 @@
 import orjson
 import trio
 
-from laburnumsill.consensus import segments
+from laburnumsill.consensus import durable_files
 from laburnumsill.consensus import store
 from laburnumsill.consensus import store_disk
 from laburnumsill.consensus import types
@@ -101,7 +101,7 @@
         out: The JSON file.
     """
     rows: list[dict[str, typing.Any]] = []
-    real_sync = segments.sync
+    real_sync = durable_files.sync
 
     def slow_sync(descriptor: int, path: pathlib.Path) -> None:
         time.sleep(SLOW_SYNC_S)
@@ -115,7 +115,7 @@
                         pathlib.Path(place) / f"{slow}{way.__name__}{batch}",
                         "bench",
                     )
-                    segments.sync = slow_sync if slow else real_sync
+                    durable_files.sync = slow_sync if slow else real_sync
                     commit = functools.partial(way, kept)
                     figures = trio.run(
                         measure,
@@ -124,7 +124,7 @@
                         10 if slow else rounds,
                         b"x" * entry_bytes,
                     )
-                    segments.sync = real_sync
+                    durable_files.sync = real_sync
                     kept.close()
                     rows.append(
                         {
--- a/laburnumsill/platform/tests/test_roles.py
+++ b/laburnumsill/platform/tests/test_roles.py
@@ -13,7 +13,7 @@
 from laburnumsill.batch import commands
 from laburnumsill.batch import model
 from laburnumsill.batch import scheduler as schedulers
-from laburnumsill.consensus import segments
+from laburnumsill.consensus import durable_files
 from laburnumsill.consensus import store
 from laburnumsill.daemon import core_role
 from laburnumsill.daemon import entry_role
@@ -261,14 +261,14 @@
 def full_disks(monkeypatch):
     """The data folders on which nothing can be written."""
     folders = set()
-    real = segments.write_all
+    real = durable_files.write_all
 
     def write_all(descriptor, raw, path):
         if folders & set(path.parents):
             raise store.DiskFullError(f"{path}: no room")
         real(descriptor, raw, path)
 
-    monkeypatch.setattr(segments, "write_all", write_all)
+    monkeypatch.setattr(durable_files, "write_all", write_all)
     return folders
 
 
