One base for the network streams that look at what passes

The counted streams and those that are reset stood beside each other with the same delegation and the same way to connect. Behaviour is the same; tests of clients and requests pass unchanged.

--- a/laburnumsill/clients/backend.py
+++ b/laburnumsill/clients/backend.py
@@ -20,6 +20,7 @@
 
 from laburnumsill.clients import counted_streams
 from laburnumsill.clients import http_pools
+from laburnumsill.clients import wrapped_streams
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import errors
 from laburnumsill.core import members
@@ -216,7 +217,9 @@
             keepalive_expiry=IDLE_CONNECTION_S,
             http1=True,
             http2=False,
-            network_backend=counted_streams.CountedBackend(),
+            network_backend=wrapped_streams.WrappingBackend(
+                counted_streams.CountedStream
+            ),
         )
         self._pools[server.address] = (server.incarnation, pool)
         if entry is not None:
--- a/laburnumsill/clients/counted_streams.py
+++ b/laburnumsill/clients/counted_streams.py
@@ -9,10 +9,11 @@
 """
 
 import typing
-from collections import abc
 
 import httpcore
 
+from laburnumsill.clients import wrapped_streams
+
 MAX_HEAD_BYTES = 128 * 1024
 """Bytes searched for the end of an answer's head."""
 
@@ -20,7 +21,7 @@
 _LAST_CHUNK = b"0\r\n\r\n"
 
 
-class CountedStream(httpcore.AsyncNetworkStream):
+class CountedStream(wrapped_streams.WrappedStream):
     """A stream that counts the bytes of one answer at a time.
 
     Args:
@@ -28,7 +29,7 @@
     """
 
     def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
-        self._stream = stream
+        super().__init__(stream)
         self._reading = False
         self._count = 0
         self._head = b""
@@ -37,7 +38,7 @@
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Reads and counts."""
-        chunk = await self._stream.read(max_bytes, timeout)
+        chunk = await super().read(max_bytes, timeout)
         self._reading = True
         self._count += len(chunk)
         self._last = chunk
@@ -51,17 +52,13 @@
             self._reading = False
             self._count = 0
             self._head = b""
-        await self._stream.write(buffer, timeout)
-
-    async def aclose(self) -> None:
-        """Closes the stream."""
-        await self._stream.aclose()
+        await super().write(buffer, timeout)
 
     def get_extra_info(self, info: str) -> typing.Any:
         """Returns what the stream says, see the module's docstring."""
         if info == "is_readable" and self._left_over:
             return True
-        return self._stream.get_extra_info(info)
+        return super().get_extra_info(info)
 
     def finish(self, body_bytes: int, *, chunked: bool) -> None:
         """Notes that an answer ended whole.
@@ -77,28 +74,3 @@
             return
         head_bytes = self._head.find(_HEAD_END) + len(_HEAD_END)
         self._left_over = head_bytes + body_bytes != self._count
-
-
-class CountedBackend(httpcore.AsyncNetworkBackend):
-    """Makes counted streams over TCP."""
-
-    def __init__(self) -> None:
-        self._backend = httpcore.TrioBackend()
-
-    async def connect_tcp(
-        self,
-        host: str,
-        port: int,
-        timeout: float | None = None,
-        local_address: str | None = None,
-        socket_options: abc.Iterable[typing.Any] | None = None,
-    ) -> httpcore.AsyncNetworkStream:
-        """Connects, see httpcore."""
-        stream = await self._backend.connect_tcp(
-            host, port, timeout, local_address, socket_options
-        )
-        return CountedStream(stream)
-
-    async def sleep(self, seconds: float) -> None:
-        """Sleeps."""
-        await self._backend.sleep(seconds)
--- a/laburnumsill/clients/http_pools.py
+++ b/laburnumsill/clients/http_pools.py
@@ -18,6 +18,7 @@
 import trio
 
 from laburnumsill.clients import reset_streams
+from laburnumsill.clients import wrapped_streams
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import errors
 
@@ -62,7 +63,9 @@
             max_connections=limits.connections,
             max_keepalive_connections=limits.connections,
             keepalive_expiry=limits.keep_alive_s,
-            network_backend=reset_streams.ResetBackend(),
+            network_backend=wrapped_streams.WrappingBackend(
+                reset_streams.ResetStream
+            ),
         )
         self._under_way: dict[int, trio.CancelScope] = {}
         self._numbers = itertools.count()
