--- a/laburnumsill/consensus/durable_files.py
+++ b/laburnumsill/consensus/durable_files.py
@@ -106,16 +106,10 @@
     Raises:
         errors.StorageError: The disk is full or failed.
     """
-    try:
-        descriptor = os.open(path, os.O_WRONLY)
-    except OSError as error:
-        raise store.storage_error(error, path) from error
-    try:
+    with _opened(path, os.O_WRONLY) as descriptor:
         os.lseek(descriptor, offset, os.SEEK_SET)
         write_all(descriptor, raw, path)
         sync(descriptor, path)
-    finally:
-        os.close(descriptor)
 
 
 def truncate(path: pathlib.Path, size: int) -> None:
@@ -124,11 +118,8 @@
     Raises:
         errors.StorageError: The disk failed.
     """
-    descriptor = os.open(path, os.O_WRONLY)
-    try:
+    with _opened(path, os.O_WRONLY) as descriptor:
         cut(descriptor, size, path)
-    finally:
-        os.close(descriptor)
 
 
 def make_folder(folder: pathlib.Path) -> None:
@@ -156,13 +147,25 @@
     Raises:
         errors.StorageError: The disk failed.
     """
+    with _opened(folder, os.O_RDONLY | os.O_DIRECTORY) as descriptor:
+        try:
+            os.fsync(descriptor)
+        except OSError as error:
+            raise _sync_error(error, folder) from error
+
+
+@contextlib.contextmanager
+def _opened(path: pathlib.Path, flags: int) -> abc.Iterator[int]:
+    """Yields the descriptor of a file or folder that is there.
+
+    Raises:
+        errors.StorageError: It cannot be opened.
+    """
     try:
-        descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+        descriptor = os.open(path, flags)
     except OSError as error:
-        raise store.storage_error(error, folder) from error
+        raise store.storage_error(error, path) from error
     try:
-        os.fsync(descriptor)
-    except OSError as error:
-        raise _sync_error(error, folder) from error
+        yield descriptor
     finally:
         os.close(descriptor)
--- a/laburnumsill/consensus/store_disk.py
+++ b/laburnumsill/consensus/store_disk.py
@@ -77,7 +77,6 @@
         self._batch = 0
         self._nonce = b""
         self._segments: list[_Segment] = []
-        self._covered = 0
         self._log_bytes = 0
         try:
             self._open()
@@ -125,7 +124,6 @@
         self._log_found(found)
         self._incarnation = found.incarnation or ids.fresh("r")
         self._hard_state = found.hard_state
-        self._covered = found.snapshot.index if found.snapshot else 0
         self._stored = types.Stored(
             self._incarnation,
             found.hard_state,
@@ -279,7 +277,6 @@
                 part.path.unlink(missing_ok=True)
         self._segments = kept
         self._log_bytes = sum(part.size for part in kept)
-        self._covered = snapshot.index
 
     def _after(self, index: int) -> list[_Segment]:
         """Returns the segments from the first that holds more than `index`."""
