--- a/laburnumsill/consensus/store_replay.py
+++ b/laburnumsill/consensus/store_replay.py
@@ -147,43 +147,43 @@
     def _read_segment(self, number: int, is_last: bool) -> None:
         path = segment_path(self._folder, number)
         raw = path.read_bytes()
-        end = 0
-        count = 0
-        nonce = b""
-        first_index = 0
-        last_index = 0
-        unsynced = 0
-        last_start = 0
+        content = self._read_records(raw, number, path)
+        if content.records < segments.HEAD_RECORDS:
+            raise store.DamagedLogError(
+                f"{path}: {content.records} head records"
+            )
+        if content.end < len(raw):
+            self._cut_tail(path, raw, content.end, content.nonce, is_last)
+        if is_last:
+            # Its writer may have been killed between a write and the sync:
+            # only the operating system's cache holds such a tail, and a
+            # loss of power would take what a restart had relied on. A sync
+            # that found no room may have given it up, so it is written again.
+            start = content.last_batch
+            durable_files.write_again(path, raw[start : content.end], start)
+        self._found.segments.append(content.summary(number, path))
+
+    def _read_records(
+        self, raw: bytes, number: int, path: pathlib.Path
+    ) -> "_Content":
+        """Takes the records of a segment up to its end or the first bad one."""
+        content = _Content()
         for part in segments.records(raw, segments.SEGMENT_MAGIC, path):
-            if not nonce:
-                nonce = self._read_header(part, number, path)
+            if not content.nonce:
+                content.nonce = self._read_header(part, number, path)
             elif part.type is segments.RecordType.HARD_STATE:
                 state = segments.hard_state_of(part.payload)
                 self._found.hard_state = state
             elif part.type is segments.RecordType.ENTRY:
                 entry = segments.entry_of(part.payload)
-                unsynced += 1
-                first_index = first_index or entry.index
-                last_index = max(last_index, entry.index)
+                content.indices.append(entry.index)
                 self._take(entry, path)
             elif part.type is segments.RecordType.BATCH:
-                unsynced = 0
-                last_start = part.offset
-            end = segments.end_of(part)
-            count += 1
-        if count < segments.HEAD_RECORDS:
-            raise store.DamagedLogError(f"{path}: {count} head records")
-        if end < len(raw):
-            self._cut_tail(path, raw, end, nonce, is_last)
-        if is_last:
-            # Its writer may have been killed between a write and the sync:
-            # only the operating system's cache holds such a tail, and a
-            # loss of power would take what a restart had relied on. A sync
-            # that found no room may have given it up, so it is written again.
-            durable_files.write_again(path, raw[last_start:end], last_start)
-        self._found.segments.append(
-            FoundSegment(number, path, first_index, last_index, end, unsynced)
-        )
+                content.synced = len(content.indices)
+                content.last_batch = part.offset
+            content.end = segments.end_of(part)
+            content.records += 1
+        return content
 
     def _read_header(
         self, part: segments.Record, number: int, path: pathlib.Path
@@ -240,3 +240,35 @@
                 f" the snapshot ends at {covered}"
             )
         return entries
+
+
+@dataclasses.dataclass(slots=True)
+class _Content:
+    """What was read of a segment.
+
+    Attributes:
+        nonce: From its header.
+        records: How many could be read.
+        end: The offset after the last of them.
+        last_batch: The offset of the last batch start.
+        indices: Those of the entries, in the order of the file.
+        synced: How many of these come before the last batch start.
+    """
+
+    nonce: bytes = b""
+    records: int = 0
+    end: int = 0
+    last_batch: int = 0
+    indices: list[int] = dataclasses.field(default_factory=list)
+    synced: int = 0
+
+    def summary(self, number: int, path: pathlib.Path) -> FoundSegment:
+        """Returns what is told of the segment."""
+        return FoundSegment(
+            number,
+            path,
+            self.indices[0] if self.indices else 0,
+            max(self.indices, default=0),
+            self.end,
+            len(self.indices) - self.synced,
+        )
