--- a/laburnumsill/consensus/group.py
+++ b/laburnumsill/consensus/group.py
@@ -320,7 +320,7 @@
             try:
                 await trio.to_thread.run_sync(self._store.commit, batch)
             except store.DiskFullError as error:
-                if _may_be_left_out(batch):
+                if all(change.may_be_left_out for change in batch):
                     self._put_snapshot_off(error)
                     break
                 self._lose_disk(error)
@@ -493,15 +493,4 @@
             self._commit_now()
 
 
-def _may_be_left_out(batch: list[store.Change]) -> bool:
-    """Returns whether a batch is nothing but a snapshot taken here."""
-    return all(
-        change.snapshot is not None
-        and change.keep_tail
-        and change.hard_state is None
-        and not change.entries
-        for change in batch
-    )
-
-
 _NOTHING = types.Output()
--- a/laburnumsill/consensus/store.py
+++ b/laburnumsill/consensus/store.py
@@ -90,6 +90,16 @@
     keep_tail: bool = True
     entries: tuple[types.Entry, ...] = ()
 
+    @property
+    def may_be_left_out(self) -> bool:
+        """Whether it is a snapshot taken here, and the log holds as much."""
+        return (
+            self.snapshot is not None
+            and self.keep_tail
+            and self.hard_state is None
+            and not self.entries
+        )
+
     @property
     def is_empty(self) -> bool:
         """Whether nothing is to be kept."""
--- a/laburnumsill/consensus/tests/test_store_machine.py
+++ b/laburnumsill/consensus/tests/test_store_machine.py
@@ -170,7 +170,7 @@
             return
         except store.DiskFullError:
             self.stuck = changes
-            if len(changes) == 1 and self.may_be_left_out(changes[0]):
+            if len(changes) == 1 and changes[0].may_be_left_out:
                 self.stuck = None
                 self.left_out += changes
             return
@@ -180,9 +180,6 @@
         self.promised = store_model.states(self.promised, changes)[-1]
         self.last = store_model.last_index(self.promised)
 
-    def may_be_left_out(self, change):
-        return change.snapshot is not None and change.keep_tail
-
     def reopen(self, unsure=None):
         """Starts again, with changes that may have been kept or not."""
         self.kept.close()
