--- a/laburnumsill/platform/tests/test_soak.py
+++ b/laburnumsill/platform/tests/test_soak.py
@@ -2,9 +2,12 @@
 
 import pathlib
 import subprocess
+import threading
 
 import pytest
 
+from laburnumsill.daemon import role_settings
+from laburnumsill.platform.tests.soak import layout
 from laburnumsill.platform.tests.soak import main as soaks
 from laburnumsill.platform.tests.soak import troubles
 
@@ -13,6 +16,7 @@
 
 ONE_LOOP = "soaks side by side shared one loop, which was late at each turn"
 FULL_DISK_SEEDS = (1, 4)
+READS = 2000
 
 BROKEN_ONCE = {
     1: "a gang spread into the rack that was kept for another",
@@ -50,6 +54,30 @@
     assert verdict.completed
 
 
+def test_settings_are_whole_whenever_a_daemon_reads_them(tmp_path):
+    """Troubles that overlap may start a VM while its daemon is starting.
+
+    Each start writes the settings anew; a daemon that found them half written
+    ended, with bad settings and without a word of a failure.
+    """
+    one = next(iter(layout.vms().values()))
+    path = layout.write_settings(tmp_path, one, True)
+    stop = threading.Event()
+
+    def write() -> None:
+        while not stop.is_set():
+            layout.write_settings(tmp_path, one, True)
+
+    writer = threading.Thread(target=write)
+    writer.start()
+    try:
+        for _ in range(READS):
+            assert role_settings.load(path).name == one.vm
+    finally:
+        stop.set()
+        writer.join()
+
+
 def test_soaks_side_by_side_have_a_process_each(monkeypatch):
     started = []
 
