--- a/laburnumsill/platform/tests/soak/layout.py
+++ b/laburnumsill/platform/tests/soak/layout.py
@@ -135,7 +135,10 @@
         f"key_revoked_ms = {KEY_REVOKED_MS}",
     ]
     path = settings_path(folder, one.vm)
-    path.write_text("\n".join(lines) + "\n")
+    # Its daemon may be starting, and must not find half of the file.
+    aside = path.with_suffix(".new")
+    aside.write_text("\n".join(lines) + "\n")
+    aside.replace(path)
     return path
 
 
--- a/laburnumsill/platform/tests/soak/main.py
+++ b/laburnumsill/platform/tests/soak/main.py
@@ -37,6 +37,9 @@
 
 SAID_BY_A_FAILURE = ("Traceback", "event=daemon-failed")
 
+LAST_WORDS = 300
+"""Characters of the log of a daemon that ended which are told."""
+
 
 @dataclasses.dataclass(slots=True)
 class Verdict:
@@ -164,7 +167,8 @@
 def _ended(site: sites.SoakSite) -> list[str]:
     """Returns which daemons do not run, though each trouble undoes itself."""
     return [
-        f"FAULT {vm} ended by itself"
+        f"FAULT {vm} ended by itself with {process.wait(0)}:"
+        f" {process.log_text()[-LAST_WORDS:]!r}"
         for vm, process in site.processes.items()
         if not process.running
     ]
