--- a/laburnumsill/platform/tests/soak/main.py
+++ b/laburnumsill/platform/tests/soak/main.py
@@ -104,6 +104,7 @@
             site.disturb_core()
             await _play(site, witness, seconds, kinds, choice)
             broken = _ended(site)
+            await witness.be_served_again()
             await witness.settle()
             await witness.aclose()
             broken += [*site.oracle.broken, *witness.broken]
--- a/laburnumsill/platform/tests/soak/witness.py
+++ b/laburnumsill/platform/tests/soak/witness.py
@@ -37,6 +37,9 @@
 SETTLE_WITHIN_S = 45.0
 """After the last trouble: leases of 4 s, catching up, and all work left."""
 
+SERVED_AGAIN_S = 12.0
+"""A job is taken in so soon after the last trouble, as the users ask."""
+
 
 @dataclasses.dataclass(slots=True)
 class Fate:
@@ -102,6 +105,23 @@
             nursery.start_soon(self._look_all_the_time)
             nursery.start_soon(self._configure_all_the_time, nursery)
 
+    async def be_served_again(self) -> None:
+        """Hands in a job after the last trouble, which is never cancelled.
+
+        Troubles that overlap may leave no majority for all of a short soak,
+        and then it has refused everything, and rightly.
+        """
+        fate = self._new_job()
+        body = standin.job_body(fate.job)
+        fate.maybe_accepted = True
+        with trio.move_on_after(SERVED_AGAIN_S):
+            while fate.accepted_at is None:
+                if await self._call("POST", fate.path, body) == 200:
+                    fate.accepted_at = trio.current_time()
+                await trio.sleep(0.2)
+        if fate.accepted_at is None:
+            self._break(f"RECOVER {fate.path}: not taken in")
+
     async def settle(self) -> None:
         """Waits for the end of all jobs, and looks at what is left."""
         with trio.move_on_after(SETTLE_WITHIN_S):
