Tell from the logs what a job spent its time on

The leader writes one line more a job, its end with what it is judged by; placements say whether they are of a gang, stops for which job, callers' calls whose account. Ruled out: asking the ledger, which forgets jobs and knows of no refused call.

--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -61,6 +61,9 @@
 LOG_WAITING_EVERY_S = 5.0
 """A unit that waits is written again so often, with what stands in its way."""
 
+URGENT_STOP = "an urgent job needs the room"
+"""Why runs are stopped that a plan stops."""
+
 FORGET_EVERY_S = 30
 """How often jobs that ended long ago are looked for."""
 
@@ -261,7 +264,7 @@
         self._kept_racks = made.kept_racks
         self._log_waiting(made, len(usable))
         for run in made.stops:
-            self._stop(run, "an urgent job needs the room")
+            self._stop(run, URGENT_STOP, made.stopped_for[run])
         return made
 
     def _slowness(self, worker_id: str) -> float:
@@ -293,6 +296,7 @@
             run=placement.run,
             worker=placement.worker_id,
             queue=record.job.queue if record else "",
+            gang=_is_gang(record, placement.run),
             waited_ms=self.clock.wall_ms() - record.submitted_ms
             if record
             else 0,
@@ -372,11 +376,11 @@
             found |= session.stopping
         return found
 
-    def _stop(self, run: model.RunId, reason: str) -> None:
+    def _stop(self, run: model.RunId, reason: str, for_job: str = "") -> None:
         record = self.ledger.runs.get(run)
         session = self._sessions.get(record.worker_id) if record else None
         if session is not None:
-            session.stop(run, reason)
+            session.stop(run, reason, for_job)
 
     def _stop_unwanted(self) -> None:
         """Stops runs of ended jobs, done tasks and broken gangs."""
@@ -476,6 +480,11 @@
         metrics.gauge("units_waiting", len(self._waiting))
 
 
+def _is_gang(record: records.JobRecord | None, run: model.RunId) -> bool:
+    """Whether a run works only together with the others of its step."""
+    return record is not None and record.job.steps[run.task.step].gang
+
+
 def _is_whole(
     record: records.JobRecord,
     key: model.StepKey,
--- a/laburnumsill/batch/orders.py
+++ b/laburnumsill/batch/orders.py
@@ -45,8 +45,14 @@
             self._nursery.start_soon(self._start, run)
         state.wakeup.set()
 
-    def stop(self, run: model.RunId, reason: str) -> None:
-        """Begins to stop a run, once."""
+    def stop(self, run: model.RunId, reason: str, for_job: str = "") -> None:
+        """Begins to stop a run, once.
+
+        Args:
+            run: Which.
+            reason: Why, for people.
+            for_job: The job that needs its room, for people; "" for none.
+        """
         state = self._state
         if run not in state.stops:
             state.stops[run] = worker_state.Stop(reason)
@@ -56,6 +62,7 @@
                 run=run,
                 worker=state.worker_id,
                 reason=reason,
+                for_job=for_job,
             )
             self._nursery.start_soon(self._stop, run)
         state.wakeup.set()
--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -92,6 +92,7 @@
         waiting: Units that could not be placed.
         kept_racks: The racks that are kept for gangs, for the next plan.
         obstacles: What stands in the way of waiting units, for people.
+        stopped_for: The jobs that need the room of what is stopped, for people.
     """
 
     groups: list[tuple[commands.Placement, ...]]
@@ -103,6 +104,9 @@
     obstacles: dict[model.StepKey, str] = dataclasses.field(
         default_factory=dict
     )
+    stopped_for: dict[model.RunId, str] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def plan(view: View) -> Plan:
@@ -341,7 +345,7 @@
                 self._keep_rooms(unit, rooms)
             return
         for victim in eviction.victims:
-            self._stop(victim)
+            self._stop(victim, unit)
         self._reserve(unit, eviction.assignment)
 
     def _needs_fast_workers(
@@ -365,10 +369,12 @@
             )
         return self._victims
 
-    def _stop(self, victim: preemption.Victim) -> None:
+    def _stop(self, victim: preemption.Victim, unit: units.Unit) -> None:
         if self._victims is not None:
             self._victims.remove(victim)
         self._plan.stops += victim.runs
+        for run in victim.runs:
+            self._plan.stopped_for[run] = unit.record.job.job_id
         for worker_id, amount in victim.freed.items():
             room = self._rooms.get(worker_id)
             if room is not None:
--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -112,9 +112,9 @@
         """Begins to start a run that was placed here."""
         self._orders.start(run)
 
-    def stop(self, run: model.RunId, reason: str) -> None:
-        """Begins to stop a run, once."""
-        self._orders.stop(run, reason)
+    def stop(self, run: model.RunId, reason: str, for_job: str = "") -> None:
+        """Begins to stop a run, once; see `orders.Orders.stop`."""
+        self._orders.stop(run, reason, for_job)
 
     async def run(self) -> None:
         """Asks for reports while there is anything to hear."""
@@ -252,14 +252,34 @@
                 saved=end.saved,
             )
         at_ms = self._term.clock.wall_ms()
+        active = self._term.ledger.active_jobs
+        concerned = {end.run.task.job_id for end in ends} & active.keys()
         await self._term.commit(
             commands.NoteEnds(self._state.worker_id, ends, at_ms)
         )
+        for job_id in concerned:
+            self._log_end(job_id)
         for end in ends:
             self._state.started.pop(end.run, None)
             self._observe_end(end)
         self._term.wake()
 
+    def _log_end(self, job_id: str) -> None:
+        """Writes a line if a job has ended, with what its end is judged by."""
+        record = self._term.ledger.jobs.get(job_id)
+        if record is None or record.active:
+            return
+        logs.event(
+            "job-ended",
+            job=job_id,
+            state=record.state,
+            queue=record.job.queue,
+            account=record.job.account,
+            took_ms=record.ended_ms - record.submitted_ms,
+            stretch=record.job.terms.stretch,
+            target_ms=record.job.terms.target_ms,
+        )
+
     def _observe_end(self, end: commands.EndedRun) -> None:
         record = self._term.ledger.jobs.get(end.run.task.job_id)
         if record is None or record.task(end.run.task) is None:
--- a/laburnumsill/cli/job_commands.py
+++ b/laburnumsill/cli/job_commands.py
@@ -1,12 +1,14 @@
-"""`laburnumsill job`: submit, show, list, cancel."""
+"""`laburnumsill job`: submit, show, list, cancel, explain."""
 
 import typing
 
 from fire import decorators
 
+from laburnumsill.cli import explaining
 from laburnumsill.cli import session as sessions
 from laburnumsill.cli import values
 from laburnumsill.cli import views
+from laburnumsill.explain import stories
 
 
 class JobCommands:
@@ -135,3 +137,28 @@
             self._session.show(answer, views.whole_job)
 
         return sessions.Action(run)
+
+    @decorators.SetParseFn(str)
+    def explain(
+        self, job: str | None = None, logs: str | None = None
+    ) -> sessions.Action:
+        """Says what jobs spent their time on, from the logs of all VMs.
+
+        Asks no VM. Without a job, it adds up all jobs: by queue, client
+        account, failure domain and the two seconds in which they came.
+
+        Args:
+            job: The job's id.
+            logs: Files with the logs of the VMs, with commas between.
+        """
+
+        def run() -> None:
+            site = stories.story_of(
+                explaining.read(values.text("--logs", logs))
+            )
+            if job is None:
+                self._session.show(explaining.sums(site))
+            else:
+                self._session.show(explaining.job(site, job))
+
+        return sessions.Action(run)
--- /dev/null
+++ b/laburnumsill/explain/__init__.py
@@ -0,0 +1,1 @@
+"""Why jobs were late: read from the structured logs of a site's VMs."""
--- a/laburnumsill/platform/caller_app.py
+++ b/laburnumsill/platform/caller_app.py
@@ -105,6 +105,7 @@
         call.version = configuration.version
         queue, account = self._admitted(configuration, call.request)
         call.queue = queue.name
+        call.account = account
         call.job = call.request.path[len(queue.path_prefix) :]
         deadline = began + _deadline_ms(call.request, queue) / 1000
         if len(body) > configuration.limits.max_body_bytes:
@@ -171,6 +172,7 @@
             "caller-request",
             job=call.job,
             queue=call.queue,
+            account=call.account,
             method=method,
             status=answer.status,
             reason=call.reason,
@@ -185,6 +187,7 @@
     def __init__(self, request: http.Request) -> None:
         self.request = request
         self.queue = ""
+        self.account = ""
         self.job = ""
         self.reason = ""
         self.version = -1
