The emulator's oracle knows of leases that run out before an end is read

Traced: a worker was cut off for longer than its lease, a run of it was done meanwhile, the leader released it when the lease had certainly run out, and the cut healed in the millisecond in which the task was placed anew: its start and the reading of the old end crossed. The oracle did not know of that; it does for done runs, which is the case that was traced, and for these alone. Two runs at one time stay broken, whatever lapsed.

--- a/laburnumsill/emulator/oracle.py
+++ b/laburnumsill/emulator/oracle.py
@@ -101,9 +101,22 @@
         needs = truth.job.steps[run.task.step].needs
         self._used[worker_id] = self._used[worker_id] - needs
 
-    def noted(self, run: model.RunId, kind: str, gang: bool) -> None:
-        """Notes that an end was acknowledged to its worker."""
+    def noted(
+        self, run: model.RunId, kind: str, gang: bool, lapsed: bool = False
+    ) -> None:
+        """Notes that an end was acknowledged to its worker.
+
+        Args:
+            run: Which run had ended.
+            kind: How.
+            gang: Whether the end stands for all of its gang.
+            lapsed: Whether the worker's lease has run out since the end. A
+                leader may take the run for lost then and start its task again,
+                also while the end is being read at last.
+        """
         truth = self.jobs[run.task.job_id]
+        if lapsed and kind == "done":
+            return
         if kind == "done" and gang:
             step = truth.job.steps[run.task.step]
             for index in range(step.tasks):
--- a/laburnumsill/emulator/workers.py
+++ b/laburnumsill/emulator/workers.py
@@ -109,6 +109,7 @@
         task = order.run.task
         known = self._running.get(task)
         if known is not None and known.run == order.run:
+        self._lapsed = 0
             return
         if order.run.number <= self._over.get(task, 0) or known is not None:
             raise worker_client.RunOverError("old", clock_ms=self.clock_ms)
@@ -160,7 +161,8 @@
 
     def tick(self) -> None:
         """Works for one tick."""
-        if self._running and self.clock_ms > self._lease_ms:
+        if self.clock_ms > self._lease_ms:
+            self._lapsed = self._count
             for one in list(self._running.values()):
                 self.end(one.run, commands.EndKind.LEASE_ENDED)
         now = trio.current_time()
@@ -226,7 +228,9 @@
             if self._noted < end.number <= noted:
                 truth = self._pool.oracle.jobs[end.run.task.job_id]
                 gang = truth.job.steps[end.run.task.step].gang
-                self._pool.oracle.noted(end.run, end.kind.value, gang)
+                lapsed = end.number <= self._lapsed
+                kind = end.kind.value
+                self._pool.oracle.noted(end.run, kind, gang, lapsed)
         self._noted = max(self._noted, noted)
         self._ends = [end for end in self._ends if end.number > noted]
 
