--- a/laburnumsill/emulator/days.py
+++ b/laburnumsill/emulator/days.py
@@ -12,6 +12,7 @@
 from laburnumsill.emulator import site as sites
 from laburnumsill.emulator import troubles
 from laburnumsill.emulator import virtual_time
+from laburnumsill.emulator import workers as worker_module
 
 DAY_S = 40.0
 """Jobs are handed in for so long."""
@@ -21,13 +22,12 @@
 
 LOOK_EVERY_S = 0.05
 
-SLOW_WORKERS = 1.3
-"""Every third worker takes so many times as long, as on the users' sites."""
-
-GUARANTEED = 30
-"""Accelerators that each of the four client accounts is guaranteed."""
-
-SHAPES = {"tana-shore": loads.TANA_SHORE, "fingal": loads.FINGAL}
+SHAPES = {
+    "tana-shore": loads.TANA_SHORE,
+    "fingal": loads.FINGAL,
+    "further": loads.FURTHER,
+}
+"""The shapes of known sites."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,13 +83,14 @@
         shape.per_rack,
         shape.capacity,
         shape.stop_grace_s,
+        worker_module.Saving(shape.checkpoint_s, shape.restore_s),
     )
     async with trio.open_nursery() as nursery:
         await nursery.start(site.run)
         for number, worker in enumerate(site.pool.workers.values()):
             if number % 3 == 2:
-                worker.behaviour.speed = 1 / SLOW_WORKERS
-        site.guarantees = dict.fromkeys(loads.ACCOUNTS, GUARANTEED)
+                worker.behaviour.speed = 1 / shape.slow_workers
+        site.guarantees = dict.fromkeys(loads.ACCOUNTS, shape.guaranteed)
         async with trio.open_nursery() as handing_in:
             for one in jobs:
                 handing_in.start_soon(_hand_in, site, one)
--- a/laburnumsill/emulator/load.py
+++ b/laburnumsill/emulator/load.py
@@ -82,6 +82,10 @@
         capacity: Of each worker.
         kinds: The kinds of jobs.
         stop_grace_s: A stop takes at most so long.
+        checkpoint_s: Tasks that save do so after so much work.
+        restore_s: What goes on from saved progress begins so much later.
+        guaranteed: Accelerators that each client account is guaranteed.
+        slow_workers: Every third worker takes so many times as long.
     """
 
     racks: int
@@ -89,6 +93,10 @@
     capacity: model.Resources
     kinds: tuple[Kind, ...]
     stop_grace_s: float
+    checkpoint_s: float = 1.0
+    restore_s: float = 0.0
+    guaranteed: int = 30
+    slow_workers: float = 1.3
 
     def waves(self, step: model.Step) -> int:
         """Returns how often a step's work counts in its job's objective.
@@ -152,6 +160,61 @@
 """Tee sheet: slot offers are urgent, reconciliation and recalculation wait."""
 
 
+def _further_kinds() -> tuple[Kind, ...]:
+    """Returns the kinds of the site on which memory is scarce."""
+    renewal, check, rescoring = _kinds(
+        (13, 4, 3), (0.314, 1.19, 0.295), (5, 7), 0.5
+    )
+    return (
+        dataclasses.replace(
+            renewal, memory_mb=34_000, work_s=8.5, estimate_spread=0.5
+        ),
+        dataclasses.replace(check, memory_mb=9_800, cpu_millis=3_700),
+        dataclasses.replace(
+            rescoring,
+            memory_mb=4_100,
+            cpu_millis=2_800,
+            work_s=7.6,
+            estimate_spread=0.2,
+            uneven=0.15,
+        ),
+    )
+
+
+FURTHER = Shape(
+    3,
+    8,
+    model.Resources(32_000, 65_536, 8),
+    _further_kinds(),
+    0.4,
+    checkpoint_s=0.5,
+    restore_s=0.6,
+)
+"""Fleet pricing: exposure checks are urgent, renewals and rescoring wait, and
+memory is scarce: a renewal's task takes half of a worker's."""
+
+
+def with_load(
+    kind: Kind, capacity: model.Resources, workers: int, share: float
+) -> Kind:
+    """Returns a kind at the rate at which it takes a share of some workers.
+
+    Args:
+        kind: The kind.
+        capacity: Of each worker.
+        workers: How many there are.
+        share: Of the resource of which it takes the most.
+    """
+    mean_accelerators = statistics.fmean(kind.accelerators)
+    taken = max(
+        kind.cpu_millis / capacity.cpu_millis,
+        kind.memory_mb / capacity.memory_mb,
+        mean_accelerators / capacity.accelerators,
+    )
+    worker_s = kind.width * kind.work_s * taken
+    return dataclasses.replace(kind, per_s=share * workers / worker_s)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Arrival:
     """A job that is handed in.
--- a/laburnumsill/emulator/main.py
+++ b/laburnumsill/emulator/main.py
@@ -12,6 +12,7 @@
 import loguru
 
 from laburnumsill.emulator import days as days_module
+from laburnumsill.emulator import drawn
 from laburnumsill.emulator import load as loads
 from laburnumsill.emulator import troubles
 
@@ -20,6 +21,9 @@
 
 BAD_ARGUMENT = 2
 
+DRAWN = "drawn"
+"""The name of sites that are drawn by a seed."""
+
 
 class Emulator:
     """Plays days of an emulated site and says what jobs earned."""
@@ -31,20 +35,24 @@
         load: float = 1.0,
         trouble: str = "",
         log: bool = False,
+        site_seed: int = 0,
     ) -> None:
         """Plays one day and prints what became of its jobs.
 
         Args:
             seed: Of everything that is random; it repeats the day.
-            site: `tana-shore` or `fingal`.
+            site: `tana-shore`, `fingal`, `further` or `drawn`.
             load: Multiple of the usual rates of jobs.
             trouble: What may come, with commas between: lead, lost, late,
                 cut, hang, fail, crash; or `all`.
             log: Whether to print the scheduler's log lines too.
+            site_seed: Of a drawn site; it repeats the site.
         """
         if not log:
             loguru.logger.remove()
-        day = days_module.Day(_shape(site), seed, load, _kinds(trouble))
+        day = days_module.Day(
+            _shape(site, site_seed), seed, load, _kinds(trouble)
+        )
         result = days_module.run(day)
         for state, count in sorted(result.states.items()):
             print(f"state={state} jobs={count}")
@@ -58,21 +66,23 @@
         load: float = 1.0,
         trouble: str = "",
         output: str = "text",
+        site_seed: int = 0,
     ) -> None:
         """Plays some days with different seeds and adds them up.
 
         Args:
             count: How many.
             first_seed: The seed of the first; each next one is one more.
-            site: `tana-shore` or `fingal`.
+            site: As for `day`.
             load: Multiple of the usual rates of jobs.
             trouble: As for `day`.
             output: `text` or `json`.
+            site_seed: As for `day`.
         """
         loguru.logger.remove()
         if count < 1:
             _refuse(f"count is {count}, not 1 or more")
-        shape, kinds = _shape(site), _kinds(trouble)
+        shape, kinds = _shape(site, site_seed), _kinds(trouble)
         results = {
             seed: days_module.run(days_module.Day(shape, seed, load, kinds))
             for seed in range(first_seed, first_seed + count)
@@ -80,9 +90,12 @@
         _print_summary(results, output)
 
 
-def _shape(site: str) -> loads.Shape:
+def _shape(site: str, site_seed: int) -> loads.Shape:
+    if site == DRAWN:
+        return drawn.site(site_seed)
     if site not in days_module.SHAPES:
-        _refuse(f"no site {site!r}; there are {', '.join(days_module.SHAPES)}")
+        known = ", ".join([*days_module.SHAPES, DRAWN])
+        _refuse(f"no site {site!r}; there are {known}")
     return days_module.SHAPES[site]
 
 
--- a/laburnumsill/emulator/site.py
+++ b/laburnumsill/emulator/site.py
@@ -127,6 +127,7 @@
         per_rack: Workers in each.
         capacity: Of each worker.
         stop_grace_s: How long a stop takes at most.
+        saving: How tasks save their progress.
     """
 
     def __init__(
@@ -136,6 +137,7 @@
         per_rack: int = 4,
         capacity: model.Resources = DEFAULT_CAPACITY,
         stop_grace_s: float = worker_module.DEFAULT_STOP_GRACE_S,
+        saving: worker_module.Saving = worker_module.DEFAULT_SAVING,
     ) -> None:
         self._seed = seed
         self.random = random.Random(seed)
@@ -152,6 +154,7 @@
             lambda: self.random.uniform(
                 worker_module.SHORTEST_STOP * stop_grace_s, stop_grace_s
             ),
+            saving,
         )
         self.client = worker_module.UnreliableClient(self.pool, self.random)
         self.ledger = ledgers.BatchLedger()
--- a/laburnumsill/emulator/workers.py
+++ b/laburnumsill/emulator/workers.py
@@ -22,11 +22,28 @@
 """The shortest stop, as a part of the longest: on two of the users' days stops
 took 0.28 to 0.9 s where 0.9 s was allowed, evenly spread."""
 
-CHECKPOINT_S = 1.0
 GANG_TIMEOUT_S = 3.0
 FAR_FACTOR = 3.0
 LONGEST_LEASE_MS = 10_000
 
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Saving:
+    """How tasks that save progress do so.
+
+    Lengths of time: they are properties of the emulated workers.
+
+    Attributes:
+        checkpoint_s: After each so much work, and at a stop.
+        restore_s: A later run goes on so long after its start.
+    """
+
+    checkpoint_s: float
+    restore_s: float
+
+
+DEFAULT_SAVING = Saving(1.0, 0.0)
+
 WorkOf = abc.Callable[[model.TaskId], float]
 
 
@@ -54,14 +71,22 @@
     work_s: float
     done_s: float
     began_at: float
+    works_at: float
+    saving: Saving
     was_whole: bool = False
     stop_at: float | None = None
 
     @property
     def saved(self) -> str:
-        if not self.step.saves_progress:
+        if not self.step.saves_progress or not self.done_s:
             return ""
-        return f"{int(self.done_s / CHECKPOINT_S) * CHECKPOINT_S:.3f}"
+        checkpoint_s = self.saving.checkpoint_s
+        return f"{int(self.done_s / checkpoint_s) * checkpoint_s:.3f}"
+
+    @property
+    def saved_at_stop(self) -> str:
+        """What is saved when it is stopped in good order: all of it."""
+        return f"{self.done_s:.3f}" if self.step.saves_progress else ""
 
 
 class EmulatedWorker:
@@ -84,6 +109,7 @@
         self._over: dict[model.TaskId, int] = {}
         self._ends: list[commands.EndedRun] = []
         self._count = 0
+        self._lapsed = 0
         self._noted = 0
         self._changed = trio.Event()
 
@@ -109,7 +135,6 @@
         task = order.run.task
         known = self._running.get(task)
         if known is not None and known.run == order.run:
-        self._lapsed = 0
             return
         if order.run.number <= self._over.get(task, 0) or known is not None:
             raise worker_client.RunOverError("old", clock_ms=self.clock_ms)
@@ -122,8 +147,16 @@
             return
         step = truth.job.steps[task.step]
         done_s = float(order.saved) if order.saved else 0.0
+        saving = self._pool.saving
+        works_at = now + (saving.restore_s if order.saved else 0.0)
         self._running[task] = _Running(
-            order.run, step, self._pool.work_of(task), done_s, now
+            order.run,
+            step,
+            self._pool.work_of(task),
+            done_s,
+            now,
+            works_at,
+            saving,
         )
 
     def stop(self, run: model.RunId, fence: int) -> None:
@@ -185,7 +218,7 @@
 
     def advance(self, one: _Running, factor: float) -> None:
         """Does a tick's work of a task."""
-        if not self.behaviour.hangs:
+        if not self.behaviour.hangs and trio.current_time() >= one.works_at:
             one.done_s += TICK_S * self.behaviour.speed / factor
 
     def end(self, run: model.RunId, kind: commands.EndKind) -> None:
@@ -198,11 +231,13 @@
         self._over[run.task] = max(over, run.number)
         self._count += 1
         saved = known.saved if kind is not commands.EndKind.DONE else ""
+        if kind is commands.EndKind.STOPPED and not self.gone:
+            saved = known.saved_at_stop
         self._ends.append(commands.EndedRun(self._count, run, kind, saved))
         done = kind is commands.EndKind.DONE
         self._pool.oracle.ended(run, self.worker.worker_id, done)
         if kind is not commands.EndKind.DONE:
-            self._pool.count_lost(known.step, known.done_s, known.saved)
+            self._pool.count_lost(known.step, known.done_s, saved)
         self._changed.set()
         self._changed = trio.Event()
 
@@ -247,6 +282,7 @@
         work_of: Returns the true work of a task, in seconds.
         hopeless: Returns whether a task always fails.
         stop_s: Returns how long the next stop takes, in seconds.
+        saving: How tasks save their progress.
     """
 
     def __init__(
@@ -255,9 +291,11 @@
         work_of: WorkOf,
         hopeless: abc.Callable[[model.TaskId], bool],
         stop_s: abc.Callable[[], float],
+        saving: Saving = DEFAULT_SAVING,
     ) -> None:
         self.oracle = oracle
         self.stop_s = stop_s
+        self.saving = saving
         self.work_of = work_of
         self.hopeless = hopeless
         self.workers: dict[str, EmulatedWorker] = {}
@@ -314,7 +352,7 @@
         hangs = any(worker.behaviour.hangs for worker, _ in parts)
         for _, one in parts:
             one.was_whole = True
-            if not hangs:
+            if not hangs and now >= one.works_at:
                 factor = FAR_FACTOR if apart else 1.0
                 one.done_s += TICK_S * slowest / factor
         if all(one.done_s >= one.work_s for _, one in parts):
