--- a/laburnumsill/cli/explaining.py
+++ b/laburnumsill/cli/explaining.py
@@ -14,10 +14,10 @@
 Row = dict[str, typing.Any]
 
 
-class UnknownJobError(errors.NotFoundError):
+class JobNotInLogsError(errors.NotFoundError):
     """The logs do not tell of a job."""
 
-    slug = "unknown-job"
+    slug = "job-not-in-logs"
     title = "The logs tell nothing of this job"
 
 
@@ -46,14 +46,14 @@
     """Returns a row for each part of a job's time.
 
     Raises:
-        UnknownJobError: The logs do not tell of it.
+        JobNotInLogsError: The logs do not tell of it.
     """
     story = site.jobs.get(job_id)
     if story is None:
-        raise UnknownJobError(f"job {job_id!r}", job=job_id)
+        raise JobNotInLogsError(f"job {job_id!r}", job=job_id)
     spans = causes.spans_of(story, site)
     if not spans:
-        raise UnknownJobError(f"job {job_id!r} was never handed in")
+        raise JobNotInLogsError(f"job {job_id!r} was never handed in")
     first_at = spans[0].begin
     rows: list[Row] = [
         {
