--- a/laburnumsill/batch/packing.py
+++ b/laburnumsill/batch/packing.py
@@ -211,7 +211,7 @@
 
     Urgent units go to the fast workers first. Then the fullest goes first, so
     that whole workers are left for gangs. Filling the fullest rack first was
-    tried and reverted, see docs/design/placement.md.
+    tried and reverted, see docs/design/site-planner.md.
     """
     urgent = unit.priority == URGENT_PRIORITY
 
