--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -18,6 +18,7 @@
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
 from laburnumsill.batch import orders
+from laburnumsill.batch import plan_log
 from laburnumsill.batch import planner
 from laburnumsill.batch import records
 from laburnumsill.batch import session as sessions
@@ -65,9 +66,6 @@
 at least."""
 
 
-LOG_WAITING_EVERY_S = 5.0
-"""A unit that waits is written again so often, with what stands in its way."""
-
 URGENT_STOP = "an urgent job needs the room"
 """Why runs are stopped that a plan stops."""
 
@@ -149,6 +147,7 @@
         self._context = context
         self._learnt = learnt
         self._headroom = headroom_module.Headroom()
+        self._plan_log = plan_log.PlanLog(ledger, context.clock)
         self._sessions: dict[str, sessions.WorkerSession] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
         self._seen: set[model.RunId] = set()
@@ -156,7 +155,6 @@
         self._wakeup.set()
         self._scope = trio.CancelScope()
         self._nursery: trio.Nursery
-        self._waiting: dict[model.StepKey, float] = {}
         self._kept_racks: dict[model.StepKey, str] = {}
         self._doubted: dict[str, float] = {}
         self._forget_at_ms = 0
@@ -273,7 +271,7 @@
             self.health.avoid,
             self._slowness,
             self._kept_racks,
-            self._is_log_due,
+            self._plan_log.is_due,
             self._context.bounds.stop_grace_ms,
             self._headroom.to_keep(
                 planner.urgent_use(self.ledger).total(),
@@ -283,7 +281,7 @@
         )
         made = planner.plan(view)
         self._kept_racks = made.kept_racks
-        self._log_waiting(made, len(usable))
+        self._plan_log.waiting(made, len(usable))
         for run in made.stops:
             self._stop(run, URGENT_STOP, made.stopped_for[run])
         return made
@@ -340,61 +338,11 @@
         assert isinstance(placed, commands.Placed)
         for group, refusal in zip(groups, placed.refusals, strict=True):
             for placement in group:
-                self._log_placement(placement, refusal)
+                self._plan_log.placement(placement, refusal)
                 session = self._sessions.get(placement.worker_id)
                 if not refusal and session is not None:
                     session.start(placement.run)
 
-    def _log_placement(
-        self, placement: commands.Placement, refusal: str
-    ) -> None:
-        record = self.ledger.jobs.get(placement.run.task.job_id)
-        logs.decision(
-            "run-placed" if not refusal else "placement-refused",
-            job=placement.run.task.job_id,
-            run=placement.run,
-            worker=placement.worker_id,
-            queue=record.job.queue if record else "",
-            gang=_is_gang(record, placement.run),
-            waited_ms=self.clock.wall_ms() - record.submitted_ms
-            if record
-            else 0,
-            refusal=refusal,
-        )
-
-    def _log_waiting(self, made: planner.Plan, usable: int) -> None:
-        """Writes a line when a unit begins to wait, and now and then."""
-        now = self.clock.monotonic()
-        waiting = {}
-        for unit in made.waiting:
-            log_at = self._waiting.get(unit.key, now)
-            if unit.key in made.obstacles:
-                self._log_unit(unit, made.obstacles[unit.key], usable)
-                log_at = now + LOG_WAITING_EVERY_S
-            waiting[unit.key] = log_at
-        self._waiting = waiting
-
-    def _is_log_due(self, key: model.StepKey) -> bool:
-        return self._waiting.get(key, 0.0) <= self.clock.monotonic()
-
-    def _log_unit(self, unit: units.Unit, obstacle: str, usable: int) -> None:
-        logs.decision(
-            "unit-waits",
-            job=unit.record.job.job_id,
-            occurrence=unit.occurrence,
-            step=unit.number,
-            tasks=len(unit.tasks),
-            accelerators=unit.step.needs.accelerators,
-            gang=unit.step.gang,
-            same_rack=unit.step.same_rack,
-            data_rack=unit.step.data_rack,
-            label=unit.step.required_label,
-            priority=unit.priority,
-            waited_ms=self.clock.wall_ms() - unit.waiting_since_ms,
-            obstacle=obstacle,
-            usable=usable,
-        )
-
     def _usable(self, contested: abc.Set[str]) -> set[str]:
         """Returns the workers that may be given runs now."""
         now = self.clock.monotonic()
@@ -536,12 +484,7 @@
         metrics.gauge("jobs_active", len(self.ledger.active_jobs))
         metrics.gauge("runs_live", len(self.ledger.runs))
         metrics.gauge("workers_known", len(self.ledger.workers))
-        metrics.gauge("units_waiting", len(self._waiting))
-
-
-def _is_gang(record: records.JobRecord | None, run: model.RunId) -> bool:
-    """Whether a run works only together with the others of its step."""
-    return record is not None and record.job.steps[run.task.step].gang
+        metrics.gauge("units_waiting", self._plan_log.units_waiting)
 
 
 def _is_whole(
