--- a/laburnumsill/consensus/tests/test_patience.py
+++ b/laburnumsill/consensus/tests/test_patience.py
@@ -75,6 +75,5 @@
         missed += beat > 1 and now - heard_at > made.timeout_s
         made.hear(now)
         heard_at = now
-    # In ten minutes; without a learnt time none, with three heartbeats alone
-    # every third one behind a disk that takes 0.15 s would be close to it.
+    # In ten minutes.
     assert missed <= (1 if lost else 0)
