Show that a held-up loop blames a backend server

The known red test_lost_answer_is_unknown_and_never_runs_again was refused with "no backend server can take requests". Ruled out: an ejection for errors (it takes three failures, the test makes one call) and a refused connection (the server listens throughout). What is left is a connection that was not made within 0.3 s.

--- a/laburnumsill/clients/tests/test_backend.py
+++ b/laburnumsill/clients/tests/test_backend.py
@@ -2,6 +2,8 @@
 
 import contextlib
 import functools
+import socket
+import time
 
 import pytest
 import trio
@@ -238,3 +240,43 @@
         await exchange(client, server)
         await client.aclose()
     assert script.connections == 2
+
+
+@pytest.mark.parametrize("turns", range(8))
+async def test_a_loop_that_was_held_up_blames_no_server(turns):
+    """A busy machine stops this process while it connects."""
+
+    async def hold_up():
+        for _ in range(turns):
+            await trio.lowlevel.checkpoint()
+        time.sleep(1.5 * backend.CONNECT_TIMEOUT_S)  # noqa: ASYNC251
+
+    script = Scripted(OK)
+    async with script.running() as server, trio.open_nursery() as nursery:
+        client = make_client()
+        nursery.start_soon(hold_up)
+        assert await exchange(client, server) == b"ok"
+        await client.aclose()
+
+
+async def test_a_server_that_never_connects_fails_in_time():
+    """Its queue of connections is full, so that each SYN is dropped."""
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        port = listener.getsockname()[1]
+        fillers = [socket.socket() for _ in range(4)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(("127.0.0.1", port))
+        server = members.BackendServer(
+            "s", "huts", "d", f"127.0.0.1:{port}", "i", 1, 8, 1
+        )
+        client = make_client()
+        began = trio.current_time()
+        with pytest.raises(backend.ConnectFailedError):
+            await exchange(client, server)
+        assert trio.current_time() - began < 2 * backend.CONNECT_TIMEOUT_S
+        await client.aclose()
+        for filler in fillers:
+            filler.close()
