Connect anew where the process itself was held up while connecting

Cause: a connection has 0.3 s; a machine that stops the entry for so long ends the wait before the loop has looked at the socket. The server was ejected and, as the only one, the request refused. A wait that ends 0.05 s or more too late is now made again within the request's deadline; nothing was sent. A server that takes no connection still fails within 0.6 s.

--- a/laburnumsill/clients/backend.py
+++ b/laburnumsill/clients/backend.py
@@ -39,6 +39,12 @@
 
 REQUEST_ID_HEADER = b"laburnumsill-request-id"
 
+HELD_UP_S = 0.05
+"""A wait that ends so much too late was held up by this process. It says
+nothing of the server then: a busy machine that stopped the entry for 0.3 s
+had servers ejected that were well, and requests refused for want of any."""
+
+_CONNECTING = "connection.connect_tcp.started"
 _CONNECTED = "connection.connect_tcp.complete"
 _WRITING = "http11.send_request_headers.started"
 BODILESS_STATUSES = frozenset({204, 304})
@@ -247,6 +253,7 @@
         self._deadline = deadline
         self._writing = False
         self._connected = False
+        self._connecting_since = 0.0
 
     async def start(self, pool: httpcore.AsyncConnectionPool) -> BackendAnswer:
         """Sends the request and returns the head of the answer."""
@@ -269,6 +276,19 @@
 
     async def _response(
         self, pool: httpcore.AsyncConnectionPool
+    ) -> httpcore.Response:
+        """Sends the request; connects anew where this process was held up."""
+        while True:
+            self._connecting_since = self._clock.monotonic()
+            try:
+                return await self._respond(pool)
+            except httpcore.ConnectTimeout as error:
+                waited_s = self._clock.monotonic() - self._connecting_since
+                if waited_s < CONNECT_TIMEOUT_S + HELD_UP_S:
+                    raise self._not_connected(error) from error
+
+    async def _respond(
+        self, pool: httpcore.AsyncConnectionPool
     ) -> httpcore.Response:
         request = httpcore.Request(
             self._request.method,
@@ -282,9 +302,10 @@
         )
         try:
             return await pool.handle_async_request(request)
-        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
-            text = f"server {self._server.server_id!r}: {error!r}"
-            raise ConnectFailedError(text) from error
+        except httpcore.ConnectTimeout:
+            raise
+        except httpcore.ConnectError as error:
+            raise self._not_connected(error) from error
         except (
             httpcore.NetworkError,
             httpcore.ProtocolError,
@@ -297,9 +318,16 @@
     async def _trace(self, name: str, info: dict[str, typing.Any]) -> None:
         if name == _WRITING:
             self._writing = True
+        elif name == _CONNECTING:
+            self._connecting_since = self._clock.monotonic()
         elif name == _CONNECTED:
             self._connected = True
 
+    def _not_connected(self, error: Exception) -> ConnectFailedError:
+        return ConnectFailedError(
+            f"server {self._server.server_id!r}: {error!r}"
+        )
+
     def _failure(self, why: str) -> errors.LaburnumsillError:
         text = f"server {self._server.server_id!r}: {why}"
         return AnswerLostError(text) if self._writing else NotSentError(text)
