--- a/laburnumsill/consensus/tests/test_lead_watch.py
+++ b/laburnumsill/consensus/tests/test_lead_watch.py
@@ -13,6 +13,7 @@
 from laburnumsill.core import trio_clock
 
 COMMIT_S = 0.012
+SAYING_SO_S = 0.03
 COMMAND = host_messages.Answer()
 """Any message that can be encoded."""
 
@@ -134,6 +135,31 @@
     assert await propose(groups) < 0.4
 
 
+class SlowPeers(CorePeers):
+    """Nobody leads, and saying so takes a busy VM a while."""
+
+    async def call(self, vm, request, deadline):
+        left_s = deadline - trio.current_time()
+        await trio.sleep(min(SAYING_SO_S, max(0.0, left_s)))
+        if left_s < SAYING_SO_S:
+            raise errors.OutcomeUnknownError(f"{vm}: no reply came")
+        raise engines.NotLeaderError(vm, leader=None)
+
+
+@pytest.mark.parametrize("within_s", [0.2 + 0.01 * n for n in range(40)])
+async def test_what_nobody_took_is_refused_and_not_unknown(
+    within_s, autojump_clock
+):
+    """The load: a caller asks while nobody leads, until its time is up.
+
+    An attempt just before the end has no answer, and its caller would hear
+    that the command may have been carried out.
+    """
+    groups = groups_over(SlowPeers())
+    with pytest.raises(errors.NoQuorumError):
+        await groups.propose("g", COMMAND, trio.current_time() + within_s)
+
+
 def test_a_slow_disk_is_given_its_time():
     watch = lead_watch.LeadWatch(0.3)
     assert watch.attempt_s == 0.3
