--- a/laburnumsill/consensus/host_forward.py
+++ b/laburnumsill/consensus/host_forward.py
@@ -109,7 +109,7 @@
         hops = 0
         watch = self._watch(errand.group)
         give_up_at = self._give_up_at(errand)
-        while self._clock.monotonic() < give_up_at:
+        while self._worth_trying(errand, give_up_at, tried=last is not None):
             began = self._clock.monotonic()
             vm = self._next_vm(errand, began)
             try:
@@ -170,6 +170,19 @@
         worth = watch.worth_waiting_until(self._clock.monotonic())
         return min(errand.deadline, worth)
 
+    def _worth_trying(
+        self, errand: Errand, give_up_at: float, *, tried: bool
+    ) -> bool:
+        """Returns whether another attempt may still be answered.
+
+        One that has no time for its answer would only make an outcome unknown
+        that is known so far.
+        """
+        now = self._clock.monotonic()
+        if tried and now > errand.deadline - lead_watch.SHORTEST_ATTEMPT_S:
+            return False
+        return now < give_up_at
+
     def _watch(self, group: str) -> lead_watch.LeadWatch:
         if group not in self._watches:
             longest_s = self._attempt_s or lead_watch.ELECTION_WITHIN_S
