One frozen policy says which mechanisms of the planner are in use

For measurements: the ablation needs each mechanism off by itself, in the emulator (--without) and on copies of the product. All are on; the product has no setting for it.

--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -20,6 +20,7 @@
 from laburnumsill.batch import orders
 from laburnumsill.batch import plan_log
 from laburnumsill.batch import planner
+from laburnumsill.batch import policy as policies
 from laburnumsill.batch import records
 from laburnumsill.batch import session as sessions
 from laburnumsill.batch import term as terms
@@ -106,6 +107,7 @@
         metrics: Takes the counters.
         bounds: What workers take at most.
         pools: Returns the pools that the configuration names.
+        policy: Which mechanisms are in use.
     """
 
     group: str
@@ -116,6 +118,7 @@
     metrics: metrics_module.Metrics
     bounds: WorkerBounds
     pools: abc.Callable[[], abc.Set[str]]
+    policy: policies.Policy = policies.ALL
 
 
 class LeadingTerm(terms.Term):
@@ -145,8 +148,12 @@
             orders.SHORTEST_ATTEMPT_S, orders.ATTEMPT_S
         )
         self._context = context
+        self._policy = context.policy
         self._learnt = learnt
         self._headroom = headroom_module.Headroom()
+        self._step_ms: units.StepMs = units.declared_ms
+        if context.policy.learnt_times:
+            self._step_ms = learnt.times.expected_ms
         self._plan_log = plan_log.PlanLog(ledger, context.clock)
         self._sessions: dict[str, sessions.WorkerSession] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
@@ -268,16 +275,14 @@
             frozenset(self._stopping()),
             self._context.guarantees(),
             self.clock.wall_ms(),
-            self.health.avoid,
+            self._avoid,
             self._slowness,
             self._kept_racks,
             self._plan_log.is_due,
             self._context.bounds.stop_grace_ms,
-            self._headroom.to_keep(
-                planner.urgent_use(self.ledger).total(),
-                self.clock.monotonic(),
-            ),
-            self._learnt.times.expected_ms,
+            self._headroom_to_keep(),
+            self._step_ms,
+            self._policy,
         )
         made = planner.plan(view)
         self._kept_racks = made.kept_racks
@@ -286,11 +291,22 @@
             self._stop(run, URGENT_STOP, made.stopped_for[run])
         return made
 
+    def _headroom_to_keep(self) -> int:
+        if not self._policy.headroom:
+            return 0
+        used = planner.urgent_use(self.ledger).total()
+        return self._headroom.to_keep(used, self.clock.monotonic())
+
+    def _avoid(self, task: model.TaskId) -> abc.Set[str]:
+        return self.health.avoid(task) if self._policy.avoiding else frozenset()
+
     def _slowness(self, worker_id: str) -> float:
         now = self.clock.monotonic()
         lately = self.health.slowness_lately(worker_id, now)
-        if lately >= worker_health.VERY_SLOW:
+        if lately >= worker_health.VERY_SLOW and self._policy.very_slow_last:
             return lately
+        if not self._policy.learnt_speeds:
+            return 1.0
         usual = self._learnt.speeds.slowness(worker_id)
         return min(usual, worker_health.NOT_VERY_SLOW)
 
@@ -301,6 +317,9 @@
         gangs come. Without it those that were placed there began 4 to 6 s
         late, once the leases of their workers had ended.
         """
+        if not self._policy.asking:
+            await self._commit_placements(groups)
+            return
         silent = await self._silent_of(groups)
         groups = [
             group
@@ -353,7 +372,10 @@
             and worker_id not in contested
             and now - session.heard_at < UNHEARD_S
             and now >= session.unwell_until
-            and not self.health.set_aside(worker_id, now)
+            and not (
+                self._policy.setting_aside
+                and self.health.set_aside(worker_id, now)
+            )
         }
 
     def _contested(self) -> set[str]:
--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -17,6 +17,7 @@
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
 from laburnumsill.batch import packing
+from laburnumsill.batch import policy as policies
 from laburnumsill.batch import preemption
 from laburnumsill.batch import rooms as room_module
 from laburnumsill.batch import units
@@ -67,6 +68,7 @@
         stop_grace_ms: What is stopped ends within so long.
         headroom: Accelerators that single tasks leave free for urgent jobs.
         step_ms: Returns how long a task of a step takes, in ms.
+        policy: Which mechanisms are in use.
     """
 
     ledger: ledgers.BatchLedger
@@ -83,6 +85,7 @@
     stop_grace_ms: int = 0
     headroom: int = 0
     step_ms: units.StepMs = units.declared_ms
+    policy: policies.Policy = policies.ALL
 
 
 @dataclasses.dataclass(slots=True)
@@ -121,6 +124,7 @@
     def __init__(self, view: View) -> None:
         self._view = view
         self._ledger = view.ledger
+        self._policy = view.policy
         self._plan = Plan([], [], [])
         self._rooms = _rooms(view)
         self._urgent_use = urgent_use(view.ledger)
@@ -142,7 +146,7 @@
         return (
             unit.priority,
             not self._guaranteed(unit),
-            not self._in_time(unit),
+            self._policy.in_time_first and not self._in_time(unit),
             unit.objective_ms,
             unit.key,
         )
@@ -161,7 +165,7 @@
     def _place(self, unit: units.Unit) -> None:
         rooms = self._eligible(unit)
         found = [] if self._has_no_room(unit) else self._fit(unit, rooms)
-        if len(found) < len(unit.tasks) and self._fenced:
+        if len(found) < len(unit.tasks) and self._may_use_kept_room():
             found = self._fit_into_kept(unit, rooms, found)
         found = self._within_headroom(unit, found)
         self._take(unit, found)
@@ -213,6 +217,9 @@
         found = packing.fit(unit, rooms, packing.free_or_kept, self._count_on)
         return found if in_time or unit.step.gang else found[:1]
 
+    def _may_use_kept_room(self) -> bool:
+        return self._fenced > 0 and self._policy.tasks_in_kept_room
+
     def _stands_still(self, unit: units.Unit) -> bool:
         """Whether nothing of a unit runs though most of its pool is free."""
         waited = self._view.now_ms - unit.waiting_since_ms
@@ -268,6 +275,8 @@
         self, unit: units.Unit, rooms: list[room_module.Room]
     ) -> bool:
         """Whether a gang should rather run slowly than wait for one rack."""
+        if not self._policy.spreading:
+            return False
         waited = self._view.now_ms - unit.waiting_since_ms
         return waited >= SPREAD_AFTER_MS and packing.mostly_free(
             rooms, packing.free_now
@@ -341,6 +350,7 @@
             self._may_stop(),
             self._count_on,
             self._needs_fast_workers(unit, rooms),
+            self._policy,
         )
         if eviction is None:
             self._reserve(unit, soon)
@@ -387,6 +397,8 @@
         self, unit: units.Unit, rooms: list[room_module.Room]
     ) -> None:
         """Keeps for a gang that waits long what will be room for it."""
+        if not self._policy.kept_rooms:
+            return
         waited = self._view.now_ms - unit.waiting_since_ms
         if waited < FENCE_AFTER_MS or self._fenced >= MAX_FENCED:
             return
--- a/laburnumsill/batch/preemption.py
+++ b/laburnumsill/batch/preemption.py
@@ -12,6 +12,7 @@
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
 from laburnumsill.batch import packing
+from laburnumsill.batch import policy as policies
 from laburnumsill.batch import records
 from laburnumsill.batch import rooms as room_module
 from laburnumsill.batch import units
@@ -112,6 +113,7 @@
     victims: Victims,
     count_on: packing.CountOn,
     fast_first: bool,
+    policy: policies.Policy = policies.ALL,
 ) -> Eviction | None:
     """Returns the cheapest way found to fit a unit, or None if there is none.
 
@@ -122,19 +124,20 @@
         count_on: How many tasks of a task's step a worker has already.
         fast_first: Whether slow workers are to be taken only if the fast
             ones do not suffice.
+        policy: Which mechanisms are in use.
     """
     fast = [room for room in rooms if not packing.is_slow(room)]
     preferences = [fast, rooms] if fast_first else [rooms]
     for some in preferences:
         racks = room_module.by_rack(some)
         choices = [
-            _evict_within(unit, inside, victims, count_on)
+            _evict_within(unit, inside, victims, count_on, policy)
             for inside in racks.values()
         ]
         found = [choice for choice in choices if choice is not None]
         if found:
             return min(found, key=lambda one: sum(v.cost for v in one.victims))
-    return _evict_within(unit, rooms, victims, count_on)
+    return _evict_within(unit, rooms, victims, count_on, policy)
 
 
 def _evict_within(
@@ -142,12 +145,14 @@
     rooms: abc.Sequence[room_module.Room],
     victims: Victims,
     count_on: packing.CountOn,
+    policy: policies.Policy,
 ) -> Eviction | None:
     """Stops what makes the next slot cheapest, until there are enough."""
-    clearing = _Clearing(unit.step.needs, rooms, victims)
+    clearing = _Clearing(unit.step.needs, rooms, victims, policy.cheapest_slot)
     if not clearing.make_slots(len(unit.tasks)):
         return None
-    clearing.prune(len(unit.tasks))
+    if policy.pruning:
+        clearing.prune(len(unit.tasks))
     assignment = packing.fit(unit, rooms, clearing.room_of, count_on)
     if len(assignment) < len(unit.tasks):
         return None  # at most so many tasks may run on one worker
@@ -176,6 +181,7 @@
         needs: What one slot takes.
         rooms: Where.
         victims: What may be stopped.
+        cheapest: Whether the cheapest slot is made next, not any.
     """
 
     def __init__(
@@ -183,9 +189,11 @@
         needs: model.Resources,
         rooms: abc.Sequence[room_module.Room],
         victims: Victims,
+        cheapest: bool,
     ) -> None:
         self.chosen: list[Victim] = []
         self._needs = needs
+        self._cheapest = cheapest
         self._victims = victims
         self._soon_free = {
             room.worker.worker_id: room.soon_free for room in rooms
@@ -210,7 +218,10 @@
                 return False
             best = min(
                 self._offers.values(),
-                key=lambda offer: (offer.cost, offer.worker_id),
+                key=lambda offer: (
+                    offer.cost if self._cheapest else 0.0,
+                    offer.worker_id,
+                ),
             )
             for victim in best.victims:
                 self._choose(victim)
--- a/laburnumsill/emulator/days.py
+++ b/laburnumsill/emulator/days.py
@@ -8,6 +8,7 @@
 import trio
 
 from laburnumsill.batch import commands
+from laburnumsill.batch import policy as policies
 from laburnumsill.emulator import load as loads
 from laburnumsill.emulator import site as sites
 from laburnumsill.emulator import troubles
@@ -39,12 +40,14 @@
         seed: Of everything that is random.
         load: Multiple of the usual rates of jobs.
         kinds: The troubles that may come, see `troubles.KINDS`.
+        policy: Which mechanisms of the planner are in use.
     """
 
     shape: loads.Shape
     seed: int
     load: float = 1.0
     kinds: tuple[str, ...] = ()
+    policy: policies.Policy = policies.ALL
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,6 +87,7 @@
         shape.capacity,
         shape.stop_grace_s,
         worker_module.Saving(shape.checkpoint_s, shape.restore_s),
+        day.policy,
     )
     async with trio.open_nursery() as nursery:
         await nursery.start(site.run)
--- a/laburnumsill/emulator/main.py
+++ b/laburnumsill/emulator/main.py
@@ -7,10 +7,12 @@
 
 import json
 import sys
+import typing
 
 import fire
 import loguru
 
+from laburnumsill.batch import policy as policies
 from laburnumsill.emulator import days as days_module
 from laburnumsill.emulator import drawn
 from laburnumsill.emulator import load as loads
@@ -36,6 +38,7 @@
         trouble: str = "",
         log: bool = False,
         site_seed: int = 0,
+        without: str = "",
     ) -> None:
         """Plays one day and prints what became of its jobs.
 
@@ -47,11 +50,17 @@
                 cut, hang, fail, crash; or `all`.
             log: Whether to print the scheduler's log lines too.
             site_seed: Of a drawn site; it repeats the site.
+            without: Mechanisms of the planner to leave out, with commas
+                between, to measure what they are worth; see `batch.policy`.
         """
         if not log:
             loguru.logger.remove()
         day = days_module.Day(
-            _shape(site, site_seed), seed, load, _kinds(trouble)
+            _shape(site, site_seed),
+            seed,
+            load,
+            _kinds(trouble),
+            _policy(without),
         )
         result = days_module.run(day)
         for state, count in sorted(result.states.items()):
@@ -67,6 +76,7 @@
         trouble: str = "",
         output: str = "text",
         site_seed: int = 0,
+        without: str = "",
     ) -> None:
         """Plays some days with different seeds and adds them up.
 
@@ -78,13 +88,17 @@
             trouble: As for `day`.
             output: `text` or `json`.
             site_seed: As for `day`.
+            without: As for `day`.
         """
         loguru.logger.remove()
         if count < 1:
             _refuse(f"count is {count}, not 1 or more")
         shape, kinds = _shape(site, site_seed), _kinds(trouble)
+        policy = _policy(without)
         results = {
-            seed: days_module.run(days_module.Day(shape, seed, load, kinds))
+            seed: days_module.run(
+                days_module.Day(shape, seed, load, kinds, policy)
+            )
             for seed in range(first_seed, first_seed + count)
         }
         _print_summary(results, output)
@@ -99,10 +113,21 @@
     return days_module.SHAPES[site]
 
 
+def _names(given: str | tuple[str, ...]) -> tuple[str, ...]:
+    """Returns names given with commas, of which fire makes a tuple."""
+    names = given.split(",") if isinstance(given, str) else given
+    return tuple(name.strip() for name in names if name.strip())
+
+
+def _policy(without: str | tuple[str, ...]) -> policies.Policy:
+    try:
+        return policies.without(_names(without))
+    except policies.UnknownMechanismError as error:
+        _refuse(f"no mechanism {error.detail}")
+
+
 def _kinds(trouble: str | tuple[str, ...]) -> tuple[str, ...]:
-    """Returns the kinds named; fire makes a tuple of what has commas."""
-    names = trouble.split(",") if isinstance(trouble, str) else trouble
-    kinds = tuple(name.strip() for name in names if name.strip())
+    kinds = _names(trouble)
     if kinds == ("all",):
         return tuple(troubles.KINDS)
     for kind in kinds:
@@ -135,7 +160,7 @@
         sys.exit(RULE_BROKEN)
 
 
-def _refuse(detail: str) -> None:
+def _refuse(detail: str) -> typing.NoReturn:
     """Ends the program: an argument makes no sense."""
     print(f"laburnumsill-emulator: {detail}", file=sys.stderr)
     sys.exit(BAD_ARGUMENT)
--- a/laburnumsill/emulator/site.py
+++ b/laburnumsill/emulator/site.py
@@ -12,6 +12,7 @@
 from laburnumsill.batch import leading
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
+from laburnumsill.batch import policy as policies
 from laburnumsill.batch import scheduler as schedulers
 from laburnumsill.core import codec
 from laburnumsill.core import errors
@@ -128,6 +129,7 @@
         capacity: Of each worker.
         stop_grace_s: How long a stop takes at most.
         saving: How tasks save their progress.
+        policy: Which mechanisms of the planner are in use.
     """
 
     def __init__(
@@ -138,6 +140,7 @@
         capacity: model.Resources = DEFAULT_CAPACITY,
         stop_grace_s: float = worker_module.DEFAULT_STOP_GRACE_S,
         saving: worker_module.Saving = worker_module.DEFAULT_SAVING,
+        policy: policies.Policy = policies.ALL,
     ) -> None:
         self._seed = seed
         self.random = random.Random(seed)
@@ -177,6 +180,7 @@
                         worker_module.LONGEST_LEASE_MS, int(1000 * stop_grace_s)
                     ),
                     _named_pools,
+                    policy,
                 )
             )
             for vm in ("vm1", "vm2")
