One rule for learnt waits; the bench of failover sets an option

Patience and the time of an attempt were the same rule written twice: a multiple of the largest of late between two bounds, the longest until enough was seen. bench.failover set a constant of another module; it asks the engine's options now.

--- a/bench/failover.py
+++ b/bench/failover.py
@@ -27,7 +27,6 @@
 from bench import sync as sync_bench
 from laburnumsill.consensus import engine as engines
 from laburnumsill.consensus import group as groups
-from laburnumsill.consensus import patience
 from laburnumsill.consensus import types
 from laburnumsill.daemon import core_role
 
@@ -188,7 +187,9 @@
 def options_of(learnt: bool) -> engines.Options:
     """Returns the daemon's options, or those with a fixed time."""
     heartbeat_s = core_role.HEARTBEAT_S if learnt else FIXED_HEARTBEAT_S
-    return engines.Options(core_role.ELECTION_TIMEOUT_S, heartbeat_s)
+    return engines.Options(
+        core_role.ELECTION_TIMEOUT_S, heartbeat_s, learns_patience=learnt
+    )
 
 
 def started(group: Group, writing_s: float) -> None:
@@ -241,7 +242,6 @@
     """
     results = {}
     for learnt in (False, True):
-        patience.MIN_GAPS = 8 if learnt else 10**9
         times = [time_without_leader(learnt, seed) for seed in range(plays)]
         row = {
             "median_ms": round(sync_bench.quantile(times, 0.5)),
--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -27,9 +27,9 @@
 from laburnumsill.batch import units
 from laburnumsill.batch import worker_client
 from laburnumsill.batch import worker_health
-from laburnumsill.core import attempt_time
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import errors
+from laburnumsill.core import learnt_wait
 from laburnumsill.core import logs
 from laburnumsill.core import metrics as metrics_module
 from laburnumsill.core import replication
@@ -144,8 +144,10 @@
         self.fence = fence
         self.longest_lease_ms = context.bounds.longest_lease_ms
         self.health = worker_health.WorkerHealth()
-        self.attempt = attempt_time.AttemptTime(
-            orders.SHORTEST_ATTEMPT_S, orders.ATTEMPT_S
+        self.attempt = learnt_wait.LearntWait(
+            orders.SHORTEST_ATTEMPT_S,
+            orders.ATTEMPT_S,
+            learnt_wait.ANSWERS_BORNE,
         )
         self._context = context
         self._policy = context.policy
--- a/laburnumsill/batch/term.py
+++ b/laburnumsill/batch/term.py
@@ -6,8 +6,8 @@
 from laburnumsill.batch import model
 from laburnumsill.batch import worker_client
 from laburnumsill.batch import worker_health
-from laburnumsill.core import attempt_time
 from laburnumsill.core import clock as clocks
+from laburnumsill.core import learnt_wait
 
 
 class Term(abc.ABC):
@@ -29,7 +29,7 @@
     fence: int
     health: worker_health.WorkerHealth
     longest_lease_ms: int
-    attempt: attempt_time.AttemptTime
+    attempt: learnt_wait.LearntWait
 
     @abc.abstractmethod
     async def commit(self, command: object) -> object:
--- a/laburnumsill/batch/tests/test_session.py
+++ b/laburnumsill/batch/tests/test_session.py
@@ -14,8 +14,8 @@
 from laburnumsill.batch import term as terms
 from laburnumsill.batch import worker_client
 from laburnumsill.batch import worker_health
-from laburnumsill.core import attempt_time
 from laburnumsill.core import errors
+from laburnumsill.core import learnt_wait
 from laburnumsill.core import trio_clock
 
 RUN = model.RunId(model.TaskId("j", 0, 0, 0), 1)
@@ -74,7 +74,7 @@
         self.fence = 7
         self.health = worker_health.WorkerHealth()
         self.longest_lease_ms = 10_000
-        self.attempt = attempt_time.AttemptTime(0.1, 0.5)
+        self.attempt = learnt_wait.LearntWait(0.1, 0.5, 4)
         self.doubted = []
         self.committed = []
         step = model.Step(1, model.Resources(1000, 1000, 1))
--- a/laburnumsill/consensus/lead_watch.py
+++ b/laburnumsill/consensus/lead_watch.py
@@ -9,7 +9,7 @@
 
 import math
 
-from laburnumsill.core import attempt_time
+from laburnumsill.core import learnt_wait
 
 SHORTEST_ATTEMPT_S = 0.1
 """A VM is given so long for its answer at least: ten times what a commit takes
@@ -45,8 +45,10 @@
 
     def __init__(self, longest_attempt_s: float) -> None:
         self._missed_at: float | None = None
-        self._attempt = attempt_time.AttemptTime(
-            SHORTEST_ATTEMPT_S, longest_attempt_s
+        self._attempt = learnt_wait.LearntWait(
+            SHORTEST_ATTEMPT_S,
+            longest_attempt_s,
+            learnt_wait.ANSWERS_BORNE,
         )
         self._silent_at: dict[str, float] = {}
 
--- a/laburnumsill/consensus/options.py
+++ b/laburnumsill/consensus/options.py
@@ -24,6 +24,8 @@
         kept_bytes: Entry bytes kept behind a snapshot, so that a follower
             slightly behind needs no snapshot.
         max_kept_bytes: The same while a snapshot is being sent.
+        learns_patience: Whether followers learn how regular their leader is;
+            off for measurements only.
     """
 
     election_timeout_s: float = 1.0
@@ -34,3 +36,4 @@
     max_in_flight_bytes: int = 1048576
     kept_bytes: int = 262144
     max_kept_bytes: int = 8388608
+    learns_patience: bool = True
--- a/laburnumsill/consensus/patience.py
+++ b/laburnumsill/consensus/patience.py
@@ -17,18 +17,12 @@
 """
 
 from laburnumsill.consensus import options as options_module
-from laburnumsill.core import lately
+from laburnumsill.core import learnt_wait
 
 GAPS_BORNE = 3
 """A leader is missed after so many of the longest gaps: two heartbeats in a row
 may be lost."""
 
-REMEMBERED_S = 10.0
-"""Gaps of so long ago count: syncs of a slow disk come every few seconds."""
-
-MIN_GAPS = 8
-"""Until so many gaps were seen the longest wait holds."""
-
 
 class Patience:
     """Learns from the messages of the leader of one group.
@@ -47,23 +41,22 @@
     """
 
     def __init__(self, options: options_module.Options) -> None:
-        self._shortest_s = GAPS_BORNE * options.heartbeat_s
-        self._longest_s = options.election_timeout_s
+        shortest_s = GAPS_BORNE * options.heartbeat_s
+        longest_s = options.election_timeout_s
+        if not options.learns_patience:
+            shortest_s = longest_s
         self._heard_at: float | None = None
-        self._gaps = lately.LargestLately(REMEMBERED_S)
+        self._wait = learnt_wait.LearntWait(shortest_s, longest_s, GAPS_BORNE)
 
     @property
     def timeout_s(self) -> float:
         """Seconds of silence after which the leader is missed."""
-        if self._gaps.count < MIN_GAPS:
-            return self._longest_s
-        longest = GAPS_BORNE * self._gaps.value
-        return min(self._longest_s, max(self._shortest_s, longest))
+        return self._wait.seconds
 
     def hear(self, now: float) -> None:
         """Notes a message of the leader at a monotonic point."""
         if self._heard_at is not None:
-            self._gaps.add(now, now - self._heard_at)
+            self._wait.note(now, now - self._heard_at)
         self._heard_at = now
 
     def lose(self) -> None:
--- a/laburnumsill/consensus/tests/test_patience.py
+++ b/laburnumsill/consensus/tests/test_patience.py
@@ -6,6 +6,7 @@
 
 from laburnumsill.consensus import options as options_module
 from laburnumsill.consensus import patience as patiences
+from laburnumsill.core import learnt_wait
 
 OPTIONS = options_module.Options(0.8, 0.1)
 
@@ -43,7 +44,7 @@
 
 
 def test_what_held_the_leader_up_long_ago_is_forgotten():
-    beats = int(patiences.REMEMBERED_S / 0.1) + 2
+    beats = int(learnt_wait.REMEMBERED_S / 0.1) + 2
     assert after(*[0.1] * 9, 0.25, *[0.1] * beats).timeout_s == (
         pytest.approx(0.3)
     )
