Show that reads teach followers to wait twice as long for a leader

A leader to which reads come puts its next heartbeat off by a period at each, and the host ticks it at the next common moment after that: gaps grow from 0.1 to nearly 0.2 s. Followers learn a patience of 0.564 s, where three heartbeats are 0.3 s.

--- a/laburnumsill/consensus/tests/test_engine_rules.py
+++ b/laburnumsill/consensus/tests/test_engine_rules.py
@@ -6,6 +6,8 @@
 import pytest
 
 from laburnumsill.consensus import engine
+from laburnumsill.consensus import group_ticks
+from laburnumsill.consensus import patience
 from laburnumsill.consensus import types
 from laburnumsill.consensus.tests import simulated_group
 from laburnumsill.core import codec
@@ -326,3 +328,46 @@
     output = send(leader, KIND.HEARTBEAT_REPLY, B, 2)
     again = [one for one in output.messages if one.entries]
     assert [(one.target, one.entries[0].data) for one in again] == [(B, b"x")]
+
+
+def test_followers_of_a_leader_that_reads_all_the_time_miss_it_soon():
+    """The load: callers ask for states until the moment the leader is lost.
+
+    Each read sends a round of heartbeats. One that put off the next regular
+    one left gaps of nearly two periods at the host's common moments, from
+    which followers learnt to wait twice as long.
+    """
+    options = engine.Options(0.8, 0.1)
+    stored = types.Stored("i", types.HardState(1, None), None, (FOUNDING,))
+    leader = engine.Engine("g", A, stored, options, 0.0, random.Random(1))
+    leader.tick(10.0)
+    for kind in (KIND.PRE_VOTE_REPLY, KIND.VOTE_REPLY):
+        leader.step(types.Message(kind, B, A, 2, granted=True), 10.0)
+    leader.take_output()
+    leader.synced(2, 2)
+    first = types.Message(KIND.APPEND_REPLY, B, A, 2, granted=True, index=2)
+    leader.step(first, 10.0)
+    assert leader.committed == 2
+    source = random.Random(7)
+    learnt = patience.Patience(options)
+    now, read_at = 10.0, 10.25
+    while now < 40.0:
+        wanted = leader.next_tick()
+        tick_at = group_ticks.due(wanted, 0.1, leads=True)
+        now = max(now, min(tick_at, read_at))
+        if now >= tick_at:
+            leader.tick(group_ticks.moment(now, wanted, 0.1, leads=True))
+        else:
+            leader.read(now)
+            read_at += source.expovariate(1.5 / 0.1)
+        sent = [one for one in leader.take_output().messages if one.target == B]
+        if not any(one.kind is KIND.HEARTBEAT for one in sent):
+            continue
+        learnt.hear(now)
+        for member in (B, C):
+            answer = types.Message(
+                KIND.HEARTBEAT_REPLY, member, A, 2, round=sent[-1].round
+            )
+            leader.step(answer, now)
+    assert leader.role == "leader"
+    assert learnt.timeout_s == pytest.approx(0.3, abs=0.05)
