Reads do not put the next regular heartbeat off

Ruled out: syncs (6 ms there) and a campaign that was lost (one term). The test's patience is 0.3 s after, 0.564 s before.

--- a/laburnumsill/consensus/leading.py
+++ b/laburnumsill/consensus/leading.py
@@ -146,6 +146,7 @@
         if self.transferring and replica.now >= self._transfer_deadline:
             self._transfer_to = None
         if replica.now >= self._heartbeat_at:
+            self._heartbeat_at = replica.now + replica.options.heartbeat_s
             self._send_heartbeats()
 
     def on_reply(self, message: types.Message) -> None:
@@ -284,14 +285,15 @@
     def _send_heartbeats(self) -> None:
         """Sends a round of heartbeats, and repeats what went unanswered.
 
-        Reads begin rounds too, and put the next tick off each time: what was
-        lost must not have to wait for a pause between reads.
+        Reads begin rounds too; what was lost must not have to wait for a pause
+        between them. They don't put the regular round off: gaps between those
+        of nearly two periods taught followers to miss their leader after
+        0.56 s in place of 0.3 s.
         """
         replica = self._replica
         for progress in self.progress.values():
             if progress.stalled(replica.now):
                 progress.retry()
-        self._heartbeat_at = replica.now + replica.options.heartbeat_s
         for member, progress in self.progress.items():
             commit = min(progress.match, replica.committed)
             progress.sent_commit = max(progress.sent_commit, commit)
