--- a/laburnumsill/batch/checks.py
+++ b/laburnumsill/batch/checks.py
@@ -4,10 +4,10 @@
 from laburnumsill.batch import ledger_view
 from laburnumsill.batch import model
 
-Group = tuple[commands.Placement, ...]
 
-
-def placement_refusal(ledger: ledger_view.LedgerView, group: Group) -> str:
+def placement_refusal(
+    ledger: ledger_view.LedgerView, group: commands.Group
+) -> str:
     """Returns why a group may not be placed, "" if it may.
 
     The planner works on a state that may be a few commands old; what it
@@ -60,7 +60,7 @@
     return ""
 
 
-def _gang_refusal(ledger: ledger_view.LedgerView, group: Group) -> str:
+def _gang_refusal(ledger: ledger_view.LedgerView, group: commands.Group) -> str:
     """Checks that gangs are whole and their members' runs have one number."""
     steps: dict[model.StepKey, list[model.RunId]] = {}
     for placement in group:
@@ -78,7 +78,7 @@
     return ""
 
 
-def _room_refusal(ledger: ledger_view.LedgerView, group: Group) -> str:
+def _room_refusal(ledger: ledger_view.LedgerView, group: commands.Group) -> str:
     free: dict[str, model.Resources] = {}
     counts: dict[tuple[str, model.StepKey], int] = {}
     for placement in group:
--- a/laburnumsill/batch/commands.py
+++ b/laburnumsill/batch/commands.py
@@ -57,12 +57,16 @@
     worker_id: str
 
 
+Group = tuple[Placement, ...]
+"""Runs that are placed together: all of a gang, or one."""
+
+
 @codec.register("batch.place")
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlaceRuns:
     """Assigns runs to workers; each group is taken whole or not at all."""
 
-    groups: tuple[tuple[Placement, ...], ...]
+    groups: tuple[Group, ...]
     at_ms: int
 
 
--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -312,7 +312,7 @@
         usual = self._learnt.speeds.slowness(worker_id)
         return min(usual, worker_health.NOT_VERY_SLOW)
 
-    async def _place(self, groups: abc.Sequence[planner.Group]) -> None:
+    async def _place(self, groups: abc.Sequence[commands.Group]) -> None:
         """Places groups whose workers all answer; the others are planned anew.
 
         The load that this is for: a failure domain is cut off while urgent
@@ -334,7 +334,7 @@
             await self._commit_placements(groups)
 
     async def _silent_of(
-        self, groups: abc.Iterable[planner.Group]
+        self, groups: abc.Iterable[commands.Group]
     ) -> abc.Set[str]:
         """Returns the workers of groups that do not answer."""
         silent = set()
@@ -352,7 +352,7 @@
         return silent
 
     async def _commit_placements(
-        self, groups: abc.Sequence[planner.Group]
+        self, groups: abc.Sequence[commands.Group]
     ) -> None:
         command = commands.PlaceRuns(tuple(groups), self.clock.wall_ms())
         placed = await self.commit(command)
--- a/laburnumsill/batch/ledger.py
+++ b/laburnumsill/batch/ledger.py
@@ -304,9 +304,7 @@
         self._sequences = dict(snapshot.sequences)
         self._ended_workers = dict(snapshot.ended_workers)
 
-    def _place_group(
-        self, group: tuple[commands.Placement, ...], at_ms: int
-    ) -> str:
+    def _place_group(self, group: commands.Group, at_ms: int) -> str:
         """Places a group whole; returns why not, "" if it was placed."""
         refusal = checks.placement_refusal(self, group)
         if refusal:
--- a/laburnumsill/batch/placed_runs.py
+++ b/laburnumsill/batch/placed_runs.py
@@ -10,10 +10,7 @@
 MAX_UNFINISHED = 4_096
 """Runs that were placed and whose end is waited for, at most."""
 
-Group = tuple[commands.Placement, ...]
-"""Runs that were placed together."""
-
-Tells = abc.Callable[[model.Step, Group], bool]
+Tells = abc.Callable[[model.Step, commands.Group], bool]
 """Returns whether the time of a step's run, placed in a group, is wanted."""
 
 
@@ -69,7 +66,7 @@
                 run: place for run, place in self._placed.items() if run in live
             }
 
-    def _is_wanted(self, run: model.RunId, group: Group) -> bool:
+    def _is_wanted(self, run: model.RunId, group: commands.Group) -> bool:
         record = self._ledger.jobs[run.task.job_id]
         task = record.task(run.task)
         if task is None or task.saved:
--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -44,9 +44,6 @@
 when it took so many times as long as expected: declared times of the users are
 off by 0.5 to 0.9 (sigma of the logarithm), and 3 is e to the 1.1."""
 
-Group = tuple[commands.Placement, ...]
-"""Runs that are placed together: all of a gang, or one."""
-
 MAX_FENCED = 1
 """So many waiting gangs keep room at a time; more would idle the site."""
 
@@ -101,7 +98,7 @@
         stopped_for: The jobs that need the room of what is stopped, for people.
     """
 
-    groups: list[Group]
+    groups: list[commands.Group]
     stops: list[model.RunId]
     waiting: list[units.Unit]
     kept_racks: dict[model.StepKey, str] = dataclasses.field(
--- a/laburnumsill/batch/run_times.py
+++ b/laburnumsill/batch/run_times.py
@@ -13,6 +13,7 @@
 import dataclasses
 import math
 
+from laburnumsill.batch import commands
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
 from laburnumsill.batch import placed_runs
@@ -101,13 +102,13 @@
         for run in self._placed.done_by(command):
             self._take_run(run)
 
-    def _is_usual(self, step: model.Step, group: placed_runs.Group) -> bool:
+    def _is_usual(self, step: model.Step, group: commands.Group) -> bool:
         """Whether runs do all the work of their tasks, near their data."""
         if step.data_rack or step.long_running:
             return False
         return not step.same_rack or len(self._racks(group)) == 1
 
-    def _racks(self, group: placed_runs.Group) -> set[str]:
+    def _racks(self, group: commands.Group) -> set[str]:
         workers = self._ledger.workers
         return {
             workers[placement.worker_id].rack
--- a/laburnumsill/batch/worker_speeds.py
+++ b/laburnumsill/batch/worker_speeds.py
@@ -134,6 +134,6 @@
             self._usual_effect = known[int(len(known) * USUAL_QUANTILE)]
 
 
-def _is_comparable(step: model.Step, _: placed_runs.Group) -> bool:
+def _is_comparable(step: model.Step, _: commands.Group) -> bool:
     """Whether a run's time will tell of its worker."""
     return step.tells_speed
--- a/laburnumsill/explain/causes.py
+++ b/laburnumsill/explain/causes.py
@@ -69,7 +69,7 @@
     at = job.accepted_at
     if at is None:
         return found
-    room_for = site.stops_for(job.job_id)
+    room_for = site.stops_for.get(job.job_id, ())
     for runs in _critical_runs(job):
         for run in runs:
             if run.placed_at > at:
--- a/laburnumsill/explain/stories.py
+++ b/laburnumsill/explain/stories.py
@@ -137,32 +137,36 @@
         jobs: By id.
         leads: In order.
         domains: Failure domains by VM.
+        stops_for: By job, the runs that were stopped to make room for it.
     """
 
     jobs: abc.Mapping[str, JobStory]
     leads: abc.Sequence[Lead]
     domains: abc.Mapping[str, str]
+    stops_for: abc.Mapping[str, abc.Sequence[RunStory]]
 
     def domain_of(self, job: JobStory) -> str:
         """Returns the failure domain in which a job was first handed in."""
         return self.domains.get(job.hand_ins[0].vm, "") if job.hand_ins else ""
 
-    def stops_for(self, job_id: str) -> list[RunStory]:
-        """Returns the runs that were stopped to make room for a job."""
-        return [
-            run
-            for job in self.jobs.values()
-            for run in job.runs.values()
-            if run.stopped_for == job_id
-        ]
-
 
 def story_of(events: abc.Iterable[lines.Event]) -> SiteStory:
     """Returns what events, in their order, tell of a site."""
     reader = _Reader()
     for event in events:
         reader.take(event)
-    return SiteStory(reader.jobs, reader.leads(), reader.domains)
+    return SiteStory(
+        reader.jobs, reader.leads(), reader.domains, _stops_for(reader.jobs)
+    )
+
+
+def _stops_for(jobs: abc.Mapping[str, JobStory]) -> dict[str, list[RunStory]]:
+    found: dict[str, list[RunStory]] = {}
+    for job in jobs.values():
+        for run in job.runs.values():
+            if run.stopped_for:
+                found.setdefault(run.stopped_for, []).append(run)
+    return found
 
 
 _OF_THE_LEADER = frozenset(
