--- a/laburnumsill/batch/tests/test_session.py
+++ b/laburnumsill/batch/tests/test_session.py
@@ -430,3 +430,29 @@
         assert 2 <= len(stops) <= 4 and set(stops) == {STRAY}
 
     play(script)
+
+
+def test_stops_to_a_worker_that_is_cut_off_are_few_and_come_with_its_return():
+    """The load: a failure domain is cut off for 10 s while urgent jobs come.
+
+    Each stop there was given every 0.2 s, 332 times in one such day: a new
+    connection and a log line each.
+    """
+
+    async def script(term):
+        lost = worker_client.NoAnswerError("lost")
+        cut_s = 10.0
+        term.client.reports = [running()]
+        await trio.sleep(0.1)
+        term.client.stop_answers = [lost] * 100
+        term.client.reports = [lost] * 200
+        term.session.stop(RUN, "test")
+        await trio.sleep(cut_s)
+        assert len(term.client.given("stop")) <= 16
+        before = len(term.client.given("stop"))
+        term.client.stop_answers = []
+        term.client.reports = [running()]
+        await trio.sleep(orders.RETRY_PAUSE_S + 0.05)
+        assert len(term.client.given("stop")) == before + 1
+
+    play(script)
