Stops to a worker without an answer are repeated ever more seldom

Each 0.1 s before; now after 0.1, 0.2, 0.4 and then 0.8 s, at once when the worker answers anything.

--- a/laburnumsill/batch/orders.py
+++ b/laburnumsill/batch/orders.py
@@ -20,6 +20,11 @@
 RETRY_PAUSE_S = 0.1
 """Pause before an order without an answer is given again."""
 
+LONGEST_STOP_PAUSE_S = 0.8
+"""The pauses between stops without an answer double up to this, and end when
+the worker answers anything: a cut lasts for seconds, and each repeat is a new
+connection and a line in the log."""
+
 START_GIVE_UP_S = 2.2
 """A start without an answer is given up after so long: the other members of
 a gang wait 3 s for it."""
@@ -196,6 +201,7 @@
     async def _stop(self, run: model.RunId) -> None:
         """Gives a stop order until it is acknowledged."""
         state = self._state
+        pause_s = RETRY_PAUSE_S
         while run in state.stops and not state.is_over(run):
             now = state.term.clock.monotonic()
             deadline = now + state.term.attempt.seconds
@@ -216,7 +222,11 @@
                 )
                 if isinstance(error, worker_client.NoAnswerError):
                     state.unanswered(error)
-                await trio.sleep(RETRY_PAUSE_S)
+                if state.answered_at >= now:  # it has come back meanwhile
+                    pause_s = RETRY_PAUSE_S
+                with trio.move_on_after(pause_s):
+                    await state.regained.wait()
+                pause_s = min(2 * pause_s, LONGEST_STOP_PAUSE_S)
                 continue
             state.answered(answer.clock_ms, now)
             stop = state.stops.get(run)
--- a/laburnumsill/batch/worker_state.py
+++ b/laburnumsill/batch/worker_state.py
@@ -44,6 +44,7 @@
         starting: Runs whose start orders are under way.
         stops: Runs that it was told to stop.
         wakeup: Set when the session has something to do.
+        regained: Set when a worker answers again that did not.
         heard_at: When it was last heard from, monotonic.
         answered_at: When it last answered a call, monotonic.
         failing_since: Since when calls to it have failed, None if they have
@@ -61,6 +62,7 @@
         self.starting: set[model.RunId] = set()
         self.stops: dict[model.RunId, Stop] = {}
         self.wakeup = trio.Event()
+        self.regained = trio.Event()
         self.heard_at = now
         self.answered_at = -math.inf
         self.failing_since: float | None = None
@@ -113,6 +115,8 @@
             self.term.attempt.note(now, now - asked_at)
         if self.failing_since is not None:
             logs.event("worker-regained", worker=self.worker_id)
+            self.regained.set()
+            self.regained = trio.Event()
             self.term.wake()
         self.failing_since = None
         self.answered_at = now
