--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -63,7 +63,7 @@
         kept_racks: The racks that were kept for gangs at the last plan.
         explain: Whether it is to be said what stands in a unit's way.
         stop_grace_ms: What is stopped ends within so long.
-        headroom: Accelerators that single tasks leave free for urgent jobs.
+        headroom: Accelerators that what can wait leaves to urgent jobs.
         step_ms: Returns how long a task of a step takes, in ms.
         policy: Which mechanisms are in use.
     """
