Headroom remembers the highest use with the class that waits use

The largest of the last seconds was kept by a queue of falling numbers in batch.headroom and, since the waits are learnt, by core.lately.LargestLately. One is enough; the same numbers come out.

--- a/laburnumsill/batch/headroom.py
+++ b/laburnumsill/batch/headroom.py
@@ -5,7 +5,7 @@
 and, worse, the time of a stop.
 """
 
-import collections
+from laburnumsill.core import lately
 
 WINDOW_S = 8.0
 """Urgent use of the last seconds counts: three times what an urgent job of the
@@ -27,7 +27,7 @@
     """
 
     def __init__(self) -> None:
-        self._peaks: collections.deque[tuple[float, int]] = collections.deque()
+        self._used = lately.LargestLately(WINDOW_S)
 
     def to_keep(self, used: int, now: float) -> int:
         """Returns how many accelerators should be left free.
@@ -36,9 +36,5 @@
             used: What urgent jobs use or wait for now.
             now: Monotonic.
         """
-        while self._peaks and self._peaks[-1][1] <= used:
-            self._peaks.pop()
-        self._peaks.append((now, used))
-        while self._peaks[0][0] < now - WINDOW_S:
-            self._peaks.popleft()
-        return int(SHARE * (self._peaks[0][1] - used))
+        self._used.add(now, used)
+        return int(SHARE * (self._used.value - used))
