--- a/laburnumsill/clients/backend.py
+++ b/laburnumsill/clients/backend.py
@@ -278,18 +278,6 @@
         self, pool: httpcore.AsyncConnectionPool
     ) -> httpcore.Response:
         """Sends the request; connects anew where this process was held up."""
-        while True:
-            self._connecting_since = self._clock.monotonic()
-            try:
-                return await self._respond(pool)
-            except httpcore.ConnectTimeout as error:
-                waited_s = self._clock.monotonic() - self._connecting_since
-                if waited_s < CONNECT_TIMEOUT_S + HELD_UP_S:
-                    raise self._not_connected(error) from error
-
-    async def _respond(
-        self, pool: httpcore.AsyncConnectionPool
-    ) -> httpcore.Response:
         request = httpcore.Request(
             self._request.method,
             _url(self._server, self._request.target),
@@ -300,20 +288,28 @@
                 "timeout": {"connect": CONNECT_TIMEOUT_S},
             },
         )
-        try:
-            return await pool.handle_async_request(request)
-        except httpcore.ConnectTimeout:
-            raise
-        except httpcore.ConnectError as error:
-            raise self._not_connected(error) from error
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-            OSError,
-            ValueError,  # an address that cannot be encoded
-        ) as error:
-            raise self._failure(repr(error)) from error
+        while True:
+            try:
+                return await pool.handle_async_request(request)
+            except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+                if self._was_held_up(error):
+                    continue
+                text = f"server {self._server.server_id!r}: {error!r}"
+                raise ConnectFailedError(text) from error
+            except (
+                httpcore.NetworkError,
+                httpcore.ProtocolError,
+                httpcore.TimeoutException,
+                OSError,
+                ValueError,  # an address that cannot be encoded
+            ) as error:
+                raise self._failure(repr(error)) from error
+
+    def _was_held_up(self, error: Exception) -> bool:
+        """Whether a wait for a connection ended much later than it should."""
+        waited_s = self._clock.monotonic() - self._connecting_since
+        late = waited_s >= CONNECT_TIMEOUT_S + HELD_UP_S
+        return late and isinstance(error, httpcore.ConnectTimeout)
 
     async def _trace(self, name: str, info: dict[str, typing.Any]) -> None:
         if name == _WRITING:
@@ -323,11 +319,6 @@
         elif name == _CONNECTED:
             self._connected = True
 
-    def _not_connected(self, error: Exception) -> ConnectFailedError:
-        return ConnectFailedError(
-            f"server {self._server.server_id!r}: {error!r}"
-        )
-
     def _failure(self, why: str) -> errors.LaburnumsillError:
         text = f"server {self._server.server_id!r}: {why}"
         return AnswerLostError(text) if self._writing else NotSentError(text)
