--- a/laburnumsill/explain/stories.py
+++ b/laburnumsill/explain/stories.py
@@ -116,15 +116,17 @@
         return min((*taken, *placed), default=None)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Lead:
     """A time in which one VM scheduled.
 
     Attributes:
+        vm: Which.
         began_at: When its scheduler began, Unix seconds.
         last_at: When it last said something as the leader.
     """
 
+    vm: str
     began_at: float
     last_at: float
 
@@ -156,7 +158,7 @@
     for event in events:
         reader.take(event)
     return SiteStory(
-        reader.jobs, reader.leads(), reader.domains, _stops_for(reader.jobs)
+        reader.jobs, reader.leads, reader.domains, _stops_for(reader.jobs)
     )
 
 
@@ -181,8 +183,7 @@
     def __init__(self) -> None:
         self.jobs: dict[str, JobStory] = {}
         self.domains: dict[str, str] = {}
-        self._leads: list[tuple[str, float]] = []
-        self._last_said: list[float] = []
+        self.leads: list[Lead] = []
         self._handlers: dict[str, abc.Callable[[lines.Event], None]] = {
             "daemon-started": self._daemon_started,
             "scheduler-started": self._scheduler_started,
@@ -199,18 +200,13 @@
 
     def take(self, event: lines.Event) -> None:
         """Takes the next event."""
-        by_the_leader = self._leads and event.vm == self._leads[-1][0]
+        by_the_leader = self.leads and event.vm == self.leads[-1].vm
         if event.name in _OF_THE_LEADER and by_the_leader:
-            self._last_said[-1] = event.at
+            self.leads[-1].last_at = event.at
         handler = self._handlers.get(event.name)
         if handler is not None:
             handler(event)
 
-    def leads(self) -> list[Lead]:
-        """Returns the times in which some VM scheduled."""
-        pairs = zip(self._leads, self._last_said, strict=True)
-        return [Lead(began_at, last_at) for (_, began_at), last_at in pairs]
-
     def _job(self, event: lines.Event) -> JobStory | None:
         job_id = event.text("job") or event.text("run").partition(".")[0]
         if not job_id:
@@ -225,8 +221,7 @@
         self.domains[event.vm] = event.text("domain")
 
     def _scheduler_started(self, event: lines.Event) -> None:
-        self._leads.append((event.vm, event.at))
-        self._last_said.append(event.at)
+        self.leads.append(Lead(event.vm, event.at, event.at))
 
     def _caller_request(self, event: lines.Event) -> None:
         job = self._job(event)
