What a plan is told beside the ledger has a module of its own; rooms make themselves

The leader's choice of what a plan learns of workers, times and headroom, with the switches of the policy, is batch.outlook now; what is free on usable workers is made in batch.rooms, what urgent jobs use is counted in batch.headroom.

--- a/laburnumsill/batch/headroom.py
+++ b/laburnumsill/batch/headroom.py
@@ -5,6 +5,11 @@
 and, worse, the time of a stop.
 """
 
+import collections
+
+from laburnumsill.batch import ledger as ledgers
+from laburnumsill.batch import model
+from laburnumsill.batch import packing
 from laburnumsill.core import lately
 
 WINDOW_S = 8.0
@@ -38,3 +43,19 @@
         """
         self._used.add(now, used)
         return int(SHARE * (self._used.value - used))
+
+
+def urgent_use(ledger: ledgers.BatchLedger) -> collections.Counter[str]:
+    """Returns the accelerators that urgent jobs need, by client account."""
+    use: collections.Counter[str] = collections.Counter()
+    for record in ledger.active_jobs.values():
+        if record.job.terms.priority == packing.URGENT_PRIORITY:
+            use[record.job.account] += _accelerators(record.job)
+    return use
+
+
+def _accelerators(job: model.Job) -> int:
+    """Returns the accelerators that a job needs at most at one time."""
+    return max(
+        (step.tasks * step.needs.accelerators for step in job.steps), default=0
+    )
--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -13,11 +13,11 @@
 import trio
 
 from laburnumsill.batch import commands
-from laburnumsill.batch import headroom as headroom_module
 from laburnumsill.batch import learnt as learnt_module
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
 from laburnumsill.batch import orders
+from laburnumsill.batch import outlook
 from laburnumsill.batch import plan_log
 from laburnumsill.batch import planner
 from laburnumsill.batch import policy as policies
@@ -151,11 +151,9 @@
         )
         self._context = context
         self._policy = context.policy
-        self._learnt = learnt
-        self._headroom = headroom_module.Headroom()
-        self._step_ms: units.StepMs = units.declared_ms
-        if context.policy.learnt_times:
-            self._step_ms = learnt.times.expected_ms
+        self._outlook = outlook.Outlook(
+            context.policy, ledger, learnt, self.health, context.clock
+        )
         self._plan_log = plan_log.PlanLog(ledger, context.clock)
         self._sessions: dict[str, sessions.WorkerSession] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
@@ -277,13 +275,13 @@
             frozenset(self._stopping()),
             self._context.guarantees(),
             self.clock.wall_ms(),
-            self._avoid,
-            self._slowness,
+            self._outlook.avoid,
+            self._outlook.slowness,
             self._kept_racks,
             self._plan_log.is_due,
             self._context.bounds.stop_grace_ms,
-            self._headroom_to_keep(),
-            self._step_ms,
+            self._outlook.headroom(),
+            self._outlook.step_ms,
             self._policy,
         )
         made = planner.plan(view)
@@ -293,25 +291,6 @@
             self._stop(run, URGENT_STOP, made.stopped_for[run])
         return made
 
-    def _headroom_to_keep(self) -> int:
-        if not self._policy.headroom:
-            return 0
-        used = planner.urgent_use(self.ledger).total()
-        return self._headroom.to_keep(used, self.clock.monotonic())
-
-    def _avoid(self, task: model.TaskId) -> abc.Set[str]:
-        return self.health.avoid(task) if self._policy.avoiding else frozenset()
-
-    def _slowness(self, worker_id: str) -> float:
-        now = self.clock.monotonic()
-        lately = self.health.slowness_lately(worker_id, now)
-        if lately >= worker_health.VERY_SLOW and self._policy.very_slow_last:
-            return lately
-        if not self._policy.learnt_speeds:
-            return 1.0
-        usual = self._learnt.speeds.slowness(worker_id)
-        return min(usual, worker_health.NOT_VERY_SLOW)
-
     async def _place(self, groups: abc.Sequence[commands.Group]) -> None:
         """Places groups whose workers all answer; the others are planned anew.
 
@@ -374,10 +353,7 @@
             and worker_id not in contested
             and now - session.heard_at < UNHEARD_S
             and now >= session.unwell_until
-            and not (
-                self._policy.setting_aside
-                and self.health.set_aside(worker_id, now)
-            )
+            and not self._outlook.set_aside(worker_id)
         }
 
     def _contested(self) -> set[str]:
--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -7,12 +7,12 @@
 also an urgent one that nothing can be stopped for.
 """
 
-import collections
 import dataclasses
 from collections import abc
 
 from laburnumsill.batch import checks
 from laburnumsill.batch import commands
+from laburnumsill.batch import headroom
 from laburnumsill.batch import keeping
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
@@ -123,8 +123,10 @@
         self._ledger = view.ledger
         self._policy = view.policy
         self._plan = Plan([], [], [])
-        self._rooms = _rooms(view)
-        self._urgent_use = urgent_use(view.ledger)
+        self._rooms = room_module.rooms_of(
+            view.ledger, view.usable, view.stopping, view.slowness
+        )
+        self._urgent_use = headroom.urgent_use(view.ledger)
         self._victims: preemption.Victims | None = None
         self._fenced = 0
         self._kept_until_ms = 0.0
@@ -458,51 +460,3 @@
     rooms: abc.Iterable[room_module.Room],
 ) -> list[room_module.Room]:
     return [room for room in rooms if room.slowness < worker_health.VERY_SLOW]
-
-
-def _rooms(view: View) -> dict[str, room_module.Room]:
-    """Returns the usable workers with what is free and what is leaving."""
-    rooms = {}
-    for worker_id in sorted(view.usable):
-        worker = view.ledger.workers.get(worker_id)
-        if worker is None or worker.draining:
-            continue
-        room = room_module.Room(
-            worker,
-            view.ledger.free_on(worker_id),
-            slowness=view.slowness(worker_id),
-        )
-        for run in view.ledger.runs_on(worker_id):
-            if run in view.stopping:
-                room.leaving += view.ledger.needs_of(run)
-        rooms[worker_id] = room
-    _add_lasting(view, rooms)
-    return rooms
-
-
-def _add_lasting(view: View, rooms: abc.Mapping[str, room_module.Room]) -> None:
-    """Adds to rooms what runs occupy there that do not end by themselves."""
-    for (job_id, _, number), runs in view.ledger.runs_of_steps.items():
-        step = view.ledger.jobs[job_id].job.steps[number]
-        if not step.long_running:
-            continue
-        for run in runs.values():
-            room = rooms.get(run.worker_id)
-            if room is not None and run.run not in view.stopping:
-                room.lasting += step.needs
-
-
-def urgent_use(ledger: ledgers.BatchLedger) -> collections.Counter[str]:
-    """Returns the accelerators that urgent jobs need, by client account."""
-    use: collections.Counter[str] = collections.Counter()
-    for record in ledger.active_jobs.values():
-        if record.job.terms.priority == packing.URGENT_PRIORITY:
-            use[record.job.account] += _accelerators(record.job)
-    return use
-
-
-def _accelerators(job: model.Job) -> int:
-    """Returns the accelerators that a job needs at most at one time."""
-    return max(
-        (step.tasks * step.needs.accelerators for step in job.steps), default=0
-    )
--- a/laburnumsill/batch/rooms.py
+++ b/laburnumsill/batch/rooms.py
@@ -3,6 +3,7 @@
 import dataclasses
 from collections import abc
 
+from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
 
 
@@ -55,6 +56,52 @@
         self.kept += needs
 
 
+def rooms_of(
+    ledger: ledgers.BatchLedger,
+    usable: abc.Set[str],
+    stopping: abc.Set[model.RunId],
+    slowness: abc.Callable[[str], float],
+) -> dict[str, Room]:
+    """Returns the usable workers with what is free and what is leaving.
+
+    Args:
+        ledger: What is placed there.
+        usable: The workers that may be given runs.
+        stopping: Runs that were told to stop and have not ended.
+        slowness: Run time on a worker relative to others.
+    """
+    rooms = {}
+    for worker_id in sorted(usable):
+        worker = ledger.workers.get(worker_id)
+        if worker is None or worker.draining:
+            continue
+        room = Room(
+            worker, ledger.free_on(worker_id), slowness=slowness(worker_id)
+        )
+        for run in ledger.runs_on(worker_id):
+            if run in stopping:
+                room.leaving += ledger.needs_of(run)
+        rooms[worker_id] = room
+    _add_lasting(ledger, stopping, rooms)
+    return rooms
+
+
+def _add_lasting(
+    ledger: ledgers.BatchLedger,
+    stopping: abc.Set[model.RunId],
+    rooms: abc.Mapping[str, Room],
+) -> None:
+    """Adds to rooms what runs occupy there that do not end by themselves."""
+    for (job_id, _, number), runs in ledger.runs_of_steps.items():
+        step = ledger.jobs[job_id].job.steps[number]
+        if not step.long_running:
+            continue
+        for run in runs.values():
+            room = rooms.get(run.worker_id)
+            if room is not None and run.run not in stopping:
+                room.lasting += step.needs
+
+
 def by_rack(rooms: abc.Iterable[Room]) -> dict[str, list[Room]]:
     """Returns rooms by the rack that they stand in."""
     racks: dict[str, list[Room]] = {}
