Workers are asked in an order of their own

Names of a set come in another order in each process, so the answers that the emulator loses by chance were those of other workers. Nothing else depends on the order.

--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -324,9 +324,10 @@
                 silent.add(worker_id)
 
         async with trio.open_nursery() as nursery:
-            for worker_id in {
-                one.worker_id for group in groups for one in group
-            }:
+            # In an order of their own, so that a day can be repeated.
+            for worker_id in sorted(
+                {one.worker_id for group in groups for one in group}
+            ):
                 nursery.start_soon(ask, worker_id)
         return silent
 
