--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -354,7 +354,7 @@
             and worker_id not in contested
             and now - session.heard_at < UNHEARD_S
             and now >= session.unwell_until
-            and not self._outlook.set_aside(worker_id)
+            and not self._outlook.set_aside(worker_id, now)
         }
 
     def _contested(self) -> set[str]:
--- a/laburnumsill/batch/outlook.py
+++ b/laburnumsill/batch/outlook.py
@@ -60,11 +60,11 @@
             return frozenset()
         return self._health.avoid(task)
 
-    def set_aside(self, worker_id: str) -> bool:
+    def set_aside(self, worker_id: str, now: float) -> bool:
         """Returns whether a worker is to get nothing now."""
         if not self._policy.setting_aside:
             return False
-        return self._health.set_aside(worker_id, self._clock.monotonic())
+        return self._health.set_aside(worker_id, now)
 
     def slowness(self, worker_id: str) -> float:
         """Returns the run time on a worker relative to others."""
