--- /dev/null
+++ b/laburnumsill/daemon/listening.py
@@ -0,0 +1,47 @@
+"""Listening on an address, with a type for each failure."""
+
+import errno
+
+import trio
+
+from laburnumsill.core import errors
+
+LISTEN_BACKLOG = 512
+
+
+class ListenError(errors.LaburnumsillError):
+    """An address of this daemon cannot be listened on."""
+
+    slug = "listen"
+    title = "Cannot listen on an address"
+
+
+class AddressTakenError(ListenError):
+    """Another process listens on an address of this daemon."""
+
+    slug = "address-taken"
+    title = "An address is in use"
+
+
+async def listen(address: str) -> trio.SocketListener:
+    """Returns a listener on an address of the form ``host:port``.
+
+    Raises:
+        AddressTakenError: Another process listens on the address.
+        ListenError: It cannot be listened on.
+    """
+    host, _, port = address.rpartition(":")
+    listening = trio.socket.socket()
+    try:
+        listening.setsockopt(
+            trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1
+        )
+        await listening.bind((host, int(port)))
+        listening.listen(LISTEN_BACKLOG)
+    except (OSError, ValueError, OverflowError) as error:
+        listening.close()
+        text = f"{address}: {error}"
+        if isinstance(error, OSError) and error.errno == errno.EADDRINUSE:
+            raise AddressTakenError(text) from error
+        raise ListenError(text) from error
+    return trio.SocketListener(listening)
--- a/laburnumsill/daemon/role.py
+++ b/laburnumsill/daemon/role.py
@@ -13,8 +13,8 @@
 from laburnumsill.core import metrics as metrics_module
 from laburnumsill.core import topology
 from laburnumsill.daemon import directory
+from laburnumsill.daemon import light_server
 from laburnumsill.daemon import role_settings
-from laburnumsill.daemon import server
 from laburnumsill.wire import network as networks
 
 SITE_GROUP = "site"
@@ -125,8 +125,8 @@
         task_status: trio.TaskStatus[typing.Any] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Serves an ASGI application until the shutdown."""
-        await server.serve(
-            server.HttpOnly(application),
+        await light_server.serve(
+            application,
             address,
             self._stop_server.wait,
             SERVER_GRACE_S,
--- a/laburnumsill/daemon/server.py
+++ b/laburnumsill/daemon/server.py
@@ -1,8 +1,6 @@
 """The HTTP server of one daemon: hypercorn with our limits and logs."""
 
-import errno
 import logging
-import socket
 import typing
 from collections import abc
 
@@ -10,12 +8,11 @@
 import hypercorn.trio
 import trio
 
-from laburnumsill.core import errors
 from laburnumsill.core import logs
+from laburnumsill.daemon import listening
 
 MAX_HEADER_BYTES = 32 * 1024
 KEEP_ALIVE_S = 60
-LISTEN_BACKLOG = 512
 MAX_BODY_PIECES = 2
 """Pieces of a body, 64 KB at most, that wait to be read."""
 
@@ -68,38 +65,6 @@
         await send({"type": "lifespan.shutdown.complete"})
 
 
-class ListenError(errors.LaburnumsillError):
-    """An address of this daemon cannot be listened on."""
-
-    slug = "listen"
-    title = "Cannot listen on an address"
-
-
-class AddressTakenError(ListenError):
-    """Another process listens on an address of this daemon."""
-
-    slug = "address-taken"
-    title = "An address is in use"
-
-
-def _check_address(address: str) -> None:
-    """Binds an address for a moment: the server's own failure has no type.
-
-    Raises:
-        ListenError: It cannot be bound, see `serve`.
-    """
-    host, _, port = address.rpartition(":")
-    try:
-        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            probe.bind((host, int(port)))
-    except (OSError, ValueError) as error:
-        text = f"{address}: {error}"
-        if isinstance(error, OSError) and error.errno == errno.EADDRINUSE:
-            raise AddressTakenError(text) from error
-        raise ListenError(text) from error
-
-
 async def serve(
     application: typing.Any,
     address: str,
@@ -118,18 +83,18 @@
         task_status: Started once the socket listens.
 
     Raises:
-        AddressTakenError: Another process listens on the address.
-        ListenError: It cannot be listened on.
+        listening.AddressTakenError: Another process listens on the address.
+        listening.ListenError: It cannot be listened on.
     """
-    _check_address(address)
+    listener = await listening.listen(address)
     config = hypercorn.config.Config()
-    config.bind = [address]
+    config.bind = [f"fd://{listener.socket.detach()}"]
     config.accesslog = None
     config.errorlog = _logger()
     config.h11_max_incomplete_size = MAX_HEADER_BYTES
     config.keep_alive_timeout = KEEP_ALIVE_S
     config.graceful_timeout = stop_grace_s
-    config.backlog = LISTEN_BACKLOG
+    config.backlog = listening.LISTEN_BACKLOG
     config.max_app_queue_size = MAX_BODY_PIECES
     config.include_server_header = False
     await hypercorn.trio.serve(
--- /dev/null
+++ b/laburnumsill/daemon/tests/test_light_server.py
@@ -0,0 +1,252 @@
+import contextlib
+import functools
+
+import pytest
+import trio
+
+from laburnumsill.daemon import light_server
+from laburnumsill.platform import http
+from laburnumsill.testing import ports
+
+GRACE_S = 0.3
+
+
+class Site:
+    """A served application and the connections of its callers."""
+
+    def __init__(self, nursery) -> None:
+        self.nursery = nursery
+        self.stop = trio.Event()
+        self.ended = trio.Event()
+        self.address = f"127.0.0.1:{ports.free_ports(1)[0]}"
+        self.scopes = []
+        self.bodies = []
+        self.hold = trio.Event()
+        self.begun = trio.Semaphore(0)
+        self.left = trio.Event()
+
+    async def app(self, scope, receive, send) -> None:
+        self.scopes.append(scope)
+        self.begun.release()
+        if scope["path"] == "/fails":
+            raise ValueError("a fault of the application")
+        if scope["path"] == "/early":
+            await http.send_answer(send, http.Answer(413, b"{}"))
+            return
+        try:
+            self.bodies.append(await http.read_body(receive))
+        except http.DisconnectedError:
+            self.left.set()
+            return
+        if scope["path"] == "/held":
+            await self.hold.wait()
+        await http.send_answer(send, http.Answer(200, b"answer"))
+
+    async def run(self, task_status) -> None:
+        serve = functools.partial(light_server.serve, task_status=task_status)
+        await serve(self.app, self.address, self.stop.wait, GRACE_S)
+        self.ended.set()
+
+    async def connect(self) -> "Caller":
+        host, _, port = self.address.rpartition(":")
+        return Caller(await trio.open_tcp_stream(host, int(port)))
+
+
+class Caller:
+    def __init__(self, stream) -> None:
+        self.stream = stream
+
+    async def send(self, text: str) -> None:
+        await self.stream.send_all(text.encode())
+
+    async def until(self, text: str) -> str:
+        got = b""
+        with trio.fail_after(5):
+            while text.encode() not in got:
+                piece = await self.stream.receive_some()
+                assert piece, got
+                got += piece
+        return got.decode()
+
+    async def until_closed(self) -> str:
+        got = b""
+        with trio.fail_after(5):
+            while piece := await self.stream.receive_some():
+                got += piece
+        return got.decode()
+
+
+@contextlib.asynccontextmanager
+async def served():
+    async with trio.open_nursery() as nursery:
+        site = Site(nursery)
+        await nursery.start(site.run)
+        yield site
+        nursery.cancel_scope.cancel()
+
+
+PUT = "PUT {} HTTP/1.1\r\nhost: h\r\ncontent-length: {}\r\n\r\n"
+GET = "GET {} HTTP/1.1\r\nhost: h\r\n\r\n"
+
+
+async def test_a_connection_serves_one_request_after_the_other():
+    async with served() as site:
+        caller = await site.connect()
+        for number in range(3):
+            await caller.send(GET.format(f"/a%20b?n={number}"))
+            answer = await caller.until("answer")
+            assert answer.startswith("HTTP/1.1 200")
+            assert "date: " in answer.lower()
+        assert [scope["path"] for scope in site.scopes] == ["/a b"] * 3
+        assert site.scopes[2]["query_string"] == b"n=2"
+        assert (b"host", b"h") in site.scopes[0]["headers"]
+
+
+async def test_requests_sent_at_once_are_answered_in_order():
+    async with served() as site:
+        caller = await site.connect()
+        await caller.send(GET.format("/1") + GET.format("/2"))
+        got = await caller.until("answer")
+        if got.count("answer") == 1:
+            await caller.until("answer")
+        assert [scope["path"] for scope in site.scopes] == ["/1", "/2"]
+
+
+async def test_a_body_comes_whole_by_length_or_in_chunks():
+    async with served() as site:
+        caller = await site.connect()
+        await caller.send(
+            "PUT / HTTP/1.1\r\nhost: h\r\ncontent-length: 6\r\n\r\n"
+        )
+        await caller.send("abc")
+        await trio.sleep(0.01)
+        await caller.send("def")
+        await caller.until("answer")
+        await caller.send(
+            "PUT / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n"
+            "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        )
+        await caller.until("answer")
+        assert site.bodies == [b"abcdef", b"abcde"]
+
+
+async def test_a_caller_that_waits_is_told_to_go_on():
+    async with served() as site:
+        caller = await site.connect()
+        await caller.send(
+            "PUT / HTTP/1.1\r\nhost: h\r\ncontent-length: 1\r\n"
+            "expect: 100-continue\r\n\r\n"
+        )
+        await caller.until("100")
+        await caller.send("x")
+        await caller.until("answer")
+        assert site.bodies == [b"x"]
+
+
+async def test_an_answer_to_head_has_no_body():
+    async with served() as site:
+        caller = await site.connect()
+        await caller.send("HEAD / HTTP/1.1\r\nhost: h\r\n\r\n")
+        answer = await caller.until("\r\n\r\n")
+        assert "content-length: 6" in answer.lower()
+        await caller.send(GET.format("/"))
+        assert "answer" in await caller.until("answer")
+
+
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        ("no request at all\r\n\r\n", 400),
+        ("GET / HTTP/1.1\r\n\r\n", 400),  # without a host
+        (f"GET / HTTP/1.1\r\nhost: h\r\nx: {'y' * 100_000}\r\n\r\n", 431),
+    ],
+)
+async def test_what_is_no_request_is_refused(sent, status):
+    async with served() as site:
+        caller = await site.connect()
+        with contextlib.suppress(trio.BrokenResourceError):
+            await caller.send(sent)
+            assert f" {status} " in await caller.until_closed()
+        other = await site.connect()
+        await other.send(GET.format("/"))
+        await other.until("answer")
+
+
+async def test_a_request_after_bytes_that_make_no_sense_is_not_run():
+    async with served() as site:
+        caller = await site.connect()
+        await caller.send(
+            "PUT / HTTP/1.1\r\nhost: h\r\ncontent-length: 2\r\n"
+            "content-length: 3\r\n\r\nabc" + GET.format("/second")
+        )
+        assert " 400 " in await caller.until_closed()
+        assert not site.scopes
+
+
+async def test_a_failure_of_the_application_is_answered():
+    async with served() as site:
+        caller = await site.connect()
+        await caller.send(GET.format("/fails"))
+        assert " 500 " in await caller.until_closed()
+        other = await site.connect()
+        await other.send(GET.format("/"))
+        await other.until("answer")
+
+
+async def test_an_early_answer_arrives_though_the_body_goes_on():
+    async with served() as site:
+        caller = await site.connect()
+        await caller.send(PUT.format("/early", 200_000))
+        for _ in range(20):
+            await caller.send("x" * 10_000)
+        assert " 413 " in await caller.until("{}")
+        await caller.send(GET.format("/"))
+        await caller.until("answer")
+
+
+async def test_a_caller_that_goes_away_ends_its_request():
+    async with served() as site:
+        caller = await site.connect()
+        await caller.send(
+            "PUT / HTTP/1.1\r\nhost: h\r\ncontent-length: 9\r\n\r\n"
+        )
+        await trio.sleep(0.02)
+        await caller.stream.aclose()
+        with trio.fail_after(5):
+            await site.left.wait()
+
+
+async def test_a_connection_without_requests_is_closed_in_the_end(monkeypatch):
+    monkeypatch.setattr(light_server, "KEEP_ALIVE_S", 0.05)
+    async with served() as site:
+        caller = await site.connect()
+        assert await caller.until_closed() == ""
+
+
+async def test_a_shutdown_ends_idle_connections_and_answers_those_in_flight():
+    async with served() as site:
+        idle = await site.connect()
+        await idle.send(GET.format("/"))
+        await idle.until("answer")
+        busy = await site.connect()
+        await busy.send(GET.format("/held"))
+        await site.begun.acquire()
+        await site.begun.acquire()
+        site.stop.set()
+        assert await idle.until_closed() == ""
+        site.hold.set()
+        assert "answer" in await busy.until_closed()
+        with trio.fail_after(5):
+            await site.ended.wait()
+
+
+async def test_a_shutdown_waits_no_longer_than_its_grace():
+    async with served() as site:
+        busy = await site.connect()
+        await busy.send(GET.format("/held"))
+        await site.begun.acquire()
+        began = trio.current_time()
+        site.stop.set()
+        with trio.fail_after(5):
+            await site.ended.wait()
+        assert trio.current_time() - began >= GRACE_S
--- a/laburnumsill/daemon/tests/test_server.py
+++ b/laburnumsill/daemon/tests/test_server.py
@@ -3,21 +3,27 @@
 import pytest
 import trio
 
+from laburnumsill.daemon import light_server
+from laburnumsill.daemon import listening
 from laburnumsill.daemon import server
 
+BOTH = pytest.mark.parametrize("server", [server, light_server])
+
 
 async def nothing(scope, receive, send):
     raise AssertionError("nobody calls")
 
 
-async def test_an_address_in_use_is_a_typed_error():
+@BOTH
+async def test_an_address_in_use_is_a_typed_error(server):
     with socket.create_server(("127.0.0.1", 0)) as taken:
         address = f"127.0.0.1:{taken.getsockname()[1]}"
-        with pytest.raises(server.AddressTakenError, match=address):
+        with pytest.raises(listening.AddressTakenError, match=address):
             await server.serve(nothing, address, trio.sleep_forever, 0.1)
 
 
+@BOTH
 @pytest.mark.parametrize("address", ["127.0.0.1:http", "127.0.0.1"])
-async def test_an_address_that_makes_no_sense_is_a_typed_error(address):
-    with pytest.raises(server.ListenError, match=address):
+async def test_an_address_that_makes_no_sense_is_a_typed_error(server, address):
+    with pytest.raises(listening.ListenError, match=address):
         await server.serve(nothing, address, trio.sleep_forever, 0.1)
