daemon, wire: let entries share confirmations and hold one connection at rest

Cause: each entry held a connection to every VM of the core with keep-alives, asked the leader 2.9 times a second for a quorum read of the configuration, asked for the VMs of the core every second and parsed its settings every second. Ruled out: a longer pause between questions alone (a new version must be in force within 2 s, and a cut must show); a confirmation pushed by the leader (its delay on the way is unknown, so nothing bounds its age). Change: a VM of the core answers from its replica and shares one confirmation of the leader among the questions of 0.2 s; its age travels along and counts from when the entry asked. An entry prefers a VM in its failure domain and turns to another one when that does not answer. Its connections are made on demand. Settings are parsed when they changed.

--- a/laburnumsill/daemon/configuration_lease.py
+++ b/laburnumsill/daemon/configuration_lease.py
@@ -15,21 +15,26 @@
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import errors
 from laburnumsill.core import logs
-from laburnumsill.core import replication
 from laburnumsill.daemon import configuration_download
+from laburnumsill.daemon import configuration_sharing
 from laburnumsill.state import highest_version
+from laburnumsill.wire import backoff
 
-ASK_EVERY_S = 0.35
+ASK_EVERY_S = 0.4
 """A new version must be in force within 2 s, and cut-off is to be noticed."""
 
-ANSWER_WITHIN_S = 0.8
+ASK_AGAIN_S = 0.15
+"""First pause after a question without an answer; it grows to `ASK_EVERY_S`."""
+
+ANSWER_WITHIN_S = 0.5
+"""With the pauses, three VMs can be asked before readiness is lost."""
 
 FRESH_S = 2.0
 """A VM is ready while its last confirmation is not older than this."""
 
 REFUSE_WITHIN_S = 1.0
 """A call may be refused for what the configuration lacks while the last
-confirmation is not older than this: three rounds of asking, and half of the
+confirmation is not older than this: two rounds of asking, and half of the
 2 s within which a version must be in force."""
 
 KEY_LEASE_SHARE = 0.7
@@ -43,8 +48,7 @@
     """Keeps the newest configuration and knows how fresh it is.
 
     Args:
-        group: The group whose state machine holds the document.
-        groups: Access to it.
+        source: Answers with the newest document.
         decode: Reads a document; those in force are always valid.
         key_revoked_ms: A key that was taken away works no longer than this.
         clock: The clock of this process.
@@ -52,14 +56,12 @@
 
     def __init__(
         self,
-        group: str,
-        groups: replication.Groups,
+        source: configuration_sharing.Source,
         decode: Decode,
         key_revoked_ms: int,
         clock: clocks.Clock,
     ) -> None:
-        self._group = group
-        self._groups = groups
+        self._source = source
         self._decode = decode
         self._lease_s = key_revoked_ms / 1000 * KEY_LEASE_SHARE
         self._clock = clock
@@ -68,6 +70,7 @@
         self._newest_version = highest_version.NO_VERSION
         self._confirmed_at = float("-inf")
         self._lost = False
+        self._pauses = backoff.Backoff(ASK_AGAIN_S, ASK_EVERY_S)
 
     @property
     def current(self) -> site.SiteConfiguration | None:
@@ -90,8 +93,8 @@
     async def run(self) -> typing.NoReturn:
         """Keeps asking until cancelled."""
         while True:
-            if not await self._ask():
-                await trio.sleep(ASK_EVERY_S)
+            pause_s = await self._ask()
+            await trio.sleep(pause_s)
 
     def _age_s(self) -> float:
         return self._clock.monotonic() - self._confirmed_at
@@ -101,33 +104,38 @@
             return highest_version.NO_VERSION
         return self._current.version
 
-    async def _ask(self) -> bool:
-        """Asks once; returns whether a newer document is still incomplete."""
+    async def _ask(self) -> float:
+        """Asks once; returns how long to wait before the next question."""
         asked_at = self._clock.monotonic()
         query = self._download.next_query(self._current_version())
         try:
-            part = await self._groups.query(
-                self._group, query, asked_at + ANSWER_WITHIN_S
-            )
+            answer = await self._source.ask(query, asked_at + ANSWER_WITHIN_S)
         except errors.LaburnumsillError as error:
             self._note_lost(error)
-            return False
+            return self._pauses.next()
         self._note_regained()
-        self._newest_version = part.version
+        part = answer.part
+        self._take(part)
+        self._newest_version = max(self._newest_version, answer.newest_version)
+        if part.version != self._current_version() and part.packed:
+            return 0.0
+        if self._newest_version <= self._current_version():
+            confirmed_at = asked_at + answer.confirmed_after_s
+            self._confirmed_at = max(self._confirmed_at, confirmed_at)
+        return ASK_EVERY_S
+
+    def _take(self, part: highest_version.Part) -> None:
+        """Takes a part; brings the document into force once it is whole."""
         document = self._download.take(part)
-        if document is not None:
-            self._current = self._decode(document)
-            logs.event(
-                "configuration-in-force",
-                version=part.version,
-                bytes=len(document),
-                packed_bytes=part.size,
-            )
-        if part.version != self._current_version():
-            return bool(part.packed)
-        if self._current is not None:
-            self._confirmed_at = asked_at
-        return False
+        if document is None or part.version <= self._current_version():
+            return
+        self._current = self._decode(document)
+        logs.event(
+            "configuration-in-force",
+            version=part.version,
+            bytes=len(document),
+            packed_bytes=part.size,
+        )
 
     def _note_lost(self, error: errors.LaburnumsillError) -> None:
         if not self._lost:
@@ -140,3 +148,4 @@
         if self._lost:
             logs.event("core-regained")
         self._lost = False
+        self._pauses.reset()
--- a/laburnumsill/daemon/core_role.py
+++ b/laburnumsill/daemon/core_role.py
@@ -16,6 +16,7 @@
 from laburnumsill.core import logs
 from laburnumsill.core import replication
 from laburnumsill.core import topology
+from laburnumsill.daemon import configuration_sharing
 from laburnumsill.daemon import metrics_app
 from laburnumsill.daemon import role
 from laburnumsill.daemon import role_settings
@@ -86,6 +87,13 @@
                 self._pools,
             )
         )
+        self._sharing = configuration_sharing.SharedConfirmation(
+            role.SITE_GROUP,
+            self._host,
+            self._network,
+            settings.failure_domain,
+            self._clock,
+        )
         self._intake = intake.WorkerIntake(
             self._vm.vm_id,
             role.SITE_GROUP,
--- a/laburnumsill/daemon/directory.py
+++ b/laburnumsill/daemon/directory.py
@@ -17,6 +17,12 @@
 from laburnumsill.wire import network as networks
 
 ASK_EVERY_S = 1.0
+
+SELDOM_S = 8.0
+"""A VM that only calls the core asks this seldom at last while it hears of
+nothing new; it still follows when the VMs of the core are replaced one by one.
+"""
+
 ASK_WITHIN_S = 0.5
 
 FORGET_AFTER_S = 60.0
@@ -48,6 +54,8 @@
         address_of: Returns where a VM listens for its peers.
         members: Returns the VMs that the replicated state names.
         clock: The clock of this process.
+        longest_pause_s: The pause between two questions doubles up to this
+            while nothing new is heard.
     """
 
     def __init__(
@@ -57,12 +65,14 @@
         address_of: abc.Callable[[str], str],
         members: abc.Callable[[], abc.Iterable[str]],
         clock: clocks.Clock,
+        longest_pause_s: float = ASK_EVERY_S,
     ) -> None:
         self._me = me
         self._network = network
         self._address_of = address_of
         self._members = members
         self._clock = clock
+        self._longest_pause_s = longest_pause_s
         self._seeds: tuple[str, ...] = ()
         self._reached_at: dict[str, float] = {}
         self._turn = 0
@@ -83,29 +93,35 @@
         self._seeds = tuple(seeds)
         self.learn(self._seeds)
 
-    def learn(self, vms: abc.Iterable[str]) -> None:
-        """Makes VMs known."""
+    def learn(self, vms: abc.Iterable[str]) -> bool:
+        """Makes VMs known; returns whether any of them is new."""
+        any_new = False
         for vm in vms:
             if vm == self._me or vm in self._reached_at:
                 continue
             self._reached_at[vm] = self._clock.monotonic()
             self._network.add_peer(vm, self._address_of(vm))
             logs.event("core-vm-learnt", peer=vm)
+            any_new = True
+        return any_new
 
     async def run(self) -> None:
         """Keeps what is known up to date until cancelled."""
+        pause_s = ASK_EVERY_S
         while True:
             self.learn(self._members())
-            await self._ask_one()
+            settled = await self._ask_one()
             self._forget_lost()
-            await trio.sleep(ASK_EVERY_S)
+            pause_s = 2 * pause_s if settled else ASK_EVERY_S
+            pause_s = min(pause_s, self._longest_pause_s)
+            await trio.sleep(pause_s)
 
-    async def _ask_one(self) -> None:
-        """Asks the next VM that can be reached."""
+    async def _ask_one(self) -> bool:
+        """Asks the next VM that can be reached; returns if it knew no more."""
         reachable = self._network.reachable()
         candidates = [vm for vm in sorted(self._reached_at) if vm in reachable]
         if not candidates:
-            return
+            return False
         self._turn += 1
         vm = candidates[self._turn % len(candidates)]
         deadline = self._clock.monotonic() + ASK_WITHIN_S
@@ -117,8 +133,8 @@
             logs.event(
                 "core-question-failed", "DEBUG", peer=vm, reason=error.slug
             )
-            return
-        self.learn(answer.vms)
+            return False
+        return not self.learn(answer.vms)
 
     async def _answer(self, question: CoreQuestion) -> CoreAnswer:
         members = tuple(self._members())
--- a/laburnumsill/daemon/entry_role.py
+++ b/laburnumsill/daemon/entry_role.py
@@ -9,6 +9,8 @@
 from laburnumsill.consensus import remote
 from laburnumsill.core import topology
 from laburnumsill.daemon import configuration_lease
+from laburnumsill.daemon import configuration_sharing
+from laburnumsill.daemon import core_choice
 from laburnumsill.daemon import metrics_app
 from laburnumsill.daemon import role
 from laburnumsill.daemon import role_settings
@@ -26,7 +28,7 @@
     def __init__(
         self, path: pathlib.Path, settings: role_settings.RoleSettings
     ) -> None:
-        super().__init__(path, settings)
+        super().__init__(path, settings, on_demand=True)
         self._groups = remote.RemoteGroups(
             self._vm.vm_id,
             self._network,
@@ -34,8 +36,12 @@
             lambda: self._directory.vms,
         )
         self._lease = configuration_lease.ConfigurationLease(
-            role.SITE_GROUP,
-            self._groups,
+            configuration_sharing.NearbyCore(
+                self._network,
+                lambda: self._directory.vms,
+                core_choice.CoreChoice(self._vm.vm_id, settings.failure_domain),
+                self._clock,
+            ),
             decoding.configuration,
             settings.bounds.key_revoked_ms,
             self._clock,
--- a/laburnumsill/daemon/role.py
+++ b/laburnumsill/daemon/role.py
@@ -33,12 +33,16 @@
     Args:
         path: The settings file, read again when it changes.
         settings: What was read from it at the start.
+        on_demand: Whether connections to peers are made when they are needed.
     """
 
     def __init__(
-        self, path: pathlib.Path, settings: role_settings.RoleSettings
+        self,
+        path: pathlib.Path,
+        settings: role_settings.RoleSettings,
+        on_demand: bool = False,
     ) -> None:
-        self._path = path
+        self._settings_file = role_settings.SettingsFile(path)
         self._settings = settings
         self._clock = clocks.TimeLeftClock()
         self._metrics = metrics_module.Metrics()
@@ -46,7 +50,12 @@
         self._stop_server = trio.Event()
         self._vm = self._me(settings)
         self._network = networks.PeerNetwork(
-            self._vm, {}, self._clock, self._metrics, is_open=True
+            self._vm,
+            {},
+            self._clock,
+            self._metrics,
+            is_open=True,
+            on_demand=on_demand,
         )
         self._directory = directory.Directory(
             self._vm.vm_id,
@@ -54,6 +63,7 @@
             settings.peer_address,
             self._core_members,
             self._clock,
+            directory.SELDOM_S if on_demand else directory.ASK_EVERY_S,
         )
 
     @property
@@ -152,11 +162,11 @@
     def _reload(self) -> None:
         """Takes the settings file as it is now; a bad one changes nothing."""
         try:
-            loaded = role_settings.load(self._path)
+            loaded = self._settings_file.changed()
         except errors.InvalidConfigurationError as error:
             logs.event("settings-refused", "ERROR", detail=error.detail)
             return
-        if loaded == self._settings:
+        if loaded is None or loaded == self._settings:
             return
         logs.event("settings-reloaded", seeds=",".join(loaded.seeds))
         self._settings = loaded
--- a/laburnumsill/daemon/role_settings.py
+++ b/laburnumsill/daemon/role_settings.py
@@ -106,13 +106,56 @@
     Raises:
         errors.InvalidConfigurationError: It can not be read or is invalid.
     """
-    try:
-        document = tomllib.loads(path.read_text(encoding="utf-8"))
-        return msgspec.convert(document, RoleSettings)
-    except (
-        OSError,
-        ValueError,  # also no UTF-8, no TOML, a number of too many digits
-        RecursionError,
-        msgspec.ValidationError,
-    ) as error:
-        raise errors.InvalidConfigurationError(f"{path}: {error}") from error
+    return SettingsFile(path).load()
+
+
+class SettingsFile:
+    """A settings file that may change; its text is parsed once a change.
+
+    Args:
+        path: Where it is.
+    """
+
+    def __init__(self, path: pathlib.Path) -> None:
+        self._path = path
+        self._text: bytes | None = None
+
+    def changed(self) -> RoleSettings | None:
+        """Returns the settings if the file is not what was read last.
+
+        Raises:
+            errors.InvalidConfigurationError: It can not be read or is invalid.
+        """
+        try:
+            text = self._path.read_bytes()
+        except OSError as error:
+            raise self._refused(error) from error
+        if text == self._text:
+            return None
+        self._text = text
+        return self._parse(text)
+
+    def load(self) -> RoleSettings:
+        """Reads and checks it anew.
+
+        Raises:
+            errors.InvalidConfigurationError: It can not be read or is invalid.
+        """
+        self._text = None
+        settings = self.changed()
+        assert settings is not None
+        return settings
+
+    def _parse(self, text: bytes) -> RoleSettings:
+        try:
+            document = tomllib.loads(text.decode())
+            return msgspec.convert(document, RoleSettings)
+        except (
+            ValueError,  # also no UTF-8, no TOML, a number of too many digits
+            RecursionError,
+            msgspec.ValidationError,
+        ) as error:
+            raise self._refused(error) from error
+
+    def _refused(self, error: Exception) -> errors.InvalidConfigurationError:
+        return errors.InvalidConfigurationError(f"{self._path}: {error}")
--- a/laburnumsill/daemon/tests/test_configuration_lease.py
+++ b/laburnumsill/daemon/tests/test_configuration_lease.py
@@ -10,6 +10,7 @@
 from laburnumsill.core import replication
 from laburnumsill.core import trio_clock
 from laburnumsill.daemon import configuration_lease
+from laburnumsill.daemon import configuration_sharing
 from laburnumsill.state import highest_version
 from laburnumsill.testing import local_groups
 
@@ -43,13 +44,23 @@
         return answer
 
 
+class GroupSource(configuration_sharing.Source):
+    """Asks the group itself, as a VM of the core does."""
+
+    def __init__(self, groups):
+        self._groups = groups
+
+    async def ask(self, query, deadline):
+        part = await self._groups.query("site", query, deadline)
+        return configuration_sharing.Confirmed(part, part.version, 0.0)
+
+
 def play(script):
     async def main():
         held = highest_version.HighestVersion()
         groups = SlowGroups(held)
         lease = configuration_lease.ConfigurationLease(
-            "site",
-            groups,
+            GroupSource(groups),
             lambda raw: site.SiteConfiguration(int(raw.split()[0]), (), (), ()),
             REVOKED_MS,
             trio_clock.TrioClock(),
--- a/laburnumsill/daemon/tests/test_role_settings.py
+++ b/laburnumsill/daemon/tests/test_role_settings.py
@@ -98,3 +98,30 @@
         except (ValueError, RecursionError) as error:
             wrong.append(f"{error!r:.80}: {text:.200}")
     assert not wrong, "\n".join(wrong)
+
+
+def test_a_file_is_parsed_only_when_it_changed(tmp_path):
+    path = tmp_path / "settings.toml"
+    path.write_text(GOOD)
+    file = role_settings.SettingsFile(path)
+    first = file.changed()
+    assert first is not None and file.changed() is None
+    path.write_text(GOOD + "\n")
+    assert file.changed() == first
+    assert file.changed() is None
+
+
+def test_a_bad_change_is_refused_once_and_a_good_one_taken(tmp_path):
+    path = tmp_path / "settings.toml"
+    path.write_text(GOOD)
+    file = role_settings.SettingsFile(path)
+    first = file.load()
+    path.write_text("no settings")
+    with pytest.raises(errors.InvalidConfigurationError):
+        file.changed()
+    assert file.changed() is None
+    path.write_text(GOOD)
+    assert file.changed() == first
+    path.unlink()
+    with pytest.raises(errors.InvalidConfigurationError):
+        file.changed()
--- a/laburnumsill/wire/connection.py
+++ b/laburnumsill/wire/connection.py
@@ -100,6 +100,7 @@
         self._running_calls = 0
         self._wakeup = trio.Event()
         self._last_sent = clock.monotonic()
+        self._last_called = clock.monotonic()
         self._closed = False
         self._scope = trio.CancelScope()
         self._reason: failures.WireError | None = None
@@ -109,6 +110,11 @@
         """Whether the peer was heard from lately."""
         return not self._closed and self._silence() < REACHABLE_S
 
+    @property
+    def idle_s(self) -> float:
+        """Seconds since this end last called the other one."""
+        return self._clock.monotonic() - self._last_called
+
     @property
     def traffic(self) -> Traffic:
         """What went over it so far."""
@@ -157,6 +163,7 @@
             self._clock.wall_deadline(deadline),
         )
         self._check_open()
+        self._last_called = self._clock.monotonic()
         pending = self._pending.add(self._outbox.add_call(call))
         self._wakeup.set()
         try:
--- a/laburnumsill/wire/network.py
+++ b/laburnumsill/wire/network.py
@@ -20,6 +20,7 @@
 from laburnumsill.wire import frames
 from laburnumsill.wire import handlers
 from laburnumsill.wire import hello
+from laburnumsill.wire import peer_link
 from laburnumsill.wire import sockets
 from laburnumsill.wire.generated.peer import ttypes
 
@@ -46,44 +47,14 @@
 STABLE_S = 1.0
 """A connection that lasted so long makes the pauses short again."""
 
+IDLE_S = 3.0
+"""A connection that is made on demand is closed after so long without calls."""
+
 YIELD_S = 0.4
 """In an open network the VM with the greater id waits so long before it
 dials, so that two VMs that know each other seldom dial at once."""
 
 
-class _Peer:
-    """What is known of one other VM.
-
-    Attributes:
-        connection: The connection to it, or None.
-        connected: Set while there is a connection.
-        detached: Set while there is none.
-        dialing: Ends the dialing, None where this VM never dials it.
-    """
-
-    def __init__(self) -> None:
-        self.connection: connections.Connection | None = None
-        self.connected = trio.Event()
-        self.detached = trio.Event()
-        self.detached.set()
-        self.dialing: trio.CancelScope | None = None
-
-    def attach(self, connection: connections.Connection) -> None:
-        """Uses a new connection; an older one is certainly dead."""
-        if self.connection is not None:
-            self.connection.lose(failures.ConnectionLostError("replaced"))
-        self.connection = connection
-        self.connected.set()
-        self.detached = trio.Event()
-
-    def detach(self, connection: connections.Connection) -> None:
-        """Forgets a connection that was lost, unless it was replaced."""
-        if self.connection is connection:
-            self.connection = None
-            self.connected = trio.Event()
-            self.detached.set()
-
-
 class PeerNetwork(replication.Peers):
     """Calls, notices and Raft messages between this VM and all others.
 
@@ -95,6 +66,10 @@
     they are learnt of, whoever dials in is welcome, and either end of a pair
     may dial, as maybe only one of them knows the other.
 
+    A VM that dials on demand has a connection while it calls the other end:
+    many such VMs hold few connections, and a VM that comes back is not dialed
+    by all of them at the same moment.
+
     Deadlines are monotonic points of the clock that was passed in.
     """
 
@@ -105,6 +80,7 @@
         clock: clocks.Clock,
         metrics: metrics_module.Metrics,
         is_open: bool = False,
+        on_demand: bool = False,
     ) -> None:
         """Makes the network; `run` starts it.
 
@@ -116,18 +92,23 @@
             metrics: Takes the counters.
             is_open: Whether VMs may be added later and may dial in unknown.
                 A VM without a peer address then only dials.
+            on_demand: Whether a VM of an open network is dialed only when
+                it is called, and left when it is not any more.
 
         Raises:
             errors.InvalidConfigurationError: An address is malformed.
         """
         self._me = me
         self._open = is_open
+        self._on_demand = on_demand
         self._workers: trio.Nursery | None = None
         self._addresses = dict(addresses) if is_open else addresses
         self._clock = clock
         self._metrics = metrics
         self._handlers = handlers.Handlers(clock)
-        self._peers = {vm: _Peer() for vm in addresses if vm != me.vm_id}
+        self._peers = {
+            vm: peer_link.PeerLink() for vm in addresses if vm != me.vm_id
+        }
         self._counted = connections.Traffic()
         self._finished = connections.Traffic()
         self._listening_address = me.peer_address
@@ -185,7 +166,7 @@
             return
         addressing.split(address)
         self._addresses = {**self._addresses, vm: address}
-        self._peers.setdefault(vm, _Peer())
+        self._peers.setdefault(vm, peer_link.PeerLink())
         self._start_dialing(vm)
 
     def remove_peer(self, vm: str) -> None:
@@ -278,6 +259,7 @@
             raise errors.PeerUnreachableError(f"no address for {vm!r}", vm=vm)
         remaining = deadline - self._clock.monotonic()
         if peer.connection is None:
+            peer.want()
             wait = min(remaining, CONNECTION_WAIT_S)
             with trio.move_on_after(max(0.0, wait)):
                 await peer.connected.wait()
@@ -317,16 +299,24 @@
             late = self._clock.monotonic() - due > LATE_S
             for peer in list(self._peers.values()):
                 if peer.connection is not None:
-                    peer.connection.tick(late)
+                    self._tick(peer.connection, late)
             if number % TICKS_A_REPORT == 0:
                 self._publish()
 
-    async def _keep_dialing(self, vm: str, peer: _Peer) -> None:
+    def _tick(self, connection: connections.Connection, late: bool) -> None:
+        if self._on_demand and connection.idle_s > IDLE_S:
+            connection.lose(failures.ConnectionLostError("not in use"))
+        else:
+            connection.tick(late)
+
+    async def _keep_dialing(self, vm: str, peer: peer_link.PeerLink) -> None:
         """Keeps a connection to `vm` until it is forgotten."""
         with peer.dialing or trio.CancelScope():
             await self._dial_again_and_again(vm, peer)
 
-    async def _dial_again_and_again(self, vm: str, peer: _Peer) -> None:
+    async def _dial_again_and_again(
+        self, vm: str, peer: peer_link.PeerLink
+    ) -> None:
         pauses = backoff.Backoff(FIRST_PAUSE_S, LONGEST_PAUSE_S)
         reported = ""
         while True:
@@ -343,11 +333,13 @@
                 pauses.reset()
             await trio.sleep(pauses.next())
 
-    async def _until_needed(self, vm: str, peer: _Peer) -> None:
+    async def _until_needed(self, vm: str, peer: peer_link.PeerLink) -> None:
         """Waits while the other end of an open network's pair has dialed."""
         if not self._open:
             return
         await peer.detached.wait()
+        if self._on_demand:
+            await peer.until_wanted()
         if vm < self._me.vm_id and self._me.peer_address:
             await trio.sleep(YIELD_S)
             await peer.detached.wait()
@@ -388,7 +380,7 @@
 
     def _check_dialer(self, name: str) -> None:
         if self._open and name and name != self._me.vm_id:
-            self._peers.setdefault(name, _Peer())
+            self._peers.setdefault(name, peer_link.PeerLink())
             return
         if name not in self._peers or name >= self._me.vm_id:
             raise failures.HelloRefusedError(
--- a/laburnumsill/wire/tests/test_open_network.py
+++ b/laburnumsill/wire/tests/test_open_network.py
@@ -22,9 +22,13 @@
     text: str
 
 
-def made(name: str, address: str) -> network.PeerNetwork:
+def made(
+    name: str, address: str, on_demand: bool = False
+) -> network.PeerNetwork:
     me = topology.Vm(name, "d", "", address, False)
-    found = network.PeerNetwork(me, {}, CLOCK, metrics.Metrics(), is_open=True)
+    found = network.PeerNetwork(
+        me, {}, CLOCK, metrics.Metrics(), is_open=True, on_demand=on_demand
+    )
 
     async def echo(request):
         return Echo(f"{name}:{request.text}")
@@ -94,6 +98,36 @@
             await trio.sleep(0.05)
 
 
+async def test_on_demand_a_vm_is_connected_only_while_it_is_called(
+    nursery, monkeypatch
+):
+    monkeypatch.setattr(network, "IDLE_S", 0.5)
+    cores = [made(name, ports.free_address()) for name in ("a", "b", "c")]
+    entry = made("entry-1", "", on_demand=True)
+    for core in cores:
+        await nursery.start(core.run)
+        entry.add_peer(core._me.vm_id, core.listening_address)
+    await nursery.start(entry.run)
+    await trio.sleep(0.5)
+    assert entry.reachable() == {"entry-1"}
+    for _ in range(2):  # also after it was left
+        assert await call(entry, "b") == "b:x"
+        assert entry.reachable() == {"entry-1", "b"}
+        await trio.sleep(1.2)
+        assert entry.reachable() == {"entry-1"}
+
+
+async def test_a_vm_that_is_down_is_dialed_on_demand_once_it_is_back(nursery):
+    place = ports.free_address()
+    entry = made("entry-1", "", on_demand=True)
+    entry.add_peer("core", place)
+    await nursery.start(entry.run)
+    with pytest.raises(errors.PeerUnreachableError):
+        await call(entry, "core", within=0.2)
+    await nursery.start(made("core", place).run)
+    assert await call(entry, "core", within=2.0) == "core:x"
+
+
 async def test_a_forgotten_peer_is_not_reached(nursery):
     places = {"a": ports.free_address(), "b": ports.free_address()}
     vms = {name: made(name, places[name]) for name in places}
