consensus, batch: ask about an unknown outcome for as long as the caller waits

Cause: a command whose first attempt had no answer was given up a second after the leader was missed and ended as unknown (504), after which its caller cannot safely try again; commands are idempotent, so a later attempt tells. Ruled out: waiting longer for a leader in general (what nobody took is refused as early as before, a new test holds it). Change: once an outcome is unknown, the deadline of the errand is the caller's. The test of the unknown outcome fails on the code before.

--- a/laburnumsill/batch/caller_commands.py
+++ b/laburnumsill/batch/caller_commands.py
@@ -1,8 +1,9 @@
 """Commands and queries of callers to the job ledger, and their results."""
 
-import dataclasses
 import enum
 
+import msgspec
+
 from laburnumsill.batch import model
 from laburnumsill.core import codec
 
@@ -18,8 +19,7 @@
 
 
 @codec.register("batch.submit")
-@dataclasses.dataclass(frozen=True, slots=True)
-class SubmitJob:
+class SubmitJob(msgspec.Struct, frozen=True):
     """Accepts a job; a second submission with its id changes nothing."""
 
     job: model.Job
@@ -27,8 +27,7 @@
 
 
 @codec.register("batch.cancel")
-@dataclasses.dataclass(frozen=True, slots=True)
-class CancelJob:
+class CancelJob(msgspec.Struct, frozen=True):
     """Cancels a job; one that has ended stays as it is."""
 
     job_id: str
@@ -36,32 +35,28 @@
 
 
 @codec.register("batch.job-query")
-@dataclasses.dataclass(frozen=True, slots=True)
-class JobQuery:
+class JobQuery(msgspec.Struct, frozen=True):
     """Asks for the state of a job."""
 
     job_id: str
 
 
 @codec.register("batch.job-answer")
-@dataclasses.dataclass(frozen=True, slots=True)
-class JobAnswer:
+class JobAnswer(msgspec.Struct, frozen=True):
     """The state of a job; empty if there is no such job."""
 
     state: str = ""
 
 
 @codec.register("batch.pending-query")
-@dataclasses.dataclass(frozen=True, slots=True)
-class PendingQuery:
+class PendingQuery(msgspec.Struct, frozen=True):
     """Asks how many jobs of a queue have not begun."""
 
     queue: str
 
 
 @codec.register("batch.pending-answer")
-@dataclasses.dataclass(frozen=True, slots=True)
-class PendingAnswer:
+class PendingAnswer(msgspec.Struct, frozen=True):
     """How many jobs of a queue have not begun."""
 
     jobs: int
--- a/laburnumsill/batch/gateway.py
+++ b/laburnumsill/batch/gateway.py
@@ -6,15 +6,11 @@
 from laburnumsill.core import errors
 from laburnumsill.core import replication
 
-SUBMIT_WITHIN_S = 1.0
-"""Longest wait for a job to be accepted. A commit takes 10 to 20 ms, and a lost
-lead is taken up in about half a second. A caller that is sent away comes back a
-second later at the earliest, by which an urgent job is late; one that waits is
-taken in at the moment that there is a leader. How long there was none already
-counts, see `consensus.lead_watch`."""
+ANSWER_MARGIN_S = 0.1
+"""What of a caller's time is left for the answer's way back."""
 
 ASK_WITHIN_S = 1.0
-"""Longest wait for a state or a cancellation."""
+"""Longest wait for a state."""
 
 
 class UnknownJobError(errors.NotFoundError):
@@ -27,8 +23,9 @@
 class JobGateway:
     """Hands in, cancels and looks up jobs in the group of the ledger.
 
-    Deadlines are monotonic; none is waited for longer than the limits of
-    this module.
+    Deadlines are monotonic. Commands have them whole: one that nobody can take
+    is refused as soon as that shows, and one whose outcome is unknown is asked
+    about until it is known, since its caller could not safely try again.
 
     Args:
         group: The group whose state machine holds the ledger.
@@ -52,7 +49,7 @@
         """
         command = caller_commands.SubmitJob(job, self._clock.wall_ms())
         await self._groups.propose(
-            self._group, command, self._within(deadline, SUBMIT_WITHIN_S)
+            self._group, command, deadline - ANSWER_MARGIN_S
         )
 
     async def cancel(self, job_id: str, deadline: float) -> str:
@@ -64,7 +61,7 @@
         """
         command = caller_commands.CancelJob(job_id, self._clock.wall_ms())
         answer = await self._groups.propose(
-            self._group, command, self._within(deadline, ASK_WITHIN_S)
+            self._group, command, deadline - ANSWER_MARGIN_S
         )
         if not answer.state:
             raise UnknownJobError(f"no job {job_id!r}")
--- a/laburnumsill/consensus/forwarded.py
+++ b/laburnumsill/consensus/forwarded.py
@@ -1,15 +1,15 @@
 """Commands and queries on their way to the leader of a group."""
 
-import dataclasses
 import typing
 
+import msgspec
+
 from laburnumsill.core import codec
 from laburnumsill.core import errors
 
 
 @codec.register("host.propose")
-@dataclasses.dataclass(frozen=True, slots=True)
-class ForwardedProposal:
+class ForwardedProposal(msgspec.Struct, frozen=True):
     """A command for the leader of a group.
 
     Attributes:
@@ -24,8 +24,7 @@
 
 
 @codec.register("host.query")
-@dataclasses.dataclass(frozen=True, slots=True)
-class ForwardedQuery:
+class ForwardedQuery(msgspec.Struct, frozen=True):
     """A query for the leader of a group; fields as above."""
 
     group: str
@@ -34,8 +33,7 @@
 
 
 @codec.register("host.answer")
-@dataclasses.dataclass(frozen=True, slots=True)
-class Answer:
+class Answer(msgspec.Struct, frozen=True):
     """What the state machine made of a forwarded command or query.
 
     Attributes:
@@ -47,8 +45,7 @@
     refusal: errors.ErrorRecord | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Outcome:
+class Outcome(msgspec.Struct, frozen=True):
     """What the state machine made of a command or query.
 
     Attributes:
--- a/laburnumsill/consensus/host_forward.py
+++ b/laburnumsill/consensus/host_forward.py
@@ -60,6 +60,10 @@
 class Forwarder:
     """Brings errands to the leader of their group.
 
+    An errand that nobody took is refused once no leader may be expected any
+    more. One whose outcome became unknown goes on until its deadline: commands
+    are idempotent, and only another attempt can tell what became of it.
+
     Args:
         me: This VM.
         peers: The other VMs.
@@ -124,6 +128,8 @@
             except errors.LaburnumsillError as error:
                 maybe = last = error
                 watch.unanswered(vm, self._clock.monotonic())
+                if not errand.harmless:
+                    give_up_at = errand.deadline
             else:
                 self._hints[errand.group] = vm
                 watch.answered(vm, began, self._clock.monotonic())
--- a/laburnumsill/consensus/tests/test_lead_watch.py
+++ b/laburnumsill/consensus/tests/test_lead_watch.py
@@ -135,6 +135,35 @@
     assert await propose(groups) < 0.4
 
 
+async def test_an_unknown_outcome_is_asked_about_until_it_is_known(
+    autojump_clock,
+):
+    """The load: a command is sent to a leader that freezes with all others.
+
+    Its caller could not safely try again, so it is sent anew, which changes
+    nothing if it was carried out, for as long as the caller waits.
+    """
+    peers = CorePeers()
+    groups = groups_over(peers)
+    await lose_leader(peers, groups, 2.2)
+    assert 2.0 < await propose(groups) < 2.6
+
+
+async def test_what_was_certainly_not_taken_is_refused_long_before_its_deadline(
+    autojump_clock,
+):
+    peers = CorePeers()
+    groups = groups_over(peers)
+    for _ in range(10):
+        await propose(groups)
+    peers.leader = ""
+    peers.named = None
+    began = trio.current_time()
+    with pytest.raises(errors.NoQuorumError):
+        await propose(groups)
+    assert trio.current_time() - began < lead_watch.ELECTION_WITHIN_S + 0.2
+
+
 class SlowPeers(CorePeers):
     """Nobody leads, and saying so takes a busy VM a while."""
 
--- a/laburnumsill/daemon/configuration_sharing.py
+++ b/laburnumsill/daemon/configuration_sharing.py
@@ -7,10 +7,10 @@
 """
 
 import abc
-import dataclasses
 import typing
 from collections import abc as collections_abc
 
+import msgspec
 import trio
 
 from laburnumsill.core import clock as clocks
@@ -30,16 +30,14 @@
 
 
 @codec.register("configuration.question")
-@dataclasses.dataclass(frozen=True, slots=True)
-class Question:
+class Question(msgspec.Struct, frozen=True):
     """Asks for the newest document, or the next part of it."""
 
     query: highest_version.PartQuery
 
 
 @codec.register("configuration.confirmed")
-@dataclasses.dataclass(frozen=True, slots=True)
-class Confirmed:
+class Confirmed(msgspec.Struct, frozen=True):
     """What a VM of the core holds, and when that was certainly the newest.
 
     Attributes:
--- a/laburnumsill/daemon/directory.py
+++ b/laburnumsill/daemon/directory.py
@@ -5,9 +5,9 @@
 that they know.
 """
 
-import dataclasses
 from collections import abc
 
+import msgspec
 import trio
 
 from laburnumsill.core import clock as clocks
@@ -30,16 +30,14 @@
 
 
 @codec.register("directory.ask")
-@dataclasses.dataclass(frozen=True, slots=True)
-class CoreQuestion:
+class CoreQuestion(msgspec.Struct, frozen=True):
     """Asks which VMs of the core are known."""
 
     asker: str
 
 
 @codec.register("directory.answer")
-@dataclasses.dataclass(frozen=True, slots=True)
-class CoreAnswer:
+class CoreAnswer(msgspec.Struct, frozen=True):
     """The VMs of the core that are known."""
 
     vms: tuple[str, ...]
--- a/laburnumsill/state/highest_version.py
+++ b/laburnumsill/state/highest_version.py
@@ -9,9 +9,10 @@
 that no part takes long on a slow link.
 """
 
-import dataclasses
 import zlib
 
+import msgspec
+
 from laburnumsill.core import codec
 from laburnumsill.core import errors
 from laburnumsill.core import replication
@@ -47,8 +48,7 @@
 
 
 @codec.register("highest-version.put")
-@dataclasses.dataclass(frozen=True, slots=True)
-class PutDocument:
+class PutDocument(msgspec.Struct, frozen=True):
     """Puts a document, compressed, in force if its version is the highest."""
 
     version: int
@@ -56,22 +56,19 @@
 
 
 @codec.register("highest-version.put-answer")
-@dataclasses.dataclass(frozen=True, slots=True)
-class PutAnswer:
+class PutAnswer(msgspec.Struct, frozen=True):
     """The version that is in force after a put."""
 
     version_in_force: int
 
 
 @codec.register("highest-version.query")
-@dataclasses.dataclass(frozen=True, slots=True)
-class DocumentQuery:
+class DocumentQuery(msgspec.Struct, frozen=True):
     """Asks for the whole document in force."""
 
 
 @codec.register("highest-version.document")
-@dataclasses.dataclass(frozen=True, slots=True)
-class Document:
+class Document(msgspec.Struct, frozen=True):
     """The document in force.
 
     Attributes:
@@ -84,8 +81,7 @@
 
 
 @codec.register("highest-version.part-query")
-@dataclasses.dataclass(frozen=True, slots=True)
-class PartQuery:
+class PartQuery(msgspec.Struct, frozen=True):
     """Asks for the next part of the document in force.
 
     Attributes:
@@ -100,8 +96,7 @@
 
 
 @codec.register("highest-version.part")
-@dataclasses.dataclass(frozen=True, slots=True)
-class Part:
+class Part(msgspec.Struct, frozen=True):
     """A part of the document in force.
 
     Attributes:
