--- a/laburnumsill/batch/model.py
+++ b/laburnumsill/batch/model.py
@@ -55,15 +55,19 @@
             >>> Resources(1000, 64, 2).times_in(Resources(9000, 640, 8))
             4
         """
-        # Written out: the planner asks this for each worker and unit.
+        # Without calls: the planner asks this for each worker and unit.
         times = UNBOUNDED
         if self.cpu_millis > 0:
-            times = min(times, room.cpu_millis // self.cpu_millis)
+            times = room.cpu_millis // self.cpu_millis
         if self.memory_mb > 0:
-            times = min(times, room.memory_mb // self.memory_mb)
+            fitting = room.memory_mb // self.memory_mb
+            if fitting < times:
+                times = fitting
         if self.accelerators > 0:
-            times = min(times, room.accelerators // self.accelerators)
-        return max(0, times)
+            fitting = room.accelerators // self.accelerators
+            if fitting < times:
+                times = fitting
+        return times if times > 0 else 0
 
 
 UNBOUNDED = 1_000_000
