--- a/laburnumsill/emulator/days.py
+++ b/laburnumsill/emulator/days.py
@@ -27,6 +27,7 @@
     "tana-shore": loads.TANA_SHORE,
     "fingal": loads.FINGAL,
     "further": loads.FURTHER,
+    "wide": loads.WIDE,
 }
 """The shapes of known sites."""
 
--- a/laburnumsill/emulator/load.py
+++ b/laburnumsill/emulator/load.py
@@ -194,6 +194,49 @@
 memory is scarce: a renewal's task takes half of a worker's."""
 
 
+def _wide_kinds() -> tuple[Kind, ...]:
+    """Returns the kinds of the site of hundreds of workers."""
+    sweep, urgent, batch = _kinds(
+        (52, 15, 11), (2.14, 5.49, 1.69), (27, 31), 0.2
+    )
+    return (
+        dataclasses.replace(
+            sweep,
+            width=13,
+            longest_width=76,
+            memory_mb=140_000,
+            estimate_spread=0.2,
+            uneven=0.15,
+        ),
+        dataclasses.replace(
+            urgent, width=5.3, longest_width=32, memory_mb=31_000, uneven=0.3
+        ),
+        dataclasses.replace(
+            batch,
+            width=38,
+            longest_width=230,
+            work_s=7.6,
+            memory_mb=16_000,
+            estimate_spread=0.9,
+            uneven=0.15,
+        ),
+    )
+
+
+WIDE = Shape(
+    23,
+    12,
+    model.Resources(128_000, 262_144, 8),
+    _wide_kinds(),
+    0.4,
+    checkpoint_s=0.5,
+    restore_s=0.6,
+    guaranteed=60,
+)
+"""Hut booking over many halls: hundreds of workers, urgent gangs that want
+whole workers of one rack, and batches that lie on a few accelerators of each."""
+
+
 def with_load(
     kind: Kind, capacity: model.Resources, workers: int, share: float
 ) -> Kind:
