--- a/laburnumsill/daemon/role_main.py
+++ b/laburnumsill/daemon/role_main.py
@@ -8,10 +8,15 @@
 import os
 import pathlib
 import sys
+from collections import abc
+
+from laburnumsill.core import errors
+from laburnumsill.core import logs
+from laburnumsill.daemon import role_settings
+from laburnumsill.daemon import running
 
 SETTINGS_VARIABLE = "LABURNUMSILL_NODE_FILE"
 ROLES = ("entry", "core")
-EXIT_BAD_ARGUMENTS = 2
 
 
 def main() -> None:
@@ -25,12 +30,34 @@
             f" the variable {SETTINGS_VARIABLE} names the file",
             file=sys.stderr,
         )
-        sys.exit(EXIT_BAD_ARGUMENTS)
-    # Modules stay until the end: collections while they load find nothing.
-    gc.disable()
-    from laburnumsill.daemon import role_process
+        sys.exit(running.EXIT_BAD_SETTINGS)
+    sys.exit(run(arguments[0], pathlib.Path(path)))
+
+
+def run(role: str, path: pathlib.Path) -> int:
+    """Runs one daemon and returns its exit code."""
+    try:
+        settings = role_settings.load(path)
+    except errors.LaburnumsillError as error:
+        print(f"laburnumsill {role}: {error.detail}", file=sys.stderr)
+        return running.EXIT_BAD_SETTINGS
+    logs.set_up_bounded(settings.log_level, settings.name, sys.stdout)
+    main_task = _daemon(role, path, settings)
+    gc.freeze()  # modules stay until the end, so nothing looks at them again
+    return running.run(main_task)
+
+
+def _daemon(
+    role: str, path: pathlib.Path, settings: role_settings.RoleSettings
+) -> abc.Callable[[], abc.Awaitable[None]]:
+    """Returns the coroutine function of a role, importing only its parts."""
+    if role == "entry":
+        from laburnumsill.daemon import entry_role
+
+        return entry_role.EntryDaemon(path, settings).run
+    from laburnumsill.daemon import core_role
 
-    sys.exit(role_process.run(arguments[0], pathlib.Path(path)))
+    return core_role.CoreDaemon(path, settings).run
 
 
 if __name__ == "__main__":
--- a/laburnumsill/daemon/tests/test_role_settings.py
+++ b/laburnumsill/daemon/tests/test_role_settings.py
@@ -3,7 +3,7 @@
 import pytest
 
 from laburnumsill.core import errors
-from laburnumsill.daemon import role_process
+from laburnumsill.daemon import role_main
 from laburnumsill.daemon import role_settings
 from laburnumsill.daemon import running
 
@@ -54,7 +54,7 @@
 
 def test_a_bad_file_ends_the_program_with_2(tmp_path, capsys):
     missing = tmp_path / "missing.toml"
-    assert role_process.run("core", missing) == running.EXIT_BAD_SETTINGS
+    assert role_main.run("core", missing) == running.EXIT_BAD_SETTINGS
     assert "missing.toml" in capsys.readouterr().err
 
 
--- a/laburnumsill/emulator/load.py
+++ b/laburnumsill/emulator/load.py
@@ -234,7 +234,7 @@
     guaranteed=60,
 )
 """Hut booking over many halls: hundreds of workers, urgent gangs that want
-whole workers of one rack, and batches that lie on a few accelerators of each."""
+whole workers of one rack, and wide batches of single accelerators."""
 
 
 def with_load(
--- a/laburnumsill/emulator/main.py
+++ b/laburnumsill/emulator/main.py
@@ -44,7 +44,7 @@
 
         Args:
             seed: Of everything that is random; it repeats the day.
-            site: `tana-shore`, `fingal`, `further` or `drawn`.
+            site: `tana-shore`, `fingal`, `further`, `wide` or `drawn`.
             load: Multiple of the usual rates of jobs.
             trouble: What may come, with commas between: lead, lost, late,
                 cut, hang, fail, crash; or `all`.
