--- a/laburnumsill/emulator/load.py
+++ b/laburnumsill/emulator/load.py
@@ -206,10 +206,9 @@
             longest_width=76,
             memory_mb=140_000,
             estimate_spread=0.2,
-            uneven=0.15,
         ),
         dataclasses.replace(
-            urgent, width=5.3, longest_width=32, memory_mb=31_000, uneven=0.3
+            urgent, width=5.3, longest_width=32, memory_mb=31_000
         ),
         dataclasses.replace(
             batch,
