--- a/laburnumsill/batch/commands.py
+++ b/laburnumsill/batch/commands.py
@@ -1,8 +1,9 @@
 """Commands of the job ledger that only its scheduler gives."""
 
-import dataclasses
 import enum
 
+import msgspec
+
 from laburnumsill.batch import model
 from laburnumsill.core import codec
 
@@ -21,8 +22,7 @@
 
 
 @codec.register("batch.placement")
-@dataclasses.dataclass(frozen=True, slots=True)
-class Placement:
+class Placement(msgspec.Struct, frozen=True):
     """The worker on which a run is to be started."""
 
     run: model.RunId
@@ -34,8 +34,7 @@
 
 
 @codec.register("batch.place")
-@dataclasses.dataclass(frozen=True, slots=True)
-class PlaceRuns:
+class PlaceRuns(msgspec.Struct, frozen=True):
     """Assigns runs to workers; each group is taken whole or not at all."""
 
     groups: tuple[Group, ...]
@@ -43,16 +42,14 @@
 
 
 @codec.register("batch.placed")
-@dataclasses.dataclass(frozen=True, slots=True)
-class Placed:
+class Placed(msgspec.Struct, frozen=True):
     """Whether each group was taken, and why not where it was not."""
 
     refusals: tuple[str, ...]
 
 
 @codec.register("batch.ended-run")
-@dataclasses.dataclass(frozen=True, slots=True)
-class EndedRun:
+class EndedRun(msgspec.Struct, frozen=True):
     """The end of a run as its worker lists it.
 
     Attributes:
@@ -69,8 +66,7 @@
 
 
 @codec.register("batch.note-ends")
-@dataclasses.dataclass(frozen=True, slots=True)
-class NoteEnds:
+class NoteEnds(msgspec.Struct, frozen=True):
     """Takes note of ends; only then may the worker forget them."""
 
     worker_id: str
@@ -79,8 +75,7 @@
 
 
 @codec.register("batch.release")
-@dataclasses.dataclass(frozen=True, slots=True)
-class Release:
+class Release(msgspec.Struct, frozen=True):
     """A run that certainly does not run and never will.
 
     Attributes:
@@ -97,8 +92,7 @@
 
 
 @codec.register("batch.release-runs")
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReleaseRuns:
+class ReleaseRuns(msgspec.Struct, frozen=True):
     """Frees what runs held that were never started or are lost."""
 
     releases: tuple[Release, ...]
@@ -106,8 +100,7 @@
 
 
 @codec.register("batch.seen-run")
-@dataclasses.dataclass(frozen=True, slots=True)
-class SeenRun:
+class SeenRun(msgspec.Struct, frozen=True):
     """A run that its worker listed as running."""
 
     run: model.RunId
@@ -115,16 +108,14 @@
 
 
 @codec.register("batch.note-running")
-@dataclasses.dataclass(frozen=True, slots=True)
-class NoteRunning:
+class NoteRunning(msgspec.Struct, frozen=True):
     """Takes note of runs that were seen running, and of their progress."""
 
     seen: tuple[SeenRun, ...]
 
 
 @codec.register("batch.put-worker")
-@dataclasses.dataclass(frozen=True, slots=True)
-class PutWorker:
+class PutWorker(msgspec.Struct, frozen=True):
     """Makes a worker known, or changes what is known of it.
 
     Attributes:
@@ -138,8 +129,7 @@
 
 
 @codec.register("batch.remove-worker")
-@dataclasses.dataclass(frozen=True, slots=True)
-class RemoveWorker:
+class RemoveWorker(msgspec.Struct, frozen=True):
     """Forgets a worker that is gone; its runs are lost.
 
     Attributes:
@@ -157,8 +147,7 @@
 
 
 @codec.register("batch.forget-jobs")
-@dataclasses.dataclass(frozen=True, slots=True)
-class ForgetJobs:
+class ForgetJobs(msgspec.Struct, frozen=True):
     """Forgets the jobs and workers that ended before a time."""
 
     ended_before_ms: int
--- a/laburnumsill/batch/intake.py
+++ b/laburnumsill/batch/intake.py
@@ -5,9 +5,10 @@
 and that it drains, is committed; plain heartbeats are not.
 """
 
-import dataclasses
 from collections import abc
 
+import msgspec
+
 from laburnumsill.batch import commands
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
@@ -23,8 +24,7 @@
 
 
 @codec.register("intake.announcement")
-@dataclasses.dataclass(frozen=True, slots=True)
-class Announcement:
+class Announcement(msgspec.Struct, frozen=True):
     """What a worker says of itself.
 
     Attributes:
@@ -39,16 +39,14 @@
 
 
 @codec.register("intake.departure")
-@dataclasses.dataclass(frozen=True, slots=True)
-class Departure:
+class Departure(msgspec.Struct, frozen=True):
     """A worker has ended."""
 
     worker_id: str
 
 
 @codec.register("intake.taken")
-@dataclasses.dataclass(frozen=True, slots=True)
-class Taken:
+class Taken(msgspec.Struct, frozen=True):
     """The leader took note."""
 
     leader: str
--- a/laburnumsill/batch/model.py
+++ b/laburnumsill/batch/model.py
@@ -1,7 +1,5 @@
 """What a job is: resources, steps, and the names of tasks and runs."""
 
-import dataclasses
-
 import msgspec
 
 from laburnumsill.core import codec
@@ -79,8 +77,7 @@
 
 
 @codec.register("batch.step")
-@dataclasses.dataclass(frozen=True, slots=True)
-class Step:
+class Step(msgspec.Struct, frozen=True):
     """Tasks of one kind within a job.
 
     Attributes:
@@ -125,8 +122,7 @@
 
 
 @codec.register("batch.queue-terms")
-@dataclasses.dataclass(frozen=True, slots=True)
-class QueueTerms:
+class QueueTerms(msgspec.Struct, frozen=True):
     """What a job's queue promised when the job was accepted.
 
     Attributes:
@@ -146,8 +142,7 @@
 
 
 @codec.register("batch.job")
-@dataclasses.dataclass(frozen=True, slots=True)
-class Job:
+class Job(msgspec.Struct, frozen=True):
     """A job as it was submitted.
 
     Attributes:
@@ -238,8 +233,7 @@
 
 
 @codec.register("batch.worker")
-@dataclasses.dataclass(frozen=True, slots=True)
-class Worker:
+class Worker(msgspec.Struct, frozen=True):
     """One incarnation of a worker.
 
     Attributes:
--- a/laburnumsill/batch/tests/test_planner.py
+++ b/laburnumsill/batch/tests/test_planner.py
@@ -1,5 +1,7 @@
 import dataclasses
 
+import msgspec
+
 from laburnumsill.batch import caller_commands
 from laburnumsill.batch import commands
 from laburnumsill.batch import model
@@ -248,8 +250,8 @@
 def patient_job(job_id, tasks, **step):
     """Returns a job with seconds to spare."""
     one = planned_site.job(job_id, tasks, 1, priority=2, **step)
-    terms = dataclasses.replace(one.terms, target_ms=5_000)
-    return dataclasses.replace(one, terms=terms)
+    terms = msgspec.structs.replace(one.terms, target_ms=5_000)
+    return msgspec.structs.replace(one, terms=terms)
 
 
 def test_tasks_that_can_wait_leave_headroom_for_urgent_jobs():
--- a/laburnumsill/batch/tests/test_waiting_gangs.py
+++ b/laburnumsill/batch/tests/test_waiting_gangs.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import msgspec
+
 from laburnumsill.batch import caller_commands
 from laburnumsill.batch import commands
 from laburnumsill.batch import planner
@@ -238,8 +240,8 @@
 def lasting(job, task_ms):
     """Returns a job whose tasks are declared to take so long."""
     (step,) = job.steps
-    step = dataclasses.replace(step, estimated_ms=task_ms)
-    return dataclasses.replace(job, steps=(step,))
+    step = msgspec.structs.replace(step, estimated_ms=task_ms)
+    return msgspec.structs.replace(job, steps=(step,))
 
 
 def test_short_tasks_use_room_that_is_kept_for_later():
--- a/laburnumsill/batch/tests/test_worker_incarnations.py
+++ b/laburnumsill/batch/tests/test_worker_incarnations.py
@@ -1,7 +1,6 @@
 """Announcements that arrive after later ones, or after their sender's end."""
 
-import dataclasses
-
+import msgspec
 import pytest
 import trio
 import trio.testing
@@ -121,7 +120,7 @@
 
     async def script(site):
         known = site.pool.workers["w0-0"].worker
-        stray = dataclasses.replace(known, pool="nobody's")
+        stray = msgspec.structs.replace(known, pool="nobody's")
         with pytest.raises(errors.ConflictError):
             await site.intakes["vm2"].announce(
                 intakes.Announcement(stray, 9, None)
@@ -140,7 +139,9 @@
 
     async def script(site):
         known = site.pool.workers["w0-0"].worker
-        stray = dataclasses.replace(known, pool="nobody's", worker_id="stray")
+        stray = msgspec.structs.replace(
+            known, pool="nobody's", worker_id="stray"
+        )
         site.client.cut = {"stray"}
         await site.intakes["vm2"].announce(intakes.Announcement(stray, 9, None))
         assert "stray" in site.ledger.workers
@@ -199,7 +200,7 @@
         await trio.sleep(1.0)
         old = site.pool.workers["w0-0"].worker
         if draining:
-            old = dataclasses.replace(old, draining=True)
+            old = msgspec.structs.replace(old, draining=True)
             site.announce(old, 90)
         site.pool.workers["w0-0"].vanish()
         reborn = site.add_worker("reborn", 0, old.address)
@@ -257,7 +258,7 @@
 
         site.client.report = noted
         known = site.pool.workers["w0-0"].worker
-        stray = dataclasses.replace(
+        stray = msgspec.structs.replace(
             known, pool="nobody's", worker_id="stray", address="elsewhere"
         )
         site.add_worker("w0-1", 0)
--- a/laburnumsill/consensus/host_messages.py
+++ b/laburnumsill/consensus/host_messages.py
@@ -1,14 +1,13 @@
 """What the hosts of replicas say to each other besides Raft messages."""
 
-import dataclasses
+import msgspec
 
 from laburnumsill.consensus import types
 from laburnumsill.core import codec
 
 
 @codec.register("host.transfer")
-@dataclasses.dataclass(frozen=True, slots=True)
-class TransferOrder:
+class TransferOrder(msgspec.Struct, frozen=True):
     """Asks the leader of a group to hand its lead over.
 
     Attributes:
@@ -23,8 +22,7 @@
 
 
 @codec.register("host.hello")
-@dataclasses.dataclass(frozen=True, slots=True)
-class Hello:
+class Hello(msgspec.Struct, frozen=True):
     """A replica that is in no membership it knows of presents itself.
 
     Attributes:
@@ -39,8 +37,7 @@
 
 
 @codec.register("host.hello-answer")
-@dataclasses.dataclass(frozen=True, slots=True)
-class HelloAnswer:
+class HelloAnswer(msgspec.Struct, frozen=True):
     """What another host knows of the group.
 
     Attributes:
--- a/laburnumsill/emulator/load.py
+++ b/laburnumsill/emulator/load.py
@@ -10,6 +10,8 @@
 import statistics
 from collections import abc
 
+import msgspec
+
 from laburnumsill.batch import model
 
 ACCOUNTS = ("a", "b", "c", "d")
@@ -337,7 +339,7 @@
         steps.append(_step(shape, source, kind, (0,)))
     work = tuple(_skewed(source, kind.work_s, kind.work_spread) for _ in steps)
     guessed = tuple(
-        dataclasses.replace(
+        msgspec.structs.replace(
             step,
             estimated_ms=int(
                 1000 * seconds * source.lognormvariate(0, kind.estimate_spread)
--- a/laburnumsill/platform/tests/soak/site.py
+++ b/laburnumsill/platform/tests/soak/site.py
@@ -6,6 +6,7 @@
 import shutil
 import zlib
 
+import msgspec
 import trio
 
 from laburnumsill.batch import model
@@ -203,7 +204,9 @@
         app.worker.vanish()
         self.incarnations += 1
         app.worker = self.pool.add(
-            dataclasses.replace(old, worker_id=f"{name}-{self.incarnations}"),
+            msgspec.structs.replace(
+                old, worker_id=f"{name}-{self.incarnations}"
+            ),
             self._behaviour(),
         )
         self.announcers[name].sequence = 0
--- a/laburnumsill/platform/tests/test_roles.py
+++ b/laburnumsill/platform/tests/test_roles.py
@@ -3,10 +3,10 @@
 Each VM has a loopback address of its own, since its address is its id.
 """
 
-import dataclasses
 import pathlib
 import shutil
 
+import msgspec
 import pytest
 import trio
 
@@ -488,7 +488,9 @@
     old = site.pool.workers["w0"]
     late = standin.heartbeat(old, 10**6)
     old.vanish()
-    reborn = site.pool.add(dataclasses.replace(old.worker, worker_id="reborn"))
+    reborn = site.pool.add(
+        msgspec.structs.replace(old.worker, worker_id="reborn")
+    )
     site.apps["w0"].worker = reborn
     site.nursery.start_soon(site._announce, reborn)
     for vm in site.seeds:
