--- a/laburnumsill/wire/failures.py
+++ b/laburnumsill/wire/failures.py
@@ -40,6 +40,13 @@
     title = "The connection was lost"
 
 
+class ConnectionIdleError(ConnectionLostError):
+    """This VM has left a connection that it did not use any more."""
+
+    slug = "connection-idle"
+    title = "The connection was not in use"
+
+
 class PeerListenError(WireError):
     """The peer address cannot be listened on."""
 
--- a/laburnumsill/wire/network.py
+++ b/laburnumsill/wire/network.py
@@ -305,7 +305,7 @@
 
     def _tick(self, connection: connections.Connection, late: bool) -> None:
         if self._on_demand and connection.idle_s > IDLE_S:
-            connection.lose(failures.ConnectionLostError("not in use"))
+            connection.lose(failures.ConnectionIdleError("not in use"))
         else:
             connection.tick(late)
 
@@ -416,7 +416,10 @@
             self._finished = _sum(self._finished, connection.traffic)
             if peer.connection is None and vm not in self._addresses:
                 self._peers.pop(vm, None)
-        _report("peer-lost", vm, reason)
+        if isinstance(reason, failures.ConnectionIdleError):
+            logs.event("peer-left", peer=vm)
+        else:
+            _report("peer-lost", vm, reason)
 
     def _publish(self) -> None:
         """Adds what went over the connections since the last time."""
