consensus: have a VM confirm its lead before an entry sends it a command

Ruled out: a shorter limit of silence (a busy VM is silent for as long). Change: an entry first asks for a confirmation of the lead, a read of nothing that a majority confirms; without an answer nothing was sent, so another VM is tried or the caller is told truthfully that its job does not run. It costs a round trip and a heartbeat round for each command, some milliseconds. The new test fails on the code before.

--- a/laburnumsill/consensus/engine_errors.py
+++ b/laburnumsill/consensus/engine_errors.py
@@ -27,6 +27,13 @@
         self.leader = leader
 
 
+class LeadUnconfirmedError(errors.NoQuorumError):
+    """A VM did not confirm that it leads, so no command was sent to it."""
+
+    slug = "lead-unconfirmed"
+    title = "The lead was not confirmed"
+
+
 class NoRoomError(errors.UnavailableError):
     """So many disks are full that nothing could be committed."""
 
--- a/laburnumsill/consensus/host_forward.py
+++ b/laburnumsill/consensus/host_forward.py
@@ -35,6 +35,8 @@
 NOT_COMMITTED = (errors.UnavailableError, errors.DeadlinePassedError)
 """Failures after which a command was certainly not committed."""
 
+CONFIRMATION = codec.encode(replication.Confirmation())
+
 Locally = abc.Callable[[float], abc.Awaitable[forwarded.Outcome]]
 
 
@@ -125,6 +127,8 @@
                 last = error
                 if isinstance(error, engine_errors.NotLeaderError):
                     watch.heard(vm)
+                elif isinstance(error, engine_errors.LeadUnconfirmedError):
+                    watch.unanswered(vm, self._clock.monotonic())
             except errors.LaburnumsillError as error:
                 maybe = last = error
                 watch.unanswered(vm, self._clock.monotonic())
@@ -160,13 +164,39 @@
     async def _attempt(self, vm: str, errand: Errand) -> forwarded.Outcome:
         if vm == self._me:
             return await errand.locally(errand.deadline)
-        deadline = errand.deadline
-        if self._attempt_s is not None:
-            attempt_s = self._watch(errand.group).attempt_s
-            deadline = min(deadline, self._clock.monotonic() + attempt_s)
+        if self._attempt_s is not None and not errand.harmless:
+            await self._confirm_lead(vm, errand)
+        deadline = self._attempt_until(errand)
         answer = await self._peers.call(vm, errand.request, deadline)
         return outcome_of(answer)
 
+    async def _confirm_lead(self, vm: str, errand: Errand) -> None:
+        """Has a VM confirm that it leads, before it is sent a command.
+
+        The load that this is for: the core loses power, or its leader is cut
+        off, and calls come before that shows. A command that was sent there
+        may have been carried out, and its caller could not safely try again; a
+        question without an answer leaves it known that nothing was.
+
+        Raises:
+            engine_errors.LeadUnconfirmedError: No answer came.
+            errors.UnavailableError: It does not lead.
+        """
+        deadline = self._attempt_until(errand)
+        wall = self._clock.wall_deadline(deadline)
+        question = forwarded.ForwardedQuery(errand.group, CONFIRMATION, wall)
+        try:
+            await self._peers.call(vm, question, deadline)
+        except errors.OutcomeUnknownError as error:
+            raise engine_errors.LeadUnconfirmedError(error.detail) from error
+
+    def _attempt_until(self, errand: Errand) -> float:
+        """Returns until when one VM's answer is waited for, monotonic."""
+        if self._attempt_s is None:
+            return errand.deadline
+        attempt_s = self._watch(errand.group).attempt_s
+        return min(errand.deadline, self._clock.monotonic() + attempt_s)
+
     def _give_up_at(self, errand: Errand) -> float:
         """Returns until when an errand looks for a leader, monotonic."""
         if self._attempt_s is None:
--- a/laburnumsill/consensus/tests/test_lead_watch.py
+++ b/laburnumsill/consensus/tests/test_lead_watch.py
@@ -135,20 +135,67 @@
     assert await propose(groups) < 0.4
 
 
+class FreezingPeers(CorePeers):
+    """The leader confirms its lead, and freezes at the command after that."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.freezes = False
+        self.commands: list[str] = []
+
+    async def call(self, vm, request, deadline):
+        if isinstance(request, forwarded.ForwardedProposal):
+            self.commands.append(vm)
+            if self.freezes and vm == self.leader:
+                self.leader = ""
+                self.silent = {vm}
+        return await super().call(vm, request, deadline)
+
+
 async def test_an_unknown_outcome_is_asked_about_until_it_is_known(
     autojump_clock,
 ):
-    """The load: a command is sent to a leader that freezes with all others.
+    """The load: the leader freezes just when a command has been sent to it.
 
     Its caller could not safely try again, so it is sent anew, which changes
     nothing if it was carried out, for as long as the caller waits.
     """
-    peers = CorePeers()
+    peers = FreezingPeers()
     groups = groups_over(peers)
-    await lose_leader(peers, groups, 2.2)
+    for _ in range(10):
+        await propose(groups)
+    peers.freezes = True
+
+    async def elect() -> None:
+        await trio.sleep(2.2)
+        peers.freezes = False
+        peers.leader = peers.named = "b"
+
+    trio.lowlevel.spawn_system_task(elect)
     assert 2.0 < await propose(groups) < 2.6
 
 
+async def test_no_command_is_sent_to_a_leader_that_does_not_confirm_its_lead(
+    autojump_clock,
+):
+    """The load: calls come while the leader has just lost power.
+
+    What was not sent is known not to be carried out, so a caller is told that
+    its job does not run, and may try again at once.
+    """
+    peers = FreezingPeers()
+    groups = groups_over(peers)
+    for _ in range(10):
+        await propose(groups)
+    peers.leader, peers.silent, peers.named = "", {"a"}, None
+    peers.commands.clear()
+    for _ in range(5):
+        with pytest.raises(errors.NoQuorumError):
+            await propose(groups)
+        await trio.sleep(0.3)
+    assert peers.commands == []
+
+
 async def test_what_was_certainly_not_taken_is_refused_long_before_its_deadline(
     autojump_clock,
 ):
--- a/laburnumsill/core/replication.py
+++ b/laburnumsill/core/replication.py
@@ -9,6 +9,8 @@
 import typing
 from collections import abc as collections_abc
 
+import msgspec
+
 from laburnumsill.core import codec
 from laburnumsill.core import errors
 
@@ -51,6 +53,14 @@
         """Replaces the state of this part by one that `dump` returned."""
 
 
+@codec.register("replication.confirmation")
+class Confirmation(msgspec.Struct, frozen=True):
+    """Asks for nothing but what each answer says: that the lead is confirmed.
+
+    All state machines answer it, with None.
+    """
+
+
 @codec.register("replication.snapshot")
 @dataclasses.dataclass(frozen=True, slots=True)
 class MachineSnapshot:
@@ -98,6 +108,8 @@
 
     def query(self, query: object) -> object:
         """Answers a query from the present state."""
+        if isinstance(query, Confirmation):
+            return None
         handler = self._queries.get(type(query))
         if handler is None:
             raise errors.LaburnumsillError(f"no handler for {query!r}")
