batch: tell failing workers by a sequential test

Change: batch.failure_evidence weighs a failure by how often runs of its queue and job fail on sound workers, and by how many workers were found lately; all of it is observed. A failure in a queue that seldom fails tells a worker at once; a job that fails everywhere tells nothing; the rule of two jobs is what is left before anything was seen.

--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -343,12 +343,13 @@
         step = record.job.steps[end.run.task.step]
         now = self._term.clock.monotonic()
         health = self._term.health
-        if health.note_end(self._state.worker_id, end, step, now):
+        queue = record.job.queue
+        if health.note_end(self._state.worker_id, end, step, now, queue):
             logs.event(
                 "worker-set-aside",
                 "WARNING",
                 worker=self._state.worker_id,
-                reason="different jobs failed on it",
+                reason="it probably fails what it runs",
                 run=end.run,
             )
 
--- a/laburnumsill/batch/worker_health.py
+++ b/laburnumsill/batch/worker_health.py
@@ -10,15 +10,11 @@
 from collections import abc
 
 from laburnumsill.batch import commands
+from laburnumsill.batch import failure_evidence
 from laburnumsill.batch import model
 from laburnumsill.batch import worker_client
 from laburnumsill.batch import worker_speeds
 
-FAILING_JOBS = 2
-"""A worker on which so many different jobs failed one after the other, with
-nothing done in between, is set aside: of the users' jobs one in twenty fails
-by itself, so two in a row are the worker's doing."""
-
 SET_ASIDE_S = 4.0
 """How long a failing or hanging worker gets nothing, at first; the users'
 troubles of this kind last 5 to 7 s."""
@@ -52,14 +48,12 @@
     """What is known of one worker.
 
     Attributes:
-        failed_jobs: Jobs that failed there since something was done there.
         aside_until: It gets nothing before this point, monotonic.
         aside_s: How long it was set aside last.
         ratios: Newest run times relative to those of other workers, each
             with when it was seen, monotonic.
     """
 
-    failed_jobs: set[str] = dataclasses.field(default_factory=set)
     aside_until: float = 0.0
     aside_s: float = 0.0
     ratios: collections.deque[tuple[float, float]] = dataclasses.field(
@@ -82,6 +76,7 @@
         self._seen: dict[model.RunId, _Seen] = {}
         self._failed_on: dict[model.TaskId, set[str]] = {}
         self._durations: dict[model.StepKey, list[float]] = {}
+        self._evidence = failure_evidence.FailureEvidence()
 
     def set_aside(self, worker_id: str, now: float) -> bool:
         """Returns whether a worker is to get nothing now."""
@@ -110,6 +105,7 @@
             del self._failed_on[task]
         for key in [key for key in self._durations if key[0] not in jobs]:
             del self._durations[key]
+        self._evidence.keep_jobs(jobs)
 
     def note_end(
         self,
@@ -117,12 +113,21 @@
         end: commands.EndedRun,
         step: model.Step,
         now: float,
+        queue: str = "",
     ) -> bool:
-        """Takes note of an end; returns whether the worker is set aside."""
+        """Takes note of an end; returns whether the worker is set aside.
+
+        Args:
+            worker_id: The worker.
+            end: The end.
+            step: The step of the run.
+            now: Monotonic point.
+            queue: Of the job.
+        """
         seen = self._seen.pop(end.run, None)
         standing = self._workers.setdefault(worker_id, _Standing())
         if end.kind is commands.EndKind.DONE:
-            standing.failed_jobs.clear()
+            self._evidence.done(worker_id, queue, end.run.task.job_id)
             standing.aside_s = 0.0
             if seen is not None and step.tells_speed and not end.saved:
                 self._compare(standing, end.run, seen.first_at, now)
@@ -130,8 +135,8 @@
         if end.kind is not commands.EndKind.FAILED:
             return False
         self._failed_on.setdefault(end.run.task, set()).add(worker_id)
-        standing.failed_jobs.add(end.run.task.job_id)
-        if len(standing.failed_jobs) < FAILING_JOBS:
+        job_id = end.run.task.job_id
+        if not self._evidence.failed(worker_id, queue, job_id, now):
             return False
         self._put_aside(standing, now)
         return True
