--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -13,6 +13,7 @@
 import trio
 
 from laburnumsill.batch import commands
+from laburnumsill.batch import contested_workers
 from laburnumsill.batch import learnt as learnt_module
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
@@ -256,7 +257,9 @@
         """Returns what to place; what is to end is being stopped already."""
         self._match_sessions()
         self._stop_unwanted()
-        contested = self._contested()
+        contested = contested_workers.contested(
+            self.ledger.workers.values(), self._context.pools()
+        )
         for worker_id in contested:
             self._sessions[worker_id].verify()
         return self._plan_with(self._usable(contested))
@@ -357,30 +360,6 @@
             and not self._outlook.set_aside(worker_id, now)
         }
 
-    def _contested(self) -> set[str]:
-        """Returns the workers that claim an address which another claims.
-
-        One of them has ended, and which one is not known until the address
-        is asked: a late announcement may be that of the ended one. One whose
-        pool the configuration does not name puts no other in doubt, since
-        anyone may have announced it.
-        """
-        workers = self.ledger.workers.values()
-        if len({worker.address for worker in workers}) == len(workers):
-            return set()
-        claims: dict[str, list[model.Worker]] = {}
-        for worker in workers:
-            claims.setdefault(worker.address, []).append(worker)
-        named = self._context.pools()
-        return {
-            worker.worker_id
-            for claimants in claims.values()
-            if len(claimants) > 1
-            for worker in claimants
-            if worker.pool not in named
-            or sum(other.pool in named for other in claimants) > 1
-        }
-
     def _stopping(self) -> set[model.RunId]:
         found: set[model.RunId] = set()
         for session in self._sessions.values():
--- a/laburnumsill/daemon/light_server.py
+++ b/laburnumsill/daemon/light_server.py
@@ -5,6 +5,7 @@
 HTTP/2, WebSockets, TLS and streams in both directions at a time are left out.
 """
 
+import functools
 import time
 import typing
 import urllib.parse
@@ -22,6 +23,9 @@
 RECEIVE_BYTES = 32_768
 """Headers are refused at the first receipt past their limit."""
 
+READ_WITHIN_S = 60
+"""A caller that has not read an answer by then is given up."""
+
 LINGER_S = 0.5
 """After an early answer the rest of a body is read and dropped for so long,
 since closing a connection with unread bytes resets it."""
@@ -73,7 +77,14 @@
 
     async with trio.open_nursery() as running:
         async with trio.open_nursery() as accepting:
-            accepting.start_soon(_accept, handle, listener, running)
+            accepting.start_soon(
+                functools.partial(
+                    trio.serve_listeners,
+                    handle,
+                    [listener],
+                    handler_nursery=running,
+                )
+            )
             task_status.started([address])
             await stop()
             accepting.cancel_scope.cancel()
@@ -82,14 +93,6 @@
         running.cancel_scope.deadline = trio.current_time() + stop_grace_s
 
 
-async def _accept(
-    handle: abc.Callable[[trio.SocketStream], abc.Awaitable[None]],
-    listener: trio.SocketListener,
-    running: trio.Nursery,
-) -> None:
-    await trio.serve_listeners(handle, [listener], handler_nursery=running)
-
-
 class _ClosedError(errors.LaburnumsillError):
     """The connection has ended."""
 
@@ -184,11 +187,19 @@
             self._http.receive_data(data)
 
     async def write(self, *events: typing.Any) -> None:
-        """Sends events of the protocol in one piece."""
+        """Sends events of the protocol in one piece.
+
+        Raises:
+            _ClosedError: The caller does not read.
+        """
         pieces = (self._http.send(event) for event in events)
         data = b"".join(piece for piece in pieces if piece)
-        if data:
+        if not data:
+            return
+        with trio.move_on_after(READ_WITHIN_S):
             await self._stream.send_all(data)
+            return
+        raise _ClosedError("the caller does not read its answer")
 
     async def _drop_rest(self) -> None:
         """Reads what is left of a request that was answered early."""
--- a/laburnumsill/daemon/tests/test_light_server.py
+++ b/laburnumsill/daemon/tests/test_light_server.py
@@ -24,6 +24,8 @@
         self.hold = trio.Event()
         self.begun = trio.Semaphore(0)
         self.left = trio.Event()
+        self.answer = b"answer"
+        self.answered = trio.Event()
 
     async def app(self, scope, receive, send) -> None:
         self.scopes.append(scope)
@@ -40,7 +42,10 @@
             return
         if scope["path"] == "/held":
             await self.hold.wait()
-        await http.send_answer(send, http.Answer(200, b"answer"))
+        try:
+            await http.send_answer(send, http.Answer(200, self.answer))
+        finally:
+            self.answered.set()
 
     async def run(self, task_status) -> None:
         serve = functools.partial(light_server.serve, task_status=task_status)
@@ -250,3 +255,15 @@
         with trio.fail_after(5):
             await site.ended.wait()
         assert trio.current_time() - began >= GRACE_S
+
+
+async def test_a_caller_that_never_reads_is_given_up(monkeypatch):
+    """It would keep its descriptor, and the answer in memory, for ever."""
+    monkeypatch.setattr(light_server, "READ_WITHIN_S", 0.2)
+    async with served() as site:
+        site.answer = b"x" * 40_000_000
+        caller = await site.connect()
+        await caller.send(GET.format("/"))
+        await site.begun.acquire()
+        with trio.fail_after(5):
+            await site.answered.wait()
