daemon: ask all VMs of the core in turn before a question is given up

Its logs: a leader was there at 25.04 and again at 26.66 s, one entry had its configuration back at 27.83, the other at 28.85. Ruled out: the leader (it scheduled at once), the connections (dialed in time). Change: a question goes from VM to VM, 0.3 s each, 0.9 s in all; a VM of the core waits 0.25 s for the leader.

--- a/laburnumsill/daemon/configuration_lease.py
+++ b/laburnumsill/daemon/configuration_lease.py
@@ -26,8 +26,8 @@
 ASK_AGAIN_S = 0.15
 """First pause after a question without an answer; it grows to `ASK_EVERY_S`."""
 
-ANSWER_WITHIN_S = 0.5
-"""With the pauses, three VMs can be asked before readiness is lost."""
+ANSWER_WITHIN_S = 0.9
+"""Three VMs can be asked in turn, and readiness lasts for two such rounds."""
 
 FRESH_S = 2.0
 """A VM is ready while its last confirmation is not older than this."""
--- a/laburnumsill/daemon/configuration_sharing.py
+++ b/laburnumsill/daemon/configuration_sharing.py
@@ -25,9 +25,12 @@
 of an entry, 0.4 s, it is well within the second for which an entry may refuse
 what its configuration lacks."""
 
-ROUND_WITHIN_S = 0.4
+ROUND_WITHIN_S = 0.25
 """Longest wait for the leader's answer."""
 
+ATTEMPT_S = 0.3
+"""Longest wait for one VM's answer; another one may know a leader."""
+
 
 @codec.register("configuration.question")
 class Question(msgspec.Struct, frozen=True):
@@ -70,7 +73,10 @@
 
 
 class NearbyCore(Source):
-    """Asks one VM of the core, another one where it cannot answer.
+    """Asks one VM of the core, the others in turn where it cannot answer.
+
+    The load that this is for: a VM has ended or gone silent, or knows no
+    leader yet, while another one already follows the next.
 
     Args:
         peers: The connections to the core.
@@ -95,16 +101,24 @@
         self, query: highest_version.PartQuery, deadline: float
     ) -> Confirmed:
         """Asks once, see the base class."""
-        vm = self._choice.next(self._vms(), self._clock.monotonic())
-        if vm is None:
-            raise errors.NoQuorumError("no VM of the core is known")
-        try:
-            answer = await self._peers.call(vm, Question(query), deadline)
-        except errors.LaburnumsillError:
-            self._choice.failed(vm, self._clock.monotonic())
-            raise
-        self._choice.answered(vm, answer.domain)
-        return typing.cast(Confirmed, answer)
+        failure = errors.NoQuorumError("no VM of the core is known")
+        tried: set[str] = set()
+        while (now := self._clock.monotonic()) < deadline:
+            left = [vm for vm in self._vms() if vm not in tried]
+            vm = self._choice.next(left, now)
+            if vm is None:
+                break
+            tried.add(vm)
+            until = min(deadline, now + ATTEMPT_S)
+            try:
+                answer = await self._peers.call(vm, Question(query), until)
+            except errors.LaburnumsillError as error:
+                failure = errors.NoQuorumError(f"{vm}: {error.detail}")
+                self._choice.failed(vm, self._clock.monotonic())
+            else:
+                self._choice.answered(vm, answer.domain)
+                return typing.cast(Confirmed, answer)
+        raise failure
 
 
 class SharedConfirmation:
