batch: give up tasks that crash the workers that start them

Its job stayed "running" for ever.

Cause: only ends that a worker lists count against a task, and a worker that crashes lists none. RemoveWorker took the runs out of the ledger and left no trace on their tasks. Class: a loss without a message counts as nothing.

Ruled out: a count lost with the lead (runs 1 to 7 have one fence, nothing was counted) and workers that crash by themselves (each crash 10 ms after a start).

Change: the ledger blames all tasks of a crashed worker, one that was alone there twice as much (batch.crashes). From two points on a task runs apart from others and one at a time of its step; at five its job fails: three crashes alone, five at most. A run that was given up before the crash was known is blamed once the worker is known to have ended, also if it had been removed for its silence and another has its address. Workers that drained or left blame nobody.

The same cause elsewhere: releases after a lease has ended, and removals for silence, left no trace either; both are covered.

The emulator's oracle judges the bound.

--- a/laburnumsill/batch/commands.py
+++ b/laburnumsill/batch/commands.py
@@ -83,12 +83,14 @@
         worker_id: Where it was placed.
         reason: Why that is certain.
         saved: The newest progress seen, or "".
+        is_lost: Whether the worker has not told what became of it.
     """
 
     run: model.RunId
     worker_id: str
     reason: str
     saved: str = ""
+    is_lost: bool = False
 
 
 @codec.register("batch.release-runs")
@@ -122,10 +124,12 @@
         worker: The worker.
         sequence: Of the announcement that said so; an announcement that was
             overtaken by another changes nothing.
+        at_ms: When the leader heard of it, ms since 1970.
     """
 
     worker: model.Worker
     sequence: int = 0
+    at_ms: int = 0
 
 
 @codec.register("batch.remove-worker")
@@ -138,12 +142,14 @@
         saved: Newest progress of its runs.
         ended_ms: When its incarnation has certainly ended, ms since 1970: it
             is never known again then. 0 if it may only be cut off.
+        crashed: Whether it has ended without having said so before.
     """
 
     worker_id: str
     reason: str
     saved: tuple[SeenRun, ...] = ()
     ended_ms: int = 0
+    crashed: bool = False
 
 
 @codec.register("batch.forget-jobs")
--- a/laburnumsill/batch/intake.py
+++ b/laburnumsill/batch/intake.py
@@ -132,7 +132,8 @@
         if known is not None:
             self._check_pool(known, worker.pool)
         if known != worker:
-            await self._commit(commands.PutWorker(worker, sequence))
+            at_ms = self._clock.wall_ms()
+            await self._commit(commands.PutWorker(worker, sequence, at_ms))
             logs.event(
                 "worker-known",
                 worker=worker.worker_id,
--- a/laburnumsill/batch/ledger.py
+++ b/laburnumsill/batch/ledger.py
@@ -12,6 +12,7 @@
 from laburnumsill.batch import caller_commands
 from laburnumsill.batch import checks
 from laburnumsill.batch import commands
+from laburnumsill.batch import crashes as crash_module
 from laburnumsill.batch import ledger_view
 from laburnumsill.batch import live_runs
 from laburnumsill.batch import model
@@ -40,6 +41,9 @@
     noted: dict[str, int]
     sequences: dict[str, int]
     ended_workers: dict[str, int]
+    crashes: crash_module.Records = dataclasses.field(
+        default_factory=crash_module.Records
+    )
 
 
 class BatchLedger(replication.Component, ledger_view.LedgerView):
@@ -71,6 +75,12 @@
         self._sequences: dict[str, int] = {}
         self._ended_workers: dict[str, int] = {}
         self._active: dict[str, records.JobRecord] = {}
+        self._crashes = crash_module.CrashBook()
+
+    @property
+    def crashes(self) -> crash_module.CrashBook:
+        """Which tasks are blamed for crashes of workers."""
+        return self._crashes
 
     @property
     def jobs(self) -> abc.Mapping[str, records.JobRecord]:
@@ -189,12 +199,15 @@
         for end in command.ends:
             if end.number > noted:
                 noted = end.number
+                self._crashes.explain(command.worker_id, end.run)
                 self._end(end, command.at_ms)
         if not self.has_ended(command.worker_id):
             self._noted[command.worker_id] = noted
 
     def release(self, command: commands.ReleaseRuns) -> None:
         """Frees what lost runs held."""
+        for worker_id in {r.worker_id for r in command.releases if r.is_lost}:
+            self._lose_runs(worker_id)
         for one in command.releases:
             record = self.runs.get(one.run)
             if record is None or record.worker_id != one.worker_id:
@@ -224,15 +237,23 @@
         self._workers[worker_id] = command.worker
         self._slots.clear()
         self._sequences[worker_id] = command.sequence
+        address = command.worker.address
+        for lost_id in self._crashes.lost_at(address, worker_id):
+            if lost_id not in self._workers:
+                runs = self._crashes.settle(lost_id, True, command.at_ms)
+                self._fail_condemned(runs, command.at_ms)
 
     def remove_worker(self, command: commands.RemoveWorker) -> None:
         """Forgets a worker; its runs are lost."""
         for seen in command.saved:
             if seen.run in self.runs:
                 self._save(seen.run, seen.saved)
-        for run in list(self.runs_on(command.worker_id)):
+        known = self._workers.get(command.worker_id)
+        runs = list(self.runs_on(command.worker_id))
+        self._note_loss(command, runs)
+        for run in runs:
             self._remove_run(run)
-        known = self._workers.pop(command.worker_id, None)
+        self._workers.pop(command.worker_id, None)
         self._slots.clear()
         if command.ended_ms:
             self._noted.pop(command.worker_id, None)
@@ -243,6 +264,35 @@
         self._forget_absent(self._noted)
         self._forget_absent(self._sequences)
 
+    def _note_loss(
+        self, command: commands.RemoveWorker, runs: list[model.RunId]
+    ) -> None:
+        """Blames tasks for the end of a worker, now or once it is known."""
+        if not command.ended_ms:
+            self._lose_runs(command.worker_id)
+            return
+        at_ms = command.ended_ms
+        crashed = command.crashed
+        earlier = self._crashes.settle(command.worker_id, crashed, at_ms)
+        if crashed:
+            self._crashes.crash(runs, at_ms)
+            self._fail_condemned([*earlier, *runs], at_ms)
+
+    def _lose_runs(self, worker_id: str) -> None:
+        """Notes that what a worker runs is given up, and it may be up."""
+        worker = self._workers.get(worker_id)
+        if worker is not None and not worker.draining:
+            self._crashes.lose(worker, list(self.runs_on(worker_id)))
+
+    def _fail_condemned(
+        self, runs: abc.Iterable[model.RunId], at_ms: int
+    ) -> None:
+        """Fails the jobs whose tasks have crashed too many workers."""
+        for run in runs:
+            record = self._active.get(run.task.job_id)
+            if record is not None and self._crashes.is_condemned(run.task):
+                self._finish(record, caller_commands.JobState.FAILED, at_ms)
+
     def _forget_absent(self, known: dict[str, int]) -> None:
         """Forgets what is known of the workers that are gone the longest."""
         absent = [one for one in known if one not in self._workers]
@@ -259,6 +309,7 @@
             ended = 0 < record.ended_ms < command.ended_before_ms
             if ended and job_id not in busy:
                 del self._jobs[job_id]
+        self._crashes.keep_jobs(self._active)
 
     def may_forget(self, before_ms: int) -> bool:
         """Returns whether `forget` would find something."""
@@ -294,6 +345,7 @@
                 dict(self._noted),
                 dict(self._sequences),
                 dict(self._ended_workers),
+                self._crashes.records,
             )
         )
 
@@ -312,6 +364,7 @@
         self._noted = dict(snapshot.noted)
         self._sequences = dict(snapshot.sequences)
         self._ended_workers = dict(snapshot.ended_workers)
+        self._crashes = crash_module.CrashBook(snapshot.crashes)
 
     def _place_group(self, group: commands.Group, at_ms: int) -> str:
         """Places a group whole; returns why not, "" if it was placed."""
--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -35,6 +35,10 @@
 """A gang that has waited so long, in ms, while most of its pool is free,
 goes to several racks: nothing else would make use of the room."""
 
+APART_FOR_MS = 1_500
+"""A task that may crash its worker waits so long, in ms, for one that runs
+nothing else; then it goes to the one that runs the least."""
+
 HEADROOM_UNTIL_MS = 1_000
 """Tasks leave headroom while their job could begin so much later and still be
 in time, in ms."""
@@ -168,7 +172,8 @@
     def _place(self, unit: units.Unit) -> None:
         rooms = self._eligible(unit)
         found = [] if self._has_no_room(unit) else self._fit(unit, rooms)
-        if len(found) < len(unit.tasks) and self._may_use_kept_room():
+        may_use_kept = self._may_use_kept_room() and self._may_share(unit)
+        if len(found) < len(unit.tasks) and may_use_kept:
             found = self._fit_into_kept(unit, rooms, found)
         found = self._within_headroom(unit, found)
         self._take(unit, found)
@@ -179,6 +184,8 @@
         if self._view.explain(unit.key):
             self._plan.obstacles[unit.key] = self._obstacle(unit, rooms)
         self._plan.waiting.append(unit)
+        if not self._may_share(unit):
+            return
         if unit.priority == packing.URGENT_PRIORITY:
             self._make_room(unit, rooms)
         elif unit.step.gang:
@@ -186,6 +193,27 @@
 
     def _fit(
         self, unit: units.Unit, rooms: list[room_module.Room]
+    ) -> packing.Assignment:
+        """Returns where a unit fits, apart from others if that can be."""
+        if not self._ledger.crashes.suspects:
+            return self._fit_now(unit, rooms)
+        if unit.apart_since_ms is None:
+            quiet = [room for room in rooms if not room.holds_suspect]
+            found = self._fit_now(unit, quiet)
+            if len(found) == len(unit.tasks) or len(quiet) == len(rooms):
+                return found
+            return self._fit_now(unit, rooms)
+        found = self._fit_now(unit, [room for room in rooms if not room.runs])
+        if found or not self._may_share(unit):
+            return found
+        if unit.step.gang:
+            return self._fit_now(unit, rooms)
+        by_runs = sorted(rooms, key=lambda room: room.runs)
+        tries = (self._fit_now(unit, [room]) for room in by_runs)
+        return next(filter(None, tries), [])
+
+    def _fit_now(
+        self, unit: units.Unit, rooms: list[room_module.Room]
     ) -> packing.Assignment:
         return packing.fit(
             unit,
@@ -195,6 +223,11 @@
             self._may_spread(unit, rooms),
         )
 
+    def _may_share(self, unit: units.Unit) -> bool:
+        """Whether a unit may go where others run."""
+        since_ms = unit.apart_since_ms
+        return since_ms is None or self._view.now_ms >= since_ms + APART_FOR_MS
+
     def _fit_into_kept(
         self,
         unit: units.Unit,
@@ -329,6 +362,8 @@
         placements = []
         for task, room in found:
             room.take(unit.step.needs)
+            room.runs += 1
+            room.holds_suspect |= unit.apart_since_ms is not None
             run = unit.run_of(task)
             placements.append(commands.Placement(run, room.worker.worker_id))
         if unit.step.gang and placements:
--- a/laburnumsill/batch/rooms.py
+++ b/laburnumsill/batch/rooms.py
@@ -18,6 +18,8 @@
         leaving: What runs occupy that are being stopped.
         lasting: What runs occupy that last until their job is cancelled.
         slowness: Run time on the worker relative to others.
+        runs: How many runs it has.
+        holds_suspect: Whether one of them may crash it.
     """
 
     worker: model.Worker
@@ -30,6 +32,8 @@
         default_factory=model.Resources
     )
     slowness: float = 1.0
+    runs: int = 0
+    holds_suspect: bool = False
 
     @property
     def soon_free(self) -> model.Resources:
@@ -76,13 +80,29 @@
         if worker is None or worker.draining:
             continue
         rooms[worker_id] = Room(
-            worker, ledger.free_on(worker_id), slowness=slowness(worker_id)
+            worker,
+            ledger.free_on(worker_id),
+            slowness=slowness(worker_id),
+            runs=len(ledger.runs_on(worker_id)),
         )
+    _mark_suspects(ledger, rooms)
     _add_leaving(ledger, stopping, rooms)
     _add_lasting(ledger, stopping, rooms)
     return rooms
 
 
+def _mark_suspects(
+    ledger: ledgers.BatchLedger, rooms: abc.Mapping[str, Room]
+) -> None:
+    """Marks the rooms in which a task runs that may crash its worker."""
+    for task in ledger.crashes.suspects:
+        run = ledger.live_run(task)
+        record = ledger.runs.get(run) if run is not None else None
+        room = rooms.get(record.worker_id) if record is not None else None
+        if room is not None:
+            room.holds_suspect = True
+
+
 def _add_leaving(
     ledger: ledgers.BatchLedger,
     stopping: abc.Set[model.RunId],
--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -314,28 +314,12 @@
             commands.NoteEnds(self._state.worker_id, ends, at_ms)
         )
         for job_id in concerned:
-            self._log_end(job_id)
+            self._term.log_end(job_id)
         for end in ends:
             self._state.started.pop(end.run, None)
             self._observe_end(end)
         self._term.wake()
 
-    def _log_end(self, job_id: str) -> None:
-        """Writes a line if a job has ended, with what its end is judged by."""
-        record = self._term.ledger.jobs.get(job_id)
-        if record is None or record.active:
-            return
-        logs.event(
-            "job-ended",
-            job=job_id,
-            state=record.state,
-            queue=record.job.queue,
-            account=record.job.account,
-            took_ms=record.ended_ms - record.submitted_ms,
-            stretch=record.job.terms.stretch,
-            target_ms=record.job.terms.target_ms,
-        )
-
     def _observe_end(self, end: commands.EndedRun) -> None:
         record = self._term.ledger.jobs.get(end.run.task.job_id)
         if record is None or record.task(end.run.task) is None:
@@ -406,5 +390,5 @@
     async def _release_all(self, reason: str) -> None:
         runs = self._term.ledger.runs_on(self._state.worker_id)
         await self._state.commit_releases(
-            [self._state.release(r, reason) for r in runs]
+            [self._state.release(run, reason, is_lost=True) for run in runs]
         )
--- a/laburnumsill/batch/term.py
+++ b/laburnumsill/batch/term.py
@@ -8,6 +8,7 @@
 from laburnumsill.batch import worker_health
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import learnt_wait
+from laburnumsill.core import logs
 
 
 class Term(abc.ABC):
@@ -57,3 +58,19 @@
 
         Its failure domain may be cut off, so the others are asked.
         """
+
+    def log_end(self, job_id: str) -> None:
+        """Writes a line if a job has ended, with what its end is judged by."""
+        record = self.ledger.jobs.get(job_id)
+        if record is None or record.active:
+            return
+        logs.event(
+            "job-ended",
+            job=job_id,
+            state=record.state,
+            queue=record.job.queue,
+            account=record.job.account,
+            took_ms=record.ended_ms - record.submitted_ms,
+            stretch=record.job.terms.stretch,
+            target_ms=record.job.terms.target_ms,
+        )
--- /dev/null
+++ b/laburnumsill/batch/tests/test_crashes.py
@@ -0,0 +1,202 @@
+"""Which tasks are blamed for the crashes of workers, and what follows."""
+
+import msgspec
+import pytest
+
+from laburnumsill.batch import commands
+from laburnumsill.batch import crashes
+from laburnumsill.batch import ledger as ledgers
+from laburnumsill.batch import model
+from laburnumsill.batch import planner
+from laburnumsill.batch.tests import planned_site
+from laburnumsill.core import codec
+
+GONE_MS = 5_000
+
+
+def run_of(job_id, number=1, index=0):
+    return model.RunId(model.TaskId(job_id, 0, 0, index), number)
+
+
+def place(ledger, worker_id, *runs):
+    groups = tuple((commands.Placement(run, worker_id),) for run in runs)
+    refusals = ledger.place(commands.PlaceRuns(groups, 0)).refusals
+    assert set(refusals) == {""}
+
+
+def crash(ledger, worker_id, at_ms=GONE_MS):
+    """Has a worker crash, and another one begin at its address."""
+    worker = ledger.workers[worker_id]
+    ledger.remove_worker(
+        commands.RemoveWorker(worker_id, "421", (), at_ms, True)
+    )
+    successor = msgspec.structs.replace(worker, worker_id=worker_id + "x")
+    ledger.put_worker(commands.PutWorker(successor, at_ms=at_ms))
+
+
+def addressed_site():
+    """Returns a site of workers with an address each, and jobs j and k."""
+    ledger = planned_site.site(1, 2)
+    for worker in list(ledger.workers.values()):
+        known = msgspec.structs.replace(worker, address=worker.worker_id)
+        ledger.put_worker(commands.PutWorker(known))
+    planned_site.submit(
+        ledger,
+        planned_site.job("j", 1, 1, priority=1),
+        planned_site.job("k", 1, 1, priority=1),
+    )
+    return ledger
+
+
+def state(ledger, job_id):
+    return str(ledger.jobs[job_id].state)
+
+
+def test_a_task_that_was_alone_at_three_crashes_fails_its_job():
+    ledger = addressed_site()
+    worker_id = "w00"
+    for number in (1, 2, 3):
+        assert state(ledger, "j") != "failed"
+        place(ledger, worker_id, run_of("j", number))
+        crash(ledger, worker_id)
+        worker_id += "x"
+    assert state(ledger, "j") == "failed"
+    assert ledger.jobs["j"].ended_ms == GONE_MS
+    assert state(ledger, "k") == "queued"
+
+
+def test_a_task_that_shares_its_workers_is_borne_longer():
+    ledger = addressed_site()
+    worker_id = "w00"
+    for number in (1, 2, 3, 4, 5):
+        assert state(ledger, "j") != "failed"
+        place(ledger, worker_id, run_of("j", number), run_of("k", number))
+        crash(ledger, worker_id)
+        worker_id += "x"
+    assert state(ledger, "j") == "failed"
+
+
+def test_a_worker_that_leaves_or_drains_blames_nobody():
+    ledger = addressed_site()
+    place(ledger, "w00", run_of("j"))
+    ledger.remove_worker(commands.RemoveWorker("w00", "it left", (), GONE_MS))
+    assert ledger.crashes.blame_of(run_of("j").task) == crashes.UNBLAMED
+
+
+@pytest.mark.parametrize("restarts", [False, True])
+def test_a_run_given_up_before_the_crash_is_known_is_blamed(restarts):
+    """Its lease ended, and only then its worker was found to have crashed."""
+    ledger = addressed_site()
+    place(ledger, "w00", run_of("j"))
+    lost = commands.Release(run_of("j"), "w00", "lease", is_lost=True)
+    ledger.release(commands.ReleaseRuns((lost,), 0))
+    if restarts:
+        restored = ledgers.BatchLedger()
+        restored.load(ledger.dump())
+        ledger = restored
+    assert ledger.crashes.blame_of(run_of("j").task).points == 0
+    crash(ledger, "w00")
+    blame = ledger.crashes.blame_of(run_of("j").task)
+    assert blame == crashes.Blame(crashes.BLAME_ALONE, GONE_MS)
+
+
+def test_a_silent_worker_has_crashed_once_another_has_its_address():
+    ledger = addressed_site()
+    place(ledger, "w00", run_of("j"))
+    worker = ledger.workers["w00"]
+    ledger.remove_worker(commands.RemoveWorker("w00", "silent"))
+    successor = msgspec.structs.replace(worker, worker_id="next")
+    ledger.put_worker(commands.PutWorker(successor, at_ms=GONE_MS))
+    blame = ledger.crashes.blame_of(run_of("j").task)
+    assert blame == crashes.Blame(crashes.BLAME_ALONE, GONE_MS)
+
+
+def test_a_worker_that_tells_at_last_how_a_run_ended_has_not_crashed_by_it():
+    ledger = addressed_site()
+    place(ledger, "w00", run_of("j"))
+    worker = ledger.workers["w00"]
+    ledger.remove_worker(commands.RemoveWorker("w00", "silent"))
+    ledger.put_worker(commands.PutWorker(worker))
+    lapsed = commands.EndedRun(1, run_of("j"), commands.EndKind.LEASE_ENDED)
+    ledger.note_ends(commands.NoteEnds("w00", (lapsed,), 0))
+    crash(ledger, "w00")
+    assert ledger.crashes.blame_of(run_of("j").task) == crashes.UNBLAMED
+
+
+def test_a_snapshot_from_before_crashes_were_counted_is_read():
+    ledger = addressed_site()
+    name, body = msgspec.msgpack.decode(ledger.dump())
+    del body["crashes"]
+    restored = ledgers.BatchLedger()
+    restored.load(msgspec.msgpack.encode((name, body)))
+    assert set(restored.jobs) == {"j", "k"}
+    assert not restored.crashes.suspects
+
+
+def test_commands_from_before_crashes_were_counted_blame_nobody():
+    raw = codec.encode(commands.RemoveWorker("w00", "421", (), GONE_MS))
+    name, body = msgspec.msgpack.decode(raw)
+    del body["crashed"]
+    command = codec.decode(msgspec.msgpack.encode((name, body)))
+    assert not command.crashed
+
+
+def blamed_site(job_id, tasks=(0,), racks=1, per_rack=3, **step):
+    """Returns a site where tasks of a job are suspects."""
+    ledger = planned_site.site(racks, per_rack)
+    count = max(tasks) + 1
+    planned_site.submit(
+        ledger, planned_site.job(job_id, count, 1, priority=1, **step)
+    )
+    for index in tasks:
+        ledger.crashes.crash([run_of(job_id, index=index)], 0)
+    return ledger
+
+
+def plan(ledger, now_ms=0):
+    return planner.plan(planned_site.view(ledger, now_ms=now_ms))
+
+
+def test_a_suspect_goes_to_an_empty_worker_and_others_go_elsewhere():
+    ledger = blamed_site("j")
+    planned_site.occupy(ledger, "w00", "o", 1)
+    planned_site.submit(ledger, planned_site.job("k", 4, 1, priority=2))
+    made = plan(ledger)
+    places = {
+        group[0].run.task.job_id: {placed.worker_id for placed in group}
+        for group in made.groups
+    }
+    assert places["j"].isdisjoint({"w00"} | places["k"])
+
+
+def test_one_suspect_of_a_step_runs_at_a_time():
+    ledger = blamed_site("j", tasks=(0, 1, 2))
+    planned_site.carry_out(ledger, plan(ledger))
+    assert len(ledger.runs) == 1
+    assert not plan(ledger).groups
+
+
+def test_a_suspect_waits_a_while_for_an_empty_worker():
+    ledger = blamed_site("j", per_rack=2)
+    planned_site.occupy(ledger, "w00", "o", 1)
+    planned_site.occupy(ledger, "w01", "p", 1)
+    planned_site.occupy(ledger, "w01", "q", 1)
+    assert not plan(ledger).groups
+    made = plan(ledger, now_ms=planner.APART_FOR_MS)
+    assert planned_site.taken(made) == {"w00"}  # it runs the least
+
+
+def test_others_go_beside_a_suspect_where_nothing_else_has_room():
+    ledger = blamed_site("j", per_rack=1)
+    planned_site.carry_out(ledger, plan(ledger))
+    planned_site.submit(ledger, planned_site.job("k", 1, 1, priority=2))
+    assert planned_site.placed_jobs(plan(ledger)) == {"k"}
+
+
+def test_an_urgent_suspect_stops_nothing_while_it_may_find_an_empty_worker():
+    ledger = planned_site.site(1, 1)
+    planned_site.occupy(ledger, "w00", "o", 8, priority=1)
+    planned_site.submit(ledger, planned_site.job("j", 1, 8))
+    ledger.crashes.crash([run_of("j")], 0)
+    assert not plan(ledger).stops
+    assert plan(ledger, now_ms=planner.APART_FOR_MS).stops
--- a/laburnumsill/batch/units.py
+++ b/laburnumsill/batch/units.py
@@ -25,6 +25,8 @@
         waiting_since_ms: Since when they could run, ms since 1970.
         objective_ms: Until when their job is in time, ms since 1970.
         chain_ms: Expected time of the job's longest chain of steps.
+        apart_since_ms: Since when it is to run apart from others, as it may
+            crash its workers, ms since 1970; None if it need not.
     """
 
     record: records.JobRecord
@@ -34,6 +36,7 @@
     waiting_since_ms: int
     objective_ms: float
     chain_ms: float
+    apart_since_ms: int | None = None
 
     @property
     def step(self) -> model.Step:
@@ -141,15 +144,53 @@
             continue
         if timing is None:
             timing = _timing(ledger, record, occurrence, step_ms)
-        yield Unit(
-            record,
-            occurrence,
-            number,
-            list(tasks),
-            timing.since_ms,
-            timing.objective_ms,
-            timing.chain_ms,
-        )
+        for part, apart_since_ms in _parts(ledger, job.steps[number], tasks):
+            yield Unit(
+                record,
+                occurrence,
+                number,
+                part,
+                timing.since_ms,
+                timing.objective_ms,
+                timing.chain_ms,
+                apart_since_ms,
+            )
+
+
+def _parts(
+    ledger: ledgers.BatchLedger,
+    step: model.Step,
+    tasks: abc.Sequence[model.TaskId],
+) -> abc.Iterator[tuple[list[model.TaskId], int | None]]:
+    """Yields the tasks of a step that may be placed together.
+
+    Of those that may crash their workers there is one at a time, apart from
+    the others; each with since when it is to be apart.
+    """
+    suspects = ledger.crashes.suspects
+    waiting = [task for task in tasks if task in suspects]
+    if not waiting:
+        yield list(tasks), None
+        return
+    blames = {task: ledger.crashes.blame_of(task) for task in waiting}
+    worst = max(waiting, key=lambda task: blames[task].points)
+    if step.gang:
+        yield list(tasks), blames[worst].at_ms
+        return
+    others = [task for task in tasks if task not in suspects]
+    if others:
+        yield others, None
+    if not _runs_any(ledger, worst.step_key, suspects):
+        yield [worst], blames[worst].at_ms
+
+
+def _runs_any(
+    ledger: ledgers.BatchLedger,
+    key: model.StepKey,
+    tasks: abc.Set[model.TaskId],
+) -> bool:
+    """Returns whether any of some tasks of a step runs."""
+    return any(run.task in tasks for run in ledger.runs_of_steps.get(key, ()))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/laburnumsill/batch/worker_state.py
+++ b/laburnumsill/batch/worker_state.py
@@ -145,20 +145,48 @@
 
     async def gone(self, reason: str) -> None:
         """The worker's incarnation has ended, and all that ran on it."""
-        logs.event("worker-gone", worker=self.worker_id, reason=reason)
+        lost = list(self.term.ledger.runs_on(self.worker_id))
+        concerned = {run.task.job_id for run in lost}
+        concerned &= self.term.ledger.active_jobs.keys()
+        crashed = not self.worker.draining
+        logs.event(
+            "worker-gone",
+            worker=self.worker_id,
+            reason=reason,
+            crashed=crashed,
+            runs=len(lost),
+        )
         await self.term.commit(
             commands.RemoveWorker(
                 self.worker_id,
                 reason,
                 tuple(self.progress()),
                 self.term.clock.wall_ms(),
+                crashed,
             )
         )
+        for run in lost:
+            self._log_lost(run)
+        for job_id in sorted(concerned):
+            self.term.log_end(job_id)
         self.term.wake()
 
-    def release(self, run: model.RunId, reason: str) -> commands.Release:
+    def _log_lost(self, run: model.RunId) -> None:
+        logs.event(
+            "run-lost",
+            job=run.task.job_id,
+            run=run,
+            worker=self.worker_id,
+            blame=self.term.ledger.crashes.blame_of(run.task).points,
+        )
+
+    def release(
+        self, run: model.RunId, reason: str, is_lost: bool = False
+    ) -> commands.Release:
         """Returns the release of a run, with its newest progress."""
-        return commands.Release(run, self.worker_id, reason, self.saved(run))
+        return commands.Release(
+            run, self.worker_id, reason, self.saved(run), is_lost
+        )
 
     async def commit_releases(self, releases: list[commands.Release]) -> None:
         """Commits that some runs certainly do not run and never will."""
--- a/laburnumsill/emulator/oracle.py
+++ b/laburnumsill/emulator/oracle.py
@@ -1,5 +1,6 @@
 """What must always hold, judged by what the workers see."""
 
+import collections
 import dataclasses
 
 import msgspec
@@ -9,6 +10,12 @@
 CANCEL_S = 3.0
 """Nothing of a job starts later than this after its cancellation."""
 
+CRASHES_BORNE = 3
+"""After so many crashes under it a task is a crashing one."""
+
+STARTS_BORNE = 2
+"""A crashing task is started at most so many times more."""
+
 
 @dataclasses.dataclass(slots=True)
 class Truth:
@@ -21,6 +28,8 @@
         done: Tasks that have ended well.
         noted_done: Tasks whose good end was noted.
         failures: Noted failures by task.
+        crashes: How many workers have crashed while they ran a task.
+        starts_beyond: Starts of a task after `CRASHES_BORNE` crashes.
     """
 
     job: model.Job
@@ -29,6 +38,12 @@
     done: set[model.TaskId] = dataclasses.field(default_factory=set)
     noted_done: set[model.TaskId] = dataclasses.field(default_factory=set)
     failures: dict[model.TaskId, int] = dataclasses.field(default_factory=dict)
+    crashes: collections.Counter[model.TaskId] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    starts_beyond: collections.Counter[model.TaskId] = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
 
 class Oracle:
@@ -85,6 +100,11 @@
         spent = truth.failures.get(run.task, 0)
         if spent >= truth.job.terms.max_attempts:
             self._break(now, f"BUDGET {run} after {spent} failures")
+        if truth.crashes[run.task] >= CRASHES_BORNE and not late:
+            truth.starts_beyond[run.task] += 1
+            if truth.starts_beyond[run.task] > STARTS_BORNE:
+                count = truth.crashes[run.task]
+                self._break(now, f"BUDGET {run} after {count} crashes")
         used = self._used.get(worker.worker_id, model.Resources()) + step.needs
         self._used[worker.worker_id] = used
         if not used.fits_in(worker.capacity):
@@ -95,6 +115,14 @@
         """Notes that a run occupies its worker no more."""
         if done:
             self.jobs[run.task.job_id].done.add(run.task)
+        self._leave(run, worker_id)
+
+    def crashed(self, run: model.RunId, worker_id: str) -> None:
+        """Notes that a worker has crashed while a run was there."""
+        self.jobs[run.task.job_id].crashes[run.task] += 1
+        self._leave(run, worker_id)
+
+    def _leave(self, run: model.RunId, worker_id: str) -> None:
         if self._live.get(run.task, {}).pop(run, None) is None:
             return
         truth = self.jobs[run.task.job_id]
--- a/laburnumsill/emulator/site.py
+++ b/laburnumsill/emulator/site.py
@@ -37,6 +37,9 @@
 
 HEARTBEAT_S = 1.5
 
+RESTART_S = (1.0, 4.0)
+"""A worker that crashed is back after so long, at least and at most."""
+
 DEFAULT_CAPACITY = model.Resources(64_000, 262_144, 8)
 """Of a worker, unless another one is given."""
 
@@ -149,6 +152,7 @@
         self.work: dict[tuple[str, int], float] = {}
         self.uneven: dict[str, float] = {}
         self.hopeless: set[str] = set()
+        self.crashing: set[model.TaskId] = set()
         self.guarantees: dict[str, int] = {}
         self.outcomes: dict[str, Outcome] = {}
         self.pool = worker_module.WorkerPool(
@@ -160,11 +164,14 @@
             ),
             saving,
         )
+        self.pool.is_crashing = self.crashing.__contains__
+        self.pool.on_crash = self._restart_later
         self.client = worker_module.UnreliableClient(self.pool, self.random)
         self.ledger = ledgers.BatchLedger()
         machine = replication.StateMachine(self.ledger)
         self.groups = Leadership(machine)
         self.silent: set[str] = set()
+        self._nursery: trio.Nursery | None = None
         self._shape = (racks, per_rack)
         self._capacity = capacity
         self._clock = trio_clock.TrioClock(EPOCH)
@@ -209,6 +216,7 @@
     ) -> None:
         """Runs the site until cancelled; vm1 leads first."""
         async with trio.open_nursery() as nursery:
+            self._nursery = nursery
             await nursery.start(self.client.run)
             nursery.start_soon(self.pool.run)
             for scheduler in self.schedulers.values():
@@ -248,6 +256,18 @@
         self.announce(worker, 0)
         return made
 
+    def _restart_later(self, crashed: worker_module.EmulatedWorker) -> None:
+        assert self._nursery is not None
+        self._nursery.start_soon(self._restart, crashed)
+
+    async def _restart(self, crashed: worker_module.EmulatedWorker) -> None:
+        """Has another incarnation begin at a crashed worker's address."""
+        await trio.sleep(self.random.uniform(*RESTART_S))
+        crashed.is_down = False
+        worker = crashed.worker
+        rack = int(worker.rack[1:])
+        self.add_worker(f"{worker.worker_id}x", rack, worker.address)
+
     def announce(self, worker: model.Worker, sequence: int) -> None:
         """Has an announcement arrive, maybe long after it was sent."""
         self.groups.machine.apply(commands.PutWorker(worker, sequence))
@@ -269,6 +289,7 @@
         work_s: list[float],
         hopeless: bool = False,
         uneven: float = 0.0,
+        crashing: abc.Iterable[model.TaskId] = (),
     ) -> None:
         """Hands a job in.
 
@@ -278,7 +299,9 @@
             hopeless: Whether its tasks always fail.
             uneven: Sigma of the logarithm of the work of one task of a step
                 against another's.
+            crashing: Tasks of it that crash each worker that starts them.
         """
+        self.crashing.update(crashing)
         self.oracle.submitted(job)
         self.uneven[job.job_id] = uneven
         for step, seconds in enumerate(work_s):
--- /dev/null
+++ b/laburnumsill/emulator/tests/test_crashing_tasks.py
@@ -0,0 +1,139 @@
+"""Tasks that crash each worker that starts them, beside sound ones."""
+
+import random
+
+import pytest
+import trio
+
+from laburnumsill.batch import model
+from laburnumsill.emulator import site as sites
+from laburnumsill.emulator import troubles
+from laburnumsill.emulator import virtual_time
+
+SETTLE_S = 60.0
+CRASHING = model.TaskId("crashing", 0, 0, 0)
+
+
+def job(job_id, tasks, accelerators=1, priority=2, **step):
+    needs = model.Resources(2000, 1024, accelerators)
+    one = model.Step(tasks, needs, 2000, **step)
+    terms = model.QueueTerms("pool", priority, 3, 3.0, 3000)
+    return model.Job(job_id, "q", "a", "", (one,), terms)
+
+
+async def settle(site):
+    with trio.move_on_after(SETTLE_S):
+        while site.ledger.active_jobs or site.ledger.runs:
+            await trio.sleep(0.2)
+            site.look()
+    site.look()
+
+
+def play(seed, script, racks=2, per_rack=3):
+    """Plays a script on a small site; returns the site."""
+
+    async def main():
+        site = sites.EmulatedSite(seed, racks, per_rack)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(site.run)
+            await trio.sleep(1.0)
+            await script(site)
+            await settle(site)
+            nursery.cancel_scope.cancel()
+        assert not site.oracle.broken, site.oracle.broken[:3]
+        return site
+
+    return virtual_time.run(seed, main)
+
+
+def states(site):
+    return {job_id: one.state for job_id, one in site.outcomes.items()}
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_task_that_crashes_each_worker_is_given_up(seed):
+    async def script(site):
+        await site.submit(job("crashing", 1), [2.0], crashing=[CRASHING])
+
+    site = play(seed, script)
+    assert states(site) == {"crashing": "failed"}
+    assert site.oracle.jobs["crashing"].crashes[CRASHING] <= 5
+
+
+@pytest.mark.parametrize("accelerators", [1, 2, 8])
+@pytest.mark.parametrize("seed", range(4))
+def test_sound_jobs_beside_a_crashing_one_are_done(seed, accelerators):
+    async def script(site):
+        crashing = job("crashing", 1, accelerators)
+        await site.submit(crashing, [2.0], crashing=[CRASHING])
+        for number in range(12):
+            one = job(f"j{number}", 6, gang=number % 3 == 0)
+            await site.submit(one, [2.0])
+            await trio.sleep(0.5)
+
+    site = play(seed, script)
+    found = states(site)
+    assert found.pop("crashing") == "failed"
+    assert set(found.values()) == {"completed"}
+
+
+@pytest.mark.parametrize("gang", [False, True])
+@pytest.mark.parametrize("seed", range(4))
+def test_a_job_all_of_whose_tasks_crash_their_workers_is_given_up(seed, gang):
+    async def script(site):
+        tasks = [model.TaskId("crashing", 0, 0, index) for index in range(12)]
+        one = job("crashing", 12, gang=gang)
+        await site.submit(one, [2.0], crashing=tasks)
+
+    assert states(play(seed, script)) == {"crashing": "failed"}
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_crashes_are_counted_through_failovers_and_restarts(seed):
+    async def script(site):
+        await site.submit(job("crashing", 1), [2.0], crashing=[CRASHING])
+        for _ in range(8):
+            await trio.sleep(site.random.uniform(0.5, 3.0))
+            site.groups.lead("")
+            site.ledger.load(site.ledger.dump())
+            await trio.sleep(site.random.uniform(0.0, 2.0))
+            site.groups.lead(site.random.choice(["vm1", "vm2"]))
+
+    assert states(play(seed, script)) == {"crashing": "failed"}
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_workers_that_crash_by_themselves_fail_no_job(seed):
+    async def script(site):
+        for number in range(8):
+            await site.submit(job(f"j{number}", 4), [3.0])
+        source = random.Random(seed)
+        for _ in range(10):
+            await trio.sleep(source.uniform(0.2, 1.0))
+            here = [w for w in site.pool.workers.values() if not w.gone]
+            if here:
+                source.choice(here).crash()
+
+    assert set(states(play(seed, script)).values()) == {"completed"}
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_all_troubles_with_crashing_tasks_break_no_rule(seed):
+    source = random.Random(seed)
+
+    async def script(site):
+        async with trio.open_nursery() as nursery:
+            kinds = [*troubles.KINDS]
+            nursery.start_soon(troubles.bring, site, source, kinds, 30.0)
+            for number in range(15):
+                await site.submit(job(f"j{number}", 4), [2.0])
+                crashing = model.TaskId(f"c{number}", 0, 0, 1)
+                if number % 4 == 0:
+                    one = job(f"c{number}", 3, gang=source.random() < 0.5)
+                    await site.submit(one, [2.0], crashing=[crashing])
+                await trio.sleep(source.uniform(0.5, 2.0))
+
+    found = states(play(seed, script))
+    assert set(found.values()) <= {"completed", "failed"}
+    for job_id, state in found.items():
+        assert (state == "failed") <= (job_id[0] == "c"), job_id
--- a/laburnumsill/emulator/tests/test_oracle.py
+++ b/laburnumsill/emulator/tests/test_oracle.py
@@ -30,3 +30,14 @@
     oracle.noted(model.RunId(TASK, 1), "done", gang=False, lapsed=True)
     oracle.started(model.RunId(TASK, 2), WORKER, 2.0, late=False)
     assert len(oracle.broken) == 1
+
+
+def test_a_crashing_task_may_be_started_twice_more_after_three_crashes():
+    oracle = oracles.Oracle()
+    oracle.submitted(JOB)
+    for number in range(1, 7):
+        assert not oracle.broken
+        run = model.RunId(TASK, number)
+        oracle.started(run, WORKER, float(number), late=False)
+        oracle.crashed(run, "w")
+    assert oracle.broken == ["6.000 BUDGET j.0.0.0#6 after 5 crashes"]
--- a/laburnumsill/emulator/workers.py
+++ b/laburnumsill/emulator/workers.py
@@ -90,7 +90,15 @@
 
 
 class EmulatedWorker:
-    """One incarnation of a worker; its owner calls `tick`."""
+    """One incarnation of a worker; its owner calls `tick`.
+
+    Attributes:
+        worker: What it says of itself.
+        behaviour: How it does its work.
+        gone: Whether the incarnation has ended.
+        is_down: Whether nothing is at its address: it has crashed and its
+            successor has not started.
+    """
 
     def __init__(
         self,
@@ -101,6 +109,7 @@
         self.worker = worker
         self.behaviour = behaviour
         self.gone = False
+        self.is_down = False
         self._pool = pool
         self._started_at = trio.current_time()
         self._fence = 0
@@ -182,7 +191,7 @@
             self._prolong(order.lease_ms)
         self._note(order.noted)
         with trio.move_on_after(order.wait_ms / 1000):
-            while not self._ends:
+            while not self._ends and not self.is_down:
                 await self._changed.wait()
         running = tuple(
             worker_client.RunningRun(
@@ -194,6 +203,8 @@
 
     def tick(self) -> None:
         """Works for one tick."""
+        if any(map(self._pool.is_crashing, self._running)):
+            self.crash()
         if self.clock_ms > self._lease_ms:
             self._lapsed = self._count
             for one in list(self._running.values()):
@@ -247,6 +258,17 @@
         for one in list(self._running.values()):
             self.end(one.run, commands.EndKind.STOPPED)
 
+    def crash(self) -> None:
+        """Ends the incarnation with all that runs on it, without a word."""
+        for one in self._running.values():
+            self._pool.oracle.crashed(one.run, self.worker.worker_id)
+            self._pool.count_lost(one.step, one.done_s, "")
+        self._running.clear()
+        self.gone = self.is_down = True
+        self._changed.set()
+        self._changed = trio.Event()
+        self._pool.on_crash(self)
+
     def _check(self, fence: int) -> None:
         if self.gone:
             raise worker_client.IncarnationGoneError(self.worker.worker_id)
@@ -283,6 +305,10 @@
         hopeless: Returns whether a task always fails.
         stop_s: Returns how long the next stop takes, in seconds.
         saving: How tasks save their progress.
+
+    Attributes:
+        is_crashing: Returns whether a task crashes each worker that starts it.
+        on_crash: Told of each worker that has crashed.
     """
 
     def __init__(
@@ -299,6 +325,8 @@
         self.work_of = work_of
         self.hopeless = hopeless
         self.workers: dict[str, EmulatedWorker] = {}
+        self.is_crashing: abc.Callable[[model.TaskId], bool] = lambda _: False
+        self.on_crash: abc.Callable[[EmulatedWorker], None] = lambda _: None
         self.lost_core_s = 0.0
         self.done_core_s = 0.0
 
@@ -426,6 +454,8 @@
         """Asks for a report, see the base class."""
         target = await self._reach(worker, deadline)
         report = await target.report(order)
+        if target.is_down:
+            raise worker_client.NoAnswerError("disconnected")
         if worker.worker_id in self.cut:
             await self._no_answer(deadline)
         if self._random.random() < self.lost_share:
@@ -441,6 +471,8 @@
         if worker.worker_id in self.cut or target is None:
             await self._no_answer(deadline)
         assert target is not None
+        if target.is_down:
+            raise worker_client.NoAnswerError("connection refused")
         return target
 
     async def _order(
