--- a/laburnumsill/emulator/oracle.py
+++ b/laburnumsill/emulator/oracle.py
@@ -10,6 +10,10 @@
 CANCEL_S = 3.0
 """Nothing of a job starts later than this after its cancellation."""
 
+SHRUNK_AFTER_S = 4.5
+"""A capacity that has shrunk counts so much later, in seconds: what the
+users' sites allow for word of it, and the time between two heartbeats."""
+
 CRASHES_BORNE = 3
 """After so many crashes under it a task is a crashing one."""
 
@@ -59,6 +63,7 @@
         self.jobs: dict[str, Truth] = {}
         self._live: dict[model.TaskId, dict[model.RunId, str]] = {}
         self._used: dict[str, model.Resources] = {}
+        self._shrunk: dict[str, list[tuple[float, model.Resources]]] = {}
 
     def submitted(self, job: model.Job) -> None:
         """Notes that a job was sent."""
@@ -107,10 +112,26 @@
                 self._break(now, f"BUDGET {run} after {count} crashes")
         used = self._used.get(worker.worker_id, model.Resources()) + step.needs
         self._used[worker.worker_id] = used
-        if not used.fits_in(worker.capacity):
+        if not used.fits_in(self._room_of(worker, now)):
             self._break(now, f"LIMIT {run} on {worker.worker_id}: {used}")
         others[run] = worker.worker_id
 
+    def resized(self, worker: model.Worker, now: float) -> None:
+        """Notes that a worker's capacity is about to change from this."""
+        until = (now + SHRUNK_AFTER_S, worker.capacity)
+        self._shrunk.setdefault(worker.worker_id, []).append(until)
+
+    def _room_of(self, worker: model.Worker, now: float) -> model.Resources:
+        """Returns the most that a worker may hold now."""
+        held = self._shrunk.get(worker.worker_id, [])
+        rooms = [room for until, room in held if now <= until]
+        rooms.append(worker.capacity)
+        return model.Resources(
+            max(room.cpu_millis for room in rooms),
+            max(room.memory_mb for room in rooms),
+            max(room.accelerators for room in rooms),
+        )
+
     def ended(self, run: model.RunId, worker_id: str, done: bool) -> None:
         """Notes that a run occupies its worker no more."""
         if done:
--- a/laburnumsill/emulator/site.py
+++ b/laburnumsill/emulator/site.py
@@ -173,7 +173,7 @@
         self.silent: set[str] = set()
         self._nursery: trio.Nursery | None = None
         self._shape = (racks, per_rack)
-        self._capacity = capacity
+        self.capacity = capacity
         self._clock = trio_clock.TrioClock(EPOCH)
         self.schedulers = {
             vm: schedulers.Scheduler(
@@ -245,7 +245,7 @@
             POOL,
             address or worker_id,
             f"d{rack}",
-            self._capacity,
+            self.capacity,
             ("a", f"r{rack}"),
             f"r{rack}",
         )
@@ -345,14 +345,33 @@
         return work_s * source.lognormvariate(0, uneven)
 
     async def _send_heartbeats(self) -> None:
-        while True:
-            for worker in list(self.pool.workers.values()):
-                worker_id = worker.worker.worker_id
-                if worker.gone or worker_id in self.silent:
-                    continue
-                for scheduler in self.schedulers.values():
-                    scheduler.hear(worker_id, worker.clock_ms)
-            await trio.sleep(HEARTBEAT_S)
+        async with trio.open_nursery() as nursery:
+            while True:
+                for worker in list(self.pool.workers.values()):
+                    worker_id = worker.worker.worker_id
+                    if worker.gone or worker_id in self.silent:
+                        continue
+                    worker.sequence += 1
+                    if worker.worker != worker.announced:
+                        nursery.start_soon(self._announce_change, worker)
+                    for scheduler in self.schedulers.values():
+                        scheduler.hear(worker_id, worker.clock_ms)
+                await trio.sleep(HEARTBEAT_S)
+
+    async def _announce_change(
+        self, changed: worker_module.EmulatedWorker
+    ) -> None:
+        """Has a VM take note of what a worker says of itself now."""
+        vm = self.random.choice(list(self.intakes))
+        worker = changed.worker
+        announcement = intake.Announcement(
+            worker, changed.sequence, changed.clock_ms
+        )
+        try:
+            await self.intakes[vm].announce(announcement)
+        except errors.LaburnumsillError:
+            return  # the next heartbeat says it again
+        changed.announced = worker
 
 
 def _named_pools() -> abc.Set[str]:
--- a/laburnumsill/emulator/troubles.py
+++ b/laburnumsill/emulator/troubles.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from laburnumsill.batch import model
 from laburnumsill.emulator import site as sites
 from laburnumsill.emulator import workers as worker_module
 
@@ -103,6 +104,24 @@
     site.announce(worker, 1_000)
 
 
+async def _shrink(site: sites.EmulatedSite, source: random.Random) -> None:
+    """Some workers have less room for a while, some of them none."""
+    some = _some_workers(site, source)
+    for one in some:
+        before = one.worker.capacity
+        share = source.choice((0.0, 0.25, 0.5, 0.75))
+        one.resize(
+            model.Resources(
+                int(share * before.cpu_millis),
+                int(share * before.memory_mb),
+                int(share * before.accelerators),
+            )
+        )
+    await _last(source)
+    for one in some:
+        one.resize(site.capacity)
+
+
 def _some_workers(
     site: sites.EmulatedSite, source: random.Random
 ) -> list[worker_module.EmulatedWorker]:
@@ -121,6 +140,10 @@
     "hang": _hang,
     "fail": _fail,
     "crash": _crash,
+    "shrink": _shrink,
 }
 """What may come: the lead is lost, answers are lost, orders come late; workers
-are cut off, hang, fail all that they start, or crash."""
+are cut off, hang, fail all that they start, crash, or have less room."""
+
+FIRST_KINDS = ("lead", "lost", "late", "cut", "hang", "fail", "crash")
+"""What older seeds draw from; a new kind would make other days of them."""
--- a/laburnumsill/emulator/workers.py
+++ b/laburnumsill/emulator/workers.py
@@ -4,6 +4,7 @@
 import random
 from collections import abc
 
+import msgspec
 import trio
 
 from laburnumsill.batch import commands
@@ -98,6 +99,8 @@
         gone: Whether the incarnation has ended.
         is_down: Whether nothing is at its address: it has crashed and its
             successor has not started.
+        sequence: Of its last announcement.
+        announced: What was acknowledged of what it says of itself.
     """
 
     def __init__(
@@ -110,6 +113,8 @@
         self.behaviour = behaviour
         self.gone = False
         self.is_down = False
+        self.sequence = 0
+        self.announced = worker
         self._pool = pool
         self._started_at = trio.current_time()
         self._fence = 0
@@ -258,6 +263,11 @@
         for one in list(self._running.values()):
             self.end(one.run, commands.EndKind.STOPPED)
 
+    def resize(self, capacity: model.Resources) -> None:
+        """Has more or less room from now on; what runs goes on."""
+        self._pool.oracle.resized(self.worker, trio.current_time())
+        self.worker = msgspec.structs.replace(self.worker, capacity=capacity)
+
     def crash(self) -> None:
         """Ends the incarnation with all that runs on it, without a word."""
         for one in self._running.values():
