batch: start no run where the room has gone since it was placed

A run that a leader placed and never ordered is ordered by the next one, seconds later, though its worker has shrunk meanwhile.

Cause: room is checked when a run is placed; orders are given as long as the run is wanted. Now a run whose worker holds more than it has is not ordered any more: it is stopped, and released once the stop is acknowledged, as any start that is given up.

Test: test_a_new_leader_starts_no_run_where_the_room_has_gone failed before ("LIMIT j.0.0.0#1 on w0-0", 8.1 s after the shrink began at 2 s).

--- a/laburnumsill/batch/orders.py
+++ b/laburnumsill/batch/orders.py
@@ -99,8 +99,21 @@
             return False
         if run not in state.term.ledger.runs_on(state.worker_id):
             return False
+        if not self._has_room():
+            return False
         return run.task.job_id in state.term.ledger.active_jobs
 
+    def _has_room(self) -> bool:
+        """Whether all that is placed on the worker fits into it.
+
+        Its capacity may have shrunk since a run was placed there.
+        """
+        ledger = self._state.term.ledger
+        worker_id = self._state.worker_id
+        if worker_id not in ledger.workers:
+            return True
+        return model.Resources().fits_in(ledger.free_on(worker_id))
+
     async def _start(self, run: model.RunId) -> None:
         state = self._state
         try:
--- a/laburnumsill/batch/tests/test_shrunk_workers.py
+++ b/laburnumsill/batch/tests/test_shrunk_workers.py
@@ -1,11 +1,57 @@
 """Workers whose capacity shrinks while they run, or that have not said so."""
 
 import msgspec
+import trio
+import trio.testing
 
 from laburnumsill.batch import commands
 from laburnumsill.batch import model
 from laburnumsill.batch import planner
 from laburnumsill.batch.tests import planned_site
+from laburnumsill.emulator import site as sites
+
+SMALL = model.Resources(8_000, 8_192, 1)
+
+
+def play(script, racks=1, per_rack=1):
+    async def main():
+        site = sites.EmulatedSite(1, racks, per_rack)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(site.run)
+            await trio.sleep(2.0)
+            await script(site)
+            nursery.cancel_scope.cancel()
+        assert not site.oracle.broken, site.oracle.broken
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def job(job_id, tasks, accelerators=1):
+    step = model.Step(tasks, model.Resources(1000, 64, accelerators), 1000)
+    return model.Job(
+        job_id, "q", "a", "", (step,), model.QueueTerms("pool", 1, 3)
+    )
+
+
+def test_a_new_leader_starts_no_run_where_the_room_has_gone():
+    """The run was placed by the leader before it, and never ordered."""
+
+    async def script(site):
+        await site.submit(job("j", 1, 8), [1.0])
+        site.groups.lead("")
+        run = model.RunId(model.TaskId("j", 0, 0, 0), 1)
+        group = (commands.Placement(run, "w0-0"),)
+        site.groups.machine.apply(commands.PlaceRuns((group,), 0))
+        site.pool.workers["w0-0"].resize(SMALL)
+        await trio.sleep(6.0)
+        site.groups.machine.apply(
+            commands.PutWorker(site.pool.workers["w0-0"].worker, 50)
+        )
+        site.groups.lead("vm2")
+        await trio.sleep(4.0)
+        assert not site.ledger.runs
+
+    play(script)
 
 
 def test_nothing_is_planned_where_more_is_in_use_than_there_is():
