batch: tell late announcements of a worker also by those that said nothing new

A worker has little room and says so; an announcement from before, delayed by a cut, says that it has more. It was believed until the next heartbeat.

Cause: an announcement is late if the ledger goes by a newer one, and the ledger has only those that changed something. Heartbeats that repeat what is known left no trace, so one from before them passed as new.

Change: the leader remembers the newest announcement of each worker. It has not heard what the leader before it heard, so it believes in more room only from the second announcement on; less room, and a drain, count at once.

Tests: test_a_late_announcement_of_more_room_is_not_believed and test_a_new_leader_believes_in_more_room_when_it_is_said_twice failed before.

--- a/laburnumsill/batch/intake.py
+++ b/laburnumsill/batch/intake.py
@@ -22,6 +22,10 @@
 PASS_ON_WITHIN_S = 0.8
 """A worker waits one second before it turns to another VM."""
 
+MAX_ABSENT_HEARD = 1_000
+"""Workers that are not known any more and of which it is remembered which
+announcement was the newest."""
+
 
 @codec.register("intake.announcement")
 class Announcement(msgspec.Struct, frozen=True):
@@ -89,6 +93,7 @@
         self._scheduler = scheduler
         self._pools = pools
         self._clock = clock
+        self._heard: dict[str, int] = {}
         peers.on_call(Announcement, self._on_announcement)
         peers.on_call(Departure, self._on_departure)
 
@@ -116,36 +121,62 @@
     async def _on_announcement(self, announcement: Announcement) -> Taken:
         """Takes note of an announcement, where this VM leads."""
         worker = announcement.worker
+        worker_id = worker.worker_id
         sequence = announcement.sequence
         ledger = self._ledger()
-        ended = ledger.has_ended(worker.worker_id)
-        if ended or sequence < ledger.sequence(worker.worker_id):
+        ended = ledger.has_ended(worker_id)
+        heard = self._heard.get(worker_id)
+        newest = max(ledger.sequence(worker_id), heard or 0)
+        if ended or sequence < newest:
             logs.decision(
                 "announcement-overtaken",
-                worker=worker.worker_id,
+                worker=worker_id,
                 sequence=sequence,
-                newest=ledger.sequence(worker.worker_id),
+                newest=newest,
                 ended=ended,
             )
             return Taken(self._me)
-        known = ledger.workers.get(worker.worker_id)
+        known = ledger.workers.get(worker_id)
         if known is not None:
             self._check_pool(known, worker.pool)
+        self._note_heard(worker_id, sequence)
+        if known is not None and heard is None:
+            worker = _without_growth(known, worker)
         if known != worker:
-            at_ms = self._clock.wall_ms()
-            await self._commit(commands.PutWorker(worker, sequence, at_ms))
-            logs.event(
-                "worker-known",
-                worker=worker.worker_id,
-                pool=worker.pool,
-                address=worker.address,
-                rack=worker.rack,
-                draining=worker.draining,
-                sequence=sequence,
-            )
-        self._scheduler.hear(worker.worker_id, announcement.clock_ms)
+            await self._put(worker, sequence)
+        self._scheduler.hear(worker_id, announcement.clock_ms)
         return Taken(self._me)
 
+    def _note_heard(self, worker_id: str, sequence: int) -> None:
+        """Remembers the newest announcement, also one that says nothing new.
+
+        One that was sent before it and arrives later is told by that.
+        """
+        self._heard[worker_id] = sequence
+        known = self._ledger().workers
+        if len(self._heard) > len(known) + MAX_ABSENT_HEARD:
+            self._heard = {
+                one: newest
+                for one, newest in self._heard.items()
+                if one in known
+            }
+
+    async def _put(self, worker: model.Worker, sequence: int) -> None:
+        at_ms = self._clock.wall_ms()
+        await self._commit(commands.PutWorker(worker, sequence, at_ms))
+        logs.event(
+            "worker-known",
+            worker=worker.worker_id,
+            pool=worker.pool,
+            address=worker.address,
+            rack=worker.rack,
+            draining=worker.draining,
+            cpu_millis=worker.capacity.cpu_millis,
+            memory_mb=worker.capacity.memory_mb,
+            accelerators=worker.capacity.accelerators,
+            sequence=sequence,
+        )
+
     def _check_pool(self, known: model.Worker, pool: str) -> None:
         """Checks that a worker is not moved out of reach of all jobs.
 
@@ -189,3 +220,13 @@
             ledgers.BatchLedger.name
         )
         return ledger
+
+
+def _without_growth(known: model.Worker, worker: model.Worker) -> model.Worker:
+    """Returns what a worker says of itself, but no more room than is known.
+
+    A leader that has not heard of it before cannot tell whether that is old
+    news, sent before the worker shrank: it waits for the next heartbeat.
+    """
+    capacity = known.capacity.least(worker.capacity)
+    return msgspec.structs.replace(worker, capacity=capacity)
--- a/laburnumsill/batch/model.py
+++ b/laburnumsill/batch/model.py
@@ -46,6 +46,19 @@
             and self.accelerators <= room.accelerators
         )
 
+    def least(self, other: "Resources") -> "Resources":
+        """Returns what both amounts have of each kind.
+
+        Examples:
+            >>> Resources(1000, 64, 2).least(Resources(500, 80, 2))
+            Resources(cpu_millis=500, memory_mb=64, accelerators=2)
+        """
+        return Resources(
+            min(self.cpu_millis, other.cpu_millis),
+            min(self.memory_mb, other.memory_mb),
+            min(self.accelerators, other.accelerators),
+        )
+
     def times_in(self, room: "Resources") -> int:
         """Returns how many such amounts fit into `room` together.
 
--- a/laburnumsill/batch/tests/test_shrunk_workers.py
+++ b/laburnumsill/batch/tests/test_shrunk_workers.py
@@ -5,6 +5,7 @@
 import trio.testing
 
 from laburnumsill.batch import commands
+from laburnumsill.batch import intake as intakes
 from laburnumsill.batch import model
 from laburnumsill.batch import planner
 from laburnumsill.batch.tests import planned_site
@@ -33,6 +34,71 @@
     )
 
 
+def capacity(site):
+    (worker,) = site.ledger.workers.values()
+    return worker.capacity
+
+
+async def announce(site, room, sequence, clock_ms=None):
+    worker = site.pool.workers["w0-0"].worker
+    said = msgspec.structs.replace(worker, capacity=room)
+    await site.intakes["vm2"].announce(
+        intakes.Announcement(said, sequence, clock_ms)
+    )
+
+
+def test_a_late_announcement_of_more_room_is_not_believed():
+    """It was sent before the worker said, more than once, that it has less."""
+
+    async def script(site):
+        site.silent.add("w0-0")
+        full = capacity(site)
+        await announce(site, SMALL, 105)
+        await announce(site, SMALL, 107)
+        await announce(site, full, 106)
+        assert capacity(site) == SMALL
+        await announce(site, full, 108)
+        assert capacity(site) == full
+
+    play(script)
+
+
+def test_a_new_leader_believes_in_more_room_when_it_is_said_twice():
+    """It has not heard what the leader before it has heard."""
+
+    async def script(site):
+        site.silent.add("w0-0")
+        full = capacity(site)
+        await announce(site, SMALL, 105)
+        await announce(site, SMALL, 107)
+        site.groups.lead("vm2")
+        await trio.sleep(0.2)
+        await announce(site, full, 106)
+        assert capacity(site) == SMALL
+        await announce(site, full, 108)
+        assert capacity(site) == full
+
+    play(script)
+
+
+def test_a_drain_is_believed_at_once_though_more_room_is_not():
+    async def script(site):
+        site.silent.add("w0-0")
+        full = capacity(site)
+        await announce(site, SMALL, 105)
+        site.groups.lead("vm2")
+        await trio.sleep(0.2)
+        worker = site.pool.workers["w0-0"].worker
+        leaving = msgspec.structs.replace(worker, draining=True, capacity=full)
+        await site.intakes["vm2"].announce(
+            intakes.Announcement(leaving, 106, None)
+        )
+        assert site.ledger.workers["w0-0"].draining
+        assert capacity(site) == SMALL
+
+    play(script)
+
+
 def test_a_new_leader_starts_no_run_where_the_room_has_gone():
     """The run was placed by the leader before it, and never ordered."""
 
