batch: start runs only on workers that have said lately how much room they have

A worker shrinks while nobody leads; the next leader starts runs there before it has heard from it. The same where a worker answers orders while its heartbeats reach nobody.

Cause: a session began as heard just now, whatever had been before, and any answer to an order counted as word of the worker, though answers do not say what it has.

Change: when a worker announced itself is kept apart from when it answered. A leader takes over with what was known when a leader was known last (batch.last_lead), less the time between heartbeats: after a failover within some tenths of a second nothing waits, after a longer one or a restart of all VMs a worker is used from its next heartbeat on. That wakes the planner. A VM that was stopped itself does not trust what it believed of the lead before.

Tests: test_after_a_time_without_a_leader_workers_are_heard_before_they_are_used (5 and 12 s) and test_a_worker_that_only_answers_orders_gets_no_new_runs failed before.

--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -56,9 +56,9 @@
 LONGEST_REST_S = 0.1
 """Longest rest after a plan; urgent jobs have 1.5 s to spare in all."""
 
-UNHEARD_S = 4.0
-"""A worker that was silent for so long gets no new runs; it says something
-every 1.5 s."""
+ANNOUNCED_BEFORE_S = 2.0
+"""When nobody leads any more, what is known of a worker may be so old: it
+announces itself every 1.5 s, and a lost leader is missed after 0.6 s."""
 
 FORGET_WORKER_S = 12.0
 """A worker that was silent for so long, and whose leases are over, is gone."""
@@ -112,7 +112,7 @@
     """
 
     group: str
-    groups: replication.Groups
+    groups: replication.LeaderGroups
     client: worker_client.WorkerClient
     guarantees: abc.Callable[[], abc.Mapping[str, int]]
     clock: clocks.Clock
@@ -130,6 +130,7 @@
         ledger: The ledger, with all that earlier leaders did.
         fence: The term of the lead.
         learnt: What was learnt from the commands of the ledger.
+        led_at: When a leader was known before this one, monotonic.
     """
 
     def __init__(
@@ -138,6 +139,7 @@
         ledger: ledgers.BatchLedger,
         fence: int,
         learnt: learnt_module.Learnt,
+        led_at: float,
     ) -> None:
         self.ledger = ledger
         self.client = context.client
@@ -166,6 +168,8 @@
         self._kept_racks: dict[model.StepKey, str] = {}
         self._doubted: dict[str, float] = {}
         self._forget_at_ms = 0
+        announced_at = led_at - ANNOUNCED_BEFORE_S
+        self._inherited = dict.fromkeys(ledger.workers, announced_at)
 
     async def run(self) -> None:
         """Runs until the lead is lost."""
@@ -355,7 +359,7 @@
             for worker_id, session in self._sessions.items()
             if session.failing_since is None
             and worker_id not in contested
-            and now - session.heard_at < UNHEARD_S
+            and session.announced_lately
             and now >= session.unwell_until
             and not self._outlook.set_aside(worker_id, now)
         }
@@ -411,7 +415,12 @@
             if session is not None:
                 session.update(worker)
                 continue
-            session = sessions.WorkerSession(worker, self, self._nursery)
+            announced_at = self._inherited.pop(
+                worker_id, self.clock.monotonic()
+            )
+            session = sessions.WorkerSession(
+                worker, self, self._nursery, announced_at
+            )
             self._sessions[worker_id] = session
             self._scopes[worker_id] = trio.CancelScope()
             self._nursery.start_soon(self._run_session, session)
--- a/laburnumsill/batch/orders.py
+++ b/laburnumsill/batch/orders.py
@@ -99,7 +99,7 @@
             return False
         if run not in state.term.ledger.runs_on(state.worker_id):
             return False
-        if not self._has_room():
+        if not state.announced_lately or not self._has_room():
             return False
         return run.task.job_id in state.term.ledger.active_jobs
 
--- a/laburnumsill/batch/scheduler.py
+++ b/laburnumsill/batch/scheduler.py
@@ -8,6 +8,7 @@
 
 from laburnumsill.batch import caller_commands
 from laburnumsill.batch import commands
+from laburnumsill.batch import last_lead
 from laburnumsill.batch import leading
 from laburnumsill.batch import learnt as learnt_module
 from laburnumsill.batch import ledger as ledgers
@@ -29,12 +30,18 @@
         self._groups = context.groups
         self._term: leading.LeadingTerm | None = None
         self._learnt: learnt_module.Learnt | None = None
+        self._last_lead = last_lead.LastLead()
 
     async def run(self) -> None:
         """Runs a term whenever this VM leads, until cancelled."""
         while True:
             if self._groups.leads(self._group):
                 await self._run_term()
+            else:
+                self._last_lead.look(
+                    self._groups.leader(self._group),
+                    self._context.clock.monotonic(),
+                )
             await trio.sleep(leading.LEAD_POLL_S)
 
     def hear(self, worker_id: str, clock_ms: int | None) -> None:
@@ -76,6 +83,7 @@
             ledger,
             fence,
             self._learnt or learnt_module.Learnt(ledger),
+            self._last_lead.known_at,
         )
         logs.event("scheduler-started", group=self._group, fence=fence)
         try:
--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -48,13 +48,24 @@
 
 
 class WorkerSession:
-    """See the module; `run` is a task of the term's nursery."""
+    """See the module; `run` is a task of the term's nursery.
+
+    Args:
+        worker: The worker.
+        term: The lead under which it is dealt with.
+        nursery: Runs the orders under way.
+        announced_at: When it last said what it has, monotonic.
+    """
 
     def __init__(
-        self, worker: model.Worker, term: terms.Term, nursery: trio.Nursery
+        self,
+        worker: model.Worker,
+        term: terms.Term,
+        nursery: trio.Nursery,
+        announced_at: float,
     ) -> None:
         self._term = term
-        self._state = worker_state.WorkerState(worker, term)
+        self._state = worker_state.WorkerState(worker, term, announced_at)
         self._orders = orders.Orders(self._state, nursery)
         self._reported_noted = term.ledger.noted(worker.worker_id)
         self._answered = False
@@ -76,6 +87,11 @@
         """When the worker was last heard from, monotonic."""
         return self._state.heard_at
 
+    @property
+    def announced_lately(self) -> bool:
+        """Whether what is known of its room is new enough to start runs."""
+        return self._state.announced_lately
+
     @property
     def failing_since(self) -> float | None:
         """Since when calls to it have failed, None if they have not."""
--- a/laburnumsill/batch/tests/test_session.py
+++ b/laburnumsill/batch/tests/test_session.py
@@ -86,7 +86,9 @@
         self.ledger.place(
             commands.PlaceRuns(((commands.Placement(RUN, "w"),),), 0)
         )
-        self.session = sessions.WorkerSession(WORKER, self, nursery)
+        self.session = sessions.WorkerSession(
+            WORKER, self, nursery, self.clock.monotonic()
+        )
         self.session.hear(1000)
 
     async def commit(self, command):
--- a/laburnumsill/batch/tests/test_shrunk_workers.py
+++ b/laburnumsill/batch/tests/test_shrunk_workers.py
@@ -1,6 +1,7 @@
 """Workers whose capacity shrinks while they run, or that have not said so."""
 
 import msgspec
+import pytest
 import trio
 import trio.testing
 
@@ -120,6 +121,39 @@
     play(script)
 
 
+@pytest.mark.parametrize("dark_s", [5.0, 12.0])
+def test_after_a_time_without_a_leader_workers_are_heard_before_they_are_used(
+    dark_s,
+):
+    async def script(site):
+        site.groups.lead("")
+        site.pool.workers["w0-0"].resize(SMALL)
+        await trio.sleep(dark_s)
+        site.groups.lead("vm2")
+        await site.submit(job("j", 4), [1.0])
+        await trio.sleep(8.0)
+        site.look()
+        assert site.outcomes["j"].state == "completed"
+
+    play(script)
+
+
+def test_a_worker_that_only_answers_orders_gets_no_new_runs():
+    """Its answers do not say how much room it has."""
+
+    async def script(site):
+        await site.submit(job("j", 1), [30.0])
+        await trio.sleep(1.0)
+        site.silent.add("w0-0")
+        site.pool.workers["w0-0"].resize(SMALL)
+        await trio.sleep(6.0)
+        await site.submit(job("k", 2), [1.0])
+        await trio.sleep(4.0)
+        assert {run.task.job_id for run in site.ledger.runs} == {"j"}
+
+    play(script)
+
+
 def test_nothing_is_planned_where_more_is_in_use_than_there_is():
     """The ledger would refuse it, again and again."""
     ledger = planned_site.site(1, 1)
--- a/laburnumsill/batch/worker_state.py
+++ b/laburnumsill/batch/worker_state.py
@@ -17,6 +17,10 @@
 """After so long without an answer leases are prolonged no more, since an
 order that seems lost may have arrived: only then do they ever end for sure."""
 
+ANNOUNCED_WITHIN_S = 4.0
+"""A worker that has not announced itself for so long gets no new runs, since
+its capacity may have shrunk; it does so every 1.5 s."""
+
 
 @dataclasses.dataclass(slots=True)
 class Stop:
@@ -46,13 +50,16 @@
         wakeup: Set when the session has something to do.
         regained: Set when a worker answers again that did not.
         heard_at: When it was last heard from, monotonic.
+        announced_at: When it last said what it has, monotonic.
         answered_at: When it last answered a call, monotonic.
         failing_since: Since when calls to it have failed, None if they have
             not.
         unwell_until: It is given no new runs before this point, monotonic.
     """
 
-    def __init__(self, worker: model.Worker, term: terms.Term) -> None:
+    def __init__(
+        self, worker: model.Worker, term: terms.Term, announced_at: float
+    ) -> None:
         now = term.clock.monotonic()
         self.worker = worker
         self.term = term
@@ -64,6 +71,7 @@
         self.wakeup = trio.Event()
         self.regained = trio.Event()
         self.heard_at = now
+        self.announced_at = announced_at
         self.answered_at = -math.inf
         self.failing_since: float | None = None
         self.unwell_until = now
@@ -80,6 +88,12 @@
         now = self.term.clock.monotonic()
         return since is not None and now - since > STOP_PROLONGING_AFTER_S
 
+    @property
+    def announced_lately(self) -> bool:
+        """Whether what is known of its room is new enough to start runs."""
+        age_s = self.term.clock.monotonic() - self.announced_at
+        return age_s < ANNOUNCED_WITHIN_S
+
     def saved(self, run: model.RunId) -> str:
         """Returns the newest progress of a run that was seen, or ""."""
         seen = self.running.get(run)
@@ -95,6 +109,12 @@
 
     def hear(self, clock_ms: int | None) -> None:
         """Notes a heartbeat, with the worker's clock when it was sent."""
+        if not self.announced_lately:
+            self.term.wake()
+        self.announced_at = self.term.clock.monotonic()
+        self._hear(clock_ms)
+
+    def _hear(self, clock_ms: int | None) -> None:
         now = self.term.clock.monotonic()
         self.heard_at = now
         if clock_ms is not None:
@@ -120,7 +140,7 @@
             self.term.wake()
         self.failing_since = None
         self.answered_at = now
-        self.hear(clock_ms)
+        self._hear(clock_ms)
 
     def unanswered(self, error: errors.LaburnumsillError) -> None:
         """Notes that a call was not answered: it is given no new runs."""
--- a/laburnumsill/emulator/site.py
+++ b/laburnumsill/emulator/site.py
@@ -37,6 +37,9 @@
 
 HEARTBEAT_S = 1.5
 
+FIRST_HEARTBEAT_S = 0.1
+"""Workers announce themselves so soon after the first leader leads."""
+
 RESTART_S = (1.0, 4.0)
 """A worker that crashed is back after so long, at least and at most."""
 
@@ -345,6 +348,7 @@
         return work_s * source.lognormvariate(0, uneven)
 
     async def _send_heartbeats(self) -> None:
+        await trio.sleep(FIRST_HEARTBEAT_S)
         async with trio.open_nursery() as nursery:
             while True:
                 for worker in list(self.pool.workers.values()):
