batch: count a lease longer on a worker whose clock stood still

A worker's machine is suspended for five seconds while a lease runs; its clock does not count that, so its runs go on five seconds longer than was reckoned when the lease was given. Cut off after that, it ran a task whose lease counted as ended.

Cause: the end of a lease was reckoned once, from the clock as it was then. It is reckoned anew from each answer. A worker that is suspended and not heard of again before its lease has ended by our clock cannot be told from one that is cut off; that is in docs/QUESTIONS.md.

Test: test_a_lease_lasts_longer_on_a_worker_whose_clock_stood_still failed before.

--- a/laburnumsill/batch/leases.py
+++ b/laburnumsill/batch/leases.py
@@ -34,6 +34,7 @@
         self._longest_ms = longest_ms
         self._clock_ms: int | None = None
         self._received_at = now
+        self._granted_ms = 0
         self._over_at = now + longest_ms / 1000 / (1 - CLOCK_DRIFT)
 
     @property
@@ -51,6 +52,8 @@
         if self._clock_ms is None or clock_ms >= self._clock_ms:
             self._clock_ms = clock_ms
             self._received_at = received_at
+            # Its clock may have stood still, and then its leases last longer.
+            self._reckon_end()
 
     def next_lease_ms(self, now: float) -> int | None:
         """Returns the end of a lease given now; None without a clock."""
@@ -61,8 +64,12 @@
 
     def granted(self, lease_ms: int) -> None:
         """Notes a lease before it is sent."""
+        self._granted_ms = max(self._granted_ms, lease_ms)
+        self._reckon_end()
+
+    def _reckon_end(self) -> None:
         if self._clock_ms is None:
             return
-        left_s = (lease_ms - self._clock_ms) / 1000
+        left_s = (self._granted_ms - self._clock_ms) / 1000
         over_at = self._received_at + left_s / (1 - CLOCK_DRIFT)
         self._over_at = max(self._over_at, over_at)
