core, daemon: let time pass while a machine is suspended

A VM that was suspended for six seconds takes what it knew before for as fresh as then: an entry went on using API keys whose lease had ended, and counted as ready.

Cause: all deadlines and ages rest on CLOCK_MONOTONIC, which stops with the machine. Class: age measured by a clock that stops.

Change: the clock of the daemons is CLOCK_BOOTTIME, and trio's loop runs on it too, so that a request whose deadline has passed ends when the loop wakes. With that a suspension is to all parts what a frozen process is. Elsewhere: leases of workers, age of confirmations, readiness, elections and the members' expiry all take their time from this clock. The log's limits, httpcore's idle times and the command-line tool keep the plain clock; nothing that must hold rests on it.

--- a/laburnumsill/core/clock.py
+++ b/laburnumsill/core/clock.py
@@ -9,6 +9,10 @@
 import abc
 import time
 
+BOOT_TIME = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+"""The steady clock that also counts the time in which the machine was
+suspended; the plain one where the system has no such clock."""
+
 MAX_CLOCK_DRIFT_S = 0.25
 """How far apart, in seconds, the wall clocks of any two VMs may be."""
 
@@ -46,8 +50,12 @@
     """The clock of the operating system."""
 
     def monotonic(self) -> float:
-        """Returns `time.monotonic`; trio's own clock differs from it."""
-        return time.monotonic()
+        """Returns the time since boot, in which suspensions count.
+
+        Leases and confirmations age while a machine is suspended. The origin
+        is not that of `time.monotonic`, nor that of trio's clock.
+        """
+        return time.clock_gettime(BOOT_TIME)
 
     def wall(self) -> float:
         """Returns `time.time`."""
--- a/laburnumsill/core/trio_clock.py
+++ b/laburnumsill/core/trio_clock.py
@@ -1,6 +1,9 @@
 """The clock of the trio loop, which tests and emulations make virtual."""
 
+import time
+
 import trio
+import trio.abc
 
 from laburnumsill.core import clock as clocks
 
@@ -22,3 +25,22 @@
     def wall(self) -> float:
         """Returns the loop's time as Unix seconds."""
         return self._epoch + trio.current_time()
+
+
+class BootTimeClock(trio.abc.Clock):
+    """A clock for `trio.run` by which deadlines pass during a suspension.
+
+    The kernel's timers stop meanwhile, so what is overdue is noticed when the
+    loop wakes next.
+    """
+
+    def start_clock(self) -> None:
+        """Needs no preparation."""
+
+    def current_time(self) -> float:
+        """Returns the time since boot."""
+        return time.clock_gettime(clocks.BOOT_TIME)
+
+    def deadline_to_sleep_time(self, deadline: float) -> float:
+        """Returns how long to sleep until a deadline, in seconds."""
+        return deadline - self.current_time()
--- a/laburnumsill/daemon/running.py
+++ b/laburnumsill/daemon/running.py
@@ -11,6 +11,7 @@
 
 from laburnumsill.core import errors
 from laburnumsill.core import logs
+from laburnumsill.core import trio_clock
 
 EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
@@ -23,7 +24,11 @@
     logged like the others and raised again.
     """
     try:
-        trio.run(main, strict_exception_groups=True)
+        trio.run(
+            main,
+            clock=trio_clock.BootTimeClock(),
+            strict_exception_groups=True,
+        )
     except BaseExceptionGroup as group:
         for leaf in _leaves(group):
             logs.event(
