emulator: suspend VMs

A VM that is suspended keeps believing that it leads, its orders and commands wait, and go out when it wakes, beside those of the VM that leads by then (trouble "suspend", 0.5 to 12 s). Leadership and what each VM sees of it moved to a module of their own.

--- a/laburnumsill/daemon/tests/test_suspended_vm.py
+++ b/laburnumsill/daemon/tests/test_suspended_vm.py
@@ -18,7 +18,9 @@
 
     def __init__(self):
         self._held = highest_version.HighestVersion()
-        self._held.put(highest_version.PutDocument(1, highest_version.pack(b"1")))
+        self._held.put(
+            highest_version.PutDocument(1, highest_version.pack(b"1"))
+        )
         self._questions = 0
 
     async def ask(self, query, deadline):
--- a/laburnumsill/emulator/main.py
+++ b/laburnumsill/emulator/main.py
@@ -47,7 +47,8 @@
             site: `tana-shore`, `fingal`, `further`, `wide` or `drawn`.
             load: Multiple of the usual rates of jobs.
             trouble: What may come, with commas between: lead, lost, late,
-                cut, hang, fail, crash, shrink; or `all`.
+                cut, hang, fail, crash, shrink, suspend; or
+                `all`.
             log: Whether to print the scheduler's log lines too.
             site_seed: Of a drawn site; it repeats the site.
             without: Mechanisms of the planner to leave out, with commas
--- a/laburnumsill/emulator/site.py
+++ b/laburnumsill/emulator/site.py
@@ -15,11 +15,11 @@
 from laburnumsill.batch import model
 from laburnumsill.batch import policy as policies
 from laburnumsill.batch import scheduler as schedulers
-from laburnumsill.core import codec
 from laburnumsill.core import errors
 from laburnumsill.core import metrics as metrics_module
 from laburnumsill.core import replication
 from laburnumsill.core import trio_clock
+from laburnumsill.emulator import leadership
 from laburnumsill.emulator import oracle as oracles
 from laburnumsill.emulator import peers
 from laburnumsill.emulator import workers as worker_module
@@ -32,9 +32,6 @@
 EPOCH = 1_700_000_000.0
 """Wall time at the start of an emulation, in Unix seconds."""
 
-COMMIT_S = 0.009
-"""A commit takes two trips of half a millisecond and one sync of 6 ms."""
-
 HEARTBEAT_S = 1.5
 
 FIRST_HEARTBEAT_S = 0.1
@@ -47,70 +44,6 @@
 """Of a worker, unless another one is given."""
 
 
-class Leadership:
-    """Who leads the one state machine.
-
-    Attributes:
-        machine: The state machine.
-        leader: The VM that leads, or "".
-        current_term: Rises with each change.
-    """
-
-    def __init__(self, machine: replication.StateMachine) -> None:
-        self.machine = machine
-        self.leader = ""
-        self.current_term = 0
-
-    def lead(self, vm: str) -> None:
-        """Has a VM lead from now on, "" for none."""
-        self.leader = vm
-        self.current_term += 1
-
-
-class VmGroups(replication.LeaderGroups):
-    """The groups as one VM of the emulation sees them."""
-
-    def __init__(self, shared: Leadership, vm: str) -> None:
-        self._shared = shared
-        self._vm = vm
-
-    async def propose(
-        self, group: str, command: object, deadline: float
-    ) -> typing.Any:
-        """Commits a command if this VM leads then."""
-        term = self._shared.current_term
-        await trio.sleep(COMMIT_S)
-        if self._shared.leader != self._vm or self._shared.current_term != term:
-            raise errors.ProposalLostError("the lead was lost")
-        result = self._shared.machine.apply(_coded(command))
-        return None if result is None else _coded(result)
-
-    async def query(
-        self, group: str, query: object, deadline: float
-    ) -> typing.Any:
-        """Answers a query if this VM leads."""
-        await trio.sleep(COMMIT_S / 4)
-        if self._shared.leader != self._vm:
-            raise errors.NoQuorumError("does not lead")
-        return _coded(self._shared.machine.query(_coded(query)))
-
-    def leads(self, group: str) -> bool:
-        """Returns whether this VM leads."""
-        return self._shared.leader == self._vm
-
-    def term(self, group: str) -> int:
-        """Returns the term."""
-        return self._shared.current_term
-
-    def leader(self, group: str) -> str | None:
-        """Returns the VM that leads."""
-        return self._shared.leader or None
-
-    def local(self, group: str) -> replication.StateMachine:
-        """Returns the state machine."""
-        return self._shared.machine
-
-
 @dataclasses.dataclass(slots=True)
 class Outcome:
     """What became of a job.
@@ -172,7 +105,7 @@
         self.client = worker_module.UnreliableClient(self.pool, self.random)
         self.ledger = ledgers.BatchLedger()
         machine = replication.StateMachine(self.ledger)
-        self.groups = Leadership(machine)
+        self.groups = leadership.Leadership(machine)
         self.silent: set[str] = set()
         self._nursery: trio.Nursery | None = None
         self._shape = (racks, per_rack)
@@ -182,8 +115,8 @@
             vm: schedulers.Scheduler(
                 leading.Context(
                     GROUP,
-                    VmGroups(self.groups, vm),
-                    self.client,
+                    leadership.VmGroups(self.groups, vm),
+                    leadership.VmClient(self.groups, vm, self.client),
                     lambda: self.guarantees,
                     self._clock,
                     metrics_module.Metrics(),
@@ -203,7 +136,7 @@
             vm: intake.WorkerIntake(
                 vm,
                 GROUP,
-                VmGroups(self.groups, vm),
+                leadership.VmGroups(self.groups, vm),
                 peers.EmulatedPeers(handlers, vm),
                 scheduler,
                 _named_pools,
@@ -280,7 +213,7 @@
         while True:
             vm = self.groups.leader
             try:
-                return await VmGroups(self.groups, vm).propose(
+                return await leadership.VmGroups(self.groups, vm).propose(
                     GROUP, command, trio.current_time() + 1
                 )
             except errors.LaburnumsillError:
@@ -358,10 +291,14 @@
                     worker.sequence += 1
                     if worker.worker != worker.announced:
                         nursery.start_soon(self._announce_change, worker)
-                    for scheduler in self.schedulers.values():
-                        scheduler.hear(worker_id, worker.clock_ms)
+                    self._hear(worker)
                 await trio.sleep(HEARTBEAT_S)
 
+    def _hear(self, worker: worker_module.EmulatedWorker) -> None:
+        for vm, scheduler in self.schedulers.items():
+            if not self.groups.sleeps(vm):
+                scheduler.hear(worker.worker.worker_id, worker.clock_ms)
+
     async def _announce_change(
         self, changed: worker_module.EmulatedWorker
     ) -> None:
@@ -380,7 +317,3 @@
 
 def _named_pools() -> abc.Set[str]:
     return frozenset({POOL})
-
-
-def _coded(message: object) -> typing.Any:
-    return codec.decode(codec.encode(message))
--- a/laburnumsill/emulator/troubles.py
+++ b/laburnumsill/emulator/troubles.py
@@ -50,6 +50,17 @@
     site.groups.lead(source.choice(list(site.schedulers)))
 
 
+async def _suspend(site: sites.EmulatedSite, source: random.Random) -> None:
+    """A VM is suspended; if it leads, another one leads meanwhile."""
+    vm = source.choice(list(site.schedulers))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(site.groups.suspend, vm, source.uniform(0.5, 12.0))
+        if site.groups.leader == vm:
+            await trio.sleep(source.uniform(0.3, 0.8))
+            others = [one for one in site.schedulers if one != vm]
+            site.groups.lead(source.choice(others))
+
+
 async def _lose_answers(
     site: sites.EmulatedSite, source: random.Random
 ) -> None:
@@ -141,9 +152,11 @@
     "fail": _fail,
     "crash": _crash,
     "shrink": _shrink,
+    "suspend": _suspend,
 }
 """What may come: the lead is lost, answers are lost, orders come late; workers
-are cut off, hang, fail all that they start, crash, or have less room."""
+are cut off, hang, fail all that they start, crash, or have less room; a VM is
+suspended."""
 
 FIRST_KINDS = ("lead", "lost", "late", "cut", "hang", "fail", "crash")
 """What older seeds draw from; a new kind would make other days of them."""
