platform: soak crashing tasks, shrinking room, suspensions, power lost with a disk

`--kinds all` draws from all kinds of troubles; the older choices keep their seeds. A suspended daemon is stopped, and its steady clock lacks the time when it goes on, while CLOCK_BOOTTIME has it. A worker that a task has crashed answers nothing until another incarnation is there. The witness lets only jobs fail that have a hopeless or a crashing task.

--- a/laburnumsill/platform/tests/soak/troubles.py
+++ b/laburnumsill/platform/tests/soak/troubles.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from laburnumsill.batch import model
 from laburnumsill.platform.tests.soak import layout
 from laburnumsill.platform.tests.soak import site as sites
 from laburnumsill.testing import proxy as proxies
@@ -153,6 +154,37 @@
         self._site.disturb_core()
 
 
+class LoseDiskAndPower(LoseDisk):
+    """All VMs lose power, and one of the core its disk as well."""
+
+    async def _play(self) -> None:
+        vms = [*layout.CORE, *layout.ENTRIES]
+        for vm in vms:
+            self._site.processes[vm].kill()
+        self._site.wipe(self._core_vm())
+        await trio.sleep(self._random.uniform(SHORTEST_S, LONGEST_DARK_S))
+        self._random.shuffle(vms)
+        for vm in vms:
+            self._site.start_vm(vm)
+        await self._site.until_core_is_calm()
+        self._site.keep_calm = False
+
+
+class Suspend(Trouble):
+    """A VM is suspended; its steady clock stands still meanwhile."""
+
+    async def _play(self) -> None:
+        vm = self._any_vm()
+        process = self._site.processes[vm]
+        if not process.running:
+            return
+        process.pause()
+        paused, began = process.pid, trio.current_time()
+        await self._last()
+        if process.running and process.pid == paused:
+            self._site.wake(vm, trio.current_time() - began)
+
+
 class CutVm(Trouble):
     """One VM is cut off from the others: silently, held, reset or refused."""
 
@@ -262,6 +294,29 @@
         await trio.lowlevel.checkpoint()
 
 
+class ShrinkWorkers(Trouble):
+    """Some workers have less room for a while, or none."""
+
+    concerns_workers = True
+
+    async def _play(self) -> None:
+        count = self._random.randrange(1, 4)
+        names = self._random.sample(sorted(self._site.announcers), count)
+        shrunk = [self._site.announcers[name].app.worker for name in names]
+        for worker in shrunk:
+            share = self._random.choice((0.0, 0.25, 0.5))
+            worker.resize(
+                model.Resources(
+                    int(share * sites.CAPACITY.cpu_millis),
+                    int(share * sites.CAPACITY.memory_mb),
+                    int(share * sites.CAPACITY.accelerators),
+                )
+            )
+        await self._last()
+        for worker in shrunk:
+            worker.resize(sites.CAPACITY)
+
+
 class DrainWorker(Trouble):
     """A worker announces its end, drains, and another begins."""
 
@@ -303,3 +358,21 @@
 """What older seeds draw from; a new kind would make other soaks of them."""
 
 KINDS_WITH_DISKS: tuple[type[Trouble], ...] = (*KINDS, FullDisks, FullDisks)
+
+ALL_KINDS: tuple[type[Trouble], ...] = (
+    *KINDS,
+    FullDisks,
+    LoseDiskAndPower,
+    Suspend,
+    Suspend,
+    ShrinkWorkers,
+    ShrinkWorkers,
+)
+"""What soaks with tasks that crash their workers draw from."""
+
+CHOICES = {
+    "first": KINDS,
+    "full-disks": KINDS_WITH_DISKS,
+    "all": ALL_KINDS,
+}
+"""Kinds to draw from, by the names that the command line has for them."""
--- a/laburnumsill/platform/tests/standin.py
+++ b/laburnumsill/platform/tests/standin.py
@@ -105,7 +105,10 @@
         except http.DisconnectedError:
             return
         self.calls.append(request.path)
+        worker = self.worker
         status, answer = await self._answer(request, body)
+        if worker.is_down:
+            return  # it has crashed, and answers nothing
         answer["clock_ms"] = self.worker.clock_ms
         await http.send_answer(send, http.json_answer(status, answer))
 
--- a/laburnumsill/platform/tests/test_soak.py
+++ b/laburnumsill/platform/tests/test_soak.py
@@ -16,6 +16,7 @@
 
 ONE_LOOP = "soaks side by side shared one loop, which was late at each turn"
 FULL_DISK_SEEDS = (1, 4)
+ALL_KINDS_SEEDS = (1, 2, 3)
 READS = 2000
 
 BROKEN_ONCE = {
@@ -54,6 +55,17 @@
     assert verdict.completed
 
 
+@pytest.mark.parametrize("seed", ALL_KINDS_SEEDS)
+async def test_no_promise_is_broken_by_any_trouble(
+    tmp_path: pathlib.Path, seed: int
+):
+    verdict = await soaks.soak(
+        seed, SHORT_S, tmp_path, troubles.ALL_KINDS, has_crashing_tasks=True
+    )
+    assert verdict.broken == [], verdict.line()
+    assert verdict.completed
+
+
 def test_settings_are_whole_whenever_a_daemon_reads_them(tmp_path):
     """Troubles that overlap may start a VM while its daemon is starting.
 
