batch: blame no run for a crash before which it was certainly not ordered

Seen: in the emulator, with crashes every 0.3 s: jobs failed under whose tasks fewer than three workers had crashed.

Cause: all that was placed on a worker was blamed for its crash, also a run whose start had not been ordered yet. A session knows what it has ordered; what an earlier leader placed may have been. The removal of the worker names the others.

Tests: test_a_run_that_was_never_ordered_is_not_blamed and test_a_run_that_was_not_ordered_is_told_from_one_that_may_have_begun; neither the field nor the knowledge was there before.

--- a/laburnumsill/batch/commands.py
+++ b/laburnumsill/batch/commands.py
@@ -143,6 +143,7 @@
         ended_ms: When its incarnation has certainly ended, ms since 1970: it
             is never known again then. 0 if it may only be cut off.
         crashed: Whether it has ended without having said so before.
+        never_began: Runs that were placed on it and certainly not ordered.
     """
 
     worker_id: str
@@ -150,6 +151,7 @@
     saved: tuple[SeenRun, ...] = ()
     ended_ms: int = 0
     crashed: bool = False
+    never_began: tuple[model.RunId, ...] = ()
 
 
 @codec.register("batch.forget-jobs")
--- a/laburnumsill/batch/ledger.py
+++ b/laburnumsill/batch/ledger.py
@@ -275,8 +275,9 @@
         crashed = command.crashed
         earlier = self._crashes.settle(command.worker_id, crashed, at_ms)
         if crashed:
-            self._crashes.crash(runs, at_ms)
-            self._fail_condemned([*earlier, *runs], at_ms)
+            begun = [run for run in runs if run not in command.never_began]
+            self._crashes.crash(begun, at_ms)
+            self._fail_condemned([*earlier, *begun], at_ms)
 
     def _lose_runs(self, worker_id: str) -> None:
         """Notes that what a worker runs is given up, and it may be up."""
--- a/laburnumsill/batch/orders.py
+++ b/laburnumsill/batch/orders.py
@@ -177,6 +177,7 @@
         order = worker_client.StartOrder(
             run, record.job.payload, task.saved, lease_ms, state.term.fence
         )
+        state.ordered.add(run)
         answer = await state.term.client.start(
             state.worker, order, now + state.term.attempt.seconds
         )
--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -333,6 +333,7 @@
             self._term.log_end(job_id)
         for end in ends:
             self._state.started.pop(end.run, None)
+            self._state.ordered.discard(end.run)
             self._observe_end(end)
         self._term.wake()
 
--- a/laburnumsill/batch/tests/test_crashes.py
+++ b/laburnumsill/batch/tests/test_crashes.py
@@ -83,6 +83,19 @@
     assert ledger.crashes.blame_of(run_of("j").task) == crashes.UNBLAMED
 
 
+def test_a_run_that_was_never_ordered_is_not_blamed():
+    ledger = addressed_site()
+    place(ledger, "w00", run_of("j"), run_of("k"))
+    ledger.remove_worker(
+        commands.RemoveWorker(
+            "w00", "421", (), GONE_MS, True, never_began=(run_of("k"),)
+        )
+    )
+    blames = [ledger.crashes.blame_of(run_of(one).task) for one in "jk"]
+    alone = crashes.Blame(crashes.BLAME_ALONE, GONE_MS)
+    assert blames == [alone, crashes.UNBLAMED]
+
+
 @pytest.mark.parametrize("restarts", [False, True])
 def test_a_run_given_up_before_the_crash_is_known_is_blamed(restarts):
     """Its lease ended, and only then its worker was found to have crashed."""
--- a/laburnumsill/batch/tests/test_session.py
+++ b/laburnumsill/batch/tests/test_session.py
@@ -460,3 +460,23 @@
         assert len(term.client.given("stop")) == before + 1
 
     play(script)
+
+
+def test_a_run_that_was_not_ordered_is_told_from_one_that_may_have_begun():
+    """Its worker crashed before the order to start it could be given."""
+
+    async def script(term):
+        other = model.Step(2, model.Resources(1000, 1000, 1))
+        terms = model.QueueTerms("pool", 1, 3)
+        job = model.Job("k", "q", "a", "", (other,), terms)
+        term.ledger.submit(caller_commands.SubmitJob(job, 0))
+        late = model.RunId(model.TaskId("k", 0, 0, 0), 1)
+        group = (commands.Placement(late, "w"),)
+        term.ledger.place(commands.PlaceRuns((group,), 0))
+        term.client.reports = [worker_client.IncarnationGoneError("421")]
+        await trio.sleep(0.5)
+        (removal,) = term.committed
+        assert removal.crashed
+        assert removal.never_began == (late,)
+
+    play(script)
--- a/laburnumsill/batch/worker_state.py
+++ b/laburnumsill/batch/worker_state.py
@@ -46,6 +46,8 @@
         started: Runs that it has confirmed, with the reports since then that
             did not list them.
         starting: Runs whose start orders are under way.
+        ordered: Runs that were ordered here, or may have been by an earlier
+            leader.
         stops: Runs that it was told to stop.
         wakeup: Set when the session has something to do.
         regained: Set when a worker answers again that did not.
@@ -67,6 +69,7 @@
         self.running: dict[model.RunId, worker_client.RunningRun] = {}
         self.started: dict[model.RunId, int] = {}
         self.starting: set[model.RunId] = set()
+        self.ordered = set(term.ledger.runs_on(worker.worker_id))
         self.stops: dict[model.RunId, Stop] = {}
         self.wakeup = trio.Event()
         self.regained = trio.Event()
@@ -183,6 +186,7 @@
                 tuple(self.progress()),
                 self.term.clock.wall_ms(),
                 crashed,
+                tuple(run for run in lost if run not in self.ordered),
             )
         )
         for run in lost:
@@ -221,6 +225,7 @@
                 reason=one.reason,
             )
             self.started.pop(one.run, None)
+            self.ordered.discard(one.run)
             self.term.health.forget_run(one.run)
         at_ms = self.term.clock.wall_ms()
         await self.term.commit(commands.ReleaseRuns(tuple(releases), at_ms))
