platform: take no second disk in a soak while the first is being replaced

Cause: the soak. Power lost with a disk did not note that the core was disturbed, so the next lost disk found it calm at once. Ruled out: a fault of the daemons, both data folders were new. The wait for a calm core has an end now.

--- a/laburnumsill/platform/tests/soak/site.py
+++ b/laburnumsill/platform/tests/soak/site.py
@@ -46,6 +46,9 @@
 """Bytes of a write that was under way: less than any record of the log."""
 
 SERVER_GRACE_S = 0.1
+CALM_WITHIN_S = 40.0
+"""The core is waited for so long: troubles of 4 s overlap on it."""
+
 CATCH_UP_S = 5.0
 """A core VM counts as lost for so long after it serves again; the users allow
 4 s after its start, on machines that do nothing else."""
@@ -201,16 +204,21 @@
         """Notes that the core is disturbed now."""
         self.disturbed_at = trio.current_time()
 
-    async def until_core_is_calm(self) -> None:
+    async def until_core_is_calm(self) -> bool:
         """Waits until all disks hold the same, so that one may be lost.
 
         A VM is back only when it serves: under load a daemon takes more than
         a second to start.
+
+        Returns:
+            Whether they do; a core that has come to nothing never will.
         """
-        while trio.current_time() - self.disturbed_at < CATCH_UP_S:
-            if not await self._core_answers():
-                self.disturb_core()
-            await trio.sleep(0.1)
+        with trio.move_on_after(CALM_WITHIN_S) as scope:
+            while trio.current_time() - self.disturbed_at < CATCH_UP_S:
+                if not await self._core_answers():
+                    self.disturb_core()
+                await trio.sleep(0.1)
+        return not scope.cancelled_caught
 
     async def _core_answers(self) -> bool:
         """Whether each core VM reads the configuration from a quorum."""
--- a/laburnumsill/platform/tests/soak/troubles.py
+++ b/laburnumsill/platform/tests/soak/troubles.py
@@ -140,8 +140,10 @@
         if self._site.keep_calm:
             return
         self._site.keep_calm = True
-        await self._site.until_core_is_calm()
-        await self._play()
+        if await self._site.until_core_is_calm():
+            await self._play()
+        else:
+            self._site.keep_calm = False
 
     async def _play(self) -> None:
         vm = self._core_vm()
@@ -162,11 +164,12 @@
         for vm in vms:
             self._site.processes[vm].kill()
         self._site.wipe(self._core_vm())
+        self._site.disturb_core()
         await trio.sleep(self._random.uniform(SHORTEST_S, LONGEST_DARK_S))
         self._random.shuffle(vms)
         for vm in vms:
             self._site.start_vm(vm)
-        await self._site.until_core_is_calm()
+        self._site.disturb_core()
         self._site.keep_calm = False
 
 
