batch, platform: tell apart the lives of a worker that starts again under its id

Cause: workers keep their id over a restart and number everything anew, and the ledger keeps by id up to which number ends are noted, which announcement was the newest, and who has ended. Ends of the next life had numbers that counted as noted: they were not read, and their runs either seemed unknown to the worker and were started again, or, as long as they were listed, stayed live for ever. Class: an identity that outlives what is remembered under it.

Ruled out: a commit lost with the lead (one fence all along), runs that the restart took (started after it), overtaken announcements (none was logged).

Calls go to the name, which the next life has too, so a report says whose it is, and one of another life ends the former. What that life ran may have been ordered of the next one: its runs go over to that one as strays, are stopped there and count as over only once the stop is acknowledged. An order is not repeated before the worker has been asked whether it is the same. Two that claim one name are asked, as two at one address are; when they say they began decides nothing, since clocks jump. A departure ends the life that drains. Workers that do not say when they began are as before, and records without these fields are read.

Tests: platform/tests/test_restarted_workers.py (roles, over HTTP): test_ends_of_a_worker_that_started_again_are_taken_note_of failed before, the job never completed. emulator/tests/test_restarted_workers.py, batch/tests/test_worker_incarnations.py, test_session.py, platform/tests/test_reports.py, test_announcements.py. The emulator plays such restarts (trouble "restart"), and takes an end for noted whichever life's number the order was for.

--- a/laburnumsill/batch/commands.py
+++ b/laburnumsill/batch/commands.py
@@ -143,6 +143,8 @@
         ended_ms: When its incarnation has certainly ended, ms since 1970: it
             is never known again then. 0 if it may only be cut off.
         crashed: Whether it has ended without having said so before.
+        successor: The incarnation that has its name now, which may carry out
+            orders for its runs; "" if there is none.
         never_began: Runs that were placed on it and certainly not ordered.
     """
 
@@ -151,6 +153,7 @@
     saved: tuple[SeenRun, ...] = ()
     ended_ms: int = 0
     crashed: bool = False
+    successor: str = ""
     never_began: tuple[model.RunId, ...] = ()
 
 
--- a/laburnumsill/batch/contested_workers.py
+++ b/laburnumsill/batch/contested_workers.py
@@ -1,4 +1,4 @@
-"""Workers of which two claim one address."""
+"""Workers of which two claim one address or one name."""
 
 from collections import abc
 
@@ -8,7 +8,7 @@
 def contested(
     workers: abc.Collection[model.Worker], named: abc.Set[str]
 ) -> set[str]:
-    """Returns the workers that claim an address which another claims.
+    """Returns the workers that claim an address or a name of another's.
 
     One of them has ended, and which one is not known until the address is
     asked: a late announcement may be that of the ended one. One whose pool the
@@ -28,11 +28,14 @@
         >>> contested([old, stray], {"p"}), contested([old], {"p"})
         ({'stray'}, set())
     """
-    if len({worker.address for worker in workers}) == len(workers):
+    addresses = {worker.address for worker in workers}
+    names = {worker.call_name for worker in workers}
+    if len(addresses) == len(names) == len(workers):
         return set()
-    claims: dict[str, list[model.Worker]] = {}
+    claims: dict[tuple[str, str], list[model.Worker]] = {}
     for worker in workers:
-        claims.setdefault(worker.address, []).append(worker)
+        for claim in (("at", worker.address), ("named", worker.call_name)):
+            claims.setdefault(claim, []).append(worker)
     return {
         worker.worker_id
         for claimants in claims.values()
--- a/laburnumsill/batch/intake.py
+++ b/laburnumsill/batch/intake.py
@@ -44,7 +44,11 @@
 
 @codec.register("intake.departure")
 class Departure(msgspec.Struct, frozen=True):
-    """A worker has ended."""
+    """A worker has ended.
+
+    Attributes:
+        worker_id: Its name, which does not tell its incarnations apart.
+    """
 
     worker_id: str
 
@@ -194,10 +198,11 @@
 
     async def _on_departure(self, departure: Departure) -> Taken:
         """Takes note that a worker has ended, where this VM leads."""
-        worker_id = departure.worker_id
-        if not self._ledger().has_ended(worker_id):
+        name = departure.worker_id
+        ledger = self._ledger()
+        ended_ms = self._clock.wall_ms()
+        for worker_id in _leaving(ledger, name):
             logs.event("worker-left", worker=worker_id)
-            ended_ms = self._clock.wall_ms()
             await self._commit(
                 commands.RemoveWorker(worker_id, "it left", (), ended_ms)
             )
@@ -222,6 +227,24 @@
         return ledger
 
 
+def _leaving(ledger: ledgers.BatchLedger, name: str) -> list[str]:
+    """Returns the incarnations that a departure under a name may be of.
+
+    Where a name lasts, a departure may arrive when its sender's successor is
+    there; only one that drains has left. Another one is found to be gone when
+    it does not answer.
+    """
+    leaving = [
+        worker.worker_id
+        for worker in ledger.workers.values()
+        if worker.name == name and worker.draining
+    ]
+    lasting = any(worker.name == name for worker in ledger.workers.values())
+    if not lasting and not ledger.has_ended(name):
+        leaving.append(name)
+    return leaving
+
+
 def _without_growth(known: model.Worker, worker: model.Worker) -> model.Worker:
     """Returns what a worker says of itself, but no more room than is known.
 
--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -216,6 +216,17 @@
         if session is not None:
             session.hear(clock_ms)
 
+    async def verified(self, worker: model.Worker) -> None:
+        """Removes others of a worker's name, see the base class."""
+        for session in list(self._sessions.values()):
+            other = session.worker
+            if (
+                other.call_name == worker.call_name
+                and other.worker_id != worker.worker_id
+                and other.worker_id in self.ledger.workers
+            ):
+                await session.end(worker.worker_id)
+
     async def commit(self, command: object) -> object:
         """Commits a command, see the base class."""
         deadline = self.clock.monotonic() + COMMIT_WITHIN_S
--- a/laburnumsill/batch/ledger.py
+++ b/laburnumsill/batch/ledger.py
@@ -252,7 +252,7 @@
         runs = list(self.runs_on(command.worker_id))
         self._note_loss(command, runs)
         for run in runs:
-            self._remove_run(run)
+            self._lose_run(run, command.successor)
         self._workers.pop(command.worker_id, None)
         self._slots.clear()
         if command.ended_ms:
@@ -264,6 +264,15 @@
         self._forget_absent(self._noted)
         self._forget_absent(self._sequences)
 
+    def _lose_run(self, run: model.RunId, successor: str) -> None:
+        """Ends a run with its worker, or leaves it to the next incarnation."""
+        record = self._live.remove(run)
+        self._waiting.pop(run.task.step_key, None)
+        if record is not None and successor in self._workers:
+            record.worker_id = successor
+            record.is_stray = True
+            self._add_run(record)
+
     def _note_loss(
         self, command: commands.RemoveWorker, runs: list[model.RunId]
     ) -> None:
@@ -275,7 +284,12 @@
         crashed = command.crashed
         earlier = self._crashes.settle(command.worker_id, crashed, at_ms)
         if crashed:
-            begun = [run for run in runs if run not in command.never_began]
+            begun = [
+                run
+                for run in runs
+                if run not in command.never_began
+                and not self.runs[run].is_stray
+            ]
             self._crashes.crash(begun, at_ms)
             self._fail_condemned([*earlier, *begun], at_ms)
 
--- a/laburnumsill/batch/model.py
+++ b/laburnumsill/batch/model.py
@@ -262,6 +262,8 @@
         labels: Its kind and its rack among them.
         rack: The rack it stands in, "" if unknown.
         draining: Whether it is about to leave.
+        name: What calls to it are addressed to, if its next incarnation may
+            have the same; "" if that is its id.
     """
 
     worker_id: str
@@ -272,6 +274,16 @@
     labels: tuple[str, ...] = ()
     rack: str = ""
     draining: bool = False
+    name: str = ""
+
+    @property
+    def call_name(self) -> str:
+        """What calls to it are addressed to.
+
+        Another incarnation of this name carries out orders that were meant
+        for this one.
+        """
+        return self.name or self.worker_id
 
 
 def weight(needs: Resources) -> float:
--- a/laburnumsill/batch/orders.py
+++ b/laburnumsill/batch/orders.py
@@ -130,8 +130,13 @@
         maybe_begun = False
         while self._wanted(run) and clock.monotonic() < give_up_at:
             try:
+                if maybe_begun and state.worker.name:
+                    await state.ask()  # it may have started again since
                 if await self._start_once(run):
                     return
+            except worker_client.IncarnationReplacedError as error:
+                await state.replaced(error)
+                return
             except worker_client.IncarnationGoneError as error:
                 await state.gone(error.detail)
                 return
--- a/laburnumsill/batch/records.py
+++ b/laburnumsill/batch/records.py
@@ -115,12 +115,15 @@
         worker_id: Where.
         placed_ms: When it was placed, ms since 1970.
         seen: Whether its worker has listed it as running.
+        is_stray: Whether it was ordered of an earlier incarnation. Its orders
+            may still be carried out, so it is stopped before it is over.
     """
 
     run: model.RunId
     worker_id: str
     placed_ms: int
     seen: bool = False
+    is_stray: bool = False
 
 
 def new_job(job: model.Job, at_ms: int) -> JobRecord:
--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -34,6 +34,10 @@
 """A run that is listed for so long after its stop was acknowledged is stopped
 again; the users' workers take 1 s at most."""
 
+REPLACED_PAUSE_S = 0.5
+"""Pause before a worker is asked again under whose name another incarnation
+answers; that announces itself within 1.5 s."""
+
 UNREAD_PAUSE_S = 0.5
 """Pause after a report that could not be read in full: ends that are listed
 have the worker answer at once, and this one will list them again."""
@@ -69,7 +73,7 @@
         self._orders = orders.Orders(self._state, nursery)
         self._reported_noted = term.ledger.noted(worker.worker_id)
         self._answered = False
-        self._unverified = False
+        self._doubted_at: float | None = None
         self._asking = False
 
     @property
@@ -129,11 +133,15 @@
 
         Another one there answers so, and the session ends then.
         """
-        if not self._unverified:
-            self._unverified = True
+        if self._doubted_at is None:
+            self._doubted_at = self._term.clock.monotonic()
             logs.event("worker-contested", worker=self.worker_id)
         self._state.wakeup.set()
 
+    async def end(self, successor: str) -> None:
+        """Ends the session: another incarnation has the worker's name."""
+        await self._state.gone("it has started again", successor)
+
     @property
     def answers(self) -> bool:
         """Whether the worker answered just now."""
@@ -150,21 +158,14 @@
         """
         if self.answers:
             return True
-        now = self._term.clock.monotonic()
-        noted = self._term.ledger.noted(self._state.worker_id)
-        order = worker_client.ReportOrder(None, self._term.fence, noted, 0)
-        deadline = now + self._term.attempt.seconds
         self._asking = True
         try:
-            report = await self._term.client.report(
-                self._state.worker, order, deadline
-            )
+            await self._state.ask()
         except errors.LaburnumsillError as error:
             await self._unanswered(error)
             return False
         finally:
             self._asking = False
-        self._state.answered(report.clock_ms, now)
         return True
 
     async def ask_unless_asked(self) -> None:
@@ -193,7 +194,9 @@
         ledger = self._term.ledger
         unsaid = ledger.noted(self._state.worker_id) > self._reported_noted
         runs = ledger.runs_on(self._state.worker_id)
-        if runs or self._state.running or unsaid or self._unverified:
+        if runs or self._state.running or unsaid:
+            return True
+        if self._doubted_at is not None:
             return True
         if self._state.failing_since is not None:
             return True
@@ -222,19 +225,27 @@
             return
         self._reported_noted = max(self._reported_noted, noted)
         self._answered = True
-        self._unverified = False
+        await self._note_verified(now)
         asked_at = None if wait_ms else now
         self._state.answered(report.clock_ms, asked_at)
         await self._take(report, now)
 
+    async def _note_verified(self, asked_at: float) -> None:
+        """This incarnation was there when it was asked."""
+        doubted_at = self._doubted_at
+        if doubted_at is None or asked_at < doubted_at:
+            return
+        self._doubted_at = None
+        await self._term.verified(self._state.worker)
+
     def _wait_ms(self) -> int:
         """Returns how long the next report may wait for an end."""
         runs = self._term.ledger.runs_on(self._state.worker_id)
-        if self._unverified or not self._state.leases.known:
+        if self._doubted_at is not None or not self._state.leases.known:
             return 0
         if not runs:
             return SETTLE_WAIT_MS if self._state.running else 0
-        unsettled = any(
+        unsettled = any(map(self._is_stray, runs)) or any(
             stop.acknowledged_at is not None and run not in self._state.running
             for run, stop in self._state.stops.items()
             if run in runs
@@ -243,6 +254,10 @@
 
     async def _report_failed(self, error: errors.LaburnumsillError) -> None:
         await self._unanswered(error)
+        if isinstance(error, worker_client.IncarnationReplacedError):
+            # Its successor has not announced itself, or this is removed.
+            await trio.sleep(REPLACED_PAUSE_S)
+            return
         if isinstance(error, worker_client.IncarnationGoneError):
             return
         if self._term.clock.monotonic() >= self._state.leases.over_at:
@@ -251,6 +266,9 @@
 
     async def _unanswered(self, error: errors.LaburnumsillError) -> None:
         """Takes note of a question that had no good answer."""
+        if isinstance(error, worker_client.IncarnationReplacedError):
+            await self._state.replaced(error)
+            return
         if isinstance(error, worker_client.IncarnationGoneError):
             await self._state.gone(error.detail)
             return
@@ -370,7 +388,9 @@
         releases = []
         for run in list(self._term.ledger.runs_on(self._state.worker_id)):
             stop = self._state.stops.get(run)
-            if run in self._state.running:
+            if stop is None and self._is_stray(run):
+                self._orders.stop(run, "its worker has started again")
+            elif run in self._state.running:
                 self._see(run)
             elif run in listed or run in self._state.starting:
                 continue
@@ -386,6 +406,10 @@
                 self._miss(run)
         await self._state.commit_releases(releases)
 
+    def _is_stray(self, run: model.RunId) -> bool:
+        record = self._term.ledger.runs.get(run)
+        return record is not None and record.is_stray
+
     def _see(self, run: model.RunId) -> None:
         record = self._term.ledger.runs.get(run)
         if (
--- a/laburnumsill/batch/term.py
+++ b/laburnumsill/batch/term.py
@@ -36,6 +36,13 @@
     async def commit(self, command: object) -> object:
         """Returns a command's result; a lost lead ends the term instead."""
 
+    @abc.abstractmethod
+    async def verified(self, worker: model.Worker) -> None:
+        """Notes that a worker was there after another claimed its place.
+
+        Others of its name have ended, since one incarnation lives at a time.
+        """
+
     @abc.abstractmethod
     def is_served(self, pool: str) -> bool:
         """Returns whether a run may ever have been ordered in a pool."""
--- a/laburnumsill/batch/tests/test_session.py
+++ b/laburnumsill/batch/tests/test_session.py
@@ -77,6 +77,7 @@
         self.longest_lease_ms = 10_000
         self.attempt = learnt_wait.LearntWait(0.1, 0.5, 4)
         self.doubted = []
+        self.confirmed = []
         self.committed = []
         step = model.Step(1, model.Resources(1000, 1000, 1))
         terms = model.QueueTerms("pool", 1, 3)
@@ -96,6 +97,9 @@
         self.committed.append(command)
         self.ledger.commands()[type(command)](command)
 
+    async def verified(self, worker):
+        self.confirmed.append(worker.worker_id)
+
     def is_served(self, pool):
         return pool == WORKER.pool
 
@@ -480,3 +484,65 @@
         assert removal.never_began == (late,)
 
     play(script)
+
+
+def replaced(term):
+    """Has a successor of the worker be known, and answer for it."""
+    following = msgspec.structs.replace(WORKER, worker_id="w@9", name="w")
+    term.ledger.put_worker(commands.PutWorker(following))
+    return worker_client.IncarnationReplacedError("w@9 has answered for w")
+
+
+def test_runs_of_a_worker_that_started_again_go_to_its_successor():
+    async def script(term):
+        term.client.reports = [running(), replaced(term)]
+        term.session.start(RUN)
+        await trio.sleep(0.5)
+        (removal,) = term.committed
+        assert (removal.worker_id, removal.successor) == ("w", "w@9")
+        assert term.ledger.runs[RUN].is_stray
+
+    play(script)
+
+
+def test_runs_are_kept_while_the_successor_is_not_known():
+    """Nobody can tell whether it carries out their orders."""
+
+    async def script(term):
+        gone = worker_client.IncarnationReplacedError("w@9 has answered")
+        term.client.reports = [running(), *[gone] * 100]
+        term.session.start(RUN)
+        await trio.sleep(14.0)
+        assert not term.committed
+        assert RUN in term.ledger.runs
+        assert term.session.failing_since is not None
+        assert len(term.client.given("report")) < 35
+
+    play(script)
+
+
+def test_a_run_of_an_earlier_life_is_stopped_before_it_is_over():
+    async def script(term):
+        term.ledger.runs[RUN].is_stray = True
+        await trio.sleep(1.0)
+        assert term.client.given("start") == []
+        assert term.client.given("stop") == [RUN]
+        assert [one.run for one in term.released()] == [RUN]
+
+    play(script)
+
+
+def test_only_a_report_asked_for_after_the_doubt_tells_who_is_there():
+    """One that waits may have been answered before the other one began."""
+
+    async def script(term):
+        term.client.reports = [running()]
+        term.session.start(RUN)
+        await trio.sleep(0.1)
+        term.session.verify()
+        await trio.sleep(1.0)
+        assert not term.confirmed  # the report before waits for an end
+        await trio.sleep(1.5)
+        assert term.confirmed == ["w"]
+
+    play(script)
--- a/laburnumsill/batch/tests/test_worker_incarnations.py
+++ b/laburnumsill/batch/tests/test_worker_incarnations.py
@@ -270,3 +270,68 @@
 
     play(script)
     assert called == {"w0-0", "w0-1"}
+
+
+NEXT = msgspec.structs.replace(worker(), worker_id="w@9", name="w")
+RUN = model.RunId(model.TaskId("j", 0, 0, 0), 1)
+
+
+def restarted_ledger():
+    """Returns a ledger in which a worker with a run has started again."""
+    ledger = ledgers.BatchLedger()
+    ledger.put_worker(commands.PutWorker(worker(), 30))
+    step = model.Step(1, model.Resources(1, 1, 1))
+    terms = model.QueueTerms("pool", 0, 2)
+    job = model.Job("j", "q", "a", "", (step,), terms)
+    ledger.submit(caller_commands.SubmitJob(job, 0))
+    group = (commands.Placement(RUN, "w"),)
+    ledger.place(commands.PlaceRuns((group,), 0))
+    earlier = commands.EndedRun(6, RUN, commands.EndKind.STOPPED)
+    ledger.note_ends(commands.NoteEnds("w", (earlier,), 0))
+    run = model.RunId(RUN.task, 2)
+    ledger.place(commands.PlaceRuns(((commands.Placement(run, "w"),),), 0))
+    ledger.put_worker(commands.PutWorker(NEXT, 1))
+    ledger.remove_worker(
+        commands.RemoveWorker("w", "421", (), 5, True, successor="w@9")
+    )
+    return ledger, run
+
+
+@pytest.mark.parametrize("restarts", [False, True])
+def test_a_run_of_an_earlier_life_is_left_to_the_next_one(restarts):
+    """It may get the orders that were meant for the one before."""
+    ledger, run = restarted_ledger()
+    if restarts:
+        restored = ledgers.BatchLedger()
+        restored.load(ledger.dump())
+        ledger = restored
+    assert list(ledger.workers) == ["w@9"]
+    record = ledger.runs[run]
+    assert (record.worker_id, record.is_stray) == ("w@9", True)
+    assert list(ledger.runs_on("w@9")) == [run]
+    assert ledger.noted("w@9") == ledger.sequence("w") == 0
+    done = commands.EndedRun(1, run, commands.EndKind.DONE)
+    ledger.note_ends(commands.NoteEnds("w@9", (done,), 6))
+    assert ledger.jobs["j"].done
+
+
+def test_a_run_of_an_earlier_life_is_blamed_once_for_its_crash():
+    ledger, run = restarted_ledger()
+    blame = ledger.crashes.blame_of(run.task)
+    assert blame.points == 2
+    ledger.remove_worker(commands.RemoveWorker("w@9", "421", (), 7, True))
+    assert ledger.crashes.blame_of(run.task) == blame
+    assert not ledger.runs
+
+
+def test_records_from_before_workers_kept_their_names_are_read():
+    ledger, run = restarted_ledger()
+    name, body = msgspec.msgpack.decode(ledger.dump())
+    for one in body["workers"]:
+        del one["name"]
+    for one in body["runs"]:
+        del one["is_stray"]
+    restored = ledgers.BatchLedger()
+    restored.load(msgspec.msgpack.encode((name, body)))
+    assert restored.workers["w@9"].call_name == "w@9"
+    assert not restored.runs[run].is_stray
--- a/laburnumsill/batch/worker_client.py
+++ b/laburnumsill/batch/worker_client.py
@@ -22,6 +22,17 @@
     title = "This incarnation of the worker is gone"
 
 
+class IncarnationReplacedError(IncarnationGoneError):
+    """Another incarnation answers under the worker's name.
+
+    It may have carried out orders that were meant for this one, and may still
+    do so.
+    """
+
+    slug = "incarnation-replaced"
+    title = "The worker has started again"
+
+
 class FencedOffError(errors.ConflictError):
     """The worker has obeyed a leader of a later term; nothing was done."""
 
--- a/laburnumsill/batch/worker_state.py
+++ b/laburnumsill/batch/worker_state.py
@@ -123,6 +123,19 @@
         if clock_ms is not None:
             self.leases.observe(clock_ms, now)
 
+    async def ask(self) -> None:
+        """Asks whether this incarnation is there.
+
+        Raises:
+            errors.LaburnumsillError: It is not, or does not answer.
+        """
+        now = self.term.clock.monotonic()
+        noted = self.term.ledger.noted(self.worker_id)
+        order = worker_client.ReportOrder(None, self.term.fence, noted, 0)
+        deadline = now + self.term.attempt.seconds
+        report = await self.term.client.report(self.worker, order, deadline)
+        self.answered(report.clock_ms, now)
+
     def answered(
         self, clock_ms: int | None, asked_at: float | None = None
     ) -> None:
@@ -166,8 +179,32 @@
         live = run in self.term.ledger.runs_on(self.worker_id)
         return not live and run not in self.running
 
-    async def gone(self, reason: str) -> None:
-        """The worker's incarnation has ended, and all that ran on it."""
+    async def replaced(
+        self, error: worker_client.IncarnationReplacedError
+    ) -> None:
+        """Another incarnation has the worker's name and may have its orders.
+
+        Until that one is known, nothing can be said of the runs.
+        """
+        successors = [
+            worker_id
+            for worker_id, other in self.term.ledger.workers.items()
+            if other.call_name == self.worker.call_name
+            and worker_id != self.worker_id
+        ]
+        if successors:
+            await self.gone(error.detail, successors[-1])
+        else:
+            self.unanswered(error)
+
+    async def gone(self, reason: str, successor: str = "") -> None:
+        """The worker's incarnation has ended, and all that ran on it.
+
+        Args:
+            reason: Why that is certain.
+            successor: Another incarnation that may have orders for its runs,
+                "" if none can.
+        """
         lost = list(self.term.ledger.runs_on(self.worker_id))
         concerned = {run.task.job_id for run in lost}
         concerned &= self.term.ledger.active_jobs.keys()
@@ -178,6 +215,7 @@
             reason=reason,
             crashed=crashed,
             runs=len(lost),
+            successor=successor,
         )
         await self.term.commit(
             commands.RemoveWorker(
@@ -186,6 +224,7 @@
                 tuple(self.progress()),
                 self.term.clock.wall_ms(),
                 crashed,
+                successor,
                 tuple(run for run in lost if run not in self.ordered),
             )
         )
--- a/laburnumsill/emulator/main.py
+++ b/laburnumsill/emulator/main.py
@@ -47,7 +47,7 @@
             site: `tana-shore`, `fingal`, `further`, `wide` or `drawn`.
             load: Multiple of the usual rates of jobs.
             trouble: What may come, with commas between: lead, lost, late,
-                cut, hang, fail, crash, shrink, suspend; or
+                cut, hang, fail, crash, shrink, suspend, restart; or
                 `all`.
             log: Whether to print the scheduler's log lines too.
             site_seed: Of a drawn site; it repeats the site.
--- a/laburnumsill/emulator/site.py
+++ b/laburnumsill/emulator/site.py
@@ -70,6 +70,11 @@
         stop_grace_s: How long a stop takes at most.
         saving: How tasks save their progress.
         policy: Which mechanisms of the planner are in use.
+
+    Attributes:
+        keeps_names: Whether workers that crashed start again under their
+            names.
+        restart_s: They are back after so long, at least and at most.
     """
 
     def __init__(
@@ -89,6 +94,8 @@
         self.uneven: dict[str, float] = {}
         self.hopeless: set[str] = set()
         self.crashing: set[model.TaskId] = set()
+        self.keeps_names = False
+        self.restart_s = RESTART_S
         self.guarantees: dict[str, int] = {}
         self.outcomes: dict[str, Outcome] = {}
         self.pool = worker_module.WorkerPool(
@@ -161,13 +168,19 @@
             racks, per_rack = self._shape
             for rack in range(racks):
                 for number in range(per_rack):
-                    self.add_worker(f"w{rack}-{number}", rack)
+                    self._add_first(f"w{rack}-{number}", rack)
             nursery.start_soon(self._send_heartbeats)
             task_status.started()
             await trio.sleep_forever()
 
+    def _add_first(self, name: str, rack: int) -> None:
+        if self.keeps_names:
+            self.add_worker(f"{name}@0", rack, name, name)
+        else:
+            self.add_worker(name, rack)
+
     def add_worker(
-        self, worker_id: str, rack: int, address: str = ""
+        self, worker_id: str, rack: int, address: str = "", name: str = ""
     ) -> worker_module.EmulatedWorker:
         """Adds a worker and makes it known.
 
@@ -175,6 +188,7 @@
             worker_id: New for each incarnation.
             rack: The number of its rack.
             address: That of the worker before it, "" for one of its own.
+            name: That of the worker before it, "" for one of its own.
         """
         worker = model.Worker(
             worker_id,
@@ -184,6 +198,7 @@
             self.capacity,
             ("a", f"r{rack}"),
             f"r{rack}",
+            name=name,
         )
         behaviour = worker_module.Behaviour(
             clock_rate=self.random.choice([1.0, 0.98])
@@ -198,11 +213,16 @@
 
     async def _restart(self, crashed: worker_module.EmulatedWorker) -> None:
         """Has another incarnation begin at a crashed worker's address."""
-        await trio.sleep(self.random.uniform(*RESTART_S))
+        await trio.sleep(self.random.uniform(*self.restart_s))
         crashed.is_down = False
         worker = crashed.worker
         rack = int(worker.rack[1:])
-        self.add_worker(f"{worker.worker_id}x", rack, worker.address)
+        if not self.keeps_names:
+            self.add_worker(f"{worker.worker_id}x", rack, worker.address)
+            return
+        name = worker.call_name
+        born_ms = int(1000 * trio.current_time())
+        self.add_worker(f"{name}@{born_ms}", rack, worker.address, name)
 
     def announce(self, worker: model.Worker, sequence: int) -> None:
         """Has an announcement arrive, maybe long after it was sent."""
--- a/laburnumsill/emulator/tests/test_crashing_tasks.py
+++ b/laburnumsill/emulator/tests/test_crashing_tasks.py
@@ -30,10 +30,14 @@
 
 
 def play(seed, script, racks=2, per_rack=3):
-    """Plays a script on a small site; returns the site."""
+    """Plays a script on a small site; returns the site.
+
+    On every other one workers start again under their names.
+    """
 
     async def main():
         site = sites.EmulatedSite(seed, racks, per_rack)
+        site.keeps_names = seed % 2 == 1
         async with trio.open_nursery() as nursery:
             await nursery.start(site.run)
             await trio.sleep(1.0)
--- a/laburnumsill/emulator/troubles.py
+++ b/laburnumsill/emulator/troubles.py
@@ -115,6 +115,16 @@
     site.announce(worker, 1_000)
 
 
+async def _restart(site: sites.EmulatedSite, source: random.Random) -> None:
+    """Some workers crash and start again under their names."""
+    site.keeps_names = True
+    for one in _some_workers(site, source):
+        if not one.gone:
+            one.crash()
+            await trio.sleep(source.uniform(0.0, 1.0))
+    await _last(source)
+
+
 async def _shrink(site: sites.EmulatedSite, source: random.Random) -> None:
     """Some workers have less room for a while, some of them none."""
     some = _some_workers(site, source)
@@ -153,10 +163,11 @@
     "crash": _crash,
     "shrink": _shrink,
     "suspend": _suspend,
+    "restart": _restart,
 }
 """What may come: the lead is lost, answers are lost, orders come late; workers
 are cut off, hang, fail all that they start, crash, or have less room; a VM is
-suspended."""
+suspended; workers start again under their names."""
 
 FIRST_KINDS = ("lead", "lost", "late", "cut", "hang", "fail", "crash")
 """What older seeds draw from; a new kind would make other days of them."""
--- a/laburnumsill/emulator/workers.py
+++ b/laburnumsill/emulator/workers.py
@@ -101,6 +101,7 @@
             successor has not started.
         sequence: Of its last announcement.
         announced: What was acknowledged of what it says of itself.
+        born_ms: When it started, ms since 1970; None if it does not say so.
     """
 
     def __init__(
@@ -115,6 +116,7 @@
         self.is_down = False
         self.sequence = 0
         self.announced = worker
+        self.born_ms: int | None = None
         self._pool = pool
         self._started_at = trio.current_time()
         self._fence = 0
@@ -292,7 +294,7 @@
 
     def _note(self, noted: int) -> None:
         for end in self._ends:
-            if self._noted < end.number <= noted:
+            if end.number <= noted:
                 truth = self._pool.oracle.jobs[end.run.task.job_id]
                 gang = truth.job.steps[end.run.task.step].gang
                 lapsed = end.number <= self._lapsed
@@ -317,6 +319,8 @@
         saving: How tasks save their progress.
 
     Attributes:
+        workers: All that there were, by id.
+        lives: The newest one of each name.
         is_crashing: Returns whether a task crashes each worker that starts it.
         on_crash: Told of each worker that has crashed.
     """
@@ -335,6 +339,7 @@
         self.work_of = work_of
         self.hopeless = hopeless
         self.workers: dict[str, EmulatedWorker] = {}
+        self.lives: dict[str, EmulatedWorker] = {}
         self.is_crashing: abc.Callable[[model.TaskId], bool] = lambda _: False
         self.on_crash: abc.Callable[[EmulatedWorker], None] = lambda _: None
         self.lost_core_s = 0.0
@@ -346,6 +351,7 @@
         """Adds a worker."""
         made = EmulatedWorker(worker, self, behaviour or Behaviour())
         self.workers[worker.worker_id] = made
+        self.lives[worker.call_name] = made
         return made
 
     def count_lost(self, step: model.Step, done_s: float, saved: str) -> None:
@@ -464,6 +470,8 @@
         """Asks for a report, see the base class."""
         target = await self._reach(worker, deadline)
         report = await target.report(order)
+        if target.worker.worker_id != worker.worker_id:
+            raise worker_client.IncarnationReplacedError(worker.worker_id)
         if target.is_down:
             raise worker_client.NoAnswerError("disconnected")
         if worker.worker_id in self.cut:
@@ -477,7 +485,7 @@
         self, worker: model.Worker, deadline: float
     ) -> EmulatedWorker:
         await trio.sleep(self._random.uniform(0.0005, 0.002))
-        target = self._pool.workers.get(worker.worker_id)
+        target = self._pool.lives.get(worker.call_name)
         if worker.worker_id in self.cut or target is None:
             await self._no_answer(deadline)
         assert target is not None
--- a/laburnumsill/platform/announcements.py
+++ b/laburnumsill/platform/announcements.py
@@ -13,6 +13,7 @@
 from laburnumsill.batch import intake as intakes
 from laburnumsill.batch import model
 from laburnumsill.platform import decoding
+from laburnumsill.platform import incarnations
 from laburnumsill.platform import wire
 
 DRAINING = "draining"
@@ -54,8 +55,9 @@
     body = _body(raw)
     _check_address(body.address)
     capacity = body.capacity
+    lasts = body.born is not msgspec.UNSET
     worker = model.Worker(
-        worker_id,
+        incarnations.incarnation_id(worker_id, body.born),
         body.service,
         body.address,
         body.zone,
@@ -63,6 +65,7 @@
         body.labels,
         _rack(body.labels),
         body.state == DRAINING,
+        worker_id if lasts else "",
     )
     clock_ms = None if body.clock_ms is msgspec.UNSET else body.clock_ms
     return intakes.Announcement(worker, body.seq, clock_ms)
--- a/laburnumsill/platform/reports.py
+++ b/laburnumsill/platform/reports.py
@@ -15,6 +15,7 @@
 from laburnumsill.batch import worker_client
 from laburnumsill.core import logs
 from laburnumsill.platform import decoding
+from laburnumsill.platform import incarnations
 from laburnumsill.platform import wire
 
 _END_KINDS = {
@@ -45,15 +46,18 @@
     title = "A row of a report makes no sense"
 
 
-def decode(worker_id: str, raw: bytes) -> worker_client.Report:
+def decode(worker: model.Worker, raw: bytes) -> worker_client.Report:
     """Returns the report that a worker's answer holds.
 
     Raises:
         decoding.MalformedBodyError: It is no report.
+        worker_client.IncarnationReplacedError: It is another one's.
+        worker_client.NoAnswerError: It does not say whose it is.
     """
     answer = decoding.parse(raw, wire.ReportAnswer)
-    running = tuple(_read(worker_id, answer.running, _running))
-    ended = tuple(_read(worker_id, answer.ended, _ended))
+    incarnations.check_reporter(worker, answer.born)
+    running = tuple(_read(worker.worker_id, answer.running, _running))
+    ended = tuple(_read(worker.worker_id, answer.ended, _ended))
     return worker_client.Report(
         answer.clock_ms,
         running,
--- a/laburnumsill/platform/tests/standin.py
+++ b/laburnumsill/platform/tests/standin.py
@@ -89,6 +89,11 @@
     }
 
 
+def wire_id(worker: emulated.EmulatedWorker) -> str:
+    """Returns the id of a worker on the wire, which its next life may have."""
+    return worker.worker.worker_id.partition("@")[0]
+
+
 class ExecutorApp:
     """Serves one emulated worker as the platform's executor does."""
 
@@ -114,7 +119,7 @@
 
     async def _answer(self, request, body):
         expected = request.headers["x-expect-instance"]
-        if self.worker.gone or expected != self.worker.worker.worker_id:
+        if self.worker.gone or expected != wire_id(self.worker):
             return 421, {}
         try:
             if request.path == "/-/run-start":
@@ -146,6 +151,7 @@
             )
         )
         return {
+            **_born(self.worker),
             "running": [
                 [str(one.run.task), one.run.number, one.saved, one.percent]
                 for one in report.running
@@ -163,6 +169,10 @@
         }
 
 
+def _born(worker: emulated.EmulatedWorker) -> dict[str, int]:
+    return {} if worker.born_ms is None else {"born": worker.born_ms}
+
+
 def _run(body) -> model.RunId:
     return model.RunId(model.TaskId.parse(body["task"]), body["run"])
 
@@ -248,5 +258,6 @@
         "labels": list(known.labels),
         "clock_ms": worker.clock_ms,
         "seq": sequence,
+        **_born(worker),
         **changes,
     }
--- a/laburnumsill/platform/tests/test_announcements.py
+++ b/laburnumsill/platform/tests/test_announcements.py
@@ -77,6 +77,7 @@
     "clock_ms": ["482113", None, -1, 10**30, 1.5],
     "seq": ["4", None, -1, 10**30, 1.5, True],
     "remaining_ms": ["4", -1, 10**30],
+    "born": ["1", None, -1, 10**30, 1.5, True, [1]],
 }
 SOUND_RAW = json.dumps(SOUND).encode()
 UNREADABLE = [
@@ -232,6 +233,17 @@
     assert first.worker.capacity == model.Resources(16000, 32768, 0)
 
 
+def test_lives_of_one_id_are_told_apart_by_when_they_began():
+    border = Border()
+    for born in (1_700_000_000_000, 1_700_000_005_000):
+        assert (
+            border.put(json.dumps({**SOUND, "born": born}).encode())[0] == 200
+        )
+    first, second = (one.worker for one in border.intake.taken)
+    assert first.worker_id != second.worker_id
+    assert first.call_name == second.call_name == "i-1"
+
+
 @hypothesis.given(st.sampled_from(sorted(SOUND)), JSON_VALUES)
 def test_any_value_in_a_field_is_taken_or_refused(field, value):
     border = Border()
--- a/laburnumsill/platform/tests/test_reports.py
+++ b/laburnumsill/platform/tests/test_reports.py
@@ -6,6 +6,7 @@
 import hypothesis
 import hypothesis.strategies as st
 import loguru
+import msgspec
 import pytest
 import trio
 
@@ -168,3 +169,40 @@
     report = ask(answer(running=rows, ended=rows), lines)
     assert len(report.running) + report.unread_running == len(rows)
     assert len(report.ended) + report.unread_ended == len(rows)
+
+
+BORN_MS = 1_700_000_000_000
+NAMED = msgspec.structs.replace(
+    WORKER, worker_id=f"{WORKER.worker_id}@{BORN_MS}", name=WORKER.worker_id
+)
+
+
+def ask_named(monkeypatch, raw):
+    monkeypatch.setitem(globals(), "WORKER", NAMED)
+    return ask(raw, [])
+
+
+def test_a_report_of_the_life_that_was_asked_is_taken(monkeypatch):
+    assert ask_named(monkeypatch, answer(born=BORN_MS)).ended
+
+
+def test_a_report_of_another_life_ends_the_one_that_was_asked(monkeypatch):
+    with pytest.raises(worker_client.IncarnationReplacedError):
+        ask_named(monkeypatch, answer(born=BORN_MS + 1))
+
+
+def test_a_report_that_does_not_say_its_life_is_no_answer(monkeypatch):
+    with pytest.raises(worker_client.NoAnswerError):
+        ask_named(monkeypatch, answer())
+
+
+@pytest.mark.parametrize("born", ["1", 1.5, None, -1, True, 2**60, [1]])
+def test_a_report_with_a_start_that_is_no_time_is_no_answer(monkeypatch, born):
+    with pytest.raises(worker_client.NoAnswerError):
+        ask_named(monkeypatch, answer(born=born))
+
+
+def test_a_worker_known_from_before_its_life_was_told_is_replaced():
+    """Whether it is the same life cannot be told."""
+    with pytest.raises(worker_client.IncarnationReplacedError):
+        ask(answer(born=BORN_MS), [])
--- /dev/null
+++ b/laburnumsill/platform/tests/test_restarted_workers.py
@@ -0,0 +1,43 @@
+"""Workers that start again under the ids that they had."""
+
+import pytest
+import trio
+
+from laburnumsill.platform.tests import test_roles
+
+
+@pytest.fixture
+async def site(tmp_path, nursery):
+    made = test_roles.Site(tmp_path, nursery)
+    await made.start()
+    yield made
+    assert made.oracle.broken == []
+    await made.callers.aclose()
+    await made.operator.aclose()
+    nursery.cancel_scope.cancel()
+
+
+async def completed(site, paths):
+    for path in paths:
+        await site.callers.until_state(path, "completed", within=15)
+
+
+async def test_ends_of_a_worker_that_started_again_are_taken_note_of(site):
+    """It numbers its ends anew, so their numbers were noted before."""
+    before = [await site.submit("batch", n, count=4) for n in range(70, 74)]
+    await completed(site, before)
+    for name in ("w0", "w1"):
+        site.restart_worker(name)
+    await trio.sleep(1.0)
+    after = [await site.submit("batch", n, count=2) for n in range(74, 78)]
+    await completed(site, after)
+
+
+async def test_runs_of_an_earlier_life_are_started_again(site):
+    site.work_s = 2.0
+    paths = [await site.submit("sweep", n, count=4) for n in range(80, 84)]
+    for _ in range(2):
+        await trio.sleep(1.0)
+        for name in ("w0", "w1"):
+            site.restart_worker(name)
+    await completed(site, paths)
--- a/laburnumsill/platform/tests/test_roles.py
+++ b/laburnumsill/platform/tests/test_roles.py
@@ -5,6 +5,7 @@
 
 import pathlib
 import shutil
+import time
 
 import msgspec
 import pytest
@@ -132,11 +133,24 @@
         )
         self.nursery.start_soon(self._announce, worker)
 
+    def restart_worker(self, name: str) -> None:
+        """Has a worker start again under its id; nothing is left of before."""
+        app = self.apps[name]
+        old = app.worker
+        old.crash()
+        old.is_down = False
+        born_ms = int(time.time() * 1000)
+        app.worker = self.pool.add(
+            msgspec.structs.replace(old.worker, worker_id=f"{name}@{born_ms}")
+        )
+        app.worker.born_ms = born_ms
+        self.nursery.start_soon(self._announce, app.worker)
+
     async def _announce(self, worker) -> None:
         sequence = 0
         while not worker.gone:
             sequence += 1
-            path = f"/-/instances/{worker.worker.worker_id}"
+            path = f"/-/instances/{standin.wire_id(worker)}"
             body = standin.heartbeat(worker, sequence)
             for address in self.operator.addresses:
                 status, _ = await self.operator.call("PUT", path, body, address)
--- a/laburnumsill/platform/wire.py
+++ b/laburnumsill/platform/wire.py
@@ -85,6 +85,7 @@
     capacity: CapacityBody
     labels: tuple[Name, ...]
     clock_ms: Count | msgspec.UnsetType = msgspec.UNSET
+    born: Count | msgspec.UnsetType = msgspec.UNSET  # Unix ms of its start
     remaining_ms: Count = 0  # the least time left, only while it drains
 
 
@@ -155,6 +156,7 @@
     """A worker's answer to a hold; its rows are read one by one."""
 
     clock_ms: Count
+    born: Count | msgspec.UnsetType = msgspec.UNSET  # Unix ms of its start
     running: list[msgspec.Raw] = []
     ended: list[msgspec.Raw] = []
 
--- a/laburnumsill/platform/workers.py
+++ b/laburnumsill/platform/workers.py
@@ -84,7 +84,7 @@
             body["wait_ms"] = order.wait_ms
         raw = await self._call(worker, "/-/hold", body, deadline)
         try:
-            return reports.decode(worker.worker_id, raw)
+            return reports.decode(worker, raw)
         except decoding.MalformedBodyError as error:
             raise worker_client.NoAnswerError(
                 f"{worker.worker_id} reported {raw[:80]!r}: {error.detail}"
@@ -109,7 +109,7 @@
                 path,
                 {
                     "Content-Type": "application/json",
-                    "X-Expect-Instance": worker.worker_id,
+                    "X-Expect-Instance": worker.call_name,
                 },
                 msgspec.json.encode(body),
                 deadline,
