platform: soak workers that start again under their ids

With `--kinds all` workers say when they began; one that a task has crashed comes back under its id half of the time, and RestartWorkers restarts two at once.

--- a/laburnumsill/platform/tests/soak/site.py
+++ b/laburnumsill/platform/tests/soak/site.py
@@ -4,6 +4,7 @@
 import pathlib
 import random
 import shutil
+import time
 import zlib
 
 import msgspec
@@ -82,7 +83,8 @@
         folder: For settings, logs and data.
         seed: Of all that is random here.
         nursery: Runs the proxies and the workers.
-        has_crashing_tasks: Whether some tasks crash their workers.
+        has_crashing_tasks: Whether some tasks crash their workers, and
+            workers may start again under their ids.
     """
 
     def __init__(
@@ -234,19 +236,24 @@
         """Returns the name of the link on which a worker gets its orders."""
         return f"orders>{worker}"
 
-    def replace_worker(self, name: str) -> None:
-        """Ends a worker's incarnation; another begins at its address."""
+    def replace_worker(self, name: str, keeps_id: bool = False) -> None:
+        """Ends a worker's incarnation; another begins at its address.
+
+        Args:
+            name: The worker.
+            keeps_id: Whether the other one has the same id on the wire.
+        """
         app = self.announcers[name].app
-        old = app.worker.worker
-        app.worker.vanish()
+        old = app.worker
+        old.vanish()
         self.incarnations += 1
-        app.worker = self.pool.add(
+        wire_id = f"{name}-{self.incarnations}"
+        if keeps_id:
+            wire_id = standin.wire_id(old)
+        app.worker = self._born(
             msgspec.structs.replace(
-                old,
-                worker_id=f"{name}-{self.incarnations}",
-                capacity=CAPACITY,
-            ),
-            self._behaviour(),
+                old.worker, worker_id=wire_id, capacity=CAPACITY
+            )
         )
         self.announcers[name].sequence = 0
         self.announcers[name].state = "ready"
@@ -262,7 +269,20 @@
         await trio.sleep(self.random.uniform(*RESTART_S))
         crashed.is_down = False
         if self.announcers[name].app.worker is crashed:
-            self.replace_worker(name)
+            self.replace_worker(name, self.random.random() < 0.5)
+
+    def _born(self, worker: model.Worker) -> emulated.EmulatedWorker:
+        """Adds a worker, which says when it began if that is played."""
+        if not self.has_crashing_tasks:
+            return self.pool.add(worker, self._behaviour())
+        born_ms = int(time.time() * 1000)
+        worker_id = f"{worker.worker_id}@{born_ms}"
+        made = self.pool.add(
+            msgspec.structs.replace(worker, worker_id=worker_id),
+            self._behaviour(),
+        )
+        made.born_ms = born_ms
+        return made
 
     def _behaviour(self) -> emulated.Behaviour:
         return emulated.Behaviour(
@@ -282,7 +302,7 @@
             ("a", rack),
             rack,
         )
-        app = standin.ExecutorApp(self.pool.add(worker, self._behaviour()))
+        app = standin.ExecutorApp(self._born(worker))
         self.announcers[name] = Announcer(app)
         await self.nursery.start(
             server.serve,
@@ -301,7 +321,7 @@
                 await trio.sleep(ANNOUNCE_S)
                 continue
             announcer.sequence += 1
-            path = f"/-/instances/{worker.worker.worker_id}"
+            path = f"/-/instances/{standin.wire_id(worker)}"
             body = standin.heartbeat(
                 worker, announcer.sequence, state=announcer.state
             )
--- a/laburnumsill/platform/tests/soak/troubles.py
+++ b/laburnumsill/platform/tests/soak/troubles.py
@@ -297,6 +297,18 @@
         await trio.lowlevel.checkpoint()
 
 
+class RestartWorkers(Trouble):
+    """Some workers crash, and start again under their ids at once."""
+
+    concerns_workers = True
+
+    async def _play(self) -> None:
+        names = self._random.sample(sorted(self._site.announcers), 2)
+        for name in names:
+            self._site.replace_worker(name, keeps_id=True)
+            await trio.sleep(self._random.uniform(0.0, RESTART_GAP_S))
+
+
 class ShrinkWorkers(Trouble):
     """Some workers have less room for a while, or none."""
 
@@ -370,6 +382,8 @@
     Suspend,
     ShrinkWorkers,
     ShrinkWorkers,
+    RestartWorkers,
+    RestartWorkers,
 )
 """What soaks with tasks that crash their workers draw from."""
 
