--- a/laburnumsill/batch/intake.py
+++ b/laburnumsill/batch/intake.py
@@ -234,15 +234,10 @@
     there; only one that drains has left. Another one is found to be gone when
     it does not answer.
     """
-    leaving = [
-        worker.worker_id
-        for worker in ledger.workers.values()
-        if worker.name == name and worker.draining
-    ]
-    lasting = any(worker.name == name for worker in ledger.workers.values())
+    lasting = [one for one in ledger.workers_named(name) if one.name]
     if not lasting and not ledger.has_ended(name):
-        leaving.append(name)
-    return leaving
+        return [name]
+    return [one.worker_id for one in lasting if one.draining]
 
 
 def _without_growth(known: model.Worker, worker: model.Worker) -> model.Worker:
--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -218,13 +218,9 @@
 
     async def verified(self, worker: model.Worker) -> None:
         """Removes others of a worker's name, see the base class."""
-        for session in list(self._sessions.values()):
-            other = session.worker
-            if (
-                other.call_name == worker.call_name
-                and other.worker_id != worker.worker_id
-                and other.worker_id in self.ledger.workers
-            ):
+        for other in list(self.ledger.workers_named(worker.call_name)):
+            session = self._sessions.get(other.worker_id)
+            if session is not None and other.worker_id != worker.worker_id:
                 await session.end(worker.worker_id)
 
     async def commit(self, command: object) -> object:
--- a/laburnumsill/batch/ledger.py
+++ b/laburnumsill/batch/ledger.py
@@ -17,18 +17,10 @@
 from laburnumsill.batch import live_runs
 from laburnumsill.batch import model
 from laburnumsill.batch import records
+from laburnumsill.batch import worker_book
 from laburnumsill.core import codec
 from laburnumsill.core import replication
 
-MAX_SLOT_COUNTS = 1_000
-"""Amounts for which it is remembered how often they fit into a pool; a day of
-the users has some dozens."""
-
-MAX_ABSENT_WORKERS = 1_000
-"""Workers that were removed for their silence and of which it is remembered,
-in some 20 bytes each, what may arrive or be listed once more when a cut heals:
-ends that are noted, and announcements from before a drain."""
-
 
 @codec.register("batch.snapshot")
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,13 +59,9 @@
 
     def __init__(self) -> None:
         self._jobs: dict[str, records.JobRecord] = {}
-        self._workers: dict[str, model.Worker] = {}
+        self._book = worker_book.WorkerBook()
         self._live = live_runs.LiveRuns()
         self._waiting: dict[model.StepKey, list[model.TaskId]] = {}
-        self._slots: dict[tuple[str, model.Resources], int] = {}
-        self._noted: dict[str, int] = {}
-        self._sequences: dict[str, int] = {}
-        self._ended_workers: dict[str, int] = {}
         self._active: dict[str, records.JobRecord] = {}
         self._crashes = crash_module.CrashBook()
 
@@ -95,7 +83,7 @@
     @property
     def workers(self) -> abc.Mapping[str, model.Worker]:
         """The workers that are known, by id."""
-        return self._workers
+        return self._book.workers
 
     @property
     def runs(self) -> abc.Mapping[model.RunId, records.RunRecord]:
@@ -129,17 +117,21 @@
             self._waiting[key] = known
         return known
 
+    def workers_named(self, name: str) -> abc.Iterator[model.Worker]:
+        """Yields the known incarnations that calls to a name may reach."""
+        return self._book.named(name)
+
     def noted(self, worker_id: str) -> int:
         """Returns the place up to which a worker's ends are noted."""
-        return self._noted.get(worker_id, 0)
+        return self._book.noted.get(worker_id, 0)
 
     def sequence(self, worker_id: str) -> int:
         """Returns which announcement of a worker the ledger goes by."""
-        return self._sequences.get(worker_id, 0)
+        return self._book.sequences.get(worker_id, 0)
 
     def has_ended(self, worker_id: str) -> bool:
         """Returns whether a worker's incarnation has certainly ended."""
-        return worker_id in self._ended_workers
+        return worker_id in self._book.ended
 
     def needs_of(self, run: model.RunId) -> model.Resources:
         """Returns what a run of a remembered job occupies."""
@@ -147,20 +139,11 @@
 
     def slots_in(self, pool: str, needs: model.Resources) -> int:
         """Returns how many times an amount fits into a pool's workers."""
-        key = (pool, needs)
-        if key not in self._slots:
-            if len(self._slots) >= MAX_SLOT_COUNTS:
-                self._slots.clear()
-            self._slots[key] = sum(
-                needs.times_in(worker.capacity)
-                for worker in self._workers.values()
-                if worker.pool == pool
-            )
-        return self._slots[key]
+        return self._book.slots_in(pool, needs)
 
     def free_on(self, worker_id: str) -> model.Resources:
         """Returns what no live run occupies on a worker."""
-        return self._workers[worker_id].capacity - self._live.used_on(worker_id)
+        return self.workers[worker_id].capacity - self._live.used_on(worker_id)
 
     def submit(self, command: caller_commands.SubmitJob) -> None:
         """Accepts a job unless it is known already."""
@@ -201,8 +184,7 @@
                 noted = end.number
                 self._crashes.explain(command.worker_id, end.run)
                 self._end(end, command.at_ms)
-        if not self.has_ended(command.worker_id):
-            self._noted[command.worker_id] = noted
+        self._book.note_ends(command.worker_id, noted)
 
     def release(self, command: commands.ReleaseRuns) -> None:
         """Frees what lost runs held."""
@@ -225,21 +207,13 @@
                 self._save(seen.run, seen.saved)
 
     def put_worker(self, command: commands.PutWorker) -> None:
-        """Makes a worker known.
-
-        An announcement may arrive after later ones, and also after the end
-        of its sender: such a one changes nothing.
-        """
-        worker_id = command.worker.worker_id
-        overtaken = command.sequence < self.sequence(worker_id)
-        if overtaken or self.has_ended(worker_id):
+        """Makes a worker known, see `worker_book.WorkerBook.put`."""
+        if not self._book.put(command.worker, command.sequence):
             return
-        self._workers[worker_id] = command.worker
-        self._slots.clear()
-        self._sequences[worker_id] = command.sequence
+        worker_id = command.worker.worker_id
         address = command.worker.address
         for lost_id in self._crashes.lost_at(address, worker_id):
-            if lost_id not in self._workers:
+            if lost_id not in self.workers:
                 runs = self._crashes.settle(lost_id, True, command.at_ms)
                 self._fail_condemned(runs, command.at_ms)
 
@@ -248,27 +222,17 @@
         for seen in command.saved:
             if seen.run in self.runs:
                 self._save(seen.run, seen.saved)
-        known = self._workers.get(command.worker_id)
         runs = list(self.runs_on(command.worker_id))
         self._note_loss(command, runs)
         for run in runs:
             self._lose_run(run, command.successor)
-        self._workers.pop(command.worker_id, None)
-        self._slots.clear()
-        if command.ended_ms:
-            self._noted.pop(command.worker_id, None)
-            self._ended_workers[command.worker_id] = command.ended_ms
-        ready = known is not None and not known.draining
-        if command.ended_ms or ready:
-            self._sequences.pop(command.worker_id, None)
-        self._forget_absent(self._noted)
-        self._forget_absent(self._sequences)
+        self._book.remove(command.worker_id, command.ended_ms)
 
     def _lose_run(self, run: model.RunId, successor: str) -> None:
         """Ends a run with its worker, or leaves it to the next incarnation."""
         record = self._live.remove(run)
         self._waiting.pop(run.task.step_key, None)
-        if record is not None and successor in self._workers:
+        if record is not None and successor in self.workers:
             record.worker_id = successor
             record.is_stray = True
             self._add_run(record)
@@ -295,9 +259,11 @@
 
     def _lose_runs(self, worker_id: str) -> None:
         """Notes that what a worker runs is given up, and it may be up."""
-        worker = self._workers.get(worker_id)
+        worker = self.workers.get(worker_id)
         if worker is not None and not worker.draining:
-            self._crashes.lose(worker, list(self.runs_on(worker_id)))
+            runs = self.runs_on(worker_id).values()
+            ordered = [one.run for one in runs if not one.is_stray]
+            self._crashes.lose(worker, ordered)
 
     def _fail_condemned(
         self, runs: abc.Iterable[model.RunId], at_ms: int
@@ -308,17 +274,9 @@
             if record is not None and self._crashes.is_condemned(run.task):
                 self._finish(record, caller_commands.JobState.FAILED, at_ms)
 
-    def _forget_absent(self, known: dict[str, int]) -> None:
-        """Forgets what is known of the workers that are gone the longest."""
-        absent = [one for one in known if one not in self._workers]
-        for worker_id in absent[: max(0, len(absent) - MAX_ABSENT_WORKERS)]:
-            del known[worker_id]
-
     def forget(self, command: commands.ForgetJobs) -> None:
         """Forgets what ended long ago; jobs only if they have no live run."""
-        for worker_id, ended_ms in list(self._ended_workers.items()):
-            if ended_ms < command.ended_before_ms:
-                del self._ended_workers[worker_id]
+        self._book.forget(command.ended_before_ms)
         busy = {job_id for job_id, _, _ in self.runs_of_steps}
         for job_id, record in list(self._jobs.items()):
             ended = 0 < record.ended_ms < command.ended_before_ms
@@ -329,7 +287,7 @@
     def may_forget(self, before_ms: int) -> bool:
         """Returns whether `forget` would find something."""
         jobs = (record.ended_ms for record in self._jobs.values())
-        ends = (*jobs, *self._ended_workers.values())
+        ends = (*jobs, *self._book.ended.values())
         return any(0 < ended_ms < before_ms for ended_ms in ends)
 
     def job_state(
@@ -355,11 +313,11 @@
         return codec.encode(
             Snapshot(
                 list(self._jobs.values()),
-                list(self._workers.values()),
+                list(self.workers.values()),
                 list(self.runs.values()),
-                dict(self._noted),
-                dict(self._sequences),
-                dict(self._ended_workers),
+                dict(self._book.noted),
+                dict(self._book.sequences),
+                dict(self._book.ended),
                 self._crashes.records,
             )
         )
@@ -373,12 +331,12 @@
             if job.active:
                 self._active[job.job.job_id] = job
         for worker in snapshot.workers:
-            self._workers[worker.worker_id] = worker
+            self._book.workers[worker.worker_id] = worker
         for run in snapshot.runs:
             self._add_run(run)
-        self._noted = dict(snapshot.noted)
-        self._sequences = dict(snapshot.sequences)
-        self._ended_workers = dict(snapshot.ended_workers)
+        self._book.noted = dict(snapshot.noted)
+        self._book.sequences = dict(snapshot.sequences)
+        self._book.ended = dict(snapshot.ended_workers)
         self._crashes = crash_module.CrashBook(snapshot.crashes)
 
     def _place_group(self, group: commands.Group, at_ms: int) -> str:
--- a/laburnumsill/batch/tests/test_worker_incarnations.py
+++ b/laburnumsill/batch/tests/test_worker_incarnations.py
@@ -86,7 +86,7 @@
         await trio.sleep(0.5)
         assert set(site.ledger.workers) == {"reborn"}
         # Neither its crash nor its successor was known to this leader.
-        site.ledger._ended_workers.clear()
+        site.ledger._book.ended.clear()
         site.announce(old, 100)
         await site.submit(gang("j", 2), [1.0])
         await trio.sleep(1.5)
--- a/laburnumsill/batch/worker_state.py
+++ b/laburnumsill/batch/worker_state.py
@@ -187,10 +187,9 @@
         Until that one is known, nothing can be said of the runs.
         """
         successors = [
-            worker_id
-            for worker_id, other in self.term.ledger.workers.items()
-            if other.call_name == self.worker.call_name
-            and worker_id != self.worker_id
+            other.worker_id
+            for other in self.term.ledger.workers_named(self.worker.call_name)
+            if other.worker_id != self.worker_id
         ]
         if successors:
             await self.gone(error.detail, successors[-1])
