--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -8,8 +8,10 @@
 """
 
 import dataclasses
+import functools
 from collections import abc
 
+from laburnumsill.batch import apart
 from laburnumsill.batch import checks
 from laburnumsill.batch import commands
 from laburnumsill.batch import headroom
@@ -194,26 +196,16 @@
     def _fit(
         self, unit: units.Unit, rooms: list[room_module.Room]
     ) -> packing.Assignment:
-        """Returns where a unit fits, apart from others if that can be."""
+        """Returns where a unit fits, apart from suspects if that can be."""
         if not self._ledger.crashes.suspects:
             return self._fit_now(unit, rooms)
+        fit = functools.partial(self._fit_now, unit)
         if unit.apart_since_ms is None:
-            quiet = [room for room in rooms if not room.holds_suspect]
-            found = self._fit_now(unit, quiet)
-            if len(found) == len(unit.tasks) or len(quiet) == len(rooms):
-                return found
-            return self._fit_now(unit, rooms)
-        found = self._fit_now(unit, [room for room in rooms if not room.runs])
-        if found or not self._may_share(unit):
-            return found
-        if unit.step.gang:
-            return self._fit_now(unit, rooms)
-        by_runs = sorted(rooms, key=lambda room: room.runs)
-        tries = (self._fit_now(unit, [room]) for room in by_runs)
-        return next(filter(None, tries), [])
+            return apart.fit_other(unit, rooms, fit)
+        return apart.fit_suspect(unit, rooms, fit, self._may_share(unit))
 
     def _fit_now(
-        self, unit: units.Unit, rooms: list[room_module.Room]
+        self, unit: units.Unit, rooms: abc.Sequence[room_module.Room]
     ) -> packing.Assignment:
         return packing.fit(
             unit,
@@ -316,7 +308,7 @@
         return self._most_slots[key] < wanted
 
     def _may_spread(
-        self, unit: units.Unit, rooms: list[room_module.Room]
+        self, unit: units.Unit, rooms: abc.Sequence[room_module.Room]
     ) -> bool:
         """Whether a gang should rather run slowly than wait for one rack."""
         if not self._policy.spreading:
--- /dev/null
+++ b/laburnumsill/batch/tests/test_session_lives.py
@@ -0,0 +1,72 @@
+"""Sessions of a worker that starts again under its name."""
+
+import msgspec
+import trio
+
+from laburnumsill.batch import commands
+from laburnumsill.batch import worker_client
+from laburnumsill.batch.tests import test_session
+
+
+def replaced(term):
+    """Has a successor of the worker be known, and answer for it."""
+    following = msgspec.structs.replace(
+        test_session.WORKER, worker_id="w@9", name="w"
+    )
+    term.ledger.put_worker(commands.PutWorker(following))
+    return worker_client.IncarnationReplacedError("w@9 has answered for w")
+
+
+def test_runs_of_a_worker_that_started_again_go_to_its_successor():
+    async def script(term):
+        term.client.reports = [test_session.running(), replaced(term)]
+        term.session.start(test_session.RUN)
+        await trio.sleep(0.5)
+        (removal,) = term.committed
+        assert (removal.worker_id, removal.successor) == ("w", "w@9")
+        assert term.ledger.runs[test_session.RUN].is_stray
+
+    test_session.play(script)
+
+
+def test_runs_are_kept_while_the_successor_is_not_known():
+    """Nobody can tell whether it carries out their orders."""
+
+    async def script(term):
+        gone = worker_client.IncarnationReplacedError("w@9 has answered")
+        term.client.reports = [test_session.running(), *[gone] * 100]
+        term.session.start(test_session.RUN)
+        await trio.sleep(14.0)
+        assert not term.committed
+        assert test_session.RUN in term.ledger.runs
+        assert term.session.failing_since is not None
+        assert len(term.client.given("report")) < 35
+
+    test_session.play(script)
+
+
+def test_a_run_of_an_earlier_life_is_stopped_before_it_is_over():
+    async def script(term):
+        term.ledger.runs[test_session.RUN].is_stray = True
+        await trio.sleep(1.0)
+        assert term.client.given("start") == []
+        assert term.client.given("stop") == [test_session.RUN]
+        assert [one.run for one in term.released()] == [test_session.RUN]
+
+    test_session.play(script)
+
+
+def test_only_a_report_asked_for_after_the_doubt_tells_who_is_there():
+    """One that waits may have been answered before the other one began."""
+
+    async def script(term):
+        term.client.reports = [test_session.running()]
+        term.session.start(test_session.RUN)
+        await trio.sleep(0.1)
+        term.session.verify()
+        await trio.sleep(1.0)
+        assert not term.confirmed  # the report before waits for an end
+        await trio.sleep(1.5)
+        assert term.confirmed == ["w"]
+
+    test_session.play(script)
--- a/laburnumsill/emulator/site.py
+++ b/laburnumsill/emulator/site.py
@@ -22,6 +22,7 @@
 from laburnumsill.emulator import leadership
 from laburnumsill.emulator import oracle as oracles
 from laburnumsill.emulator import peers
+from laburnumsill.emulator import unreliable_client
 from laburnumsill.emulator import workers as worker_module
 
 GROUP = "site"
@@ -109,7 +110,7 @@
         )
         self.pool.is_crashing = self.crashing.__contains__
         self.pool.on_crash = self._restart_later
-        self.client = worker_module.UnreliableClient(self.pool, self.random)
+        self.client = unreliable_client.UnreliableClient(self.pool, self.random)
         self.ledger = ledgers.BatchLedger()
         machine = replication.StateMachine(self.ledger)
         self.groups = leadership.Leadership(machine)
--- /dev/null
+++ b/laburnumsill/emulator/unreliable_client.py
@@ -0,0 +1,126 @@
+"""Brings orders to emulated workers, or loses, delays or repeats them."""
+
+import random
+from collections import abc
+
+import trio
+
+from laburnumsill.batch import model
+from laburnumsill.batch import worker_client
+from laburnumsill.core import errors
+from laburnumsill.emulator import workers as worker_module
+
+
+class UnreliableClient(worker_client.WorkerClient):
+    """Brings orders to emulated workers, or loses, delays, repeats them.
+
+    Attributes:
+        lost_share: Share of the orders that are carried out and not answered.
+        late_share: Share that is carried out 2 to 12 s later, unanswered.
+        cut: Workers that cannot be reached.
+    """
+
+    def __init__(
+        self, pool: worker_module.WorkerPool, source: random.Random
+    ) -> None:
+        self.lost_share = 0.0
+        self.late_share = 0.0
+        self.cut: set[str] = set()
+        self._pool = pool
+        self._random = source
+        self._nursery: trio.Nursery | None = None
+
+    async def run(
+        self,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Carries out late orders until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            await trio.sleep_forever()
+
+    async def start(
+        self,
+        worker: model.Worker,
+        order: worker_client.StartOrder,
+        deadline: float,
+    ) -> worker_client.Answer:
+        """Starts a run, see the base class."""
+        target = await self._reach(worker, deadline)
+
+        def carry_out(late: bool) -> None:
+            target.start(order, late)
+
+        await self._order(carry_out, deadline)
+        return worker_client.Answer(target.clock_ms)
+
+    async def stop(
+        self,
+        worker: model.Worker,
+        run: model.RunId,
+        fence: int,
+        deadline: float,
+    ) -> worker_client.Answer:
+        """Stops a run, see the base class."""
+        target = await self._reach(worker, deadline)
+        await self._order(lambda _: target.stop(run, fence), deadline)
+        return worker_client.Answer(target.clock_ms)
+
+    async def report(
+        self,
+        worker: model.Worker,
+        order: worker_client.ReportOrder,
+        deadline: float,
+    ) -> worker_client.Report:
+        """Asks for a report, see the base class."""
+        target = await self._reach(worker, deadline)
+        report = await target.report(order)
+        if target.worker.worker_id != worker.worker_id:
+            raise worker_client.IncarnationReplacedError(worker.worker_id)
+        if target.is_down:
+            raise worker_client.NoAnswerError("disconnected")
+        if worker.worker_id in self.cut:
+            await self._no_answer(deadline)
+        if self._random.random() < self.lost_share:
+            await self._no_answer(deadline)
+        await trio.sleep(0.001)
+        return report
+
+    async def _reach(
+        self, worker: model.Worker, deadline: float
+    ) -> worker_module.EmulatedWorker:
+        await trio.sleep(self._random.uniform(0.0005, 0.002))
+        target = self._pool.lives.get(worker.call_name)
+        if worker.worker_id in self.cut or target is None:
+            await self._no_answer(deadline)
+        assert target is not None
+        if target.is_down:
+            raise worker_client.NoAnswerError("connection refused")
+        return target
+
+    async def _order(
+        self, carry_out: abc.Callable[[bool], None], deadline: float
+    ) -> None:
+        luck = self._random.random()
+        if luck < self.late_share and self._nursery is not None:
+            self._nursery.start_soon(self._carry_out_late, carry_out)
+            await self._no_answer(deadline)
+        carry_out(False)
+        if luck < self.late_share + self.lost_share:
+            await self._no_answer(deadline)
+        await trio.sleep(0.001)
+
+    async def _carry_out_late(
+        self, carry_out: abc.Callable[[bool], None]
+    ) -> None:
+        await trio.sleep(self._random.uniform(2.0, 12.0))
+        try:
+            carry_out(True)
+        except errors.LaburnumsillError:
+            return  # refused: nobody waits for the answer
+
+    async def _no_answer(self, deadline: float) -> None:
+        await trio.sleep(max(0.0, deadline - trio.current_time()))
+        raise worker_client.NoAnswerError("lost")
