batch: forget what was heard of workers before another VM led

A VM that leads again went by the announcements that it had heard in its earlier lead, and believed a late one of more room that the leader in between knew to be late.

Cause: what a leader has heard was kept beyond its lead. It is forgotten with the term.

Test: test_what_was_heard_before_another_vm_led_is_not_gone_by failed before.

--- a/laburnumsill/batch/intake.py
+++ b/laburnumsill/batch/intake.py
@@ -98,6 +98,7 @@
         self._pools = pools
         self._clock = clock
         self._heard: dict[str, int] = {}
+        self._heard_in_term = 0
         peers.on_call(Announcement, self._on_announcement)
         peers.on_call(Departure, self._on_departure)
 
@@ -128,6 +129,7 @@
         worker_id = worker.worker_id
         sequence = announcement.sequence
         ledger = self._ledger()
+        self._forget_earlier_terms()
         ended = ledger.has_ended(worker_id)
         heard = self._heard.get(worker_id)
         newest = max(ledger.sequence(worker_id), heard or 0)
@@ -151,6 +153,13 @@
         self._scheduler.hear(worker_id, announcement.clock_ms)
         return Taken(self._me)
 
+    def _forget_earlier_terms(self) -> None:
+        """Forgets what was heard before another VM led and heard more."""
+        term = self._groups.term(self._group)
+        if term != self._heard_in_term:
+            self._heard_in_term = term
+            self._heard.clear()
+
     def _note_heard(self, worker_id: str, sequence: int) -> None:
         """Remembers the newest announcement, also one that says nothing new.
 
--- a/laburnumsill/batch/tests/test_shrunk_workers.py
+++ b/laburnumsill/batch/tests/test_shrunk_workers.py
@@ -82,6 +82,22 @@
     play(script)
 
 
+def test_what_was_heard_before_another_vm_led_is_not_gone_by():
+    async def script(site):
+        site.silent.add("w0-0")
+        full = capacity(site)
+        await announce(site, SMALL, 105)
+        site.groups.lead("vm2")
+        await trio.sleep(0.2)
+        await announce(site, SMALL, 107)
+        site.groups.lead("vm1")
+        await trio.sleep(0.2)
+        await announce(site, full, 106)
+        assert capacity(site) == SMALL
+
+    play(script)
+
+
 def test_a_drain_is_believed_at_once_though_more_room_is_not():
     async def script(site):
         site.silent.add("w0-0")
