--- a/laburnumsill/platform/tests/test_final_faults.py
+++ b/laburnumsill/platform/tests/test_final_faults.py
@@ -5,23 +5,11 @@
 import pytest
 
 from laburnumsill.platform.tests import standin
-from laburnumsill.platform.tests import test_roles
 
 ENTRY = "127.0.77.11"
 SERVED_AGAIN_S = 12.0
 
 
-@pytest.fixture
-async def site(tmp_path, nursery):
-    made = test_roles.Site(tmp_path, nursery)
-    await made.start()
-    yield made
-    assert made.oracle.broken == []
-    await made.callers.aclose()
-    await made.operator.aclose()
-    nursery.cancel_scope.cancel()
-
-
 @pytest.mark.parametrize("loses", ["leader", "follower"])
 async def test_a_disk_lost_while_all_lose_power_loses_nothing(site, loses):
     leader = await site.until_leader()
--- a/laburnumsill/platform/tests/test_restarted_workers.py
+++ b/laburnumsill/platform/tests/test_restarted_workers.py
@@ -1,21 +1,7 @@
 """Workers that start again under the ids that they had."""
 
-import pytest
 import trio
 
-from laburnumsill.platform.tests import test_roles
-
-
-@pytest.fixture
-async def site(tmp_path, nursery):
-    made = test_roles.Site(tmp_path, nursery)
-    await made.start()
-    yield made
-    assert made.oracle.broken == []
-    await made.callers.aclose()
-    await made.operator.aclose()
-    nursery.cancel_scope.cancel()
-
 
 async def completed(site, paths):
     for path in paths:
