batch: bound the starts of a task after three crashes, however they end

The task was one of a gang; after three crashes its runs ended with its gang, so its blame did not grow and it was started on.

Cause: only crashes led to the end of a task, and in a gang another member may crash first each time.

Change: the ledger counts placements after the third crash of any kind, and fails the job in place of the third of them, which is what the users' rule forbids.

Test: test_after_three_crashes_a_task_is_started_twice_more_however_it_ends; on the code before the third placement was taken.

--- a/laburnumsill/batch/crashes.py
+++ b/laburnumsill/batch/crashes.py
@@ -29,6 +29,13 @@
 """Blame from which a task is given up: three crashes while it was alone, at
 most five in all."""
 
+MANY_CRASHES = 3
+"""After so many crashes of any kind a task is started few times more."""
+
+STARTS_AFTER_MANY = 2
+"""So many times: another member of its gang may crash first each time, and
+then its own blame does not grow."""
+
 MAX_LOSSES = 1_000
 """Lost workers that are remembered until it is known whether they crashed."""
 
@@ -40,10 +47,14 @@
     Attributes:
         points: In all.
         at_ms: When it was blamed last, ms since 1970.
+        crashes: How many workers have crashed while it ran there.
+        later_starts: How often it was placed after `MANY_CRASHES` of them.
     """
 
     points: int = 0
     at_ms: int = 0
+    crashes: int = 0
+    later_starts: int = 0
 
 
 UNBLAMED = Blame()
@@ -122,6 +133,18 @@
         """Returns whether a task is to be given up."""
         return self.blame_of(task).points >= CONDEMNED_FROM
 
+    def may_start(self, task: model.TaskId) -> bool:
+        """Returns whether a task may be started once more."""
+        return self.blame_of(task).later_starts < STARTS_AFTER_MANY
+
+    def start(self, task: model.TaskId) -> None:
+        """Notes that a task is placed."""
+        blame = self._blame.get(task)
+        if blame is not None and blame.crashes >= MANY_CRASHES:
+            self._blame[task] = dataclasses.replace(
+                blame, later_starts=blame.later_starts + 1
+            )
+
     def crash(self, runs: abc.Collection[model.RunId], at_ms: int) -> None:
         """Notes that a worker has crashed which ran just these."""
         self._add(runs, _points_for(runs), at_ms)
@@ -184,8 +207,13 @@
         self, runs: abc.Iterable[model.RunId], points: int, at_ms: int
     ) -> None:
         for run in runs:
-            before = self.blame_of(run.task).points
-            self._blame[run.task] = Blame(before + points, at_ms)
+            before = self.blame_of(run.task)
+            self._blame[run.task] = Blame(
+                before.points + points,
+                at_ms,
+                before.crashes + 1,
+                before.later_starts,
+            )
         self._find_suspects()
 
     def _find_suspects(self) -> None:
--- a/laburnumsill/batch/ledger.py
+++ b/laburnumsill/batch/ledger.py
@@ -346,6 +346,13 @@
             return refusal
         for placement in group:
             task = placement.run.task
+            if not self._crashes.may_start(task):
+                record = self._jobs[task.job_id]
+                self._finish(record, caller_commands.JobState.FAILED, at_ms)
+                return f"{task} has crashed too many workers"
+        for placement in group:
+            task = placement.run.task
+            self._crashes.start(task)
             record = self._jobs[task.job_id]
             known = record.task(task)
             if known is not None:
--- a/laburnumsill/batch/tests/test_crashes.py
+++ b/laburnumsill/batch/tests/test_crashes.py
@@ -76,6 +76,25 @@
     assert state(ledger, "j") == "failed"
 
 
+def test_after_three_crashes_a_task_is_started_twice_more_however_it_ends():
+    """Another member of its gang may crash its worker before it does."""
+    ledger = addressed_site()
+    worker_id = "w00"
+    for number in (1, 2, 3):
+        place(ledger, worker_id, run_of("j", number), run_of("k", number))
+        crash(ledger, worker_id)
+        worker_id += "x"
+    for number in (4, 5):
+        run = run_of("j", number)
+        place(ledger, worker_id, run)
+        broken = commands.EndedRun(number, run, commands.EndKind.MEMBER_ENDED)
+        ledger.note_ends(commands.NoteEnds(worker_id, (broken,), 0))
+    group = (commands.Placement(run_of("j", 6), worker_id),)
+    placed = ledger.place(commands.PlaceRuns((group,), GONE_MS))
+    assert placed.refusals == ("j.0.0.0 has crashed too many workers",)
+    assert state(ledger, "j") == "failed"
+
+
 def test_a_worker_that_leaves_or_drains_blames_nobody():
     ledger = addressed_site()
     place(ledger, "w00", run_of("j"))
@@ -92,7 +111,7 @@
         )
     )
     blames = [ledger.crashes.blame_of(run_of(one).task) for one in "jk"]
-    alone = crashes.Blame(crashes.BLAME_ALONE, GONE_MS)
+    alone = crashes.Blame(crashes.BLAME_ALONE, GONE_MS, 1)
     assert blames == [alone, crashes.UNBLAMED]
 
 
@@ -110,7 +129,7 @@
     assert ledger.crashes.blame_of(run_of("j").task).points == 0
     crash(ledger, "w00")
     blame = ledger.crashes.blame_of(run_of("j").task)
-    assert blame == crashes.Blame(crashes.BLAME_ALONE, GONE_MS)
+    assert blame == crashes.Blame(crashes.BLAME_ALONE, GONE_MS, 1)
 
 
 def test_a_silent_worker_has_crashed_once_another_has_its_address():
@@ -121,7 +140,7 @@
     successor = msgspec.structs.replace(worker, worker_id="next")
     ledger.put_worker(commands.PutWorker(successor, at_ms=GONE_MS))
     blame = ledger.crashes.blame_of(run_of("j").task)
-    assert blame == crashes.Blame(crashes.BLAME_ALONE, GONE_MS)
+    assert blame == crashes.Blame(crashes.BLAME_ALONE, GONE_MS, 1)
 
 
 def test_a_worker_that_tells_at_last_how_a_run_ended_has_not_crashed_by_it():
