--- a/laburnumsill/platform/tests/soak/site.py
+++ b/laburnumsill/platform/tests/soak/site.py
@@ -1,5 +1,6 @@
 """A site of real daemons behind proxies, with emulated workers in this loop."""
 
+import collections
 import dataclasses
 import pathlib
 import random
@@ -112,6 +113,9 @@
         self.pool.is_crashing = self.is_crashing
         self.pool.on_crash = self._restart_later
         self.suspended_s: dict[str, float] = {}
+        self.lost_under: collections.Counter[model.TaskId] = (
+            collections.Counter()
+        )
         self.announcers: dict[str, Announcer] = {}
         self.operator = standin.Caller(
             [self.vms[vm].control for vm in layout.CORE]
@@ -245,6 +249,7 @@
         """
         app = self.announcers[name].app
         old = app.worker
+        self.lost_under.update(old.running)
         old.vanish()
         self.incarnations += 1
         wire_id = f"{name}-{self.incarnations}"
