--- a/laburnumsill/platform/tests/soak/site.py
+++ b/laburnumsill/platform/tests/soak/site.py
@@ -249,7 +249,7 @@
         """
         app = self.announcers[name].app
         old = app.worker
-        self.lost_under.update(old.running)
+        self.lost_under.update(list(old.running))
         old.vanish()
         self.incarnations += 1
         wire_id = f"{name}-{self.incarnations}"
