batch: note lost workers in the order of the command on every replica

One command releases runs of one worker today, so nothing differs; the order no longer rests on that.

Tests of batch and emulator pass.

--- a/laburnumsill/batch/ledger.py
+++ b/laburnumsill/batch/ledger.py
@@ -188,7 +188,8 @@
 
     def release(self, command: commands.ReleaseRuns) -> None:
         """Frees what lost runs held."""
-        for worker_id in {r.worker_id for r in command.releases if r.is_lost}:
+        lost = [one.worker_id for one in command.releases if one.is_lost]
+        for worker_id in dict.fromkeys(lost):
             self._lose_runs(worker_id)
         for one in command.releases:
             record = self.runs.get(one.run)
