consensus: log who votes and which disks count at a new lead, and its confirmation

Of a group that answers nothing after a loss of power, the logs could not tell whether nobody led, or somebody led and could commit nothing. group-lead names the voters, the disks that the membership counts on and the last index; group-lead-confirmed tells the first commit of the term, before which no read is answered; make-up-change names the disks.

--- a/laburnumsill/consensus/engine.py
+++ b/laburnumsill/consensus/engine.py
@@ -164,6 +164,16 @@
         leadership = self._role.leadership
         return leadership is not None and leadership.can_commit
 
+    @property
+    def leads_committed(self) -> bool:
+        """Whether it leads and an entry of its term is committed.
+
+        Before that it answers no reads and changes no membership.
+        """
+        return self._role.leadership is not None and (
+            self._replica.leads_committed
+        )
+
     @property
     def last_index(self) -> int:
         """Index of the last entry in the log."""
--- a/laburnumsill/consensus/group.py
+++ b/laburnumsill/consensus/group.py
@@ -16,6 +16,7 @@
 
 from laburnumsill.consensus import engine as engines
 from laburnumsill.consensus import group_apply
+from laburnumsill.consensus import group_lead
 from laburnumsill.consensus import group_ticks
 from laburnumsill.consensus import group_waiters
 from laburnumsill.consensus import store
@@ -117,8 +118,7 @@
         self._synced = trio.Event()
         self._paused = False
         self._no_snapshot_before = -math.inf
-        self._led_term = 0
-        self._lead_ended = trio.Event()
+        self._lead = group_lead.Lead(name)
         self._engine = self._new_engine(kept.stored)
 
     @property
@@ -222,8 +222,7 @@
 
     async def lead_ended(self) -> None:
         """Waits until this replica has lost or handed over its lead."""
-        if self._led_term:
-            await self._lead_ended.wait()
+        await self._lead.until_ended()
 
     async def found(self, membership: types.Membership) -> None:
         """Writes the first entry of the group, then takes part in it.
@@ -454,21 +453,9 @@
 
     def _note_lead(self) -> None:
         """Tells the waiters when the lead is lost or won."""
-        term = self._engine.term if self.leads else 0
-        if term == self._led_term:
-            return
-        if self._led_term:
+        if self._lead.note(self._engine):
             self._proposals.lose("the lead was lost before the commit")
             self._reads.lose_all()
-            self._lead_ended.set()
-            self._lead_ended = trio.Event()
-        self._led_term = term
-        logs.event(
-            "group-lead",
-            group=self.name,
-            role=self._engine.role,
-            term=self._engine.term,
-        )
 
     def _snapshot_if_due(self) -> None:
         too_early = self._clock.monotonic() < self._no_snapshot_before
--- a/laburnumsill/consensus/host_members.py
+++ b/laburnumsill/consensus/host_members.py
@@ -154,6 +154,7 @@
                 desired=",".join(view.desired),
                 voters=_names(change.voters),
                 learners=_names(change.learners),
+                disks=",".join(sorted(change.with_disk)),
             )
             return True
         return False
