consensus: commit on any voter's synced disk, not only on marked ones

What callers see: after disks were lost, a leader is elected by a majority that holds everything, and answers no read and takes no change, for good.

Cause: an entry needed a synced disk of a voter that the membership marks as having one. Where marks were lost with changes of voters, the loss of the few marked disks left a majority of disks that could commit nothing: not the first entry of the new term, before which no read is answered and no membership may be proposed, so nothing mended it.

Change: the store says whether it is on a disk, acknowledgements say what is synced, and any voter's synced disk counts. A group whose membership marks no disk commits by majority as before. Recovery without a majority takes a voter's disk for lost also where its successor has one, since an entry may now rest on an unmarked disk.

Older logs and memberships are read as before; an older replica acknowledges as it did. Four tests set up a replica with a marked disk; they say now that its store is on one. Whether the users' site came into this state is not shown by their record.

--- a/laburnumsill/consensus/group.py
+++ b/laburnumsill/consensus/group.py
@@ -242,7 +242,9 @@
         while self._kept < self._queued:
             await self._synced.wait()
         self._engine = self._new_engine(
-            types.Stored(self.me.incarnation, hard_state, None, (entry,))
+            types.Stored(
+                self.me.incarnation, hard_state, None, (entry,), self.with_disk
+            )
         )
         self._paused = False
         logs.event("group-founded", group=self.name, voters=membership.voters)
--- a/laburnumsill/consensus/host_recovery.py
+++ b/laburnumsill/consensus/host_recovery.py
@@ -3,8 +3,9 @@
 An acknowledged entry is on a majority and on at least one synced disk. If a
 majority of the voters has lost its state, no leader can be elected, yet the
 disks still hold everything that was acknowledged, provided that no disk is
-among the losses. Then the surviving voter with the newest log goes on with
-the survivors alone, and the others rejoin as new replicas.
+among the losses. A disk is lost where the voter was marked to have one, or
+where its successor has one. Then the surviving voter with the newest log goes
+on with the survivors alone, and the others rejoin as new replicas.
 
 The newest log has every acknowledged entry: the entry is on some surviving
 disk, and a log that ends in a later term, or in the same term further on,
@@ -46,7 +47,7 @@
             return None
         if answer.replica == voter:
             left[voter] = answer
-        elif voter.vm in membership.with_disk:
+        elif voter.vm in membership.with_disk or answer.with_disk:
             return None
     if not left or len(left) > len(membership.voters) // 2:
         return None
--- a/laburnumsill/consensus/leading.py
+++ b/laburnumsill/consensus/leading.py
@@ -63,7 +63,9 @@
         if all(one.writable for one in self.progress.values()):
             return True
         membership = replica.log.membership
-        able = membership_module.committable(membership, self._able, self._able)
+        able = membership_module.committable(
+            membership, self._able, self._able_to_sync
+        )
         return bool(able)
 
     @property
@@ -243,6 +245,11 @@
         silent_at = progress.heard_at + replica.options.election_timeout_s
         return progress.writable and replica.now < silent_at
 
+    def _able_to_sync(self, voter: types.ReplicaId) -> bool:
+        """Whether a voter that can write has a disk, as far as is known."""
+        marked = voter.vm in self._replica.log.membership.with_disk
+        return self._able(voter) and (marked or self._synced(voter) > 0)
+
     def _held(self, voter: types.ReplicaId) -> int:
         if voter == self._replica.me:
             return self._replica.durable
@@ -250,7 +257,7 @@
 
     def _synced(self, voter: types.ReplicaId) -> int:
         if voter == self._replica.me:
-            return self._replica.durable
+            return self._replica.durable if self._replica.has_disk else 0
         return self.progress[voter].synced
 
     def _round(self, voter: types.ReplicaId) -> int:
--- a/laburnumsill/consensus/membership.py
+++ b/laburnumsill/consensus/membership.py
@@ -46,21 +46,20 @@
 ) -> int:
     """Returns the highest index that may be committed.
 
-    A majority of the voters must hold it, and one synced disk must if any
-    voter has a disk. Both conditions hold for all lower indexes too.
+    A majority of the voters must hold it, and one synced disk must if the
+    membership counts on any. Both conditions hold for all lower indexes too.
+    The disk may be any voter's: a group whose membership has lost the marks of
+    some disks goes on when those that are marked are gone.
 
     Args:
         membership: The make-up of the group, with at least one voter.
         held: The highest index a voter holds.
-        synced: The highest index on a voter's synced disk.
+        synced: The highest index on a voter's synced disk, 0 without one.
     """
     index = reached_by_majority(membership, held)
-    disks = [
-        synced(voter)
-        for voter in membership.voters
-        if voter.vm in membership.with_disk
-    ]
-    return min(index, max(disks)) if disks else index
+    if not any(voter.vm in membership.with_disk for voter in membership.voters):
+        return index
+    return min(index, max(map(synced, membership.voters)))
 
 
 def check_change(old: types.Membership, new: types.Membership) -> None:
--- a/laburnumsill/consensus/replica.py
+++ b/laburnumsill/consensus/replica.py
@@ -22,6 +22,7 @@
         committed: The highest index known to be committed.
         durable: The highest index that the host has stored.
         writable: Whether the host can store anything now.
+        has_disk: Whether what is stored is on a synced disk.
     """
 
     def __init__(
@@ -42,6 +43,7 @@
         self.committed = stored.snapshot.index if stored.snapshot else 0
         self.durable = self.log.last_index
         self.writable = True
+        self.has_disk = stored.with_disk
         self._hard_state = stored.hard_state
         self._unsaved = False
         self._install: types.Snapshot | None = None
@@ -81,11 +83,6 @@
         """
         return self.log.voted_since(self.committed, self.me)
 
-    @property
-    def has_disk(self) -> bool:
-        """Whether the membership counts on this replica's disk."""
-        return self.me.vm in self.log.membership.with_disk
-
     @property
     def leads_committed(self) -> bool:
         """Whether an entry of the present term is committed."""
--- a/laburnumsill/consensus/store_disk.py
+++ b/laburnumsill/consensus/store_disk.py
@@ -129,6 +129,7 @@
             found.hard_state,
             found.snapshot,
             found.entries,
+            with_disk=True,
         )
         for part in found.segments:
             self._segments.append(
--- a/laburnumsill/consensus/tests/simulated_group.py
+++ b/laburnumsill/consensus/tests/simulated_group.py
@@ -68,8 +68,11 @@
             else:
                 entries = [x for x in entries if x.index < record.index]
                 entries.append(record)
-        self.stored = types.Stored(
-            self.stored.incarnation, hard_state, snapshot, tuple(entries)
+        self.stored = dataclasses.replace(
+            self.stored,
+            hard_state=hard_state,
+            snapshot=snapshot,
+            entries=tuple(entries),
         )
 
     def compact(self, snapshot: types.Snapshot) -> None:
@@ -91,7 +94,13 @@
         self.group = group
         self.me = me
         self.disk = Disk(
-            types.Stored(me.incarnation, types.HardState(), None, ())
+            types.Stored(
+                me.incarnation,
+                types.HardState(),
+                None,
+                (),
+                with_disk=me.vm in group.disks,
+            )
         )
         self.paused_until = 0.0
         self.full_until = 0.0
@@ -219,7 +228,10 @@
 class Group:
     """Hosts, a network with faults, and what must always hold."""
 
-    def __init__(self, vms: str, disks: str, seed: int) -> None:
+    def __init__(
+        self, vms: str, disks: str, seed: int, counted: str | None = None
+    ) -> None:
+        """Founds a group; its first membership counts on `counted` disks."""
         self.random = random_module.Random(seed)
         self.now = 0.0
         self.hosts: dict[str, Host] = {}
@@ -239,7 +251,8 @@
             self.add(vm)
         founder = self.hosts[vms[0]]
         voters = tuple(self.hosts[vm].me for vm in vms)
-        founding = types.Membership(voters, (), self.disks & set(vms))
+        marked = self.disks if counted is None else frozenset(counted)
+        founding = types.Membership(voters, (), marked & set(vms))
         hard_state, entry = engine.Engine.found("g", founder.me, founding)
         output = types.Output(hard_state=hard_state, append=(entry,))
         founder.disk.write(output)
--- a/laburnumsill/consensus/tests/test_disk_and_power_loss.py
+++ b/laburnumsill/consensus/tests/test_disk_and_power_loss.py
@@ -45,6 +45,35 @@
     group.run_until(written)
 
 
+@pytest.mark.parametrize(
+    ("vms", "counted"), [("abc", "a"), ("abcde", "a"), ("abcde", "ab")]
+)
+@pytest.mark.parametrize("seed", range(4))
+def test_a_majority_of_disks_goes_on_without_those_the_membership_counts_on(
+    vms, counted, seed
+):
+    """A membership may lack the marks of disks that its voters do have."""
+    group = simulated_group.Group(vms, vms, seed, counted)
+    group.run(2.0)
+    leader = group.elect()
+    operation = group.write(leader, b"acknowledged")
+    group.run_until(lambda: operation.done or _gone(group))
+    for vm in vms:
+        if vm in counted:
+            group.add(vm)
+        else:
+            group.hosts[vm].crash(0, group.random.uniform(0.1, 0.6))
+    reads = []
+
+    def answered():
+        leader = group.leader()
+        reads.append(group.read(leader) if leader else None)
+        group.run(0.2)
+        return any(one is not None and one.done for one in reads)
+
+    group.run_until(answered)
+
+
 def _gone(group):
     """Whether the leader was lost meanwhile, and its write with it."""
     return group.leader() is None
--- a/laburnumsill/consensus/tests/test_engine_rules.py
+++ b/laburnumsill/consensus/tests/test_engine_rules.py
@@ -30,7 +30,8 @@
 
 
 def made(hard_state, *entries):
-    stored = types.Stored("i", hard_state, None, (FOUNDING, *entries))
+    log = (FOUNDING, *entries)
+    stored = types.Stored("i", hard_state, None, log, with_disk=True)
     options = engine.Options()
     return engine.Engine("g", A, stored, options, 0.0, random.Random(1))
 
@@ -275,6 +276,7 @@
         types.HardState(1, None),
         None,
         (membership_entry(1, 1, everyone),),
+        with_disk=True,
     )
     leader = engine.Engine(
         "g", A, stored, engine.Options(), 0.0, random.Random(1)
@@ -338,7 +340,9 @@
     which followers learnt to wait twice as long.
     """
     options = engine.Options(0.8, 0.1)
-    stored = types.Stored("i", types.HardState(1, None), None, (FOUNDING,))
+    stored = types.Stored(
+        "i", types.HardState(1, None), None, (FOUNDING,), with_disk=True
+    )
     leader = engine.Engine("g", A, stored, options, 0.0, random.Random(1))
     leader.tick(10.0)
     for kind in (KIND.PRE_VOTE_REPLY, KIND.VOTE_REPLY):
--- a/laburnumsill/consensus/tests/test_store.py
+++ b/laburnumsill/consensus/tests/test_store.py
@@ -61,6 +61,7 @@
         state,
         None,
         entries(1, 3) + entries(4, 6, term=2),
+        with_disk=True,
     )
 
 
--- a/laburnumsill/consensus/types.py
+++ b/laburnumsill/consensus/types.py
@@ -180,9 +180,11 @@
         hard_state: Last synced term and vote.
         snapshot: Last whole snapshot, or None.
         entries: The log after the snapshot.
+        with_disk: Whether the store syncs to a disk.
     """
 
     incarnation: str
     hard_state: HardState
     snapshot: Snapshot | None
     entries: tuple[Entry, ...]
+    with_disk: bool = False
