consensus: keep the mark of a disk when another VM leads a voter's promotion

Cause: with each change of voters the leader noted anew which learners have a disk, from what it had heard of them when they asked to join. A learner asks no more once it is one, so a leader that had started since knew nothing, and promoted it as a voter without a disk, for good. A VM that came back empty under its own address is first a learner too.

Change: what the membership notes of a VM stays until that very replica has said otherwise.

Evidence: three of four cases of test_group_make_up.py failed on the code before (the marks were ab and abc in place of abcd), all pass now; the tests of consensus pass.

--- a/laburnumsill/consensus/group_make_up.py
+++ b/laburnumsill/consensus/group_make_up.py
@@ -157,22 +157,21 @@
     has gone, because disks are noted by VM.
     """
     voting = {voter.vm for voter in voters}
-    disks = set()
-    for replica in (*voters, *learners):
-        is_new = replica not in view.membership.voters
-        hidden = is_new and replica in learners and replica.vm in voting
-        if hidden:
-            continue
-        if not is_new:
-            if replica.vm in view.membership.with_disk:
-                disks.add(replica.vm)
-        elif _has_disk(view, replica):
-            disks.add(replica.vm)
-    return types.Membership(voters, learners, frozenset(disks))
+    counted = voters + tuple(one for one in learners if one.vm not in voting)
+    disks = frozenset(one.vm for one in counted if _has_disk(view, one))
+    return types.Membership(voters, learners, disks)
 
 
 def _has_disk(view: View, replica: types.ReplicaId) -> bool:
+    """Whether a replica has a disk, as it said itself or as was noted.
+
+    Only those VMs heard it that ran when it asked to join. The leader may be
+    another one by now, so what the membership notes of its VM stays.
+    """
+    marked = replica.vm in view.membership.with_disk
+    if replica in view.membership.voters:
+        return marked
     candidate = view.candidates.get(replica.vm)
     if candidate is not None and candidate.replica == replica:
         return candidate.with_disk
-    return replica.vm in view.disks
+    return marked or replica.vm in view.disks
