daemon: turn to another core VM where one lacks the newest configuration

What callers see: on an entry VM a change is not in force in time. It goes on with the version before for 3.5 s after its last confirmation, then refuses every call, until it happens to ask another core VM.

Cause: an entry prefers the core VM in its failure domain and stays with it while it answers. A core VM answers from its own replica. One that votes no more, since it was dark for some seconds and a spare took its place, keeps its replica as it was; one that stands by has an empty one. Both confirm truthfully, with the leader's help, that there is a newer version, and neither can pass it on. The entry took that for an answer and asked the same VM again.

Class: an answer that says that it does not know counts as an answer. Ruled out: links, load and the size of the document (1.5 KB packed).

Change: an entry that is told of a newer version than the VM holds asks the others in turn and avoids that VM for a while, as one that failed.

Evidence: test_an_entry_near_a_vm_that_stands_by_gets_each_new_version failed before, with no configuration in force and with version 1 in place of 2.

--- a/laburnumsill/daemon/configuration_sharing.py
+++ b/laburnumsill/daemon/configuration_sharing.py
@@ -57,6 +57,11 @@
     confirmed_after_s: float
     domain: str = ""
 
+    @property
+    def behind(self) -> bool:
+        """Whether the VM lacks the newest version and cannot pass it on."""
+        return self.part.version < self.newest_version
+
 
 class Source(abc.ABC):
     """Where an entry has its configuration from."""
@@ -76,7 +81,8 @@
     """Asks one VM of the core, the others in turn where it cannot answer.
 
     The load that this is for: a VM has ended or gone silent, or knows no
-    leader yet, while another one already follows the next.
+    leader yet, while another one already follows the next; or it votes no
+    more, so that its replica stays as it was while the leader goes on.
 
     Args:
         peers: The connections to the core.
@@ -100,8 +106,13 @@
     async def ask(
         self, query: highest_version.PartQuery, deadline: float
     ) -> Confirmed:
-        """Asks once, see the base class."""
+        """Asks once, see the base class.
+
+        Where all that answer are behind, one of their answers is returned: it
+        names the newest version.
+        """
         failure = errors.NoQuorumError("no VM of the core is known")
+        behind: Confirmed | None = None
         tried: set[str] = set()
         while (now := self._clock.monotonic()) < deadline:
             left = [vm for vm in self._vms() if vm not in tried]
@@ -111,15 +122,26 @@
             tried.add(vm)
             until = min(deadline, now + ATTEMPT_S)
             try:
-                answer = await self._peers.call(vm, Question(query), until)
+                answer = await self._ask_one(vm, query, until)
             except errors.LaburnumsillError as error:
                 failure = errors.NoQuorumError(f"{vm}: {error.detail}")
                 self._choice.failed(vm, self._clock.monotonic())
-            else:
+                continue
+            if not answer.behind:
                 self._choice.answered(vm, answer.domain)
-                return typing.cast(Confirmed, answer)
+                return answer
+            self._choice.failed(vm, self._clock.monotonic())
+            behind = answer
+        if behind is not None:
+            return behind
         raise failure
 
+    async def _ask_one(
+        self, vm: str, query: highest_version.PartQuery, deadline: float
+    ) -> Confirmed:
+        answer = await self._peers.call(vm, Question(query), deadline)
+        return typing.cast(Confirmed, answer)
+
 
 class SharedConfirmation:
     """Answers entries' questions on a VM of the core.
--- a/laburnumsill/daemon/tests/test_configuration_sharing.py
+++ b/laburnumsill/daemon/tests/test_configuration_sharing.py
@@ -56,6 +56,28 @@
         return await super().query(group, query, deadline)
 
 
+class PeersOf:
+    """Hands the questions of an entry to the VM that it asks.
+
+    The one that stands by is in the entry's own failure domain.
+    """
+
+    def __init__(self, **leaders):
+        self._peers = {}
+        for vm, leader in leaders.items():
+            self._peers[vm] = Peers()
+            configuration_sharing.SharedConfirmation(
+                "site",
+                leader,
+                self._peers[vm],
+                "north" if vm == "standby" else "south",
+                trio_clock.TrioClock(),
+            )
+
+    async def call(self, vm, request, deadline):
+        return await self._peers[vm].call(vm, request, deadline)
+
+
 class Core:
     def __init__(self, replica_is_behind=False):
         self.newest = highest_version.HighestVersion()
@@ -210,6 +232,40 @@
     play(script)
 
 
+@pytest.mark.parametrize("held", [highest_version.NO_VERSION, 1])
+def test_an_entry_near_a_vm_that_stands_by_gets_each_new_version(held):
+    """A VM that votes no more, or never did, holds what it held then."""
+
+    async def script():
+        core = Core()
+        kept = highest_version.HighestVersion()
+        if held != highest_version.NO_VERSION:
+            core.put(held, kept)
+        peers = PeersOf(standby=Leader(core.newest, kept), voter=core.leader)
+        choice = core_choice.CoreChoice("entry", "north")
+        clock = trio_clock.TrioClock()
+        lease = configuration_lease.ConfigurationLease(
+            configuration_sharing.NearbyCore(
+                peers, lambda: ("standby", "voter"), choice, clock
+            ),
+            lambda raw: site.SiteConfiguration(int(raw), (), (), ()),
+            5_000,
+            clock,
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(lease.run)
+            for version in (2, 3):
+                await trio.sleep(3.0)
+                core.put(version)
+                await trio.sleep(1.0)
+                assert lease.current is not None
+                assert lease.current.version == version
+                assert lease.may_refuse
+            nursery.cancel_scope.cancel()
+
+    play(script)
+
+
 def test_without_a_known_vm_the_failure_has_a_type():
     async def script():
         choice = core_choice.CoreChoice("entry", "north")
