consensus: replace a lost voter well before another disk may be lost

What callers see: after disks and power were lost while a VM was being replaced, nobody is elected for good; the configuration cannot be read.

Cause: a voter that was gone kept counting for 2.5 s of silence, anew under each leader, and for up to six steps of 0.25 s after that: the spare became a learner, then a voter, both spares before the first dead voter left. Seven voters of which two are dead do not bear the loss of two disks, four with one dead not of one. A VM may be lost 4 s after its predecessor's successor has started, or after all processes were killed, and the change took up to 5.5 s then. A VM that was away and replaced asked to stand by only after 3 s.

Change: a spare learns the log once a voter is silent for 0.5 s, goes on learning it under the next leader, and votes after 1.5 s; a dead voter leaves before the next spare is promoted; steps follow each other as they commit; a VM that knows no leader asks after 1 s.

--- a/laburnumsill/consensus/group.py
+++ b/laburnumsill/consensus/group.py
@@ -119,6 +119,7 @@
         self._paused = False
         self._no_snapshot_before = -math.inf
         self._lead = group_lead.Lead(name)
+        self._settled_index = 0
         self._engine = self._new_engine(kept.stored)
 
     @property
@@ -162,6 +163,17 @@
         membership = self._engine.membership
         return self.me in membership.voters + membership.learners
 
+    def take_settled(self) -> bool:
+        """Whether a change of the make-up was committed since the last call.
+
+        Only the leader is told: it is the one to propose the next change.
+        """
+        index = self._engine.membership_index
+        committed = self._settled_index < index <= self._engine.committed
+        if committed:
+            self._settled_index = index
+        return committed and self.leads
+
     @property
     def due(self) -> float:
         """The monotonic point at which `tick` is needed."""
--- a/laburnumsill/consensus/group_make_up.py
+++ b/laburnumsill/consensus/group_make_up.py
@@ -37,6 +37,8 @@
         caught_up: Learners that have nearly all of the log and are there.
         alive: Voters that were heard lately, the leader too.
         disks: The VMs that have a disk.
+        prepared: The VMs that are to learn the log besides, so that they can
+            be made voters at once.
     """
 
     membership: types.Membership
@@ -45,6 +47,7 @@
     caught_up: frozenset[types.ReplicaId]
     alive: frozenset[types.ReplicaId]
     disks: frozenset[str]
+    prepared: abc.Sequence[str] = ()
 
 
 def next_change(view: View) -> types.Membership | None:
@@ -67,15 +70,15 @@
     return (
         _add_learner(view)
         or _drop_learner(view)
-        or _promote(view)
         or _remove(view)
+        or _promote(view)
     )
 
 
 def _add_learner(view: View) -> types.Membership | None:
     """Adds a wanted replica, in place of another learner of its VM."""
     known = view.membership.voters + view.membership.learners
-    for vm in view.desired:
+    for vm in (*view.desired, *view.prepared):
         candidate = view.candidates.get(vm)
         if candidate is None or candidate.replica in known:
             continue
@@ -91,7 +94,7 @@
     wanted = tuple(
         learner
         for learner in view.membership.learners
-        if learner.vm in view.desired
+        if learner.vm in view.desired or learner.vm in view.prepared
     )
     if wanted == view.membership.learners:
         return None
@@ -117,9 +120,12 @@
 
 
 def _remove(view: View) -> types.Membership | None:
-    """Removes a voter that is not wanted, once all wanted ones vote."""
-    voting = {voter.vm for voter in view.membership.voters}
-    if not set(view.desired) <= voting:
+    """Removes a voter that is not wanted, once another one votes for it.
+
+    More voters than wanted bear no more losses, and with two of them gone
+    they bear fewer.
+    """
+    if len(view.membership.voters) <= len(set(view.desired)):
         return None
     for voter in view.membership.voters:
         if voter.vm not in view.desired:
--- a/laburnumsill/consensus/host.py
+++ b/laburnumsill/consensus/host.py
@@ -26,7 +26,8 @@
 from laburnumsill.wire import network as networks
 
 HOUSEKEEPING_S = 0.25
-"""How often the make-up of the groups is looked at."""
+"""How often the make-up of the groups is looked at at least; steps of one
+change follow each other at once."""
 
 MAX_COMMAND_BYTES = 8 * 1024 * 1024
 """Largest encoded command; it has to fit in one frame."""
@@ -394,7 +395,8 @@
                 if self._keeper.needs_to_ask(hosted):
                     self._asking.add(name)
                     nursery.start_soon(self._ask, hosted)
-            await trio.sleep(HOUSEKEEPING_S)
+            with trio.move_on_after(HOUSEKEEPING_S):
+                await self._replicas.until_settled()
 
     def _publish(self) -> None:
         """Shows operators where the replicas stand."""
--- a/laburnumsill/consensus/host_members.py
+++ b/laburnumsill/consensus/host_members.py
@@ -24,8 +24,9 @@
 ANSWER_WITHIN_S = 1.0
 """Longest wait for one round of answers."""
 
-LEADERLESS_S = 3.0
-"""A member that knew no leader for so long asks whether it still is one."""
+LEADERLESS_S = 1.0
+"""A member that knew no leader for so long asks whether it still is one. One
+that was replaced while it was away is a spare only once it has asked."""
 
 CAUGHT_UP_ENTRIES = 256
 """A learner may miss so many entries when it is promoted."""
@@ -181,6 +182,12 @@
         )
         group.recover(term, membership)
 
+    def _prepared(self, group: groups.HostedGroup) -> tuple[str, ...]:
+        """Returns the VMs that are to learn the log, besides the desired."""
+        if self._choice is None:
+            return ()
+        return self._choice.prepared(self._voter_view(group))
+
     def _desired(self, group: groups.HostedGroup) -> tuple[str, ...]:
         """Returns the VMs that are to vote, as far as this VM can know.
 
@@ -237,6 +244,7 @@
             frozenset(caught_up),
             frozenset(alive | {group.me}),
             self._disks,
+            self._prepared(group),
         )
 
 
--- a/laburnumsill/consensus/host_replicas.py
+++ b/laburnumsill/consensus/host_replicas.py
@@ -71,6 +71,7 @@
         self._waiting: dict[str, float] = {}
         self._awake = trio.Event()
         self._failure: Exception | None = None
+        self._settled = trio.Event()
         network.on_raft(self._take)
 
     @property
@@ -90,6 +91,10 @@
         names = (path.name for path in self._folder.iterdir())
         return sorted(name for name in names if _SET_ASIDE not in name)
 
+    async def until_settled(self) -> None:
+        """Waits until the make-up of a group led here may change again."""
+        await self._settled.wait()
+
     async def open(self, name: str, nursery: trio.Nursery) -> None:
         """Opens this VM's replica of a group.
 
@@ -229,6 +234,9 @@
             if group is None:
                 continue
             group.pump()
+            if group.take_settled():
+                self._settled.set()
+                self._settled = trio.Event()
             for message in group.outgoing:
                 raft = codec_raft.to_thrift(name, message)
                 frames.setdefault(message.target.vm, []).append(raft)
--- a/laburnumsill/consensus/voter_choice.py
+++ b/laburnumsill/consensus/voter_choice.py
@@ -3,10 +3,14 @@
 import dataclasses
 from collections import abc
 
-REPLACE_AFTER_S = 2.5
-"""A voter that was silent for so long gives way to a spare VM. Longer than a
-restart of a process takes, well below the 4 s within which the users count a
-new VM as ready."""
+REPLACE_AFTER_S = 1.5
+"""A voter that was silent for so long gives way to a spare VM. With the time to
+elect a leader before and to change the voters after, this has to stay below the
+4 s after which another VM may be lost. Whoever was only restarted comes back as
+a spare."""
+
+PREPARE_AFTER_S = 0.5
+"""A spare VM learns the log as soon as a voter was silent for so long."""
 
 SPARE_FRESH_S = 2.0
 """A spare counts as there if it was heard from within this time."""
@@ -51,6 +55,24 @@
     def __init__(self, wanted: int) -> None:
         self._wanted = wanted
 
+    def prepared(self, view: VoterView) -> tuple[str, ...]:
+        """Returns the VMs that are to learn the log, so as to vote at once.
+
+        There is one for each voter that was not heard from for a moment.
+        Those that learn it already go on: the next leader, who has heard
+        nobody for a while, would else drop them when they are needed.
+
+        Examples:
+            >>> view = VoterView(("a", "b", "c"), (), {"b": 9.0, "c": 8.9},
+            ...                  {"d": 9.4, "e": 9.4}, 9.5)
+            >>> VoterChoice(3).prepared(view)
+            ('d',)
+        """
+        quiet = sum(_silent(vm, view, PREPARE_AFTER_S) for vm in view.voters)
+        bears = (self._wanted - 1) // 2
+        learning = min(bears, len(view.learners))
+        return tuple(_spares(view)[: max(quiet, learning)])
+
     def desired(self, view: VoterView) -> tuple[str, ...]:
         """Returns the VMs that are to vote."""
         kept = [vm for vm in view.voters if not _silent(vm, view)]
@@ -61,12 +83,12 @@
         return tuple(chosen)
 
 
-def _silent(vm: str, view: VoterView) -> bool:
+def _silent(vm: str, view: VoterView, after_s: float = REPLACE_AFTER_S) -> bool:
     """Whether a voter's VM was not heard from, in any incarnation."""
     heard = max(
         view.heard_at.get(vm, view.now), view.asking.get(vm, float("-inf"))
     )
-    return view.now - heard > REPLACE_AFTER_S
+    return view.now - heard > after_s
 
 
 def _spares(view: VoterView) -> list[str]:
