consensus: let a VM that stands by pass on what it is called for

Cause: such a VM hears no heartbeats, so it knew no leader, though each answer to its asking to join names him.

A member goes by what it hears alone.

--- a/laburnumsill/consensus/host.py
+++ b/laburnumsill/consensus/host.py
@@ -255,8 +255,10 @@
 
     def _leader_of(self, group: str) -> str | None:
         hosted = self._replicas.hosted.get(group)
-        if hosted is None or hosted.engine.leader is None:
+        if hosted is None:
             return None
+        if hosted.engine.leader is None:
+            return self._keeper.told_leader(group)
         return hosted.engine.leader.vm
 
     def _vms_of(self, group: str) -> abc.Sequence[str]:
--- a/laburnumsill/consensus/host_members.py
+++ b/laburnumsill/consensus/host_members.py
@@ -74,12 +74,20 @@
         self._told = False
         self._candidates: dict[str, dict[str, group_make_up.Candidate]] = {}
         self._led_at: dict[str, float] = {}
+        self._told_leaders: dict[str, str] = {}
 
     @property
     def make_up(self) -> abc.Mapping[str, tuple[str, ...]]:
         """The desired voters by group."""
         return self._make_up
 
+    def told_leader(self, name: str) -> str | None:
+        """Returns who leads a group that this VM is no member of.
+
+        Whoever stands by hears no heartbeats, but is told when it asks.
+        """
+        return self._told_leaders.get(name)
+
     def set_make_up(self, make_up: abc.Mapping[str, abc.Sequence[str]]) -> None:
         """Replaces the desired voters; leaders bring them about."""
         self._told = True
@@ -104,6 +112,8 @@
         """Returns whether a replica is no member, or may not be any more."""
         if not group.is_member:
             return True
+        if group.engine.leader is not None:
+            self._told_leaders.pop(group.name, None)
         now = self._clock.monotonic()
         if group.engine.leader is not None:
             self._led_at[group.name] = now
@@ -125,6 +135,7 @@
         hello = host_messages.Hello(name, group.me, group.with_disk)
         deadline = self._clock.monotonic() + ANSWER_WITHIN_S
         answers = await founding.ask(self._peers, asked, hello, deadline)
+        self._note_leader(name, answers)
         if group.is_fresh and self._founds(name):
             membership = founding.founding_membership(
                 group.me, group.with_disk, first, answers
@@ -141,6 +152,13 @@
             for answer in answers.values()
         )
 
+    def _note_leader(self, name: str, answers: founding.Answers) -> None:
+        self._told_leaders.pop(name, None)
+        leading = [answer for answer in answers.values() if answer.leader]
+        if leading and not any(answer.member for answer in leading):
+            newest = max(leading, key=lambda answer: answer.term)
+            self._told_leaders[name] = newest.leader or ""
+
     def reconcile(self, group: groups.HostedGroup) -> bool:
         """Proposes the next change of a group led here, if one is due."""
         view = self._view(group)
