--- a/laburnumsill/consensus/tests/test_group_make_up.py
+++ b/laburnumsill/consensus/tests/test_group_make_up.py
@@ -50,3 +50,24 @@
         view(membership, "abc", [asked], caught_up=(C_AGAIN,))
     )
     assert change.with_disk == frozenset("ab")
+
+
+def test_a_dead_voter_leaves_before_the_next_spare_votes():
+    """Seven voters of which two are dead bear the loss of one disk, not two."""
+    replicas = [types.ReplicaId(vm, "1") for vm in "abcdefg"]
+    membership = types.Membership(
+        tuple(replicas[:5]), tuple(replicas[5:]), frozenset("abcdefg")
+    )
+    here = frozenset(replicas[2:])
+    sizes = []
+    while (
+        change := group_make_up.next_change(
+            group_make_up.View(
+                membership, list("cdefg"), {}, here, here, frozenset()
+            )
+        )
+    ) is not None:
+        membership = change
+        sizes.append(len(membership.voters))
+    assert membership.voters == tuple(replicas[2:])
+    assert sizes == [6, 5, 6, 5]
--- a/laburnumsill/consensus/tests/test_voter_choice.py
+++ b/laburnumsill/consensus/tests/test_voter_choice.py
@@ -51,3 +51,24 @@
         "d",
         "e",
     )
+
+
+def prepared(voters, quiet="", learners="", asking=""):
+    heard = {vm: NOW - 1 if vm in quiet else NOW for vm in (*voters, *learners)}
+    asked = dict.fromkeys(asking, NOW)
+    view = voter_choice.VoterView(
+        tuple(voters), tuple(learners), heard, asked, NOW
+    )
+    return voter_choice.VoterChoice(len(voters)).prepared(view)
+
+
+def test_a_spare_learns_the_log_before_it_is_needed():
+    assert prepared("abc", asking="d") == ()
+    assert prepared("abc", quiet="c", asking="d") == ("d",)
+    assert prepared("abc", quiet="c", asking="de") == ("d",)
+    assert prepared("abcde", quiet="ce", asking="fg") == ("f", "g")
+
+
+def test_who_learns_the_log_goes_on_though_a_new_leader_has_missed_nobody():
+    assert prepared("abc", learners="d", asking="e") == ("d",)
+    assert prepared("abcde", learners="fgh") == ("f", "g")
