consensus: count as the leader only once all that was acknowledged is applied

What callers see: nothing was seen. For some milliseconds after a loss of power a VM that has won the lead, and has committed nothing in it yet, took workers' announcements against an empty ledger: a late one from before the worker shrank would have been believed, the end of a worker acknowledged and not noted.

Cause: who leads was told by the role alone. Found by looking for what a read needs that a recovery does not bring back at once. Confirmed reads and the scheduler waited for the commit already; the intake of announcements, the dispatch of durable requests, the replacement of VMs and the spreading of the make-up looked at the local replica.

Change: a VM counts as the leader once it has applied an entry of its term.

Evidence: test_who_leads_has_applied_all_that_was_acknowledged failed before (no keys of 50), passes now; the tests of consensus and of the roles pass.

--- a/laburnumsill/consensus/group.py
+++ b/laburnumsill/consensus/group.py
@@ -17,6 +17,7 @@
 from laburnumsill.consensus import engine as engines
 from laburnumsill.consensus import group_apply
 from laburnumsill.consensus import group_lead
+from laburnumsill.consensus import group_promises
 from laburnumsill.consensus import group_ticks
 from laburnumsill.consensus import group_waiters
 from laburnumsill.consensus import store
@@ -36,23 +37,6 @@
 """Pause after a snapshot for which there was no room, in seconds: each try
 encodes the whole state."""
 
-UNSYNCED_KINDS = frozenset(
-    {
-        types.MessageKind.APPEND,
-        types.MessageKind.HEARTBEAT,
-        types.MessageKind.HEARTBEAT_REPLY,
-        types.MessageKind.PRE_VOTE,
-        types.MessageKind.PRE_VOTE_REPLY,
-        types.MessageKind.SNAPSHOT,
-        types.MessageKind.TIMEOUT_NOW,
-    }
-)
-"""Messages that promise nothing about the sender's own log.
-
-They may overtake a sync of entries, but not one of a term or vote. The
-leader counts its own log only from `Engine.synced` on.
-"""
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SnapshotLimits:
@@ -67,14 +51,6 @@
     log_bytes: int = SNAPSHOT_LOG_BYTES
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Held:
-    """A message that waits for the sync of a change."""
-
-    after: int
-    message: types.Message
-
-
 class HostedGroup:
     """One replica of one group on this VM.
 
@@ -113,7 +89,7 @@
         self._queued = 0
         self._kept = 0
         self._hard_state_at = 0
-        self._held: list[_Held] = []
+        self._held = group_promises.HeldMessages()
         self._changed = trio.Event()
         self._synced = trio.Event()
         self._paused = False
@@ -152,6 +128,15 @@
         """Whether this replica leads as far as it knows."""
         return self._engine.role == "leader"
 
+    @property
+    def has_caught_up(self) -> bool:
+        """Whether it leads and has applied an entry of its own term.
+
+        It has applied all that was acknowledged before it led, then.
+        """
+        applied_in = self._engine.term_at(self.applied)
+        return self.leads and applied_in == self._engine.term
+
     @property
     def is_fresh(self) -> bool:
         """Whether this replica knows nothing of its group."""
@@ -347,7 +332,7 @@
 
     def _lose_disk(self, error: store.DiskFullError) -> None:
         """Promises nothing more until the store takes something again."""
-        self._held = [one for one in self._held if one.after <= self._kept]
+        self._held.drop_after(self._kept)
         if self.writable:
             self._engine.set_writable(False)
             logs.event(
@@ -397,7 +382,7 @@
         if not change.is_empty:
             self._queue(change)
         for message in output.messages:
-            self._held.append(_Held(self._needed_sync(message), message))
+            self._held.add(self._needed_sync(message), message)
         if not self.with_disk:
             self._commit_now()
         for entry in output.committed:
@@ -418,7 +403,7 @@
 
     def _needed_sync(self, message: types.Message) -> int:
         """Returns the number of the change that must be kept first."""
-        if message.kind in UNSYNCED_KINDS:
+        if message.kind in group_promises.UNSYNCED_KINDS:
             return self._hard_state_at
         return self._queued
 
@@ -444,20 +429,8 @@
                 break
 
     def _release(self) -> None:
-        """Lets the messages go whose changes are kept, in their order.
-
-        While nothing can be written the others are dropped: whoever waits
-        for them asks again.
-        """
-        if not self._held:
-            return
-        still: list[_Held] = []
-        for held in self._held:
-            if held.after <= self._kept:
-                self.outgoing.append(held.message)
-            elif self.writable:
-                still.append(held)
-        self._held = still
+        """Lets the messages go whose changes are kept."""
+        self.outgoing += self._held.take(self._kept, self.writable)
 
     def _answer(self, read: types.ConfirmedRead) -> None:
         found = self._reads.take(read.read_id)
--- a/laburnumsill/consensus/host.py
+++ b/laburnumsill/consensus/host.py
@@ -162,10 +162,13 @@
     def leads(self, group: str) -> bool:
         """Returns whether this VM leads a group, as far as it knows.
 
-        A leader that nothing can be committed with does not count.
+        A leader that nothing can be committed with does not count, nor one
+        whose state machine may lack what was acknowledged before its term.
         """
         hosted = self._replicas.hosted.get(group)
-        return hosted is not None and hosted.engine.can_commit
+        if hosted is None:
+            return False
+        return hosted.engine.can_commit and hosted.has_caught_up
 
     def term(self, group: str) -> int:
         """Returns the newest term of this VM's replica, or 0."""
--- a/laburnumsill/consensus/tests/test_host.py
+++ b/laburnumsill/consensus/tests/test_host.py
@@ -1,6 +1,7 @@
 """Hosts on loopback TCP: founding, serving and restarts."""
 
 import pytest
+import trio
 
 from laburnumsill.consensus import engine
 from laburnumsill.consensus import host
@@ -135,3 +136,20 @@
         await cluster.nodes[0].host.transfer(
             host_cluster.ROOT, "nobody", host_cluster.soon()
         )
+
+
+async def test_who_leads_has_applied_all_that_was_acknowledged(make_cluster):
+    """Without a snapshot a replica begins empty, and applies what a leader
+    has committed anew."""
+    cluster = make_cluster()
+    await cluster.start()
+    keys = [f"k{number}" for number in range(50)]
+    await cluster.add(0, *keys)
+    for node in cluster.nodes:
+        await node.stop()
+    for node in cluster.nodes:
+        cluster.nursery.start_soon(node.run)
+    with trio.fail_after(10):
+        while (leader := cluster.leader()) is None:
+            await trio.lowlevel.checkpoint()
+    assert leader.keys() == keys
