platform: soak a core VM that stands by, and look at each entry for a change

The soak had as many core VMs as voters and read configurations back from them alone, so it could not show that an entry beside a VM that votes no more is behind. Every soak ends with a configuration that each entry has to have in force within 2 s.

--- a/laburnumsill/platform/tests/soak/layout.py
+++ b/laburnumsill/platform/tests/soak/layout.py
@@ -11,6 +11,9 @@
 from laburnumsill.testing import ports
 
 CORE = ("127.0.78.1", "127.0.78.2", "127.0.78.3")
+SPARE = "127.0.78.4"
+"""A core VM beyond those that vote, which some soaks have."""
+
 ENTRIES = ("127.0.78.11", "127.0.78.12")
 TOLERATED_LOSSES = 1
 
@@ -61,10 +64,10 @@
         return self.own_callers or self.own_control
 
 
-def vms() -> dict[str, VmAddresses]:
+def vms(core: tuple[str, ...] = CORE) -> dict[str, VmAddresses]:
     """Returns the VMs of a site, on ports that are kept for it."""
     found = {}
-    for vm in CORE:
+    for vm in core:
         peer, outside, own = ports.free_ports(3)
         found[vm] = VmAddresses(
             vm,
@@ -110,10 +113,13 @@
 
 
 def write_settings(
-    folder: pathlib.Path, one: VmAddresses, founding: bool
+    folder: pathlib.Path,
+    one: VmAddresses,
+    founding: bool,
+    seed_vms: tuple[str, ...] = CORE,
 ) -> pathlib.Path:
     """Writes the settings file of a VM as the platform's template does."""
-    seeds = ", ".join(f'"{vm}:1"' for vm in CORE)
+    seeds = ", ".join(f'"{vm}:1"' for vm in seed_vms)
     lines = [
         f'name = "{one.vm}"',
         f'address = "{one.vm}"',
--- a/laburnumsill/platform/tests/soak/main.py
+++ b/laburnumsill/platform/tests/soak/main.py
@@ -28,6 +28,7 @@
 
 FIRST = "first"
 ALL = "all"
+SPARE = "spare"
 """Names of choices of troubles, see `troubles.CHOICES`."""
 
 MEAN_GAP_S = 0.9
@@ -89,6 +90,7 @@
     folder: pathlib.Path,
     choice: abc.Sequence[type[troubles.Trouble]] = troubles.KINDS,
     has_crashing_tasks: bool = False,
+    has_spare: bool = False,
 ) -> Verdict:
     """Plays one soak.
 
@@ -98,20 +100,25 @@
         folder: For settings, logs and data; empty.
         choice: The kinds that are drawn from.
         has_crashing_tasks: Whether some tasks crash their workers.
+        has_spare: Whether a core VM stands by.
     """
     kinds: list[str] = []
     lags: list[float] = []
     async with trio.open_nursery() as nursery:
-        site = sites.SoakSite(folder, seed, nursery, has_crashing_tasks)
+        site = sites.SoakSite(
+            folder, seed, nursery, has_crashing_tasks, has_spare
+        )
         nursery.start_soon(_watch_loop, lags)
         try:
             await site.start()
             witness = witnesses.Witness(site)
             await witness.configure_first()
+            site.turn_seeds_over()
             site.disturb_core()
             await _play(site, witness, seconds, kinds, choice)
             broken = _ended(site)
             await witness.be_served_again()
+            await witness.be_in_force()
             await witness.settle()
             await witness.aclose()
             broken += [*site.oracle.broken, *witness.broken]
@@ -200,7 +207,12 @@
         folder = top / str(seed)
         folder.mkdir()
         verdict = await soak(
-            seed, seconds, folder, troubles.CHOICES[kinds], kinds == ALL
+            seed,
+            seconds,
+            folder,
+            troubles.CHOICES[kinds],
+            has_crashing_tasks=kinds in (ALL, SPARE),
+            has_spare=kinds == SPARE,
         )
         print(verdict.line(), flush=True)
         if verdict.broken:
@@ -265,7 +277,8 @@
         "--kinds",
         choices=troubles.CHOICES,
         default=FIRST,
-        help="of troubles; all: with tasks that crash their workers",
+        help="of troubles; all: with tasks that crash their workers;"
+        " spare: the same with a core VM that stands by",
     )
     given = parser.parse_args()
     seeds = _seeds(given.seeds, given.fresh)
--- a/laburnumsill/platform/tests/soak/site.py
+++ b/laburnumsill/platform/tests/soak/site.py
@@ -86,6 +86,8 @@
         nursery: Runs the proxies and the workers.
         has_crashing_tasks: Whether some tasks crash their workers, and
             workers may start again under their ids.
+        has_spare: Whether there is a core VM beyond those that vote, which
+            the settings name among the seeds once the site has started.
     """
 
     def __init__(
@@ -94,12 +96,17 @@
         seed: int,
         nursery: trio.Nursery,
         has_crashing_tasks: bool = False,
+        has_spare: bool = False,
     ) -> None:
+        self.core = layout.CORE
+        self.seed_vms = layout.CORE
+        if has_spare:
+            self.core = (*layout.CORE, layout.SPARE)
         self.folder = folder
         self.nursery = nursery
         self.seed = seed
         self.random = random.Random(seed)
-        self.vms = layout.vms()
+        self.vms = layout.vms(self.core)
         self.proxy = proxies.Proxy()
         self.processes: dict[str, processes.Process] = {}
         self.oracle = oracles.Oracle()
@@ -118,7 +125,7 @@
         )
         self.announcers: dict[str, Announcer] = {}
         self.operator = standin.Caller(
-            [self.vms[vm].control for vm in layout.CORE]
+            [self.vms[vm].control for vm in self.core]
         )
         self.disturbed_at = trio.current_time()
         self.keep_calm = False
@@ -140,7 +147,9 @@
         one = self.vms[vm]
         if one.role == "core":
             layout.data_folder(self.folder, vm).mkdir(exist_ok=True)
-        settings = layout.write_settings(self.folder, one, founding)
+        settings = layout.write_settings(
+            self.folder, one, founding, self.seed_vms
+        )
         if vm not in self.processes:
             self.processes[vm] = processes.Process(
                 vm,
@@ -152,6 +161,12 @@
             self.suspended_s[vm] = 0.0
             self.processes[vm].start()
 
+    def turn_seeds_over(self) -> None:
+        """Names the spare VM among the seeds, where there is one."""
+        self.seed_vms = self.core[-len(layout.CORE) :]
+        for one in self.vms.values():
+            layout.write_settings(self.folder, one, False, self.seed_vms)
+
     def wake(self, vm: str, slept_s: float) -> None:
         """Continues a daemon whose steady clock did not count the time."""
         self.suspended_s[vm] += slept_s
@@ -228,7 +243,7 @@
 
     async def _core_answers(self) -> bool:
         """Whether each core VM reads the configuration from a quorum."""
-        for vm in layout.CORE:
+        for vm in self.core:
             status, _ = await self.operator.call(
                 "GET", "/-/config", address=self.vms[vm].control
             )
@@ -319,7 +334,7 @@
         self.nursery.start_soon(self._announce, self.announcers[name])
 
     async def _announce(self, announcer: Announcer) -> None:
-        first = self.random.randrange(len(layout.CORE))
+        first = self.random.randrange(len(self.core))
         while True:
             worker = announcer.app.worker
             if worker.is_down:
@@ -330,8 +345,8 @@
             body = standin.heartbeat(
                 worker, announcer.sequence, state=announcer.state
             )
-            for place in range(len(layout.CORE)):
-                vm = layout.CORE[(first + place) % len(layout.CORE)]
+            for place in range(len(self.core)):
+                vm = self.core[(first + place) % len(self.core)]
                 status, _ = await self.operator.call(
                     "PUT", path, body, self.vms[vm].control
                 )
--- a/laburnumsill/platform/tests/soak/troubles.py
+++ b/laburnumsill/platform/tests/soak/troubles.py
@@ -22,6 +22,9 @@
 """How long a trouble lasts, in seconds: below and above what elections (0.8 s)
 and leases (4 s here) take."""
 
+GIVE_WAY_S = (2.0, LONGEST_S)
+"""A voter gives way after 1.5 s of silence."""
+
 LONGEST_DARK_S = 1.5
 """All of the core is down for so long at most, in seconds."""
 
@@ -66,10 +69,10 @@
         """Does it, and undoes it."""
 
     def _core_vm(self) -> str:
-        return self._random.choice(layout.CORE)
+        return self._random.choice(self._site.core)
 
     def _any_vm(self) -> str:
-        return self._random.choice([*layout.CORE, *layout.ENTRIES])
+        return self._random.choice([*self._site.core, *layout.ENTRIES])
 
     async def _last(self) -> None:
         await trio.sleep(self._random.uniform(SHORTEST_S, LONGEST_S))
@@ -86,11 +89,21 @@
         self._site.start_vm(vm)
 
 
+class GiveWay(Trouble):
+    """A core VM is down for so long that one that stands by takes its place."""
+
+    async def _play(self) -> None:
+        vm = self._core_vm()
+        self._site.processes[vm].kill()
+        await trio.sleep(self._random.uniform(*GIVE_WAY_S))
+        self._site.start_vm(vm)
+
+
 class KillAll(Trouble):
     """SIGKILL of all daemons of the core, or of the whole site."""
 
     async def _play(self) -> None:
-        vms = [*layout.CORE]
+        vms = [*self._site.core]
         if self._random.random() < 0.5:
             vms += layout.ENTRIES
         for vm in vms:
@@ -160,7 +173,7 @@
     """All VMs lose power, and one of the core its disk as well."""
 
     async def _play(self) -> None:
-        vms = [*layout.CORE, *layout.ENTRIES]
+        vms = [*self._site.core, *layout.ENTRIES]
         for vm in vms:
             self._site.processes[vm].kill()
         self._site.wipe(self._core_vm())
@@ -348,8 +361,8 @@
     """Some core VMs, often one and at times all, can write nothing."""
 
     async def _play(self) -> None:
-        count = self._random.choice((1, 1, 1, 2, len(layout.CORE)))
-        vms = self._random.sample(layout.CORE, count)
+        count = self._random.choice((1, 1, 1, 2, len(self._site.core)))
+        vms = self._random.sample(self._site.core, count)
         for vm in vms:
             self._site.fill_disk(vm)
         await self._last()
@@ -387,9 +400,13 @@
 )
 """What soaks with tasks that crash their workers draw from."""
 
+SPARE_KINDS = (*ALL_KINDS, *(4 * (GiveWay,)))
+"""What soaks with a core VM that stands by draw from."""
+
 CHOICES = {
     "first": KINDS,
     "full-disks": KINDS_WITH_DISKS,
     "all": ALL_KINDS,
+    "spare": SPARE_KINDS,
 }
 """Kinds to draw from, by the names that the command line has for them."""
--- a/laburnumsill/platform/tests/soak/witness.py
+++ b/laburnumsill/platform/tests/soak/witness.py
@@ -41,6 +41,12 @@
 SETTLE_WITHIN_S = 45.0
 """After the last trouble: leases of 4 s, catching up, and all work left."""
 
+CONTACT_S = 3.0
+"""A VM counts as in touch after so long without a trouble."""
+
+LAST_PATH = "/last/"
+"""Of a route that only the last configuration has."""
+
 SERVED_AGAIN_S = 12.0
 """A job is taken in so soon after the last trouble, as the users ask."""
 
@@ -126,6 +132,30 @@
         if fate.accepted_at is None:
             self._break(f"RECOVER {fate.path}: not taken in")
 
+    async def be_in_force(self) -> None:
+        """Puts a last configuration in force; each entry has to have it.
+
+        Nothing is disturbed any more, so the bound on the time holds for all.
+        """
+        await trio.sleep(CONTACT_S)
+        self._sent += 1
+        document = standin.configuration(self._sent)
+        last = {**document["routes"][-1], "name": "last"}
+        document["routes"].append({**last, "path_prefix": LAST_PATH})
+        await self._site.operator.until(200, "PUT", "/-/config", document)
+        self._acknowledged = self._sent
+        async with trio.open_nursery() as nursery:
+            for address in self._callers.addresses:
+                nursery.start_soon(self._see_last_route, address)
+
+    async def _see_last_route(self, address: str) -> None:
+        caller = standin.Caller([address])
+        try:
+            await caller.until(200, "GET", LAST_PATH, within=IN_FORCE_S)
+        except trio.TooSlowError:
+            self._break(f"CONFIG {self._sent} is not in force at {address}")
+        await caller.aclose()
+
     async def settle(self) -> None:
         """Waits for the end of all jobs, and looks at what is left."""
         with trio.move_on_after(SETTLE_WITHIN_S):
@@ -141,7 +171,7 @@
                 self._break(f"LOST {fate.path} is shown as failed")
             if fate.final == "cancelled" and not fate.cancel_sent:
                 self._break(f"LOST {fate.path} is shown as cancelled")
-        for vm in layout.CORE:
+        for vm in self._site.core:
             await self._read_configuration(vm, 0.0)
         self._look_for_refused()
 
@@ -256,7 +286,7 @@
         while True:
             await trio.sleep(self._random.uniform(0.1, 0.8))
             await self._change_configuration()
-            for vm in layout.CORE:
+            for vm in self._site.core:
                 nursery.start_soon(self._read_configuration, vm, IN_FORCE_S)
 
     async def _change_configuration(self) -> None:
--- a/laburnumsill/platform/tests/test_soak.py
+++ b/laburnumsill/platform/tests/test_soak.py
@@ -23,6 +23,8 @@
 }
 """Seeds that broke a promise with all kinds of troubles, with the cause."""
 
+SPARE_SEEDS = (1, 2)
+
 READS = 2000
 
 BROKEN_ONCE = {
@@ -72,6 +74,22 @@
     assert verdict.completed
 
 
+@pytest.mark.parametrize("seed", SPARE_SEEDS)
+async def test_no_promise_is_broken_beside_a_spare_vm(
+    tmp_path: pathlib.Path, seed: int
+):
+    verdict = await soaks.soak(
+        seed,
+        SHORT_S,
+        tmp_path,
+        troubles.SPARE_KINDS,
+        has_crashing_tasks=True,
+        has_spare=True,
+    )
+    assert verdict.broken == [], verdict.line()
+    assert verdict.completed
+
+
 def test_settings_are_whole_whenever_a_daemon_reads_them(tmp_path):
     """Troubles that overlap may start a VM while its daemon is starting.
 
--- a/laburnumsill/platform/tests/test_spare_vm.py
+++ b/laburnumsill/platform/tests/test_spare_vm.py
@@ -1,9 +1,16 @@
 """A core VM beyond those that vote."""
 
+import trio
+
 from laburnumsill.platform.tests import standin
 
 SPARE = "127.0.77.4"
 KNOWN_AFTER_S = 3.0
+DARK_S = 3.0
+"""A voter that is away for so long has been replaced."""
+
+BACK_S = 1.5
+IN_FORCE_S = 2.0
 
 
 async def test_a_spare_vm_passes_announcements_on(site):
@@ -20,3 +27,29 @@
     )
     await spare.aclose()
     assert answer["heartbeat_addr"] == f"{site.leader()}:{site.control_port}"
+
+
+def configuration_with(version: int) -> dict:
+    """Returns a configuration with a route that only this version has."""
+    document = standin.configuration(version)
+    route = {**document["routes"][-1], "name": f"only-{version}"}
+    route["path_prefix"] = f"/only-{version}/"
+    document["routes"].append(route)
+    return document
+
+
+async def test_a_change_is_in_force_in_time_whoever_votes_no_more(site):
+    """Each core VM in turn is away and replaced; an entry may prefer any."""
+    await site.until_leader()
+    await site.start_core(SPARE)
+    await trio.sleep(BACK_S)
+    for number, vm in enumerate([*site.seeds, SPARE]):
+        await site.kill(vm)
+        await trio.sleep(DARK_S)
+        await site.start_core(vm)
+        await trio.sleep(BACK_S)
+        version = 10 + number
+        await site.configure(configuration_with(version))
+        await site.callers.until(
+            200, "GET", f"/only-{version}/", within=IN_FORCE_S
+        )
