consensus: one copy of the messages that promise nothing, and of a test's wait

The simulated group repeated the kinds of messages that may overtake a sync, and two tests how they wait for a read. Doc texts of the order of steps say what it gives: one voter above the wanted ones at most. Behaviour is unchanged.

--- a/laburnumsill/consensus/group_make_up.py
+++ b/laburnumsill/consensus/group_make_up.py
@@ -120,10 +120,10 @@
 
 
 def _remove(view: View) -> types.Membership | None:
-    """Removes a voter that is not wanted, once another one votes for it.
+    """Removes a voter that is not wanted, once another has taken its place.
 
-    More voters than wanted bear no more losses, and with two of them gone
-    they bear fewer.
+    It goes before the next learner is promoted, so that a majority is never
+    larger by more than one voter than it has to be.
     """
     if len(view.membership.voters) <= len(set(view.desired)):
         return None
--- a/laburnumsill/consensus/host.py
+++ b/laburnumsill/consensus/host.py
@@ -26,8 +26,8 @@
 from laburnumsill.wire import network as networks
 
 HOUSEKEEPING_S = 0.25
-"""How often the make-up of the groups is looked at at least; steps of one
-change follow each other at once."""
+"""Longest pause between two looks at the make-up of the groups; the steps of
+one change follow each other at once."""
 
 MAX_COMMAND_BYTES = 8 * 1024 * 1024
 """Largest encoded command; it has to fit in one frame."""
--- a/laburnumsill/consensus/tests/simulated_group.py
+++ b/laburnumsill/consensus/tests/simulated_group.py
@@ -10,6 +10,7 @@
 import random as random_module
 
 from laburnumsill.consensus import engine
+from laburnumsill.consensus import group_promises
 from laburnumsill.consensus import types
 
 OPTIONS = engine.Options(
@@ -22,20 +23,6 @@
 )
 
 
-EARLY = frozenset(
-    {
-        types.MessageKind.APPEND,
-        types.MessageKind.HEARTBEAT,
-        types.MessageKind.HEARTBEAT_REPLY,
-        types.MessageKind.PRE_VOTE,
-        types.MessageKind.PRE_VOTE_REPLY,
-        types.MessageKind.SNAPSHOT,
-        types.MessageKind.TIMEOUT_NOW,
-    }
-)
-"""Messages that the host may send before a sync of entries."""
-
-
 @dataclasses.dataclass
 class Operation:
     """A client's write or read; `floor` is what it must come after."""
@@ -168,7 +155,7 @@
             return output
         late = []
         for message in output.messages:
-            if message.kind in EARLY:
+            if message.kind in group_promises.UNSYNCED_KINDS:
                 self.group.send(message)
             else:
                 late.append(message)
@@ -307,6 +294,18 @@
             assert self.now < deadline, "nothing came of it"
             self.run(0.05)
 
+    def until_read(self, seconds: float = 20.0) -> None:
+        """Runs until a leader has answered a read that began here."""
+        reads: list[Operation | None] = []
+
+        def answered() -> bool:
+            leader = self.leader()
+            reads.append(self.read(leader) if leader else None)
+            self.run(0.2)
+            return any(one is not None and one.done for one in reads)
+
+        self.run_until(answered, seconds)
+
     def elect(self) -> Host:
         self.run_until(self.leader)
         return self.leader()
--- a/laburnumsill/consensus/tests/test_disk_and_power_loss.py
+++ b/laburnumsill/consensus/tests/test_disk_and_power_loss.py
@@ -63,15 +63,7 @@
             group.add(vm)
         else:
             group.hosts[vm].crash(0, group.random.uniform(0.1, 0.6))
-    reads = []
-
-    def answered():
-        leader = group.leader()
-        reads.append(group.read(leader) if leader else None)
-        group.run(0.2)
-        return any(one is not None and one.done for one in reads)
-
-    group.run_until(answered)
+    group.until_read()
 
 
 def _gone(group):
--- a/laburnumsill/consensus/tests/test_disks_lost_while_voters_change.py
+++ b/laburnumsill/consensus/tests/test_disks_lost_while_voters_change.py
@@ -98,15 +98,7 @@
         """What was acknowledged can be read, and something be written."""
         group = self.group
         group.load = 0.0
-        reads = []
-
-        def answered():
-            leader = group.leader()
-            reads.append(group.read(leader) if leader else None)
-            group.run(0.2)
-            return any(one is not None and one.done for one in reads)
-
-        group.run_until(answered, SERVED_AGAIN_S)
+        group.until_read(SERVED_AGAIN_S)
         operation = group.write(group.elect(), b"last")
         group.run_until(lambda: operation.done)
 
--- a/laburnumsill/consensus/tests/test_group_make_up.py
+++ b/laburnumsill/consensus/tests/test_group_make_up.py
@@ -53,7 +53,7 @@
 
 
 def test_a_dead_voter_leaves_before_the_next_spare_votes():
-    """Seven voters of which two are dead bear the loss of one disk, not two."""
+    """There is never more than one voter above those that are wanted."""
     replicas = [types.ReplicaId(vm, "1") for vm in "abcdefg"]
     membership = types.Membership(
         tuple(replicas[:5]), tuple(replicas[5:]), frozenset("abcdefg")
