--- a/laburnumsill/consensus/tests/kept_group.py
+++ b/laburnumsill/consensus/tests/kept_group.py
@@ -91,9 +91,15 @@
             if self._settled() or self._turn % TURNS_A_ROUND == 0:
                 self._keep_house()
 
-    def lose_power(self, vm: str, seconds: float) -> None:
-        """Takes what was not synced, and the process for a while."""
-        self.hosts[vm].crash(0, seconds)
+    def lose_power(self, vm: str, seconds: float, kept: int = 0) -> None:
+        """Takes the process for a while, and what was not synced.
+
+        Args:
+            vm: Which VM.
+            seconds: For so long.
+            kept: So many records of the write that was under way stay.
+        """
+        self.hosts[vm].crash(kept, seconds)
 
     def lose_disk(self, vm: str, seconds: float = 0.0) -> None:
         """Brings a VM back empty after a while."""
--- a/laburnumsill/consensus/tests/test_disks_lost_while_voters_change.py
+++ b/laburnumsill/consensus/tests/test_disks_lost_while_voters_change.py
@@ -74,8 +74,12 @@
             self.group.hosts[vm].crash(None, seconds)
             self.count_lost(vm, seconds)
 
-    def last_loss(self) -> None:
-        """Loses n disks and all power right after a write was acknowledged."""
+    def last_loss(self, most_kept: int) -> None:
+        """Loses n disks and all power right after a write was acknowledged.
+
+        Args:
+            most_kept: At most so many records that were being written stay.
+        """
         group = self.group
         group.run_until(lambda: self.lost() == 0, 30.0)
         operation = None
@@ -92,7 +96,8 @@
             if vm in gone:
                 group.lose_disk(vm, seconds)
             else:
-                group.lose_power(vm, seconds)
+                kept = self.random.randint(0, most_kept)
+                group.lose_power(vm, seconds, kept)
 
     def check_served(self) -> None:
         """What was acknowledged can be read, and something be written."""
@@ -103,14 +108,17 @@
         group.run_until(lambda: operation.done)
 
 
+@pytest.mark.parametrize("most_kept", [0, 4])
 @pytest.mark.parametrize(("vms", "wanted"), SITES)
 @pytest.mark.parametrize("seed", range(SEEDS))
-def test_what_was_acknowledged_is_read_after_voters_changed(vms, wanted, seed):
+def test_what_was_acknowledged_is_read_after_voters_changed(
+    vms, wanted, seed, most_kept
+):
     day = Day(vms, wanted, seed)
     for _ in range(day.random.randint(2, 8)):
         day.trouble()
         if day.random.random() < 0.15:
             day.restart_all()
         day.group.run(day.random.choice((0.2, 0.5, 1.5, 4.0)))
-    day.last_loss()
+    day.last_loss(most_kept)
     day.check_served()
