--- a/laburnumsill/consensus/voter_choice.py
+++ b/laburnumsill/consensus/voter_choice.py
@@ -60,7 +60,7 @@
 
         There is one for each voter that was not heard from for a moment.
         Those that learn it already go on: the next leader, who has heard
-        nobody for a while, would else drop them when they are needed.
+        nobody for a while, would otherwise drop them when they are needed.
 
         Examples:
             >>> view = VoterView(("a", "b", "c"), (), {"b": 9.0, "c": 8.9},
@@ -69,8 +69,8 @@
             ('d',)
         """
         quiet = sum(_silent(vm, view, PREPARE_AFTER_S) for vm in view.voters)
-        bears = (self._wanted - 1) // 2
-        learning = min(bears, len(view.learners))
+        tolerated = (self._wanted - 1) // 2
+        learning = min(tolerated, len(view.learners))
         return tuple(_spares(view)[: max(quiet, learning)])
 
     def desired(self, view: VoterView) -> tuple[str, ...]:
