--- a/laburnumsill/daemon/tests/test_configuration_sharing.py
+++ b/laburnumsill/daemon/tests/test_configuration_sharing.py
@@ -266,6 +266,25 @@
     play(script)
 
 
+def test_where_all_vms_are_behind_an_entry_knows_that_there_is_more():
+    async def script():
+        core = Core()
+        core.put(2)
+        kept = highest_version.HighestVersion()
+        core.put(1, kept)
+        source = configuration_sharing.NearbyCore(
+            PeersOf(standby=Leader(core.newest, kept)),
+            lambda: ("standby",),
+            core_choice.CoreChoice("entry", "north"),
+            trio_clock.TrioClock(),
+        )
+        answer = await source.ask(QUESTION.query, trio.current_time() + 0.9)
+        assert answer.behind
+        assert (answer.part.version, answer.newest_version) == (1, 2)
+
+    play(script)
+
+
 def test_without_a_known_vm_the_failure_has_a_type():
     async def script():
         choice = core_choice.CoreChoice("entry", "north")
