--- a/laburnumsill/consensus/tests/test_disks_lost_while_voters_change.py
+++ b/laburnumsill/consensus/tests/test_disks_lost_while_voters_change.py
@@ -5,6 +5,7 @@
 them at once; a VM counts as lost until it has been back for a while.
 """
 
+import math
 import os
 
 import pytest
@@ -12,8 +13,12 @@
 from laburnumsill.consensus.tests import kept_group
 
 CATCH_UP_S = 4.0
+"""A VM counts as lost for so long after it is back."""
+
 SERVED_AGAIN_S = 8.0
 SITES = [("abc", 3), ("abcd", 3), ("abcde", 5), ("abcdef", 5)]
+"""The VMs of a site with a disk, and how many of them vote."""
+
 SEEDS = int(os.environ.get("LABURNUMSILL_VOTER_SEEDS", "12"))
 
 
@@ -23,7 +28,7 @@
     def __init__(self, vms: str, wanted: int, seed: int) -> None:
         self.group = kept_group.KeptGroup(vms, wanted, seed)
         self.random = self.group.random
-        self.bears = wanted // 2
+        self.tolerated = wanted // 2
         self.lost_until: dict[str, float] = {}
         self.names = iter("nopqrstuvwxyz")
         self.group.load = 0.3
@@ -37,6 +42,7 @@
         )
 
     def count_lost(self, vm: str, seconds: float) -> None:
+        """Counts a VM as lost that is back after so many seconds."""
         until = self.group.now + seconds + CATCH_UP_S
         self.lost_until[vm] = max(self.lost_until.get(vm, 0.0), until)
 
@@ -44,14 +50,19 @@
         """Returns the VMs whose processes run now."""
         return [vm for vm, host in self.group.hosts.items() if host.engine]
 
+    def left(self) -> list[str]:
+        """Returns the VMs that are not gone for good."""
+        return [
+            vm
+            for vm, host in self.group.hosts.items()
+            if host.engine or math.isfinite(host.boot_at)
+        ]
+
     def trouble(self) -> None:
         """Brings one VM into trouble, if the site bears that now."""
         group = self.group
-        here = [
-            v for v, h in group.hosts.items() if h.boot_at < 1e9 or h.engine
-        ]
-        vm = self.random.choice(here)
-        if self.lost(but=vm) >= self.bears:
+        vm = self.random.choice(self.left())
+        if self.lost(but=vm) >= self.tolerated:
             return
         seconds = self.random.choice((0.1, 1.0, 3.0, 6.0))
         kind = self.random.choice(("disk", "dark", "cut", "replace"))
@@ -63,12 +74,12 @@
             group.isolate(vm, seconds)
         else:
             seconds = 1.0
-            group.lose_power(vm, float("inf"))
+            group.lose_power(vm, math.inf)
             group.lose_disk(next(self.names), seconds)
         self.count_lost(vm, seconds)
 
     def restart_all(self) -> None:
-        """Kills all processes; each VM counts as lost until it is back."""
+        """Ends all processes; what they had not synced is gone."""
         for vm in self.here():
             seconds = self.random.uniform(0.05, 0.4)
             self.group.hosts[vm].crash(None, seconds)
@@ -90,7 +101,7 @@
                     lambda one=operation: one.done or not group.leader()
                 )
         here = self.here()
-        gone = self.random.sample(here, self.bears)
+        gone = self.random.sample(here, self.tolerated)
         for vm in here:
             seconds = self.random.uniform(0.1, 0.6)
             if vm in gone:
