--- a/laburnumsill/consensus/host_members.py
+++ b/laburnumsill/consensus/host_members.py
@@ -112,11 +112,10 @@
         """Returns whether a replica is no member, or may not be any more."""
         if not group.is_member:
             return True
-        if group.engine.leader is not None:
-            self._told_leaders.pop(group.name, None)
         now = self._clock.monotonic()
         if group.engine.leader is not None:
             self._led_at[group.name] = now
+            self._told_leaders.pop(group.name, None)
         return now - self._led_at.setdefault(group.name, now) > LEADERLESS_S
 
     async def ask(self, group: groups.HostedGroup) -> bool:
