batch, platform: evacuate failure domains and take them back

Change: `batch.evacuations` holds the state of each domain in the ledger, with a version. An order is applied against the state that was confirmed after the order had arrived, so one that is committed late cannot revert a later one; a repeat of what holds succeeds. The ledger refuses placements there, the leader leaves the workers out of its plans, start orders that are under way or left by an earlier leader are not sent, runs that work go on. Waits name the evacuated domains in the log.

Ruled out: ordering by the wall clock of the order (clocks jump), and a state machine component of its own (the ledger checks each placement against it).

The emulator has the trouble "evacuate", with the check EVAC of its oracle at the site's bound of 5 s.

--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -379,6 +379,7 @@
             if session.unreachable_since is None
             and worker_id not in contested
             and session.announcement_is_fresh
+            and not self.ledger.is_evacuated(session.worker.domain)
             and now >= session.start_backoff_until
             and not self._estimates.is_quarantined(worker_id, now)
         }
@@ -503,6 +504,7 @@
         metrics.gauge("runs_live", len(self.ledger.runs))
         metrics.gauge("workers_known", len(self.ledger.workers))
         metrics.gauge("units_waiting", self._plan_log.units_waiting)
+        metrics.gauge("domains_evacuated", len(self.ledger.evacuated_domains))
 
 
 def _is_complete(
--- a/laburnumsill/batch/ledger.py
+++ b/laburnumsill/batch/ledger.py
@@ -13,6 +13,7 @@
 from laburnumsill.batch import caller_commands
 from laburnumsill.batch import commands
 from laburnumsill.batch import crashes as crash_module
+from laburnumsill.batch import evacuations
 from laburnumsill.batch import ledger_view
 from laburnumsill.batch import live_runs
 from laburnumsill.batch import model
@@ -37,6 +38,7 @@
             was applied.
         ended_workers: By worker id: when the incarnation ended, ms since 1970.
         crashes: Records of crashes and of lost workers.
+        domains: States of the failure domains that were ever evacuated.
     """
 
     jobs: list[records.JobRecord]
@@ -48,6 +50,9 @@
     crashes: crash_module.Records = dataclasses.field(
         default_factory=crash_module.Records
     )
+    domains: dict[str, evacuations.DomainState] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 class BatchLedger(replication.Component, ledger_view.LedgerView):
@@ -57,7 +62,8 @@
 
     Invariants: a task has at most one live run; the live runs of a worker fit
     into its capacity; a gang is placed as a whole; no run is placed of a job
-    that has ended or of a step whose dependencies are not done.
+    that has ended, of a step whose dependencies are not done, or in an
+    evacuated failure domain.
 
     Examples:
         >>> ledger = BatchLedger()
@@ -78,12 +84,18 @@
         self._waiting: dict[model.StepKey, list[model.TaskId]] = {}
         self._active: dict[str, records.JobRecord] = {}
         self._crashes = crash_module.CrashTracker()
+        self._evacuations = evacuations.Evacuations()
 
     @property
     def crashes(self) -> crash_module.CrashTracker:
         """Attribution of worker crashes to tasks."""
         return self._crashes
 
+    @property
+    def evacuated_domains(self) -> abc.Set[str]:
+        """The evacuated failure domains."""
+        return self._evacuations.evacuated
+
     @property
     def jobs(self) -> abc.Mapping[str, records.JobRecord]:
         """All jobs whose records are kept, by id."""
@@ -155,10 +167,15 @@
         """Returns the resources of a run, whose job must be in the ledger."""
         return self._jobs[run.task.job_id].job.steps[run.task.step].needs
 
+    def is_evacuated(self, domain: str) -> bool:
+        """Returns whether a failure domain is evacuated."""
+        return self._evacuations.is_evacuated(domain)
+
     def slots_in(self, pool: str, needs: model.Resources) -> int:
         """Returns how many copies of an amount fit into a pool's workers.
 
-        Live runs are not subtracted.
+        Live runs are not subtracted. Workers in evacuated failure domains do
+        not count.
         """
         return self._registry.slots_in(pool, needs)
 
@@ -306,6 +323,40 @@
             if record is not None and self._crashes.is_over_limit(run.task):
                 self._finish_job(record, caller_commands.JobState.FAILED, at_ms)
 
+    def set_evacuation(
+        self, order: evacuations.SetEvacuation
+    ) -> evacuations.DomainState:
+        """Evacuates a failure domain or takes it back.
+
+        Raises:
+            evacuations.EvacuationConflictError: The order would revert a later
+                one.
+        """
+        state = self._evacuations.apply(order)
+        self._registry.set_excluded_domains(self.evacuated_domains)
+        return state
+
+    def domain_status(
+        self, query: evacuations.DomainQuery
+    ) -> evacuations.DomainStatus:
+        """Returns the state of a failure domain and its use."""
+        inside = [
+            worker
+            for worker in self.workers.values()
+            if worker.domain == query.domain
+        ]
+        left = sum(
+            worker.capacity.accelerators
+            for worker in self.workers.values()
+            if not self.is_evacuated(worker.domain)
+        )
+        return evacuations.DomainStatus(
+            self._evacuations.state(query.domain),
+            bool(inside),
+            sum(len(self.runs_on(worker.worker_id)) for worker in inside),
+            left,
+        )
+
     def forget(self, command: commands.ForgetJobs) -> None:
         """Deletes jobs and workers that ended before a time.
 
@@ -357,6 +408,7 @@
                 dict(self._registry.sequences),
                 dict(self._registry.ended),
                 self._crashes.records,
+                dict(self._evacuations.states),
             )
         )
 
@@ -376,6 +428,8 @@
         self._registry.sequences = dict(snapshot.sequences)
         self._registry.ended = dict(snapshot.ended_workers)
         self._crashes = crash_module.CrashTracker(snapshot.crashes)
+        self._evacuations.states = dict(snapshot.domains)
+        self._registry.set_excluded_domains(self.evacuated_domains)
 
     def _place_group(self, group: commands.Group, at_ms: int) -> str:
         """Places a group of runs as a whole.
@@ -531,6 +585,7 @@
             commands.PutWorker: self.put_worker,
             commands.RemoveWorker: self.remove_worker,
             commands.ForgetJobs: self.forget,
+            evacuations.SetEvacuation: self.set_evacuation,
         }
 
     def queries(self) -> dict[type, replication.Handler]:
@@ -538,4 +593,5 @@
         return {
             caller_commands.JobQuery: self.job_state,
             caller_commands.PendingQuery: self.pending,
+            evacuations.DomainQuery: self.domain_status,
         }
--- a/laburnumsill/batch/orders.py
+++ b/laburnumsill/batch/orders.py
@@ -101,6 +101,8 @@
             return False
         if not state.announcement_is_fresh or not self._fits():
             return False
+        if state.term.ledger.is_evacuated(state.worker.domain):
+            return False
         return run.task.job_id in state.term.ledger.active_jobs
 
     def _fits(self) -> bool:
--- a/laburnumsill/batch/placement_checks.py
+++ b/laburnumsill/batch/placement_checks.py
@@ -51,6 +51,8 @@
         return f"no worker {placement.worker_id}"
     if worker.draining:
         return f"{worker.worker_id} is draining"
+    if ledger.is_evacuated(worker.domain):
+        return f"failure domain {worker.domain} is evacuated"
     job = ledger.jobs[placement.run.task.job_id].job
     step = job.steps[placement.run.task.step]
     if worker.pool != job.terms.pool:
--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -426,9 +426,11 @@
             )
             for inside in worker_capacity.by_rack(candidates).values()
         ]
+        evacuated = "+".join(sorted(self._ledger.evacuated_domains))
         return (
             f"workers:{len(candidates)},best-rack:{max(slots, default=0)},"
             f"all:{sum(slots)},wanted:{len(unit.tasks)},kept-for-gangs:{self._reservations}"
+            + (f",evacuated:{evacuated}" if evacuated else "")
         )
 
     def _preempt_for(
--- a/laburnumsill/batch/tests/test_ledger_machine.py
+++ b/laburnumsill/batch/tests/test_ledger_machine.py
@@ -8,11 +8,13 @@
 
 from laburnumsill.batch import caller_commands
 from laburnumsill.batch import commands
+from laburnumsill.batch import evacuations
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
 from laburnumsill.batch import records
 
 WORKERS = ["w0", "w1", "w2"]
+DOMAINS = {"w0": "north", "w1": "north", "w2": "south"}
 JOBS = ["j0", "j1", "j2", "j3"]
 CAPACITY = model.Resources(8000, 8000, 8)
 KINDS = list(commands.EndKind)
@@ -42,6 +44,7 @@
         self.done = set()
         self.incarnations = dict.fromkeys(WORKERS, 0)
         self.crashes = collections.Counter()
+        self.evacuated = set()
 
     def present_id(self, address):
         """Returns the worker id of the present incarnation at an address."""
@@ -79,7 +82,12 @@
         address = worker_id
         worker_id = self.present_id(worker_id)
         worker = model.Worker(
-            worker_id, "pool", address, "d", CAPACITY, draining=draining
+            worker_id,
+            "pool",
+            address,
+            DOMAINS[address],
+            CAPACITY,
+            draining=draining,
         )
         self.ledger.put_worker(commands.PutWorker(worker, at_ms=self.tick()))
 
@@ -122,6 +130,8 @@
             for placement in group:
                 assert placement.run.task not in self.done
                 assert self.ledger.jobs[job_id].active
+                worker = self.ledger.workers[placement.worker_id]
+                assert worker.domain not in self.evacuated
 
     @stateful.rule(data=st.data(), kind=st.sampled_from(KINDS))
     def end(self, data, kind):
@@ -143,6 +153,40 @@
             one = commands.Release(record.run, record.worker_id, "why")
             self.ledger.release(commands.ReleaseRuns((one,), self.tick()))
 
+    @stateful.rule(
+        domain=st.sampled_from(sorted(set(DOMAINS.values()))),
+        evacuated=st.booleans(),
+        outdated=st.booleans(),
+    )
+    def order_evacuation(self, domain, evacuated, outdated):
+        """Gives an order, possibly one that another one has overtaken."""
+        query = evacuations.DomainQuery(domain)
+        version = self.ledger.domain_status(query).state.version
+        if outdated and not version:
+            return
+        order = evacuations.SetEvacuation(
+            domain, evacuated, version - outdated, self.tick()
+        )
+        holds = (domain in self.evacuated) == evacuated
+        try:
+            state = self.ledger.set_evacuation(order)
+        except evacuations.EvacuationConflictError:
+            assert outdated and not holds
+            return
+        assert holds or not outdated
+        assert state.evacuated == evacuated
+        change = self.evacuated.add if evacuated else self.evacuated.discard
+        change(domain)
+
+    @stateful.invariant()
+    def evacuations_are_kept(self):
+        assert self.ledger.evacuated_domains == self.evacuated
+        left = sum(
+            worker.domain not in self.evacuated
+            for worker in self.ledger.workers.values()
+        )
+        assert self.ledger.slots_in("pool", CAPACITY) == left
+
     @stateful.rule()
     def reload(self):
         raw = self.ledger.dump()
--- a/laburnumsill/batch/worker_registry.py
+++ b/laburnumsill/batch/worker_registry.py
@@ -45,12 +45,14 @@
         self.last_ends: dict[str, int] = {}
         self.sequences: dict[str, int] = {}
         self.ended: dict[str, int] = {}
+        self._excluded_domains: abc.Set[str] = frozenset()
         self._slot_counts: dict[tuple[str, model.Resources], int] = {}
 
     def slots_in(self, pool: str, needs: model.Resources) -> int:
         """Returns how many copies of an amount fit into a pool's workers.
 
-        Counts the total capacity of the workers, not the free capacity.
+        Counts the total capacity of the workers, not the free capacity, and
+        leaves out the workers in excluded failure domains.
         """
         key = (pool, needs)
         if key not in self._slot_counts:
@@ -60,9 +62,15 @@
                 needs.copies_in(worker.capacity)
                 for worker in self.workers.values()
                 if worker.pool == pool
+                and worker.domain not in self._excluded_domains
             )
         return self._slot_counts[key]
 
+    def set_excluded_domains(self, domains: abc.Set[str]) -> None:
+        """Sets the failure domains whose workers `slots_in` leaves out."""
+        self._excluded_domains = domains
+        self._slot_counts.clear()
+
     def put(self, worker: model.Worker, sequence: int) -> bool:
         """Applies an announcement of a worker; returns whether it was applied.
 
--- a/laburnumsill/daemon/core_role.py
+++ b/laburnumsill/daemon/core_role.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from laburnumsill.batch import domain_gateway
 from laburnumsill.batch import intake
 from laburnumsill.batch import leading
 from laburnumsill.batch import ledger
@@ -103,6 +104,12 @@
             self._pools,
             self._clock,
         )
+        self._domains = domain_gateway.DomainGateway(
+            role.SITE_GROUP,
+            self._host,
+            self._known_domains,
+            self._clock,
+        )
 
     def _make_vm(self, settings: role_settings.RoleSettings) -> topology.Vm:
         return topology.Vm(
@@ -137,6 +144,7 @@
             role.SITE_GROUP,
             self._host,
             self._intake,
+            self._domains,
             control_port,
             self._clock,
             self._metrics,
@@ -177,6 +185,12 @@
             self._set_desired_voters()
             await trio.sleep(role.SETTINGS_POLL_S)
 
+    def _known_domains(self) -> abc.Collection[str]:
+        return (
+            self._settings.failure_domain,
+            *self._settings.failure_domains,
+        )
+
     def _guarantees(self) -> abc.Mapping[str, int]:
         """Returns the guaranteed accelerators of the newest configuration."""
         newest = self._newest_configuration()
--- a/laburnumsill/daemon/role_settings.py
+++ b/laburnumsill/daemon/role_settings.py
@@ -66,6 +66,7 @@
         name: The name of the VM in logs.
         address: The VM's IP address, which is also its id among its peers.
         failure_domain: The failure domain of the VM.
+        failure_domains: The failure domains of the site.
         peer_port: The port on which the VMs of the core listen for peers.
         seeds: Addresses of VMs of the core, ``host:port``; only the host
             matters, since all listen on the same `peer_port`.
@@ -84,6 +85,7 @@
     failure_domain: str
     peer_port: Port
     seeds: tuple[HostPort, ...]
+    failure_domains: tuple[str, ...] = ()
     founding: bool = False
     tolerated_losses: Bound = 1
     data_folder: str | None = None
--- a/laburnumsill/emulator/oracle.py
+++ b/laburnumsill/emulator/oracle.py
@@ -14,6 +14,9 @@
 """Time until a reduced capacity is enforced: the delay that the users' sites
 allow for its announcement, and the interval between two heartbeats."""
 
+EVACUATION_GRACE_S = 5.0
+"""No run may start in a failure domain later than this after its evacuation."""
+
 CRASH_LIMIT = 3
 """Worker crashes during its runs after which a task counts as crashing."""
 
@@ -62,6 +65,7 @@
     - `ORDER`: a run before a step on which its step depends;
     - `BUDGET`: a run after the last allowed failure or crash;
     - `LIMIT`: a run beyond the capacity of its worker;
+    - `EVAC`: a run in an evacuated failure domain;
     - `MIXED`: a state was shown that the job does not have.
 
     Attributes:
@@ -74,6 +78,7 @@
         self.jobs: dict[str, GroundTruth] = {}
         self._live: dict[model.TaskId, dict[model.RunId, str]] = {}
         self._used: dict[str, model.Resources] = {}
+        self._evacuated_at: dict[str, float] = {}
         self._former_capacities: dict[
             str, list[tuple[float, model.Resources]]
         ] = {}
@@ -115,6 +120,11 @@
         at = truth.cancelled_at
         if at is not None and now > at + CANCEL_GRACE_S and not late:
             self._break(now, f"UNASKED {run}, cancelled at {at:.2f}")
+        at = self._evacuated_at.get(worker.domain)
+        if at is not None and now > at + EVACUATION_GRACE_S and not late:
+            self._break(
+                now, f"EVAC {run} in {worker.domain}, evacuated at {at:.2f}"
+            )
         spent = truth.failures.get(run.task, 0)
         if spent >= truth.job.terms.max_attempts:
             self._break(now, f"BUDGET {run} after {spent} failures")
@@ -129,6 +139,14 @@
             self._break(now, f"LIMIT {run} on {worker.worker_id}: {used}")
         others[run] = worker.worker_id
 
+    def record_evacuation(self, domain: str, now: float) -> None:
+        """Records that the evacuation of a domain was acknowledged."""
+        self._evacuated_at[domain] = now
+
+    def record_restore(self, domain: str) -> None:
+        """Records that an order to take a domain back was sent."""
+        self._evacuated_at.pop(domain, None)
+
     def record_resize(self, worker: model.Worker, now: float) -> None:
         """Records a worker's capacity just before it changes.
 
--- a/laburnumsill/emulator/site.py
+++ b/laburnumsill/emulator/site.py
@@ -1,5 +1,6 @@
 """An emulated site: two VMs that may lead, workers and callers."""
 
+import contextlib
 import dataclasses
 import random
 import typing
@@ -9,6 +10,7 @@
 
 from laburnumsill.batch import caller_commands
 from laburnumsill.batch import commands
+from laburnumsill.batch import domain_gateway
 from laburnumsill.batch import intake
 from laburnumsill.batch import leading
 from laburnumsill.batch import ledger as ledgers
@@ -90,6 +92,7 @@
         silent: Ids of workers that send no heartbeats.
         schedulers: The scheduler of each VM.
         intakes: The receiver of the workers' announcements on each VM.
+        domain_gateways: The receiver of operators' orders on each VM.
     """
 
     def __init__(
@@ -168,6 +171,15 @@
             )
             for vm, scheduler in self.schedulers.items()
         }
+        self.domain_gateways = {
+            vm: domain_gateway.DomainGateway(
+                GROUP,
+                leadership.VmGroups(self.groups, vm),
+                lambda: (),
+                self._clock,
+            )
+            for vm in self.schedulers
+        }
 
     async def run(
         self,
@@ -286,6 +298,26 @@
             caller_commands.SubmitJob(job, self._clock.wall_ms())
         )
 
+    async def evacuate(self, domain: str) -> None:
+        """Evacuates a failure domain; repeats the order until it succeeds."""
+        while True:
+            for gateway in self.domain_gateways.values():
+                with contextlib.suppress(errors.LaburnumsillError):
+                    await gateway.evacuate(domain, trio.current_time() + 1)
+                    self.oracle.record_evacuation(domain, trio.current_time())
+                    return
+            await trio.sleep(0.1)
+
+    async def restore(self, domain: str) -> None:
+        """Takes a failure domain back; repeats the order until it succeeds."""
+        self.oracle.record_restore(domain)
+        while True:
+            for gateway in self.domain_gateways.values():
+                with contextlib.suppress(errors.LaburnumsillError):
+                    await gateway.restore(domain, trio.current_time() + 1)
+                    return
+            await trio.sleep(0.1)
+
     async def cancel(self, job_id: str) -> None:
         """Cancels a job."""
         await self.propose(
--- a/laburnumsill/emulator/troubles.py
+++ b/laburnumsill/emulator/troubles.py
@@ -12,6 +12,7 @@
 MAX_PAUSE_S = 5.0
 MAX_DURATION_S = 6.0
 MAX_WITHOUT_LEADER_S = 3.0
+MAX_EVACUATION_S = 12.0
 
 LOST_SHARE = 0.3
 """Share of the orders that are executed but whose answer is lost."""
@@ -141,6 +142,15 @@
         worker.resize(site.capacity)
 
 
+async def _evacuate(site: sites.EmulatedSite, rng: random.Random) -> None:
+    """Evacuates a failure domain and takes it back."""
+    workers = site.pool.workers.values()
+    domain = rng.choice(sorted({one.worker.domain for one in workers}))
+    await site.evacuate(domain)
+    await trio.sleep(rng.uniform(1.0, MAX_EVACUATION_S))
+    await site.restore(domain)
+
+
 def _some_workers(
     site: sites.EmulatedSite, rng: random.Random
 ) -> list[worker_module.EmulatedWorker]:
@@ -162,11 +172,12 @@
     "shrink": _shrink,
     "suspend": _suspend,
     "restart": _restart,
+    "evacuate": _evacuate,
 }
 """The faults by name: the leader is lost; answers to orders are lost; orders
 are executed late; workers are unreachable, hang, fail their tasks, are replaced
 at their address, or have less capacity; a VM is suspended; workers crash and
-restart under their names."""
+restart under their names; a failure domain is evacuated."""
 
 BASE_KINDS = ("lead", "lost", "late", "cut", "hang", "fail", "crash")
 """A fixed selection of `KINDS` for tests by seed: adding a kind changes the
--- a/laburnumsill/platform/control_app.py
+++ b/laburnumsill/platform/control_app.py
@@ -1,5 +1,6 @@
 """ASGI application for operators and workers."""
 
+from laburnumsill.batch import domain_gateway
 from laburnumsill.batch import intake as intakes
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import errors
@@ -13,8 +14,9 @@
 
 CONFIGURATION_PATH = "/-/config"
 INSTANCES_PREFIX = "/-/instances/"
+EVACUATIONS_PREFIX = "/-/evacuate/"
 
-CONFIGURATION_TIMEOUT_S = 0.9
+OPERATOR_TIMEOUT_S = 0.9
 """Shorter than the second after which an operator tries another VM."""
 
 REFUSED_STATUS = 400
@@ -23,12 +25,13 @@
 
 
 class ControlApp:
-    """Serves the configuration and the workers' announcements.
+    """Serves operators' orders and the workers' announcements.
 
     Args:
         group: The group whose state machine holds the configuration.
         groups: Access to the group.
         intake: Receives the announcements.
+        domains: Receives the orders to evacuate failure domains.
         control_port: Port on which the core VMs serve this application.
         clock: The clock of this process.
         metrics: Receives the counters.
@@ -39,6 +42,7 @@
         group: str,
         groups: replication.Groups,
         intake: intakes.WorkerIntake,
+        domains: domain_gateway.DomainGateway,
         control_port: int,
         clock: clocks.Clock,
         metrics: metrics_module.Metrics,
@@ -46,6 +50,7 @@
         self._group = group
         self._groups = groups
         self._intake = intake
+        self._domains = domains
         self._control_port = control_port
         self._clock = clock
         self._metrics = metrics
@@ -88,6 +93,15 @@
                 await self._intake.leave(worker_id)
                 return http.json_answer(200, {})
             return http.Answer(405)
+        if request.path.startswith(EVACUATIONS_PREFIX):
+            domain = request.path[len(EVACUATIONS_PREFIX) :]
+            if request.method == "POST":
+                await self._domains.evacuate(domain, self._deadline())
+                return http.json_answer(200, {})
+            if request.method == "DELETE":
+                await self._domains.restore(domain, self._deadline())
+                return http.json_answer(200, {})
+            return http.Answer(405)
         return http.Answer(404)
 
     async def _put_configuration(self, body: bytes) -> http.Answer:
@@ -127,7 +141,7 @@
         return http.json_answer(200, {"heartbeat_addr": address})
 
     def _deadline(self) -> float:
-        return self._clock.monotonic() + CONFIGURATION_TIMEOUT_S
+        return self._clock.monotonic() + OPERATOR_TIMEOUT_S
 
     def _record(
         self, request: http.Request, answer: http.Answer, reason: str
--- a/laburnumsill/platform/tests/role_site.py
+++ b/laburnumsill/platform/tests/role_site.py
@@ -100,14 +100,16 @@
         self.scopes[vm].cancel()
         await self.ended[vm].wait()
 
-    async def start_worker(self, name: str, rack: str = "r1") -> None:
+    async def start_worker(
+        self, name: str, rack: str = "r1", domain: str = "d"
+    ) -> None:
         address = f"127.0.0.1:{ports.free_ports(1)[0]}"
         worker = self.pool.add(
             model.Worker(
                 name,
                 standin.POOL,
                 address,
-                "d",
+                domain,
                 model.Resources(32_000, 64_000, 8),
                 ("a", rack),
                 rack,
--- a/laburnumsill/platform/tests/test_announcements.py
+++ b/laburnumsill/platform/tests/test_announcements.py
@@ -143,6 +143,7 @@
             "site",
             None,
             self.intake,
+            None,
             7000,
             trio_clock.TrioClock(),
             metrics_module.Metrics(),
--- a/laburnumsill/platform/tests/test_border.py
+++ b/laburnumsill/platform/tests/test_border.py
@@ -10,6 +10,7 @@
 import trio
 
 from laburnumsill.batch import caller_commands
+from laburnumsill.batch import domain_gateway
 from laburnumsill.batch import gateway
 from laburnumsill.core import metrics
 from laburnumsill.core import trio_clock
@@ -99,6 +100,9 @@
             GROUP,
             groups,
             test_announcements.Intake(),
+            domain_gateway.DomainGateway(
+                GROUP, groups, lambda: ("north", "south"), clock
+            ),
             7000,
             clock,
             metrics.Metrics(),
