platform: evacuate failure domains in soaks

The soak had no evacuations. The workers of a soak are in one failure domain a rack now; `--kinds evacuations` evacuates one of them at random moments beside all other troubles, which overlap with the order and its acknowledgement.

--- a/laburnumsill/platform/tests/soak/main.py
+++ b/laburnumsill/platform/tests/soak/main.py
@@ -29,6 +29,7 @@
 FIRST = "first"
 ALL = "all"
 SPARE = "spare"
+EVACUATIONS = "evacuations"
 """Names of sets of troubles, see `troubles.CHOICES`."""
 
 MEAN_GAP_S = 0.9
@@ -211,7 +212,7 @@
             seconds,
             folder,
             troubles.CHOICES[kinds],
-            has_crashing_tasks=kinds in (ALL, SPARE),
+            has_crashing_tasks=kinds in (ALL, SPARE, EVACUATIONS),
             has_spare=kinds == SPARE,
         )
         print(verdict.line(), flush=True)
--- a/laburnumsill/platform/tests/soak/site.py
+++ b/laburnumsill/platform/tests/soak/site.py
@@ -130,6 +130,7 @@
         )
         self.disturbed_at = trio.current_time()
         self.keep_calm = False
+        self.evacuating: set[str] = set()
         self.incarnations = 0
 
     async def start(self) -> None:
@@ -318,7 +319,7 @@
             name,
             standin.POOL,
             self.proxy.status(link).listen,
-            "d",
+            f"d-{rack}",
             CAPACITY,
             ("a", rack),
             rack,
--- a/laburnumsill/platform/tests/soak/troubles.py
+++ b/laburnumsill/platform/tests/soak/troubles.py
@@ -38,6 +38,13 @@
 POLL_INTERVAL_S = 0.05
 """Interval at which a stopping daemon is polled."""
 
+EVACUATED_S = (0.5, 12.0)
+"""Range of the duration of an evacuation, in seconds."""
+
+MAX_ORDER_S = 60.0
+"""Time within which an operator's order must succeed, in seconds, with further
+troubles of 4 s in the meantime."""
+
 DRAIN_S = 1.5
 """Time for which a worker drains before it ends."""
 
@@ -375,6 +382,32 @@
             self._site.free_disk(vm)
 
 
+class Evacuate(Trouble):
+    """Evacuates a failure domain and takes it back.
+
+    The order is repeated through all core VMs until one acknowledges it. Other
+    troubles, such as lost disks, may follow the acknowledgement at once.
+    """
+
+    affects_workers_only = True
+
+    async def _play(self) -> None:
+        workers = [one.app.worker for one in self._site.announcers.values()]
+        domain = self._random.choice(sorted({w.worker.domain for w in workers}))
+        if domain in self._site.evacuating:
+            return
+        self._site.evacuating.add(domain)
+        path = f"/-/evacuate/{domain}"
+        oracle = self._site.oracle
+        operator = self._site.operator
+        await operator.until(200, "POST", path, within=MAX_ORDER_S)
+        oracle.record_evacuation(domain, trio.current_time())
+        await trio.sleep(self._random.uniform(*EVACUATED_S))
+        oracle.record_restore(domain)
+        await operator.until(200, "DELETE", path, within=MAX_ORDER_S)
+        self._site.evacuating.remove(domain)
+
+
 KINDS: tuple[type[Trouble], ...] = (
     Kill,
     KillAll,
@@ -409,10 +442,14 @@
 SPARE_KINDS = (*ALL_KINDS, *(4 * (GiveWay,)))
 """Troubles for soaks with a spare core VM."""
 
+EVACUATION_KINDS = (*ALL_KINDS, *(5 * (Evacuate,)))
+"""Troubles for soaks with evacuations."""
+
 CHOICES = {
     "first": KINDS,
     "full-disks": KINDS_WITH_DISKS,
     "all": ALL_KINDS,
     "spare": SPARE_KINDS,
+    "evacuations": EVACUATION_KINDS,
 }
 """Sets of troubles by their names on the command line."""
--- a/laburnumsill/platform/tests/test_soak.py
+++ b/laburnumsill/platform/tests/test_soak.py
@@ -25,6 +25,7 @@
 cause."""
 
 SPARE_SEEDS = (1, 2)
+EVACUATION_SEEDS = (1, 2)
 
 READS = 2000
 
@@ -91,6 +92,22 @@
     assert verdict.completed
 
 
+@pytest.mark.parametrize("seed", EVACUATION_SEEDS)
+async def test_no_promise_is_broken_by_evacuations(
+    tmp_path: pathlib.Path, seed: int
+):
+    verdict = await soaks.soak(
+        seed,
+        SHORT_S,
+        tmp_path,
+        troubles.EVACUATION_KINDS,
+        has_crashing_tasks=True,
+    )
+    assert verdict.broken == [], verdict.line()
+    assert troubles.Evacuate.__name__ in verdict.kinds
+    assert verdict.completed
+
+
 def test_settings_are_whole_whenever_a_daemon_reads_them(tmp_path):
     """Overlapping troubles may start a VM while its daemon is already starting.
 
