emulator: add the shifted work and names that do not tell the rack

The emulated workers' names rose with their racks, and ties between workers are broken by name, so tasks filled one rack after the other by accident; names of the users' workers say nothing of racks.

--- a/laburnumsill/emulator/days.py
+++ b/laburnumsill/emulator/days.py
@@ -32,6 +32,7 @@
     "fingal": loads.FINGAL,
     "further": loads.FURTHER,
     "wide": loads.WIDE,
+    "shifted": loads.SHIFTED,
 }
 """The known sites by name."""
 
@@ -93,6 +94,7 @@
         shape.stop_grace_s,
         worker_module.Checkpointing(shape.checkpoint_s, shape.restore_s),
         day.policy,
+        random_names=True,
     )
     async with trio.open_nursery() as nursery:
         await nursery.start(site.run)
--- a/laburnumsill/emulator/load.py
+++ b/laburnumsill/emulator/load.py
@@ -241,6 +241,41 @@
 whole workers of one rack, and wide batches of one accelerator per task."""
 
 
+def _shifted_kinds() -> tuple[Kind, ...]:
+    """Returns the kinds of jobs of the site whose work has shifted."""
+    sweep, urgent, batch = _kinds(
+        (52, 15, 11), (0.482, 5.55, 0.59), (14, 18), 0.2
+    )
+    return (
+        dataclasses.replace(
+            sweep, width=13, max_width=78, work_s=11.0, memory_mb=110_000
+        ),
+        dataclasses.replace(urgent, width=5.4, max_width=32, memory_mb=22_000),
+        dataclasses.replace(
+            batch,
+            width=39,
+            max_width=230,
+            work_s=7.6,
+            memory_mb=23_000,
+            estimate_spread=0.9,
+            task_spread=0.3,
+        ),
+    )
+
+
+SHIFTED = Shape(
+    22,
+    8,
+    model.Resources(128_000, 262_144, 8),
+    _shifted_kinds(),
+    0.4,
+    restore_s=0.25,
+    guaranteed=60,
+)
+"""Hut booking, mostly urgent confirmations; pricing runs are long and take
+almost half of a worker's memory for each task."""
+
+
 def with_load(
     kind: Kind, capacity: model.Resources, workers: int, share: float
 ) -> Kind:
--- a/laburnumsill/emulator/site.py
+++ b/laburnumsill/emulator/site.py
@@ -73,6 +73,7 @@
         stop_grace_s: Longest duration of a stop.
         checkpointing: Timing of the checkpoints of tasks.
         policy: The enabled mechanisms of the planner.
+        random_names: Whether the names of workers do not tell their racks.
 
     Attributes:
         oracle: Records and checks the events on the workers.
@@ -106,8 +107,10 @@
             worker_module.DEFAULT_CHECKPOINTING
         ),
         policy: policies.Policy = policies.ALL,
+        random_names: bool = False,
     ) -> None:
         self._seed = seed
+        self._random_names = random_names
         self.random = random.Random(seed)
         self.oracle = oracles.Oracle()
         self.work: dict[tuple[str, int], float] = {}
@@ -197,11 +200,17 @@
             racks, per_rack = self._shape
             for rack in range(racks):
                 for number in range(per_rack):
-                    self._add_initial(f"w{rack}-{number}", rack)
+                    self._add_initial(self._initial_name(rack, number), rack)
             nursery.start_soon(self._send_heartbeats)
             task_status.started()
             await trio.sleep_forever()
 
+    def _initial_name(self, rack: int, number: int) -> str:
+        name = f"w{rack}-{number}"
+        if not self._random_names:
+            return name
+        return f"w{random.Random(f'{self._seed} {name}').getrandbits(64):016x}"
+
     def _add_initial(self, name: str, rack: int) -> None:
         if self.keeps_names:
             self.add_worker(f"{name}@0", rack, name, name)
