--- a/laburnumsill/state/cells.py
+++ b/laburnumsill/state/cells.py
@@ -259,6 +259,7 @@
         if old is None:
             return
         self._sizes.subtract(old.sizes)
+        self._sizes = +self._sizes  # drops the sizes that are gone
         self._pairs -= old.pairs
         self._accelerators -= old.accelerators
         if old.whole:
--- a/laburnumsill/state/tests/test_cells.py
+++ b/laburnumsill/state/tests/test_cells.py
@@ -24,6 +24,17 @@
     return allocator
 
 
+def test_shortfall_does_not_depend_on_workers_that_have_left():
+    """A replica that loaded a snapshot never saw those workers."""
+    allocator = new_allocator((4,), (8,), tana=(0, 0, 2, 0))
+    allocator._pool.remove("r1w0")
+    allocator.remove_worker("r1w0")
+    allocator.refresh("r1")
+    fresh = new_allocator((4,), tana=(0, 0, 2, 0))
+    assert fresh.shortfall() == 4
+    assert allocator.shortfall() == fresh.shortfall()
+
+
 def test_unbinding_makes_a_cell_available_to_its_account_again():
     allocator = new_allocator((4, 4), tana=(0, 0, 1, 0))
     cell = Cell(Level.WORKER, "r0", "r0w0")
