clients: tell unreadable answers of workers from refusals

A successful answer that cannot be parsed was raised as WorkerRefusedError, which says that the call was not carried out. It may have been: it is a kind of WorkerUnreachableError now. The test fails before.

--- a/laburnumsill/clients/tests/test_worker.py
+++ b/laburnumsill/clients/tests/test_worker.py
@@ -1,3 +1,5 @@
+import functools
+
 import pytest
 import trio
 
@@ -107,3 +109,24 @@
         )
     await served.client.close()
     nursery.cancel_scope.cancel()
+
+
+async def test_an_answer_that_cannot_be_parsed_is_no_refusal(nursery):
+    """The worker may have executed the call, so nothing may say it did not."""
+    address = ports.free_address()
+    host, _, port = address.rpartition(":")
+
+    async def answer(stream):
+        await stream.receive_some()
+        await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]")
+
+    await nursery.start(
+        functools.partial(trio.serve_tcp, answer, int(port), host=host)
+    )
+    clock = clocks.SystemClock()
+    client = worker.HttpWorkerClient(clock)
+    with pytest.raises(worker.UnreadableAnswerError) as caught:
+        await client.prepare(address, "t1", order(clock), clock.monotonic() + 5)
+    assert isinstance(caught.value, worker.WorkerUnreachableError)
+    await client.close()
+    nursery.cancel_scope.cancel()
--- a/laburnumsill/clients/worker.py
+++ b/laburnumsill/clients/worker.py
@@ -50,6 +50,13 @@
     title = "The worker did not answer"
 
 
+class UnreadableAnswerError(WorkerUnreachableError):
+    """A worker accepted a call, but its answer cannot be parsed."""
+
+    slug = "unreadable-worker-answer"
+    title = "The answer of the worker cannot be read"
+
+
 class WorkerRefusedError(errors.ConflictError):
     """A worker refused a call without executing it."""
 
@@ -125,8 +132,8 @@
     """Interface of clients that call workers by their address.
 
     Deadlines are monotonic times. Each method raises `WorkerUnreachableError`
-    if no answer comes, `TaskNotLiveError` if the task has ended or is unknown,
-    and `WorkerRefusedError` for any other refusal.
+    if no answer comes that can be read, `TaskNotLiveError` if the task has
+    ended or is unknown, and `WorkerRefusedError` for any other refusal.
     """
 
     @abc.abstractmethod
@@ -249,12 +256,13 @@
     """Returns the parsed body of an answer.
 
     Raises:
-        WorkerRefusedError: The body does not fit the model.
+        UnreadableAnswerError: The body does not fit the model.
     """
     try:
         return model.model_validate_json(raw)
     except pydantic.ValidationError as error:
-        raise WorkerRefusedError(f"{address} answered {raw[:80]!r}") from error
+        detail = f"{address} answered {raw[:80]!r}"
+        raise UnreadableAnswerError(detail) from error
 
 
 def _refusal(response: httpcore.Response, call: str) -> WorkerRefusedError:
