batch: ignore late progress of earlier runs of a gang

An end of a released run that is read late replaced the progress that the next run of the gang had saved. The test fails before.

--- a/laburnumsill/batch/ledger.py
+++ b/laburnumsill/batch/ledger.py
@@ -542,18 +542,18 @@
     def _save_progress(self, run: model.RunId, saved: str) -> None:
         """Stores saved progress of a task, or of all members of its gang.
 
-        Progress of an earlier run than the newest is ignored, except for a
-        gang.
+        Progress of an earlier run than the newest is ignored.
         """
         record = self._jobs.get(run.task.job_id)
         step = record.step(run.task) if record else None
         if not saved or record is None or step is None:
             return
+        tasks = [step.tasks[run.task.index]]
         if record.job.steps[run.task.step].gang:
-            for task in step.tasks:
+            tasks = step.tasks
+        if run.number >= max(task.last_run for task in tasks):
+            for task in tasks:
                 task.saved = saved
-        elif run.number >= step.tasks[run.task.index].last_run:
-            step.tasks[run.task.index].saved = saved
 
     def _add_run(self, record: records.RunRecord) -> None:
         self._live.add(record, self.needs_of(record.run))
--- a/laburnumsill/batch/tests/test_ledger_machine.py
+++ b/laburnumsill/batch/tests/test_ledger_machine.py
@@ -367,3 +367,20 @@
     ledger.release(commands.ReleaseRuns((lost,), 1))
     record_ends(ledger, commands.EndedRun(1, run, commands.EndKind.FAILED))
     assert state_of(ledger) == caller_commands.JobState.FAILED
+
+
+def test_late_progress_of_an_earlier_gang_run_replaces_no_newer_one():
+    """A released run's end is read after the next run saved progress."""
+    ledger = ledger_with(2)
+    first, second = runs_of(2, 1), runs_of(2, 2)
+    place(ledger, first)
+    lost = [commands.Release(run, "w0", "its lease has ended") for run in first]
+    ledger.release(commands.ReleaseRuns(tuple(lost), 1))
+    place(ledger, second)
+    seen = (commands.SeenRun(second[0], "newer"),)
+    ledger.note_running(commands.NoteRunning(seen))
+    record_ends(
+        ledger, commands.EndedRun(1, first[1], commands.EndKind.STOPPED, "old")
+    )
+    (step,) = ledger.jobs["j"].steps[0]
+    assert {task.saved for task in step.tasks} == {"newer"}
