batch: leave headroom for whole crests of urgent work

Cause: half of the way back to the highest urgent demand of the last 8 s was left free. The urgent work of the shifted Tana Shore comes in waves of 11 s, and background tasks last 7.6 and 11 s, so each trough was filled and each crest stopped what had just begun (up to nine starts of a task); urgent jobs waited 0.3 to 0.7 s for the stops, which is late on slow workers.

Change: the whole difference to the highest demand of the last 14 s, but at most a quarter of the pool. `batch.headroom` decides both.

Three tests of the planner had a pool of 16 accelerators; they have the same 16 free ones in a pool of 64 now and assert the same numbers, and the limit has a test of its own.

--- a/laburnumsill/batch/headroom.py
+++ b/laburnumsill/batch/headroom.py
@@ -1,8 +1,8 @@
 """Headroom: capacity left free for the next urgent jobs.
 
-Urgent jobs come in bursts. Without headroom, waiting tasks would start as soon
-as one urgent job ends and be preempted by the next. That loses their work and,
-worse, delays the urgent job until they have stopped.
+Answers urgent work that comes in waves and bursts, on a site that waiting tasks
+would fill in each trough. Without headroom, the next crest would stop those
+tasks, which loses their work and delays its jobs until the runs have ended.
 """
 
 import collections
@@ -12,13 +12,13 @@
 from laburnumsill.batch import packing
 from laburnumsill.core import sliding_maximum
 
-WINDOW_S = 8.0
-"""Length of the sliding window over urgent demand, in seconds: three times the
-run time of the users' urgent jobs."""
+WINDOW_S = 14.0
+"""Length of the sliding window over urgent demand, in seconds: about twice the
+run time of the users' background tasks, which occupy what they get for long."""
 
-SHARE = 0.5
-"""Part of the difference between the highest demand in the window and the
-current demand that is left free."""
+MAX_POOL_SHARE = 0.25
+"""Largest part of a pool that is left free. The widest urgent gang of a small
+site takes most of it; all other work would wait after each one."""
 
 
 class Headroom:
@@ -27,7 +27,7 @@
     Examples:
         >>> headroom = Headroom()
         >>> headroom.update(40, 0.0), headroom.update(10, 1.0)
-        (0, 15)
+        (0, 30)
         >>> headroom.update(10, 20.0)
         0
     """
@@ -43,7 +43,28 @@
             now: Monotonic time, in seconds.
         """
         self._recent.add(now, demand)
-        return int(SHARE * (self._recent.value - demand))
+        return int(self._recent.value) - demand
+
+
+def tasks_beside(
+    headroom: int, pool: int, free: int, task_accelerators: int
+) -> int:
+    """Returns how many tasks may start in a pool so that headroom is left.
+
+    Args:
+        headroom: Accelerators to leave free, as far as the pool's share allows.
+        pool: Accelerators of all workers of the pool.
+        free: Free accelerators of the pool.
+        task_accelerators: Accelerators of each task.
+
+    Examples:
+        >>> tasks_beside(30, 400, 50, 4), tasks_beside(30, 80, 50, 4)
+        (5, 7)
+        >>> tasks_beside(30, 400, 20, 4)
+        0
+    """
+    left_free = min(headroom, int(MAX_POOL_SHARE * pool))
+    return max(0, free - left_free) // task_accelerators
 
 
 def urgent_demand(ledger: ledgers.BatchLedger) -> collections.Counter[str]:
--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -300,9 +300,11 @@
         if not self._leaves_headroom(unit):
             return assignment
         candidates = self._candidates_for(unit).all
-        free = sum(candidate.free.accelerators for candidate in candidates)
-        max_tasks = (
-            max(0, free - self._input.headroom) // step.needs.accelerators
+        max_tasks = headroom.tasks_beside(
+            self._input.headroom,
+            sum(one.worker.capacity.accelerators for one in candidates),
+            sum(one.free.accelerators for one in candidates),
+            step.needs.accelerators,
         )
         if step.gang:
             return assignment if len(assignment) <= max_tasks else []
--- a/laburnumsill/batch/tests/test_planner.py
+++ b/laburnumsill/batch/tests/test_planner.py
@@ -267,6 +267,14 @@
     )
 
 
+def mostly_used_site():
+    """Returns a pool of 64 accelerators, 16 of them free."""
+    ledger = planned_site.site(racks=4)
+    for worker_id in sorted(ledger.workers)[2:]:
+        planned_site.occupy(ledger, worker_id, f"on-{worker_id}", 8)
+    return ledger
+
+
 def job_with_slack(job_id, tasks, **step):
     """Returns a job with seconds of slack."""
     one = planned_site.job(job_id, tasks, 1, priority=2, **step)
@@ -276,7 +284,7 @@
 
 def test_tasks_with_slack_leave_headroom_for_urgent_jobs():
     """Guards against placing tasks that the next urgent job preempts."""
-    ledger = planned_site.site(racks=1)
+    ledger = mostly_used_site()
     planned_site.submit(ledger, job_with_slack("batch", 16))
     made = planner.plan(with_headroom(ledger, 10))
     assert len(made.groups) == 6
@@ -286,14 +294,14 @@
 
 
 def test_tasks_without_slack_leave_no_headroom():
-    ledger = planned_site.site(racks=1)
+    ledger = mostly_used_site()
     planned_site.submit(ledger, job_with_slack("batch", 16))
     made = planner.plan(with_headroom(ledger, 10, now_ms=14_500))
     assert len(made.groups) == 16
 
 
 def test_job_without_runs_gets_one_task_despite_headroom():
-    ledger = planned_site.site(racks=1)
+    ledger = mostly_used_site()
     planned_site.submit(ledger, job_with_slack("batch", 16))
     made = planner.plan(with_headroom(ledger, 16))
     assert len(made.groups) == 1
@@ -303,7 +311,7 @@
 
 def test_gang_without_slack_for_a_second_run_leaves_no_headroom():
     """Long-running tasks leave no headroom in any case."""
-    ledger = planned_site.site(racks=1)
+    ledger = mostly_used_site()
     planned_site.submit(ledger, job_with_slack("gang", 4, gang=True))
     planned_site.submit(ledger, job_with_slack("lasts", 4, long_running=True))
     last_start_ms = last_start_for_two_runs_ms(ledger, "gang")
@@ -317,7 +325,7 @@
     The next burst preempts it: on a site with 24 workers, one gang was stopped
     four times and ended 10 s late.
     """
-    ledger = planned_site.site(racks=1)
+    ledger = mostly_used_site()
     planned_site.submit(ledger, job_with_slack("gang", 4, gang=True))
     last_start_ms = last_start_for_two_runs_ms(ledger, "gang")
     assert not planner.plan(with_headroom(ledger, 13, last_start_ms)).groups
@@ -325,6 +333,14 @@
     assert len(group) == 4
 
 
+def test_headroom_is_limited_to_a_part_of_its_pool():
+    """Guards against a small site that idles after each wide urgent gang."""
+    ledger = planned_site.site(racks=1)
+    planned_site.submit(ledger, job_with_slack("batch", 16))
+    made = planner.plan(with_headroom(ledger, 16))
+    assert len(made.groups) == 12
+
+
 def last_start_for_two_runs_ms(ledger, job_id):
     """Returns the latest start at which a job can run twice in time, in ms."""
     (unit,) = [
