--- a/laburnumsill/batch/domain_gateway.py
+++ b/laburnumsill/batch/domain_gateway.py
@@ -40,7 +40,7 @@
         """Stops the placement of runs in a failure domain.
 
         Raises:
-            evacuations.UnknownDomainError: The site has no such domain.
+            evacuations.UnknownFailureDomainError: The site has no such domain.
             evacuations.EvacuationConflictError: Another order came first.
             errors.LaburnumsillError: The order may have been applied.
         """
@@ -58,7 +58,7 @@
         """Returns the confirmed status of a failure domain.
 
         Raises:
-            evacuations.UnknownDomainError: The site has no such domain.
+            evacuations.UnknownFailureDomainError: The site has no such domain.
             errors.UnavailableError: No confirmed answer came.
         """
         status: evacuations.DomainStatus = await self._groups.query(
@@ -66,7 +66,7 @@
         )
         is_known = status.has_workers or status.state.version > 0
         if not is_known and domain not in self._domains():
-            raise evacuations.UnknownDomainError(f"no domain {domain!r}")
+            raise evacuations.UnknownFailureDomainError(f"no domain {domain!r}")
         return status
 
     async def _set(
--- a/laburnumsill/batch/evacuations.py
+++ b/laburnumsill/batch/evacuations.py
@@ -15,10 +15,10 @@
 from laburnumsill.core import errors
 
 
-class UnknownDomainError(errors.NotFoundError):
+class UnknownFailureDomainError(errors.NotFoundError):
     """An order names a failure domain that the site does not have."""
 
-    slug = "unknown-domain"
+    slug = "unknown-failure-domain"
     title = "Unknown failure domain"
 
 
--- a/laburnumsill/batch/tests/test_evacuations.py
+++ b/laburnumsill/batch/tests/test_evacuations.py
@@ -246,7 +246,7 @@
         "site", groups, lambda: ("empty",), trio_clock.TrioClock()
     )
     deadline = trio.current_time() + 1
-    with pytest.raises(evacuations.UnknownDomainError):
+    with pytest.raises(evacuations.UnknownFailureDomainError):
         await gateway.evacuate("nowhere", deadline)
     await gateway.evacuate("empty", deadline)  # its workers may come later
     await gateway.evacuate(NORTH, deadline)
