--- a/laburnumsill/emulator/site.py
+++ b/laburnumsill/emulator/site.py
@@ -11,6 +11,7 @@
 from laburnumsill.batch import caller_commands
 from laburnumsill.batch import commands
 from laburnumsill.batch import domain_gateway
+from laburnumsill.batch import evacuations
 from laburnumsill.batch import intake
 from laburnumsill.batch import leading
 from laburnumsill.batch import ledger as ledgers
@@ -309,21 +310,27 @@
 
     async def evacuate(self, domain: str) -> None:
         """Evacuates a failure domain; repeats the order until it succeeds."""
-        while True:
-            for gateway in self.domain_gateways.values():
-                with contextlib.suppress(errors.LaburnumsillError):
-                    await gateway.evacuate(domain, trio.current_time() + 1)
-                    self.oracle.record_evacuation(domain, trio.current_time())
-                    return
-            await trio.sleep(0.1)
+        await self._order(domain_gateway.DomainGateway.evacuate, domain)
+        self.oracle.record_evacuation(domain, trio.current_time())
 
     async def restore(self, domain: str) -> None:
         """Takes a failure domain back; repeats the order until it succeeds."""
         self.oracle.record_restore(domain)
+        await self._order(domain_gateway.DomainGateway.restore, domain)
+
+    async def _order(
+        self,
+        order: abc.Callable[
+            [domain_gateway.DomainGateway, str, float],
+            abc.Awaitable[evacuations.DomainState],
+        ],
+        domain: str,
+    ) -> None:
+        """Gives an order for a domain to one VM after the other."""
         while True:
             for gateway in self.domain_gateways.values():
                 with contextlib.suppress(errors.LaburnumsillError):
-                    await gateway.restore(domain, trio.current_time() + 1)
+                    await order(gateway, domain, trio.current_time() + 1)
                     return
             await trio.sleep(0.1)
 
