platform, clients: acknowledge ends only to the incarnation that listed them

Cause: a report query for an incarnation carries the number of its last recorded end. An executor that restarts under its id answers at the same address; no field of the call names an incarnation, so the next one took the cursor of the former and forgot ends that nobody had read.

Ruled out: sending a cursor less often, or a smaller one. Any cursor above 0 may meet a successor, and the wire has no field for the start time.

Change: queries of a worker with a stable id go over one connection of its own, which is never replaced silently; a cursor is sent once the incarnation has answered on it. Queries beside one in flight, such as probes, acknowledge nothing. The stand-in's connections end with the incarnation; before, one connection served two, which no crashed process does. The emulator's client keeps the same contract.

--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -44,6 +44,10 @@
 """Pause after a report with malformed rows. A worker that has ends to list
 answers without waiting, and it lists a malformed end in each report."""
 
+UNACKNOWLEDGED_PAUSE_S = 0.1
+"""Pause after the second report in a row that acknowledged no ends, as to a
+worker that closes each connection. It lists its ends without waiting."""
+
 RECENT_ANSWER_S = 0.1
 """Age up to which an answer shows, without a further probe, that the worker is
 reachable: a cut would have to begin in between."""
@@ -74,6 +78,7 @@
         self._state = worker_state.WorkerState(worker, term, announced_at)
         self._orders = orders.Orders(self._state, nursery)
         self._acknowledged_end = term.ledger.last_end(worker.worker_id)
+        self._last_acknowledged = True
         self._has_reported = False
         self._contested_at: float | None = None
         self._probing = False
@@ -226,7 +231,12 @@
         except errors.LaburnumsillError as error:
             await self._handle_report_failure(error)
             return
-        self._acknowledged_end = max(self._acknowledged_end, last_end)
+        was_acknowledged = self._last_acknowledged
+        self._last_acknowledged = report.acknowledged
+        if report.acknowledged:
+            self._acknowledged_end = max(self._acknowledged_end, last_end)
+        elif not was_acknowledged:
+            await trio.sleep(UNACKNOWLEDGED_PAUSE_S)
         self._has_reported = True
         await self._finish_verification(now)
         asked_at = None if wait_ms else now
--- a/laburnumsill/batch/worker_client.py
+++ b/laburnumsill/batch/worker_client.py
@@ -105,6 +105,8 @@
         malformed_running: Number of malformed rows of running runs. If there
             are any, a run that is missing in `running` may be running.
         malformed_ended: Number of malformed rows of ends.
+        acknowledged: Whether the query acknowledged the recorded ends; not if
+            another incarnation might have received it.
     """
 
     clock_ms: int
@@ -112,6 +114,7 @@
     ended: tuple[commands.EndedRun, ...]
     malformed_running: int = 0
     malformed_ended: int = 0
+    acknowledged: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -141,7 +144,7 @@
         lease_ms: End of the lease, on the worker's clock; None for no renewal.
         fence: The term of the leader that gives the order.
         last_end: Number of the last recorded end; the worker may drop the ends
-            up to it.
+            up to it. Only the incarnation whose ends they are may receive it.
         wait_ms: Long-poll timeout: longest time for which the worker may wait
             for an end before it answers, in ms.
     """
--- a/laburnumsill/clients/http_pools.py
+++ b/laburnumsill/clients/http_pools.py
@@ -18,6 +18,7 @@
 import httpcore
 import trio
 
+from laburnumsill.clients import pinned_connections
 from laburnumsill.clients import reset_streams
 from laburnumsill.clients import wrapped_streams
 from laburnumsill.core import clock as clocks
@@ -73,6 +74,7 @@
                 reset_streams.ResetStream
             ),
         )
+        self.pinned: pinned_connections.PinnedConnection | None = None
         self._in_flight: dict[int, trio.CancelScope] = {}
         self._numbers = itertools.count()
         self._suspected_below = 0
@@ -80,6 +82,8 @@
     @property
     def is_idle(self) -> bool:
         """Whether no connection carries a request."""
+        if self.pinned is not None and self.pinned.in_use:
+            return False
         return all(connection.is_idle() for connection in self.pool.connections)
 
     def begin(self, scope: trio.CancelScope) -> int:
@@ -105,6 +109,14 @@
         """Closes idle connections and suspects all requests in flight."""
         self._suspected_below = next(self._numbers)
         await close_idle(self.pool)
+        if self.pinned is not None:
+            await self.pinned.close_if_idle()
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self.pool.aclose()
+        if self.pinned is not None:
+            await self.pinned.http.aclose()
 
 
 class HttpPools:
@@ -122,6 +134,34 @@
             collections.OrderedDict()
         )
 
+    async def pinned(
+        self, address: str, peer: str
+    ) -> pinned_connections.PinnedConnection | None:
+        """Returns the pinned connection to a process, None while it is in use.
+
+        There is one for each address. It is opened by its first request, and
+        replaced once it is over or another process is expected there.
+
+        Args:
+            address: The address of the process.
+            peer: Identifies the process.
+
+        Raises:
+            NoResponseError: The address is not valid.
+        """
+        origin = _url(address, "/").origin
+        address_pool = self._pool_for(address)
+        known = address_pool.pinned
+        if known is not None and known.in_use:
+            return None
+        if known is None or known.peer != peer or known.is_over:
+            address_pool.pinned = pinned_connections.PinnedConnection(
+                peer, origin, self._limits.keep_alive_s
+            )
+            if known is not None:
+                await known.http.aclose()
+        return address_pool.pinned
+
     async def request(
         self,
         method: str,
@@ -130,9 +170,19 @@
         headers: abc.Mapping[str, str],
         content: bytes,
         deadline: float,
+        pinned: pinned_connections.PinnedConnection | None = None,
     ) -> httpcore.Response:
         """Sends a request and returns its response, with any status.
 
+        Args:
+            method: The HTTP method.
+            address: Host and port.
+            path: Path and query.
+            headers: The headers besides those of the connection.
+            content: The body.
+            deadline: Monotonic time by which the response has to be complete.
+            pinned: The connection to send it over, in place of any of the pool.
+
         Raises:
             NoResponseError: No response came before the monotonic deadline,
                 or the address is not valid.
@@ -142,11 +192,12 @@
         remaining = deadline - self._clock.monotonic()
         await self._close_least_recent()
         address_pool = self._pool_for(address)
+        sender = address_pool.pool if pinned is None else pinned.http
         scope = trio.CancelScope()
         number = address_pool.begin(scope)
         try:
             with trio.move_on_after(max(0.0, remaining)), scope:
-                response = await address_pool.pool.request(
+                response = await sender.request(
                     method,
                     url,
                     headers=list(headers.items()),
@@ -169,7 +220,7 @@
     async def close(self) -> None:
         """Closes all connections."""
         for address_pool in self._address_pools.values():
-            await address_pool.pool.aclose()
+            await address_pool.close()
         self._address_pools.clear()
 
     def _pool_for(self, address: str) -> _AddressPool:
@@ -187,7 +238,7 @@
         address, address_pool = next(iter(self._address_pools.items()))
         if address_pool.is_idle:
             del self._address_pools[address]
-            await address_pool.pool.aclose()
+            await address_pool.close()
 
 
 def _url(address: str, path: str) -> httpcore.URL:
--- a/laburnumsill/emulator/unreliable_client.py
+++ b/laburnumsill/emulator/unreliable_client.py
@@ -1,5 +1,6 @@
 """A worker client whose orders may be lost or delayed."""
 
+import dataclasses
 import random
 from collections import abc
 
@@ -78,6 +79,9 @@
     ) -> worker_client.Report:
         """Asks for a report, see the base class."""
         target = await self._connect(worker, deadline)
+        if target.worker.worker_id != worker.worker_id:
+            # Ends are acknowledged over connections of one incarnation only.
+            order = dataclasses.replace(order, last_end=0)
         report = await target.report(order)
         if target.worker.worker_id != worker.worker_id:
             raise worker_client.IncarnationReplacedError(worker.worker_id)
--- a/laburnumsill/platform/reports.py
+++ b/laburnumsill/platform/reports.py
@@ -47,9 +47,16 @@
     title = "A row of a report makes no sense"
 
 
-def decode(worker: model.Worker, raw: bytes) -> worker_client.Report:
+def decode(
+    worker: model.Worker, raw: bytes, acknowledged: bool = True
+) -> worker_client.Report:
     """Decodes the report in a worker's answer.
 
+    Args:
+        worker: The incarnation that was queried.
+        raw: The body of the answer.
+        acknowledged: Whether the query acknowledged recorded ends.
+
     Raises:
         decoding.MalformedBodyError: The answer is not a report.
         worker_client.IncarnationReplacedError: Another incarnation of the
@@ -67,6 +74,7 @@
         ended,
         len(answer.running) - len(running),
         len(answer.ended) - len(ended),
+        acknowledged,
     )
 
 
--- a/laburnumsill/platform/tests/standin.py
+++ b/laburnumsill/platform/tests/standin.py
@@ -95,11 +95,16 @@
 
 
 class ExecutorApp:
-    """Serves one emulated worker as the platform's executor does."""
+    """Serves one emulated worker as the platform's executor does.
+
+    The connections of an incarnation end with it: a request over one of them
+    does not reach the next incarnation.
+    """
 
     def __init__(self, worker: emulated.EmulatedWorker) -> None:
         self.worker = worker
         self.calls: list[str] = []
+        self._connections: dict[tuple, emulated.EmulatedWorker] = {}
 
     async def __call__(self, scope, receive, send) -> None:
         if scope["type"] != "http":
@@ -109,8 +114,11 @@
             body = json.loads(await http.read_body(receive))
         except http.DisconnectedError:
             return
-        self.calls.append(request.path)
         worker = self.worker
+        client = tuple(scope["client"])
+        if self._connections.setdefault(client, worker) is not worker:
+            return  # the connection of an earlier incarnation
+        self.calls.append(request.path)
         status, answer = await self._answer(request, body)
         if worker.is_down:
             return  # a crashed worker does not answer
--- a/laburnumsill/platform/tests/test_reports.py
+++ b/laburnumsill/platform/tests/test_reports.py
@@ -67,6 +67,9 @@
     def __init__(self, status, raw):
         self._response = httpcore.Response(status, content=raw)
 
+    async def pinned(self, *_):
+        return None
+
     async def request(self, *_):
         self._response.read()
         return self._response
--- a/laburnumsill/platform/workers.py
+++ b/laburnumsill/platform/workers.py
@@ -1,4 +1,12 @@
-"""Client that sends orders to the platform's executors over HTTP."""
+"""Client that sends orders to the platform's executors over HTTP.
+
+An executor that restarts under its id answers at the same address, and the
+wire has no field by which a call names one incarnation. The ends that a call
+acknowledges are forgotten by whoever receives it, so ends are acknowledged only
+over a connection on which the incarnation has answered before.
+"""
+
+import contextlib
 
 import httpcore
 import msgspec
@@ -6,6 +14,7 @@
 from laburnumsill.batch import model
 from laburnumsill.batch import worker_client
 from laburnumsill.clients import http_pools
+from laburnumsill.clients import pinned_connections
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import errors
 from laburnumsill.core import logs
@@ -76,17 +85,35 @@
         deadline: float,
     ) -> worker_client.Report:
         """Requests a report; see the base class."""
+        if not worker.name:
+            return await self._report(worker, order, deadline, None)
+        connection = await self._pools.pinned(worker.address, worker.worker_id)
+        with connection or contextlib.nullcontext():
+            report = await self._report(worker, order, deadline, connection)
+        if connection is not None:
+            connection.is_confirmed = True
+        return report
+
+    async def _report(
+        self,
+        worker: model.Worker,
+        order: worker_client.ReportOrder,
+        deadline: float,
+        connection: pinned_connections.PinnedConnection | None,
+    ) -> worker_client.Report:
+        is_known = connection is not None and connection.is_confirmed
+        acknowledges = not worker.name or is_known
         body: dict[str, object] = {
             "fence": order.fence,
-            "ack_cursor": order.last_end,
+            "ack_cursor": order.last_end if acknowledges else 0,
         }
         if order.lease_ms is not None:
             body["deadline_at_ms"] = order.lease_ms
         if order.wait_ms:
             body["wait_ms"] = order.wait_ms
-        raw = await self._call(worker, "/-/hold", body, deadline)
+        raw = await self._call(worker, "/-/hold", body, deadline, connection)
         try:
-            return reports.decode(worker, raw)
+            return reports.decode(worker, raw, acknowledges)
         except decoding.MalformedBodyError as error:
             raise worker_client.NoAnswerError(
                 f"{worker.worker_id} reported {raw[:80]!r}: {error.detail}"
@@ -102,6 +129,7 @@
         path: str,
         body: dict[str, object],
         deadline: float,
+        connection: pinned_connections.PinnedConnection | None = None,
     ) -> bytes:
         """Returns the body of a successful answer, or raises an error."""
         try:
@@ -115,6 +143,7 @@
                 },
                 msgspec.json.encode(body),
                 deadline,
+                connection,
             )
         except http_pools.NoResponseError as error:
             raise worker_client.NoAnswerError(
