platform, batch: reject announcements that lack the clock or the start time

One without the clock was accepted, and one without the start time, under the id of a worker that announces one, was registered as a second worker at the same address, which could be given runs.

Change: the clock is required; a start time, once announced under an id, is required from it.

Tests of announcements, incarnations and roles pass, the new one with both VMs; on the code before it fails.

--- a/laburnumsill/batch/intake.py
+++ b/laburnumsill/batch/intake.py
@@ -62,7 +62,10 @@
 
 
 class ContradictoryAnnouncementError(errors.ConflictError):
-    """A registered worker was announced for a pool that is not configured."""
+    """An announcement that the registered worker cannot have sent.
+
+    It names a pool that is not configured, or lacks the start time.
+    """
 
     slug = "contradictory-announcement"
     title = "The announcement contradicts what is known"
@@ -146,6 +149,7 @@
         registered = ledger.workers.get(worker_id)
         if registered is not None:
             self._check_pool(registered, worker.pool)
+        _check_start_time(ledger, worker)
         self._record_sequence(worker_id, sequence)
         if registered is not None and newest_here is None:
             worker = _cap_capacity(registered, worker)
@@ -250,6 +254,25 @@
         return ledger
 
 
+def _check_start_time(
+    ledger: ledgers.BatchLedger, worker: model.Worker
+) -> None:
+    """Checks that a worker that announces start times does so each time.
+
+    An announcement without one, from another sender, would be taken for
+    another worker at the same address.
+
+    Raises:
+        ContradictoryAnnouncementError: It lacks the start time.
+    """
+    if worker.name:
+        return
+    if any(known.name for known in ledger.workers_named(worker.worker_id)):
+        raise ContradictoryAnnouncementError(
+            f"{worker.worker_id} announces its start time, except here"
+        )
+
+
 def _departing_incarnations(
     ledger: ledgers.BatchLedger, name: str
 ) -> list[str]:
--- a/laburnumsill/batch/tests/test_worker_incarnations.py
+++ b/laburnumsill/batch/tests/test_worker_incarnations.py
@@ -342,3 +342,24 @@
     restored.load(msgspec.msgpack.encode((name, body)))
     assert restored.workers["w@9"].call_name == "w@9"
     assert not restored.runs[run].is_stray
+
+
+@pytest.mark.parametrize("vm", ["vm1", "vm2"])
+def test_an_announcement_without_the_start_time_is_from_another_sender(vm):
+    """It would be taken for a second worker at the same address."""
+
+    async def script(site):
+        await trio.sleep(1.0)
+        known = site.pool.workers["w0-0"].worker
+        named = msgspec.structs.replace(known, worker_id="i-7@9", name="i-7")
+        first = intakes.Announcement(named, 3, 1000)
+        await site.intakes[vm].announce(first)
+        foreign = msgspec.structs.replace(known, worker_id="i-7")
+        with pytest.raises(intakes.ContradictoryAnnouncementError):
+            await site.intakes[vm].announce(
+                intakes.Announcement(foreign, 4, 1000)
+            )
+        assert "i-7" not in site.ledger.workers
+        assert site.ledger.workers["i-7@9"] == named
+
+    play(script)
--- a/laburnumsill/platform/announcements.py
+++ b/laburnumsill/platform/announcements.py
@@ -67,8 +67,7 @@
         body.state == DRAINING,
         worker_id if has_stable_id else "",
     )
-    clock_ms = None if body.clock_ms is msgspec.UNSET else body.clock_ms
-    return intakes.Announcement(worker, body.seq, clock_ms)
+    return intakes.Announcement(worker, body.seq, body.clock_ms)
 
 
 def check_worker_id(worker_id: str) -> None:
--- a/laburnumsill/platform/tests/test_announcements.py
+++ b/laburnumsill/platform/tests/test_announcements.py
@@ -27,7 +27,7 @@
     "clock_ms": 482113,
     "seq": 4,
 }
-REQUIRED = sorted(SOUND.keys() - {"clock_ms"})
+REQUIRED = sorted(SOUND)
 
 WRONG_VALUES = {
     "service": ["", None, 7, ["hutdesk"], "x" * 10_000],
@@ -223,10 +223,8 @@
     for changes in ({}, more, {"labels": []}, {"address": "[::1]:1"}):
         raw = json.dumps({**SOUND, **changes}).encode()
         assert border.put(raw)[0] == 200
-    without_clock = {key: SOUND[key] for key in SOUND if key != "clock_ms"}
-    assert border.put(json.dumps(without_clock).encode())[0] == 200
     clocks = [one.clock_ms for one in border.intake.taken]
-    assert clocks == [482113] * 4 + [None]
+    assert clocks == [482113] * 4
     assert not border.lines
     first, draining = border.intake.taken[:2]
     assert not first.worker.draining and draining.worker.draining
--- a/laburnumsill/platform/wire.py
+++ b/laburnumsill/platform/wire.py
@@ -86,7 +86,7 @@
     seq: Count
     capacity: CapacityBody
     labels: tuple[Name, ...]
-    clock_ms: Count | msgspec.UnsetType = msgspec.UNSET
+    clock_ms: Count
     born: Count | msgspec.UnsetType = msgspec.UNSET  # start time, Unix ms
     remaining_ms: Count = 0  # minimum time left; only while draining
 
