batch: limit the orders in flight, urgent ones first

Ruled out: longer timeouts, which every order to a worker that is cut off would wait for.

Orders to unreachable workers take no slot.

Metric: orders_waiting.

--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -18,6 +18,7 @@
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import ledger_estimates
 from laburnumsill.batch import model
+from laburnumsill.batch import order_slots
 from laburnumsill.batch import orders
 from laburnumsill.batch import plan_log
 from laburnumsill.batch import planner
@@ -153,6 +154,7 @@
             orders.MAX_ORDER_TIMEOUT_S,
             adaptive_timeout.ANSWER_TIME_MULTIPLE,
         )
+        self.order_slots = order_slots.OrderSlots()
         self._context = context
         self._policy = context.policy
         self._estimates = estimates.Estimates(
@@ -504,6 +506,7 @@
         metrics.gauge("runs_live", len(self.ledger.runs))
         metrics.gauge("workers_known", len(self.ledger.workers))
         metrics.gauge("units_waiting", self._plan_log.units_waiting)
+        metrics.gauge("orders_waiting", self.order_slots.waiting)
         metrics.gauge("domains_evacuated", len(self.ledger.evacuated_domains))
 
 
--- a/laburnumsill/batch/orders.py
+++ b/laburnumsill/batch/orders.py
@@ -1,8 +1,11 @@
 """Start and stop orders to one worker, retried until the outcome is known."""
 
+import contextlib
+
 import trio
 
 from laburnumsill.batch import model
+from laburnumsill.batch import packing
 from laburnumsill.batch import worker_client
 from laburnumsill.batch import worker_state
 from laburnumsill.core import errors
@@ -74,7 +77,7 @@
                 reason=reason,
                 for_job=for_job,
             )
-            self._nursery.start_soon(self._stop, run)
+            self._nursery.start_soon(self._stop, run, for_job)
         state.wakeup.set()
 
     def resend_stop(self, run: model.RunId) -> None:
@@ -90,7 +93,7 @@
             worker=state.worker_id,
             reason=stop.reason,
         )
-        self._nursery.start_soon(self._stop, run)
+        self._nursery.start_soon(self._stop, run, "")
 
     def _should_start(self, run: model.RunId) -> bool:
         """Returns whether a start order for a placed run is still due."""
@@ -134,7 +137,9 @@
             try:
                 if may_have_started and state.worker.name:
                     await state.probe()  # the worker may have restarted since
-                if await self._start_once(run):
+                async with self._slot(run):
+                    started = await self._start_once(run)
+                if started:
                     return
             except worker_client.IncarnationReplacedError as error:
                 await state.handle_replacement(error)
@@ -168,9 +173,31 @@
         if run in state.term.ledger.runs_on(state.worker_id):
             self.stop(run, "its start timed out")
 
+    def _slot(
+        self, run: model.RunId, for_job: str = ""
+    ) -> contextlib.AbstractAsyncContextManager[None]:
+        """Returns a slot for an order.
+
+        Orders to an unreachable worker need none: each of them would hold one
+        for a whole timeout.
+
+        Args:
+            run: The run.
+            for_job: The job that needs the run's capacity, or "".
+        """
+        state = self._state
+        if state.unreachable_since is not None:
+            return contextlib.nullcontext()
+        record = state.term.ledger.jobs.get(for_job or run.task.job_id)
+        lowest = packing.URGENT_PRIORITY + 1
+        priority = record.job.terms.priority if record else lowest
+        return state.term.order_slots.slot(priority)
+
     async def _start_once(self, run: model.RunId) -> bool:
         """Sends one start order; returns whether the run has started."""
         state = self._state
+        if not self._should_start(run):
+            return False  # it became obsolete while the order waited
         now = state.term.clock.monotonic()
         lease_ms = state.leases.next_lease_ms(now)
         if state.renewal_suspended:
@@ -221,17 +248,21 @@
         if isinstance(clock_ms, int):
             state.leases.observe_clock(clock_ms, state.term.clock.monotonic())
 
-    async def _stop(self, run: model.RunId) -> None:
+    async def _stop(self, run: model.RunId, for_job: str) -> None:
         """Sends a stop order until the worker acknowledges it."""
         state = self._state
         pause_s = RETRY_PAUSE_S
         while run in state.stops and not state.has_ended(run):
             now = state.term.clock.monotonic()
-            deadline = now + state.term.order_timeout.seconds
             try:
-                answer = await state.term.client.stop(
-                    state.worker, run, state.term.fence, deadline
-                )
+                async with self._slot(run, for_job):
+                    now = state.term.clock.monotonic()
+                    answer = await state.term.client.stop(
+                        state.worker,
+                        run,
+                        state.term.fence,
+                        now + state.term.order_timeout.seconds,
+                    )
             except worker_client.IncarnationGoneError as error:
                 await state.remove(error.detail)
                 return
--- a/laburnumsill/batch/term.py
+++ b/laburnumsill/batch/term.py
@@ -4,6 +4,7 @@
 
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
+from laburnumsill.batch import order_slots
 from laburnumsill.batch import worker_client
 from laburnumsill.batch import worker_health
 from laburnumsill.core import adaptive_timeout
@@ -22,6 +23,7 @@
         health: Observed failures, stalls and run times of workers and tasks.
         longest_lease_ms: The longest lease that workers grant.
         order_timeout: Adaptive timeout of orders.
+        order_slots: Limit of the orders in flight.
     """
 
     ledger: ledgers.BatchLedger
@@ -31,6 +33,7 @@
     health: worker_health.WorkerHealth
     longest_lease_ms: int
     order_timeout: adaptive_timeout.AdaptiveTimeout
+    order_slots: order_slots.OrderSlots
 
     @abc.abstractmethod
     async def commit(self, command: object) -> object:
--- a/laburnumsill/batch/tests/test_session.py
+++ b/laburnumsill/batch/tests/test_session.py
@@ -10,6 +10,7 @@
 from laburnumsill.batch import commands
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
+from laburnumsill.batch import order_slots
 from laburnumsill.batch import orders
 from laburnumsill.batch import session as sessions
 from laburnumsill.batch import term as terms
@@ -76,6 +77,7 @@
         self.health = worker_health.WorkerHealth()
         self.longest_lease_ms = 10_000
         self.order_timeout = adaptive_timeout.AdaptiveTimeout(0.1, 0.5, 4)
+        self.order_slots = order_slots.OrderSlots()
         self.probed_domains = []
         self.verified_workers = []
         self.committed = []
