batch: count the work that runs lose, by cause

Change: batch.lost_work counts accelerator_seconds_lost_total by cause and queue on the leader. Progress saved at the end of a run counts as kept; the time since a worker's last report is not known and counts as lost.

No decision changes.

--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -17,6 +17,7 @@
 from laburnumsill.batch import estimates
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import ledger_estimates
+from laburnumsill.batch import lost_work
 from laburnumsill.batch import model
 from laburnumsill.batch import order_slots
 from laburnumsill.batch import orders
@@ -155,6 +156,7 @@
             adaptive_timeout.ANSWER_TIME_MULTIPLE,
         )
         self.order_slots = order_slots.OrderSlots()
+        self.lost_work = lost_work.LostWork(ledger, context.metrics)
         self._context = context
         self._policy = context.policy
         self._estimates = estimates.Estimates(
--- a/laburnumsill/batch/orders.py
+++ b/laburnumsill/batch/orders.py
@@ -68,7 +68,7 @@
         """
         state = self._state
         if run not in state.stops:
-            state.stops[run] = worker_state.StopOrder(reason)
+            state.stops[run] = worker_state.StopOrder(reason, for_job=for_job)
             logs.decision(
                 "run-stop",
                 job=run.task.job_id,
--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -16,6 +16,7 @@
 import trio
 
 from laburnumsill.batch import commands
+from laburnumsill.batch import lost_work
 from laburnumsill.batch import model
 from laburnumsill.batch import orders
 from laburnumsill.batch import packing
@@ -367,6 +368,8 @@
                 saved=end.saved,
             )
         at_ms = self._term.clock.wall_ms()
+        for end in ends:
+            self._count_lost_work(end, at_ms)
         active = self._term.ledger.active_jobs
         affected = {end.run.task.job_id for end in ends} & active.keys()
         await self._term.commit(
@@ -380,6 +383,13 @@
             self._observe_end(end)
         self._term.request_plan()
 
+    def _count_lost_work(self, end: commands.EndedRun, at_ms: int) -> None:
+        stop = self._state.stops.get(end.run)
+        preempted = stop is not None and bool(stop.for_job)
+        cause = lost_work.cause_of(end.kind, preempted)
+        if cause is not None:
+            self._term.lost_work.count(end.run, cause, end.saved, at_ms)
+
     def _observe_end(self, end: commands.EndedRun) -> None:
         record = self._term.ledger.jobs.get(end.run.task.job_id)
         if record is None or record.task(end.run.task) is None:
--- a/laburnumsill/batch/term.py
+++ b/laburnumsill/batch/term.py
@@ -3,6 +3,7 @@
 import abc
 
 from laburnumsill.batch import ledger as ledgers
+from laburnumsill.batch import lost_work
 from laburnumsill.batch import model
 from laburnumsill.batch import order_slots
 from laburnumsill.batch import worker_client
@@ -24,6 +25,7 @@
         longest_lease_ms: The longest lease that workers grant.
         order_timeout: Adaptive timeout of orders.
         order_slots: Limit of the orders in flight.
+        lost_work: Counts the work of runs that end without being done.
     """
 
     ledger: ledgers.BatchLedger
@@ -34,6 +36,7 @@
     longest_lease_ms: int
     order_timeout: adaptive_timeout.AdaptiveTimeout
     order_slots: order_slots.OrderSlots
+    lost_work: lost_work.LostWork
 
     @abc.abstractmethod
     async def commit(self, command: object) -> object:
--- a/laburnumsill/batch/tests/test_session.py
+++ b/laburnumsill/batch/tests/test_session.py
@@ -9,6 +9,7 @@
 from laburnumsill.batch import caller_commands
 from laburnumsill.batch import commands
 from laburnumsill.batch import ledger as ledgers
+from laburnumsill.batch import lost_work
 from laburnumsill.batch import model
 from laburnumsill.batch import order_slots
 from laburnumsill.batch import orders
@@ -18,6 +19,7 @@
 from laburnumsill.batch import worker_health
 from laburnumsill.core import adaptive_timeout
 from laburnumsill.core import errors
+from laburnumsill.core import metrics as metrics_module
 from laburnumsill.core import trio_clock
 
 RUN = model.RunId(model.TaskId("j", 0, 0, 0), 1)
@@ -78,6 +80,8 @@
         self.longest_lease_ms = 10_000
         self.order_timeout = adaptive_timeout.AdaptiveTimeout(0.1, 0.5, 4)
         self.order_slots = order_slots.OrderSlots()
+        self.metrics = metrics_module.Metrics()
+        self.lost_work = lost_work.LostWork(self.ledger, self.metrics)
         self.probed_domains = []
         self.verified_workers = []
         self.committed = []
--- a/laburnumsill/batch/worker_state.py
+++ b/laburnumsill/batch/worker_state.py
@@ -7,6 +7,7 @@
 
 from laburnumsill.batch import commands
 from laburnumsill.batch import leases as lease_module
+from laburnumsill.batch import lost_work
 from laburnumsill.batch import model
 from laburnumsill.batch import term as terms
 from laburnumsill.batch import worker_client
@@ -31,10 +32,12 @@
         reason: Why the run is stopped, for the log.
         acknowledged_at: Monotonic time at which the worker acknowledged the
             order; None before.
+        for_job: The job that needs the run's capacity, or "".
     """
 
     reason: str
     acknowledged_at: float | None = None
+    for_job: str = ""
 
 
 class WorkerState:
@@ -227,12 +230,17 @@
             runs=len(lost),
             successor=successor,
         )
+        now_ms = self.term.clock.wall_ms()
+        for run in lost:
+            self.term.lost_work.count(
+                run, lost_work.Cause.WORKER_LOST, self.saved(run), now_ms
+            )
         await self.term.commit(
             commands.RemoveWorker(
                 self.worker_id,
                 reason,
                 tuple(self.progress()),
-                self.term.clock.wall_ms(),
+                now_ms,
                 crashed,
                 successor,
                 tuple(run for run in lost if run not in self.ordered),
