batch, daemon: defer preemption until a new leader has heard from its pool

Ruled out: using workers before they announce themselves (their capacity may have shrunk), and a fixed wait (it delays urgent jobs that no other worker can help).

Change: an urgent unit that would need a preemption waits while workers that may still announce themselves have capacity for it by the ledger's account, and while its objective allows it, for the first 3 s of a term; lower priorities of its pool are not placed meanwhile. Switch [scheduling] deferred_preemption, auto where there are urgent and other queues; log lines preemption-deferred and scheduler-parts, metric preemptions_deferred_total. With the mechanism off, or no worker awaited, plans are as before (test).

--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -27,6 +27,7 @@
 from laburnumsill.batch import records
 from laburnumsill.batch import session as sessions
 from laburnumsill.batch import term as terms
+from laburnumsill.batch import unheard_workers
 from laburnumsill.batch import units
 from laburnumsill.batch import worker_client
 from laburnumsill.batch import worker_health
@@ -110,7 +111,7 @@
         metrics: Receives the gauges.
         worker_limits: Time limits that workers guarantee.
         pools: Returns the configured pools.
-        policy: The mechanisms in use.
+        policy: Returns the mechanisms in use.
     """
 
     group: str
@@ -121,7 +122,7 @@
     metrics: metrics_module.Metrics
     worker_limits: WorkerLimits
     pools: abc.Callable[[], abc.Set[str]]
-    policy: policies.Policy = policies.ALL
+    policy: abc.Callable[[], policies.Policy] = lambda: policies.ALL
 
 
 class LeadingTerm(terms.Term):
@@ -158,9 +159,9 @@
         self.order_slots = order_slots.OrderSlots()
         self.lost_work = lost_work.LostWork(ledger, context.metrics)
         self._context = context
-        self._policy = context.policy
+        self._policy = context.policy()
         self._estimates = estimates.Estimates(
-            context.policy, ledger, history, self.health, context.clock
+            self._policy, ledger, history, self.health, context.clock
         )
         self._plan_log = plan_log.PlanLog(ledger, context.clock)
         self._sessions: dict[str, sessions.WorkerSession] = {}
@@ -173,6 +174,11 @@
         self._reserved_racks: dict[model.StepKey, str] = {}
         self._domain_probed_at: dict[str, float] = {}
         self._next_retention_check_ms = 0
+        self._unheard_until = (
+            self.clock.monotonic()
+            + unheard_workers.FIRST_ANNOUNCEMENT_TIMEOUT_S
+        )
+        self._defers_preemption = False
         announced_at = leader_known_at - INHERITED_ANNOUNCEMENT_AGE_S
         self._inherited_announced_at = dict.fromkeys(
             ledger.workers, announced_at
@@ -180,6 +186,7 @@
 
     async def run(self) -> None:
         """Runs until leadership is lost."""
+        _log_policy(self._policy)
         with self._scope:
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
@@ -280,6 +287,7 @@
 
     def _make_plan(self) -> planner.Plan:
         """Returns a plan, after starting the stops of obsolete runs."""
+        self._update_policy()
         self._sync_sessions()
         self._stop_obsolete_runs()
         contested = contested_workers.contested_ids(
@@ -287,16 +295,30 @@
         )
         for worker_id in contested:
             self._sessions[worker_id].verify()
-        return self._plan_with(self._usable_workers(contested))
+        return self._plan_with(
+            self._usable_workers(contested), self._unheard_workers(contested)
+        )
 
     def _seconds_to_next_due(self) -> float:
+        longest_s = HOUSEKEEPING_INTERVAL_S
+        if self._defers_preemption:
+            longest_s = unheard_workers.REPLAN_INTERVAL_S
         now_ms = self.clock.wall_ms()
         due_ms = units.next_due_ms(self.ledger, now_ms)
         if due_ms is None:
-            return HOUSEKEEPING_INTERVAL_S
-        return min(HOUSEKEEPING_INTERVAL_S, (due_ms - now_ms) / 1000 + 0.001)
-
-    def _plan_with(self, usable: abc.Set[str]) -> planner.Plan:
+            return longest_s
+        return min(longest_s, (due_ms - now_ms) / 1000 + 0.001)
+
+    def _update_policy(self) -> None:
+        """Applies a change of the mechanisms in use."""
+        policy = self._context.policy()
+        if policy != self._policy:
+            self._policy = policy
+            _log_policy(policy)
+
+    def _plan_with(
+        self, usable: abc.Set[str], unheard: abc.Set[str]
+    ) -> planner.Plan:
         planner_input = planner.PlannerInput(
             self.ledger,
             usable,
@@ -311,10 +333,17 @@
             self._estimates.headroom(),
             self._estimates.step_ms,
             self._policy,
+            unheard,
         )
         plan = planner.plan(planner_input)
         self._reserved_racks = plan.reserved_racks
+        self._defers_preemption = bool(plan.deferred)
         self._plan_log.log_waiting(plan, len(usable))
+        deferrals = self._plan_log.log_deferred(plan, len(usable), len(unheard))
+        if deferrals:
+            self._context.metrics.count(
+                "preemptions_deferred_total", by=deferrals
+            )
         for run in plan.stops:
             self._stop(run, URGENT_STOP_REASON, plan.preempted_for[run])
         return plan
@@ -388,6 +417,20 @@
             and not self._estimates.is_quarantined(worker_id, now)
         }
 
+    def _unheard_workers(self, contested: abc.Set[str]) -> set[str]:
+        """Returns the workers whose first announcement is still expected."""
+        now = self.clock.monotonic()
+        if now >= self._unheard_until:
+            return set()
+        return {
+            worker_id
+            for worker_id, session in self._sessions.items()
+            if session.unreachable_since is None
+            and worker_id not in contested
+            and not session.announcement_is_fresh
+            and not self.ledger.is_evacuated(session.worker.domain)
+        }
+
     def _stopping(self) -> set[model.RunId]:
         stopping: set[model.RunId] = set()
         for session in self._sessions.values():
@@ -512,6 +555,14 @@
         metrics.gauge("domains_evacuated", len(self.ledger.evacuated_domains))
 
 
+def _log_policy(policy: policies.Policy) -> None:
+    """Logs which of the mechanisms that a site can turn off are in use."""
+    logs.event(
+        "scheduler-parts",
+        deferred_preemption=policy.deferral,
+    )
+
+
 def _is_complete(
     record: records.JobRecord,
     key: model.StepKey,
--- /dev/null
+++ b/laburnumsill/batch/parts.py
@@ -0,0 +1,44 @@
+"""Optional parts of the scheduler, which settings and configuration turn on.
+
+Each part is ``on``, ``off`` or ``auto`` in the settings. ``auto`` turns it on
+where the site's configuration and bounds show the load that the part answers.
+"""
+
+import dataclasses
+from collections import abc
+
+from laburnumsill.batch import packing
+from laburnumsill.batch import policy as policies
+from laburnumsill.config import site
+from laburnumsill.config import switches
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parts:
+    """The switches of the parts; see `batch.policy` for what they do.
+
+    Attributes:
+        deferred_preemption: A new leader waits for workers that make a
+            preemption needless. ``auto``: there are urgent and other queues.
+    """
+
+    deferred_preemption: switches.Switch = switches.Switch.AUTO
+
+    def restrict(
+        self,
+        policy: policies.Policy,
+        queues: abc.Collection[site.Queue],
+    ) -> policies.Policy:
+        """Returns a policy without the mechanisms of parts that are off.
+
+        Args:
+            policy: The mechanisms in use if all parts are on.
+            queues: The configured queues.
+        """
+        priorities = {queue.priority for queue in queues}
+        is_mixed = packing.URGENT_PRIORITY in priorities and len(priorities) > 1
+        deferral = self.deferred_preemption.resolve(is_mixed)
+        return dataclasses.replace(
+            policy,
+            deferral=policy.deferral and deferral,
+        )
--- a/laburnumsill/batch/plan_log.py
+++ b/laburnumsill/batch/plan_log.py
@@ -31,6 +31,7 @@
         self._ledger = ledger
         self._clock = clock
         self._next_line_at: dict[model.StepKey, float] = {}
+        self._deferred: set[model.StepKey] = set()
 
     @property
     def units_waiting(self) -> int:
@@ -81,6 +82,37 @@
                 next_line_at[unit.key] = now + WAITING_LOG_INTERVAL_S
         self._next_line_at = next_line_at
 
+    def log_deferred(
+        self, plan: planner.Plan, usable: int, unheard: int
+    ) -> int:
+        """Logs units whose preemption is deferred; returns how many are new.
+
+        Args:
+            plan: The plan.
+            usable: Number of workers on which runs could be placed.
+            unheard: Number of workers that are still expected to announce
+                themselves.
+        """
+        new = [one for one in plan.deferred if one.key not in self._deferred]
+        for unit in new:
+            logs.decision(
+                "preemption-deferred",
+                job=unit.record.job.job_id,
+                step=unit.step_index,
+                tasks=len(unit.tasks),
+                accelerators=unit.step.needs.accelerators,
+                waited_ms=self._clock.wall_ms() - unit.waiting_since_ms,
+                slack_ms=round(
+                    unit.objective_ms
+                    - unit.critical_path_ms
+                    - self._clock.wall_ms()
+                ),
+                usable=usable,
+                unheard=unheard,
+            )
+        self._deferred = {unit.key for unit in plan.deferred}
+        return len(new)
+
     def _log_unit(self, unit: units.Unit, obstacle: str, usable: int) -> None:
         logs.decision(
             "unit-waits",
--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -23,6 +23,7 @@
 from laburnumsill.batch import policy as policies
 from laburnumsill.batch import preemption
 from laburnumsill.batch import reservations
+from laburnumsill.batch import unheard_workers
 from laburnumsill.batch import units
 from laburnumsill.batch import worker_capacity
 
@@ -72,6 +73,8 @@
         headroom: Accelerators that units with slack leave free for urgent jobs.
         step_ms: Returns the expected run time of a step's tasks, in ms.
         policy: The mechanisms in use.
+        unheard: Ids of the workers that this leader still expects to hear from
+            for the first time.
     """
 
     ledger: ledgers.BatchLedger
@@ -91,6 +94,7 @@
     headroom: int = 0
     step_ms: units.StepMs = units.declared_ms
     policy: policies.Policy = policies.ALL
+    unheard: abc.Set[str] = frozenset()
 
 
 @dataclasses.dataclass(slots=True)
@@ -104,6 +108,7 @@
         reserved_racks: Reserved racks by gang, an input of the next plan.
         obstacles: Why units wait, for the log.
         preempted_for: The preempting job of each run in `stops`, for the log.
+        deferred: Units that wait for workers instead of preempting runs.
     """
 
     groups: list[commands.Group]
@@ -118,6 +123,7 @@
     preempted_for: dict[model.RunId, str] = dataclasses.field(
         default_factory=dict
     )
+    deferred: list[units.Unit] = dataclasses.field(default_factory=list)
 
 
 def plan(planner_input: PlannerInput) -> Plan:
@@ -157,6 +163,8 @@
             planner_input.now_ms,
         )
         self._urgent_demand = headroom.urgent_demand(planner_input.ledger)
+        self._unheard: list[worker_capacity.Candidate] | None = None
+        self._held_pools: set[str] = set()
         self._victims: preemption.Victims | None = None
         self._reservations = 0
         self._reservation_start_ms = 0.0
@@ -189,6 +197,9 @@
 
     def _plan_unit(self, unit: units.Unit) -> None:
         """Places the tasks that fit; preempts or reserves for the others."""
+        if self._is_held(unit):
+            self._plan.waiting.append(unit)
+            return
         candidates = self._candidates.eligible(unit)
         assignment = (
             []
@@ -388,6 +399,8 @@
         if len(soon) == len(unit.tasks):
             self._allocate(unit, soon)
             return
+        if self._defers_preemption(unit, candidates):
+            return
         chosen = preemption.find_preemption(
             unit,
             candidates,
@@ -405,6 +418,45 @@
             self._stop(victim, unit)
         self._allocate(unit, chosen.assignment)
 
+    def _defers_preemption(
+        self, unit: units.Unit, candidates: list[worker_capacity.Candidate]
+    ) -> bool:
+        """Defers the preemption for a unit that fits with unheard workers.
+
+        The capacity of the assignment is allocated, and units of lower
+        priority are not placed in the pool, so that none of them takes it.
+        """
+        if not self._input.unheard or not self._policy.deferral:
+            return False
+        if not unheard_workers.may_defer(
+            unit, self._input.now_ms, self._input.stop_grace_ms
+        ):
+            return False
+        if self._unheard is None:
+            found = worker_capacity.find_candidates(
+                self._ledger,
+                self._input.unheard,
+                self._input.stopping,
+                self._input.slowness,
+            )
+            self._unheard = list(found.values())
+        assignment = unheard_workers.fit_with_unheard(
+            unit, candidates, self._unheard, self._count_runs
+        )
+        if not assignment:
+            return False
+        self._allocate(unit, assignment)
+        self._held_pools.add(unit.record.job.terms.pool)
+        self._plan.deferred.append(unit)
+        return True
+
+    def _is_held(self, unit: units.Unit) -> bool:
+        """Returns whether a unit waits since urgent ones wait for workers."""
+        return (
+            unit.priority != packing.URGENT_PRIORITY
+            and unit.record.job.terms.pool in self._held_pools
+        )
+
     def _needs_fast_workers(
         self,
         unit: units.Unit,
--- a/laburnumsill/batch/policy.py
+++ b/laburnumsill/batch/policy.py
@@ -36,6 +36,8 @@
         pruning: Victims that turn out not to be needed are left out.
         cheapest_slot: Victims are chosen where the next slot costs least.
         asking: Workers are probed before runs are placed on them.
+        deferral: A new leader defers preemption until it has heard from the
+            workers that make it needless.
 
     Examples:
         >>> without(["headroom"]).headroom, without([]) == ALL
@@ -55,6 +57,7 @@
     pruning: bool = True
     cheapest_slot: bool = True
     asking: bool = True
+    deferral: bool = True
 
 
 ALL = Policy()
--- a/laburnumsill/daemon/core_role.py
+++ b/laburnumsill/daemon/core_role.py
@@ -9,6 +9,8 @@
 from laburnumsill.batch import intake
 from laburnumsill.batch import leading
 from laburnumsill.batch import ledger
+from laburnumsill.batch import parts
+from laburnumsill.batch import policy as policies
 from laburnumsill.batch import scheduler
 from laburnumsill.config import site
 from laburnumsill.consensus import host as group_host
@@ -73,6 +75,10 @@
         )
         self._set_desired_voters()
         self._configuration: site.SiteConfiguration | None = None
+        self._chosen_policy = policies.ALL
+        self._policy_basis: tuple[
+            site.SiteConfiguration | None, role_settings.RoleSettings | None
+        ] = (None, None)
         self._scheduler = scheduler.Scheduler(
             leading.SchedulerContext(
                 role.SITE_GROUP,
@@ -86,6 +92,7 @@
                     settings.bounds.stop_grace_ms,
                 ),
                 self._pools,
+                self._policy,
             )
         )
         self._responder = configuration_sharing.ConfigurationResponder(
@@ -196,6 +203,18 @@
         newest = self._newest_configuration()
         return newest.guarantees if newest else {}
 
+    def _policy(self) -> policies.Policy:
+        """Returns the mechanisms that settings and configuration turn on."""
+        newest = self._newest_configuration()
+        basis = (newest, self._settings)
+        if basis != self._policy_basis:
+            scheduling = self._settings.scheduling
+            switches = parts.Parts(scheduling.deferred_preemption)
+            queues = newest.queues if newest else ()
+            self._chosen_policy = switches.restrict(policies.ALL, queues)
+            self._policy_basis = basis
+        return self._chosen_policy
+
     def _pools(self) -> abc.Set[str]:
         """Returns the pools that the newest configuration names."""
         newest = self._newest_configuration()
--- a/laburnumsill/daemon/role_settings.py
+++ b/laburnumsill/daemon/role_settings.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from laburnumsill.config import switches
 from laburnumsill.core import errors
 
 MS = 1000
@@ -59,6 +60,17 @@
     shutdown_ms: Bound = 6_000
 
 
+class Scheduling(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Switches of the scheduler's optional parts; see `batch.parts`.
+
+    Attributes:
+        deferred_preemption: A new leader waits for workers that make a
+            preemption needless.
+    """
+
+    deferred_preemption: switches.Switch = switches.Switch.AUTO
+
+
 class RoleSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Settings of one daemon.
 
@@ -78,6 +90,7 @@
         log_level: A loguru level name.
         listen: The addresses listened on.
         bounds: The guaranteed time limits.
+        scheduling: Switches of the scheduler's optional parts.
     """
 
     name: str
@@ -92,6 +105,7 @@
     log_level: str = "INFO"
     listen: Listen = Listen()
     bounds: Bounds = Bounds()
+    scheduling: Scheduling = Scheduling()
 
     @property
     def seed_vms(self) -> tuple[str, ...]:
--- a/laburnumsill/emulator/site.py
+++ b/laburnumsill/emulator/site.py
@@ -152,10 +152,11 @@
                     self._clock,
                     metrics_module.Metrics(),
                     leading.WorkerLimits(
-                        worker_module.MAX_LEASE_MS, int(1000 * stop_grace_s)
+                        worker_module.MAX_LEASE_MS,
+                        int(1000 * stop_grace_s),
                     ),
                     _named_pools,
-                    policy,
+                    lambda: policy,
                 )
             )
             for vm in ("vm1", "vm2")
@@ -376,10 +377,11 @@
                     worker.sequence += 1
                     if worker.worker != worker.announced:
                         nursery.start_soon(self._announce_change, worker)
-                    self._deliver_heartbeat(worker)
+                    self.deliver_heartbeat(worker)
                 await trio.sleep(HEARTBEAT_S)
 
-    def _deliver_heartbeat(self, worker: worker_module.EmulatedWorker) -> None:
+    def deliver_heartbeat(self, worker: worker_module.EmulatedWorker) -> None:
+        """Delivers a worker's heartbeat to all VMs that are not suspended."""
         for vm, scheduler in self.schedulers.items():
             if not self.groups.is_suspended(vm):
                 scheduler.observe_heartbeat(
