batch: let the tasks of workers that are gone run elsewhere sooner

Change: a report renews leases only while the worker answers; a draining worker gets leases of 3 s; a released run leaves the last report's list, which ends its stop orders.

The tests replay the load with a scripted worker: the expiry stands still while nobody answers, and is at most 3.5 s away while a worker drains.

--- a/laburnumsill/batch/leases.py
+++ b/laburnumsill/batch/leases.py
@@ -14,6 +14,13 @@
 latency of the order."""
 
 
+DRAINING_LEASE_MS = 3_000
+"""Longest lease on a worker that is draining, in ms. It may end at short notice
+without a sign, and its tasks can run elsewhere only when its leases have
+expired. A report renews them every 2 s at the latest, and an order takes 0.5 s
+at most."""
+
+
 class LeaseTracker:
     """The leases on one worker, with an estimate of its clock.
 
@@ -39,6 +46,10 @@
         self._granted_ms = 0
         self._expires_at = now + longest_ms / 1000 / (1 - CLOCK_DRIFT)
 
+    def shorten(self, longest_ms: int) -> None:
+        """Limits the length of leases that are granted from now on, in ms."""
+        self._longest_ms = min(self._longest_ms, longest_ms)
+
     @property
     def clock_known(self) -> bool:
         """Whether a reading of the worker's clock was received."""
--- a/laburnumsill/batch/orders.py
+++ b/laburnumsill/batch/orders.py
@@ -189,8 +189,9 @@
         if state.unreachable_since is not None:
             return contextlib.nullcontext()
         record = state.term.ledger.jobs.get(for_job or run.task.job_id)
-        lowest = packing.URGENT_PRIORITY + 1
-        priority = record.job.terms.priority if record else lowest
+        priority = packing.URGENT_PRIORITY + 1
+        if record is not None:
+            priority = record.job.terms.priority
         return state.term.order_slots.slot(priority)
 
     async def _start_once(self, run: model.RunId) -> bool:
--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -9,6 +9,10 @@
 retried. A run that may or may not have started is stopped, and is released only
 after the worker has acknowledged the stop and a later report does not list the
 run.
+
+A report request renews the leases only while the worker answers: one that is
+lost may have arrived, so it would delay the time from which the tasks of an
+unreachable worker can certainly run elsewhere.
 """
 
 from collections import abc as collections_abc
@@ -135,7 +139,7 @@
 
     def update(self, worker: model.Worker) -> None:
         """Replaces the worker's data after an announcement."""
-        self._state.worker = worker
+        self._state.update(worker)
 
     def verify(self) -> None:
         """Requests a report to check that this incarnation is alive.
@@ -217,9 +221,9 @@
     async def _report_once(self) -> None:
         now = self._term.clock.monotonic()
         last_end = self._term.ledger.last_end(self._state.worker_id)
-        lease_ms = self._state.leases.next_lease_ms(now)
-        if self._state.renewal_suspended:
-            lease_ms = None
+        lease_ms = None
+        if self._state.unreachable_since is None:
+            lease_ms = self._state.leases.next_lease_ms(now)
         wait_ms = self._wait_ms()
         if lease_ms is not None:
             self._state.leases.record_grant(lease_ms)
--- a/laburnumsill/batch/tests/test_leases.py
+++ b/laburnumsill/batch/tests/test_leases.py
@@ -1,4 +1,9 @@
+import msgspec
+import trio
+
 from laburnumsill.batch import leases
+from laburnumsill.batch import worker_client
+from laburnumsill.batch.tests import test_session
 
 
 def test_expiry_is_delayed_while_the_clock_of_a_worker_stands_still():
@@ -12,3 +17,111 @@
     assert (
         tracker.expires_at <= 106.0 + left_s / (1 - leases.CLOCK_DRIFT) + 0.001
     )
+
+
+LONGEST_MS = 10_000
+EXPIRY_MARGIN_S = 0.5
+"""Clock drift, and a report that was on its way."""
+
+
+class RunningClient(test_session.ScriptedClient):
+    """Reports a run for ever, on a clock that runs."""
+
+    async def report(self, worker, order, deadline):
+        self.orders.append(("report", order))
+        await trio.sleep(order.wait_ms / 1000 or 0.01)
+        clock_ms = 1000 + int(1000 * trio.current_time())
+        return worker_client.Report(
+            clock_ms, test_session.running().running, ()
+        )
+
+
+def reports(term):
+    return term.client.given("report")
+
+
+def test_a_report_to_a_worker_that_does_not_answer_renews_no_lease():
+    """Its tasks can run elsewhere once its leases have expired.
+
+    Reports may arrive although they are not answered, so each of them would
+    delay that time.
+    """
+
+    async def script(term):
+        lost = worker_client.NoAnswerError("lost")
+        term.client.reports = [test_session.running(), *[lost] * 20]
+        term.session.start(test_session.RUN)
+        await trio.sleep(0.3)
+        assert term.session.unreachable_since is not None
+        expires_at = term.session.leases_expire_at
+        await trio.sleep(1.5)
+        first, *rest = reports(term)[1:]
+        assert first.lease_ms is not None
+        assert len(rest) > 5
+        assert {order.lease_ms for order in rest} == {None}
+        assert term.session.leases_expire_at == expires_at
+        term.client.reports = [test_session.running()] * 3
+        await trio.sleep(0.5)
+        assert term.session.unreachable_since is None
+        assert reports(term)[-1].lease_ms is not None
+        assert term.session.leases_expire_at > expires_at
+
+    test_session.run_script(script)
+
+
+def test_a_draining_worker_gets_short_leases():
+    """It may end at short notice, without a sign."""
+
+    async def script(term):
+        term.client = RunningClient()
+        term.session.start(test_session.RUN)
+        await trio.sleep(0.1)
+        drained = msgspec.structs.replace(test_session.WORKER, draining=True)
+        before = term.session.leases_expire_at
+        term.session.update(drained)
+        await trio.sleep(LONGEST_MS / 1000)
+        assert term.session.leases_expire_at >= before
+        left_s = term.session.leases_expire_at - trio.current_time()
+        longest_s = leases.DRAINING_LEASE_MS / 1000 + EXPIRY_MARGIN_S
+        assert 0.5 < left_s <= longest_s
+
+    test_session.run_script(script)
+
+
+def test_leases_that_were_granted_before_a_drain_are_waited_for():
+    """A worker does not shorten a lease that it was granted."""
+
+    async def script(term):
+        term.client.reports = [test_session.running()]
+        term.session.start(test_session.RUN)
+        await trio.sleep(0.1)
+        before = term.session.leases_expire_at
+        drained = msgspec.structs.replace(test_session.WORKER, draining=True)
+        term.session.update(drained)
+        gone = worker_client.NoAnswerError("gone")
+        term.client.reports = [gone] * 200
+        await trio.sleep(before - trio.current_time() - 0.2)
+        assert test_session.RUN in term.ledger.runs
+        await trio.sleep(2.5)
+        assert [one.run for one in term.released()] == [test_session.RUN]
+
+    test_session.run_script(script)
+
+
+def test_stop_orders_end_with_the_leases_of_a_worker_that_is_gone():
+    """Guards against stop orders that are repeated for ever."""
+
+    async def script(term):
+        lost = worker_client.NoAnswerError("lost")
+        term.client.reports = [test_session.running(), *[lost] * 500]
+        term.client.stop_answers = [lost] * 500
+        term.session.start(test_session.RUN)
+        await trio.sleep(0.3)
+        term.session.stop(test_session.RUN, "for a test")
+        await trio.sleep(15.0)
+        assert [one.run for one in term.released()] == [test_session.RUN]
+        stops = len(term.client.given("stop"))
+        await trio.sleep(10.0)
+        assert len(term.client.given("stop")) == stops
+
+    test_session.run_script(script)
--- a/laburnumsill/batch/worker_state.py
+++ b/laburnumsill/batch/worker_state.py
@@ -74,9 +74,9 @@
         self, worker: model.Worker, term: terms.Term, announced_at: float
     ) -> None:
         now = term.clock.monotonic()
-        self.worker = worker
         self.term = term
         self.leases = lease_module.LeaseTracker(term.longest_lease_ms, now)
+        self.update(worker)
         self.running: dict[model.RunId, worker_client.RunningRun] = {}
         self.missed_reports: dict[model.RunId, int] = {}
         self.starting: set[model.RunId] = set()
@@ -95,6 +95,12 @@
         """The worker's id."""
         return self.worker.worker_id
 
+    def update(self, worker: model.Worker) -> None:
+        """Replaces the worker's data after an announcement."""
+        self.worker = worker
+        if worker.draining:
+            self.leases.shorten(lease_module.DRAINING_LEASE_MS)
+
     @property
     def renewal_suspended(self) -> bool:
         """Whether the worker has been unreachable for too long to renew."""
@@ -247,6 +253,7 @@
             )
         )
         for run in lost:
+            self.running.pop(run, None)
             self._log_lost(run)
         for job_id in sorted(affected):
             self.term.log_job_end(job_id)
@@ -281,6 +288,7 @@
                 worker=self.worker_id,
                 reason=release.reason,
             )
+            self.running.pop(release.run, None)
             self.missed_reports.pop(release.run, None)
             self.ordered.discard(release.run)
             self.term.health.forget_run(release.run)
