batch, daemon: prefer preempting runs whose progress a stop saves

Cause: the cost of a preemption counted a second of work for each run that saves its progress, although workers save it once more at a stop and lose only the time to restore it.

Change: the time to restore is a bound in the settings, restore_ms, and is what a saving run costs. Switch [scheduling] saved_progress, auto where the bound is given; without it plans are as before (test).

--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -92,10 +92,13 @@
     Attributes:
         longest_lease_ms: The longest lease that they grant.
         stop_grace_ms: Longest time from a stop order to the end of the run.
+        restore_ms: Longest time to restore progress that was saved at a stop;
+            None if workers save none then.
     """
 
     longest_lease_ms: int
     stop_grace_ms: int
+    restore_ms: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -334,6 +337,7 @@
             self._estimates.step_ms,
             self._policy,
             unheard,
+            self._context.worker_limits.restore_ms,
         )
         plan = planner.plan(planner_input)
         self._reserved_racks = plan.reserved_racks
@@ -560,6 +564,7 @@
     logs.event(
         "scheduler-parts",
         deferred_preemption=policy.deferral,
+        saved_progress=policy.saved_at_stop,
     )
 
 
--- a/laburnumsill/batch/parts.py
+++ b/laburnumsill/batch/parts.py
@@ -20,25 +20,33 @@
     Attributes:
         deferred_preemption: A new leader waits for workers that make a
             preemption needless. ``auto``: there are urgent and other queues.
+        saved_progress: Stops that lose no work are preferred. ``auto``: the
+            bounds tell how long a worker takes to restore progress.
     """
 
     deferred_preemption: switches.Switch = switches.Switch.AUTO
+    saved_progress: switches.Switch = switches.Switch.AUTO
 
     def restrict(
         self,
         policy: policies.Policy,
         queues: abc.Collection[site.Queue],
+        restore_ms: int | None,
     ) -> policies.Policy:
         """Returns a policy without the mechanisms of parts that are off.
 
         Args:
             policy: The mechanisms in use if all parts are on.
             queues: The configured queues.
+            restore_ms: Time in which a worker restores saved progress, in ms;
+                None if that is not known.
         """
         priorities = {queue.priority for queue in queues}
         is_mixed = packing.URGENT_PRIORITY in priorities and len(priorities) > 1
         deferral = self.deferred_preemption.resolve(is_mixed)
+        saved = self.saved_progress.resolve(restore_ms is not None)
         return dataclasses.replace(
             policy,
             deferral=policy.deferral and deferral,
+            saved_at_stop=policy.saved_at_stop and saved,
         )
--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -75,6 +75,8 @@
         policy: The mechanisms in use.
         unheard: Ids of the workers that this leader still expects to hear from
             for the first time.
+        restore_ms: Time in which a worker restores progress that was saved at
+            a stop, in ms; None if workers save none then.
     """
 
     ledger: ledgers.BatchLedger
@@ -95,6 +97,7 @@
     step_ms: units.StepMs = units.declared_ms
     policy: policies.Policy = policies.ALL
     unheard: abc.Set[str] = frozenset()
+    restore_ms: int | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -481,6 +484,9 @@
                     packing.URGENT_PRIORITY,
                     self._input.stopping,
                     self._input.now_ms,
+                    self._input.restore_ms
+                    if self._policy.saved_at_stop
+                    else None,
                 )
             )
         return self._victims
--- a/laburnumsill/batch/policy.py
+++ b/laburnumsill/batch/policy.py
@@ -38,6 +38,8 @@
         asking: Workers are probed before runs are placed on them.
         deferral: A new leader defers preemption until it has heard from the
             workers that make it needless.
+        saved_at_stop: The cost of a preemption counts progress that is saved
+            at the stop.
 
     Examples:
         >>> without(["headroom"]).headroom, without([]) == ALL
@@ -58,6 +60,7 @@
     cheapest_slot: bool = True
     asking: bool = True
     deferral: bool = True
+    saved_at_stop: bool = True
 
 
 ALL = Policy()
--- a/laburnumsill/batch/preemption.py
+++ b/laburnumsill/batch/preemption.py
@@ -18,8 +18,8 @@
 from laburnumsill.batch import worker_capacity
 
 MAX_UNSAVED_WORK_S = 1.0
-"""Work that a run of a step with saved progress loses at most, in seconds: the
-users' workers save progress once a second."""
+"""Work that a run with saved progress loses at most, in seconds, where
+workers save it at intervals only: the users' workers do so once a second."""
 
 PREEMPTION_COST_CORE_S = 20.0
 """Cost of any preemption besides the lost work, in core-seconds: another start,
@@ -93,8 +93,19 @@
     priority: int,
     stopping: abc.Set[model.RunId],
     now_ms: int,
+    restore_ms: int | None = None,
 ) -> list[Victim]:
-    """Returns the victims for a unit of a priority: runs of lower priority."""
+    """Returns the victims for a unit of a priority: runs of lower priority.
+
+    Args:
+        ledger: The jobs and their live runs.
+        priority: Priority of the unit.
+        stopping: Runs that were ordered to stop already.
+        now_ms: Wall time, ms since 1970.
+        restore_ms: Time in which a worker restores progress that was saved at
+            a stop, in ms; None if workers save none then.
+    """
+    restore_s = MAX_UNSAVED_WORK_S if restore_ms is None else restore_ms / 1000
     below: list[Victim] = []
     for key, runs in ledger.runs_by_step.items():
         job = ledger.jobs[key[0]].job
@@ -103,9 +114,11 @@
         step = job.steps[key[2]]
         left = [run for run in runs.values() if run.run not in stopping]
         if not step.gang:
-            below += [_make_victim(step, (run,), now_ms) for run in left]
+            below += [
+                _make_victim(step, (run,), now_ms, restore_s) for run in left
+            ]
         elif left:
-            below.append(_make_victim(step, left, now_ms))
+            below.append(_make_victim(step, left, now_ms, restore_s))
     return below
 
 
@@ -313,17 +326,21 @@
 
 
 def _make_victim(
-    step: model.Step, runs: abc.Sequence[records.RunRecord], now_ms: int
+    step: model.Step,
+    runs: abc.Sequence[records.RunRecord],
+    now_ms: int,
+    restore_s: float,
 ) -> Victim:
-    """Returns the victim that consists of some runs of one step."""
+    """Returns the victim that consists of some runs of one step.
+
+    A run that saves its progress loses `restore_s` of work at most.
+    """
     freed: dict[str, model.Resources] = {}
     lost_s = 0.0
     for run in runs:
         before = freed.get(run.worker_id)
         freed[run.worker_id] = before + step.needs if before else step.needs
         ran_s = max(0.0, (now_ms - run.placed_ms) / 1000)
-        lost_s += (
-            min(ran_s, MAX_UNSAVED_WORK_S) if step.saves_progress else ran_s
-        )
+        lost_s += min(ran_s, restore_s) if step.saves_progress else ran_s
     cost = PREEMPTION_COST_CORE_S + lost_s * model.core_equivalents(step.needs)
     return Victim(tuple(run.run for run in runs), cost, freed)
--- a/laburnumsill/daemon/core_role.py
+++ b/laburnumsill/daemon/core_role.py
@@ -90,6 +90,7 @@
                 leading.WorkerLimits(
                     settings.bounds.longest_lease_ms,
                     settings.bounds.stop_grace_ms,
+                    settings.bounds.restore_ms,
                 ),
                 self._pools,
                 self._policy,
@@ -209,9 +210,15 @@
         basis = (newest, self._settings)
         if basis != self._policy_basis:
             scheduling = self._settings.scheduling
-            switches = parts.Parts(scheduling.deferred_preemption)
+            switches = parts.Parts(
+                scheduling.deferred_preemption,
+                scheduling.saved_progress,
+            )
             queues = newest.queues if newest else ()
-            self._chosen_policy = switches.restrict(policies.ALL, queues)
+            restore_ms = self._settings.bounds.restore_ms
+            self._chosen_policy = switches.restrict(
+                policies.ALL, queues, restore_ms
+            )
             self._policy_basis = basis
         return self._chosen_policy
 
--- a/laburnumsill/daemon/role_settings.py
+++ b/laburnumsill/daemon/role_settings.py
@@ -52,12 +52,15 @@
         stop_grace_ms: Time within which a worker ends a run after a stop order.
         key_revoked_ms: Time within which a revoked key must stop working.
         shutdown_ms: Time between SIGTERM and SIGKILL.
+        restore_ms: Time in which a worker restores saved progress; None where
+            workers save no progress at a stop.
     """
 
     longest_lease_ms: Bound = 10_000
     stop_grace_ms: Bound = 1_000
     key_revoked_ms: Bound = 5_000
     shutdown_ms: Bound = 6_000
+    restore_ms: Bound | None = None
 
 
 class Scheduling(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -66,9 +69,11 @@
     Attributes:
         deferred_preemption: A new leader waits for workers that make a
             preemption needless.
+        saved_progress: Stops that lose no work are preferred.
     """
 
     deferred_preemption: switches.Switch = switches.Switch.AUTO
+    saved_progress: switches.Switch = switches.Switch.AUTO
 
 
 class RoleSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/laburnumsill/daemon/tests/test_role_settings.py
+++ b/laburnumsill/daemon/tests/test_role_settings.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from laburnumsill.config import switches
 from laburnumsill.core import errors
 from laburnumsill.daemon import role_main
 from laburnumsill.daemon import role_settings
@@ -36,6 +37,16 @@
     assert loaded.peer_address("10.2.0.38") == "10.2.0.38:7000"
     assert loaded.bounds.longest_lease_ms == 9000
     assert loaded.bounds.key_revoked_ms == 5000
+    assert loaded.bounds.restore_ms is None
+    assert loaded.scheduling.saved_progress is switches.Switch.AUTO
+
+
+def test_switches_of_the_scheduler_are_read(tmp_path):
+    text = GOOD + 'restore_ms = 0\n[scheduling]\nsaved_progress = "off"\n'
+    loaded = load(tmp_path, text)
+    assert loaded.scheduling.saved_progress is switches.Switch.OFF
+    assert loaded.scheduling.deferred_preemption is switches.Switch.AUTO
+    assert loaded.bounds.restore_ms == 0
 
 
 @pytest.mark.parametrize(
@@ -46,6 +57,10 @@
         (GOOD.replace("founding", "foundign"), "foundign"),
         (GOOD.replace("[listen]", "[listen"), "settings.toml"),
         (GOOD + "unknown_ms = 5\n", "unknown_ms"),
+        (GOOD + "restore_ms = -1\n", "restore_ms"),
+        (GOOD + "[scheduling]\nsaved_progress = true\n", "saved_progress"),
+        (GOOD + '[scheduling]\nsaved_progress = "On"\n', "saved_progress"),
+        (GOOD + '[scheduling]\nsaved = "on"\n', "saved"),
     ],
 )
 def test_error_names_the_invalid_key_or_the_file(tmp_path, text, named):
--- a/laburnumsill/emulator/days.py
+++ b/laburnumsill/emulator/days.py
@@ -95,6 +95,7 @@
         worker_module.Checkpointing(shape.checkpoint_s, shape.restore_s),
         day.policy,
         random_names=True,
+        restore_ms=int(1000 * shape.restore_s),
     )
     async with trio.open_nursery() as nursery:
         await nursery.start(site.run)
--- a/laburnumsill/emulator/site.py
+++ b/laburnumsill/emulator/site.py
@@ -75,6 +75,8 @@
         checkpointing: Timing of the checkpoints of tasks.
         policy: The enabled mechanisms of the planner.
         random_names: Whether the names of workers do not tell their racks.
+        restore_ms: Time in which a worker restores saved progress, as the
+            schedulers know it; None if they do not.
 
     Attributes:
         oracle: Records and checks the events on the workers.
@@ -109,6 +111,7 @@
         ),
         policy: policies.Policy = policies.ALL,
         random_names: bool = False,
+        restore_ms: int | None = None,
     ) -> None:
         self._seed = seed
         self._random_names = random_names
@@ -154,6 +157,7 @@
                     leading.WorkerLimits(
                         worker_module.MAX_LEASE_MS,
                         int(1000 * stop_grace_s),
+                        restore_ms,
                     ),
                     _named_pools,
                     lambda: policy,
