batch, platform: stop urgent runs before their worker leaves

Ruled out: taking a closed connection for the worker's end (a cut closes them, too), and stopping all runs at the notice (it loses background work that most drains would let end).

Change: the time that a draining worker says it stays travels with its announcements to the leader. Urgent runs that are expected to take longer are stopped at once, gangs as a whole; runs that save progress at the last moment at which a stop takes effect; others go on. Switch [scheduling] leaving_workers, auto where there is an urgent queue. The soak's draining workers announce the time they stay.

--- a/laburnumsill/batch/estimates.py
+++ b/laburnumsill/batch/estimates.py
@@ -66,6 +66,16 @@
             return False
         return self._health.is_quarantined(worker_id, now)
 
+    def run_ms(self, task: model.TaskId, worker_id: str) -> float:
+        """Returns the expected run time of a task on a worker, in ms.
+
+        Args:
+            task: A task of a job in the ledger.
+            worker_id: The worker.
+        """
+        job = self._ledger.jobs[task.job_id].job
+        return self.slowness(worker_id) * self.step_ms(job, task.step)
+
     def slowness(self, worker_id: str) -> float:
         """Returns the run time on a worker relative to other workers.
 
--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -15,6 +15,7 @@
 from laburnumsill.batch import commands
 from laburnumsill.batch import contested_workers
 from laburnumsill.batch import estimates
+from laburnumsill.batch import leaving_workers
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import ledger_estimates
 from laburnumsill.batch import lost_work
@@ -74,6 +75,9 @@
 URGENT_STOP_REASON = "an urgent job needs the room"
 """Logged reason of the stops that a plan demands."""
 
+LEAVING_STOP_REASON = "its worker leaves before it can end"
+"""Logged reason of the stops of runs on workers that are about to leave."""
+
 RETENTION_CHECK_INTERVAL_S = 30
 """Interval of the deletion of expired records of jobs, in s."""
 
@@ -234,11 +238,13 @@
             ):
                 self._nursery.start_soon(session.probe_if_idle)
 
-    def observe_heartbeat(self, worker_id: str, clock_ms: int | None) -> None:
+    def observe_heartbeat(
+        self, worker_id: str, clock_ms: int | None, remaining_ms: int | None
+    ) -> None:
         """Passes a heartbeat to the worker's session."""
         session = self._sessions.get(worker_id)
         if session is not None:
-            session.observe_heartbeat(clock_ms)
+            session.observe_heartbeat(clock_ms, remaining_ms)
 
     async def end_other_incarnations(self, worker: model.Worker) -> None:
         """Ends sessions of replaced workers, see the base class."""
@@ -293,6 +299,7 @@
         self._update_policy()
         self._sync_sessions()
         self._stop_obsolete_runs()
+        self._stop_runs_of_leaving_workers()
         contested = contested_workers.contested_ids(
             self.ledger.workers.values(), self._context.pools()
         )
@@ -457,6 +464,26 @@
         for run, reason in obsolete:
             self._stop(run, reason)
 
+    def _stop_runs_of_leaving_workers(self) -> None:
+        """Stops runs that would be lost with a worker that is to leave."""
+        if not self._policy.leaving_workers:
+            return
+        now = self.clock.monotonic()
+        worker_left_ms = {
+            worker_id: 1000 * (session.leaves_at - now)
+            for worker_id, session in self._sessions.items()
+            if session.leaves_at is not None
+            and session.unreachable_since is None
+        }
+        for run in leaving_workers.runs_to_stop(
+            self.ledger,
+            worker_left_ms,
+            self._estimates.run_ms,
+            self.clock.wall_ms(),
+            self._context.worker_limits.stop_grace_ms,
+        ):
+            self._stop(run, LEAVING_STOP_REASON)
+
     def _obsolete_runs(
         self, key: model.StepKey, runs: abc.Iterable[model.RunId]
     ) -> abc.Iterator[tuple[model.RunId, str]]:
@@ -565,6 +592,7 @@
         "scheduler-parts",
         deferred_preemption=policy.deferral,
         saved_progress=policy.saved_at_stop,
+        leaving_workers=policy.leaving_workers,
     )
 
 
--- a/laburnumsill/batch/parts.py
+++ b/laburnumsill/batch/parts.py
@@ -20,12 +20,15 @@
     Attributes:
         deferred_preemption: A new leader waits for workers that make a
             preemption needless. ``auto``: there are urgent and other queues.
+        leaving_workers: Runs that would be lost with a worker that is about to
+            leave are stopped before. ``auto``: there is an urgent queue.
         saved_progress: Stops that lose no work are preferred. ``auto``: the
             bounds tell how long a worker takes to restore progress.
     """
 
     deferred_preemption: switches.Switch = switches.Switch.AUTO
     saved_progress: switches.Switch = switches.Switch.AUTO
+    leaving_workers: switches.Switch = switches.Switch.AUTO
 
     def restrict(
         self,
@@ -42,11 +45,14 @@
                 None if that is not known.
         """
         priorities = {queue.priority for queue in queues}
-        is_mixed = packing.URGENT_PRIORITY in priorities and len(priorities) > 1
+        has_urgent = packing.URGENT_PRIORITY in priorities
+        is_mixed = has_urgent and len(priorities) > 1
         deferral = self.deferred_preemption.resolve(is_mixed)
         saved = self.saved_progress.resolve(restore_ms is not None)
+        leaving = self.leaving_workers.resolve(has_urgent)
         return dataclasses.replace(
             policy,
             deferral=policy.deferral and deferral,
             saved_at_stop=policy.saved_at_stop and saved,
+            leaving_workers=policy.leaving_workers and leaving,
         )
--- a/laburnumsill/batch/policy.py
+++ b/laburnumsill/batch/policy.py
@@ -38,6 +38,8 @@
         asking: Workers are probed before runs are placed on them.
         deferral: A new leader defers preemption until it has heard from the
             workers that make it needless.
+        leaving_workers: Runs that would be lost with a worker that is about to
+            leave are stopped before.
         saved_at_stop: The cost of a preemption counts progress that is saved
             at the stop.
 
@@ -61,6 +63,7 @@
     asking: bool = True
     deferral: bool = True
     saved_at_stop: bool = True
+    leaving_workers: bool = True
 
 
 ALL = Policy()
--- a/laburnumsill/batch/scheduler.py
+++ b/laburnumsill/batch/scheduler.py
@@ -45,15 +45,22 @@
                 )
             await trio.sleep(leading.LEADERSHIP_POLL_S)
 
-    def observe_heartbeat(self, worker_id: str, clock_ms: int | None) -> None:
+    def observe_heartbeat(
+        self,
+        worker_id: str,
+        clock_ms: int | None,
+        remaining_ms: int | None = None,
+    ) -> None:
         """Passes a heartbeat to the term, if this VM leads.
 
         Args:
             worker_id: The worker's id.
             clock_ms: The worker's clock when it sent the heartbeat, or None.
+            remaining_ms: Time for which a draining worker certainly stays, in
+                ms, or None.
         """
         if self._term is not None:
-            self._term.observe_heartbeat(worker_id, clock_ms)
+            self._term.observe_heartbeat(worker_id, clock_ms, remaining_ms)
 
     def observe_machine(self, machine: replication.StateMachine) -> None:
         """Observes all commands that a replica's state machine applies.
--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -133,9 +133,22 @@
         """Returns the last reported progress of the worker's live runs."""
         return self._state.progress()
 
-    def observe_heartbeat(self, clock_ms: int | None) -> None:
-        """Records a heartbeat and the worker's clock when it was sent."""
-        self._state.observe_heartbeat(clock_ms)
+    @property
+    def leaves_at(self) -> float | None:
+        """Monotonic time from which a draining worker may leave, or None."""
+        return self._state.leaves_at
+
+    def observe_heartbeat(
+        self, clock_ms: int | None, remaining_ms: int | None = None
+    ) -> None:
+        """Records a heartbeat.
+
+        Args:
+            clock_ms: The worker's clock when it was sent, or None.
+            remaining_ms: Time for which the worker certainly stays, in ms;
+                None if it does not drain.
+        """
+        self._state.observe_heartbeat(clock_ms, remaining_ms)
 
     def update(self, worker: model.Worker) -> None:
         """Replaces the worker's data after an announcement."""
--- a/laburnumsill/batch/tests/test_parts.py
+++ b/laburnumsill/batch/tests/test_parts.py
@@ -28,21 +28,18 @@
 
 
 def in_use(policy):
-    return (
-        policy.deferral,
-        policy.saved_at_stop,
-    )
+    return policy.deferral, policy.saved_at_stop, policy.leaving_workers
 
 
 @pytest.mark.parametrize(
     "queues, restore_ms, expected",
     [
-        (MIXED, 100, (True, True)),
-        (MIXED, 0, (True, True)),
-        (MIXED, None, (True, False)),
-        ((queue(0, 3.0),), 100, (False, True)),
-        ((queue(1, 3.0), queue(2)), 100, (False, True)),
-        ((), None, (False, False)),
+        (MIXED, 100, (True, True, True)),
+        (MIXED, 0, (True, True, True)),
+        (MIXED, None, (True, False, True)),
+        ((queue(0, 3.0),), 100, (False, True, True)),
+        ((queue(1, 3.0), queue(2)), 100, (False, True, False)),
+        ((), None, (False, False, False)),
     ],
     ids=[
         "mixed",
@@ -61,14 +58,14 @@
 @pytest.mark.parametrize("queues", [MIXED, ()])
 @pytest.mark.parametrize("restore_ms", [100, None])
 def test_on_and_off_hold_whatever_the_configuration(queues, restore_ms):
-    on = parts.Parts(ON, ON).restrict(policies.ALL, queues, restore_ms)
-    off = parts.Parts(OFF, OFF).restrict(policies.ALL, queues, restore_ms)
+    on = parts.Parts(ON, ON, ON).restrict(policies.ALL, queues, restore_ms)
+    off = parts.Parts(OFF, OFF, OFF).restrict(policies.ALL, queues, restore_ms)
     assert on == policies.ALL
-    assert in_use(off) == (False, False)
+    assert in_use(off) == (False, False, False)
 
 
 def test_a_mechanism_that_the_policy_leaves_out_stays_out():
     policy = policies.without(["deferral", "headroom"])
-    chosen = parts.Parts(ON, ON).restrict(policy, MIXED, 100)
+    chosen = parts.Parts(ON, ON, ON).restrict(policy, MIXED, 100)
     assert not chosen.deferral and not chosen.headroom
     assert chosen.saved_at_stop
--- a/laburnumsill/batch/worker_state.py
+++ b/laburnumsill/batch/worker_state.py
@@ -68,6 +68,8 @@
             last answer; None while calls succeed.
         start_backoff_until: Monotonic time before which no run is placed on
             the worker.
+        leaves_at: Monotonic time from which a draining worker may leave; None
+            if it does not drain.
     """
 
     def __init__(
@@ -89,6 +91,7 @@
         self.answered_at = -math.inf
         self.unreachable_since: float | None = None
         self.start_backoff_until = now
+        self.leaves_at: float | None = None
 
     @property
     def worker_id(self) -> str:
@@ -127,11 +130,17 @@
             if run in self.term.ledger.runs_on(self.worker_id)
         ]
 
-    def observe_heartbeat(self, clock_ms: int | None) -> None:
-        """Records a heartbeat and the worker's clock when it was sent."""
+    def observe_heartbeat(
+        self, clock_ms: int | None, remaining_ms: int | None
+    ) -> None:
+        """Records a heartbeat; see `session.WorkerSession`."""
         if not self.announcement_is_fresh:
             self.term.request_plan()
         self.announced_at = self.term.clock.monotonic()
+        if remaining_ms is not None:
+            if self.leaves_at is None:
+                self.term.request_plan()
+            self.leaves_at = self.announced_at + remaining_ms / 1000
         self._record_contact(clock_ms)
 
     def _record_contact(self, clock_ms: int | None) -> None:
--- a/laburnumsill/daemon/core_role.py
+++ b/laburnumsill/daemon/core_role.py
@@ -213,6 +213,7 @@
             switches = parts.Parts(
                 scheduling.deferred_preemption,
                 scheduling.saved_progress,
+                scheduling.leaving_workers,
             )
             queues = newest.queues if newest else ()
             restore_ms = self._settings.bounds.restore_ms
--- a/laburnumsill/daemon/role_settings.py
+++ b/laburnumsill/daemon/role_settings.py
@@ -70,10 +70,13 @@
         deferred_preemption: A new leader waits for workers that make a
             preemption needless.
         saved_progress: Stops that lose no work are preferred.
+        leaving_workers: Runs that would be lost with a worker that is about to
+            leave are stopped before.
     """
 
     deferred_preemption: switches.Switch = switches.Switch.AUTO
     saved_progress: switches.Switch = switches.Switch.AUTO
+    leaving_workers: switches.Switch = switches.Switch.AUTO
 
 
 class RoleSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/laburnumsill/platform/announcements.py
+++ b/laburnumsill/platform/announcements.py
@@ -67,7 +67,10 @@
         body.state == DRAINING,
         worker_id if has_stable_id else "",
     )
-    return intakes.Announcement(worker, body.seq, body.clock_ms)
+    remaining_ms = None
+    if worker.draining and body.remaining_ms is not msgspec.UNSET:
+        remaining_ms = body.remaining_ms
+    return intakes.Announcement(worker, body.seq, body.clock_ms, remaining_ms)
 
 
 def check_worker_id(worker_id: str) -> None:
--- a/laburnumsill/platform/tests/soak/site.py
+++ b/laburnumsill/platform/tests/soak/site.py
@@ -71,11 +71,20 @@
         app: Serves the current incarnation.
         state: The state on the wire.
         sequence: Sequence number of the last announcement.
+        leaves_at: Time until which a draining worker certainly stays.
     """
 
     app: standin.ExecutorApp
     state: str = "ready"
     sequence: int = 0
+    leaves_at: float = 0.0
+
+    def remaining(self) -> dict[str, int]:
+        """Returns the remaining time that a draining worker announces."""
+        if self.state == "ready":
+            return {}
+        left_s = max(0.0, self.leaves_at - trio.current_time())
+        return {"remaining_ms": int(1000 * left_s)}
 
 
 class SoakSite:
@@ -345,7 +354,10 @@
             announcer.sequence += 1
             path = f"/-/instances/{standin.wire_id(worker)}"
             body = standin.heartbeat(
-                worker, announcer.sequence, state=announcer.state
+                worker,
+                announcer.sequence,
+                state=announcer.state,
+                **announcer.remaining(),
             )
             for offset in range(len(self.core)):
                 vm = self.core[(first + offset) % len(self.core)]
--- a/laburnumsill/platform/tests/soak/troubles.py
+++ b/laburnumsill/platform/tests/soak/troubles.py
@@ -364,7 +364,9 @@
 
     async def _play(self) -> None:
         name = self._random.choice(sorted(self._site.announcers))
-        self._site.announcers[name].state = "draining"
+        announcer = self._site.announcers[name]
+        announcer.leaves_at = trio.current_time() + DRAIN_S
+        announcer.state = "draining"
         await trio.sleep(DRAIN_S)
         self._site.replace_worker(name)
 
--- a/laburnumsill/platform/tests/test_announcements.py
+++ b/laburnumsill/platform/tests/test_announcements.py
@@ -226,6 +226,8 @@
     clocks = [one.clock_ms for one in border.intake.taken]
     assert clocks == [482113] * 4
     assert not border.lines
+    left = [one.remaining_ms for one in border.intake.taken]
+    assert left == [None, 4000, None, None]
     first, draining = border.intake.taken[:2]
     assert not first.worker.draining and draining.worker.draining
     assert first.worker.rack == "r1-3" and first.sequence == 4
--- a/laburnumsill/platform/wire.py
+++ b/laburnumsill/platform/wire.py
@@ -88,7 +88,8 @@
     labels: tuple[Name, ...]
     clock_ms: Count
     born: Count | msgspec.UnsetType = msgspec.UNSET  # start time, Unix ms
-    remaining_ms: Count = 0  # minimum time left; only while draining
+    # Minimum time left; only while draining.
+    remaining_ms: Count | msgspec.UnsetType = msgspec.UNSET
 
 
 class RouteBody(msgspec.Struct):
