--- a/laburnumsill/batch/tests/test_leaving_workers.py
+++ b/laburnumsill/batch/tests/test_leaving_workers.py
@@ -1,6 +1,5 @@
 """Workers that are reclaimed at a notice of seconds, under urgent gangs."""
 
-import msgspec
 import pytest
 import trio
 
@@ -9,6 +8,7 @@
 from laburnumsill.batch import policy as policies
 from laburnumsill.batch.tests import planned_site
 from laburnumsill.emulator import site as sites
+from laburnumsill.emulator import troubles
 from laburnumsill.emulator import virtual_time
 
 GRACE_MS = 400
@@ -92,21 +92,6 @@
     return model.Job(job_id, "urgent", "a", "", (one,), terms)
 
 
-async def reclaim(site, worker):
-    """Gives a worker its notice; it ends without a sign."""
-    worker.worker = msgspec.structs.replace(worker.worker, draining=True)
-    for scheduler in site.schedulers.values():
-        scheduler.observe_heartbeat(
-            worker.worker.worker_id, worker.clock_ms, int(1000 * NOTICE_S)
-        )
-    worker.sequence += 1
-    site.announce(worker.worker, worker.sequence)
-    await trio.sleep(NOTICE_S)
-    site.client.cut.add(worker.worker.worker_id)
-    site.silent.add(worker.worker.worker_id)
-    worker.vanish()
-
-
 def play(policy, seed):
     """Returns the time to the end of each urgent job, in s."""
 
@@ -120,7 +105,9 @@
             await trio.sleep(NOTICE_AFTER_S)
             busy = [w for w in site.pool.workers.values() if w.running]
             for worker in busy[:LEAVING]:
-                nursery.start_soon(reclaim, site, worker)
+                nursery.start_soon(
+                    troubles.reclaim_worker, site, worker, NOTICE_S
+                )
             await trio.sleep(25.0)
             site.look()
             nursery.cancel_scope.cancel()
--- a/laburnumsill/emulator/site.py
+++ b/laburnumsill/emulator/site.py
@@ -384,12 +384,21 @@
                     self.deliver_heartbeat(worker)
                 await trio.sleep(HEARTBEAT_S)
 
-    def deliver_heartbeat(self, worker: worker_module.EmulatedWorker) -> None:
-        """Delivers a worker's heartbeat to all VMs that are not suspended."""
+    def deliver_heartbeat(
+        self,
+        worker: worker_module.EmulatedWorker,
+        remaining_ms: int | None = None,
+    ) -> None:
+        """Delivers a worker's heartbeat to all VMs that are not suspended.
+
+        Args:
+            worker: The worker.
+            remaining_ms: Time for which it certainly stays if it drains.
+        """
         for vm, scheduler in self.schedulers.items():
             if not self.groups.is_suspended(vm):
                 scheduler.observe_heartbeat(
-                    worker.worker.worker_id, worker.clock_ms
+                    worker.worker.worker_id, worker.clock_ms, remaining_ms
                 )
 
     async def _announce_change(
--- a/laburnumsill/emulator/troubles.py
+++ b/laburnumsill/emulator/troubles.py
@@ -3,6 +3,7 @@
 import random
 from collections import abc
 
+import msgspec
 import trio
 
 from laburnumsill.batch import model
@@ -14,6 +15,12 @@
 MAX_WITHOUT_LEADER_S = 3.0
 MAX_EVACUATION_S = 12.0
 
+RECLAIM_NOTICE_S = 2.0
+"""Time between the notice of a reclaimed worker and its end."""
+
+REPLACEMENT_DELAY_S = 4.0
+"""Time between the end of a reclaimed worker and the start of another one."""
+
 LOST_SHARE = 0.3
 """Share of the orders that are executed but whose answer is lost."""
 
@@ -124,6 +131,41 @@
     await _sleep_while_active(rng)
 
 
+async def reclaim_worker(
+    site: sites.EmulatedSite,
+    worker: worker_module.EmulatedWorker,
+    notice_s: float,
+) -> None:
+    """Gives a worker its notice; it ends without a sign.
+
+    Args:
+        site: The site.
+        worker: The worker.
+        notice_s: Time between the notice and its end.
+    """
+    worker.worker = msgspec.structs.replace(worker.worker, draining=True)
+    worker_id = worker.worker.worker_id
+    worker.sequence += 1
+    site.announce(worker.worker, worker.sequence)
+    site.deliver_heartbeat(worker, int(1000 * notice_s))
+    await trio.sleep(notice_s)
+    site.client.gone.add(worker_id)
+    site.silent.add(worker_id)
+    worker.vanish()
+
+
+async def _reclaim(site: sites.EmulatedSite, rng: random.Random) -> None:
+    """Reclaims two workers; others replace them."""
+    chosen = [one for one in _some_workers(site, rng) if not one.gone]
+    async with trio.open_nursery() as nursery:
+        for worker in chosen:
+            nursery.start_soon(reclaim_worker, site, worker, RECLAIM_NOTICE_S)
+    await trio.sleep(REPLACEMENT_DELAY_S)
+    for worker in chosen:
+        known = worker.worker
+        site.add_worker(f"{known.worker_id}y", int(known.rack[1:]))
+
+
 async def _shrink(site: sites.EmulatedSite, rng: random.Random) -> None:
     """Reduces the capacity of two workers for a while, possibly to zero."""
     chosen = _some_workers(site, rng)
@@ -173,11 +215,13 @@
     "suspend": _suspend,
     "restart": _restart,
     "evacuate": _evacuate,
+    "reclaim": _reclaim,
 }
 """The faults by name: the leader is lost; answers to orders are lost; orders
 are executed late; workers are unreachable, hang, fail their tasks, are replaced
 at their address, or have less capacity; a VM is suspended; workers crash and
-restart under their names; a failure domain is evacuated."""
+restart under their names; a failure domain is evacuated; workers are reclaimed
+at short notice."""
 
 BASE_KINDS = ("lead", "lost", "late", "cut", "hang", "fail", "crash")
 """A fixed selection of `KINDS` for tests by seed: adding a kind changes the
--- a/laburnumsill/emulator/unreliable_client.py
+++ b/laburnumsill/emulator/unreliable_client.py
@@ -21,6 +21,7 @@
         late_share: Share of the orders that are executed 2 to 12 s later and
             never answered.
         cut: Ids of unreachable workers.
+        gone: Ids of workers that have ended without a sign.
     """
 
     def __init__(
@@ -29,6 +30,7 @@
         self.lost_share = 0.0
         self.late_share = 0.0
         self.cut: set[str] = set()
+        self.gone: set[str] = set()
         self._pool = pool
         self._random = rng
         self._nursery: trio.Nursery | None = None
@@ -87,7 +89,7 @@
             raise worker_client.IncarnationReplacedError(worker.worker_id)
         if target.is_down:
             raise worker_client.NoAnswerError("disconnected")
-        if worker.worker_id in self.cut:
+        if worker.worker_id in self.cut | self.gone:
             await self._time_out(deadline)
         if self._random.random() < self.lost_share:
             await self._time_out(deadline)
@@ -99,7 +101,8 @@
     ) -> worker_module.EmulatedWorker:
         await trio.sleep(self._random.uniform(0.0005, 0.002))
         target = self._pool.newest.get(worker.call_name)
-        if worker.worker_id in self.cut or target is None:
+        unreachable = self.cut | self.gone
+        if worker.worker_id in unreachable or target is None:
             await self._time_out(deadline)
         assert target is not None
         if target.is_down:
