batch: preempt at once for urgent units that are late already

Cause: the deferral of preemption also held units that cannot meet their objective any more, for up to 3 s of a term. Their callers wait for them all the same, and the wait may take them beyond the time within which they are of use.

Change: only units whose slack allows it are deferred.

--- a/laburnumsill/batch/unheard_workers.py
+++ b/laburnumsill/batch/unheard_workers.py
@@ -25,10 +25,9 @@
 
 
 def may_defer(unit: units.Unit, now_ms: int, stop_grace_ms: int) -> bool:
-    """Returns whether a unit loses nothing if preemption waits for a plan.
+    """Returns whether a preemption at the next plan still meets the objective.
 
-    Either a preemption at the next plan still lets it meet its objective, or
-    no preemption does.
+    A unit that cannot meet it any more is not deferred: it is late already.
 
     Args:
         unit: The unit.
@@ -36,7 +35,7 @@
         stop_grace_ms: Time within which a run ends after a stop order, in ms.
     """
     latest_ms = unit.objective_ms - unit.critical_path_ms - stop_grace_ms
-    return now_ms + DEFERRAL_MARGIN_MS <= latest_ms or now_ms > latest_ms
+    return now_ms + DEFERRAL_MARGIN_MS <= latest_ms
 
 
 def fit_with_unheard(
