batch: let urgent orders and probes go out without a slot

Cause: orders to workers that are being cut off hold their slots for a whole timeout, 0.1 to 0.5 s, before the worker counts as unreachable.

Ruled out: more slots, which let the storm back that they are to prevent.

Change: only orders that are not urgent take slots.

--- a/laburnumsill/batch/order_slots.py
+++ b/laburnumsill/batch/order_slots.py
@@ -1,9 +1,11 @@
-"""Limit of the orders in flight, urgent ones first.
+"""Limit of the orders in flight that are not urgent.
 
 Answers plans that place or stop hundreds of runs at once, as after the start of
 a site. Sent all at the same time, the orders keep the loop of the leader busy
 for longer than their timeouts, so that orders which were carried out count as
-unanswered, their workers as unreachable, and gangs start incomplete.
+unanswered, their workers as unreachable, and gangs start incomplete. Urgent
+orders are few and do not wait: while workers are cut off, orders to them hold
+their slots for a whole timeout.
 """
 
 import contextlib
@@ -13,13 +15,15 @@
 
 import trio
 
+from laburnumsill.batch import packing
+
 MAX_ORDERS_IN_FLIGHT = 64
 """A leader completes about a thousand orders a second, so this many end within
 the shortest timeout of an order, 0.1 s."""
 
 
 class OrderSlots:
-    """Slots for orders in flight; waiting urgent orders get theirs first.
+    """Slots for orders in flight; those of high priority get theirs first.
 
     Args:
         limit: The number of slots.
@@ -37,11 +41,14 @@
 
     @contextlib.asynccontextmanager
     async def slot(self, priority: int) -> abc.AsyncIterator[None]:
-        """Holds a slot for one order, after waiting for a free one.
+        """Holds a slot for one order; urgent orders need none.
 
         Args:
             priority: Priority of the order; 0 is the highest.
         """
+        if priority <= packing.URGENT_PRIORITY:
+            yield
+            return
         await self._acquire(priority)
         try:
             yield
--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -23,7 +23,6 @@
 from laburnumsill.batch import lost_work
 from laburnumsill.batch import model
 from laburnumsill.batch import orders
-from laburnumsill.batch import packing
 from laburnumsill.batch import term as terms
 from laburnumsill.batch import worker_client
 from laburnumsill.batch import worker_state
@@ -185,8 +184,7 @@
             return True
         self._probing = True
         try:
-            async with self._term.order_slots.slot(packing.URGENT_PRIORITY):
-                await self._state.probe()
+            await self._state.probe()
         except errors.LaburnumsillError as error:
             await self._handle_call_failure(error)
             return False
--- a/laburnumsill/batch/tests/test_order_slots.py
+++ b/laburnumsill/batch/tests/test_order_slots.py
@@ -36,14 +36,16 @@
     assert len(begun) == 7 and slots.waiting == 0
 
 
-async def test_waiting_urgent_orders_come_first(autojump_clock):
+async def test_urgent_orders_do_not_wait(autojump_clock):
+    """Others may hold all slots for a timeout while workers are cut off."""
     slots = order_slots.OrderSlots(1)
     begun = []
     async with trio.open_nursery() as nursery:
-        for priority, name in [(2, "a"), (2, "b"), (0, "c"), (1, "d")]:
+        for priority, name in [(2, "a"), (2, "b"), (1, "c"), (0, "d")]:
             nursery.start_soon(hold, slots, priority, begun, name)
             await trio.sleep(0.001)
-    assert begun == ["a", "c", "d", "b"]
+        assert begun == ["a", "d"]
+    assert begun == ["a", "d", "c", "b"]
 
 
 @pytest.mark.parametrize("cancelled_at_s", [0.05, 0.099])
