--- a/laburnumsill/batch/parts.py
+++ b/laburnumsill/batch/parts.py
@@ -21,14 +21,15 @@
         deferred_preemption: A new leader waits for workers that make a
             preemption needless. ``auto``: there are urgent and other queues.
         leaving_workers: Runs that would be lost with a worker that is about to
-            leave are stopped before. ``auto``: there is an urgent queue.
+            leave are stopped before. ``auto``: there is an urgent queue. Off
+            by default: it saves single urgent jobs at the cost of others.
         saved_progress: Stops that lose no work are preferred. ``auto``: the
             bounds tell how long a worker takes to restore progress.
     """
 
     deferred_preemption: switches.Switch = switches.Switch.AUTO
     saved_progress: switches.Switch = switches.Switch.AUTO
-    leaving_workers: switches.Switch = switches.Switch.AUTO
+    leaving_workers: switches.Switch = switches.Switch.OFF
 
     def restrict(
         self,
--- a/laburnumsill/batch/tests/test_parts.py
+++ b/laburnumsill/batch/tests/test_parts.py
@@ -51,8 +51,13 @@
     ],
 )
 def test_auto_follows_the_configuration(queues, restore_ms, expected):
-    chosen = parts.Parts().restrict(policies.ALL, queues, restore_ms)
-    assert in_use(chosen) == expected
+    chosen = parts.Parts(AUTO, AUTO, AUTO)
+    assert in_use(chosen.restrict(policies.ALL, queues, restore_ms)) == expected
+
+
+def test_leaving_workers_is_off_unless_it_is_asked_for():
+    chosen = parts.Parts().restrict(policies.ALL, MIXED, 100)
+    assert in_use(chosen) == (True, True, False)
 
 
 @pytest.mark.parametrize("queues", [MIXED, ()])
--- a/laburnumsill/daemon/role_settings.py
+++ b/laburnumsill/daemon/role_settings.py
@@ -76,7 +76,7 @@
 
     deferred_preemption: switches.Switch = switches.Switch.AUTO
     saved_progress: switches.Switch = switches.Switch.AUTO
-    leaving_workers: switches.Switch = switches.Switch.AUTO
+    leaving_workers: switches.Switch = switches.Switch.OFF
 
 
 class RoleSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
