--- a/laburnumsill/batch/intake.py
+++ b/laburnumsill/batch/intake.py
@@ -36,13 +36,13 @@
         worker: The worker's data.
         sequence: Sequence number, rising within one incarnation.
         clock_ms: The worker's clock, or None.
-        remaining_ms: Time for which a draining worker certainly stays, or None.
+        time_left_ms: Time for which a draining worker certainly stays, or None.
     """
 
     worker: model.Worker
     sequence: int
     clock_ms: int | None
-    remaining_ms: int | None = None
+    time_left_ms: int | None = None
 
 
 @codec.register("intake.departure")
@@ -158,7 +158,7 @@
         if registered != worker:
             await self._put(worker, sequence)
         self._scheduler.observe_heartbeat(
-            worker_id, announcement.clock_ms, announcement.remaining_ms
+            worker_id, announcement.clock_ms, announcement.time_left_ms
         )
         return Taken(self._vm_id)
 
--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -239,12 +239,12 @@
                 self._nursery.start_soon(session.probe_if_idle)
 
     def observe_heartbeat(
-        self, worker_id: str, clock_ms: int | None, remaining_ms: int | None
+        self, worker_id: str, clock_ms: int | None, time_left_ms: int | None
     ) -> None:
         """Passes a heartbeat to the worker's session."""
         session = self._sessions.get(worker_id)
         if session is not None:
-            session.observe_heartbeat(clock_ms, remaining_ms)
+            session.observe_heartbeat(clock_ms, time_left_ms)
 
     async def end_other_incarnations(self, worker: model.Worker) -> None:
         """Ends sessions of replaced workers, see the base class."""
--- a/laburnumsill/batch/scheduler.py
+++ b/laburnumsill/batch/scheduler.py
@@ -49,18 +49,18 @@
         self,
         worker_id: str,
         clock_ms: int | None,
-        remaining_ms: int | None = None,
+        time_left_ms: int | None = None,
     ) -> None:
         """Passes a heartbeat to the term, if this VM leads.
 
         Args:
             worker_id: The worker's id.
             clock_ms: The worker's clock when it sent the heartbeat, or None.
-            remaining_ms: Time for which a draining worker certainly stays, in
+            time_left_ms: Time for which a draining worker certainly stays, in
                 ms, or None.
         """
         if self._term is not None:
-            self._term.observe_heartbeat(worker_id, clock_ms, remaining_ms)
+            self._term.observe_heartbeat(worker_id, clock_ms, time_left_ms)
 
     def observe_machine(self, machine: replication.StateMachine) -> None:
         """Observes all commands that a replica's state machine applies.
--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -138,16 +138,16 @@
         return self._state.leaves_at
 
     def observe_heartbeat(
-        self, clock_ms: int | None, remaining_ms: int | None = None
+        self, clock_ms: int | None, time_left_ms: int | None = None
     ) -> None:
         """Records a heartbeat.
 
         Args:
             clock_ms: The worker's clock when it was sent, or None.
-            remaining_ms: Time for which the worker certainly stays, in ms;
+            time_left_ms: Time for which the worker certainly stays, in ms;
                 None if it does not drain.
         """
-        self._state.observe_heartbeat(clock_ms, remaining_ms)
+        self._state.observe_heartbeat(clock_ms, time_left_ms)
 
     def update(self, worker: model.Worker) -> None:
         """Replaces the worker's data after an announcement."""
--- a/laburnumsill/batch/worker_state.py
+++ b/laburnumsill/batch/worker_state.py
@@ -131,16 +131,16 @@
         ]
 
     def observe_heartbeat(
-        self, clock_ms: int | None, remaining_ms: int | None
+        self, clock_ms: int | None, time_left_ms: int | None
     ) -> None:
         """Records a heartbeat; see `session.WorkerSession`."""
         if not self.announcement_is_fresh:
             self.term.request_plan()
         self.announced_at = self.term.clock.monotonic()
-        if remaining_ms is not None:
+        if time_left_ms is not None:
             if self.leaves_at is None:
                 self.term.request_plan()
-            self.leaves_at = self.announced_at + remaining_ms / 1000
+            self.leaves_at = self.announced_at + time_left_ms / 1000
         self._record_contact(clock_ms)
 
     def _record_contact(self, clock_ms: int | None) -> None:
--- a/laburnumsill/emulator/site.py
+++ b/laburnumsill/emulator/site.py
@@ -387,18 +387,18 @@
     def deliver_heartbeat(
         self,
         worker: worker_module.EmulatedWorker,
-        remaining_ms: int | None = None,
+        time_left_ms: int | None = None,
     ) -> None:
         """Delivers a worker's heartbeat to all VMs that are not suspended.
 
         Args:
             worker: The worker.
-            remaining_ms: Time for which it certainly stays if it drains.
+            time_left_ms: Time for which it certainly stays if it drains.
         """
         for vm, scheduler in self.schedulers.items():
             if not self.groups.is_suspended(vm):
                 scheduler.observe_heartbeat(
-                    worker.worker.worker_id, worker.clock_ms, remaining_ms
+                    worker.worker.worker_id, worker.clock_ms, time_left_ms
                 )
 
     async def _announce_change(
--- a/laburnumsill/platform/tests/test_announcements.py
+++ b/laburnumsill/platform/tests/test_announcements.py
@@ -226,7 +226,7 @@
     clocks = [one.clock_ms for one in border.intake.taken]
     assert clocks == [482113] * 4
     assert not border.lines
-    left = [one.remaining_ms for one in border.intake.taken]
+    left = [one.time_left_ms for one in border.intake.taken]
     assert left == [None, 4000, None, None]
     first, draining = border.intake.taken[:2]
     assert not first.worker.draining and draining.worker.draining
