batch: say which orders the renewal timeout still bounds

Reports renew no lease while a worker is unreachable; the constant now bounds start orders alone. Only its comment changes; make check and the tests of leases pass.

--- a/laburnumsill/batch/worker_state.py
+++ b/laburnumsill/batch/worker_state.py
@@ -15,9 +15,10 @@
 from laburnumsill.core import logs
 
 RENEWAL_TIMEOUT_S = 1.5
-"""A worker that has been unreachable for longer gets no lease renewals. An
-order that seems lost may have arrived, so its leases would never be certain to
-expire if they were still renewed."""
+"""A worker that has been unreachable for longer gets no start orders, which
+renew its leases; reports renew none while it is unreachable. An order that
+seems lost may have arrived, so its leases would never be certain to expire if
+they were still renewed."""
 
 ANNOUNCEMENT_MAX_AGE_S = 4.0
 """Age at which a worker's last announcement is stale. The worker then gets no
