testing: deliver all chunks that are due on a proxied link at once

Cause: the proxy between the VMs of a test site runs in the loop of the test. It read a chunk in two turns of that loop and delivered one in three, from a queue of up to 256. When a turn takes long, frames that come faster than one in three turns wait for all frames before them: the links of all VMs of a site got later and later, while no process was lost or busy. No round of votes ends in time on such links, so the site stays without leaders until its test gets more processor time.

So what held the site up was the queue of the stand-in, not the product: a real link does not hold frames back for seconds while later ones come.

Change: chunks that are due are joined and delivered in one turn, as a kernel does for a slow reader. Delays, faults and byte limits apply as before.

test_a_slow_loop_lets_no_queue_build_up failed before: a transit of 1.12 s where 0.3 s (15 turns) are the bound.

--- a/laburnumsill/testing/proxy_links.py
+++ b/laburnumsill/testing/proxy_links.py
@@ -22,6 +22,44 @@
 
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
+_TimedChunk = tuple[float, bytes | None]
+"""When a chunk is due, and the chunk: b"" is the end and None a reset."""
+
+
+class _DueChunks:
+    """The chunks of one direction, taken when they are due.
+
+    Chunks that are due at the same time are joined. Taken one by one, they
+    would queue up without end on a loop that is slower than their sender.
+    """
+
+    def __init__(self, chunks: trio.MemoryReceiveChannel[_TimedChunk]) -> None:
+        self._chunks = chunks
+        self._next: _TimedChunk | None = None
+
+    async def take(self) -> bytes | None:
+        """Returns the next chunk once it is due, with others due by then."""
+        due, chunk = self._next or await self._chunks.receive()
+        self._next = None
+        await trio.sleep_until(due)
+        if not chunk:
+            return chunk
+        parts = [chunk]
+        while following := self._take_due():
+            parts.append(following)
+        return b"".join(parts)
+
+    def _take_due(self) -> bytes | None:
+        """Returns the next chunk if it holds bytes that are due, else None."""
+        try:
+            due, chunk = self._next = self._chunks.receive_nowait()
+        except trio.WouldBlock:
+            return None
+        if not chunk or due > trio.current_time():
+            return None
+        self._next = None
+        return chunk
+
 
 class _Session:
     """One connection through a link."""
@@ -102,11 +140,10 @@
         direction: proxy_faults.Direction,
     ) -> None:
         """Passes bytes one way; chunks are stamped with their due time."""
-        into, out = trio.open_memory_channel[tuple[float, bytes | None]](
-            DELAYED_CHUNKS
-        )
+        into, out = trio.open_memory_channel[_TimedChunk](DELAYED_CHUNKS)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._deliver, out, sink, direction)
+            due_chunks = _DueChunks(out)
+            nursery.start_soon(self._deliver, due_chunks, sink, direction)
             while True:
                 chunk: bytes | None
                 try:
@@ -128,13 +165,13 @@
 
     async def _deliver(
         self,
-        chunks: trio.MemoryReceiveChannel[tuple[float, bytes | None]],
+        due_chunks: "_DueChunks",
         sink: trio.SocketStream,
         direction: proxy_faults.Direction,
     ) -> None:
         """Delivers chunks when due; b"" is the end and None a reset."""
-        async for due, chunk in chunks:
-            await trio.sleep_until(due)
+        while True:
+            chunk = await due_chunks.take()
             held = self._link.holds(direction)
             if not await self._passing(direction):
                 continue
--- a/laburnumsill/testing/tests/test_proxy.py
+++ b/laburnumsill/testing/tests/test_proxy.py
@@ -5,6 +5,8 @@
 import struct
 import subprocess
 import sys
+import threading
+import time
 
 import pytest
 import trio
@@ -285,3 +287,59 @@
         process.kill()
         process.wait()
         process.stderr.close()
+
+
+def _send_stamps(address, stop):
+    """Sends a time stamp every few milliseconds from a thread."""
+    host, _, port = address.rpartition(":")
+    with socket.create_connection((host, int(port))) as plain:
+        while not stop.is_set():
+            plain.sendall(struct.pack("d", time.monotonic()))
+            time.sleep(0.004)
+
+
+def _longest_transit_s(connection):
+    """Returns the longest age of a time stamp at its arrival, until EOF."""
+    longest, raw = 0.0, b""
+    while chunk := connection.recv(65_536):
+        raw += chunk
+        whole = len(raw) // 8 * 8
+        for (sent_at,) in struct.iter_unpack("d", raw[:whole]):
+            longest = max(longest, time.monotonic() - sent_at)
+        raw = raw[whole:]
+    return longest
+
+
+def _block_loop(seconds):
+    time.sleep(seconds)
+
+
+async def test_a_slow_loop_lets_no_queue_build_up():
+    # Once a few frames were queued, they delayed all later ones by seconds.
+    turn_s, turns = 0.02, 150
+    stop = threading.Event()
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        async with proxies.running() as proxy, trio.open_nursery() as nursery:
+            host, port = server.getsockname()
+            proxy.add_link("a", "127.0.0.1:0", f"{host}:{port}")
+            address = proxy.status("a").listen
+            nursery.start_soon(
+                trio.to_thread.run_sync, _send_stamps, address, stop
+            )
+            connection, _ = await trio.to_thread.run_sync(server.accept)
+            results = []
+
+            async def measure():
+                results.append(
+                    await trio.to_thread.run_sync(
+                        _longest_transit_s, connection
+                    )
+                )
+
+            nursery.start_soon(measure)
+            for _ in range(turns):
+                _block_loop(turn_s)
+                await trio.lowlevel.checkpoint()
+            stop.set()
+        connection.close()
+    assert results[0] < 15 * turn_s
