--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 check: $(VENV)/.installed
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/mypy laburnumsill
+	$(BIN)/mypy laburnumsill bench
 	$(BIN)/lint-imports
 	$(BIN)/python tools/check_imports.py
 	$(BIN)/python tools/check_wire_names.py
--- a/bench/failover.py
+++ b/bench/failover.py
@@ -29,7 +29,7 @@
 
 from bench import sync as sync_bench
 from laburnumsill.consensus import engine as engines
-from laburnumsill.consensus import group as groups
+from laburnumsill.consensus import held_messages
 from laburnumsill.consensus import tick_alignment
 from laburnumsill.consensus import types
 from laburnumsill.daemon import core_role
@@ -90,13 +90,15 @@
         self._terms: set[int] = set()
         self._ticks = dict.fromkeys(VMS, 0)
         members = tuple(types.ReplicaId(vm, "i") for vm in VMS)
-        membership = types.Membership(members, with_disk=VMS)
+        membership = types.Membership(members, with_disk=frozenset(VMS))
         hard_state, entry = engines.Engine.bootstrap(
             "g", members[0], membership
         )
         self.engines = {}
         for me in members:
-            stored = types.StoredState("i", hard_state, None, (entry,))
+            stored = types.StoredState(
+                "i", hard_state, None, (entry,), with_disk=True
+            )
             self.engines[me.vm] = engines.Engine(
                 "g", me, stored, options, 0.0, random.Random(f"{seed} {me.vm}")
             )
@@ -193,7 +195,7 @@
                 functools.partial(self._synced, vm, last.index, last.term),
             )
         for message in output.messages:
-            early = message.kind in groups.UNSYNCED_KINDS
+            early = message.kind in held_messages.UNSYNCED_KINDS
             promised = early and not output.hard_state
             self._send(message, self.now if promised else synced_at)
 
--- /dev/null
+++ b/bench/tests/test_failover.py
@@ -0,0 +1,14 @@
+import pytest
+
+from bench import failover
+
+
+@pytest.mark.parametrize("learnt", [False, True])
+def test_a_lost_leader_is_followed_by_the_next_one(learnt):
+    assert 0 < failover.time_without_leader(learnt, 0) < failover.LONGEST_S
+
+
+@pytest.mark.parametrize("name", failover.QUIET)
+def test_a_live_leader_stays(name, monkeypatch):
+    monkeypatch.setattr(failover, "QUIET_S", 10.0)
+    assert not failover.elections_uncalled_for(True, failover.QUIET[name])
