consensus, wire: read what has arrived before silence is judged

What callers saw: groups without a leader for seconds while no VM is lost, on machines with more work than cores.

Cause: a loop that stood still judged others by the age of their last message before it read the messages that waited in its sockets. A timer and a reader that wake in the same turn run in any order, and proposals and reads ended the leadership of a leader whose replies had not been read yet.

Change: the driver and the checks of connections let the readers run first (core.turns), and only a tick ends a leadership; a proposal or read without a quorum is refused as before.

--- a/bench/failover.py
+++ b/bench/failover.py
@@ -72,10 +72,15 @@
         options: Of the engines.
         conditions: Of links and disks.
         seed: Of everything that is random.
+        vms: The voters.
     """
 
     def __init__(
-        self, options: engines.Options, conditions: Conditions, seed: int
+        self,
+        options: engines.Options,
+        conditions: Conditions,
+        seed: int,
+        vms: tuple[str, ...] = VMS,
     ) -> None:
         self.now = 0.0
         self.elections = 0
@@ -86,11 +91,12 @@
         self._random = random.Random(seed)
         self._count = itertools.count()
         self._due: list[tuple[float, int, abc.Callable[[], None]]] = []
-        self._syncing: dict[str, float] = dict.fromkeys(VMS, 0.0)
+        self._syncing: dict[str, float] = dict.fromkeys(vms, 0.0)
+        self._voted: dict[str, float] = dict.fromkeys(vms, 0.0)
         self._terms: set[int] = set()
-        self._ticks = dict.fromkeys(VMS, 0)
-        members = tuple(types.ReplicaId(vm, "i") for vm in VMS)
-        membership = types.Membership(members, with_disk=frozenset(VMS))
+        self._ticks = dict.fromkeys(vms, 0)
+        members = tuple(types.ReplicaId(vm, "i") for vm in vms)
+        membership = types.Membership(members, with_disk=frozenset(vms))
         hard_state, entry = engines.Engine.bootstrap(
             "g", members[0], membership
         )
@@ -114,6 +120,11 @@
         ]
         return max(leading)[1] if leading else ""
 
+    @property
+    def next_at(self) -> float:
+        """When something is done next, in seconds of virtual time."""
+        return self._due[0][0]
+
     def at(self, when: float, action: abc.Callable[[], None]) -> None:
         """Has something done at a point of virtual time."""
         heapq.heappush(self._due, (when, next(self._count), action))
@@ -188,6 +199,8 @@
         if output.entries or output.hard_state:
             synced_at += self._conditions.sync_s
             self._syncing[vm] = synced_at
+        if output.hard_state:
+            self._voted[vm] = synced_at
         if output.entries:
             last = output.entries[-1]
             self.at(
@@ -196,8 +209,8 @@
             )
         for message in output.messages:
             early = message.kind in held_messages.UNSYNCED_KINDS
-            promised = early and not output.hard_state
-            self._send(message, self.now if promised else synced_at)
+            sent_at = self._voted[vm] if early else synced_at
+            self._send(message, max(self.now, sent_at))
 
     def _synced(self, vm: str, index: int, term: int) -> None:
         self.engines[vm].on_synced(index, term)
--- a/laburnumsill/consensus/engine.py
+++ b/laburnumsill/consensus/engine.py
@@ -220,7 +220,7 @@
     def tick(self, now: float) -> None:
         """Handles timers that have expired at `now`."""
         self._replica.now = now
-        leadership = self._check_quorum(now)
+        leadership = self._role.check_quorum()
         if leadership:
             leadership.tick()
         elif now >= self._role.election_deadline:
@@ -286,7 +286,7 @@
         Raises:
             NotLeaderError: This replica does not lead.
         """
-        leadership = self._check_quorum(now)
+        leadership = self._leadership_with_quorum(now)
         if leadership is None:
             raise self._not_leader()
         self._last_read_id += 1
@@ -304,7 +304,7 @@
                 progress.
             NoSuchVoterError: There is no voter on `vm`.
         """
-        leadership = self._check_quorum(now)
+        leadership = self._leadership_with_quorum(now)
         if leadership is None or leadership.transferring:
             raise self._not_leader()
         leadership.transfer_leadership(vm)
@@ -363,7 +363,7 @@
                 transfer leadership.
             NoRoomError: Too few voters can write.
         """
-        leadership = self._check_quorum(now)
+        leadership = self._leadership_with_quorum(now)
         if leadership is None or leadership.transferring:
             raise self._not_leader()
         if leadership.can_commit:
@@ -372,9 +372,18 @@
             raise self._not_leader()
         raise NoRoomError(f"too many disks of {self._replica.group} are full")
 
-    def _check_quorum(self, now: float) -> leader_state.Leadership | None:
+    def _leadership_with_quorum(
+        self, now: float
+    ) -> leader_state.Leadership | None:
+        """Returns the leader state unless the quorum seems to be lost.
+
+        Only `tick` ends the leadership. The host calls it after `step` for
+        all messages that have arrived, which may show that the quorum is not
+        lost and only this process was held up.
+        """
         self._replica.now = now
-        return self._role.check_quorum()
+        leadership = self._role.leadership
+        return leadership if leadership and leadership.has_quorum else None
 
     def _not_leader(self) -> NotLeaderError:
         known_leader = self._role.leader
--- a/laburnumsill/consensus/host_replicas.py
+++ b/laburnumsill/consensus/host_replicas.py
@@ -19,6 +19,7 @@
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import logs
 from laburnumsill.core import replication
+from laburnumsill.core import turns
 from laburnumsill.wire import network as networks
 from laburnumsill.wire.generated.peer import ttypes
 
@@ -193,9 +194,20 @@
             self._wakeup = trio.Event()
             if self._failure is not None:
                 raise self._failure
+            await self._read_arrived()
             self._tick()
             self._process_output()
 
+    async def _read_arrived(self) -> None:
+        """Lets the connections read what has arrived, if an engine is due.
+
+        After a time in which this process stood still, the sockets may hold
+        messages that show others alive that seem to have been silent.
+        """
+        now = self._clock.monotonic()
+        if any(group.next_tick_at <= now for group in self._hosted.values()):
+            await turns.run_readers()
+
     def _tick(self) -> None:
         now = self._clock.monotonic()
         for name, group in self._hosted.items():
--- a/laburnumsill/consensus/tests/test_engine_rules.py
+++ b/laburnumsill/consensus/tests/test_engine_rules.py
@@ -74,6 +74,29 @@
     assert output.messages[0].granted
 
 
+@pytest.mark.parametrize("name", ["propose", "read"])
+def test_a_late_leader_reads_its_inbox_before_it_gives_its_lead_up(name):
+    # The reply waited in the socket while the loop of the leader stood still.
+    leader = new_engine(types.HardState(1, None))
+    win_election(leader)
+    late = 10.0 + 2 * engine.Options().election_timeout_s
+    arguments = (b"x",) if name == "propose" else ()
+    with pytest.raises(engine.NotLeaderError):
+        getattr(leader, name)(*arguments, late)
+    reply = types.Message(KIND.HEARTBEAT_REPLY, B, A, leader.term)
+    leader.step(reply, late)
+    leader.tick(late)
+    assert leader.role == "leader"
+    getattr(leader, name)(*arguments, late)
+
+
+def test_a_leader_without_a_quorum_steps_down_at_its_tick():
+    leader = new_engine(types.HardState(1, None))
+    win_election(leader)
+    leader.tick(10.0 + 2 * engine.Options().election_timeout_s)
+    assert leader.role == "follower"
+
+
 def test_entry_of_an_older_term_is_not_committed_by_counting():
     leader = new_engine(types.HardState(3, None), entry(2, 2))
     send(leader, KIND.HEARTBEAT, B, 3, commit=1)
--- a/laburnumsill/wire/network.py
+++ b/laburnumsill/wire/network.py
@@ -13,6 +13,7 @@
 from laburnumsill.core import metrics as metrics_module
 from laburnumsill.core import replication
 from laburnumsill.core import topology
+from laburnumsill.core import turns
 from laburnumsill.wire import addresses as addressing
 from laburnumsill.wire import backoff
 from laburnumsill.wire import connection as connections
@@ -298,6 +299,7 @@
             due_at = self._clock.monotonic() + TICK_S
             await trio.sleep(TICK_S)
             stalled = self._clock.monotonic() - due_at > STALL_S
+            await turns.run_readers()
             for peer in list(self._peers.values()):
                 if peer.connection is not None:
                     self._tick(peer.connection, stalled)
