consensus: back off campaigns that fail

Cause: a candidate restarted its campaign at the pace learnt from its leader's heartbeats, 0.15 s at least, however long its round of votes took, so on late links candidates cost each other one term after the other.

Change: the timer doubles once after a failed campaign, until a leader is known. Raft leaves the timer to the implementation; a vote that comes after it counts anyway.

test_a_failed_campaign_doubles_the_next_timer_once failed before.

--- a/laburnumsill/consensus/roles.py
+++ b/laburnumsill/consensus/roles.py
@@ -11,6 +11,10 @@
 """Minimum startup timeout of a replica as a share of the election timeout. It
 leaves time to connect and to receive a heartbeat."""
 
+MAX_CAMPAIGN_DOUBLINGS = 1
+"""Number of failed campaigns in a row after which the campaign timer no longer
+doubles. A lost leader is missed for longer with each doubling."""
+
 
 class Role:
     """The role of a replica: leader, candidate, follower or learner.
@@ -30,6 +34,7 @@
         self._replica = replica
         self._unfinished_vote: election.Campaign | None = None
         self._yielded_in: int | None = None
+        self._failed_campaigns = 0
         self._last_contact_at = replica.now
         self._followed: tuple[types.ReplicaId, int] | None = None
         self._election_timeout = election_timeout.ElectionTimeout(
@@ -64,6 +69,7 @@
         self.campaign = None
         self._unfinished_vote = None
         self.leader = leader
+        self._failed_campaigns = 0
         self._last_contact_at = self._replica.now
         self._election_timeout.on_leader_message(self._last_contact_at)
         self._reset_election_timer()
@@ -113,6 +119,8 @@
     def on_election_timeout(self) -> None:
         """Starts a campaign if possible, else restarts the election timer."""
         self.leader = None
+        if self.campaign:
+            self._failed_campaigns += 1
         if self._replica.may_campaign and self._replica.writable:
             self.start_campaign(election.Stage.PRE_VOTE, for_transfer=False)
         else:
@@ -146,6 +154,7 @@
         if campaign.stage is election.Stage.PRE_VOTE:
             self.start_campaign(election.Stage.VOTE, for_transfer=False)
             return
+        self._failed_campaigns = 0
         self.leader = self._replica.replica_id
         self.leadership = leader_state.Leadership(self._replica)
 
@@ -185,7 +194,8 @@
         disturbs no leader.
         """
         spread = (1 + self._replica.random.random()) / 2
-        wait_s = self._election_timeout.seconds * spread
+        doublings = min(self._failed_campaigns, MAX_CAMPAIGN_DOUBLINGS)
+        wait_s = self._election_timeout.seconds * spread * 2**doublings
         self.election_deadline = self._replica.now + wait_s
 
     def check_quorum(self) -> leader_state.Leadership | None:
--- a/laburnumsill/consensus/tests/test_engine_rules.py
+++ b/laburnumsill/consensus/tests/test_engine_rules.py
@@ -149,6 +149,23 @@
     assert candidate.term == term
 
 
+def test_a_failed_campaign_doubles_the_next_timer_once():
+    # Candidates that restart faster than votes come back elect nobody.
+    timeout_s = engine.Options().election_timeout_s
+    candidate = new_engine(types.HardState(1, None))
+    now = 10.0
+    waits = []
+    for _ in range(4):
+        candidate.tick(now)
+        waits.append((candidate.next_tick() - now) / timeout_s)
+        now = candidate.next_tick()
+    assert 0.5 <= waits[0] <= 1
+    assert all(1 <= wait <= 2 for wait in waits[1:])
+    candidate.step(types.Message(KIND.HEARTBEAT, B, A, 1), now)
+    candidate.tick(candidate.next_tick())
+    assert candidate.next_tick() - now <= 3 * timeout_s
+
+
 def test_entry_of_an_older_term_is_not_committed_by_counting():
     leader = new_engine(types.HardState(3, None), entry(2, 2))
     send(leader, KIND.HEARTBEAT, B, 3, commit=1)
