consensus, wire: log failed campaigns and late loops

During the seconds in which no group of a site had a leader, no daemon wrote a line, so that neither a queue on the links nor campaigns that restarted too soon could be told from their logs.

test_each_failed_campaign_is_logged failed before.

--- a/laburnumsill/consensus/engine.py
+++ b/laburnumsill/consensus/engine.py
@@ -132,6 +132,11 @@
         """The leader of the current term, or None if unknown."""
         return self._role.leader
 
+    @property
+    def failed_campaigns(self) -> int:
+        """Number of campaigns in a row that failed since a leader was known."""
+        return self._role.failed_campaigns
+
     @property
     def membership(self) -> types.Membership:
         """The latest membership in the log; without voters if there is none."""
--- a/laburnumsill/consensus/group_leadership.py
+++ b/laburnumsill/consensus/group_leadership.py
@@ -17,6 +17,7 @@
         self._group = group
         self._term = 0
         self._has_committed = False
+        self._failed_campaigns = 0
         self._ended_event = trio.Event()
 
     async def wait_ended(self) -> None:
@@ -30,6 +31,7 @@
         Returns:
             Whether a leadership has ended since then.
         """
+        self._log_failed_campaign(engine)
         ended = False
         term = engine.term if engine.role == "leader" else 0
         if term != self._term:
@@ -45,6 +47,19 @@
             )
         return ended
 
+    def _log_failed_campaign(self, engine: engines.Engine) -> None:
+        """Logs a campaign that failed; without a leader nothing else would."""
+        failed = engine.failed_campaigns
+        if failed > self._failed_campaigns:
+            logs.event(
+                "group-campaign-failed",
+                "WARNING",
+                group=self._group,
+                term=engine.term,
+                in_a_row=failed,
+            )
+        self._failed_campaigns = failed
+
     def _on_change(self, term: int, engine: engines.Engine) -> None:
         if self._term:
             self._ended_event.set()
--- a/laburnumsill/consensus/roles.py
+++ b/laburnumsill/consensus/roles.py
@@ -24,6 +24,8 @@
         campaign: The current campaign, or None.
         leader: The leader of the current term, or None if unknown.
         election_deadline: Monotonic time at which the election timer expires.
+        failed_campaigns: Number of campaigns in a row that timed out since a
+            leader was known.
     """
 
     def __init__(self, replica: replica_module.Replica) -> None:
@@ -31,10 +33,10 @@
         self.campaign: election.Campaign | None = None
         self.leader: types.ReplicaId | None = None
         self.election_deadline = replica.now
+        self.failed_campaigns = 0
         self._replica = replica
         self._unfinished_vote: election.Campaign | None = None
         self._yielded_in: int | None = None
-        self._failed_campaigns = 0
         self._last_contact_at = replica.now
         self._followed: tuple[types.ReplicaId, int] | None = None
         self._election_timeout = election_timeout.ElectionTimeout(
@@ -69,7 +71,7 @@
         self.campaign = None
         self._unfinished_vote = None
         self.leader = leader
-        self._failed_campaigns = 0
+        self.failed_campaigns = 0
         self._last_contact_at = self._replica.now
         self._election_timeout.on_leader_message(self._last_contact_at)
         self._reset_election_timer()
@@ -120,7 +122,7 @@
         """Starts a campaign if possible, else restarts the election timer."""
         self.leader = None
         if self.campaign:
-            self._failed_campaigns += 1
+            self.failed_campaigns += 1
         if self._replica.may_campaign and self._replica.writable:
             self.start_campaign(election.Stage.PRE_VOTE, for_transfer=False)
         else:
@@ -154,7 +156,7 @@
         if campaign.stage is election.Stage.PRE_VOTE:
             self.start_campaign(election.Stage.VOTE, for_transfer=False)
             return
-        self._failed_campaigns = 0
+        self.failed_campaigns = 0
         self.leader = self._replica.replica_id
         self.leadership = leader_state.Leadership(self._replica)
 
@@ -194,7 +196,7 @@
         disturbs no leader.
         """
         spread = (1 + self._replica.random.random()) / 2
-        doublings = min(self._failed_campaigns, MAX_CAMPAIGN_DOUBLINGS)
+        doublings = min(self.failed_campaigns, MAX_CAMPAIGN_DOUBLINGS)
         wait_s = self._election_timeout.seconds * spread * 2**doublings
         self.election_deadline = self._replica.now + wait_s
 
--- a/laburnumsill/wire/network.py
+++ b/laburnumsill/wire/network.py
@@ -112,6 +112,7 @@
         }
         self._reported_traffic = connections.Traffic()
         self._closed_traffic = connections.Traffic()
+        self._longest_late_s = 0.0
         self._listening_address = local_vm.peer_address
         for address in (local_vm.peer_address, *addresses.values()):
             if address or not is_open:
@@ -298,7 +299,11 @@
         for number in itertools.count():
             due_at = self._clock.monotonic() + TICK_S
             await trio.sleep(TICK_S)
-            stalled = self._clock.monotonic() - due_at > STALL_S
+            late_s = self._clock.monotonic() - due_at
+            stalled = late_s > STALL_S
+            if stalled:
+                logs.event("loop-late", "WARNING", late_s=late_s)
+            self._longest_late_s = max(self._longest_late_s, late_s)
             await turns.run_readers()
             for peer in list(self._peers.values()):
                 if peer.connection is not None:
@@ -439,6 +444,8 @@
             if increase:
                 self._metrics.count(f"peer_{field.name}_total", increase)
         self._reported_traffic = total
+        self._metrics.gauge("loop_late_seconds", self._longest_late_s)
+        self._longest_late_s = 0.0
         self._metrics.gauge("peers_reachable", len(self.reachable()))
 
 
