clients: hand a pinned connection out once while the old one closes

Cause: `HttpPools.pinned` put the new connection in place, waited for the close of the old one and then returned the new one unasked, though another request could have taken it meanwhile. The second of two report queries on it failed, and a sound worker counted as unreachable for a moment. Read in the code; the test below shows it.

Change: after the wait the connection is checked again. The later request goes without it and acknowledges nothing, as beside any request in flight.

test_a_pinned_connection_is_not_handed_out_twice failed before.

--- a/laburnumsill/clients/http_pools.py
+++ b/laburnumsill/clients/http_pools.py
@@ -155,11 +155,14 @@
         if known is not None and known.in_use:
             return None
         if known is None or known.peer != peer or known.is_over:
-            address_pool.pinned = pinned_connections.PinnedConnection(
+            fresh = pinned_connections.PinnedConnection(
                 peer, origin, self._limits.keep_alive_s
             )
+            address_pool.pinned = fresh
             if known is not None:
                 await known.http.aclose()
+            if fresh.in_use or address_pool.pinned is not fresh:
+                return None  # taken or replaced while the old one was closed
         return address_pool.pinned
 
     async def request(
--- a/laburnumsill/clients/tests/test_http_pools.py
+++ b/laburnumsill/clients/tests/test_http_pools.py
@@ -4,6 +4,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from laburnumsill.clients import http_pools
 from laburnumsill.core import trio_clock
@@ -227,3 +228,27 @@
         assert proxy.status("a").to_target_bytes == sent
         await pools.close()
         nursery.cancel_scope.cancel()
+
+
+async def test_a_pinned_connection_is_not_handed_out_twice(monkeypatch):
+    # The second request failed and marked a sound worker as unreachable.
+    pools = http_pools.HttpPools(trio_clock.TrioClock(), LIMITS)
+    old = await pools.pinned("127.0.0.1:9", "before")
+
+    async def close_slowly():
+        await trio.sleep(HELD_S)
+
+    monkeypatch.setattr(old.http, "aclose", close_slowly)
+    taken = []
+
+    async def use():
+        connection = await pools.pinned("127.0.0.1:9", "after")
+        taken.append(connection)
+        with connection or contextlib.nullcontext():
+            await trio.sleep(2 * HELD_S)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(use)
+        await trio.testing.wait_all_tasks_blocked()
+        nursery.start_soon(use)
+    assert [one is not None for one in taken] == [True, False]
