jobs: keep refusals from ending as an unknown outcome

What callers saw: 504 "outcome unknown" for a job, or a cancellation, that had certainly not been accepted.

Cause: `retried` read its clock twice an attempt. If the deadline passed between the two readings after refusals only, it raised an unknown outcome.

Change: one reading an attempt; the outcome is unknown only if an attempt was.

test_refusals_alone_are_no_unknown_outcome failed before in two of five cases.

--- a/laburnumsill/jobs/service.py
+++ b/laburnumsill/jobs/service.py
@@ -346,17 +346,15 @@
             at least one is unknown.
         errors.UnavailableError: No attempt was executed.
     """
-    lost: errors.OutcomeUnknownError | None = None
+    unknown: errors.OutcomeUnknownError | None = None
     while True:
         try:
             return await call()
         except errors.OutcomeUnknownError as error:
-            lost = error
-        except errors.UnavailableError:
-            if clock.monotonic() + RETRY_PAUSE_S >= deadline:
-                if lost is not None:
-                    raise lost from None
-                raise
+            unknown = error
+            failure: errors.LaburnumsillError = error
+        except errors.UnavailableError as error:
+            failure = unknown or error
         if clock.monotonic() + RETRY_PAUSE_S >= deadline:
-            raise lost or errors.OutcomeUnknownError("no time left")
+            raise failure
         await trio.sleep(RETRY_PAUSE_S)
