jobs: drive a placement on after a lead that was lost briefly

What callers saw: a job that prepares, or is stopped, for ever.

Cause: a driver that found the lead lost ended and kept its key, since the term was taken to be over. If the lead was back before the scheduler looked, for instance after a full disk, the same term went on and never drove the placement again.

Change: the key goes whenever a driver ends, and the end is logged.

test_a_placement_is_driven_on_after_a_lead_that_was_lost_briefly failed before.

--- a/laburnumsill/jobs/scheduler.py
+++ b/laburnumsill/jobs/scheduler.py
@@ -322,10 +322,12 @@
                 await self._driver.stop(job_id, epoch)
             else:
                 await self._driver.start(job_id, epoch)
-        except access.NotLeadingError:
-            return
+        except access.NotLeadingError as error:
+            # Driven again if this VM leads in the same term after all.
+            logs.event("driver-ended", job=job_id, detail=error.detail)
         except errors.LaburnumsillError as error:
             logs.event(
                 "driver-failed", level="ERROR", job=job_id, detail=error.detail
             )
-        self._driving.discard(key)
+        finally:
+            self._driving.discard(key)
--- a/laburnumsill/jobs/tests/test_scheduler.py
+++ b/laburnumsill/jobs/tests/test_scheduler.py
@@ -298,3 +298,23 @@
         }
         & cancelled
     )
+
+
+async def test_a_placement_is_driven_on_after_a_lead_that_was_lost_briefly():
+    # It kept its place among the driven ones, and the job prepared for ever.
+    domain = fakes.Domain(pool(1))
+    leads = domain.groups.leads
+    losses = 0
+
+    def leads_but_once(group):
+        nonlocal losses
+        if not losses and domain.client.calls["prepare"]:
+            losses += 1
+            return False
+        return leads(group)
+
+    domain.groups.leads = leads_but_once
+    async with domain.running():
+        view = await domain.submit(accelerators=8, run_s=0.2)
+        await domain.reaches(view.job_id, State.SUCCEEDED)
+    assert losses == 1
