batch: forget the failure evidence on workers that have left

Cause: `FailureEvidence` kept every worker id that ever ended a run, and worker ids have the start of an incarnation in them. Each restart so counted as one more sound worker: memory grew with restarts, and the prior odds that a worker is faulty fell, so that a faulty worker cost one more gang.

Change: what is not in the ledger's pool is dropped where ended jobs are.

Looked at beside it: join requests are kept by VM, not by incarnation, so they are bounded by the VMs of the core.

--- a/laburnumsill/batch/failure_evidence.py
+++ b/laburnumsill/batch/failure_evidence.py
@@ -137,6 +137,12 @@
         for job_id in [job for job in self._jobs if job not in jobs]:
             del self._jobs[job_id]
 
+    def keep_workers(self, workers: abc.Container[str]) -> None:
+        """Deletes the evidence on all workers that are not in `workers`."""
+        for worker_id in [one for one in self._workers if one not in workers]:
+            self._workers.discard(worker_id)
+            self._suspicions.pop(worker_id, None)
+
     def _healthy_failure_rate(self, queue: str, job_id: str) -> float:
         """Returns the expected failure rate of a job on healthy workers.
 
--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -567,6 +567,7 @@
         """Deletes ended jobs after their retention time, in batches."""
         now_ms = self.clock.wall_ms()
         self.health.keep_jobs(self.ledger.active_jobs)
+        self.health.keep_workers(self.ledger.workers)
         if now_ms < self._next_retention_check_ms:
             return
         self._next_retention_check_ms = (
--- a/laburnumsill/batch/tests/test_worker_health.py
+++ b/laburnumsill/batch/tests/test_worker_health.py
@@ -132,3 +132,24 @@
     assert health.recent_slowness("slow", 6.0) >= worker_health.VERY_SLOW_RATIO
     later = 6.0 + worker_health.RECENT_RATIO_WINDOW_S
     assert health.recent_slowness("slow", later) < worker_health.VERY_SLOW_RATIO
+
+
+def test_incarnations_that_have_left_do_not_lower_the_prior_odds():
+    # Each one that ended a run counted for ever as one more healthy worker.
+    fresh, old = (worker_health.WorkerHealth() for _ in range(2))
+    done = end(run("done"), commands.EndKind.DONE)
+    for number in range(1000):
+        old.observe_end(f"w@{number}", done, STEP, 0.0, "other")
+    old.keep_workers({"w"})
+    old.keep_jobs(())
+    for health in (fresh, old):
+        failed(health, "w", "a", 1.0)
+        assert failed(health, "w", "b", 2.0)
+
+
+def test_workers_that_are_there_keep_their_quarantine():
+    health = worker_health.WorkerHealth()
+    for job in "ab":
+        failed(health, "w", job, 1.0)
+    health.keep_workers({"w"})
+    assert health.is_quarantined("w", 1.1)
--- a/laburnumsill/batch/worker_health.py
+++ b/laburnumsill/batch/worker_health.py
@@ -115,6 +115,12 @@
             del self._durations[key]
         self._evidence.keep_jobs(jobs)
 
+    def keep_workers(self, workers: abc.Container[str]) -> None:
+        """Drops the observations of all other workers."""
+        for worker_id in [one for one in self._workers if one not in workers]:
+            del self._workers[worker_id]
+        self._evidence.keep_workers(workers)
+
     def observe_end(
         self,
         worker_id: str,
