wire: refuse a message that is too large as such, also by a full queue

Cause: the send queue checked whether it was full before the size, so a call that can never be sent ended as overload, and its caller came back with it.

Change: the size is checked first, for calls, notices and replies.

test_a_message_over_the_limit_is_refused_as_such_by_a_full_queue failed before.

--- a/laburnumsill/wire/outbox.py
+++ b/laburnumsill/wire/outbox.py
@@ -99,6 +99,7 @@
             failures.FrameTooLargeError: The call is over the size limit.
         """
         item = Item("calls", call, len(call.payload) + _ITEM_OVERHEAD_BYTES)
+        _check_size(item)
         if not self._fits(item):
             raise errors.OverloadedError(
                 f"{self._other_bytes} bytes wait for the peer"
@@ -113,7 +114,9 @@
             failures.FrameTooLargeError: The reply is over the size limit.
         """
         size = len(reply.payload) + _ITEM_OVERHEAD_BYTES
-        self._add(Item("replies", reply, size))
+        item = Item("replies", reply, size)
+        _check_size(item)
+        self._add(item)
 
     def add_notice(self, notice: bytes) -> None:
         """Queues a notice, or drops it if the queue is full.
@@ -122,6 +125,7 @@
             failures.FrameTooLargeError: The notice is over the size limit.
         """
         item = Item("notices", notice, len(notice) + _ITEM_OVERHEAD_BYTES)
+        _check_size(item)
         if not self._fits(item):
             self.dropped += 1
             return
@@ -165,7 +169,6 @@
         return not self._other or queue_size <= MAX_QUEUE_BYTES
 
     def _add(self, item: Item) -> None:
-        _check_size(item)
         self._other.append(item)
         self._other_bytes += item.size
 
--- a/laburnumsill/wire/tests/test_outbox.py
+++ b/laburnumsill/wire/tests/test_outbox.py
@@ -80,3 +80,15 @@
     (frame,) = drain(box)
     assert [call.call_id for call in frame.calls] == [2]
     assert (first.maybe_sent, second.maybe_sent) == (False, True)
+
+
+def test_a_message_over_the_limit_is_refused_as_such_by_a_full_queue():
+    # Its caller was told to come back later, for a call that never fits.
+    box = outbox.Outbox()
+    box.add_notice(b"x" * (outbox.MAX_ITEM_BYTES - 1000))
+    box.add_notice(CHUNK)
+    too_large = b"x" * outbox.MAX_ITEM_BYTES
+    with pytest.raises(failures.FrameTooLargeError):
+        box.add_call(ttypes.Call(1, too_large, 0.0))
+    with pytest.raises(failures.FrameTooLargeError):
+        box.add_notice(too_large)
