batch: log the ends of jobs in the order of their runs

Found by reading; no test, as the order of a set of strings cannot be brought about within one process.

--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -386,7 +386,11 @@
         for end in ends:
             self._count_lost_work(end, at_ms)
         active = self._term.ledger.active_jobs
-        affected = {end.run.task.job_id for end in ends} & active.keys()
+        affected = [
+            job_id
+            for job_id in dict.fromkeys(end.run.task.job_id for end in ends)
+            if job_id in active
+        ]
         await self._term.commit(
             commands.NoteEnds(self._state.worker_id, ends, at_ms)
         )
