--- a/laburnumsill/platform/tests/soak/site.py
+++ b/laburnumsill/platform/tests/soak/site.py
@@ -50,8 +50,8 @@
 
 SERVER_GRACE_S = 0.1
 START_TIMEOUT_S = 60.0
-"""Timeout for all daemons to start. The interpreter and its imports take 0.5 s
-of processor time each, and six daemons share the machine with other sites."""
+"""Timeout for all daemons to start. On a machine with more work than cores the
+interpreters and their imports take longer than the core to elect a leader."""
 
 CALM_TIMEOUT_S = 40.0
 """Timeout for the core to recover, while troubles of 4 s overlap."""
