--- a/laburnumsill/platform/tests/soak/main.py
+++ b/laburnumsill/platform/tests/soak/main.py
@@ -114,8 +114,9 @@
         nursery.start_soon(_measure_lag, lags)
         try:
             await site.start()
-            await site.until_started()
+            # Draws before the workers' first announcements do.
             witness = witnesses.Witness(site)
+            await site.until_started()
             await witness.configure_first()
             site.replace_seeds()
             site.disturb_core()
