--- a/laburnumsill/wire/outbox.py
+++ b/laburnumsill/wire/outbox.py
@@ -83,8 +83,7 @@
                 those before it are queued.
         """
         for message in messages:
-            item = Item("raft", message, _raft_size(message))
-            _check_size(item)
+            item = _item("raft", message, _raft_size(message))
             self._raft.append(item)
             self._raft_bytes += item.size
         while self._raft_bytes > MAX_RAFT_QUEUE_BYTES and len(self._raft) > 1:
@@ -98,8 +97,7 @@
             errors.OverloadedError: The queue is full; the call is not sent.
             failures.FrameTooLargeError: The call is over the size limit.
         """
-        item = Item("calls", call, len(call.payload) + _ITEM_OVERHEAD_BYTES)
-        _check_size(item)
+        item = _item("calls", call, len(call.payload) + _ITEM_OVERHEAD_BYTES)
         if not self._fits(item):
             raise errors.OverloadedError(
                 f"{self._other_bytes} bytes wait for the peer"
@@ -114,9 +112,7 @@
             failures.FrameTooLargeError: The reply is over the size limit.
         """
         size = len(reply.payload) + _ITEM_OVERHEAD_BYTES
-        item = Item("replies", reply, size)
-        _check_size(item)
-        self._add(item)
+        self._add(_item("replies", reply, size))
 
     def add_notice(self, notice: bytes) -> None:
         """Queues a notice, or drops it if the queue is full.
@@ -124,8 +120,7 @@
         Raises:
             failures.FrameTooLargeError: The notice is over the size limit.
         """
-        item = Item("notices", notice, len(notice) + _ITEM_OVERHEAD_BYTES)
-        _check_size(item)
+        item = _item("notices", notice, len(notice) + _ITEM_OVERHEAD_BYTES)
         if not self._fits(item):
             self.dropped += 1
             return
@@ -182,11 +177,17 @@
         values.append(item.value)
 
 
-def _check_size(item: Item) -> None:
-    if item.size > MAX_ITEM_BYTES:
+def _item(field: str, value: typing.Any, size: int) -> Item:
+    """Returns the item of a message.
+
+    Raises:
+        failures.FrameTooLargeError: The message is over the size limit.
+    """
+    if size > MAX_ITEM_BYTES:
         raise failures.FrameTooLargeError(
-            f"{item.field}: {item.size} bytes, {MAX_ITEM_BYTES} are allowed"
+            f"{field}: {size} bytes, {MAX_ITEM_BYTES} are allowed"
         )
+    return Item(field, value, size)
 
 
 def _raft_size(message: ttypes.RaftMessage) -> int:
