--- a/laburnumsill/consensus/engine.py
+++ b/laburnumsill/consensus/engine.py
@@ -292,8 +292,6 @@
             NotLeaderError: This replica does not lead.
         """
         leadership = self._leadership_with_quorum(now)
-        if leadership is None:
-            raise self._not_leader()
         self._last_read_id += 1
         leadership.read(self._last_read_id)
         return self._last_read_id
@@ -310,7 +308,7 @@
             NoSuchVoterError: There is no voter on `vm`.
         """
         leadership = self._leadership_with_quorum(now)
-        if leadership is None or leadership.transferring:
+        if leadership.transferring:
             raise self._not_leader()
         leadership.transfer_leadership(vm)
 
@@ -369,7 +367,7 @@
             NoRoomError: Too few voters can write.
         """
         leadership = self._leadership_with_quorum(now)
-        if leadership is None or leadership.transferring:
+        if leadership.transferring:
             raise self._not_leader()
         if leadership.can_commit:
             return leadership
@@ -377,18 +375,22 @@
             raise self._not_leader()
         raise NoRoomError(f"too many disks of {self._replica.group} are full")
 
-    def _leadership_with_quorum(
-        self, now: float
-    ) -> leader_state.Leadership | None:
-        """Returns the leader state unless the quorum seems to be lost.
+    def _leadership_with_quorum(self, now: float) -> leader_state.Leadership:
+        """Returns the leader state of a leader that has a quorum.
 
         Only `tick` ends the leadership. The host calls it after `step` for
         all messages that have arrived, which may show that the quorum is not
         lost and only this process was held up.
+
+        Raises:
+            NotLeaderError: This replica does not lead, or seems to have lost
+                its quorum.
         """
         self._replica.now = now
         leadership = self._role.leadership
-        return leadership if leadership and leadership.has_quorum else None
+        if leadership is None or not leadership.has_quorum:
+            raise self._not_leader()
+        return leadership
 
     def _not_leader(self) -> NotLeaderError:
         known_leader = self._role.leader
