--- a/laburnumsill/consensus/roles.py
+++ b/laburnumsill/consensus/roles.py
@@ -68,8 +68,7 @@
         if followed != self._followed:
             self._election_timeout.reset()
         self._followed = followed
-        self.campaign = None
-        self._unfinished_vote = None
+        self._end_campaigns()
         self.leader = leader
         self.failed_campaigns = 0
         self._last_contact_at = self._replica.now
@@ -151,8 +150,7 @@
     def _finish_campaign(self, campaign: election.Campaign) -> None:
         if not campaign.won:
             return
-        self.campaign = None
-        self._unfinished_vote = None
+        self._end_campaigns()
         if campaign.stage is election.Stage.PRE_VOTE:
             self.start_campaign(election.Stage.VOTE, for_transfer=False)
             return
@@ -160,13 +158,16 @@
         self.leader = self._replica.replica_id
         self.leadership = leader_state.Leadership(self._replica)
 
+    def _end_campaigns(self) -> None:
+        self.campaign = None
+        self._unfinished_vote = None
+
     def step_down(self) -> None:
         """Becomes a follower without a known leader."""
         if self.leadership:
             self.leadership.fail_pending_reads()
         self.leadership = None
-        self.campaign = None
-        self._unfinished_vote = None
+        self._end_campaigns()
         self.leader = None
         self._reset_election_timer()
 
