--- a/laburnumsill/consensus/host_replicas.py
+++ b/laburnumsill/consensus/host_replicas.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 import pathlib
 import random
 from collections import abc
@@ -183,13 +184,8 @@
             StorageError: A disk failed, or an invariant of the log is broken.
         """
         while True:
-            now = self._clock.monotonic()
-            next_tick_at = min(
-                (group.next_tick_at for group in self._hosted.values()),
-                default=now + MAX_SLEEP_S,
-            )
-            timeout_s = min(max(0.0, next_tick_at - now), MAX_SLEEP_S)
-            with trio.move_on_after(timeout_s):
+            wait_s = self._next_tick_at() - self._clock.monotonic()
+            with trio.move_on_after(min(max(0.0, wait_s), MAX_SLEEP_S)):
                 await self._wakeup.wait()
             self._wakeup = trio.Event()
             if self._failure is not None:
@@ -204,10 +200,16 @@
         After a time in which this process stood still, the sockets may hold
         messages that show others alive that seem to have been silent.
         """
-        now = self._clock.monotonic()
-        if any(group.next_tick_at <= now for group in self._hosted.values()):
+        if self._next_tick_at() <= self._clock.monotonic():
             await turns.run_readers()
 
+    def _next_tick_at(self) -> float:
+        """Returns when an engine is due next, in monotonic seconds."""
+        return min(
+            (group.next_tick_at for group in self._hosted.values()),
+            default=math.inf,
+        )
+
     def _tick(self) -> None:
         now = self._clock.monotonic()
         for name, group in self._hosted.items():
