--- a/bench/late_loops.py
+++ b/bench/late_loops.py
@@ -22,13 +22,19 @@
 from bench import failover
 from laburnumsill.consensus import engine as engines
 from laburnumsill.consensus import types
-from laburnumsill.daemon import core_role
 
 EXCHANGE_S = 0.01
 """Time in which an entry is sent, synced and acknowledged."""
 
 PLAY_S = 120.0
 
+INBOX_DELAY_S = 1e-5
+"""Time from the end of a hold-up until the messages and syncs that came during
+it are processed."""
+
+TICK_DELAY_S = 2 * INBOX_DELAY_S
+"""Time until the engine is ticked; the driver reads what has arrived first."""
+
 HOLD_UPS = ((0.1, 0.3), (0.3, 0.3), (0.6, 0.5), (1.0, 0.5))
 """Mean length of a hold-up in seconds, and share of the time held up."""
 
@@ -109,19 +115,18 @@
         return True
 
     def _tick(self, vm: str, number: int) -> None:
-        # The driver reads what has arrived before it ticks the engines.
         action = functools.partial(self._tick, vm, number)
-        if not self._postpone(vm, action, 2e-5):
+        if not self._postpone(vm, action, TICK_DELAY_S):
             super()._tick(vm, number)
 
     def _deliver(self, message: types.Message) -> None:
         action = functools.partial(self._deliver, message)
-        if not self._postpone(message.target.vm, action, 1e-5):
+        if not self._postpone(message.target.vm, action, INBOX_DELAY_S):
             super()._deliver(message)
 
     def _synced(self, vm: str, index: int, term: int) -> None:
         action = functools.partial(self._synced, vm, index, term)
-        if not self._postpone(vm, action, 1e-5):
+        if not self._postpone(vm, action, INBOX_DELAY_S):
             super()._synced(vm, index, term)
 
 
@@ -129,9 +134,7 @@
     mean_s: float, share: float, seed: int, vms: tuple[str, ...]
 ) -> Longest:
     """Plays a group and returns its longest times."""
-    options = engines.Options(
-        core_role.ELECTION_TIMEOUT_S, core_role.HEARTBEAT_S
-    )
+    options = failover.options_of(learnt=True)
     group = LateGroup(options, seed, mean_s, share, vms)
     failover.started(group, PLAY_S - failover.WARM_S)
     longest = Longest()
