--- a/laburnumsill/batch/tests/planned_site.py
+++ b/laburnumsill/batch/tests/planned_site.py
@@ -17,6 +17,14 @@
     return model.Job(job_id, f"q{priority}", account, "", (one,), terms)
 
 
+def urgent_gang(job_id, **step):
+    """Returns an urgent job of one gang that needs two whole workers."""
+    needs = model.Resources(4000, GIB, 8)
+    one = model.Step(2, needs, 2500, gang=True, **step)
+    terms = model.QueueTerms("pool", 0, 3, 1.5, 250)
+    return model.Job(job_id, "urgent", "a", "", (one,), terms)
+
+
 def site(racks=2, per_rack=2):
     """Returns a ledger of workers with 8 accelerators each."""
     ledger = ledgers.BatchLedger()
--- a/laburnumsill/batch/tests/test_leaving_workers.py
+++ b/laburnumsill/batch/tests/test_leaving_workers.py
@@ -85,13 +85,6 @@
 NOTICE_AFTER_S = 0.2
 
 
-def gang(job_id):
-    needs = model.Resources(4000, 1024, 8)
-    one = model.Step(2, needs, 2500, gang=True)
-    terms = model.QueueTerms(sites.POOL, 0, 3, 1.5, 250)
-    return model.Job(job_id, "urgent", "a", "", (one,), terms)
-
-
 def play(policy, seed):
     """Returns the time to the end of each urgent job, in s."""
 
@@ -101,7 +94,8 @@
             await nursery.start(site.run)
             await trio.sleep(2.0)
             for number in range(GANGS):
-                await site.submit(gang(f"u{number}"), [WORK_S])
+                gang = planned_site.urgent_gang(f"u{number}")
+                await site.submit(gang, [WORK_S])
             await trio.sleep(NOTICE_AFTER_S)
             busy = [w for w in site.pool.workers.values() if w.running]
             for worker in busy[:LEAVING]:
--- a/laburnumsill/batch/tests/test_unheard_workers.py
+++ b/laburnumsill/batch/tests/test_unheard_workers.py
@@ -120,13 +120,6 @@
 BACKGROUND_WORK_S = 9.0
 
 
-def urgent(job_id):
-    needs = model.Resources(4000, 1024, 8)
-    step = model.Step(2, needs, 2500, gang=True, same_rack=True)
-    terms = model.QueueTerms(sites.POOL, 0, 3, 1.5, 250)
-    return model.Job(job_id, "urgent", "a", "", (step,), terms)
-
-
 def background():
     """Tasks for half of the site."""
     needs = model.Resources(2000, 1024, 4)
@@ -167,7 +160,8 @@
             nursery.start_soon(announce_in_turn, site)
             for number in range(GANGS):
                 await trio.sleep(0.1)
-                await site.submit(urgent(f"u{number}"), [URGENT_WORK_S])
+                gang = planned_site.urgent_gang(f"u{number}", same_rack=True)
+                await site.submit(gang, [URGENT_WORK_S])
             await trio.sleep(15.0)
             site.look()
             nursery.cancel_scope.cancel()
