state: place waiting jobs once their workers no longer leave

What callers saw: a job that waits for ever on a free site, after a leader was frozen for longer than its leases.

Cause: a leader that goes on after a freeze has heard no worker for seconds and commits all of them as leaving; the next reconciliation takes that back. The planner keeps shapes for which it found no slots until `Pool.freed` counts up, and a worker that was leaving and stays did not count, unlike one whose quarantine ends. A job that was released and planned in between was not tried again until something else was freed.

Change: JobBook.worker_changed counts the slots of any worker that is usable after the change, so the one special case for quarantine goes.

test_a_job_is_placed_once_its_workers_no_longer_leave failed before, both cases.

--- a/laburnumsill/jobs/tests/test_planner.py
+++ b/laburnumsill/jobs/tests/test_planner.py
@@ -176,3 +176,23 @@
     assert domain.plan() == []
     domain.now += planner.REFUSAL_RETRY_S
     assert domain.plan() == ["best-fit"]
+
+
+@pytest.mark.parametrize("spec", [GANG, ONE], ids=["gang", "single"])
+def test_a_job_is_placed_once_its_workers_no_longer_leave(spec):
+    # A leader that was frozen takes silent workers for leaving ones at first,
+    # and a job that was planned meanwhile waited for ever.
+    domain = Domain()
+    announced = [one.announced for one in domain.book.pool.workers.values()]
+
+    def announce(leaving):
+        workers = (
+            dataclasses.replace(worker, leaving=leaving) for worker in announced
+        )
+        domain.apply(messages.PutWorkers(tuple(workers), (), domain.now))
+
+    announce(leaving=True)
+    domain.submit("a", spec)
+    assert domain.plan() == []
+    announce(leaving=False)
+    assert domain.plan() == ["best-fit"]
--- a/laburnumsill/state/jobs.py
+++ b/laburnumsill/state/jobs.py
@@ -312,7 +312,7 @@
             for name in jobs_health.blame_job(
                 job, command.blamed, pool, limits
             ):
-                self._restore_worker(name)
+                self.book.worker_changed(name)
         is_worker_suspect = command.reason != StopReason.OVER_USE
         if worker is not None and is_worker_suspect:
             unanswered = command.reason == StopReason.UNREACHABLE
@@ -397,12 +397,7 @@
         if worker is None or command.now < worker.aside_until:
             return
         jobs_health.begin_probation(worker)
-        self._restore_worker(command.worker_id)
-
-    def _restore_worker(self, worker_id: str) -> None:
-        """Updates the indexes with a worker whose quarantine has ended."""
-        self.book.pool.freed += 1
-        self.book.worker_changed(worker_id)
+        self.book.worker_changed(command.worker_id)
 
     def _job_at_epoch(self, job_id: str, epoch: int) -> placements.Job:
         """Returns a job after checking its fencing epoch.
--- a/laburnumsill/state/jobs_book.py
+++ b/laburnumsill/state/jobs_book.py
@@ -228,9 +228,16 @@
         self.cells.refresh(record.announced.rack)
 
     def worker_changed(self, worker_id: str) -> None:
-        """Updates the derived state after a change of a worker's record."""
+        """Updates the derived state after a change of a worker's record.
+
+        The slots of a usable worker may have become free by the change, for
+        instance if it is no longer leaving or in quarantine.
+        """
+        worker = self.pool.workers[worker_id]
+        if worker.usable:
+            self.pool.freed += 1
         self.pool.reindex(worker_id)
-        self.cells.refresh(self.pool.workers[worker_id].announced.rack)
+        self.cells.refresh(worker.announced.rack)
 
     def lose_worker(self, worker_id: str) -> None:
         """Marks a worker as gone; it is removed once no task is on it."""
