batch, consensus: count leases from acknowledged heartbeats

A leader stood still while its failure domain was cut off. After it ran again it renewed the leases in its domain to 7.5 s after the freeze began; the next leader starts these tasks elsewhere 6.1 s after its own term began, about half a second into the freeze.

Cause: a lease counted from the present time, and the next leader counts from the begin of its term. Nothing bounds the time between that and the moment at which the former leader learns of it.

Ruled out: late start orders, draining workers, slow clocks.

A lease counts now from when the leader sent the last heartbeats that a majority of the voters has acknowledged in its term. No later term can have begun before, whatever stands still and however late the lease is granted. A faster poll or a wider margin would only have made the window smaller.

--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -191,6 +191,13 @@
             ledger.workers, announced_at
         )
 
+    @property
+    def lead_confirmed_at(self) -> float | None:
+        """Monotonic time before which no later term began, or None."""
+        return self._context.groups.lead_confirmed_at(
+            self._context.group, self.fence
+        )
+
     async def run(self) -> None:
         """Runs until leadership is lost."""
         _log_policy(self._policy)
@@ -579,6 +586,10 @@
 
     def _publish(self) -> None:
         metrics = self._context.metrics
+        confirmed_at = self.lead_confirmed_at
+        if confirmed_at is not None:
+            age_s = self.clock.monotonic() - confirmed_at
+            metrics.gauge("lead_confirmation_age_seconds", age_s)
         metrics.gauge("jobs_active", len(self.ledger.active_jobs))
         metrics.gauge("runs_live", len(self.ledger.runs))
         metrics.gauge("workers_known", len(self.ledger.workers))
--- a/laburnumsill/batch/leases.py
+++ b/laburnumsill/batch/leases.py
@@ -3,16 +3,22 @@
 A lease ends at a time on the worker's own clock, so a delayed order does not
 extend it. The scheduler knows that clock only from the worker's messages; it
 may run slow by `CLOCK_DRIFT`.
+
+A leader counts the leases of earlier leaders as expired one longest lease after
+its own term began. So a lease must end within the longest lease of a time at
+which no later term had begun, whatever the leader that grants it believes by
+then: it may have stood still and been replaced.
 """
 
+import math
+
 CLOCK_DRIFT = 0.02
 """Maximum share by which a worker's clock runs slow; set by the users'
 protocol."""
 
 LEASE_MARGIN_MS = 300
 """Subtracted from the longest lease that a worker grants, to allow for the
-latency of the order."""
-
+latency of the order and for the age of the confirmation of the lead."""
 
 DRAINING_LEASE_MS = 3_000
 """Longest lease on a worker that is draining, in ms. It may end at short notice
@@ -32,8 +38,10 @@
     Examples:
         >>> leases = LeaseTracker(10_000, now=100.0)
         >>> leases.observe_clock(5_000, received_at=100.0)
-        >>> leases.next_lease_ms(100.0)
+        >>> leases.next_lease_ms(100.0, lead_confirmed_at=99.9)
         14700
+        >>> leases.next_lease_ms(100.0, lead_confirmed_at=98.0)
+        13000
         >>> leases.record_grant(14_700)
         >>> round(leases.expires_at, 2)
         110.2
@@ -75,16 +83,44 @@
             # The clock may have stood still, which delays the end of leases.
             self._extend_expiry()
 
-    def next_lease_ms(self, now: float) -> int | None:
+    def next_lease_ms(
+        self, now: float, lead_confirmed_at: float | None
+    ) -> int | None:
         """Returns the end of a lease that is granted now.
 
-        The end is a time on the worker's clock, in ms; None if no reading of
-        that clock was received.
+        It is at most the longest lease after `lead_confirmed_at`, on the
+        worker's clock at that time as computed for the slowest clock. A reading
+        that was received late makes the lease shorter.
+
+        Args:
+            now: Present monotonic time in s.
+            lead_confirmed_at: Monotonic time in s before which no later term
+                began, None if there is no such time.
+
+        Returns:
+            A time on the worker's clock, in ms; None if no lease can be
+            granted, as no reading of that clock was received or the lead is
+            not confirmed.
         """
-        if self._clock_ms is None:
+        if self._clock_ms is None or lead_confirmed_at is None:
             return None
-        elapsed_ms = int((now - self._received_at) * 1000)
-        return self._clock_ms + elapsed_ms + self._longest_ms - LEASE_MARGIN_MS
+        counts_from = min(now - LEASE_MARGIN_MS / 1000, lead_confirmed_at)
+        elapsed_s = counts_from - self._received_at
+        if elapsed_s > 0:
+            elapsed_s *= 1 - CLOCK_DRIFT
+        return self._clock_ms + math.floor(elapsed_s * 1000) + self._longest_ms
+
+    def left_ms(self, lease_ms: int, now: float) -> float:
+        """Returns the shortest time until the end of a lease, in ms.
+
+        Args:
+            lease_ms: The end of the lease on the worker's clock, in ms.
+            now: Present monotonic time in s.
+        """
+        if self._clock_ms is None:
+            return 0.0
+        elapsed_ms = (now - self._received_at) * 1000
+        return lease_ms - self._clock_ms - elapsed_ms
 
     def record_grant(self, lease_ms: int) -> None:
         """Records a lease, before it is sent to the worker."""
--- a/laburnumsill/batch/orders.py
+++ b/laburnumsill/batch/orders.py
@@ -32,6 +32,11 @@
 """Time limit of a start order and its retries. The other members of a gang
 wait 3 s for this one."""
 
+MIN_START_LEASE_MS = round(2 * 1000 * MAX_ORDER_TIMEOUT_S)
+"""Shortest lease of a run that is started, in ms: the order, and the report
+that renews the lease. A leader that stood still can grant no longer ones until
+its lead is confirmed again."""
+
 START_BACKOFF_S = 1.0
 """Time for which a worker that has refused a start gets no new runs."""
 
@@ -200,7 +205,7 @@
         if not self._should_start(run):
             return False  # it became obsolete while the order waited
         now = state.term.clock.monotonic()
-        lease_ms = state.leases.next_lease_ms(now)
+        lease_ms = state.next_lease_ms()
         if state.renewal_suspended:
             return False
         record = state.term.ledger.jobs.get(run.task.job_id)
@@ -210,6 +215,8 @@
         if lease_ms is None:
             state.wakeup.set()  # the next report returns the clock
             return False
+        if state.lease_left_ms(lease_ms) < MIN_START_LEASE_MS:
+            return False
         state.leases.record_grant(lease_ms)
         order = worker_client.StartOrder(
             run, record.job.payload, task.saved, lease_ms, state.term.fence
--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -57,6 +57,10 @@
 """Age up to which an answer shows, without a further probe, that the worker is
 reachable: a cut would have to begin in between."""
 
+RENEWAL_INTERVAL_MS = REPORT_WAIT_MS + round(1000 * orders.MAX_ORDER_TIMEOUT_S)
+"""Longest time from a report request that the worker answers to the next one,
+in ms. A lease that ends earlier is renewed after `UNSETTLED_WAIT_MS`."""
+
 MAX_MISSED_REPORTS = 2
 """Number of reports without a started run, as running or as ended, after which
 the run is stopped. The acknowledged stop makes its absence certain."""
@@ -234,10 +238,12 @@
         last_end = self._term.ledger.last_end(self._state.worker_id)
         lease_ms = None
         if self._state.unreachable_since is None:
-            lease_ms = self._state.leases.next_lease_ms(now)
+            lease_ms = self._state.next_lease_ms()
         wait_ms = self._wait_ms()
         if lease_ms is not None:
             self._state.leases.record_grant(lease_ms)
+            if self._state.lease_left_ms(lease_ms) < RENEWAL_INTERVAL_MS:
+                wait_ms = min(wait_ms, UNSETTLED_WAIT_MS)
         order = worker_client.ReportOrder(
             lease_ms, self._term.fence, last_end, wait_ms
         )
--- a/laburnumsill/batch/term.py
+++ b/laburnumsill/batch/term.py
@@ -38,6 +38,14 @@
     order_slots: order_slots.OrderSlots
     lost_work: lost_work.LostWork
 
+    @property
+    @abc.abstractmethod
+    def lead_confirmed_at(self) -> float | None:
+        """Monotonic time before which no later term began, or None.
+
+        See `replication.LeaderGroups.lead_confirmed_at`.
+        """
+
     @abc.abstractmethod
     async def commit(self, command: object) -> object:
         """Commits a command and returns its result.
--- a/laburnumsill/batch/tests/test_leases.py
+++ b/laburnumsill/batch/tests/test_leases.py
@@ -1,5 +1,7 @@
+import hypothesis
 import msgspec
 import trio
+from hypothesis import strategies
 
 from laburnumsill.batch import leases
 from laburnumsill.batch import worker_client
@@ -19,6 +21,86 @@
     )
 
 
+@hypothesis.given(
+    rate=strategies.floats(1 - leases.CLOCK_DRIFT, 1.0),
+    delay_s=strategies.floats(0.0, 20.0),
+    received_at=strategies.floats(100.0, 130.0),
+    confirmed_at=strategies.floats(100.0, 130.0),
+    late_s=strategies.floats(0.0, 20.0),
+)
+def test_a_lease_ends_before_the_next_leader_counts_on_it(
+    rate, delay_s, received_at, confirmed_at, late_s
+):
+    """Guards against leases that a deposed leader grants too long.
+
+    The next term may begin at `confirmed_at`; its leader counts all earlier
+    leases as expired one longest lease later. The reading of the worker's clock
+    may be delayed, and the grant computed at any later time.
+    """
+    tracker = leases.LeaseTracker(LONGEST_MS, now=90.0)
+    tracker.observe_clock(50_000, received_at)
+    now = max(received_at, confirmed_at) + late_s
+    lease_ms = tracker.next_lease_ms(now, confirmed_at)
+    read_at = received_at - delay_s
+    ends_at = read_at + (lease_ms - 50_000) / 1000 / rate
+    assumed = leases.LeaseTracker(LONGEST_MS, now=confirmed_at).expires_at
+    assert ends_at <= assumed + 1e-6
+
+
+def test_a_leader_without_a_confirmed_lead_grants_no_lease():
+    tracker = leases.LeaseTracker(LONGEST_MS, now=100.0)
+    tracker.observe_clock(5_000, received_at=100.0)
+    assert tracker.next_lease_ms(100.0, None) is None
+
+
+def test_reports_of_a_leader_that_stood_still_do_not_prolong_leases():
+    """Guards against renewals by a leader that does not know its successor."""
+
+    async def script(term):
+        term.client = RunningClient()
+        term.session.start(test_session.RUN)
+        await trio.sleep(0.1)
+        term.lead_age_s = 5.0
+        await trio.sleep(4.0)
+        last = reports(term)[-1]
+        clock_ms = 1000 + 1000 * trio.current_time()
+        assert last.lease_ms <= clock_ms - 5_000 + LONGEST_MS
+
+    test_session.run_script(script)
+
+
+def test_a_lease_that_ends_soon_is_renewed_soon():
+    """Guards against runs whose lease ends within the wait for a report."""
+
+    async def script(term):
+        term.client = RunningClient()
+        term.session.start(test_session.RUN)
+        await trio.sleep(0.1)
+        term.lead_age_s = 8.5
+        await trio.sleep(3.0)
+        assert reports(term)[-1].wait_ms < 500
+        term.lead_age_s = 0.0
+        await trio.sleep(1.0)
+        assert reports(term)[-1].wait_ms == 2_000
+
+    test_session.run_script(script)
+
+
+def test_a_start_waits_until_the_lead_is_confirmed_again():
+    """Guards against runs that are started under a lease that is over."""
+
+    async def script(term):
+        term.lead_age_s = 9.5
+        term.session.start(test_session.RUN)
+        await trio.sleep(0.5)
+        assert not term.client.given("start")
+        term.lead_age_s = 0.0
+        await trio.sleep(0.3)
+        assert len(term.client.given("start")) == 1
+
+    test_session.run_script(script)
+
+
 LONGEST_MS = 10_000
 EXPIRY_MARGIN_S = 0.5
 """Clock drift, and a report that was on its way."""
--- a/laburnumsill/batch/tests/test_session.py
+++ b/laburnumsill/batch/tests/test_session.py
@@ -78,6 +78,7 @@
         self.fence = 7
         self.health = worker_health.WorkerHealth()
         self.longest_lease_ms = 10_000
+        self.lead_age_s = 0.0
         self.order_timeout = adaptive_timeout.AdaptiveTimeout(0.1, 0.5, 4)
         self.order_slots = order_slots.OrderSlots()
         self.metrics = metrics_module.Metrics()
@@ -98,6 +99,10 @@
         )
         self.session.observe_heartbeat(1000)
 
+    @property
+    def lead_confirmed_at(self):
+        return self.clock.monotonic() - self.lead_age_s
+
     async def commit(self, command):
         await trio.sleep(0.005)
         self.committed.append(command)
--- a/laburnumsill/batch/worker_state.py
+++ b/laburnumsill/batch/worker_state.py
@@ -118,6 +118,18 @@
         age_s = self.term.clock.monotonic() - self.announced_at
         return age_s < ANNOUNCEMENT_MAX_AGE_S
 
+    def next_lease_ms(self) -> int | None:
+        """Returns the end of a lease that is granted now, on its clock.
+
+        None if no lease can be granted, see `leases.LeaseTracker`.
+        """
+        now = self.term.clock.monotonic()
+        return self.leases.next_lease_ms(now, self.term.lead_confirmed_at)
+
+    def lease_left_ms(self, lease_ms: int) -> float:
+        """Returns the shortest time until the end of a lease, in ms."""
+        return self.leases.left_ms(lease_ms, self.term.clock.monotonic())
+
     def saved(self, run: model.RunId) -> str:
         """Returns a run's last reported saved progress, or ""."""
         listed = self.running.get(run)
--- a/laburnumsill/consensus/engine.py
+++ b/laburnumsill/consensus/engine.py
@@ -55,7 +55,8 @@
     An entry is committed when a majority of the voters holds it and, if any
     voter has a disk, at least one synced disk holds it too. There are no
     leader leases: a read waits until a majority has acknowledged a heartbeat
-    that was sent after the read arrived.
+    that was sent after the read arrived. Leases to others may be counted from
+    `confirmed_at`.
 
     Examples:
         >>> replica_id = types.ReplicaId("a", "i1")
@@ -173,6 +174,15 @@
         leadership = self._role.leadership
         return leadership is not None and leadership.can_commit
 
+    @property
+    def confirmed_at(self) -> float | None:
+        """Monotonic time before which no term after the current one began.
+
+        None unless this replica is leader and a majority has acknowledged it.
+        """
+        leadership = self._role.leadership
+        return None if leadership is None else leadership.confirmed_at
+
     @property
     def has_committed_in_term(self) -> bool:
         """Whether this replica leads and has committed an entry in its term.
--- a/laburnumsill/consensus/group.py
+++ b/laburnumsill/consensus/group.py
@@ -131,6 +131,17 @@
         """Whether this replica is the leader, as far as it knows."""
         return self._engine.role == "leader"
 
+    @property
+    def confirmed_at(self) -> float | None:
+        """Monotonic time before which no term after the current one began.
+
+        None unless this replica is leader and a majority has acknowledged it.
+        """
+        confirmed_at = self._engine.confirmed_at
+        if confirmed_at is None:
+            return None
+        return confirmed_at - tick_alignment.TOLERANCE_S
+
     @property
     def has_caught_up(self) -> bool:
         """Whether this replica leads and has applied an entry of its term.
--- a/laburnumsill/consensus/host.py
+++ b/laburnumsill/consensus/host.py
@@ -183,6 +183,13 @@
         hosted = self._replicas.hosted.get(group)
         return hosted.engine.term if hosted is not None else 0
 
+    def lead_confirmed_at(self, group: str, term: int) -> float | None:
+        """Returns a time before which no later term began; see base class."""
+        hosted = self._replicas.hosted.get(group)
+        if hosted is None or hosted.engine.term != term:
+            return None
+        return hosted.confirmed_at
+
     def leader(self, group: str) -> str | None:
         """Returns the VM that leads a group according to this VM, or None."""
         return self._leader_of(group)
--- a/laburnumsill/consensus/leader_state.py
+++ b/laburnumsill/consensus/leader_state.py
@@ -1,6 +1,7 @@
 """Leader state: replication, commit index, reads, leadership transfer."""
 
 from laburnumsill.consensus import engine_errors
+from laburnumsill.consensus import heartbeat_rounds
 from laburnumsill.consensus import membership as membership_module
 from laburnumsill.consensus import progress as progress_module
 from laburnumsill.consensus import read_queue
@@ -24,6 +25,7 @@
         self.progress: dict[types.ReplicaId, progress_module.Progress] = {}
         self._replica = replica
         self._reads = read_queue.ReadQueue()
+        self._rounds = heartbeat_rounds.HeartbeatRounds()
         self._heartbeat_at = replica.now
         self._transfer_to: types.ReplicaId | None = None
         self._transfer_deadline = replica.now
@@ -50,6 +52,14 @@
         """Whether a majority has replied within the election timeout."""
         return self._replica.now < self._quorum_deadline
 
+    @property
+    def confirmed_at(self) -> float | None:
+        """Monotonic time before which no later term can have begun.
+
+        None until a round of heartbeats was acknowledged by a majority.
+        """
+        return self._rounds.confirmed_at
+
     @property
     def can_commit(self) -> bool:
         """Whether this leader and enough other voters can write.
@@ -155,6 +165,7 @@
         if replica.now >= self._heartbeat_at:
             self._heartbeat_at = replica.now + replica.options.heartbeat_s
             self._send_heartbeats()
+            self._confirm_rounds()
 
     def on_reply(self, message: types.Message) -> None:
         """Handles a reply of a member; ignores replies of other replicas."""
@@ -167,7 +178,7 @@
         elif message.kind is types.MessageKind.HEARTBEAT_REPLY:
             progress.round = max(progress.round, message.round)
             progress.on_writable(not message.full)
-            self._confirm_reads()
+            self._confirm_rounds()
         elif message.kind is types.MessageKind.SNAPSHOT_REPLY:
             progress.on_chunk_accepted(message.index, message.offset)
 
@@ -278,7 +289,7 @@
 
     def _acked_round(self, voter: types.ReplicaId) -> int:
         if voter == self._replica.replica_id:
-            return self._reads.newest_round
+            return self._rounds.newest
         return self.progress[voter].round
 
     def _on_append_reply(
@@ -300,14 +311,15 @@
             or not self._replica.has_committed_in_term
         ):
             return
-        self._reads.start_round(self._replica.committed)
         self._send_heartbeats()
-        self._confirm_reads()
+        self._reads.assign(self._rounds.newest, self._replica.committed)
+        self._confirm_rounds()
 
-    def _confirm_reads(self) -> None:
+    def _confirm_rounds(self) -> None:
         confirmed_round = membership_module.reached_by_majority(
             self._replica.log.membership, self._acked_round
         )
+        self._rounds.confirm(confirmed_round)
         self._replica.confirm_reads(self._reads.confirm(confirmed_round))
 
     def _send_heartbeats(self) -> None:
@@ -319,6 +331,7 @@
         derived an election timeout of 0.56 s instead of 0.3 s.
         """
         replica = self._replica
+        number = self._rounds.begin(replica.now)
         for progress in self.progress.values():
             if progress.is_stalled(replica.now):
                 progress.retry()
@@ -329,7 +342,7 @@
                 types.MessageKind.HEARTBEAT,
                 member,
                 commit=commit,
-                round=self._reads.newest_round,
+                round=number,
             )
 
     def _send_next(
--- a/laburnumsill/consensus/read_queue.py
+++ b/laburnumsill/consensus/read_queue.py
@@ -30,12 +30,6 @@
     def __init__(self) -> None:
         self._new_reads: list[int] = []
         self._rounds: collections.deque[_Round] = collections.deque()
-        self._newest_round = 0
-
-    @property
-    def newest_round(self) -> int:
-        """Number of the latest heartbeat round."""
-        return self._newest_round
 
     @property
     def has_new_reads(self) -> bool:
@@ -46,16 +40,14 @@
         """Adds a read, which joins the next round."""
         self._new_reads.append(read_id)
 
-    def start_round(self, committed: int) -> None:
-        """Starts a round for all reads that are not assigned to one yet.
+    def assign(self, number: int, committed: int) -> None:
+        """Assigns all reads without a round to one that is being sent.
 
         Args:
+            number: Number of the round.
             committed: The commit index, which the reads must see applied.
         """
-        self._newest_round += 1
-        self._rounds.append(
-            _Round(self._newest_round, committed, tuple(self._new_reads))
-        )
+        self._rounds.append(_Round(number, committed, tuple(self._new_reads)))
         self._new_reads.clear()
 
     def confirm(self, number: int) -> list[types.ConfirmedRead]:
--- a/laburnumsill/consensus/tests/simulated_group.py
+++ b/laburnumsill/consensus/tests/simulated_group.py
@@ -257,6 +257,7 @@
         cut: Pairs of VMs that are partitioned, with the end time of each.
         committed: Committed entries by index.
         leaders: Leader of each term.
+        led_from: Time at which the leader of each term was elected.
         appended: Entry and previous term by index and term.
         floor: Highest index at which an operation completed.
         completed: Number of completed operations.
@@ -286,6 +287,7 @@
         self.network: list[tuple[float, types.Message]] = []
         self.committed: dict[int, types.Entry] = {}
         self.leaders: dict[int, types.ReplicaId] = {}
+        self.led_from: dict[int, float] = {}
         self.appended: dict[tuple[int, int], tuple[types.Entry, int]] = {}
         self.floor = 0
         self.completed = 0
@@ -438,13 +440,23 @@
         assert raft is not None
         expected = self.leaders.get(raft.term)
         assert expected in (None, host.replica_id), "election safety"
+        self._check_confirmed_lead(raft)
         if expected is None:
             self.leaders[raft.term] = host.replica_id
+            self.led_from[raft.term] = self.now
             for index, entry in self.committed.items():
                 term = raft.term_at(index)
                 complete = index < raft.committed or term == entry.term
                 assert complete, "leader completeness"
 
+    def _check_confirmed_lead(self, raft: engine.Engine) -> None:
+        """Checks that no later term began while the lead was confirmed."""
+        if raft.confirmed_at is None:
+            return
+        for term, led_from in self.led_from.items():
+            overlaps = term > raft.term and led_from < raft.confirmed_at
+            assert not overlaps, "a lead is confirmed into a later term"
+
     def change_membership(self, host: Host, new: types.Membership) -> bool:
         """Proposes a membership; returns whether it was accepted."""
         assert host.engine is not None
--- a/laburnumsill/consensus/tests/test_engine_rules.py
+++ b/laburnumsill/consensus/tests/test_engine_rules.py
@@ -92,6 +92,40 @@
     getattr(leader, name)(*arguments, late)
 
 
+def test_a_lead_is_confirmed_until_its_acknowledged_heartbeats_were_sent():
+    """Guards against a leader that counts its lead from when it reads replies.
+
+    It may have been replaced while they waited to be read.
+    """
+    leader = new_engine(types.HardState(1, None))
+    win_election(leader)
+    assert leader.confirmed_at is None
+    leader.tick(0.2)
+    sent = [
+        message
+        for message in leader.take_output().messages
+        if message.kind is KIND.HEARTBEAT
+    ]
+    reply = types.Message(
+        KIND.HEARTBEAT_REPLY, B, A, leader.term, round=sent[-1].round
+    )
+    leader.step(reply, 17.0)
+    assert leader.confirmed_at == 0.2
+    leader.step(dataclasses.replace(reply, source=C), 18.0)
+    assert leader.confirmed_at == 0.2
+
+
+def test_a_replaced_leader_has_no_confirmed_lead():
+    leader = new_engine(types.HardState(1, None))
+    win_election(leader)
+    leader.tick(0.2)
+    sent = leader.take_output().messages[-1]
+    send(leader, KIND.HEARTBEAT_REPLY, B, 2, round=sent.round)
+    assert leader.confirmed_at is not None
+    send(leader, KIND.HEARTBEAT, C, 3)
+    assert leader.confirmed_at is None
+
+
 def test_a_leader_without_a_quorum_steps_down_at_its_tick():
     leader = new_engine(types.HardState(1, None))
     win_election(leader)
--- a/laburnumsill/consensus/tick_alignment.py
+++ b/laburnumsill/consensus/tick_alignment.py
@@ -40,7 +40,8 @@
 
     A leader that is ticked slightly late is passed the aligned time, so that
     its next heartbeat falls on the next aligned tick. If it is late by more
-    than half a period, it is passed the actual time.
+    than half a period, it is passed the actual time. The result is at most
+    `TOLERANCE_S` ahead of `now`.
 
     Args:
         now: The monotonic time.
--- a/laburnumsill/core/replication.py
+++ b/laburnumsill/core/replication.py
@@ -174,6 +174,23 @@
 class LeaderGroups(Groups):
     """Groups as seen by a VM that hosts replicas of them."""
 
+    @abc.abstractmethod
+    def lead_confirmed_at(self, group: str, term: int) -> float | None:
+        """Returns a monotonic time before which no later term began.
+
+        Unlike `leads`, this stays true however late it is used, also by a VM
+        that stood still and does not know yet that another one leads.
+
+        Args:
+            group: The name of the group.
+            term: The term in which this VM leads.
+
+        Returns:
+            When the latest heartbeats were sent that a majority of the voters
+            has acknowledged in the term; None if there are none, or if this VM
+            does not lead in the term.
+        """
+
     @abc.abstractmethod
     def leader(self, group: str) -> str | None:
         """Returns the leader of a group as known to this VM, or None."""
--- a/laburnumsill/emulator/leadership.py
+++ b/laburnumsill/emulator/leadership.py
@@ -1,7 +1,9 @@
 """Leadership of an emulated site: the actual leader and each VM's view."""
 
+import contextlib
 import dataclasses
 import typing
+from collections import abc
 
 import trio
 
@@ -25,11 +27,13 @@
     Attributes:
         leader: The leader at the time of the suspension.
         term: The term at that time.
+        since: Time of the suspension, by the loop's clock.
         resumed: Set when the VM resumes.
     """
 
     leader: str
     term: int
+    since: float
     resumed: trio.Event
 
 
@@ -40,12 +44,14 @@
         machine: The state machine; all VMs share it.
         leader: The VM that leads, or "" if none does.
         current_term: The term; it increases with each call of `lead`.
+        unreachable: Ids of the workers that a VM cannot reach, by VM.
     """
 
     def __init__(self, machine: replication.StateMachine) -> None:
         self.machine = machine
         self.leader = ""
         self.current_term = 0
+        self.unreachable: dict[str, set[str]] = {}
         self._suspended: dict[str, _StaleView] = {}
 
     def lead(self, vm: str) -> None:
@@ -64,13 +70,22 @@
         It resumes with its view from before the suspension, which becomes
         current `STALE_VIEW_S` later.
         """
-        view = _StaleView(self.leader, self.current_term, trio.Event())
+        view = _StaleView(
+            self.leader, self.current_term, trio.current_time(), trio.Event()
+        )
         self._suspended[vm] = view
         await trio.sleep(seconds)
         view.resumed.set()
         await trio.sleep(STALE_VIEW_S)
         del self._suspended[vm]
 
+    def lead_confirmed_at(self, vm: str, term: int) -> float | None:
+        """Returns until when a VM knows that it led in a term, or None."""
+        if self.leader_seen_by(vm) != vm or self.term_seen_by(vm) != term:
+            return None
+        view = self._suspended.get(vm)
+        return trio.current_time() if view is None else view.since
+
     async def wait_until_resumed(self, vm: str) -> None:
         """Waits until a VM is not suspended."""
         view = self._suspended.get(vm)
@@ -125,6 +140,10 @@
         """Returns the term in the view of this VM."""
         return self._shared.term_seen_by(self._vm)
 
+    def lead_confirmed_at(self, group: str, term: int) -> float | None:
+        """Returns until when this VM knows that it led in a term, or None."""
+        return self._shared.lead_confirmed_at(self._vm, term)
+
     def leader(self, group: str) -> str | None:
         """Returns the leader in the view of this VM."""
         return self._shared.leader_seen_by(self._vm) or None
@@ -135,7 +154,10 @@
 
 
 class VmClient(worker_client.WorkerClient):
-    """Sends the orders of one VM, delayed while the VM is suspended."""
+    """Sends the orders of one VM to the workers that it can reach.
+
+    A suspended VM sends them, and reads the answers, when it resumes.
+    """
 
     def __init__(
         self, shared: Leadership, vm: str, client: worker_client.WorkerClient
@@ -151,8 +173,8 @@
         deadline: float,
     ) -> worker_client.Answer:
         """Starts a run, see the base class."""
-        await self._shared.wait_until_resumed(self._vm)
-        return await self._client.start(worker, order, deadline)
+        async with self._call(worker, deadline):
+            return await self._client.start(worker, order, deadline)
 
     async def stop(
         self,
@@ -162,8 +184,8 @@
         deadline: float,
     ) -> worker_client.Answer:
         """Stops a run, see the base class."""
-        await self._shared.wait_until_resumed(self._vm)
-        return await self._client.stop(worker, run, fence, deadline)
+        async with self._call(worker, deadline):
+            return await self._client.stop(worker, run, fence, deadline)
 
     async def report(
         self,
@@ -172,8 +194,22 @@
         deadline: float,
     ) -> worker_client.Report:
         """Asks for a report, see the base class."""
+        async with self._call(worker, deadline):
+            return await self._client.report(worker, order, deadline)
+
+    @contextlib.asynccontextmanager
+    async def _call(
+        self, worker: model.Worker, deadline: float
+    ) -> abc.AsyncIterator[None]:
+        """Delays a call, and its answer, while the VM is suspended."""
         await self._shared.wait_until_resumed(self._vm)
-        return await self._client.report(worker, order, deadline)
+        if worker.worker_id in self._shared.unreachable.get(self._vm, ()):
+            await trio.sleep(max(0.0, deadline - trio.current_time()))
+            raise worker_client.NoAnswerError("cut off")
+        try:
+            yield
+        finally:
+            await self._shared.wait_until_resumed(self._vm)
 
 
 def _round_trip(message: object) -> typing.Any:
--- a/laburnumsill/emulator/troubles.py
+++ b/laburnumsill/emulator/troubles.py
@@ -14,6 +14,9 @@
 MAX_DURATION_S = 6.0
 MAX_WITHOUT_LEADER_S = 3.0
 MAX_EVACUATION_S = 12.0
+CUT_S = (6.0, 16.0)
+"""Shortest and longest cut around a deposed leader. A lease ends after 10 s."""
+
 
 RECLAIM_NOTICE_S = 2.0
 """Time between the notice of a reclaimed worker and its end."""
@@ -69,6 +72,30 @@
             site.groups.lead(rng.choice(others))
 
 
+async def _depose(site: sites.EmulatedSite, rng: random.Random) -> None:
+    """Suspends the leader and cuts its failure domain off from the others.
+
+    The next leader reaches the workers of the other domains only. The deposed
+    one resumes, reaches its own, and does not know yet that it was deposed.
+    """
+    deposed = site.groups.leader
+    if not deposed:
+        return
+    workers = [one.worker for one in site.pool.workers.values()]
+    domain = rng.choice(sorted({worker.domain for worker in workers}))
+    inside = {one.worker_id for one in workers if one.domain == domain}
+    outside = {one.worker_id for one in workers} - inside
+    others = [vm for vm in site.schedulers if vm != deposed]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(site.groups.suspend, deposed, rng.uniform(0.5, 8.0))
+        await trio.sleep(rng.uniform(0.3, 0.8))
+        site.groups.unreachable = dict.fromkeys(others, inside)
+        site.groups.unreachable[deposed] = outside
+        site.groups.lead(rng.choice(others))
+        await trio.sleep(rng.uniform(*CUT_S))
+        site.groups.unreachable.clear()
+
+
 async def _lose_answers(site: sites.EmulatedSite, rng: random.Random) -> None:
     site.client.lost_share = LOST_SHARE
     await _sleep_while_active(rng)
@@ -213,15 +240,17 @@
     "crash": _crash,
     "shrink": _shrink,
     "suspend": _suspend,
+    "depose": _depose,
     "restart": _restart,
     "evacuate": _evacuate,
     "reclaim": _reclaim,
 }
 """The faults by name: the leader is lost; answers to orders are lost; orders
 are executed late; workers are unreachable, hang, fail their tasks, are replaced
-at their address, or have less capacity; a VM is suspended; workers crash and
-restart under their names; a failure domain is evacuated; workers are reclaimed
-at short notice."""
+at their address, or have less capacity; a VM is suspended; a leader is deposed
+while it is suspended, and some workers reach only it; workers crash and restart
+under their names; a failure domain is evacuated; workers are reclaimed at short
+notice."""
 
 BASE_KINDS = ("lead", "lost", "late", "cut", "hang", "fail", "crash")
 """A fixed selection of `KINDS` for tests by seed: adding a kind changes the
