emulator: commit nothing while no VM leads

Callers' commands went to the VM named "" while nobody led, which compared equal to the leader "", so they were committed at once. The emulated callers never waited for a leader, and a cancelling could not overtake a submission as it does on real daemons. A stand-in's change: no check of the oracle is touched.

test_nothing_is_committed_while_no_vm_leads failed before.

--- a/laburnumsill/emulator/leadership.py
+++ b/laburnumsill/emulator/leadership.py
@@ -114,6 +114,8 @@
         self, group: str, command: object, deadline: float
     ) -> typing.Any:
         """Commits a command if this VM leads in the same term throughout."""
+        if not self._shared.leader:
+            raise errors.NoQuorumError("no VM leads")
         term = self._shared.current_term
         await trio.sleep(COMMIT_S)
         await self._shared.wait_until_resumed(self._vm)
--- a/laburnumsill/emulator/tests/test_site.py
+++ b/laburnumsill/emulator/tests/test_site.py
@@ -133,3 +133,23 @@
 @pytest.mark.parametrize("seed", range(20))
 def test_all_faults_together_violate_no_invariant(seed):
     check(run(2000 + seed, list(troubles.KINDS)))
+
+
+def test_nothing_is_committed_while_no_vm_leads():
+    """Guards against an emulation in which callers never wait for a leader."""
+
+    async def main():
+        site = sites.EmulatedSite(1)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(site.run)
+            site.groups.lead("")
+            job, work_s = job_of(random.Random(1), 1)
+            nursery.start_soon(site.submit, job, work_s)
+            await trio.sleep(1.0)
+            assert not site.ledger.jobs
+            site.groups.lead("vm2")
+            await trio.sleep(1.0)
+            assert site.ledger.jobs
+            nursery.cancel_scope.cancel()
+
+    virtual_time.run(1, main)
