batch: accept no job after its cancelling was acknowledged

Its submission waited at an entry VM that stood still and was accepted when the VM resumed.

Cause: cancelling an unknown job left no record, so the answer promised what a later submission broke. No process has to stand still for it: where both wait for a leader, either may be committed first.

Ruled out as the only cause: the deadline that an entry counts from when it reads a request.

A later submission is refused as not run, on the users' platform with 503 and without Retry-After.

--- a/laburnumsill/batch/caller_commands.py
+++ b/laburnumsill/batch/caller_commands.py
@@ -6,6 +6,7 @@
 
 from laburnumsill.batch import model
 from laburnumsill.core import codec
+from laburnumsill.core import errors
 
 
 class JobState(enum.StrEnum):
@@ -18,9 +19,27 @@
     CANCELLED = "cancelled"
 
 
+class JobWithdrawnError(errors.ConflictError):
+    """The job was cancelled before this submission of it; it never runs."""
+
+    slug = "job-withdrawn"
+    title = "The job was cancelled before it was submitted"
+
+
+class TooManyWithdrawnError(errors.OverloadedError):
+    """Too many unknown jobs were cancelled; this one was not."""
+
+    slug = "too-many-withdrawn"
+    title = "Too many unknown jobs were cancelled"
+    default_retry_after_s = 10.0
+
+
 @codec.register("batch.submit")
 class SubmitJob(msgspec.Struct, frozen=True):
-    """Submits a job; a second submission with the same id is ignored."""
+    """Submits a job; a second submission with the same id is ignored.
+
+    It is refused if the job was cancelled before it was first submitted.
+    """
 
     job: model.Job
     at_ms: int
@@ -28,10 +47,19 @@
 
 @codec.register("batch.cancel")
 class CancelJob(msgspec.Struct, frozen=True):
-    """Cancels a job; a job that has ended keeps its state."""
+    """Cancels a job; a job that has ended keeps its state.
+
+    A job that does not exist is withdrawn: it is not accepted later.
+
+    Attributes:
+        job_id: The job.
+        at_ms: When the request was received, ms since 1970.
+        account: Client account of the caller, "" if it is not known.
+    """
 
     job_id: str
     at_ms: int
+    account: str = ""
 
 
 @codec.register("batch.job-query")
--- a/laburnumsill/batch/gateway.py
+++ b/laburnumsill/batch/gateway.py
@@ -45,6 +45,8 @@
         """Returns once the job is stored.
 
         Raises:
+            caller_commands.JobWithdrawnError: The job was cancelled before; it
+                never runs.
             errors.UnavailableError: The job was certainly not accepted.
             errors.OutcomeUnknownError: The job may have been accepted.
         """
@@ -53,14 +55,22 @@
             self._group, command, deadline - ANSWER_MARGIN_S
         )
 
-    async def cancel(self, job_id: str, deadline: float) -> str:
+    async def cancel(self, job_id: str, account: str, deadline: float) -> str:
         """Cancels a job; returns its state, which may be another end.
 
+        Args:
+            job_id: The job.
+            account: Client account of the caller, "" if it is not known.
+            deadline: Monotonic time.
+
         Raises:
-            UnknownJobError: There is no such job.
+            UnknownJobError: There is no such job. It is not accepted later
+                either, if a submission of it is still on its way.
             errors.LaburnumsillError: The job may or may not be cancelled.
         """
-        command = caller_commands.CancelJob(job_id, self._clock.wall_ms())
+        command = caller_commands.CancelJob(
+            job_id, self._clock.wall_ms(), account
+        )
         answer = await self._groups.propose(
             self._group, command, deadline - ANSWER_MARGIN_S
         )
--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -69,8 +69,8 @@
 """Silence after which a worker is removed, once its leases have expired."""
 
 ENDED_JOB_RETENTION_S = 300.0
-"""Time for which records of ended jobs are kept; the users require at least
-120 s."""
+"""Time for which records of ended and of withdrawn jobs are kept. The users
+require at least 120 s, and a submission is delayed for much less."""
 
 URGENT_STOP_REASON = "an urgent job needs the room"
 """Logged reason of the stops that a plan demands."""
@@ -595,6 +595,7 @@
         metrics.gauge("workers_known", len(self.ledger.workers))
         metrics.gauge("units_waiting", self._plan_log.units_waiting)
         metrics.gauge("orders_waiting", self.order_slots.waiting)
+        metrics.gauge("jobs_withdrawn", len(self.ledger.withdrawn))
         metrics.gauge("domains_evacuated", len(self.ledger.evacuated_domains))
 
 
--- a/laburnumsill/batch/ledger.py
+++ b/laburnumsill/batch/ledger.py
@@ -19,6 +19,7 @@
 from laburnumsill.batch import model
 from laburnumsill.batch import placement_checks
 from laburnumsill.batch import records
+from laburnumsill.batch import withdrawn_jobs
 from laburnumsill.batch import worker_registry
 from laburnumsill.core import codec
 from laburnumsill.core import replication
@@ -39,6 +40,7 @@
         ended_workers: By worker id: when the incarnation ended, ms since 1970.
         crashes: Records of crashes and of lost workers.
         domains: States of the failure domains that were ever evacuated.
+        withdrawn: Jobs that were cancelled before they were submitted, by id.
     """
 
     jobs: list[records.JobRecord]
@@ -53,6 +55,9 @@
     domains: dict[str, evacuations.DomainState] = dataclasses.field(
         default_factory=dict
     )
+    withdrawn: dict[str, withdrawn_jobs.Withdrawal] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 class BatchLedger(replication.Component, ledger_view.LedgerView):
@@ -63,7 +68,7 @@
     Invariants: a task has at most one live run; the live runs of a worker fit
     into its capacity; a gang is placed as a whole; no run is placed of a job
     that has ended, of a step whose dependencies are not done, or in an
-    evacuated failure domain.
+    evacuated failure domain; no job is accepted after it was cancelled.
 
     Examples:
         >>> ledger = BatchLedger()
@@ -85,6 +90,7 @@
         self._active: dict[str, records.JobRecord] = {}
         self._crashes = crash_module.CrashTracker()
         self._evacuations = evacuations.Evacuations()
+        self._withdrawn = withdrawn_jobs.WithdrawnJobs()
 
     @property
     def crashes(self) -> crash_module.CrashTracker:
@@ -96,6 +102,11 @@
         """The evacuated failure domains."""
         return self._evacuations.evacuated
 
+    @property
+    def withdrawn(self) -> abc.Collection[str]:
+        """Ids of the jobs that were cancelled before they were submitted."""
+        return self._withdrawn.records
+
     @property
     def jobs(self) -> abc.Mapping[str, records.JobRecord]:
         """All jobs whose records are kept, by id."""
@@ -184,10 +195,15 @@
         return self.workers[worker_id].capacity - self._live.used_on(worker_id)
 
     def submit(self, command: caller_commands.SubmitJob) -> None:
-        """Accepts a job unless there is one with its id."""
+        """Accepts a job unless there is one with its id.
+
+        Raises:
+            caller_commands.JobWithdrawnError: It was cancelled before.
+        """
         job_id = command.job.job_id
         if job_id in self._jobs:
             return
+        self._withdrawn.check(job_id)
         record = records.new_job(command.job, command.at_ms)
         self._jobs[job_id] = record
         self._active[job_id] = record
@@ -195,9 +211,18 @@
     def cancel(
         self, command: caller_commands.CancelJob
     ) -> caller_commands.JobAnswer:
-        """Cancels a job; the answer is empty if the job does not exist."""
+        """Cancels a job, or withdraws one that does not exist.
+
+        Returns:
+            The state of the job, empty if it does not exist.
+
+        Raises:
+            caller_commands.TooManyWithdrawnError: The job does not exist and
+                was not withdrawn.
+        """
         record = self._jobs.get(command.job_id)
         if record is None:
+            self._withdrawn.add(command.job_id, command.account, command.at_ms)
             return caller_commands.JobAnswer()
         if record.active:
             self._finish_job(
@@ -360,9 +385,10 @@
     def forget(self, command: commands.ForgetJobs) -> None:
         """Deletes jobs and workers that ended before a time.
 
-        A job with a live run is kept.
+        A job with a live run is kept. Withdrawn jobs are deleted likewise.
         """
         self._registry.forget(command.ended_before_ms)
+        self._withdrawn.forget(command.ended_before_ms)
         busy = {job_id for job_id, _, _ in self.runs_by_step}
         for job_id, record in list(self._jobs.items()):
             ended = 0 < record.ended_ms < command.ended_before_ms
@@ -373,8 +399,11 @@
     def has_expired_records(self, before_ms: int) -> bool:
         """Returns whether a job or a worker ended before `before_ms`.
 
-        If none did, `ForgetJobs` with that time would delete nothing.
+        If none did, and no job was withdrawn before, `ForgetJobs` with that
+        time would delete nothing.
         """
+        if self._withdrawn.has_expired(before_ms):
+            return True
         jobs = (record.ended_ms for record in self._jobs.values())
         ends = (*jobs, *self._registry.ended.values())
         return any(0 < ended_ms < before_ms for ended_ms in ends)
@@ -409,6 +438,7 @@
                 dict(self._registry.ended),
                 self._crashes.records,
                 dict(self._evacuations.states),
+                dict(self._withdrawn.records),
             )
         )
 
@@ -429,6 +459,7 @@
         self._registry.ended = dict(snapshot.ended_workers)
         self._crashes = crash_module.CrashTracker(snapshot.crashes)
         self._evacuations.states = dict(snapshot.domains)
+        self._withdrawn.load(snapshot.withdrawn)
         self._registry.set_excluded_domains(self.evacuated_domains)
 
     def _place_group(self, group: commands.Group, at_ms: int) -> str:
--- a/laburnumsill/batch/tests/test_ledger_machine.py
+++ b/laburnumsill/batch/tests/test_ledger_machine.py
@@ -45,6 +45,7 @@
         self.incarnations = dict.fromkeys(WORKERS, 0)
         self.crashes = collections.Counter()
         self.evacuated = set()
+        self.withdrawn = set()
 
     def present_id(self, address):
         """Returns the worker id of the present incarnation at an address."""
@@ -71,10 +72,19 @@
         )
         terms = model.QueueTerms("pool", 1, 2)
         job = model.Job(job_id, "q", "a", "", chained, terms)
-        self.ledger.submit(caller_commands.SubmitJob(job, self.tick()))
+        known = job_id in self.ledger.jobs
+        try:
+            self.ledger.submit(caller_commands.SubmitJob(job, self.tick()))
+        except caller_commands.JobWithdrawnError:
+            assert job_id in self.withdrawn
+            assert job_id not in self.ledger.jobs
+        else:
+            assert known or job_id not in self.withdrawn
 
     @stateful.rule(job_id=st.sampled_from(JOBS))
     def cancel(self, job_id):
+        if job_id not in self.ledger.jobs:
+            self.withdrawn.add(job_id)
         self.ledger.cancel(caller_commands.CancelJob(job_id, self.tick()))
 
     @stateful.rule(worker_id=st.sampled_from(WORKERS), draining=st.booleans())
--- a/laburnumsill/emulator/site.py
+++ b/laburnumsill/emulator/site.py
@@ -273,13 +273,19 @@
         self.groups.machine.apply(commands.PutWorker(worker, sequence))
 
     async def propose(self, command: object) -> typing.Any:
-        """Commits a caller's command; retries until a leader accepts it."""
+        """Commits a caller's command; retries until a leader accepts it.
+
+        Raises:
+            caller_commands.JobWithdrawnError: The job was cancelled before.
+        """
         while True:
             vm = self.groups.leader
             try:
                 return await leadership.VmGroups(self.groups, vm).propose(
                     GROUP, command, trio.current_time() + 1
                 )
+            except caller_commands.JobWithdrawnError:
+                raise
             except errors.LaburnumsillError:
                 await trio.sleep(0.1)
 
@@ -291,7 +297,7 @@
         task_spread: float = 0.0,
         crashing: abc.Iterable[model.TaskId] = (),
     ) -> None:
-        """Submits a job.
+        """Submits a job, unless it is cancelled before it is accepted.
 
         Args:
             job: The job.
@@ -309,9 +315,10 @@
         if always_fails:
             self.failing_jobs.add(job.job_id)
         self.outcomes[job.job_id] = Outcome(trio.current_time())
-        await self.propose(
-            caller_commands.SubmitJob(job, self._clock.wall_ms())
-        )
+        with contextlib.suppress(caller_commands.JobWithdrawnError):
+            await self.propose(
+                caller_commands.SubmitJob(job, self._clock.wall_ms())
+            )
 
     async def evacuate(self, domain: str) -> None:
         """Evacuates a failure domain; repeats the order until it succeeds."""
--- a/laburnumsill/platform/caller_app.py
+++ b/laburnumsill/platform/caller_app.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from laburnumsill.batch import caller_commands
 from laburnumsill.batch import gateway as gateways
 from laburnumsill.config import site
 from laburnumsill.core import clock as clocks
@@ -157,7 +158,7 @@
             state = await self._jobs.job_state(call.job, deadline)
             return http.json_answer(200, {"state": state})
         if method == "DELETE":
-            await self._jobs.cancel(call.job, deadline)
+            await self._jobs.cancel(call.job, account, deadline)
             return http.json_answer(200, {})
         return http.Answer(405)
 
@@ -252,12 +253,15 @@
     """Returns the answer to a request that failed.
 
     In this protocol 503 means that a job was not accepted and never runs, so
-    504 is returned for a job that may have been accepted.
+    504 is returned for a job that may have been accepted. A withdrawn job is
+    refused without a time to come back.
     """
     if isinstance(error, gateways.UnknownJobError):
         return http.Answer(410, msgspec.json.encode({"type": error.slug}))
     if isinstance(error, errors.OutcomeUnknownError):
         return http.failure(504, error)
-    if isinstance(error, errors.UnavailableError):
+    if isinstance(
+        error, errors.UnavailableError | caller_commands.JobWithdrawnError
+    ):
         return http.failure(503, error)
     return http.failure(error.status, error)
