batch, daemon, platform: refuse what waited longer than its caller waits

A core VM that stood still carried out a call that had waited in its socket; its operator had left after a second, got the answer of another VM, and evacuated the domain again.

Cause: the version that an order replaces was read when the order was read, and deadlines counted from there, so a call that had waited looked like a new one.

Ruled out: a late commit (the order was proposed after the VM resumed), the leader (nothing disturbed it), a lost evacuation (held until then).

A server knows now a bound on the arrival of each request that is never later than the arrival, wherever the process was stopped (wire.arrivals). Deadlines of callers and operators count from it, and what may have waited for longer is refused as not run. An order must also have read the state that it replaces by then; its version protects later orders however late it is committed.

--- a/laburnumsill/batch/domain_gateway.py
+++ b/laburnumsill/batch/domain_gateway.py
@@ -11,9 +11,10 @@
 class DomainGateway:
     """Evacuates failure domains and takes them back.
 
-    An order is acknowledged once it is committed. Its state is read first, with
-    a quorum, so that an order that is committed late cannot revert one that
-    was given after it.
+    An order is acknowledged once it is committed. The state that it replaces is
+    read first, with a quorum, and before the deadline until which its caller
+    certainly waits. An order that was given after it has a later version, so an
+    order that is committed late cannot revert that one.
 
     Args:
         group: The group whose state machine holds the ledger.
@@ -39,9 +40,16 @@
     ) -> evacuations.DomainState:
         """Stops the placement of runs in a failure domain.
 
+        Args:
+            domain: The failure domain.
+            deadline: Monotonic time until which the caller waits, counted from
+                the arrival of the order; it gives no other order before.
+
         Raises:
             evacuations.UnknownFailureDomainError: The site has no such domain.
             evacuations.EvacuationConflictError: Another order came first.
+            evacuations.OrderLateError: The caller may have left; nothing was
+                changed.
             errors.LaburnumsillError: The order may have been applied.
         """
         return await self._set(domain, True, deadline)
@@ -73,6 +81,10 @@
         self, domain: str, evacuated: bool, deadline: float
     ) -> evacuations.DomainState:
         before = await self.status(domain, deadline)
+        if self._clock.monotonic() >= deadline:
+            raise evacuations.OrderLateError(
+                f"the state of {domain} was read too late"
+            )
         order = evacuations.SetEvacuation(
             domain, evacuated, before.state.version, self._clock.wall_ms()
         )
--- a/laburnumsill/batch/evacuations.py
+++ b/laburnumsill/batch/evacuations.py
@@ -2,8 +2,8 @@
 
 No new run is placed in an evacuated failure domain; the runs that work there
 go on until they end. Orders carry no id, so each is applied against the state
-that was confirmed after it had arrived: an order that was delayed while another
-one was applied is refused instead of reverting that one.
+that was confirmed while its caller waited: an order that was delayed while
+another one was applied is refused instead of reverting that one.
 """
 
 import dataclasses
@@ -29,6 +29,16 @@
     title = "Another order for the failure domain was applied first"
 
 
+class OrderLateError(errors.UnavailableError):
+    """The caller may have left before the state to replace was read.
+
+    It may have given a later order since.
+    """
+
+    slug = "order-late"
+    title = "The order was carried out too late"
+
+
 @codec.register("batch.domain-state")
 class DomainState(msgspec.Struct, frozen=True):
     """Whether a failure domain is evacuated.
--- a/laburnumsill/batch/tests/test_evacuations.py
+++ b/laburnumsill/batch/tests/test_evacuations.py
@@ -71,6 +71,34 @@
     assert ledger.evacuated_domains == {NORTH}
 
 
+class SlowGroups(local_groups.LocalGroups):
+    """Groups whose answers to queries are read after a pause."""
+
+    pause_s = 0.0
+
+    async def query(self, group, query, deadline):
+        answer = await super().query(group, query, deadline)
+        await trio.sleep(self.pause_s)
+        return answer
+
+
+async def test_an_order_whose_caller_may_have_left_changes_nothing(
+    autojump_clock,
+):
+    """Guards against an order that replaces the state it did not know."""
+    ledger = site_of_two_domains()
+    groups = SlowGroups({"site": replication.StateMachine(ledger)})
+    gateway = domain_gateway.DomainGateway(
+        "site", groups, lambda: (), trio_clock.TrioClock()
+    )
+    await gateway.evacuate(NORTH, trio.current_time() + 1)
+    groups.pause_s = 7.0
+    with pytest.raises(evacuations.OrderLateError):
+        await gateway.restore(NORTH, trio.current_time() + 1)
+    assert ledger.is_evacuated(NORTH)
+    assert evacuations.OrderLateError.status == 503
+
+
 def test_a_snapshot_keeps_evacuations():
     ledger = site_of_two_domains()
     order(ledger, NORTH, True)
--- a/laburnumsill/daemon/light_server.py
+++ b/laburnumsill/daemon/light_server.py
@@ -3,6 +3,10 @@
 It is used by the roles that start often on small VMs: it loads a fifth of the
 modules of a complete ASGI server, and a request needs one task and no queue.
 HTTP/2, WebSockets, TLS and full-duplex streams are not supported.
+
+The scope of a request tells after which time it began to arrive, in the
+extension `arrivals.EXTENSION`: a process that stood still reads requests whose
+callers may have left.
 """
 
 import functools
@@ -17,6 +21,7 @@
 from laburnumsill.core import errors
 from laburnumsill.core import logs
 from laburnumsill.daemon import listening
+from laburnumsill.wire import arrivals
 
 MAX_HEADER_BYTES = 32 * 1024
 KEEP_ALIVE_S = 60
@@ -65,10 +70,10 @@
         listening.AddressTakenError: Another process listens on the address.
         listening.ListenError: Listening on the address failed.
     """
-    listener = await listening.listen(address)
+    listener = arrivals.Listener(await listening.listen(address))
     connections: set[_Connection] = set()
 
-    async def handle(stream: trio.SocketStream) -> None:
+    async def handle(stream: arrivals.Stream) -> None:
         connection = _Connection(application, stream)
         connections.add(connection)
         try:
@@ -104,10 +109,11 @@
     """One caller's connection, which serves one exchange at a time."""
 
     def __init__(
-        self, application: Application, stream: trio.SocketStream
+        self, application: Application, stream: arrivals.Stream
     ) -> None:
         self._application = application
         self._stream = stream
+        self._request_after: float | None = None
         self._protocol = _new_protocol()
         self._idle: trio.CancelScope | None = None
         self._finishing = False
@@ -138,7 +144,9 @@
         exchange = _Exchange(self, request)
         try:
             await self._application(
-                _scope(request), exchange.receive, exchange.send
+                _scope(request, self._request_after),
+                exchange.receive,
+                exchange.send,
             )
         except (_ClosedError, h11.RemoteProtocolError, *_STREAM_ERRORS):
             raise
@@ -158,6 +166,8 @@
         """Returns the next request, None if the connection is to be closed."""
         if self._finishing:
             return None
+        unread, _ = self._protocol.trailing_data
+        self._request_after = self._stream.empty_at if unread else None
         self._idle = trio.CancelScope(
             deadline=trio.current_time() + KEEP_ALIVE_S
         )
@@ -183,6 +193,8 @@
                     h11.InformationalResponse(status_code=100, headers=[])
                 )
             data = await self._stream.receive_some(RECEIVE_BYTES)
+            if self._request_after is None:
+                self._request_after = self._stream.empty_at
             if not data:
                 raise _ClosedError("the caller closed the connection")
             self._protocol.receive_data(data)
@@ -299,8 +311,13 @@
     )
 
 
-def _scope(request: h11.Request) -> Message:
-    """Returns the ASGI scope of a request."""
+def _scope(request: h11.Request, arrived_after: float | None) -> Message:
+    """Returns the ASGI scope of a request.
+
+    Args:
+        request: The request.
+        arrived_after: Monotonic time in s after which it began to arrive.
+    """
     raw_path, _, query = request.target.partition(b"?")
     return {
         "type": "http",
@@ -311,6 +328,7 @@
         "raw_path": raw_path,
         "query_string": query,
         "headers": list(request.headers),
+        "extensions": {arrivals.EXTENSION: {arrivals.AFTER: arrived_after}},
     }
 
 
--- a/laburnumsill/daemon/tests/test_light_server.py
+++ b/laburnumsill/daemon/tests/test_light_server.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import functools
+import socket
 
 import pytest
 import trio
@@ -9,6 +10,8 @@
 from laburnumsill.daemon import light_server
 from laburnumsill.platform import http
 from laburnumsill.testing import ports
+from laburnumsill.wire import arrivals
+from laburnumsill.wire.tests import test_arrivals
 
 GRACE_S = 0.3
 
@@ -271,3 +274,50 @@
         await site.request_started.acquire()
         with trio.fail_after(5):
             await site.response_ended.wait()
+
+
+def arrived_after(scope):
+    return scope["extensions"][arrivals.EXTENSION][arrivals.AFTER]
+
+
+async def test_requests_that_waited_while_the_process_stood_still_are_told():
+    """Guards against callers that have left and count as still waiting."""
+    async with served() as site:
+        site.nursery.start_soon(test_arrivals.tick)
+        idle = await site.connect()
+        await idle.send(GET.format("/first"))
+        await idle.until("answer")
+        host, _, port = site.address.rpartition(":")
+
+        def call():
+            for number in range(4):
+                with socket.create_connection((host, int(port))) as caller:
+                    caller.sendall(GET.format(f"/{number}").encode())
+
+        await trio.sleep(0.2)
+        began = test_arrivals.block_while(call)
+        for _ in range(5):
+            await site.request_started.acquire()
+        waited = site.scopes[1:]
+        assert {scope["path"] for scope in waited} == {"/0", "/1", "/2", "/3"}
+        assert all(arrived_after(scope) <= began for scope in waited)
+        await trio.sleep(0.5)
+        sent_at = test_arrivals.now()
+        await idle.send(GET.format("/last"))
+        await idle.until("answer")
+        assert arrived_after(site.scopes[-1]) > sent_at - 0.3
+
+
+async def test_a_pipelined_request_began_to_arrive_with_the_one_before():
+    """Guards against a bound from after the data was read."""
+    async with served() as site:
+        caller = await site.connect()
+        await caller.send(GET.format("/held") + GET.format("/2"))
+        await trio.sleep(0.3)
+        resumed_at = test_arrivals.now()
+        site.resume.set()
+        await caller.until("answer")
+        with trio.fail_after(5):
+            for _ in range(2):
+                await site.request_started.acquire()
+        assert arrived_after(site.scopes[1]) < resumed_at
--- a/laburnumsill/platform/caller_app.py
+++ b/laburnumsill/platform/caller_app.py
@@ -110,7 +110,8 @@
         call.queue = queue.name
         call.account = account
         call.job = call.request.path[len(queue.path_prefix) :]
-        deadline = began + _deadline_ms(call.request, queue) / 1000
+        patience_s = _deadline_ms(call.request, queue) / 1000
+        deadline = call.request.deadline(began, patience_s)
         if len(body) > configuration.limits.max_body_bytes:
             raise http.BodyTooLargeError(f"{len(body)} bytes")
         return await self._serve(call, queue, account, body, deadline)
--- a/laburnumsill/platform/control_app.py
+++ b/laburnumsill/platform/control_app.py
@@ -17,7 +17,8 @@
 EVACUATIONS_PREFIX = "/-/evacuate/"
 
 OPERATOR_TIMEOUT_S = 0.9
-"""Shorter than the second after which an operator tries another VM."""
+"""Shorter than the second after which an operator tries another VM. It counts
+from the arrival of a request: a later one may have been answered there."""
 
 REFUSED_STATUS = 400
 """Status for an invalid configuration. Any 4xx rejects it; after 400 the
@@ -78,11 +79,12 @@
         self._record(request, answer, reason)
 
     async def _answer(self, request: http.Request, body: bytes) -> http.Answer:
+        if request.path == CONFIGURATION_PATH and request.method == "PUT":
+            return await self._put_configuration(body)
+        deadline = request.deadline(self._clock.monotonic(), OPERATOR_TIMEOUT_S)
         if request.path == CONFIGURATION_PATH:
-            if request.method == "PUT":
-                return await self._put_configuration(body)
             if request.method == "GET":
-                return await self._get_configuration()
+                return await self._get_configuration(deadline)
             return http.Answer(405)
         if request.path.startswith(INSTANCES_PREFIX):
             worker_id = request.path[len(INSTANCES_PREFIX) :]
@@ -96,15 +98,21 @@
         if request.path.startswith(EVACUATIONS_PREFIX):
             domain = request.path[len(EVACUATIONS_PREFIX) :]
             if request.method == "POST":
-                await self._domains.evacuate(domain, self._deadline())
+                await self._domains.evacuate(domain, deadline)
                 return http.json_answer(200, {})
             if request.method == "DELETE":
-                await self._domains.restore(domain, self._deadline())
+                await self._domains.restore(domain, deadline)
                 return http.json_answer(200, {})
             return http.Answer(405)
         return http.Answer(404)
 
     async def _put_configuration(self, body: bytes) -> http.Answer:
+        """Proposes a configuration.
+
+        The document may be large and take long to arrive, so its caller's
+        patience counts from its end. One that waited here reverts no later
+        one, as the highest version is in force.
+        """
         try:
             decoded = decoding.configuration(body)
         except errors.InvalidConfigurationError as error:
@@ -114,9 +122,8 @@
             return http.failure(REFUSED_STATUS, error)
         packed = highest_version.pack(body)
         command = highest_version.PutDocument(decoded.version, packed)
-        result = await self._groups.propose(
-            self._group, command, self._deadline()
-        )
+        deadline = self._clock.monotonic() + OPERATOR_TIMEOUT_S
+        result = await self._groups.propose(self._group, command, deadline)
         logs.event(
             "configuration-accepted",
             version=decoded.version,
@@ -126,9 +133,9 @@
         )
         return http.json_answer(200, {})
 
-    async def _get_configuration(self) -> http.Answer:
+    async def _get_configuration(self, deadline: float) -> http.Answer:
         document = await self._groups.query(
-            self._group, highest_version.DocumentQuery(), self._deadline()
+            self._group, highest_version.DocumentQuery(), deadline
         )
         if not document.packed:
             raise errors.UnavailableError("no configuration was accepted yet")
@@ -140,9 +147,6 @@
         address = f"{leader}:{self._control_port}"
         return http.json_answer(200, {"heartbeat_addr": address})
 
-    def _deadline(self) -> float:
-        return self._clock.monotonic() + OPERATOR_TIMEOUT_S
-
     def _record(
         self, request: http.Request, answer: http.Answer, reason: str
     ) -> None:
--- a/laburnumsill/platform/http.py
+++ b/laburnumsill/platform/http.py
@@ -12,6 +12,7 @@
 import trio
 
 from laburnumsill.core import errors
+from laburnumsill.wire import arrivals
 
 Scope = abc.Mapping[str, typing.Any]
 Receive = abc.Callable[[], abc.Awaitable[dict[str, typing.Any]]]
@@ -39,6 +40,17 @@
     title = "The body did not arrive in time"
 
 
+class LateRequestError(errors.UnavailableError):
+    """The request may have waited here for longer than its caller waits.
+
+    Nothing was done. A process that stood still reads such requests when it
+    resumes; a later one of the same caller may have been answered elsewhere.
+    """
+
+    slug = "request-late"
+    title = "The request was read too late"
+
+
 class DisconnectedError(errors.LaburnumsillError):
     """The caller disconnected before its request was complete."""
 
@@ -53,11 +65,32 @@
         method: The HTTP method in upper case.
         path: The decoded path without the query.
         headers: Values by lower-case name; of repeated headers, the last value.
+        arrived_after: Monotonic time in s after which it began to arrive, or
+            None if the server does not know.
     """
 
     method: str
     path: str
     headers: abc.Mapping[str, str]
+    arrived_after: float | None = None
+
+    def deadline(self, now: float, patience_s: float) -> float:
+        """Returns until when the caller certainly waits, in monotonic s.
+
+        Args:
+            now: Present monotonic time in s.
+            patience_s: For how long the caller waits for the answer.
+
+        Raises:
+            LateRequestError: It may have left already.
+        """
+        if self.arrived_after is None:
+            return now + patience_s
+        deadline = self.arrived_after + patience_s
+        if now >= deadline:
+            waited_s = now - self.arrived_after
+            raise LateRequestError(f"it may have waited for {waited_s:.3f} s")
+        return deadline
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,7 +116,10 @@
         name.decode("latin-1").lower(): value.decode("latin-1")
         for name, value in scope["headers"]
     }
-    return Request(scope["method"], scope["path"], headers)
+    arrival = scope.get("extensions", {}).get(arrivals.EXTENSION, {})
+    return Request(
+        scope["method"], scope["path"], headers, arrival.get(arrivals.AFTER)
+    )
 
 
 async def read_body(receive: Receive, limit: int = MAX_BODY_BYTES) -> bytes:
--- a/laburnumsill/platform/tests/test_border.py
+++ b/laburnumsill/platform/tests/test_border.py
@@ -86,8 +86,8 @@
 class Border:
     """Both applications with a shared ledger."""
 
-    def __init__(self):
-        clock = trio_clock.TrioClock()
+    def __init__(self, clock=None):
+        clock = clock or trio_clock.TrioClock()
         self.machine = core_role.site_machine(GROUP)
         groups = local_groups.LocalGroups({GROUP: self.machine})
         self.callers = caller_app.CallerApp(
@@ -108,6 +108,10 @@
             metrics.Metrics(),
         )
 
+    def extensions(self):
+        """Returns what the server adds to the scope of a request."""
+        return {}
+
     def call(self, app, method, path, body=b"", **headers):
         """Returns the status and the body of the answer."""
         sent = []
@@ -128,6 +132,7 @@
             "method": method,
             "path": path,
             "headers": [(k.encode(), v.encode()) for k, v in named.items()],
+            "extensions": self.extensions(),
         }
         trio.run(app, scope, receive, send)
         return sent[0]["status"], sent[1]["body"]
