batch: give each order for a failure domain a version of its own

An operator gives up an order that takes an evacuation back, and evacuates the domain again. That is acknowledged, though nothing changes. If the first order is still on its way to its commit then, it is applied against the version that it had read, which was still the present one, and takes the acknowledged evacuation back.

Cause: an order that asked for the present state was acknowledged without a version. Each order that was confirmed against the present version counts as one now. A command that is proposed again after it was applied changes nothing, as before.

Guards: test_an_order_for_the_present_state_is_not_reverted_by_an_earlier_one, which failed before.

--- a/laburnumsill/batch/evacuations.py
+++ b/laburnumsill/batch/evacuations.py
@@ -3,7 +3,8 @@
 No new run is placed in an evacuated failure domain; the runs that work there
 go on until they end. Orders carry no id, so each is applied against the state
 that was confirmed while its caller waited: an order that was delayed while
-another one was applied is refused instead of reverting that one.
+another one was applied is refused instead of reverting that one. Therefore each
+order counts as a version, also one that asks for the present state.
 """
 
 import dataclasses
@@ -45,7 +46,7 @@
 
     Attributes:
         evacuated: Whether no new run is placed there.
-        version: Number of changes so far.
+        version: Number of orders so far.
         since_ms: Time of the last change, ms since 1970; 0 before the first.
     """
 
@@ -109,8 +110,8 @@
         DomainState(evacuated=True, version=1, since_ms=5)
         >>> evacuations.is_evacuated("north")
         True
-        >>> evacuations.apply(SetEvacuation("north", True, 0, 6)).version
-        1
+        >>> evacuations.apply(SetEvacuation("north", True, 1, 6))
+        DomainState(evacuated=True, version=2, since_ms=5)
     """
 
     states: dict[str, DomainState] = dataclasses.field(default_factory=dict)
@@ -139,13 +140,15 @@
                 applied after this one was received.
         """
         present = self.state(order.domain)
-        if present.evacuated == order.evacuated:
-            return present
+        changes = present.evacuated != order.evacuated
         if present.version != order.expected_version:
+            if not changes:
+                return present
             raise EvacuationConflictError(
                 f"{order.domain} is at version {present.version}, the order "
                 f"replaces {order.expected_version}"
             )
-        changed = DomainState(order.evacuated, present.version + 1, order.at_ms)
+        since_ms = order.at_ms if changes else present.since_ms
+        changed = DomainState(order.evacuated, present.version + 1, since_ms)
         self.states[order.domain] = changed
         return changed
--- a/laburnumsill/batch/tests/test_evacuations.py
+++ b/laburnumsill/batch/tests/test_evacuations.py
@@ -71,6 +71,21 @@
     assert ledger.evacuated_domains == {NORTH}
 
 
+def test_an_order_for_the_present_state_is_not_reverted_by_an_earlier_one():
+    """Guards against an order that was given up and is committed late.
+
+    The operator repeated the order before it, which changed nothing.
+    """
+    ledger = site_of_two_domains()
+    order(ledger, NORTH, True)
+    given_up = 1
+    repeated = order(ledger, NORTH, True)
+    assert repeated.since_ms == 7
+    with pytest.raises(evacuations.EvacuationConflictError):
+        order(ledger, NORTH, False, given_up)
+    assert ledger.is_evacuated(NORTH)
+
+
 class SlowGroups(local_groups.LocalGroups):
     """Groups whose answers to queries are read after a pause."""
 
