platform: let operators of a soak change orders while a VM is paused

The new trouble ChangeOrders calls the paused VM first, leaves it after a second, and evacuates the domain again through the others. It has a set of kinds and a test of its own; the draws of the other sets stay as they were.

--- a/laburnumsill/platform/tests/soak/main.py
+++ b/laburnumsill/platform/tests/soak/main.py
@@ -30,6 +30,7 @@
 ALL = "all"
 SPARE = "spare"
 EVACUATIONS = "evacuations"
+ORDERS = "orders"
 """Names of sets of troubles, see `troubles.CHOICES`."""
 
 MEAN_GAP_S = 0.9
@@ -220,7 +221,7 @@
             seconds,
             folder,
             troubles.CHOICES[kinds],
-            has_crashing_tasks=kinds in (ALL, SPARE, EVACUATIONS),
+            has_crashing_tasks=kinds in (ALL, SPARE, EVACUATIONS, ORDERS),
             has_spare=kinds == SPARE,
         )
         print(verdict.line(), flush=True)
--- a/laburnumsill/platform/tests/soak/troubles.py
+++ b/laburnumsill/platform/tests/soak/troubles.py
@@ -2,6 +2,7 @@
 
 import abc
 import random
+from collections import abc as collections_abc
 
 import trio
 
@@ -41,6 +42,13 @@
 EVACUATED_S = (0.5, 12.0)
 """Range of the duration of an evacuation, in seconds."""
 
+LONG_EVACUATED_S = (6.0, 12.0)
+"""Range of the duration of an evacuation after which starts are checked, in
+seconds: a domain is empty 5 s after its evacuation."""
+
+OPERATOR_PATIENCE_S = 1.0
+"""Time after which an operator leaves a VM that does not answer, in seconds."""
+
 MAX_ORDER_S = 60.0
 """Time within which an operator's order must succeed, in seconds, with further
 troubles of 4 s in the meantime."""
@@ -410,6 +418,57 @@
         self._site.evacuating.remove(domain)
 
 
+class ChangeOrders(Trouble):
+    """Gives orders for a domain in quick succession while a core VM is paused.
+
+    The operator calls the paused VM first, to take an evacuation back, and
+    leaves it after a second without an answer. It gives the same evacuation
+    again through the other VMs. The paused VM resumes later.
+    """
+
+    async def _play(self) -> None:
+        workers = [one.app.worker for one in self._site.announcers.values()]
+        domain = self._random.choice(sorted({w.worker.domain for w in workers}))
+        if domain in self._site.evacuating:
+            return
+        self._site.evacuating.add(domain)
+        paused = self._core_vm()
+        others = [vm for vm in self._site.core if vm != paused]
+        await self._give("POST", domain, self._site.core)
+        process = self._site.processes[paused]
+        if process.running:
+            process.pause()
+        await self._give("DELETE", domain, [paused, *others])
+        await trio.sleep(self._random.uniform(0.0, 1.0))
+        await self._give("POST", domain, others)
+        self._site.oracle.record_evacuation(domain, trio.current_time())
+        await self._wait()
+        if process.running:
+            process.resume()
+        await trio.sleep(self._random.uniform(*LONG_EVACUATED_S))
+        self._site.oracle.record_restore(domain)
+        await self._give("DELETE", domain, self._site.core)
+        self._site.evacuating.remove(domain)
+
+    async def _give(
+        self, method: str, domain: str, vms: collections_abc.Sequence[str]
+    ) -> None:
+        """Gives an order to one VM after the other until one acknowledges."""
+        operator = self._site.operator
+        path = f"/-/evacuate/{domain}"
+        with trio.fail_after(MAX_ORDER_S):
+            while True:
+                for vm in vms:
+                    address = self._site.vms[vm].control
+                    with trio.move_on_after(OPERATOR_PATIENCE_S):
+                        status, _ = await operator.call(
+                            method, path, address=address
+                        )
+                        if status == 200:
+                            return
+                await trio.sleep(POLL_INTERVAL_S)
+
+
 KINDS: tuple[type[Trouble], ...] = (
     Kill,
     KillAll,
@@ -447,11 +506,15 @@
 EVACUATION_KINDS = (*ALL_KINDS, *(5 * (Evacuate,)))
 """Troubles for soaks with evacuations."""
 
+ORDER_KINDS = (*EVACUATION_KINDS, *(3 * (ChangeOrders,)))
+"""Troubles for soaks with orders that wait in a paused VM."""
+
 CHOICES = {
     "first": KINDS,
     "full-disks": KINDS_WITH_DISKS,
     "all": ALL_KINDS,
     "spare": SPARE_KINDS,
     "evacuations": EVACUATION_KINDS,
+    "orders": ORDER_KINDS,
 }
 """Sets of troubles by their names on the command line."""
--- a/laburnumsill/platform/tests/test_soak.py
+++ b/laburnumsill/platform/tests/test_soak.py
@@ -26,6 +26,7 @@
 
 SPARE_SEEDS = (1, 2)
 EVACUATION_SEEDS = (1, 2)
+ORDER_SEEDS = (1, 2)
 
 READS = 2000
 
@@ -109,6 +110,22 @@
     assert verdict.completed
 
 
+@pytest.mark.parametrize("seed", ORDER_SEEDS)
+async def test_no_promise_is_broken_by_orders_that_wait_in_a_paused_vm(
+    tmp_path: pathlib.Path, seed: int
+):
+    """Guards against an order that is carried out after a later one."""
+    verdict = await soaks.soak(
+        seed,
+        SHORT_S,
+        tmp_path,
+        [troubles.ChangeOrders],
+        opening=(troubles.ChangeOrders,),
+    )
+    assert verdict.broken == [], verdict.line()
+    assert verdict.completed
+
+
 def test_settings_are_whole_whenever_a_daemon_reads_them(tmp_path):
     """Overlapping troubles may start a VM while its daemon is already starting.
 
