batch: bound the wait of a submission below the life of its withdrawal

A submission waits for a leader for as long as its caller and its queue allow, which a site may set to more than the 300 s for which the cancelling of an unknown job is recorded. Then the cancelling could be forgotten before the submission is applied.

A submission waits for 60 s at most.

Guards: test_a_submission_waits_for_less_than_its_withdrawal_lasts, which failed before.

--- a/laburnumsill/batch/gateway.py
+++ b/laburnumsill/batch/gateway.py
@@ -9,6 +9,10 @@
 ANSWER_MARGIN_S = 0.1
 """Part of a caller's deadline that is reserved for the way of the answer."""
 
+MAX_SUBMISSION_S = 60.0
+"""Longest time for which a submission may wait, whatever its caller allows. A
+cancellation that overtakes it is recorded for longer than that."""
+
 QUERY_TIMEOUT_S = 1.0
 """Timeout of a query."""
 
@@ -51,6 +55,7 @@
             errors.OutcomeUnknownError: The job may have been accepted.
         """
         command = caller_commands.SubmitJob(job, self._clock.wall_ms())
+        deadline = self._deadline_within(deadline, MAX_SUBMISSION_S)
         await self._groups.propose(
             self._group, command, deadline - ANSWER_MARGIN_S
         )
--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -70,7 +70,8 @@
 
 ENDED_JOB_RETENTION_S = 300.0
 """Time for which records of ended and of withdrawn jobs are kept. The users
-require at least 120 s, and a submission is delayed for much less."""
+require at least 120 s, and a submission waits for `gateway.MAX_SUBMISSION_S` at
+most."""
 
 URGENT_STOP_REASON = "an urgent job needs the room"
 """Logged reason of the stops that a plan demands."""
--- a/laburnumsill/batch/leases.py
+++ b/laburnumsill/batch/leases.py
@@ -111,7 +111,7 @@
         return self._clock_ms + math.floor(elapsed_s * 1000) + self._longest_ms
 
     def left_ms(self, lease_ms: int, now: float) -> float:
-        """Returns the shortest time until the end of a lease, in ms.
+        """Returns the estimated time until the end of a lease, in ms.
 
         Args:
             lease_ms: The end of the lease on the worker's clock, in ms.
--- a/laburnumsill/batch/tests/test_withdrawn_jobs.py
+++ b/laburnumsill/batch/tests/test_withdrawn_jobs.py
@@ -5,6 +5,7 @@
 from laburnumsill.batch import caller_commands
 from laburnumsill.batch import commands
 from laburnumsill.batch import gateway
+from laburnumsill.batch import leading
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
 from laburnumsill.batch import withdrawn_jobs
@@ -115,3 +116,26 @@
         await jobs.submit(submission("j").job, deadline)
     record = refusal.value.to_record()
     assert record.retry_after_s is None
+
+
+class RecordingGroups(local_groups.LocalGroups):
+    """Groups that record the deadline of the last proposal."""
+
+    deadline = 0.0
+
+    async def propose(self, group, command, deadline):
+        self.deadline = deadline
+        return await super().propose(group, command, deadline)
+
+
+async def test_a_submission_waits_for_less_than_its_withdrawal_lasts():
+    """Guards against a submission that outlasts the record against it."""
+    machine = replication.StateMachine(ledgers.BatchLedger())
+    groups = RecordingGroups({"site": machine})
+    clock = trio_clock.TrioClock()
+    jobs = gateway.JobGateway("site", groups, clock)
+    now = clock.monotonic()
+    await jobs.submit(submission("j").job, now + 10_000.0)
+    waits_s = groups.deadline - now
+    assert waits_s <= gateway.MAX_SUBMISSION_S + 1.0
+    assert gateway.MAX_SUBMISSION_S < leading.ENDED_JOB_RETENTION_S / 2
--- a/laburnumsill/batch/worker_state.py
+++ b/laburnumsill/batch/worker_state.py
@@ -127,7 +127,7 @@
         return self.leases.next_lease_ms(now, self.term.lead_confirmed_at)
 
     def lease_left_ms(self, lease_ms: int) -> float:
-        """Returns the shortest time until the end of a lease, in ms."""
+        """Returns the estimated time until the end of a lease, in ms."""
         return self.leases.left_ms(lease_ms, self.term.clock.monotonic())
 
     def saved(self, run: model.RunId) -> str:
--- a/laburnumsill/wire/arrivals.py
+++ b/laburnumsill/wire/arrivals.py
@@ -7,7 +7,6 @@
 """
 
 import math
-import typing
 
 import trio
 
@@ -69,7 +68,7 @@
         empty_at: Monotonic time in s at which it certainly held nothing.
     """
 
-    def __init__(self, sock: typing.Any, empty_at: float) -> None:
+    def __init__(self, sock: trio.socket.SocketType, empty_at: float) -> None:
         self._socket = sock
         self._empty_at = empty_at
         self._watch = loop_watch()
