--- a/laburnumsill/batch/withdrawn_jobs.py
+++ b/laburnumsill/batch/withdrawn_jobs.py
@@ -19,8 +19,8 @@
 from laburnumsill.batch import caller_commands
 from laburnumsill.core import codec
 
-MAX_RECORDS = 50_000
-"""Limit of the records of all client accounts: about 12 MB of memory."""
+MAX_RECORDS = 20_000
+"""Limit of the records of all client accounts: about 5 MB of memory."""
 
 MAX_RECORDS_OF_ACCOUNT = 2_000
 """Limit of the records of one client account."""
