emulator, platform: draw evacuated domains in one place, answer over a channel

The two troubles of the soak that evacuate a domain drew it alike; the emulated operator shared a list and an event with the VM that it calls. No change of behaviour.

--- a/laburnumsill/emulator/site.py
+++ b/laburnumsill/emulator/site.py
@@ -358,15 +358,13 @@
             for vm in self.random.sample(
                 list(self.domain_gateways), len(self.domain_gateways)
             ):
-                answers: list[bool] = []
-                answered = trio.Event()
+                answer, answers = trio.open_memory_channel[bool](1)
                 self._nursery.start_soon(
-                    self._carry_out, vm, order, domain, answers, answered
+                    self._carry_out, vm, order, domain, answer
                 )
                 with trio.move_on_after(OPERATOR_PATIENCE_S):
-                    await answered.wait()
-                if True in answers:
-                    return
+                    if await answers.receive():
+                        return
             await trio.sleep(0.1)
 
     async def _carry_out(
@@ -374,8 +372,7 @@
         vm: str,
         order: Order,
         domain: str,
-        answers: list[bool],
-        answered: trio.Event,
+        answer: trio.MemorySendChannel[bool],
     ) -> None:
         """Carries an order out on a VM; answers whether it succeeded."""
         deadline = trio.current_time() + OPERATOR_TIMEOUT_S
@@ -384,8 +381,7 @@
         with contextlib.suppress(errors.LaburnumsillError):
             await order(self.domain_gateways[vm], domain, deadline)
             succeeded = True
-        answers.append(succeeded)
-        answered.set()
+        answer.send_nowait(succeeded)
 
     async def cancel(self, job_id: str) -> None:
         """Cancels a job."""
--- a/laburnumsill/platform/tests/soak/troubles.py
+++ b/laburnumsill/platform/tests/soak/troubles.py
@@ -90,6 +90,15 @@
     def _any_vm(self) -> str:
         return self._random.choice([*self._site.core, *layout.ENTRIES])
 
+    def _domain_to_evacuate(self) -> str | None:
+        """Draws a failure domain; None if another trouble has evacuated it."""
+        workers = [one.app.worker for one in self._site.announcers.values()]
+        domain = self._random.choice(sorted({w.worker.domain for w in workers}))
+        if domain in self._site.evacuating:
+            return None
+        self._site.evacuating.add(domain)
+        return domain
+
     async def _wait(self) -> None:
         await trio.sleep(self._random.uniform(MIN_DURATION_S, MAX_DURATION_S))
 
@@ -402,11 +411,9 @@
     affects_workers_only = True
 
     async def _play(self) -> None:
-        workers = [one.app.worker for one in self._site.announcers.values()]
-        domain = self._random.choice(sorted({w.worker.domain for w in workers}))
-        if domain in self._site.evacuating:
+        domain = self._domain_to_evacuate()
+        if domain is None:
             return
-        self._site.evacuating.add(domain)
         path = f"/-/evacuate/{domain}"
         oracle = self._site.oracle
         operator = self._site.operator
@@ -427,11 +434,9 @@
     """
 
     async def _play(self) -> None:
-        workers = [one.app.worker for one in self._site.announcers.values()]
-        domain = self._random.choice(sorted({w.worker.domain for w in workers}))
-        if domain in self._site.evacuating:
+        domain = self._domain_to_evacuate()
+        if domain is None:
             return
-        self._site.evacuating.add(domain)
         paused = self._core_vm()
         others = [vm for vm in self._site.core if vm != paused]
         await self._give("POST", domain, self._site.core)
