platform: end the pause of ChangeOrders in any case

The trouble resumed its VM only after the later order was acknowledged. The checks are as they were.

--- a/laburnumsill/platform/tests/soak/troubles.py
+++ b/laburnumsill/platform/tests/soak/troubles.py
@@ -46,6 +46,9 @@
 """Range of the duration of an evacuation after which starts are checked, in
 seconds: a domain is empty 5 s after its evacuation."""
 
+PAUSED_S = (2.0, 7.0)
+"""Range of the duration of a pause that operators notice, in seconds."""
+
 OPERATOR_PATIENCE_S = 1.0
 """Time after which an operator leaves a VM that does not answer, in seconds."""
 
@@ -440,21 +443,34 @@
         paused = self._core_vm()
         others = [vm for vm in self._site.core if vm != paused]
         await self._give("POST", domain, self._site.core)
-        process = self._site.processes[paused]
-        if process.running:
-            process.pause()
-        await self._give("DELETE", domain, [paused, *others])
-        await trio.sleep(self._random.uniform(0.0, 1.0))
-        await self._give("POST", domain, others)
-        self._site.oracle.record_evacuation(domain, trio.current_time())
-        await self._wait()
-        if process.running:
-            process.resume()
+        async with trio.open_nursery() as nursery:
+            pause_s = self._random.uniform(*PAUSED_S)
+            await nursery.start(self._pause, paused, pause_s)
+            await self._give("DELETE", domain, [paused, *others])
+            await trio.sleep(self._random.uniform(0.0, 1.0))
+            await self._give("POST", domain, others)
+            self._site.oracle.record_evacuation(domain, trio.current_time())
         await trio.sleep(self._random.uniform(*LONG_EVACUATED_S))
         self._site.oracle.record_restore(domain)
         await self._give("DELETE", domain, self._site.core)
         self._site.evacuating.remove(domain)
 
+    async def _pause(
+        self,
+        vm: str,
+        seconds: float,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Pauses a VM for some time, also while no order is acknowledged."""
+        process = self._site.processes[vm]
+        if process.running:
+            process.pause()
+        task_status.started()
+        await trio.sleep(seconds)
+        if process.running:
+            process.resume()
+
     async def _give(
         self, method: str, domain: str, vms: collections_abc.Sequence[str]
     ) -> None:
