--- a/laburnumsill/batch/tests/test_withdrawn_jobs.py
+++ b/laburnumsill/batch/tests/test_withdrawn_jobs.py
@@ -1,5 +1,6 @@
 """Jobs that are cancelled before a submission of theirs is applied."""
 
+import msgspec
 import pytest
 
 from laburnumsill.batch import caller_commands
@@ -51,6 +52,16 @@
     assert state_of(ledger, "other") == "queued"
 
 
+def test_a_snapshot_of_an_earlier_version_has_no_withdrawn_jobs():
+    """Guards against a replica that cannot read what it had stored."""
+    ledger = ledgers.BatchLedger()
+    ledger.cancel(cancellation("j"))
+    name, fields = msgspec.msgpack.decode(ledger.dump())
+    assert fields.pop("withdrawn")
+    ledger.load(msgspec.msgpack.encode([name, fields]))
+    ledger.submit(submission("j"))
+
+
 def test_a_resent_submission_of_a_cancelled_job_is_answered_as_before():
     """Guards against a refusal of a job that was accepted."""
     ledger = ledgers.BatchLedger()
