batch: replay orders and cancellations of an earlier version as they were

An upgrade replays the log of the version before. A repeated evacuation, which that version did not count, counted in the replay, so the order after it met a conflict: an acknowledged order was lost. Likewise a job that was accepted after a cancellation of its id was refused in the replay.

Cause: the two mends changed what existing commands mean. Commands carry the new meaning themselves now (counts_always, an account), which those of earlier versions lack.

Guards: test_orders_in_the_log_of_an_earlier_version_are_replayed_as_they_were, test_a_cancellation_in_the_log_of_an_earlier_version_withdraws_nothing; both failed before.

--- a/laburnumsill/batch/caller_commands.py
+++ b/laburnumsill/batch/caller_commands.py
@@ -49,17 +49,19 @@
 class CancelJob(msgspec.Struct, frozen=True):
     """Cancels a job; a job that has ended keeps its state.
 
-    A job that does not exist is withdrawn: it is not accepted later.
+    A job that does not exist is withdrawn: it is not accepted later. Commands
+    of earlier versions of this program, without an account, withdraw none.
 
     Attributes:
         job_id: The job.
         at_ms: When the request was received, ms since 1970.
-        account: Client account of the caller, "" if it is not known.
+        account: Client account of the caller, "" if it is not known, None in
+            commands of earlier versions.
     """
 
     job_id: str
     at_ms: int
-    account: str = ""
+    account: str | None = None
 
 
 @codec.register("batch.job-query")
--- a/laburnumsill/batch/domain_gateway.py
+++ b/laburnumsill/batch/domain_gateway.py
@@ -86,7 +86,11 @@
                 f"the state of {domain} was read too late"
             )
         order = evacuations.SetEvacuation(
-            domain, evacuated, before.state.version, self._clock.wall_ms()
+            domain,
+            evacuated,
+            before.state.version,
+            self._clock.wall_ms(),
+            counts_always=True,
         )
         state: evacuations.DomainState = await self._groups.propose(
             self._group, order, deadline
--- a/laburnumsill/batch/evacuations.py
+++ b/laburnumsill/batch/evacuations.py
@@ -64,12 +64,15 @@
         evacuated: Whether it is to be evacuated.
         expected_version: The version of its state that the order replaces.
         at_ms: When the order was received, ms since 1970.
+        counts_always: Whether it counts as a version also if it changes
+            nothing; False in commands of earlier versions of this program.
     """
 
     domain: str
     evacuated: bool
     expected_version: int
     at_ms: int
+    counts_always: bool = False
 
 
 @codec.register("batch.domain-query")
@@ -110,7 +113,7 @@
         DomainState(evacuated=True, version=1, since_ms=5)
         >>> evacuations.is_evacuated("north")
         True
-        >>> evacuations.apply(SetEvacuation("north", True, 1, 6))
+        >>> evacuations.apply(SetEvacuation("north", True, 1, 6, True))
         DomainState(evacuated=True, version=2, since_ms=5)
     """
 
@@ -140,10 +143,11 @@
                 applied after this one was received.
         """
         present = self.state(order.domain)
+        is_expected = present.version == order.expected_version
         changes = present.evacuated != order.evacuated
-        if present.version != order.expected_version:
-            if not changes:
-                return present
+        if not changes and not (is_expected and order.counts_always):
+            return present
+        if not is_expected:
             raise EvacuationConflictError(
                 f"{order.domain} is at version {present.version}, the order "
                 f"replaces {order.expected_version}"
--- a/laburnumsill/batch/ledger.py
+++ b/laburnumsill/batch/ledger.py
@@ -222,7 +222,10 @@
         """
         record = self._jobs.get(command.job_id)
         if record is None:
-            self._withdrawn.add(command.job_id, command.account, command.at_ms)
+            if command.account is not None:
+                self._withdrawn.add(
+                    command.job_id, command.account, command.at_ms
+                )
             return caller_commands.JobAnswer()
         if record.active:
             self._finish_job(
--- a/laburnumsill/batch/tests/test_evacuations.py
+++ b/laburnumsill/batch/tests/test_evacuations.py
@@ -13,6 +13,7 @@
 from laburnumsill.batch import model
 from laburnumsill.batch import planner
 from laburnumsill.batch.tests import planned_site
+from laburnumsill.core import codec
 from laburnumsill.core import errors
 from laburnumsill.core import replication
 from laburnumsill.core import trio_clock
@@ -41,7 +42,9 @@
         query = evacuations.DomainQuery(domain)
         expected_version = ledger.domain_status(query).state.version
     return ledger.set_evacuation(
-        evacuations.SetEvacuation(domain, evacuated, expected_version, 7)
+        evacuations.SetEvacuation(
+            domain, evacuated, expected_version, 7, counts_always=True
+        )
     )
 
 
@@ -86,6 +89,23 @@
     assert ledger.is_evacuated(NORTH)
 
 
+def test_orders_in_the_log_of_an_earlier_version_are_replayed_as_they_were():
+    """Guards against an upgrade that loses an acknowledged order."""
+    ledger = site_of_two_domains()
+    for evacuated, expected_version in ((True, 0), (True, 1), (False, 1)):
+        fields = {
+            "domain": NORTH,
+            "evacuated": evacuated,
+            "expected_version": expected_version,
+            "at_ms": 7,
+        }
+        raw = msgspec.msgpack.encode(["batch.set-evacuation", fields])
+        ledger.set_evacuation(codec.decode(raw))
+    assert not ledger.is_evacuated(NORTH)
+    status = ledger.domain_status(evacuations.DomainQuery(NORTH))
+    assert status.state.version == 2
+
+
 class SlowGroups(local_groups.LocalGroups):
     """Groups whose answers to queries are read after a pause."""
 
--- a/laburnumsill/batch/tests/test_ledger_machine.py
+++ b/laburnumsill/batch/tests/test_ledger_machine.py
@@ -85,7 +85,7 @@
     def cancel(self, job_id):
         if job_id not in self.ledger.jobs:
             self.withdrawn.add(job_id)
-        self.ledger.cancel(caller_commands.CancelJob(job_id, self.tick()))
+        self.ledger.cancel(caller_commands.CancelJob(job_id, self.tick(), "a"))
 
     @stateful.rule(worker_id=st.sampled_from(WORKERS), draining=st.booleans())
     def put_worker(self, worker_id, draining):
@@ -175,7 +175,11 @@
         if outdated and not version:
             return
         order = evacuations.SetEvacuation(
-            domain, evacuated, version - outdated, self.tick()
+            domain,
+            evacuated,
+            version - outdated,
+            self.tick(),
+            counts_always=True,
         )
         holds = (domain in self.evacuated) == evacuated
         try:
--- a/laburnumsill/batch/tests/test_withdrawn_jobs.py
+++ b/laburnumsill/batch/tests/test_withdrawn_jobs.py
@@ -10,6 +10,7 @@
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
 from laburnumsill.batch import withdrawn_jobs
+from laburnumsill.core import codec
 from laburnumsill.core import replication
 from laburnumsill.core import trio_clock
 from laburnumsill.testing import local_groups
@@ -62,6 +63,15 @@
     ledger.submit(submission("j"))
 
 
+def test_a_cancellation_in_the_log_of_an_earlier_version_withdraws_nothing():
+    """Guards against an upgrade that loses a job that was accepted."""
+    ledger = ledgers.BatchLedger()
+    raw = msgspec.msgpack.encode(["batch.cancel", {"job_id": "j", "at_ms": 1}])
+    assert not ledger.cancel(codec.decode(raw)).state
+    ledger.submit(submission("j"))
+    assert state_of(ledger, "j") == "queued"
+
+
 def test_a_resent_submission_of_a_cancelled_job_is_answered_as_before():
     """Guards against a refusal of a job that was accepted."""
     ledger = ledgers.BatchLedger()
--- a/laburnumsill/emulator/site.py
+++ b/laburnumsill/emulator/site.py
@@ -386,7 +386,7 @@
     async def cancel(self, job_id: str) -> None:
         """Cancels a job."""
         await self.propose(
-            caller_commands.CancelJob(job_id, self._clock.wall_ms())
+            caller_commands.CancelJob(job_id, self._clock.wall_ms(), "")
         )
         truth = self.oracle.jobs[job_id]
         truth.cancelled_at = trio.current_time()
