--- a/laburnumsill/daemon/light_server.py
+++ b/laburnumsill/daemon/light_server.py
@@ -113,7 +113,7 @@
     ) -> None:
         self._application = application
         self._stream = stream
-        self._request_after: float | None = None
+        self._arrived_after: float | None = None
         self._protocol = _new_protocol()
         self._idle: trio.CancelScope | None = None
         self._finishing = False
@@ -144,7 +144,7 @@
         exchange = _Exchange(self, request)
         try:
             await self._application(
-                _scope(request, self._request_after),
+                _scope(request, self._arrived_after),
                 exchange.receive,
                 exchange.send,
             )
@@ -167,7 +167,7 @@
         if self._finishing:
             return None
         unread, _ = self._protocol.trailing_data
-        self._request_after = self._stream.empty_at if unread else None
+        self._arrived_after = self._stream.empty_at if unread else None
         self._idle = trio.CancelScope(
             deadline=trio.current_time() + KEEP_ALIVE_S
         )
@@ -193,8 +193,8 @@
                     h11.InformationalResponse(status_code=100, headers=[])
                 )
             data = await self._stream.receive_some(RECEIVE_BYTES)
-            if self._request_after is None:
-                self._request_after = self._stream.empty_at
+            if self._arrived_after is None:
+                self._arrived_after = self._stream.empty_at
             if not data:
                 raise _ClosedError("the caller closed the connection")
             self._protocol.receive_data(data)
--- a/laburnumsill/emulator/tests/test_deposed_leaders.py
+++ b/laburnumsill/emulator/tests/test_deposed_leaders.py
@@ -29,11 +29,7 @@
             job = model.Job(f"j{number}", "long", "a", "", (step,), terms)
             await site.submit(job, [rng.uniform(*WORK_S)])
         await troubles.inject(site, rng, kinds, DAY_S)
-        with trio.move_on_after(test_site.SETTLE_S):
-            while site.ledger.active_jobs or site.ledger.runs:
-                await trio.sleep(0.5)
-                site.look()
-        site.look()
+        await test_site.settle(site)
         nursery.cancel_scope.cancel()
     return site
 
--- a/laburnumsill/emulator/tests/test_site.py
+++ b/laburnumsill/emulator/tests/test_site.py
@@ -71,6 +71,15 @@
         await trio.sleep(rng.expovariate(count / DAY_S))
 
 
+async def settle(site):
+    """Waits until all jobs and runs have ended, and checks what is shown."""
+    with trio.move_on_after(SETTLE_S):
+        while site.ledger.active_jobs or site.ledger.runs:
+            await trio.sleep(0.5)
+            site.look()
+    site.look()
+
+
 async def run_day(seed, kinds, count=40):
     """Runs one day and returns the site."""
     rng = random.Random(seed)
@@ -81,11 +90,7 @@
             day.start_soon(submit_jobs, site, rng, count)
             if kinds:
                 day.start_soon(troubles.inject, site, rng, kinds, DAY_S)
-        with trio.move_on_after(SETTLE_S):
-            while site.ledger.active_jobs or site.ledger.runs:
-                await trio.sleep(0.5)
-                site.look()
-        site.look()
+        await settle(site)
         nursery.cancel_scope.cancel()
     return site
 
