consensus: send commands to VMs again that missed one call

The log: VM 2 leads from 13:09:12.98; from 15.6 on the entry uses its connection to VM 3 alone, which was replaced and knows no leader; it dials 1 and 2 again at 26.8, with the first query of a caller.

Cause, shown in virtual time: a VM that did not answer got no commands until it had answered a query, as long as any other VM answered. The callers sent commands alone.

A VM is left out for a second, the time of an election. Only a VM that confirms its lead gets the command itself, where an entry sends it.

Guards: test_commands_alone_find_a_leader_that_missed_one_call, which failed before (no leader found within 10 s).

--- a/laburnumsill/consensus/leader_forwarder.py
+++ b/laburnumsill/consensus/leader_forwarder.py
@@ -250,9 +250,9 @@
         Followers name a failed leader until their election timeouts expire. A
         leader that has just failed to answer is not called again at once;
         otherwise each request would wait for it. VMs that did not answer are
-        also left out of the rotation for commands, because a command could be
-        applied there without an answer and its outcome would be unknown.
-        Queries still reach them and detect when they answer again.
+        also left out of the rotation for commands for a while, because a
+        command could be applied there without an answer and its outcome would
+        be unknown. Queries still reach them and detect when they answer again.
         """
         group = request.group
         tracker = self._tracker(group)
@@ -261,7 +261,7 @@
             return leader
         vms = self._replica_vms(group)
         if not request.read_only:
-            vms = [vm for vm in vms if not tracker.is_unanswered(vm)] or vms
+            vms = [vm for vm in vms if not tracker.is_left_out(vm, now)] or vms
         return vms[next(self._round_robin) % len(vms)]
 
     def _record_hint(
--- a/laburnumsill/consensus/leader_tracker.py
+++ b/laburnumsill/consensus/leader_tracker.py
@@ -25,6 +25,11 @@
 """Delay before a VM that did not answer is called again, even if it is named as
 the leader. It is short because just that one answer may have been lost."""
 
+LEFT_OUT_S = ELECTION_WAIT_S
+"""Time for which a VM that did not answer gets no commands in turn: that of an
+election. Afterwards it may answer again, also as the leader, and nothing but
+commands may be sent to it."""
+
 MIN_WAIT_S = 0.15
 """Minimum wait of each call, enough to call each of three to five VMs once."""
 
@@ -69,9 +74,9 @@
         """Returns whether a VM failed to answer within `RETRY_DELAY_S`."""
         return now < self._unanswered_at.get(vm, -math.inf) + RETRY_DELAY_S
 
-    def is_unanswered(self, vm: str) -> bool:
-        """Returns whether the last call to a VM was not answered."""
-        return vm in self._unanswered_at
+    def is_left_out(self, vm: str, now: float) -> bool:
+        """Returns whether a VM failed to answer within `LEFT_OUT_S`."""
+        return now < self._unanswered_at.get(vm, -math.inf) + LEFT_OUT_S
 
     def on_leader_answer(self, vm: str, asked_at: float, now: float) -> None:
         """Records that a VM answered as the leader."""
--- a/laburnumsill/consensus/tests/test_leader_tracker.py
+++ b/laburnumsill/consensus/tests/test_leader_tracker.py
@@ -144,6 +144,34 @@
     assert await propose(groups) < 0.4
 
 
+async def test_commands_alone_find_a_leader_that_missed_one_call(
+    autojump_clock,
+):
+    """Guards against VMs that are left out until a query reaches them.
+
+    The connections to the leader and to another VM go silent once. The third
+    VM was replaced: it answers, and knows no leader.
+    """
+    peers = CorePeers()
+    groups = new_groups(peers)
+    for _ in range(10):
+        await propose(groups)
+    peers.named = None
+    peers.silent = {"a", "b"}
+    with pytest.raises(errors.UnavailableError):
+        await propose(groups)
+    peers.silent = set()
+    ended_at = trio.current_time()
+    while trio.current_time() < ended_at + 10.0:
+        try:
+            await propose(groups)
+        except errors.UnavailableError:
+            await trio.sleep(0.2)
+        else:
+            break
+    assert trio.current_time() - ended_at < 2.0
+
+
 class FreezingPeers(CorePeers):
     """The leader confirms its leadership and freezes at the next command."""
 
