consensus: pause a leader with late replies in the simulated group

The check that no lead is confirmed into a later term held with a lead that counted from the present time: the random machine, as it is drawn, brought no such case about. The new test does: the replies are there before the leader is cut off and replaced.

--- a/laburnumsill/consensus/tests/test_engine.py
+++ b/laburnumsill/consensus/tests/test_engine.py
@@ -64,6 +64,23 @@
     assert (other.engine.term, leader.engine.term) == (term, term)
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_a_paused_leader_does_not_confirm_its_lead_into_a_later_term(seed):
+    """Guards against a lead that counts from when late replies are read.
+
+    The replies had arrived before the leader was cut off and replaced.
+    """
+    group, old = elected_group(seed=seed)
+    group.run(1.0)
+    old.paused_until = group.now + 4.0
+    group.run(0.3)
+    assert old.inbox
+    group.isolate(old.replica_id.vm, 8.0)
+    group.run_until(lambda: group.leader() not in (None, old))
+    group.run(4.0)  # the group checks the confirmed lead at each step
+    assert group.leader() is not old
+
+
 def test_transfer():
     group, leader = elected_group()
     target = next(x for x in group.hosts.values() if x is not leader)
