--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""A lasting task whose executors crash three times, by other causes."""
+"""A queue is sent to another service while a job of it waits."""
 
 import asyncio
 import pathlib
@@ -9,66 +9,75 @@
 
 import stand_ins  # noqa: E402
 
-CRASHES = 3
-DARK_S = 4.5
-"""How long a crashed executor is away, as in the site file."""
+OLD = stand_ins.SERVICE
+NEW = "hutdesk-2"
+WAIT_S = 14.0
+"""The bound `finish_s`."""
 
 
-def runner(executors: list, job_id: str) -> object:
-    """Returns the executor that runs a task of a job, or None."""
-    for one in executors:
-        if one.up and any(task.startswith(job_id) for task in one.runs):
-            return one
-    return None
-
-
-async def until_runs(executors: list, job_id: str, within_s: float) -> object:
-    """Returns the executor that runs a job, None if none does in time."""
-    for _ in range(int(within_s * 20)):
-        found = runner(executors, job_id)
-        if found is not None:
-            return found
-        await asyncio.sleep(0.05)
-    return None
+def document(version: int, service: str) -> dict:
+    """Returns a configuration that sends all queues to one service."""
+    body = stand_ins.configuration(version)
+    for route in body["routes"]:
+        route["service"] = service
+    body["services"] = [stand_ins.service(OLD), stand_ins.service(NEW)]
+    return body
 
 
 async def case(site: stand_ins.Site, trouble: bool) -> bool:
-    """Returns whether the job is shown as failed, or never runs again."""
-    await site.start(stand_ins.configuration(1))
-    executors = [
-        stand_ins.Executor(site, stand_ins.ZONES[n % 3], f"r{n % 3}-1")
-        for n in range(8)
+    """Returns whether an accepted job never runs."""
+    await site.start(document(1, OLD))
+    old = [stand_ins.Executor(site, stand_ins.ZONES[0], "r0-1", OLD)]
+    new = [
+        stand_ins.Executor(site, stand_ins.ZONES[n % 3], f"r{n % 3}-1", NEW)
+        for n in range(6)
     ]
-    for one in executors:
+    for one in (*old, *new):
         await one.boot()
     await asyncio.sleep(2.0)
-    path = stand_ins.job_path("sweep")
-    job_id = path.rpartition("/")[2]
     step = {"count": 1, "cpu": 8000, "mem_mb": 1024, "gpu": 2}
-    body = {
-        "spec": stand_ins.spec(3600.0, lasting=True),
-        "steps": [{**step, "long_running": True}],
-    }
+    first = {"count": 3, "cpu": 8000, "mem_mb": 1024, "gpu": 2}
+    second = {**step, "depends_on": [0]}
+    path = stand_ins.job_path("sweep")
+    body = {"spec": stand_ins.spec(4.0), "steps": [first, second]}
     await site.submit(path, body)
-    for number in range(CRASHES):
-        found = await until_runs(executors, job_id, 20.0)
-        if found is None:
-            raise stand_ins.CannotRunError("the task was not started")
-        await asyncio.sleep(1.5)
-        site.record.write(f"round {number + 1}: {await site.state(path)}")
-        if trouble:
-            found.crash()
-            await asyncio.sleep(DARK_S)
-            await found.boot()
-    await asyncio.sleep(12.0)
-    state = await site.state(path)
-    running = runner(executors, job_id) is not None
-    site.record.write(f"12 s later: shown as {state}, at work: {running}")
-    ends = [one for one in executors if one.up]
-    site.record.write(f"{len(ends)} of {len(executors)} executors are up")
-    for line in site.log_lines(f"job={job_id}", "run-lost"):
-        site.record.write(f"log: {line}")
-    return state != "running" or not running
+    await asyncio.sleep(1.0)
+    if trouble:
+        await site.configure(document(2, NEW))
+        await asyncio.gather(*(drain(one) for one in old))
+    for _ in range(int(WAIT_S) + 10):
+        state = await site.state(path)
+        if state == "completed":
+            break
+        await asyncio.sleep(1.0)
+    site.record.write(f"{path} is shown as {state}")
+    for one in (*old, *new):
+        if one.up:
+            site.record.write(
+                f"{one.id} of {one.service} is up and runs {sorted(one.runs)}"
+            )
+    later = stand_ins.job_path("sweep")
+    await site.submit(later, {"spec": stand_ins.spec(1.0), "steps": [step]})
+    await asyncio.sleep(3.0)
+    site.record.write(f"{later} is shown as {await site.state(later)}")
+    return state != "completed"
+
+
+async def drain(executor: stand_ins.Executor) -> None:
+    """Lets an executor finish what it runs, then leave."""
+    executor.draining = True
+    if not await executor.beat_once():
+        raise stand_ins.CannotRunError("the drain was not acknowledged")
+    await executor.idle()
+    await asyncio.sleep(2.5)
+    executor.left = True
+    path = f"/-/instances/{executor.id}"
+    for address in executor.site.control_addresses:
+        answer = await stand_ins.call_once(address, "DELETE", path)
+        executor.record.write(f"{executor.id}: DELETE -> {answer.status}")
+        if answer.status == 200:
+            break
+    executor.end()
 
 
 stand_ins.play(case, str(FOLDER))
--- a/review/second/stand_ins.py
+++ b/review/second/stand_ins.py
@@ -428,9 +428,9 @@
     """One executor at a fixed address; each start of it has a new id.
 
     Attributes:
-        done: By task: the number of its first end `done`.
+        done: By task: number and time of its first end `done`.
         lapses: Times at which its lease lapsed, with or without runs.
-        noted: Numbers of the ends that were taken note of in this life.
+        noted: Ends of this life that were taken note of: time by number.
         on_start: Called with the executor and the run at each start.
         is_deaf: Whether nothing arrives here that others send.
     """
@@ -458,8 +458,8 @@
         self.left = False
         self.runs: dict[str, Run] = {}
         self.starts: list[tuple[float, str, int]] = []
-        self.done: dict[str, int] = {}
-        self.noted: set[int] = set()
+        self.done: dict[str, tuple[int, float]] = {}
+        self.noted: dict[int, float] = {}
         self.lapses: list[float] = []
         self.on_start = None
         self.is_deaf = False
@@ -473,7 +473,7 @@
         self.up = True
         self.draining = self.left = False
         self.runs = {}
-        self.noted = set()
+        self.noted = {}
         self._ended: list[list] = []
         self._ended_count = 0
         self._over: dict[str, int] = {}
@@ -590,7 +590,8 @@
         self._ended_count += 1
         self._ended.append([self._ended_count, run.task, run.number, how, ""])
         if how == "done":
-            self.done.setdefault(run.task, self._ended_count)
+            at = self.record.now()
+            self.done.setdefault(run.task, (self._ended_count, at))
         self.record.write(
             f"{self.id}: {run.task} run {run.number} ends {how}"
             f" (end {self._ended_count})"
@@ -695,7 +696,7 @@
         cursor = body.get("ack_cursor", 0)
         for end in self._ended:
             if end[0] <= cursor:
-                self.noted.add(end[0])
+                self.noted[end[0]] = self.record.now()
                 self.record.write(f"{self.id}: end {end[0]} is taken note of")
         self._ended = [end for end in self._ended if end[0] > cursor]
         wait_s = body.get("wait_ms", 0) / 1000
