--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,6 +1,7 @@
 """A leaving executor whose farewell is taken, but not answered in time."""
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -89,4 +90,6 @@
     return bool(twice)
 
 
-stand_ins.play(case, str(FOLDER))
+# With TROUBLE=0 the case does the same without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+stand_ins.play(case, str(FOLDER), TROUBLE)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,6 +1,7 @@
 """More ends than one answer lists, while the core changes its leader."""
 
 import asyncio
+import os
 import pathlib
 import random
 import sys
@@ -91,4 +92,6 @@
     return bool(noted)
 
 
-stand_ins.play(case, str(FOLDER))
+# With TROUBLE=0 the case does the same without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+stand_ins.play(case, str(FOLDER), TROUBLE)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,7 @@
 """A queue is sent to another service while a job of it waits."""
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -80,4 +81,6 @@
     executor.end()
 
 
-stand_ins.play(case, str(FOLDER))
+# With TROUBLE=0 the case does the same without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+stand_ins.play(case, str(FOLDER), TROUBLE)
--- a/review/second/stand_ins.py
+++ b/review/second/stand_ins.py
@@ -798,23 +798,23 @@
     return json.dumps({"ms": int(duration_s * 1000), "lasting": lasting})
 
 
-def play(case: object, folder: str) -> None:
+def play(case: object, folder: str, trouble: bool) -> None:
     """Plays a case and exits with 1 if its rule was broken, 0 if it held.
 
     Args:
         case: Coroutine function of a site and whether there is trouble; it
             returns whether the rule was broken.
         folder: The folder of the case.
+        trouble: Whether the disruption is to happen.
     """
     record = Record(pathlib.Path(folder) / "record.txt")
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"trouble: {trouble}")
 
     async def main() -> int:
         site = Site(record)
         try:
             broken = await asyncio.wait_for(case(site, trouble), 110)
-        except (CannotRunError, TimeoutError, OSError) as error:
+        except Exception as error:  # a fault of the case shows nothing
             record.write(f"the case could not run: {error!r}")
             return 2
         finally:
