batch: take a worker's departure for an announcement, not for its end

Cause: WorkerIntake._on_departure committed RemoveWorker, which dropped the live runs, so they were placed again. A worker sends DELETE while it lives, and ends at the acknowledgement or seconds later.

Ruled out: an expired lease (renewed for 10 s, 2 s before).

Change: the log records the departure (NoteDeparture) apart from the end (RemoveWorker). From the departure on nothing is placed there and no lease is renewed, also by the next leader; runs are stopped, and end when they are listed, when the leases have expired, or when another incarnation answers. The acknowledgement waits up to 0.5 s for the stops. The saved progress of these runs, which the command left out, is kept.

Replaced: test_departure_ends_the_draining_incarnation asserted that a departure removes its worker at once, which is the fault. In its place test_departure_removes_the_draining_incarnation_once_its_runs_are_over asserts the removal, and that it does not come while a run goes on.

--- a/laburnumsill/batch/commands.py
+++ b/laburnumsill/batch/commands.py
@@ -137,6 +137,19 @@
     at_ms: int = 0
 
 
+@codec.register("batch.note-departure")
+class NoteDeparture(msgspec.Struct, frozen=True):
+    """Records that a worker has announced its end; its runs stay live.
+
+    Attributes:
+        worker_id: The worker.
+        at_ms: When the leader received the announcement, ms since 1970.
+    """
+
+    worker_id: str
+    at_ms: int
+
+
 @codec.register("batch.remove-worker")
 class RemoveWorker(msgspec.Struct, frozen=True):
     """Removes a worker that is gone; its runs are lost.
--- a/laburnumsill/batch/intake.py
+++ b/laburnumsill/batch/intake.py
@@ -8,6 +8,7 @@
 from collections import abc
 
 import msgspec
+import trio
 
 from laburnumsill.batch import commands
 from laburnumsill.batch import ledger as ledgers
@@ -23,6 +24,12 @@
 """Timeout of forwarding and of a commit. A worker waits one second before it
 tries another VM."""
 
+DEPARTURE_TIMEOUT_S = 0.5
+"""Longest time for which the acknowledgement of a departure waits for the stops
+of the worker's runs. It ends at the acknowledgement, and the runs that have not
+stopped by then are known to have ended only when their leases expire. The rest
+of the second after which it tries another VM is left for the commit."""
+
 MAX_UNKNOWN_SEQUENCES = 1_000
 """Limit of the workers absent from the ledger whose newest sequence number is
 kept."""
@@ -47,7 +54,10 @@
 
 @codec.register("intake.departure")
 class Departure(msgspec.Struct, frozen=True):
-    """Notice that a worker has shut down.
+    """Announcement of a worker that it is about to end.
+
+    It does not show that the worker has ended: its acknowledgement may be late
+    or lost, and the worker runs on meanwhile.
 
     Attributes:
         worker_id: The worker's name, which all of its incarnations share.
@@ -136,7 +146,7 @@
         sequence = announcement.sequence
         ledger = self._ledger()
         self._reset_on_new_term()
-        ended = ledger.has_ended(worker_id)
+        ended = ledger.has_ended(worker_id) or ledger.is_departing(worker_id)
         newest_here = self._newest_sequences.get(worker_id)
         newest = max(ledger.last_sequence(worker_id), newest_here or 0)
         if ended or sequence < newest:
@@ -228,15 +238,28 @@
             )
 
     async def _on_departure(self, departure: Departure) -> Taken:
-        """Processes a departure on the leader."""
-        name = departure.worker_id
+        """Processes a departure on the leader.
+
+        The runs of the worker are stopped; see `session.WorkerSession`.
+        """
+        deadline = self._clock.monotonic() + DEPARTURE_TIMEOUT_S
         ledger = self._ledger()
-        ended_ms = self._clock.wall_ms()
-        for worker_id in _departing_incarnations(ledger, name):
-            logs.event("worker-left", worker=worker_id)
+        leaving = _departing_incarnations(ledger, departure.worker_id)
+        for worker_id in leaving:
+            if ledger.is_departing(worker_id):
+                continue  # the departure was repeated
+            logs.event(
+                "worker-departing",
+                worker=worker_id,
+                runs=len(ledger.runs_on(worker_id)),
+            )
             await self._commit(
-                commands.RemoveWorker(worker_id, "it left", (), ended_ms)
+                commands.NoteDeparture(worker_id, self._clock.wall_ms())
             )
+        remaining_s = deadline - self._clock.monotonic()
+        with trio.move_on_after(max(0.0, remaining_s)):
+            while any(map(ledger.runs_on, leaving)):
+                await self._scheduler.wait_for_command()
         return Taken(self._vm_id)
 
     async def _commit(self, command: object) -> None:
--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -520,23 +520,27 @@
         """Starts sessions for new workers and ends those of removed ones."""
         for worker_id, worker in self.ledger.workers.items():
             session = self._sessions.get(worker_id)
-            if session is not None:
-                session.update(worker)
-                continue
-            announced_at = self._inherited_announced_at.pop(
-                worker_id, self.clock.monotonic()
-            )
-            session = sessions.WorkerSession(
-                worker, self, self._nursery, announced_at
-            )
-            self._sessions[worker_id] = session
-            self._scopes[worker_id] = trio.CancelScope()
-            self._nursery.start_soon(self._run_session, session)
+            if session is None:
+                session = self._start_session(worker)
+            session.update(worker)
         for worker_id in list(self._sessions):
             if worker_id not in self.ledger.workers:
                 del self._sessions[worker_id]
                 self._scopes.pop(worker_id).cancel()
 
+    def _start_session(self, worker: model.Worker) -> sessions.WorkerSession:
+        worker_id = worker.worker_id
+        announced_at = self._inherited_announced_at.pop(
+            worker_id, self.clock.monotonic()
+        )
+        session = sessions.WorkerSession(
+            worker, self, self._nursery, announced_at
+        )
+        self._sessions[worker_id] = session
+        self._scopes[worker_id] = trio.CancelScope()
+        self._nursery.start_soon(self._run_session, session)
+        return session
+
     async def _run_session(self, session: sessions.WorkerSession) -> None:
         with self._scopes[session.worker_id]:
             await session.run()
--- a/laburnumsill/batch/ledger.py
+++ b/laburnumsill/batch/ledger.py
@@ -170,6 +170,10 @@
         """Returns the sequence number of a worker's last announcement."""
         return self._registry.sequences.get(worker_id, 0)
 
+    def is_departing(self, worker_id: str) -> bool:
+        """Returns whether a present worker has announced its end."""
+        return self._registry.is_departing(worker_id)
+
     def has_ended(self, worker_id: str) -> bool:
         """Returns whether a worker's incarnation is known to have ended."""
         return worker_id in self._registry.ended
@@ -290,6 +294,20 @@
                 runs = self._crashes.resolve_loss(lost_id, True, command.at_ms)
                 self._fail_blamed_jobs(runs, command.at_ms)
 
+    def note_departure(self, command: commands.NoteDeparture) -> None:
+        """Records that a worker has announced its end.
+
+        A present worker stays, since it may execute its runs for a while. An
+        absent one has no runs and is not added again.
+        """
+        worker_id = command.worker_id
+        if worker_id in self.workers:
+            self._registry.depart(worker_id)
+            return
+        self.remove_worker(
+            commands.RemoveWorker(worker_id, "it left", (), command.at_ms)
+        )
+
     def remove_worker(self, command: commands.RemoveWorker) -> None:
         """Removes a worker; its runs are lost or pass to its successor."""
         for seen in command.saved:
@@ -617,6 +635,7 @@
             commands.ReleaseRuns: self.release,
             commands.NoteRunning: self.note_running,
             commands.PutWorker: self.put_worker,
+            commands.NoteDeparture: self.note_departure,
             commands.RemoveWorker: self.remove_worker,
             commands.ForgetJobs: self.forget,
             evacuations.SetEvacuation: self.set_evacuation,
--- a/laburnumsill/batch/model.py
+++ b/laburnumsill/batch/model.py
@@ -279,6 +279,8 @@
         draining: Whether it is draining and accepts no new runs.
         name: The name that calls to it are addressed to, which its next
             incarnation may share; "" if calls are addressed to `worker_id`.
+        departing: Whether it has announced its end. It may run on until its
+            leases have expired, and nothing renews them.
     """
 
     worker_id: str
@@ -290,6 +292,7 @@
     rack: str = ""
     draining: bool = False
     name: str = ""
+    departing: bool = False
 
     @property
     def call_name(self) -> str:
--- a/laburnumsill/batch/orders.py
+++ b/laburnumsill/batch/orders.py
@@ -111,6 +111,8 @@
             return False
         if state.term.ledger.is_evacuated(state.worker.domain):
             return False
+        if state.is_departing:
+            return False
         return run.task.job_id in state.term.ledger.active_jobs
 
     def _fits(self) -> bool:
--- a/laburnumsill/batch/scheduler.py
+++ b/laburnumsill/batch/scheduler.py
@@ -32,6 +32,7 @@
         self._term: leading.LeadingTerm | None = None
         self._history: ledger_estimates.LedgerEstimates | None = None
         self._last_leader = last_leader.LastKnownLeader()
+        self._applied = trio.Event()
 
     async def run(self) -> None:
         """Runs a term whenever this VM leads, until cancelled."""
@@ -74,8 +75,14 @@
         machine.observe(history.observe)
         machine.observe(self.on_command)
 
+    async def wait_for_command(self) -> None:
+        """Waits until the next command is applied to the ledger."""
+        await self._applied.wait()
+
     def on_command(self, command: object) -> None:
         """Requests a plan after a command that can affect planning."""
+        self._applied.set()
+        self._applied = trio.Event()
         if self._term is not None and not isinstance(
             command, commands.NoteRunning
         ):
--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -61,6 +61,9 @@
 """Longest time from a report request that the worker answers to the next one,
 in ms. A lease that ends earlier is renewed after `UNSETTLED_WAIT_MS`."""
 
+DEPARTURE_STOP_REASON = "its worker has announced its end"
+"""Logged reason of the stops of all runs of a departing worker."""
+
 MAX_MISSED_REPORTS = 2
 """Number of reports without a started run, as running or as ended, after which
 the run is stopped. The acknowledged stop makes its absence certain."""
@@ -154,8 +157,15 @@
         self._state.observe_heartbeat(clock_ms, time_left_ms)
 
     def update(self, worker: model.Worker) -> None:
-        """Replaces the worker's data after an announcement."""
+        """Replaces the worker's data after an announcement.
+
+        Stops all runs of a worker that has announced its end.
+        """
         self._state.update(worker)
+        if worker.departing:
+            for run in self._term.ledger.runs_on(self.worker_id):
+                self._orders.stop(run, DEPARTURE_STOP_REASON)
+            self._state.wakeup.set()
 
     def verify(self) -> None:
         """Requests a report to check that this incarnation is alive.
@@ -212,12 +222,21 @@
     async def run(self) -> None:
         """Requests reports while the worker may have something to report."""
         while True:
+            if self._has_departed():
+                await self._state.remove("it left")
+                return
             if not self._needs_report():
                 await self._state.wakeup.wait()
                 self._state.wakeup = trio.Event()
                 continue
             await self._report_once()
 
+    def _has_departed(self) -> bool:
+        """Returns whether a worker has announced its end and runs nothing."""
+        if not self._state.is_departing or self._state.running:
+            return False
+        return not self._term.ledger.runs_on(self._state.worker_id)
+
     def _needs_report(self) -> bool:
         ledger = self._term.ledger
         unacknowledged = (
@@ -282,6 +301,8 @@
             return 0
         if not runs:
             return UNSETTLED_WAIT_MS if self._state.running else 0
+        if self._state.is_departing:
+            return UNSETTLED_WAIT_MS  # it may end without an answer
         unsettled = any(map(self._is_stray, runs)) or any(
             stop.acknowledged_at is not None and run not in self._state.running
             for run, stop in self._state.stops.items()
--- a/laburnumsill/batch/tests/test_ledger_machine.py
+++ b/laburnumsill/batch/tests/test_ledger_machine.py
@@ -46,6 +46,7 @@
         self.crashes = collections.Counter()
         self.evacuated = set()
         self.withdrawn = set()
+        self.departed = set()
 
     def present_id(self, address):
         """Returns the worker id of the present incarnation at an address."""
@@ -106,6 +107,16 @@
         worker_id = self.present_id(worker_id)
         self.ledger.remove_worker(commands.RemoveWorker(worker_id, "gone"))
 
+    @stateful.rule(worker_id=st.sampled_from(WORKERS))
+    def depart(self, worker_id):
+        worker_id = self.present_id(worker_id)
+        runs = set(self.ledger.runs_on(worker_id))
+        self.ledger.note_departure(
+            commands.NoteDeparture(worker_id, self.tick())
+        )
+        assert set(self.ledger.runs_on(worker_id)) == runs
+        self.departed.add(worker_id)
+
     @stateful.rule(worker_id=st.sampled_from(WORKERS), crashed=st.booleans())
     def end_worker(self, worker_id, crashed):
         present_id = self.present_id(worker_id)
@@ -142,6 +153,7 @@
                 assert self.ledger.jobs[job_id].active
                 worker = self.ledger.workers[placement.worker_id]
                 assert worker.domain not in self.evacuated
+                assert worker.worker_id not in self.departed
 
     @stateful.rule(data=st.data(), kind=st.sampled_from(KINDS))
     def end(self, data, kind):
--- a/laburnumsill/batch/worker_registry.py
+++ b/laburnumsill/batch/worker_registry.py
@@ -2,6 +2,8 @@
 
 from collections import abc
 
+import msgspec
+
 from laburnumsill.batch import model
 
 MAX_SLOT_COUNTS = 1_000
@@ -74,18 +76,29 @@
     def put(self, worker: model.Worker, sequence: int) -> bool:
         """Applies an announcement of a worker; returns whether it was applied.
 
-        An announcement that arrives after a later one, or after the end of
-        its sender, is ignored.
+        An announcement that arrives after a later one, or after its sender
+        has announced its end, is ignored.
         """
         worker_id = worker.worker_id
         is_stale = sequence < self.sequences.get(worker_id, 0)
-        if is_stale or worker_id in self.ended:
+        if is_stale or worker_id in self.ended or self.is_departing(worker_id):
             return False
         self.workers[worker_id] = worker
         self._slot_counts.clear()
         self.sequences[worker_id] = sequence
         return True
 
+    def is_departing(self, worker_id: str) -> bool:
+        """Returns whether a present worker has announced its end."""
+        worker = self.workers.get(worker_id)
+        return worker is not None and worker.departing
+
+    def depart(self, worker_id: str) -> None:
+        """Records that a present worker has announced its end."""
+        self.workers[worker_id] = msgspec.structs.replace(
+            self.workers[worker_id], draining=True, departing=True
+        )
+
     def record_ends(self, worker_id: str, last: int) -> None:
         """Records the number of a worker's last recorded end."""
         if worker_id not in self.ended:
--- a/laburnumsill/batch/worker_state.py
+++ b/laburnumsill/batch/worker_state.py
@@ -118,11 +118,19 @@
         age_s = self.term.clock.monotonic() - self.announced_at
         return age_s < ANNOUNCEMENT_MAX_AGE_S
 
+    @property
+    def is_departing(self) -> bool:
+        """Whether the worker has announced its end."""
+        return self.term.ledger.is_departing(self.worker_id)
+
     def next_lease_ms(self) -> int | None:
         """Returns the end of a lease that is granted now, on its clock.
 
-        None if no lease can be granted, see `leases.LeaseTracker`.
+        None if no lease can be granted, see `leases.LeaseTracker`, or if the
+        worker is departing: its runs count as ended once its leases expire.
         """
+        if self.is_departing:
+            return None
         now = self.term.clock.monotonic()
         return self.leases.next_lease_ms(now, self.term.lead_confirmed_at)
 
@@ -249,7 +257,7 @@
         lost = list(self.term.ledger.runs_on(self.worker_id))
         affected = {run.task.job_id for run in lost}
         affected &= self.term.ledger.active_jobs.keys()
-        crashed = not self.worker.draining
+        crashed = not (self.worker.draining or self.is_departing)
         logs.event(
             "worker-gone",
             worker=self.worker_id,
--- a/laburnumsill/emulator/tests/test_restarted_workers.py
+++ b/laburnumsill/emulator/tests/test_restarted_workers.py
@@ -160,16 +160,32 @@
     one_worker(script)
 
 
-def test_departure_ends_the_draining_incarnation():
+@pytest.mark.parametrize("answers", [True, False])
+def test_departure_removes_the_draining_incarnation_once_its_runs_are_over(
+    answers,
+):
+    """Guards against runs that are placed again while they still run."""
+
     async def script(site):
         site.pool.newest["w0-0"].crash()
         await trio.sleep(6.0)
         (here,) = site.ledger.workers.values()
+        await site.submit(job("j", 1), [30.0])
+        await trio.sleep(1.0)
+        (run,) = site.ledger.runs
         leaving = msgspec.structs.replace(here, draining=True)
         await site.intakes["vm1"].announce(
             intakes.Announcement(leaving, 1_000, None)
         )
+        if not answers:
+            site.client.cut = {here.worker_id}
         await site.intakes["vm1"].leave("w0-0")
-        assert not site.ledger.workers
+        departing = site.pool.newest["w0-0"]
+        assert bool(site.ledger.runs) == (not answers)
+        while site.ledger.workers:
+            assert run in site.ledger.runs or not departing.running
+            await trio.sleep(0.01)
+        assert not departing.running
+        await site.cancel("j")
 
     one_worker(script)
