emulator: let workers depart, with answers that are late or lost

The trouble `depart` drains two workers, which then send a departure to one VM after the other, end when an answer arrives, or some seconds later, and until then execute orders and work on. Some answers are lost or late, and a copy of the departure arrives after the end. It is as PROTOCOL.md has it: "It then sends DELETE and ends. If it receives no acknowledgement, it ends anyway, some seconds later."

--- a/laburnumsill/emulator/troubles.py
+++ b/laburnumsill/emulator/troubles.py
@@ -1,5 +1,6 @@
 """Faults that are injected into an emulated site, one after the other."""
 
+import contextlib
 import random
 from collections import abc
 
@@ -7,6 +8,7 @@
 import trio
 
 from laburnumsill.batch import model
+from laburnumsill.core import errors
 from laburnumsill.emulator import site as sites
 from laburnumsill.emulator import workers as worker_module
 
@@ -24,6 +26,27 @@
 REPLACEMENT_DELAY_S = 4.0
 """Time between the end of a reclaimed worker and the start of another one."""
 
+DRAIN_S = (2.0, 5.0)
+"""Shortest and longest time for which a worker drains before its departure."""
+
+DEPARTURE_PATIENCE_S = (1.5, 4.0)
+"""Shortest and longest time after which a worker without an acknowledgement of
+its departure ends anyway."""
+
+DEPARTURE_INTERVAL_S = 1.0
+"""Time after which a worker without an acknowledgement repeats its departure
+to another VM."""
+
+MAX_ANSWER_DELAY_S = 0.9
+"""Longest delay of the answer to a departure."""
+
+LOST_DEPARTURES = 0.4
+"""Share of the departures whose answer is lost."""
+
+MAX_COPY_DELAY_S = 6.0
+"""Longest time from the end of a worker to the arrival of a copy of its
+departure."""
+
 LOST_SHARE = 0.3
 """Share of the orders that are executed but whose answer is lost."""
 
@@ -193,6 +216,65 @@
         site.add_worker(f"{known.worker_id}y", int(known.rack[1:]))
 
 
+async def depart(
+    site: sites.EmulatedSite,
+    worker: worker_module.EmulatedWorker,
+    rng: random.Random,
+) -> None:
+    """Lets a worker drain, announce its departure and end.
+
+    It ends when the departure is acknowledged, at the latest after a time.
+    Until then it executes orders and works on. Another copy of the departure
+    arrives after its end.
+    """
+    worker.worker = msgspec.structs.replace(worker.worker, draining=True)
+    await trio.sleep(rng.uniform(*DRAIN_S))
+    if worker.gone:
+        return
+    name = worker.worker.call_name
+    with trio.move_on_after(rng.uniform(*DEPARTURE_PATIENCE_S)):
+        while not await _is_departure_acknowledged(site, name, rng):
+            pass
+    if worker.gone:
+        return
+    site.client.gone.add(worker.worker.worker_id)
+    site.silent.add(worker.worker.worker_id)
+    worker.vanish()
+    await trio.sleep(rng.uniform(0.0, MAX_COPY_DELAY_S))
+    with contextlib.suppress(errors.LaburnumsillError):
+        await site.intakes[rng.choice(list(site.intakes))].leave(name)
+
+
+async def _is_departure_acknowledged(
+    site: sites.EmulatedSite, name: str, rng: random.Random
+) -> bool:
+    """Sends a departure to one VM; returns whether its answer has arrived."""
+    vm = rng.choice(list(site.intakes))
+    is_lost = rng.random() < LOST_DEPARTURES
+    delay_s = rng.uniform(0.0, MAX_ANSWER_DELAY_S)
+    with trio.move_on_after(DEPARTURE_INTERVAL_S):
+        try:
+            await site.intakes[vm].leave(name)
+        except errors.LaburnumsillError:
+            await trio.sleep_forever()
+        await trio.sleep(delay_s)
+        if is_lost:
+            await trio.sleep_forever()
+        return True
+    return False
+
+
+async def _depart(site: sites.EmulatedSite, rng: random.Random) -> None:
+    """Lets two workers depart; others replace them."""
+    chosen = [one for one in _some_workers(site, rng) if not one.gone]
+    async with trio.open_nursery() as nursery:
+        for worker in chosen:
+            nursery.start_soon(depart, site, worker, rng)
+    for worker in chosen:
+        known = worker.worker
+        site.add_worker(f"{known.worker_id}z", int(known.rack[1:]))
+
+
 async def _shrink(site: sites.EmulatedSite, rng: random.Random) -> None:
     """Reduces the capacity of two workers for a while, possibly to zero."""
     chosen = _some_workers(site, rng)
@@ -263,13 +345,15 @@
     "evacuate": _evacuate,
     "reorder": _change_orders,
     "reclaim": _reclaim,
+    "depart": _depart,
 }
 """The faults by name: the leader is lost; answers to orders are lost; orders
 are executed late; workers are unreachable, hang, fail their tasks, are replaced
 at their address, or have less capacity; a VM is suspended; a leader is deposed
 while it is suspended, and some workers reach only it; workers crash and restart
 under their names; a failure domain is evacuated, also by orders in quick
-succession while a VM is suspended; workers are reclaimed at short notice."""
+succession while a VM is suspended; workers are reclaimed at short notice, or
+depart after a drain, and the answer to that may be late or lost."""
 
 BASE_KINDS = ("lead", "lost", "late", "cut", "hang", "fail", "crash")
 """A fixed selection of `KINDS` for tests by seed: adding a kind changes the
