batch: conclude that a run is absent only from a report without new ends

Cause: WorkerSession._reconcile took the absence of a run from a report for its absence from the worker. Two ways: a new leader starts the run, is refused as over, and a later page releases it ("it never began"); or a run that has started counts as missing after two pages, is stopped and released.

Ruled out: a lapsed lease (no lapse in the record).

Change: absence counts only in a report that lists no new end, is readable, and is shorter than the limit of the platform. While it is undecided the next report is requested at once. A run of an earlier leader is started only when it is absent.

Why it works: ends are listed in order and those recorded are acknowledged by the next request, so a report that lists none shows that all ends are recorded. This holds for any number of ends a report.

--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -94,6 +94,7 @@
         self._has_reported = False
         self._contested_at: float | None = None
         self._probing = False
+        self._has_undecided_runs = False
 
     @property
     def worker(self) -> model.Worker:
@@ -299,6 +300,8 @@
         runs = self._term.ledger.runs_on(self._state.worker_id)
         if self._contested_at is not None or not self._state.leases.clock_known:
             return 0
+        if self._has_undecided_runs:
+            return 0
         if not runs:
             return UNSETTLED_WAIT_MS if self._state.running else 0
         if self._state.is_departing:
@@ -348,7 +351,14 @@
         if new_ends:
             await self._commit_ends(new_ends)
         ended_runs = {end.run for end in report.ended}
-        await self._reconcile(ended_runs, sent_at, not report.malformed_running)
+        is_readable = not (report.malformed_running or report.malformed_ended)
+        # Further ends may follow those that a report lists. Only a report
+        # without new ones shows that all ends are recorded.
+        lists_all = not (new_ends or report.omits_ends)
+        undecided = await self._reconcile(
+            ended_runs, sent_at, is_readable and lists_all
+        )
+        self._has_undecided_runs = bool(undecided) and is_readable
         live = self._term.ledger.runs_on(self._state.worker_id)
         for run in self._state.running:
             if run not in live:
@@ -458,16 +468,20 @@
         ended_runs: collections_abc.Set[model.RunId],
         sent_at: float,
         is_complete: bool = True,
-    ) -> None:
+    ) -> list[model.RunId]:
         """Reconciles the runs placed on the worker with its report.
 
         Args:
             ended_runs: Runs whose ends are in the report.
             sent_at: Monotonic time at which the report was requested.
             is_complete: Whether the absence of a run from the report shows
-                that it is not running.
+                that it neither runs nor has ended there.
+
+        Returns:
+            The runs that are absent from a report that is not complete.
         """
         releases = []
+        undecided = []
         for run in list(self._term.ledger.runs_on(self._state.worker_id)):
             stop = self._state.stops.get(run)
             if stop is None and self._is_stray(run):
@@ -476,17 +490,18 @@
                 self._record_running(run)
             elif run in ended_runs or run in self._state.starting:
                 continue
+            elif not is_complete:
+                undecided.append(run)
             elif stop is not None:
                 acknowledged = stop.acknowledged_at
-                if acknowledged is None or not is_complete:
-                    continue
-                if acknowledged <= sent_at:
+                if acknowledged is not None and acknowledged <= sent_at:
                     releases.append(self._state.release(run, "it never began"))
             elif run not in self._state.missed_reports:
                 self._orders.start(run)  # placed by an earlier leader
-            elif is_complete:
+            else:
                 self._record_missing(run)
         await self._state.commit_releases(releases)
+        return undecided
 
     def _is_stray(self, run: model.RunId) -> bool:
         record = self._term.ledger.runs.get(run)
--- a/laburnumsill/batch/worker_client.py
+++ b/laburnumsill/batch/worker_client.py
@@ -101,10 +101,12 @@
     Attributes:
         clock_ms: The worker's clock when it answered.
         running: All runs on the worker.
-        ended: Ends in the order of their numbers.
+        ended: Ends in the order of their numbers, which count from 1 without
+            gaps; those that come first if there are more.
         malformed_running: Number of malformed rows of running runs. If there
             are any, a run that is missing in `running` may be running.
         malformed_ended: Number of malformed rows of ends.
+        omits_ends: Whether the worker may have more ends than it lists.
         acknowledged: Whether the query acknowledged the recorded ends; not if
             another incarnation might have received it.
     """
@@ -114,6 +116,7 @@
     ended: tuple[commands.EndedRun, ...]
     malformed_running: int = 0
     malformed_ended: int = 0
+    omits_ends: bool = False
     acknowledged: bool = True
 
 
--- a/laburnumsill/platform/reports.py
+++ b/laburnumsill/platform/reports.py
@@ -34,6 +34,10 @@
 """Name of a task. Leading zeros are rejected, so that each task has exactly one
 name."""
 
+MAX_LISTED_ENDS = 500
+"""Most ends that a worker lists in one report, defined by the platform
+protocol."""
+
 MAX_LOGGED_ROW = 160
 """Number of characters of an invalid row that are logged."""
 
@@ -74,6 +78,7 @@
         ended,
         len(answer.running) - len(running),
         len(answer.ended) - len(ended),
+        len(answer.ended) >= MAX_LISTED_ENDS,
         acknowledged,
     )
 
--- a/laburnumsill/platform/tests/test_reports.py
+++ b/laburnumsill/platform/tests/test_reports.py
@@ -15,6 +15,7 @@
 from laburnumsill.batch import worker_client
 from laburnumsill.core import codec
 from laburnumsill.core import trio_clock
+from laburnumsill.platform import reports
 from laburnumsill.platform import workers
 from laburnumsill.platform.tests import test_announcements
 
@@ -110,6 +111,14 @@
     assert report.clock_ms == 482113 and not lines
 
 
+@pytest.mark.parametrize("more", [-1, 0])
+def test_a_full_list_of_ends_may_omit_some(more):
+    """Guards against runs that are taken for absent behind the last end."""
+    count = reports.MAX_LISTED_ENDS + more
+    rows = [[58 + number, *ENDED_ROW[1:]] for number in range(count)]
+    assert ask(answer(ended=rows), []).omits_ends == (more == 0)
+
+
 def test_a_bad_row_does_not_affect_the_others():
     wrong = []
     for field, rows in (
