emulator: list the ends of a worker a page at a time

The emulated worker, which the soak uses too, listed all unacknowledged ends, so no test met a report that omits some. PROTOCOL.md: "The others are returned again (500 at a time)".

Where fewer are listed the report does not say that it omits some, so the test does not rest on the limit.

--- a/laburnumsill/emulator/workers.py
+++ b/laburnumsill/emulator/workers.py
@@ -31,6 +31,9 @@
 MAX_LEASE_MS = 10_000
 """Longest time by which a worker extends its lease."""
 
+MAX_LISTED_ENDS = 500
+"""Most ends that a worker lists in one report."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Checkpointing:
@@ -232,7 +235,13 @@
             )
             for state in self._running.values()
         )
-        return worker_client.Report(self.clock_ms, running, tuple(self._ends))
+        listed = tuple(self._ends[: self._pool.listed_ends])
+        return worker_client.Report(
+            self.clock_ms,
+            running,
+            listed,
+            omits_ends=len(listed) >= MAX_LISTED_ENDS,
+        )
 
     def tick(self) -> None:
         """Advances the worker by one tick: its lease, stops and single runs."""
@@ -354,6 +363,7 @@
         newest: The newest incarnation of each worker name.
         is_crashing: Returns whether a task crashes each worker that starts it.
         on_crash: Called with each worker that has crashed.
+        listed_ends: Most ends that a worker lists in one report.
         lost_core_s: Work that was done and lost, in core-equivalent seconds.
     """
 
@@ -374,6 +384,7 @@
         self.newest: dict[str, EmulatedWorker] = {}
         self.is_crashing: abc.Callable[[model.TaskId], bool] = lambda _: False
         self.on_crash: abc.Callable[[EmulatedWorker], None] = lambda _: None
+        self.listed_ends = MAX_LISTED_ENDS
         self.lost_core_s = 0.0
         self.done_core_s = 0.0
 
