batch: acknowledge no end behind one that cannot be read

What callers could see: a task that is done runs again. An end in a row that cannot be read left its run absent from both lists of a report. A later end passed its number to the cursor, the worker forgot both, and the run was then stopped as missing and released as never begun.

Why it works: the cursor never passes an end that nobody has read, and a lapse between an end and its note is what allows a task to run again.

Guards: test_an_end_that_cannot_be_read_is_not_acknowledged (a run released though it may be done), which failed before; test_a_worker_whose_ends_can_be_read_again_is_used_again names an attribute that is new.

--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -429,6 +429,7 @@
             worker_id
             for worker_id, session in self._sessions.items()
             if session.unreachable_since is None
+            and not session.has_unread_ends
             and worker_id not in contested
             and session.announcement_is_fresh
             and not self.ledger.is_evacuated(session.worker.domain)
--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -116,6 +116,11 @@
         """Whether the last announcement is recent enough to start runs."""
         return self._state.announcement_is_fresh
 
+    @property
+    def has_unread_ends(self) -> bool:
+        """Whether the worker lists ends that cannot be read."""
+        return self._state.has_unread_ends
+
     @property
     def unreachable_since(self) -> float | None:
         """Monotonic time since which calls have failed, or None."""
@@ -323,8 +328,7 @@
             return
         if isinstance(error, worker_client.IncarnationGoneError):
             return
-        if self._term.clock.monotonic() >= self._state.leases.expires_at:
-            await self._release_all("its lease has ended")
+        await self._release_expired()
         await trio.sleep(orders.RETRY_PAUSE_S)
 
     async def _handle_call_failure(
@@ -348,6 +352,9 @@
         self._state.running = {listed.run: listed for listed in report.running}
         last_end = self._term.ledger.last_end(self._state.worker_id)
         new_ends = tuple(end for end in report.ended if end.number > last_end)
+        self._state.has_unread_ends = bool(report.malformed_ended)
+        if report.malformed_ended:
+            new_ends = _before_first_gap(new_ends, last_end)
         if new_ends:
             await self._commit_ends(new_ends)
         ended_runs = {end.run for end in report.ended}
@@ -371,6 +378,8 @@
             run for run in self._state.stops if self._state.has_ended(run)
         ]:
             del self._state.stops[run]
+        if report.malformed_ended:
+            await self._release_expired()
         if report.malformed_running or report.malformed_ended:
             await trio.sleep(MALFORMED_REPORT_PAUSE_S)
 
@@ -525,8 +534,27 @@
         if self._state.missed_reports[run] >= MAX_MISSED_REPORTS:
             self._orders.stop(run, "its worker does not list it")
 
-    async def _release_all(self, reason: str) -> None:
+    async def _release_expired(self) -> None:
+        """Releases all runs if the leases have expired."""
+        if self._term.clock.monotonic() < self._state.leases.expires_at:
+            return
+        reason = "its lease has ended"
         runs = self._term.ledger.runs_on(self._state.worker_id)
         await self._state.commit_releases(
             [self._state.release(run, reason, is_lost=True) for run in runs]
         )
+
+
+def _before_first_gap(
+    ends: collections_abc.Iterable[commands.EndedRun], last_end: int
+) -> tuple[commands.EndedRun, ...]:
+    """Returns the ends whose numbers follow `last_end` without a gap.
+
+    A later end must not be recorded: the next request would acknowledge the
+    ends in the gap, too, and the worker would forget them.
+    """
+    return tuple(
+        end
+        for number, end in enumerate(ends, last_end + 1)
+        if end.number == number
+    )
--- a/laburnumsill/batch/tests/test_report_pages.py
+++ b/laburnumsill/batch/tests/test_report_pages.py
@@ -23,12 +23,14 @@
     Attributes:
         listed_ends: Most ends in a report.
         running: The runs that it lists as running.
+        unreadable: Number of an end whose row cannot be read, 0 for none.
     """
 
     def __init__(self, listed_ends):
         super().__init__()
         self.listed_ends = listed_ends
         self.running = []
+        self.unreadable = 0
         self._ends = []
 
     def end_all(self):
@@ -56,7 +58,13 @@
             await trio.sleep(0.01)
         else:
             await trio.sleep(order.wait_ms / 1000 or 0.01)
-        return worker_client.Report(self.clock_ms, running, listed)
+        readable = tuple(end for end in listed if end.number != self.unreadable)
+        return worker_client.Report(
+            1000 + int(1000 * trio.current_time()),
+            running,
+            readable,
+            malformed_ended=len(listed) - len(readable),
+        )
 
 
 def add_runs(term, count):
@@ -154,3 +162,50 @@
         assert not term.released()
 
     test_session.run_script(script)
+
+
+def test_an_end_that_cannot_be_read_is_not_acknowledged():
+    """Guards against a run that is released though it may be done.
+
+    The worker would forget the end, and no later report would list its run.
+    """
+
+    async def script(term):
+        term.client = PagingClient(TASKS)
+        add_runs(term, TASKS)
+        term.client.running = [run_of(index) for index in range(TASKS)]
+        for index in range(TASKS):
+            term.session.start(run_of(index))
+        await trio.sleep(0.5)
+        expires_at = term.session.leases_expire_at
+        term.client.unreadable = 3
+        term.client.end_all()
+        await trio.sleep(expires_at - trio.current_time() - 0.5)
+        assert term.ledger.last_end("w") == 2
+        assert not term.released()
+        assert term.session.has_unread_ends
+        await trio.sleep(3.0)
+        released = {one.run for one in term.released()}
+        assert released == {run_of(index) for index in range(2, TASKS)}
+        assert all(one.is_lost for one in term.released())
+        cursors = {order.last_end for order in term.client.given("report")}
+        assert max(cursors) == 2
+
+    test_session.run_script(script)
+
+
+def test_a_worker_whose_ends_can_be_read_again_is_used_again():
+    async def script(term):
+        term.client = PagingClient(TASKS)
+        add_runs(term, TASKS)
+        term.client.running = [run_of(index) for index in range(TASKS)]
+        term.client.unreadable = 3
+        term.client.end_all()
+        await trio.sleep(2.0)
+        assert term.session.has_unread_ends
+        term.client.unreadable = 0
+        await trio.sleep(2.0)
+        assert not term.session.has_unread_ends
+        assert state_of(term) is caller_commands.JobState.COMPLETED
+
+    test_session.run_script(script)
--- a/laburnumsill/batch/worker_client.py
+++ b/laburnumsill/batch/worker_client.py
@@ -105,7 +105,8 @@
             gaps; those that come first if there are more.
         malformed_running: Number of malformed rows of running runs. If there
             are any, a run that is missing in `running` may be running.
-        malformed_ended: Number of malformed rows of ends.
+        malformed_ended: Number of malformed rows of ends. If there are any,
+            `ended` lacks numbers, and the run of each of them is unknown.
         omits_ends: Whether the worker may have more ends than it lists.
         acknowledged: Whether the query acknowledged the recorded ends; not if
             another incarnation might have received it.
--- a/laburnumsill/batch/worker_state.py
+++ b/laburnumsill/batch/worker_state.py
@@ -71,6 +71,9 @@
             the worker.
         leaves_at: Monotonic time from which a draining worker may leave; None
             if it does not drain.
+        has_unread_ends: Whether its last report lists an end in a row that
+            cannot be read. It gets no new runs, and its leases are not
+            renewed: only their expiry shows that the run of that end is over.
     """
 
     def __init__(
@@ -93,6 +96,7 @@
         self.unreachable_since: float | None = None
         self.start_backoff_until = now
         self.leaves_at: float | None = None
+        self.has_unread_ends = False
 
     @property
     def worker_id(self) -> str:
@@ -127,9 +131,10 @@
         """Returns the end of a lease that is granted now, on its clock.
 
         None if no lease can be granted, see `leases.LeaseTracker`, or if the
-        worker is departing: its runs count as ended once its leases expire.
+        worker is departing or has unread ends: its runs count as ended once
+        its leases expire.
         """
-        if self.is_departing:
+        if self.is_departing or self.has_unread_ends:
             return None
         now = self.term.clock.monotonic()
         return self.leases.next_lease_ms(now, self.term.lead_confirmed_at)
