batch: place waiting tasks in the pool that their queue has now

Cause: platform/decoding.job copies the pool of the queue into the job, and plans, placement checks and objectives went by it for the whole life of the job.

Ruled out: a leader with an older configuration, workers that are not usable.

Change: the ledger holds the pools of queues that were moved while they had jobs, by version, the highest wins. The leader compares them with its newest configuration before each plan and commits what differs. Placements are checked against the ledger.

Why it works: the pool reaches every replica in the order of the log, and the comparison is made with what the ledger holds, so neither a change of the leader nor a job that an entry accepts with an older configuration leaves a queue behind.

--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -25,6 +25,7 @@
 from laburnumsill.batch import plan_log
 from laburnumsill.batch import planner
 from laburnumsill.batch import policy as policies
+from laburnumsill.batch import queue_pools
 from laburnumsill.batch import records
 from laburnumsill.batch import session as sessions
 from laburnumsill.batch import term as terms
@@ -120,6 +121,7 @@
         worker_limits: Time limits that workers guarantee.
         pools: Returns the configured pools.
         policy: Returns the mechanisms in use.
+        queues: Returns the configured pools of the queues.
     """
 
     group: str
@@ -131,6 +133,9 @@
     worker_limits: WorkerLimits
     pools: abc.Callable[[], abc.Set[str]]
     policy: abc.Callable[[], policies.Policy] = lambda: policies.ALL
+    queues: abc.Callable[[], queue_pools.ConfiguredPools] = lambda: (
+        queue_pools.NOT_CONFIGURED
+    )
 
 
 class LeadingTerm(terms.Term):
@@ -213,8 +218,10 @@
         """Returns whether a pool is configured or a recorded job uses it."""
         if pool in self._context.pools():
             return True
-        jobs = self.ledger.jobs.values()
-        return any(record.job.terms.pool == pool for record in jobs)
+        jobs = [record.job for record in self.ledger.jobs.values()]
+        return any(
+            pool in (job.terms.pool, self.ledger.pool_of(job)) for job in jobs
+        )
 
     def request_plan(self) -> None:
         """Requests a new plan."""
@@ -294,6 +301,7 @@
             with trio.move_on_after(self._seconds_to_next_due()):
                 await self._wakeup.wait()
             self._wakeup = trio.Event()
+            await self._move_queues()
             began = self.clock.monotonic()
             plan = self._make_plan()
             took_s = self.clock.monotonic() - began
@@ -302,6 +310,22 @@
             pause_s = took_s * (1 / MAX_PLANNING_SHARE - 1)
             await trio.sleep(min(MAX_PLANNING_PAUSE_S, pause_s))
 
+    async def _move_queues(self) -> None:
+        """Records the queues with jobs that the configuration has moved."""
+        configured = self._context.queues()
+        jobs = (record.job for record in self.ledger.active_jobs.values())
+        moved = queue_pools.moved_queues(self.ledger, jobs, configured)
+        if not moved:
+            return
+        for queue, pool in moved.items():
+            logs.event(
+                "queue-moved",
+                queue=queue,
+                pool=pool,
+                version=configured.version,
+            )
+        await self.commit(queue_pools.MoveQueues(configured.version, moved))
+
     def _make_plan(self) -> planner.Plan:
         """Returns a plan, after starting the stops of obsolete runs."""
         self._update_policy()
--- a/laburnumsill/batch/ledger.py
+++ b/laburnumsill/batch/ledger.py
@@ -18,6 +18,7 @@
 from laburnumsill.batch import live_runs
 from laburnumsill.batch import model
 from laburnumsill.batch import placement_checks
+from laburnumsill.batch import queue_pools
 from laburnumsill.batch import records
 from laburnumsill.batch import withdrawn_jobs
 from laburnumsill.batch import worker_registry
@@ -41,6 +42,7 @@
         crashes: Records of crashes and of lost workers.
         domains: States of the failure domains that were ever evacuated.
         withdrawn: Jobs that were cancelled before they were submitted, by id.
+        moved_queues: Pools of the queues that were moved while they had jobs.
     """
 
     jobs: list[records.JobRecord]
@@ -58,6 +60,9 @@
     withdrawn: dict[str, withdrawn_jobs.Withdrawal] = dataclasses.field(
         default_factory=dict
     )
+    moved_queues: dict[str, queue_pools.QueuePool] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 class BatchLedger(replication.Component, ledger_view.LedgerView):
@@ -91,6 +96,7 @@
         self._crashes = crash_module.CrashTracker()
         self._evacuations = evacuations.Evacuations()
         self._withdrawn = withdrawn_jobs.WithdrawnJobs()
+        self._queue_pools = queue_pools.QueuePools()
 
     @property
     def crashes(self) -> crash_module.CrashTracker:
@@ -182,6 +188,10 @@
         """Returns the resources of a run, whose job must be in the ledger."""
         return self._jobs[run.task.job_id].job.steps[run.task.step].needs
 
+    def pool_of(self, job: model.Job) -> str:
+        """Returns the pool whose workers run the tasks of a job."""
+        return self._queue_pools.pool_of(job)
+
     def is_evacuated(self, domain: str) -> bool:
         """Returns whether a failure domain is evacuated."""
         return self._evacuations.is_evacuated(domain)
@@ -369,6 +379,10 @@
             if record is not None and self._crashes.is_over_limit(run.task):
                 self._finish_job(record, caller_commands.JobState.FAILED, at_ms)
 
+    def move_queues(self, command: queue_pools.MoveQueues) -> None:
+        """Sends the waiting tasks of queues to other pools; runs go on."""
+        self._queue_pools.move(command)
+
     def set_evacuation(
         self, order: evacuations.SetEvacuation
     ) -> evacuations.DomainState:
@@ -406,7 +420,8 @@
     def forget(self, command: commands.ForgetJobs) -> None:
         """Deletes jobs and workers that ended before a time.
 
-        A job with a live run is kept. Withdrawn jobs are deleted likewise.
+        A job with a live run is kept. Withdrawn jobs are deleted likewise, and
+        the pools of queues without jobs.
         """
         self._registry.forget(command.ended_before_ms)
         self._withdrawn.forget(command.ended_before_ms)
@@ -416,6 +431,8 @@
             if ended and job_id not in busy:
                 del self._jobs[job_id]
         self._crashes.keep_jobs(self._active)
+        queues = {record.job.queue for record in self._jobs.values()}
+        self._queue_pools.keep(queues)
 
     def has_expired_records(self, before_ms: int) -> bool:
         """Returns whether a job or a worker ended before `before_ms`.
@@ -460,6 +477,7 @@
                 self._crashes.records,
                 dict(self._evacuations.states),
                 dict(self._withdrawn.records),
+                dict(self._queue_pools.records),
             )
         )
 
@@ -481,6 +499,7 @@
         self._crashes = crash_module.CrashTracker(snapshot.crashes)
         self._evacuations.states = dict(snapshot.domains)
         self._withdrawn.load(snapshot.withdrawn)
+        self._queue_pools = queue_pools.QueuePools(snapshot.moved_queues)
         self._registry.set_excluded_domains(self.evacuated_domains)
 
     def _place_group(self, group: commands.Group, at_ms: int) -> str:
@@ -639,6 +658,7 @@
             commands.RemoveWorker: self.remove_worker,
             commands.ForgetJobs: self.forget,
             evacuations.SetEvacuation: self.set_evacuation,
+            queue_pools.MoveQueues: self.move_queues,
         }
 
     def queries(self) -> dict[type, replication.Handler]:
--- a/laburnumsill/batch/ledger_view.py
+++ b/laburnumsill/batch/ledger_view.py
@@ -20,6 +20,10 @@
     def workers(self) -> collections_abc.Mapping[str, model.Worker]:
         """The present workers, by id."""
 
+    @abc.abstractmethod
+    def pool_of(self, job: model.Job) -> str:
+        """Returns the pool whose workers run the tasks of a job."""
+
     @abc.abstractmethod
     def is_evacuated(self, domain: str) -> bool:
         """Returns whether a failure domain is evacuated."""
--- a/laburnumsill/batch/model.py
+++ b/laburnumsill/batch/model.py
@@ -156,8 +156,14 @@
 class QueueTerms(msgspec.Struct, frozen=True):
     """Settings of a job's queue, as of the acceptance of the job.
 
+    All but the pool bind the job until its end: it was accepted with this
+    number of attempts and this objective, and the time in which an urgent job
+    has to begin counts from its acceptance. The pool is the one that the queue
+    has when a task is placed, see `queue_pools`: a queue names the workers that
+    run its tasks, and those of a former pool may have left.
+
     Attributes:
-        pool: The service whose workers run the tasks.
+        pool: The pool whose workers run the tasks unless the queue is moved.
         priority: Jobs with lower numbers are placed first; jobs of priority
             0 may preempt others.
         max_attempts: Number of failures of a task at which its job fails.
--- a/laburnumsill/batch/packing.py
+++ b/laburnumsill/batch/packing.py
@@ -40,11 +40,10 @@
 ) -> list[worker_capacity.Candidate]:
     """Returns the candidates of a unit's pool that have its required label."""
     step = unit.step
-    pool = unit.record.job.terms.pool
     return [
         candidate
         for candidate in candidates
-        if candidate.worker.pool == pool
+        if candidate.worker.pool == unit.pool
         and (
             not step.required_label
             or step.required_label in candidate.worker.labels
--- a/laburnumsill/batch/placement_checks.py
+++ b/laburnumsill/batch/placement_checks.py
@@ -55,7 +55,7 @@
         return f"failure domain {worker.domain} is evacuated"
     job = ledger.jobs[placement.run.task.job_id].job
     step = job.steps[placement.run.task.step]
-    if worker.pool != job.terms.pool:
+    if worker.pool != ledger.pool_of(job):
         return f"{worker.worker_id} belongs to pool {worker.pool}"
     if step.required_label and step.required_label not in worker.labels:
         return f"{worker.worker_id} lacks the label {step.required_label}"
--- a/laburnumsill/batch/plan_candidates.py
+++ b/laburnumsill/batch/plan_candidates.py
@@ -92,7 +92,7 @@
         The slots counted for the first unit of a kind are the upper bound.
         """
         step = unit.step
-        key = (unit.record.job.terms.pool, step.required_label, step.needs)
+        key = (unit.pool, step.required_label, step.needs)
         if key not in self._max_slots:
             self._max_slots[key] = sum(
                 step.needs.copies_in(candidate.free)
@@ -111,7 +111,7 @@
         return pool.mostly_free
 
     def _pool_of(self, unit: units.Unit) -> _Pool:
-        key = (unit.record.job.terms.pool, unit.step.required_label)
+        key = (unit.pool, unit.step.required_label)
         if key not in self._pools:
             candidates = packing.eligible(unit, self._candidates.values())
             self._pools[key] = _Pool(candidates, _without_very_slow(candidates))
--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -449,7 +449,7 @@
         if not assignment:
             return False
         self._allocate(unit, assignment)
-        self._held_pools.add(unit.record.job.terms.pool)
+        self._held_pools.add(unit.pool)
         self._plan.deferred.append(unit)
         return True
 
@@ -457,7 +457,7 @@
         """Returns whether a unit waits since urgent ones wait for workers."""
         return (
             unit.priority != packing.URGENT_PRIORITY
-            and unit.record.job.terms.pool in self._held_pools
+            and unit.pool in self._held_pools
         )
 
     def _needs_fast_workers(
--- a/laburnumsill/batch/tests/test_ledger_machine.py
+++ b/laburnumsill/batch/tests/test_ledger_machine.py
@@ -11,6 +11,7 @@
 from laburnumsill.batch import evacuations
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
+from laburnumsill.batch import queue_pools
 from laburnumsill.batch import records
 
 WORKERS = ["w0", "w1", "w2"]
@@ -18,6 +19,7 @@
 JOBS = ["j0", "j1", "j2", "j3"]
 CAPACITY = model.Resources(8000, 8000, 8)
 KINDS = list(commands.EndKind)
+POOLS = ["pool", "other"]
 FEWEST_CRASHES = 3
 MOST_CRASHES = 5
 
@@ -47,6 +49,7 @@
         self.evacuated = set()
         self.withdrawn = set()
         self.departed = set()
+        self.moved = {}
 
     def present_id(self, address):
         """Returns the worker id of the present incarnation at an address."""
@@ -94,7 +97,7 @@
         worker_id = self.present_id(worker_id)
         worker = model.Worker(
             worker_id,
-            "pool",
+            POOLS[worker_id.startswith("w2")],
             address,
             DOMAINS[address],
             CAPACITY,
@@ -154,6 +157,16 @@
                 worker = self.ledger.workers[placement.worker_id]
                 assert worker.domain not in self.evacuated
                 assert worker.worker_id not in self.departed
+                _, pool = self.moved.get("q", (0, "pool"))
+                assert worker.pool == pool
+
+    @stateful.rule(version=st.integers(1, 20), pool=st.sampled_from(POOLS))
+    def move_queue(self, version, pool):
+        live = set(self.ledger.runs)
+        self.ledger.move_queues(queue_pools.MoveQueues(version, {"q": pool}))
+        assert set(self.ledger.runs) == live
+        if version >= self.moved.get("q", (0, ""))[0]:
+            self.moved["q"] = (version, pool)
 
     @stateful.rule(data=st.data(), kind=st.sampled_from(KINDS))
     def end(self, data, kind):
@@ -211,7 +224,8 @@
             worker.domain not in self.evacuated
             for worker in self.ledger.workers.values()
         )
-        assert self.ledger.slots_in("pool", CAPACITY) == left
+        slots = (self.ledger.slots_in(pool, CAPACITY) for pool in POOLS)
+        assert sum(slots) == left
 
     @stateful.rule()
     def reload(self):
--- a/laburnumsill/batch/units.py
+++ b/laburnumsill/batch/units.py
@@ -25,6 +25,7 @@
         occurrence: Index of the job's occurrence.
         step_index: Index of the step.
         tasks: The waiting tasks; all tasks of a gang.
+        pool: The pool whose workers may run them.
         waiting_since_ms: When the job was submitted or the occurrence became
             due, whichever is later, ms since 1970.
         objective_ms: Time by which the job should end, ms since 1970.
@@ -38,6 +39,7 @@
     occurrence: int
     step_index: int
     tasks: list[model.TaskId]
+    pool: str
     waiting_since_ms: int
     objective_ms: float
     critical_path_ms: float
@@ -128,7 +130,7 @@
     several successive waves, each with the run time of a task.
     """
     step = job.steps[number]
-    slots = ledger.slots_in(job.terms.pool, step.needs)
+    slots = ledger.slots_in(ledger.pool_of(job), step.needs)
     return math.ceil(step.tasks / max(1, slots // WAVES_PER_POOL))
 
 
@@ -156,6 +158,7 @@
                 occurrence,
                 number,
                 part,
+                ledger.pool_of(job),
                 timing.since_ms,
                 timing.objective_ms,
                 timing.critical_path_ms,
--- a/laburnumsill/daemon/core_role.py
+++ b/laburnumsill/daemon/core_role.py
@@ -11,6 +11,7 @@
 from laburnumsill.batch import ledger
 from laburnumsill.batch import parts
 from laburnumsill.batch import policy as policies
+from laburnumsill.batch import queue_pools
 from laburnumsill.batch import scheduler
 from laburnumsill.config import site
 from laburnumsill.consensus import host as group_host
@@ -75,6 +76,7 @@
         )
         self._set_desired_voters()
         self._configuration: site.SiteConfiguration | None = None
+        self._queue_pools = queue_pools.NOT_CONFIGURED
         self._chosen_policy = policies.ALL
         self._policy_basis: tuple[
             site.SiteConfiguration | None, role_settings.RoleSettings | None
@@ -94,6 +96,7 @@
                 ),
                 self._pools,
                 self._policy,
+                self._queues,
             )
         )
         self._responder = configuration_sharing.ConfigurationResponder(
@@ -228,6 +231,16 @@
         newest = self._newest_configuration()
         return newest.pool_names if newest else frozenset()
 
+    def _queues(self) -> queue_pools.ConfiguredPools:
+        """Returns the pools of the queues in the newest configuration."""
+        newest = self._newest_configuration()
+        if newest is not None and newest.version != self._queue_pools.version:
+            self._queue_pools = queue_pools.ConfiguredPools(
+                newest.version,
+                {queue.name: queue.pool for queue in newest.queues},
+            )
+        return self._queue_pools
+
     def _newest_configuration(self) -> site.SiteConfiguration | None:
         """Returns the newest configuration in this VM's replica."""
         machine = self._host.local_state_machine(role.SITE_GROUP)
