emulator, platform: move queues between two pools in tests

The emulator and the soak had one pool, so no test met a queue that is sent elsewhere. The emulated site has a second pool and configurations of queues; the trouble `move` sends one there, for a while or for good; the oracle sees a run in a pool to which no configuration has sent its queue (ROUTE). PROTOCOL.md: "A route is a queue. The route's `service` names the executors that run its tasks."

--- a/laburnumsill/emulator/oracle.py
+++ b/laburnumsill/emulator/oracle.py
@@ -65,6 +65,7 @@
     - `ORDER`: a run before a step on which its step depends;
     - `BUDGET`: a run after the last allowed failure or crash;
     - `LIMIT`: a run beyond the capacity of its worker;
+    - `ROUTE`: a run in a pool to which its queue was never sent;
     - `EVAC`: a run in an evacuated failure domain;
     - `MIXED`: a state was shown that the job does not have.
 
@@ -79,6 +80,7 @@
         self._live: dict[model.TaskId, dict[model.RunId, str]] = {}
         self._used: dict[str, model.Resources] = {}
         self._evacuated_at: dict[str, float] = {}
+        self._pools: dict[str, set[str]] = {}
         self._former_capacities: dict[
             str, list[tuple[float, model.Resources]]
         ] = {}
@@ -133,12 +135,19 @@
             if truth.extra_starts[run.task] > MAX_EXTRA_STARTS:
                 count = truth.crashes[run.task]
                 self._break(now, f"BUDGET {run} after {count} crashes")
+        pools = self._pools.get(truth.job.queue, set())
+        if worker.pool not in {truth.job.terms.pool, *pools}:
+            self._break(now, f"ROUTE {run} in {worker.pool}")
         used = self._used.get(worker.worker_id, model.Resources()) + step.needs
         self._used[worker.worker_id] = used
         if not used.fits_in(self._max_capacity(worker, now)):
             self._break(now, f"LIMIT {run} on {worker.worker_id}: {used}")
         others[run] = worker.worker_id
 
+    def record_pool(self, queue: str, pool: str) -> None:
+        """Records that a configuration sends a queue to a pool."""
+        self._pools.setdefault(queue, set()).add(pool)
+
     def record_evacuation(self, domain: str, now: float) -> None:
         """Records that the evacuation of a domain was acknowledged."""
         self._evacuated_at[domain] = now
--- a/laburnumsill/emulator/site.py
+++ b/laburnumsill/emulator/site.py
@@ -17,6 +17,7 @@
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
 from laburnumsill.batch import policy as policies
+from laburnumsill.batch import queue_pools
 from laburnumsill.batch import scheduler as schedulers
 from laburnumsill.core import errors
 from laburnumsill.core import metrics as metrics_module
@@ -31,7 +32,10 @@
 GROUP = "site"
 
 POOL = "pool"
-"""The pool of all workers of the site."""
+"""The pool of all initial workers of the site."""
+
+OTHER_POOL = "other"
+"""The pool of workers that are added for queues which are moved."""
 
 EPOCH = 1_700_000_000.0
 """Wall time at the start of an emulation, in Unix seconds."""
@@ -101,6 +105,7 @@
         restart_delay_s: Shortest and longest delay until a crashed worker
             restarts.
         guarantees: Guaranteed accelerators, by client account.
+        queues: The configured pools of the queues.
         outcomes: The progress of all jobs as callers see it, by job.
         pool: The workers.
         client: Sends the orders of both schedulers to the workers.
@@ -137,6 +142,7 @@
         self.keeps_names = False
         self.restart_delay_s = RESTART_DELAY_S
         self.guarantees: dict[str, int] = {}
+        self.queues = queue_pools.NOT_CONFIGURED
         self.outcomes: dict[str, Outcome] = {}
         self.pool = worker_module.WorkerPool(
             self.oracle,
@@ -174,6 +180,7 @@
                     ),
                     _named_pools,
                     lambda: policy,
+                    lambda: self.queues,
                 )
             )
             for vm in ("vm1", "vm2")
@@ -236,8 +243,26 @@
         else:
             self.add_worker(name, rack)
 
+    def move_queue(self, queue: str, pool: str) -> None:
+        """Brings a configuration in force that sends a queue to a pool."""
+        self.oracle.record_pool(queue, pool)
+        self.queues = queue_pools.ConfiguredPools(
+            self.queues.version + 1, {**self.queues.by_queue, queue: pool}
+        )
+
+    def drop_queue(self, queue: str) -> None:
+        """Brings a configuration in force that lacks a queue."""
+        left = dict(self.queues.by_queue)
+        left.pop(queue, None)
+        self.queues = queue_pools.ConfiguredPools(self.queues.version + 1, left)
+
     def add_worker(
-        self, worker_id: str, rack: int, address: str = "", name: str = ""
+        self,
+        worker_id: str,
+        rack: int,
+        address: str = "",
+        name: str = "",
+        pool: str = POOL,
     ) -> worker_module.EmulatedWorker:
         """Adds a worker and announces it.
 
@@ -246,10 +271,11 @@
             rack: The number of its rack.
             address: The address of its predecessor, "" for a new one.
             name: The name of its predecessor, "" for a new one.
+            pool: Its pool.
         """
         worker = model.Worker(
             worker_id,
-            POOL,
+            pool,
             address or worker_id,
             f"d{rack}",
             self.capacity,
@@ -275,11 +301,15 @@
         worker = crashed.worker
         rack = int(worker.rack[1:])
         if not self.keeps_names:
-            self.add_worker(f"{worker.worker_id}x", rack, worker.address)
+            self.add_worker(
+                f"{worker.worker_id}x", rack, worker.address, pool=worker.pool
+            )
             return
         name = worker.call_name
         born_ms = int(1000 * trio.current_time())
-        self.add_worker(f"{name}@{born_ms}", rack, worker.address, name)
+        self.add_worker(
+            f"{name}@{born_ms}", rack, worker.address, name, worker.pool
+        )
 
     def announce(self, worker: model.Worker, sequence: int) -> None:
         """Applies a worker's announcement, which may be an outdated one."""
@@ -462,4 +492,4 @@
 
 
 def _named_pools() -> abc.Set[str]:
-    return frozenset({POOL})
+    return frozenset({POOL, OTHER_POOL})
--- a/laburnumsill/emulator/troubles.py
+++ b/laburnumsill/emulator/troubles.py
@@ -40,6 +40,9 @@
 MAX_ANSWER_DELAY_S = 0.9
 """Longest delay of the answer to a departure."""
 
+QUEUES_MOVED_BACK = 0.7
+"""Share of the moved queues that are sent back to their first pool."""
+
 LOST_DEPARTURES = 0.4
 """Share of the departures whose answer is lost."""
 
@@ -166,7 +169,9 @@
     replaced.vanish()
     worker = replaced.worker
     rack = int(worker.rack[1:])
-    site.add_worker(f"{worker.worker_id}x", rack, worker.address)
+    site.add_worker(
+        f"{worker.worker_id}x", rack, worker.address, pool=worker.pool
+    )
     await _sleep_while_active(rng)
     site.announce(worker, 1_000)
 
@@ -213,7 +218,9 @@
     await trio.sleep(REPLACEMENT_DELAY_S)
     for worker in chosen:
         known = worker.worker
-        site.add_worker(f"{known.worker_id}y", int(known.rack[1:]))
+        site.add_worker(
+            f"{known.worker_id}y", int(known.rack[1:]), pool=known.pool
+        )
 
 
 async def depart(
@@ -272,7 +279,9 @@
             nursery.start_soon(depart, site, worker, rng)
     for worker in chosen:
         known = worker.worker
-        site.add_worker(f"{known.worker_id}z", int(known.rack[1:]))
+        site.add_worker(
+            f"{known.worker_id}z", int(known.rack[1:]), pool=known.pool
+        )
 
 
 async def _shrink(site: sites.EmulatedSite, rng: random.Random) -> None:
@@ -320,6 +329,23 @@
     await site.restore(domain)
 
 
+async def _move_queue(site: sites.EmulatedSite, rng: random.Random) -> None:
+    """Sends a queue to a pool of its own, for some time or for good."""
+    workers = [one.worker for one in site.pool.workers.values()]
+    if not any(worker.pool == sites.OTHER_POOL for worker in workers):
+        for rack in sorted({worker.rack for worker in workers}):
+            number = int(rack[1:])
+            site.add_worker(f"{rack}-other", number, pool=sites.OTHER_POOL)
+    queues = {truth.job.queue for truth in site.oracle.jobs.values()}
+    if not queues:
+        return
+    queue = rng.choice(sorted(queues))
+    site.move_queue(queue, sites.OTHER_POOL)
+    await _sleep_while_active(rng)
+    if rng.random() < QUEUES_MOVED_BACK:
+        site.move_queue(queue, sites.POOL)
+
+
 def _some_workers(
     site: sites.EmulatedSite, rng: random.Random
 ) -> list[worker_module.EmulatedWorker]:
@@ -346,6 +372,7 @@
     "reorder": _change_orders,
     "reclaim": _reclaim,
     "depart": _depart,
+    "move": _move_queue,
 }
 """The faults by name: the leader is lost; answers to orders are lost; orders
 are executed late; workers are unreachable, hang, fail their tasks, are replaced
@@ -353,7 +380,8 @@
 while it is suspended, and some workers reach only it; workers crash and restart
 under their names; a failure domain is evacuated, also by orders in quick
 succession while a VM is suspended; workers are reclaimed at short notice, or
-depart after a drain, and the answer to that may be late or lost."""
+depart after a drain, and the answer to that may be late or lost; a queue is
+sent to another pool and back."""
 
 BASE_KINDS = ("lead", "lost", "late", "cut", "hang", "fail", "crash")
 """A fixed selection of `KINDS` for tests by seed: adding a kind changes the
--- a/laburnumsill/platform/tests/role_site.py
+++ b/laburnumsill/platform/tests/role_site.py
@@ -101,13 +101,17 @@
         await self.ended[vm].wait()
 
     async def start_worker(
-        self, name: str, rack: str = "r1", domain: str = "d"
+        self,
+        name: str,
+        rack: str = "r1",
+        domain: str = "d",
+        pool: str = standin.POOL,
     ) -> None:
         address = f"127.0.0.1:{ports.free_ports(1)[0]}"
         worker = self.pool.add(
             model.Worker(
                 name,
-                standin.POOL,
+                pool,
                 address,
                 domain,
                 model.Resources(32_000, 64_000, 8),
