platform: let workers depart and queues move in the soak

The soak's workers ended without a sign, listed all ends, and had one pool. Kinds `workers`: a worker drains, sends DELETE to one VM after the other, and ends at an answer or some seconds later, with half of the answers lost (PROTOCOL.md: "If it receives no acknowledgement, it ends anyway, some seconds later"); configurations send a queue to another pool and back; a report lists two ends at most. Seeds of other kinds draw as before.

--- a/laburnumsill/platform/tests/soak/main.py
+++ b/laburnumsill/platform/tests/soak/main.py
@@ -31,6 +31,7 @@
 SPARE = "spare"
 EVACUATIONS = "evacuations"
 ORDERS = "orders"
+WORKERS = "workers"
 """Names of sets of troubles, see `troubles.CHOICES`."""
 
 MEAN_GAP_S = 0.9
@@ -94,6 +95,7 @@
     has_crashing_tasks: bool = False,
     has_spare: bool = False,
     opening: abc.Sequence[type[troubles.Trouble]] = (),
+    moves_queues: bool = False,
 ) -> Verdict:
     """Runs one soak.
 
@@ -105,12 +107,19 @@
         has_crashing_tasks: Whether some tasks crash their workers.
         has_spare: Whether the core has a spare VM.
         opening: Troubles that begin the phase, whatever is drawn.
+        moves_queues: Whether queues may move to another pool; workers list few
+            ends in a report then.
     """
     kinds: list[str] = []
     lags: list[float] = []
     async with trio.open_nursery() as nursery:
         site = sites.SoakSite(
-            folder, seed, nursery, has_crashing_tasks, has_spare
+            folder,
+            seed,
+            nursery,
+            has_crashing_tasks,
+            has_spare,
+            moves_queues,
         )
         nursery.start_soon(_measure_lag, lags)
         try:
@@ -221,8 +230,10 @@
             seconds,
             folder,
             troubles.CHOICES[kinds],
-            has_crashing_tasks=kinds in (ALL, SPARE, EVACUATIONS, ORDERS),
+            has_crashing_tasks=kinds
+            in (ALL, SPARE, EVACUATIONS, ORDERS, WORKERS),
             has_spare=kinds == SPARE,
+            moves_queues=kinds == WORKERS,
         )
         print(verdict.line(), flush=True)
         if verdict.broken:
@@ -292,7 +303,8 @@
         choices=troubles.CHOICES,
         default=FIRST,
         help="set of troubles; all: with tasks that crash their workers;"
-        " spare: the same with a spare core VM",
+        " spare: the same with a spare core VM; workers: the same with workers"
+        " that depart and queues that move",
     )
     given = parser.parse_args()
     seeds = _seeds(given.seeds, given.fresh)
--- a/laburnumsill/platform/tests/soak/site.py
+++ b/laburnumsill/platform/tests/soak/site.py
@@ -24,6 +24,16 @@
 
 WORKERS = 6
 PER_RACK = 3
+
+OTHER_POOL = "hutdesk-2"
+"""A pool to which queues are moved."""
+
+OTHER_WORKERS = 4
+"""Workers of the other pool, in one rack: enough for the largest gang."""
+
+FEW_LISTED_ENDS = 2
+"""Most ends in a report where a soak is to have more of them often."""
+
 CAPACITY = model.Resources(32_000, 64_000, 8)
 
 SHORT_WORK_S = (0.2, 1.5)
@@ -102,6 +112,8 @@
             workers may restart under the same id.
         has_spare: Whether the core has a spare VM that is not an initial
             voter. It is listed among the seeds once the site has started.
+        moves_queues: Whether there is another pool, and workers list few ends
+            in a report.
     """
 
     def __init__(
@@ -111,6 +123,7 @@
         nursery: trio.Nursery,
         has_crashing_tasks: bool = False,
         has_spare: bool = False,
+        moves_queues: bool = False,
     ) -> None:
         self.core = layout.CORE
         self.seed_vms = layout.CORE
@@ -144,6 +157,10 @@
         self.disturbed_at = trio.current_time()
         self.keep_calm = False
         self.evacuating: set[str] = set()
+        self.moves_queues = moves_queues
+        self.moved: set[str] = set()
+        if moves_queues:
+            self.pool.listed_ends = FEW_LISTED_ENDS
         self.incarnations = 0
 
     async def start(self) -> None:
@@ -156,6 +173,21 @@
         self.nursery.start_soon(self.pool.run)
         for number in range(WORKERS):
             await self._start_worker(f"w{number}", f"r{number // PER_RACK}")
+        if self.moves_queues:
+            for number in range(OTHER_WORKERS):
+                await self._start_worker(f"v{number}", "r9", OTHER_POOL)
+
+    def configuration(self, version: int) -> dict:
+        """Returns a configuration that sends the moved queues elsewhere."""
+        document = standin.configuration(version)
+        if not self.moves_queues:
+            return document
+        document["services"].append({"name": OTHER_POOL})
+        for route in document["routes"]:
+            if route["name"] in self.moved:
+                route["service"] = OTHER_POOL
+                self.oracle.record_pool(route["name"], OTHER_POOL)
+        return document
 
     def start_vm(self, vm: str, founding: bool = False) -> None:
         """Starts or restarts the daemon of a VM."""
@@ -336,13 +368,15 @@
             clock_rate=self.random.uniform(SLOWEST_CLOCK, 1.0)
         )
 
-    async def _start_worker(self, name: str, rack: str) -> None:
+    async def _start_worker(
+        self, name: str, rack: str, pool: str = standin.POOL
+    ) -> None:
         own = ports.free_address()
         link = self.order_link(name)
         self.proxy.add_link(link, "127.0.0.1:0", own)
         worker = model.Worker(
             name,
-            standin.POOL,
+            pool,
             self.proxy.status(link).listen,
             f"d-{rack}",
             CAPACITY,
--- a/laburnumsill/platform/tests/soak/troubles.py
+++ b/laburnumsill/platform/tests/soak/troubles.py
@@ -7,6 +7,7 @@
 import trio
 
 from laburnumsill.batch import model
+from laburnumsill.platform.tests import standin
 from laburnumsill.platform.tests.soak import layout
 from laburnumsill.platform.tests.soak import site as sites
 from laburnumsill.testing import proxy as proxies
@@ -59,6 +60,16 @@
 DRAIN_S = 1.5
 """Time for which a worker drains before it ends."""
 
+DEPARTURE_PATIENCE_S = (1.0, 4.0)
+"""Range of the time after which a worker without an acknowledgement of its
+departure ends anyway, in seconds."""
+
+WORKER_PATIENCE_S = 1.0
+"""Time after which a worker calls another VM, in seconds."""
+
+LOST_DEPARTURES = 0.5
+"""Share of the departures whose answer is lost."""
+
 
 class Trouble(abc.ABC):
     """A fault that is injected, lasts for some time and is removed.
@@ -391,6 +402,56 @@
         self._site.replace_worker(name)
 
 
+class DepartWorker(Trouble):
+    """Drains a worker, which announces its departure and is replaced.
+
+    It ends when it has an answer, or some time later, and executes orders and
+    works on until then. Some answers are lost.
+    """
+
+    affects_workers_only = True
+
+    async def _play(self) -> None:
+        name = self._random.choice(sorted(self._site.announcers))
+        announcer = self._site.announcers[name]
+        worker = announcer.app.worker
+        announcer.leaves_at = trio.current_time() + DRAIN_S
+        announcer.state = "draining"
+        await trio.sleep(DRAIN_S)
+        path = f"/-/instances/{standin.wire_id(worker)}"
+        with trio.move_on_after(self._random.uniform(*DEPARTURE_PATIENCE_S)):
+            while not await self._is_acknowledged(path):
+                pass
+        if announcer.app.worker is worker:
+            self._site.replace_worker(name)
+
+    async def _is_acknowledged(self, path: str) -> bool:
+        """Sends a departure to a VM; returns whether an answer has arrived."""
+        address = self._site.vms[self._core_vm()].control
+        is_lost = self._random.random() < LOST_DEPARTURES
+        with trio.move_on_after(WORKER_PATIENCE_S):
+            status, _ = await self._site.operator.call(
+                "DELETE", path, address=address
+            )
+            if status == 200 and not is_lost:
+                return True
+            await trio.sleep_forever()
+        return False
+
+
+class MoveQueue(Trouble):
+    """Sends a queue to another pool and back, by the next configurations."""
+
+    affects_workers_only = True
+
+    async def _play(self) -> None:
+        routes = standin.configuration(1)["routes"]
+        queue = self._random.choice([route["name"] for route in routes])
+        self._site.moved.add(queue)
+        await self._wait()
+        self._site.moved.discard(queue)
+
+
 class FullDisks(Trouble):
     """Fills the disks of some core VMs: mostly one, sometimes all."""
 
@@ -530,6 +591,9 @@
 ORDER_KINDS = (*EVACUATION_KINDS, *(3 * (ChangeOrders,)))
 """Troubles for soaks with orders that wait in a paused VM."""
 
+WORKER_KINDS = (*ALL_KINDS, *(4 * (DepartWorker,)), *(4 * (MoveQueue,)))
+"""Troubles for soaks with departing workers and queues that move."""
+
 CHOICES = {
     "first": KINDS,
     "full-disks": KINDS_WITH_DISKS,
@@ -537,5 +601,6 @@
     "spare": SPARE_KINDS,
     "evacuations": EVACUATION_KINDS,
     "orders": ORDER_KINDS,
+    "workers": WORKER_KINDS,
 }
 """Sets of troubles by their names on the command line."""
--- a/laburnumsill/platform/tests/soak/witness.py
+++ b/laburnumsill/platform/tests/soak/witness.py
@@ -117,7 +117,7 @@
     async def configure_first(self) -> None:
         """Puts the first configuration in force and waits for all entries."""
         self._sent = self._acknowledged = 1
-        document = standin.configuration(1)
+        document = self._site.configuration(1)
         await self._site.operator.until(200, "PUT", "/-/config", document)
         for address in self._callers.addresses:
             caller = standin.Caller([address])
@@ -155,7 +155,7 @@
         """
         await trio.sleep(RECONNECT_S)
         self._sent += 1
-        document = standin.configuration(self._sent)
+        document = self._site.configuration(self._sent)
         last = {**document["routes"][-1], "name": "last"}
         document["routes"].append({**last, "path_prefix": LAST_PATH})
         await self._site.operator.until(200, "PUT", "/-/config", document)
@@ -322,7 +322,7 @@
     async def _change_configuration(self) -> None:
         self._sent += self._random.randrange(1, 4)
         version = self._sent
-        document = standin.configuration(version)
+        document = self._site.configuration(version)
         for address in self._shuffled(self._site.operator.addresses):
             status, _ = await self._site.operator.call(
                 "PUT", "/-/config", document, address
--- a/laburnumsill/platform/tests/test_soak.py
+++ b/laburnumsill/platform/tests/test_soak.py
@@ -27,6 +27,7 @@
 SPARE_SEEDS = (1, 2)
 EVACUATION_SEEDS = (1, 2)
 ORDER_SEEDS = (1, 2)
+WORKER_SEEDS = (1, 2)
 
 READS = 2000
 
@@ -126,6 +127,24 @@
     assert verdict.completed
 
 
+@pytest.mark.parametrize("seed", WORKER_SEEDS)
+async def test_no_promise_is_broken_by_departures_and_moved_queues(
+    tmp_path: pathlib.Path, seed: int
+):
+    """Guards against runs that are taken for over, and queues left behind."""
+    verdict = await soaks.soak(
+        seed,
+        SHORT_S,
+        tmp_path,
+        troubles.WORKER_KINDS,
+        has_crashing_tasks=True,
+        opening=(troubles.DepartWorker, troubles.MoveQueue),
+        moves_queues=True,
+    )
+    assert verdict.broken == [], verdict.line()
+    assert verdict.completed
+
+
 def test_settings_are_whole_whenever_a_daemon_reads_them(tmp_path):
     """Overlapping troubles may start a VM while its daemon is already starting.
 
