emulator: make the pool to which queues are moved as large as the first

Trace: the five jobs are gangs of 4 and 5 tasks with 8 accelerators each, whose queue was sent for good to a pool of three workers with 8 accelerators. No worker could run them, and the trouble had added that pool itself, so the jobs waited rightly.

--- a/laburnumsill/emulator/troubles.py
+++ b/laburnumsill/emulator/troubles.py
@@ -330,12 +330,18 @@
 
 
 async def _move_queue(site: sites.EmulatedSite, rng: random.Random) -> None:
-    """Sends a queue to a pool of its own, for some time or for good."""
-    workers = [one.worker for one in site.pool.workers.values()]
+    """Sends a queue to another pool, for some time or for good.
+
+    The other pool is as large as the first one, so that it holds any gang.
+    """
+    workers = [one.worker for one in site.pool.workers.values() if not one.gone]
     if not any(worker.pool == sites.OTHER_POOL for worker in workers):
-        for rack in sorted({worker.rack for worker in workers}):
-            number = int(rack[1:])
-            site.add_worker(f"{rack}-other", number, pool=sites.OTHER_POOL)
+        for worker in workers:
+            site.add_worker(
+                f"{worker.worker_id}-other",
+                int(worker.rack[1:]),
+                pool=sites.OTHER_POOL,
+            )
     queues = {truth.job.queue for truth in site.oracle.jobs.values()}
     if not queues:
         return
