batch: restart long-running tasks however many of their workers crash

Cause: the blame for crashes of workers, made for tasks that crash each worker, ended the job without asking whether its step is long-running.

Ruled out: attempts that are used up.

Change: neither the blame nor the limit of later starts ends a job by a long-running task; isolation is as it was. The commands carry this themselves, so that the log of an earlier version is replayed as it was and replicas agree.

Guards: test_a_long_running_task_is_restarted_however_many_workers_crash (a job shown as failed though no run has failed), test_crashes_in_the_log_of_an_earlier_version_ are_replayed_as_they_were and those beside them.

--- a/laburnumsill/batch/commands.py
+++ b/laburnumsill/batch/commands.py
@@ -35,10 +35,19 @@
 
 @codec.register("batch.place")
 class PlaceRuns(msgspec.Struct, frozen=True):
-    """Places groups of runs; each group is placed as a whole or refused."""
+    """Places groups of runs; each group is placed as a whole or refused.
+
+    Attributes:
+        groups: The groups.
+        at_ms: When they were planned, ms since 1970.
+        spares_long_running: Whether crashes of workers end no job by a
+            long-running task; False in commands of earlier versions of this
+            program.
+    """
 
     groups: tuple[Group, ...]
     at_ms: int
+    spares_long_running: bool = False
 
 
 @codec.register("batch.placed")
@@ -130,11 +139,13 @@
         sequence: Sequence number of its announcement; an announcement that
             arrives after a later one is ignored.
         at_ms: When the leader received the announcement, ms since 1970.
+        spares_long_running: As in `PlaceRuns`.
     """
 
     worker: model.Worker
     sequence: int = 0
     at_ms: int = 0
+    spares_long_running: bool = False
 
 
 @codec.register("batch.note-departure")
@@ -165,6 +176,7 @@
         successor: The incarnation that has its name now and may carry out
             the orders for its runs; "" if there is none.
         never_began: Runs that were placed on it but never ordered from it.
+        spares_long_running: As in `PlaceRuns`.
     """
 
     worker_id: str
@@ -174,6 +186,7 @@
     crashed: bool = False
     successor: str = ""
     never_began: tuple[model.RunId, ...] = ()
+    spares_long_running: bool = False
 
 
 @codec.register("batch.forget-jobs")
--- a/laburnumsill/batch/intake.py
+++ b/laburnumsill/batch/intake.py
@@ -201,7 +201,11 @@
 
     async def _put(self, worker: model.Worker, sequence: int) -> None:
         at_ms = self._clock.wall_ms()
-        await self._commit(commands.PutWorker(worker, sequence, at_ms))
+        await self._commit(
+            commands.PutWorker(
+                worker, sequence, at_ms, spares_long_running=True
+            )
+        )
         logs.event(
             "worker-known",
             worker=worker.worker_id,
--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -436,7 +436,9 @@
     async def _commit_placements(
         self, groups: abc.Sequence[commands.Group]
     ) -> None:
-        command = commands.PlaceRuns(tuple(groups), self.clock.wall_ms())
+        command = commands.PlaceRuns(
+            tuple(groups), self.clock.wall_ms(), spares_long_running=True
+        )
         placed = await self.commit(command)
         assert isinstance(placed, commands.Placed)
         for group, refusal in zip(groups, placed.refusals, strict=True):
--- a/laburnumsill/batch/ledger.py
+++ b/laburnumsill/batch/ledger.py
@@ -250,10 +250,7 @@
     def place(self, command: commands.PlaceRuns) -> commands.Placed:
         """Places each group of runs, or returns why it was refused."""
         return commands.Placed(
-            tuple(
-                self._place_group(group, command.at_ms)
-                for group in command.groups
-            )
+            tuple(self._place_group(group, command) for group in command.groups)
         )
 
     def note_ends(self, command: commands.NoteEnds) -> None:
@@ -302,7 +299,7 @@
         for lost_id in self._crashes.lost_at(address, worker_id):
             if lost_id not in self.workers:
                 runs = self._crashes.resolve_loss(lost_id, True, command.at_ms)
-                self._fail_blamed_jobs(runs, command.at_ms)
+                self._fail_blamed_jobs(runs, command.at_ms, command)
 
     def note_departure(self, command: commands.NoteDeparture) -> None:
         """Records that a worker has announced its end.
@@ -360,7 +357,7 @@
                 and not self.runs[run].is_stray
             ]
             self._crashes.record_crash(begun, at_ms)
-            self._fail_blamed_jobs([*earlier, *begun], at_ms)
+            self._fail_blamed_jobs([*earlier, *begun], at_ms, command)
 
     def _record_loss(self, worker_id: str) -> None:
         """Records the runs of a worker as lost, unless it is draining."""
@@ -371,14 +368,34 @@
             self._crashes.record_loss(worker, ordered)
 
     def _fail_blamed_jobs(
-        self, runs: abc.Iterable[model.RunId], at_ms: int
+        self,
+        runs: abc.Iterable[model.RunId],
+        at_ms: int,
+        command: commands.PutWorker | commands.RemoveWorker,
     ) -> None:
         """Fails the jobs of runs whose tasks have reached the blame limit."""
         for run in runs:
             record = self._active.get(run.task.job_id)
-            if record is not None and self._crashes.is_over_limit(run.task):
+            if record is None or not self._crashes.is_over_limit(run.task):
+                continue
+            if not self._is_spared(run.task, command):
                 self._finish_job(record, caller_commands.JobState.FAILED, at_ms)
 
+    def _is_spared(
+        self,
+        task: model.TaskId,
+        command: commands.PlaceRuns
+        | commands.PutWorker
+        | commands.RemoveWorker,
+    ) -> bool:
+        """Returns whether a task is restarted however many workers crash.
+
+        A long-running task runs for days, so its workers also crash for
+        reasons of their own. It stays isolated from others, see `crashes`.
+        """
+        step = self._jobs[task.job_id].job.steps[task.step]
+        return command.spares_long_running and step.long_running
+
     def move_queues(self, command: queue_pools.MoveQueues) -> None:
         """Sends the waiting tasks of queues to other pools; runs go on."""
         self._queue_pools.move(command)
@@ -502,7 +519,9 @@
         self._queue_pools = queue_pools.QueuePools(snapshot.moved_queues)
         self._registry.set_excluded_domains(self.evacuated_domains)
 
-    def _place_group(self, group: commands.Group, at_ms: int) -> str:
+    def _place_group(
+        self, group: commands.Group, command: commands.PlaceRuns
+    ) -> str:
         """Places a group of runs as a whole.
 
         Returns:
@@ -513,9 +532,12 @@
             return refusal
         for placement in group:
             task = placement.run.task
-            if not self._crashes.may_start(task):
+            if not self._crashes.may_start(task) and not self._is_spared(
+                task, command
+            ):
                 record = self._jobs[task.job_id]
-                self._finish_job(record, caller_commands.JobState.FAILED, at_ms)
+                failed = caller_commands.JobState.FAILED
+                self._finish_job(record, failed, command.at_ms)
                 return f"{task} has crashed too many workers"
         for placement in group:
             task = placement.run.task
@@ -526,7 +548,9 @@
                 task_record.last_run = placement.run.number
             record.state = caller_commands.JobState.RUNNING
             self._add_run(
-                records.RunRecord(placement.run, placement.worker_id, at_ms)
+                records.RunRecord(
+                    placement.run, placement.worker_id, command.at_ms
+                )
             )
         return ""
 
--- a/laburnumsill/batch/tests/test_crashes.py
+++ b/laburnumsill/batch/tests/test_crashes.py
@@ -250,3 +250,95 @@
     ledger.crashes.record_crash([run_of("j")], 0)
     assert not plan(ledger).stops
     assert plan(ledger, now_ms=planner.ISOLATION_TIMEOUT_MS).stops
+
+
+def long_running_site():
+    """Returns a site with a job of one long-running task, j, and a job k."""
+    ledger = addressed_site()
+    planned_site.submit(
+        ledger, planned_site.job("l", 1, 1, priority=1, long_running=True)
+    )
+    return ledger
+
+
+def crash_under(ledger, job_id, count, spares_long_running):
+    """Crashes workers under a task that is alone there."""
+    worker_id = "w00"
+    for number in range(1, count + 1):
+        group = (commands.Placement(run_of(job_id, number), worker_id),)
+        placed = ledger.place(
+            commands.PlaceRuns(
+                (group,), 0, spares_long_running=spares_long_running
+            )
+        )
+        if placed.refusals != ("",):
+            return number - 1
+        worker = ledger.workers[worker_id]
+        ledger.remove_worker(
+            commands.RemoveWorker(
+                worker_id,
+                "421",
+                (),
+                GONE_MS,
+                crashed=True,
+                spares_long_running=spares_long_running,
+            )
+        )
+        worker_id += "x"
+        successor = msgspec.structs.replace(worker, worker_id=worker_id)
+        ledger.put_worker(
+            commands.PutWorker(
+                successor, spares_long_running=spares_long_running
+            )
+        )
+    return count
+
+
+def test_a_long_running_task_is_restarted_however_many_workers_crash():
+    """Guards against a job that is shown as failed though no run has failed."""
+    ledger = long_running_site()
+    assert crash_under(ledger, "l", 12, True) == 12
+    assert state(ledger, "l") == "running"
+    assert run_of("l").task in ledger.crashes.suspects
+
+
+def test_a_task_that_is_not_long_running_is_still_given_up():
+    ledger = long_running_site()
+    assert crash_under(ledger, "j", 12, True) < 12
+    assert state(ledger, "j") == "failed"
+
+
+def test_a_long_running_task_is_restarted_after_lost_workers_crashed():
+    """Guards against the same where a successor shows the crash."""
+    ledger = long_running_site()
+    worker_id = "w00"
+    for number in range(1, 8):
+        group = (commands.Placement(run_of("l", number), worker_id),)
+        placed = ledger.place(
+            commands.PlaceRuns((group,), 0, spares_long_running=True)
+        )
+        assert placed.refusals == ("",)
+        worker = ledger.workers[worker_id]
+        ledger.remove_worker(commands.RemoveWorker(worker_id, "silent"))
+        worker_id += "x"
+        successor = msgspec.structs.replace(worker, worker_id=worker_id)
+        ledger.put_worker(
+            commands.PutWorker(successor, spares_long_running=True)
+        )
+    assert state(ledger, "l") == "running"
+
+
+def test_crashes_in_the_log_of_an_earlier_version_are_replayed_as_they_were():
+    """Guards against replicas that differ after an upgrade."""
+    ledger = long_running_site()
+    assert crash_under(ledger, "l", 12, False) == 3
+    assert state(ledger, "l") == "failed"
+    for command in (
+        commands.RemoveWorker("w", "421", spares_long_running=True),
+        commands.PutWorker(ledger.workers["w01"], spares_long_running=True),
+        commands.PlaceRuns((), 0, spares_long_running=True),
+    ):
+        name, fields = msgspec.msgpack.decode(codec.encode(command))
+        del fields["spares_long_running"]
+        raw = msgspec.msgpack.encode([name, fields])
+        assert not codec.decode(raw).spares_long_running
--- a/laburnumsill/batch/worker_state.py
+++ b/laburnumsill/batch/worker_state.py
@@ -285,6 +285,7 @@
                 crashed,
                 successor,
                 tuple(run for run in lost if run not in self.ordered),
+                spares_long_running=True,
             )
         )
         for run in lost:
--- a/laburnumsill/emulator/site.py
+++ b/laburnumsill/emulator/site.py
@@ -313,7 +313,9 @@
 
     def announce(self, worker: model.Worker, sequence: int) -> None:
         """Applies a worker's announcement, which may be an outdated one."""
-        self.groups.machine.apply(commands.PutWorker(worker, sequence))
+        self.groups.machine.apply(
+            commands.PutWorker(worker, sequence, spares_long_running=True)
+        )
 
     async def propose(self, command: object) -> typing.Any:
         """Commits a caller's command; retries until a leader accepts it.
--- a/laburnumsill/emulator/tests/test_crashing_tasks.py
+++ b/laburnumsill/emulator/tests/test_crashing_tasks.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 
+from laburnumsill.batch import commands
 from laburnumsill.batch import model
 from laburnumsill.emulator import site as sites
 from laburnumsill.emulator import troubles
@@ -143,3 +144,28 @@
     assert set(found.values()) <= {"completed", "failed"}
     for job_id, state in found.items():
         assert (state == "failed") <= (job_id[0] == "c"), job_id
+
+
+def test_commands_of_this_version_spare_long_running_tasks():
+    """Guards against a long-running job that crashes of its workers end."""
+    found = {}
+
+    async def script(site):
+        site.groups.machine.observe(
+            lambda command: found.setdefault(type(command), []).append(
+                getattr(command, "spares_long_running", True)
+            )
+        )
+        await site.submit(job("j", 2), [6.0])
+        await trio.sleep(1.0)
+        worker = next(one for one in site.pool.workers.values() if one.running)
+        worker.crash()
+        await trio.sleep(6.0)
+        one = site.pool.newest[f"{worker.worker.worker_id}x"]
+        one.resize(model.Resources(32_000, 131_072, 4))
+
+    run_site(0, script)
+    sparing = (commands.PlaceRuns, commands.PutWorker, commands.RemoveWorker)
+    assert {kind: set(found[kind]) for kind in sparing} == dict.fromkeys(
+        sparing, {True}
+    )
