batch: remove a departing worker when its leases have expired

A departing worker whose last report listed a run that the ledger lacks, and that answered no more, was kept until it was removed as silent, which does not record its end: a late announcement would have added it again as a usable worker. Its leases prove that such a run is over.

Guards: test_a_departing_worker_with_an_unknown_run_is_removed_with_its_leases, which failed before.

--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -238,10 +238,17 @@
             await self._report_once()
 
     def _has_departed(self) -> bool:
-        """Returns whether a worker has announced its end and runs nothing."""
-        if not self._state.is_departing or self._state.running:
+        """Returns whether a worker has announced its end and runs nothing.
+
+        Its last report may list runs that are not live in the ledger. They are
+        over at the latest when its leases have expired.
+        """
+        if not self._state.is_departing:
             return False
-        return not self._term.ledger.runs_on(self._state.worker_id)
+        if self._term.ledger.runs_on(self._state.worker_id):
+            return False
+        now = self._term.clock.monotonic()
+        return not self._state.running or now >= self.leases_expire_at
 
     def _needs_report(self) -> bool:
         ledger = self._term.ledger
--- a/laburnumsill/batch/tests/test_departures.py
+++ b/laburnumsill/batch/tests/test_departures.py
@@ -182,6 +182,28 @@
     test_session.run_script(script)
 
 
+def test_a_departing_worker_with_an_unknown_run_is_removed_with_its_leases():
+    """Guards against one that is only removed as silent, and may return."""
+
+    async def script(term):
+        listed = worker_client.RunningRun(test_session.STRAY, "", 1)
+        report = worker_client.Report(1000, (listed,), ())
+        term.client.reports = [report] * 20
+        test_session.release_run(term)
+        await trio.sleep(0.1)
+        lost = worker_client.NoAnswerError("lost")
+        term.client.reports = [lost] * 1000
+        term.client.stop_answers = [lost] * 1000
+        depart(term)
+        expires_at = term.session.leases_expire_at
+        await trio.sleep(expires_at - trio.current_time() - 0.1)
+        assert "w" in term.ledger.workers
+        await trio.sleep(1.0)
+        assert term.ledger.has_ended("w")
+
+    test_session.run_script(script)
+
+
 def test_a_departing_worker_without_runs_is_removed_at_once():
     async def script(term):
         test_session.release_run(term)
