--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -20,13 +20,13 @@
 from laburnumsill.batch import ledger_estimates
 from laburnumsill.batch import lost_work
 from laburnumsill.batch import model
+from laburnumsill.batch import obsolete_runs
 from laburnumsill.batch import order_slots
 from laburnumsill.batch import orders
 from laburnumsill.batch import plan_log
 from laburnumsill.batch import planner
 from laburnumsill.batch import policy as policies
 from laburnumsill.batch import queue_pools
-from laburnumsill.batch import records
 from laburnumsill.batch import session as sessions
 from laburnumsill.batch import term as terms
 from laburnumsill.batch import unheard_workers
@@ -491,12 +491,7 @@
 
     def _stop_obsolete_runs(self) -> None:
         """Stops runs of ended jobs, done tasks and incomplete gangs."""
-        obsolete = [
-            (run, reason)
-            for key, runs in self.ledger.runs_by_step.items()
-            for run, reason in self._obsolete_runs(key, runs)
-        ]
-        for run, reason in obsolete:
+        for run, reason in list(obsolete_runs.obsolete_runs(self.ledger)):
             self._stop(run, reason)
 
     def _stop_runs_of_leaving_workers(self) -> None:
@@ -519,30 +514,6 @@
         ):
             self._stop(run, LEAVING_STOP_REASON)
 
-    def _obsolete_runs(
-        self, key: model.StepKey, runs: abc.Iterable[model.RunId]
-    ) -> abc.Iterator[tuple[model.RunId, str]]:
-        """Yields the runs of a step that are to be stopped, with a reason."""
-        record = self.ledger.jobs.get(key[0])
-        reason = ""
-        if record is None:
-            reason = "its job is not known"
-        elif not record.active:
-            reason = f"its job is {record.state}"
-        elif record.job.steps[key[2]].gang and not _is_complete(
-            record, key, runs
-        ):
-            reason = "its gang is incomplete"
-        elif not record.has_done_tasks(key):
-            return
-        for run in runs:
-            task = record.task(run.task) if record else None
-            if task is not None and task.done_run:
-                if task.done_run != run.number:
-                    yield run, "its task is done"
-            elif reason:
-                yield run, reason
-
     def _sync_sessions(self) -> None:
         """Starts sessions for new workers and ends those of removed ones."""
         for worker_id, worker in self.ledger.workers.items():
@@ -639,14 +610,3 @@
         saved_progress=policy.saved_at_stop,
         leaving_workers=policy.leaving_workers,
     )
-
-
-def _is_complete(
-    record: records.JobRecord,
-    key: model.StepKey,
-    runs: abc.Iterable[model.RunId],
-) -> bool:
-    """Returns whether all members of a gang are live with one run number."""
-    numbers = [run.number for run in runs]
-    tasks = record.job.steps[key[2]].tasks
-    return len(numbers) >= tasks and len(set(numbers)) == 1
