--- a/laburnumsill/batch/tests/test_report_pages.py
+++ b/laburnumsill/batch/tests/test_report_pages.py
@@ -79,6 +79,13 @@
     test_session.release_run(term)
 
 
+def with_worker(term, listed_ends):
+    """Gives a term a worker that runs all tasks."""
+    term.client = PagingClient(listed_ends)
+    add_runs(term, TASKS)
+    term.client.running = [run_of(index) for index in range(TASKS)]
+
+
 def state_of(term):
     return term.ledger.jobs["k"].state
 
@@ -88,9 +95,7 @@
     """Guards against tasks that run again after an end that is noted."""
 
     async def script(term):
-        term.client = PagingClient(listed_ends)
-        add_runs(term, TASKS)
-        term.client.running = [run_of(index) for index in range(TASKS)]
+        with_worker(term, listed_ends)
         term.client.end_all()
         await trio.sleep(2.0)
         assert not term.released()
@@ -106,9 +111,7 @@
     """Guards against stops of runs that have ended, without a new leader."""
 
     async def script(term):
-        term.client = PagingClient(listed_ends)
-        add_runs(term, TASKS)
-        term.client.running = [run_of(index) for index in range(TASKS)]
+        with_worker(term, listed_ends)
         for index in range(TASKS):
             term.session.start(run_of(index))
         await trio.sleep(3.0)
@@ -125,9 +128,7 @@
     """Guards against tasks that wait while the session waits for an end."""
 
     async def script(term):
-        term.client = PagingClient(1)
-        add_runs(term, TASKS)
-        term.client.running = [run_of(index) for index in range(TASKS)]
+        with_worker(term, 1)
         term.client.end_all()
         await trio.sleep(TASKS * 0.05)
         assert state_of(term) is caller_commands.JobState.COMPLETED
@@ -171,9 +172,7 @@
     """
 
     async def script(term):
-        term.client = PagingClient(TASKS)
-        add_runs(term, TASKS)
-        term.client.running = [run_of(index) for index in range(TASKS)]
+        with_worker(term, TASKS)
         for index in range(TASKS):
             term.session.start(run_of(index))
         await trio.sleep(0.5)
@@ -196,9 +195,7 @@
 
 def test_a_worker_whose_ends_can_be_read_again_is_used_again():
     async def script(term):
-        term.client = PagingClient(TASKS)
-        add_runs(term, TASKS)
-        term.client.running = [run_of(index) for index in range(TASKS)]
+        with_worker(term, TASKS)
         term.client.unreadable = 3
         term.client.end_all()
         await trio.sleep(2.0)
