batch: release no run by a refusal under a fence that an earlier term had

Not shown on a site: a commit would have to take over 2 s while the lead is kept.

Cause: the refusal of a first start order releases the run, since the worker refuses the orders of earlier terms. A scheduler's term that ends by a failed commit while the VM keeps its lead is followed by one with the same Raft term, hence the same fence, so an order of the former may be executed later. And a placement that the former term proposed, and that was committed in this one, woke no session.

Change: such a term counts the runs that it found as possibly started, so that they are stopped before they are released. A plan wakes sessions that have runs.

Guards: test_a_refusal_under_a_repeated_fence_releases_no_run (an order of the former term that is executed late), test_a_run_that_is_committed_late_is_started; both failed before.

--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -148,6 +148,7 @@
         history: Estimates of worker speeds and run times from the ledger.
         leader_known_at: Monotonic time at which a previous leader was last
             known.
+        repeats_fence: See the base class.
     """
 
     def __init__(
@@ -157,11 +158,13 @@
         fence: int,
         history: ledger_estimates.LedgerEstimates,
         leader_known_at: float,
+        repeats_fence: bool = False,
     ) -> None:
         self.ledger = ledger
         self.client = context.client
         self.clock = context.clock
         self.fence = fence
+        self.repeats_fence = repeats_fence
         self.longest_lease_ms = context.worker_limits.longest_lease_ms
         self.health = worker_health.WorkerHealth()
         self.order_timeout = adaptive_timeout.AdaptiveTimeout(
--- a/laburnumsill/batch/orders.py
+++ b/laburnumsill/batch/orders.py
@@ -139,7 +139,9 @@
         state = self._state
         clock = state.term.clock
         give_up_at = clock.monotonic() + START_TIMEOUT_S
-        may_have_started = False
+        # A worker refuses the orders of earlier terms, unless the fence is the
+        # same: such an order may still be under way.
+        may_have_started = state.term.repeats_fence and run in state.inherited
         while self._should_start(run) and clock.monotonic() < give_up_at:
             try:
                 if may_have_started and state.worker.name:
--- a/laburnumsill/batch/scheduler.py
+++ b/laburnumsill/batch/scheduler.py
@@ -33,6 +33,7 @@
         self._history: ledger_estimates.LedgerEstimates | None = None
         self._last_leader = last_leader.LastKnownLeader()
         self._applied = trio.Event()
+        self._last_fence = 0
 
     async def run(self) -> None:
         """Runs a term whenever this VM leads, until cancelled."""
@@ -99,7 +100,9 @@
             fence,
             self._history or ledger_estimates.LedgerEstimates(ledger),
             self._last_leader.known_at,
+            repeats_fence=fence == self._last_fence,
         )
+        self._last_fence = fence
         logs.event("scheduler-started", group=self._group, fence=fence)
         try:
             await self._term.run()
--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -165,12 +165,16 @@
     def update(self, worker: model.Worker) -> None:
         """Replaces the worker's data after an announcement.
 
-        Stops all runs of a worker that has announced its end.
+        Stops all runs of a worker that has announced its end. Wakes a session
+        that waits although it has runs, as after a placement that an earlier
+        term has proposed and that was committed in this one.
         """
         self._state.update(worker)
+        runs = self._term.ledger.runs_on(self.worker_id)
         if worker.departing:
-            for run in self._term.ledger.runs_on(self.worker_id):
+            for run in runs:
                 self._orders.stop(run, DEPARTURE_STOP_REASON)
+        if worker.departing or runs:
             self._state.wakeup.set()
 
     def verify(self) -> None:
--- a/laburnumsill/batch/term.py
+++ b/laburnumsill/batch/term.py
@@ -21,6 +21,9 @@
         client: Sends orders to workers.
         clock: The clock of this process.
         fence: Raft term of this leader, the fencing token of every order.
+        repeats_fence: Whether an earlier term of this scheduler had the same
+            fence, as after a commit that failed while the lead was kept.
+            Workers do not refuse the orders of that term.
         health: Observed failures, stalls and run times of workers and tasks.
         longest_lease_ms: The longest lease that workers grant.
         order_timeout: Adaptive timeout of orders.
@@ -32,6 +35,7 @@
     client: worker_client.WorkerClient
     clock: clocks.Clock
     fence: int
+    repeats_fence: bool
     health: worker_health.WorkerHealth
     longest_lease_ms: int
     order_timeout: adaptive_timeout.AdaptiveTimeout
--- a/laburnumsill/batch/tests/test_session.py
+++ b/laburnumsill/batch/tests/test_session.py
@@ -76,6 +76,7 @@
         self.client = ScriptedClient()
         self.clock = trio_clock.TrioClock()
         self.fence = 7
+        self.repeats_fence = False
         self.health = worker_health.WorkerHealth()
         self.longest_lease_ms = 10_000
         self.lead_age_s = 0.0
@@ -261,6 +262,48 @@
     run_script(script)
 
 
+def test_a_refusal_under_a_repeated_fence_releases_no_run():
+    """Guards against an order of the former term that is executed late.
+
+    The worker does not refuse it, since its fence is the same.
+    """
+
+    async def script(term):
+        term.repeats_fence = True
+        term.client.reports = [worker_client.Report(1000, (), ())]
+        term.client.start_answers = [
+            worker_client.NothingDoneError("busy")
+        ] * 40
+        term.client.stop_answers = [worker_client.NoAnswerError("lost")] * 3
+        await trio.sleep(1.0)
+        assert term.client.given("start")
+        assert not term.released()
+        await trio.sleep(6.0)
+        assert term.client.given("stop")
+        assert [one.run for one in term.released()] == [RUN]
+
+    run_script(script)
+
+
+def test_a_run_that_is_committed_late_is_started():
+    """Guards against a placement of the former term that nobody carries out."""
+
+    async def script(term):
+        release_run(term)
+        await trio.sleep(3.0)  # the session waits
+        assert not term.client.given("start")
+        late = msgspec.structs.replace(RUN, number=2)
+        term.ledger.place(
+            commands.PlaceRuns(((commands.Placement(late, "w"),),), 0)
+        )
+        term.session.observe_heartbeat(1000)
+        term.session.update(WORKER)
+        await trio.sleep(3.0)
+        assert {order.run for order in term.client.given("start")} == {late}
+
+    run_script(script)
+
+
 def test_a_refusal_after_an_unanswered_order_releases_no_run():
     async def script(term):
         term.client.start_answers = [
--- a/laburnumsill/batch/worker_state.py
+++ b/laburnumsill/batch/worker_state.py
@@ -59,6 +59,7 @@
         starting: Runs whose start orders are in progress.
         ordered: Runs for which a start order was sent to this worker, or may
             have been sent by an earlier leader.
+        inherited: Runs that were placed on the worker before this term.
         stops: Stop orders by run.
         wakeup: Set when the session has something to do.
         reachable_again: Set when an unreachable worker answers again.
@@ -86,7 +87,8 @@
         self.running: dict[model.RunId, worker_client.RunningRun] = {}
         self.missed_reports: dict[model.RunId, int] = {}
         self.starting: set[model.RunId] = set()
-        self.ordered = set(term.ledger.runs_on(worker.worker_id))
+        self.inherited = frozenset(term.ledger.runs_on(worker.worker_id))
+        self.ordered = set(self.inherited)
         self.stops: dict[model.RunId, StopOrder] = {}
         self.wakeup = trio.Event()
         self.reachable_again = trio.Event()
