batch: send no start that has waited for its slot beyond its time

An order looked at its time limit before it waited for a slot, not after, so it could be sent when the other members of its gang had given up.

Guards: test_a_start_that_has_waited_too_long_for_its_slot_is_not_sent, which failed before.

--- a/laburnumsill/batch/orders.py
+++ b/laburnumsill/batch/orders.py
@@ -147,6 +147,8 @@
                 if may_have_started and state.worker.name:
                     await state.probe()  # the worker may have restarted since
                 async with self._slot(run):
+                    if clock.monotonic() >= give_up_at:
+                        break  # the order has waited for its slot for too long
                     started = await self._start_once(run)
                 if started:
                     return
--- a/laburnumsill/batch/tests/test_order_slots.py
+++ b/laburnumsill/batch/tests/test_order_slots.py
@@ -8,6 +8,7 @@
 from laburnumsill.batch import commands
 from laburnumsill.batch import model
 from laburnumsill.batch import order_slots
+from laburnumsill.batch import orders
 from laburnumsill.batch import worker_client
 from laburnumsill.batch.tests import test_session
 from laburnumsill.emulator import site as sites
@@ -147,3 +148,22 @@
         return (record.ended_ms - record.submitted_ms) / 1000
 
     assert virtual_time.run(1, main) < 2.5
+
+
+def test_a_start_that_has_waited_too_long_for_its_slot_is_not_sent():
+    """Guards against gang members that start after the others gave up."""
+
+    async def script(term):
+        term.client.reports = [worker_client.Report(1000, (), ())]
+        async with trio.open_nursery() as nursery:
+            term.order_slots = order_slots.OrderSlots(1)
+            nursery.start_soon(
+                hold, term.order_slots, 1, [], "", orders.START_TIMEOUT_S + 0.1
+            )
+            await trio.testing.wait_all_tasks_blocked()
+            term.session.start(test_session.RUN)
+            await trio.sleep(2 * orders.START_TIMEOUT_S)
+        assert not term.client.given("start")
+        assert term.client.given("stop") == [test_session.RUN]
+
+    test_session.run_script(script)
