daemon: log the calls that a server cuts, count how connections end

A caller that loses its call at a shutdown had left no trace: neither log nor metrics told whether the server had read the call and cut it, or never had.

call-cut names each call that ends with its connection while its caller still waits; http_connections_ended_total counts connections by how they ended; shutdown-started marks the begin of a shutdown. No change of what is served.

--- a/laburnumsill/daemon/core_role.py
+++ b/laburnumsill/daemon/core_role.py
@@ -160,10 +160,10 @@
             self._clock,
             self._metrics,
         )
-        await nursery.start(self._serve, app, listen.control)
+        await nursery.start(self._serve, "control", app, listen.control)
         if listen.metrics:
             metrics = metrics_app.MetricsApp(self._metrics)
-            await nursery.start(self._serve, metrics, listen.metrics)
+            await nursery.start(self._serve, "metrics", metrics, listen.metrics)
 
     async def _shut_down(self) -> None:
         with trio.move_on_after(TRANSFER_TIMEOUT_S):
--- a/laburnumsill/daemon/entry_role.py
+++ b/laburnumsill/daemon/entry_role.py
@@ -80,11 +80,13 @@
     async def _start(self, nursery: trio.Nursery) -> None:
         listen = self._settings.listen
         nursery.start_soon(self._lease.run)
-        await nursery.start(self._serve, self._app, listen.callers)
-        await nursery.start(self._serve, self._app.ready, listen.readiness)
+        await nursery.start(self._serve, "callers", self._app, listen.callers)
+        await nursery.start(
+            self._serve, "readiness", self._app.ready, listen.readiness
+        )
         if listen.metrics:
             app = metrics_app.MetricsApp(self._metrics)
-            await nursery.start(self._serve, app, listen.metrics)
+            await nursery.start(self._serve, "metrics", app, listen.metrics)
 
     async def _shut_down(self) -> None:
         await trio.sleep(READINESS_NOTICE_S)
--- a/laburnumsill/daemon/light_server.py
+++ b/laburnumsill/daemon/light_server.py
@@ -9,6 +9,7 @@
 callers may have left.
 """
 
+import enum
 import functools
 import time
 import typing
@@ -20,11 +21,15 @@
 
 from laburnumsill.core import errors
 from laburnumsill.core import logs
+from laburnumsill.core import metrics as metrics_module
 from laburnumsill.daemon import listening
 from laburnumsill.wire import arrivals
 
 MAX_HEADER_BYTES = 32 * 1024
 KEEP_ALIVE_S = 60
+MAX_LOGGED_PATH = 80
+"""Number of characters of a path in a log line."""
+
 RECEIVE_BYTES = 32_768
 """Maximum size of one read. Headers are rejected after the first read that
 exceeds their limit."""
@@ -49,11 +54,69 @@
 _STREAM_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
 
 
+class ConnectionEnd(enum.StrEnum):
+    """How a connection ended, a label of `http_connections_ended_total`."""
+
+    ANSWERED = "answered"
+    """By the server, after an answer that said so."""
+
+    CALLER = "caller"
+    """By the caller, or by a failure of the network."""
+
+    IDLE = "idle"
+    """By the server, while no call had begun to arrive."""
+
+    INVALID = "invalid"
+    """By the server, after invalid HTTP."""
+
+    CUT = "cut"
+    """By the server, while a call was open or unread."""
+
+
+class Monitor:
+    """Counts how connections end, and logs the calls that are cut.
+
+    Args:
+        name: The name of the server in metrics and logs.
+        metrics: Receives the counters.
+    """
+
+    def __init__(self, name: str, metrics: metrics_module.Metrics) -> None:
+        self._name = name
+        self._metrics = metrics
+
+    def on_end(self, end: ConnectionEnd) -> None:
+        """Records the end of a connection."""
+        self._metrics.count(
+            "http_connections_ended_total", server=self._name, end=end
+        )
+
+    def on_cut(self, request: h11.Request | None, since_s: float) -> None:
+        """Records a call that ended with its connection.
+
+        Args:
+            request: The request, None if it was not read.
+            since_s: Seconds since it was read or, if it was not, since the
+                last answer on the connection.
+        """
+        target = request.target.decode("ascii") if request else ""
+        logs.event(
+            "call-cut",
+            level="WARNING",
+            server=self._name,
+            method=request.method.decode("ascii") if request else "",
+            path=target[:MAX_LOGGED_PATH],
+            read=request is not None,
+            since_ms=round(since_s * 1000),
+        )
+
+
 async def serve(
     application: Application,
     address: str,
     stop: abc.Callable[[], abc.Awaitable[None]],
     stop_grace_s: float,
+    monitor: Monitor | None = None,
     *,
     task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -64,6 +127,7 @@
         address: ``host:port`` to listen on.
         stop: Returns when no new connection is to be accepted.
         stop_grace_s: Seconds in which requests in flight can complete then.
+        monitor: Records the ends of connections, if given.
         task_status: Started once the socket listens.
 
     Raises:
@@ -72,9 +136,10 @@
     """
     listener = arrivals.Listener(await listening.listen(address))
     connections: set[_Connection] = set()
+    monitor = monitor or Monitor("", metrics_module.Metrics())
 
     async def handle(stream: arrivals.Stream) -> None:
-        connection = _Connection(application, stream)
+        connection = _Connection(application, stream, monitor)
         connections.add(connection)
         try:
             await connection.run()
@@ -109,10 +174,16 @@
     """One caller's connection, which serves one exchange at a time."""
 
     def __init__(
-        self, application: Application, stream: arrivals.Stream
+        self,
+        application: Application,
+        stream: arrivals.Stream,
+        monitor: Monitor,
     ) -> None:
         self._application = application
         self._stream = stream
+        self._monitor = monitor
+        self._request: h11.Request | None = None
+        self._since = trio.current_time()
         self._arrived_after: float | None = None
         self._protocol = _new_protocol()
         self._idle: trio.CancelScope | None = None
@@ -126,21 +197,44 @@
 
     async def run(self) -> None:
         """Serves exchanges until either end closes the connection."""
+        end = ConnectionEnd.CUT
         try:
             while await self._exchange():
                 self._protocol.start_next_cycle()
+            end = ConnectionEnd.ANSWERED
+            if self._protocol.our_state is h11.IDLE:
+                end = ConnectionEnd.IDLE
         except (_ClosedError, *_STREAM_ERRORS):
-            pass
+            end = ConnectionEnd.CALLER
         except h11.RemoteProtocolError as error:
+            end = ConnectionEnd.INVALID
             await self._reject(error)
         finally:
+            self._record(end)
             await trio.aclose_forcefully(self._stream)
 
+    def _record(self, end: ConnectionEnd) -> None:
+        """Records the end of the connection and of a call that it cuts."""
+        is_idle = end in (ConnectionEnd.IDLE, ConnectionEnd.CUT)
+        if is_idle and self._request is None:
+            end = ConnectionEnd.CUT if self._has_unread else ConnectionEnd.IDLE
+        if end is ConnectionEnd.CUT:
+            since_s = trio.current_time() - self._since
+            self._monitor.on_cut(self._request, since_s)
+        self._monitor.on_end(end)
+
+    @property
+    def _has_unread(self) -> bool:
+        """Whether a part of a further call has arrived."""
+        return bool(self._protocol.trailing_data[0]) or self._stream.has_unread
+
     async def _exchange(self) -> bool:
         """Serves one exchange; returns whether the connection can be reused."""
         request = await self._next_request()
         if request is None:
             return False
+        self._request = request
+        self._since = trio.current_time()
         exchange = _Exchange(self, request)
         try:
             await self._application(
@@ -158,6 +252,8 @@
                 error=repr(error),
             )
             await exchange.send_failure()
+        self._request = None
+        self._since = trio.current_time()
         await self._discard_body()
         done = self._protocol.our_state is h11.DONE
         return done and self._protocol.their_state is h11.DONE
--- a/laburnumsill/daemon/role.py
+++ b/laburnumsill/daemon/role.py
@@ -109,6 +109,7 @@
             )
             task_status.started()
             await self._stopping.wait()
+            logs.event("shutdown-started", name=self._settings.name)
             await self._shut_down()
             self._stop_server.set()
             nursery.cancel_scope.cancel()
@@ -132,6 +133,7 @@
 
     async def _serve(
         self,
+        name: str,
         application: typing.Any,
         address: str,
         *,
@@ -143,6 +145,7 @@
             address,
             self._stop_server.wait,
             SERVER_GRACE_S,
+            light_server.Monitor(name, self._metrics),
             task_status=task_status,
         )
 
--- a/laburnumsill/daemon/tests/test_light_server.py
+++ b/laburnumsill/daemon/tests/test_light_server.py
@@ -7,6 +7,7 @@
 import pytest
 import trio
 
+from laburnumsill.core import metrics as metrics_module
 from laburnumsill.daemon import light_server
 from laburnumsill.platform import http
 from laburnumsill.testing import ports
@@ -31,6 +32,7 @@
         self.disconnected = trio.Event()
         self.answer = b"answer"
         self.response_ended = trio.Event()
+        self.metrics = metrics_module.Metrics()
 
     async def app(self, scope, receive, send) -> None:
         self.scopes.append(scope)
@@ -54,7 +56,8 @@
 
     async def run(self, task_status) -> None:
         serve = functools.partial(light_server.serve, task_status=task_status)
-        await serve(self.app, self.address, self.stop.wait, GRACE_S)
+        monitor = light_server.Monitor("test", self.metrics)
+        await serve(self.app, self.address, self.stop.wait, GRACE_S, monitor)
         self.ended.set()
 
     async def connect(self) -> "Caller":
@@ -324,3 +327,25 @@
             for _ in range(2):
                 await site.request_started.acquire()
         assert arrived_after(site.scopes[1]) < resumed_at
+
+
+async def test_ends_of_connections_are_counted_by_their_cause():
+    async with served() as site:
+        idle = await site.connect()
+        await idle.send(GET.format("/"))
+        await idle.until("answer")
+        left = await site.connect()
+        await left.stream.aclose()
+        invalid = await site.connect()
+        await invalid.send("no request at all\r\n\r\n")
+        await invalid.until_closed()
+        busy = await site.connect()
+        await busy.send(GET.format("/held"))
+        for _ in range(2):
+            await site.request_started.acquire()
+        site.stop.set()
+        with trio.fail_after(5):
+            await site.ended.wait()
+    rendered = site.metrics.render()[0].decode()
+    for end in ("caller", "cut", "idle", "invalid"):
+        assert f'end="{end}",server="test"}} 1' in rendered
--- /dev/null
+++ b/laburnumsill/platform/tests/kept_connections.py
@@ -0,0 +1,179 @@
+"""Callers that keep their connections and account for each call.
+
+A caller sends its next call a moment after the last answer, on the same
+connection unless the answer says that it is the last one there.
+"""
+
+import dataclasses
+import itertools
+import json
+from collections import abc
+
+import h11
+import trio
+
+from laburnumsill.platform.tests import standin
+
+RECEIVE_BYTES = 65_536
+ANSWER_TIMEOUT_S = 10.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LostCall:
+    """A call that was sent whole and got no whole answer.
+
+    Attributes:
+        path: What was called.
+        after_s: Seconds from its last byte to the end of the connection.
+        reason: How the connection ended.
+        served: Number of answers on that connection before.
+    """
+
+    path: str
+    after_s: float
+    reason: str
+    served: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """One call, with its body in pieces that are sent one after the other.
+
+    Attributes:
+        method: The HTTP method.
+        path: The path.
+        pieces: The body; the caller pauses before each but the first.
+        pause_s: Pause between two pieces, in seconds.
+    """
+
+    method: str
+    path: str
+    pieces: tuple[bytes, ...] = ()
+    pause_s: float = 0.0
+
+
+def submission(number: int) -> Call:
+    """Returns a call that submits a job of its own."""
+    document = {"spec": "text", "steps": [{"count": 1, "cpu": 1000, "gpu": 1}]}
+    body = json.dumps(document).encode()
+    return Call("POST", f"/batch/{number:016x}", (body,))
+
+
+class Crowd:
+    """Callers of one address.
+
+    Args:
+        address: The address, ``host:port``.
+        calls: Returns a call by its number.
+        pause_s: Pause of a caller between an answer and its next call.
+
+    Attributes:
+        statuses: Number of whole answers by status.
+        accepted: Paths of the calls that were answered with 200.
+        lost: The calls that were sent whole and not answered.
+        connects: Whether callers may open connections. The balancer directs
+            none to an entry that it has found unready.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        calls: abc.Callable[[int], Call] = submission,
+        pause_s: float = 0.005,
+    ) -> None:
+        self.statuses: dict[int, int] = {}
+        self.accepted: list[str] = []
+        self.lost: list[LostCall] = []
+        self.connects = True
+        self._address = address
+        self._calls = calls
+        self._pause_s = pause_s
+        self._numbers = itertools.count(1)
+
+    async def run(self, callers: int) -> None:
+        """Calls until each caller has lost its connection and may open none."""
+        async with trio.open_nursery() as nursery:
+            for _ in range(callers):
+                nursery.start_soon(self._run_caller)
+
+    async def _run_caller(self) -> None:
+        host, _, port = self._address.rpartition(":")
+        while self.connects:
+            try:
+                stream = await trio.open_tcp_stream(host, int(port))
+            except OSError:
+                await trio.sleep(self._pause_s)
+                continue
+            async with stream:
+                await self._use(stream)
+
+    async def _use(self, stream: trio.SocketStream) -> None:
+        """Calls over one connection until it ends or is to be closed."""
+        protocol = h11.Connection(h11.CLIENT)
+        for served in itertools.count():
+            call = self._calls(next(self._numbers))
+            if not await self._send(stream, protocol, call):
+                return
+            sent_at = trio.current_time()
+            try:
+                status = await self._receive(stream, protocol)
+            except (OSError, trio.BrokenResourceError, EOFError) as error:
+                after_s = trio.current_time() - sent_at
+                reason = repr(error.__cause__ or error)
+                self.lost.append(LostCall(call.path, after_s, reason, served))
+                return
+            self.statuses[status] = self.statuses.get(status, 0) + 1
+            if status == 200:
+                self.accepted.append(call.path)
+            if protocol.our_state is h11.MUST_CLOSE:
+                return
+            protocol.start_next_cycle()
+            await trio.sleep(self._pause_s)
+
+    async def _send(
+        self, stream: trio.SocketStream, protocol: h11.Connection, call: Call
+    ) -> bool:
+        """Sends a call; returns whether all of it was sent."""
+        headers = [
+            ("host", standin.HOST),
+            ("authorization", f"Bearer {standin.KEY}"),
+            ("x-deadline-ms", "3000"),
+            ("content-length", str(sum(map(len, call.pieces)))),
+        ]
+        head = protocol.send(
+            h11.Request(method=call.method, target=call.path, headers=headers)
+        )
+        parts = [protocol.send(h11.Data(data=one)) for one in call.pieces]
+        protocol.send(h11.EndOfMessage())
+        pieces = [head + (parts[0] if parts else b""), *parts[1:]]
+        try:
+            for number, piece in enumerate(pieces):
+                if number:
+                    await trio.sleep(call.pause_s)
+                await stream.send_all(piece)
+        except trio.BrokenResourceError:
+            return False
+        return True
+
+    async def _receive(
+        self, stream: trio.SocketStream, protocol: h11.Connection
+    ) -> int:
+        """Returns the status of the answer once all of it has arrived.
+
+        Raises:
+            EOFError: The connection ended before, without a reset.
+            trio.BrokenResourceError: The connection was reset.
+        """
+        status = 0
+        with trio.fail_after(ANSWER_TIMEOUT_S):
+            while True:
+                event = protocol.next_event()
+                if event is h11.NEED_DATA:
+                    data = await stream.receive_some(RECEIVE_BYTES)
+                    if not data:
+                        raise EOFError("the connection was closed")
+                    protocol.receive_data(data)
+                elif isinstance(event, h11.Response):
+                    status = event.status_code
+                elif isinstance(event, h11.EndOfMessage):
+                    return status
--- a/laburnumsill/wire/arrivals.py
+++ b/laburnumsill/wire/arrivals.py
@@ -19,6 +19,9 @@
 """Key of the monotonic time in s after which a request began to arrive, in the
 extension `EXTENSION`."""
 
+CLOSED = -1
+"""Descriptor of a socket that is closed."""
+
 _CLOCK = clocks.SystemClock()
 
 
@@ -108,6 +111,12 @@
         """Monotonic time in s after which the data read last has arrived."""
         return self._arrivals.empty_at
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether data has arrived and was not read; False once closed."""
+        socket = self._stream.socket
+        return socket.fileno() != CLOSED and bool(socket.is_readable())
+
     async def receive_some(self, max_bytes: int | None = None) -> bytes:
         """Returns received data, see the base class."""
         await self._arrivals.wait()
