--- a/laburnumsill/platform/tests/kept_connections.py
+++ b/laburnumsill/platform/tests/kept_connections.py
@@ -16,6 +16,12 @@
 
 RECEIVE_BYTES = 65_536
 ANSWER_TIMEOUT_S = 10.0
+START_GAP_S = 0.025
+"""Time between the first calls of two callers, which so do not call as one."""
+
+LOSS_SLACK_S = 0.2
+"""Time after its last byte by which a call may be lost unread, as the users
+define it."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -25,15 +31,25 @@
     Attributes:
         path: What was called.
         after_s: Seconds from its last byte to the end of the connection.
-        reason: How the connection ended.
+        was_reset: Whether the connection was reset and not closed.
         served: Number of answers on that connection before.
     """
 
     path: str
     after_s: float
-    reason: str
+    was_reset: bool
     served: int
 
+    @property
+    def may_have_been_read(self) -> bool:
+        """Whether a process may have read the call before it was lost.
+
+        A connection that no process has accepted is reset when the process
+        stops listening.
+        """
+        is_late = self.after_s > LOSS_SLACK_S
+        return is_late or self.served > 0 or not self.was_reset
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call:
@@ -93,10 +109,11 @@
     async def run(self, callers: int) -> None:
         """Calls until each caller has lost its connection and may open none."""
         async with trio.open_nursery() as nursery:
-            for _ in range(callers):
-                nursery.start_soon(self._run_caller)
+            for number in range(callers):
+                nursery.start_soon(self._run_caller, number * START_GAP_S)
 
-    async def _run_caller(self) -> None:
+    async def _run_caller(self, delay_s: float) -> None:
+        await trio.sleep(delay_s)
         host, _, port = self._address.rpartition(":")
         while self.connects:
             try:
@@ -119,8 +136,9 @@
                 status = await self._receive(stream, protocol)
             except (OSError, trio.BrokenResourceError, EOFError) as error:
                 after_s = trio.current_time() - sent_at
-                reason = repr(error.__cause__ or error)
-                self.lost.append(LostCall(call.path, after_s, reason, served))
+                was_reset = not isinstance(error, EOFError)
+                lost = LostCall(call.path, after_s, was_reset, served)
+                self.lost.append(lost)
                 return
             self.statuses[status] = self.statuses.get(status, 0) + 1
             if status == 200:
