daemon: answer each call that has arrived before a role ends

Callers lost each call that was open when an entry ended, 2.6 s after SIGTERM, and each GET /-/config that was open at a core VM: 40 of 40 callers, 202 at 200 callers, 288 at 400, of these 125 more than 0.2 s after their last byte.

Cause: the end of a process was timed, and nothing looked whether a call was open. The stop of the servers and the cancellation of their tasks were one step, so their grace had no effect; a connection ended as idle though its next request had arrived; connections that waited to be accepted were reset with the listening socket; a close with unread bytes reset the last answer.

Evidence: call-cut lines for the calls that were read (80 at 100 callers) or had arrived (2); the others were reset without a line (43). A wait for the servers alone was ruled out as the mend: it leaves the last three ways.

The server now shuts down in stages (close_after_answers, stop, end), looks for arrived bytes before it takes a connection for idle, and takes over what waits in the listen queue in the step that closes it. The unused bounds.shutdown_ms goes.

--- /dev/null
+++ b/laburnumsill/daemon/light_connection.py
@@ -0,0 +1,410 @@
+"""One connection of the light server, which serves one call after the other.
+
+Closing a connection with unread bytes resets it, and a reset may destroy an
+answer that the caller has not read yet. So a connection ends as idle only
+while nothing of a further call has arrived. After its last answer the server
+stops sending, and reads on until the caller has closed its side.
+"""
+
+import contextlib
+import math
+import time
+import typing
+import urllib.parse
+from collections import abc
+
+import h11
+import trio
+
+from laburnumsill.core import errors
+from laburnumsill.core import logs
+from laburnumsill.daemon import connection_monitor
+from laburnumsill.wire import arrivals
+
+MAX_HEADER_BYTES = 32 * 1024
+KEEP_ALIVE_S = 60
+RECEIVE_BYTES = 32_768
+"""Maximum size of one read. Headers are rejected after the first read that
+exceeds their limit."""
+
+SEND_TIMEOUT_S = 60
+"""The connection of a caller that has not read an answer by then is closed."""
+
+LINGER_S = 0.5
+"""Time for which the rest of a body is read and discarded after an early
+response, and for which a caller may take to close its side after the last
+answer on a connection."""
+
+FIRST_CALL_S = 1.0
+"""Time for which a new connection is kept during a shutdown until its first
+call arrives: its caller has opened it to call at once."""
+
+Message = dict[str, typing.Any]
+Application = abc.Callable[
+    [
+        Message,
+        abc.Callable[[], abc.Awaitable[Message]],
+        abc.Callable[[Message], abc.Awaitable[None]],
+    ],
+    abc.Awaitable[None],
+]
+
+_STREAM_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
+
+_End = connection_monitor.ConnectionEnd
+
+
+class ClosedError(errors.LaburnumsillError):
+    """The connection has ended."""
+
+    slug = "connection-closed"
+
+
+class CutError(ClosedError):
+    """The connection has ended before the answer was complete."""
+
+    slug = "connection-cut"
+
+
+class Connection:
+    """One caller's connection, which serves one exchange at a time.
+
+    Args:
+        application: The ASGI application. It acts on a call only once it has
+            read the whole body.
+        stream: The connection.
+        monitor: Records the end of the connection.
+        is_closing: Returns whether an answer is the last one on its
+            connection unless a further call has arrived.
+    """
+
+    def __init__(
+        self,
+        application: Application,
+        stream: arrivals.Stream,
+        monitor: connection_monitor.Monitor,
+        is_closing: abc.Callable[[], bool],
+    ) -> None:
+        self._application = application
+        self._stream = stream
+        self._monitor = monitor
+        self._is_closing = is_closing
+        self._arrived_after: float | None = None
+        self._protocol = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES
+        )
+        self._answers = 0
+        self._idle: trio.CancelScope | None = None
+        self._work: trio.CancelScope | None = None
+        self._answer_by: float | None = None
+        self._request: h11.Request | None = None
+        self._since = trio.current_time()
+
+    @property
+    def is_last_answer(self) -> bool:
+        """Whether the connection is to be closed after the present answer."""
+        return self._is_closing() and not self._has_unread
+
+    def finish(self, answer_by: float) -> None:
+        """Closes the connection once all calls that have arrived are answered.
+
+        Args:
+            answer_by: Time of the loop at which a call that is still open is
+                given up, with an answer that says so.
+        """
+        self._answer_by = answer_by
+        if self._work is not None:
+            self._work.deadline = min(self._work.deadline, answer_by)
+        if self._idle is not None and not self._has_unread:
+            self._idle.deadline = self._idle_deadline()
+
+    async def run(self) -> None:
+        """Serves exchanges until either end closes the connection."""
+        end = _End.CUT
+        try:
+            while await self._exchange():
+                self._protocol.start_next_cycle()
+            end = _End.ANSWERED
+            if self._protocol.our_state is h11.IDLE:
+                end = _End.IDLE
+            else:
+                await self._linger()
+        except CutError:
+            pass
+        except (ClosedError, *_STREAM_ERRORS):
+            end = _End.CALLER
+        except h11.RemoteProtocolError as error:
+            end = _End.INVALID
+            await self._reject(error)
+        finally:
+            self._record(end)
+            await trio.aclose_forcefully(self._stream)
+
+    def _record(self, end: connection_monitor.ConnectionEnd) -> None:
+        """Records the end of the connection and of a call that it cuts."""
+        if end in (_End.IDLE, _End.CUT) and self._request is None:
+            end = _End.CUT if self._has_unread else _End.IDLE
+        if end is _End.CUT:
+            since_s = trio.current_time() - self._since
+            self._monitor.on_cut(self._request, since_s)
+        self._monitor.on_end(end)
+
+    @property
+    def _has_unread(self) -> bool:
+        """Whether a part of a further call has arrived."""
+        return bool(self._protocol.trailing_data[0]) or self._stream.has_unread
+
+    async def _exchange(self) -> bool:
+        """Serves one exchange; returns whether the connection can be reused."""
+        request = await self._next_request()
+        if request is None:
+            return False
+        self._request = request
+        self._since = trio.current_time()
+        exchange = _Exchange(self, request)
+        await self._serve(request, exchange)
+        self._request = None
+        self._since = trio.current_time()
+        self._answers += 1
+        await self._discard_body()
+        done = self._protocol.our_state is h11.DONE
+        return done and self._protocol.their_state is h11.DONE
+
+    async def _serve(self, request: h11.Request, exchange: "_Exchange") -> None:
+        """Has the application answer a request, or answers in its place."""
+        try:
+            with self._bounded(math.inf):
+                await self._application(
+                    _scope(request, self._arrived_after),
+                    exchange.receive,
+                    exchange.send,
+                )
+                return
+        except (ClosedError, h11.RemoteProtocolError, *_STREAM_ERRORS):
+            raise
+        except Exception as error:  # a failure must not affect other requests
+            logs.event(
+                "http-server",
+                level="ERROR",
+                message="the application failed",
+                error=repr(error),
+            )
+            await exchange.send_failure(500)
+            return
+        await exchange.send_unfinished()
+
+    async def _next_request(self) -> h11.Request | None:
+        """Returns the next request, None if the connection is to be closed."""
+        unread, _ = self._protocol.trailing_data
+        self._arrived_after = self._stream.empty_at if unread else None
+        if not unread and not await self._wait_for_request():
+            return None
+        event = None
+        with self._bounded(trio.current_time() + KEEP_ALIVE_S):
+            event = await self.next_event()
+        return event if isinstance(event, h11.Request) else None
+
+    @contextlib.contextmanager
+    def _bounded(self, deadline: float) -> abc.Iterator[trio.CancelScope]:
+        """Yields a scope that ends at a deadline or with a shutdown."""
+        if self._answer_by is not None:
+            deadline = min(deadline, self._answer_by)
+        with trio.CancelScope(deadline=deadline) as self._work:
+            try:
+                yield self._work
+            finally:
+                self._work = None
+
+    async def _wait_for_request(self) -> bool:
+        """Waits for a request; returns whether one has begun to arrive."""
+        self._idle = trio.CancelScope(deadline=self._idle_deadline())
+        with self._idle:
+            await self._stream.wait_for_data()
+        self._idle = None
+        return self._stream.has_unread
+
+    def _idle_deadline(self) -> float:
+        """Returns until when the connection is kept without a call."""
+        if self._answer_by is None:
+            return trio.current_time() + KEEP_ALIVE_S
+        if self._answers:
+            return trio.current_time()
+        return min(self._since + FIRST_CALL_S, self._answer_by)
+
+    async def next_event(self) -> typing.Any:
+        """Returns the next h11 event.
+
+        Raises:
+            ClosedError: The caller closed the connection.
+            h11.RemoteProtocolError: The caller sent invalid HTTP.
+        """
+        while True:
+            event = self._protocol.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            if self._protocol.they_are_waiting_for_100_continue:
+                await self.write(
+                    h11.InformationalResponse(status_code=100, headers=[])
+                )
+            data = await self._stream.receive_some(RECEIVE_BYTES)
+            if self._arrived_after is None:
+                self._arrived_after = self._stream.empty_at
+            if not data:
+                raise ClosedError("the caller closed the connection")
+            self._protocol.receive_data(data)
+
+    async def write(self, *events: typing.Any) -> None:
+        """Sends h11 events in one write.
+
+        Raises:
+            ClosedError: The caller has not read the data in time.
+        """
+        pieces = (self._protocol.send(event) for event in events)
+        data = b"".join(piece for piece in pieces if piece)
+        if not data:
+            return
+        with trio.move_on_after(SEND_TIMEOUT_S):
+            await self._stream.send_all(data)
+            return
+        raise ClosedError("the caller did not read the answer in time")
+
+    async def _discard_body(self) -> None:
+        """Discards the rest of the body after an early response."""
+        with trio.move_on_after(LINGER_S):
+            while self._protocol.their_state is h11.SEND_BODY:
+                await self.next_event()
+
+    async def _linger(self) -> None:
+        """Lets the caller read the last answer before the connection ends."""
+        with trio.move_on_after(LINGER_S):
+            await self._stream.send_eof()
+            while await self._stream.receive_some(RECEIVE_BYTES):
+                pass
+
+    async def _reject(self, error: h11.RemoteProtocolError) -> None:
+        """Answers invalid HTTP, unless a response has been started."""
+        if self._protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        headers = [("content-length", "0"), ("connection", "close")]
+        try:
+            with trio.move_on_after(LINGER_S):
+                await self.write(
+                    h11.Response(
+                        status_code=error.error_status_hint, headers=headers
+                    ),
+                    h11.EndOfMessage(),
+                )
+            await self._linger()
+        except (ClosedError, *_STREAM_ERRORS):
+            return
+
+
+class _Exchange:
+    """The `receive` and `send` callables of one request for the application."""
+
+    def __init__(self, connection: Connection, request: h11.Request) -> None:
+        self._connection = connection
+        self._is_head = request.method == b"HEAD"
+        self._body_ended = False
+        self._response: h11.Response | None = None
+        self._response_started = False
+
+    async def receive(self) -> Message:
+        """Returns the next part of the body."""
+        if self._body_ended:
+            return {"type": "http.disconnect"}
+        try:
+            event = await self._connection.next_event()
+        except (ClosedError, *_STREAM_ERRORS):
+            return {"type": "http.disconnect"}
+        if isinstance(event, h11.Data):
+            return {
+                "type": "http.request",
+                "body": bytes(event.data),
+                "more_body": True,
+            }
+        self._body_ended = True
+        return {"type": "http.request", "body": b"", "more_body": False}
+
+    async def send(self, message: Message) -> None:
+        """Sends the next part of the response."""
+        if message["type"] == "http.response.start":
+            headers = [*message.get("headers", ()), (b"date", _date())]
+            if self._connection.is_last_answer:
+                headers.append((b"connection", b"close"))
+            self._response = h11.Response(
+                status_code=message["status"], headers=headers
+            )
+            return
+        events: list[typing.Any] = []
+        if not self._response_started and self._response is not None:
+            events.append(self._response)
+            self._response_started = True
+        body = message.get("body", b"")
+        if body and not self._is_head:
+            events.append(h11.Data(data=body))
+        if not message.get("more_body", False):
+            events.append(h11.EndOfMessage())
+        await self._connection.write(*events)
+
+    async def send_failure(
+        self, status: int, *headers: tuple[bytes, bytes]
+    ) -> None:
+        """Sends a response without a body, the last one on the connection.
+
+        Raises:
+            CutError: A response has been started, so the connection must
+                be closed.
+        """
+        if self._response_started:
+            raise CutError("the answer was not completed")
+        self._response = h11.Response(
+            status_code=status,
+            headers=[
+                (b"content-length", b"0"),
+                (b"connection", b"close"),
+                (b"date", _date()),
+                *headers,
+            ],
+        )
+        await self.send({"type": "http.response.body"})
+
+    async def send_unfinished(self) -> None:
+        """Sends a response in place of an application that was given up.
+
+        An application that has not read the whole body has not acted on it; of
+        any other, nothing is known.
+
+        Raises:
+            CutError: A response has been started, so the connection must
+                be closed.
+        """
+        if self._body_ended:
+            await self.send_failure(504)
+        else:
+            await self.send_failure(503, (b"retry-after", b"1"))
+
+
+def _scope(request: h11.Request, arrived_after: float | None) -> Message:
+    """Returns the ASGI scope of a request.
+
+    Args:
+        request: The request.
+        arrived_after: Monotonic time in s after which it began to arrive.
+    """
+    raw_path, _, query = request.target.partition(b"?")
+    return {
+        "type": "http",
+        "asgi": {"version": "3.0"},
+        "http_version": request.http_version.decode("ascii"),
+        "method": request.method.decode("ascii").upper(),
+        "path": urllib.parse.unquote(raw_path.decode("ascii")),
+        "raw_path": raw_path,
+        "query_string": query,
+        "headers": list(request.headers),
+        "extensions": {arrivals.EXTENSION: {arrivals.AFTER: arrived_after}},
+    }
+
+
+def _date() -> bytes:
+    return time.strftime("%a, %d %b %Y %H:%M:%S GMT", time.gmtime()).encode()
--- a/laburnumsill/daemon/listening.py
+++ b/laburnumsill/daemon/listening.py
@@ -1,8 +1,7 @@
 """Listening on an address, with typed errors."""
 
 import errno
-
-import trio
+import socket
 
 from laburnumsill.core import errors
 
@@ -23,20 +22,19 @@
     title = "An address is in use"
 
 
-async def listen(address: str) -> trio.SocketListener:
-    """Returns a listener on an address of the form ``host:port``.
+def listen(address: str) -> socket.socket:
+    """Returns a non-blocking socket that listens on ``host:port``.
 
     Raises:
         AddressTakenError: Another process listens on the address.
         ListenError: Listening on the address failed.
     """
     host, _, port = address.rpartition(":")
-    listening = trio.socket.socket()
+    listening = socket.socket()
     try:
-        listening.setsockopt(
-            trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1
-        )
-        await listening.bind((host, int(port)))
+        listening.setblocking(False)
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listening.bind((host, int(port)))
         listening.listen(LISTEN_BACKLOG)
     except (OSError, ValueError, OverflowError) as error:
         listening.close()
@@ -44,4 +42,4 @@
         if isinstance(error, OSError) and error.errno == errno.EADDRINUSE:
             raise AddressTakenError(text) from error
         raise ListenError(text) from error
-    return trio.SocketListener(listening)
+    return listening
--- a/laburnumsill/daemon/role.py
+++ b/laburnumsill/daemon/role.py
@@ -12,6 +12,7 @@
 from laburnumsill.core import logs
 from laburnumsill.core import metrics as metrics_module
 from laburnumsill.core import topology
+from laburnumsill.daemon import connection_monitor
 from laburnumsill.daemon import directory
 from laburnumsill.daemon import light_server
 from laburnumsill.daemon import role_settings
@@ -25,7 +26,8 @@
 """Interval at which the settings file is polled, as it may change without a
 signal."""
 
-SERVER_GRACE_S = 1.0
+END_MARGIN_S = 0.5
+"""Part of the time until a process is killed that is reserved for its end."""
 
 
 class RoleDaemon(abc.ABC):
@@ -48,7 +50,7 @@
         self._clock = clocks.TimeLeftClock()
         self._metrics = metrics_module.Metrics()
         self._stopping = trio.Event()
-        self._stop_server = trio.Event()
+        self._servers: list[light_server.LightServer] = []
         self._vm = self._make_vm(settings)
         self._network = networks.PeerNetwork(
             self._vm,
@@ -109,12 +111,24 @@
             )
             task_status.started()
             await self._stopping.wait()
-            logs.event("shutdown-started", name=self._settings.name)
-            await self._shut_down()
-            self._stop_server.set()
+            await self._stop()
             nursery.cancel_scope.cancel()
         logs.event("daemon-stopped", name=self._settings.name)
 
+    async def _stop(self) -> None:
+        """Shuts down gracefully, in the time until the process is killed."""
+        grace_s = self._settings.bounds.shutdown_s
+        answer_by = trio.current_time() + max(0.0, grace_s - END_MARGIN_S)
+        logs.event("shutdown-started", name=self._settings.name)
+        for server in self._servers:
+            server.close_after_answers()
+        with trio.move_on_at(answer_by):
+            await self._shut_down()
+        for server in self._servers:
+            server.stop(answer_by)
+        for server in self._servers:
+            await server.wait_ended()
+
     @abc.abstractmethod
     def _make_vm(self, settings: role_settings.RoleSettings) -> topology.Vm:
         """Returns this VM as its peers know it."""
@@ -129,7 +143,7 @@
 
     @abc.abstractmethod
     async def _shut_down(self) -> None:
-        """Completes the work in progress before the daemon ends."""
+        """Hands over what others do from now on, while calls are served."""
 
     async def _serve(
         self,
@@ -140,14 +154,11 @@
         task_status: trio.TaskStatus[typing.Any] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Serves an ASGI application until the shutdown."""
-        await light_server.serve(
-            application,
-            address,
-            self._stop_server.wait,
-            SERVER_GRACE_S,
-            light_server.Monitor(name, self._metrics),
-            task_status=task_status,
-        )
+        monitor = connection_monitor.Monitor(name, self._metrics)
+        server = light_server.LightServer(application, address, monitor)
+        server.listen()
+        self._servers.append(server)
+        await server.run(task_status=task_status)
 
     async def _watch_signals(self) -> None:
         with trio.open_signal_receiver(
--- a/laburnumsill/daemon/role_settings.py
+++ b/laburnumsill/daemon/role_settings.py
@@ -20,6 +20,7 @@
 
 Port = typing.Annotated[int, msgspec.Meta(ge=1, le=65_535)]
 Bound = typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+Seconds = typing.Annotated[float, msgspec.Meta(ge=0, le=86_400)]
 Text = typing.Annotated[str, msgspec.Meta(min_length=1)]
 HostPort = typing.Annotated[str, msgspec.Meta(pattern=r"^\S+:[0-9]{1,5}$")]
 """``host:port``."""
@@ -45,22 +46,22 @@
 
 
 class Bounds(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Time limits that the site guarantees, in ms.
+    """Time limits that the site guarantees, in ms unless another unit is named.
 
     Attributes:
         longest_lease_ms: Longest lease that a worker grants.
         stop_grace_ms: Time within which a worker ends a run after a stop order.
         key_revoked_ms: Time within which a revoked key must stop working.
-        shutdown_ms: Time between SIGTERM and SIGKILL.
         restore_ms: Time in which a worker restores saved progress; None where
             workers save no progress at a stop.
+        shutdown_s: Time between SIGTERM and SIGKILL, in seconds.
     """
 
     longest_lease_ms: Bound = 10_000
     stop_grace_ms: Bound = 1_000
     key_revoked_ms: Bound = 5_000
-    shutdown_ms: Bound = 6_000
     restore_ms: Bound | None = None
+    shutdown_s: Seconds = 6.0
 
 
 class Scheduling(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/laburnumsill/daemon/server.py
+++ b/laburnumsill/daemon/server.py
@@ -86,9 +86,9 @@
         listening.AddressTakenError: Another process listens on the address.
         listening.ListenError: Listening on the address failed.
     """
-    listener = await listening.listen(address)
+    listener = listening.listen(address)
     config = hypercorn.config.Config()
-    config.bind = [f"fd://{listener.socket.detach()}"]
+    config.bind = [f"fd://{listener.detach()}"]
     config.accesslog = None
     config.errorlog = _logger()
     config.h11_max_incomplete_size = MAX_HEADER_BYTES
--- a/laburnumsill/daemon/tests/test_light_server.py
+++ b/laburnumsill/daemon/tests/test_light_server.py
@@ -6,8 +6,11 @@
 
 import pytest
 import trio
+import trio.testing
 
 from laburnumsill.core import metrics as metrics_module
+from laburnumsill.daemon import connection_monitor
+from laburnumsill.daemon import light_connection
 from laburnumsill.daemon import light_server
 from laburnumsill.platform import http
 from laburnumsill.testing import ports
@@ -39,6 +42,12 @@
         self.request_started.release()
         if scope["path"] == "/fails":
             raise ValueError("a fault of the application")
+        if scope["path"] == "/unfinished":
+            start = {"type": "http.response.start", "status": 200}
+            await send({**start, "headers": [(b"content-length", b"9")]})
+            body = {"type": "http.response.body", "more_body": True}
+            await send({**body, "body": b"begun"})
+            await trio.sleep_forever()
         if scope["path"] == "/early":
             await http.send_answer(send, http.Answer(413, b"{}"))
             return
@@ -56,7 +65,7 @@
 
     async def run(self, task_status) -> None:
         serve = functools.partial(light_server.serve, task_status=task_status)
-        monitor = light_server.Monitor("test", self.metrics)
+        monitor = connection_monitor.Monitor("test", self.metrics)
         await serve(self.app, self.address, self.stop.wait, GRACE_S, monitor)
         self.ended.set()
 
@@ -232,7 +241,7 @@
 
 
 async def test_an_idle_connection_is_closed_after_the_timeout(monkeypatch):
-    monkeypatch.setattr(light_server, "KEEP_ALIVE_S", 0.05)
+    monkeypatch.setattr(light_connection, "KEEP_ALIVE_S", 0.05)
     async with served() as site:
         caller = await site.connect()
         assert await caller.until_closed() == ""
@@ -269,7 +278,7 @@
 
 async def test_connection_of_a_caller_that_never_reads_is_closed(monkeypatch):
     """Otherwise the socket and the response in memory would never be freed."""
-    monkeypatch.setattr(light_server, "SEND_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(light_connection, "SEND_TIMEOUT_S", 0.2)
     async with served() as site:
         site.answer = b"x" * 40_000_000
         caller = await site.connect()
@@ -329,6 +338,106 @@
         assert arrived_after(site.scopes[1]) < resumed_at
 
 
+async def test_a_call_that_arrived_unread_is_answered_by_a_stopping_server():
+    """The caller's next request and the stop reach the loop in one turn."""
+    async with served() as site:
+        caller = await site.connect()
+        await caller.send(GET.format("/"))
+        await caller.until("answer")
+        with socket.socket(fileno=caller.stream.socket.detach()) as raw:
+            raw.setblocking(True)
+            raw.sendall(GET.format("/next").encode())
+            site.stop.set()
+            answer = await trio.to_thread.run_sync(raw.recv, 65_536)
+            rest = await trio.to_thread.run_sync(raw.recv, 65_536)
+        assert answer.startswith(b"HTTP/1.1 200")
+        assert answer.endswith(b"answer")
+        assert b"connection: close" in answer.lower()
+        assert rest == b""
+
+
+async def test_calls_on_connections_that_wait_are_answered_when_stopping():
+    """The kernel resets connections that are not accepted."""
+    async with served() as site:
+        host, _, port = site.address.rpartition(":")
+        raw = [socket.create_connection((host, int(port))) for _ in range(20)]
+        for one in raw:
+            one.sendall(GET.format("/").encode())
+        site.stop.set()
+        for one in raw:
+            answer = await trio.to_thread.run_sync(one.recv, 65_536)
+            assert answer.endswith(b"answer")
+            one.close()
+
+
+async def test_a_new_connection_may_make_its_first_call_when_stopping():
+    async with served() as site:
+        early = await site.connect()
+        silent = await site.connect()
+        await trio.testing.wait_all_tasks_blocked()
+        site.stop.set()
+        await trio.sleep(GRACE_S / 3)
+        await early.send(GET.format("/"))
+        assert "answer" in await early.until_closed()
+        assert await silent.until_closed() == ""
+
+
+async def test_calls_sent_at_once_are_all_answered_when_stopping():
+    async with served() as site:
+        caller = await site.connect()
+        await caller.send(GET.format("/held") + GET.format("/2"))
+        await site.request_started.acquire()
+        site.stop.set()
+        await trio.testing.wait_all_tasks_blocked()
+        site.resume.set()
+        answers = await caller.until_closed()
+        assert answers.count("answer") == 2
+        assert answers.lower().count("connection: close") == 1
+
+
+async def test_a_body_that_arrives_while_stopping_is_read():
+    async with served() as site:
+        caller = await site.connect()
+        await caller.send(PUT.format("/", 6) + "abc")
+        await site.request_started.acquire()
+        site.stop.set()
+        await trio.testing.wait_all_tasks_blocked()
+        await caller.send("def")
+        assert "answer" in await caller.until_closed()
+        assert site.bodies == [b"abcdef"]
+
+
+async def test_a_call_that_cannot_end_in_time_is_told_so():
+    """504 for a whole request, 503 for one that certainly has not run."""
+    async with served() as site:
+        whole = await site.connect()
+        await whole.send(GET.format("/held"))
+        partial = await site.connect()
+        await partial.send(PUT.format("/", 6) + "abc")
+        for _ in range(2):
+            await site.request_started.acquire()
+        site.stop.set()
+        assert " 504 " in await whole.until_closed()
+        refused = await partial.until_closed()
+        assert " 503 " in refused
+        assert "retry-after: 1" in refused.lower()
+
+
+async def test_the_last_answer_reaches_a_caller_that_sends_more():
+    """A connection that is closed with unread bytes is reset."""
+    async with served() as site:
+        site.answer = b"x" * 1_000_000
+        caller = await site.connect()
+        await caller.send(
+            "GET / HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n"
+        )
+        await site.request_started.acquire()
+        await trio.sleep(0.02)
+        await caller.send(GET.format("/ignored"))
+        answer = await caller.until_closed()
+        assert answer.count("x") >= 1_000_000
+
+
 async def test_ends_of_connections_are_counted_by_their_cause():
     async with served() as site:
         idle = await site.connect()
@@ -341,11 +450,13 @@
         await invalid.until_closed()
         busy = await site.connect()
         await busy.send(GET.format("/held"))
-        for _ in range(2):
+        cut = await site.connect()
+        await cut.send(GET.format("/unfinished"))
+        for _ in range(3):
             await site.request_started.acquire()
         site.stop.set()
         with trio.fail_after(5):
             await site.ended.wait()
     rendered = site.metrics.render()[0].decode()
-    for end in ("caller", "cut", "idle", "invalid"):
+    for end in ("answered", "caller", "cut", "idle", "invalid"):
         assert f'end="{end}",server="test"}} 1' in rendered
--- a/laburnumsill/daemon/tests/test_role_settings.py
+++ b/laburnumsill/daemon/tests/test_role_settings.py
@@ -38,9 +38,16 @@
     assert loaded.bounds.longest_lease_ms == 9000
     assert loaded.bounds.key_revoked_ms == 5000
     assert loaded.bounds.restore_ms is None
+    assert loaded.bounds.shutdown_s == 6.0
     assert loaded.scheduling.saved_progress is switches.Switch.AUTO
 
 
+def test_time_until_the_process_is_killed_may_be_a_fraction(tmp_path):
+    for text, shutdown_s in (("2", 2.0), ("2.5", 2.5)):
+        loaded = load(tmp_path, f"{GOOD}shutdown_s = {text}\n")
+        assert loaded.bounds.shutdown_s == shutdown_s
+
+
 def test_switches_of_the_scheduler_are_read(tmp_path):
     text = GOOD + 'restore_ms = 0\n[scheduling]\nsaved_progress = "off"\n'
     loaded = load(tmp_path, text)
--- a/laburnumsill/platform/caller_app.py
+++ b/laburnumsill/platform/caller_app.py
@@ -46,11 +46,6 @@
     def ready(self) -> bool:
         """Whether the load balancer should send callers to this VM."""
 
-    @property
-    @abc.abstractmethod
-    def closing(self) -> bool:
-        """Whether connections are closed after their next answer."""
-
 
 class CallerApp:
     """Serves `POST`, `GET` and `DELETE` of jobs and `GET` of queues."""
@@ -84,7 +79,7 @@
         except errors.LaburnumsillError as error:
             answer = _error_answer(error)
             call.reason = error.slug
-        await http.send_answer(send, answer, self._front.closing)
+        await http.send_answer(send, answer)
         self._record(call, answer, began)
 
     async def ready(
--- a/laburnumsill/platform/http.py
+++ b/laburnumsill/platform/http.py
@@ -151,13 +151,12 @@
     raise BodyLateError(f"nothing for {BODY_CHUNK_TIMEOUT_S:.0f} s")
 
 
-async def send_answer(send: Send, answer: Answer, close: bool = False) -> None:
+async def send_answer(send: Send, answer: Answer) -> None:
     """Sends a whole answer.
 
     Args:
         send: The `send` callable of the ASGI call.
         answer: The answer.
-        close: Whether to close the connection afterwards.
     """
     headers = [
         (b"content-type", answer.content_type.encode()),
@@ -165,8 +164,6 @@
     ]
     if answer.retry_after_s is not None:
         headers.append((b"retry-after", str(answer.retry_after_s).encode()))
-    if close:
-        headers.append((b"connection", b"close"))
     await send(
         {
             "type": "http.response.start",
--- a/laburnumsill/platform/tests/test_caller_app.py
+++ b/laburnumsill/platform/tests/test_caller_app.py
@@ -35,10 +35,6 @@
     def ready(self):
         return True
 
-    @property
-    def closing(self):
-        return False
-
 
 async def get(front, path, key=standin.KEY):
     """Returns the status and the headers of the answer to a GET."""
--- a/laburnumsill/wire/arrivals.py
+++ b/laburnumsill/wire/arrivals.py
@@ -7,6 +7,7 @@
 """
 
 import math
+import socket
 
 import trio
 
@@ -114,8 +115,12 @@
     @property
     def has_unread(self) -> bool:
         """Whether data has arrived and was not read; False once closed."""
-        socket = self._stream.socket
-        return socket.fileno() != CLOSED and bool(socket.is_readable())
+        sock = self._stream.socket
+        return sock.fileno() != CLOSED and bool(sock.is_readable())
+
+    async def wait_for_data(self) -> None:
+        """Waits until data has arrived, or the other side has closed."""
+        await self._arrivals.wait()
 
     async def receive_some(self, max_bytes: int | None = None) -> bytes:
         """Returns received data, see the base class."""
@@ -126,6 +131,10 @@
         """Sends data, see the base class."""
         await self._stream.send_all(data)
 
+    async def send_eof(self) -> None:
+        """Ends what is sent; data can still be received."""
+        await self._stream.send_eof()
+
     async def wait_send_all_might_not_block(self) -> None:
         """Waits until data can probably be sent, see the base class."""
         await self._stream.wait_send_all_might_not_block()
@@ -139,12 +148,14 @@
     """Accepts connections that know after which time they have arrived.
 
     Args:
-        listener: The listener to accept from.
+        listening: A non-blocking socket that listens.
     """
 
-    def __init__(self, listener: trio.SocketListener) -> None:
-        self._listener = listener
-        self._arrivals = Arrivals(listener.socket, _CLOCK.monotonic())
+    def __init__(self, listening: socket.socket) -> None:
+        self._listening = listening
+        wrapped = trio.socket.from_stdlib_socket(listening)
+        self._listener = trio.SocketListener(wrapped)
+        self._arrivals = Arrivals(wrapped, _CLOCK.monotonic())
 
     async def accept(self) -> Stream:
         """Returns the next connection, see the base class."""
@@ -152,6 +163,25 @@
         accepted = await self._listener.accept()
         return Stream(accepted, self._arrivals.empty_at)
 
+    def close(self) -> list[Stream]:
+        """Stops listening; returns the connections that waited to be accepted.
+
+        The kernel completes a connection before it is accepted. Its caller may
+        have sent a request, and would be reset with the listening socket.
+        """
+        waiting = []
+        while True:
+            try:
+                waiting.append(self._listening.accept()[0])
+            except ConnectionAbortedError:
+                continue
+            except OSError:  # none is left, or there is no descriptor for it
+                break
+        self._listener.socket.close()
+        sockets = map(trio.socket.from_stdlib_socket, waiting)
+        empty_at = self._arrivals.empty_at
+        return [Stream(trio.SocketStream(one), empty_at) for one in sockets]
+
     async def aclose(self) -> None:
         """Closes the listener, see the base class."""
         await self._listener.aclose()
--- a/laburnumsill/wire/tests/test_arrivals.py
+++ b/laburnumsill/wire/tests/test_arrivals.py
@@ -53,10 +53,9 @@
 @contextlib.asynccontextmanager
 async def listening():
     """Yields a listener, its address and the ticks of the loop."""
-    sock = trio.socket.socket()
-    await sock.bind(("127.0.0.1", 0))
-    sock.listen(CONNECTIONS)
-    listener = arrivals.Listener(trio.SocketListener(sock))
+    sock = socket.create_server(("127.0.0.1", 0), backlog=CONNECTIONS)
+    sock.setblocking(False)
+    listener = arrivals.Listener(sock)
     async with trio.open_nursery() as nursery:
         ticks = Ticks()
         nursery.start_soon(ticks.run)
