platform: judge calls that planned work cuts in soaks

The soak's witness counts a call without an answer and never judges it, so no soak saw that a SIGTERM cuts calls.

Callers on kept connections run beside the witness in each soak, at each entry (queries and repeated submissions of accepted jobs, some with late bytes) and each core VM (GET /-/config). They call the VMs directly, since a proxy takes calls that no daemon has read.

The troubles record which VM they touch and when. A call that was sent whole and may have been read is told as LOST, unless an unplanned trouble touched its VM, the VM's links or most of the core from 3 s before the call to its end. A call is not sent on a connection that is known to have ended, as after pauses of up to 0.6 s most are; the tests of shutdowns send it still.

The new kind `planned` plays rolling restarts and series of SIGHUPs between the witness's configurations.

--- a/laburnumsill/platform/tests/kept_connections.py
+++ b/laburnumsill/platform/tests/kept_connections.py
@@ -16,6 +16,7 @@
 
 RECEIVE_BYTES = 65_536
 ANSWER_TIMEOUT_S = 10.0
+PAUSE_S = 0.005
 START_GAP_S = 0.025
 """Time between the first calls of two callers, which so do not call as one."""
 
@@ -24,22 +25,39 @@
 define it."""
 
 
+_NO_ANSWER = (
+    OSError,
+    trio.BrokenResourceError,
+    EOFError,
+    trio.TooSlowError,
+)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LostCall:
     """A call that was sent whole and got no whole answer.
 
     Attributes:
         path: What was called.
-        after_s: Seconds from its last byte to the end of the connection.
+        began_at: Time of its first byte.
+        sent_at: Time of its last byte.
+        ended_at: Time of the end of the connection.
         was_reset: Whether the connection was reset and not closed.
         served: Number of answers on that connection before.
     """
 
     path: str
-    after_s: float
+    began_at: float
+    sent_at: float
+    ended_at: float
     was_reset: bool
     served: int
 
+    @property
+    def after_s(self) -> float:
+        """Seconds from its last byte to the end of the connection."""
+        return self.ended_at - self.sent_at
+
     @property
     def may_have_been_read(self) -> bool:
         """Whether a process may have read the call before it was lost.
@@ -81,7 +99,9 @@
     Args:
         address: The address, ``host:port``.
         calls: Returns a call by its number.
-        pause_s: Pause of a caller between an answer and its next call.
+        pause_s: Draws the pause between an answer and the next call.
+        sees_ends: Whether a caller whose connection has ended in the pause
+            sends no call on it. After long pauses such a call is no evidence.
 
     Attributes:
         statuses: Number of whole answers by status.
@@ -95,7 +115,8 @@
         self,
         address: str,
         calls: abc.Callable[[int], Call] = submission,
-        pause_s: float = 0.005,
+        pause_s: abc.Callable[[], float] = lambda: PAUSE_S,
+        sees_ends: bool = False,
     ) -> None:
         self.statuses: dict[int, int] = {}
         self.accepted: list[str] = []
@@ -104,6 +125,7 @@
         self._address = address
         self._calls = calls
         self._pause_s = pause_s
+        self._sees_ends = sees_ends
         self._numbers = itertools.count(1)
 
     async def run(self, callers: int) -> None:
@@ -119,7 +141,7 @@
             try:
                 stream = await trio.open_tcp_stream(host, int(port))
             except OSError:
-                await trio.sleep(self._pause_s)
+                await trio.sleep(self._pause_s())
                 continue
             async with stream:
                 await self._use(stream)
@@ -129,16 +151,23 @@
         protocol = h11.Connection(h11.CLIENT)
         for served in itertools.count():
             call = self._calls(next(self._numbers))
+            began_at = trio.current_time()
             if not await self._send(stream, protocol, call):
                 return
             sent_at = trio.current_time()
             try:
                 status = await self._receive(stream, protocol)
-            except (OSError, trio.BrokenResourceError, EOFError) as error:
-                after_s = trio.current_time() - sent_at
-                was_reset = not isinstance(error, EOFError)
-                lost = LostCall(call.path, after_s, was_reset, served)
-                self.lost.append(lost)
+            except _NO_ANSWER as error:
+                self.lost.append(
+                    LostCall(
+                        call.path,
+                        began_at,
+                        sent_at,
+                        trio.current_time(),
+                        not isinstance(error, (EOFError, trio.TooSlowError)),
+                        served,
+                    )
+                )
                 return
             self.statuses[status] = self.statuses.get(status, 0) + 1
             if status == 200:
@@ -146,7 +175,9 @@
             if protocol.our_state is h11.MUST_CLOSE:
                 return
             protocol.start_next_cycle()
-            await trio.sleep(self._pause_s)
+            await trio.sleep(self._pause_s())
+            if self._sees_ends and stream.socket.is_readable():
+                return
 
     async def _send(
         self, stream: trio.SocketStream, protocol: h11.Connection, call: Call
@@ -181,6 +212,7 @@
         Raises:
             EOFError: The connection ended before, without a reset.
             trio.BrokenResourceError: The connection was reset.
+            trio.TooSlowError: Nobody answered within `ANSWER_TIMEOUT_S`.
         """
         status = 0
         with trio.fail_after(ANSWER_TIMEOUT_S):
--- a/laburnumsill/platform/tests/soak/main.py
+++ b/laburnumsill/platform/tests/soak/main.py
@@ -18,6 +18,7 @@
 
 import trio
 
+from laburnumsill.platform.tests.soak import planned_work
 from laburnumsill.platform.tests.soak import site as sites
 from laburnumsill.platform.tests.soak import troubles
 from laburnumsill.platform.tests.soak import witness as witnesses
@@ -32,6 +33,7 @@
 EVACUATIONS = "evacuations"
 ORDERS = "orders"
 WORKERS = "workers"
+PLANNED = "planned"
 """Names of sets of troubles, see `troubles.CHOICES`."""
 
 MEAN_GAP_S = 0.9
@@ -61,6 +63,7 @@
         jobs: Number of submitted jobs.
         completed: Number of jobs reported as completed.
         answers: Number of calls by status; 0 stands for no answer.
+        kept_answers: Number of answers on kept connections.
         late_s: Maximum and mean lag of the soak's own event loop. Proxies,
             workers and callers share the loop, so a lack of progress during a
             large lag is no evidence against the daemons.
@@ -73,6 +76,7 @@
     jobs: int
     completed: int
     answers: dict[int, int]
+    kept_answers: int
     late_s: tuple[float, float]
     folder: pathlib.Path
 
@@ -81,7 +85,7 @@
         text = (
             f"seed={self.seed} broken={len(self.broken)} jobs={self.jobs}"
             f" completed={self.completed} troubles={','.join(self.kinds)}"
-            f" answers={self.answers}"
+            f" answers={self.answers} kept-answers={self.kept_answers}"
             f" loop-late-s={self.late_s[0]:.2f},{self.late_s[1]:.4f}"
         )
         return "\n    ".join([text, *self.broken])
@@ -130,13 +134,14 @@
             await witness.configure_first()
             site.replace_seeds()
             site.disturb_core()
-            await _play(site, witness, seconds, kinds, choice, opening)
+            kept = planned_work.KeptCallers(site, witness.fates)
+            await _play(site, witness, kept, seconds, kinds, choice, opening)
             broken = _ended_daemons(site)
             await witness.check_service()
             await witness.check_last_configuration()
             await witness.settle()
             await witness.aclose()
-            broken += [*site.oracle.broken, *witness.broken]
+            broken += [*site.oracle.broken, *witness.broken, *kept.broken]
             broken += _ended_daemons(site) + _logged_failures(site)
         finally:
             site.stop()
@@ -148,6 +153,7 @@
         len(witness.fates),
         sum(fate.final == "completed" for fate in witness.fates),
         witness.answers,
+        kept.answered,
         (max(lags, default=0.0), statistics.fmean(lags or [0.0])),
         folder,
     )
@@ -164,6 +170,7 @@
 async def _play(
     site: sites.SoakSite,
     witness: witnesses.Witness,
+    kept: planned_work.KeptCallers,
     seconds: float,
     kinds: list[str],
     choice: abc.Sequence[type[troubles.Trouble]],
@@ -172,8 +179,10 @@
     """Plays random troubles during the calls and waits until all have ended."""
     async with trio.open_nursery() as callers:
         callers.start_soon(witness.run)
+        callers.start_soon(kept.run)
         end = trio.current_time() + seconds
-        callers.start_soon(_silence_connections, site, kinds)
+        if not all(kind.is_planned for kind in choice):
+            callers.start_soon(_silence_connections, site, kinds)
         async with trio.open_nursery() as running:
             for kind in opening:
                 kinds.append(kind.__name__)
@@ -304,7 +313,7 @@
         default=FIRST,
         help="set of troubles; all: with tasks that crash their workers;"
         " spare: the same with a spare core VM; workers: the same with workers"
-        " that depart and queues that move",
+        " that depart and queues that move; planned: only SIGTERM and SIGHUP",
     )
     given = parser.parse_args()
     seeds = _seeds(given.seeds, given.fresh)
--- a/laburnumsill/platform/tests/soak/site.py
+++ b/laburnumsill/platform/tests/soak/site.py
@@ -18,6 +18,7 @@
 from laburnumsill.platform.tests import standin
 from laburnumsill.platform.tests.soak import daemon_on_machine
 from laburnumsill.platform.tests.soak import layout
+from laburnumsill.platform.tests.soak import touches
 from laburnumsill.testing import ports
 from laburnumsill.testing import processes
 from laburnumsill.testing import proxy as proxies
@@ -136,6 +137,7 @@
         self.vms = layout.vms(self.core)
         self.proxy = proxies.Proxy()
         self.processes: dict[str, processes.Process] = {}
+        self._old_log_chars: dict[str, int] = {}
         self.oracle = oracles.Oracle()
         self.pool = emulated.WorkerPool(
             self.oracle,
@@ -155,8 +157,10 @@
             [self.vms[vm].control for vm in self.core]
         )
         self.disturbed_at = trio.current_time()
+        self.touches = touches.Touches()
         self.keep_calm = False
         self.evacuating: set[str] = set()
+        self.restarting: set[str] = set()
         self.moves_queues = moves_queues
         self.moved: set[str] = set()
         if moves_queues:
@@ -206,6 +210,9 @@
             )
         if not self.processes[vm].running:
             self.suspended_s[vm] = 0.0
+            if not founding:
+                log = self.processes[vm].log_text()
+                self._old_log_chars[vm] = len(log)
             self.processes[vm].start()
 
     async def until_started(self) -> None:
@@ -216,10 +223,15 @@
         """
         with trio.fail_after(START_TIMEOUT_S):
             while True:
-                if all(map(_has_started, self.processes.values())):
+                if all(map(self.has_started, self.processes)):
                     return
                 await trio.sleep(0.1)
 
+    def has_started(self, vm: str) -> bool:
+        """Returns whether the last daemon of a VM has ever served."""
+        log = self.processes[vm].log_text()[self._old_log_chars.get(vm, 0) :]
+        return "event=daemon-started" in log
+
     def replace_seeds(self) -> None:
         """Lists the spare VM among the seeds if the site has one."""
         self.seed_vms = self.core[-len(layout.CORE) :]
@@ -419,10 +431,6 @@
             await trio.sleep(ANNOUNCE_INTERVAL_S)
 
 
-def _has_started(daemon: processes.Process) -> bool:
-    return "event=daemon-started" in daemon.log_text()
-
-
 def _work_s(task: model.TaskId) -> float:
     """Returns the duration of a task, which is the same for all its runs."""
     source = random.Random(zlib.crc32(str(task).encode()))
--- a/laburnumsill/platform/tests/soak/troubles.py
+++ b/laburnumsill/platform/tests/soak/troubles.py
@@ -1,7 +1,9 @@
 """Troubles of a soak: faults that are injected and removed again."""
 
 import abc
+import os
 import random
+import signal
 from collections import abc as collections_abc
 
 import trio
@@ -10,6 +12,7 @@
 from laburnumsill.platform.tests import standin
 from laburnumsill.platform.tests.soak import layout
 from laburnumsill.platform.tests.soak import site as sites
+from laburnumsill.platform.tests.soak import touches
 from laburnumsill.testing import proxy as proxies
 
 CUT_FAULTS = (
@@ -34,6 +37,12 @@
 MAX_START_GAP_S = 0.3
 """Maximum time between the starts of two daemons."""
 
+MAX_RESTART_GAP_S = 3.0
+"""Maximum time between the starts of two planned restarts."""
+
+MAX_RELOADS = 6
+"""A series of SIGHUPs is shorter than this."""
+
 SHUTDOWN_S = 6.0
 """Time from SIGTERM to SIGKILL, as on the users' sites."""
 
@@ -81,9 +90,13 @@
     affects_workers_only = False
     """Whether the trouble affects only workers, no VMs."""
 
+    is_planned = False
+    """Whether the trouble is planned work, during which no call may be cut."""
+
     def __init__(self, site: sites.SoakSite) -> None:
         self._site = site
         self._random = site.random
+        self._touches: list[touches.Touch] = []
 
     async def run(self) -> None:
         """Plays the trouble, unless it affects VMs while `keep_calm` is set."""
@@ -92,6 +105,7 @@
         elif not self._site.keep_calm:
             self._site.disturb_core()
             await self._play()
+            self._end_touches()
             self._site.disturb_core()
 
     @abc.abstractmethod
@@ -99,10 +113,34 @@
         """Injects the fault and removes it."""
 
     def _core_vm(self) -> str:
-        return self._random.choice(self._site.core)
+        vm = self._random.choice(self._site.core)
+        self._touch(vm)
+        return vm
 
     def _any_vm(self) -> str:
-        return self._random.choice([*self._site.core, *layout.ENTRIES])
+        vm = self._random.choice([*self._site.core, *layout.ENTRIES])
+        self._touch(vm)
+        return vm
+
+    def _touch(self, *vms: str, is_planned: bool | None = None) -> None:
+        """Records that the trouble affects VMs until its end."""
+        if self.affects_workers_only:
+            return
+        if is_planned is None:
+            is_planned = self.is_planned
+        name = type(self).__name__
+        for vm in vms:
+            touch = self._site.touches.begin(vm, name, is_planned)
+            self._touches.append(touch)
+
+    def _touch_ends(self, links: collections_abc.Iterable[str]) -> None:
+        """Records that the trouble affects the VMs at both ends of links."""
+        ends = {end for name in links for end in name.split(">")}
+        self._touch(*sorted(ends.intersection(self._site.vms)))
+
+    def _end_touches(self) -> None:
+        for touch in self._touches:
+            touch.ended_at = trio.current_time()
 
     def _domain_to_evacuate(self) -> str | None:
         """Draws a failure domain; None if another trouble has evacuated it."""
@@ -145,6 +183,7 @@
         vms = [*self._site.core]
         if self._random.random() < 0.5:
             vms += layout.ENTRIES
+        self._touch(*vms)
         for vm in vms:
             self._site.processes[vm].kill()
         await trio.sleep(
@@ -159,17 +198,71 @@
 class Terminate(Trouble):
     """Ends one daemon with SIGTERM and starts it again."""
 
+    is_planned = True
+
     async def _play(self) -> None:
-        vm = self._any_vm()
+        await self._restart(self._any_vm())
+
+    async def _restart(self, vm: str) -> None:
         process = self._site.processes[vm]
+        pid = process.pid
         process.terminate()
         with trio.move_on_after(SHUTDOWN_S):
             while process.running:  # noqa: ASYNC110
                 await trio.sleep(POLL_INTERVAL_S)
+        if process.pid != pid:
+            # Another trouble has started it, and this ends it without SIGTERM.
+            self._touch(vm, is_planned=False)
         process.kill()
         self._site.start_vm(vm)
 
 
+class RollingRestart(Terminate):
+    """Ends some daemons, each as `Terminate`, one soon after the other.
+
+    Leaves out those that are still being restarted by another such trouble.
+    """
+
+    async def _play(self) -> None:
+        vms = [*self._site.core, *layout.ENTRIES]
+        count = self._random.randrange(1, 4)
+        async with trio.open_nursery() as nursery:
+            for vm in self._random.sample(vms, count):
+                nursery.start_soon(self._restart_alone, vm)
+                await trio.sleep(self._random.uniform(0.0, MAX_RESTART_GAP_S))
+
+    async def _restart_alone(self, vm: str) -> None:
+        if vm in self._site.restarting:
+            return
+        self._site.restarting.add(vm)
+        self._touch(vm)
+        await self._restart(vm)
+        self._site.restarting.remove(vm)
+
+
+class Reload(Trouble):
+    """Sends some SIGHUPs to one daemon, some with changed settings."""
+
+    is_planned = True
+
+    async def _play(self) -> None:
+        vm = self._any_vm()
+        process = self._site.processes[vm]
+        for _ in range(self._random.randrange(1, MAX_RELOADS)):
+            if self._random.random() < 0.5:
+                seeds = self._site.seed_vms
+                layout.write_settings(
+                    self._site.folder,
+                    self._site.vms[vm],
+                    False,
+                    tuple(self._random.sample(seeds, len(seeds))),
+                )
+            # A process that is still starting would be ended by the signal.
+            if process.running and self._site.has_started(vm):
+                os.kill(process.pid, signal.SIGHUP)
+            await trio.sleep(self._random.uniform(0.0, MAX_START_GAP_S))
+
+
 class Pause(Trouble):
     """Pauses one daemon with SIGSTOP and resumes it with SIGCONT."""
 
@@ -196,6 +289,7 @@
         self._site.keep_calm = True
         if await self._site.until_core_is_calm():
             await self._play()
+            self._end_touches()
         else:
             self._site.keep_calm = False
 
@@ -215,6 +309,7 @@
 
     async def _play(self) -> None:
         vms = [*self._site.core, *layout.ENTRIES]
+        self._touch(*vms)
         for vm in vms:
             self._site.processes[vm].kill()
         self._site.wipe_disk(self._core_vm())
@@ -251,6 +346,7 @@
         vm = self._any_vm()
         fault = self._random.choice(CUT_FAULTS)
         names = self._site.links_of(vm)
+        self._touch_ends(names)
         for name in names:
             self._site.proxy.set_fault(name, fault)
         await self._wait()
@@ -264,6 +360,7 @@
     async def _play(self) -> None:
         vm = self._any_vm()
         names = self._site.links_of(vm)
+        self._touch_ends(names)
         for name in names:
             source, _ = name.split(">")
             direction = (
@@ -283,6 +380,7 @@
 
     async def _play(self) -> None:
         names = self._random.sample(sorted(layout.links(self._site.vms)), 4)
+        self._touch_ends(names)
         for name in names:
             self._site.proxy.set_fault(name, self._fault())
         await self._wait()
@@ -316,6 +414,7 @@
         names = list(layout.links(self._site.vms))
         if self._random.random() < 0.5:
             names = self._site.links_of(self._any_vm())
+        self._touch_ends(names)
         names += map(self._site.order_link, self._site.announcers)
         direction = self._random.choice(list(proxies.Direction))
         for name in names:
@@ -458,6 +557,7 @@
     async def _play(self) -> None:
         count = self._random.choice((1, 1, 1, 2, len(self._site.core)))
         vms = self._random.sample(self._site.core, count)
+        self._touch(*vms)
         for vm in vms:
             self._site.fill_disk(vm)
         await self._wait()
@@ -594,6 +694,9 @@
 WORKER_KINDS = (*ALL_KINDS, *(4 * (DepartWorker,)), *(4 * (MoveQueue,)))
 """Troubles for soaks with departing workers and queues that move."""
 
+PLANNED_KINDS = (RollingRestart, RollingRestart, Reload)
+"""Troubles for soaks in which no call may be cut."""
+
 CHOICES = {
     "first": KINDS,
     "full-disks": KINDS_WITH_DISKS,
@@ -602,5 +705,6 @@
     "evacuations": EVACUATION_KINDS,
     "orders": ORDER_KINDS,
     "workers": WORKER_KINDS,
+    "planned": PLANNED_KINDS,
 }
 """Sets of troubles by their names on the command line."""
--- a/laburnumsill/platform/tests/test_soak.py
+++ b/laburnumsill/platform/tests/test_soak.py
@@ -5,10 +5,13 @@
 import threading
 
 import pytest
+import trio
+import trio.testing
 
 from laburnumsill.daemon import role_settings
 from laburnumsill.platform.tests.soak import layout
 from laburnumsill.platform.tests.soak import main as soaks
+from laburnumsill.platform.tests.soak import touches
 from laburnumsill.platform.tests.soak import troubles
 
 SHORT_S = 6.0
@@ -28,6 +31,8 @@
 EVACUATION_SEEDS = (1, 2)
 ORDER_SEEDS = (1, 2)
 WORKER_SEEDS = (1, 2)
+PLANNED_SEEDS = (1,)
+PLANNED_S = 12.0
 
 READS = 2000
 
@@ -145,6 +150,42 @@
     assert verdict.completed
 
 
+@pytest.mark.parametrize("seed", PLANNED_SEEDS)
+async def test_no_call_is_cut_by_planned_work(
+    tmp_path: pathlib.Path, seed: int
+):
+    """Guards against calls cut by SIGTERM, SIGHUP or a configuration."""
+    verdict = await soaks.soak(
+        seed,
+        PLANNED_S,
+        tmp_path,
+        troubles.PLANNED_KINDS,
+        opening=(troubles.RollingRestart, troubles.Reload),
+    )
+    assert verdict.broken == [], verdict.line()
+    assert verdict.kept_answers
+    assert verdict.completed
+
+
+def test_unplanned_troubles_excuse_a_vm_until_three_seconds_after():
+    clock = trio.testing.MockClock()
+
+    async def play() -> touches.Touches:
+        record = touches.Touches()
+        for vm, is_planned in (("a", True), ("b", False), ("c", False)):
+            touch = record.begin(vm, "Trouble", is_planned)
+            if vm != "c":
+                touch.ended_at = trio.current_time()
+        return record
+
+    record = trio.run(play, clock=clock)
+    assert record.disrupted(-2.0, -1.0) == set()
+    assert record.disrupted(-2.0, 0.0) == {"b", "c"}
+    assert record.disrupted(2.9, 3.2) == {"b", "c"}
+    assert record.disrupted(3.1, 3.2) == {"c"}
+    assert record.planned_before("a", 1.0) == ["Trouble 1.00 s before"]
+
+
 def test_settings_are_whole_whenever_a_daemon_reads_them(tmp_path):
     """Overlapping troubles may start a VM while its daemon is already starting.
 
