platform: tell a call that was never read from one that was cut, in tests

A connection that is closed with unread bytes, or receives some later, is reset; one whose call was read is only closed. The callers look for the reset after the end. That takes the place of the answers that the connection had before, which do not tell the two apart. Calls that were read are counted as strictly as before.

--- a/laburnumsill/platform/tests/kept_connections.py
+++ b/laburnumsill/platform/tests/kept_connections.py
@@ -20,6 +20,9 @@
 START_GAP_S = 0.025
 """Time between the first calls of two callers, which so do not call as one."""
 
+RESET_S = 0.1
+"""Time within which a reset arrives that answers bytes sent just before."""
+
 LOSS_SLACK_S = 0.2
 """Time after its last byte by which a call may be lost unread, as the users
 define it."""
@@ -42,7 +45,7 @@
         began_at: Time of its first byte.
         sent_at: Time of its last byte.
         ended_at: Time of the end of the connection.
-        was_reset: Whether the connection was reset and not closed.
+        was_reset: Whether the connection was reset, at once or after its end.
         served: Number of answers on that connection before.
     """
 
@@ -62,11 +65,10 @@
     def may_have_been_read(self) -> bool:
         """Whether a process may have read the call before it was lost.
 
-        A connection that no process has accepted is reset when the process
-        stops listening.
+        The kernel resets a connection if bytes of the call were unread when it
+        was closed, or arrive later.
         """
-        is_late = self.after_s > LOSS_SLACK_S
-        return is_late or self.served > 0 or not self.was_reset
+        return self.after_s > LOSS_SLACK_S or not self.was_reset
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -158,13 +160,19 @@
             try:
                 status = await self._receive(stream, protocol)
             except _NO_ANSWER as error:
+                ended_at = trio.current_time()
+                was_reset = isinstance(
+                    error, (OSError, trio.BrokenResourceError)
+                )
+                if isinstance(error, EOFError):
+                    was_reset = await _is_reset(stream)
                 self.lost.append(
                     LostCall(
                         call.path,
                         began_at,
                         sent_at,
-                        trio.current_time(),
-                        not isinstance(error, (EOFError, trio.TooSlowError)),
+                        ended_at,
+                        was_reset,
                         served,
                     )
                 )
@@ -227,3 +235,12 @@
                     status = event.status_code
                 elif isinstance(event, h11.EndOfMessage):
                     return status
+
+
+async def _is_reset(stream: trio.SocketStream) -> bool:
+    """Returns whether a reset follows the end of a connection."""
+    await trio.sleep(RESET_S)
+    error = stream.socket.getsockopt(
+        trio.socket.SOL_SOCKET, trio.socket.SO_ERROR
+    )
+    return bool(error)
