platform: test that answers to submissions hold when core VMs end

Of the users' "something that had been accepted was lost", the hypothesis that a core VM acknowledges or refuses a job wrongly around its end had no test with real processes. A job answered with 200 has to be known then, one answered with 503 must not be, and no call may end without an answer.

Power losses are played in consensus/tests/test_store_power_loss.py.

--- a/laburnumsill/platform/tests/kept_connections.py
+++ b/laburnumsill/platform/tests/kept_connections.py
@@ -108,6 +108,7 @@
     Attributes:
         statuses: Number of whole answers by status.
         accepted: Paths of the calls that were answered with 200.
+        refused: Paths of the calls that were answered with 503.
         lost: The calls that were sent whole and not answered.
         connects: Whether callers may open connections. The balancer directs
             none to an entry that it has found unready.
@@ -122,6 +123,7 @@
     ) -> None:
         self.statuses: dict[int, int] = {}
         self.accepted: list[str] = []
+        self.refused: list[str] = []
         self.lost: list[LostCall] = []
         self.connects = True
         self._address = address
@@ -180,6 +182,8 @@
             self.statuses[status] = self.statuses.get(status, 0) + 1
             if status == 200:
                 self.accepted.append(call.path)
+            elif status == 503:
+                self.refused.append(call.path)
             if protocol.our_state is h11.MUST_CLOSE:
                 return
             protocol.start_next_cycle()
