daemon: bound what all connections of a process hold

Callers inside every limit took an entry to 448 MB of 160 (1,500 bodies of 262,144 bytes, the last byte missing) and a core VM to 462 of 296 (100 documents of 4 MiB less a byte); open heads took 2,014 descriptors of 1,638 and 4,415 of 4,096; 400 operators that read no answer 422 to 497 MB.

Cause: each call had limits, their sum had none: bodies and heads in progress, answers not read, connections. A limit for each body was ruled out as the mend, since the crowds keep inside it.

One budget for all servers of a process now bounds bytes and connections, by the machine's memory and descriptors in [limits]. Where it is used up, the connection that has waited for its caller for longest is given up: calls that arrive without pauses are never the oldest, so slow callers cannot shut others out. A call that has arrived whole is never given up, so the 503 of one that is says truly that nothing has run.

--- /dev/null
+++ b/laburnumsill/daemon/connection_budget.py
@@ -0,0 +1,125 @@
+"""Limits of the memory and the descriptors that connections may use.
+
+All servers of a process share one budget. Where it is used up, the connection
+that has kept the process waiting for longest is given up: a caller whose call
+arrives without pauses keeps none waiting for long, so callers that hold their
+connections or send slowly cannot shut the others out.
+
+A call that has arrived whole is never given up. So the answer to one that is
+given up says truly that it has not run.
+"""
+
+import abc
+
+from laburnumsill.core import logs
+from laburnumsill.core import metrics as metrics_module
+
+
+class Holder(abc.ABC):
+    """A connection that takes part in a budget."""
+
+    def __init__(self) -> None:
+        self.held_bytes = 0
+
+    @property
+    @abc.abstractmethod
+    def waiting_since(self) -> float | None:
+        """Time since which its caller keeps it waiting, None if it does not."""
+
+    @abc.abstractmethod
+    def give_up(self) -> None:
+        """Ends the connection; it may take until the next turn of the loop."""
+
+
+class ConnectionBudget:
+    """Bounds the number of connections and the bytes that they hold.
+
+    A holder that was given up counts no more, though it takes a moment to end.
+
+    Args:
+        max_bytes: Limit of the bytes of all calls and answers that are not
+            complete, and of the calls that are served.
+        max_connections: Limit of the number of connections.
+        metrics: Receives the counters.
+    """
+
+    def __init__(
+        self,
+        max_bytes: int,
+        max_connections: int,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._max_bytes = max_bytes
+        self._max_connections = max_connections
+        self._metrics = metrics
+        self._holders: dict[Holder, None] = {}
+        self._held_bytes = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that all holders hold."""
+        return self._held_bytes
+
+    @property
+    def connections(self) -> int:
+        """Number of connections that count."""
+        return len(self._holders)
+
+    def add(self, holder: Holder) -> None:
+        """Adds a connection, for which another one may be given up."""
+        self._holders[holder] = None
+        while len(self._holders) > self._max_connections:
+            if not self._give_up_one(needs_bytes=False):
+                return
+
+    def remove(self, holder: Holder) -> None:
+        """Removes a connection that has ended."""
+        if holder in self._holders:
+            del self._holders[holder]
+            self._held_bytes -= holder.held_bytes
+
+    def take(self, holder: Holder, size: int) -> None:
+        """Adds bytes to a connection; one connection may be given up for it."""
+        if holder not in self._holders:
+            return
+        holder.held_bytes += size
+        self._held_bytes += size
+        while self._held_bytes > self._max_bytes:
+            if not self._give_up_one(needs_bytes=True):
+                return
+
+    def release(self, holder: Holder) -> None:
+        """Takes all bytes off a connection."""
+        if holder in self._holders:
+            self._held_bytes -= holder.held_bytes
+        holder.held_bytes = 0
+
+    def give_up_oldest(self) -> bool:
+        """Gives up a connection to free its descriptor.
+
+        Returns:
+            Whether there was one that keeps the process waiting.
+        """
+        return self._give_up_one(needs_bytes=False)
+
+    def _give_up_one(self, needs_bytes: bool) -> bool:
+        waiting = [
+            (holder.waiting_since, number, holder)
+            for number, holder in enumerate(self._holders)
+            if holder.waiting_since is not None
+            and (holder.held_bytes or not needs_bytes)
+        ]
+        if not waiting:
+            return False
+        _, _, chosen = min(waiting)
+        logs.event(
+            "connection-given-up",
+            "WARNING",
+            held_bytes=chosen.held_bytes,
+            all_bytes=self._held_bytes,
+            connections=len(self._holders),
+        )
+        self._metrics.count("http_connections_given_up_total")
+        self.remove(chosen)
+        chosen.give_up()
+        return True
--- a/laburnumsill/daemon/connection_monitor.py
+++ b/laburnumsill/daemon/connection_monitor.py
@@ -26,6 +26,9 @@
     INVALID = "invalid"
     """By the server, after invalid HTTP."""
 
+    GIVEN_UP = "given-up"
+    """By the server, to make room for others."""
+
     CUT = "cut"
     """By the server, while a call was open or unread."""
 
--- a/laburnumsill/daemon/light_connection.py
+++ b/laburnumsill/daemon/light_connection.py
@@ -18,15 +18,22 @@
 
 from laburnumsill.core import errors
 from laburnumsill.core import logs
+from laburnumsill.daemon import connection_budget
 from laburnumsill.daemon import connection_monitor
 from laburnumsill.wire import arrivals
 
 MAX_HEADER_BYTES = 32 * 1024
 KEEP_ALIVE_S = 60
+HEAD_TIMEOUT_S = 10.0
+"""Time within which the head of a request has to arrive."""
+
 RECEIVE_BYTES = 32_768
 """Maximum size of one read. Headers are rejected after the first read that
 exceeds their limit."""
 
+MAX_JOINED_BYTES = 32_768
+"""Size up to which an answer is copied together, to be sent in one write."""
+
 SEND_TIMEOUT_S = 60
 """The connection of a caller that has not read an answer by then is closed."""
 
@@ -66,7 +73,7 @@
     slug = "connection-cut"
 
 
-class Connection:
+class Connection(connection_budget.Holder):
     """One caller's connection, which serves one exchange at a time.
 
     Args:
@@ -74,6 +81,7 @@
             read the whole body.
         stream: The connection.
         monitor: Records the end of the connection.
+        budget: Bounds what the connections of the process hold.
         is_closing: Returns whether an answer is the last one on its
             connection unless a further call has arrived.
     """
@@ -83,11 +91,14 @@
         application: Application,
         stream: arrivals.Stream,
         monitor: connection_monitor.Monitor,
+        budget: connection_budget.ConnectionBudget,
         is_closing: abc.Callable[[], bool],
     ) -> None:
+        super().__init__()
         self._application = application
         self._stream = stream
         self._monitor = monitor
+        self._budget = budget
         self._is_closing = is_closing
         self._arrived_after: float | None = None
         self._protocol = h11.Connection(
@@ -96,13 +107,36 @@
         self._answers = 0
         self._idle: trio.CancelScope | None = None
         self._work: trio.CancelScope | None = None
+        self._sending: trio.CancelScope | None = None
         self._answer_by: float | None = None
         self._request: h11.Request | None = None
         self._since = trio.current_time()
+        self._keeps_waiting = True
+        self._is_given_up = False
+        self._answered_early = False
+
+    @property
+    def waiting_since(self) -> float | None:
+        """Time since which its caller keeps it waiting, see the base class."""
+        return self._since if self._keeps_waiting else None
+
+    def give_up(self) -> None:
+        """Ends the connection, see the base class.
+
+        A call of which a part has arrived gets an answer, and none is served
+        after it. An answer that the caller does not read is cut.
+        """
+        self._is_given_up = True
+        for scope in (self._idle, self._sending, self._work):
+            if scope is not None:
+                scope.cancel()
+                return
 
     @property
     def is_last_answer(self) -> bool:
         """Whether the connection is to be closed after the present answer."""
+        if self._is_given_up:
+            return True
         return self._is_closing() and not self._has_unread
 
     def finish(self, answer_by: float) -> None:
@@ -121,6 +155,7 @@
     async def run(self) -> None:
         """Serves exchanges until either end closes the connection."""
         end = _End.CUT
+        self._budget.add(self)
         try:
             while await self._exchange():
                 self._protocol.start_next_cycle()
@@ -135,13 +170,17 @@
             end = _End.CALLER
         except h11.RemoteProtocolError as error:
             end = _End.INVALID
-            await self._reject(error)
+            await self._reject(error.error_status_hint)
         finally:
             self._record(end)
             await trio.aclose_forcefully(self._stream)
 
     def _record(self, end: connection_monitor.ConnectionEnd) -> None:
         """Records the end of the connection and of a call that it cuts."""
+        self._budget.remove(self)
+        if self._is_given_up:
+            self._monitor.on_end(_End.GIVEN_UP)
+            return
         if end in (_End.IDLE, _End.CUT) and self._request is None:
             end = _End.CUT if self._has_unread else _End.IDLE
         if end is _End.CUT:
@@ -160,12 +199,12 @@
         if request is None:
             return False
         self._request = request
-        self._since = trio.current_time()
         exchange = _Exchange(self, request)
         await self._serve(request, exchange)
         self._request = None
-        self._since = trio.current_time()
         self._answers += 1
+        self._budget.release(self)
+        self._wait_for_caller()
         await self._discard_body()
         done = self._protocol.our_state is h11.DONE
         return done and self._protocol.their_state is h11.DONE
@@ -195,15 +234,33 @@
 
     async def _next_request(self) -> h11.Request | None:
         """Returns the next request, None if the connection is to be closed."""
+        if self._is_given_up:
+            return None
         unread, _ = self._protocol.trailing_data
         self._arrived_after = self._stream.empty_at if unread else None
         if not unread and not await self._wait_for_request():
             return None
+        self._wait_for_caller()
         event = None
-        with self._bounded(trio.current_time() + KEEP_ALIVE_S):
+        with self._bounded(self._since + HEAD_TIMEOUT_S):
             event = await self.next_event()
+        if event is None:
+            await self._reject(503 if self._is_ending else 408)
         return event if isinstance(event, h11.Request) else None
 
+    @property
+    def _is_ending(self) -> bool:
+        return self._is_given_up or self._answer_by is not None
+
+    def _wait_for_caller(self) -> None:
+        """Counts the time from now on as time that the caller takes."""
+        self._keeps_waiting = True
+        self._since = trio.current_time()
+
+    def begin_service(self) -> None:
+        """Counts no time as the caller's: the call has arrived whole."""
+        self._keeps_waiting = False
+
     @contextlib.contextmanager
     def _bounded(self, deadline: float) -> abc.Iterator[trio.CancelScope]:
         """Yields a scope that ends at a deadline or with a shutdown."""
@@ -252,6 +309,9 @@
             if not data:
                 raise ClosedError("the caller closed the connection")
             self._protocol.receive_data(data)
+            if self._answered_early:
+                continue
+            self._budget.take(self, len(data))
 
     async def write(self, *events: typing.Any) -> None:
         """Sends h11 events in one write.
@@ -259,39 +319,49 @@
         Raises:
             ClosedError: The caller has not read the data in time.
         """
-        pieces = (self._protocol.send(event) for event in events)
-        data = b"".join(piece for piece in pieces if piece)
-        if not data:
-            return
-        with trio.move_on_after(SEND_TIMEOUT_S):
-            await self._stream.send_all(data)
+        pieces = [self._protocol.send(event) or b"" for event in events]
+        size = sum(map(len, pieces))
+        if not size:
             return
-        raise ClosedError("the caller did not read the answer in time")
+        if size <= MAX_JOINED_BYTES:
+            pieces = [b"".join(pieces)]
+        was_served = not self._keeps_waiting
+        self._wait_for_caller()
+        with trio.move_on_after(SEND_TIMEOUT_S) as self._sending:
+            self._budget.take(self, size)
+            for piece in pieces:
+                await self._stream.send_all(piece)
+        if self._sending.cancelled_caught:
+            raise ClosedError("the caller did not read the answer in time")
+        self._sending = None
+        if was_served:
+            self.begin_service()
 
     async def _discard_body(self) -> None:
         """Discards the rest of the body after an early response."""
-        with trio.move_on_after(LINGER_S):
+        self._answered_early = self._protocol.their_state is h11.SEND_BODY
+        with self._bounded(trio.current_time() + LINGER_S):
             while self._protocol.their_state is h11.SEND_BODY:
                 await self.next_event()
+        self._answered_early = False
 
     async def _linger(self) -> None:
         """Lets the caller read the last answer before the connection ends."""
-        with trio.move_on_after(LINGER_S):
+        with self._bounded(trio.current_time() + LINGER_S):
             await self._stream.send_eof()
-            while await self._stream.receive_some(RECEIVE_BYTES):
-                pass
+            while not self._is_given_up:
+                if not await self._stream.receive_some(RECEIVE_BYTES):
+                    return
 
-    async def _reject(self, error: h11.RemoteProtocolError) -> None:
-        """Answers invalid HTTP, unless a response has been started."""
+    async def _reject(self, status: int) -> None:
+        """Answers what is no request, unless a response has been started."""
         if self._protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         headers = [("content-length", "0"), ("connection", "close")]
         try:
             with trio.move_on_after(LINGER_S):
                 await self.write(
-                    h11.Response(
-                        status_code=error.error_status_hint, headers=headers
-                    ),
+                    h11.Response(status_code=status, headers=headers),
                     h11.EndOfMessage(),
                 )
             await self._linger()
@@ -306,6 +376,9 @@
         self._connection = connection
         self._is_head = request.method == b"HEAD"
         self._body_ended = False
+        self._is_whole = not _has_body(request)
+        if self._is_whole:
+            connection.begin_service()
         self._response: h11.Response | None = None
         self._response_started = False
 
@@ -323,7 +396,8 @@
                 "body": bytes(event.data),
                 "more_body": True,
             }
-        self._body_ended = True
+        self._body_ended = self._is_whole = True
+        self._connection.begin_service()
         return {"type": "http.request", "body": b"", "more_body": False}
 
     async def send(self, message: Message) -> None:
@@ -379,12 +453,20 @@
             CutError: A response has been started, so the connection must
                 be closed.
         """
-        if self._body_ended:
+        if self._is_whole:
             await self.send_failure(504)
         else:
             await self.send_failure(503, (b"retry-after", b"1"))
 
 
+def _has_body(request: h11.Request) -> bool:
+    return any(
+        name == b"transfer-encoding"
+        or (name == b"content-length" and value != b"0")
+        for name, value in request.headers
+    )
+
+
 def _scope(request: h11.Request, arrived_after: float | None) -> Message:
     """Returns the ASGI scope of a request.
 
--- a/laburnumsill/daemon/light_server.py
+++ b/laburnumsill/daemon/light_server.py
@@ -22,6 +22,7 @@
 
 from laburnumsill.core import logs
 from laburnumsill.core import metrics as metrics_module
+from laburnumsill.daemon import connection_budget
 from laburnumsill.daemon import connection_monitor
 from laburnumsill.daemon import light_connection
 from laburnumsill.daemon import listening
@@ -35,6 +36,9 @@
 ACCEPT_PAUSE_S = 0.1
 """Pause after such a failure."""
 
+DEFAULT_MAX_BYTES = 64 * 1024 * 1024
+DEFAULT_MAX_CONNECTIONS = 512
+
 LAST_ANSWERS_S = 0.2
 """Time for the answers to calls that are given up, at the end of a shutdown."""
 
@@ -47,6 +51,7 @@
             read the whole body.
         address: ``host:port`` to listen on.
         monitor: Records the ends of connections.
+        budget: Bounds what the connections of the process hold.
     """
 
     def __init__(
@@ -54,10 +59,12 @@
         application: light_connection.Application,
         address: str,
         monitor: connection_monitor.Monitor,
+        budget: connection_budget.ConnectionBudget,
     ) -> None:
         self._application = application
         self._address = address
         self._monitor = monitor
+        self._budget = budget
         self._connections: set[light_connection.Connection] = set()
         self._listener: arrivals.Listener | None = None
         self._closing = False
@@ -145,13 +152,18 @@
                     address=self._address,
                     error=repr(error),
                 )
+                self._budget.give_up_oldest()
                 await trio.sleep(ACCEPT_PAUSE_S)
                 continue
             running.start_soon(self._handle, stream)
 
     async def _handle(self, stream: arrivals.Stream) -> None:
         connection = light_connection.Connection(
-            self._application, stream, self._monitor, lambda: self._closing
+            self._application,
+            stream,
+            self._monitor,
+            self._budget,
+            lambda: self._closing,
         )
         if self._stopping.is_set():
             connection.finish(self._answer_by)
@@ -168,6 +180,7 @@
     stop: abc.Callable[[], abc.Awaitable[None]],
     stop_grace_s: float,
     monitor: connection_monitor.Monitor | None = None,
+    budget: connection_budget.ConnectionBudget | None = None,
     *,
     task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -179,16 +192,19 @@
         stop: Returns when no new connection is to be accepted.
         stop_grace_s: Seconds in which requests in flight can complete then.
         monitor: Records the ends of connections, if given.
+        budget: Bounds what the connections hold, if given.
         task_status: Started once the socket listens.
 
     Raises:
         listening.AddressTakenError: Another process listens on the address.
         listening.ListenError: Listening on the address failed.
     """
-    monitor = monitor or connection_monitor.Monitor(
-        "", metrics_module.Metrics()
+    metrics = metrics_module.Metrics()
+    monitor = monitor or connection_monitor.Monitor("", metrics)
+    budget = budget or connection_budget.ConnectionBudget(
+        DEFAULT_MAX_BYTES, DEFAULT_MAX_CONNECTIONS, metrics
     )
-    server = LightServer(application, address, monitor)
+    server = LightServer(application, address, monitor, budget)
     server.listen()
     async with trio.open_nursery() as nursery:
         await nursery.start(server.run)
--- a/laburnumsill/daemon/role.py
+++ b/laburnumsill/daemon/role.py
@@ -12,6 +12,7 @@
 from laburnumsill.core import logs
 from laburnumsill.core import metrics as metrics_module
 from laburnumsill.core import topology
+from laburnumsill.daemon import connection_budget
 from laburnumsill.daemon import connection_monitor
 from laburnumsill.daemon import directory
 from laburnumsill.daemon import light_server
@@ -51,6 +52,11 @@
         self._metrics = metrics_module.Metrics()
         self._stopping = trio.Event()
         self._servers: list[light_server.LightServer] = []
+        self._budget = connection_budget.ConnectionBudget(
+            settings.limits.call_bytes,
+            settings.limits.connections,
+            self._metrics,
+        )
         self._vm = self._make_vm(settings)
         self._network = networks.PeerNetwork(
             self._vm,
@@ -155,7 +161,9 @@
     ) -> None:
         """Serves an ASGI application until the shutdown."""
         monitor = connection_monitor.Monitor(name, self._metrics)
-        server = light_server.LightServer(application, address, monitor)
+        server = light_server.LightServer(
+            application, address, monitor, self._budget
+        )
         server.listen()
         self._servers.append(server)
         await server.run(task_status=task_status)
--- a/laburnumsill/daemon/role_settings.py
+++ b/laburnumsill/daemon/role_settings.py
@@ -17,6 +17,21 @@
 MS = 1000
 """Milliseconds in a second."""
 
+MIB = 1024 * 1024
+CALL_SHARE = 0.25
+"""Share of the memory for calls that are read or served. A daemon without calls
+needs about a quarter of the smallest machine."""
+
+CONNECTION_SHARE = 0.25
+"""Share of the memory for the connections themselves."""
+
+CONNECTION_BYTES = 32 * 1024
+"""Memory of a connection without a call: its task, its parser, its buffers."""
+
+DESCRIPTOR_SHARE = 0.75
+"""Share of the descriptors for the connections of callers. The others are for
+files, peers and workers."""
+
 
 Port = typing.Annotated[int, msgspec.Meta(ge=1, le=65_535)]
 Bound = typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
@@ -64,6 +79,29 @@
     shutdown_s: Seconds = 6.0
 
 
+class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Limits of a daemon's machine.
+
+    Attributes:
+        memory_mb: Memory above which the process is killed, in MiB.
+        descriptors: Number of file descriptors that the process may open.
+    """
+
+    memory_mb: typing.Annotated[float, msgspec.Meta(ge=64, le=2**20)] = 160
+    descriptors: typing.Annotated[int, msgspec.Meta(ge=256, le=2**20)] = 1_024
+
+    @property
+    def call_bytes(self) -> int:
+        """Limit of the bytes of all calls that are read or served."""
+        return int(self.memory_mb * MIB * CALL_SHARE)
+
+    @property
+    def connections(self) -> int:
+        """Limit of the number of connections of callers."""
+        by_memory = self.memory_mb * MIB * CONNECTION_SHARE / CONNECTION_BYTES
+        return int(min(by_memory, self.descriptors * DESCRIPTOR_SHARE))
+
+
 class Scheduling(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Switches of the scheduler's optional parts; see `batch.parts`.
 
@@ -100,6 +138,7 @@
         listen: The addresses listened on.
         bounds: The guaranteed time limits.
         scheduling: Switches of the scheduler's optional parts.
+        limits: The limits of the machine.
     """
 
     name: str
@@ -115,6 +154,7 @@
     listen: Listen = Listen()
     bounds: Bounds = Bounds()
     scheduling: Scheduling = Scheduling()
+    limits: Limits = Limits()
 
     @property
     def seed_vms(self) -> tuple[str, ...]:
--- a/laburnumsill/daemon/tests/test_role_settings.py
+++ b/laburnumsill/daemon/tests/test_role_settings.py
@@ -48,6 +48,21 @@
         assert loaded.bounds.shutdown_s == shutdown_s
 
 
+def test_connections_and_calls_fit_into_the_machine(tmp_path):
+    """The rest is for the state and for the connections to others."""
+    machines = ((160, 1_638), (200, 4_100), (296, 4_096), (424, 4_096))
+    for memory_mb, descriptors in machines:
+        limits = load(
+            tmp_path,
+            f"{GOOD}[limits]\nmemory_mb = {memory_mb}\n"
+            f"descriptors = {descriptors}\n",
+        ).limits
+        used = limits.connections * role_settings.CONNECTION_BYTES
+        used += limits.call_bytes
+        assert used <= memory_mb * role_settings.MIB / 2
+        assert limits.connections <= 0.75 * descriptors
+
+
 def test_switches_of_the_scheduler_are_read(tmp_path):
     text = GOOD + 'restore_ms = 0\n[scheduling]\nsaved_progress = "off"\n'
     loaded = load(tmp_path, text)
@@ -89,6 +104,7 @@
     known = set(role_settings.RoleSettings.__struct_fields__)
     known |= set(role_settings.Listen.__struct_fields__)
     known |= set(role_settings.Bounds.__struct_fields__)
+    known |= set(role_settings.Limits.__struct_fields__)
     keys = {
         line.split("=")[0].strip()
         for line in text.splitlines()
--- a/laburnumsill/platform/control_app.py
+++ b/laburnumsill/platform/control_app.py
@@ -55,6 +55,8 @@
         self._control_port = control_port
         self._clock = clock
         self._metrics = metrics
+        self._packed = b""
+        self._document = b""
 
     async def __call__(
         self, scope: http.Scope, receive: http.Receive, send: http.Send
@@ -170,7 +172,14 @@
         )
         if not document.packed:
             raise errors.UnavailableError("no configuration was accepted yet")
-        return http.Answer(200, highest_version.unpack(document.packed))
+        return http.Answer(200, self._unpacked(document.packed))
+
+    def _unpacked(self, packed: bytes) -> bytes:
+        """Returns a document, as one object for all answers that send it."""
+        if packed != self._packed:
+            self._packed = packed
+            self._document = highest_version.unpack(packed)
+        return self._document
 
     async def _announce(self, worker_id: str, body: bytes) -> http.Answer:
         announcement = announcements.decode(worker_id, body)
