daemon: laburnumsilld says which answer is the last on a connection

Callers that kept their connections and sent the next call 5 ms after each answer lost one call each around one SIGTERM of laburnumsilld: the connection was closed, and the call sent on it had no answer.

Cause: after the stop hypercorn closes each connection behind its next answer, and that answer doesn't say `connection: close`; idle connections it closes at once. The caller takes the connection for kept and sends its next call on it.

Not mended: a connection that is not accepted yet at the stop is reset.

--- a/laburnumsill/daemon/assembly.py
+++ b/laburnumsill/daemon/assembly.py
@@ -194,10 +194,11 @@
         ]
 
     async def _serve(self, *, task_status: trio.TaskStatus[list[str]]) -> None:
+        answering = application.Application(
+            services_api.ServicesApp(self._router), self._routes()
+        )
         await server.serve(
-            application.Application(
-                services_api.ServicesApp(self._router), self._routes()
-            ),
+            server.ClosingWhileStopping(answering, self._stopping.is_set),
             self._settings.listen_address,
             self._stop_server.wait,
             SERVER_GRACE_S,
--- a/laburnumsill/daemon/server.py
+++ b/laburnumsill/daemon/server.py
@@ -65,6 +65,41 @@
         await send({"type": "lifespan.shutdown.complete"})
 
 
+class ClosingWhileStopping:
+    """Makes each answer the last one on its connection during a shutdown.
+
+    hypercorn then closes the connection without notice, and a caller that
+    has sent its next call on it gets no answer.
+
+    Args:
+        application: An ASGI application.
+        is_stopping: Whether the server is going to stop.
+    """
+
+    def __init__(
+        self, application: typing.Any, is_stopping: abc.Callable[[], bool]
+    ) -> None:
+        self._application = application
+        self._is_stopping = is_stopping
+
+    async def __call__(
+        self,
+        scope: abc.Mapping[str, typing.Any],
+        receive: abc.Callable[[], abc.Awaitable[dict[str, typing.Any]]],
+        send: abc.Callable[[dict[str, typing.Any]], abc.Awaitable[None]],
+    ) -> None:
+        """Serves one scope."""
+
+        async def send_last(message: dict[str, typing.Any]) -> None:
+            is_start = message["type"] == "http.response.start"
+            if is_start and self._is_stopping():
+                fields = [*message["headers"], (b"connection", b"close")]
+                message = {**message, "headers": fields}
+            await send(message)
+
+        await self._application(scope, receive, send_last)
+
+
 async def serve(
     application: typing.Any,
     address: str,
