--- a/laburnumsill/daemon/connection_budget.py
+++ b/laburnumsill/daemon/connection_budget.py
@@ -10,6 +10,7 @@
 """
 
 import abc
+import math
 
 from laburnumsill.core import logs
 from laburnumsill.core import metrics as metrics_module
@@ -18,9 +19,6 @@
 class Holder(abc.ABC):
     """A connection that takes part in a budget."""
 
-    def __init__(self) -> None:
-        self.held_bytes = 0
-
     @property
     @abc.abstractmethod
     def waiting_since(self) -> float | None:
@@ -34,7 +32,8 @@
 class ConnectionBudget:
     """Bounds the number of connections and the bytes that they hold.
 
-    A holder that was given up counts no more, though it takes a moment to end.
+    A connection that was given up counts no more, though it takes a moment to
+    end.
 
     Args:
         max_bytes: Limit of the bytes of all calls and answers that are not
@@ -52,37 +51,35 @@
         self._max_bytes = max_bytes
         self._max_connections = max_connections
         self._metrics = metrics
-        self._holders: dict[Holder, None] = {}
+        self._held: dict[Holder, int] = {}
         self._held_bytes = 0
 
     @property
     def held_bytes(self) -> int:
-        """Bytes that all holders hold."""
+        """Bytes that all connections hold."""
         return self._held_bytes
 
     @property
     def connections(self) -> int:
         """Number of connections that count."""
-        return len(self._holders)
+        return len(self._held)
 
     def add(self, holder: Holder) -> None:
         """Adds a connection, for which another one may be given up."""
-        self._holders[holder] = None
-        while len(self._holders) > self._max_connections:
+        self._held[holder] = 0
+        while len(self._held) > self._max_connections:
             if not self._give_up_one(needs_bytes=False):
                 return
 
     def remove(self, holder: Holder) -> None:
         """Removes a connection that has ended."""
-        if holder in self._holders:
-            del self._holders[holder]
-            self._held_bytes -= holder.held_bytes
+        self._held_bytes -= self._held.pop(holder, 0)
 
     def take(self, holder: Holder, size: int) -> None:
-        """Adds bytes to a connection; one connection may be given up for it."""
-        if holder not in self._holders:
+        """Adds bytes to a connection; connections may be given up for it."""
+        if holder not in self._held:
             return
-        holder.held_bytes += size
+        self._held[holder] += size
         self._held_bytes += size
         while self._held_bytes > self._max_bytes:
             if not self._give_up_one(needs_bytes=True):
@@ -90,9 +87,9 @@
 
     def release(self, holder: Holder) -> None:
         """Takes all bytes off a connection."""
-        if holder in self._holders:
-            self._held_bytes -= holder.held_bytes
-        holder.held_bytes = 0
+        if holder in self._held:
+            self._held_bytes -= self._held[holder]
+            self._held[holder] = 0
 
     def give_up_oldest(self) -> bool:
         """Gives up a connection to free its descriptor.
@@ -103,21 +100,23 @@
         return self._give_up_one(needs_bytes=False)
 
     def _give_up_one(self, needs_bytes: bool) -> bool:
-        waiting = [
-            (holder.waiting_since, number, holder)
-            for number, holder in enumerate(self._holders)
-            if holder.waiting_since is not None
-            and (holder.held_bytes or not needs_bytes)
-        ]
-        if not waiting:
+        """Gives up the connection that waits longest, if any waits."""
+        chosen: Holder | None = None
+        oldest = math.inf
+        for holder, held in self._held.items():
+            since = holder.waiting_since
+            if since is None or (needs_bytes and not held):
+                continue
+            if since < oldest:
+                chosen, oldest = holder, since
+        if chosen is None:
             return False
-        _, _, chosen = min(waiting)
         logs.event(
             "connection-given-up",
             "WARNING",
-            held_bytes=chosen.held_bytes,
+            held_bytes=self._held[chosen],
             all_bytes=self._held_bytes,
-            connections=len(self._holders),
+            connections=len(self._held),
         )
         self._metrics.count("http_connections_given_up_total")
         self.remove(chosen)
--- a/laburnumsill/daemon/light_connection.py
+++ b/laburnumsill/daemon/light_connection.py
@@ -94,7 +94,6 @@
         budget: connection_budget.ConnectionBudget,
         is_closing: abc.Callable[[], bool],
     ) -> None:
-        super().__init__()
         self._application = application
         self._stream = stream
         self._monitor = monitor
--- a/laburnumsill/daemon/tests/test_connection_budget.py
+++ b/laburnumsill/daemon/tests/test_connection_budget.py
@@ -12,7 +12,6 @@
 
 class Holder(connection_budget.Holder):
     def __init__(self, since) -> None:
-        super().__init__()
         self.since = since
         self.is_given_up = False
 
