testing: share the callers that keep their connections

The tests of the roles and of laburnumsilld had each their own. Both begin their calls one after the other within a second now.

--- a/laburnumsill/platform/tests/kept_connections.py
+++ b/laburnumsill/testing/kept_connections.py
@@ -6,19 +6,16 @@
 
 import dataclasses
 import itertools
-import json
 from collections import abc
 
 import h11
 import trio
 
-from laburnumsill.platform.tests import standin
-
 RECEIVE_BYTES = 65_536
 ANSWER_TIMEOUT_S = 10.0
 PAUSE_S = 0.005
-START_GAP_S = 0.025
-"""Time between the first calls of two callers, which so do not call as one."""
+START_S = 1.0
+"""Time in which callers begin one after the other, so as not to call as one."""
 
 RESET_S = 0.1
 """Time within which a reset arrives that answers bytes sent just before."""
@@ -80,19 +77,14 @@
         path: The path.
         pieces: The body; the caller pauses before each but the first.
         pause_s: Pause between two pieces, in seconds.
+        headers: Headers beside the length and those of all calls.
     """
 
     method: str
     path: str
     pieces: tuple[bytes, ...] = ()
     pause_s: float = 0.0
-
-
-def submission(number: int) -> Call:
-    """Returns a call that submits a job of its own."""
-    document = {"spec": "text", "steps": [{"count": 1, "cpu": 1000, "gpu": 1}]}
-    body = json.dumps(document).encode()
-    return Call("POST", f"/batch/{number:016x}", (body,))
+    headers: abc.Mapping[str, str] = dataclasses.field(default_factory=dict)
 
 
 class Crowd:
@@ -101,6 +93,7 @@
     Args:
         address: The address, ``host:port``.
         calls: Returns a call by its number.
+        headers: Headers of all calls.
         pause_s: Draws the pause between an answer and the next call.
         sees_ends: Whether a caller whose connection has ended in the pause
             sends no call on it. After long pauses such a call is no evidence.
@@ -117,7 +110,8 @@
     def __init__(
         self,
         address: str,
-        calls: abc.Callable[[int], Call] = submission,
+        calls: abc.Callable[[int], Call],
+        headers: abc.Mapping[str, str],
         pause_s: abc.Callable[[], float] = lambda: PAUSE_S,
         sees_ends: bool = False,
     ) -> None:
@@ -128,6 +122,7 @@
         self.connects = True
         self._address = address
         self._calls = calls
+        self._headers = headers
         self._pause_s = pause_s
         self._sees_ends = sees_ends
         self._numbers = itertools.count(1)
@@ -136,7 +131,8 @@
         """Calls until each caller has lost its connection and may open none."""
         async with trio.open_nursery() as nursery:
             for number in range(callers):
-                nursery.start_soon(self._run_caller, number * START_GAP_S)
+                delay_s = START_S * number / callers
+                nursery.start_soon(self._run_caller, delay_s)
 
     async def _run_caller(self, delay_s: float) -> None:
         await trio.sleep(delay_s)
@@ -195,14 +191,16 @@
         self, stream: trio.SocketStream, protocol: h11.Connection, call: Call
     ) -> bool:
         """Sends a call; returns whether all of it was sent."""
-        headers = [
-            ("host", standin.HOST),
-            ("authorization", f"Bearer {standin.KEY}"),
-            ("x-deadline-ms", "3000"),
-            ("content-length", str(sum(map(len, call.pieces)))),
-        ]
+        length = str(sum(map(len, call.pieces)))
+        headers = {
+            **self._headers,
+            **call.headers,
+            "content-length": length,
+        }
         head = protocol.send(
-            h11.Request(method=call.method, target=call.path, headers=headers)
+            h11.Request(
+                method=call.method, target=call.path, headers=[*headers.items()]
+            )
         )
         parts = [protocol.send(h11.Data(data=one)) for one in call.pieces]
         protocol.send(h11.EndOfMessage())
