api: bound what all bodies of operators and members hold

Callers that we don't control sent large bodies to the endpoints of operators and members of laburnumsilld, and the daemon's memory grew with their number. An operator whose body was over the limit did not reliably see the refusal: the connection was closed while bytes of it were unread.

Cause: each body had a limit of 4 MiB and 10 s; nothing bounded their sum, and an announced length was not looked at. hypercorn closes a connection whose request has not been read whole behind the answer.

Change: one budget of 32 MiB for all bodies behind starlette's router. Where it is used up, the body that has been arriving for longest gets 503 `overloaded`. An endpoint has not got such a body, so nothing was run. A caller that holds its bytes or sends slowly grows old and makes room; a body that arrives without pauses does not. Eight of the largest bodies fit.

--- a/laburnumsill/api/application.py
+++ b/laburnumsill/api/application.py
@@ -14,6 +14,7 @@
 from starlette import routing
 from starlette import types
 
+from laburnumsill.api import body_budget
 from laburnumsill.api import problems
 from laburnumsill.core import errors
 
@@ -40,6 +41,7 @@
         self, services: types.ASGIApp, routes: abc.Sequence[routing.BaseRoute]
     ) -> None:
         self._services = services
+        self._budget = body_budget.BodyBudget()
         self._router = applications.Starlette(
             routes=routes,
             exception_handlers={exceptions.HTTPException: _http_problem},
@@ -56,7 +58,7 @@
         elif scope["path"].startswith(SERVICES_PREFIX):
             await self._services(scope, receive, send)
         else:
-            await self._router(scope, receive, send)
+            await self._budget.serve(self._router, scope, receive, send)
 
 
 async def _lifespan(receive: types.Receive, send: types.Send) -> None:
--- a/laburnumsill/api/problems.py
+++ b/laburnumsill/api/problems.py
@@ -65,10 +65,13 @@
     """Returns the whole body of a request.
 
     Raises:
-        errors.TooLargeError: The body is longer than `limit` bytes.
+        errors.TooLargeError: The body is longer than `limit` bytes, or says
+            that it will be.
         errors.DeadlinePassedError: The body did not arrive within
             `BODY_TIMEOUT_S`.
     """
+    if int(request.headers.get("content-length", 0)) > limit:
+        raise errors.TooLargeError(f"the body is over {limit} bytes")
     body = bytearray()
     with trio.move_on_after(BODY_TIMEOUT_S):
         async for chunk in request.stream():
--- a/laburnumsill/testing/tests/test_hostile_bodies.py
+++ b/laburnumsill/testing/tests/test_hostile_bodies.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+import json
 import pathlib
 import re
 
@@ -153,3 +154,30 @@
         assert all(site.process(vm_id).running for vm_id in site.vm_ids)
         assert peak_bytes <= MEMORY_BYTES
         assert descriptors <= DESCRIPTORS
+
+
+async def test_operators_that_send_before_they_read_see_their_refusals(
+    tmp_path,
+):
+    async with cluster.running(tmp_path, SITE) as site:
+        await scenario.start_site(site)
+        for _ in range(20):
+            answer = await site.client(VM).send(
+                "PUT", CONFIGURATION, b" " * (LARGE + 65_536)
+            )
+            assert answer.status == 413, answer.body
+
+
+async def test_a_configuration_just_inside_the_limit_is_accepted(tmp_path):
+    async with cluster.running(tmp_path, SITE) as site:
+        await scenario.start_site(site)
+        domains = {site.domain_of(vm_id) for vm_id in site.vm_ids}
+        push = {
+            "expected_version": 1,
+            "configuration": scenario.configuration(domains),
+            "operator": "test",
+        }
+        body = json.dumps(push).encode().ljust(LARGE)
+        assert len(body) == LARGE
+        answer = await site.client(VM).send("PUT", CONFIGURATION, body)
+        assert answer.status == 200, answer.body
