--- a/laburnumsill/daemon/light_connection.py
+++ b/laburnumsill/daemon/light_connection.py
@@ -311,6 +311,8 @@
             if self._answered_early:
                 continue
             self._budget.take(self, len(data))
+            if self._is_given_up:
+                await trio.lowlevel.checkpoint()  # what was read is not served
 
     async def write(self, *events: typing.Any) -> None:
         """Sends h11 events in one write.
--- a/laburnumsill/daemon/tests/test_light_server.py
+++ b/laburnumsill/daemon/tests/test_light_server.py
@@ -483,6 +483,21 @@
         assert "answer" in await whole.until("answer")
 
 
+async def test_a_call_that_finds_no_room_at_its_first_bytes_is_refused():
+    """Guards against bodies that count no more and are read all the same."""
+    async with served(max_bytes=80_000) as site:
+        whole = await site.connect()
+        await whole.send(PUT.format("/held", 70_000) + "x" * 70_000)
+        await site.request_started.acquire()
+        await trio.testing.wait_all_tasks_blocked()
+        late = await site.connect()
+        await late.send(PUT.format("/late", 30_000) + "x" * 30_000)
+        assert " 503 " in await late.until_closed()
+        site.resume.set()
+        await whole.until("answer")
+        assert [scope["path"] for scope in site.scopes] == ["/held"]
+
+
 async def test_an_idle_connection_makes_room_for_a_new_one():
     async with served(max_connections=2) as site:
         callers = [await site.connect() for _ in range(2)]
