daemon: refuse a call with over a hundred headers

800 callers that sent heads of 25 KB with 5,000 headers of a few bytes, and not the last byte of their bodies, made a core VM hold 492 MB (41 MB before them), with the budget of the process in force. Its machine has 296 MB.

The budget counts the bytes that arrive. A header of five bytes needs several tuples and strings once it is decoded: 1.3 MB for a head of 31 KB.

Such a call gets 431 before the application sees it, and its headers are dropped before the server waits for its caller.

--- a/laburnumsill/daemon/light_connection.py
+++ b/laburnumsill/daemon/light_connection.py
@@ -23,6 +23,10 @@
 from laburnumsill.wire import arrivals
 
 MAX_HEADER_BYTES = 32 * 1024
+MAX_HEADERS = 100
+"""Number of headers of a request. Each of a few bytes needs hundreds of bytes
+of memory once it is decoded."""
+
 KEEP_ALIVE_S = 60
 HEAD_TIMEOUT_S = 10.0
 """Time within which the head of a request has to arrive."""
@@ -245,6 +249,10 @@
             event = await self.next_event()
         if event is None:
             await self._reject(503 if self._is_ending else 408)
+        elif isinstance(event, h11.Request) and _has_many_headers(event):
+            del event  # its memory is not needed while the caller reads
+            await self._reject(431)
+            return None
         return event if isinstance(event, h11.Request) else None
 
     @property
@@ -460,6 +468,10 @@
             await self.send_failure(503, (b"retry-after", b"1"))
 
 
+def _has_many_headers(request: h11.Request) -> bool:
+    return len(request.headers) > MAX_HEADERS
+
+
 def _has_body(request: h11.Request) -> bool:
     return any(
         name == b"transfer-encoding"
--- a/laburnumsill/daemon/tests/test_light_server.py
+++ b/laburnumsill/daemon/tests/test_light_server.py
@@ -195,6 +195,7 @@
         ("no request at all\r\n\r\n", 400),
         ("GET / HTTP/1.1\r\n\r\n", 400),  # without a host
         (f"GET / HTTP/1.1\r\nhost: h\r\nx: {'y' * 100_000}\r\n\r\n", 431),
+        ("GET / HTTP/1.1\r\nhost: h\r\n" + "x:\r\n" * 5_000 + "\r\n", 431),
     ],
 )
 async def test_invalid_http_is_rejected(sent, status):
@@ -208,6 +209,16 @@
         await other.until("answer")
 
 
+async def test_a_call_with_many_headers_is_not_served():
+    """Guards against memory that short headers need once they are decoded."""
+    async with served() as site:
+        caller = await site.connect()
+        await caller.send("PUT / HTTP/1.1\r\nhost: h\r\n" + "x:\r\n" * 5_000)
+        await caller.send("content-length: 9\r\n\r\nx")
+        assert " 431 " in await caller.until_closed()
+        assert not site.scopes
+
+
 async def test_no_request_is_served_after_invalid_headers():
     async with served() as site:
         caller = await site.connect()
