daemon: bound the connections that end slowly after they were given up

A crowd that opened connections, sent a head and a byte of a body on each, held 460 connections at a limit of 100 (1,000 connections in 1.6 s). A connection that is given up counts no more, but reads the rest of its body for half a second, so that its caller sees the 503.

An eighth of the limit may do so at a time; beyond that the one that was given up first ends at once.

--- a/laburnumsill/daemon/connection_budget.py
+++ b/laburnumsill/daemon/connection_budget.py
@@ -16,6 +16,11 @@
 from laburnumsill.core import metrics as metrics_module
 
 
+LEAVING_SHARE = 0.125
+"""Number of connections that may take their time to end after they were given
+up, as a share of the limit of connections."""
+
+
 class Holder(abc.ABC):
     """A connection that takes part in a budget."""
 
@@ -26,7 +31,10 @@
 
     @abc.abstractmethod
     def give_up(self) -> None:
-        """Ends the connection; it may take until the next turn of the loop."""
+        """Ends the connection, after an answer to a call that has begun.
+
+        A second call ends it without waiting for its caller to read that.
+        """
 
 
 class ConnectionBudget:
@@ -52,6 +60,7 @@
         self._max_connections = max_connections
         self._metrics = metrics
         self._held: dict[Holder, int] = {}
+        self._leaving: dict[Holder, None] = {}
         self._held_bytes = 0
 
     @property
@@ -73,6 +82,7 @@
 
     def remove(self, holder: Holder) -> None:
         """Removes a connection that has ended."""
+        self._leaving.pop(holder, None)
         self._held_bytes -= self._held.pop(holder, 0)
 
     def take(self, holder: Holder, size: int) -> None:
@@ -120,5 +130,10 @@
         )
         self._metrics.count("http_connections_given_up_total")
         self.remove(chosen)
+        self._leaving[chosen] = None
         chosen.give_up()
+        if len(self._leaving) > LEAVING_SHARE * self._max_connections:
+            longest = next(iter(self._leaving))
+            del self._leaving[longest]
+            longest.give_up()
         return True
--- a/laburnumsill/daemon/light_connection.py
+++ b/laburnumsill/daemon/light_connection.py
@@ -116,6 +116,7 @@
         self._since = trio.current_time()
         self._keeps_waiting = True
         self._is_given_up = False
+        self._ends_at_once = False
         self._answered_early = False
 
     @property
@@ -129,6 +130,7 @@
         A call of which a part has arrived gets an answer, and none is served
         after it. An answer that the caller does not read is cut.
         """
+        self._ends_at_once = self._is_given_up
         self._is_given_up = True
         for scope in (self._idle, self._sending, self._work):
             if scope is not None:
@@ -350,10 +352,17 @@
         """Discards the rest of the body after an early response."""
         self._answered_early = self._protocol.their_state is h11.SEND_BODY
         with self._bounded(trio.current_time() + LINGER_S):
-            while self._protocol.their_state is h11.SEND_BODY:
+            while self._reads_on:
                 await self.next_event()
         self._answered_early = False
 
+    @property
+    def _reads_on(self) -> bool:
+        """Whether the rest of a body is read after its answer."""
+        if self._ends_at_once:
+            return False
+        return self._protocol.their_state is h11.SEND_BODY
+
     async def _linger(self) -> None:
         """Lets the caller read the last answer before the connection ends."""
         with self._bounded(trio.current_time() + LINGER_S):
--- a/laburnumsill/daemon/tests/test_light_server.py
+++ b/laburnumsill/daemon/tests/test_light_server.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import functools
+import re
 import socket
 
 import pytest
@@ -522,6 +523,21 @@
             await caller.until("answer")
 
 
+async def test_few_connections_that_were_given_up_wait_for_their_callers():
+    """Guards against descriptors that no budget counts."""
+    async with served(max_connections=16) as site:
+        callers = []
+        for _ in range(100):
+            callers.append(await site.connect())
+            await callers[-1].send(PUT.format("/", 9) + "x")
+            await site.request_started.acquire()
+            await trio.testing.wait_all_tasks_blocked()
+        await trio.testing.wait_all_tasks_blocked()
+        rendered = site.metrics.render()[0].decode()
+    ended = re.search(r'ended_total{end="given-up".*} (\d+)', rendered)
+    assert len(callers) - int(ended[1]) <= 16 + 2
+
+
 async def test_a_connection_that_was_given_up_serves_no_further_calls():
     """Guards against callers that send on and on and count no more.
 
