daemon: give probes connections of their own

Readiness and metrics shared the budget of the callers. While calls that had arrived whole used it up, as when the core has no leader, the next connection was the only one that could be given up, so a probe was reset: two of these take an entry out of rotation, and all entries at once.

Probes have 64 connections and 2 MiB apart from callers. test_probes_are_answered_while_callers_use_all_connections fails without it, 3 of 3, and passes with it, 3 of 3.

--- a/laburnumsill/daemon/core_role.py
+++ b/laburnumsill/daemon/core_role.py
@@ -163,7 +163,13 @@
         await nursery.start(self._serve, "control", app, listen.control)
         if listen.metrics:
             metrics = metrics_app.MetricsApp(self._metrics)
-            await nursery.start(self._serve, "metrics", metrics, listen.metrics)
+            await nursery.start(
+                self._serve,
+                "metrics",
+                metrics,
+                listen.metrics,
+                self._probe_budget,
+            )
 
     async def _shut_down(self) -> None:
         with trio.move_on_after(TRANSFER_TIMEOUT_S):
--- a/laburnumsill/daemon/entry_role.py
+++ b/laburnumsill/daemon/entry_role.py
@@ -82,11 +82,17 @@
         nursery.start_soon(self._lease.run)
         await nursery.start(self._serve, "callers", self._app, listen.callers)
         await nursery.start(
-            self._serve, "readiness", self._app.ready, listen.readiness
+            self._serve,
+            "readiness",
+            self._app.ready,
+            listen.readiness,
+            self._probe_budget,
         )
         if listen.metrics:
             app = metrics_app.MetricsApp(self._metrics)
-            await nursery.start(self._serve, "metrics", app, listen.metrics)
+            await nursery.start(
+                self._serve, "metrics", app, listen.metrics, self._probe_budget
+            )
 
     async def _shut_down(self) -> None:
         await trio.sleep(READINESS_NOTICE_S)
--- a/laburnumsill/daemon/role.py
+++ b/laburnumsill/daemon/role.py
@@ -27,6 +27,11 @@
 """Interval at which the settings file is polled, as it may change without a
 signal."""
 
+PROBE_BYTES = 2 * 1024 * 1024
+PROBE_CONNECTIONS = 64
+"""Limits of what probes of readiness and metrics may hold, apart from callers:
+an entry whose callers use up their limits is still ready."""
+
 END_MARGIN_S = 0.5
 """Part of the time until a process is killed that is reserved for its end."""
 
@@ -57,6 +62,9 @@
             settings.limits.connections,
             self._metrics,
         )
+        self._probe_budget = connection_budget.ConnectionBudget(
+            PROBE_BYTES, PROBE_CONNECTIONS, self._metrics
+        )
         self._vm = self._make_vm(settings)
         self._network = networks.PeerNetwork(
             self._vm,
@@ -156,13 +164,22 @@
         name: str,
         application: typing.Any,
         address: str,
+        budget: connection_budget.ConnectionBudget | None = None,
         *,
         task_status: trio.TaskStatus[typing.Any] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Serves an ASGI application until the shutdown."""
+        """Serves an ASGI application until the shutdown.
+
+        Args:
+            name: The name of the server in metrics and logs.
+            application: The ASGI application.
+            address: ``host:port`` to listen on.
+            budget: Bounds its connections; that of the callers by default.
+            task_status: Started once the server serves.
+        """
         monitor = connection_monitor.Monitor(name, self._metrics)
         server = light_server.LightServer(
-            application, address, monitor, self._budget
+            application, address, monitor, budget or self._budget
         )
         server.listen()
         self._servers.append(server)
--- a/laburnumsill/platform/tests/test_hostile_bodies.py
+++ b/laburnumsill/platform/tests/test_hostile_bodies.py
@@ -10,6 +10,7 @@
 import pytest
 import trio
 
+from laburnumsill.platform.tests import crowds
 from laburnumsill.platform.tests import hostile_callers
 from laburnumsill.platform.tests import role_processes
 from laburnumsill.platform.tests import standin
@@ -35,6 +36,12 @@
 ANSWER_WITHIN_S = 60.0
 """Time for the repetitions of an ordinary call."""
 
+MORE_THAN_ALL = 100
+"""Callers for which an entry with few descriptors has no connections."""
+
+PROBES = 15
+PROBE_INTERVAL_S = 0.2
+
 JOB = "/batch/{}"
 QUEUE = "/batch/"
 INSTANCE = "/-/instances/{}"
@@ -376,3 +383,23 @@
             )
         assert status == 413
         await site.callers.until(410, "GET", path)
+
+
+async def test_probes_are_answered_while_callers_use_all_connections(tmp_path):
+    """Calls that have arrived whole wait for a core without a majority."""
+    few = ("[limits]", "descriptors = 210")
+    async with role_processes.running(tmp_path, sections=few) as site:
+        for vm in role_processes.CORE[1:]:
+            site.processes[vm].pause()
+        balancer = standin.Caller([site.readiness_address])
+        crowd = crowds.crowd(site.entry_address)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(crowd.run, MORE_THAN_ALL)
+            statuses = set()
+            for _ in range(PROBES):
+                await trio.sleep(PROBE_INTERVAL_S)
+                status, _ = await balancer.call("GET", "/-/ready")
+                statuses.add(status)
+            nursery.cancel_scope.cancel()
+        await balancer.aclose()
+        assert statuses <= {200, 503}
