daemon: count the reserved descriptors, start on machines of any size

Found by review, by reading: 200 descriptors are not for connections, and a machine under 64 MB or 256 descriptors was refused as a bad setting. The limit has a floor in place of that.

--- a/laburnumsill/daemon/role_settings.py
+++ b/laburnumsill/daemon/role_settings.py
@@ -28,9 +28,15 @@
 CONNECTION_BYTES = 32 * 1024
 """Memory of a connection without a call: its task, its parser, its buffers."""
 
+RESERVED_DESCRIPTORS = 200
+"""Descriptors that the platform reserves for files outside the data folder."""
+
 DESCRIPTOR_SHARE = 0.75
-"""Share of the descriptors for the connections of callers. The others are for
-files, peers and workers."""
+"""Share of the other descriptors for the connections of callers. The rest is
+for the data folder, peers and workers."""
+
+MIN_CONNECTIONS = 16
+"""Limit of the connections on a machine that is too small for any."""
 
 
 Port = typing.Annotated[int, msgspec.Meta(ge=1, le=65_535)]
@@ -87,8 +93,8 @@
         descriptors: Number of file descriptors that the process may open.
     """
 
-    memory_mb: typing.Annotated[float, msgspec.Meta(ge=64, le=2**20)] = 160
-    descriptors: typing.Annotated[int, msgspec.Meta(ge=256, le=2**20)] = 1_024
+    memory_mb: typing.Annotated[float, msgspec.Meta(gt=0, le=2**20)] = 160
+    descriptors: typing.Annotated[int, msgspec.Meta(gt=0, le=2**20)] = 1_024
 
     @property
     def call_bytes(self) -> int:
@@ -99,7 +105,9 @@
     def connections(self) -> int:
         """Limit of the number of connections of callers."""
         by_memory = self.memory_mb * MIB * CONNECTION_SHARE / CONNECTION_BYTES
-        return int(min(by_memory, self.descriptors * DESCRIPTOR_SHARE))
+        free = self.descriptors - RESERVED_DESCRIPTORS
+        found = int(min(by_memory, free * DESCRIPTOR_SHARE))
+        return max(found, MIN_CONNECTIONS)
 
 
 class Scheduling(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
