daemon: let callers read the last answers of a shutdown

Found by review, by reading: an answer given at the end of a shutdown was followed by the close at once, since the time to read it ended with the time to answer.

--- a/laburnumsill/daemon/connection_budget.py
+++ b/laburnumsill/daemon/connection_budget.py
@@ -15,7 +15,6 @@
 from laburnumsill.core import logs
 from laburnumsill.core import metrics as metrics_module
 
-
 LEAVING_SHARE = 0.125
 """Number of connections that may take their time to end after they were given
 up, as a share of the limit of connections."""
--- a/laburnumsill/daemon/light_connection.py
+++ b/laburnumsill/daemon/light_connection.py
@@ -271,9 +271,14 @@
         self._keeps_waiting = False
 
     @contextlib.contextmanager
-    def _bounded(self, deadline: float) -> abc.Iterator[trio.CancelScope]:
-        """Yields a scope that ends at a deadline or with a shutdown."""
-        if self._answer_by is not None:
+    def _bounded(
+        self, deadline: float, has_answered: bool = False
+    ) -> abc.Iterator[trio.CancelScope]:
+        """Yields a scope that ends at a deadline or with a shutdown.
+
+        After its answer a connection ends with the server at the latest.
+        """
+        if self._answer_by is not None and not has_answered:
             deadline = min(deadline, self._answer_by)
         with trio.CancelScope(deadline=deadline) as self._work:
             try:
@@ -351,7 +356,7 @@
     async def _discard_body(self) -> None:
         """Discards the rest of the body after an early response."""
         self._answered_early = self._protocol.their_state is h11.SEND_BODY
-        with self._bounded(trio.current_time() + LINGER_S):
+        with self._bounded(trio.current_time() + LINGER_S, has_answered=True):
             while self._reads_on:
                 await self.next_event()
         self._answered_early = False
@@ -365,7 +370,7 @@
 
     async def _linger(self) -> None:
         """Lets the caller read the last answer before the connection ends."""
-        with self._bounded(trio.current_time() + LINGER_S):
+        with self._bounded(trio.current_time() + LINGER_S, has_answered=True):
             await self._stream.send_eof()
             while not self._is_given_up:
                 if not await self._stream.receive_some(RECEIVE_BYTES):
