daemon: tell a caller for whom there is no connection

It was reset without an answer. One that has called gets 503 now, at once. test_a_caller_that_finds_no_connection_is_told_so fails without it.

--- a/laburnumsill/daemon/light_connection.py
+++ b/laburnumsill/daemon/light_connection.py
@@ -240,6 +240,8 @@
     async def _next_request(self) -> h11.Request | None:
         """Returns the next request, None if the connection is to be closed."""
         if self._is_given_up:
+            if self._has_unread and not self._answers:
+                await self._reject(503)  # there was no place for it
             return None
         unread, _ = self._protocol.trailing_data
         self._arrived_after = self._stream.empty_at if unread else None
--- a/laburnumsill/daemon/tests/test_light_server.py
+++ b/laburnumsill/daemon/tests/test_light_server.py
@@ -523,6 +523,20 @@
             await caller.until("answer")
 
 
+async def test_a_caller_that_finds_no_connection_is_told_so():
+    async with served(max_connections=1) as site:
+        served_caller = await site.connect()
+        await served_caller.send(GET.format("/held"))
+        await site.request_started.acquire()
+        host, _, port = site.address.rpartition(":")
+        with socket.create_connection((host, int(port))) as raw:
+            raw.sendall(GET.format("/").encode())
+            answer = await trio.to_thread.run_sync(raw.recv, 65_536)
+        assert b" 503 " in answer
+        site.resume.set()
+        await served_caller.until("answer")
+
+
 async def test_few_connections_that_were_given_up_wait_for_their_callers():
     """Guards against descriptors that no budget counts."""
     async with served(max_connections=16) as site:
