core: share one budget between connections and bodies

daemon.connection_budget and api.body_budget each had the same limit of bytes and the same choice of who is given up. Both are core.byte_budget now; the one adds the number of connections, the other the body as ASGI sees it. Who is given up, the log lines and the metric are as before. The page of the budget said that all servers of a process share one, which probes no longer do.

--- a/laburnumsill/api/body_budget.py
+++ b/laburnumsill/api/body_budget.py
@@ -1,9 +1,6 @@
 """Limit of the memory that the bodies of operators and members may use.
 
-Where the limit is reached, the body that has been arriving for longest is given
-up: one that arrives without pauses is soon complete, so callers that hold their
-bodies or send slowly cannot shut the others out. A body that its endpoint has
-got whole is never given up, so the refusal says truly that nothing was run.
+See `core.byte_budget` for which body is given up where it is reached.
 """
 
 import typing
@@ -12,6 +9,7 @@
 import trio
 from starlette import types
 
+from laburnumsill.core import byte_budget
 from laburnumsill.core import errors
 from laburnumsill.core import logs
 
@@ -28,7 +26,7 @@
 _BODY_HEADERS = {b"content-length", b"transfer-encoding"}
 
 
-class BodyBudget:
+class BodyBudget(byte_budget.ByteBudget):
     """Bounds the bytes of all bodies that one application reads.
 
     Args:
@@ -36,14 +34,7 @@
     """
 
     def __init__(self, max_held_bytes: int = MAX_HELD_BYTES) -> None:
-        self._max_held_bytes = max_held_bytes
-        self._held_bytes = 0
-        self._bodies: dict[_Body, None] = {}
-
-    @property
-    def held_bytes(self) -> int:
-        """Bytes of all bodies that were not given up."""
-        return self._held_bytes
+        super().__init__(max_held_bytes)
 
     async def serve(
         self,
@@ -62,56 +53,41 @@
             await application(scope, receive, send)
             return
         body = _Body(self, receive, send)
-        self._bodies[body] = None
+        self.add(body)
         try:
             await application(scope, body.receive, body.send)
         finally:
-            self._remove(body)
-
-    def take(self, body: "_Body", size: int) -> None:
-        """Adds bytes to a body, for which others may be given up, or it."""
-        body.held_bytes += size
-        self._held_bytes += size
-        while self._held_bytes > self._max_held_bytes:
-            self._give_up(self._oldest_arriving() or body)
-
-    def _oldest_arriving(self) -> "_Body | None":
-        for body in self._bodies:
-            if body.held_bytes and not body.complete:
-                return body
-        return None
-
-    def _give_up(self, body: "_Body") -> None:
+            self.remove(body)
+
+    def _on_give_up(self, held_bytes: int) -> None:
         logs.event(
             "body-given-up",
             "WARNING",
-            held_bytes=body.held_bytes,
-            all_bytes=self._held_bytes,
-            bodies=len(self._bodies),
+            held_bytes=held_bytes,
+            all_bytes=self.held_bytes,
+            bodies=self.holders,
         )
-        self._remove(body)
-        body.give_up()
 
-    def _remove(self, body: "_Body") -> None:
-        if body in self._bodies:
-            del self._bodies[body]
-            self._held_bytes -= body.held_bytes
 
-
-class _Body:
+class _Body(byte_budget.Holder):
     """The body of one request, and the answer to it."""
 
     def __init__(
         self, budget: BodyBudget, receive: types.Receive, send: types.Send
     ) -> None:
-        self.held_bytes = 0
-        self.complete = False
+        self._since = trio.current_time()
+        self._complete = False
         self._budget = budget
         self._receive = receive
         self._send = send
         self._given_up = False
         self._receiving = trio.CancelScope()
 
+    @property
+    def waiting_since(self) -> float | None:
+        """Time at which it began to arrive, None once it is complete."""
+        return None if self._complete else self._since
+
     def give_up(self) -> None:
         """Makes `receive` fail, also one that waits."""
         self._given_up = True
@@ -123,7 +99,7 @@
         Raises:
             errors.OverloadedError: The body was given up.
         """
-        if self.complete:
+        if self._complete:
             return await self._receive()
         message: abc.MutableMapping[str, typing.Any] = {}
         if not self._given_up:
@@ -139,18 +115,18 @@
 
     async def send(self, message: types.Message) -> None:
         """Sends a message, the first one after the rest of the body."""
-        if message["type"] == "http.response.start" and not self.complete:
+        if message["type"] == "http.response.start" and not self._complete:
             await self._discard()
         await self._send(message)
 
     async def _discard(self) -> None:
         remaining = MAX_DISCARDED_BYTES
         with trio.move_on_after(DISCARD_TIMEOUT_S):
-            while remaining > 0 and not self.complete:
+            while remaining > 0 and not self._complete:
                 message = await self._receive()
                 remaining -= len(message.get("body", b""))
                 self._note(message)
 
     def _note(self, message: types.Message) -> None:
         if not message.get("more_body", False):
-            self.complete = True
+            self._complete = True
--- a/laburnumsill/daemon/connection_budget.py
+++ b/laburnumsill/daemon/connection_budget.py
@@ -1,17 +1,10 @@
 """Limits of the memory and the descriptors that connections may use.
 
-All servers of a process share one budget. Where it is used up, the connection
-that has kept the process waiting for longest is given up: a caller whose call
-arrives without pauses keeps none waiting for long, so callers that hold their
-connections or send slowly cannot shut the others out.
-
-A call that has arrived whole is never given up. So the answer to one that is
-given up says truly that it has not run.
+Servers whose callers are of one kind share a budget. See `core.byte_budget` for
+whose connection is given up where it is used up.
 """
 
-import abc
-import math
-
+from laburnumsill.core import byte_budget
 from laburnumsill.core import logs
 from laburnumsill.core import metrics as metrics_module
 
@@ -20,27 +13,11 @@
 up, as a share of the limit of connections."""
 
 
-class Holder(abc.ABC):
-    """A connection that takes part in a budget."""
-
-    @property
-    @abc.abstractmethod
-    def waiting_since(self) -> float | None:
-        """Time since which its caller keeps it waiting, None if it does not."""
-
-    @abc.abstractmethod
-    def give_up(self) -> None:
-        """Ends the connection, after an answer to a call that has begun.
-
-        A second call ends it without waiting for its caller to read that.
-        """
-
-
-class ConnectionBudget:
+class ConnectionBudget(byte_budget.ByteBudget):
     """Bounds the number of connections and the bytes that they hold.
 
-    A connection that was given up counts no more, though it takes a moment to
-    end.
+    A connection that is given up answers a call that has begun. A second call
+    of its `give_up` ends it without waiting for its caller to read that.
 
     Args:
         max_bytes: Limit of the bytes of all calls and answers that are not
@@ -55,50 +32,22 @@
         max_connections: int,
         metrics: metrics_module.Metrics,
     ) -> None:
-        self._max_bytes = max_bytes
+        super().__init__(max_bytes)
         self._max_connections = max_connections
         self._metrics = metrics
-        self._held: dict[Holder, int] = {}
-        self._leaving: dict[Holder, None] = {}
-        self._held_bytes = 0
-
-    @property
-    def held_bytes(self) -> int:
-        """Bytes that all connections hold."""
-        return self._held_bytes
+        self._leaving: dict[byte_budget.Holder, None] = {}
 
-    @property
-    def connections(self) -> int:
-        """Number of connections that count."""
-        return len(self._held)
-
-    def add(self, holder: Holder) -> None:
+    def add(self, holder: byte_budget.Holder) -> None:
         """Adds a connection, for which another one may be given up."""
-        self._held[holder] = 0
-        while len(self._held) > self._max_connections:
-            if not self._give_up_one(needs_bytes=False):
+        super().add(holder)
+        while self.holders > self._max_connections:
+            if not self.give_up_oldest():
                 return
 
-    def remove(self, holder: Holder) -> None:
+    def remove(self, holder: byte_budget.Holder) -> None:
         """Removes a connection that has ended."""
         self._leaving.pop(holder, None)
-        self._held_bytes -= self._held.pop(holder, 0)
-
-    def take(self, holder: Holder, size: int) -> None:
-        """Adds bytes to a connection; connections may be given up for it."""
-        if holder not in self._held:
-            return
-        self._held[holder] += size
-        self._held_bytes += size
-        while self._held_bytes > self._max_bytes:
-            if not self._give_up_one(needs_bytes=True):
-                return
-
-    def release(self, holder: Holder) -> None:
-        """Takes all bytes off a connection."""
-        if holder in self._held:
-            self._held_bytes -= self._held[holder]
-            self._held[holder] = 0
+        super().remove(holder)
 
     def give_up_oldest(self) -> bool:
         """Gives up a connection to free its descriptor.
@@ -106,33 +55,25 @@
         Returns:
             Whether there was one that keeps the process waiting.
         """
-        return self._give_up_one(needs_bytes=False)
+        oldest = self._longest_waiting(needs_bytes=False)
+        if oldest is not None:
+            self._give_up(oldest)
+        return oldest is not None
+
+    def _give_up(self, holder: byte_budget.Holder) -> None:
+        super()._give_up(holder)
+        self._leaving[holder] = None
+        if len(self._leaving) > LEAVING_SHARE * self._max_connections:
+            longest = next(iter(self._leaving))
+            del self._leaving[longest]
+            longest.give_up()
 
-    def _give_up_one(self, needs_bytes: bool) -> bool:
-        """Gives up the connection that waits longest, if any waits."""
-        chosen: Holder | None = None
-        oldest = math.inf
-        for holder, held in self._held.items():
-            since = holder.waiting_since
-            if since is None or (needs_bytes and not held):
-                continue
-            if since < oldest:
-                chosen, oldest = holder, since
-        if chosen is None:
-            return False
+    def _on_give_up(self, held_bytes: int) -> None:
         logs.event(
             "connection-given-up",
             "WARNING",
-            held_bytes=self._held[chosen],
-            all_bytes=self._held_bytes,
-            connections=len(self._held),
+            held_bytes=held_bytes,
+            all_bytes=self.held_bytes,
+            connections=self.holders,
         )
         self._metrics.count("http_connections_given_up_total")
-        self.remove(chosen)
-        self._leaving[chosen] = None
-        chosen.give_up()
-        if len(self._leaving) > LEAVING_SHARE * self._max_connections:
-            longest = next(iter(self._leaving))
-            del self._leaving[longest]
-            longest.give_up()
-        return True
--- a/laburnumsill/daemon/light_connection.py
+++ b/laburnumsill/daemon/light_connection.py
@@ -16,6 +16,7 @@
 import h11
 import trio
 
+from laburnumsill.core import byte_budget
 from laburnumsill.core import errors
 from laburnumsill.core import logs
 from laburnumsill.daemon import connection_budget
@@ -77,7 +78,7 @@
     slug = "connection-cut"
 
 
-class Connection(connection_budget.Holder):
+class Connection(byte_budget.Holder):
     """One caller's connection, which serves one exchange at a time.
 
     Args:
--- a/laburnumsill/daemon/tests/test_connection_budget.py
+++ b/laburnumsill/daemon/tests/test_connection_budget.py
@@ -3,6 +3,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from laburnumsill.core import byte_budget
 from laburnumsill.core import metrics
 from laburnumsill.daemon import connection_budget
 
@@ -10,7 +11,7 @@
 MAX_CONNECTIONS = 3
 
 
-class Holder(connection_budget.Holder):
+class Holder(byte_budget.Holder):
     def __init__(self, since) -> None:
         self.since = since
         self.is_given_up = False
@@ -82,7 +83,7 @@
     budget.take(new, 20)
     budget.take(old, 500)
     budget.remove(old)
-    assert (budget.held_bytes, budget.connections) == (20, 1)
+    assert (budget.held_bytes, budget.holders) == (20, 1)
 
 
 @hypothesis.given(
@@ -102,4 +103,4 @@
         elif not made[number].is_given_up:
             budget.add(made[number])
         assert budget.held_bytes <= MAX_BYTES
-        assert budget.connections <= MAX_CONNECTIONS
+        assert budget.holders <= MAX_CONNECTIONS
