--- a/laburnumsill/daemon/light_connection.py
+++ b/laburnumsill/daemon/light_connection.py
@@ -8,19 +8,17 @@
 
 import contextlib
 import math
-import time
 import typing
-import urllib.parse
 from collections import abc
 
 import h11
 import trio
 
 from laburnumsill.core import byte_budget
-from laburnumsill.core import errors
 from laburnumsill.core import logs
 from laburnumsill.daemon import connection_budget
 from laburnumsill.daemon import connection_monitor
+from laburnumsill.daemon import light_exchange
 from laburnumsill.wire import arrivals
 
 MAX_HEADER_BYTES = 32 * 1024
@@ -51,34 +49,10 @@
 """Time for which a new connection is kept during a shutdown until its first
 call arrives: its caller has opened it to call at once."""
 
-Message = dict[str, typing.Any]
-Application = abc.Callable[
-    [
-        Message,
-        abc.Callable[[], abc.Awaitable[Message]],
-        abc.Callable[[Message], abc.Awaitable[None]],
-    ],
-    abc.Awaitable[None],
-]
-
-_STREAM_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
-
 _End = connection_monitor.ConnectionEnd
 
 
-class ClosedError(errors.LaburnumsillError):
-    """The connection has ended."""
-
-    slug = "connection-closed"
-
-
-class CutError(ClosedError):
-    """The connection has ended before the answer was complete."""
-
-    slug = "connection-cut"
-
-
-class Connection(byte_budget.Holder):
+class Connection(byte_budget.Holder, light_exchange.Channel):
     """One caller's connection, which serves one exchange at a time.
 
     Args:
@@ -93,7 +67,7 @@
 
     def __init__(
         self,
-        application: Application,
+        application: light_exchange.Application,
         stream: arrivals.Stream,
         monitor: connection_monitor.Monitor,
         budget: connection_budget.ConnectionBudget,
@@ -140,7 +114,7 @@
 
     @property
     def is_last_answer(self) -> bool:
-        """Whether the connection is to be closed after the present answer."""
+        """Whether it is closed after this answer, see the base class."""
         if self._is_given_up:
             return True
         return self._is_closing() and not self._has_unread
@@ -170,9 +144,9 @@
                 end = _End.IDLE
             else:
                 await self._linger()
-        except CutError:
+        except light_exchange.CutError:
             pass
-        except (ClosedError, *_STREAM_ERRORS):
+        except (light_exchange.ClosedError, *light_exchange.STREAM_ERRORS):
             end = _End.CALLER
         except h11.RemoteProtocolError as error:
             end = _End.INVALID
@@ -205,7 +179,7 @@
         if request is None:
             return False
         self._request = request
-        exchange = _Exchange(self, request)
+        exchange = light_exchange.Exchange(self, request)
         await self._serve(request, exchange)
         self._request = None
         self._answers += 1
@@ -215,17 +189,23 @@
         done = self._protocol.our_state is h11.DONE
         return done and self._protocol.their_state is h11.DONE
 
-    async def _serve(self, request: h11.Request, exchange: "_Exchange") -> None:
+    async def _serve(
+        self, request: h11.Request, exchange: light_exchange.Exchange
+    ) -> None:
         """Has the application answer a request, or answers in its place."""
         try:
             with self._bounded(math.inf):
                 await self._application(
-                    _scope(request, self._arrived_after),
+                    light_exchange.scope(request, self._arrived_after),
                     exchange.receive,
                     exchange.send,
                 )
                 return
-        except (ClosedError, h11.RemoteProtocolError, *_STREAM_ERRORS):
+        except (
+            light_exchange.ClosedError,
+            h11.RemoteProtocolError,
+            *light_exchange.STREAM_ERRORS,
+        ):
             raise
         except Exception as error:  # a failure must not affect other requests
             logs.event(
@@ -270,7 +250,7 @@
         self._since = trio.current_time()
 
     def begin_service(self) -> None:
-        """Counts no time as the caller's: the call has arrived whole."""
+        """Counts no time as the caller's, see the base class."""
         self._keeps_waiting = False
 
     @contextlib.contextmanager
@@ -306,12 +286,7 @@
         return min(self._since + FIRST_CALL_S, self._answer_by)
 
     async def next_event(self) -> typing.Any:
-        """Returns the next h11 event.
-
-        Raises:
-            ClosedError: The caller closed the connection.
-            h11.RemoteProtocolError: The caller sent invalid HTTP.
-        """
+        """Returns the next h11 event, see the base class."""
         while True:
             event = self._protocol.next_event()
             if event is not h11.NEED_DATA:
@@ -324,7 +299,9 @@
             if self._arrived_after is None:
                 self._arrived_after = self._stream.empty_at
             if not data:
-                raise ClosedError("the caller closed the connection")
+                raise light_exchange.ClosedError(
+                    "the caller closed the connection"
+                )
             self._protocol.receive_data(data)
             if self._answered_early:
                 continue
@@ -333,11 +310,7 @@
                 await trio.lowlevel.checkpoint()  # what was read is not served
 
     async def write(self, *events: typing.Any) -> None:
-        """Sends h11 events in one write.
-
-        Raises:
-            ClosedError: The caller has not read the data in time.
-        """
+        """Sends h11 events in one write, see the base class."""
         pieces = [self._protocol.send(event) or b"" for event in events]
         size = sum(map(len, pieces))
         if not size:
@@ -351,7 +324,9 @@
             for piece in pieces:
                 await self._stream.send_all(piece)
         if self._sending.cancelled_caught:
-            raise ClosedError("the caller did not read the answer in time")
+            raise light_exchange.ClosedError(
+                "the caller did not read the answer in time"
+            )
         self._sending = None
         if was_served:
             self.begin_service()
@@ -391,132 +366,9 @@
                     h11.EndOfMessage(),
                 )
             await self._linger()
-        except (ClosedError, *_STREAM_ERRORS):
+        except (light_exchange.ClosedError, *light_exchange.STREAM_ERRORS):
             return
 
 
-class _Exchange:
-    """The `receive` and `send` callables of one request for the application."""
-
-    def __init__(self, connection: Connection, request: h11.Request) -> None:
-        self._connection = connection
-        self._is_head = request.method == b"HEAD"
-        self._body_ended = False
-        self._is_whole = not _has_body(request)
-        if self._is_whole:
-            connection.begin_service()
-        self._response: h11.Response | None = None
-        self._response_started = False
-
-    async def receive(self) -> Message:
-        """Returns the next part of the body."""
-        if self._body_ended:
-            return {"type": "http.disconnect"}
-        try:
-            event = await self._connection.next_event()
-        except (ClosedError, *_STREAM_ERRORS):
-            return {"type": "http.disconnect"}
-        if isinstance(event, h11.Data):
-            return {
-                "type": "http.request",
-                "body": bytes(event.data),
-                "more_body": True,
-            }
-        self._body_ended = self._is_whole = True
-        self._connection.begin_service()
-        return {"type": "http.request", "body": b"", "more_body": False}
-
-    async def send(self, message: Message) -> None:
-        """Sends the next part of the response."""
-        if message["type"] == "http.response.start":
-            headers = [*message.get("headers", ()), (b"date", _date())]
-            if self._connection.is_last_answer:
-                headers.append((b"connection", b"close"))
-            self._response = h11.Response(
-                status_code=message["status"], headers=headers
-            )
-            return
-        events: list[typing.Any] = []
-        if not self._response_started and self._response is not None:
-            events.append(self._response)
-            self._response_started = True
-        body = message.get("body", b"")
-        if body and not self._is_head:
-            events.append(h11.Data(data=body))
-        if not message.get("more_body", False):
-            events.append(h11.EndOfMessage())
-        await self._connection.write(*events)
-
-    async def send_failure(
-        self, status: int, *headers: tuple[bytes, bytes]
-    ) -> None:
-        """Sends a response without a body, the last one on the connection.
-
-        Raises:
-            CutError: A response has been started, so the connection must
-                be closed.
-        """
-        if self._response_started:
-            raise CutError("the answer was not completed")
-        self._response = h11.Response(
-            status_code=status,
-            headers=[
-                (b"content-length", b"0"),
-                (b"connection", b"close"),
-                (b"date", _date()),
-                *headers,
-            ],
-        )
-        await self.send({"type": "http.response.body"})
-
-    async def send_unfinished(self) -> None:
-        """Sends a response in place of an application that was given up.
-
-        An application that has not read the whole body has not acted on it; of
-        any other, nothing is known.
-
-        Raises:
-            CutError: A response has been started, so the connection must
-                be closed.
-        """
-        if self._is_whole:
-            await self.send_failure(504)
-        else:
-            await self.send_failure(503, (b"retry-after", b"1"))
-
-
 def _has_many_headers(request: h11.Request) -> bool:
     return len(request.headers) > MAX_HEADERS
-
-
-def _has_body(request: h11.Request) -> bool:
-    return any(
-        name == b"transfer-encoding"
-        or (name == b"content-length" and value != b"0")
-        for name, value in request.headers
-    )
-
-
-def _scope(request: h11.Request, arrived_after: float | None) -> Message:
-    """Returns the ASGI scope of a request.
-
-    Args:
-        request: The request.
-        arrived_after: Monotonic time in s after which it began to arrive.
-    """
-    raw_path, _, query = request.target.partition(b"?")
-    return {
-        "type": "http",
-        "asgi": {"version": "3.0"},
-        "http_version": request.http_version.decode("ascii"),
-        "method": request.method.decode("ascii").upper(),
-        "path": urllib.parse.unquote(raw_path.decode("ascii")),
-        "raw_path": raw_path,
-        "query_string": query,
-        "headers": list(request.headers),
-        "extensions": {arrivals.EXTENSION: {arrivals.AFTER: arrived_after}},
-    }
-
-
-def _date() -> bytes:
-    return time.strftime("%a, %d %b %Y %H:%M:%S GMT", time.gmtime()).encode()
--- a/laburnumsill/daemon/light_server.py
+++ b/laburnumsill/daemon/light_server.py
@@ -25,6 +25,7 @@
 from laburnumsill.daemon import connection_budget
 from laburnumsill.daemon import connection_monitor
 from laburnumsill.daemon import light_connection
+from laburnumsill.daemon import light_exchange
 from laburnumsill.daemon import listening
 from laburnumsill.wire import arrivals
 
@@ -56,7 +57,7 @@
 
     def __init__(
         self,
-        application: light_connection.Application,
+        application: light_exchange.Application,
         address: str,
         monitor: connection_monitor.Monitor,
         budget: connection_budget.ConnectionBudget,
@@ -175,7 +176,7 @@
 
 
 async def serve(
-    application: light_connection.Application,
+    application: light_exchange.Application,
     address: str,
     stop: abc.Callable[[], abc.Awaitable[None]],
     stop_grace_s: float,
