--- a/laburnumsill/daemon/light_connection.py
+++ b/laburnumsill/daemon/light_connection.py
@@ -6,7 +6,6 @@
 stops sending, and reads on until the caller has closed its side.
 """
 
-import contextlib
 import math
 import typing
 from collections import abc
@@ -253,29 +252,25 @@
         """Counts no time as the caller's, see the base class."""
         self._keeps_waiting = False
 
-    @contextlib.contextmanager
     def _bounded(
         self, deadline: float, has_answered: bool = False
-    ) -> abc.Iterator[trio.CancelScope]:
-        """Yields a scope that ends at a deadline or with a shutdown.
+    ) -> trio.CancelScope:
+        """Returns a scope that ends at a deadline or with a shutdown.
 
         After its answer a connection ends with the server at the latest.
         """
         if self._answer_by is not None and not has_answered:
             deadline = min(deadline, self._answer_by)
-        with trio.CancelScope(deadline=deadline) as self._work:
-            try:
-                yield self._work
-            finally:
-                self._work = None
+        self._work = trio.CancelScope(deadline=deadline)
+        return self._work
 
     async def _wait_for_request(self) -> bool:
         """Waits for a request; returns whether one has begun to arrive."""
         self._idle = trio.CancelScope(deadline=self._idle_deadline())
-        with self._idle:
+        with self._idle as idle:
             await self._stream.wait_for_data()
         self._idle = None
-        return self._stream.has_unread
+        return not idle.cancelled_caught or self._stream.has_unread
 
     def _idle_deadline(self) -> float:
         """Returns until when the connection is kept without a call."""
@@ -333,7 +328,9 @@
 
     async def _discard_body(self) -> None:
         """Discards the rest of the body after an early response."""
-        self._answered_early = self._protocol.their_state is h11.SEND_BODY
+        if self._protocol.their_state is not h11.SEND_BODY:
+            return
+        self._answered_early = True
         with self._bounded(trio.current_time() + LINGER_S, has_answered=True):
             while self._reads_on:
                 await self.next_event()
--- a/laburnumsill/wire/arrivals.py
+++ b/laburnumsill/wire/arrivals.py
@@ -106,6 +106,7 @@
     def __init__(self, stream: trio.SocketStream, empty_at: float) -> None:
         self._stream = stream
         self._arrivals = Arrivals(stream.socket, empty_at)
+        self._has_data = False
 
     @property
     def empty_at(self) -> float:
@@ -121,10 +122,13 @@
     async def wait_for_data(self) -> None:
         """Waits until data has arrived, or the other side has closed."""
         await self._arrivals.wait()
+        self._has_data = True  # saves the next read a look at the socket
 
     async def receive_some(self, max_bytes: int | None = None) -> bytes:
         """Returns received data, see the base class."""
-        await self._arrivals.wait()
+        if not self._has_data:
+            await self._arrivals.wait()
+        self._has_data = False
         return bytes(await self._stream.receive_some(max_bytes))
 
     async def send_all(self, data: bytes | bytearray | memoryview) -> None:
