daemon: wait once for a caller to read that its request is no request

A refusal of what is no request waited up to half a second for its caller, and so did the end of the connection after it. The tests of the server share how they connect and how they hold a call; their assertions are as before.

--- a/laburnumsill/daemon/light_connection.py
+++ b/laburnumsill/daemon/light_connection.py
@@ -6,6 +6,7 @@
 stops sending, and reads on until the caller has closed its side.
 """
 
+import contextlib
 import math
 import typing
 from collections import abc
@@ -149,7 +150,11 @@
             end = _End.CALLER
         except h11.RemoteProtocolError as error:
             end = _End.INVALID
-            await self._reject(error.error_status_hint)
+            with contextlib.suppress(
+                light_exchange.ClosedError, *light_exchange.STREAM_ERRORS
+            ):
+                await self._reject(error.error_status_hint)
+                await self._linger()
         finally:
             self._record(end)
             await trio.aclose_forcefully(self._stream)
@@ -356,15 +361,11 @@
         if self._protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         headers = [("content-length", "0"), ("connection", "close")]
-        try:
-            with trio.move_on_after(LINGER_S):
-                await self.write(
-                    h11.Response(status_code=status, headers=headers),
-                    h11.EndOfMessage(),
-                )
-            await self._linger()
-        except (light_exchange.ClosedError, *light_exchange.STREAM_ERRORS):
-            return
+        with trio.move_on_after(LINGER_S):
+            await self.write(
+                h11.Response(status_code=status, headers=headers),
+                h11.EndOfMessage(),
+            )
 
 
 def _has_many_headers(request: h11.Request) -> bool:
--- a/laburnumsill/daemon/tests/test_light_server.py
+++ b/laburnumsill/daemon/tests/test_light_server.py
@@ -82,9 +82,21 @@
         )
         self.ended.set()
 
-    async def connect(self) -> "Caller":
+    @property
+    def endpoint(self) -> tuple[str, int]:
         host, _, port = self.address.rpartition(":")
-        return Caller(await trio.open_tcp_stream(host, int(port)))
+        return host, int(port)
+
+    async def connect(self) -> "Caller":
+        return Caller(await trio.open_tcp_stream(*self.endpoint))
+
+    async def hold_call(self, size) -> "Caller":
+        """Returns a caller whose call, with a body of `size`, is served."""
+        caller = await self.connect()
+        await caller.send(PUT.format("/held", size) + "x" * size)
+        await self.request_started.acquire()
+        await trio.testing.wait_all_tasks_blocked()
+        return caller
 
 
 class Caller:
@@ -324,11 +336,10 @@
         idle = await site.connect()
         await idle.send(GET.format("/first"))
         await idle.until("answer")
-        host, _, port = site.address.rpartition(":")
 
         def call():
             for number in range(4):
-                with socket.create_connection((host, int(port))) as caller:
+                with socket.create_connection(site.endpoint) as caller:
                     caller.sendall(GET.format(f"/{number}").encode())
 
         await trio.sleep(0.2)
@@ -385,8 +396,7 @@
 async def test_calls_on_connections_that_wait_are_answered_when_stopping():
     """The kernel resets connections that are not accepted."""
     async with served() as site:
-        host, _, port = site.address.rpartition(":")
-        raw = [socket.create_connection((host, int(port))) for _ in range(20)]
+        raw = [socket.create_connection(site.endpoint) for _ in range(20)]
         for one in raw:
             one.sendall(GET.format("/").encode())
         site.stop.set()
@@ -484,10 +494,7 @@
 
 async def test_a_call_that_is_served_is_not_given_up_for_others():
     async with served(max_bytes=100_000) as site:
-        whole = await site.connect()
-        await whole.send(PUT.format("/held", 60_000) + "x" * 60_000)
-        await site.request_started.acquire()
-        await trio.testing.wait_all_tasks_blocked()
+        whole = await site.hold_call(60_000)
         late = await site.connect()
         await late.send(PUT.format("/", 60_000) + "x" * 50_000)
         assert " 503 " in await late.until_closed()
@@ -498,10 +505,7 @@
 async def test_a_call_that_finds_no_room_at_its_first_bytes_is_refused():
     """Guards against bodies that count no more and are read all the same."""
     async with served(max_bytes=80_000) as site:
-        whole = await site.connect()
-        await whole.send(PUT.format("/held", 70_000) + "x" * 70_000)
-        await site.request_started.acquire()
-        await trio.testing.wait_all_tasks_blocked()
+        whole = await site.hold_call(70_000)
         late = await site.connect()
         await late.send(PUT.format("/late", 30_000) + "x" * 30_000)
         assert " 503 " in await late.until_closed()
@@ -528,8 +532,7 @@
         served_caller = await site.connect()
         await served_caller.send(GET.format("/held"))
         await site.request_started.acquire()
-        host, _, port = site.address.rpartition(":")
-        with socket.create_connection((host, int(port))) as raw:
+        with socket.create_connection(site.endpoint) as raw:
             raw.sendall(GET.format("/").encode())
             answer = await trio.to_thread.run_sync(raw.recv, 65_536)
         assert b" 503 " in answer
@@ -561,10 +564,9 @@
         caller = await site.connect()
         await caller.send(GET.format("/first"))
         await caller.until("answer")
-        host, _, port = site.address.rpartition(":")
         with (
             socket.socket(fileno=caller.stream.socket.detach()) as raw,
-            socket.create_connection((host, int(port))) as new,
+            socket.create_connection(site.endpoint) as new,
         ):
             raw.setblocking(True)
             raw.sendall(GET.format("/next").encode() * PIPELINED)
