platform: read numbers in headers in one place

The announced length of a body was read beside the deadline of a call, with the same guard against thousands of digits. A deadline of 10 to 18 digits, in ms, is now compared with the queue's timeout in place of being taken for more than it.

--- a/laburnumsill/platform/caller_app.py
+++ b/laburnumsill/platform/caller_app.py
@@ -17,10 +17,6 @@
 
 READY_PATH = "/-/ready"
 DEFAULT_DEADLINE_MS = 3_000
-MAX_DEADLINE_DIGITS = 9
-"""With more digits, only the timeout of the queue applies. Python refuses to
-convert a string of more than 4,300 digits to an integer."""
-
 BEARER = "Bearer "
 
 
@@ -242,12 +238,10 @@
 
 def _deadline_ms(request: http.Request, queue: site.Queue) -> int:
     """Returns the caller's timeout in ms, counted from the request's start."""
-    text = request.headers.get("x-deadline-ms", "")
-    if not text.isdecimal():
-        return min(DEFAULT_DEADLINE_MS, queue.timeout_ms)
-    if len(text) > MAX_DEADLINE_DIGITS:
-        return queue.timeout_ms
-    return min(int(text), queue.timeout_ms)
+    deadline_ms = request.number("x-deadline-ms")
+    if deadline_ms is None:
+        deadline_ms = DEFAULT_DEADLINE_MS
+    return min(deadline_ms, queue.timeout_ms)
 
 
 def _error_answer(error: errors.LaburnumsillError) -> http.Answer:
--- a/laburnumsill/platform/http.py
+++ b/laburnumsill/platform/http.py
@@ -22,8 +22,9 @@
 MAX_BODY_BYTES = 4 * 1024 * 1024
 """Hard limit of the size of a body, whatever the configuration allows."""
 
-MAX_LENGTH_DIGITS = 18
-"""Python refuses to convert strings of more than 4,300 digits to integers."""
+MAX_DIGITS = 18
+"""Digits of a number in a header. Python refuses to convert strings of more
+than 4,300 digits to integers."""
 
 BODY_CHUNK_TIMEOUT_S = 10.0
 """Timeout for the next chunk of a body. Without it, a connection on which no
@@ -85,12 +86,19 @@
     @property
     def announced_bytes(self) -> int:
         """Length that the caller has announced for its body, 0 without one."""
-        text = self.headers.get("content-length", "")
+        return self.number("content-length") or 0
+
+    def number(self, name: str) -> int | None:
+        """Returns the number in a header, None if there is none.
+
+        Args:
+            name: The name of the header in lower case. A number of over
+                `MAX_DIGITS` digits counts as the largest.
+        """
+        text = self.headers.get(name, "")
         if not text.isdecimal():
-            return 0
-        if len(text) > MAX_LENGTH_DIGITS:
-            return sys.maxsize
-        return int(text)
+            return None
+        return int(text) if len(text) <= MAX_DIGITS else sys.maxsize
 
     def deadline(self, now: float, patience_s: float) -> float:
         """Returns until when the caller certainly waits, in monotonic s.
