daemon: let others have their turn between the pieces of one read

A body in chunks of a byte held the loop for all that one read had brought, 142 ms for 32 KB on a busy machine; many such callers could make it stand still for as long as a lead or a lease lasts.

--- a/laburnumsill/daemon/light_connection.py
+++ b/laburnumsill/daemon/light_connection.py
@@ -37,6 +37,10 @@
 MAX_JOINED_BYTES = 32_768
 """Size up to which an answer is copied together, to be sent in one write."""
 
+PIECES_A_TURN = 16
+"""Pieces of one read that are handled in one turn of the loop. A read may hold
+thousands of chunks of a byte."""
+
 SEND_TIMEOUT_S = 60
 """The connection of a caller that has not read an answer by then is closed."""
 
@@ -93,6 +97,7 @@
         self._is_given_up = False
         self._ends_at_once = False
         self._answered_early = False
+        self._pieces = 0
 
     @property
     def waiting_since(self) -> float | None:
@@ -290,6 +295,9 @@
         while True:
             event = self._protocol.next_event()
             if event is not h11.NEED_DATA:
+                self._pieces += 1
+                if self._pieces % PIECES_A_TURN == 0:
+                    await trio.lowlevel.checkpoint()  # others have their turn
                 return event
             if self._protocol.they_are_waiting_for_100_continue:
                 await self.write(
--- a/laburnumsill/daemon/tests/test_light_server.py
+++ b/laburnumsill/daemon/tests/test_light_server.py
@@ -21,6 +21,7 @@
 
 GRACE_S = 0.3
 PIPELINED = 100
+CHUNKS = 5_000
 
 
 class Site:
@@ -179,6 +180,29 @@
         assert site.bodies == [b"abcdef", b"abcde"]
 
 
+async def test_a_body_in_chunks_of_a_byte_leaves_others_their_turns():
+    """Guards against a loop that stands still for what one read holds."""
+    turns = 0
+
+    async def count_turns():
+        nonlocal turns
+        while True:
+            await trio.lowlevel.checkpoint()
+            turns += 1
+
+    async with served() as site:
+        caller = await site.connect()
+        await caller.send(
+            "PUT / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n"
+        )
+        await site.request_started.acquire()
+        site.nursery.start_soon(count_turns)
+        await caller.send("1\r\nx\r\n" * CHUNKS + "0\r\n\r\n")
+        await caller.until("answer")
+        assert site.bodies == [b"x" * CHUNKS]
+        assert turns >= CHUNKS / 50
+
+
 async def test_expect_100_continue_is_answered():
     async with served() as site:
         caller = await site.connect()
