daemon: put the staged shutdown of a server into a module of its own

The accept loop, the two stages of a shutdown and the end of its connections stood in the light server, where laburnumsilld cannot use them. They are in daemon.staged_server now, with an abstract connection.

--- a/laburnumsill/daemon/light_connection.py
+++ b/laburnumsill/daemon/light_connection.py
@@ -19,6 +19,7 @@
 from laburnumsill.daemon import connection_budget
 from laburnumsill.daemon import connection_monitor
 from laburnumsill.daemon import light_exchange
+from laburnumsill.daemon import staged_server
 from laburnumsill.wire import arrivals
 
 MAX_HEADER_BYTES = 32 * 1024
@@ -49,14 +50,12 @@
 response, and for which a caller may take to close its side after the last
 answer on a connection."""
 
-FIRST_CALL_S = 1.0
-"""Time for which a new connection is kept during a shutdown until its first
-call arrives: its caller has opened it to call at once."""
-
 _End = connection_monitor.ConnectionEnd
 
 
-class Connection(byte_budget.Holder, light_exchange.Channel):
+class Connection(
+    byte_budget.Holder, light_exchange.Channel, staged_server.Connection
+):
     """One caller's connection, which serves one exchange at a time.
 
     Args:
@@ -125,12 +124,7 @@
         return self._is_closing() and not self._has_unread
 
     def finish(self, answer_by: float) -> None:
-        """Closes the connection once all calls that have arrived are answered.
-
-        Args:
-            answer_by: Time of the loop at which a call that is still open is
-                given up, with an answer that says so.
-        """
+        """Closes it once all calls are answered, see the base class."""
         self._answer_by = answer_by
         if self._work is not None:
             self._work.deadline = min(self._work.deadline, answer_by)
@@ -288,7 +282,7 @@
             return trio.current_time() + KEEP_ALIVE_S
         if self._answers:
             return trio.current_time()
-        return min(self._since + FIRST_CALL_S, self._answer_by)
+        return min(self._since + staged_server.FIRST_CALL_S, self._answer_by)
 
     async def next_event(self) -> typing.Any:
         """Returns the next h11 event, see the base class."""
