daemon: laburnumsilld accepts its connections itself and reads its listen queue out

Callers that connected to laburnumsilld while it ended were reset, with the call that they had just sent: 31 of 40 callers that connect until they are refused, one SIGTERM.

Cause: hypercorn closes its listener while connections still arrive, and the kernel resets what is completed and not accepted. The wait for a quiet listen queue before that could not cover callers that are late themselves. A longer wait was ruled out: it is a guess about others.

The daemon now has the accept loop of the roles. At the stop it accepts all that waits and closes the listener in the same turn of the loop. hypercorn's TCPServer serves each connection as before, without its listener, lifespan protocol and worker; a connection that was accepted at the end has a second for its first call, an idle one 0.1 s, and a call that was read is answered within the grace.

Applications of tests need no adapter for the lifespan any more, so HttpOnly is gone; their checks are as before.

--- a/bench/http_servers.py
+++ b/bench/http_servers.py
@@ -73,7 +73,7 @@
 async def main() -> None:
     """Prints the table."""
     await play("light", light_server.serve, application)
-    await play("hypercorn", server.serve, server.HttpOnly(application))
+    await play("hypercorn", server.serve, application)
 
 
 if __name__ == "__main__":
--- a/laburnumsill/api/application.py
+++ b/laburnumsill/api/application.py
@@ -51,9 +51,7 @@
         self, scope: types.Scope, receive: types.Receive, send: types.Send
     ) -> None:
         """Handles one ASGI scope."""
-        if scope["type"] == "lifespan":
-            await _lifespan(receive, send)
-        elif scope["type"] != "http":
+        if scope["type"] != "http":
             await send({"type": "websocket.close", "code": 1000})
         elif scope["path"].startswith(SERVICES_PREFIX):
             await self._services(scope, receive, send)
@@ -61,16 +59,6 @@
             await self._budget.serve(self._router, scope, receive, send)
 
 
-async def _lifespan(receive: types.Receive, send: types.Send) -> None:
-    while True:
-        message = await receive()
-        if message["type"] == "lifespan.startup":
-            await send({"type": "lifespan.startup.complete"})
-        else:
-            await send({"type": "lifespan.shutdown.complete"})
-            return
-
-
 async def _http_problem(
     request: requests.Request, error: typing.Any
 ) -> responses.Response:
--- a/laburnumsill/daemon/assembly.py
+++ b/laburnumsill/daemon/assembly.py
@@ -58,8 +58,6 @@
         self._metrics = metrics.Metrics()
         self._current = current_configuration.Current()
         self._stopping = trio.Event()
-        self._stop_server = trio.Event()
-        self._server_stopped = trio.Event()
         self._network = network.PeerNetwork(
             self._local_vm, loaded.dial, self._clock, self._metrics
         )
@@ -151,6 +149,13 @@
             lambda: self._membership_sync.voters,
             self._schedulers,
         )
+        self._server = server.HypercornServer(
+            application.Application(
+                services_api.ServicesApp(self._router), self._routes()
+            ),
+            loaded.listen_address,
+            server.new_budget(self._metrics),
+        )
 
     async def run(self) -> None:
         """Runs until SIGTERM or SIGINT, then shuts down gracefully."""
@@ -160,7 +165,8 @@
                 await nursery.start(run)
             for run in self._background_components():
                 nursery.start_soon(run)
-            await nursery.start(self._serve)
+            self._server.listen()
+            await nursery.start(self._server.run)
             logs.event(
                 "daemon-started",
                 domain=self._local_vm.domain,
@@ -193,19 +199,6 @@
             self._configuration_sync.run,
         ]
 
-    async def _serve(self, *, task_status: trio.TaskStatus[list[str]]) -> None:
-        answering = application.Application(
-            services_api.ServicesApp(self._router), self._routes()
-        )
-        await server.serve(
-            server.ClosingWhileStopping(answering, self._stopping.is_set),
-            self._settings.listen_address,
-            self._stop_server.wait,
-            SERVER_GRACE_S,
-            task_status=task_status,
-        )
-        self._server_stopped.set()
-
     def _routes(self) -> list[routing.Route]:
         return [
             *operations_api.routes(
@@ -255,9 +248,9 @@
         Readiness is already lost when this starts.
         """
         logs.event("shutdown-started")
+        self._server.close_after_answers()
         await trio.sleep(READINESS_NOTICE_S)
         await self._host.transfer_leaderships()
         await self._router.drain(self._clock.monotonic() + DRAIN_TIMEOUT_S)
-        self._stop_server.set()
-        with trio.move_on_after(SERVER_GRACE_S):
-            await self._server_stopped.wait()
+        self._server.stop(trio.current_time() + SERVER_GRACE_S)
+        await self._server.wait_ended()
--- a/laburnumsill/daemon/server.py
+++ b/laburnumsill/daemon/server.py
@@ -1,23 +1,22 @@
 """The HTTP server of one daemon: hypercorn with limits and event logs."""
 
 import logging
-import select
-import socket
-import typing
+import sys
 from collections import abc
 
 import hypercorn.config
-import hypercorn.trio
 import trio
+from hypercorn.trio import worker_context
 
 from laburnumsill.core import logs
-from laburnumsill.daemon import listening
+from laburnumsill.core import metrics as metrics_module
+from laburnumsill.daemon import connection_budget
+from laburnumsill.daemon import hypercorn_connection
+from laburnumsill.daemon import staged_server
+from laburnumsill.wire import arrivals
 
 MAX_HEADER_BYTES = 32 * 1024
 KEEP_ALIVE_S = 60
-QUIET_S = 0.1
-"""Time without a waiting connection after which the listener is closed. In it
-the calls of the connections that were accepted last are read."""
 
 MAX_QUEUED_CHUNKS = 2
 """Number of chunks of a body, each of at most 64 KB, that wait to be read."""
@@ -44,127 +43,73 @@
     return logger
 
 
-class HttpOnly:
-    """Adds the ASGI lifespan protocol to an application without it.
-
-    Args:
-        application: An ASGI application that supports only HTTP.
-    """
-
-    def __init__(self, application: typing.Any) -> None:
-        self._application = application
-
-    async def __call__(
-        self,
-        scope: abc.Mapping[str, typing.Any],
-        receive: abc.Callable[[], abc.Awaitable[dict[str, typing.Any]]],
-        send: abc.Callable[[dict[str, typing.Any]], abc.Awaitable[None]],
-    ) -> None:
-        """Serves one scope."""
-        if scope["type"] != "lifespan":
-            await self._application(scope, receive, send)
-            return
-        message = await receive()
-        while message["type"] != "lifespan.shutdown":
-            await send({"type": "lifespan.startup.complete"})
-            message = await receive()
-        await send({"type": "lifespan.shutdown.complete"})
-
+def _config() -> hypercorn.config.Config:
+    config = hypercorn.config.Config()
+    config.accesslog = None
+    config.errorlog = _logger()
+    config.h11_max_incomplete_size = MAX_HEADER_BYTES
+    config.keep_alive_timeout = KEEP_ALIVE_S
+    config.max_app_queue_size = MAX_QUEUED_CHUNKS
+    config.include_server_header = False
+    return config
 
-class ClosingWhileStopping:
-    """Makes each answer the last one on its connection during a shutdown.
 
-    hypercorn then closes the connection without notice, and a caller that
-    has sent its next call on it gets no answer.
+class HypercornServer(staged_server.StagedServer):
+    """Serves an ASGI application on one address, by hypercorn's connections.
 
     Args:
-        application: An ASGI application.
-        is_stopping: Whether the server is going to stop.
+        application: The ASGI application; it gets no lifespan scope.
+        address: ``host:port`` to listen on.
+        budget: What the server takes for the limits of its connections.
     """
 
     def __init__(
-        self, application: typing.Any, is_stopping: abc.Callable[[], bool]
-    ) -> None:
-        self._application = application
-        self._is_stopping = is_stopping
-
-    async def __call__(
         self,
-        scope: abc.Mapping[str, typing.Any],
-        receive: abc.Callable[[], abc.Awaitable[dict[str, typing.Any]]],
-        send: abc.Callable[[dict[str, typing.Any]], abc.Awaitable[None]],
+        application: hypercorn_connection.Application,
+        address: str,
+        budget: connection_budget.ConnectionBudget,
     ) -> None:
-        """Serves one scope."""
+        super().__init__(address, budget)
+        self._application = application
+        self._config = _config()
+        self._context = worker_context.WorkerContext(None)
+
+    def _make_connection(
+        self, stream: arrivals.Stream
+    ) -> hypercorn_connection.HypercornConnection:
+        return hypercorn_connection.HypercornConnection(
+            self._application,
+            stream,
+            self._config,
+            self._context,
+            lambda: self.closing,
+        )
 
-        async def send_last(message: dict[str, typing.Any]) -> None:
-            is_start = message["type"] == "http.response.start"
-            if is_start and self._is_stopping():
-                fields = [*message["headers"], (b"connection", b"close")]
-                message = {**message, "headers": fields}
-            await send(message)
 
-        await self._application(scope, receive, send_last)
+def new_budget(
+    metrics: metrics_module.Metrics,
+) -> connection_budget.ConnectionBudget:
+    """Returns a budget without limits, which no connection uses."""
+    return connection_budget.ConnectionBudget(sys.maxsize, sys.maxsize, metrics)
 
 
 async def serve(
-    application: typing.Any,
+    application: hypercorn_connection.Application,
     address: str,
     stop: abc.Callable[[], abc.Awaitable[None]],
     stop_grace_s: float,
     *,
     task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Serves an ASGI application until `stop` returns.
+    """Serves an ASGI application until `stop` returns, see `staged_server`.
 
     Args:
         application: The ASGI application.
         address: ``host:port`` to listen on.
         stop: Returns when no new connection is to be accepted.
-        stop_grace_s: Seconds in which requests in flight can complete then; at
-            most half of them wait for connections to be accepted.
+        stop_grace_s: Seconds in which requests in flight can complete then.
         task_status: Started once the socket listens.
-
-    Raises:
-        listening.AddressTakenError: Another process listens on the address.
-        listening.ListenError: Listening on the address failed.
     """
-    listener = listening.listen(address)
-    queue = listener.dup()
-    config = hypercorn.config.Config()
-    config.bind = [f"fd://{listener.detach()}"]
-    config.accesslog = None
-    config.errorlog = _logger()
-    config.h11_max_incomplete_size = MAX_HEADER_BYTES
-    config.keep_alive_timeout = KEEP_ALIVE_S
-    config.graceful_timeout = stop_grace_s
-    config.backlog = listening.LISTEN_BACKLOG
-    config.max_app_queue_size = MAX_QUEUED_CHUNKS
-    config.include_server_header = False
-
-    async def stop_when_accepted() -> None:
-        await stop()
-        deadline = trio.current_time() + stop_grace_s
-        with trio.move_on_at((trio.current_time() + deadline) / 2):
-            await _until_quiet(queue)
-        queue.close()
-        config.graceful_timeout = deadline - trio.current_time()
-
-    with queue:
-        await hypercorn.trio.serve(
-            application,
-            config,
-            shutdown_trigger=stop_when_accepted,
-            mode="asgi",
-            task_status=task_status,
-        )
-
-
-async def _until_quiet(queue: socket.socket) -> None:
-    """Waits until no connection has waited to be accepted for `QUIET_S`."""
-    poll = select.poll()
-    poll.register(queue, select.POLLIN)
-    quiet_at = trio.current_time() + QUIET_S
-    while trio.current_time() < quiet_at:
-        if poll.poll(0):
-            quiet_at = trio.current_time() + QUIET_S
-        await trio.sleep(QUIET_S / 10)
+    budget = new_budget(metrics_module.Metrics())
+    server = HypercornServer(application, address, budget)
+    await staged_server.serve(server, stop, stop_grace_s, task_status)
--- /dev/null
+++ b/laburnumsill/daemon/tests/test_hypercorn_connection.py
@@ -0,0 +1,135 @@
+"""Limits and shutdown of connections that hypercorn serves."""
+
+import contextlib
+import socket
+
+import trio
+import trio.testing
+
+from laburnumsill.core import metrics as metrics_module
+from laburnumsill.daemon import connection_budget
+from laburnumsill.daemon import server
+from laburnumsill.daemon.tests import test_light_server
+from laburnumsill.platform import http
+from laburnumsill.testing import ports
+
+GRACE_S = 0.5
+LARGE_ANSWER = b"x" * 16 * 1024 * 1024
+"""More than the sockets between a server and its caller take."""
+
+GET = test_light_server.GET
+PUT = test_light_server.PUT
+
+
+class Site:
+    """A served application."""
+
+    def __init__(self, max_connections) -> None:
+        self.address = f"127.0.0.1:{ports.free_ports(1)[0]}"
+        self.metrics = metrics_module.Metrics()
+        self.server = server.HypercornServer(
+            self.app,
+            self.address,
+            connection_budget.ConnectionBudget(
+                10**9, max_connections, self.metrics
+            ),
+        )
+        self.resume = trio.Event()
+        self.request_started = trio.Semaphore(0)
+        self.server.listen()
+
+    async def app(self, scope, receive, send) -> None:
+        self.request_started.release()
+        await http.read_body(receive)
+        if scope["path"] == "/held":
+            await self.resume.wait()
+        body = LARGE_ANSWER if scope["path"] == "/large" else b"answer"
+        await http.send_answer(send, http.Answer(200, body))
+
+    @property
+    def endpoint(self) -> tuple[str, int]:
+        host, _, port = self.address.rpartition(":")
+        return host, int(port)
+
+    async def connect(self) -> test_light_server.Caller:
+        stream = await trio.open_tcp_stream(*self.endpoint)
+        return test_light_server.Caller(stream)
+
+    async def begin(self, request: str) -> test_light_server.Caller:
+        """Returns a caller whose call has reached the application."""
+        caller = await self.connect()
+        await caller.send(request)
+        await self.request_started.acquire()
+        await trio.testing.wait_all_tasks_blocked()
+        return caller
+
+    async def end(self) -> None:
+        """Ends the server."""
+        self.server.stop(trio.current_time() + GRACE_S)
+        with trio.fail_after(10 * GRACE_S):
+            await self.server.wait_ended()
+
+
+@contextlib.asynccontextmanager
+async def served(max_connections=100):
+    async with trio.open_nursery() as nursery:
+        site = Site(max_connections)
+        await nursery.start(site.server.run)
+        yield site
+        nursery.cancel_scope.cancel()
+
+
+async def test_the_last_answer_of_a_connection_says_so():
+    async with served() as site:
+        caller = await site.begin(GET.format("/"))
+        assert "connection: close" not in await caller.until("answer")
+        site.server.close_after_answers()
+        await caller.send(GET.format("/"))
+        assert "connection: close" in await caller.until_closed()
+
+
+async def test_a_shutdown_closes_idle_connections_and_completes_calls():
+    async with served() as site:
+        idle = await site.begin(GET.format("/"))
+        await idle.until("answer")
+        busy = await site.begin(GET.format("/held"))
+        late = await site.begin(PUT.format("/", 4) + "bod")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(site.end)
+            assert await idle.until_closed() == ""
+            await late.send("y")
+            assert "answer" in await late.until_closed()
+            site.resume.set()
+            assert "answer" in await busy.until_closed()
+
+
+async def test_calls_on_connections_that_wait_are_answered_when_stopping():
+    """Guards against connections that are reset with the listening socket."""
+    async with served() as site:
+        raw = [socket.create_connection(site.endpoint) for _ in range(20)]
+        for one in raw:
+            one.sendall(GET.format("/").encode())
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(site.end)
+            for one in raw:
+                with one, one.makefile("rb") as received:
+                    answer = await trio.to_thread.run_sync(received.read)
+                assert answer.endswith(b"answer")
+
+
+async def test_a_new_connection_may_make_its_first_call_when_stopping():
+    async with served() as site:
+        early = await site.connect()
+        await trio.testing.wait_all_tasks_blocked()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(site.end)
+            await trio.sleep(GRACE_S / 3)
+            await early.send(GET.format("/"))
+            assert "answer" in await early.until_closed()
+
+
+async def test_a_call_that_cannot_end_is_cut_after_the_grace():
+    async with served() as site:
+        caller = await site.begin(GET.format("/held"))
+        await site.end()
+        assert await caller.until_closed() == ""
--- a/laburnumsill/platform/tests/role_site.py
+++ b/laburnumsill/platform/tests/role_site.py
@@ -123,7 +123,7 @@
         stop = trio.Event()
         await self.nursery.start(
             server.serve,
-            server.HttpOnly(self.apps[name]),
+            self.apps[name],
             address,
             stop.wait,
             0.1,
--- a/laburnumsill/platform/tests/soak/site.py
+++ b/laburnumsill/platform/tests/soak/site.py
@@ -399,7 +399,7 @@
         self.announcers[name] = Announcer(app)
         await self.nursery.start(
             server.serve,
-            server.HttpOnly(app),
+            app,
             own,
             trio.Event().wait,
             SERVER_GRACE_S,
--- a/laburnumsill/platform/tests/test_border.py
+++ b/laburnumsill/platform/tests/test_border.py
@@ -235,9 +235,7 @@
     border = Border()
     address = f"127.0.0.1:{ports.free_ports(1)[0]}"
     stop = trio.Event()
-    await nursery.start(
-        server.serve, server.HttpOnly(border.control), address, stop.wait, 0.1
-    )
+    await nursery.start(server.serve, border.control, address, stop.wait, 0.1)
     other = standin.Caller([address])
     path = "/-/instances/i-1"
     valid = test_announcements.SOUND
--- a/laburnumsill/testing/tests/test_shutdown.py
+++ b/laburnumsill/testing/tests/test_shutdown.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import json
+import math
 
 import pytest
 import trio
@@ -82,8 +83,17 @@
     vm_id: str,
     crowd: kept_connections.Crowd,
     callers: int = CALLERS,
+    taken_out_s: float = TAKEN_OUT_S,
 ) -> None:
-    """Shuts one VM down while the crowd calls it."""
+    """Shuts one VM down while the crowd calls it.
+
+    Args:
+        site: The site.
+        vm_id: The VM.
+        crowd: Calls the VM.
+        callers: Number of callers.
+        taken_out_s: Time after the signal at which they stop to connect.
+    """
     process = site.process(vm_id)
 
     async def all_called() -> bool:
@@ -93,9 +103,11 @@
         nursery.start_soon(crowd.run, callers)
         await site.until(all_called, "the callers are answered")
         process.terminate()
-        await trio.sleep(TAKEN_OUT_S)
-        crowd.connects = False
+        if taken_out_s < math.inf:
+            await trio.sleep(taken_out_s)
+            crowd.connects = False
         assert await trio.to_thread.run_sync(process.wait) == 0
+        crowd.connects = False
 
 
 @pytest.mark.parametrize(
@@ -126,3 +138,15 @@
         crowd = kept_connections.Crowd(address, readiness, HEADERS)
         await shut_down(site, "vm1", crowd, callers=MANY_CALLERS)
         assert crowd.lost == []
+
+
+@pytest.mark.parametrize("calls", [readiness, configuration, job])
+async def test_a_shutdown_cuts_no_caller_that_connects_until_refused(
+    tmp_path, calls
+):
+    """Guards against connections that are reset with the listening socket."""
+    async with cluster.running(tmp_path, SITE) as site:
+        await scenario.start_site(site)
+        crowd = kept_connections.Crowd(site.address("vm1"), calls, HEADERS)
+        await shut_down(site, "vm1", crowd, taken_out_s=math.inf)
+        assert crowd.lost == []
--- a/laburnumsill/wire/arrivals.py
+++ b/laburnumsill/wire/arrivals.py
@@ -86,7 +86,13 @@
         return self._empty_at
 
     async def wait(self) -> None:
-        """Waits until something has arrived."""
+        """Waits until something has arrived.
+
+        Raises:
+            trio.ClosedResourceError: The socket was closed here.
+        """
+        if self._socket.fileno() == CLOSED:
+            raise trio.ClosedResourceError
         looked_at = _CLOCK.monotonic()
         if self._socket.is_readable():
             return
@@ -113,11 +119,16 @@
         """Monotonic time in s after which the data read last has arrived."""
         return self._arrivals.empty_at
 
+    @property
+    def socket(self) -> trio.socket.SocketType:
+        """The socket of the connection."""
+        return self._stream.socket
+
     @property
     def has_unread(self) -> bool:
         """Whether data has arrived and was not read; False once closed."""
-        sock = self._stream.socket
-        return sock.fileno() != CLOSED and bool(sock.is_readable())
+        is_closed = self.socket.fileno() == CLOSED
+        return not is_closed and bool(self.socket.is_readable())
 
     async def wait_for_data(self) -> None:
         """Waits until data has arrived, or the other side has closed."""
