daemon: bound the connections of laburnumsilld

4,400 callers that opened connections and sent 27 KB of a head that never ends took laburnumsilld to 394 MB of 300 and 4,417 descriptors of 4,096; each open head had the 60 s of an idle connection.

Cause: hypercorn bounds a head, not the number of connections. The budget of the bodies begins behind it. A shorter time for a head was ruled out as the mend: callers that open connections fast enough hold as many.

A daemon now has 1,024 connections at most, in the budget that the roles have: the one without a whole call that waits for longest is given up.

The checks of the crowds are as they were, in a function that plays several.

--- a/laburnumsill/daemon/hypercorn_connection.py
+++ b/laburnumsill/daemon/hypercorn_connection.py
@@ -1,4 +1,4 @@
-"""A connection that hypercorn serves, in a staged shutdown."""
+"""A connection that hypercorn serves, in a budget and a staged shutdown."""
 
 import typing
 from collections import abc
@@ -10,6 +10,8 @@
 from hypercorn.trio import tcp_server
 from hypercorn.trio import worker_context
 
+from laburnumsill.core import byte_budget
+from laburnumsill.daemon import connection_budget
 from laburnumsill.daemon import staged_server
 from laburnumsill.wire import arrivals
 
@@ -17,6 +19,8 @@
 """Time for which an idle connection is kept at a shutdown, in which a call that
 has arrived is read."""
 
+_BODY_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+
 Message = dict[str, typing.Any]
 Receive = abc.Callable[[], abc.Awaitable[Message]]
 Send = abc.Callable[[Message], abc.Awaitable[None]]
@@ -26,7 +30,7 @@
 """An ASGI application."""
 
 
-class HypercornConnection(staged_server.Connection):
+class HypercornConnection(byte_budget.Holder, staged_server.Connection):
     """A connection with any number of calls in progress.
 
     Args:
@@ -34,6 +38,7 @@
         stream: The connection.
         config: Of hypercorn.
         context: Of hypercorn, for all connections of a server.
+        budget: Bounds the number of connections.
         is_closing: Returns whether an answer is the last one on its
             connection.
     """
@@ -44,14 +49,18 @@
         stream: arrivals.Stream,
         config: hypercorn.config.Config,
         context: worker_context.WorkerContext,
+        budget: connection_budget.ConnectionBudget,
         is_closing: abc.Callable[[], bool],
     ) -> None:
         self._application = application
         self._stream = stream
+        self._budget = budget
         self._is_closing = is_closing
         self._calls = 0
+        self._whole_calls = 0
         self._answers = 0
         self._answer_by: float | None = None
+        self._since = trio.current_time()
         self._scope = trio.CancelScope()
         self._server = tcp_server.TCPServer(
             hypercorn.app_wrappers.ASGIWrapper(
@@ -63,6 +72,15 @@
             typing.cast(typing.Any, stream),
         )
 
+    @property
+    def waiting_since(self) -> float | None:
+        """Time since which there is no whole call, see the base class."""
+        return None if self._whole_calls else self._since
+
+    def give_up(self) -> None:
+        """Closes the connection, on which no call has arrived whole."""
+        self._scope.cancel()
+
     def finish(self, answer_by: float) -> None:
         """Closes it once all calls are answered, see the base class."""
         self._answer_by = answer_by
@@ -70,10 +88,12 @@
 
     async def run(self) -> None:
         """Serves calls until either end closes the connection."""
+        self._budget.add(self)
         try:
             with self._scope:
                 await self._server.run()
         finally:
+            self._budget.remove(self)
             await trio.aclose_forcefully(self._stream)
 
     async def _serve(
@@ -83,17 +103,34 @@
         send: Send,
     ) -> None:
         """Has the application answer a call."""
+        is_whole = False
+
+        def end_call() -> None:
+            nonlocal is_whole
+            self._whole_calls += not is_whole
+            is_whole = True
+
+        async def receive_counted() -> Message:
+            message = await receive()
+            if not message.get("more_body", False):
+                end_call()
+            return message
 
         async def send_last(message: Message) -> None:
             await send(self._with_notice(scope, message))
 
+        if not _BODY_HEADERS & {name for name, _ in scope["headers"]}:
+            end_call()
         self._calls += 1
+        self._since = trio.current_time()
         self._limit_time()
         try:
-            await self._application(scope, receive, send_last)
+            await self._application(scope, receive_counted, send_last)
         finally:
             self._calls -= 1
+            self._whole_calls -= is_whole
             self._answers += 1
+            self._since = trio.current_time()
             self._limit_time()
 
     def _with_notice(
--- a/laburnumsill/daemon/server.py
+++ b/laburnumsill/daemon/server.py
@@ -17,6 +17,9 @@
 
 MAX_HEADER_BYTES = 32 * 1024
 KEEP_ALIVE_S = 60
+MAX_CONNECTIONS = 1_024
+"""Limit of the connections of a daemon. An open head of 32 KB takes up to three
+times its size."""
 
 MAX_QUEUED_CHUNKS = 2
 """Number of chunks of a body, each of at most 64 KB, that wait to be read."""
@@ -60,7 +63,7 @@
     Args:
         application: The ASGI application; it gets no lifespan scope.
         address: ``host:port`` to listen on.
-        budget: What the server takes for the limits of its connections.
+        budget: Bounds the number of connections.
     """
 
     def __init__(
@@ -82,6 +85,7 @@
             stream,
             self._config,
             self._context,
+            self._budget,
             lambda: self.closing,
         )
 
@@ -89,8 +93,10 @@
 def new_budget(
     metrics: metrics_module.Metrics,
 ) -> connection_budget.ConnectionBudget:
-    """Returns a budget without limits, which no connection uses."""
-    return connection_budget.ConnectionBudget(sys.maxsize, sys.maxsize, metrics)
+    """Returns a budget of connections; their bytes are bounded elsewhere."""
+    return connection_budget.ConnectionBudget(
+        sys.maxsize, MAX_CONNECTIONS, metrics
+    )
 
 
 async def serve(
--- a/laburnumsill/daemon/tests/test_hypercorn_connection.py
+++ b/laburnumsill/daemon/tests/test_hypercorn_connection.py
@@ -3,6 +3,7 @@
 import contextlib
 import socket
 
+import pytest
 import trio
 import trio.testing
 
@@ -79,6 +80,51 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_an_idle_connection_makes_room_for_a_new_one():
+    """Guards against any number of connections without a call."""
+    async with served(max_connections=2) as site:
+        callers = [await site.begin(GET.format("/")) for _ in range(2)]
+        for caller in callers:
+            await caller.until("answer")
+        new = await site.begin(GET.format("/"))
+        await new.until("answer")
+        assert await callers[0].until_closed() == ""
+        await callers[1].send(GET.format("/"))
+        await callers[1].until("answer")
+
+
+async def test_a_head_that_is_never_complete_makes_room_for_others():
+    async with served(max_connections=2) as site:
+        slow = await site.connect()
+        await slow.send("GET / HTTP/1.1\r\nhost:")
+        await trio.testing.wait_all_tasks_blocked()
+        for _ in range(2):
+            await (await site.begin(GET.format("/"))).until("answer")
+        with contextlib.suppress(trio.BrokenResourceError):
+            assert await slow.until_closed() == ""
+
+
+@pytest.mark.parametrize(
+    "request_text", [GET.format("/held"), PUT.format("/held", 4) + "body"]
+)
+async def test_a_whole_call_is_not_given_up_for_others(request_text):
+    async with served(max_connections=2) as site:
+        whole = await site.begin(request_text)
+        for _ in range(5):
+            await (await site.begin(GET.format("/"))).until("answer")
+        site.resume.set()
+        await whole.until("answer")
+
+
+async def test_a_body_that_is_held_makes_room_for_others():
+    async with served(max_connections=2) as site:
+        held = await site.begin(PUT.format("/", 4) + "bod")
+        for _ in range(2):
+            await (await site.begin(GET.format("/"))).until("answer")
+        with contextlib.suppress(trio.BrokenResourceError):
+            assert await held.until_closed() == ""
+
+
 async def test_the_last_answer_of_a_connection_says_so():
     async with served() as site:
         caller = await site.begin(GET.format("/"))
--- a/laburnumsill/testing/tests/test_hostile_bodies.py
+++ b/laburnumsill/testing/tests/test_hostile_bodies.py
@@ -4,10 +4,12 @@
 of the smallest machine and to answer others.
 """
 
+import contextlib
 import itertools
 import json
 import pathlib
 import re
+from collections import abc
 
 import pytest
 
@@ -136,18 +138,40 @@
     ],
 )
 async def test_a_daemon_endures_callers(tmp_path, connections, scripts):
+    await endure(tmp_path, [(connections, scripts)])
+
+
+async def test_a_daemon_endures_callers_of_all_kinds_at_once(tmp_path):
+    """Guards against limits whose sum is over the memory of a machine."""
+    crowds = [
+        (300, announced("POST", SERVICE, BODY_LIMIT, BODY_LIMIT - 1)),
+        (100, announced("POST", JOBS, LARGE, LARGE - 1)),
+        (4_000, hostile_callers.endless_headers("POST", SERVICE, 27_000)),
+    ]
+    await endure(tmp_path, crowds)
+
+
+async def endure(
+    tmp_path: pathlib.Path,
+    crowds: abc.Sequence[tuple[int, hostile_callers.Scripts]],
+) -> None:
+    """Lets crowds hold their connections and checks the victim meanwhile."""
     async with cluster.running(tmp_path, SITE) as site:
         await scenario.start_site(site)
         await ordinary_calls(site, "before")
         address = site.address(VM)
         pid = site.process(VM).pid
         before_bytes = peak_memory_bytes(pid)
-        async with hostile_callers.holding(
-            address, connections, scripts
-        ) as crowd:
+        async with contextlib.AsyncExitStack() as stack:
+            holding = [
+                await stack.enter_async_context(
+                    hostile_callers.holding(address, connections, scripts)
+                )
+                for connections, scripts in crowds
+            ]
             descriptors = open_descriptors(pid)
             await ordinary_calls(site, "meanwhile")
-            assert crowd.connected
+            assert all(crowd.connected for crowd in holding)
         await ordinary_calls(site, "afterwards")
         peak_bytes = peak_memory_bytes(pid)
         print(f"{before_bytes=} {peak_bytes=} {descriptors=}")
