daemon: end laburnumsilld though a caller does not read its answer

A caller that sends a call with a large answer and reads none of it kept laburnumsilld from ending: after SIGTERM the process stood until it was killed.

Cause: hypercorn shields each send from cancellation, so neither the grace of the server nor the cancellation of the daemon reaches it. A timeout of each send was ruled out: it would also cut callers that read slowly while nothing ends.

--- a/laburnumsill/daemon/hypercorn_connection.py
+++ b/laburnumsill/daemon/hypercorn_connection.py
@@ -91,9 +91,18 @@
         self._budget.add(self)
         try:
             with self._scope:
-                await self._server.run()
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._close_when_cancelled)
+                    await self._server.run()
+                    nursery.cancel_scope.cancel()
         finally:
             self._budget.remove(self)
+
+    async def _close_when_cancelled(self) -> None:
+        """Ends a send in progress, which hypercorn shields."""
+        try:
+            await trio.sleep_forever()
+        finally:
             await trio.aclose_forcefully(self._stream)
 
     async def _serve(
--- a/laburnumsill/daemon/tests/test_hypercorn_connection.py
+++ b/laburnumsill/daemon/tests/test_hypercorn_connection.py
@@ -179,3 +179,13 @@
         caller = await site.begin(GET.format("/held"))
         await site.end()
         assert await caller.until_closed() == ""
+
+
+async def test_a_caller_that_reads_no_answer_holds_up_no_shutdown():
+    """Guards against a process that ends only when it is killed."""
+    async with served() as site:
+        caller = await site.begin(GET.format("/large"))
+        try:
+            await site.end()
+        finally:
+            await caller.stream.aclose()
