daemon: give up connections of laburnumsilld whose answer is not read

Callers that read no answer could take all 1,024 connections of laburnumsilld for good: each counted as a whole call that is served, which is never given up, and hypercorn waits for a slow reader without a limit. New callers were reset.

Cause: the budget looked at whether a call had arrived, not at who waits for whom. At the roles a connection that sends counts as one that waits for its caller; it does so here too now. The call has run by then, and the caller that is given up is one that reads nothing.

--- a/laburnumsill/daemon/hypercorn_connection.py
+++ b/laburnumsill/daemon/hypercorn_connection.py
@@ -58,6 +58,7 @@
         self._is_closing = is_closing
         self._calls = 0
         self._whole_calls = 0
+        self._sends = 0
         self._answers = 0
         self._answer_by: float | None = None
         self._since = trio.current_time()
@@ -74,11 +75,14 @@
 
     @property
     def waiting_since(self) -> float | None:
-        """Time since which there is no whole call, see the base class."""
-        return None if self._whole_calls else self._since
+        """Time since which no whole call is served, see the base class.
+
+        A call whose answer is being sent waits for its caller.
+        """
+        return None if self._whole_calls > self._sends else self._since
 
     def give_up(self) -> None:
-        """Closes the connection, on which no call has arrived whole."""
+        """Closes the connection, also while an answer is sent."""
         self._scope.cancel()
 
     def finish(self, answer_by: float) -> None:
@@ -125,8 +129,13 @@
                 end_call()
             return message
 
-        async def send_last(message: Message) -> None:
-            await send(self._with_notice(scope, message))
+        async def send_counted(message: Message) -> None:
+            self._sends += 1
+            self._since = trio.current_time()
+            try:
+                await send(self._with_notice(scope, message))
+            finally:
+                self._sends -= 1
 
         if not _BODY_HEADERS & {name for name, _ in scope["headers"]}:
             end_call()
@@ -134,7 +143,7 @@
         self._since = trio.current_time()
         self._limit_time()
         try:
-            await self._application(scope, receive_counted, send_last)
+            await self._application(scope, receive_counted, send_counted)
         finally:
             self._calls -= 1
             self._whole_calls -= is_whole
--- a/laburnumsill/daemon/tests/test_hypercorn_connection.py
+++ b/laburnumsill/daemon/tests/test_hypercorn_connection.py
@@ -125,6 +125,20 @@
             assert await held.until_closed() == ""
 
 
+async def test_an_answer_that_is_not_read_makes_room_for_others():
+    """Guards against callers that shut all others out for good."""
+    async with served(max_connections=2) as site:
+        deaf = [await site.begin(GET.format("/large")) for _ in range(2)]
+        try:
+            for _ in range(2):
+                new = await site.connect()
+                await new.send(GET.format("/"))
+                await new.until("answer")
+        finally:
+            for caller in deaf:
+                await caller.stream.aclose()
+
+
 async def test_the_last_answer_of_a_connection_says_so():
     async with served() as site:
         caller = await site.begin(GET.format("/"))
