platform: test callers that send on while their calls wait, which exhaust an entry

1,300 callers send 20 calls of 28 KB each at once to an entry whose core has no majority. The first call of each waits whole for the core; the others fill the kernel's buffers, which count as memory on the users' machines. The bound is the smallest machine's: 160 MB, peak memory and unread bytes together, looked at every 0.2 s.

--- a/laburnumsill/platform/tests/test_hostile_bodies.py
+++ b/laburnumsill/platform/tests/test_hostile_bodies.py
@@ -36,6 +36,15 @@
 ANSWER_WITHIN_S = 60.0
 """Time for the repetitions of an ordinary call."""
 
+ALL_CONNECTIONS = 1_300
+"""Callers that use all connections of an entry."""
+
+SERVED_BYTES = 28_000
+"""Size of a call of which an entry serves one on each connection."""
+
+SENT_ON = 20
+"""Calls that a caller sends at once, several hundred KB."""
+
 MORE_THAN_ALL = 100
 """Callers for which an entry with few descriptors has no connections."""
 
@@ -403,3 +412,41 @@
             nursery.cancel_scope.cancel()
         await balancer.aclose()
         assert statuses <= {200, 503}
+
+
+async def test_an_entry_endures_callers_that_send_on_while_calls_wait(tmp_path):
+    """Calls that have arrived whole wait for a core without a majority."""
+    body = submission(SERVED_BYTES)
+    length = f"Content-Length: {len(body)}"
+    peaks = []
+
+    def script(number: int) -> hostile_callers.Script:
+        call = hostile_callers.head(
+            "POST", JOB.format(f"{number:016x}"), length
+        )
+        return hostile_callers.Script([(call + body) * SENT_ON])
+
+    async def watch(site):
+        while True:
+            unread_bytes = site.unread_bytes(site.entry_address)
+            peaks.append(site.peak_memory_bytes(ENTRY) + unread_bytes)
+            await trio.sleep(PROBE_INTERVAL_S)
+
+    async with role_processes.running(tmp_path, with_usual_limit()) as site:
+        ordinary = Ordinary(site, ENTRY)
+        await ordinary.call()
+        for vm in role_processes.CORE[1:]:
+            site.processes[vm].pause()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch, site)
+            async with hostile_callers.holding(
+                site.entry_address, ALL_CONNECTIONS, script
+            ) as crowd:
+                assert crowd.connected
+            nursery.cancel_scope.cancel()
+        for vm in role_processes.CORE[1:]:
+            site.processes[vm].resume()
+        await ordinary.call()
+        print(f"{max(peaks)=}")
+        assert all(process.running for process in site.processes.values())
+        assert max(peaks) <= MEMORY_BYTES[ENTRY]
