daemon: bound what callers send ahead of the calls that are served

Cause: the budget counts what the process has read. What has arrived and is not read is kept by the kernel, up to its receive buffer (128 KB a connection here), and counts as memory on the users' machines. A call that is served is never given up, so neither is its connection. Reading on and counting was ruled out: it costs the process memory of its own for calls that it will not serve before.

The listening socket sets a receive buffer of 16 KiB, which its connections inherit; a caller that sends more waits. It is half of the 32 KiB that the budget has for a connection.

--- a/laburnumsill/daemon/listening.py
+++ b/laburnumsill/daemon/listening.py
@@ -7,6 +7,10 @@
 
 LISTEN_BACKLOG = 512
 
+RECEIVE_BUFFER_BYTES = 16 * 1024
+"""Size of the kernel's receive buffer of a connection, about which holds what a
+caller sends ahead of what is read."""
+
 
 class ListenError(errors.LaburnumsillError):
     """Listening on an address of this daemon failed."""
@@ -35,6 +39,9 @@
         listening.setblocking(False)
         listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listening.bind((host, int(port)))
+        listening.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
         listening.listen(LISTEN_BACKLOG)
     except (OSError, ValueError, OverflowError) as error:
         listening.close()
