daemon: let a connection of laburnumsilld fail alone

A single caller could end laburnumsilld: a WebSocket upgrade, followed by bytes that are no frame, in one call. The process ended and took all calls of others with it.

Cause: hypercorn raises LocalProtocolError while it refuses such an upgrade, since it answers a second time. Its connections ran in the nursery of the server, so the error cancelled the daemon. Switching WebSockets off was ruled out as the mend: it leaves every other error of the library.

--- a/laburnumsill/daemon/hypercorn_connection.py
+++ b/laburnumsill/daemon/hypercorn_connection.py
@@ -11,6 +11,7 @@
 from hypercorn.trio import worker_context
 
 from laburnumsill.core import byte_budget
+from laburnumsill.core import logs
 from laburnumsill.daemon import connection_budget
 from laburnumsill.daemon import staged_server
 from laburnumsill.wire import arrivals
@@ -95,13 +96,23 @@
         self._budget.add(self)
         try:
             with self._scope:
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(self._close_when_cancelled)
-                    await self._server.run()
-                    nursery.cancel_scope.cancel()
+                await self._run_server()
+        except* Exception as errors:  # must not affect other connections
+            logs.event(
+                "http-server",
+                level="ERROR",
+                message="a connection failed",
+                error=repr(errors),
+            )
         finally:
             self._budget.remove(self)
 
+    async def _run_server(self) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._close_when_cancelled)
+            await self._server.run()
+            nursery.cancel_scope.cancel()
+
     async def _close_when_cancelled(self) -> None:
         """Ends a send in progress, which hypercorn shields."""
         try:
--- a/laburnumsill/testing/tests/test_bad_input.py
+++ b/laburnumsill/testing/tests/test_bad_input.py
@@ -27,6 +27,8 @@
 LEAKS = (b"Traceback", b".py", b"site-packages", b"pydantic", b"0x")
 MB = 1024 * 1024
 
+WEBSOCKET_CALLS = 5
+
 
 async def raw(address, request, timeout_s=10):
     """Sends bytes and returns all that comes back until the end."""
@@ -262,6 +264,24 @@
     return received
 
 
+UPGRADE = (
+    b"GET / HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\n"
+    b"Upgrade: websocket\r\nSec-WebSocket-Version: 13\r\n"
+    b"Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n"
+)
+
+
+async def test_a_malformed_websocket_call_ends_no_daemon(tmp_path):
+    """Guards against a caller's bytes that end the process for all."""
+    async with cluster.running(tmp_path, SITE) as site:
+        await scenario.start_site(site)
+        for _ in range(WEBSOCKET_CALLS):
+            await raw(site.address("vm1"), UPGRADE + b"\xff" * 50, 1.0)
+        answer = await scenario.request(site, "vm1", "confirm", "after")
+        assert answer.outcome == "answered"
+        assert site.process("vm1").running
+
+
 async def test_half_sent_and_trickling_requests_hold_up_nobody(
     tmp_path: pathlib.Path,
 ):
