platform: test jobs of thousands of steps, which exhaust an entry

100 callers with valid keys submit a job of 19,900 steps each, in a body of 240 KB inside the limit of 262,144. The bounds are the smallest machines': entry 160 MB, core VM 296 MB.

--- a/laburnumsill/platform/tests/test_hostile_bodies.py
+++ b/laburnumsill/platform/tests/test_hostile_bodies.py
@@ -45,6 +45,11 @@
 SENT_ON = 20
 """Calls that a caller sends at once, several hundred KB."""
 
+STEPS = 19_900
+"""Nearly as many steps as a job may have tasks."""
+
+MANY_STEPS_CALLERS = 100
+
 MORE_THAN_ALL = 100
 """Callers for which an entry with few descriptors has no connections."""
 
@@ -450,3 +455,23 @@
         print(f"{max(peaks)=}")
         assert all(process.running for process in site.processes.values())
         assert max(peaks) <= MEMORY_BYTES[ENTRY]
+
+
+@pytest.mark.parametrize(
+    "vm", [pytest.param(ENTRY, id="entry"), pytest.param(VM, id="core")]
+)
+async def test_jobs_of_thousands_of_steps_exhaust_no_process(tmp_path, vm):
+    """Guards against bodies that grow when they are decoded."""
+    step = b'{"count":1},'
+    body = b'{"spec":"","steps":[' + (step * STEPS)[:-1] + b"]}"
+    assert len(body) <= BODY_LIMIT
+
+    def script(number: int) -> hostile_callers.Script:
+        length = f"Content-Length: {len(body)}"
+        path = JOB.format(f"{number:016x}")
+        return hostile_callers.Script(
+            [hostile_callers.head("POST", path, length), body]
+        )
+
+    async with role_processes.running(tmp_path, with_usual_limit()) as site:
+        await endure(site, vm, site.entry_address, MANY_STEPS_CALLERS, script)
