platform: bound what submissions hold once they are decoded

100 callers with valid keys whose jobs have thousands of steps, in bodies inside the limit, took an entry to 807 and 1,039 MB of 160.

Cause: the budget of the connections counts bytes as they arrive. A step of a dozen bytes takes some 150 as it is parsed, 175 as a part of the job and 180 as bytes for the core, and all of it is held until the core has answered. A lower limit of steps was ruled out: a single job inside the limits is to be served, and it is the sum that exhausts the process.

An eighth of the memory is for all submissions on their way. What a job was parsed from is freed before it is forwarded.

--- a/laburnumsill/daemon/entry_role.py
+++ b/laburnumsill/daemon/entry_role.py
@@ -52,6 +52,7 @@
             gateway.JobGateway(role.SITE_GROUP, self._groups, self._clock),
             self._clock,
             self._metrics,
+            settings.limits.submission_bytes,
         )
 
     @property
--- a/laburnumsill/daemon/role_settings.py
+++ b/laburnumsill/daemon/role_settings.py
@@ -25,6 +25,9 @@
 CONNECTION_SHARE = 0.25
 """Share of the memory for the connections themselves."""
 
+SUBMISSION_SHARE = 0.125
+"""Share of the memory for submissions that are decoded and forwarded."""
+
 CONNECTION_BYTES = 32 * 1024
 """Memory of a connection without a call: its task, its parser, its buffers."""
 
@@ -101,6 +104,11 @@
         """Limit of the bytes of all calls that are read or served."""
         return int(self.memory_mb * MIB * CALL_SHARE)
 
+    @property
+    def submission_bytes(self) -> int:
+        """Limit of the memory of all decoded submissions."""
+        return int(self.memory_mb * MIB * SUBMISSION_SHARE)
+
     @property
     def connections(self) -> int:
         """Limit of the number of connections of callers."""
--- a/laburnumsill/platform/caller_app.py
+++ b/laburnumsill/platform/caller_app.py
@@ -6,6 +6,7 @@
 
 from laburnumsill.batch import caller_commands
 from laburnumsill.batch import gateway as gateways
+from laburnumsill.batch import model
 from laburnumsill.config import site
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import errors
@@ -13,11 +14,13 @@
 from laburnumsill.core import metrics as metrics_module
 from laburnumsill.platform import decoding
 from laburnumsill.platform import http
+from laburnumsill.platform import submission_budget
 from laburnumsill.platform import wire
 
 READY_PATH = "/-/ready"
 DEFAULT_DEADLINE_MS = 3_000
 BEARER = "Bearer "
+DEFAULT_MAX_SUBMISSION_BYTES = 16 * 1024 * 1024
 
 
 class Front(abc.ABC):
@@ -44,7 +47,15 @@
 
 
 class CallerApp:
-    """Serves `POST`, `GET` and `DELETE` of jobs and `GET` of queues."""
+    """Serves `POST`, `GET` and `DELETE` of jobs and `GET` of queues.
+
+    Args:
+        front: State of the daemon.
+        jobs: Stores jobs in the core.
+        clock: The clock of this process.
+        metrics: Receives the metrics.
+        max_submission_bytes: Limit of the memory of all decoded submissions.
+    """
 
     def __init__(
         self,
@@ -52,11 +63,15 @@
         jobs: gateways.JobGateway,
         clock: clocks.Clock,
         metrics: metrics_module.Metrics,
+        max_submission_bytes: int = DEFAULT_MAX_SUBMISSION_BYTES,
     ) -> None:
         self._front = front
         self._jobs = jobs
         self._clock = clock
         self._metrics = metrics
+        self._submissions = submission_budget.SubmissionBudget(
+            max_submission_bytes
+        )
 
     async def __call__(
         self, scope: http.Scope, receive: http.Receive, send: http.Send
@@ -147,9 +162,9 @@
         if not decoding.is_job_id(call.job):
             return http.Answer(404)
         if method == "POST":
-            submitted = decoding.parse(body, wire.JobBody)
-            job = decoding.job(call.job, queue, account, submitted)
-            await self._jobs.submit(job, deadline)
+            with self._submissions.holding(body):
+                job = _decode(call.job, queue, account, body)
+                await self._jobs.submit(job, deadline)
             return http.json_answer(200, {})
         if method == "GET":
             state = await self._jobs.job_state(call.job, deadline)
@@ -236,6 +251,14 @@
     return queue, account.name if account else ""
 
 
+def _decode(
+    job_id: str, queue: site.Queue, account: str, body: bytes
+) -> model.Job:
+    """Returns the submitted job; what it was parsed from is freed."""
+    submitted = decoding.parse(body, wire.JobBody)
+    return decoding.job(job_id, queue, account, submitted)
+
+
 def _deadline_ms(request: http.Request, queue: site.Queue) -> int:
     """Returns the caller's timeout in ms, counted from the request's start."""
     deadline_ms = request.number("x-deadline-ms")
