batch: bound the steps of all jobs that the ledger keeps

40 jobs of 19,900 steps each, sent one after the other by one caller with a valid key in bodies inside the limit, took core VMs to 329 MB of 296. From the third on their group lost its leader, and calls got 503 and 504.

Cause: nothing bounds what is accepted. A step takes some 2.4 KB in each replica, and a record stays until its job has ended for long. A limit of the steps of one job was ruled out: it is the sum that counts, and a single job inside the limits is served. So was a check by the leader alone, before the command: two submissions in progress would both pass it.

A submission now carries a limit of the steps of all jobs whose records are kept, 40,000, twice what the largest job may have. The ledger refuses one beyond it with 503, so "not accepted" holds on all replicas; a resent job that is known is answered as before. The limit is a field of the command: logs of the version before have none and are replayed as they were.

--- a/laburnumsill/batch/caller_commands.py
+++ b/laburnumsill/batch/caller_commands.py
@@ -26,6 +26,14 @@
     title = "The job was cancelled before it was submitted"
 
 
+class TooManyStepsError(errors.OverloadedError):
+    """The jobs that are kept have too many steps; this one was not accepted."""
+
+    slug = "too-many-steps"
+    title = "All jobs together have too many steps"
+    default_retry_after_s = 10.0
+
+
 class TooManyWithdrawnError(errors.OverloadedError):
     """Too many unknown jobs were cancelled; this one was not."""
 
@@ -39,10 +47,17 @@
     """Submits a job; a second submission with the same id is ignored.
 
     It is refused if the job was cancelled before it was first submitted.
+
+    Attributes:
+        job: The job.
+        at_ms: When the request was received, ms since 1970.
+        max_steps: Limit of the steps of all jobs whose records are kept, 0 for
+            none, as in commands of earlier versions.
     """
 
     job: model.Job
     at_ms: int
+    max_steps: int = 0
 
 
 @codec.register("batch.cancel")
--- a/laburnumsill/batch/gateway.py
+++ b/laburnumsill/batch/gateway.py
@@ -13,6 +13,10 @@
 """Longest time for which a submission may wait, whatever its caller allows. A
 cancellation that overtakes it is recorded for longer than that."""
 
+MAX_STEPS = 40_000
+"""Limit of the steps of all jobs whose records are kept: about 100 MB of memory
+in each VM of the group."""
+
 QUERY_TIMEOUT_S = 1.0
 """Timeout of a query."""
 
@@ -51,10 +55,13 @@
         Raises:
             caller_commands.JobWithdrawnError: The job was cancelled before; it
                 never runs.
-            errors.UnavailableError: The job was certainly not accepted.
+            errors.UnavailableError: The job was certainly not accepted, for one
+                because all jobs together would have over `MAX_STEPS` steps.
             errors.OutcomeUnknownError: The job may have been accepted.
         """
-        command = caller_commands.SubmitJob(job, self._clock.wall_ms())
+        command = caller_commands.SubmitJob(
+            job, self._clock.wall_ms(), MAX_STEPS
+        )
         deadline = self._deadline_within(deadline, MAX_SUBMISSION_S)
         await self._groups.propose(
             self._group, command, deadline - ANSWER_MARGIN_S
--- a/laburnumsill/batch/ledger.py
+++ b/laburnumsill/batch/ledger.py
@@ -89,6 +89,7 @@
 
     def __init__(self) -> None:
         self._jobs: dict[str, records.JobRecord] = {}
+        self._steps = 0
         self._registry = worker_registry.WorkerRegistry()
         self._live = live_runs.LiveRuns()
         self._waiting: dict[model.StepKey, list[model.TaskId]] = {}
@@ -213,11 +214,19 @@
 
         Raises:
             caller_commands.JobWithdrawnError: It was cancelled before.
+            caller_commands.TooManyStepsError: All jobs together would have too
+                many steps.
         """
         job_id = command.job.job_id
         if job_id in self._jobs:
             return
         self._withdrawn.check(job_id)
+        steps = self._steps + command.job.total_steps
+        if command.max_steps and steps > command.max_steps:
+            raise caller_commands.TooManyStepsError(
+                f"{steps} steps, {command.max_steps} at most"
+            )
+        self._steps = steps
         record = records.new_job(command.job, command.at_ms)
         self._jobs[job_id] = record
         self._active[job_id] = record
@@ -447,6 +456,7 @@
             ended = 0 < record.ended_ms < command.ended_before_ms
             if ended and job_id not in busy:
                 del self._jobs[job_id]
+                self._steps -= record.job.total_steps
         self._crashes.keep_jobs(self._active)
         queues = {record.job.queue for record in self._jobs.values()}
         self._queue_pools.keep(queues)
@@ -504,6 +514,7 @@
         self.__init__()  # type: ignore[misc]
         for job in snapshot.jobs:
             self._jobs[job.job.job_id] = job
+            self._steps += job.job.total_steps
             if job.active:
                 self._active[job.job.job_id] = job
         for worker in snapshot.workers:
--- a/laburnumsill/batch/model.py
+++ b/laburnumsill/batch/model.py
@@ -211,6 +211,11 @@
         """Number of occurrences: how many times the steps run."""
         return max(1, self.repeat_count)
 
+    @property
+    def total_steps(self) -> int:
+        """Number of the steps of all occurrences."""
+        return len(self.steps) * self.occurrences
+
     def due_ms(self, occurrence: int) -> int:
         """Returns the due time of an occurrence, ms since 1970; 0 for now."""
         if not self.repeat_count:
--- a/laburnumsill/platform/tests/test_hostile_bodies.py
+++ b/laburnumsill/platform/tests/test_hostile_bodies.py
@@ -49,6 +49,7 @@
 """Nearly as many steps as a job may have tasks."""
 
 MANY_STEPS_CALLERS = 100
+MANY_STEPS_JOBS = 40
 
 MORE_THAN_ALL = 100
 """Callers for which an entry with few descriptors has no connections."""
@@ -457,14 +458,20 @@
         assert max(peaks) <= MEMORY_BYTES[ENTRY]
 
 
+def job_of_many_steps() -> bytes:
+    """Returns the body of a job with nearly as many steps as it may have."""
+    steps = b",".join([b'{"count":1}'] * STEPS)
+    body = b'{"spec":"","steps":[' + steps + b"]}"
+    assert len(body) <= BODY_LIMIT
+    return body
+
+
 @pytest.mark.parametrize(
     "vm", [pytest.param(ENTRY, id="entry"), pytest.param(VM, id="core")]
 )
 async def test_jobs_of_thousands_of_steps_exhaust_no_process(tmp_path, vm):
     """Guards against bodies that grow when they are decoded."""
-    step = b'{"count":1},'
-    body = b'{"spec":"","steps":[' + (step * STEPS)[:-1] + b"]}"
-    assert len(body) <= BODY_LIMIT
+    body = job_of_many_steps()
 
     def script(number: int) -> hostile_callers.Script:
         length = f"Content-Length: {len(body)}"
@@ -475,3 +482,19 @@
 
     async with role_processes.running(tmp_path, with_usual_limit()) as site:
         await endure(site, vm, site.entry_address, MANY_STEPS_CALLERS, script)
+
+
+async def test_core_vms_endure_many_accepted_jobs(tmp_path):
+    """Guards against jobs that are accepted beyond what a core VM can hold."""
+    body = job_of_many_steps()
+    async with role_processes.running(tmp_path, with_usual_limit()) as site:
+        ordinary = Ordinary(site, ENTRY)
+        await ordinary.call()
+        for number in range(MANY_STEPS_JOBS):
+            path = JOB.format(f"{number:016x}")
+            status, _ = await site.callers.send("POST", path, body)
+            assert status in (200, 429, 503, 504)
+        peaks = [site.peak_memory_bytes(vm) for vm in role_processes.CORE]
+        assert all(process.running for process in site.processes.values())
+        assert max(peaks) <= MEMORY_BYTES[VM]
+        await ordinary.call()
