daemon: serve one call at a time on an HTTP/2 connection of laburnumsilld

200 callers with 100 calls each over HTTP/2, of which each sends a head of 14 KB and no body, took laburnumsilld to 1,124 MB of 300; in one of two runs no ordinary call was answered within its time.

Cause: the limit of connections counted a connection as one call. hypercorn allows a hundred at a time over HTTP/2, and decodes the head of each. A limit of headers was ruled out: each head is inside it.

A connection has one call at a time now. INTERFACE.md promises HTTP/1.1; a caller that opens several calls at once over HTTP/2 is disconnected by the protocol's own rule.

test_a_daemon_endures_callers[http2] fails before, 2 of 2, and passes with 66 and 67 MB after, 2 of 2.

--- a/laburnumsill/daemon/server.py
+++ b/laburnumsill/daemon/server.py
@@ -52,6 +52,7 @@
     config.errorlog = _logger()
     config.h11_max_incomplete_size = MAX_HEADER_BYTES
     config.keep_alive_timeout = KEEP_ALIVE_S
+    config.h2_max_concurrent_streams = 1  # a limit of connections is of calls
     config.max_app_queue_size = MAX_QUEUED_CHUNKS
     config.include_server_header = False
     return config
--- a/laburnumsill/testing/tests/test_hostile_bodies.py
+++ b/laburnumsill/testing/tests/test_hostile_bodies.py
@@ -33,6 +33,9 @@
 LARGE = 4 * 1024 * 1024
 """Size of the largest body of an operator or a member, in bytes."""
 
+HTTP2_FIELDS = 130
+"""Headers of 108 bytes of a call over HTTP/2: 14 KB."""
+
 ANSWER_WITHIN_S = 60.0
 """Time for the repetitions of an ordinary call."""
 
@@ -70,6 +73,26 @@
     return script
 
 
+def http2_calls(path: str, calls: int):
+    """Begins calls side by side on one connection, each with large headers."""
+    field = b"\x00\x08x-filler\x64" + b"x" * 100
+    block = b"\x83\x86\x04" + bytes([len(path)]) + path.encode()
+    block += b"\x01\x01h" + field * HTTP2_FIELDS
+
+    def frame(kind: int, flags: int, stream: int, payload: bytes) -> bytes:
+        head = len(payload).to_bytes(3, "big") + bytes([kind, flags])
+        return head + stream.to_bytes(4, "big") + payload
+
+    settings = frame(4, 0, 0, b"")
+    begin = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + settings
+    heads = [frame(1, 4, 2 * number + 1, block) for number in range(calls)]
+
+    def script(number: int) -> hostile_callers.Script:
+        return hostile_callers.Script([begin, *heads])
+
+    return script
+
+
 async def ordinary_calls(site: cluster.Cluster, name: str) -> None:
     """Repeats a request and the submission of a job until both are served."""
 
@@ -128,6 +151,7 @@
                 announced("PUT", CONFIGURATION, 256 * LARGE, 2 * LARGE),
             ),
             ("jobs-held", 100, announced("POST", JOBS, LARGE, LARGE - 1)),
+            ("http2", 200, http2_calls(JOBS, 100)),
             ("members-held", 100, announced("POST", SERVERS, LARGE, LARGE - 1)),
             (
                 "headers",
