daemon: let callers of laburnumsilld read the answer that refuses their head

Cause: hypercorn closes a connection right behind its last answer, also while bytes of the caller are unread, and that resets it. A larger receive buffer was ruled out: it hides the reset, and callers that send ahead need the bound.

hypercorn sees a stream that it cannot close. Once it has closed that, the connection stops sending and reads on for half a second, until the caller has closed its side, as the server of the roles does.

--- a/laburnumsill/daemon/hypercorn_connection.py
+++ b/laburnumsill/daemon/hypercorn_connection.py
@@ -1,5 +1,6 @@
 """A connection that hypercorn serves, in a budget and a staged shutdown."""
 
+import contextlib
 import typing
 from collections import abc
 
@@ -20,6 +21,11 @@
 """Time for which an idle connection is kept at a shutdown, in which a call that
 has arrived is read."""
 
+LINGER_S = 0.5
+"""Time for which a caller may take to close its side after the last answer."""
+
+RECEIVE_BYTES = 32_768
+
 _BODY_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 
 Message = dict[str, typing.Any]
@@ -31,6 +37,63 @@
 """An ASGI application."""
 
 
+class _KeptStream:
+    """The stream that hypercorn sees, which it cannot close.
+
+    Closing with unread bytes resets the connection, and a reset may destroy an
+    answer that the caller has not read yet.
+
+    Args:
+        stream: The connection.
+    """
+
+    def __init__(self, stream: arrivals.Stream) -> None:
+        self._stream = stream
+        self._receiving = trio.CancelScope()
+        self._closed = trio.Event()
+
+    async def wait_closed(self) -> None:
+        """Waits until hypercorn has closed the stream."""
+        await self._closed.wait()
+
+    @property
+    def socket(self) -> trio.socket.SocketType:
+        """The socket of the connection."""
+        return self._stream.socket
+
+    async def receive_some(self, max_bytes: int) -> bytes:
+        """Returns received data.
+
+        Raises:
+            trio.ClosedResourceError: hypercorn has closed the stream.
+        """
+        self._receiving = trio.CancelScope()
+        with self._receiving:
+            if not self._closed.is_set():
+                return await self._stream.receive_some(max_bytes)
+        raise trio.ClosedResourceError
+
+    async def send_all(self, data: bytes) -> None:
+        """Sends data.
+
+        Raises:
+            trio.ClosedResourceError: hypercorn has closed the stream.
+        """
+        if self._closed.is_set():
+            raise trio.ClosedResourceError
+        await self._stream.send_all(data)
+
+    async def send_eof(self) -> None:
+        """Ends what is sent."""
+        await self._stream.send_eof()
+
+    async def aclose(self) -> None:
+        """Ends what hypercorn receives and sends."""
+        self._closed.set()
+        self._receiving.cancel()
+        await trio.lowlevel.checkpoint()
+
+
 class HypercornConnection(byte_budget.Holder, staged_server.Connection):
     """A connection with any number of calls in progress.
 
@@ -55,6 +118,7 @@
     ) -> None:
         self._application = application
         self._stream = stream
+        self._kept_stream = _KeptStream(stream)
         self._budget = budget
         self._is_closing = is_closing
         self._calls = 0
@@ -71,7 +135,7 @@
             config,
             context,
             hypercorn.typing.ConnectionState({}),
-            typing.cast(typing.Any, stream),
+            typing.cast(typing.Any, self._kept_stream),
         )
 
     @property
@@ -110,9 +174,25 @@
     async def _run_server(self) -> None:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._close_when_cancelled)
-            await self._server.run()
+            async with trio.open_nursery() as ending:
+                ending.start_soon(self._close_after_answer)
+                await self._server.run()
             nursery.cancel_scope.cancel()
 
+    async def _close_after_answer(self) -> None:
+        """Lets the caller read the last answer before the connection ends."""
+        await self._kept_stream.wait_closed()
+        with (
+            contextlib.suppress(
+                trio.BrokenResourceError, trio.ClosedResourceError
+            ),
+            trio.move_on_after(LINGER_S),
+        ):
+            await self._stream.send_eof()
+            while await self._stream.receive_some(RECEIVE_BYTES):
+                pass
+        await trio.aclose_forcefully(self._stream)
+
     async def _close_when_cancelled(self) -> None:
         """Ends a send in progress, which hypercorn shields."""
         try:
--- a/laburnumsill/daemon/tests/test_hypercorn_connection.py
+++ b/laburnumsill/daemon/tests/test_hypercorn_connection.py
@@ -18,6 +18,8 @@
 LARGE_ANSWER = b"x" * 16 * 1024 * 1024
 """More than the sockets between a server and its caller take."""
 
+LARGE_HEAD = 1_000_000
+
 GET = test_light_server.GET
 PUT = test_light_server.PUT
 
@@ -139,6 +141,14 @@
                 await caller.stream.aclose()
 
 
+async def test_a_caller_that_still_sends_sees_its_refusal():
+    """Guards against a reset in place of the answer."""
+    async with served() as site:
+        caller = await site.connect()
+        await caller.send("GET / HTTP/1.1\r\nx-filler: " + "x" * LARGE_HEAD)
+        assert (await caller.until_closed()).startswith("HTTP/1.1 4")
+
+
 async def test_the_last_answer_of_a_connection_says_so():
     async with served() as site:
         caller = await site.begin(GET.format("/"))
