batch: log what holds a waiting unit back, and count the jobs that stand

Callers saw jobs of which nothing ran beside free room. The log could not tell whether a preference (rack of the data, one rack, workers, isolation) or room that is withheld (reservation, headroom) refused it: unit-waits has numbers only, and is written every 5 s, while the users' rule speaks of 3 s.

A plan now finds the units of which nothing runs though their pool holds them twice over, and since when. unit-waits names the mechanism in held-by and the gang in kept-for, how many runs the task had, for how long it has stood and how the account's jobs in the pool get on; a unit that stands for 1 s is logged at once. Metrics: jobs_standing, longest_standing_seconds.

--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -188,6 +188,7 @@
         self._scope = trio.CancelScope()
         self._nursery: trio.Nursery
         self._reserved_racks: dict[model.StepKey, str] = {}
+        self._standing_since_ms: dict[model.StepKey, int] = {}
         self._domain_probed_at: dict[str, float] = {}
         self._next_retention_check_ms = 0
         self._unheard_until = (
@@ -380,9 +381,11 @@
             self._policy,
             unheard,
             self._context.worker_limits.restore_ms,
+            self._standing_since_ms,
         )
         plan = planner.plan(planner_input)
         self._reserved_racks = plan.reserved_racks
+        self._standing_since_ms = plan.standing_since_ms
         self._defers_preemption = bool(plan.deferred)
         self._plan_log.log_waiting(plan, len(usable))
         deferrals = self._plan_log.log_deferred(plan, len(usable), len(unheard))
@@ -600,6 +603,10 @@
         metrics.gauge("runs_live", len(self.ledger.runs))
         metrics.gauge("workers_known", len(self.ledger.workers))
         metrics.gauge("units_waiting", self._plan_log.units_waiting)
+        metrics.gauge("jobs_standing", self._plan_log.jobs_standing)
+        metrics.gauge(
+            "longest_standing_seconds", self._plan_log.longest_standing_s
+        )
         metrics.gauge("orders_waiting", self.order_slots.waiting)
         metrics.gauge("jobs_withdrawn", len(self.ledger.withdrawn))
         metrics.gauge("domains_evacuated", len(self.ledger.evacuated_domains))
--- a/laburnumsill/batch/packing.py
+++ b/laburnumsill/batch/packing.py
@@ -75,7 +75,7 @@
     Returns:
         The assignment; empty if no task fits, or not all tasks of a gang.
     """
-    slots = _slots(unit, candidates, available, count_runs)
+    slots = count_slots(unit, candidates, available, count_runs)
     wanted = len(unit.tasks)
     if not unit.step.gang:
         return _assign(
@@ -90,7 +90,7 @@
     return assignment if len(assignment) == wanted else []
 
 
-def _slots(
+def count_slots(
     unit: units.Unit,
     candidates: abc.Sequence[worker_capacity.Candidate],
     available: Available,
--- a/laburnumsill/batch/plan_candidates.py
+++ b/laburnumsill/batch/plan_candidates.py
@@ -91,15 +91,30 @@
 
         The slots counted for the first unit of a kind are the upper bound.
         """
+        return self._max_copies(unit, packing.free_now) < 1
+
+    def may_have_room(self, unit: units.Unit, factor: int) -> bool:
+        """Returns whether free or reserved capacity may hold copies of a unit.
+
+        Args:
+            unit: The unit.
+            factor: Number of copies.
+        """
+        return self._max_copies(unit, packing.free_or_reserved) >= factor
+
+    def _max_copies(
+        self, unit: units.Unit, available: packing.Available
+    ) -> int:
+        """Returns an upper bound of the copies of a unit that fit."""
         step = unit.step
-        key = (unit.pool, step.required_label, step.needs)
+        key = (unit.pool, step.required_label, step.needs, available)
         if key not in self._max_slots:
             self._max_slots[key] = sum(
-                step.needs.copies_in(candidate.free)
+                step.needs.copies_in(available(candidate))
                 for candidate in self.all_for(unit)
             )
         wanted = len(unit.tasks) if step.gang else 1
-        return self._max_slots[key] < wanted
+        return self._max_slots[key] // wanted
 
     def is_mostly_free(self, unit: units.Unit) -> bool:
         """Returns whether most of a unit's pool is free or reserved."""
--- a/laburnumsill/batch/plan_log.py
+++ b/laburnumsill/batch/plan_log.py
@@ -9,6 +9,7 @@
 from laburnumsill.batch import model
 from laburnumsill.batch import planner
 from laburnumsill.batch import records
+from laburnumsill.batch import standing
 from laburnumsill.batch import units
 from laburnumsill.core import clock as clocks
 from laburnumsill.core import logs
@@ -16,6 +17,9 @@
 WAITING_LOG_INTERVAL_S = 5.0
 """Interval between log lines about the same waiting unit, in seconds."""
 
+STANDING_LOG_AFTER_MS = 1_000
+"""Time after which a standing unit is logged at once, in ms."""
+
 
 class PlanLog:
     """Logs placements and waiting units.
@@ -32,15 +36,33 @@
         self._clock = clock
         self._next_line_at: dict[model.StepKey, float] = {}
         self._deferred: set[model.StepKey] = set()
+        self._standing_since_ms: dict[model.StepKey, int] = {}
+        self._logged_standing: set[model.StepKey] = set()
 
     @property
     def units_waiting(self) -> int:
         """Number of units that waited in the last plan."""
         return len(self._next_line_at)
 
+    @property
+    def jobs_standing(self) -> int:
+        """Number of jobs that stood in the last plan, see `standing`."""
+        return len({job_id for job_id, _, _ in self._standing_since_ms})
+
+    @property
+    def longest_standing_s(self) -> float:
+        """Longest time for which a unit has stood, in seconds."""
+        longest_ms = max(
+            map(self._standing_ms, self._standing_since_ms), default=0
+        )
+        return longest_ms / 1000
+
     def is_due(self, key: model.StepKey) -> bool:
         """Returns whether the next line about a waiting unit is due."""
-        return self._next_line_at.get(key, 0.0) <= self._clock.monotonic()
+        if self._next_line_at.get(key, 0.0) <= self._clock.monotonic():
+            return True
+        stands_long = self._standing_ms(key) >= STANDING_LOG_AFTER_MS
+        return stands_long and key not in self._logged_standing
 
     def log_placement(
         self, placement: commands.Placement, refusal: str
@@ -75,11 +97,25 @@
         """
         now = self._clock.monotonic()
         next_line_at = {}
+        self._standing_since_ms = plan.standing_since_ms
+        self._logged_standing &= plan.standing_since_ms.keys()
+        by_account = (
+            standing.progress_by_account(self._ledger, plan.standing_since_ms)
+            if plan.obstacles
+            else {}
+        )
         for unit in plan.waiting:
             next_line_at[unit.key] = self._next_line_at.get(unit.key, now)
             if unit.key in plan.obstacles:
-                self._log_unit(unit, plan.obstacles[unit.key], usable)
+                self._log_unit(
+                    unit,
+                    plan.obstacles[unit.key],
+                    usable,
+                    by_account[unit.record.job.account, unit.pool],
+                )
                 next_line_at[unit.key] = now + WAITING_LOG_INTERVAL_S
+                if self._standing_ms(unit.key) >= STANDING_LOG_AFTER_MS:
+                    self._logged_standing.add(unit.key)
         self._next_line_at = next_line_at
 
     def log_deferred(
@@ -113,7 +149,18 @@
         self._deferred = {unit.key for unit in plan.deferred}
         return len(new)
 
-    def _log_unit(self, unit: units.Unit, obstacle: str, usable: int) -> None:
+    def _standing_ms(self, key: model.StepKey) -> int:
+        """Returns for how long a unit has stood, in ms; 0 if it does not."""
+        now_ms = self._clock.wall_ms()
+        return now_ms - self._standing_since_ms.get(key, now_ms)
+
+    def _log_unit(
+        self,
+        unit: units.Unit,
+        obstacle: str,
+        usable: int,
+        account: standing.AccountProgress,
+    ) -> None:
         logs.decision(
             "unit-waits",
             job=unit.record.job.job_id,
@@ -129,6 +176,10 @@
             waited_ms=self._clock.wall_ms() - unit.waiting_since_ms,
             obstacle=obstacle,
             usable=usable,
+            runs=unit.next_run(unit.tasks[0]).number - 1,
+            standing_ms=self._standing_ms(unit.key),
+            account_jobs_standing=account.standing,
+            account_jobs_moving=account.moving,
         )
 
 
--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -17,12 +17,14 @@
 from laburnumsill.batch import isolation
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
+from laburnumsill.batch import obstacles
 from laburnumsill.batch import packing
 from laburnumsill.batch import placement_checks
 from laburnumsill.batch import plan_candidates
 from laburnumsill.batch import policy as policies
 from laburnumsill.batch import preemption
 from laburnumsill.batch import reservations
+from laburnumsill.batch import standing
 from laburnumsill.batch import unheard_workers
 from laburnumsill.batch import units
 from laburnumsill.batch import worker_capacity
@@ -77,6 +79,8 @@
             for the first time.
         restore_ms: Time in which a worker restores progress that was saved at
             a stop, in ms; None if workers save none then.
+        standing_since_ms: When the units that stood in the previous plan began
+            to stand, ms since 1970.
     """
 
     ledger: ledgers.BatchLedger
@@ -98,6 +102,9 @@
     policy: policies.Policy = policies.ALL
     unheard: abc.Set[str] = frozenset()
     restore_ms: int | None = None
+    standing_since_ms: abc.Mapping[model.StepKey, int] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(slots=True)
@@ -112,6 +119,8 @@
         obstacles: Why units wait, for the log.
         preempted_for: The preempting job of each run in `stops`, for the log.
         deferred: Units that wait for workers instead of preempting runs.
+        standing_since_ms: When the units that stand began to stand, ms since
+            1970, see `standing`.
     """
 
     groups: list[commands.Group]
@@ -127,6 +136,9 @@
         default_factory=dict
     )
     deferred: list[units.Unit] = dataclasses.field(default_factory=list)
+    standing_since_ms: dict[model.StepKey, int] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def plan(planner_input: PlannerInput) -> Plan:
@@ -171,6 +183,8 @@
         self._victims: preemption.Victims | None = None
         self._reservations = 0
         self._reservation_start_ms = 0.0
+        self._reserved_for = ""
+        self._running_jobs = standing.RunningJobs(planner_input.ledger)
 
     def run(self, waiting: abc.Iterable[units.Unit]) -> Plan:
         for unit in sorted(waiting, key=self._sort_key):
@@ -201,7 +215,7 @@
     def _plan_unit(self, unit: units.Unit) -> None:
         """Places the tasks that fit; preempts or reserves for the others."""
         if self._is_held(unit):
-            self._plan.waiting.append(unit)
+            self._note_waiting(unit)
             return
         candidates = self._candidates.eligible(unit)
         assignment = (
@@ -218,9 +232,7 @@
         unit.tasks = [task for task in unit.tasks if task not in placed]
         if not unit.tasks:
             return
-        if self._input.explain(unit.key):
-            self._plan.obstacles[unit.key] = self._obstacle(unit, candidates)
-        self._plan.waiting.append(unit)
+        self._note_waiting(unit)
         if not self._may_share(unit):
             return
         if unit.priority == packing.URGENT_PRIORITY:
@@ -365,6 +377,7 @@
             candidate.allocate(unit.step.needs)
             candidate.run_count += 1
             candidate.has_suspect |= unit.isolated_since_ms is not None
+            self._running_jobs.add(task.job_id)
             run = unit.next_run(task)
             placements.append(
                 commands.Placement(run, candidate.worker.worker_id)
@@ -374,21 +387,43 @@
         else:
             self._plan.groups += [(placement,) for placement in placements]
 
-    def _obstacle(
-        self, unit: units.Unit, candidates: list[worker_capacity.Candidate]
-    ) -> str:
-        """Returns a summary of the free slots, without spaces, for the log."""
-        slots = [
-            sum(
-                unit.step.needs.copies_in(candidate.free)
-                for candidate in inside
+    def _note_waiting(self, unit: units.Unit) -> None:
+        """Adds a unit with tasks that were not placed to the plan's output."""
+        self._plan.waiting.append(unit)
+        if self._stands(unit):
+            since_ms = self._input.standing_since_ms.get(
+                unit.key, self._input.now_ms
             )
-            for inside in worker_capacity.by_rack(candidates).values()
-        ]
+            self._plan.standing_since_ms[unit.key] = since_ms
+        if self._input.explain(unit.key):
+            self._plan.obstacles[unit.key] = self._obstacle(unit)
+
+    def _stands(self, unit: units.Unit) -> bool:
+        """Returns whether a waiting unit stands still, see `standing`."""
+        if not self._running_jobs.may_stand(unit):
+            return False
+        return self._candidates.may_have_room(
+            unit, standing.ROOM_FACTOR
+        ) and standing.has_room(
+            unit, self._candidates.all_for(unit), self._count_runs
+        )
+
+    def _obstacle(self, unit: units.Unit) -> str:
+        """Returns why a unit waits, without spaces, for the log."""
+        candidates = self._candidates.eligible(unit)
+        held = self._is_held(unit)
+        holder = (
+            obstacles.Holder.UNHEARD_WORKERS
+            if held
+            else obstacles.holder_of(unit, self._candidates, self._count_runs)
+        )
         evacuated = "+".join(sorted(self._ledger.evacuated_domains))
         return (
-            f"workers:{len(candidates)},best-rack:{max(slots, default=0)},"
-            f"all:{sum(slots)},wanted:{len(unit.tasks)},kept-for-gangs:{self._reservations}"
+            f"workers:{len(candidates)},"
+            f"{obstacles.free_slots(unit, candidates)},"
+            f"wanted:{len(unit.tasks)},kept-for-gangs:{self._reservations}"
+            f",held-by:{holder}"
+            + (f",kept-for:{self._reserved_for}" if self._reserved_for else "")
             + (f",evacuated:{evacuated}" if evacuated else "")
         )
 
@@ -519,6 +554,7 @@
         if reservation is None:
             return
         self._reservations += 1
+        self._reserved_for = unit.record.job.job_id
         self._reservation_start_ms = reservations.expected_start_ms(
             unit,
             reservation,
--- /dev/null
+++ b/laburnumsill/batch/standing.py
@@ -0,0 +1,100 @@
+"""Jobs that stand still although there is room for them.
+
+A job stands while nothing of it runs, a task's turn has come, and its pool has
+free capacity for two copies of the task or gang. Each task of a long-running
+step stands by itself. Racks and speeds do not matter: slow progress is better
+than none. Capacity that the planner withholds for other units counts as free.
+"""
+
+import dataclasses
+from collections import abc
+
+from laburnumsill.batch import ledger as ledgers
+from laburnumsill.batch import model
+from laburnumsill.batch import packing
+from laburnumsill.batch import units
+from laburnumsill.batch import worker_capacity
+
+ROOM_FACTOR = 2
+"""Number of copies of a unit that the free capacity holds if the unit stands,
+as in the users' rule."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AccountProgress:
+    """How the jobs of one client account in one pool get on.
+
+    Attributes:
+        standing: Number of jobs that stand.
+        moving: Number of jobs of which something runs.
+    """
+
+    standing: int
+    moving: int
+
+
+class RunningJobs:
+    """The jobs of which a run is live or is placed by a plan.
+
+    Args:
+        ledger: The live runs.
+    """
+
+    def __init__(self, ledger: ledgers.BatchLedger) -> None:
+        self._ids = {job_id for job_id, _, _ in ledger.runs_by_step}
+
+    @property
+    def ids(self) -> abc.Set[str]:
+        """The ids of the jobs."""
+        return self._ids
+
+    def add(self, job_id: str) -> None:
+        """Adds a job of which a run is placed."""
+        self._ids.add(job_id)
+
+    def may_stand(self, unit: units.Unit) -> bool:
+        """Returns whether a waiting unit stands if there is room for it."""
+        if unit.step.long_running:
+            return True
+        return unit.record.job.job_id not in self._ids
+
+
+def has_room(
+    unit: units.Unit,
+    candidates: abc.Sequence[worker_capacity.Candidate],
+    count_runs: packing.CountRuns,
+) -> bool:
+    """Returns whether free capacity holds a unit `ROOM_FACTOR` times over.
+
+    Args:
+        unit: The unit.
+        candidates: All workers that may run it.
+        count_runs: Returns how many runs of a task's step a worker has.
+    """
+    wanted = len(unit.tasks) if unit.step.gang else 1
+    slots = packing.count_slots(
+        unit, candidates, packing.free_or_reserved, count_runs
+    )
+    return sum(slots.values()) >= ROOM_FACTOR * wanted
+
+
+def progress_by_account(
+    ledger: ledgers.BatchLedger, standing: abc.Iterable[model.StepKey]
+) -> dict[tuple[str, str], AccountProgress]:
+    """Returns the progress of active jobs, by client account and pool.
+
+    Args:
+        ledger: The active jobs and live runs.
+        standing: The steps that stand.
+    """
+    standing_ids = {job_id for job_id, _, _ in standing}
+    moving_ids = RunningJobs(ledger).ids
+    found: dict[tuple[str, str], AccountProgress] = {}
+    for job_id, record in ledger.active_jobs.items():
+        key = (record.job.account, ledger.pool_of(record.job))
+        before = found.get(key, AccountProgress(0, 0))
+        found[key] = AccountProgress(
+            before.standing + (job_id in standing_ids),
+            before.moving + (job_id in moving_ids),
+        )
+    return found
