batch: bound the wait of jobs that stand still for better capacity

Callers saw accepted jobs of which nothing ran for seconds beside free room. Cause: preferences without a bound. A task whose data is in a full rack waited for that rack whatever was free elsewhere (packing chose among its workers alone); a gang waited for one rack, a unit for workers on which it had not failed, a small task beside the room that is reserved for a gang.

A unit that stands (nothing of its job is placed, its pool holds it twice over) takes any free capacity after a bound: 1.5 s if its pool is mostly free, as the users allow 3 s in all; in a busy pool twice its run time, which is what a place away from the data costs. One task of a step makes the job move; tasks that last stand one by one, so the short bound always holds for them.

The tests in test_standing.py fail before (no group is placed).

--- a/laburnumsill/batch/packing.py
+++ b/laburnumsill/batch/packing.py
@@ -69,8 +69,9 @@
         candidates: The workers that may run them.
         available: Returns the capacity of a worker that the unit may use.
         count_runs: Returns how many runs of a task's step a worker has.
-        may_spread: Whether a gang may span racks although some rack could
-            hold it once empty, and it is much slower on several racks.
+        may_spread: Whether the unit may run where it is much slower: a gang
+            on several racks although one could hold it once empty, and other
+            tasks outside the rack of their data.
 
     Returns:
         The assignment; empty if no task fits, or not all tasks of a gang.
@@ -78,9 +79,8 @@
     slots = count_slots(unit, candidates, available, count_runs)
     wanted = len(unit.tasks)
     if not unit.step.gang:
-        return _assign(
-            unit, _order_for_tasks(unit, candidates, available), slots
-        )
+        ordered = _order_for_tasks(unit, candidates, available, may_spread)
+        return _assign(unit, ordered, slots)
     chosen = _best_rack(unit, candidates, slots, available)
     if chosen is None and (may_spread or not _needs_one_rack(unit, candidates)):
         chosen = _largest_racks_first(unit, candidates, slots, available)
@@ -212,18 +212,24 @@
     unit: units.Unit,
     candidates: abc.Sequence[worker_capacity.Candidate],
     available: Available,
+    may_spread: bool,
 ) -> list[worker_capacity.Candidate]:
     """Returns candidates for single tasks, fullest first.
 
-    Only workers in the rack of their data are candidates, if there are any.
+    Only workers in the rack of their data are candidates, if there are any. If
+    the tasks may spread, the others follow.
     """
     rack = unit.step.data_rack
     near = [
         candidate for candidate in candidates if candidate.worker.rack == rack
     ]
-    if rack and near:
-        return _fullest_first(unit, near, available)
-    return _fullest_first(unit, candidates, available)
+    if not rack or not near:
+        return _fullest_first(unit, candidates, available)
+    ordered = _fullest_first(unit, near, available)
+    if may_spread:
+        far = (one for one in candidates if one.worker.rack != rack)
+        ordered += _fullest_first(unit, far, available)
+    return ordered
 
 
 def _fullest_first(
--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -227,6 +227,8 @@
         if len(assignment) < len(unit.tasks) and may_backfill:
             assignment = self._backfill(unit, candidates, assignment)
         assignment = self._within_headroom(unit, assignment)
+        if not assignment and self._has_stood_long(unit):
+            assignment = self._fit_standing(unit)
         self._place_tasks(unit, assignment)
         placed = {task for task, _ in assignment}
         unit.tasks = [task for task in unit.tasks if task not in placed]
@@ -263,9 +265,41 @@
             candidates,
             packing.free_now,
             self._count_runs,
-            self._may_spread(unit, candidates),
+            unit.step.gang and self._may_spread(unit, candidates),
         )
 
+    def _has_stood_long(self, unit: units.Unit) -> bool:
+        """Returns whether a unit stands and must not wait any longer."""
+        since_ms = self._input.standing_since_ms.get(unit.key)
+        if since_ms is None or not self._stands(unit):
+            return False
+        return self._input.now_ms - since_ms >= standing.max_wait_ms(
+            unit,
+            self._candidates.is_mostly_free(unit),
+            self._input.step_ms(unit.record.job, unit.step_index),
+        )
+
+    def _fit_standing(self, unit: units.Unit) -> packing.Assignment:
+        """Returns an assignment of a unit that stands, to any free capacity.
+
+        Reserved capacity is used only if the rest does not suffice. Of a step
+        whose tasks are placed one by one, one task makes the job move. Each
+        task of a long-running step stands by itself, so all are placed.
+        """
+        for available in (packing.free_now, packing.free_or_reserved):
+            assignment = packing.fit(
+                unit,
+                self._candidates.all_for(unit),
+                available,
+                self._count_runs,
+                may_spread=True,
+            )
+            if assignment:
+                break
+        if not (unit.step.gang or unit.step.long_running):
+            return assignment[:1]
+        return self._within_headroom(unit, assignment)
+
     def _may_share(self, unit: units.Unit) -> bool:
         """Returns whether a unit may share a worker with other runs."""
         since_ms = unit.isolated_since_ms
