batch: move the planner's input and output and its headroom rule out of the planner

PlannerInput and Plan are in batch.plans, the rule that leaves headroom is in batch.headroom. No decision changes; the tests of the planner, headroom, reservations and standing units pass unchanged but for the module that they name.

--- a/bench/batch_plan_time.py
+++ b/bench/batch_plan_time.py
@@ -18,6 +18,7 @@
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
 from laburnumsill.batch import planner
+from laburnumsill.batch import plans
 
 PER_RACK = 20
 """Workers in a rack, as on the users' grown sites."""
@@ -74,7 +75,7 @@
 
 def plan_ms(ledger: ledgers.BatchLedger) -> list[float]:
     """Returns the times of some plans of the same state."""
-    planner_input = planner.PlannerInput(
+    planner_input = plans.PlannerInput(
         ledger, set(ledger.workers), frozenset(), {}, NOW_MS + 100
     )
     times = []
--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -25,6 +25,7 @@
 from laburnumsill.batch import orders
 from laburnumsill.batch import plan_log
 from laburnumsill.batch import planner
+from laburnumsill.batch import plans
 from laburnumsill.batch import policy as policies
 from laburnumsill.batch import queue_pools
 from laburnumsill.batch import session as sessions
@@ -330,7 +331,7 @@
             )
         await self.commit(queue_pools.MoveQueues(configured.version, moved))
 
-    def _make_plan(self) -> planner.Plan:
+    def _make_plan(self) -> plans.Plan:
         """Returns a plan, after starting the stops of obsolete runs."""
         self._update_policy()
         self._sync_sessions()
@@ -364,8 +365,8 @@
 
     def _plan_with(
         self, usable: abc.Set[str], unheard: abc.Set[str]
-    ) -> planner.Plan:
-        planner_input = planner.PlannerInput(
+    ) -> plans.Plan:
+        planner_input = plans.PlannerInput(
             self.ledger,
             usable,
             frozenset(self._stopping()),
--- a/laburnumsill/batch/plan_log.py
+++ b/laburnumsill/batch/plan_log.py
@@ -7,7 +7,7 @@
 from laburnumsill.batch import commands
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
-from laburnumsill.batch import planner
+from laburnumsill.batch import plans
 from laburnumsill.batch import records
 from laburnumsill.batch import standing
 from laburnumsill.batch import units
@@ -88,7 +88,7 @@
             refusal=refusal,
         )
 
-    def log_waiting(self, plan: planner.Plan, usable: int) -> None:
+    def log_waiting(self, plan: plans.Plan, usable: int) -> None:
         """Logs units when they begin to wait, and then at intervals.
 
         Args:
@@ -118,9 +118,7 @@
                     self._logged_standing.add(unit.key)
         self._next_line_at = next_line_at
 
-    def log_deferred(
-        self, plan: planner.Plan, usable: int, unheard: int
-    ) -> int:
+    def log_deferred(self, plan: plans.Plan, usable: int, unheard: int) -> int:
         """Logs units whose preemption is deferred; returns how many are new.
 
         Args:
--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -8,20 +8,18 @@
 preemption is possible.
 """
 
-import dataclasses
 import functools
 from collections import abc
 
 from laburnumsill.batch import commands
 from laburnumsill.batch import headroom
 from laburnumsill.batch import isolation
-from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
 from laburnumsill.batch import obstacles
 from laburnumsill.batch import packing
 from laburnumsill.batch import placement_checks
 from laburnumsill.batch import plan_candidates
-from laburnumsill.batch import policy as policies
+from laburnumsill.batch import plans
 from laburnumsill.batch import preemption
 from laburnumsill.batch import reservations
 from laburnumsill.batch import standing
@@ -42,10 +40,6 @@
 """Time for which a task that is suspected of crashing its worker waits for an
 idle worker, in ms; after that it goes to the worker with the fewest runs."""
 
-MIN_SLACK_MS = 1_000
-"""Single tasks leave headroom while their job has at least this slack, in ms:
-it can start later by that time and still meet its objective."""
-
 BACKFILL_TIME_FACTOR = 3
 """Factor on the expected run time of a task that backfills a reservation: it
 must end before the gang starts even if it takes this many times as long. The
@@ -56,92 +50,7 @@
 """Reservations at a time; more would leave too much of the site idle."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PlannerInput:
-    """Input of the planner.
-
-    Attributes:
-        ledger: The replicated state of jobs, runs and workers.
-        usable: Ids of the workers on which runs may be placed.
-        stopping: Runs that were ordered to stop and have not ended yet.
-        guarantees: Guaranteed accelerators by client account.
-        now_ms: Wall time, ms since 1970.
-        avoided_workers: Returns the workers that a task should not run on
-            again.
-        slowness: Returns the run time on a worker relative to other workers.
-        reserved_racks: Reserved racks of the previous plan, by gang.
-        explain: Returns whether the plan should explain why a unit waits.
-        stop_grace_ms: Time within which a run ends after a stop order, in ms.
-        headroom: Accelerators that units with slack leave free for urgent jobs.
-        step_ms: Returns the expected run time of a step's tasks, in ms.
-        policy: The mechanisms in use.
-        unheard: Ids of the workers that this leader still expects to hear from
-            for the first time.
-        restore_ms: Time in which a worker restores progress that was saved at
-            a stop, in ms; None if workers save none then.
-        standing_since_ms: When the units that stood in the previous plan began
-            to stand, ms since 1970.
-    """
-
-    ledger: ledgers.BatchLedger
-    usable: abc.Set[str]
-    stopping: abc.Set[model.RunId]
-    guarantees: abc.Mapping[str, int]
-    now_ms: int
-    avoided_workers: abc.Callable[[model.TaskId], abc.Set[str]] = lambda _: (
-        frozenset()
-    )
-    slowness: abc.Callable[[str], float] = lambda _: 1.0
-    reserved_racks: abc.Mapping[model.StepKey, str] = dataclasses.field(
-        default_factory=dict
-    )
-    explain: abc.Callable[[model.StepKey], bool] = lambda _: False
-    stop_grace_ms: int = 0
-    headroom: int = 0
-    step_ms: units.StepMs = units.declared_ms
-    policy: policies.Policy = policies.ALL
-    unheard: abc.Set[str] = frozenset()
-    restore_ms: int | None = None
-    standing_since_ms: abc.Mapping[model.StepKey, int] = dataclasses.field(
-        default_factory=dict
-    )
-
-
-@dataclasses.dataclass(slots=True)
-class Plan:
-    """Output of the planner.
-
-    Attributes:
-        groups: Runs to place; a group is placed as a whole or not at all.
-        stops: Runs to preempt.
-        waiting: Units with tasks that could not be placed.
-        reserved_racks: Reserved racks by gang, an input of the next plan.
-        obstacles: Why units wait, for the log.
-        preempted_for: The preempting job of each run in `stops`, for the log.
-        deferred: Units that wait for workers instead of preempting runs.
-        standing_since_ms: When the units that stand began to stand, ms since
-            1970, see `standing`.
-    """
-
-    groups: list[commands.Group]
-    stops: list[model.RunId]
-    waiting: list[units.Unit]
-    reserved_racks: dict[model.StepKey, str] = dataclasses.field(
-        default_factory=dict
-    )
-    obstacles: dict[model.StepKey, str] = dataclasses.field(
-        default_factory=dict
-    )
-    preempted_for: dict[model.RunId, str] = dataclasses.field(
-        default_factory=dict
-    )
-    deferred: list[units.Unit] = dataclasses.field(default_factory=list)
-    standing_since_ms: dict[model.StepKey, int] = dataclasses.field(
-        default_factory=dict
-    )
-
-
-def plan(planner_input: PlannerInput) -> Plan:
+def plan(planner_input: plans.PlannerInput) -> plans.Plan:
     """Returns the runs to place and to stop.
 
     Does not look at the workers if no unit waits, which is the case at most
@@ -151,7 +60,7 @@
         planner_input.ledger, planner_input.now_ms, planner_input.step_ms
     )
     if not waiting:
-        return Plan([], [], [])
+        return plans.Plan([], [], [])
     return _Planner(planner_input).run(waiting)
 
 
@@ -162,11 +71,11 @@
         planner_input: The input of the planner.
     """
 
-    def __init__(self, planner_input: PlannerInput) -> None:
+    def __init__(self, planner_input: plans.PlannerInput) -> None:
         self._input = planner_input
         self._ledger = planner_input.ledger
         self._policy = planner_input.policy
-        self._plan = Plan([], [], [])
+        self._plan = plans.Plan([], [], [])
         self._candidates = plan_candidates.PlanCandidates(
             worker_capacity.find_candidates(
                 planner_input.ledger,
@@ -186,7 +95,7 @@
         self._reserved_for = ""
         self._running_jobs = standing.RunningJobs(planner_input.ledger)
 
-    def run(self, waiting: abc.Iterable[units.Unit]) -> Plan:
+    def run(self, waiting: abc.Iterable[units.Unit]) -> plans.Plan:
         for unit in sorted(waiting, key=self._sort_key):
             self._plan_unit(unit)
         return self._plan
@@ -349,45 +258,17 @@
     def _within_headroom(
         self, unit: units.Unit, assignment: packing.Assignment
     ) -> packing.Assignment:
-        """Returns the part of an assignment that leaves headroom.
-
-        A gang is placed as a whole or not at all. Of any other step without
-        runs, one task is placed in any case, so that no job is idle while
-        there is free capacity.
-        """
-        step = unit.step
-        if not self._leaves_headroom(unit):
+        """Returns the part of an assignment that leaves headroom."""
+        wanted = self._input.headroom
+        if not headroom.leaves_headroom(unit, wanted, self._input.now_ms):
             return assignment
-        candidates = self._candidates.all_for(unit)
-        max_tasks = headroom.tasks_beside(
-            self._input.headroom,
-            sum(one.worker.capacity.accelerators for one in candidates),
-            sum(one.free.accelerators for one in candidates),
-            step.needs.accelerators,
-        )
-        if step.gang:
-            return assignment if len(assignment) <= max_tasks else []
-        min_tasks = 0 if unit.key in self._ledger.runs_by_step else 1
-        return assignment[: max(min_tasks, max_tasks)]
-
-    def _leaves_headroom(self, unit: units.Unit) -> bool:
-        """Returns whether a unit has enough slack to leave headroom.
-
-        Urgent jobs come in successive bursts: a gang that starts between two
-        of them is preempted by the second and starts over. A gang waits only
-        while it could run twice and still meet its objective, since it seldom
-        finds enough free capacity.
-        """
-        step = unit.step
-        if unit.priority == packing.URGENT_PRIORITY or not self._input.headroom:
-            return False
-        if step.long_running or not step.needs.accelerators:
-            return False
-        slack_ms = (
-            unit.objective_ms - self._input.now_ms - unit.critical_path_ms
+        return headroom.limit(
+            unit,
+            assignment,
+            self._candidates.all_for(unit),
+            wanted,
+            has_runs=unit.key in self._ledger.runs_by_step,
         )
-        min_ms = unit.critical_path_ms if step.gang else MIN_SLACK_MS
-        return slack_ms >= min_ms
 
     def _may_spread(
         self,
--- a/laburnumsill/batch/tests/planned_site.py
+++ b/laburnumsill/batch/tests/planned_site.py
@@ -4,7 +4,7 @@
 from laburnumsill.batch import commands
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
-from laburnumsill.batch import planner
+from laburnumsill.batch import plans
 
 GIB = 1024
 
@@ -45,7 +45,7 @@
 
 def planner_input(ledger, stopping=(), now_ms=0, guarantees=None):
     """Returns a planner input with all workers usable."""
-    return planner.PlannerInput(
+    return plans.PlannerInput(
         ledger,
         set(ledger.workers),
         frozenset(stopping),
--- a/laburnumsill/batch/tests/test_plan_log.py
+++ b/laburnumsill/batch/tests/test_plan_log.py
@@ -6,6 +6,7 @@
 from laburnumsill.batch import model
 from laburnumsill.batch import plan_log
 from laburnumsill.batch import planner
+from laburnumsill.batch import plans
 from laburnumsill.batch.tests import planned_site
 from laburnumsill.core import logs
 from laburnumsill.core import trio_clock
@@ -24,7 +25,7 @@
         planned_site.job("waits", 2, 8, priority=1, gang=True),
     )
     made = planner.plan(
-        planner.PlannerInput(
+        plans.PlannerInput(
             ledger,
             set(ledger.workers),
             frozenset(),
--- a/laburnumsill/batch/tests/test_planner.py
+++ b/laburnumsill/batch/tests/test_planner.py
@@ -7,6 +7,7 @@
 from laburnumsill.batch import model
 from laburnumsill.batch import plan_candidates
 from laburnumsill.batch import planner
+from laburnumsill.batch import plans
 from laburnumsill.batch import units
 from laburnumsill.batch.tests import planned_site
 
@@ -204,7 +205,7 @@
     planned_site.submit(ledger, planned_site.job("u", 2, 8, gang=True))
     seen = planned_site.planner_input(ledger)
     slow = {"w00": 1.3, "w01": 1.3}
-    seen = planner.PlannerInput(
+    seen = plans.PlannerInput(
         ledger,
         seen.usable,
         frozenset(),
@@ -223,7 +224,7 @@
     )
 
     def seen(now_ms):
-        return planner.PlannerInput(
+        return plans.PlannerInput(
             ledger,
             set(ledger.workers),
             frozenset(),
@@ -239,7 +240,7 @@
 
 def preempted_workers(ledger, slow, grace_ms):
     """Returns the workers whose runs are preempted for an urgent job of 2 s."""
-    seen = planner.PlannerInput(
+    seen = plans.PlannerInput(
         ledger,
         set(ledger.workers),
         frozenset(),
--- a/laburnumsill/batch/tests/test_unheard_workers.py
+++ b/laburnumsill/batch/tests/test_unheard_workers.py
@@ -6,6 +6,7 @@
 
 from laburnumsill.batch import model
 from laburnumsill.batch import planner
+from laburnumsill.batch import plans
 from laburnumsill.batch import policy as policies
 from laburnumsill.batch.tests import planned_site
 from laburnumsill.emulator import site as sites
@@ -40,7 +41,7 @@
         name: values.get(name, getattr(one, name))
         for name in one.__dataclass_fields__
     }
-    return planner.plan(planner.PlannerInput(**fields))
+    return planner.plan(plans.PlannerInput(**fields))
 
 
 def test_nothing_is_stopped_while_unheard_workers_have_capacity():
@@ -85,7 +86,7 @@
     one = planned_site.planner_input(ledger)
     fields = {name: getattr(one, name) for name in one.__dataclass_fields__}
     fields |= {"usable": {"w00", "w01"}, "unheard": {"w10", "w11"}}
-    plan = planner.plan(planner.PlannerInput(**fields))
+    plan = planner.plan(plans.PlannerInput(**fields))
     assert [unit.key[0] for unit in plan.deferred] == ["u1"]
     assert set(plan.preempted_for.values()) == {"u2"}
 
@@ -107,7 +108,7 @@
     one = planned_site.planner_input(ledger)
     fields = {name: getattr(one, name) for name in one.__dataclass_fields__}
     fields |= {"usable": {"w00", "w01"}, "unheard": {"w10", "w11"}}
-    plan = planner.plan(planner.PlannerInput(**fields))
+    plan = planner.plan(plans.PlannerInput(**fields))
     assert len(plan.stops) == 2
 
 
