batch: end each quarantine before jobs may stand still for it

Seen by reading, beside the waits for better capacity: a worker that fails what it runs is set aside for 4, 8, then 16 s, and a leader that has no other room lets jobs stand for that time, though the fault (5 to 7 s at the users' sites) has long ended. The users' rule allows 3 s that begin 4 s after a disturbance.

The quarantine is bounded by 6 s: a second is left for the next plan, the commit and the start orders.

--- a/laburnumsill/batch/worker_health.py
+++ b/laburnumsill/batch/worker_health.py
@@ -19,8 +19,10 @@
 """First quarantine of a faulty worker; such faults last 5 to 7 s at the users'
 sites."""
 
-MAX_QUARANTINE_S = 16.0
-"""Upper bound of the quarantine, which doubles each time."""
+MAX_QUARANTINE_S = 6.0
+"""Upper bound of the quarantine, which doubles each time. Jobs for which the
+workers in quarantine are the only room may stand until 7 s after the fault has
+ended, including the next plan, its commit and the start orders."""
 
 STALL_TIMEOUT_S = 2.5
 """Time without progress after which a run is stalled. Workers report whole
