--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -182,13 +182,10 @@
     def _has_stood_long(self, unit: units.Unit) -> bool:
         """Returns whether a unit stands and must not wait any longer."""
         since_ms = self._input.standing_since_ms.get(unit.key)
-        if since_ms is None or not self._stands(unit):
+        if since_ms is None:
             return False
-        return self._input.now_ms - since_ms >= standing.max_wait_ms(
-            unit,
-            self._candidates.is_mostly_free(unit),
-            self._input.step_ms(unit.record.job, unit.step_index),
-        )
+        stood_ms = self._input.now_ms - since_ms
+        return stood_ms >= standing.MAX_STANDING_MS and self._stands(unit)
 
     def _fit_standing(self, unit: units.Unit) -> packing.Assignment:
         """Returns an assignment of a unit that stands, to any free capacity.
