batch: fail no job by a run that may never have begun

A start order was answered 500. The worker started again, the run passed to the next incarnation as a stray, and the order counted as begun: 2 points. The next incarnation then showed that the run did not run there ("it never began"), two crashes followed, and the blame was 6 of 5. In that run the successor was born 0.1 s before the order was sent.

A withdrawal of the blame at that release was ruled out. It says nothing about the former incarnation: a task that crashes its worker before it can answer leaves the same messages. Clocks tell the two apart only if they are right.

So commands tell which runs are not known to have begun: no order of theirs was confirmed and no report has listed them. Their points isolate the task as before and count towards a second limit, one crash above the first; the first counts confirmed points only. Two such runs and two real crashes still fail a job.

--- a/laburnumsill/batch/commands.py
+++ b/laburnumsill/batch/commands.py
@@ -98,6 +98,8 @@
         reason: Why it cannot run any more.
         saved: Newest saved progress that was seen, or "".
         is_lost: Whether the worker has not reported how the run ended.
+        is_unconfirmed: Whether the run is not known to have begun; False in
+            commands of earlier versions of this program.
     """
 
     run: model.RunId
@@ -105,6 +107,7 @@
     reason: str
     saved: str = ""
     is_lost: bool = False
+    is_unconfirmed: bool = False
 
 
 @codec.register("batch.release-runs")
@@ -177,6 +180,8 @@
             the orders for its runs; "" if there is none.
         never_began: Runs that were placed on it but never ordered from it.
         spares_long_running: As in `PlaceRuns`.
+        unconfirmed: Runs that were ordered from it and are not known to have
+            begun; empty in commands of earlier versions of this program.
     """
 
     worker_id: str
@@ -187,6 +192,7 @@
     successor: str = ""
     never_began: tuple[model.RunId, ...] = ()
     spares_long_running: bool = False
+    unconfirmed: tuple[model.RunId, ...] = ()
 
 
 @codec.register("batch.forget-jobs")
--- a/laburnumsill/batch/crashes.py
+++ b/laburnumsill/batch/crashes.py
@@ -11,6 +11,11 @@
 from other tasks, and only one suspect of a step runs at a time, which limits
 both the workers that it can crash and the tasks that are blamed with it. A
 task whose blame reaches the limit fails its job.
+
+A start order without a clear answer leaves open whether its run began on the
+worker. No later message settles it: the next incarnation of the worker can only
+show that the run does not run there. The run may have crashed the worker before
+it could answer, so it is blamed like any other, but a higher limit applies.
 """
 
 import dataclasses
@@ -29,7 +34,12 @@
 
 BLAME_LIMIT = 5
 """Points at which the job of a task fails: after three crashes if the task ran
-alone, after at most five otherwise."""
+alone, after at most five otherwise. Only points for runs that are known to
+have begun count."""
+
+UNCONFIRMED_BLAME_LIMIT = BLAME_LIMIT + BLAME_ALONE
+"""Points for all runs at which the job of a task fails: one crash later, so
+that a single run that never began fails no job."""
 
 CRASHES_BEFORE_START_LIMIT = 3
 """Number of crashes, alone or not, after which the further starts of a task
@@ -55,12 +65,20 @@
         crashes: Number of workers that crashed while they ran the task.
         later_starts: Number of placements of the task after
             `CRASHES_BEFORE_START_LIMIT` crashes.
+        unconfirmed: Those of `points` that are for runs which are not known
+            to have begun.
     """
 
     points: int = 0
     at_ms: int = 0
     crashes: int = 0
     later_starts: int = 0
+    unconfirmed: int = 0
+
+    @property
+    def confirmed(self) -> int:
+        """The points for runs that are known to have begun."""
+        return self.points - self.unconfirmed
 
 
 NO_BLAME = Blame()
@@ -74,11 +92,13 @@
         address: Address of the worker.
         points: Points for the task of each run if the worker has crashed.
         runs: Lost runs whose ends the worker has not reported.
+        unconfirmed: Runs that are not known to have begun.
     """
 
     address: str
     points: int
     runs: list[model.RunId]
+    unconfirmed: list[model.RunId] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
@@ -136,8 +156,12 @@
         return self._blame.get(task, NO_BLAME)
 
     def is_over_limit(self, task: model.TaskId) -> bool:
-        """Returns whether the blame of a task has reached `BLAME_LIMIT`."""
-        return self.blame_of(task).points >= BLAME_LIMIT
+        """Returns whether the blame of a task has reached one of its limits."""
+        blame = self.blame_of(task)
+        return (
+            blame.confirmed >= BLAME_LIMIT
+            or blame.points >= UNCONFIRMED_BLAME_LIMIT
+        )
 
     def may_start(self, task: model.TaskId) -> bool:
         """Returns whether a task has not used up its `MAX_LATER_STARTS`."""
@@ -152,13 +176,25 @@
             )
 
     def record_crash(
-        self, runs: abc.Collection[model.RunId], at_ms: int
+        self,
+        runs: abc.Collection[model.RunId],
+        at_ms: int,
+        unconfirmed: abc.Container[model.RunId] = (),
     ) -> None:
-        """Blames the tasks of all runs of a worker that has crashed."""
-        self._add_blame(runs, _points_for(runs), at_ms)
+        """Blames the tasks of all runs of a worker that has crashed.
+
+        Args:
+            runs: All its runs.
+            at_ms: When it crashed, ms since 1970.
+            unconfirmed: Runs that are not known to have begun.
+        """
+        self._add_blame(runs, _points_for(runs), at_ms, unconfirmed)
 
     def record_loss(
-        self, worker: model.Worker, runs: abc.Collection[model.RunId]
+        self,
+        worker: model.Worker,
+        runs: abc.Collection[model.RunId],
+        unconfirmed: abc.Container[model.RunId] = (),
     ) -> None:
         """Records the loss of a worker that may have crashed.
 
@@ -167,10 +203,16 @@
         Args:
             worker: The worker.
             runs: All its runs.
+            unconfirmed: Runs that are not known to have begun.
         """
         if not runs:
             return
-        loss = Loss(worker.address, _points_for(runs), list(runs))
+        loss = Loss(
+            worker.address,
+            _points_for(runs),
+            list(runs),
+            [run for run in runs if run in unconfirmed],
+        )
         self._losses[worker.worker_id] = loss
         if len(self._losses) > MAX_LOSSES:
             del self._losses[next(iter(self._losses))]
@@ -194,7 +236,7 @@
         loss = self._losses.pop(worker_id, None)
         if loss is None or not crashed:
             return []
-        self._add_blame(loss.runs, loss.points, at_ms)
+        self._add_blame(loss.runs, loss.points, at_ms, loss.unconfirmed)
         return loss.runs
 
     def lost_at(self, address: str, successor: str) -> list[str]:
@@ -218,7 +260,11 @@
                 del self._losses[worker_id]
 
     def _add_blame(
-        self, runs: abc.Iterable[model.RunId], points: int, at_ms: int
+        self,
+        runs: abc.Iterable[model.RunId],
+        points: int,
+        at_ms: int,
+        unconfirmed: abc.Container[model.RunId],
     ) -> None:
         for run in runs:
             before = self.blame_of(run.task)
@@ -227,6 +273,7 @@
                 at_ms,
                 before.crashes + 1,
                 before.later_starts,
+                before.unconfirmed + points * (run in unconfirmed),
             )
         self._update_suspects()
 
--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -577,7 +577,11 @@
             reason = f"silent for {silent_s:.1f} s"
             logs.event("worker-gone", worker=worker_id, reason=reason)
             saved = tuple(session.progress())
-            await self.commit(commands.RemoveWorker(worker_id, reason, saved))
+            await self.commit(
+                commands.RemoveWorker(
+                    worker_id, reason, saved, unconfirmed=session.unconfirmed()
+                )
+            )
             self.request_plan()
 
     async def _forget_ended_jobs(self) -> None:
--- a/laburnumsill/batch/ledger.py
+++ b/laburnumsill/batch/ledger.py
@@ -274,11 +274,12 @@
 
     def release(self, command: commands.ReleaseRuns) -> None:
         """Removes live runs that are lost or were never started."""
-        lost = [
-            release.worker_id for release in command.releases if release.is_lost
-        ]
-        for worker_id in dict.fromkeys(lost):
-            self._record_loss(worker_id)
+        lost = [release for release in command.releases if release.is_lost]
+        unconfirmed = {
+            release.run for release in lost if release.is_unconfirmed
+        }
+        for worker_id in dict.fromkeys(release.worker_id for release in lost):
+            self._record_loss(worker_id, unconfirmed)
         for release in command.releases:
             record = self.runs.get(release.run)
             if record is None or record.worker_id != release.worker_id:
@@ -353,7 +354,7 @@
         as lost, and their tasks are blamed once a crash is known.
         """
         if not command.ended_ms:
-            self._record_loss(command.worker_id)
+            self._record_loss(command.worker_id, command.unconfirmed)
             return
         at_ms = command.ended_ms
         crashed = command.crashed
@@ -365,16 +366,23 @@
                 if run not in command.never_began
                 and not self.runs[run].is_stray
             ]
-            self._crashes.record_crash(begun, at_ms)
+            self._crashes.record_crash(begun, at_ms, command.unconfirmed)
             self._fail_blamed_jobs([*earlier, *begun], at_ms, command)
 
-    def _record_loss(self, worker_id: str) -> None:
-        """Records the runs of a worker as lost, unless it is draining."""
+    def _record_loss(
+        self, worker_id: str, unconfirmed: abc.Container[model.RunId]
+    ) -> None:
+        """Records the runs of a worker as lost, unless it is draining.
+
+        Args:
+            worker_id: The worker.
+            unconfirmed: Runs that are not known to have begun.
+        """
         worker = self.workers.get(worker_id)
         if worker is not None and not worker.draining:
             runs = self.runs_on(worker_id).values()
             ordered = [record.run for record in runs if not record.is_stray]
-            self._crashes.record_loss(worker, ordered)
+            self._crashes.record_loss(worker, ordered, unconfirmed)
 
     def _fail_blamed_jobs(
         self,
--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -145,6 +145,10 @@
         """Returns the last reported progress of the worker's live runs."""
         return self._state.progress()
 
+    def unconfirmed(self) -> tuple[model.RunId, ...]:
+        """Returns the live runs that are not known to have begun."""
+        return self._state.unconfirmed()
+
     @property
     def leaves_at(self) -> float | None:
         """Monotonic time from which a draining worker may leave, or None."""
--- a/laburnumsill/batch/tests/test_session.py
+++ b/laburnumsill/batch/tests/test_session.py
@@ -548,3 +548,41 @@
         assert removal.never_began == (late,)
 
     run_script(script)
+
+
+@pytest.mark.parametrize("answered", [False, True])
+def test_the_removal_of_a_worker_lists_runs_that_may_not_have_begun(answered):
+    """The worker starts again after it was ordered to start a run."""
+
+    async def script(term):
+        lost = worker_client.NoAnswerError("500")
+        term.client.start_answers = [] if answered else [lost] * 100
+        term.session.start(RUN)
+        await trio.sleep(0.05)
+        term.client.reports = [worker_client.IncarnationGoneError("421")]
+        await trio.sleep(sessions.REPORT_WAIT_MS / 1000 + 0.5)
+        (removal,) = term.committed
+        assert removal.crashed
+        assert removal.never_began == ()
+        assert removal.unconfirmed == (() if answered else (RUN,))
+
+    run_script(script)
+
+
+@pytest.mark.parametrize("answered", [False, True])
+def test_a_release_tells_whether_a_lost_run_may_not_have_begun(answered):
+    """The worker is cut off after it was ordered to start a run."""
+
+    async def script(term):
+        lost = worker_client.NoAnswerError("lost")
+        term.client.start_answers = [] if answered else [lost] * 100
+        term.client.stop_answers = [lost] * 100
+        term.session.start(RUN)
+        await trio.sleep(0.05)
+        term.client.reports = [lost] * 1000
+        await trio.sleep(20.0)
+        (release,) = term.released()
+        assert release.is_lost
+        assert release.is_unconfirmed != answered
+
+    run_script(script)
--- a/laburnumsill/batch/worker_state.py
+++ b/laburnumsill/batch/worker_state.py
@@ -150,6 +150,18 @@
         listed = self.running.get(run)
         return listed.saved if listed else ""
 
+    def unconfirmed(self) -> tuple[model.RunId, ...]:
+        """Returns the worker's live runs that are not known to have begun.
+
+        No start order of theirs was confirmed and no report has listed them.
+        """
+        live = self.term.ledger.runs_on(self.worker_id)
+        return tuple(
+            run
+            for run, record in live.items()
+            if run not in self.missed_reports and not record.seen
+        )
+
     def progress(self) -> list[commands.SeenRun]:
         """Returns the last reported progress of the worker's live runs."""
         return [
@@ -288,6 +300,7 @@
                 successor,
                 tuple(run for run in lost if run not in self.ordered),
                 spares_long_running=True,
+                unconfirmed=self.unconfirmed(),
             )
         )
         for run in lost:
@@ -298,12 +311,14 @@
         self.term.request_plan()
 
     def _log_lost(self, run: model.RunId) -> None:
+        blame = self.term.ledger.crashes.blame_of(run.task)
         logs.event(
             "run-lost",
             job=run.task.job_id,
             run=run,
             worker=self.worker_id,
-            blame=self.term.ledger.crashes.blame_of(run.task).points,
+            blame=blame.points,
+            confirmed=blame.confirmed,
         )
 
     def release(
@@ -311,7 +326,12 @@
     ) -> commands.Release:
         """Returns the release of a run, with its last reported progress."""
         return commands.Release(
-            run, self.worker_id, reason, self.saved(run), is_lost
+            run,
+            self.worker_id,
+            reason,
+            self.saved(run),
+            is_lost,
+            run in self.unconfirmed(),
         )
 
     async def commit_releases(self, releases: list[commands.Release]) -> None:
--- a/laburnumsill/emulator/tests/test_crashing_tasks.py
+++ b/laburnumsill/emulator/tests/test_crashing_tasks.py
@@ -7,9 +7,11 @@
 
 from laburnumsill.batch import commands
 from laburnumsill.batch import model
+from laburnumsill.batch import worker_client
 from laburnumsill.emulator import site as sites
 from laburnumsill.emulator import troubles
 from laburnumsill.emulator import virtual_time
+from laburnumsill.emulator import workers
 
 SETTLE_S = 60.0
 CRASHING = model.TaskId("crashing", 0, 0, 0)
@@ -65,6 +67,29 @@
     assert site.oracle.jobs["crashing"].crashes[CRASHING] <= 5
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_job_of_a_task_that_crashes_workers_before_they_answer_fails(
+    seed, monkeypatch
+):
+    """No message shows that any of its runs has begun."""
+    start = workers.EmulatedWorker.start
+
+    def start_without_answer(worker, order, late):
+        start(worker, order, late)
+        worker.tick()
+        if worker.gone:
+            raise worker_client.NoAnswerError("it has crashed")
+
+    monkeypatch.setattr(workers.EmulatedWorker, "start", start_without_answer)
+
+    async def script(site):
+        await site.submit(job("crashing", 1), [2.0], crashing=[CRASHING])
+
+    site = run_site(seed, script)
+    assert states(site) == {"crashing": "failed"}
+    assert site.oracle.jobs["crashing"].crashes[CRASHING] <= 5
+
+
 @pytest.mark.parametrize("accelerators", [1, 2, 8])
 @pytest.mark.parametrize("seed", range(4))
 def test_other_jobs_complete_despite_a_crashing_one(seed, accelerators):
