batch: let suspects of a long-running step run beside each other

Callers saw a task that lasts never run again: one suspect of a step ran at a time, and that one runs until its job is cancelled. The users ask for each such task to run again from 6 s after its last run, within 3 s, whether others of its job run or not.

Cause: units._parts yields no suspect while another one of its step is live.

A suspect of a long-running step is now held back only for 3 s after it was last blamed. A bound on the age of the live run was ruled out: with many suspects the last one would wait for the sum of them. The 3 s are what the users' 9 s leave after 4 s of leases, before whose end a crash may not be known, and 2 s until the next plan, its probes, its commit and the start. A wall clock that was set back holds back nobody.

Suspects of a step that ends are held as before: one of them is live then, so the job has something running.

In virtual time three workers crash under a job of three tasks at once.

--- a/laburnumsill/batch/crashes.py
+++ b/laburnumsill/batch/crashes.py
@@ -9,7 +9,8 @@
 A crash blames every task that ran on the worker, and a task that ran alone
 there is blamed more. A task with enough blame is a suspect: it is isolated
 from other tasks, and only one suspect of a step runs at a time, which limits
-both the workers that it can crash and the tasks that are blamed with it. A
+both the workers that it can crash and the tasks that are blamed with it. The
+suspects of a long-running step wait for each other for a short time only. A
 task whose blame reaches the limit fails its job.
 
 A start order without a clear answer leaves open whether its run began on the
--- a/laburnumsill/batch/tests/test_crashes.py
+++ b/laburnumsill/batch/tests/test_crashes.py
@@ -8,6 +8,7 @@
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
 from laburnumsill.batch import planner
+from laburnumsill.batch import units
 from laburnumsill.batch.tests import planned_site
 from laburnumsill.core import codec
 
@@ -308,6 +309,25 @@
     assert not plan(ledger).groups
 
 
+def test_suspects_of_a_long_running_step_wait_for_each_other_up_to_a_timeout():
+    """Guards against a task that never runs again: the other one never ends."""
+    ledger = site_with_suspects("j", tasks=(0, 1, 2), long_running=True)
+    planned_site.apply_plan(ledger, plan(ledger))
+    assert len(ledger.runs) == 1
+    assert not plan(ledger, now_ms=units.SUSPECT_HOLD_MS - 1).groups
+    made = plan(ledger, now_ms=units.SUSPECT_HOLD_MS)
+    planned_site.apply_plan(ledger, made)
+    workers = {record.worker_id for record in ledger.runs.values()}
+    assert len(ledger.runs) == len(workers) == 3
+
+
+def test_a_suspect_of_a_finite_step_waits_for_the_end_of_another_one():
+    """Its job has something running meanwhile."""
+    ledger = site_with_suspects("j", tasks=(0, 1, 2))
+    planned_site.apply_plan(ledger, plan(ledger))
+    assert not plan(ledger, now_ms=10 * units.SUSPECT_HOLD_MS).groups
+
+
 def test_a_suspect_waits_for_an_empty_worker_up_to_a_timeout():
     ledger = site_with_suspects("j", per_rack=2)
     planned_site.occupy(ledger, "w00", "o", 1)
--- a/laburnumsill/batch/units.py
+++ b/laburnumsill/batch/units.py
@@ -15,6 +15,12 @@
 """Waves that fill a pool: a wave is a quarter of the tasks that a pool can run
 at a time, as in the users' rules on credit."""
 
+SUSPECT_HOLD_MS = 3_000
+"""Time after its last blame for which a suspect of a long-running step waits
+for another suspect of the step, in ms. The users allow 9 s between two runs of
+such a task; 4 s of it may pass before the crash is known, since leases last as
+long, and 2 s until the next plan, its probes, its commit and the start."""
+
 
 @dataclasses.dataclass(slots=True)
 class Unit:
@@ -88,7 +94,7 @@
         for occurrence in range(len(record.steps)):
             if record.job.due_ms(occurrence) > now_ms:
                 continue
-            ready += _units_of(ledger, record, occurrence, step_ms)
+            ready += _units_of(ledger, record, occurrence, now_ms, step_ms)
     return ready
 
 
@@ -138,6 +144,7 @@
     ledger: ledgers.BatchLedger,
     record: records.JobRecord,
     occurrence: int,
+    now_ms: int,
     step_ms: StepMs,
 ) -> abc.Iterator[Unit]:
     """Yields the ready units of one occurrence of a job."""
@@ -152,7 +159,9 @@
             continue
         if timing is None:
             timing = _timing(ledger, record, occurrence, step_ms)
-        for part, isolated_since_ms in _parts(ledger, job.steps[number], tasks):
+        for part, isolated_since_ms in _parts(
+            ledger, job.steps[number], tasks, now_ms
+        ):
             yield Unit(
                 record,
                 occurrence,
@@ -170,11 +179,14 @@
     ledger: ledgers.BatchLedger,
     step: model.Step,
     tasks: abc.Sequence[model.TaskId],
+    now_ms: int,
 ) -> abc.Iterator[tuple[list[model.TaskId], int | None]]:
     """Yields the parts of a step whose tasks may be placed together.
 
     Suspects are separated from the other tasks and run one at a time, the one
-    with the most blame first. A gang is never split.
+    with the most blame first. A run of a long-running step does not end by
+    itself, so its suspects wait for each other for `SUSPECT_HOLD_MS` only. A
+    gang is never split.
 
     Yields:
         Tasks, and when a suspect among them was last blamed, ms since 1970;
@@ -193,8 +205,22 @@
     others = [task for task in tasks if task not in suspects]
     if others:
         yield others, None
-    if not _has_live_run(ledger, worst.step_key, suspects):
-        yield [worst], blames[worst].at_ms
+    is_free = not _has_live_run(ledger, worst.step_key, suspects)
+    for task in waiting:
+        at_ms = blames[task].at_ms
+        may_wait = not step.long_running or _is_held(at_ms, now_ms)
+        if not may_wait or (is_free and task == worst):
+            yield [task], at_ms
+
+
+def _is_held(blamed_ms: int, now_ms: int) -> bool:
+    """Returns whether a suspect was blamed within `SUSPECT_HOLD_MS`.
+
+    Args:
+        blamed_ms: When it was last blamed, ms since 1970.
+        now_ms: Wall time, ms since 1970. It may have been set back.
+    """
+    return blamed_ms <= now_ms < blamed_ms + SUSPECT_HOLD_MS
 
 
 def _has_live_run(
--- a/laburnumsill/emulator/tests/test_crashing_tasks.py
+++ b/laburnumsill/emulator/tests/test_crashing_tasks.py
@@ -14,6 +14,9 @@
 from laburnumsill.emulator import workers
 
 SETTLE_S = 60.0
+MAX_LASTING_GAP_S = 9.0
+"""Longest time between runs of a task that lasts: the users' 6 s and 3 s."""
+
 CRASHING = model.TaskId("crashing", 0, 0, 0)
 
 
@@ -171,6 +174,32 @@
         assert (state == "failed") <= (job_id[0] == "c"), job_id
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_tasks_that_last_run_again_after_workers_crash_under_several(seed):
+    """Guards against suspects that wait for one that runs until cancelled."""
+
+    async def script(site):
+        await site.submit(job("lasting", 3, 8, long_running=True), [1000.0])
+        await trio.sleep(2.0)
+        tasks = [model.TaskId("lasting", 0, 0, index) for index in range(3)]
+        crashed = [
+            one
+            for one in site.pool.workers.values()
+            if any(task in one.running for task in tasks)
+        ]
+        assert len(crashed) == len(tasks)
+        for worker in crashed:
+            worker.crash()
+        await trio.sleep(MAX_LASTING_GAP_S)
+        running = [
+            task for one in site.pool.workers.values() for task in one.running
+        ]
+        assert sorted(running) == tasks
+        await site.cancel("lasting")
+
+    run_site(seed, script)
+
+
 def test_commands_of_this_version_spare_long_running_tasks():
     """Guards against a long-running job that crashes of its workers end."""
     found = {}
