batch: limit no later starts by a run that may not have begun

Two start orders were not known to have been carried out before their workers started again: one was answered 500, one was carried out under a leader that lost its lead before the run was listed. With one real crash that made three, after which a task may be placed twice more however it ends. Both placements were stopped for urgent jobs, and the third was refused and failed the job.

The limit of later starts now needs three crashes besides one that may have been none, as the limit of points does. Placements are counted from the third crash of any kind as before, so a task that crashes its workers before they answer is still placed five times at the most. A limit that counts confirmed crashes only was ruled out: nothing would bound such a task in a gang.

The new test failed before.

--- a/laburnumsill/batch/crashes.py
+++ b/laburnumsill/batch/crashes.py
@@ -68,6 +68,7 @@
             `CRASHES_BEFORE_START_LIMIT` crashes.
         unconfirmed: Those of `points` that are for runs which are not known
             to have begun.
+        unconfirmed_crashes: Those of `crashes` with such a run of the task.
     """
 
     points: int = 0
@@ -75,12 +76,18 @@
     crashes: int = 0
     later_starts: int = 0
     unconfirmed: int = 0
+    unconfirmed_crashes: int = 0
 
     @property
     def confirmed(self) -> int:
         """The points for runs that are known to have begun."""
         return self.points - self.unconfirmed
 
+    @property
+    def likely_crashes(self) -> int:
+        """The crashes without one during which the task may not have run."""
+        return self.crashes - min(1, self.unconfirmed_crashes)
+
 
 NO_BLAME = Blame()
 
@@ -166,7 +173,11 @@
 
     def may_start(self, task: model.TaskId) -> bool:
         """Returns whether a task has not used up its `MAX_LATER_STARTS`."""
-        return self.blame_of(task).later_starts < MAX_LATER_STARTS
+        blame = self.blame_of(task)
+        return (
+            blame.later_starts < MAX_LATER_STARTS
+            or blame.likely_crashes < CRASHES_BEFORE_START_LIMIT
+        )
 
     def record_start(self, task: model.TaskId) -> None:
         """Counts a placement of a task, if its starts are limited."""
@@ -275,6 +286,7 @@
                 before.crashes + 1,
                 before.later_starts,
                 before.unconfirmed + points * (run in unconfirmed),
+                before.unconfirmed_crashes + (run in unconfirmed),
             )
         self._update_suspects()
 
--- a/laburnumsill/batch/tests/test_crashes.py
+++ b/laburnumsill/batch/tests/test_crashes.py
@@ -183,6 +183,30 @@
     assert state(ledger, "j") == "failed"
 
 
+def test_a_run_that_may_not_have_begun_limits_no_later_starts():
+    """Guards against a job that is shown as failed after it was preempted."""
+    ledger = addressed_site()
+    worker_id = "w00"
+    place(ledger, worker_id, run_of("j", 1), run_of("k", 1))
+    crash_at_once(ledger, worker_id, run_of("j", 1))
+    for number in (2, 3):
+        worker_id += "x"
+        place(ledger, worker_id, run_of("j", number), run_of("k", number))
+        crash(ledger, worker_id)
+    worker_id += "x"
+    for number in (4, 5, 6):
+        run = run_of("j", number)
+        place(ledger, worker_id, run)
+        ended = commands.EndedRun(number, run, commands.EndKind.STOPPED)
+        ledger.note_ends(commands.NoteEnds(worker_id, (ended,), 0))
+    assert state(ledger, "j") == "running"
+    place(ledger, worker_id, run_of("j", 7), run_of("k", 7))
+    crash(ledger, worker_id)
+    group = (commands.Placement(run_of("j", 8), worker_id + "x"),)
+    ledger.place(commands.PlaceRuns((group,), GONE_MS))
+    assert state(ledger, "j") == "failed"
+
+
 def test_stored_commands_that_do_not_tell_which_runs_began_are_read():
     """Guards against replicas that differ after an upgrade."""
     for command, field in (
@@ -211,6 +235,7 @@
     for kind in ("blame", "losses"):
         for one in body["crashes"][kind].values():
             del one["unconfirmed"]
+            one.pop("unconfirmed_crashes", None)
     restored = ledgers.BatchLedger()
     restored.load(msgspec.msgpack.encode((name, body)))
     assert restored.crashes.records == ledger.crashes.records
