batch: hear of ends soon after the answers that listed them were lost

Cause: a worker answers a long poll once when a run ends. If that answer is lost, the leader waits for the timeout of the poll, 2.5 s, and then asks with another long poll of 2.5 s, so that the next lost answer costs as much again. Until then the run counts as live: its task, its gang and the room on its worker wait. The leases of a worker that is cut off were also looked at only once in such a poll, up to 2.6 s after their end.

Change: while the last call was not answered, a report asks for no wait. A long poll counts as lost one order timeout after the longest wait on the slowest clock, and never later than before. Short reports keep the upper bound of the timeout, since their answers are what shows that calls have become slower. No fact that proves the end of a run is changed.

Bound: 2.04 s, an order timeout (0.1 to 0.5 s) and a pause of 0.1 s after one lost answer, and 0.6 s more for each further one.

The case of two lost answers failed before.

--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -20,6 +20,7 @@
 import trio
 
 from laburnumsill.batch import commands
+from laburnumsill.batch import leases
 from laburnumsill.batch import lost_work
 from laburnumsill.batch import model
 from laburnumsill.batch import orders
@@ -287,7 +288,7 @@
         order = worker_client.ReportOrder(
             lease_ms, self._term.fence, last_end, wait_ms
         )
-        deadline = now + wait_ms / 1000 + orders.MAX_ORDER_TIMEOUT_S
+        deadline = now + self._report_timeout_s(wait_ms)
         try:
             report = await self._term.client.report(
                 self._state.worker, order, deadline
@@ -315,11 +316,29 @@
         self._contested_at = None
         await self._term.end_other_incarnations(self._state.worker)
 
+    def _report_timeout_s(self, wait_ms: int) -> float:
+        """Returns the timeout of a report, in s.
+
+        A short report gets the upper bound of the adaptive timeout: its answer
+        shows that calls take longer than they did.
+
+        Args:
+            wait_ms: The long-poll timeout of the report, in ms.
+        """
+        wait_s = wait_ms / 1000
+        longest_s = wait_s + orders.MAX_ORDER_TIMEOUT_S
+        if wait_ms < REPORT_WAIT_MS:
+            return longest_s
+        longest_wait_s = wait_s / (1 - leases.CLOCK_DRIFT)
+        return min(longest_s, longest_wait_s + self._term.order_timeout.seconds)
+
     def _wait_ms(self) -> int:
         """Returns the long-poll timeout of the next report, in ms."""
         runs = self._term.ledger.runs_on(self._state.worker_id)
         if self._contested_at is not None or not self._state.leases.clock_known:
             return 0
+        if self._state.unreachable_since is not None:
+            return 0  # the lost answer may have listed ends
         if self._has_undecided_runs:
             return 0
         if not runs:
--- /dev/null
+++ b/laburnumsill/batch/tests/test_lost_answers.py
@@ -0,0 +1,99 @@
+"""Tests of the time until a session makes up for a lost answer."""
+
+import pytest
+import trio
+
+from laburnumsill.batch import commands
+from laburnumsill.batch import leases
+from laburnumsill.batch import orders
+from laburnumsill.batch import session as sessions
+from laburnumsill.batch import worker_client
+from laburnumsill.batch.tests import test_session
+
+RUN = test_session.RUN
+
+STANDING_LIMIT_S = 3.0
+"""Time for which a job may have nothing running although there is room."""
+
+ANSWER_S = 0.01
+"""Answer time of calls; the order timeout is then the shortest."""
+
+
+class LosingClient(test_session.ScriptedClient):
+    """Client of a worker that answers long polls when its run has ended.
+
+    Attributes:
+        lost_reports: Numbers of the reports without an answer, from 0.
+        ends_at: Monotonic time at which the run ends.
+        acknowledged_at: Monotonic time of the first report that acknowledges
+            the end, or None.
+    """
+
+    def __init__(self, ends_at, lost_reports=()):
+        super().__init__()
+        self.ends_at = ends_at
+        self.lost_reports = set(lost_reports)
+        self.acknowledged_at = None
+
+    async def report(self, worker, order, deadline):
+        number = len(self.given("report"))
+        self.orders.append(("report", order))
+        if order.last_end and self.acknowledged_at is None:
+            self.acknowledged_at = trio.current_time()
+        if number in self.lost_reports:
+            await trio.sleep(deadline - trio.current_time())
+            raise worker_client.NoAnswerError("lost")
+        left_s = max(0.0, self.ends_at - trio.current_time())
+        await trio.sleep(min(left_s, order.wait_ms / 1000) + ANSWER_S)
+        if trio.current_time() < self.ends_at:
+            return test_session.running()
+        if order.last_end:
+            return worker_client.Report(1000, (), ())
+        return test_session.ended(commands.EndKind.DONE)
+
+
+def _use(term, client):
+    """Gives a client to a term whose calls were answered quickly so far."""
+    term.client = client
+    for _ in range(20):
+        term.order_timeout.record(trio.current_time(), ANSWER_S)
+
+
+@pytest.mark.parametrize("lost", [{1}, {1, 2}])
+def test_an_end_is_heard_of_in_time_after_its_answers_were_lost(lost):
+    """The run ends just after the first of the lost answers was asked for."""
+
+    async def script(term):
+        client = LosingClient(trio.current_time() + 2.05, lost)
+        _use(term, client)
+        term.session.start(RUN)
+        await trio.sleep(10.0)
+        assert client.acknowledged_at - client.ends_at < STANDING_LIMIT_S
+
+    test_session.run_script(script)
+
+
+def test_a_long_poll_may_take_its_wait_on_the_slowest_clock():
+    """A worker that is asked to wait for 2 s may do so for 2.04 s."""
+
+    async def script(term):
+        client = LosingClient(trio.current_time() + 60)
+        timeouts = []
+        _use(term, client)
+        answer = client.report
+
+        async def report(worker, order, deadline):
+            if order.wait_ms == sessions.REPORT_WAIT_MS:
+                timeouts.append(deadline - trio.current_time())
+            return await answer(worker, order, deadline)
+
+        client.report = report
+        term.session.start(RUN)
+        await trio.sleep(10.0)
+        longest_wait_s = sessions.REPORT_WAIT_MS / 1000
+        longest_wait_s /= 1 - leases.CLOCK_DRIFT
+        shortest_s = longest_wait_s + orders.MIN_ORDER_TIMEOUT_S
+        assert min(timeouts) >= shortest_s - 1e-6
+        assert max(timeouts) <= sessions.RENEWAL_INTERVAL_MS / 1000 + 1e-6
+
+    test_session.run_script(script)
