batch: settle at once whether a start that was given up has begun

Cause: three waits before the absence of a run is certain.

- A start that the worker refuses after an unanswered order was retried for 2.2 s before the run was stopped.
The refusal shows that the run is not there; only an order under way can still bring it.
- The report that follows the acknowledged stop waited for the end of the long poll in progress, up to 2 s, which has no end to show.
- A started run that a report does not list was stopped only after a second long poll of 2 s.

Evidence: by reading, and by the new tests.

Ruled out: a release by the refusal alone. An order without an answer may be executed seconds later, so a stop has to be acknowledged first.

Change: such a refusal leads to the stop at once. A stop that is acknowledged for a run of which nothing shows that it began ends the long poll. Reports wait 0.1 s while a live run is missing. The proof of a release stays that of docs/PROOFS.md: a stop that was acknowledged before a report that lists neither the run nor a new end.

--- a/laburnumsill/batch/orders.py
+++ b/laburnumsill/batch/orders.py
@@ -138,6 +138,7 @@
         """Sends a start order and retries it until its outcome is known."""
         state = self._state
         clock = state.term.clock
+        reason = "its start timed out"
         give_up_at = clock.monotonic() + START_TIMEOUT_S
         # A worker refuses the orders of earlier terms, unless the fence is the
         # same: such an order may still be under way.
@@ -171,10 +172,11 @@
             ) as error:
                 self._log_start_failure(run, error)
                 state.start_backoff_until = clock.monotonic() + START_BACKOFF_S
-                if not may_have_started:
-                    reason = error.slug
-                    await state.commit_releases([state.release(run, reason)])
-                    return
+                if may_have_started:
+                    reason = "its start was refused"
+                    break
+                await state.commit_releases([state.release(run, error.slug)])
+                return
             except errors.LaburnumsillError as error:
                 self._log_start_failure(run, error)
                 if isinstance(error, worker_client.NoAnswerError):
@@ -182,7 +184,7 @@
                 may_have_started = True
             await trio.sleep(RETRY_PAUSE_S)
         if run in state.term.ledger.runs_on(state.worker_id):
-            self.stop(run, "its start timed out")
+            self.stop(run, reason)
 
     def _slot(
         self, run: model.RunId, for_job: str = ""
@@ -300,5 +302,7 @@
             stop = state.stops.get(run)
             if stop is not None:
                 stop.acknowledged_at = state.term.clock.monotonic()
+            if run not in state.running and run not in state.missed_reports:
+                state.request_report()  # it may never have begun
             state.wakeup.set()
             return
--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -35,8 +35,8 @@
 has a price, so shorter waits cost more."""
 
 UNSETTLED_WAIT_MS = 100
-"""Long-poll timeout of a report while it is unknown whether a run that is being
-stopped ever started."""
+"""Long-poll timeout of a report while it is unknown whether a live run ever
+started, or whether it still runs."""
 
 RESEND_STOP_AFTER_S = 2.0
 """Time after an acknowledged stop at which a run that is still listed gets
@@ -359,13 +359,18 @@
             return UNSETTLED_WAIT_MS if self._state.running else 0
         if self._state.is_departing:
             return UNSETTLED_WAIT_MS  # it may end without an answer
-        unsettled = any(map(self._is_stray, runs)) or any(
-            stop.acknowledged_at is not None and run not in self._state.running
-            for run, stop in self._state.stops.items()
-            if run in runs
-        )
+        unsettled = any(map(self._is_unsettled, runs))
         return UNSETTLED_WAIT_MS if unsettled else REPORT_WAIT_MS
 
+    def _is_unsettled(self, run: model.RunId) -> bool:
+        """Returns whether a live run may be over without an end to wait for."""
+        if self._is_stray(run) or self._state.missed_reports.get(run):
+            return True
+        stop = self._state.stops.get(run)
+        if stop is None or stop.acknowledged_at is None:
+            return False
+        return run not in self._state.running
+
     async def _handle_report_failure(
         self, error: errors.LaburnumsillError
     ) -> None:
--- a/laburnumsill/batch/tests/test_lost_answers.py
+++ b/laburnumsill/batch/tests/test_lost_answers.py
@@ -112,3 +112,45 @@
         assert term.session.unreachable_since is None
 
     test_session.run_script(script)
+
+
+def test_a_start_that_is_refused_after_a_lost_answer_is_given_up_at_once():
+    """The refusal shows that the run is not there, a stop that it stays so."""
+
+    async def script(term):
+        _use(term, test_session.ScriptedClient())
+        term.client.start_answers = [
+            worker_client.NoAnswerError("lost"),
+            *[worker_client.OrderRefusedError("room")] * 40,
+        ]
+        term.session.start(RUN)
+        await trio.sleep(1.0)
+        assert len(term.client.given("start")) == 2
+        assert term.client.given("stop") == [RUN]
+        assert [one.run for one in term.released()] == [RUN]
+
+    test_session.run_script(script)
+
+
+def test_a_started_run_that_no_report_lists_is_released_in_time():
+    async def script(term):
+        _use(term, test_session.ScriptedClient())
+        term.session.start(RUN)
+        await trio.sleep(STANDING_LIMIT_S)
+        assert term.client.given("stop") == [RUN]
+        assert [one.run for one in term.released()] == [RUN]
+
+    test_session.run_script(script)
+
+
+def test_a_run_that_never_began_is_released_as_its_stop_is_acknowledged():
+    """Its start was given up; the long poll in progress cannot show this."""
+
+    async def script(term):
+        _use(term, test_session.ScriptedClient())
+        await trio.sleep(0.5)  # a long poll is in progress
+        term.session.stop(RUN, "test")
+        await trio.sleep(0.5)
+        assert [one.run for one in term.released()] == [RUN]
+
+    test_session.run_script(script)
