emulator: move the operator of failure domains out of the site

Change: Operator in operators.py gives the orders for failure domains; the site calls it. No behaviour changes.

--- a/laburnumsill/emulator/site.py
+++ b/laburnumsill/emulator/site.py
@@ -11,7 +11,6 @@
 from laburnumsill.batch import caller_commands
 from laburnumsill.batch import commands
 from laburnumsill.batch import domain_gateway
-from laburnumsill.batch import evacuations
 from laburnumsill.batch import intake
 from laburnumsill.batch import leading
 from laburnumsill.batch import ledger as ledgers
@@ -24,6 +23,7 @@
 from laburnumsill.core import replication
 from laburnumsill.core import trio_clock
 from laburnumsill.emulator import leadership
+from laburnumsill.emulator import operators
 from laburnumsill.emulator import oracle as oracles
 from laburnumsill.emulator import peers
 from laburnumsill.emulator import unreliable_client
@@ -42,12 +42,6 @@
 
 HEARTBEAT_S = 1.5
 
-OPERATOR_PATIENCE_S = 1.0
-"""Time after which an operator leaves a call without an answer."""
-
-OPERATOR_TIMEOUT_S = 0.9
-"""Time after its arrival until which a VM may carry an order out."""
-
 FIRST_HEARTBEAT_S = 0.1
 """Delay from the start of the first leader to the first heartbeats."""
 
@@ -58,13 +52,6 @@
 """Default capacity of a worker."""
 
 
-Order = abc.Callable[
-    [domain_gateway.DomainGateway, str, float],
-    abc.Awaitable[evacuations.DomainState],
-]
-"""Gives an order for a failure domain through a VM, up to a deadline."""
-
-
 @dataclasses.dataclass(slots=True)
 class Outcome:
     """The progress of a job as callers see it; times are of the loop's clock.
@@ -209,6 +196,9 @@
             )
             for vm in self.schedulers
         }
+        self._operator = operators.Operator(
+            self.domain_gateways, self.groups, self.random
+        )
 
     async def run(
         self,
@@ -367,53 +357,19 @@
 
     async def evacuate(self, domain: str) -> None:
         """Evacuates a failure domain; repeats the order until it succeeds."""
-        await self._order(domain_gateway.DomainGateway.evacuate, domain)
+        assert self._nursery is not None
+        await self._operator.order(
+            self._nursery, domain_gateway.DomainGateway.evacuate, domain
+        )
         self.oracle.record_evacuation(domain, trio.current_time())
 
     async def restore(self, domain: str) -> None:
         """Takes a failure domain back; repeats the order until it succeeds."""
         self.oracle.record_restore(domain)
-        await self._order(domain_gateway.DomainGateway.restore, domain)
-
-    async def _order(
-        self,
-        order: Order,
-        domain: str,
-    ) -> None:
-        """Gives an order for a domain to one VM after the other.
-
-        The operator leaves a call after `OPERATOR_PATIENCE_S`. A VM that is
-        suspended then carries the order out when it resumes.
-        """
         assert self._nursery is not None
-        while True:
-            for vm in self.random.sample(
-                list(self.domain_gateways), len(self.domain_gateways)
-            ):
-                answer, answers = trio.open_memory_channel[bool](1)
-                self._nursery.start_soon(
-                    self._carry_out, vm, order, domain, answer
-                )
-                with trio.move_on_after(OPERATOR_PATIENCE_S):
-                    if await answers.receive():
-                        return
-            await trio.sleep(0.1)
-
-    async def _carry_out(
-        self,
-        vm: str,
-        order: Order,
-        domain: str,
-        answer: trio.MemorySendChannel[bool],
-    ) -> None:
-        """Carries an order out on a VM; answers whether it succeeded."""
-        deadline = trio.current_time() + OPERATOR_TIMEOUT_S
-        await self.groups.wait_until_resumed(vm)
-        succeeded = False
-        with contextlib.suppress(errors.LaburnumsillError):
-            await order(self.domain_gateways[vm], domain, deadline)
-            succeeded = True
-        answer.send_nowait(succeeded)
+        await self._operator.order(
+            self._nursery, domain_gateway.DomainGateway.restore, domain
+        )
 
     async def cancel(self, job_id: str) -> None:
         """Cancels a job."""
