emulator: judge jobs that stand still

Ruled out: room in evacuated domains, on draining workers and without the label does not count; a run that is placed and has not begun is not running.

Terms limits it to pools under half, or counts lost answers as calm.

--- a/laburnumsill/emulator/days.py
+++ b/laburnumsill/emulator/days.py
@@ -15,6 +15,7 @@
 from laburnumsill.batch import policy as policies
 from laburnumsill.emulator import load as loads
 from laburnumsill.emulator import site as sites
+from laburnumsill.emulator import standing
 from laburnumsill.emulator import troubles
 from laburnumsill.emulator import virtual_time
 from laburnumsill.emulator import workers as worker_module
@@ -47,6 +48,11 @@
         load: Multiple of the usual arrival rates.
         kinds: The faults to inject, names from `troubles.KINDS`.
         policy: The enabled mechanisms of the planner.
+        lost_share: Share of the answers to orders that are lost from the start
+            of the day.
+        settle_s: Longest wait for the jobs to end after the last arrival, in
+            seconds.
+        terms: What is asked of the site about jobs that stand still.
     """
 
     shape: loads.Shape
@@ -54,6 +60,9 @@
     load: float = 1.0
     kinds: tuple[str, ...] = ()
     policy: policies.Policy = policies.ALL
+    lost_share: float = 0.0
+    settle_s: float = SETTLE_S
+    terms: standing.Terms = standing.DEFAULT_TERMS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -96,7 +105,9 @@
         day.policy,
         random_names=True,
         restore_ms=int(1000 * shape.restore_s),
+        terms=day.terms,
     )
+    site.client.lost_share = day.lost_share
     async with trio.open_nursery() as nursery:
         await nursery.start(site.run)
         for number, worker in enumerate(site.pool.workers.values()):
@@ -110,7 +121,7 @@
                 submissions.start_soon(
                     troubles.inject, site, rng, day.kinds, DAY_S
                 )
-        with trio.move_on_after(SETTLE_S):
+        with trio.move_on_after(day.settle_s):
             while site.ledger.active_jobs:
                 await trio.sleep(POLL_INTERVAL_S)
                 site.look()
--- a/laburnumsill/emulator/leadership.py
+++ b/laburnumsill/emulator/leadership.py
@@ -64,6 +64,11 @@
         view = self._suspended.get(vm)
         return view is not None and not view.resumed.is_set()
 
+    @property
+    def is_any_suspended(self) -> bool:
+        """Whether a VM is suspended or its view is not current yet."""
+        return bool(self._suspended)
+
     async def suspend(self, vm: str, seconds: float) -> None:
         """Suspends a VM.
 
--- a/laburnumsill/emulator/main.py
+++ b/laburnumsill/emulator/main.py
@@ -16,6 +16,7 @@
 from laburnumsill.emulator import days as days_module
 from laburnumsill.emulator import drawn
 from laburnumsill.emulator import load as loads
+from laburnumsill.emulator import standing
 from laburnumsill.emulator import troubles
 
 RULE_BROKEN = 1
@@ -40,6 +41,9 @@
         log: bool = False,
         site_seed: int = 0,
         without: str = "",
+        lost: float = 0.0,
+        settle: float = days_module.SETTLE_S,
+        half: bool = False,
     ) -> None:
         """Runs one day and prints the states of its jobs and their credit.
 
@@ -53,6 +57,12 @@
             site_seed: Seed of the site `drawn`; the same seed repeats it.
             without: Mechanisms of the planner to disable, separated by
                 commas, to measure their benefit; see `batch.policy`.
+            lost: Share of the answers to orders that are lost from the start
+                of the day; jobs are judged nevertheless.
+            settle: Longest wait for the jobs to end after the last arrival, in
+                seconds.
+            half: Whether jobs that stand still are reported only while less
+                than half of their pool is in use.
         """
         if not log:
             loguru.logger.remove()
@@ -62,6 +72,9 @@
             load,
             _kinds(trouble),
             _policy(without),
+            lost,
+            settle,
+            _terms(lost, half),
         )
         result = days_module.run(day)
         for state, count in sorted(result.states.items()):
@@ -78,6 +91,9 @@
         output: str = "text",
         site_seed: int = 0,
         without: str = "",
+        lost: float = 0.0,
+        settle: float = days_module.SETTLE_S,
+        half: bool = False,
     ) -> None:
         """Runs several days with different seeds and prints their total.
 
@@ -90,15 +106,20 @@
             output: `text` or `json`.
             site_seed: As for `day`.
             without: As for `day`.
+            lost: As for `day`.
+            settle: As for `day`.
+            half: As for `day`.
         """
         loguru.logger.remove()
         if count < 1:
             _exit_bad_argument(f"count is {count}, not 1 or more")
         shape, kinds = _shape(site, site_seed), _kinds(trouble)
-        policy = _policy(without)
+        policy, terms = _policy(without), _terms(lost, half)
         results = {
             seed: days_module.run(
-                days_module.Day(shape, seed, load, kinds, policy)
+                days_module.Day(
+                    shape, seed, load, kinds, policy, lost, settle, terms
+                )
             )
             for seed in range(first_seed, first_seed + count)
         }
@@ -127,6 +148,11 @@
         _exit_bad_argument(f"no mechanism {error.detail}")
 
 
+def _terms(lost: float, half: bool) -> standing.Terms:
+    """Returns the terms; answers lost all day are no disturbance."""
+    return standing.Terms(half, lost_answers_disturb=not lost)
+
+
 def _kinds(trouble: str | tuple[str, ...]) -> tuple[str, ...]:
     kinds = _split_names(trouble)
     if kinds == ("all",):
--- a/laburnumsill/emulator/oracle.py
+++ b/laburnumsill/emulator/oracle.py
@@ -23,6 +23,8 @@
 MAX_EXTRA_STARTS = 2
 """Most starts of a task once it counts as crashing."""
 
+NOTHING = model.Resources()
+
 
 @dataclasses.dataclass(slots=True)
 class GroundTruth:
@@ -31,8 +33,14 @@
     Attributes:
         job: The job as submitted.
         cancelled_at: Time of the acknowledgement of its cancellation, or None.
+        accepted_at: Time of the acknowledgement of its submission, or None.
         begun: Whether any of its tasks was ever started.
+        running: The workers of its live runs.
+        starts: Number of runs, by task.
+        ended_at: Time of the end of the last run, by task.
+        last_end: Time of the last end of any of its runs, or None.
         done: Tasks that have completed.
+        done_counts: Number of tasks that have completed, by step.
         acknowledged_done: Tasks whose completion the leader acknowledged.
         failures: Acknowledged failures, by task.
         crashes: Worker crashes during runs of a task, by task.
@@ -41,8 +49,20 @@
 
     job: model.Job
     cancelled_at: float | None = None
+    accepted_at: float | None = None
     begun: bool = False
+    running: dict[model.RunId, str] = dataclasses.field(default_factory=dict)
+    starts: collections.Counter[model.TaskId] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    ended_at: dict[model.TaskId, float] = dataclasses.field(
+        default_factory=dict
+    )
+    last_end: float | None = None
     done: set[model.TaskId] = dataclasses.field(default_factory=set)
+    done_counts: collections.Counter[model.StepKey] = dataclasses.field(
+        default_factory=collections.Counter
+    )
     acknowledged_done: set[model.TaskId] = dataclasses.field(
         default_factory=set
     )
@@ -67,7 +87,8 @@
     - `LIMIT`: a run beyond the capacity of its worker;
     - `ROUTE`: a run in a pool to which its queue was never sent;
     - `EVAC`: a run in an evacuated failure domain;
-    - `MIXED`: a state was shown that the job does not have.
+    - `MIXED`: a state was shown that the job does not have;
+    - `STILL`: a job stood still beside free room, see `standing`.
 
     Attributes:
         broken: The violations, one line each.
@@ -80,7 +101,7 @@
         self._live: dict[model.TaskId, dict[model.RunId, str]] = {}
         self._used: dict[str, model.Resources] = {}
         self._evacuated_at: dict[str, float] = {}
-        self._pools: dict[str, set[str]] = {}
+        self._pools: dict[str, list[str]] = {}
         self._former_capacities: dict[
             str, list[tuple[float, model.Resources]]
         ] = {}
@@ -89,6 +110,19 @@
         """Records that a job was submitted."""
         self.jobs.setdefault(job.job_id, GroundTruth(job))
 
+    def record_acceptance(self, job_id: str, now: float) -> None:
+        """Records that the submission of a job was acknowledged."""
+        self.jobs[job_id].accepted_at = now
+
+    def used(self, worker_id: str) -> model.Resources:
+        """Returns the resources that runs use on a worker."""
+        return self._used.get(worker_id, NOTHING)
+
+    def pool_of(self, job: model.Job) -> str:
+        """Returns the pool to which a configuration sent a job's queue last."""
+        pools = self._pools.get(job.queue)
+        return pools[-1] if pools else job.terms.pool
+
     def check_start(
         self, run: model.RunId, worker: model.Worker, now: float, late: bool
     ) -> None:
@@ -135,18 +169,20 @@
             if truth.extra_starts[run.task] > MAX_EXTRA_STARTS:
                 count = truth.crashes[run.task]
                 self._break(now, f"BUDGET {run} after {count} crashes")
-        pools = self._pools.get(truth.job.queue, set())
+        pools = self._pools.get(truth.job.queue, ())
         if worker.pool not in {truth.job.terms.pool, *pools}:
             self._break(now, f"ROUTE {run} in {worker.pool}")
-        used = self._used.get(worker.worker_id, model.Resources()) + step.needs
+        used = self.used(worker.worker_id) + step.needs
         self._used[worker.worker_id] = used
         if not used.fits_in(self._max_capacity(worker, now)):
             self._break(now, f"LIMIT {run} on {worker.worker_id}: {used}")
         others[run] = worker.worker_id
+        truth.running[run] = worker.worker_id
+        truth.starts[run.task] += 1
 
     def record_pool(self, queue: str, pool: str) -> None:
         """Records that a configuration sends a queue to a pool."""
-        self._pools.setdefault(queue, set()).add(pool)
+        self._pools.setdefault(queue, []).append(pool)
 
     def record_evacuation(self, domain: str, now: float) -> None:
         """Records that the evacuation of a domain was acknowledged."""
@@ -181,23 +217,31 @@
             max(resources.accelerators for resources in allowed),
         )
 
-    def record_end(self, run: model.RunId, worker_id: str, done: bool) -> None:
+    def record_end(
+        self, run: model.RunId, worker_id: str, now: float, done: bool
+    ) -> None:
         """Records that a run ended and released its resources."""
-        if done:
-            self.jobs[run.task.job_id].done.add(run.task)
-        self._release(run, worker_id)
+        truth = self.jobs[run.task.job_id]
+        if done and run.task not in truth.done:
+            truth.done.add(run.task)
+            truth.done_counts[run.task.step_key] += 1
+        self._release(run, worker_id, now)
 
-    def record_crash(self, run: model.RunId, worker_id: str) -> None:
+    def record_crash(
+        self, run: model.RunId, worker_id: str, now: float
+    ) -> None:
         """Records that a worker crashed during a run."""
         self.jobs[run.task.job_id].crashes[run.task] += 1
-        self._release(run, worker_id)
+        self._release(run, worker_id, now)
 
-    def _release(self, run: model.RunId, worker_id: str) -> None:
+    def _release(self, run: model.RunId, worker_id: str, now: float) -> None:
         if self._live.get(run.task, {}).pop(run, None) is None:
             return
         truth = self.jobs[run.task.job_id]
         needs = truth.job.steps[run.task.step].needs
         self._used[worker_id] = self._used[worker_id] - needs
+        del truth.running[run]
+        truth.ended_at[run.task] = truth.last_end = now
 
     def record_acknowledged_end(
         self,
--- a/laburnumsill/emulator/site.py
+++ b/laburnumsill/emulator/site.py
@@ -22,10 +22,12 @@
 from laburnumsill.core import metrics as metrics_module
 from laburnumsill.core import replication
 from laburnumsill.core import trio_clock
+from laburnumsill.emulator import conditions
 from laburnumsill.emulator import leadership
 from laburnumsill.emulator import operators
 from laburnumsill.emulator import oracle as oracles
 from laburnumsill.emulator import peers
+from laburnumsill.emulator import standing
 from laburnumsill.emulator import unreliable_client
 from laburnumsill.emulator import workers as worker_module
 
@@ -48,6 +50,9 @@
 RESTART_DELAY_S = (1.0, 4.0)
 """Shortest and longest delay until a crashed worker restarts."""
 
+FINAL_STATES = frozenset({"completed", "failed", "cancelled"})
+"""The states of jobs that have ended."""
+
 DEFAULT_CAPACITY = model.Resources(64_000, 262_144, 8)
 """Default capacity of a worker."""
 
@@ -81,6 +86,7 @@
         random_names: Whether the names of workers do not tell their racks.
         restore_ms: Time in which a worker restores saved progress, as the
             schedulers know it; None if they do not.
+        terms: What is asked of the site about jobs that stand still.
 
     Attributes:
         oracle: Records and checks the events on the workers.
@@ -99,6 +105,7 @@
         ledger: The state machine of the group.
         groups: The leadership of the group.
         silent: Ids of workers that send no heartbeats.
+        conditions: Observes the conditions under which jobs are judged.
         schedulers: The scheduler of each VM.
         intakes: The receiver of the workers' announcements on each VM.
         domain_gateways: The receiver of operators' orders on each VM.
@@ -117,6 +124,7 @@
         policy: policies.Policy = policies.ALL,
         random_names: bool = False,
         restore_ms: int | None = None,
+        terms: standing.Terms = standing.DEFAULT_TERMS,
     ) -> None:
         self._seed = seed
         self._random_names = random_names
@@ -196,6 +204,19 @@
             )
             for vm in self.schedulers
         }
+        self.conditions = conditions.SiteConditions(
+            self.groups,
+            self.client,
+            self.pool,
+            self.ledger,
+            self._clock,
+            self.silent,
+            lambda: (self.queues.version, frozenset(self.guarantees.items())),
+            terms,
+        )
+        self._watch = standing.StandingWatch(
+            self.oracle, self._has_ended, terms
+        )
         self._operator = operators.Operator(
             self.domain_gateways, self.groups, self.random
         )
@@ -218,9 +239,15 @@
                 for number in range(per_rack):
                     self._add_initial(self._initial_name(rack, number), rack)
             nursery.start_soon(self._send_heartbeats)
+            nursery.start_soon(self._watch_jobs)
             task_status.started()
             await trio.sleep_forever()
 
+    async def _watch_jobs(self) -> None:
+        while True:
+            self._watch.sample(self.conditions.observe())
+            await trio.sleep(standing.SAMPLE_INTERVAL_S)
+
     def _initial_name(self, rack: int, number: int) -> str:
         name = f"w{rack}-{number}"
         if not self._random_names:
@@ -354,6 +381,7 @@
             await self.propose(
                 caller_commands.SubmitJob(job, self._clock.wall_ms())
             )
+            self.oracle.record_acceptance(job.job_id, trio.current_time())
 
     async def evacuate(self, domain: str) -> None:
         """Evacuates a failure domain; repeats the order until it succeeds."""
@@ -388,11 +416,15 @@
             ).state
             if state:
                 self.oracle.shown(job_id, state, now)
-            ended = state in ("completed", "failed", "cancelled")
-            if ended and outcome.ended_at is None:
+            if state in FINAL_STATES and outcome.ended_at is None:
                 outcome.ended_at = now
             outcome.state = state
 
+    def _has_ended(self, job_id: str) -> bool:
+        """Returns whether a job is shown in a final state."""
+        query = caller_commands.JobQuery(job_id)
+        return self.ledger.job_state(query).state in FINAL_STATES
+
     def _work_of(self, task: model.TaskId) -> float:
         """Returns the actual work of a task in seconds, equal for each run."""
         work_s = self.work[(task.job_id, task.step)]
--- a/laburnumsill/emulator/tests/test_oracle.py
+++ b/laburnumsill/emulator/tests/test_oracle.py
@@ -17,7 +17,7 @@
     oracle = oracles.Oracle()
     oracle.submitted(JOB)
     oracle.check_start(model.RunId(TASK, 1), WORKER, 1.0, late=False)
-    oracle.record_end(model.RunId(TASK, 1), "w", done=True)
+    oracle.record_end(model.RunId(TASK, 1), "w", 2.0, done=True)
     oracle.record_acknowledged_end(
         model.RunId(TASK, 1), "done", gang=False, after_expiry=after_expiry
     )
@@ -43,5 +43,5 @@
         assert not oracle.broken
         run = model.RunId(TASK, number)
         oracle.check_start(run, WORKER, float(number), late=False)
-        oracle.record_crash(run, "w")
+        oracle.record_crash(run, "w", float(number))
     assert oracle.broken == ["6.000 BUDGET j.0.0.0#6 after 5 crashes"]
--- a/laburnumsill/emulator/workers.py
+++ b/laburnumsill/emulator/workers.py
@@ -71,6 +71,11 @@
     fails: bool = False
     clock_rate: float = 1.0
 
+    @property
+    def is_faulty(self) -> bool:
+        """Whether a fault is injected."""
+        return self.hangs or self.fails
+
 
 @dataclasses.dataclass(slots=True)
 class _RunState:
@@ -291,7 +296,9 @@
             saved = known.saved_at_stop
         self._ends.append(commands.EndedRun(self._end_count, run, kind, saved))
         done = kind is commands.EndKind.DONE
-        self._pool.oracle.record_end(run, self.worker.worker_id, done)
+        self._pool.oracle.record_end(
+            run, self.worker.worker_id, trio.current_time(), done
+        )
         if kind is not commands.EndKind.DONE:
             self._pool.count_lost_work(known.step, known.done_s, saved)
         self._ends_changed.set()
@@ -311,7 +318,9 @@
     def crash(self) -> None:
         """Ends the incarnation and its runs; no end is reported."""
         for state in self._running.values():
-            self._pool.oracle.record_crash(state.run, self.worker.worker_id)
+            self._pool.oracle.record_crash(
+                state.run, self.worker.worker_id, trio.current_time()
+            )
             self._pool.count_lost_work(state.step, state.done_s, "")
         self._running.clear()
         self.gone = self.is_down = True
