--- a/laburnumsill/emulator/tests/test_main.py
+++ b/laburnumsill/emulator/tests/test_main.py
@@ -11,6 +11,7 @@
 from laburnumsill.emulator import days
 from laburnumsill.emulator import load as loads
 from laburnumsill.emulator import main
+from laburnumsill.emulator import standing
 
 
 @pytest.fixture(autouse=True)
@@ -89,3 +90,23 @@
         )
         lines.append(ended.stdout)
     assert lines[0] == lines[1]
+
+
+def test_day_passes_on_what_is_asked_about_jobs_that_stand_still(
+    monkeypatch, capsys
+):
+    given = []
+    run = days.run
+
+    def keep(day):
+        given.append(day)
+        return run(day)
+
+    monkeypatch.setattr(days, "run", keep)
+    main.Emulator().day(site="fingal", lost=0.05, settle=3.0, half=True)
+    (day,) = given
+    assert (day.lost_share, day.settle_s) == (0.05, 3.0)
+    assert day.terms == standing.Terms(
+        only_under_half=True, lost_answers_disturb=False
+    )
+    assert "broken=0" in capsys.readouterr().out
--- a/laburnumsill/emulator/tests/test_standing.py
+++ b/laburnumsill/emulator/tests/test_standing.py
@@ -15,10 +15,9 @@
 STEP = model.Step(1, NEEDS)
 TERMS = model.QueueTerms("pool", 1, 3)
 
-STARTS_S = standing.CALM_S
-"""Time at which something stands still first: a calm time after the start."""
-
-REPORTED_S = STARTS_S + standing.MAX_STILL_S
+REPORTED_S = 7.0
+"""Time at which what stands still from the start on is reported: 4 s of calm
+and 3 s."""
 
 
 def job_of(*steps, job_id="j", **changes):
@@ -70,7 +69,7 @@
         """Takes samples up to a time, and one at that time."""
         while self.conditions.now <= until:
             self._watch.sample(self.conditions)
-            now = self.conditions.now + standing.SAMPLE_INTERVAL_S
+            now = self.conditions.now + 0.25
             self.change(now=now, wall_ms=int(1000 * now))
 
     def start(self, task, number=1, worker=WORKER):
@@ -86,7 +85,7 @@
 
 def test_a_job_is_reported_once_it_has_stood_still_for_3_s():
     site = Watched(job_of(STEP))
-    site.watch_until(REPORTED_S - standing.SAMPLE_INTERVAL_S)
+    site.watch_until(REPORTED_S - 0.25)
     assert not site.lines
     site.watch_until(REPORTED_S)
     assert len(site.lines) == 1
@@ -301,7 +300,7 @@
 )
 def test_nothing_is_judged_within_4_s_after_a_disturbance(changes):
     site = Watched(job_of(STEP))
-    site.watch_until(REPORTED_S - standing.SAMPLE_INTERVAL_S)
+    site.watch_until(REPORTED_S - 0.25)
     before = site.conditions
     site.change(**changes)
     site.watch_until(REPORTED_S)
