batch: blame no lost run once its worker has reported again

A task is blamed for the crash of a worker that it had left long before: its start order got no answer, its lease ended while the worker was cut off, the worker came back and reported without the run, and crashed later with nothing on it. Shown by the new test; not seen on a site.

Cause: a run that is lost with an unreachable worker is blamed once the worker has crashed, unless the worker reports its end. A run that never began has no end, so its loss was never withdrawn.

The removal of a worker now tells whether the worker has reported since the last loss of its runs. The leases of these runs had ended by then, and a late order carries a lease that has ended, so none of them can have crashed it. The report has to be requested after the loss: an answer may be old.

Commands without the field keep the losses, as before. The new test failed before.

--- a/laburnumsill/batch/commands.py
+++ b/laburnumsill/batch/commands.py
@@ -182,6 +182,9 @@
         spares_long_running: As in `PlaceRuns`.
         unconfirmed: Runs that were ordered from it and are not known to have
             begun; empty in commands of earlier versions of this program.
+        outlived_losses: Whether it has reported since the last of its runs
+            was lost, so that it has not crashed under them; False in commands
+            of earlier versions of this program.
     """
 
     worker_id: str
@@ -193,6 +196,7 @@
     never_began: tuple[model.RunId, ...] = ()
     spares_long_running: bool = False
     unconfirmed: tuple[model.RunId, ...] = ()
+    outlived_losses: bool = False
 
 
 @codec.register("batch.forget-jobs")
--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -579,7 +579,11 @@
             saved = tuple(session.progress())
             await self.commit(
                 commands.RemoveWorker(
-                    worker_id, reason, saved, unconfirmed=session.unconfirmed()
+                    worker_id,
+                    reason,
+                    saved,
+                    unconfirmed=session.unconfirmed(),
+                    outlived_losses=session.outlived_losses,
                 )
             )
             self.request_plan()
--- a/laburnumsill/batch/ledger.py
+++ b/laburnumsill/batch/ledger.py
@@ -353,6 +353,10 @@
         If it is not known whether the worker has ended, its runs are recorded
         as lost, and their tasks are blamed once a crash is known.
         """
+        if command.outlived_losses:
+            self._crashes.resolve_loss(
+                command.worker_id, False, command.ended_ms
+            )
         if not command.ended_ms:
             self._record_loss(command.worker_id, command.unconfirmed)
             return
--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -146,6 +146,11 @@
         """Returns the last reported progress of the worker's live runs."""
         return self._state.progress()
 
+    @property
+    def outlived_losses(self) -> bool:
+        """Whether the worker has reported since the last loss of its runs."""
+        return self._state.outlived_losses
+
     def unconfirmed(self) -> tuple[model.RunId, ...]:
         """Returns the live runs that are not known to have begun."""
         return self._state.unconfirmed()
@@ -303,6 +308,7 @@
         elif not was_acknowledged:
             await trio.sleep(UNACKNOWLEDGED_PAUSE_S)
         self._has_reported = True
+        self._state.reported_at = now
         await self._finish_verification(now)
         asked_at = None if wait_ms else now
         self._state.record_answer(report.clock_ms, asked_at)
--- a/laburnumsill/batch/tests/test_crashes.py
+++ b/laburnumsill/batch/tests/test_crashes.py
@@ -214,6 +214,10 @@
             commands.RemoveWorker("w", "421", unconfirmed=(run_of("j"),)),
             "unconfirmed",
         ),
+        (
+            commands.RemoveWorker("w", "421", outlived_losses=True),
+            "outlived_losses",
+        ),
         (
             commands.Release(run_of("j"), "w", "", is_unconfirmed=True),
             "is_unconfirmed",
--- a/laburnumsill/batch/tests/test_session.py
+++ b/laburnumsill/batch/tests/test_session.py
@@ -8,6 +8,7 @@
 
 from laburnumsill.batch import caller_commands
 from laburnumsill.batch import commands
+from laburnumsill.batch import crashes
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import lost_work
 from laburnumsill.batch import model
@@ -586,3 +587,30 @@
         assert release.is_unconfirmed != answered
 
     run_script(script)
+
+
+@pytest.mark.parametrize("returns", [False, True])
+def test_a_worker_that_answers_again_has_not_crashed_under_its_lost_runs(
+    returns,
+):
+    """It crashes later, when it runs nothing."""
+
+    async def script(term):
+        lost = worker_client.NoAnswerError("lost")
+        term.client.start_answers = [lost] * 100
+        term.client.stop_answers = [lost] * 100
+        term.session.start(RUN)
+        await trio.sleep(0.05)
+        term.client.reports = [lost] * 1000
+        await trio.sleep(20.0)
+        assert term.released()
+        gone = worker_client.IncarnationGoneError("421")
+        answer = worker_client.Report(1000, (), ())
+        term.client.reports = [answer] * returns + [gone]
+        await trio.sleep(1.0)
+        term.session.verify()
+        await trio.sleep(5.0)
+        blame = term.ledger.crashes.blame_of(RUN.task)
+        assert (blame == crashes.NO_BLAME) == returns
+
+    run_script(script)
--- a/laburnumsill/batch/worker_state.py
+++ b/laburnumsill/batch/worker_state.py
@@ -67,6 +67,8 @@
         last_contact_at: Monotonic time of the last message from the worker.
         announced_at: Monotonic time of the last announcement.
         answered_at: Monotonic time of the last answer to a call.
+        reported_at: Monotonic time at which the last report that was answered
+            was requested.
         unreachable_since: Monotonic time of the first failed call after the
             last answer; None while calls succeed.
         start_backoff_until: Monotonic time before which no run is placed on
@@ -97,6 +99,8 @@
         self.last_contact_at = now
         self.announced_at = announced_at
         self.answered_at = -math.inf
+        self.reported_at = -math.inf
+        self._lost_at = now
         self.unreachable_since: float | None = None
         self.start_backoff_until = now
         self.leaves_at: float | None = None
@@ -131,6 +135,14 @@
         """Whether the worker has announced its end."""
         return self.term.ledger.is_departing(self.worker_id)
 
+    @property
+    def outlived_losses(self) -> bool:
+        """Whether the worker has reported since the last loss of its runs.
+
+        Their leases had ended, so it was not one of them that crashed it.
+        """
+        return self.reported_at > self._lost_at
+
     def next_lease_ms(self) -> int | None:
         """Returns the end of a lease that is granted now, on its clock.
 
@@ -313,6 +325,7 @@
                 tuple(run for run in lost if run not in self.ordered),
                 spares_long_running=True,
                 unconfirmed=self.unconfirmed(),
+                outlived_losses=self.outlived_losses,
             )
         )
         for run in lost:
@@ -350,6 +363,8 @@
         """Releases runs that are certain not to run now or later."""
         if not releases:
             return
+        if any(release.is_lost for release in releases):
+            self._lost_at = self.term.clock.monotonic()
         for release in releases:
             logs.event(
                 "run-released",
