batch: hear of the end of a stopped run within the grace of its stop

Gangs that were stopped for an urgent job counted as live after they had ended, and so did the room that the urgent job waited for.

Cause: a stopped run ends within 1 s of the acknowledged stop, and the long poll in progress shows it. If that answer is lost, the leader waits for the timeout of the poll, up to 2.1 s later, though it knows by when the end had to be listed.

Change: a long poll ends 1 s after the last acknowledged stop at the latest, and later reports wait no longer than that. A poll that shows the end in time costs nothing more. The loop's clock and the leader's differ in their origin, so the time is converted; the test runs with both equal and different.

--- a/laburnumsill/batch/orders.py
+++ b/laburnumsill/batch/orders.py
@@ -28,6 +28,11 @@
 lasts for seconds, and each retry costs a connection and a log line. The pause
 ends early when the worker answers any call."""
 
+STOP_GRACE_S = 1.0
+"""Longest time from an acknowledged stop to the end of the run, as the users'
+workers guarantee it. A long poll that has not shown the end by then may have
+lost its answer."""
+
 START_TIMEOUT_S = 2.2
 """Time limit of a start order and its retries. The other members of a gang
 wait 3 s for this one."""
@@ -299,10 +304,12 @@
                 pause_s = min(2 * pause_s, MAX_STOP_RETRY_PAUSE_S)
                 continue
             state.record_answer(answer.clock_ms, now)
+            acknowledged_at = state.term.clock.monotonic()
             stop = state.stops.get(run)
             if stop is not None:
-                stop.acknowledged_at = state.term.clock.monotonic()
-            if run not in state.running and run not in state.missed_reports:
-                state.request_report()  # it may never have begun
-            state.wakeup.set()
+                stop.acknowledged_at = acknowledged_at
+            if run in state.running or run in state.missed_reports:
+                state.request_report(acknowledged_at + STOP_GRACE_S)
+            else:
+                state.request_report(acknowledged_at)  # it may never have begun
             return
--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -15,6 +15,7 @@
 unreachable worker can certainly run elsewhere.
 """
 
+import math
 from collections import abc as collections_abc
 
 import trio
@@ -365,8 +366,23 @@
             return UNSETTLED_WAIT_MS if self._state.running else 0
         if self._state.is_departing:
             return UNSETTLED_WAIT_MS  # it may end without an answer
-        unsettled = any(map(self._is_unsettled, runs))
-        return UNSETTLED_WAIT_MS if unsettled else REPORT_WAIT_MS
+        if any(map(self._is_unsettled, runs)):
+            return UNSETTLED_WAIT_MS
+        wait_ms = min(REPORT_WAIT_MS, 1000 * self._next_end_left_s())
+        return max(UNSETTLED_WAIT_MS, round(wait_ms))
+
+    def _next_end_left_s(self) -> float:
+        """Returns the time to the next end that a stop promises, in s.
+
+        Infinite if there is none. A run that outlives its stop promises none.
+        """
+        now = self._term.clock.monotonic()
+        left_s = (
+            stop.acknowledged_at + orders.STOP_GRACE_S - now
+            for stop in self._state.stops.values()
+            if stop.acknowledged_at is not None
+        )
+        return min((one for one in left_s if one > 0), default=math.inf)
 
     def _is_unsettled(self, run: model.RunId) -> bool:
         """Returns whether a live run may be over without an end to wait for."""
--- a/laburnumsill/batch/tests/test_lost_answers.py
+++ b/laburnumsill/batch/tests/test_lost_answers.py
@@ -9,6 +9,7 @@
 from laburnumsill.batch import session as sessions
 from laburnumsill.batch import worker_client
 from laburnumsill.batch.tests import test_session
+from laburnumsill.core import trio_clock
 
 RUN = test_session.RUN
 
@@ -56,7 +57,7 @@
     """Gives a client to a term whose calls were answered quickly so far."""
     term.client = client
     for _ in range(20):
-        term.order_timeout.record(trio.current_time(), ANSWER_S)
+        term.order_timeout.record(term.clock.monotonic(), ANSWER_S)
 
 
 @pytest.mark.parametrize("lost", [{1}, {1, 2}])
@@ -154,3 +155,31 @@
         assert [one.run for one in term.released()] == [RUN]
 
     test_session.run_script(script)
+
+
+@pytest.mark.parametrize("origin_s", [0, 1000])
+def test_the_end_of_a_stopped_run_is_heard_of_in_time_after_a_lost_answer(
+    monkeypatch, origin_s
+):
+    """An urgent job waits for the run's room and may wait for 1.5 s in all.
+
+    The origin of a VM's monotonic clock differs from that of the loop's.
+    """
+    monkeypatch.setattr(
+        trio_clock.TrioClock,
+        "monotonic",
+        lambda _: trio.current_time() + origin_s,
+    )
+
+    async def script(term):
+        client = LosingClient(trio.current_time() + 2.5, {1})
+        _use(term, client)
+        term.session.start(RUN)
+        await trio.sleep(2.2)  # the second long poll is in progress
+        stopped_at = trio.current_time()
+        term.session.stop(RUN, "test")
+        await trio.sleep(5.0)
+        slack_s = 1.5
+        assert client.acknowledged_at - stopped_at < slack_s
+
+    test_session.run_script(script)
--- a/laburnumsill/batch/worker_state.py
+++ b/laburnumsill/batch/worker_state.py
@@ -251,18 +251,24 @@
             reason=error.slug,
             detail=error.detail,
         )
-        self.request_report()
+        self.request_report(self.unreachable_since)
         self.term.probe_domain_of(self.worker)
         self.term.request_plan()
 
-    def request_report(self) -> None:
-        """Requests a report now, in place of a long poll in progress.
+    def request_report(self, at: float) -> None:
+        """Requests a report, in place of a long poll that is in progress then.
 
         For what the answer to the long poll might show only when its wait is
         over, or not at all.
+
+        Args:
+            at: Monotonic time of the request, in s.
         """
         if self.long_poll is not None:
-            self.long_poll.cancel()
+            left_s = at - self.term.clock.monotonic()
+            self.long_poll.deadline = min(
+                self.long_poll.deadline, trio.current_time() + left_s
+            )
         self.wakeup.set()
 
     def has_ended(self, run: model.RunId) -> bool:
