batch: ask without a wait after a long poll that was cut short

Cause: a long poll is cut short when the grace of a stop has passed without an end, most likely since its answer was lost. The grace is over then, so the next report was a long poll again, and a second lost answer cost 2.1 s more.

Change: the next report after a cut long poll does not wait. If it is lost, the worker counts as unreachable and is asked without a wait again.

The new test failed before: the end was acknowledged 2.96 s after it with two lost answers, a limit of 2 s.

--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -97,6 +97,7 @@
         self._contested_at: float | None = None
         self._probing = False
         self._has_undecided_runs = False
+        self._poll_was_cut = False
 
     @property
     def worker(self) -> model.Worker:
@@ -302,6 +303,7 @@
             return
         if report is None:
             return
+        self._poll_was_cut = False
         was_acknowledged = self._last_acknowledged
         self._last_acknowledged = report.acknowledged
         if report.acknowledged:
@@ -327,6 +329,7 @@
                 )
             finally:
                 self._state.long_poll = None
+        self._poll_was_cut = True
         return None
 
     async def _finish_verification(self, asked_at: float) -> None:
@@ -358,8 +361,8 @@
         runs = self._term.ledger.runs_on(self._state.worker_id)
         if self._contested_at is not None or not self._state.leases.clock_known:
             return 0
-        if self._state.unreachable_since is not None:
-            return 0  # the lost answer may have listed ends
+        if self._state.unreachable_since is not None or self._poll_was_cut:
+            return 0  # an answer that did not arrive may have listed ends
         if self._has_undecided_runs:
             return 0
         if not runs:
--- a/laburnumsill/batch/tests/test_lost_answers.py
+++ b/laburnumsill/batch/tests/test_lost_answers.py
@@ -183,3 +183,18 @@
         assert client.acknowledged_at - stopped_at < slack_s
 
     test_session.run_script(script)
+
+
+def test_the_end_of_a_stopped_run_is_heard_of_in_time_after_two_lost_answers():
+    """The second is that to the report in place of the first long poll."""
+
+    async def script(term):
+        client = LosingClient(trio.current_time() + 2.5, {1, 2})
+        _use(term, client)
+        term.session.start(RUN)
+        await trio.sleep(2.2)  # the second long poll is in progress
+        term.session.stop(RUN, "test")
+        await trio.sleep(5.0)
+        assert client.acknowledged_at - client.ends_at < STANDING_LIMIT_S - 1
+
+    test_session.run_script(script)
