platform: let the soak's witness judge jobs that stand still

The users report jobs of which nothing runs though there is room, from real processes. Nothing of ours asked the question there: a soak asked only for an end within 45 s.

A watch now samples every 0.1 s what the workers really run, from the first configuration until the end of settle. It tells `LOST ... stands still` when a job has nothing running for 3 s, while a task's turn has come and its pool has room for two such units, and the 3 s and the 4 s before them are calm, however full the pool is; `--under-half` asks for less than half in use besides. A queue that has moved is judged by the newest acknowledged configuration and all later ones without a clear answer.

Not calm: troubles and configurations from their start until 4 s after their end, and each change of a worker. A crash that a job's own task causes is such a change. A task that merely fails changes no worker, so it excuses nothing. Stands that only changes of workers excuse are counted as `stood-beside-crashes` without a break, those while the soak's own loop was late by 0.5 s as `stood-while-loop-late`.

`--kinds calm` plays load alone, without troubles and configurations. Tasks that last are not judged by themselves, as no soak has any.

--- a/laburnumsill/platform/tests/soak/main.py
+++ b/laburnumsill/platform/tests/soak/main.py
@@ -20,6 +20,7 @@
 
 from laburnumsill.platform.tests.soak import planned_work
 from laburnumsill.platform.tests.soak import site as sites
+from laburnumsill.platform.tests.soak import standing_watch
 from laburnumsill.platform.tests.soak import troubles
 from laburnumsill.platform.tests.soak import witness as witnesses
 
@@ -34,6 +35,7 @@
 ORDERS = "orders"
 WORKERS = "workers"
 PLANNED = "planned"
+CALM = "calm"
 """Names of sets of troubles, see `troubles.CHOICES`."""
 
 MEAN_GAP_S = 0.9
@@ -68,6 +70,8 @@
             workers and callers share the loop, so a lack of progress during a
             large lag is no evidence against the daemons.
         folder: Folder with logs and data.
+        standing: What was seen of jobs that stand still beside the broken
+            promises.
     """
 
     seed: int
@@ -79,6 +83,7 @@
     kept_answers: int
     late_s: tuple[float, float]
     folder: pathlib.Path
+    standing: str
 
     def line(self) -> str:
         """Returns the verdict on one line, the broken promises below."""
@@ -87,6 +92,7 @@
             f" completed={self.completed} troubles={','.join(self.kinds)}"
             f" answers={self.answers} kept-answers={self.kept_answers}"
             f" loop-late-s={self.late_s[0]:.2f},{self.late_s[1]:.4f}"
+            f" {self.standing}"
         )
         return "\n    ".join([text, *self.broken])
 
@@ -100,6 +106,8 @@
     has_spare: bool = False,
     opening: abc.Sequence[type[troubles.Trouble]] = (),
     moves_queues: bool = False,
+    load: witnesses.Load = witnesses.USUAL_LOAD,
+    asks_under_half: bool = False,
 ) -> Verdict:
     """Runs one soak.
 
@@ -113,6 +121,9 @@
         opening: Troubles that begin the phase, whatever is drawn.
         moves_queues: Whether queues may move to another pool; workers list few
             ends in a report then.
+        load: What the callers and operators do.
+        asks_under_half: Whether jobs stand still only while under half of
+            their pool is in use.
     """
     kinds: list[str] = []
     lags: list[float] = []
@@ -129,9 +140,11 @@
         try:
             await site.start()
             # Draws before the workers' first announcements do.
-            witness = witnesses.Witness(site)
+            witness = witnesses.Witness(site, load)
             await site.until_started()
             await witness.configure_first()
+            watch = standing_watch.StandingWatch(site, witness, asks_under_half)
+            nursery.start_soon(watch.run)
             site.replace_seeds()
             site.disturb_core()
             kept = planned_work.KeptCallers(site, witness.fates)
@@ -140,8 +153,10 @@
             await witness.check_service()
             await witness.check_last_configuration()
             await witness.settle()
+            watch.close()
             await witness.aclose()
             broken += [*site.oracle.broken, *witness.broken, *kept.broken]
+            broken += watch.broken
             broken += _ended_daemons(site) + _logged_failures(site)
         finally:
             site.stop()
@@ -156,6 +171,7 @@
         kept.answered,
         (max(lags, default=0.0), statistics.fmean(lags or [0.0])),
         folder,
+        watch.line,
     )
 
 
@@ -187,7 +203,9 @@
             for kind in opening:
                 kinds.append(kind.__name__)
                 running.start_soon(kind(site).run)
-            while True:
+            if not choice:
+                await trio.sleep_until(end)
+            while choice:
                 gap_s = site.random.expovariate(1 / MEAN_GAP_S)
                 await trio.sleep(gap_s)
                 if trio.current_time() > end:
@@ -227,7 +245,9 @@
     return found
 
 
-async def _play_all(seeds: list[int], seconds: float, kinds: str) -> bool:
+async def _play_all(
+    seeds: list[int], seconds: float, kinds: str, asks_under_half: bool
+) -> bool:
     """Runs soaks sequentially and returns whether all promises were kept."""
     kept = True
     top = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
@@ -243,6 +263,10 @@
             in (ALL, SPARE, EVACUATIONS, ORDERS, WORKERS),
             has_spare=kinds == SPARE,
             moves_queues=kinds == WORKERS,
+            load=(
+                witnesses.CALM_LOAD if kinds == CALM else witnesses.USUAL_LOAD
+            ),
+            asks_under_half=asks_under_half,
         )
         print(verdict.line(), flush=True)
         if verdict.broken:
@@ -254,7 +278,11 @@
 
 
 def play_in_processes(
-    seeds: list[int], jobs: int, seconds: float, kinds: str = FIRST
+    seeds: list[int],
+    jobs: int,
+    seconds: float,
+    kinds: str = FIRST,
+    asks_under_half: bool = False,
 ) -> bool:
     """Runs soaks in parallel, each in its own process with its own event loop.
 
@@ -273,6 +301,7 @@
                 *("--seeds", ",".join(map(str, share))),
                 *("--seconds", str(seconds)),
                 *("--kinds", kinds),
+                *(["--under-half"] if asks_under_half else []),
             ]
         )
         for share in shares
@@ -313,14 +342,25 @@
         default=FIRST,
         help="set of troubles; all: with tasks that crash their workers;"
         " spare: the same with a spare core VM; workers: the same with workers"
-        " that depart and queues that move; planned: only SIGTERM and SIGHUP",
+        " that depart and queues that move; planned: only SIGTERM and SIGHUP;"
+        " calm: no troubles, and most workers in use",
+    )
+    parser.add_argument(
+        "--under-half",
+        action="store_true",
+        help="judge jobs that stand still only while under half of their pool"
+        " is in use",
     )
     given = parser.parse_args()
     seeds = _seeds(given.seeds, given.fresh)
     if given.jobs > 1:
-        kept = play_in_processes(seeds, given.jobs, given.seconds, given.kinds)
+        kept = play_in_processes(
+            seeds, given.jobs, given.seconds, given.kinds, given.under_half
+        )
     else:
-        kept = trio.run(_play_all, seeds, given.seconds, given.kinds)
+        kept = trio.run(
+            _play_all, seeds, given.seconds, given.kinds, given.under_half
+        )
     sys.exit(0 if kept else 1)
 
 
--- a/laburnumsill/platform/tests/soak/site.py
+++ b/laburnumsill/platform/tests/soak/site.py
@@ -13,11 +13,11 @@
 
 from laburnumsill.batch import model
 from laburnumsill.daemon import server
-from laburnumsill.emulator import oracle as oracles
 from laburnumsill.emulator import workers as emulated
 from laburnumsill.platform.tests import standin
 from laburnumsill.platform.tests.soak import daemon_on_machine
 from laburnumsill.platform.tests.soak import layout
+from laburnumsill.platform.tests.soak import records
 from laburnumsill.platform.tests.soak import touches
 from laburnumsill.testing import ports
 from laburnumsill.testing import processes
@@ -138,7 +138,7 @@
         self.proxy = proxies.Proxy()
         self.processes: dict[str, processes.Process] = {}
         self._old_log_chars: dict[str, int] = {}
-        self.oracle = oracles.Oracle()
+        self.oracle = records.CountingOracle()
         self.pool = emulated.WorkerPool(
             self.oracle,
             _work_s,
@@ -158,6 +158,7 @@
         )
         self.disturbed_at = trio.current_time()
         self.touches = touches.Touches()
+        self.disturbances = records.Disturbances()
         self.keep_calm = False
         self.evacuating: set[str] = set()
         self.restarting: set[str] = set()
--- a/laburnumsill/platform/tests/soak/troubles.py
+++ b/laburnumsill/platform/tests/soak/troubles.py
@@ -101,13 +101,18 @@
     async def run(self) -> None:
         """Plays the trouble, unless it affects VMs while `keep_calm` is set."""
         if self.affects_workers_only:
-            await self._play()
+            await self._disturb()
         elif not self._site.keep_calm:
             self._site.disturb_core()
-            await self._play()
+            await self._disturb()
             self._end_touches()
             self._site.disturb_core()
 
+    async def _disturb(self) -> None:
+        """Plays the trouble and records that it disturbs the site."""
+        with self._site.disturbances.disturbance():
+            await self._play()
+
     @abc.abstractmethod
     async def _play(self) -> None:
         """Injects the fault and removes it."""
@@ -288,7 +293,7 @@
             return
         self._site.keep_calm = True
         if await self._site.until_core_is_calm():
-            await self._play()
+            await self._disturb()
             self._end_touches()
         else:
             self._site.keep_calm = False
@@ -697,6 +702,9 @@
 PLANNED_KINDS = (RollingRestart, RollingRestart, Reload)
 """Troubles for soaks in which no call may be cut."""
 
+CALM_KINDS: tuple[type[Trouble], ...] = ()
+"""No troubles, for soaks that only judge how a full site works."""
+
 CHOICES = {
     "first": KINDS,
     "full-disks": KINDS_WITH_DISKS,
@@ -706,5 +714,6 @@
     "orders": ORDER_KINDS,
     "workers": WORKER_KINDS,
     "planned": PLANNED_KINDS,
+    "calm": CALM_KINDS,
 }
 """Sets of troubles by their names on the command line."""
--- a/laburnumsill/platform/tests/soak/witness.py
+++ b/laburnumsill/platform/tests/soak/witness.py
@@ -12,6 +12,7 @@
 from laburnumsill.batch import model
 from laburnumsill.platform.tests import standin
 from laburnumsill.platform.tests.soak import layout
+from laburnumsill.platform.tests.soak import records
 from laburnumsill.platform.tests.soak import site as sites
 
 VISIBILITY_TIMEOUT_S = 3.0
@@ -24,6 +25,9 @@
 """Mean rate of submissions; with the sizes below, about half the capacity of
 the workers."""
 
+CALM_JOBS_PER_S = 3.0
+"""Mean rate of submissions at which most of the workers are in use."""
+
 ACCELERATORS = (1, 1, 2, 4, 8)
 """Accelerators of a task of a gang, each value equally likely."""
 
@@ -91,20 +95,46 @@
         return self.accepted_at is None and not self.maybe_accepted
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """What the callers and operators do.
+
+    Attributes:
+        jobs_per_s: Mean rate of submissions.
+        changes_configurations: Whether operators change the configuration.
+    """
+
+    jobs_per_s: float = JOBS_PER_S
+    changes_configurations: bool = True
+
+
+USUAL_LOAD = Load()
+
+CALM_LOAD = Load(CALM_JOBS_PER_S, changes_configurations=False)
+"""Load that uses most of the pool and disturbs nothing."""
+
+
 class Witness:
     """Makes calls during the troubles and records broken promises.
 
+    Args:
+        site: The site.
+        load: What the callers and operators do.
+
     Attributes:
         broken: One line for each broken promise.
         fates: The known states of all jobs.
         answers: Number of calls by status.
+        queue_pools: The pools to which the configurations send each queue.
     """
 
-    def __init__(self, site: sites.SoakSite) -> None:
+    def __init__(self, site: sites.SoakSite, load: Load = USUAL_LOAD) -> None:
         self.broken: list[str] = []
         self.fates: list[Fate] = []
         self.answers: dict[int, int] = {}
+        self.queue_pools = records.QueuePools()
         self._site = site
+        self._load = load
         self._random = random.Random(site.random.random())
         # A generator of its own leaves the other draws of a seed as they were.
         self._patience = random.Random(f"{site.seed} patience")
@@ -118,7 +148,7 @@
         """Puts the first configuration in force and waits for all entries."""
         self._sent = self._acknowledged = 1
         document = self._site.configuration(1)
-        await self._site.operator.until(200, "PUT", "/-/config", document)
+        await self._put_configuration(document)
         for address in self._callers.addresses:
             caller = standin.Caller([address])
             await caller.until(200, "GET", "/batch/")
@@ -129,7 +159,8 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._submit_jobs, nursery)
             nursery.start_soon(self._check_states)
-            nursery.start_soon(self._change_configurations, nursery)
+            if self._load.changes_configurations:
+                nursery.start_soon(self._change_configurations, nursery)
 
     async def check_service(self) -> None:
         """Submits a job after the last trouble; it is never cancelled.
@@ -158,12 +189,19 @@
         document = self._site.configuration(self._sent)
         last = {**document["routes"][-1], "name": "last"}
         document["routes"].append({**last, "path_prefix": LAST_PATH})
-        await self._site.operator.until(200, "PUT", "/-/config", document)
+        await self._put_configuration(document)
         self._acknowledged = self._sent
         async with trio.open_nursery() as nursery:
             for address in self._callers.addresses:
                 nursery.start_soon(self._check_last_route, address)
 
+    async def _put_configuration(self, document: dict) -> None:
+        """Puts a configuration in force, through any VM."""
+        with self._site.disturbances.disturbance():
+            self.queue_pools.record_sent(document)
+            await self._site.operator.until(200, "PUT", "/-/config", document)
+            self.queue_pools.record_acknowledged(document)
+
     async def _check_last_route(self, address: str) -> None:
         caller = standin.Caller([address])
         try:
@@ -180,7 +218,7 @@
             while any(self._is_open(fate) for fate in self.fates):
                 for fate in self.fates:
                     if self._is_open(fate):
-                        await self._check_state(fate)
+                        await self.check_state(fate, self._random)
                 await trio.sleep(0.1)
         for fate in self.fates:
             if self._is_open(fate):
@@ -197,6 +235,14 @@
         """Closes all connections."""
         await self._callers.aclose()
 
+    def owed(self) -> list[Fate]:
+        """Returns the accepted jobs that are neither ended nor cancelled."""
+        return [
+            fate
+            for fate in self.fates
+            if self._is_open(fate) and not fate.cancel_sent
+        ]
+
     def _is_open(self, fate: Fate) -> bool:
         return fate.accepted_at is not None and not fate.final
 
@@ -209,7 +255,7 @@
 
     async def _submit_jobs(self, nursery: trio.Nursery) -> None:
         while True:
-            await trio.sleep(self._random.expovariate(JOBS_PER_S))
+            await trio.sleep(self._random.expovariate(self._load.jobs_per_s))
             fate = self._new_job()
             nursery.start_soon(self._submit, fate)
 
@@ -287,12 +333,14 @@
         while True:
             await trio.sleep(0.05)
             if self.fates:
-                await self._check_state(self._random.choice(self.fates))
+                fate = self._random.choice(self.fates)
+                await self.check_state(fate, self._random)
 
-    async def _check_state(self, fate: Fate) -> None:
+    async def check_state(self, fate: Fate, source: random.Random) -> None:
+        """Queries the state of a job through an entry drawn from `source`."""
         asked_at = trio.current_time()
         accepted_at = fate.accepted_at
-        address = self._random.choice(self._callers.addresses)
+        address = source.choice(self._callers.addresses)
         status, answer = await self._callers.call(
             "GET", fate.path, address=address
         )
@@ -315,7 +363,8 @@
     async def _change_configurations(self, nursery: trio.Nursery) -> None:
         while True:
             await trio.sleep(self._random.uniform(0.1, 0.8))
-            await self._change_configuration()
+            with self._site.disturbances.disturbance():
+                await self._change_configuration()
             for vm in self._site.core:
                 nursery.start_soon(self._read_configuration, vm, IN_FORCE_S)
 
@@ -323,6 +372,7 @@
         self._sent += self._random.randrange(1, 4)
         version = self._sent
         document = self._site.configuration(version)
+        self.queue_pools.record_sent(document)
         for address in self._shuffled(self._site.operator.addresses):
             status, _ = await self._site.operator.call(
                 "PUT", "/-/config", document, address
@@ -330,6 +380,7 @@
             self._count(status)
             if status == 200:
                 self._acknowledged = version
+                self.queue_pools.record_acknowledged(document)
                 return
             if 400 <= status < 500:
                 self._record_broken(
