platform: add calm soaks with and without jobs that always fail

The calm kind now has ordinary jobs alone and the failing kind the others too; a line tells how long before such a task last ran.

--- a/laburnumsill/platform/tests/soak/main.py
+++ b/laburnumsill/platform/tests/soak/main.py
@@ -36,8 +36,12 @@
 WORKERS = "workers"
 PLANNED = "planned"
 CALM = "calm"
+FAILING = "failing"
 """Names of sets of troubles, see `troubles.CHOICES`."""
 
+LOADS = {CALM: witnesses.CALM_LOAD, FAILING: witnesses.FAILING_LOAD}
+"""Loads other than the usual one, by the set of troubles."""
+
 MEAN_GAP_S = 0.9
 """Mean time between the starts of two troubles, short enough for overlaps."""
 
@@ -263,9 +267,7 @@
             in (ALL, SPARE, EVACUATIONS, ORDERS, WORKERS),
             has_spare=kinds == SPARE,
             moves_queues=kinds == WORKERS,
-            load=(
-                witnesses.CALM_LOAD if kinds == CALM else witnesses.USUAL_LOAD
-            ),
+            load=LOADS.get(kinds, witnesses.USUAL_LOAD),
             asks_under_half=asks_under_half,
         )
         print(verdict.line(), flush=True)
@@ -343,7 +345,8 @@
         help="set of troubles; all: with tasks that crash their workers;"
         " spare: the same with a spare core VM; workers: the same with workers"
         " that depart and queues that move; planned: only SIGTERM and SIGHUP;"
-        " calm: no troubles, and most workers in use",
+        " calm: no troubles, and most workers in use; failing: the same with"
+        " jobs that always fail",
     )
     parser.add_argument(
         "--under-half",
--- a/laburnumsill/platform/tests/soak/standing.py
+++ b/laburnumsill/platform/tests/soak/standing.py
@@ -170,12 +170,15 @@
         jobs: All jobs that are owed.
         disturbed_at: Time of the last disturbance, see
             `records.Disturbances`.
+        failing_at: Time at which a task that always fails last ran. It excuses
+            no stand, but a line tells it.
     """
 
     at: float
     workers: abc.Sequence[WorkerState]
     jobs: abc.Sequence[JobState]
     disturbed_at: float
+    failing_at: float = -math.inf
 
     def room(self, unit: Unit, pools: abc.Set[str]) -> int:
         """Returns for how many tasks of a unit each of some pools has room."""
@@ -376,6 +379,7 @@
             f"{candidate.unit} room={candidate.room} others-stand={others}"
             f" others-move={moving}"
             f" under-half={'yes' if is_under_half else 'no'}"
+            f" failing-before-s={moment.at - moment.failing_at:.1f}"
         )
 
     def _finding(self, stand: _Stand, moment: Moment) -> _Finding:
--- a/laburnumsill/platform/tests/soak/standing_watch.py
+++ b/laburnumsill/platform/tests/soak/standing_watch.py
@@ -1,5 +1,6 @@
 """Watches the workers and jobs of a soak for jobs that stand still."""
 
+import math
 import random
 
 import trio
@@ -37,6 +38,7 @@
         # A generator of its own leaves the other draws of a seed as they were.
         self._random = random.Random(f"{site.seed} standing")
         self._scope = trio.CancelScope()
+        self._failing_at = -math.inf
 
     @property
     def broken(self) -> list[str]:
@@ -75,11 +77,16 @@
                     await self._witness.check_state(fate, self._random)
 
     def _moment(self) -> standing.Moment:
+        now = trio.current_time()
+        workers = [*map(self._worker_state, self._site.announcers.values())]
+        if any(sites.is_hopeless(task) for w in workers for task in w.running):
+            self._failing_at = now
         return standing.Moment(
-            trio.current_time(),
-            [self._worker_state(one) for one in self._site.announcers.values()],
+            now,
+            workers,
             [self._job_state(fate) for fate in self._witness.owed()],
             self._site.disturbances.last_at,
+            self._failing_at,
         )
 
     def _worker_state(self, announcer: sites.Announcer) -> standing.WorkerState:
--- a/laburnumsill/platform/tests/soak/troubles.py
+++ b/laburnumsill/platform/tests/soak/troubles.py
@@ -703,7 +703,7 @@
 """Troubles for soaks in which no call may be cut."""
 
 CALM_KINDS: tuple[type[Trouble], ...] = ()
-"""No troubles, for soaks that only judge how a full site works."""
+"""No troubles, for soaks of a full and calm site."""
 
 CHOICES = {
     "first": KINDS,
@@ -715,5 +715,6 @@
     "workers": WORKER_KINDS,
     "planned": PLANNED_KINDS,
     "calm": CALM_KINDS,
+    "failing": CALM_KINDS,
 }
 """Sets of troubles by their names on the command line."""
--- a/laburnumsill/platform/tests/soak/witness.py
+++ b/laburnumsill/platform/tests/soak/witness.py
@@ -25,7 +25,7 @@
 """Mean rate of submissions; with the sizes below, about half the capacity of
 the workers."""
 
-CALM_JOBS_PER_S = 3.0
+CALM_JOBS_PER_S = 5.0
 """Mean rate of submissions at which most of the workers are in use."""
 
 ACCELERATORS = (1, 1, 2, 4, 8)
@@ -61,6 +61,9 @@
 """Number of final digits of job ids that mark ordinary jobs; jobs with a higher
 digit may crash their workers or always fail."""
 
+ALL_DIGITS = 16
+"""Number of all final digits of job ids."""
+
 LAST_PATH = "/last/"
 """Path of a route that only the last configuration has."""
 
@@ -102,15 +105,20 @@
     Attributes:
         jobs_per_s: Mean rate of submissions.
         changes_configurations: Whether operators change the configuration.
+        last_digits: Number of final digits of job ids, see `ORDINARY_DIGITS`.
     """
 
     jobs_per_s: float = JOBS_PER_S
     changes_configurations: bool = True
+    last_digits: int = ALL_DIGITS
 
 
 USUAL_LOAD = Load()
 
-CALM_LOAD = Load(CALM_JOBS_PER_S, changes_configurations=False)
+FAILING_LOAD = Load(CALM_JOBS_PER_S, changes_configurations=False)
+"""Load that uses most of the pool, with jobs that always fail."""
+
+CALM_LOAD = dataclasses.replace(FAILING_LOAD, last_digits=ORDINARY_DIGITS)
 """Load that uses most of the pool and disturbs nothing."""
 
 
@@ -256,10 +264,10 @@
     async def _submit_jobs(self, nursery: trio.Nursery) -> None:
         while True:
             await trio.sleep(self._random.expovariate(self._load.jobs_per_s))
-            fate = self._new_job()
+            fate = self._new_job(self._load.last_digits)
             nursery.start_soon(self._submit, fate)
 
-    def _new_job(self, last_digits: int = 16) -> Fate:
+    def _new_job(self, last_digits: int) -> Fate:
         number = len(self.fates)
         queue = self._random.choice(list(PRIORITIES))
         job_id = f"{number:015x}{self._random.randrange(last_digits):x}"
--- a/laburnumsill/platform/tests/test_standing.py
+++ b/laburnumsill/platform/tests/test_standing.py
@@ -125,7 +125,7 @@
     assert found[0] == (
         "13.900 LOST /batch/job-0 stands still from 10.00 to 13.90: step=0"
         " tasks=1 gang=no needs=1000m,1000MB,1 runs=0 room=7 others-stand=1"
-        " others-move=1 under-half=yes"
+        " others-move=1 under-half=yes failing-before-s=inf"
     )
 
 
