--- a/laburnumsill/platform/tests/soak/main.py
+++ b/laburnumsill/platform/tests/soak/main.py
@@ -20,6 +20,7 @@
 
 from laburnumsill.platform.tests.soak import planned_work
 from laburnumsill.platform.tests.soak import site as sites
+from laburnumsill.platform.tests.soak import standing
 from laburnumsill.platform.tests.soak import standing_watch
 from laburnumsill.platform.tests.soak import troubles
 from laburnumsill.platform.tests.soak import witness as witnesses
@@ -74,8 +75,7 @@
             workers and callers share the loop, so a lack of progress during a
             large lag is no evidence against the daemons.
         folder: Folder with logs and data.
-        standing: What was seen of jobs that stand still beside the broken
-            promises.
+        standing: The watch for jobs that stand still.
     """
 
     seed: int
@@ -87,7 +87,7 @@
     kept_answers: int
     late_s: tuple[float, float]
     folder: pathlib.Path
-    standing: str
+    standing: standing.Watch
 
     def line(self) -> str:
         """Returns the verdict on one line, the broken promises below."""
@@ -96,7 +96,7 @@
             f" completed={self.completed} troubles={','.join(self.kinds)}"
             f" answers={self.answers} kept-answers={self.kept_answers}"
             f" loop-late-s={self.late_s[0]:.2f},{self.late_s[1]:.4f}"
-            f" {self.standing}"
+            f" {self.standing.line}"
         )
         return "\n    ".join([text, *self.broken])
 
@@ -160,7 +160,7 @@
             watch.close()
             await witness.aclose()
             broken += [*site.oracle.broken, *witness.broken, *kept.broken]
-            broken += watch.broken
+            broken += watch.findings.broken
             broken += _ended_daemons(site) + _logged_failures(site)
         finally:
             site.stop()
@@ -175,7 +175,7 @@
         kept.answered,
         (max(lags, default=0.0), statistics.fmean(lags or [0.0])),
         folder,
-        watch.line,
+        watch.findings,
     )
 
 
--- a/laburnumsill/platform/tests/soak/standing_watch.py
+++ b/laburnumsill/platform/tests/soak/standing_watch.py
@@ -24,6 +24,9 @@
         site: The site.
         witness: Knows the jobs, and the pools of their queues.
         asks_under_half: See `standing.Watch`.
+
+    Attributes:
+        findings: What was found.
     """
 
     def __init__(
@@ -32,24 +35,14 @@
         witness: witnesses.Witness,
         asks_under_half: bool = False,
     ) -> None:
+        self.findings = standing.Watch(asks_under_half)
         self._site = site
         self._witness = witness
-        self._watch = standing.Watch(asks_under_half)
         # A generator of its own leaves the other draws of a seed as they were.
         self._random = random.Random(f"{site.seed} standing")
         self._scope = trio.CancelScope()
         self._failing_at = -math.inf
 
-    @property
-    def broken(self) -> list[str]:
-        """One line for each stand that breaks a promise."""
-        return self._watch.broken
-
-    @property
-    def line(self) -> str:
-        """What was seen besides broken promises."""
-        return self._watch.line
-
     async def run(self) -> None:
         """Watches the site until it is closed."""
         with self._scope:
@@ -59,19 +52,19 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._ask_states)
             while True:
-                self._watch.observe(self._moment())
+                self.findings.observe(self._moment())
                 await trio.sleep(SAMPLE_INTERVAL_S)
 
     def close(self) -> None:
         """Stops and judges the stands that have not ended."""
         self._scope.cancel()
-        self._watch.close()
+        self.findings.close()
 
     async def _ask_states(self) -> None:
         while True:
             await trio.sleep(SAMPLE_INTERVAL_S)
             standing_since = trio.current_time() - ASKED_AFTER_S
-            paths = self._watch.standing_since(standing_since)
+            paths = self.findings.standing_since(standing_since)
             for fate in self._witness.owed():
                 if fate.path in paths:
                     await self._witness.check_state(fate, self._random)
--- a/laburnumsill/platform/tests/test_soak.py
+++ b/laburnumsill/platform/tests/test_soak.py
@@ -13,6 +13,7 @@
 from laburnumsill.platform.tests.soak import main as soaks
 from laburnumsill.platform.tests.soak import touches
 from laburnumsill.platform.tests.soak import troubles
+from laburnumsill.platform.tests.soak import witness as witnesses
 
 SHORT_S = 6.0
 SHORT_SEED = 20261202
@@ -33,6 +34,8 @@
 WORKER_SEEDS = (1, 2)
 PLANNED_SEEDS = (1,)
 PLANNED_S = 12.0
+CALM_SEEDS = (3,)
+CALM_S = 9.0
 
 READS = 2000
 
@@ -167,6 +170,23 @@
     assert verdict.completed
 
 
+@pytest.mark.parametrize("seed", CALM_SEEDS)
+async def test_no_job_stands_still_while_the_site_is_calm(
+    tmp_path: pathlib.Path, seed: int
+):
+    """Guards against rooms that are withheld from jobs, and for too long."""
+    verdict = await soaks.soak(
+        seed,
+        CALM_S,
+        tmp_path,
+        troubles.CALM_KINDS,
+        load=witnesses.CALM_LOAD,
+    )
+    assert verdict.broken == [], verdict.line()
+    assert verdict.standing.judged
+    assert verdict.completed
+
+
 def test_unplanned_troubles_excuse_a_vm_until_three_seconds_after():
     clock = trio.testing.MockClock()
 
