platform: let the load of a soak outlast its troubles

Soaks with troubles have next to no calm moments for the watch on jobs that stand still: configurations come every 0.1 to 0.8 s until the load ends, and the last one comes 3 s after it.

`--calm-seconds` lets the callers go on after the last trouble, without configurations and silenced connections. The default plays as before.

--- a/laburnumsill/platform/tests/soak/main.py
+++ b/laburnumsill/platform/tests/soak/main.py
@@ -112,6 +112,7 @@
     moves_queues: bool = False,
     load: witnesses.Load = witnesses.USUAL_LOAD,
     asks_under_half: bool = False,
+    calm_s: float = 0.0,
 ) -> Verdict:
     """Runs one soak.
 
@@ -128,6 +129,8 @@
         load: What the callers and operators do.
         asks_under_half: Whether jobs stand still only while under half of
             their pool is in use.
+        calm_s: Duration of the load after the last trouble, in seconds;
+            nothing changes the configuration then.
     """
     kinds: list[str] = []
     lags: list[float] = []
@@ -152,7 +155,9 @@
             site.replace_seeds()
             site.disturb_core()
             kept = planned_work.KeptCallers(site, witness.fates)
-            await _play(site, witness, kept, seconds, kinds, choice, opening)
+            await _play(
+                site, witness, kept, seconds, kinds, choice, opening, calm_s
+            )
             broken = _ended_daemons(site)
             await witness.check_service()
             await witness.check_last_configuration()
@@ -195,14 +200,16 @@
     kinds: list[str],
     choice: abc.Sequence[type[troubles.Trouble]],
     opening: abc.Sequence[type[troubles.Trouble]],
+    calm_s: float,
 ) -> None:
-    """Plays random troubles during the calls and waits until all have ended."""
+    """Plays random troubles during the calls, and calm after all have ended."""
+    silences = trio.CancelScope()
     async with trio.open_nursery() as callers:
         callers.start_soon(witness.run)
         callers.start_soon(kept.run)
         end = trio.current_time() + seconds
         if not all(kind.is_planned for kind in choice):
-            callers.start_soon(_silence_connections, site, kinds)
+            callers.start_soon(_silence_connections, site, kinds, silences)
         async with trio.open_nursery() as running:
             for kind in opening:
                 kinds.append(kind.__name__)
@@ -217,16 +224,23 @@
                 kind = site.random.choice(choice)
                 kinds.append(kind.__name__)
                 running.start_soon(kind(site).run)
+        if calm_s:
+            silences.cancel()
+            witness.stop_changes()
+            await trio.sleep(calm_s)
         callers.cancel_scope.cancel()
 
 
-async def _silence_connections(site: sites.SoakSite, kinds: list[str]) -> None:
+async def _silence_connections(
+    site: sites.SoakSite, kinds: list[str], scope: trio.CancelScope
+) -> None:
     """Silences open connections at random times, beside the other troubles."""
     source = random.Random(site.seed)
-    while True:
-        await trio.sleep(source.expovariate(1 / MEAN_SILENCE_GAP_S))
-        kinds.append(troubles.SilenceAll.__name__)
-        await troubles.SilenceAll(site, source).run()
+    with scope:
+        while True:
+            await trio.sleep(source.expovariate(1 / MEAN_SILENCE_GAP_S))
+            kinds.append(troubles.SilenceAll.__name__)
+            await troubles.SilenceAll(site, source).run()
 
 
 def _ended_daemons(site: sites.SoakSite) -> list[str]:
@@ -250,7 +264,11 @@
 
 
 async def _play_all(
-    seeds: list[int], seconds: float, kinds: str, asks_under_half: bool
+    seeds: list[int],
+    seconds: float,
+    kinds: str,
+    asks_under_half: bool,
+    calm_s: float,
 ) -> bool:
     """Runs soaks sequentially and returns whether all promises were kept."""
     kept = True
@@ -269,6 +287,7 @@
             moves_queues=kinds == WORKERS,
             load=LOADS.get(kinds, witnesses.USUAL_LOAD),
             asks_under_half=asks_under_half,
+            calm_s=calm_s,
         )
         print(verdict.line(), flush=True)
         if verdict.broken:
@@ -285,6 +304,7 @@
     seconds: float,
     kinds: str = FIRST,
     asks_under_half: bool = False,
+    calm_s: float = 0.0,
 ) -> bool:
     """Runs soaks in parallel, each in its own process with its own event loop.
 
@@ -303,6 +323,7 @@
                 *("--seeds", ",".join(map(str, share))),
                 *("--seconds", str(seconds)),
                 *("--kinds", kinds),
+                *("--calm-seconds", str(calm_s)),
                 *(["--under-half"] if asks_under_half else []),
             ]
         )
@@ -354,15 +375,31 @@
         help="judge jobs that stand still only while under half of their pool"
         " is in use",
     )
+    parser.add_argument(
+        "--calm-seconds",
+        type=float,
+        default=0.0,
+        help="duration of the load after the last trouble",
+    )
     given = parser.parse_args()
     seeds = _seeds(given.seeds, given.fresh)
     if given.jobs > 1:
         kept = play_in_processes(
-            seeds, given.jobs, given.seconds, given.kinds, given.under_half
+            seeds,
+            given.jobs,
+            given.seconds,
+            given.kinds,
+            given.under_half,
+            given.calm_seconds,
         )
     else:
         kept = trio.run(
-            _play_all, seeds, given.seconds, given.kinds, given.under_half
+            _play_all,
+            seeds,
+            given.seconds,
+            given.kinds,
+            given.under_half,
+            given.calm_seconds,
         )
     sys.exit(0 if kept else 1)
 
--- a/laburnumsill/platform/tests/soak/witness.py
+++ b/laburnumsill/platform/tests/soak/witness.py
@@ -143,6 +143,7 @@
         self.queue_pools = records.QueuePools()
         self._site = site
         self._load = load
+        self._changes = trio.CancelScope()
         self._random = random.Random(site.random.random())
         # A generator of its own leaves the other draws of a seed as they were.
         self._patience = random.Random(f"{site.seed} patience")
@@ -368,13 +369,18 @@
         if state in FINAL:
             fate.final = state
 
+    def stop_changes(self) -> None:
+        """Lets the configuration be, while the callers go on."""
+        self._changes.cancel()
+
     async def _change_configurations(self, nursery: trio.Nursery) -> None:
-        while True:
-            await trio.sleep(self._random.uniform(0.1, 0.8))
-            with self._site.disturbances.disturbance():
-                await self._change_configuration()
-            for vm in self._site.core:
-                nursery.start_soon(self._read_configuration, vm, IN_FORCE_S)
+        with self._changes:
+            while True:
+                await trio.sleep(self._random.uniform(0.1, 0.8))
+                with self._site.disturbances.disturbance():
+                    await self._change_configuration()
+                for vm in self._site.core:
+                    nursery.start_soon(self._read_configuration, vm, IN_FORCE_S)
 
     async def _change_configuration(self) -> None:
         self._sent += self._random.randrange(1, 4)
