--- a/laburnumsill/platform/tests/test_standing.py
+++ b/laburnumsill/platform/tests/test_standing.py
@@ -131,7 +131,7 @@
 
 @pytest.mark.parametrize("is_seen", [False, True])
 def test_a_run_breaks_a_stand(scene, is_seen):
-    """A run that crashes its worker's program at once is never seen running."""
+    """A run may have ended before the next moment."""
     one = job(model.Step(1, NEEDS))
     counted = records.CountingOracle()
     scene.jobs = [dataclasses.replace(one, runs=counted.runs)]
