batch: judge standing by runs that have begun, and leave what others need

- The clock ended with a placement.
A worker that refuses each start held a job for ever (refused every 1.75 s).
It goes on now until a run is seen.
- It was the wall clock's: set back by 30 s, a job waited 31.55 s.
It is monotonic, and isolation ends when the wall clock was set back.
- A run on a worker that does not answer counted as running (9.75 s).
- Headroom left reserved capacity out, so a gang stood beside it with 2 of 32 accelerators in use; capacity held for an urgent unit was no room at all.
- The fallback took workers on which the task had failed, or 20 times slower ones, though better ones were idle; a suspect of a step that lasts used the clock of its siblings.
- A stream of jobs starved a gang in a busy pool: each took a slot of its reservation after 1.5 s (not started in 120 s).
After 12 s the reservation is the gang's alone, as long as the pool is busy.

--- a/laburnumsill/batch/headroom.py
+++ b/laburnumsill/batch/headroom.py
@@ -101,6 +101,7 @@
     unit: units.Unit,
     assignment: packing.Assignment,
     candidates: abc.Collection[worker_capacity.Candidate],
+    available: packing.Available,
     headroom: int,
     has_runs: bool,
 ) -> packing.Assignment:
@@ -114,13 +115,14 @@
         unit: The unit.
         assignment: An assignment of some of its tasks.
         candidates: All workers that may run it.
+        available: Returns the capacity of a worker that counts as free.
         headroom: Accelerators to leave free.
         has_runs: Whether tasks of its step are running.
     """
     max_tasks = tasks_beside(
         headroom,
         sum(one.worker.capacity.accelerators for one in candidates),
-        sum(one.free.accelerators for one in candidates),
+        sum(available(one).accelerators for one in candidates),
         unit.step.needs.accelerators,
     )
     if unit.step.gang:
--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -382,6 +382,7 @@
             self._policy,
             unheard,
             self._context.worker_limits.restore_ms,
+            round(1000 * self.clock.monotonic()),
             self._standing_since_ms,
         )
         plan = planner.plan(planner_input)
--- a/laburnumsill/batch/obstacles.py
+++ b/laburnumsill/batch/obstacles.py
@@ -13,10 +13,11 @@
     """What keeps a unit from being placed.
 
     Attributes:
-        NO_ROOM: No worker of its pool has the capacity.
+        NO_ROOM: Its pool has no capacity for it.
         UNHEARD_WORKERS: A new leader holds the pool for urgent units until it
             has heard from all workers.
-        RESERVATION: The free capacity is reserved for a gang.
+        RESERVATION: The idle capacity is reserved for a gang, or held for an
+            urgent unit.
         POOR_WORKERS: Only workers that are very slow, or on which one of its
             tasks has failed, have the capacity.
         DATA_RACK: Only workers outside the rack of its data have the capacity.
@@ -43,22 +44,21 @@
     """Returns what keeps a unit of a pool that is not held from being placed.
 
     Args:
-        unit: The unit; nothing of it was placed.
+        unit: The unit, or what of it was not placed.
         candidates: The candidates of the plan.
         count_runs: Returns how many runs of a task's step a worker has.
     """
-    wanted = len(unit.tasks) if unit.step.gang else 1
 
     def holds(
         workers: abc.Sequence[worker_capacity.Candidate],
         available: packing.Available,
     ) -> bool:
         slots = packing.count_slots(unit, workers, available, count_runs)
-        return sum(slots.values()) >= wanted
+        return sum(slots.values()) >= unit.smallest_part
 
     all_workers = candidates.all_for(unit)
     eligible = candidates.eligible(unit)
-    if not holds(all_workers, packing.free_or_reserved):
+    if not holds(all_workers, packing.idle_now):
         return Holder.NO_ROOM
     if not holds(all_workers, packing.free_now):
         return Holder.RESERVATION
--- a/laburnumsill/batch/packing.py
+++ b/laburnumsill/batch/packing.py
@@ -35,6 +35,11 @@
     return candidate.free_or_reserved
 
 
+def idle_now(candidate: worker_capacity.Candidate) -> model.Resources:
+    """Returns the capacity that no run uses, whatever it is kept for."""
+    return candidate.idle
+
+
 def eligible(
     unit: units.Unit, candidates: abc.Iterable[worker_capacity.Candidate]
 ) -> list[worker_capacity.Candidate]:
--- a/laburnumsill/batch/plan_candidates.py
+++ b/laburnumsill/batch/plan_candidates.py
@@ -94,13 +94,13 @@
         return self._max_copies(unit, packing.free_now) < 1
 
     def may_have_room(self, unit: units.Unit, factor: int) -> bool:
-        """Returns whether free or reserved capacity may hold copies of a unit.
+        """Returns whether idle capacity may hold copies of a unit.
 
         Args:
             unit: The unit.
             factor: Number of copies.
         """
-        return self._max_copies(unit, packing.free_or_reserved) >= factor
+        return self._max_copies(unit, packing.idle_now) >= factor
 
     def _max_copies(
         self, unit: units.Unit, available: packing.Available
@@ -113,8 +113,7 @@
                 step.needs.copies_in(available(candidate))
                 for candidate in self.all_for(unit)
             )
-        wanted = len(unit.tasks) if step.gang else 1
-        return self._max_slots[key] // wanted
+        return self._max_slots[key] // unit.smallest_part
 
     def is_mostly_free(self, unit: units.Unit) -> bool:
         """Returns whether most of a unit's pool is free or reserved."""
--- a/laburnumsill/batch/plan_log.py
+++ b/laburnumsill/batch/plan_log.py
@@ -149,7 +149,7 @@
 
     def _standing_ms(self, key: model.StepKey) -> int:
         """Returns for how long a unit has stood, in ms; 0 if it does not."""
-        now_ms = self._clock.wall_ms()
+        now_ms = round(1000 * self._clock.monotonic())
         return now_ms - self._standing_since_ms.get(key, now_ms)
 
     def _log_unit(
--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -9,6 +9,7 @@
 """
 
 import functools
+import itertools
 from collections import abc
 
 from laburnumsill.batch import commands
@@ -48,6 +49,11 @@
 error of the users' declared times is log-normal with a sigma of 0.5 to 0.9;
 3 is e to the 1.1."""
 
+EXCLUSIVE_AFTER_MS = 12_000
+"""Waiting time of a gang after which units that stand in a busy pool may not
+use its reservation, in ms: about two run times of the users' background
+tasks."""
+
 MAX_RESERVATIONS = 1
 """Reservations at a time; more would leave too much of the site idle."""
 
@@ -62,7 +68,10 @@
         planner_input.ledger, planner_input.now_ms, planner_input.step_ms
     )
     if not waiting:
-        return plans.Plan([], [], [])
+        unbegun = standing.without_begun(
+            planner_input.standing_since_ms, planner_input.ledger, ()
+        )
+        return plans.Plan([], [], [], standing_since_ms=unbegun)
     return _Planner(planner_input).run(waiting)
 
 
@@ -95,11 +104,23 @@
         self._reservations = 0
         self._reservation_start_ms = 0.0
         self._reserved_for = ""
-        self._running_jobs = standing.RunningJobs(planner_input.ledger)
+        self._reservation_is_exclusive = False
+        self._running_jobs = standing.RunningJobs(
+            planner_input.ledger, planner_input.usable | planner_input.unheard
+        )
 
     def run(self, waiting: abc.Iterable[units.Unit]) -> plans.Plan:
         for unit in sorted(waiting, key=self._sort_key):
             self._plan_unit(unit)
+        placed = {
+            placement.run.task.step_key
+            for group in self._plan.groups
+            for placement in group
+        }
+        unbegun = standing.without_begun(
+            self._input.standing_since_ms, self._ledger, placed
+        )
+        self._plan.standing_since_ms = unbegun | self._plan.standing_since_ms
         return self._plan
 
     def _sort_key(self, unit: units.Unit) -> tuple[object, ...]:
@@ -182,39 +203,52 @@
     def _has_stood_long(self, unit: units.Unit) -> bool:
         """Returns whether a unit stands and must not wait any longer."""
         since_ms = self._input.standing_since_ms.get(unit.key)
-        if since_ms is None:
+        if since_ms is None or not self._may_share(unit):
             return False
-        stood_ms = self._input.now_ms - since_ms
+        stood_ms = self._input.steady_ms - since_ms
         return stood_ms >= standing.MAX_STANDING_MS and self._stands(unit)
 
     def _fit_standing(self, unit: units.Unit) -> packing.Assignment:
-        """Returns an assignment of a unit that stands, to any free capacity.
+        """Returns an assignment of a unit that stands, to any idle capacity.
 
-        Reserved capacity is used only if the rest does not suffice. Of a step
-        whose tasks are placed one by one, one task makes the job move. Each
-        task of a long-running step stands by itself, so all are placed.
+        Poor workers and capacity that is kept for others are used only if the
+        rest does not suffice. Of a step whose tasks are placed one by one, one
+        task makes the job move. Each task of a long-running step stands by
+        itself, so all are placed.
         """
-        for available in (packing.free_now, packing.free_or_reserved):
+        kept = [packing.idle_now] if self._may_use_reservation(unit) else []
+        choices = itertools.product(
+            (self._candidates.eligible(unit), self._candidates.all_for(unit)),
+            (packing.free_now, *kept),
+        )
+        for candidates, available in choices:
             assignment = packing.fit(
-                unit,
-                self._candidates.all_for(unit),
-                available,
-                self._count_runs,
-                may_spread=True,
+                unit, candidates, available, self._count_runs, may_spread=True
             )
             if assignment:
                 break
         if not (unit.step.gang or unit.step.long_running):
             return assignment[:1]
-        return self._within_headroom(unit, assignment)
+        return self._within_headroom(unit, assignment, packing.idle_now)
+
+    def _may_use_reservation(self, unit: units.Unit) -> bool:
+        """Returns whether a unit that stands may use reserved capacity.
+
+        In a busy pool a stream of units that stand would starve the gang.
+        """
+        return (
+            not self._reservation_is_exclusive
+            or self._candidates.is_mostly_free(unit)
+        )
 
     def _may_share(self, unit: units.Unit) -> bool:
         """Returns whether a unit may share a worker with other runs."""
         since_ms = unit.isolated_since_ms
-        return (
-            since_ms is None
-            or self._input.now_ms >= since_ms + ISOLATION_TIMEOUT_MS
-        )
+        if since_ms is None:
+            return True
+        # The wall clock may have been set back.
+        isolated_ms = self._input.now_ms - since_ms
+        return not 0 <= isolated_ms < ISOLATION_TIMEOUT_MS
 
     def _backfill(
         self,
@@ -255,7 +289,10 @@
         return self._candidates.is_mostly_free(unit)
 
     def _within_headroom(
-        self, unit: units.Unit, assignment: packing.Assignment
+        self,
+        unit: units.Unit,
+        assignment: packing.Assignment,
+        available: packing.Available = packing.free_now,
     ) -> packing.Assignment:
         """Returns the part of an assignment that leaves headroom."""
         wanted = self._input.headroom
@@ -265,6 +302,7 @@
             unit,
             assignment,
             self._candidates.all_for(unit),
+            available,
             wanted,
             has_runs=unit.key in self._ledger.runs_by_step,
         )
@@ -306,7 +344,7 @@
         self._plan.waiting.append(unit)
         if self._stands(unit):
             since_ms = self._input.standing_since_ms.get(
-                unit.key, self._input.now_ms
+                unit.key, self._input.steady_ms
             )
             self._plan.standing_since_ms[unit.key] = since_ms
         if self._input.explain(unit.key):
@@ -468,6 +506,7 @@
         if reservation is None:
             return
         self._reservations += 1
+        self._reservation_is_exclusive = waited >= EXCLUSIVE_AFTER_MS
         self._reserved_for = unit.record.job.job_id
         self._reservation_start_ms = reservations.expected_start_ms(
             unit,
@@ -494,9 +533,9 @@
     def _allocate(
         self, unit: units.Unit, assignment: packing.Assignment
     ) -> None:
-        """Subtracts the capacity of runs that are to be placed later."""
+        """Holds the capacity of runs that are to be placed later."""
         for _, candidate in assignment:
-            candidate.allocate(unit.step.needs)
+            candidate.hold(unit.step.needs)
 
     def _count_runs(self, worker_id: str, task: model.TaskId) -> int:
         return placement_checks.count_runs(self._ledger, worker_id, task)
--- a/laburnumsill/batch/plans.py
+++ b/laburnumsill/batch/plans.py
@@ -33,8 +33,9 @@
             for the first time.
         restore_ms: Time in which a worker restores progress that was saved at
             a stop, in ms; None if workers save none then.
+        steady_ms: Monotonic time, in ms.
         standing_since_ms: When the units that stood in the previous plan began
-            to stand, ms since 1970.
+            to stand, monotonic, in ms.
     """
 
     ledger: ledgers.BatchLedger
@@ -56,6 +57,7 @@
     policy: policies.Policy = policies.ALL
     unheard: abc.Set[str] = frozenset()
     restore_ms: int | None = None
+    steady_ms: int = 0
     standing_since_ms: abc.Mapping[model.StepKey, int] = dataclasses.field(
         default_factory=dict
     )
@@ -73,8 +75,8 @@
         obstacles: Why units wait, for the log.
         preempted_for: The preempting job of each run in `stops`, for the log.
         deferred: Units that wait for workers instead of preempting runs.
-        standing_since_ms: When the units that stand began to stand, ms since
-            1970, see `standing`.
+        standing_since_ms: When the units that stand began to stand, monotonic,
+            in ms, see `standing`.
     """
 
     groups: list[commands.Group]
--- a/laburnumsill/batch/standing.py
+++ b/laburnumsill/batch/standing.py
@@ -41,17 +41,21 @@
 class RunningJobs:
     """The jobs of which a run is live or is placed by a plan.
 
+    A run on a worker that does not answer counts as none: it may have ended.
+
     Args:
         ledger: The live runs.
+        answering: Ids of the workers whose runs count.
     """
 
-    def __init__(self, ledger: ledgers.BatchLedger) -> None:
-        self._ids = {job_id for job_id, _, _ in ledger.runs_by_step}
-
-    @property
-    def ids(self) -> abc.Set[str]:
-        """The ids of the jobs."""
-        return self._ids
+    def __init__(
+        self, ledger: ledgers.BatchLedger, answering: abc.Container[str]
+    ) -> None:
+        self._ids = {
+            key[0]
+            for key, runs in ledger.runs_by_step.items()
+            if any(run.worker_id in answering for run in runs.values())
+        }
 
     def add(self, job_id: str) -> None:
         """Adds a job of which a run is placed."""
@@ -66,21 +70,51 @@
 
 def has_room(
     unit: units.Unit,
-    candidates: abc.Sequence[worker_capacity.Candidate],
+    candidates: abc.Iterable[worker_capacity.Candidate],
     count_runs: packing.CountRuns,
 ) -> bool:
-    """Returns whether free capacity holds a unit `ROOM_FACTOR` times over.
+    """Returns whether idle capacity holds a unit `ROOM_FACTOR` times over.
+
+    Each copy by itself may use a worker up to the step's `max_per_worker`.
 
     Args:
         unit: The unit.
         candidates: All workers that may run it.
         count_runs: Returns how many runs of a task's step a worker has.
     """
-    wanted = len(unit.tasks) if unit.step.gang else 1
-    slots = packing.count_slots(
-        unit, candidates, packing.free_or_reserved, count_runs
-    )
-    return sum(slots.values()) >= ROOM_FACTOR * wanted
+    limit = unit.step.max_per_worker
+    room = 0
+    for candidate in candidates:
+        slots = unit.step.needs.copies_in(candidate.idle)
+        if limit and slots:
+            live = count_runs(candidate.worker.worker_id, unit.tasks[0])
+            slots = min(slots, ROOM_FACTOR * max(0, limit - live))
+        room += slots
+    return room >= ROOM_FACTOR * unit.smallest_part
+
+
+def without_begun(
+    since_ms: abc.Mapping[model.StepKey, int],
+    ledger: ledgers.BatchLedger,
+    placed: abc.Container[model.StepKey],
+) -> dict[model.StepKey, int]:
+    """Returns since when steps stand whose runs are not known to have begun.
+
+    A placement ends no standing: its worker may refuse to start the run.
+
+    Args:
+        since_ms: When the steps began to stand, monotonic, in ms.
+        ledger: The live runs.
+        placed: Steps of which a plan places runs.
+    """
+    unbegun = {}
+    for key, began_ms in since_ms.items():
+        runs = ledger.runs_by_step.get(key, {}).values()
+        if key[0] not in ledger.active_jobs or any(run.seen for run in runs):
+            continue
+        if runs or key in placed:
+            unbegun[key] = began_ms
+    return unbegun
 
 
 def progress_by_account(
@@ -93,7 +127,7 @@
         standing: The steps that stand.
     """
     standing_ids = {job_id for job_id, _, _ in standing}
-    moving_ids = RunningJobs(ledger).ids
+    moving_ids = {job_id for job_id, _, _ in ledger.runs_by_step}
     found: dict[tuple[str, str], AccountProgress] = {}
     for job_id, record in ledger.active_jobs.items():
         key = (record.job.account, ledger.pool_of(record.job))
--- a/laburnumsill/batch/tests/planned_site.py
+++ b/laburnumsill/batch/tests/planned_site.py
@@ -1,9 +1,12 @@
 """Small sites, jobs and planner inputs for tests of the planner."""
 
+import dataclasses
+
 from laburnumsill.batch import caller_commands
 from laburnumsill.batch import commands
 from laburnumsill.batch import ledger as ledgers
 from laburnumsill.batch import model
+from laburnumsill.batch import planner
 from laburnumsill.batch import plans
 
 GIB = 1024
@@ -51,6 +54,7 @@
         frozenset(stopping),
         guarantees or {},
         now_ms,
+        steady_ms=now_ms,
     )
 
 
@@ -97,3 +101,24 @@
 def placed_jobs(made):
     """Returns the jobs with runs that a plan places."""
     return {group[0].run.task.job_id for group in made.groups}
+
+
+def occupy_rack(ledger, rack, accelerators=8):
+    """Occupies all workers of a rack."""
+    for worker_id, worker in sorted(ledger.workers.items()):
+        if worker.rack == rack:
+            job_id = f"on-{worker_id}"
+            occupy(ledger, worker_id, job_id, accelerators)
+
+
+def near_data(tasks, **step):
+    """Returns a job of small tasks whose data is in rack r0."""
+    return job("near", tasks, 1, priority=2, data_rack="r0", **step)
+
+
+def plan_after(ledger, waited_ms, *job_ids, **changes):
+    """Returns a plan for jobs of which nothing has run for some time."""
+    since_ms = {(job_id, 0, 0): 0 for job_id in job_ids}
+    changes["standing_since_ms"] = since_ms
+    now = planner_input(ledger, now_ms=waited_ms)
+    return planner.plan(dataclasses.replace(now, **changes))
--- a/laburnumsill/batch/tests/test_obstacles.py
+++ b/laburnumsill/batch/tests/test_obstacles.py
@@ -139,7 +139,7 @@
     log = plan_log.PlanLog(ledger, clock)
     made = explained(ledger)
     key = ("near", 0, 0)
-    now_ms = clock.wall_ms()
+    now_ms = round(1000 * clock.monotonic())
     made.standing_since_ms[key] = now_ms
     log.log_waiting(made, usable=4)
     assert not log.is_due(key)
--- a/laburnumsill/batch/tests/test_standing.py
+++ b/laburnumsill/batch/tests/test_standing.py
@@ -15,61 +15,37 @@
 """A time after which no unit waits for better capacity, in ms."""
 
 
-def plan_after(ledger, waited_ms, *job_ids, **changes):
-    """Returns a plan for jobs of which nothing has run for some time."""
-    since_ms = {(job_id, 0, 0): 0 for job_id in job_ids}
-    planner_input = dataclasses.replace(
-        planned_site.planner_input(ledger, now_ms=waited_ms),
-        standing_since_ms=since_ms,
-        **changes,
-    )
-    return planner.plan(planner_input)
-
-
-def occupy_rack(ledger, rack, accelerators=8):
-    """Occupies all workers of a rack."""
-    for worker_id, worker in sorted(ledger.workers.items()):
-        if worker.rack == rack:
-            job_id = f"on-{worker_id}"
-            planned_site.occupy(ledger, worker_id, job_id, accelerators)
-
-
-def near_data(tasks, **step):
-    """Returns a job of small tasks whose data is in rack r0."""
-    return planned_site.job(
-        "near", tasks, 1, priority=2, data_rack="r0", **step
-    )
-
-
 def mostly_free_site():
     """Returns a site of four racks whose rack r0 is full."""
     ledger = planned_site.site(racks=4)
-    occupy_rack(ledger, "r0")
+    planned_site.occupy_rack(ledger, "r0")
     return ledger
 
 
 def test_no_task_waits_for_the_rack_of_its_data_while_others_are_free():
     ledger = mostly_free_site()
-    planned_site.submit(ledger, near_data(7))
-    too_early = plan_after(ledger, standing.MAX_STANDING_MS - 1, "near")
+    planned_site.submit(ledger, planned_site.near_data(7))
+    too_early = planned_site.plan_after(
+        ledger, standing.MAX_STANDING_MS - 1, "near"
+    )
     assert too_early.groups == []
-    made = plan_after(ledger, standing.MAX_STANDING_MS, "near")
+    made = planned_site.plan_after(ledger, standing.MAX_STANDING_MS, "near")
     assert [len(group) for group in made.groups] == [1]
 
 
 def test_tasks_that_follow_the_first_one_wait_for_the_rack_of_their_data():
     ledger = mostly_free_site()
-    planned_site.submit(ledger, near_data(7))
-    made = plan_after(ledger, standing.MAX_STANDING_MS, "near")
+    planned_site.submit(ledger, planned_site.near_data(7))
+    made = planned_site.plan_after(ledger, standing.MAX_STANDING_MS, "near")
     planned_site.apply_plan(ledger, made)
-    assert plan_after(ledger, LONG_MS, "near").groups == []
+    assert planned_site.plan_after(ledger, LONG_MS, "near").groups == []
 
 
 def test_wait_for_the_rack_of_the_data_is_bounded_in_a_busy_pool():
     ledger = planned_site.site()
-    occupy_rack(ledger, "r0")
-    planned_site.submit(ledger, near_data(7))
-    made = plan_after(ledger, standing.MAX_STANDING_MS, "near")
+    planned_site.occupy_rack(ledger, "r0")
+    planned_site.submit(ledger, planned_site.near_data(7))
+    made = planned_site.plan_after(ledger, standing.MAX_STANDING_MS, "near")
     assert len(made.groups) == 1
 
 
@@ -79,20 +55,20 @@
     worker_id = ledger.runs[run].worker_id
     end = commands.EndedRun(1, run, commands.EndKind.DONE)
     ledger.note_ends(commands.NoteEnds(worker_id, (end,), 0))
-    planned_site.submit(ledger, near_data(1))
-    made = plan_after(ledger, standing.MAX_STANDING_MS, "near")
+    planned_site.submit(ledger, planned_site.near_data(1))
+    made = planned_site.plan_after(ledger, standing.MAX_STANDING_MS, "near")
     assert planned_site.workers_used(made) == {worker_id}
 
 
 def test_each_task_that_lasts_leaves_the_rack_of_its_data():
     """Its siblings' runs do not help a task that serves callers itself."""
     ledger = planned_site.site()
-    occupy_rack(ledger, "r0")
-    planned_site.submit(ledger, near_data(3, long_running=True))
+    planned_site.occupy_rack(ledger, "r0")
+    planned_site.submit(ledger, planned_site.near_data(3, long_running=True))
     run = model.RunId(model.TaskId("near", 0, 0, 0), 1)
     placement = commands.Placement(run, "w10")
     ledger.place(commands.PlaceRuns(((placement,),), 0))
-    made = plan_after(ledger, standing.MAX_STANDING_MS, "near")
+    made = planned_site.plan_after(ledger, standing.MAX_STANDING_MS, "near")
     assert len(made.groups) == 2
 
 
@@ -104,7 +80,7 @@
         ledger,
         planned_site.job("gang", 2, 6, priority=1, gang=True, same_rack=True),
     )
-    made = plan_after(
+    made = planned_site.plan_after(
         ledger,
         standing.MAX_STANDING_MS,
         "gang",
@@ -121,11 +97,15 @@
     planned_site.submit(
         ledger, planned_site.job("avoids", 1, 8, priority=2, gang=gang)
     )
-    occupy_rack(ledger, "r0", accelerators=1)
+    planned_site.occupy_rack(ledger, "r0", accelerators=1)
     poor = {"avoided_workers": lambda _: frozenset({"w10", "w11"})}
-    early = plan_after(ledger, standing.MAX_STANDING_MS - 1, "avoids", **poor)
+    early = planned_site.plan_after(
+        ledger, standing.MAX_STANDING_MS - 1, "avoids", **poor
+    )
     assert early.groups == []
-    made = plan_after(ledger, standing.MAX_STANDING_MS, "avoids", **poor)
+    made = planned_site.plan_after(
+        ledger, standing.MAX_STANDING_MS, "avoids", **poor
+    )
     assert len(made.groups) == 1
 
 
@@ -146,16 +126,16 @@
     planned_site.submit(ledger, wide)
     planned_site.submit(ledger, planned_site.job("many", 48, 1, priority=2))
     late_ms = planner.RESERVE_AFTER_MS
-    assert plan_after(ledger, late_ms).groups == []
-    made = plan_after(ledger, late_ms, "many")
+    assert planned_site.plan_after(ledger, late_ms).groups == []
+    made = planned_site.plan_after(ledger, late_ms, "many")
     assert [len(group) for group in made.groups] == [1]
 
 
 def test_unit_with_room_for_one_copy_may_wait():
     """Room for one copy may be all that a waiting gang needs."""
     ledger = planned_site.site()
-    occupy_rack(ledger, "r0")
+    planned_site.occupy_rack(ledger, "r0")
     planned_site.occupy(ledger, "w10", "busy", 7)
     planned_site.occupy(ledger, "w11", "busy-too", 8)
-    planned_site.submit(ledger, near_data(1))
-    assert plan_after(ledger, LONG_MS, "near").groups == []
+    planned_site.submit(ledger, planned_site.near_data(1))
+    assert planned_site.plan_after(ledger, LONG_MS, "near").groups == []
--- a/laburnumsill/batch/units.py
+++ b/laburnumsill/batch/units.py
@@ -66,6 +66,11 @@
         """Key of the step in this occurrence of the job."""
         return (self.record.job.job_id, self.occurrence, self.step_index)
 
+    @property
+    def smallest_part(self) -> int:
+        """Number of tasks that can only be placed together."""
+        return len(self.tasks) if self.step.gang else 1
+
     def next_run(self, task: model.TaskId) -> model.RunId:
         """Returns the id of a task's next run; a gang's runs share a number."""
         step = self.record.steps[self.occurrence][self.step_index]
--- a/laburnumsill/batch/worker_capacity.py
+++ b/laburnumsill/batch/worker_capacity.py
@@ -16,6 +16,8 @@
         free: Capacity that is neither used nor allocated nor reserved;
             negative if more is allocated than is free until runs end.
         reserved: Capacity that is reserved for a waiting gang.
+        held: Capacity that an urgent unit holds until runs that are being
+            stopped have ended.
         used_by_stopping: Capacity used by runs that are being stopped.
         used_by_long_running: Capacity used by runs that go on until their job
             is cancelled.
@@ -29,6 +31,7 @@
     reserved: model.Resources = dataclasses.field(
         default_factory=model.Resources
     )
+    held: model.Resources = dataclasses.field(default_factory=model.Resources)
     used_by_stopping: model.Resources = dataclasses.field(
         default_factory=model.Resources
     )
@@ -49,6 +52,11 @@
         """Free capacity, including what is reserved for a gang."""
         return self.free + self.reserved
 
+    @property
+    def idle(self) -> model.Resources:
+        """Capacity that no run uses, whatever it is kept for."""
+        return self.free + self.reserved + self.held
+
     @property
     def max_free(self) -> model.Resources:
         """Capacity that is free when only long-running runs remain."""
@@ -58,6 +66,11 @@
         """Allocates resources that are free now or will be free soon."""
         self.free -= needs
 
+    def hold(self, needs: model.Resources) -> None:
+        """Holds resources for an urgent unit until runs have ended."""
+        self.free -= needs
+        self.held += needs
+
     def reserve(self, needs: model.Resources) -> None:
         """Reserves resources for a waiting gang."""
         self.free -= needs
