--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -49,10 +49,10 @@
 error of the users' declared times is log-normal with a sigma of 0.5 to 0.9;
 3 is e to the 1.1."""
 
-EXCLUSIVE_AFTER_MS = 12_000
+EXCLUSIVE_AFTER_MS = 40_000
 """Waiting time of a gang after which units that stand in a busy pool may not
-use its reservation, in ms: about two run times of the users' background
-tasks."""
+use its reservation, in ms: several run times of the users' background tasks.
+Before, much of the pool would be idle for it."""
 
 MAX_RESERVATIONS = 1
 """Reservations at a time; more would leave too much of the site idle."""
--- a/laburnumsill/emulator/conditions.py
+++ b/laburnumsill/emulator/conditions.py
@@ -55,7 +55,12 @@
             tuple(one.worker for one in up),
             frozenset(self._ledger.evacuated_domains),
             self._is_disturbed(up),
-            (self._groups.current_term, self._configuration()),
+            (
+                self._groups.current_term,
+                self._configuration(),
+                # Also tells of workers that ended between two observations.
+                len(self._pool.workers),
+            ),
         )
 
     def _is_disturbed(
--- a/laburnumsill/emulator/main.py
+++ b/laburnumsill/emulator/main.py
@@ -43,7 +43,7 @@
         without: str = "",
         lost: float = 0.0,
         settle: float = days_module.SETTLE_S,
-        half: bool = False,
+        however_full: bool = False,
     ) -> None:
         """Runs one day and prints the states of its jobs and their credit.
 
@@ -61,8 +61,8 @@
                 of the day; jobs are judged nevertheless.
             settle: Longest wait for the jobs to end after the last arrival, in
                 seconds.
-            half: Whether jobs that stand still are reported only while less
-                than half of their pool is in use.
+            however_full: Whether jobs that stand still are also reported
+                while half of their pool or more is in use.
         """
         if not log:
             loguru.logger.remove()
@@ -74,7 +74,7 @@
             _policy(without),
             lost,
             settle,
-            _terms(lost, half),
+            _terms(lost, however_full),
         )
         result = days_module.run(day)
         for state, count in sorted(result.states.items()):
@@ -93,7 +93,7 @@
         without: str = "",
         lost: float = 0.0,
         settle: float = days_module.SETTLE_S,
-        half: bool = False,
+        however_full: bool = False,
     ) -> None:
         """Runs several days with different seeds and prints their total.
 
@@ -108,13 +108,13 @@
             without: As for `day`.
             lost: As for `day`.
             settle: As for `day`.
-            half: As for `day`.
+            however_full: As for `day`.
         """
         loguru.logger.remove()
         if count < 1:
             _exit_bad_argument(f"count is {count}, not 1 or more")
         shape, kinds = _shape(site, site_seed), _kinds(trouble)
-        policy, terms = _policy(without), _terms(lost, half)
+        policy, terms = _policy(without), _terms(lost, however_full)
         results = {
             seed: days_module.run(
                 days_module.Day(
@@ -148,9 +148,11 @@
         _exit_bad_argument(f"no mechanism {error.detail}")
 
 
-def _terms(lost: float, half: bool) -> standing.Terms:
+def _terms(lost: float, however_full: bool) -> standing.Terms:
     """Returns the terms; answers lost all day are no disturbance."""
-    return standing.Terms(half, lost_answers_disturb=not lost)
+    return standing.Terms(
+        only_under_half=not however_full, lost_answers_disturb=not lost
+    )
 
 
 def _kinds(trouble: str | tuple[str, ...]) -> tuple[str, ...]:
--- a/laburnumsill/emulator/standing.py
+++ b/laburnumsill/emulator/standing.py
@@ -36,12 +36,13 @@
 
     Attributes:
         only_under_half: Whether jobs are judged only while less than half of
-            each resource of their pool is in use.
+            each resource of their pool is in use; long-running tasks are
+            judged however full it is.
         lost_answers_disturb: Whether the loss of answers to orders is a
             disturbance, during which nothing is judged.
     """
 
-    only_under_half: bool = False
+    only_under_half: bool = True
     lost_answers_disturb: bool = True
 
 
@@ -266,11 +267,13 @@
         standing: dict[_Key, _Standing] = {}
         for job_id, truth in self._oracle.jobs.items():
             pool = self._oracle.pool_of(truth.job)
-            if self._terms.only_under_half and not room.is_under_half(pool):
-                continue
+            spares_jobs = self._terms.only_under_half
             for unit in self._idle_units(truth, conditions):
                 if unit.key in standing:
                     continue
+                is_spared = spares_jobs and not unit.step.long_running
+                if is_spared and not room.is_under_half(pool):
+                    continue
                 copies = room.copies(unit, truth)
                 if copies < COPIES * unit.tasks:
                     continue
@@ -383,7 +386,7 @@
     undone = list(_undone_tasks(truth, key))
     units = [undone] if step.gang else [[task] for task in undone]
     for tasks in units:
-        if not running.isdisjoint(tasks):
+        if running.issuperset(tasks):
             continue
         ends = [
             truth.ended_at[task] for task in tasks if task in truth.ended_at
--- a/laburnumsill/emulator/tests/test_conditions.py
+++ b/laburnumsill/emulator/tests/test_conditions.py
@@ -123,6 +123,15 @@
     assert before.workers != after.workers
 
 
+def test_a_worker_that_came_and_went_between_observations_is_seen():
+    def change(site):
+        site.add_worker("w2", 0).vanish()
+
+    before, after = observe(change)
+    assert before.workers == after.workers
+    assert before.settings != after.settings
+
+
 def test_a_site_with_a_suspended_vm_is_disturbed():
     async def main():
         site = sites.EmulatedSite(1)
