clients: keep a pinned connection usable after a call cut short by its answer

Callers saw: after the leader's loop stood still, each report of four of six workers ended at once with ConnectionNotAvailable(), for good. A later term in the same process inherited the fault, since the client outlives the term.

Cause: httpcore returns a connection to idle when its response is closed, and first takes a lock, which is a point of cancellation. A loop that stood still finds the answer and the end of the deadline in the same pass: the read succeeds and the lock is refused. The response counts as closed, the connection as busy. It is neither closed nor expired, so it was never replaced. The end of a term, or a long poll that is cut short, has the same effect. Pools of httpcore shield this step; a pinned connection is used without a pool.

The tests reproduce the error with a deadline and with a cancelled call.

Ruled out, each by a test that passed before: calls over a connection in use, answers that stop or end in the middle, servers that close or fall silent.

Change: PinnedConnection.request shields the end of the response. An answer that is complete is returned, as by a pool, so its worker stays reachable.

--- a/laburnumsill/clients/http_pools.py
+++ b/laburnumsill/clients/http_pools.py
@@ -195,7 +195,7 @@
         remaining = deadline - self._clock.monotonic()
         await self._close_least_recent()
         address_pool = self._pool_for(address)
-        sender = address_pool.pool if pinned is None else pinned.http
+        sender = address_pool.pool if pinned is None else pinned
         scope = trio.CancelScope()
         number = address_pool.begin(scope)
         try:
--- a/laburnumsill/clients/pinned_connections.py
+++ b/laburnumsill/clients/pinned_connections.py
@@ -5,7 +5,10 @@
 connection reach the process that accepted it, or none.
 """
 
+import typing
+
 import httpcore
+import trio
 
 from laburnumsill.clients import reset_streams
 from laburnumsill.clients import wrapped_streams
@@ -21,7 +24,7 @@
 
     Attributes:
         peer: The process that is expected at the address.
-        http: Sends the requests.
+        http: The connection.
         is_confirmed: Whether a response on this connection has shown that it
             reaches the expected process.
     """
@@ -59,6 +62,20 @@
         """Marks the connection as free."""
         self._requests -= 1
 
+    async def request(
+        self, method: str, url: httpcore.URL, **options: typing.Any
+    ) -> httpcore.Response:
+        """Sends a request and returns its response; see httpcore.
+
+        The end of the response is shielded, as in a pool of httpcore: a
+        connection whose complete response is not closed stays busy for good.
+        """
+        async with self.http.stream(method, url, **options) as response:
+            await response.aread()
+            with trio.CancelScope(shield=True):
+                await response.aclose()
+        return response
+
     async def close_if_idle(self) -> None:
         """Closes the connection unless a request is in flight."""
         if not self.in_use:
