batch: bound how often a long poll is cut for an unanswered call

Callers saw a storm of reports: a worker that answers reports but no stops or starts was asked for a report after nearly each retry. Each report has a price, and each cut ends a connection.

Cause: cuts the long poll of a worker that becomes unreachable. The answer to the report that follows makes the worker reachable, which wakes the retry of a stop and resets its backoff; the retry is not answered either and cuts the next long poll.

Change: a call that was not answered cuts a long poll at most each 4 s. In between, the report is asked for when the poll ends, after 2 s at most, as before. A time is enough: it needs no reset that an order of another kind could trigger. The cuts that follow acknowledged stops are not bounded by it, since each follows an answer to an order. No lease and no release depends on when a report is asked for.

--- a/laburnumsill/batch/tests/test_lost_answers.py
+++ b/laburnumsill/batch/tests/test_lost_answers.py
@@ -8,6 +8,7 @@
 from laburnumsill.batch import orders
 from laburnumsill.batch import session as sessions
 from laburnumsill.batch import worker_client
+from laburnumsill.batch import worker_state
 from laburnumsill.batch.tests import test_session
 from laburnumsill.core import trio_clock
 
@@ -198,3 +199,45 @@
         assert client.acknowledged_at - client.ends_at < STANDING_LIMIT_S - 1
 
     test_session.run_script(script)
+
+
+def test_each_of_two_lost_answers_bars_a_worker_no_longer_than_one():
+    async def script(term):
+        client = LosingClient(trio.current_time() + 60)
+        _use(term, client)
+        term.session.start(RUN)
+        for _ in range(2):
+            await trio.sleep(worker_state.CUT_INTERVAL_S + 0.5)
+            client.lost_reports = {len(client.given("report"))}
+            assert not await term.session.probe()
+            assert term.session.unreachable_since is not None
+            await trio.sleep(orders.RETRY_PAUSE_S)
+            assert term.session.unreachable_since is None
+
+    test_session.run_script(script)
+
+
+class NoStopsClient(LosingClient):
+    """Client of a worker that answers reports but no stop orders."""
+
+    async def stop(self, worker, run, fence, deadline):
+        self.orders.append(("stop", run))
+        await trio.sleep(deadline - trio.current_time())
+        raise worker_client.NoAnswerError("lost")
+
+
+def test_a_worker_that_answers_no_stop_is_not_asked_after_each_retry():
+    """The backoff of the stop orders is 0.8 s, a long poll takes 2 s."""
+
+    async def script(term):
+        client = NoStopsClient(trio.current_time() + 60)
+        _use(term, client)
+        term.session.start(RUN)
+        await trio.sleep(1.0)
+        client.orders.clear()
+        term.session.stop(RUN, "test")
+        await trio.sleep(30.0)
+        counts = len(client.given("report")), len(client.given("stop"))
+        assert counts[0] <= 90, counts
+
+    test_session.run_script(script)
--- a/laburnumsill/batch/worker_state.py
+++ b/laburnumsill/batch/worker_state.py
@@ -24,6 +24,11 @@
 """Age at which a worker's last announcement is stale. The worker then gets no
 new runs, since its capacity may have shrunk; workers announce every 1.5 s."""
 
+CUT_INTERVAL_S = 4.0
+"""Shortest time between two long polls that end early because a call was not
+answered. A worker may answer reports but no orders. Each cut would then cost a
+report and a connection, and the answer would prompt the next order at once."""
+
 
 @dataclasses.dataclass(slots=True)
 class StopOrder:
@@ -96,6 +101,7 @@
         self.wakeup = trio.Event()
         self.long_poll: trio.CancelScope | None = None
         self.reachable_again = trio.Event()
+        self._next_cut_at = now
         self.last_contact_at = now
         self.announced_at = announced_at
         self.answered_at = -math.inf
@@ -251,10 +257,18 @@
             reason=error.slug,
             detail=error.detail,
         )
-        self.request_report(self.unreachable_since)
+        self._cut_long_poll()
         self.term.probe_domain_of(self.worker)
         self.term.request_plan()
 
+    def _cut_long_poll(self) -> None:
+        """Requests a report in place of a long poll, see `CUT_INTERVAL_S`."""
+        now = self.term.clock.monotonic()
+        if self.long_poll is not None and now >= self._next_cut_at:
+            self._next_cut_at = now + CUT_INTERVAL_S
+            self.request_report(now)
+        self.wakeup.set()
+
     def request_report(self, at: float) -> None:
         """Requests a report, in place of a long poll that is in progress then.
 
