batch: stop no run that reports list for want of an answer

Callers saw lost work: a run that its worker listed as running was stopped, with all other members of its gang.

Cause: when the answer to a start was lost and its retry met a 429 or a 503 (NothingDoneError), gave the start up at once and stopped the run. Such an answer says nothing about the first order, which may have been carried out. A start whose retries were not answered either was given up after 2.2 s, even if reports listed the run.

Evidence: the two new tests, "its start was refused" and "its start timed out" in the log.

Ruled out: OrderRefusedError. A worker acknowledges the start of a run that it has, so a refusal shows that the run is not there, and the start is given up at once as before, unless a report lists the run.

Change: after a lost answer a NothingDoneError is retried, as before, within the same 2.2 s. A start that is still due ends without a stop once a report lists its run. The run is then as one whose start was answered: its end is reported, its leases are renewed by reports, and a report without it counts as missed, which stops it at the limit. A start that is no longer due still stops its run.

All three cases of the new tests failed before and pass now.

--- a/laburnumsill/batch/orders.py
+++ b/laburnumsill/batch/orders.py
@@ -148,13 +148,17 @@
         # A worker refuses the orders of earlier terms, unless the fence is the
         # same: such an order may still be under way.
         may_have_started = state.term.repeats_fence and run in state.inherited
-        while self._should_start(run) and clock.monotonic() < give_up_at:
+        while self._should_start(run):
+            if may_have_started and run in state.running:
+                return  # it has begun, although no order was answered
+            if clock.monotonic() >= give_up_at:
+                break
             try:
                 if may_have_started and state.worker.name:
                     await state.probe()  # the worker may have restarted since
                 async with self._slot(run):
                     if clock.monotonic() >= give_up_at:
-                        break  # the order has waited for its slot for too long
+                        continue  # the order has waited for its slot too long
                     started = await self._start_once(run)
                 if started:
                     return
@@ -177,11 +181,15 @@
             ) as error:
                 self._log_start_failure(run, error)
                 state.start_backoff_until = clock.monotonic() + START_BACKOFF_S
-                if may_have_started:
+                if not may_have_started:
+                    await state.commit_releases(
+                        [state.release(run, error.slug)]
+                    )
+                    return
+                is_refused = isinstance(error, worker_client.OrderRefusedError)
+                if is_refused and run not in state.running:
                     reason = "its start was refused"
                     break
-                await state.commit_releases([state.release(run, error.slug)])
-                return
             except errors.LaburnumsillError as error:
                 self._log_start_failure(run, error)
                 if isinstance(error, worker_client.NoAnswerError):
--- a/laburnumsill/batch/tests/test_lost_answers.py
+++ b/laburnumsill/batch/tests/test_lost_answers.py
@@ -61,6 +61,12 @@
         term.order_timeout.record(term.clock.monotonic(), ANSWER_S)
 
 
+def _running(percent):
+    return worker_client.Report(
+        1000, (worker_client.RunningRun(RUN, "", percent),), ()
+    )
+
+
 @pytest.mark.parametrize("lost", [{1}, {1, 2}])
 def test_an_end_is_heard_of_in_time_after_its_answers_were_lost(lost):
     """The run ends just after the first of the lost answers was asked for."""
@@ -134,6 +140,41 @@
     test_session.run_script(script)
 
 
+@pytest.mark.parametrize(
+    "retry", [worker_client.NothingDoneError, worker_client.NoAnswerError]
+)
+def test_a_run_that_reports_list_is_not_stopped_for_want_of_an_answer(retry):
+
+    async def script(term):
+        term.client.start_answers = [
+            worker_client.NoAnswerError("lost"),
+            *[retry("no answer, or 503")] * 40,
+        ]
+        term.client.reports = [_running(count % 100) for count in range(500)]
+        term.session.start(RUN)
+        await trio.sleep(orders.START_TIMEOUT_S + 1.0)
+        assert term.client.given("stop") == []
+        assert not term.committed
+
+    test_session.run_script(script)
+
+
+def test_a_run_whose_start_met_a_busy_worker_is_not_stopped():
+    """The answer to its start was lost, the retry met a worker with 503."""
+
+    async def script(term):
+        term.client.start_answers = [
+            worker_client.NoAnswerError("lost"),
+            worker_client.NothingDoneError("503"),
+        ]
+        term.client.reports = [test_session.running()] * 50
+        term.session.start(RUN)
+        await trio.sleep(1.5)
+        assert term.client.given("stop") == []
+
+    test_session.run_script(script)
+
+
 def test_a_started_run_that_no_report_lists_is_released_in_time():
     async def script(term):
         _use(term, test_session.ScriptedClient())
