batch: place no new runs for a while where a start was given up

Callers saw jobs that never began beside idle workers, for as long as one worker answered reports but no start orders.

Cause: a start that timed out set no start_backoff_until; only a refusal did. The stop of the run is acknowledged and the run released, the reports have made the worker reachable again, and the planner picks the same worker again.

Ruled out: runs that stay there. Each was released as its stop was acknowledged.

Change: a worker on which a start was given up gets no new runs for 1 s, and for 1 s more with each further start that began after that and is given up, 8 s at most, until a start there succeeds. Starts that fail together count once. A start that is not due any more, or that only waited for its slot, sets no backoff. No job stands still for the bound: other workers take it in that time, and a job for which this is the only worker with room is tried there again after 1 s at first. Only the choice of workers for new runs changes. A refusal bars a worker for 1 s as before, and shortens no longer backoff now.

--- a/laburnumsill/batch/orders.py
+++ b/laburnumsill/batch/orders.py
@@ -1,6 +1,7 @@
 """Start and stop orders to one worker, retried until the outcome is known."""
 
 import contextlib
+import math
 
 import trio
 
@@ -43,7 +44,13 @@
 its lead is confirmed again."""
 
 START_BACKOFF_S = 1.0
-"""Time for which a worker that has refused a start gets no new runs."""
+"""Time for which a worker that has refused a start gets no new runs, and by
+which the backoff grows when another start is given up."""
+
+MAX_START_BACKOFF_S = 8.0
+"""Upper bound of the backoff of a worker on which starts are given up. Jobs do
+not stand still for it, since other workers take them. If it is the only worker
+with room, it is tried again after 1 s at first."""
 
 
 class Orders:
@@ -59,6 +66,9 @@
     ) -> None:
         self._state = state
         self._nursery = nursery
+        self._starts_given_up = 0
+        self._start_given_up_at = -math.inf
+        self._start_failed_at = -math.inf
 
     def start(self, run: model.RunId) -> None:
         """Starts a run that was placed on the worker, in the background."""
@@ -144,7 +154,8 @@
         state = self._state
         clock = state.term.clock
         reason = "its start timed out"
-        give_up_at = clock.monotonic() + START_TIMEOUT_S
+        began_at = clock.monotonic()
+        give_up_at = began_at + START_TIMEOUT_S
         # A worker refuses the orders of earlier terms, unless the fence is the
         # same: such an order may still be under way.
         may_have_started = state.term.repeats_fence and run in state.inherited
@@ -174,13 +185,13 @@
                 )
                 return
             except worker_client.LeaseTooOldError as error:
-                self._log_start_failure(run, error)
+                self._record_start_failure(run, error)
             except (
                 worker_client.OrderRefusedError,
                 worker_client.NothingDoneError,
             ) as error:
-                self._log_start_failure(run, error)
-                state.start_backoff_until = clock.monotonic() + START_BACKOFF_S
+                self._record_start_failure(run, error)
+                self._back_off(START_BACKOFF_S)
                 if not may_have_started:
                     await state.commit_releases(
                         [state.release(run, error.slug)]
@@ -191,14 +202,51 @@
                     reason = "its start was refused"
                     break
             except errors.LaburnumsillError as error:
-                self._log_start_failure(run, error)
+                self._record_start_failure(run, error)
                 if isinstance(error, worker_client.NoAnswerError):
                     state.mark_unreachable(error)
                 may_have_started = True
             await trio.sleep(RETRY_PAUSE_S)
+        self._give_up_start(run, reason, began_at)
+
+    def _give_up_start(
+        self, run: model.RunId, reason: str, began_at: float
+    ) -> None:
+        """Stops a run that may have started, unless it is not placed here.
+
+        Args:
+            run: The run.
+            reason: Why its start is given up, for the log.
+            began_at: Monotonic time at which its start began, in s.
+        """
+        state = self._state
+        if self._start_failed_at >= began_at and self._should_start(run):
+            self._back_off_after(began_at)
         if run in state.term.ledger.runs_on(state.worker_id):
             self.stop(run, reason)
 
+    def _back_off_after(self, began_at: float) -> None:
+        """Keeps new runs off the worker after a start was given up.
+
+        The backoff grows with each start that began after the last one was
+        given up, until a start succeeds.
+
+        Args:
+            began_at: Monotonic time at which the start began, in s.
+        """
+        if began_at >= self._start_given_up_at:
+            self._starts_given_up += 1
+            self._start_given_up_at = self._state.term.clock.monotonic()
+        backoff_s = START_BACKOFF_S * self._starts_given_up
+        self._back_off(min(backoff_s, MAX_START_BACKOFF_S))
+
+    def _back_off(self, backoff_s: float) -> None:
+        """Keeps new runs off the worker for a time, in s."""
+        until = self._state.term.clock.monotonic() + backoff_s
+        self._state.start_backoff_until = max(
+            self._state.start_backoff_until, until
+        )
+
     def _slot(
         self, run: model.RunId, for_job: str = ""
     ) -> contextlib.AbstractAsyncContextManager[None]:
@@ -247,6 +295,7 @@
             state.worker, order, now + state.term.order_timeout.seconds
         )
         state.record_answer(answer.clock_ms, now)
+        self._starts_given_up = 0
         state.missed_reports[run] = 0
         state.term.health.observe_start(run, state.term.clock.monotonic())
         logs.event(
@@ -260,10 +309,11 @@
         )
         return True
 
-    def _log_start_failure(
+    def _record_start_failure(
         self, run: model.RunId, error: errors.LaburnumsillError
     ) -> None:
         state = self._state
+        self._start_failed_at = state.term.clock.monotonic()
         logs.event(
             "run-start-failed",
             "WARNING",
--- a/laburnumsill/batch/tests/test_lost_answers.py
+++ b/laburnumsill/batch/tests/test_lost_answers.py
@@ -1,5 +1,8 @@
 """Tests of the time until a session makes up for a lost answer."""
 
+import itertools
+
+import msgspec
 import pytest
 import trio
 
@@ -175,6 +178,58 @@
     test_session.run_script(script)
 
 
+async def _backoff_after_start(term, number, answers):
+    """Returns how long a worker gets no new runs once a start is over, in s."""
+    run = msgspec.structs.replace(RUN, number=number)
+    placement = commands.Placement(run, test_session.WORKER.worker_id)
+    term.ledger.place(commands.PlaceRuns(((placement,),), 0))
+    term.client.start_answers = answers
+    term.session.observe_heartbeat(1000)
+    term.session.update(test_session.WORKER)
+    term.session.start(run)
+    await trio.sleep(orders.START_TIMEOUT_S + 0.5)
+    backoff_s = term.session.start_backoff_until - trio.current_time()
+    await term.session._state.commit_releases(
+        [term.session._state.release(run, "test")]
+    )
+    await trio.sleep(orders.MAX_START_BACKOFF_S)
+    return backoff_s
+
+
+def test_a_worker_gets_no_new_runs_for_longer_the_more_starts_are_given_up():
+    """The planner would choose it again, since its reports are answered."""
+
+    async def script(term):
+        _use(term, test_session.ScriptedClient())
+        test_session.release_run(term)
+        lost = [worker_client.NoAnswerError("lost")] * 100
+        found = [
+            await _backoff_after_start(term, number, list(lost))
+            for number in range(2, 14)
+        ]
+        assert found[0] > 0.5
+        assert all(one < two for one, two in itertools.pairwise(found[:8]))
+        assert max(found) <= orders.MAX_START_BACKOFF_S
+        assert await _backoff_after_start(term, 14, []) <= 0
+        again_s = await _backoff_after_start(term, 15, list(lost))
+        assert again_s == pytest.approx(found[0], abs=0.2)
+
+    test_session.run_script(script)
+
+
+def test_a_run_that_became_obsolete_keeps_no_other_run_off_its_worker():
+    async def script(term):
+        _use(term, test_session.ScriptedClient())
+        term.client.start_answers = [worker_client.NoAnswerError("lost")] * 100
+        term.session.start(RUN)
+        await trio.sleep(0.5)
+        term.session.stop(RUN, "test")
+        await trio.sleep(5.0)
+        assert term.session.start_backoff_until < trio.current_time() - 3.0
+
+    test_session.run_script(script)
+
+
 def test_a_started_run_that_no_report_lists_is_released_in_time():
     async def script(term):
         _use(term, test_session.ScriptedClient())
