batch: let a job stand beside workers that are not usable now

The room that counts was that of the usable workers. Each worker that was unreachable or in quarantine for a moment ended the clock of all jobs, whose bound of 1.5 s was never reached (standing_ms 1000, 0, 1034 in the log). The room held for an urgent gang also counted as in use when the pool was judged mostly free.

Known workers count as room now, whether or not they are usable; placements go to usable ones as before. unit-waits says held-by:unusable-workers, so jobs that stand since the leader has lost its workers are counted and explained.

--- a/laburnumsill/batch/obstacles.py
+++ b/laburnumsill/batch/obstacles.py
@@ -14,6 +14,8 @@
 
     Attributes:
         NO_ROOM: Its pool has no capacity for it.
+        UNUSABLE_WORKERS: Only workers on which nothing may be placed have the
+            capacity: they are unreachable or in quarantine, for example.
         UNHEARD_WORKERS: A new leader holds the pool for urgent units until it
             has heard from all workers.
         RESERVATION: The idle capacity is reserved for a gang, or held for an
@@ -27,6 +29,7 @@
     """
 
     NO_ROOM = "no-room"
+    UNUSABLE_WORKERS = "unusable-workers"
     UNHEARD_WORKERS = "unheard-workers"
     RESERVATION = "reservation"
     POOR_WORKERS = "poor-workers"
@@ -58,8 +61,10 @@
 
     all_workers = candidates.all_for(unit)
     eligible = candidates.eligible(unit)
-    if not holds(all_workers, packing.idle_now):
+    if not holds(candidates.known_for(unit), packing.idle_now):
         return Holder.NO_ROOM
+    if not holds(all_workers, packing.idle_now):
+        return Holder.UNUSABLE_WORKERS
     if not holds(all_workers, packing.free_now):
         return Holder.RESERVATION
     if not holds(eligible, packing.free_now):
--- a/laburnumsill/batch/plan_candidates.py
+++ b/laburnumsill/batch/plan_candidates.py
@@ -39,6 +39,7 @@
 
     Args:
         candidates: The usable workers, by id.
+        find_unusable: Returns the other workers that are not draining.
         avoided_workers: Returns the workers that a task should not run on
             again.
         now_ms: Wall time, ms since 1970.
@@ -47,10 +48,15 @@
     def __init__(
         self,
         candidates: abc.Mapping[str, worker_capacity.Candidate],
+        find_unusable: abc.Callable[
+            [], abc.Collection[worker_capacity.Candidate]
+        ],
         avoided_workers: abc.Callable[[model.TaskId], abc.Set[str]],
         now_ms: int,
     ) -> None:
         self._candidates = candidates
+        self._find_unusable = find_unusable
+        self._unusable: abc.Collection[worker_capacity.Candidate] | None = None
         self._avoided_workers = avoided_workers
         self._now_ms = now_ms
         self._pools: dict[tuple[str, str], _Pool] = {}
@@ -65,6 +71,16 @@
         """Returns all candidates in a unit's pool with its required label."""
         return self._pool_of(unit).all
 
+    def known_for(self, unit: units.Unit) -> list[worker_capacity.Candidate]:
+        """Returns also the workers on which nothing may be placed now.
+
+        They are unreachable or in quarantine, for example, and their capacity
+        may be free.
+        """
+        if self._unusable is None:
+            self._unusable = self._find_unusable()
+        return self.all_for(unit) + packing.eligible(unit, self._unusable)
+
     def eligible(self, unit: units.Unit) -> list[worker_capacity.Candidate]:
         """Returns the candidates for a unit, if possible without poor workers.
 
@@ -94,34 +110,44 @@
         return self._max_copies(unit, packing.free_now) < 1
 
     def may_have_room(self, unit: units.Unit, factor: int) -> bool:
-        """Returns whether idle capacity may hold copies of a unit.
+        """Returns whether known workers may have room for copies of a unit.
 
         Args:
             unit: The unit.
             factor: Number of copies.
         """
-        return self._max_copies(unit, packing.idle_now) >= factor
+        return self._max_copies(unit, packing.idle_now, True) >= factor
 
     def _max_copies(
-        self, unit: units.Unit, available: packing.Available
+        self,
+        unit: units.Unit,
+        available: packing.Available,
+        counts_unusable: bool = False,
     ) -> int:
         """Returns an upper bound of the copies of a unit that fit."""
         step = unit.step
-        key = (unit.pool, step.required_label, step.needs, available)
+        key = (
+            unit.pool,
+            step.required_label,
+            step.needs,
+            available,
+            counts_unusable,
+        )
         if key not in self._max_slots:
+            candidates = (
+                self.known_for(unit) if counts_unusable else self.all_for(unit)
+            )
             self._max_slots[key] = sum(
                 step.needs.copies_in(available(candidate))
-                for candidate in self.all_for(unit)
+                for candidate in candidates
             )
         return self._max_slots[key] // unit.smallest_part
 
     def is_mostly_free(self, unit: units.Unit) -> bool:
-        """Returns whether most of a unit's pool is free or reserved."""
+        """Returns whether most of a unit's pool is idle."""
         pool = self._pool_of(unit)
         if pool.mostly_free:
-            pool.mostly_free = packing.mostly_free(
-                pool.all, packing.free_or_reserved
-            )
+            pool.mostly_free = packing.mostly_free(pool.all, packing.idle_now)
         return pool.mostly_free
 
     def _pool_of(self, unit: units.Unit) -> _Pool:
--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -94,6 +94,7 @@
                 planner_input.stopping,
                 planner_input.slowness,
             ),
+            self._find_unusable,
             planner_input.avoided_workers,
             planner_input.now_ms,
         )
@@ -357,9 +358,25 @@
         return self._candidates.may_have_room(
             unit, standing.ROOM_FACTOR
         ) and standing.has_room(
-            unit, self._candidates.all_for(unit), self._count_runs
+            unit, self._candidates.known_for(unit), self._count_runs
         )
 
+    def _find_unusable(self) -> list[worker_capacity.Candidate]:
+        """Returns the known workers on which nothing may be placed now."""
+        unusable = {
+            worker_id
+            for worker_id, worker in self._ledger.workers.items()
+            if worker_id not in self._input.usable
+            and not self._ledger.is_evacuated(worker.domain)
+        }
+        found = worker_capacity.find_candidates(
+            self._ledger,
+            unusable,
+            self._input.stopping,
+            self._input.slowness,
+        )
+        return list(found.values())
+
     def _obstacle(self, unit: units.Unit) -> str:
         """Returns why a unit waits, without spaces, for the log."""
         candidates = self._candidates.eligible(unit)
--- a/laburnumsill/batch/tests/test_obstacles.py
+++ b/laburnumsill/batch/tests/test_obstacles.py
@@ -57,6 +57,15 @@
     assert made.standing_since_ms == {}
 
 
+def test_job_stands_beside_workers_that_are_not_usable():
+    """Guards against a clock that stops whenever workers are unreachable."""
+    ledger = full_rack()
+    planned_site.submit(ledger, planned_site.job("waits", 1, 8, priority=2))
+    made = explained(ledger, usable={"w00", "w01"})
+    assert holder(made, "waits") == "unusable-workers"
+    assert list(made.standing_since_ms) == [("waits", 0, 0)]
+
+
 def test_standing_begins_at_the_first_plan_that_finds_room():
     ledger = full_rack()
     near = planned_site.job("near", 1, 1, priority=2, data_rack="r0")
--- a/laburnumsill/emulator/tests/test_refused_starts.py
+++ b/laburnumsill/emulator/tests/test_refused_starts.py
@@ -23,9 +23,7 @@
     async def script(site):
         if far:
             for number in range(3):
-                await site.submit(
-                    small_sites.job(f"on-{number}", 1, 8), [60.0]
-                )
+                await site.submit(small_sites.job(f"on-{number}", 1, 8), [60.0])
             await trio.sleep(1.0)
         rack = ""
         if far:
