--- a/laburnumsill/batch/crashes.py
+++ b/laburnumsill/batch/crashes.py
@@ -39,8 +39,8 @@
 have begun count."""
 
 UNCONFIRMED_BLAME_LIMIT = BLAME_LIMIT + BLAME_ALONE
-"""Points for all runs at which the job of a task fails: one crash later, so
-that a single run that never began fails no job."""
+"""Points for all runs at which the job of a task fails: a task that ran alone
+has one crash more, so that a single run that never began fails no job."""
 
 CRASHES_BEFORE_START_LIMIT = 3
 """Number of crashes, alone or not, after which the further starts of a task
