--- a/laburnumsill/batch/tests/test_standing_choices.py
+++ b/laburnumsill/batch/tests/test_standing_choices.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 import msgspec
+import pytest
 
 from laburnumsill.batch import commands
 from laburnumsill.batch import model
@@ -108,30 +109,25 @@
     assert now_ms <= 3_000, refused
 
 
-def test_standing_task_avoids_a_worker_on_which_it_failed():
-    ledger = planned_site.site()
-    planned_site.occupy_rack(ledger, "r0")
-    planned_site.occupy(ledger, "w10", "on-w10", 1)
-    planned_site.submit(ledger, planned_site.near_data(1))
-    made = planned_site.plan_after(
-        ledger,
-        standing.MAX_STANDING_MS,
-        "near",
-        avoided_workers=lambda _: frozenset({"w10"}),
-    )
-    assert planned_site.workers_used(made) == {"w11"}
-
-
-def test_standing_task_avoids_a_very_slow_worker():
+@pytest.mark.parametrize(
+    "poor",
+    [
+        pytest.param(
+            {"avoided_workers": lambda _: frozenset({"w10"})}, id="it-failed"
+        ),
+        pytest.param(
+            {"slowness": lambda one: 20.0 if one == "w10" else 1.0},
+            id="very-slow",
+        ),
+    ],
+)
+def test_standing_task_avoids_a_poor_worker(poor):
     ledger = planned_site.site()
     planned_site.occupy_rack(ledger, "r0")
     planned_site.occupy(ledger, "w10", "on-w10", 1)
     planned_site.submit(ledger, planned_site.near_data(1))
     made = planned_site.plan_after(
-        ledger,
-        standing.MAX_STANDING_MS,
-        "near",
-        slowness=lambda worker_id: 20.0 if worker_id == "w10" else 1.0,
+        ledger, standing.MAX_STANDING_MS, "near", **poor
     )
     assert planned_site.workers_used(made) == {"w11"}
 
