--- a/laburnumsill/emulator/workers.py
+++ b/laburnumsill/emulator/workers.py
@@ -103,6 +103,13 @@
     was_complete: bool = False
     stop_at: float | None = None
 
+    @property
+    def percent(self) -> int:
+        """Its progress; a long-running task is at work from its start on."""
+        if self.step.long_running:
+            return 100
+        return int(100 * self.done_s / self.work_s)
+
     @property
     def saved(self) -> str:
         """The work covered by its last periodic checkpoint, in seconds."""
@@ -235,9 +242,7 @@
             while not self._ends and not self.is_down:
                 await self._ends_changed.wait()
         running = tuple(
-            worker_client.RunningRun(
-                state.run, state.saved, int(100 * state.done_s / state.work_s)
-            )
+            worker_client.RunningRun(state.run, state.saved, state.percent)
             for state in self._running.values()
         )
         listed = tuple(self._ends[: self._pool.listed_ends])
@@ -270,9 +275,7 @@
         is_remote = bool(rack) and rack != self.worker.rack
         self.advance(state, REMOTE_SLOWDOWN if is_remote else 1.0)
         if state.done_s >= state.work_s:
-            always_fails = self._pool.always_fails(state.run.task)
-            kind = commands.EndKind.FAILED if always_fails else None
-            self.end(state.run, kind or commands.EndKind.DONE)
+            self.end(state.run, self._pool.own_end(state.run, state.step))
 
     def advance(self, state: _RunState, factor: float) -> None:
         """Advances a run by the work of one tick, slowed by `factor`."""
@@ -371,6 +374,8 @@
         workers: All incarnations, ended ones included, by worker id.
         newest: The newest incarnation of each worker name.
         is_crashing: Returns whether a task crashes each worker that starts it.
+        long_running_end: Returns how a run of a long-running task ends when
+            its work is over.
         on_crash: Called with each worker that has crashed.
         listed_ends: Most ends that a worker lists in one report.
         lost_core_s: Work that was done and lost, in core-equivalent seconds.
@@ -392,6 +397,9 @@
         self.workers: dict[str, EmulatedWorker] = {}
         self.newest: dict[str, EmulatedWorker] = {}
         self.is_crashing: abc.Callable[[model.TaskId], bool] = lambda _: False
+        self.long_running_end: abc.Callable[[model.RunId], commands.EndKind] = (
+            lambda _: commands.EndKind.DONE
+        )
         self.on_crash: abc.Callable[[EmulatedWorker], None] = lambda _: None
         self.listed_ends = MAX_LISTED_ENDS
         self.lost_core_s = 0.0
@@ -406,6 +414,14 @@
         self.newest[worker.call_name] = added
         return added
 
+    def own_end(self, run: model.RunId, step: model.Step) -> commands.EndKind:
+        """Returns how a run ends that has done all work of its task."""
+        if self.always_fails(run.task):
+            return commands.EndKind.FAILED
+        if step.long_running:
+            return self.long_running_end(run)
+        return commands.EndKind.DONE
+
     def count_lost_work(
         self, step: model.Step, done_s: float, saved: str
     ) -> None:
@@ -458,7 +474,7 @@
                 factor = REMOTE_SLOWDOWN if is_split else 1.0
                 state.done_s += TICK_S * slowest / factor
         if all(state.done_s >= state.work_s for _, state in members):
-            failed = self.always_fails(members[0][1].run.task)
-            kind = commands.EndKind.FAILED if failed else commands.EndKind.DONE
+            first = members[0][1]
+            kind = self.own_end(first.run, first.step)
             for worker, state in members:
                 worker.end(state.run, kind)
