batch: restart long-running tasks after an end as done

Cause: the ledger took an end as done for the end of the task whatever its step. It marked the task, left it out of the waiting ones, refused its next placement, and completed the job when no task was left. An end as failed goes another way, which asks whether the step is long-running, so such tasks did start again. Lost reports, leases and placement were ruled out: the end is recorded and acknowledged at once, and no further run is ever planned.

A step that depends on a long-running one is not due.

Replicas and restarts apply the same log, so NoteEnds and PlaceRuns carry one number of semantics; commands of earlier versions, without it, keep their effect. A job that was shown as completed stays so; a long-running task that an earlier version has marked in a job that is still active runs again.

--- a/laburnumsill/batch/commands.py
+++ b/laburnumsill/batch/commands.py
@@ -21,6 +21,19 @@
     """The other members of the gang did not start in time."""
 
 
+RESTARTS_LONG_RUNNING = 1
+"""Semantics from which the end of a run as done does not complete a
+long-running task, and such a task can be placed after it."""
+
+SEMANTICS = RESTARTS_LONG_RUNNING
+"""Semantics of the commands that this version of the program issues.
+
+All replicas, and each restart that reads the log again, have to apply a command
+in the same way. A change of what a command does therefore gets the next number,
+and a command that carries a lower one keeps its former effect.
+"""
+
+
 @codec.register("batch.placement")
 class Placement(msgspec.Struct, frozen=True):
     """The assignment of a run to a worker."""
@@ -43,11 +56,13 @@
         spares_long_running: Whether crashes of workers end no job by a
             long-running task; False in commands of earlier versions of this
             program.
+        semantics: See `SEMANTICS`; 0 in commands of earlier versions.
     """
 
     groups: tuple[Group, ...]
     at_ms: int
     spares_long_running: bool = False
+    semantics: int = 0
 
 
 @codec.register("batch.placed")
@@ -81,11 +96,19 @@
 
 @codec.register("batch.note-ends")
 class NoteEnds(msgspec.Struct, frozen=True):
-    """Records ends of runs; the worker may discard them only afterwards."""
+    """Records ends of runs; the worker may discard them only afterwards.
+
+    Attributes:
+        worker_id: The worker.
+        ends: The ends.
+        at_ms: When they were reported, ms since 1970.
+        semantics: See `SEMANTICS`; 0 in commands of earlier versions.
+    """
 
     worker_id: str
     ends: tuple[EndedRun, ...]
     at_ms: int
+    semantics: int = 0
 
 
 @codec.register("batch.release")
--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -445,7 +445,10 @@
         self, groups: abc.Sequence[commands.Group]
     ) -> None:
         command = commands.PlaceRuns(
-            tuple(groups), self.clock.wall_ms(), spares_long_running=True
+            tuple(groups),
+            self.clock.wall_ms(),
+            spares_long_running=True,
+            semantics=commands.SEMANTICS,
         )
         placed = await self.commit(command)
         assert isinstance(placed, commands.Placed)
--- a/laburnumsill/batch/ledger.py
+++ b/laburnumsill/batch/ledger.py
@@ -269,7 +269,7 @@
             if end.number > last:
                 last = end.number
                 self._crashes.clear_run(command.worker_id, end.run)
-                self._record_end(end, command.at_ms)
+                self._record_end(end, command)
         self._registry.record_ends(command.worker_id, last)
 
     def release(self, command: commands.ReleaseRuns) -> None:
@@ -550,7 +550,9 @@
         Returns:
             Why the group was refused, "" if it was placed.
         """
-        refusal = placement_checks.placement_refusal(self, group)
+        refusal = placement_checks.placement_refusal(
+            self, group, command.semantics
+        )
         if refusal:
             return refusal
         for placement in group:
@@ -577,7 +579,9 @@
             )
         return ""
 
-    def _record_end(self, end: commands.EndedRun, at_ms: int) -> None:
+    def _record_end(
+        self, end: commands.EndedRun, command: commands.NoteEnds
+    ) -> None:
         """Records the end of a run.
 
         Success and failure also count for a run that is not live: its worker
@@ -592,16 +596,26 @@
         self._mark_begun(end.run.task.job_id)
         self._save_progress(end.run, end.saved)
         if end.kind is commands.EndKind.DONE:
-            self._record_success(record, end.run, at_ms)
+            self._record_success(record, end.run, command)
         elif end.kind is commands.EndKind.FAILED:
-            self._record_failure(record, end.run, at_ms)
+            self._record_failure(record, end.run, command.at_ms)
 
     def _record_success(
-        self, record: records.JobRecord, run: model.RunId, at_ms: int
+        self,
+        record: records.JobRecord,
+        run: model.RunId,
+        command: commands.NoteEnds,
     ) -> None:
-        """Marks the task of a run as done, or all tasks of its gang."""
+        """Marks the task of a run as done, or all tasks of its gang.
+
+        A long-running task is not done however its run ends, and its job is
+        completed only by commands of earlier versions.
+        """
+        restarts = command.semantics >= commands.RESTARTS_LONG_RUNNING
         step = record.step(run.task)
-        if step is None:
+        if step is None or (
+            restarts and record.job.steps[run.task.step].long_running
+        ):
             return
         done = [run.task]
         if record.job.steps[run.task.step].gang:
@@ -612,8 +626,10 @@
                 task_record.done_run = run.number
                 step.undone -= 1
         self._waiting.pop(run.task.step_key, None)
-        if record.active and record.done:
-            self._finish_job(record, caller_commands.JobState.COMPLETED, at_ms)
+        lasts = restarts and record.lasts
+        if record.active and record.done and not lasts:
+            completed = caller_commands.JobState.COMPLETED
+            self._finish_job(record, completed, command.at_ms)
 
     def _record_failure(
         self, record: records.JobRecord, run: model.RunId, at_ms: int
@@ -683,13 +699,16 @@
 
     def _find_waiting(self, key: model.StepKey) -> list[model.TaskId]:
         job_id, occurrence, number = key
-        tasks = self._jobs[job_id].steps[occurrence][number].tasks
-        undone = (
+        record = self._jobs[job_id]
+        tasks = (
             model.TaskId(job_id, occurrence, number, index)
-            for index, task in enumerate(tasks)
-            if not task.done_run
+            for index in range(record.job.steps[number].tasks)
         )
-        return [task_id for task_id in undone if self.live_run(task_id) is None]
+        return [
+            task
+            for task in tasks
+            if not record.is_task_done(task) and self.live_run(task) is None
+        ]
 
     def commands(self) -> dict[type, replication.Handler]:
         """Returns the handler of each type of command."""
--- a/laburnumsill/batch/placement_checks.py
+++ b/laburnumsill/batch/placement_checks.py
@@ -3,27 +3,35 @@
 from laburnumsill.batch import commands
 from laburnumsill.batch import ledger_view
 from laburnumsill.batch import model
+from laburnumsill.batch import records
 
 
 def placement_refusal(
-    ledger: ledger_view.LedgerView, group: commands.Group
+    ledger: ledger_view.LedgerView, group: commands.Group, semantics: int
 ) -> str:
     """Returns why a group may not be placed, "" if it may.
 
     The planner's state may be a few commands behind the log, so its decisions
     are validated again when they are applied in the order of the log.
+
+    Args:
+        ledger: The ledger.
+        group: The group.
+        semantics: Semantics of the command, see `commands.SEMANTICS`.
     """
     for placement in group:
-        refusal = _task_refusal(ledger, placement) or _worker_refusal(
-            ledger, placement
-        )
+        refusal = _task_refusal(
+            ledger, placement, semantics
+        ) or _worker_refusal(ledger, placement)
         if refusal:
             return refusal
     return _gang_refusal(ledger, group) or _capacity_refusal(ledger, group)
 
 
 def _task_refusal(
-    ledger: ledger_view.LedgerView, placement: commands.Placement
+    ledger: ledger_view.LedgerView,
+    placement: commands.Placement,
+    semantics: int,
 ) -> str:
     task = placement.run.task
     job = ledger.jobs.get(task.job_id)
@@ -32,7 +40,7 @@
     record = job.task(task)
     if record is None:
         return f"no task {task}"
-    if record.done_run:
+    if _counts_as_done(job, task, semantics):
         return f"{task} is done"
     if ledger.live_run(task) is not None:
         return f"{task} has a live run"
@@ -43,6 +51,16 @@
     return ""
 
 
+def _counts_as_done(
+    job: records.JobRecord, task: model.TaskId, semantics: int
+) -> bool:
+    """Returns whether a task is done by the semantics of a command."""
+    if semantics >= commands.RESTARTS_LONG_RUNNING:
+        return job.is_task_done(task)
+    record = job.task(task)
+    return record is not None and record.done_run > 0
+
+
 def _worker_refusal(
     ledger: ledger_view.LedgerView, placement: commands.Placement
 ) -> str:
--- a/laburnumsill/batch/records.py
+++ b/laburnumsill/batch/records.py
@@ -15,7 +15,9 @@
         last_run: Number of its newest run, 0 before the first.
         failures: Number of its runs that failed; runs that were stopped or
             lost do not count. A run of a gang counts for all its members.
-        done_run: Number of the run that completed the task, 0 before.
+        done_run: Number of the run that completed the task, 0 before. A
+            long-running task has one only if an earlier version of this
+            program has recorded it, see `JobRecord.is_task_done`.
         saved: Newest saved progress, from which a run can resume, or "".
     """
 
@@ -32,7 +34,7 @@
     Attributes:
         tasks: Its tasks, by index.
         failed_runs: For a gang: numbers of the runs that have failed.
-        undone: Number of its tasks that are not done.
+        undone: Number of its tasks without a `done_run`.
     """
 
     tasks: list[TaskRecord]
@@ -67,11 +69,16 @@
 
     @property
     def done(self) -> bool:
-        """Whether all tasks of the job are done."""
+        """Whether a run of each task of the job was recorded as done."""
         return all(
             not step.undone for occurrence in self.steps for step in occurrence
         )
 
+    @property
+    def lasts(self) -> bool:
+        """Whether the job runs until it is cancelled."""
+        return any(step.long_running for step in self.job.steps)
+
     def task(self, task: model.TaskId) -> TaskRecord | None:
         """Returns the record of a task, or None if there is no such task."""
         step = self.step(task)
@@ -87,14 +94,35 @@
         exists = 0 <= task.step < len(occurrence)
         return occurrence[task.step] if exists else None
 
+    def is_task_done(self, task: model.TaskId) -> bool:
+        """Returns whether a task needs no further run.
+
+        A long-running task always does, until its job is cancelled.
+        """
+        record = self.task(task)
+        if record is None or self.job.steps[task.step].long_running:
+            return False
+        return record.done_run > 0
+
+    def is_step_open(self, occurrence: int, step: int) -> bool:
+        """Returns whether any task of a step is not done."""
+        lasts = self.job.steps[step].long_running
+        return lasts or self.steps[occurrence][step].undone > 0
+
     def has_done_tasks(self, key: model.StepKey) -> bool:
         """Returns whether any task of the given step is done."""
         _, occurrence, number = key
+        if self.job.steps[number].long_running:
+            return False
         step = self.steps[occurrence][number]
         return step.undone < len(step.tasks)
 
     def ready(self, occurrence: int, step: int) -> bool:
-        """Returns whether all steps that a step depends on are done."""
+        """Returns whether all steps that a step depends on are done.
+
+        A step that depends on a long-running one is ready only if an earlier
+        version of this program has recorded the tasks of that one as done.
+        """
         records = self.steps[occurrence]
         return all(
             not records[number].undone
--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -516,7 +516,9 @@
             if job_id in active
         ]
         await self._term.commit(
-            commands.NoteEnds(self._state.worker_id, ends, at_ms)
+            commands.NoteEnds(
+                self._state.worker_id, ends, at_ms, commands.SEMANTICS
+            )
         )
         for job_id in affected:
             self._term.log_job_end(job_id)
--- a/laburnumsill/batch/units.py
+++ b/laburnumsill/batch/units.py
@@ -155,8 +155,9 @@
     """Yields the ready units of one occurrence of a job."""
     job = record.job
     timing = None
-    for number, step in enumerate(record.steps[occurrence]):
-        if not step.undone or not record.ready(occurrence, number):
+    for number in range(len(job.steps)):
+        is_open = record.is_step_open(occurrence, number)
+        if not is_open or not record.ready(occurrence, number):
             continue
         tasks = ledger.waiting_tasks((job.job_id, occurrence, number))
         complete = len(tasks) == job.steps[number].tasks
