batch: pace the restarts of long-running tasks that end soon

A long-running task has no limit of attempts, so one that ends as soon as it starts was started again without end: in the emulator 409 runs in 30 s of one task that ends after 0.05 s as done, 410 as failed, each with two commands in the log. Ends as failed did so before, too; since an end as done no longer completes the task, every end does.

Restarts keeps, per task or gang, the pause after its newest end: none after the first end, then 0.25 s doubling to 2 s while ends follow each other within 10 s. The pauses belong to the leader and are not replicated. The planner leaves a paused task out, its siblings are not held. The bound fits into the 9 s within which the task has to run again.

An operator sees each restart as task-restarts with its kind and pause, and long_running_ends_total by kind and queue.

--- a/laburnumsill/batch/leading.py
+++ b/laburnumsill/batch/leading.py
@@ -28,6 +28,7 @@
 from laburnumsill.batch import plans
 from laburnumsill.batch import policy as policies
 from laburnumsill.batch import queue_pools
+from laburnumsill.batch import restarts
 from laburnumsill.batch import session as sessions
 from laburnumsill.batch import term as terms
 from laburnumsill.batch import unheard_workers
@@ -175,6 +176,7 @@
         )
         self.order_slots = order_slots.OrderSlots()
         self.lost_work = lost_work.LostWork(ledger, context.metrics)
+        self.restarts = restarts.Restarts(context.metrics)
         self._context = context
         self._policy = context.policy()
         self._estimates = estimates.Estimates(
@@ -350,6 +352,10 @@
         longest_s = HOUSEKEEPING_INTERVAL_S
         if self._defers_preemption:
             longest_s = unheard_workers.REPLAN_INTERVAL_S
+        now = self.clock.monotonic()
+        resume = self.restarts.next_resume(now)
+        if resume is not None:
+            longest_s = min(longest_s, resume - now)
         now_ms = self.clock.wall_ms()
         due_ms = units.next_due_ms(self.ledger, now_ms)
         if due_ms is None:
@@ -366,6 +372,7 @@
     def _plan_with(
         self, usable: abc.Set[str], unheard: abc.Set[str]
     ) -> plans.Plan:
+        now = self.clock.monotonic()
         planner_input = plans.PlannerInput(
             self.ledger,
             usable,
@@ -382,8 +389,9 @@
             self._policy,
             unheard,
             self._context.worker_limits.restore_ms,
-            round(1000 * self.clock.monotonic()),
+            round(1000 * now),
             self._standing_since_ms,
+            lambda task: self.restarts.is_paused(task, now),
         )
         plan = planner.plan(planner_input)
         self._reserved_racks = plan.reserved_racks
@@ -596,6 +604,7 @@
         """Deletes ended jobs after their retention time, in batches."""
         now_ms = self.clock.wall_ms()
         self.health.keep_jobs(self.ledger.active_jobs)
+        self.restarts.keep_jobs(self.ledger.active_jobs)
         self.health.keep_workers(self.ledger.workers)
         if now_ms < self._next_retention_check_ms:
             return
--- a/laburnumsill/batch/planner.py
+++ b/laburnumsill/batch/planner.py
@@ -65,7 +65,10 @@
     events of a site with little load.
     """
     waiting = units.ready_units(
-        planner_input.ledger, planner_input.now_ms, planner_input.step_ms
+        planner_input.ledger,
+        planner_input.now_ms,
+        planner_input.step_ms,
+        planner_input.is_paused,
     )
     if not waiting:
         unbegun = standing.without_begun(
--- a/laburnumsill/batch/plans.py
+++ b/laburnumsill/batch/plans.py
@@ -36,6 +36,7 @@
         steady_ms: Monotonic time, in ms.
         standing_since_ms: When the units that stood in the previous plan began
             to stand, monotonic, in ms.
+        is_paused: Returns whether a long-running task may not be started yet.
     """
 
     ledger: ledgers.BatchLedger
@@ -61,6 +62,7 @@
     standing_since_ms: abc.Mapping[model.StepKey, int] = dataclasses.field(
         default_factory=dict
     )
+    is_paused: units.TaskFilter = units.never
 
 
 @dataclasses.dataclass(slots=True)
--- a/laburnumsill/batch/session.py
+++ b/laburnumsill/batch/session.py
@@ -541,6 +541,9 @@
             return
         step = record.job.steps[end.run.task.step]
         now = self._term.clock.monotonic()
+        self._term.restarts.observe_end(
+            end, record.job, self._state.worker_id, now
+        )
         health = self._term.health
         queue = record.job.queue
         if health.observe_end(self._state.worker_id, end, step, now, queue):
--- a/laburnumsill/batch/term.py
+++ b/laburnumsill/batch/term.py
@@ -6,6 +6,7 @@
 from laburnumsill.batch import lost_work
 from laburnumsill.batch import model
 from laburnumsill.batch import order_slots
+from laburnumsill.batch import restarts
 from laburnumsill.batch import worker_client
 from laburnumsill.batch import worker_health
 from laburnumsill.core import adaptive_timeout
@@ -29,6 +30,7 @@
         order_timeout: Adaptive timeout of orders.
         order_slots: Limit of the orders in flight.
         lost_work: Counts the work of runs that end without being done.
+        restarts: Paces the restarts of long-running tasks.
     """
 
     ledger: ledgers.BatchLedger
@@ -41,6 +43,7 @@
     order_timeout: adaptive_timeout.AdaptiveTimeout
     order_slots: order_slots.OrderSlots
     lost_work: lost_work.LostWork
+    restarts: restarts.Restarts
 
     @property
     @abc.abstractmethod
--- a/laburnumsill/batch/tests/test_session.py
+++ b/laburnumsill/batch/tests/test_session.py
@@ -14,6 +14,7 @@
 from laburnumsill.batch import model
 from laburnumsill.batch import order_slots
 from laburnumsill.batch import orders
+from laburnumsill.batch import restarts
 from laburnumsill.batch import session as sessions
 from laburnumsill.batch import term as terms
 from laburnumsill.batch import worker_client
@@ -85,6 +86,7 @@
         self.order_slots = order_slots.OrderSlots()
         self.metrics = metrics_module.Metrics()
         self.lost_work = lost_work.LostWork(self.ledger, self.metrics)
+        self.restarts = restarts.Restarts(self.metrics)
         self.probed_domains = []
         self.verified_workers = []
         self.committed = []
--- a/laburnumsill/batch/units.py
+++ b/laburnumsill/batch/units.py
@@ -85,21 +85,42 @@
 """Returns the expected run time of a step's tasks, in ms."""
 
 
+TaskFilter = abc.Callable[[model.TaskId], bool]
+"""Returns whether something holds for a task."""
+
+
+def never(_: model.TaskId) -> bool:
+    """Returns False, whatever the task."""
+    return False
+
+
 def declared_ms(job: model.Job, number: int) -> float:
     """Returns the declared run time of a step's tasks, in ms."""
     return job.steps[number].estimated_ms
 
 
 def ready_units(
-    ledger: ledgers.BatchLedger, now_ms: int, step_ms: StepMs = declared_ms
+    ledger: ledgers.BatchLedger,
+    now_ms: int,
+    step_ms: StepMs = declared_ms,
+    is_paused: TaskFilter = never,
 ) -> list[Unit]:
-    """Returns all units whose tasks could run now, unsorted."""
+    """Returns all units whose tasks could run now, unsorted.
+
+    Args:
+        ledger: The ledger.
+        now_ms: Wall time, ms since 1970.
+        step_ms: Returns the expected run time of a step's tasks, in ms.
+        is_paused: Returns whether a long-running task may not be started yet.
+    """
     ready: list[Unit] = []
     for record in ledger.active_jobs.values():
         for occurrence in range(len(record.steps)):
             if record.job.due_ms(occurrence) > now_ms:
                 continue
-            ready += _units_of(ledger, record, occurrence, now_ms, step_ms)
+            ready += _units_of(
+                ledger, record, occurrence, now_ms, step_ms, is_paused
+            )
     return ready
 
 
@@ -151,6 +172,7 @@
     occurrence: int,
     now_ms: int,
     step_ms: StepMs,
+    is_paused: TaskFilter,
 ) -> abc.Iterator[Unit]:
     """Yields the ready units of one occurrence of a job."""
     job = record.job
@@ -160,6 +182,8 @@
         if not is_open or not record.ready(occurrence, number):
             continue
         tasks = ledger.waiting_tasks((job.job_id, occurrence, number))
+        if job.steps[number].long_running:
+            tasks = [task for task in tasks if not is_paused(task)]
         complete = len(tasks) == job.steps[number].tasks
         if not tasks or (job.steps[number].gang and not complete):
             continue
--- a/laburnumsill/emulator/tests/test_long_running.py
+++ b/laburnumsill/emulator/tests/test_long_running.py
@@ -7,6 +7,7 @@
 
 from laburnumsill.batch import commands
 from laburnumsill.batch import model
+from laburnumsill.batch import restarts
 from laburnumsill.emulator import site as sites
 from laburnumsill.emulator import virtual_time
 
@@ -127,3 +128,14 @@
     done = commands.EndKind.DONE
     site = play(seed, job(step()), [RUN_S], lambda _: done, disturb)
     assert min(starts_of(site, 2)) >= 3
+
+
+@pytest.mark.parametrize(
+    "kind", [commands.EndKind.DONE, commands.EndKind.FAILED]
+)
+def test_a_task_that_ends_at_once_is_started_at_a_bounded_rate(kind):
+    """Guards against commands without end for a task that cannot run."""
+    site = play(4, job(step(1)), [0.05], lambda _: kind)
+    (starts,) = starts_of(site, 1)
+    first_pauses = 5
+    assert 10 <= starts <= WATCH_S / restarts.MAX_PAUSE_S + first_pauses
