batch: take no end of a long-running task for a success of its worker

An end as done cleared what was held against a worker, ended its growing quarantine, and its run time was compared with those of other workers. A run of a long-running task that ends by itself shows none of this: the task was to go on, and it has no amount of work. A worker that ends whatever lasts looked sound and fast, and the task was placed there again.

--- a/laburnumsill/batch/model.py
+++ b/laburnumsill/batch/model.py
@@ -147,9 +147,10 @@
         """Whether the run time of a task measures the speed of its worker.
 
         It does not for a gang, which runs as long as its slowest member, nor
-        for a task with a data rack, which is slower on other racks.
+        for a task with a data rack, which is slower on other racks, nor for a
+        long-running task, which has no amount of work.
         """
-        return not self.gang and not self.data_rack
+        return not (self.gang or self.data_rack or self.long_running)
 
 
 @codec.register("batch.queue-terms")
--- a/laburnumsill/batch/tests/test_worker_health.py
+++ b/laburnumsill/batch/tests/test_worker_health.py
@@ -161,3 +161,29 @@
         failed(health, "w", job, 1.0)
     health.keep_workers({"w"})
     assert health.is_quarantined("w", 1.1)
+
+
+LASTING = model.Step(8, model.Resources(1000, 64, 1), long_running=True)
+
+
+def test_an_end_as_done_of_a_long_running_task_is_no_success():
+    """Guards against a worker that ends whatever lasts but looks sound."""
+    health = worker_health.WorkerHealth()
+    failed(health, "w", "a", 1.0)
+    done = end(run("c"), commands.EndKind.DONE)
+    assert not health.observe_end("w", done, LASTING, 2.0)
+    assert failed(health, "w", "b", 3.0)
+
+
+def test_a_long_running_task_avoids_workers_on_which_its_runs_have_ended():
+    health = worker_health.WorkerHealth()
+    done = end(run("a"), commands.EndKind.DONE)
+    health.observe_end("w", done, LASTING, 1.0)
+    assert health.avoided_workers(run("a").task) == {"w"}
+    health.observe_end("v", end(run("b"), done.kind), STEP, 1.0)
+    assert not health.avoided_workers(run("b").task)
+
+
+def test_run_times_of_long_running_tasks_measure_no_speed():
+    assert STEP.measures_worker_speed
+    assert not LASTING.measures_worker_speed
--- a/laburnumsill/batch/worker_health.py
+++ b/laburnumsill/batch/worker_health.py
@@ -106,7 +106,10 @@
         return statistics.median(recent) if recent else 1.0
 
     def avoided_workers(self, task: model.TaskId) -> abc.Set[str]:
-        """Returns the workers on which a task has failed or stalled."""
+        """Returns the workers on which a task has failed or stalled.
+
+        A long-running task also avoids those on which its runs have ended.
+        """
         return self._failed_on.get(task, set())
 
     def keep_jobs(self, jobs: abc.Container[str]) -> None:
@@ -142,6 +145,10 @@
         """
         progress = self._progress_by_run.pop(end.run, None)
         record = self._workers.setdefault(worker_id, _WorkerRecord())
+        if end.kind is commands.EndKind.DONE and step.long_running:
+            # No success: the task was to go on. No evidence of a fault either.
+            self._failed_on.setdefault(end.run.task, set()).add(worker_id)
+            return False
         if end.kind is commands.EndKind.DONE:
             self._evidence.record_success(worker_id, queue, end.run.task.job_id)
             record.quarantine_s = 0.0
