batch: refuse jobs of few steps that would exhaust the core VMs

What callers saw: after some accepted jobs of one step of 20,000 tasks, or of two steps with 130,000 dependencies, a core VM was over the memory of its machine (304 MB of 296 after 59 jobs, 301 MB after 141 to 149), though each body was inside the limit.

Cause: the limit of what the core keeps counted steps. The records of tasks, tasks of each occurrence, dependencies and payloads were not counted.

The limit is a field of the submission, so a log of an earlier version is applied as before. The limit of steps stays.

--- a/laburnumsill/batch/caller_commands.py
+++ b/laburnumsill/batch/caller_commands.py
@@ -34,6 +34,17 @@
     default_retry_after_s = 10.0
 
 
+class JobsTooLargeError(errors.OverloadedError):
+    """The jobs that are kept take too much memory; this one was not accepted.
+
+    See `model.Job.content_bytes`.
+    """
+
+    slug = "jobs-too-large"
+    title = "All jobs together are too large"
+    default_retry_after_s = 10.0
+
+
 class TooManyWithdrawnError(errors.OverloadedError):
     """Too many unknown jobs were cancelled; this one was not."""
 
@@ -53,11 +64,14 @@
         at_ms: When the request was received, ms since 1970.
         max_steps: Limit of the steps of all jobs whose records are kept, 0 for
             none, as in commands of earlier versions.
+        max_content_bytes: Limit of the `content_bytes` of these jobs, 0 for
+            none, likewise.
     """
 
     job: model.Job
     at_ms: int
     max_steps: int = 0
+    max_content_bytes: int = 0
 
 
 @codec.register("batch.cancel")
--- a/laburnumsill/batch/gateway.py
+++ b/laburnumsill/batch/gateway.py
@@ -17,6 +17,10 @@
 """Limit of the steps of all jobs whose records are kept: about 100 MB of memory
 in each VM of the group."""
 
+MAX_CONTENT_BYTES = 120_000_000
+"""Limit of the memory that all jobs whose records are kept may take in each VM
+of the group, by their own estimate, in bytes."""
+
 QUERY_TIMEOUT_S = 1.0
 """Timeout of a query."""
 
@@ -56,11 +60,12 @@
             caller_commands.JobWithdrawnError: The job was cancelled before; it
                 never runs.
             errors.UnavailableError: The job was certainly not accepted, for one
-                because all jobs together would have over `MAX_STEPS` steps.
+                because all jobs together would have over `MAX_STEPS` steps
+                or `MAX_CONTENT_BYTES`.
             errors.OutcomeUnknownError: The job may have been accepted.
         """
         command = caller_commands.SubmitJob(
-            job, self._clock.wall_ms(), MAX_STEPS
+            job, self._clock.wall_ms(), MAX_STEPS, MAX_CONTENT_BYTES
         )
         deadline = self._deadline_within(deadline, MAX_SUBMISSION_S)
         await self._groups.propose(
--- a/laburnumsill/batch/ledger.py
+++ b/laburnumsill/batch/ledger.py
@@ -90,6 +90,7 @@
     def __init__(self) -> None:
         self._jobs: dict[str, records.JobRecord] = {}
         self._steps = 0
+        self._content_bytes = 0
         self._registry = worker_registry.WorkerRegistry()
         self._live = live_runs.LiveRuns()
         self._waiting: dict[model.StepKey, list[model.TaskId]] = {}
@@ -216,6 +217,7 @@
             caller_commands.JobWithdrawnError: It was cancelled before.
             caller_commands.TooManyStepsError: All jobs together would have too
                 many steps.
+            caller_commands.JobsTooLargeError: They would take too much memory.
         """
         job_id = command.job.job_id
         if job_id in self._jobs:
@@ -226,7 +228,13 @@
             raise caller_commands.TooManyStepsError(
                 f"{steps} steps, {command.max_steps} at most"
             )
+        content = self._content_bytes + command.job.content_bytes
+        if command.max_content_bytes and content > command.max_content_bytes:
+            raise caller_commands.JobsTooLargeError(
+                f"{content} bytes, {command.max_content_bytes} at most"
+            )
         self._steps = steps
+        self._content_bytes = content
         record = records.new_job(command.job, command.at_ms)
         self._jobs[job_id] = record
         self._active[job_id] = record
@@ -469,6 +477,7 @@
             if ended and job_id not in busy:
                 del self._jobs[job_id]
                 self._steps -= record.job.total_steps
+                self._content_bytes -= record.job.content_bytes
         self._crashes.keep_jobs(self._active)
         queues = {record.job.queue for record in self._jobs.values()}
         self._queue_pools.keep(queues)
@@ -527,6 +536,7 @@
         for job in snapshot.jobs:
             self._jobs[job.job.job_id] = job
             self._steps += job.job.total_steps
+            self._content_bytes += job.job.content_bytes
             if job.active:
                 self._active[job.job.job_id] = job
         for worker in snapshot.workers:
--- a/laburnumsill/batch/model.py
+++ b/laburnumsill/batch/model.py
@@ -180,6 +180,16 @@
     target_ms: int = 0
 
 
+STEP_BYTES = 2_500
+"""Memory that a replica takes for a step and its record, in bytes."""
+
+TASK_BYTES = 220
+"""Memory that a replica takes for the record of a task, in bytes."""
+
+DEPENDENCY_BYTES = 16
+"""Memory that a replica takes for a dependency of a step, in bytes."""
+
+
 @codec.register("batch.job")
 class Job(msgspec.Struct, frozen=True):
     """A job as it was submitted.
@@ -217,6 +227,22 @@
         """Number of the steps of all occurrences."""
         return len(self.steps) * self.occurrences
 
+    @property
+    def content_bytes(self) -> int:
+        """Memory that the job and the records of its tasks take, in bytes.
+
+        An estimate; it depends on nothing but the job, so that all replicas
+        have the same one.
+        """
+        tasks = sum(step.tasks for step in self.steps)
+        dependencies = sum(len(step.depends_on) for step in self.steps)
+        return (
+            self.occurrences * tasks * TASK_BYTES
+            + self.total_steps * STEP_BYTES
+            + dependencies * DEPENDENCY_BYTES
+            + len(self.payload)
+        )
+
     def due_ms(self, occurrence: int) -> int:
         """Returns the due time of an occurrence, ms since 1970; 0 for now."""
         if not self.repeat_count:
--- a/laburnumsill/batch/tests/test_step_limit.py
+++ b/laburnumsill/batch/tests/test_step_limit.py
@@ -1,4 +1,4 @@
-"""Jobs that are refused since all jobs together have too many steps."""
+"""Jobs that are refused since all jobs together would be too large."""
 
 import msgspec
 import pytest
@@ -85,3 +85,62 @@
         await jobs.submit(job("b", 1), deadline)
     with pytest.raises(gateway.UnknownJobError):
         await jobs.job_state("b", deadline)
+
+
+def large_job(job_id, occurrences=0, payload="", **changes):
+    """Returns a job of one step with other tasks or dependencies."""
+    one = test_withdrawn_jobs.submission(job_id).job
+    step = msgspec.structs.replace(one.steps[0], **changes)
+    return msgspec.structs.replace(
+        one, steps=(step,), repeat_count=occurrences, payload=payload
+    )
+
+
+@pytest.mark.parametrize(
+    "one",
+    [
+        pytest.param(large_job("a", tasks=1000), id="tasks"),
+        pytest.param(large_job("a", 1000, tasks=1), id="occurrences"),
+        pytest.param(large_job("a", depends_on=(0,) * 20_000), id="dependent"),
+        pytest.param(large_job("a", payload="x" * 250_000), id="payload"),
+    ],
+)
+@pytest.mark.parametrize(
+    "copy", [lambda ledger: ledger, test_withdrawn_jobs.restored]
+)
+def test_jobs_beyond_the_limit_of_memory_are_refused(copy, one):
+    """Guards against jobs of few steps that exhaust all replicas."""
+    limit = 2 * one.content_bytes - 1
+
+    def submit(job_id):
+        changed = msgspec.structs.replace(one, job_id=job_id)
+        ledger.submit(
+            caller_commands.SubmitJob(changed, 1, max_content_bytes=limit)
+        )
+
+    ledger = ledgers.BatchLedger()
+    submit("a")
+    ledger = copy(ledger)
+    submit("a")
+    with pytest.raises(caller_commands.JobsTooLargeError) as refused:
+        submit("b")
+    assert refused.value.status == 503
+    assert list(ledger.jobs) == ["a"]
+    ledger.cancel(test_withdrawn_jobs.cancellation("a", at_ms=2))
+    ledger.forget(commands.ForgetJobs(3))
+    submit("b")
+
+
+async def test_callers_learn_that_a_job_was_too_large_beside_the_others():
+    machine = replication.StateMachine(ledgers.BatchLedger())
+    clock = trio_clock.TrioClock()
+    groups = local_groups.LocalGroups({"site": machine})
+    jobs = gateway.JobGateway("site", groups, clock)
+    deadline = clock.monotonic() + 10
+    size = large_job("a", tasks=20_000).content_bytes
+    for number in range(gateway.MAX_CONTENT_BYTES // size):
+        await jobs.submit(large_job(f"j{number}", tasks=20_000), deadline)
+    with pytest.raises(caller_commands.JobsTooLargeError):
+        await jobs.submit(large_job("b", tasks=20_000), deadline)
+    with pytest.raises(gateway.UnknownJobError):
+        await jobs.job_state("b", deadline)
