daemon: answer a served call also where it fills the budget of bytes

What callers saw: a call that was carried out got no answer where its own bytes, or those of several served calls, filled the budget: the few bytes of its answer found no room, the connection was the only one that waited for its caller, and it gave itself up.

Change: an answer of up to 8 KiB takes nothing from the budget. What such answers hold together is bounded by the number of connections: 4 MiB for the 512 of a role.

--- a/laburnumsill/daemon/light_connection.py
+++ b/laburnumsill/daemon/light_connection.py
@@ -42,6 +42,11 @@
 """Pieces of one read that are handled in one turn of the loop. A read may hold
 thousands of chunks of a byte."""
 
+SMALL_ANSWER_BYTES = 8_192
+"""Size up to which an answer takes nothing from the budget. Were it given up for
+its own answer, a call would be carried out and not answered; what such answers
+hold together is bounded by the number of connections."""
+
 SEND_TIMEOUT_S = 60
 """The connection of a caller that has not read an answer by then is closed."""
 
@@ -322,7 +327,8 @@
         was_served = not self._keeps_waiting
         self._wait_for_caller()
         with trio.move_on_after(SEND_TIMEOUT_S) as self._sending:
-            self._budget.take(self, size)
+            if size > SMALL_ANSWER_BYTES:
+                self._budget.take(self, size)
             for piece in pieces:
                 await self._stream.send_all(piece)
         if self._sending.cancelled_caught:
