platform: soak long-running jobs whose runs end in every way

No soak had a long-running step, its watch took such a job for moving while any of its tasks ran and for failed once a task had failed three times, and the callers' stand-in could not submit one. So no soak could see a task that is never started again.

The new kind long-running plays the first troubles beside three jobs (single tasks, a gang, a gang beside a step that ends) whose runs end by themselves in any of the six ways, and a calm time after them. The watch judges each long-running task or gang from 6 s after its last run, whether others run or not; what it asks of other jobs is unchanged. The jobs are cancelled at the end and must then be shown as cancelled.

--- a/laburnumsill/platform/tests/soak/main.py
+++ b/laburnumsill/platform/tests/soak/main.py
@@ -38,9 +38,14 @@
 PLANNED = "planned"
 CALM = "calm"
 FAILING = "failing"
+LONG_RUNNING = "long-running"
 """Names of sets of troubles, see `troubles.CHOICES`."""
 
-LOADS = {CALM: witnesses.CALM_LOAD, FAILING: witnesses.FAILING_LOAD}
+LOADS = {
+    CALM: witnesses.CALM_LOAD,
+    FAILING: witnesses.FAILING_LOAD,
+    LONG_RUNNING: witnesses.LASTING_LOAD,
+}
 """Loads other than the usual one, by the set of troubles."""
 
 MEAN_GAP_S = 0.9
@@ -367,7 +372,8 @@
         " spare: the same with a spare core VM; workers: the same with workers"
         " that depart and queues that move; planned: only SIGTERM and SIGHUP;"
         " calm: no troubles, and most workers in use; failing: the same with"
-        " jobs that always fail",
+        " jobs that always fail; long-running: the first ones beside jobs"
+        " that run until they are cancelled",
     )
     parser.add_argument(
         "--under-half",
--- a/laburnumsill/platform/tests/soak/site.py
+++ b/laburnumsill/platform/tests/soak/site.py
@@ -11,6 +11,7 @@
 import msgspec
 import trio
 
+from laburnumsill.batch import commands
 from laburnumsill.batch import model
 from laburnumsill.daemon import server
 from laburnumsill.emulator import workers as emulated
@@ -43,6 +44,17 @@
 """Share of long tasks, which are still running when a worker has been cut off
 for seconds."""
 
+OWN_ENDS = (
+    commands.EndKind.DONE,
+    commands.EndKind.DONE,
+    commands.EndKind.FAILED,
+    commands.EndKind.STOPPED,
+    commands.EndKind.LEASE_ENDED,
+    commands.EndKind.MEMBER_ENDED,
+    commands.EndKind.INCOMPLETE_GANG,
+)
+"""Ends of runs of long-running tasks, each value equally likely."""
+
 SLOWEST_CLOCK = 0.98
 """Minimum rate of the workers' monotonic clocks, which may be 2% slow."""
 
@@ -148,6 +160,7 @@
         self.has_crashing_tasks = has_crashing_tasks
         self.pool.is_crashing = self.is_crashing
         self.pool.on_crash = self._restart_later
+        self.pool.long_running_end = _own_end
         self.suspended_s: dict[str, float] = {}
         self.lost_under: collections.Counter[model.TaskId] = (
             collections.Counter()
@@ -439,6 +452,12 @@
     return source.uniform(*(LONG_WORK_S if is_long else SHORT_WORK_S))
 
 
+def _own_end(run: model.RunId) -> commands.EndKind:
+    """Returns how a run of a long-running task ends by itself."""
+    source = random.Random(zlib.crc32(str(run).encode()))
+    return source.choice(OWN_ENDS)
+
+
 def is_hopeless(task: model.TaskId) -> bool:
     """Returns whether a task always fails, as in one job of sixteen."""
     return task.job_id.endswith("f")
--- a/laburnumsill/platform/tests/soak/standing.py
+++ b/laburnumsill/platform/tests/soak/standing.py
@@ -5,6 +5,9 @@
 whole gang, is enough for two of it. Racks and speeds of workers do not matter.
 A promise is broken once a job has stood still for `LONGEST_STAND_S` that were
 calm, with `CALM_S` of calm before them.
+
+Each task of a long-running step, or its gang, is judged by itself, whether
+others of its job run or not, from `REST_S` after its last run.
 """
 
 import dataclasses
@@ -22,6 +25,10 @@
 CALM_S = 4.0
 """Time without disturbances before a stand that counts, in seconds."""
 
+REST_S = 6.0
+"""Time after the end of its last run for which a long-running task may rest, in
+seconds."""
+
 LONGEST_GAP_S = 0.6
 """Maximum time between two moments, in seconds. The soak's own loop is late
 beyond it, and a lack of progress is then no evidence against the daemons."""
@@ -93,7 +100,10 @@
     def may_have_failed(self) -> bool:
         """Whether a task has no attempt left, so that nothing may start."""
         allowed = self.truth.job.terms.max_attempts
-        return any(n >= allowed for n in self.truth.failures.values())
+        return any(
+            count >= allowed and not self.truth.lasts(task)
+            for task, count in self.truth.failures.items()
+        )
 
     @property
     def run_count(self) -> int:
@@ -104,8 +114,12 @@
             for task in self._tasks(number)
         )
 
-    def units(self) -> abc.Iterator["Unit"]:
-        """Yields a unit of each step whose turn has come."""
+    def units(self, at: float) -> abc.Iterator["Unit"]:
+        """Yields the units whose turn has come.
+
+        There is one of each step, and of a long-running step one for each task
+        or gang that neither runs nor rests at a time.
+        """
         done = self.truth.done
         for number, step in enumerate(self.truth.job.steps):
             undone = [task for task in self._tasks(number) if task not in done]
@@ -113,9 +127,28 @@
                 done.issuperset(self._tasks(before))
                 for before in step.depends_on
             ):
+                if step.long_running:
+                    yield from self._rested_units(number, at)
+                    continue
                 runs = [self.runs.get(task, 0) for task in undone]
                 yield Unit(self.path, number, step, runs)
 
+    def _rested_units(self, number: int, at: float) -> abc.Iterator["Unit"]:
+        """Yields the units of a long-running step that may not rest longer."""
+        step = self.truth.job.steps[number]
+        tasks = self._tasks(number)
+        running = {run.task for run in self.truth.running}
+        for unit in [tasks] if step.gang else [[task] for task in tasks]:
+            ends = [
+                self.truth.ended_at[task]
+                for task in unit
+                if task in self.truth.ended_at
+            ]
+            rests = at < max(ends, default=-math.inf) + REST_S
+            if not rests and not running.issuperset(unit):
+                runs = [self.runs.get(task, 0) for task in unit]
+                yield Unit(self.path, number, step, runs, unit[0].index)
+
     def _tasks(self, number: int) -> list[model.TaskId]:
         job = self.truth.job
         return [
@@ -132,18 +165,21 @@
         path: The path of the job.
         number: The number of the step.
         step: The step.
-        runs: Number of runs of each task of the step that is not done.
+        runs: Number of runs of each task of the step that is not done; of a
+            long-running step, of each task of the unit.
+        index: The first task of a unit of a long-running step.
     """
 
     path: str
     number: int
     step: model.Step
     runs: abc.Sequence[int]
+    index: int = 0
 
     @property
-    def key(self) -> tuple[str, int]:
-        """Identifies the job and the step."""
-        return (self.path, self.number)
+    def key(self) -> "_Key":
+        """Identifies the job, the step, and a task that is judged by itself."""
+        return (self.path, self.number, self.index)
 
     @property
     def size(self) -> int:
@@ -160,6 +196,10 @@
         )
 
 
+_Key = tuple[str, int, int]
+"""The path of a job, the number of a step, and the first task of a unit."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Moment:
     """What is seen of a site at some time.
@@ -234,7 +274,7 @@
 
     Attributes:
         since: Time of its beginning.
-        run_count: Number of runs of the job then.
+        run_count: Number of runs of what is judged, the job or the unit.
         finding: The worst finding so far.
         facts: Describes the moment of that finding.
     """
@@ -253,6 +293,13 @@
     job: JobState
     room: int
 
+    @property
+    def run_count(self) -> int:
+        """Number of runs of what is judged: of the job, or of the unit."""
+        if self.unit.step.long_running:
+            return sum(self.unit.runs)
+        return self.job.run_count
+
 
 class Watch:
     """Judges a sequence of moments.
@@ -281,7 +328,7 @@
         self.longest_beside_crash_s = 0.0
         self.judged: list[float] = []
         self._asks_under_half = asks_under_half
-        self._stands: dict[tuple[str, int], _Stand] = {}
+        self._stands: dict[_Key, _Stand] = {}
         self._conditions: set[tuple[model.Worker, bool, bool]] = set()
         self._changed_at = -math.inf
         self._late_at = -math.inf
@@ -302,7 +349,7 @@
         """Returns the paths of the jobs that have stood still since `at`."""
         return {
             path
-            for (path, _), stand in self._stands.items()
+            for (path, _, _), stand in self._stands.items()
             if stand.since <= at
         }
 
@@ -321,8 +368,9 @@
         candidates = {
             candidate.unit.key: candidate
             for job in moment.jobs
-            if job.path not in moving and not job.may_have_failed
+            if not job.may_have_failed
             for candidate in self._candidates(job, moment)
+            if candidate.unit.step.long_running or job.path not in moving
         }
         self._update_stands(candidates, moment.at)
         if self._verdict(moment) is _Finding.BROKEN:
@@ -348,21 +396,21 @@
     ) -> abc.Iterator[_Candidate]:
         if self._asks_under_half and not moment.is_under_half(job.pools):
             return
-        for unit in job.units():
+        for unit in job.units(moment.at):
             room = moment.room(unit, job.pools)
             if room >= ROOM_FACTOR * unit.size:
                 yield _Candidate(unit, job, room)
 
     def _update_stands(
-        self, candidates: abc.Mapping[tuple[str, int], _Candidate], at: float
+        self, candidates: abc.Mapping[_Key, _Candidate], at: float
     ) -> None:
         """Ends the stands that are over and begins new ones."""
         for key, stand in list(self._stands.items()):
             candidate = candidates.get(key)
-            if candidate is None or candidate.job.run_count > stand.run_count:
+            if candidate is None or candidate.run_count > stand.run_count:
                 self._end(key[0], self._stands.pop(key), at)
         for key, candidate in candidates.items():
-            stand = _Stand(at, candidate.job.run_count)
+            stand = _Stand(at, candidate.run_count)
             self._stands.setdefault(key, stand)
 
     def _judge(
--- a/laburnumsill/platform/tests/soak/troubles.py
+++ b/laburnumsill/platform/tests/soak/troubles.py
@@ -716,5 +716,6 @@
     "planned": PLANNED_KINDS,
     "calm": CALM_KINDS,
     "failing": CALM_KINDS,
+    "long-running": KINDS,
 }
 """Sets of troubles by their names on the command line."""
--- a/laburnumsill/platform/tests/soak/witness.py
+++ b/laburnumsill/platform/tests/soak/witness.py
@@ -67,6 +67,11 @@
 LAST_PATH = "/last/"
 """Path of a route that only the last configuration has."""
 
+LASTING_PREFIX = "1a57"
+"""First digits of the ids of long-running jobs."""
+
+LASTING_RETRY_S = 0.2
+
 SERVED_AGAIN_S = 12.0
 """Time after the last trouble within which a job is accepted, as the users
 require."""
@@ -106,15 +111,21 @@
         jobs_per_s: Mean rate of submissions.
         changes_configurations: Whether operators change the configuration.
         last_digits: Number of final digits of job ids, see `ORDINARY_DIGITS`.
+        lasting_jobs: Number of jobs with long-running steps, which run from
+            the first troubles until all are over.
     """
 
     jobs_per_s: float = JOBS_PER_S
     changes_configurations: bool = True
     last_digits: int = ALL_DIGITS
+    lasting_jobs: int = 0
 
 
 USUAL_LOAD = Load()
 
+LASTING_LOAD = Load(last_digits=ORDINARY_DIGITS, lasting_jobs=3)
+"""The usual load beside long-running jobs."""
+
 FAILING_LOAD = Load(CALM_JOBS_PER_S, changes_configurations=False)
 """Load that uses most of the pool, with jobs that always fail."""
 
@@ -152,6 +163,7 @@
         )
         self._acknowledged = 0
         self._sent = 0
+        self._lasting: list[Fate] = []
 
     async def configure_first(self) -> None:
         """Puts the first configuration in force and waits for all entries."""
@@ -168,6 +180,8 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._submit_jobs, nursery)
             nursery.start_soon(self._check_states)
+            for number in range(self._load.lasting_jobs):
+                nursery.start_soon(self._submit_lasting, number)
             if self._load.changes_configurations:
                 nursery.start_soon(self._change_configurations, nursery)
 
@@ -222,7 +236,12 @@
         await caller.aclose()
 
     async def settle(self) -> None:
-        """Waits for the end of all jobs and checks their final states."""
+        """Waits for the end of all jobs and checks their final states.
+
+        Long-running jobs, which have no end of their own, are cancelled.
+        """
+        for fate in self._lasting:
+            await self._cancel(fate)
         with trio.move_on_after(SETTLE_TIMEOUT_S):
             while any(self._is_open(fate) for fate in self.fates):
                 for fate in self.fates:
@@ -268,12 +287,29 @@
             fate = self._new_job(self._load.last_digits)
             nursery.start_soon(self._submit, fate)
 
+    async def _submit_lasting(self, number: int) -> None:
+        """Submits a long-running job until it is accepted."""
+        job_id = f"{LASTING_PREFIX}{number:0{16 - len(LASTING_PREFIX)}x}"
+        fate = self._add_job(job_id, "sweep", _lasting_steps(number))
+        self._lasting.append(fate)
+        body = standin.job_body(fate.job)
+        fate.maybe_accepted = True
+        while fate.accepted_at is None:
+            if await self._call("POST", fate.path, body) == 200:
+                fate.accepted_at = trio.current_time()
+            await trio.sleep(LASTING_RETRY_S)
+
     def _new_job(self, last_digits: int) -> Fate:
         number = len(self.fates)
         queue = self._random.choice(list(PRIORITIES))
         job_id = f"{number:015x}{self._random.randrange(last_digits):x}"
+        return self._add_job(job_id, queue, self._steps(queue))
+
+    def _add_job(
+        self, job_id: str, queue: str, steps: tuple[model.Step, ...]
+    ) -> Fate:
         terms = model.QueueTerms(standin.POOL, PRIORITIES[queue], 3)
-        job = model.Job(job_id, queue, "", "text", self._steps(queue), terms)
+        job = model.Job(job_id, queue, "", "text", steps, terms)
         self._site.oracle.submitted(job)
         fate = Fate(job, f"/{queue}/{job_id}")
         self.fates.append(fate)
@@ -451,3 +487,16 @@
         """
         truth = self._site.oracle.jobs[task.job_id]
         return truth.crashes[task] + self._site.lost_under[task]
+
+
+def _lasting_steps(number: int) -> tuple[model.Step, ...]:
+    """Returns the steps of a long-running job, by its number.
+
+    There are single tasks, a gang, and a gang beside a step that ends.
+    """
+    needs = model.Resources(2_000, 2_000, 1)
+    single = model.Step(2, needs, 1000, long_running=True)
+    gang = model.Step(2, needs, 1000, gang=True, long_running=True)
+    finite = model.Step(2, needs, 1000)
+    kinds = ((single,), (gang,), (gang, finite))
+    return kinds[number % len(kinds)]
--- a/laburnumsill/platform/tests/standin.py
+++ b/laburnumsill/platform/tests/standin.py
@@ -83,6 +83,7 @@
                 "same_rack": step.same_rack,
                 "max_per_server": step.max_per_worker,
                 "saves_progress": step.saves_progress,
+                "long_running": step.long_running,
             }
             for step in job.steps
         ],
--- a/laburnumsill/platform/tests/test_soak.py
+++ b/laburnumsill/platform/tests/test_soak.py
@@ -34,6 +34,8 @@
 WORKER_SEEDS = (1, 2)
 PLANNED_SEEDS = (1,)
 PLANNED_S = 12.0
+LONG_RUNNING_SEEDS = (1,)
+LONG_RUNNING_CALM_S = 15.0
 CALM_SEEDS = (3,)
 CALM_S = 9.0
 
@@ -187,6 +189,23 @@
     assert verdict.completed
 
 
+@pytest.mark.parametrize("seed", LONG_RUNNING_SEEDS)
+async def test_long_running_tasks_run_again_however_their_runs_end(
+    tmp_path: pathlib.Path, seed: int
+):
+    """Guards against a long-running task that counts as done."""
+    verdict = await soaks.soak(
+        seed,
+        SHORT_S,
+        tmp_path,
+        load=witnesses.LASTING_LOAD,
+        calm_s=LONG_RUNNING_CALM_S,
+    )
+    assert verdict.broken == [], verdict.line()
+    assert verdict.standing.judged
+    assert verdict.completed
+
+
 def test_unplanned_troubles_excuse_a_vm_until_three_seconds_after():
     clock = trio.testing.MockClock()
 
--- a/laburnumsill/platform/tests/test_standing.py
+++ b/laburnumsill/platform/tests/test_standing.py
@@ -319,3 +319,49 @@
         assert found.last_at == trio.current_time()
     await trio.sleep(2.0)
     assert found.last_at == began_at + 1.0
+
+
+def lasting(**changes: object) -> standing.JobState:
+    return job(model.Step(2, NEEDS, long_running=True, **changes))
+
+
+def end_run(scene: Scene, index: int, is_done: bool = True) -> None:
+    """Ends a run of a task of the first job now, as a worker does."""
+    truth = scene.jobs[0].truth
+    truth.ended_at[task(index=index)] = scene.now
+    if is_done and not truth.lasts(task(index=index)):
+        truth.done.add(task(index=index))
+
+
+def test_a_long_running_task_is_judged_while_others_of_its_job_run(scene):
+    scene.jobs = [lasting()]
+    running = model.RunId(task(index=1), 1)
+    scene.jobs[0].truth.running[running] = "w"
+    scene.change_worker(running={task(index=1): NEEDS})
+    scene.pass_s(4.0)
+    assert len(scene.end()) == 1
+
+
+def test_a_long_running_task_may_rest_for_6_s_after_its_last_run(scene):
+    scene.jobs = [lasting(gang=True)]
+    end_run(scene, 0)
+    scene.pass_s(8.9)
+    scene.jobs = []
+    assert scene.end() == []
+
+
+@pytest.mark.parametrize("is_done", [False, True])
+def test_a_long_running_task_that_rests_longer_is_reported(scene, is_done):
+    """Guards against a watch that takes the end of a run for that of a task."""
+    scene.jobs = [lasting(gang=True)]
+    end_run(scene, 0, is_done)
+    end_run(scene, 1, is_done)
+    scene.pass_s(9.2)
+    assert len(scene.end()) == 1
+
+
+def test_failures_of_long_running_tasks_excuse_no_stand(scene):
+    scene.jobs = [lasting(gang=True)]
+    scene.jobs[0].truth.failures[task()] = 5
+    scene.pass_s(4.0)
+    assert len(scene.end()) == 1
