explain: tell that a run of a long-running task is followed by another

The story of a job showed a run of a long-running task that ended as done like the end of its task. The event task-restarts marks the run now; the new test failed before.

--- a/laburnumsill/explain/causes.py
+++ b/laburnumsill/explain/causes.py
@@ -188,6 +188,8 @@
     detail = run.worker
     if run.end != "done":
         detail += f", {run.end}"
+    if run.is_restarted:
+        detail += ", its task lasts and starts again"
     if run.stop_reason:
         detail += f", {run.stop_reason}"
     yield Span(started_at, end, _cause_of_end(run), detail)
--- a/laburnumsill/explain/stories.py
+++ b/laburnumsill/explain/stories.py
@@ -44,6 +44,7 @@
         stop_reason: Why the scheduler stopped it, "" if it did not.
         stop_at: Time of the order to stop, None without one.
         stopped_for: The job that preempted it, "" if none did.
+        is_restarted: Whether its task is long-running and starts again.
     """
 
     step: str
@@ -58,6 +59,7 @@
     stop_reason: str = ""
     stop_at: float | None = None
     stopped_for: str = ""
+    is_restarted: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -205,6 +207,7 @@
             "run-seen": self._run_started,
             "run-stop": self._run_stop,
             "run-ended": self._run_ended,
+            "task-restarts": self._task_restarts,
             "run-released": self._run_released,
             "unit-waits": self._unit_waits,
             "job-ended": self._job_ended,
@@ -283,6 +286,11 @@
             run.ended_at = event.at
             run.end = event.text("kind")
 
+    def _task_restarts(self, event: lines.Event) -> None:
+        run = self._run(event)
+        if run is not None:
+            run.is_restarted = True
+
     def _run_released(self, event: lines.Event) -> None:
         run = self._run(event)
         if run is not None and run.ended_at is None:
--- a/laburnumsill/explain/tests/test_causes.py
+++ b/laburnumsill/explain/tests/test_causes.py
@@ -207,3 +207,22 @@
     run = site.jobs["j"].runs["j.0.0.0#1"]
     assert run.end == "done"
     assert run.started_at is None
+
+
+def test_a_run_of_a_long_running_task_that_was_done_is_followed_by_another():
+    """Guards against a story in which such a task has ended."""
+    site = site_of(
+        SCHEDULER_STARTED,
+        ACCEPTED,
+        placed(2.6, "j.0.0.0#1", "w1"),
+        started(2.7, "j.0.0.0#1"),
+        ended(5.0, "j.0.0.0#1", "done"),
+        "5.0 event=task-restarts job=j run=j.0.0.0#1 worker=w1 kind=done"
+        " pause_ms=0 vm=core1",
+        placed(5.2, "j.0.0.0#2", "w2"),
+        started(5.3, "j.0.0.0#2"),
+        ended(9.0, "j.0.0.0#2", "done"),
+    )
+    spans = causes.spans_of(site.jobs["j"], site)
+    details = [one.detail for one in spans if one.cause is Cause.RUNNING]
+    assert details == ["w1, its task lasts and starts again", "w2"]
