batch, daemon: ask only where something lasts or ends

The list of a step's waiting tasks made an id and a look-up for each done task; the record of the job yields the undone ones. A connection of laburnumsilld looked at its socket after each call; it does so in a shutdown only.

--- a/laburnumsill/batch/ledger.py
+++ b/laburnumsill/batch/ledger.py
@@ -708,17 +708,8 @@
         self._waiting.pop(run.task.step_key, None)
 
     def _find_waiting(self, key: model.StepKey) -> list[model.TaskId]:
-        job_id, occurrence, number = key
-        record = self._jobs[job_id]
-        tasks = (
-            model.TaskId(job_id, occurrence, number, index)
-            for index in range(record.job.steps[number].tasks)
-        )
-        return [
-            task
-            for task in tasks
-            if not record.is_task_done(task) and self.live_run(task) is None
-        ]
+        undone = self._jobs[key[0]].undone_tasks(key)
+        return [task for task in undone if self.live_run(task) is None]
 
     def commands(self) -> dict[type, replication.Handler]:
         """Returns the handler of each type of command."""
--- a/laburnumsill/batch/records.py
+++ b/laburnumsill/batch/records.py
@@ -104,6 +104,14 @@
             return False
         return record.done_run > 0
 
+    def undone_tasks(self, key: model.StepKey) -> abc.Iterator[model.TaskId]:
+        """Yields the tasks of a step that need a further run, or run."""
+        _, occurrence, number = key
+        lasts = self.job.steps[number].long_running
+        for index, task in enumerate(self.steps[occurrence][number].tasks):
+            if lasts or not task.done_run:
+                yield model.TaskId(*key, index)
+
     def is_step_open(self, occurrence: int, step: int) -> bool:
         """Returns whether any task of a step is not done."""
         lasts = self.job.steps[step].long_running
--- a/laburnumsill/daemon/hypercorn_connection.py
+++ b/laburnumsill/daemon/hypercorn_connection.py
@@ -282,6 +282,8 @@
 
     def _limit_time(self) -> None:
         """Sets until when the connection is kept without a call."""
+        if self._answer_by == math.inf:
+            return
         is_expected = self._stream.has_unread or not self._answers
         kept_s = staged_server.FIRST_CALL_S if is_expected else LAST_CALL_S
         self._idle_until = trio.current_time() + kept_s
