batch, emulator: ask one place which run completed a task, and which job lasts

Whether a job lasts is a property of the job, which the emulator's oracle asks too. The lists of ends in the emulator's test and in the soak are the values of EndKind, in the same order.

--- a/laburnumsill/batch/ledger.py
+++ b/laburnumsill/batch/ledger.py
@@ -636,7 +636,7 @@
                 task_record.done_run = run.number
                 step.undone -= 1
         self._waiting.pop(run.task.step_key, None)
-        lasts = restarts and record.lasts
+        lasts = restarts and record.job.lasts
         if record.active and record.done and not lasts:
             completed = caller_commands.JobState.COMPLETED
             self._finish_job(record, completed, command.at_ms)
--- a/laburnumsill/batch/model.py
+++ b/laburnumsill/batch/model.py
@@ -227,6 +227,11 @@
         """Number of the steps of all occurrences."""
         return len(self.steps) * self.occurrences
 
+    @property
+    def lasts(self) -> bool:
+        """Whether the job runs until it is cancelled."""
+        return any(step.long_running for step in self.steps)
+
     @property
     def content_bytes(self) -> int:
         """Memory that the job and the records of its tasks take, in bytes.
--- a/laburnumsill/batch/obsolete_runs.py
+++ b/laburnumsill/batch/obsolete_runs.py
@@ -30,19 +30,14 @@
     elif not record.has_done_tasks(key):
         return
     for run in runs:
-        if record is not None and record.is_task_done(run.task):
-            if not _completed_its_task(record, run):
+        completing = record.completing_run(run.task) if record else 0
+        if completing:
+            if completing != run.number:
                 yield run, "its task is done"
         elif reason:
             yield run, reason
 
 
-def _completed_its_task(record: records.JobRecord, run: model.RunId) -> bool:
-    """Returns whether it is this run that completed its task."""
-    task = record.task(run.task)
-    return task is not None and task.done_run == run.number
-
-
 def _is_complete(
     record: records.JobRecord,
     key: model.StepKey,
--- a/laburnumsill/batch/placement_checks.py
+++ b/laburnumsill/batch/placement_checks.py
@@ -3,7 +3,6 @@
 from laburnumsill.batch import commands
 from laburnumsill.batch import ledger_view
 from laburnumsill.batch import model
-from laburnumsill.batch import records
 
 
 def placement_refusal(
@@ -40,7 +39,10 @@
     record = job.task(task)
     if record is None:
         return f"no task {task}"
-    if _counts_as_done(job, task, semantics):
+    completing = record.done_run
+    if semantics >= commands.RESTARTS_LONG_RUNNING:
+        completing = job.completing_run(task)
+    if completing:
         return f"{task} is done"
     if ledger.live_run(task) is not None:
         return f"{task} has a live run"
@@ -51,16 +53,6 @@
     return ""
 
 
-def _counts_as_done(
-    job: records.JobRecord, task: model.TaskId, semantics: int
-) -> bool:
-    """Returns whether a task is done by the semantics of a command."""
-    if semantics >= commands.RESTARTS_LONG_RUNNING:
-        return job.is_task_done(task)
-    record = job.task(task)
-    return record is not None and record.done_run > 0
-
-
 def _worker_refusal(
     ledger: ledger_view.LedgerView, placement: commands.Placement
 ) -> str:
--- a/laburnumsill/batch/records.py
+++ b/laburnumsill/batch/records.py
@@ -17,7 +17,7 @@
             lost do not count. A run of a gang counts for all its members.
         done_run: Number of the run that completed the task, 0 before. A
             long-running task has one only if an earlier version of this
-            program has recorded it, see `JobRecord.is_task_done`.
+            program has recorded it, see `JobRecord.completing_run`.
         saved: Newest saved progress, from which a run can resume, or "".
     """
 
@@ -74,11 +74,6 @@
             not step.undone for occurrence in self.steps for step in occurrence
         )
 
-    @property
-    def lasts(self) -> bool:
-        """Whether the job runs until it is cancelled."""
-        return any(step.long_running for step in self.job.steps)
-
     def task(self, task: model.TaskId) -> TaskRecord | None:
         """Returns the record of a task, or None if there is no such task."""
         step = self.step(task)
@@ -94,15 +89,16 @@
         exists = 0 <= task.step < len(occurrence)
         return occurrence[task.step] if exists else None
 
-    def is_task_done(self, task: model.TaskId) -> bool:
-        """Returns whether a task needs no further run.
+    def completing_run(self, task: model.TaskId) -> int:
+        """Returns the number of the run that completed a task, 0 before.
 
-        A long-running task always does, until its job is cancelled.
+        Always 0 for a long-running task, which needs a further run until its
+        job is cancelled.
         """
         record = self.task(task)
         if record is None or self.job.steps[task.step].long_running:
-            return False
-        return record.done_run > 0
+            return 0
+        return record.done_run
 
     def undone_tasks(self, key: model.StepKey) -> abc.Iterator[model.TaskId]:
         """Yields the tasks of a step that need a further run, or run."""
--- a/laburnumsill/batch/tests/test_ledger_machine.py
+++ b/laburnumsill/batch/tests/test_ledger_machine.py
@@ -320,7 +320,7 @@
         for job_id, record in self.ledger.jobs.items():
             if record.state is caller_commands.JobState.COMPLETED:
                 assert record.done
-                assert not record.lasts or job_id in self.noted_as_before
+                assert not record.job.lasts or job_id in self.noted_as_before
             if record.state is caller_commands.JobState.FAILED:
                 failed = any(
                     task.failures >= record.job.terms.max_attempts
--- a/laburnumsill/emulator/oracle.py
+++ b/laburnumsill/emulator/oracle.py
@@ -286,9 +286,7 @@
         truth = self.jobs.get(job_id)
         if truth is None:
             self._break(now, f"MIXED {job_id} was never sent")
-        elif state == "completed" and any(
-            step.long_running for step in truth.job.steps
-        ):
+        elif state == "completed" and truth.job.lasts:
             self._break(now, f"MIXED {job_id} runs until it is cancelled")
         elif state == "completed":
             wanted = sum(s.tasks for s in truth.job.steps)
--- a/laburnumsill/emulator/tests/test_long_running.py
+++ b/laburnumsill/emulator/tests/test_long_running.py
@@ -16,14 +16,7 @@
 """Time after its cancellation by which no run of a job is left."""
 
 RUN_S = 2.5
-OWN_ENDS = (
-    commands.EndKind.DONE,
-    commands.EndKind.FAILED,
-    commands.EndKind.STOPPED,
-    commands.EndKind.LEASE_ENDED,
-    commands.EndKind.MEMBER_ENDED,
-    commands.EndKind.INCOMPLETE_GANG,
-)
+OWN_ENDS = tuple(commands.EndKind)
 NEEDS = model.Resources(2000, 1024, 1)
 
 
--- a/laburnumsill/platform/tests/soak/site.py
+++ b/laburnumsill/platform/tests/soak/site.py
@@ -44,16 +44,8 @@
 """Share of long tasks, which are still running when a worker has been cut off
 for seconds."""
 
-OWN_ENDS = (
-    commands.EndKind.DONE,
-    commands.EndKind.DONE,
-    commands.EndKind.FAILED,
-    commands.EndKind.STOPPED,
-    commands.EndKind.LEASE_ENDED,
-    commands.EndKind.MEMBER_ENDED,
-    commands.EndKind.INCOMPLETE_GANG,
-)
-"""Ends of runs of long-running tasks, each value equally likely."""
+OWN_ENDS = (commands.EndKind.DONE, *commands.EndKind)
+"""Ends of runs of long-running tasks, drawn alike; done is twice as likely."""
 
 SLOWEST_CLOCK = 0.98
 """Minimum rate of the workers' monotonic clocks, which may be 2% slow."""
